--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+GO ?= go
+PACKAGES := ./...
+
+.PHONY: build test check fmt generate demo fuzz
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+fmt:
+	gofmt -l -w cmd internal
+
+check:
+	@unformatted=$$(gofmt -l cmd internal); \
+	if [ -n "$$unformatted" ]; then echo "not formatted, run make fmt:"; echo "$$unformatted"; exit 1; fi
+	$(GO) vet $(PACKAGES)
+	$(GO) tool staticcheck $(PACKAGES)
+
+test: check
+	./.ci/gotest
+
+demo: build
+	./bin/peridotmoor-dev demo --bin bin
+
+# Needs protoc (Debian package protobuf-compiler). The generated code is committed.
+generate:
+	mkdir -p bin/tools
+	$(GO) build -o bin/tools/ google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
+	PATH="$(CURDIR)/bin/tools:$$PATH" protoc --go_out=. --go_opt=paths=source_relative \
+		--go-drpc_out=. --go-drpc_opt=paths=source_relative internal/peer/peerpb/peer.proto
--- /dev/null
+++ b/internal/key/hash.go
@@ -0,0 +1,12 @@
+// Package key maps keys to hashes and hash ranges to shards. It is pure.
+package key
+
+import "github.com/cespare/xxhash/v2"
+
+// Hash is the position of a key in the 64-bit hash space.
+type Hash uint64
+
+// HashOf returns the xxhash64 of key.
+func HashOf(key string) Hash {
+	return Hash(xxhash.Sum64String(key))
+}
--- /dev/null
+++ b/internal/store/leaseid.go
@@ -0,0 +1,4 @@
+package store
+
+// LeaseID names a lease of the store.
+type LeaseID string
