--- /dev/null
+++ b/internal/events/core.go
@@ -0,0 +1,11 @@
+package events
+
+import "github.com/charmbracelet/log"
+
+// Events of the process itself, 1000 to 1099.
+var (
+	Dropped  = register(1000, "events_dropped", log.WarnLevel, "The event queue was full and lines were dropped.")
+	Started  = register(1001, "instance_started", log.InfoLevel, "The instance has started.")
+	Stopping = register(1002, "instance_stopping", log.InfoLevel, "The instance has begun a planned stop.")
+	Stopped  = register(1003, "instance_stopped", log.InfoLevel, "The instance has ended its planned stop.")
+)
--- /dev/null
+++ b/internal/events/logger.go
@@ -0,0 +1,132 @@
+package events
+
+import (
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+)
+
+// queueLines bounds the lines that wait for the writer. At about 400 bytes a
+// line the queue takes at most 3 MB.
+const queueLines = 8192
+
+// Logger writes events as JSON lines. Emit never blocks: when the writer falls
+// behind, lines are dropped and counted, and the next line that gets through is
+// preceded by an EventsDropped line with the count. Loggers made by With share
+// one queue. A nil Logger discards everything.
+type Logger struct {
+	shared *loggerQueue
+	fields []any
+}
+
+// loggerQueue is the queue and writer goroutine that related loggers share.
+type loggerQueue struct {
+	lines   chan line
+	dropped atomic.Uint64
+	closed  chan struct{}
+	done    chan struct{}
+}
+
+type line struct {
+	event  Event
+	at     time.Time
+	fields []any
+	more   []any
+}
+
+// NewLogger starts a logger that writes to w. fields are added to each line, as
+// alternating names and values.
+func NewLogger(w io.Writer, fields ...any) *Logger {
+	q := &loggerQueue{
+		lines:  make(chan line, queueLines),
+		closed: make(chan struct{}),
+		done:   make(chan struct{}),
+	}
+	go q.run(w)
+	return &Logger{shared: q, fields: fields}
+}
+
+// With returns a logger that adds fields to each line.
+func (l *Logger) With(fields ...any) *Logger {
+	if l == nil {
+		return nil
+	}
+	return &Logger{shared: l.shared, fields: append(append([]any{}, l.fields...), fields...)}
+}
+
+// Emit queues one line with alternating names and values.
+func (l *Logger) Emit(e Event, fields ...any) {
+	if l == nil {
+		return
+	}
+	select {
+	case l.shared.lines <- line{event: e, at: time.Now(), fields: l.fields, more: fields}:
+	default:
+		l.shared.dropped.Add(1)
+	}
+}
+
+// Dropped returns how many lines were dropped and not yet reported.
+func (l *Logger) Dropped() uint64 {
+	return l.shared.dropped.Load()
+}
+
+// Close writes what is queued and stops the writer.
+func (l *Logger) Close() {
+	if l == nil {
+		return
+	}
+	close(l.shared.closed)
+	<-l.shared.done
+}
+
+func (q *loggerQueue) run(w io.Writer) {
+	defer close(q.done)
+	out := log.NewWithOptions(w, log.Options{Formatter: log.JSONFormatter, Level: log.DebugLevel})
+	for {
+		select {
+		case next := <-q.lines:
+			q.write(out, next)
+		case <-q.closed:
+			q.drain(out)
+			return
+		}
+	}
+}
+
+func (q *loggerQueue) drain(out *log.Logger) {
+	for {
+		select {
+		case next := <-q.lines:
+			q.write(out, next)
+		default:
+			q.reportDropped(out)
+			return
+		}
+	}
+}
+
+func (q *loggerQueue) write(out *log.Logger, next line) {
+	q.reportDropped(out)
+	writeLine(out, next)
+}
+
+func (q *loggerQueue) reportDropped(out *log.Logger) {
+	if count := q.dropped.Swap(0); count > 0 {
+		writeLine(out, line{event: Dropped, at: time.Now(), more: []any{"count", count}})
+	}
+}
+
+// writeLine adds the fields that every line has: at, event and name.
+func writeLine(out *log.Logger, next line) {
+	fields := make([]any, 0, 6+len(next.fields)+len(next.more))
+	fields = append(fields,
+		"at", next.at.UTC().Format(time.RFC3339Nano),
+		"event", next.event.Number,
+		"name", next.event.Name)
+	fields = append(fields, next.fields...)
+	fields = append(fields, next.more...)
+	out.Log(next.event.Level, next.event.Message, fields...)
+}
--- /dev/null
+++ b/internal/route/entry.go
@@ -0,0 +1,48 @@
+package route
+
+import (
+	"sync/atomic"
+
+	"peridotmoor.org/peridotmoor/internal/key"
+)
+
+// Entry is one request's hold on a range: while it is open, the range is not
+// moved to another owner.
+type Entry struct {
+	View  *View
+	Range *Range
+}
+
+// Enter counts a request into the range of h. When the range cannot be used
+// now it returns a nil entry and a channel that is closed when a newer view is
+// out; the channel is nil when the view does not cover h.
+//
+// The count is raised before the view is read again: a mover that published a
+// view with the range held, and then saw InFlight at 0, knows that no request
+// continues under the older view.
+func Enter(views *atomic.Pointer[View], h key.Hash) (*Entry, <-chan struct{}) {
+	for {
+		view := views.Load()
+		if view == nil {
+			return nil, nil
+		}
+		row := view.Find(h)
+		if row == nil {
+			return nil, nil
+		}
+		if row.Held != nil {
+			return nil, row.Held
+		}
+		row.State.InFlight.Add(1)
+		if views.Load() == view {
+			row.State.Requests.Add(1)
+			return &Entry{View: view, Range: row}, nil
+		}
+		row.State.end()
+	}
+}
+
+// Leave ends the request's hold on the range. Call it exactly once.
+func (e *Entry) Leave() {
+	e.Range.State.end()
+}
