--- /dev/null
+++ b/internal/entry/handler.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"peridotmoor.org/peridotmoor/internal/outcome"
+	"peridotmoor.org/peridotmoor/internal/problem"
+	"peridotmoor.org/peridotmoor/internal/request"
+)
+
+// Handler serves callers over HTTP.
+type Handler struct {
+	instance string
+	policies Policies
+	next     request.Handler
+	observer Observer
+	ready    func() *problem.Problem
+	router   *mux.Router
+}
+
+// New returns a handler that passes requests to next. ready returns the reason
+// why the instance takes no requests, or nil.
+func New(instance string, policies Policies, next request.Handler, observer Observer, ready func() *problem.Problem) *Handler {
+	h := &Handler{instance: instance, policies: policies, next: next, observer: observer, ready: ready}
+	h.router = mux.NewRouter().SkipClean(true)
+	h.router.HandleFunc("/{service}/{key}/{rest:.*}", h.serve)
+	h.router.HandleFunc("/{service}/{key}", h.serve)
+	h.router.NotFoundHandler = http.HandlerFunc(h.serve)
+	return h
+}
+
+// ServeHTTP serves one request of a caller.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.router.ServeHTTP(w, r)
+}
+
+func (h *Handler) serve(w http.ResponseWriter, in *http.Request) {
+	start := time.Now()
+	in.Body = &limitedBody{ReadCloser: in.Body, controller: http.NewResponseController(w)}
+	ctx := h.observer.Arrived(in)
+	req, p := decode(in, h.policies, start)
+	req.Entry = h.instance
+	if p == nil {
+		p = h.ready()
+	}
+	if p != nil {
+		h.observer.Refused(ctx, req, p, time.Since(start))
+		h.refuse(w, req, p)
+		return
+	}
+	answer, err := h.next.Handle(ctx, req)
+	if err != nil {
+		p := problem.From(err)
+		h.observer.Concluded(ctx, req, p.Outcome, p, time.Since(start))
+		h.refuse(w, req, p)
+		return
+	}
+	p, abort := h.pass(w, req, answer)
+	if p != nil {
+		h.observer.Concluded(ctx, req, p.Outcome, p, time.Since(start))
+		if abort {
+			// Closes the connection, so that a short answer cannot be taken for a whole one.
+			panic(http.ErrAbortHandler)
+		}
+		return
+	}
+	h.observer.Concluded(ctx, req, outcome.Answered, nil, time.Since(start))
+}
--- /dev/null
+++ b/internal/entry/respond.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/outcome"
+	"peridotmoor.org/peridotmoor/internal/problem"
+	"peridotmoor.org/peridotmoor/internal/request"
+)
+
+// Sizes of the buffers between holder and caller.
+const (
+	maxBufferedAnswerBytes = 256 << 10
+	copyBufferBytes        = 32 << 10
+)
+
+// refuse writes a typed refusal.
+func (h *Handler) refuse(w http.ResponseWriter, r *request.Request, p *problem.Problem) {
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(HeaderOutcome, string(p.Outcome))
+	header.Set(HeaderRequestID, r.ID)
+	header.Set(HeaderInstance, h.instance)
+	if p.RetryAfter > 0 {
+		seconds := (p.RetryAfter + time.Second - 1) / time.Second
+		header.Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	if r.Streamed() || p.Stage == outcome.StageEntry {
+		// The rest of the body is not read, so the connection cannot be used again.
+		header.Set("Connection", "close")
+	}
+	w.WriteHeader(statusOf(p))
+	// A failed write means that the caller is gone; the refusal stands in the records.
+	_ = json.NewEncoder(w).Encode(refusalOf(r, p))
+}
+
+// pass writes the answer of a backend server. It returns a problem when the
+// caller did not get the whole answer; then the connection must be aborted
+// unless a refusal was written.
+func (h *Handler) pass(w http.ResponseWriter, r *request.Request, a *request.Answer) (p *problem.Problem, abort bool) {
+	defer a.Body.Close()
+	head, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedAnswerBytes+1))
+	if err != nil {
+		p := problem.Wrap(err, problem.KindAnswerShort, outcome.StageWritten, "the answer of %s broke off after %d bytes", a.Server, len(head))
+		h.refuse(w, r, p)
+		return p, false
+	}
+	h.writeHead(w, r, a, len(head))
+	if _, err := w.Write(head); err != nil {
+		return problem.Wrap(err, problem.KindCallerGone, outcome.StageWritten, "the caller left before its answer was written"), true
+	}
+	if len(head) <= maxBufferedAnswerBytes {
+		return nil, false
+	}
+	if _, err := io.CopyBuffer(w, a.Body, make([]byte, copyBufferBytes)); err != nil {
+		return problem.Wrap(err, problem.KindAnswerShort, outcome.StageWritten, "the answer of %s broke off while it was streamed", a.Server), true
+	}
+	return nil, false
+}
+
+func (h *Handler) writeHead(w http.ResponseWriter, r *request.Request, a *request.Answer, buffered int) {
+	header := w.Header()
+	for name, values := range a.Header {
+		if !hopByHop[name] {
+			header[name] = values
+		}
+	}
+	header.Set(HeaderOutcome, string(outcome.Answered))
+	header.Set(HeaderRequestID, r.ID)
+	header.Set(HeaderInstance, h.instance)
+	header.Set(HeaderServer, a.Server)
+	if a.Replayed {
+		header.Set(HeaderReplayed, "true")
+	}
+	switch {
+	case r.Method == http.MethodHead:
+	case buffered <= maxBufferedAnswerBytes:
+		header.Set("Content-Length", strconv.Itoa(buffered))
+	case a.ContentLength >= 0:
+		header.Set("Content-Length", strconv.FormatInt(a.ContentLength, 10))
+	}
+	w.WriteHeader(a.Status)
+}
--- /dev/null
+++ b/internal/forward/attempts.go
@@ -0,0 +1,119 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/key"
+	"peridotmoor.org/peridotmoor/internal/outcome"
+	"peridotmoor.org/peridotmoor/internal/problem"
+	"peridotmoor.org/peridotmoor/internal/request"
+)
+
+// Bounds of the jittered wait before a request goes to a holder again.
+const (
+	minBackoff = 5 * time.Millisecond
+	maxBackoff = 50 * time.Millisecond
+)
+
+// attempts is the sequence of forwards of one request.
+type attempts struct {
+	forwarder *Forwarder
+	request   *request.Request
+	shard     key.ShardID
+	// mayHaveRun is set once a holder may have received the request and its
+	// verdict was lost.
+	mayHaveRun bool
+}
+
+// run forwards until the request has an answer or a final problem. Attempts are
+// bounded by the deadline and the backoff; a takeover takes at most 1 s.
+func (a *attempts) run(ctx context.Context) (*request.Answer, *problem.Problem) {
+	for {
+		holder, changed := a.forwarder.options.Holders.Find(a.shard)
+		if holder == nil {
+			if p := a.await(ctx, changed); p != nil {
+				return nil, p
+			}
+			continue
+		}
+		answer, p := a.call(ctx, holder)
+		if p == nil {
+			return answer, nil
+		}
+		if !a.retriable(p) {
+			return nil, a.conclude(p)
+		}
+		a.forwarder.options.Observer.Retried(a.request, holder, p)
+		if !a.pause(ctx, changed) {
+			return nil, a.conclude(p)
+		}
+	}
+}
+
+func (a *attempts) call(ctx context.Context, holder *Holder) (*request.Answer, *problem.Problem) {
+	a.request.Attempt++
+	answer, err := a.forwarder.options.Caller.Call(ctx, holder, a.request)
+	if err == nil {
+		return answer, nil
+	}
+	p := problem.From(err)
+	if p.Stage == outcome.StageForwardSent {
+		a.mayHaveRun = true
+	}
+	return nil, p
+}
+
+// retriable reports whether the request may go to a holder again: the holder
+// did not take it, or the record of the next holder decides whether it runs.
+// Retries towards backend servers are the holder's business.
+func (a *attempts) retriable(p *problem.Problem) bool {
+	switch p.Stage {
+	case outcome.StageForwardUnsent:
+		return true
+	case outcome.StageForwardSent:
+		return !a.request.Streamed()
+	default:
+		return false
+	}
+}
+
+// conclude returns p with the outcome that all attempts together justify. A
+// verdict of "not run" after a lost one holds only if it comes from a holder
+// that looked at its records, and records exist only for non-idempotent requests.
+func (a *attempts) conclude(p *problem.Problem) *problem.Problem {
+	if !a.mayHaveRun || p.Outcome != outcome.NotRun {
+		return p
+	}
+	if !a.request.Idempotent && p.Stage >= outcome.StageQueued {
+		return p
+	}
+	return p.WithOutcome(outcome.Unknown)
+}
+
+// await blocks until the shard table changes, and returns a problem when the
+// request has no time left first.
+func (a *attempts) await(ctx context.Context, changed <-chan struct{}) *problem.Problem {
+	select {
+	case <-changed:
+		return nil
+	case <-ctx.Done():
+		p := problem.New(problem.KindNoHolder, outcome.StageForwardUnsent,
+			"shard %s had no holder before the deadline", a.shard).WithRetryAfter(time.Second)
+		return a.conclude(p)
+	}
+}
+
+// pause waits for a change of the shard table or the backoff, and reports
+// whether there is time left.
+func (a *attempts) pause(ctx context.Context, changed <-chan struct{}) bool {
+	timer := time.NewTimer(minBackoff + rand.N(maxBackoff-minBackoff))
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
--- /dev/null
+++ b/internal/forward/caller.go
@@ -0,0 +1,14 @@
+package forward
+
+import (
+	"context"
+
+	"peridotmoor.org/peridotmoor/internal/request"
+)
+
+// Caller sends a request to a holder, which may be this instance. A returned
+// error has a *problem.Problem in its chain; its stage is StageForwardUnsent
+// only when the holder cannot have received the request.
+type Caller interface {
+	Call(ctx context.Context, holder *Holder, r *request.Request) (*request.Answer, error)
+}
