--- /dev/null
+++ b/internal/events/field.go
@@ -0,0 +1,22 @@
+package events
+
+// Names of the fields that several events share. The report tool reads them.
+const (
+	FieldRequestID  = "request_id"
+	FieldKey        = "key"
+	FieldService    = "service"
+	FieldShard      = "shard"
+	FieldInstance   = "instance"
+	FieldDomain     = "domain"
+	FieldServer     = "server"
+	FieldOutcome    = "outcome"
+	FieldKind       = "kind"
+	FieldStage      = "stage"
+	FieldMessage    = "detail"
+	FieldDuration   = "took_ms"
+	FieldAttempt    = "attempt"
+	FieldToken      = "token"
+	FieldHolder     = "holder"
+	FieldIdempotent = "idempotent"
+	FieldVersion    = "settings_version"
+)
