Add the witness, the quorum rule and the shard record

The witness, quorum and claim are pure decisions of internal/authority; internal/shardrecord holds the stored value and resolves lost answers by write IDs. Recent write IDs are kept so that a write whose answer was lost and that was overwritten since is not applied twice. Not tested yet.

--- /dev/null
+++ b/internal/authority/claim.go
@@ -0,0 +1,87 @@
+package authority
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/key"
+)
+
+// grantedPromise is what a claim knows of one member's promise.
+type grantedPromise struct {
+	// sent is when the latest promised request was sent.
+	sent time.Time
+	// generation is the highest mirror generation that the member acknowledged.
+	generation uint64
+}
+
+// Claim collects the promises about one shard under one token. It is pure. It
+// serves a candidate until it has a quorum and a holder afterwards.
+type Claim struct {
+	shard    key.ShardID
+	self     Instance
+	token    Token
+	config   Config
+	promises map[Instance]grantedPromise
+}
+
+// NewClaim starts a claim without promises.
+func NewClaim(shard key.ShardID, self Instance, ballot uint64, config Config) *Claim {
+	return &Claim{
+		shard:    shard,
+		self:     self,
+		token:    Token{Epoch: config.Epoch, Ballot: ballot},
+		config:   config,
+		promises: map[Instance]grantedPromise{},
+	}
+}
+
+// Token returns the token of the claim.
+func (c *Claim) Token() Token { return c.token }
+
+// Config returns the configuration under which the claim is made.
+func (c *Claim) Config() Config { return c.config }
+
+// Targets returns the members that must be asked: all witnesses at each renewal,
+// members of previous sets only until they are sealed or gone.
+func (c *Claim) Targets(gone func(Instance) bool) []Member {
+	targets := make([]Member, 0, len(c.config.Witnesses))
+	for _, m := range c.config.Members() {
+		_, sealed := c.promises[m.Instance]
+		if c.config.Rank(m.Instance) >= 0 || !sealed && !gone(m.Instance) {
+			targets = append(targets, m)
+		}
+	}
+	return targets
+}
+
+// Promised records that member promised a request sent at sent and acknowledged
+// a mirror generation. Answers may arrive in any order.
+func (c *Claim) Promised(member Instance, sent time.Time, generation uint64) {
+	promise := c.promises[member]
+	if sent.After(promise.sent) {
+		promise.sent = sent
+	}
+	promise.generation = max(promise.generation, generation)
+	c.promises[member] = promise
+}
+
+// Quorum returns the decision about the promises so far.
+func (c *Claim) Quorum(gone func(Instance) bool) Quorum {
+	return Quorum{
+		Config: c.config,
+		Sent:   func(i Instance) time.Time { return c.promises[i].sent },
+		Gone:   gone,
+	}
+}
+
+// Acknowledged reports whether a majority of the witnesses knows a mirror set of
+// this generation or a later one.
+func (c *Claim) Acknowledged(generation uint64) bool {
+	count := 0
+	for _, m := range c.config.Witnesses {
+		if c.promises[m.Instance].generation >= generation {
+			count++
+		}
+	}
+	return count >= Majority(len(c.config.Witnesses))
+}
--- /dev/null
+++ b/internal/authority/config.go
@@ -0,0 +1,53 @@
+package authority
+
+import "slices"
+
+// Config names who decides about a shard in one epoch. It is immutable.
+type Config struct {
+	Epoch uint64
+	// Witnesses are ordered by rank; the first is the preferred holder.
+	Witnesses []Member
+	// Previous holds the witness sets of earlier epochs that are not yet known
+	// to be sealed, oldest first. It has more than one set only when a change of
+	// witnesses was overtaken by a further loss.
+	Previous [][]Member
+}
+
+// Majority returns how many of n members form a majority.
+func Majority(n int) int {
+	return n/2 + 1
+}
+
+// Rank returns the position of i among the witnesses, or -1.
+func (c Config) Rank(i Instance) int {
+	return slices.IndexFunc(c.Witnesses, func(m Member) bool { return m.Instance == i })
+}
+
+// Members returns the witnesses and the members of the previous sets, each once.
+func (c Config) Members() []Member {
+	members := slices.Clone(c.Witnesses)
+	for _, set := range c.Previous {
+		for _, m := range set {
+			if !containsInstance(members, m.Instance) {
+				members = append(members, m)
+			}
+		}
+	}
+	return members
+}
+
+// Next returns the configuration of the following epoch with other witnesses.
+// The present witnesses become a previous set, so that no promise of theirs is
+// forgotten before it is sealed.
+func (c Config) Next(witnesses []Member) Config {
+	next := Config{Epoch: c.Epoch + 1, Witnesses: witnesses, Previous: slices.Clone(c.Previous)}
+	if len(c.Witnesses) > 0 {
+		next.Previous = append(next.Previous, c.Witnesses)
+	}
+	return next
+}
+
+// Settled returns the configuration without its previous sets.
+func (c Config) Settled() Config {
+	return Config{Epoch: c.Epoch, Witnesses: c.Witnesses}
+}
--- /dev/null
+++ b/internal/authority/shardclaim.go
@@ -0,0 +1,14 @@
+package authority
+
+import "peridotmoor.org/peridotmoor/internal/key"
+
+// ShardClaim asks a witness for a promise about one shard.
+type ShardClaim struct {
+	Shard key.ShardID
+	Token Token
+	// Mirrors is the mirror set of the holder. Generation 0 makes no statement
+	// and leaves the set that the witness knows.
+	Mirrors MirrorSet
+	// Release gives the promise back at once.
+	Release bool
+}
--- /dev/null
+++ b/internal/authority/witness.go
@@ -0,0 +1,67 @@
+package authority
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/key"
+)
+
+// Witness makes time-bound promises: while a promise about a shard runs, it
+// accepts no other holder of that shard. It is pure and owned by one goroutine.
+type Witness struct {
+	self     Instance
+	ttl      time.Duration
+	promises map[key.ShardID]Promise
+}
+
+// NewWitness returns a witness without promises. self must be a new incarnation.
+func NewWitness(self Instance, ttl time.Duration) *Witness {
+	return &Witness{self: self, ttl: ttl, promises: map[key.ShardID]Promise{}}
+}
+
+// Promise returns what the witness remembers about a shard.
+func (w *Witness) Promise(shard key.ShardID) Promise {
+	return w.promises[shard]
+}
+
+// HandlePromise decides all claims of a request received at now.
+func (w *Witness) HandlePromise(now time.Time, request PromiseRequest) PromiseReply {
+	reply := PromiseReply{Witness: w.self}
+	if request.To != w.self {
+		return reply
+	}
+	reply.Replies = make([]ClaimReply, 0, len(request.Claims))
+	for _, claim := range request.Claims {
+		reply.Replies = append(reply.Replies, w.decide(now, request.Candidate, claim))
+	}
+	return reply
+}
+
+func (w *Witness) decide(now time.Time, candidate Instance, claim ShardClaim) ClaimReply {
+	promise := w.promises[claim.Shard]
+	admitted := promise.admits(candidate, claim.Token, now)
+	switch {
+	case admitted && claim.Release:
+		promise = promise.release(candidate, claim.Token, now)
+		w.promises[claim.Shard] = promise
+	case admitted:
+		promise = promise.accept(candidate, claim, now.Add(w.ttl))
+		w.promises[claim.Shard] = promise
+	}
+	return ClaimReply{
+		Shard:     claim.Shard,
+		Promised:  admitted && !claim.Release,
+		Highest:   promise.Highest,
+		Remaining: remaining(promise, candidate, now),
+		Holder:    promise.Holder,
+		Mirrors:   promise.Mirrors,
+	}
+}
+
+// remaining returns how long candidate has to wait for another's promise to end.
+func remaining(p Promise, candidate Instance, now time.Time) time.Duration {
+	if p.Holder == candidate || !p.InForce(now) {
+		return 0
+	}
+	return p.Until.Sub(now)
+}
--- /dev/null
+++ b/internal/shardrecord/codec.go
@@ -0,0 +1,81 @@
+package shardrecord
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+)
+
+// wireMember is the JSON form of a member of a witness set.
+type wireMember struct {
+	Name        string `json:"name"`
+	Incarnation string `json:"incarnation"`
+	Address     string `json:"address"`
+	Domain      string `json:"domain"`
+}
+
+// wireRecord is the JSON form of a record.
+type wireRecord struct {
+	Epoch             uint64          `json:"epoch"`
+	Witnesses         []wireMember    `json:"witnesses"`
+	PreviousWitnesses [][]wireMember  `json:"previous_witnesses,omitempty"`
+	Sequence          uint64          `json:"sequence"`
+	WriteID           string          `json:"write_id"`
+	RecentWriteIDs    []string        `json:"recent_write_ids,omitempty"`
+	Assignment        json.RawMessage `json:"assignment,omitempty"`
+}
+
+// encode returns the stored form of a record.
+func encode(r Record) ([]byte, error) {
+	wire := wireRecord{
+		Epoch:          r.Config.Epoch,
+		Witnesses:      toWire(r.Config.Witnesses),
+		Sequence:       r.Sequence,
+		WriteID:        r.WriteID,
+		RecentWriteIDs: r.RecentWriteIDs,
+		Assignment:     r.Assignment,
+	}
+	for _, set := range r.Config.Previous {
+		wire.PreviousWitnesses = append(wire.PreviousWitnesses, toWire(set))
+	}
+	data, err := json.Marshal(wire)
+	return data, errors.Wrap(err, "encode the shard record; its assignment must be valid JSON")
+}
+
+// decode reads the stored form of a record.
+func decode(data []byte) (Record, error) {
+	var wire wireRecord
+	if err := json.Unmarshal(data, &wire); err != nil {
+		return Record{}, errors.Wrap(err, "the shard record in the store is not valid; restore the value from the store's backup")
+	}
+	record := Record{
+		Config:         authority.Config{Epoch: wire.Epoch, Witnesses: fromWire(wire.Witnesses)},
+		Sequence:       wire.Sequence,
+		WriteID:        wire.WriteID,
+		RecentWriteIDs: wire.RecentWriteIDs,
+		Assignment:     wire.Assignment,
+	}
+	for _, set := range wire.PreviousWitnesses {
+		record.Config.Previous = append(record.Config.Previous, fromWire(set))
+	}
+	return record, nil
+}
+
+func toWire(members []authority.Member) []wireMember {
+	wire := make([]wireMember, 0, len(members))
+	for _, m := range members {
+		wire = append(wire, wireMember{m.Instance.Name, m.Instance.Incarnation, m.Address, m.Domain})
+	}
+	return wire
+}
+
+func fromWire(wire []wireMember) []authority.Member {
+	members := make([]authority.Member, 0, len(wire))
+	for _, w := range wire {
+		instance := authority.Instance{Name: w.Name, Incarnation: w.Incarnation}
+		members = append(members, authority.Member{Instance: instance, Address: w.Address, Domain: w.Domain})
+	}
+	return members
+}
