--- /dev/null
+++ b/internal/assign/hotkey.go
@@ -0,0 +1,10 @@
+package assign
+
+import "peridotmoor.org/peridotmoor/internal/key"
+
+// HotKey is a key that the sketch reports, with its request rate.
+type HotKey struct {
+	Hash key.Hash
+	// Rate is in requests per second.
+	Rate float64
+}
--- /dev/null
+++ b/internal/assign/input.go
@@ -0,0 +1,24 @@
+package assign
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/key"
+)
+
+// Input is everything a plan depends on, apart from the planner's memory.
+type Input struct {
+	// Interval is the part of the hash space that the shard covers.
+	Interval key.Range
+	Servers  []Server
+	// Current names the present owners; Ranges may be empty.
+	Current Assignment
+	// Loads holds requests per second, one for each range of Current.
+	Loads    []float64
+	HotKeys  []HotKey
+	Settings Settings
+	Now      time.Time
+	// Random breaks ties.
+	Random *rand.Rand
+}
--- /dev/null
+++ b/internal/assign/range.go
@@ -0,0 +1,19 @@
+package assign
+
+import "peridotmoor.org/peridotmoor/internal/key"
+
+// Range is one hash range with the servers that may own it, by name.
+type Range struct {
+	Bounds key.Range
+	// Owner is the server that is granted the range.
+	Owner string
+	// First and Second take over, in this order, when the owner is lost. Empty
+	// when the shard has no suitable server.
+	First  string
+	Second string
+}
+
+// HasStandby reports whether server is one of the range's standbys.
+func (r Range) HasStandby(server string) bool {
+	return server != "" && (r.First == server || r.Second == server)
+}
--- /dev/null
+++ b/internal/assign/server.go
@@ -0,0 +1,10 @@
+package assign
+
+// Server is what the planner knows about one backend server.
+type Server struct {
+	Name   string
+	Domain string
+	State  ServerState
+	// Slow reports that the server is much slower than its shard; see SlowDetector.
+	Slow bool
+}
--- /dev/null
+++ b/internal/assign/serverstate.go
@@ -0,0 +1,39 @@
+package assign
+
+// ServerState says what a server may be given.
+type ServerState int
+
+// The states of a server.
+const (
+	// In serves ranges and is a standby.
+	In ServerState = iota
+	// Cold serves at most one range until its ramp completes.
+	Cold
+	// Leaving drains: its ranges move to other servers, without a gap.
+	Leaving
+	// Out is taken out by settings: its ranges move to other servers, without a gap.
+	Out
+	// Lost does not answer.
+	Lost
+)
+
+// String returns the state as written in logs.
+func (s ServerState) String() string {
+	switch s {
+	case In:
+		return "in"
+	case Cold:
+		return "cold"
+	case Leaving:
+		return "leaving"
+	case Out:
+		return "out"
+	default:
+		return "lost"
+	}
+}
+
+// Usable reports whether a server in this state may own a range.
+func (s ServerState) Usable() bool {
+	return s == In || s == Cold
+}
--- /dev/null
+++ b/internal/shard/gate.go
@@ -0,0 +1,18 @@
+package shard
+
+import "time"
+
+// Gate is what the runtime needs of a server's admission gate. Methods may be
+// called at any time and do not block.
+type Gate interface {
+	// MarkCold restarts the cold start ramp. reason is for the log.
+	MarkCold(reason string)
+	// MarkLeaving tells whether the server drains and gets no new work.
+	MarkLeaving(leaving bool)
+	// Cold reports whether the ramp has not completed.
+	Cold() bool
+	// Idle reports whether no request runs on or waits for the server.
+	Idle() bool
+	// Latency is the moving average of the server's own latency, 0 when unknown.
+	Latency() time.Duration
+}
--- /dev/null
+++ b/internal/shard/options.go
@@ -0,0 +1,29 @@
+package shard
+
+import (
+	"math/rand/v2"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/events"
+	"peridotmoor.org/peridotmoor/internal/key"
+	"peridotmoor.org/peridotmoor/internal/route"
+)
+
+// Options are the parts that a runtime works with. All are required but Log and OnStale.
+type Options struct {
+	Shard key.ShardID
+	// Interval is the part of the hash space that the shard covers.
+	Interval key.Range
+	Tenures  TenureSource
+	Commits  Committer
+	Config   *ConfigSource
+	// NewTarget connects to a server. The runtime calls it from its own goroutine
+	// and calls Close on the target's Server when it drops it.
+	NewTarget func(ServerConfig) *route.Target
+	// GateOf adapts the target's gate.
+	GateOf func(*route.Target) Gate
+	Random *rand.Rand
+	Log    *events.Logger
+	// OnStale is called when a server follows a holder with a higher token.
+	OnStale func(highest authority.Token)
+}
--- /dev/null
+++ b/internal/shard/serverconfig.go
@@ -0,0 +1,14 @@
+package shard
+
+// ServerConfig holds the settings of one backend server of the shard.
+type ServerConfig struct {
+	Name   string
+	Domain string
+	// Address is host:port. A changed address is another server process.
+	Address string
+	// Out reports that the server or its failure domain has state = out.
+	Out bool
+	// ChecksTokens reports whether the server refuses orders with a lower token.
+	ChecksTokens bool
+	Slots        int
+}
--- /dev/null
+++ b/internal/shard/tenuresource.go
@@ -0,0 +1,13 @@
+package shard
+
+import "peridotmoor.org/peridotmoor/internal/authority"
+
+// TenureSource tells whether this instance holds the shard.
+type TenureSource interface {
+	// Tenure returns the newest tenure, or nil when the instance does not hold the
+	// shard. It may be called from several goroutines.
+	Tenure() *authority.Tenure
+	// Changed returns a channel that gets a value after Tenure has changed. It has
+	// one reader, the runtime; values may be merged.
+	Changed() <-chan struct{}
+}
