Add admission gates and the cold start ramp

A free slot is taken with one compare-and-swap on a packed word. Requests that must wait go through a lock-free stack to one dispatcher goroutine per server, which serves them by priority and deadline and paces cold servers.

--- /dev/null
+++ b/internal/admission/enqueue.go
@@ -0,0 +1,96 @@
+package admission
+
+import (
+	"context"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/outcome"
+	"peridotmoor.org/peridotmoor/internal/problem"
+)
+
+// enqueue waits for a slot until the waiter's deadline or the end of ctx.
+func (g *Gate) enqueue(ctx context.Context, w *waiter, now time.Time) (*Slot, error) {
+	if !w.deadline.After(now) {
+		return nil, g.lateProblem(now.Sub(w.deadline))
+	}
+	if err := g.join(w, now); err != nil {
+		return nil, err
+	}
+	g.arrivals.push(w)
+	g.signal()
+	return g.await(ctx, w, now)
+}
+
+// join counts the waiter in, unless the queue is full or the wait would be too long.
+func (g *Gate) join(w *waiter, now time.Time) error {
+	limit := g.limits.Load().queue
+	for {
+		old := word(g.word.Load())
+		if old.has(flagClosed) {
+			return g.closedProblem()
+		}
+		if old.waiting() >= limit {
+			return g.fullProblem(old)
+		}
+		if wait := g.expectedWait(old); now.Add(wait).After(w.deadline) {
+			return g.waitProblem(wait, w.deadline.Sub(now))
+		}
+		if g.swap(old, old+oneWaiting) {
+			return nil
+		}
+	}
+}
+
+func (g *Gate) await(ctx context.Context, w *waiter, now time.Time) (*Slot, error) {
+	timer := time.NewTimer(w.deadline.Sub(now))
+	defer timer.Stop()
+	select {
+	case <-w.wake:
+	case <-ctx.Done():
+		g.leave(w)
+	case <-timer.C:
+		g.leave(w)
+	}
+	return g.settled(ctx, w, now)
+}
+
+// leave takes the waiter out of the queue unless it has been settled meanwhile.
+func (g *Gate) leave(w *waiter) {
+	if !w.settle(waiterGone) {
+		return
+	}
+	g.update(func(old word) word { return old - oneWaiting })
+	g.signal()
+}
+
+func (g *Gate) settled(ctx context.Context, w *waiter, now time.Time) (*Slot, error) {
+	switch w.state.Load() {
+	case waiterGranted:
+		return &Slot{gate: g, exclusive: w.exclusive}, nil
+	case waiterRefused:
+		return nil, g.closedProblem()
+	}
+	if ctx.Err() != nil && time.Now().Before(w.deadline) {
+		return nil, problem.Wrap(context.Cause(ctx), problem.KindCallerGone, outcome.StageQueued,
+			"the caller left while the request waited for server %s", g.server)
+	}
+	return nil, problem.New(problem.KindDeadlinePassed, outcome.StageQueued,
+		"no slot of server %s became free within %v", g.server, w.deadline.Sub(now))
+}
+
+func (g *Gate) lateProblem(late time.Duration) error {
+	return problem.New(problem.KindDeadlinePassed, outcome.StageQueued,
+		"the deadline passed %v before the request reached server %s", late, g.server)
+}
+
+func (g *Gate) fullProblem(w word) error {
+	p := problem.New(problem.KindOverloaded, outcome.StageQueued,
+		"%d requests wait for server %s, which is the limit", w.waiting(), g.server)
+	return p.WithRetryAfter(g.expectedWait(w))
+}
+
+func (g *Gate) waitProblem(wait, left time.Duration) error {
+	p := problem.New(problem.KindOverloaded, outcome.StageQueued,
+		"the expected wait of %v for server %s exceeds the remaining %v", wait, g.server, left)
+	return p.WithRetryAfter(wait)
+}
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -2,5 +2,139 @@
 // allowance and a bounded queue ordered by deadline.
 package admission
 
-// Gate admits requests to one backend server.
-type Gate struct{}
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/outcome"
+	"peridotmoor.org/peridotmoor/internal/problem"
+	"peridotmoor.org/peridotmoor/internal/ramp"
+)
+
+// Gate admits requests to one backend server. A free slot is taken with one
+// compare-and-swap; requests that must wait are served by one dispatcher
+// goroutine, earliest deadline first. All methods are safe for concurrent use.
+type Gate struct {
+	server    string
+	word      atomic.Uint64
+	limits    atomic.Pointer[limits]
+	allowance atomic.Pointer[ramp.Allowance]
+	detector  atomic.Pointer[ramp.Detector]
+	latency   latency
+	load      atomic.Uint64
+	arrivals  arrivals
+	wake      chan struct{}
+	done      chan struct{}
+	onCold    func(ramp.Reason)
+}
+
+// New returns an open gate and starts its dispatcher. Close stops it.
+func New(o Options) *Gate {
+	limits := o.limits()
+	g := &Gate{
+		server: o.Server,
+		wake:   make(chan struct{}, 1),
+		done:   make(chan struct{}),
+		onCold: o.OnCold,
+	}
+	g.limits.Store(&limits)
+	g.detector.Store(&ramp.Detector{})
+	first := o.firstAllowance(limits.ramp)
+	g.allowance.Store(&first)
+	g.applyAllowance()
+	go newDispatcher(g).run()
+	return g
+}
+
+// Acquire takes a slot, waiting in the queue until the deadline if it must. It
+// refuses at once when the queue is full or the expected wait exceeds the
+// deadline. The error is a *problem.Problem with outcome "not run".
+func (g *Gate) Acquire(ctx context.Context, deadline time.Time, priority Priority, now time.Time) (*Slot, error) {
+	if g.tryTake() {
+		return &Slot{gate: g}, nil
+	}
+	return g.enqueue(ctx, &waiter{deadline: deadline, priority: priority, wake: make(chan struct{}, 1)}, now)
+}
+
+// TryAcquireExclusive takes all slots if none is busy and nobody waits. A server
+// that is not warm is paced, so there it always fails; use AcquireExclusive.
+func (g *Gate) TryAcquireExclusive() (*Slot, bool) {
+	for {
+		old := word(g.word.Load())
+		if !old.isOpen() || !old.isIdle() {
+			return nil, false
+		}
+		if g.swap(old, (old+oneBusy)|flagExclusive) {
+			return &Slot{gate: g, exclusive: true}, true
+		}
+	}
+}
+
+// AcquireExclusive takes all slots: while the request runs, no other runs on the server.
+func (g *Gate) AcquireExclusive(ctx context.Context, deadline time.Time, priority Priority, now time.Time) (*Slot, error) {
+	if slot, ok := g.TryAcquireExclusive(); ok {
+		return slot, nil
+	}
+	w := &waiter{deadline: deadline, priority: priority, exclusive: true, wake: make(chan struct{}, 1)}
+	return g.enqueue(ctx, w, now)
+}
+
+// Close refuses all waiters and every later request, and stops the dispatcher.
+// Slots that are still out may be released afterwards.
+func (g *Gate) Close() {
+	g.update(func(old word) word { return old | flagClosed })
+	g.signal()
+	<-g.done
+}
+
+// tryTake takes a slot when no one waits and one is free.
+func (g *Gate) tryTake() bool {
+	for {
+		old := word(g.word.Load())
+		if !old.isOpen() {
+			return false
+		}
+		if g.swap(old, old+oneBusy) {
+			return true
+		}
+	}
+}
+
+// give returns a slot. The waiting count is read in the same swap, so a waiter
+// that was counted before the swap is always woken.
+func (g *Gate) give(exclusive bool) {
+	next := g.update(func(old word) word {
+		return (old - oneBusy).withFlag(flagExclusive, old.has(flagExclusive) && !exclusive)
+	})
+	if next.waiting() > 0 {
+		g.signal()
+	}
+}
+
+func (g *Gate) swap(old, next word) bool {
+	return g.word.CompareAndSwap(uint64(old), uint64(next))
+}
+
+// update applies change until no other writer interferes and returns the new word.
+func (g *Gate) update(change func(word) word) word {
+	for {
+		old := word(g.word.Load())
+		next := change(old)
+		if g.swap(old, next) {
+			return next
+		}
+	}
+}
+
+// signal wakes the dispatcher; a signal that is already pending suffices.
+func (g *Gate) signal() {
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (g *Gate) closedProblem() error {
+	return problem.New(problem.KindNoServer, outcome.StageQueued, "server %s gets no new work", g.server)
+}
--- /dev/null
+++ b/internal/admission/gate_test.go
@@ -0,0 +1,176 @@
+package admission
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"peridotmoor.org/peridotmoor/internal/outcome"
+	"peridotmoor.org/peridotmoor/internal/problem"
+	"peridotmoor.org/peridotmoor/internal/ramp"
+)
+
+// Guards against more requests on a server than it has slots, and against an
+// exclusive request that shares the server, while many goroutines compete.
+func TestSlotsAreNeverExceeded(t *testing.T) {
+	is := is.New(t)
+	const slots = 3
+	g := New(Options{Server: "bosho-01", Slots: slots, QueueLimit: 1000})
+	defer g.Close()
+	var running, exclusive atomic.Int64
+	var exceeded atomic.Bool
+	var wg sync.WaitGroup
+	for worker := range 32 {
+		wg.Go(func() {
+			for i := range 200 {
+				now := time.Now()
+				alone := (worker+i)%50 == 0
+				acquire := g.Acquire
+				if alone {
+					acquire = g.AcquireExclusive
+				}
+				slot, err := acquire(context.Background(), now.Add(time.Minute), Priority(i%2), now)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				count := running.Add(1)
+				if alone {
+					exclusive.Add(1)
+				}
+				if count > slots || exclusive.Load() > 0 && count > 1 {
+					exceeded.Store(true)
+				}
+				if alone {
+					exclusive.Add(-1)
+				}
+				running.Add(-1)
+				slot.Release(Result{Kind: Neutral})
+			}
+		})
+	}
+	wg.Wait()
+	is.True(!exceeded.Load())
+	is.Equal(g.Outstanding(), 0)
+}
+
+// Guards against a slot that is lost or granted twice when the caller leaves in
+// the moment in which the slot is granted.
+func TestCancelRacingWithGrant(t *testing.T) {
+	is := is.New(t)
+	g := New(Options{Server: "bosho-01", Slots: 1, QueueLimit: 1000})
+	defer g.Close()
+	for range 500 {
+		now := time.Now()
+		first, err := g.Acquire(context.Background(), now.Add(time.Minute), 0, now)
+		is.NoErr(err)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			if slot, err := g.Acquire(ctx, now.Add(time.Minute), 0, now); err == nil {
+				slot.Release(Result{})
+			}
+		}()
+		go cancel()
+		first.Release(Result{})
+		<-done
+	}
+	is.Equal(g.Outstanding(), 0)
+	_, ok := g.TryAcquireExclusive()
+	is.True(ok)
+}
+
+// Guards against a refusal without its cause, and against one that claims
+// anything but "not run".
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		name    string
+		arrange func(t *testing.T, g *Gate)
+		timeout time.Duration
+		want    problem.Kind
+	}{
+		{"deadline passed on arrival", func(*testing.T, *Gate) {}, -time.Millisecond, problem.KindDeadlinePassed},
+		{"deadline passes in the queue", func(*testing.T, *Gate) {}, time.Second, problem.KindDeadlinePassed},
+		{"queue full", fillQueue, time.Minute, problem.KindOverloaded},
+		{"expected wait too long", func(_ *testing.T, g *Gate) { g.latency.add(10 * time.Second) }, time.Second, problem.KindOverloaded},
+		{"closed", func(_ *testing.T, g *Gate) { g.Close() }, time.Second, problem.KindNoServer},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := New(Options{Server: "bosho-01", Slots: 1, QueueLimit: 2})
+				slot, err := g.Acquire(t.Context(), time.Now().Add(time.Hour), 0, time.Now())
+				is.NoErr(err)
+				c.arrange(t, g)
+				_, err = g.Acquire(t.Context(), time.Now().Add(c.timeout), 0, time.Now())
+				is.True(err != nil)
+				is.Equal(problem.From(err).Kind, c.want)
+				is.Equal(problem.From(err).Outcome, outcome.NotRun)
+				slot.Release(Result{})
+				if c.want != problem.KindNoServer {
+					g.Close()
+				}
+			})
+		})
+	}
+}
+
+func fillQueue(t *testing.T, g *Gate) {
+	for range 2 {
+		go func() {
+			if slot, err := g.Acquire(context.Background(), time.Now().Add(time.Hour), 0, time.Now()); err == nil {
+				slot.Release(Result{})
+			}
+		}()
+	}
+	synctest.Wait()
+}
+
+// Guards against a cold server that gets more than its rate or more than one
+// request at a time, and against a ramp that never completes.
+func TestColdServerIsPaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := New(Options{Server: "bosho-01", Slots: 3, Start: ramp.ReasonAdded})
+		defer g.Close()
+		start := time.Now()
+		for range 10 {
+			slot, err := g.Acquire(t.Context(), time.Now().Add(time.Minute), 0, time.Now())
+			is.NoErr(err)
+			is.Equal(g.Running(), 1)
+			slot.Release(Result{Kind: Success, Latency: time.Millisecond})
+		}
+		is.Equal(time.Since(start), 9*200*time.Millisecond)
+		for !g.Allowance().Warm {
+			slot, err := g.Acquire(t.Context(), time.Now().Add(time.Minute), 0, time.Now())
+			is.NoErr(err)
+			slot.Release(Result{Kind: Success, Latency: time.Millisecond})
+		}
+		is.True(time.Since(start) < 5*time.Second)
+	})
+}
+
+// Guards against new work on slots that an earlier holder's requests still take.
+func TestForeignSlotsAreNotGiven(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := New(Options{Server: "bosho-01", Slots: 2})
+		defer g.Close()
+		g.SetBusy(2)
+		granted := make(chan *Slot, 1)
+		go func() {
+			slot, _ := g.Acquire(context.Background(), time.Now().Add(time.Minute), 0, time.Now())
+			granted <- slot
+		}()
+		synctest.Wait()
+		is.Equal(len(granted), 0)
+		g.SetBusy(1)
+		(<-granted).Release(Result{})
+	})
+}
--- /dev/null
+++ b/internal/admission/limits.go
@@ -0,0 +1,108 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/ramp"
+)
+
+// latencyHalfLife is the time after which the latency of a server that got no
+// requests counts half, so that a server that was slow is tried again.
+const latencyHalfLife = 2 * time.Second
+
+// SetLimits changes slots, queue bound and rates; requests that run or wait are
+// not affected. Start, Server and OnCold of o are ignored.
+func (g *Gate) SetLimits(o Options) {
+	next := o.limits()
+	g.limits.Store(&next)
+	for {
+		old := g.allowance.Load()
+		resized := old.Resize(next.ramp)
+		if g.allowance.CompareAndSwap(old, &resized) {
+			g.applyAllowance()
+			return
+		}
+	}
+}
+
+// SetBusy states how many slots requests of an earlier holder still take. They
+// are not given to requests of this holder.
+func (g *Gate) SetBusy(n int) {
+	n = max(0, min(n, maxSlots))
+	g.update(func(old word) word { return old.withForeign(n) })
+	g.signal()
+}
+
+// SetLoad stores the server's own load report, 0 to 1 and above. It lags.
+func (g *Gate) SetLoad(utilization float64) {
+	g.load.Store(math.Float64bits(utilization))
+}
+
+// Load returns the last load report.
+func (g *Gate) Load() float64 {
+	return math.Float64frombits(g.load.Load())
+}
+
+// Outstanding returns the number of requests that run or wait, including those
+// of an earlier holder.
+func (g *Gate) Outstanding() int {
+	w := word(g.word.Load())
+	return w.busy() + w.foreign() + w.waiting()
+}
+
+// Running returns the number of slots taken by requests of this holder.
+func (g *Gate) Running() int {
+	return word(g.word.Load()).busy()
+}
+
+// Waiting returns the number of requests in the queue.
+func (g *Gate) Waiting() int {
+	return word(g.word.Load()).waiting()
+}
+
+// Allowance returns the current step of the ramp.
+func (g *Gate) Allowance() ramp.Allowance {
+	return *g.allowance.Load()
+}
+
+// Latency returns the short-term exponentially weighted moving average of the
+// server's latency, or 0 before the first answer.
+func (g *Gate) Latency() time.Duration {
+	return g.latency.shortTerm()
+}
+
+// LatencyAt is Latency, halved for each latencyHalfLife without a sample.
+func (g *Gate) LatencyAt(now time.Time) time.Duration {
+	average := g.latency.shortTerm()
+	last := g.latency.last.Load()
+	idle := now.UnixNano() - last
+	if last == 0 || idle < int64(latencyHalfLife) {
+		return average
+	}
+	return time.Duration(float64(average) * math.Exp2(-float64(idle)/float64(latencyHalfLife)))
+}
+
+// ExpectedWait returns how long a request that arrives now is likely to wait for a slot.
+func (g *Gate) ExpectedWait() time.Duration {
+	return g.expectedWait(word(g.word.Load()))
+}
+
+func (g *Gate) expectedWait(w word) time.Duration {
+	wait := g.slotWait(w)
+	if !w.has(flagPaced) {
+		return wait
+	}
+	pace := time.Duration(float64(w.waiting()) / g.allowance.Load().Rate * float64(time.Second))
+	return max(wait, pace)
+}
+
+// slotWait assumes that the requests ahead pass through the slots at the
+// average latency. Slots that an earlier holder's requests take do not count.
+func (g *Gate) slotWait(w word) time.Duration {
+	if w.waiting() == 0 && w.hasFree() {
+		return 0
+	}
+	slots := max(1, w.limit()-w.foreign())
+	return time.Duration(w.waiting()+1) * g.latency.shortTerm() / time.Duration(slots)
+}
--- /dev/null
+++ b/internal/admission/observe.go
@@ -0,0 +1,131 @@
+package admission
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/ramp"
+)
+
+// observe feeds the end of a request into latency, ramp and cold detection.
+func (g *Gate) observe(result Result) {
+	switch result.Kind {
+	case Success:
+		g.succeeded(result.Latency)
+	case Failure:
+		g.step(ramp.Allowance.Failure)
+	case Shed:
+		g.OnShed(time.Now())
+	case Abandoned:
+		g.latency.addAtLeast(result.Latency)
+	}
+}
+
+func (g *Gate) succeeded(sample time.Duration) {
+	w := word(g.word.Load())
+	slow := ramp.SlowWhileIdle(sample, g.latency.longTerm(), g.latency.samples.Load(), w.busy()+w.foreign())
+	if slow && !w.has(flagPaced) {
+		g.latency.restart()
+		g.MarkCold(ramp.ReasonLatency)
+	}
+	g.latency.add(sample)
+	if !w.has(flagPaced) {
+		return
+	}
+	config := g.limits.Load().ramp
+	g.step(func(a ramp.Allowance) ramp.Allowance { return a.Success(config) })
+}
+
+// OnShed counts a refusal by the server: it halves the rate of a server that is
+// not warm, and a second shed within 1 s turns a warm one cold.
+func (g *Gate) OnShed(now time.Time) {
+	g.step(ramp.Allowance.Failure)
+	reason := g.detect(func(d ramp.Detector) (ramp.Detector, ramp.Reason) { return d.Shed(now) })
+	if reason != ramp.ReasonNone && g.allowance.Load().Warm {
+		g.MarkCold(reason)
+	}
+}
+
+// ObserveIncarnation reports the incarnation that a response of the server
+// carried, and whether it has changed. A change turns the server cold.
+func (g *Gate) ObserveIncarnation(id string) bool {
+	if g.detector.Load().Knows(id) {
+		return false
+	}
+	reason := g.detect(func(d ramp.Detector) (ramp.Detector, ramp.Reason) { return d.Incarnation(id) })
+	if reason == ramp.ReasonNone {
+		return false
+	}
+	g.MarkCold(reason)
+	return true
+}
+
+// ObserveRefused reports that the server refused a connection.
+func (g *Gate) ObserveRefused() {
+	g.detect(func(d ramp.Detector) (ramp.Detector, ramp.Reason) { return d.Refused(), ramp.ReasonNone })
+}
+
+// ObserveAccepted reports that the server took a request. After a refused
+// connection it counts as cold.
+func (g *Gate) ObserveAccepted() {
+	if !g.detector.Load().HasRefused() {
+		return
+	}
+	if reason := g.detect(ramp.Detector.Accepted); reason != ramp.ReasonNone {
+		g.MarkCold(reason)
+	}
+}
+
+// MarkCold starts the ramp of the server anew: 1 slot and the cold rate, or the
+// takeover rate for ReasonTakeover.
+func (g *Gate) MarkCold(reason ramp.Reason) {
+	first := ramp.Cold(g.limits.Load().ramp)
+	if reason == ramp.ReasonTakeover {
+		first = ramp.Takeover(g.limits.Load().ramp)
+	}
+	g.allowance.Store(&first)
+	g.applyAllowance()
+	if g.onCold != nil {
+		g.onCold(reason)
+	}
+}
+
+// detect applies one observation to the detector.
+func (g *Gate) detect(observe func(ramp.Detector) (ramp.Detector, ramp.Reason)) ramp.Reason {
+	for {
+		old := g.detector.Load()
+		next, reason := observe(*old)
+		if g.detector.CompareAndSwap(old, &next) {
+			return reason
+		}
+	}
+}
+
+// step applies one step of the ramp unless the server is warm.
+func (g *Gate) step(next func(ramp.Allowance) ramp.Allowance) {
+	for {
+		old := g.allowance.Load()
+		if old.Warm {
+			return
+		}
+		allowance := next(*old)
+		if g.allowance.CompareAndSwap(old, &allowance) {
+			g.applyAllowance()
+			return
+		}
+	}
+}
+
+// applyAllowance writes the allowance into the word. It is read again after the
+// swap, so that the last of several concurrent changes wins.
+func (g *Gate) applyAllowance() {
+	for {
+		allowance := g.allowance.Load()
+		g.update(func(old word) word {
+			return old.withLimit(allowance.Slots).withFlag(flagPaced, !allowance.Warm)
+		})
+		if g.allowance.Load() == allowance {
+			g.signal()
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/admission/slot.go
@@ -0,0 +1,25 @@
+package admission
+
+import "sync/atomic"
+
+// Slot is the right to run one request on the server, or the only one when it
+// is exclusive.
+type Slot struct {
+	gate      *Gate
+	exclusive bool
+	released  atomic.Bool
+}
+
+// Exclusive reports whether no other request runs on the server.
+func (s *Slot) Exclusive() bool {
+	return s.exclusive
+}
+
+// Release gives the slot back and reports how the request ended. Further calls do nothing.
+func (s *Slot) Release(result Result) {
+	if s.released.Swap(true) {
+		return
+	}
+	s.gate.observe(result)
+	s.gate.give(s.exclusive)
+}
--- /dev/null
+++ b/internal/admission/waiter.go
@@ -0,0 +1,46 @@
+package admission
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Priority orders the queue before the deadline does; higher goes first.
+type Priority int
+
+// The states of a waiter. Exactly one party moves it out of waiterQueued.
+const (
+	waiterQueued int32 = iota
+	waiterGranted
+	waiterGone
+	waiterRefused
+)
+
+// waiter is one request in the queue.
+type waiter struct {
+	deadline  time.Time
+	priority  Priority
+	exclusive bool
+	sequence  uint64
+	state     atomic.Int32
+	// wake gets one value when the dispatcher has granted or refused the waiter.
+	wake chan struct{}
+	// next links the stack of arrivals.
+	next *waiter
+}
+
+// before reports whether w is served before other.
+func (w *waiter) before(other *waiter) bool {
+	if w.priority != other.priority {
+		return w.priority > other.priority
+	}
+	if !w.deadline.Equal(other.deadline) {
+		return w.deadline.Before(other.deadline)
+	}
+	return w.sequence < other.sequence
+}
+
+// settle moves a queued waiter to state and reports whether it did.
+func (w *waiter) settle(state int32) bool {
+	return w.state.CompareAndSwap(waiterQueued, state)
+}
--- /dev/null
+++ b/internal/ramp/detector.go
@@ -0,0 +1,66 @@
+package ramp
+
+import "time"
+
+// shedWindow is the time within which two sheds count as a cold start.
+const shedWindow = time.Second
+
+// Detector infers that a server has turned cold from events that are rare. It is
+// immutable; each observation returns the next detector and the reason when the
+// server counts as cold from now on.
+type Detector struct {
+	incarnation string
+	refused     bool
+	lastShed    time.Time
+}
+
+// Knows reports whether id is the incarnation seen last, or empty.
+func (d Detector) Knows(id string) bool {
+	return id == "" || id == d.incarnation
+}
+
+// HasRefused reports whether the last connection attempt was refused.
+func (d Detector) HasRefused() bool {
+	return d.refused
+}
+
+// Incarnation observes the incarnation that a response carried. The first one
+// that is seen is no change.
+func (d Detector) Incarnation(id string) (Detector, Reason) {
+	if d.Knows(id) {
+		return d, ReasonNone
+	}
+	first := d.incarnation == ""
+	d.incarnation = id
+	if first {
+		return d, ReasonNone
+	}
+	d.refused = false
+	return d, ReasonIncarnation
+}
+
+// Refused observes a refused connection.
+func (d Detector) Refused() Detector {
+	d.refused = true
+	return d
+}
+
+// Accepted observes a connection that was accepted.
+func (d Detector) Accepted() (Detector, Reason) {
+	if !d.refused {
+		return d, ReasonNone
+	}
+	d.refused = false
+	return d, ReasonReconnected
+}
+
+// Shed observes that the server shed a request.
+func (d Detector) Shed(now time.Time) (Detector, Reason) {
+	second := !d.lastShed.IsZero() && now.Sub(d.lastShed) <= shedWindow
+	if second {
+		d.lastShed = time.Time{}
+		return d, ReasonSheds
+	}
+	d.lastShed = now
+	return d, ReasonNone
+}
--- /dev/null
+++ b/internal/ramp/latency.go
@@ -0,0 +1,23 @@
+package ramp
+
+import "time"
+
+const (
+	// latencyFactor is how far an uncontended request must exceed the long-term latency.
+	latencyFactor = 4
+	// LongTermWeight is the share of one sample in the long-term latency.
+	LongTermWeight = 0.01
+	// longTermSamples is the number of samples before the long-term latency is trusted.
+	longTermSamples = 50
+	// minColdLatency keeps scheduling delays of fast servers from counting as a cold start.
+	minColdLatency = 5 * time.Millisecond
+)
+
+// SlowWhileIdle reports whether a sample shows a cold start: it exceeds four
+// times the long-term latency although at most one request was outstanding.
+func SlowWhileIdle(sample, longTerm time.Duration, samples uint64, outstanding int) bool {
+	if outstanding > 1 || samples < longTermSamples || sample < minColdLatency {
+		return false
+	}
+	return sample > latencyFactor*longTerm
+}
