Add clients and stand-ins for the platform and the backend servers

The router needs clients for the platform's store and instance list and for backend servers. Failures are classified by whether a byte of the request was written; the wire package counts that at the connection, because the trace hooks of net/http run when bytes enter its buffer. Not yet covered by tests.

--- /dev/null
+++ b/internal/backend/httpbackend/control.go
@@ -0,0 +1,88 @@
+package httpbackend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/backend"
+)
+
+// maxControlBytes bounds the answer to a control call.
+const maxControlBytes = 1 << 20
+
+// ErrControl means that a control call got no valid answer; it may have taken effect.
+var ErrControl = errors.New("httpbackend: the control call got no valid answer; repeat it with the next renewal")
+
+// Grant implements backend.Server.
+func (s *Server) Grant(ctx context.Context, grant backend.Grant) (backend.GrantAnswer, error) {
+	var answer GrantReply
+	status, err := s.call(ctx, http.MethodPost, backend.PathGrant, GrantCallOf(grant), &answer)
+	if err != nil {
+		return backend.GrantAnswer{}, err
+	}
+	decoded, err := answer.Decode()
+	if err != nil {
+		return backend.GrantAnswer{}, errors.Wrapf(ErrControl, "grant to server %s: %v", s.name, err)
+	}
+	if status == http.StatusConflict {
+		return decoded, errors.Wrapf(backend.ErrStale, "grant of %s to server %s", grant.Order.Shard, s.name)
+	}
+	return decoded, nil
+}
+
+// Health implements backend.Server.
+func (s *Server) Health(ctx context.Context) (backend.Health, error) {
+	var answer HealthReply
+	_, err := s.call(ctx, http.MethodGet, backend.PathHealth, nil, &answer)
+	return backend.Health(answer), err
+}
+
+// Load implements backend.Server.
+func (s *Server) Load(ctx context.Context) (backend.Load, error) {
+	var answer LoadReply
+	_, err := s.call(ctx, http.MethodGet, backend.PathLoad, nil, &answer)
+	return backend.Load(answer), err
+}
+
+// Drain implements backend.Server.
+func (s *Server) Drain(ctx context.Context, order backend.Order) error {
+	status, err := s.call(ctx, http.MethodPost, backend.PathDrain, OrderCallOf(order), nil)
+	if err == nil && status == http.StatusConflict {
+		return errors.Wrapf(backend.ErrStale, "drain of server %s", s.name)
+	}
+	return err
+}
+
+// call sends one control call and decodes the answer of status 200 or 409.
+func (s *Server) call(ctx context.Context, method, path string, in, out any) (int, error) {
+	content, err := json.Marshal(in)
+	if err != nil {
+		return 0, errors.Wrapf(err, "control call %s", path)
+	}
+	message, err := http.NewRequestWithContext(ctx, method, "http://"+s.address+path, io.NopCloser(bytes.NewReader(content)))
+	if err != nil {
+		return 0, errors.Wrapf(err, "control call %s", path)
+	}
+	message.ContentLength = int64(len(content))
+	response, err := s.control.RoundTrip(message)
+	if err != nil {
+		return 0, &controlFailure{server: s.name, path: path, cause: err}
+	}
+	defer response.Body.Close()
+	status := response.StatusCode
+	if status != http.StatusOK && status != http.StatusConflict {
+		return status, &controlFailure{server: s.name, path: path, cause: errors.Errorf("status %d", status)}
+	}
+	if out == nil {
+		return status, nil
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxControlBytes)).Decode(out); err != nil {
+		return status, &controlFailure{server: s.name, path: path, cause: err}
+	}
+	return status, nil
+}
--- /dev/null
+++ b/internal/backend/httpbackend/encode.go
@@ -0,0 +1,89 @@
+package httpbackend
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/backend"
+	"peridotmoor.org/peridotmoor/internal/outcome"
+	"peridotmoor.org/peridotmoor/internal/problem"
+	"peridotmoor.org/peridotmoor/internal/request"
+)
+
+// encode builds the HTTP request. Its body never has GetBody and is never
+// http.NoBody: net/http sends a request again by itself only if it can rewind
+// the body or there is none.
+func (s *Server) encode(ctx context.Context, order backend.Order, r *request.Request) (*http.Request, error) {
+	left := time.Until(r.Deadline)
+	if left < time.Millisecond {
+		return nil, problem.New(problem.KindDeadlinePassed, outcome.StageConnect,
+			"the deadline of request %s passed before it was sent to server %s", r.ID, s.name)
+	}
+	target, err := targetOf(s.address, r.Path)
+	if err != nil || r.ID == "" {
+		return nil, problem.Wrap(err, problem.KindInternal, outcome.StageConnect,
+			"request %q with path %q cannot be sent to server %s", r.ID, r.Path, s.name)
+	}
+	message := &http.Request{
+		Method:        r.Method,
+		URL:           target,
+		Host:          s.address,
+		Header:        requestHeader(r, order, left),
+		Body:          io.NopCloser(bodyOf(r)),
+		ContentLength: lengthOf(r),
+	}
+	return message.WithContext(ctx), nil
+}
+
+func targetOf(address, path string) (*url.URL, error) {
+	if !strings.HasPrefix(path, "/") {
+		path = "/" + path
+	}
+	target, err := url.ParseRequestURI(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "path of the request")
+	}
+	target.Scheme = "http"
+	target.Host = address
+	return target, nil
+}
+
+func bodyOf(r *request.Request) io.Reader {
+	if r.Streamed() {
+		return r.Body
+	}
+	return bytes.NewReader(r.Buffered)
+}
+
+func lengthOf(r *request.Request) int64 {
+	if r.Streamed() {
+		return r.ContentLength
+	}
+	return int64(len(r.Buffered))
+}
+
+func requestHeader(r *request.Request, order backend.Order, left time.Duration) http.Header {
+	header := endToEnd(http.Header(r.Header))
+	header.Set(backend.HeaderRequestID, r.ID)
+	header.Set(backend.HeaderKey, url.PathEscape(r.Key))
+	header.Set(backend.HeaderIdempotent, strconv.FormatBool(r.Idempotent))
+	header.Set(backend.HeaderTimeoutMS, strconv.FormatInt(left.Milliseconds(), 10))
+	header.Set(backend.HeaderShard, order.Shard.String())
+	header.Set(backend.HeaderToken, order.Token.String())
+	if r.TraceParent != "" {
+		header.Set(backend.HeaderTraceParent, r.TraceParent)
+	}
+	if header.Get("User-Agent") == "" {
+		// An empty value keeps net/http from adding its own.
+		header.Set("User-Agent", "")
+	}
+	return header
+}
--- /dev/null
+++ b/internal/backend/httpbackend/send.go
@@ -0,0 +1,136 @@
+package httpbackend
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/backend"
+	"peridotmoor.org/peridotmoor/internal/outcome"
+	"peridotmoor.org/peridotmoor/internal/problem"
+	"peridotmoor.org/peridotmoor/internal/request"
+	"peridotmoor.org/peridotmoor/internal/wire"
+)
+
+// Send implements backend.Server.
+func (s *Server) Send(ctx context.Context, order backend.Order, r *request.Request) (*request.Answer, error) {
+	var attempt wire.Attempt
+	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(ctx, attempt.Trace()))
+	message, err := s.encode(ctx, order, r)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	response, err := s.requests.RoundTrip(message)
+	if err != nil {
+		failure := s.failure(ctx, r, attempt.Written(), err)
+		cancel()
+		return nil, failure
+	}
+	answer, err := s.decode(r, response)
+	if err != nil {
+		// Cancelling before the body is closed keeps the connection out of the idle pool.
+		cancel()
+		_ = response.Body.Close()
+		return nil, err
+	}
+	answer.Body = &body{content: response.Body, cancel: cancel}
+	return answer, nil
+}
+
+// failure classifies a request that got no response, by whether a byte of it was written.
+func (s *Server) failure(ctx context.Context, r *request.Request, written bool, cause error) error {
+	stage := outcome.StageConnect
+	kind := problem.KindConnectFailed
+	what := "no byte was sent"
+	if written {
+		stage = outcome.StageWritten
+		kind = problem.KindAnswerLost
+		what = "the answer was lost after the request was sent"
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		kind = problem.KindDeadlinePassed
+	case ctx.Err() != nil:
+		kind = problem.KindCallerGone
+	}
+	return problem.Wrap(cause, kind, stage, "request %s to server %s at %s: %s", r.ID, s.name, s.address, what)
+}
+
+// decode checks that the response is whole in form and belongs to the request.
+func (s *Server) decode(r *request.Request, response *http.Response) (*request.Answer, error) {
+	ids := response.Header.Values(backend.HeaderRequestID)
+	if len(ids) != 1 || ids[0] != r.ID {
+		return nil, problem.New(problem.KindAnswerCrossed, outcome.StageWritten,
+			"server %s answered request %s with request ID %q", s.name, r.ID, ids)
+	}
+	if notRun(response) {
+		return nil, problem.New(problem.KindShed, outcome.StageRefusedByServer,
+			"server %s refused request %s before running it", s.name, r.ID).WithRetryAfter(retryAfter(response))
+	}
+	if !delimited(response) {
+		return nil, problem.New(problem.KindAnswerShort, outcome.StageWritten,
+			"server %s answered request %s without a length, so a short answer would go unnoticed", s.name, r.ID)
+	}
+	return &request.Answer{
+		RequestID:     r.ID,
+		Status:        response.StatusCode,
+		Header:        answerHeader(response.Header),
+		ContentLength: response.ContentLength,
+		Server:        s.name,
+	}, nil
+}
+
+func notRun(response *http.Response) bool {
+	return response.StatusCode == http.StatusServiceUnavailable &&
+		response.Header.Get(backend.HeaderNotRun) == "true"
+}
+
+// delimited reports whether the end of the body is marked by a length or a last chunk.
+func delimited(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
+}
+
+// retryAfter returns the advised wait, in whole seconds, or 0.
+func retryAfter(response *http.Response) time.Duration {
+	seconds, err := strconv.Atoi(response.Header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// body is the body of an answer. Its reads end in io.EOF or io.ErrUnexpectedEOF.
+type body struct {
+	content io.ReadCloser
+	cancel  context.CancelFunc
+	whole   bool
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.content.Read(p)
+	switch {
+	case err == nil:
+	case err == io.EOF:
+		b.whole = true
+	default:
+		err = &shortBody{cause: err}
+	}
+	return n, err
+}
+
+// Close closes the body. The connection is used again only when the whole body was read.
+func (b *body) Close() error {
+	if !b.whole {
+		b.cancel()
+	}
+	err := b.content.Close()
+	b.cancel()
+	return err
+}
--- /dev/null
+++ b/internal/dev/platform/control.go
@@ -0,0 +1,71 @@
+package platform
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"peridotmoor.org/peridotmoor/internal/instances"
+	"peridotmoor.org/peridotmoor/internal/instances/httplist"
+)
+
+// Control is the body of POST /dev/faults. Absent fields stay as they are.
+type Control struct {
+	Down           *bool `json:"down,omitempty"`
+	SlowMS         *int  `json:"slow_ms,omitempty"`
+	Stale          *bool `json:"stale,omitempty"`
+	LoseNextAnswer bool  `json:"lose_next_answer,omitempty"`
+	ListLagMS      *int  `json:"list_lag_ms,omitempty"`
+}
+
+func (s *Server) devRoutes() {
+	s.routes.HandleFunc("/dev/faults", s.control).Methods(http.MethodPost)
+	s.routes.HandleFunc("/dev/instances", s.setInstance).Methods(http.MethodPost)
+	s.routes.HandleFunc("/dev/instances/{name}", s.removeInstance).Methods(http.MethodDelete)
+}
+
+func (s *Server) control(w http.ResponseWriter, r *http.Request) {
+	var c Control
+	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
+		http.Error(w, "the body is not valid JSON: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Apply(c)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Apply turns the switches that c names.
+func (s *Server) Apply(c Control) {
+	if c.Down != nil {
+		s.store.Faults().SetDown(*c.Down)
+	}
+	if c.SlowMS != nil {
+		s.store.Faults().SetSlow(time.Duration(*c.SlowMS) * time.Millisecond)
+	}
+	if c.Stale != nil {
+		s.store.ServeStaleReads(*c.Stale)
+	}
+	if c.LoseNextAnswer {
+		s.store.Faults().LoseNextAnswer()
+	}
+	if c.ListLagMS != nil {
+		s.list.SetLag(time.Duration(*c.ListLagMS) * time.Millisecond)
+	}
+}
+
+func (s *Server) setInstance(w http.ResponseWriter, r *http.Request) {
+	var instance httplist.ListedInstance
+	if err := json.NewDecoder(r.Body).Decode(&instance); err != nil || instance.Name == "" {
+		http.Error(w, "the body is not a named instance in JSON", http.StatusBadRequest)
+		return
+	}
+	s.list.Set(instances.Instance(instance))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) removeInstance(w http.ResponseWriter, r *http.Request) {
+	s.list.Remove(mux.Vars(r)["name"])
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/dev/platform/keys.go
@@ -0,0 +1,132 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/store"
+	"peridotmoor.org/peridotmoor/internal/store/httpstore"
+)
+
+// maxWait bounds one long poll.
+const maxWait = time.Minute
+
+func (s *Server) getKey(w http.ResponseWriter, r *http.Request) {
+	name, ok := keyOf(w, r)
+	if !ok {
+		return
+	}
+	entry, err := s.store.Get(r.Context(), name)
+	answerEntry(w, entry, err)
+}
+
+func (s *Server) listKeys(w http.ResponseWriter, r *http.Request) {
+	entries, err := s.store.List(r.Context(), r.URL.Query().Get("prefix"))
+	if err != nil {
+		answerError(w, err)
+		return
+	}
+	answerJSON(w, httpstore.Listed(entries))
+}
+
+func (s *Server) putKey(w http.ResponseWriter, r *http.Request) {
+	name, ok := keyOf(w, r)
+	if !ok {
+		return
+	}
+	revision, err := strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64)
+	if err != nil {
+		http.Error(w, "revision is not a whole number", http.StatusBadRequest)
+		return
+	}
+	value, err := io.ReadAll(io.LimitReader(r.Body, store.MaxValueBytes+1))
+	if err != nil {
+		http.Error(w, "the value ended early", http.StatusBadRequest)
+		return
+	}
+	lease := store.LeaseID(r.URL.Query().Get("lease"))
+	// A change that was taken is not undone when its caller goes away.
+	ctx := context.WithoutCancel(r.Context())
+	entry, err := s.store.CompareAndSwap(ctx, name, revision, value, lease)
+	if errors.Is(err, store.ErrConflict) {
+		writeEntry(w, http.StatusConflict, entry)
+		return
+	}
+	entry.Value = nil
+	answerEntry(w, entry, err)
+}
+
+func (s *Server) watchKey(w http.ResponseWriter, r *http.Request) {
+	name, ok := keyOf(w, r)
+	if !ok {
+		return
+	}
+	after, errAfter := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	wait, errWait := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
+	if errAfter != nil || errWait != nil || wait < 0 {
+		http.Error(w, "after or wait_ms is not a whole number", http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), min(maxWait, time.Duration(wait)*time.Millisecond))
+	defer cancel()
+	entry, err := s.store.Watch(ctx, name, after)
+	if errors.Is(err, context.DeadlineExceeded) {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	answerEntry(w, entry, err)
+}
+
+func keyOf(w http.ResponseWriter, r *http.Request) (string, bool) {
+	name, err := url.PathUnescape(mux.Vars(r)["key"])
+	if err != nil || name == "" {
+		http.Error(w, "the key is empty or not escaped properly", http.StatusBadRequest)
+		return "", false
+	}
+	return name, true
+}
+
+func answerEntry(w http.ResponseWriter, entry store.Entry, err error) {
+	if err != nil {
+		answerError(w, err)
+		return
+	}
+	writeEntry(w, http.StatusOK, entry)
+}
+
+func writeEntry(w http.ResponseWriter, status int, entry store.Entry) {
+	w.Header().Set(httpstore.HeaderRevision, strconv.FormatUint(entry.Revision, 10))
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.WriteHeader(status)
+	_, _ = w.Write(entry.Value)
+}
+
+func answerJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// answerError writes the status of a typed error. An answer that the store
+// lost ends the connection without one.
+func answerError(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, store.ErrUncertain):
+		panic(http.ErrAbortHandler)
+	case errors.Is(err, store.ErrNotFound):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case errors.Is(err, store.ErrTooLarge):
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+	case errors.Is(err, store.ErrUnavailable):
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+	}
+}
--- /dev/null
+++ b/internal/dev/platform/server.go
@@ -0,0 +1,53 @@
+// Package platform is the development stand-in for the platform: the key-value
+// store and the lagging list of instances, over HTTP. The product does not import it.
+package platform
+
+import (
+	"net/http"
+
+	"github.com/gorilla/mux"
+
+	"peridotmoor.org/peridotmoor/internal/store/memstore"
+)
+
+// Server answers the calls of the platform.
+type Server struct {
+	store  *memstore.Store
+	list   *List
+	routes *mux.Router
+}
+
+// New returns a platform with an empty store and an empty list.
+func New() *Server {
+	s := &Server{store: memstore.New(), list: NewList()}
+	s.routes = mux.NewRouter().SkipClean(true).UseEncodedPath()
+	s.storeRoutes()
+	s.listRoutes()
+	s.devRoutes()
+	return s
+}
+
+// Store returns the store behind the calls.
+func (s *Server) Store() *memstore.Store {
+	return s.store
+}
+
+// List returns the list of instances.
+func (s *Server) List() *List {
+	return s.list
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.routes.ServeHTTP(w, r)
+}
+
+func (s *Server) storeRoutes() {
+	s.routes.HandleFunc("/v1/keys", s.listKeys).Methods(http.MethodGet)
+	s.routes.HandleFunc("/v1/keys/{key:.*}", s.getKey).Methods(http.MethodGet)
+	s.routes.HandleFunc("/v1/keys/{key:.*}", s.putKey).Methods(http.MethodPut)
+	s.routes.HandleFunc("/v1/watch/{key:.*}", s.watchKey).Methods(http.MethodGet)
+	s.routes.HandleFunc("/v1/leases", s.grantLease).Methods(http.MethodPost)
+	s.routes.HandleFunc("/v1/leases/{id}/renew", s.renewLease).Methods(http.MethodPost)
+	s.routes.HandleFunc("/v1/leases/{id}", s.revokeLease).Methods(http.MethodDelete)
+}
--- /dev/null
+++ b/internal/store/failure.go
@@ -0,0 +1,29 @@
+package store
+
+// Failure is a failed call: one of the typed errors of this package and its
+// cause. errors.Is finds both.
+type Failure struct {
+	Kind  error
+	Cause error
+}
+
+// Fail returns a failure of the given kind.
+func Fail(kind, cause error) error {
+	return &Failure{Kind: kind, Cause: cause}
+}
+
+// Error returns the kind with its remedy, then the cause.
+func (f *Failure) Error() string {
+	if f.Cause == nil {
+		return f.Kind.Error()
+	}
+	return f.Kind.Error() + ": " + f.Cause.Error()
+}
+
+// Unwrap returns the kind and the cause.
+func (f *Failure) Unwrap() []error {
+	if f.Cause == nil {
+		return []error{f.Kind}
+	}
+	return []error{f.Kind, f.Cause}
+}
--- /dev/null
+++ b/internal/store/memstore/faults.go
@@ -0,0 +1,115 @@
+package memstore
+
+import (
+	"context"
+	"maps"
+	"sync/atomic"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/store"
+)
+
+// Faults are the switches of a Store. All may be changed at any time.
+type Faults struct {
+	down   atomic.Bool
+	lose   atomic.Int64
+	slow   atomic.Int64
+	frozen atomic.Pointer[map[string]record]
+	outage atomic.Pointer[chan struct{}]
+}
+
+// SetDown makes each call fail with store.ErrUnavailable and ends waiting watches.
+func (f *Faults) SetDown(down bool) {
+	signal := f.downSignal()
+	if f.down.Swap(down) == down || !down {
+		return
+	}
+	f.outage.Store(nil)
+	close(signal)
+}
+
+// SetSlow delays each call by d before it takes effect. A write whose context
+// ends during the delay still takes effect.
+func (f *Faults) SetSlow(d time.Duration) {
+	f.slow.Store(int64(d))
+}
+
+// LoseNextAnswer loses the answer of the next write that takes effect: the
+// caller gets store.ErrUncertain.
+func (f *Faults) LoseNextAnswer() {
+	f.lose.Add(1)
+}
+
+// ServeStaleReads makes Get and List answer from the entries of this moment
+// until it is called with false. Watches and writes go on with current entries.
+func (s *Store) ServeStaleReads(stale bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !stale {
+		s.faults.frozen.Store(nil)
+		return
+	}
+	entries := maps.Clone(s.entries)
+	s.faults.frozen.Store(&entries)
+}
+
+func (f *Faults) beforeRead(ctx context.Context) error {
+	if f.down.Load() {
+		return store.ErrUnavailable
+	}
+	if err := f.delay(ctx); err != nil {
+		return store.Fail(store.ErrUnavailable, err)
+	}
+	return nil
+}
+
+// beforeWrite returns the context's error as slow when it ended during the
+// delay of a call that the store has already taken.
+func (f *Faults) beforeWrite(ctx context.Context) (slow, err error) {
+	if f.down.Load() {
+		return nil, store.ErrUnavailable
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, store.Fail(store.ErrUnavailable, err)
+	}
+	return f.delay(ctx), nil
+}
+
+func (f *Faults) delay(ctx context.Context) error {
+	d := time.Duration(f.slow.Load())
+	if d == 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (f *Faults) loseAnswer() bool {
+	for {
+		left := f.lose.Load()
+		if left == 0 {
+			return false
+		}
+		if f.lose.CompareAndSwap(left, left-1) {
+			return true
+		}
+	}
+}
+
+// downSignal returns the channel that the next outage closes.
+func (f *Faults) downSignal() chan struct{} {
+	if current := f.outage.Load(); current != nil {
+		return *current
+	}
+	fresh := make(chan struct{})
+	if f.outage.CompareAndSwap(nil, &fresh) {
+		return fresh
+	}
+	return f.downSignal()
+}
--- /dev/null
+++ b/internal/wire/dialer.go
@@ -0,0 +1,20 @@
+package wire
+
+import (
+	"context"
+	"net"
+)
+
+// Dialer makes connections of type *Conn for an http.Transport.
+type Dialer struct {
+	net.Dialer
+}
+
+// DialContext connects to address.
+func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := d.Dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{Conn: conn}, nil
+}
