--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -10,12 +10,14 @@
 
 // Client calls other instances by address.
 type Client struct {
-	pool *Pool
+	pool  *Pool
+	meter Meter
 }
 
-// NewClient returns a client that takes its connections from pool.
-func NewClient(pool *Pool) *Client {
-	return &Client{pool: pool}
+// NewClient returns a client that takes its connections from pool and counts
+// control messages on meter.
+func NewClient(pool *Pool, meter Meter) *Client {
+	return &Client{pool: pool, meter: meter}
 }
 
 // unary runs one call that has one message each way.
--- a/internal/peer/forward_test.go
+++ b/internal/peer/forward_test.go
@@ -16,6 +16,11 @@
 	"peridotmoor.org/peridotmoor/internal/request"
 )
 
+type quietMeter struct{}
+
+func (quietMeter) Sent(string, int)     {}
+func (quietMeter) Received(string, int) {}
+
 type handlerFunc func(context.Context, *request.Request) (*request.Answer, error)
 
 func (f handlerFunc) Handle(ctx context.Context, r *request.Request) (*request.Answer, error) {
@@ -31,14 +36,14 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- NewServer(handler).Serve(ctx, listener) }()
+	go func() { done <- NewServer(Handlers{Requests: handler}, quietMeter{}).Serve(ctx, listener) }()
 	pool := NewPool()
 	t.Cleanup(func() {
 		_ = pool.Close()
 		cancel()
 		<-done
 	})
-	return listener.Addr().String(), NewClient(pool)
+	return listener.Addr().String(), NewClient(pool, quietMeter{})
 }
 
 func echo(_ context.Context, r *request.Request) (*request.Answer, error) {
@@ -138,7 +143,7 @@
 	is.NoErr(err)
 	closed := listener.Addr().String()
 	is.NoErr(listener.Close())
-	client := NewClient(NewPool())
+	client := NewClient(NewPool(), quietMeter{})
 	r, _ := newRequest("id-1", 1)
 	_, err = client.Forward(context.Background(), closed, r)
 	is.Equal(problem.From(err).Stage, outcome.StageForwardUnsent)
--- a/internal/peer/forwardserver.go
+++ b/internal/peer/forwardserver.go
@@ -32,7 +32,7 @@
 	ctx, cancel := context.WithCancelCause(stream.Context())
 	defer cancel(nil)
 	timer := time.AfterFunc(time.Until(r.Deadline), func() { cancel(context.DeadlineExceeded) })
-	answer, err := s.requests.Handle(ctx, r)
+	answer, err := s.handlers.Requests.Handle(ctx, r)
 	timer.Stop()
 	if err != nil {
 		return stream.Send(&peerpb.AnswerFrame{Problem: problemToWire(problem.From(err)), Last: true})
--- /dev/null
+++ b/internal/peer/promise.go
@@ -0,0 +1,40 @@
+package peer
+
+import (
+	"context"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/peer/peerpb"
+)
+
+// Promise implements authority.Voter.
+func (c *Client) Promise(ctx context.Context, _ authority.Instance, address string, r authority.PromiseRequest) (authority.PromiseReply, error) {
+	out := promiseRequestToWire(r)
+	sent(c.meter, messagePromise, out)
+	var in *peerpb.PromiseReply
+	err := c.unary(ctx, address, func(p peerpb.DRPCPeerClient) (err error) {
+		in, err = p.Promise(ctx, out)
+		return err
+	})
+	if err != nil {
+		return authority.PromiseReply{}, err
+	}
+	received(c.meter, messagePromise, in)
+	return promiseReplyFromWire(in)
+}
+
+// Promise serves a candidate or holder that asks this instance as a witness.
+func (s *Server) Promise(ctx context.Context, in *peerpb.PromiseRequest) (*peerpb.PromiseReply, error) {
+	received(s.meter, messagePromise, in)
+	r, err := promiseRequestFromWire(in)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := s.handlers.Witness.HandlePromise(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	out := promiseReplyToWire(reply)
+	sent(s.meter, messagePromise, out)
+	return out, nil
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -9,18 +9,19 @@
 	"storj.io/drpc/drpcserver"
 
 	"peridotmoor.org/peridotmoor/internal/peer/peerpb"
-	"peridotmoor.org/peridotmoor/internal/request"
 )
 
 // Server serves the calls of other instances.
 type Server struct {
 	peerpb.DRPCPeerUnimplementedServer
-	requests request.Handler
+	handlers Handlers
+	meter    Meter
 }
 
-// NewServer returns a server that passes forwarded requests to requests.
-func NewServer(requests request.Handler) *Server {
-	return &Server{requests: requests}
+// NewServer returns a server that passes calls to handlers and counts control
+// messages on meter.
+func NewServer(handlers Handlers, meter Meter) *Server {
+	return &Server{handlers: handlers, meter: meter}
 }
 
 // Serve accepts connections until ctx ends.
