--- /dev/null
+++ b/internal/peer/addresses.go
@@ -0,0 +1,9 @@
+package peer
+
+import "peridotmoor.org/peridotmoor/internal/authority"
+
+// Addresses finds the peer endpoint of an instance.
+type Addresses interface {
+	// Address returns host:port, and false when the instance is not known.
+	Address(i authority.Instance) (string, bool)
+}
