Add the settings tree

Parse checks a tree as a whole and reports every fault with file, line, section, setting, value and remedy. Request policies are compiled per service, failure domain and key range, so that a request looks them up without allocating. CheckTransition permits a change of what decides ownership only while the service or server is out, and NeedsSettled says when the version before must first be in effect everywhere.

--- /dev/null
+++ b/internal/settings/build.go
@@ -0,0 +1,156 @@
+package settings
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+)
+
+// build compiles a checked document.
+func build(doc *document, text string) *Tree {
+	t := &Tree{
+		doc:      doc,
+		text:     text,
+		services: map[string]*Service{},
+		domains:  map[string]Domain{},
+		servers:  map[string]Server{},
+		control:  buildControl(doc.rootChain()),
+		root:     buildPolicy(doc.rootChain(), false),
+		retired:  map[string]bool{},
+	}
+	t.buildDomains()
+	t.buildServices()
+	t.buildServers()
+	if s := doc.sections[instancesSection]; s != nil {
+		for _, item := range splitList(s.values["retired"]) {
+			t.retired[item] = true
+		}
+	}
+	return t
+}
+
+func buildControl(c chain) Control {
+	return Control{
+		PromiseTTL:       c.duration("promise_ttl"),
+		RenewInterval:    c.duration("renew_interval"),
+		MaxDelivery:      c.duration("max_delivery"),
+		MaxClockSkew:     c.duration("max_clock_skew"),
+		RecordLimit:      c.whole("record_limit"),
+		AnswerLimit:      c.whole("answer_limit"),
+		MaxMoves:         c.whole("max_moves"),
+		ExchangeInterval: c.duration("exchange_interval"),
+		QuarantineTime:   c.duration("quarantine_time"),
+	}
+}
+
+func buildPolicy(c chain, keyed bool) RequestPolicy {
+	return RequestPolicy{
+		Timeout:         c.duration("timeout"),
+		IdleTimeout:     c.duration("idle_timeout"),
+		Priority:        c.whole("priority"),
+		QueueLimit:      c.whole("queue_limit"),
+		Hedge:           c.bool("hedge") && !keyed,
+		RetryLimit:      c.whole("retry_limit"),
+		RecordRetention: c.duration("record_retention"),
+	}
+}
+
+func (t *Tree) buildDomains() {
+	for _, s := range t.doc.order {
+		if s.level == LevelDomain {
+			t.domains[s.domain] = Domain{Name: s.domain, Region: s.values["region"], Out: s.values["state"] == stateOut}
+		}
+	}
+}
+
+func (t *Tree) buildServices() {
+	for _, s := range t.doc.order {
+		if s.level != LevelService {
+			continue
+		}
+		own := chain{s}
+		service := &Service{
+			Name:    s.service,
+			Keyed:   own.bool("keyed"),
+			Shards:  own.whole("shards"),
+			Out:     s.values["state"] == stateOut,
+			domains: map[string]*servicePolicies{},
+		}
+		service.policy = buildPolicy(t.doc.requestChain(s.service, "", ""), service.Keyed)
+		service.servers = make([][]Server, service.Shards)
+		t.services[s.service] = service
+	}
+	t.names = sortedKeys(t.services)
+	t.buildServiceDomains()
+}
+
+func (t *Tree) buildServiceDomains() {
+	for _, s := range t.doc.order {
+		if s.level != LevelServiceDomain && s.level != LevelRange {
+			continue
+		}
+		service := t.services[s.service]
+		in := service.domains[s.domain]
+		if in == nil {
+			in = &servicePolicies{policy: buildPolicy(t.doc.requestChain(s.service, s.domain, ""), service.Keyed)}
+			service.domains[s.domain] = in
+		}
+		if s.level == LevelRange {
+			r := s.keyRange()
+			r.policy = buildPolicy(t.doc.requestChain(s.service, s.domain, s.rangeName), service.Keyed)
+			in.ranges = append(in.ranges, r)
+		}
+	}
+	for _, service := range t.services {
+		for _, in := range service.domains {
+			slices.SortFunc(in.ranges, func(a, b keyRange) int { return cmp.Compare(a.from, b.from) })
+		}
+	}
+}
+
+// keyRange returns the bounds that a range section states.
+func (s *section) keyRange() keyRange {
+	to, bounded := s.values["to"]
+	return keyRange{name: s.rangeName, from: s.values["from"], to: to, open: !bounded || to == ""}
+}
+
+func (t *Tree) buildServers() {
+	for _, s := range t.doc.order {
+		if s.level == LevelServer {
+			t.servers[s.server] = t.buildServer(s)
+		}
+	}
+	for _, server := range sortedValues(t.servers) {
+		service := t.services[server.Service]
+		service.servers[server.Shard] = append(service.servers[server.Shard], server)
+	}
+}
+
+func (t *Tree) buildServer(s *section) Server {
+	name, service, domain := s.server, s.values["service"], s.values["domain"]
+	c := t.doc.serverChain(name, service, domain)
+	outBy := t.doc.outBy(name, service, domain)
+	return Server{
+		Name:    name,
+		Service: service,
+		Domain:  domain,
+		Region:  t.domains[domain].Region,
+		Address: s.values["address"],
+		Shard:   shardOf(s, t.services[service].Shards),
+		Policy: ServerPolicy{
+			Slots:        c.whole("slots"),
+			Connections:  c.whole("connections"),
+			ColdRate:     c.whole("cold_rate"),
+			ChecksTokens: c.bool("checks_tokens"),
+			In:           outBy == "",
+			OutBy:        outBy,
+		},
+	}
+}
+
+func shardOf(s *section, shards int) int {
+	if n, err := strconv.Atoi(s.values["shard"]); err == nil {
+		return n
+	}
+	return DefaultShard(s.server, shards)
+}
--- /dev/null
+++ b/internal/settings/document.go
@@ -0,0 +1,106 @@
+package settings
+
+import (
+	"strconv"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+// MaxTextBytes bounds the text of a tree. The store holds 1 MB, and the JSON
+// form of the text with its line breaks escaped must fit with room to spare.
+const MaxTextBytes = 900 << 10
+
+// document is the INI text as sections, before any setting is interpreted.
+type document struct {
+	file     string
+	sections map[string]*section
+	order    []*section
+	issues   Issues
+}
+
+// iniOptions turn off all features of the library that change what is written:
+// continuation lines, interpolation and nested lookups by section name.
+var iniOptions = ini.LoadOptions{
+	IgnoreContinuation:         true,
+	SpaceBeforeInlineComment:   true,
+	KeyValueDelimiters:         "=",
+	ChildSectionDelimiter:      "\x00",
+	AllowNonUniqueSections:     true,
+	AllowShadows:               true,
+	AllowDuplicateShadowValues: true,
+	PreserveEmptyShadowValues:  true,
+}
+
+// readDocument splits text into sections and collects the faults of form.
+func readDocument(text, file string) *document {
+	doc := &document{file: file, sections: map[string]*section{}}
+	if len(text) > MaxTextBytes {
+		doc.add(Issue{Reason: "the text has " + strconv.Itoa(len(text)) + " bytes", Remedy: "shorten it to at most " + strconv.Itoa(MaxTextBytes) + " bytes"})
+		return doc
+	}
+	lines := scanLines(text)
+	for _, bad := range lines.malformed {
+		doc.add(Issue{Line: bad.number, Reason: "the line " + strconv.Quote(bad.text) + " is neither a section, a setting nor a comment", Remedy: "write [section], name = value, or start the line with #"})
+	}
+	loaded, err := ini.LoadSources(iniOptions, []byte(lines.wellFormed))
+	if err != nil {
+		doc.add(Issue{Reason: "not readable as INI: " + err.Error(), Remedy: "correct the line that the message names"})
+		return doc
+	}
+	for i, s := range loaded.Sections() {
+		doc.addSection(s, i == 0, lines)
+	}
+	return doc
+}
+
+func (d *document) add(issue Issue) {
+	issue.File = d.file
+	d.issues = append(d.issues, issue)
+}
+
+// addSection takes one section over. The library always reports a first section
+// that holds what precedes the first header.
+func (d *document) addSection(raw *ini.Section, headless bool, lines *lineIndex) {
+	if headless {
+		d.refuseHeadless(raw, lines)
+		return
+	}
+	name := raw.Name()
+	s, known := newSection(name)
+	s.line = lines.section(name)
+	if !known {
+		d.add(Issue{Line: s.line, Section: name, Reason: "no such kind of section", Remedy: "use one of " + allForms() + " with names of lower-case letters, digits and hyphens"})
+		return
+	}
+	if first, twice := d.sections[name]; twice {
+		d.add(Issue{Line: first.line, Section: name, Reason: "the section is written more than once", Remedy: "write all its settings under one header"})
+		return
+	}
+	d.sections[name] = s
+	d.order = append(d.order, s)
+	for _, key := range raw.Keys() {
+		d.addKey(s, key, lines)
+	}
+}
+
+func (d *document) addKey(s *section, raw *ini.Key, lines *lineIndex) {
+	name := raw.Name()
+	s.keys = append(s.keys, name)
+	s.values[name] = raw.Value()
+	s.lines[name] = lines.key(s.name, name)
+	if values := raw.ValueWithShadows(); len(values) > 1 {
+		d.add(Issue{Line: s.lines[name], Section: s.name, Key: name, Value: strings.Join(values, ", "), Reason: "the setting is written more than once", Remedy: "keep one of the values"})
+	}
+}
+
+func (d *document) refuseHeadless(raw *ini.Section, lines *lineIndex) {
+	for _, key := range raw.Keys() {
+		d.add(Issue{Line: lines.key("", key.Name()), Key: key.Name(), Value: key.Value(), Reason: "the setting stands before the first section", Remedy: "put it under [DEFAULT] or the section it belongs to"})
+	}
+}
+
+func allForms() string {
+	all := LevelDefault | LevelService | LevelServiceDomain | LevelRange | LevelDomain | LevelServer | LevelInstances
+	return strings.Join(all.Forms(), ", ")
+}
--- /dev/null
+++ b/internal/settings/domain.go
@@ -0,0 +1,9 @@
+package settings
+
+// Domain is one failure domain.
+type Domain struct {
+	Name   string
+	Region string
+	// Out says that the failure domain gets no new work.
+	Out bool
+}
--- /dev/null
+++ b/internal/settings/issue.go
@@ -0,0 +1,55 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Issue is one fault of a settings tree.
+type Issue struct {
+	File    string `json:"file"`
+	Line    int    `json:"line,omitempty"` // 0 when the fault has no single line
+	Section string `json:"section,omitempty"`
+	Key     string `json:"key,omitempty"`
+	Value   string `json:"value,omitempty"`
+	Reason  string `json:"reason"`
+	Remedy  string `json:"remedy"`
+}
+
+// String formats the issue in one line.
+func (i Issue) String() string {
+	var b strings.Builder
+	b.WriteString(i.File)
+	if i.Line > 0 {
+		fmt.Fprintf(&b, ":%d", i.Line)
+	}
+	b.WriteString(": ")
+	if i.Section != "" {
+		fmt.Fprintf(&b, "[%s] ", i.Section)
+	}
+	if i.Key != "" {
+		fmt.Fprintf(&b, "%s = %q: ", i.Key, i.Value)
+	}
+	fmt.Fprintf(&b, "%s; %s", i.Reason, i.Remedy)
+	return b.String()
+}
+
+// Issues is the error that Parse and CheckTransition return: every fault found.
+type Issues []Issue
+
+// Error lists the issues, one a line.
+func (s Issues) Error() string {
+	lines := make([]string, len(s))
+	for i, issue := range s {
+		lines[i] = issue.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// orNil returns s as an error, or nil when s is empty.
+func (s Issues) orNil() error {
+	if len(s) == 0 {
+		return nil
+	}
+	return s
+}
--- /dev/null
+++ b/internal/settings/section.go
@@ -0,0 +1,73 @@
+package settings
+
+import "strings"
+
+// section is one section of the tree as written.
+type section struct {
+	name   string
+	level  Level
+	line   int
+	keys   []string // in the order written
+	values map[string]string
+	lines  map[string]int
+
+	// The parts of the name that the level has.
+	service, domain, rangeName, server string
+}
+
+const (
+	defaultSection   = "DEFAULT"
+	instancesSection = "instances"
+)
+
+// newSection classifies a section name. ok is false when it has none of the known forms.
+func newSection(name string) (*section, bool) {
+	s := &section{name: name, values: map[string]string{}, lines: map[string]int{}}
+	parts := strings.Split(name, ".")
+	if len(parts) == 1 {
+		s.level = map[string]Level{defaultSection: LevelDefault, instancesSection: LevelInstances}[name]
+		return s, s.level != 0
+	}
+	for _, part := range parts {
+		if !namePattern.MatchString(part) {
+			return s, false
+		}
+	}
+	s.classify(parts)
+	return s, s.level != 0
+}
+
+func (s *section) classify(parts []string) {
+	switch {
+	case parts[0] == "domain" && len(parts) == 2:
+		s.level, s.domain = LevelDomain, parts[1]
+	case parts[0] == "server" && len(parts) == 2:
+		s.level, s.server = LevelServer, parts[1]
+	case parts[0] == "service" && len(parts) == 2:
+		s.level, s.service = LevelService, parts[1]
+	case parts[0] == "service" && len(parts) == 3:
+		s.level, s.service, s.domain = LevelServiceDomain, parts[1], parts[2]
+	case parts[0] == "service" && len(parts) == 4:
+		s.level, s.service, s.domain, s.rangeName = LevelRange, parts[1], parts[2], parts[3]
+	}
+}
+
+// has reports whether the section holds the setting.
+func (s *section) has(key string) bool {
+	if s == nil {
+		return false
+	}
+	_, ok := s.values[key]
+	return ok
+}
+
+// Names of the section levels, as used in lookups.
+func serviceSection(service string) string { return "service." + service }
+
+func serviceDomainSection(service, domain string) string {
+	return "service." + service + "." + domain
+}
+
+func domainSection(domain string) string { return "domain." + domain }
+
+func serverSection(server string) string { return "server." + server }
--- /dev/null
+++ b/internal/settings/spec.go
@@ -0,0 +1,205 @@
+package settings
+
+import (
+	"fmt"
+	"net"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Kind is the type of a setting's value.
+type Kind string
+
+// The kinds of values.
+const (
+	Duration Kind = "duration"
+	Whole    Kind = "whole number"
+	Bool     Kind = "true or false"
+	State    Kind = "in or out"
+	Name     Kind = "name"
+	Address  Kind = "host:port"
+	KeyText  Kind = "key"
+	NameList Kind = "list of NAME@INCARNATION"
+)
+
+// Scope says what a setting applies to and how it resolves.
+type Scope string
+
+// The scopes.
+const (
+	ScopeRequest  Scope = "request"  // resolves with the entry's failure domain and the key
+	ScopeServer   Scope = "server"   // resolves with the server's failure domain
+	ScopeService  Scope = "service"  // one value per service
+	ScopeControl  Scope = "control"  // one value for the whole system
+	ScopeIdentity Scope = "identity" // describes the section itself and is not inherited
+)
+
+// Spec declares one setting.
+type Spec struct {
+	Name    string
+	Kind    Kind
+	Unit    string
+	Scope   Scope
+	Default string // built-in value; empty when there is none
+	// Min and Max bound a Duration in nanoseconds and a Whole in its unit.
+	Min, Max int64
+	// Levels are the sections that may hold the setting.
+	Levels Level
+	// Required says that each section of Levels must hold the setting.
+	Required bool
+	// Reason says why the default and the range are what they are.
+	Reason string
+}
+
+// namePattern is what services, failure domains, regions, ranges and servers may
+// be called. Dots are excluded because they separate the parts of a section name.
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+
+var instancePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}@[A-Za-z0-9-]{1,64}$`)
+
+// Range formats the accepted values.
+func (s Spec) Range() string {
+	switch s.Kind {
+	case Duration:
+		return fmt.Sprintf("%s to %s", shortDuration(time.Duration(s.Min)), shortDuration(time.Duration(s.Max)))
+	case Whole:
+		return fmt.Sprintf("%d to %d", s.Min, s.Max)
+	}
+	return string(s.Kind)
+}
+
+// check returns why text is no value of the setting, or nil.
+func (s Spec) check(text string) error {
+	switch s.Kind {
+	case Duration:
+		d, err := time.ParseDuration(text)
+		if err != nil {
+			return errors.New("not a duration")
+		}
+		return s.checkBounds(int64(d))
+	case Whole:
+		n, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return errors.New("not a whole number")
+		}
+		return s.checkBounds(n)
+	case Bool:
+		return oneOf(text, "true", "false")
+	case State:
+		return oneOf(text, stateIn, stateOut)
+	case Name:
+		return checkName(text)
+	case Address:
+		return checkAddress(text)
+	case NameList:
+		return checkInstances(text)
+	}
+	return checkKeyText(text)
+}
+
+func (s Spec) checkBounds(n int64) error {
+	if n < s.Min || n > s.Max {
+		return errors.New("out of range")
+	}
+	return nil
+}
+
+// remedy says which values the setting accepts.
+func (s Spec) remedy() string {
+	switch s.Kind {
+	case Duration:
+		return "set a duration from " + s.Range() + ", such as " + s.example()
+	case Whole:
+		return "set a whole number from " + s.Range()
+	case Bool:
+		return "set true or false"
+	case State:
+		return "set in or out"
+	case Address:
+		return "set host:port with a port from 1 to 65535"
+	case NameList:
+		return "list instances as NAME@INCARNATION, separated by commas"
+	case KeyText:
+		return "set a key of at most 1024 bytes on one line"
+	}
+	return "use lower-case letters, digits and hyphens, at most 63, starting with a letter or digit"
+}
+
+func (s Spec) example() string {
+	if s.Default != "" {
+		return s.Default
+	}
+	return shortDuration(time.Duration(s.Min))
+}
+
+func oneOf(text string, allowed ...string) error {
+	if slices.Contains(allowed, text) {
+		return nil
+	}
+	return errors.New("not one of " + strings.Join(allowed, ", "))
+}
+
+func checkName(text string) error {
+	if namePattern.MatchString(text) {
+		return nil
+	}
+	return errors.New("not a valid name")
+}
+
+func checkAddress(text string) error {
+	host, port, err := net.SplitHostPort(text)
+	if err != nil || host == "" || strings.ContainsAny(host, " \t\n/") {
+		return errors.New("not of the form host:port")
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return errors.New("the port is not a number from 1 to 65535")
+	}
+	return nil
+}
+
+func checkInstances(text string) error {
+	for _, item := range splitList(text) {
+		if !instancePattern.MatchString(item) {
+			return errors.Errorf("%q is not of the form NAME@INCARNATION", item)
+		}
+	}
+	return nil
+}
+
+// maxKeyBytes bounds a key bound in the tree; callers' keys are part of a path.
+const maxKeyBytes = 1024
+
+func checkKeyText(text string) error {
+	if len(text) > maxKeyBytes || strings.ContainsAny(text, "\r\n\x00") {
+		return errors.New("not a key")
+	}
+	return nil
+}
+
+// splitList returns the items of a comma-separated list without empty ones.
+func splitList(text string) []string {
+	var items []string
+	for _, item := range strings.Split(text, ",") {
+		if item = strings.TrimSpace(item); item != "" {
+			items = append(items, item)
+		}
+	}
+	return items
+}
+
+// shortDuration formats d without trailing zero units.
+func shortDuration(d time.Duration) string {
+	text := d.String()
+	if strings.HasSuffix(text, "m0s") {
+		text = strings.TrimSuffix(text, "0s")
+	}
+	if strings.HasSuffix(text, "h0m") {
+		text = strings.TrimSuffix(text, "0m")
+	}
+	return text
+}
--- /dev/null
+++ b/internal/settings/transition.go
@@ -0,0 +1,130 @@
+package settings
+
+import (
+	"fmt"
+	"slices"
+)
+
+// CheckTransition checks the change from the tree in effect to another valid
+// tree. The error is Issues with every fault found. A nil old tree permits
+// everything. The rules keep two instances on different versions from granting
+// the same key: what decides ownership changes only while no one owns anything there.
+func CheckTransition(old, next *Tree) error {
+	if old == nil {
+		return nil
+	}
+	c := transition{old: old, next: next}
+	c.checkServices()
+	c.checkServers()
+	c.checkTimes()
+	return c.issues.orNil()
+}
+
+// NeedsSettled reports whether the change from old to next must wait until old
+// is in effect at every instance. It is so when next changes something that was
+// allowed because old has a service or server out: an instance that still runs
+// an earlier version would have it in.
+func NeedsSettled(old, next *Tree) bool {
+	if old == nil {
+		return false
+	}
+	return slices.ContainsFunc(old.Services(), func(name string) bool { return serviceMoved(old, next, name) }) ||
+		slices.ContainsFunc(old.Servers(), func(s Server) bool { return serverMoved(s, next) }) ||
+		timesMoved(old, next)
+}
+
+type transition struct {
+	old, next *Tree
+	issues    Issues
+}
+
+func (c *transition) add(section, key, value, reason, remedy string) {
+	issue := Issue{File: c.next.File(), Section: section, Key: key, Value: value, Reason: reason, Remedy: remedy}
+	if s := c.next.doc.sections[section]; s != nil {
+		issue.Line = s.lines[key]
+	}
+	c.issues = append(c.issues, issue)
+}
+
+func serviceMoved(old, next *Tree, name string) bool {
+	before := old.services[name]
+	after := next.services[name]
+	return after == nil || before.Shards != after.Shards || before.Keyed != after.Keyed
+}
+
+func (c *transition) checkServices() {
+	for _, name := range c.old.Services() {
+		before, after := c.old.services[name], c.next.services[name]
+		if !serviceMoved(c.old, c.next, name) || before.Out && (after == nil || after.Out) {
+			continue
+		}
+		section, remedy := serviceSection(name), c.takeOutFirst("service", name)
+		switch {
+		case after == nil:
+			c.add(section, "", "", "the service is removed while it is in", remedy)
+		case before.Shards != after.Shards:
+			c.add(section, "shards", fmt.Sprint(after.Shards), fmt.Sprintf("the number of shards changes from %d while the service is in", before.Shards), remedy)
+		default:
+			c.add(section, "keyed", fmt.Sprint(after.Keyed), "keyed changes while the service is in", remedy)
+		}
+	}
+}
+
+func (c *transition) takeOutFirst(kind, name string) string {
+	return fmt.Sprintf("apply state = out in [%s.%s] first, wait until it is in effect everywhere, apply this change with the %s still out, then bring it back", kind, name, kind)
+}
+
+func serverMoved(before Server, next *Tree) bool {
+	after, ok := next.Server(before.Name)
+	return !ok || before.Service != after.Service || before.Domain != after.Domain || before.Address != after.Address || before.Shard != after.Shard
+}
+
+func (c *transition) checkServers() {
+	for _, before := range c.old.Servers() {
+		after, exists := c.next.Server(before.Name)
+		if !serverMoved(before, c.next) || !before.Policy.In && !after.Policy.In {
+			continue
+		}
+		key, value, reason := serverChange(before, after, exists)
+		c.add(serverSection(before.Name), key, value, reason+" while the server is in", c.takeOutFirst("server", before.Name))
+	}
+}
+
+func serverChange(before, after Server, exists bool) (key, value, reason string) {
+	switch {
+	case !exists:
+		return "", "", "the server is removed"
+	case before.Service != after.Service:
+		return "service", after.Service, fmt.Sprintf("the service changes from %q", before.Service)
+	case before.Shard != after.Shard:
+		return "shard", fmt.Sprint(after.Shard), fmt.Sprintf("the shard changes from %d", before.Shard)
+	case before.Domain != after.Domain:
+		return "domain", after.Domain, fmt.Sprintf("the failure domain changes from %q", before.Domain)
+	}
+	return "address", after.Address, fmt.Sprintf("the address changes from %q", before.Address)
+}
+
+// timesMoved reports whether a time changes that instances must agree on: a
+// witness counts its promise with its own value, the holder its tenure with its own.
+func timesMoved(old, next *Tree) bool {
+	a, b := old.control, next.control
+	return a.PromiseTTL != b.PromiseTTL || a.MaxDelivery != b.MaxDelivery
+}
+
+func (c *transition) checkTimes() {
+	if !timesMoved(c.old, c.next) {
+		return
+	}
+	for _, t := range []*Tree{c.old, c.next} {
+		for _, name := range t.Services() {
+			if !t.services[name].Out {
+				key, value := "promise_ttl", shortDuration(c.next.control.PromiseTTL)
+				if c.old.control.PromiseTTL == c.next.control.PromiseTTL {
+					key, value = "max_delivery", shortDuration(c.next.control.MaxDelivery)
+				}
+				c.add(defaultSection, key, value, fmt.Sprintf("the time changes while service %q is in", name), "take every service out first, wait until that is in effect everywhere, apply this change with all still out, then bring them back")
+				return
+			}
+		}
+	}
+}
