--- a/internal/settings/parse_test.go
+++ b/internal/settings/parse_test.go
@@ -124,6 +124,7 @@
 		{"range reversed", "[service.graves.north.a]\nfrom = c\nto = b", []string{`to = "b"`, "not above from"}},
 		{"range overlaps", "[service.graves.north.a]\nfrom = ta\nto = tb", []string{"[service.graves.north.a]", "overlaps [service.graves.north.tombs]"}},
 		{"range open below", "[service.graves.north.a]\nto = tb", []string{"overlaps"}},
+		{"range open above", "[service.graves.north.a]\nfrom = a", []string{"[service.graves.north.tombs]", "overlaps [service.graves.north.a]"}},
 		{"hedge on keyed", "[service.graves.south]\nhedge = true", []string{"hedge", "one owner"}},
 		{"retired without incarnation", "[instances]\nretired = entry-1", []string{`"entry-1" is not of the form NAME@INCARNATION`}},
 		{"domain without region", "[domain.west]", []string{"[domain.west]", "region", "is missing"}},
--- /dev/null
+++ b/internal/settings/resolve_test.go
@@ -0,0 +1,170 @@
+package settings
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// naiveTree is the text as plain maps, looked up level by level on each question.
+type naiveTree map[string]map[string]string
+
+// drawTree writes a random tree and the same content as maps. Key ranges are
+// single letters, so that they never overlap.
+func drawTree(rt *rapid.T) (string, naiveTree) {
+	naive := naiveTree{}
+	set := func(section, key, value string) {
+		if naive[section] == nil {
+			naive[section] = map[string]string{}
+		}
+		if key != "" {
+			naive[section][key] = value
+		}
+	}
+	maybe := func(section string, keys ...string) {
+		for _, key := range keys {
+			if rapid.Bool().Draw(rt, section+key) {
+				set(section, key, drawValue(rt, key))
+			}
+		}
+	}
+	set("DEFAULT", "", "")
+	maybe("DEFAULT", "timeout", "priority", "queue_limit", "hedge", "retry_limit", "slots")
+	for _, domain := range []string{"d1", "d2"} {
+		set("domain."+domain, "region", "r")
+		maybe("domain."+domain, "state")
+	}
+	port := 0
+	for _, service := range []string{"s1", "s2"} {
+		set("service."+service, "", "")
+		maybe("service."+service, "timeout", "priority", "retry_limit", "slots", "state")
+		for _, domain := range []string{"d1", "d2"} {
+			under := "service." + service + "." + domain
+			maybe(under, "timeout", "queue_limit", "hedge", "slots", "state")
+			for _, letter := range []string{"f", "m"} {
+				if rapid.Bool().Draw(rt, under+letter) {
+					set(under+"."+letter, "from", letter)
+					set(under+"."+letter, "to", letter+"~")
+					maybe(under+"."+letter, "timeout", "priority", "hedge")
+				}
+			}
+			port++
+			server := "server." + service + "-" + domain
+			set(server, "service", service)
+			set(server, "domain", domain)
+			set(server, "address", "h:"+strconv.Itoa(port))
+			maybe(server, "slots", "state")
+		}
+	}
+	return naive.text(), naive
+}
+
+func drawValue(rt *rapid.T, key string) string {
+	switch key {
+	case "timeout":
+		return strconv.Itoa(rapid.IntRange(1, 60).Draw(rt, key)) + "s"
+	case "hedge":
+		return strconv.FormatBool(rapid.Bool().Draw(rt, key))
+	case "state":
+		return rapid.SampledFrom([]string{"in", "out"}).Draw(rt, key)
+	}
+	return strconv.Itoa(rapid.IntRange(1, 5).Draw(rt, key))
+}
+
+func (n naiveTree) text() string {
+	var b strings.Builder
+	for section, values := range n {
+		fmt.Fprintf(&b, "[%s]\n", section)
+		for key, value := range values {
+			fmt.Fprintf(&b, "%s = %s\n", key, value)
+		}
+	}
+	return b.String()
+}
+
+// first returns the value of the first section that holds the key.
+func (n naiveTree) first(key, builtIn string, sections ...string) string {
+	for _, s := range sections {
+		if value, ok := n[s][key]; ok {
+			return value
+		}
+	}
+	return builtIn
+}
+
+func (n naiveTree) request(service, domain, key string) RequestPolicy {
+	sections := []string{"service." + service + "." + domain, "service." + service, "DEFAULT"}
+	for _, letter := range []string{"f", "m"} {
+		name := "service." + service + "." + domain + "." + letter
+		if n[name] != nil && key >= letter && key < letter+"~" {
+			sections = append([]string{name}, sections...)
+		}
+	}
+	number := func(key, builtIn string) int {
+		value, _ := strconv.Atoi(n.first(key, builtIn, sections...))
+		return value
+	}
+	timeout, _ := time.ParseDuration(n.first("timeout", "10s", sections...))
+	return RequestPolicy{
+		Timeout: timeout, IdleTimeout: 5 * time.Second, Priority: number("priority", "5"),
+		QueueLimit: number("queue_limit", "64"), Hedge: n.first("hedge", "true", sections...) == "true",
+		RetryLimit: number("retry_limit", "2"), RecordRetention: 2 * time.Minute,
+	}
+}
+
+func (n naiveTree) server(service, domain string) (slots int, in bool) {
+	own, both := "server."+service+"-"+domain, "service."+service+"."+domain
+	slots, _ = strconv.Atoi(n.first("slots", "3", own, both, "service."+service, "DEFAULT"))
+	in = true
+	for _, s := range []string{own, both, "service." + service, "domain." + domain} {
+		in = in && n[s]["state"] != "out"
+	}
+	return slots, in
+}
+
+// Guards against inheritance that differs from a lookup level by level, and
+// against Effective showing another value than the one compiled.
+func TestInheritanceMatchesNaiveLookup(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		text, naive := drawTree(rt)
+		tree, err := Parse(text, "drawn.ini")
+		if err != nil {
+			rt.Fatal(err)
+		}
+		service := rapid.SampledFrom([]string{"s1", "s2"}).Draw(rt, "service")
+		domain := rapid.SampledFrom([]string{"d1", "d2"}).Draw(rt, "domain")
+		key := rapid.StringMatching(`[e-n][a-z~]{0,2}`).Draw(rt, "key")
+		if got, want := tree.RequestPolicy(service, domain, key), naive.request(service, domain, key); got != want {
+			rt.Fatalf("key %q of %s in %s:\ngot  %+v\nwant %+v\n%s", key, service, domain, got, want, text)
+		}
+		slots, in := naive.server(service, domain)
+		policy := tree.ServerPolicy(service + "-" + domain)
+		if policy.Slots != slots || policy.In != in || (policy.OutBy == "") != in {
+			rt.Fatalf("server of %s in %s: got %+v, want %d slots, in %v\n%s", service, domain, policy, slots, in, text)
+		}
+		checkEffective(rt, tree, naive, service, domain)
+	})
+}
+
+func checkEffective(rt *rapid.T, tree *Tree, naive naiveTree, service, domain string) {
+	values, err := tree.Effective("service." + service + "." + domain)
+	if err != nil {
+		rt.Fatal(err)
+	}
+	for _, v := range values {
+		if v.Level == BuiltIn || v.Name == "state" {
+			continue
+		}
+		if naive[v.Level][v.Name] != v.Value {
+			rt.Fatalf("%s = %s is not what [%s] holds", v.Name, v.Value, v.Level)
+		}
+		want := naive.first(v.Name, "", "service."+service+"."+domain, "service."+service, "DEFAULT")
+		if v.Value != want {
+			rt.Fatalf("%s = %s, want %s", v.Name, v.Value, want)
+		}
+	}
+}
