Add the authority node and its keeper

authority.Node decides for one process as witness, candidate and holder of all shards; it is pure and returns effects. keeper.Keeper carries them out in one goroutine and publishes tenures through atomic pointers. Not tested yet.

--- /dev/null
+++ b/internal/authority/choice.go
@@ -0,0 +1,109 @@
+package authority
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"peridotmoor.org/peridotmoor/internal/key"
+)
+
+// maxWitnesses survives the loss of two witnesses, so of any failure domain when
+// there are three of them.
+const maxWitnesses = 5
+
+// Choice selects the witnesses of a shard by rendezvous hashing of instance
+// names, so that every process with the same list selects the same ones and a
+// restarted instance regains its rank.
+type Choice struct {
+	shard    Description
+	eligible []Member
+}
+
+// NewChoice returns the choice among the live members.
+func NewChoice(shard Description, live []Member) Choice {
+	home := make([]Member, 0, len(live))
+	for _, m := range live {
+		if slices.Contains(shard.Domains, m.Domain) {
+			home = append(home, m)
+		}
+	}
+	if len(home) == 0 {
+		home = slices.Clone(live)
+	}
+	return Choice{shard: shard, eligible: byScore(shard.ID, home)}
+}
+
+// Ranking returns all eligible members, the highest score first.
+func (c Choice) Ranking() []Member {
+	return c.eligible
+}
+
+// Witnesses returns the witnesses in rank order: as many of keep as are eligible,
+// filled up in the order of the scores and spread over the failure domains.
+func (c Choice) Witnesses(keep []Member) []Member {
+	count := witnessCount(len(c.eligible))
+	perDomain := c.perDomain(count)
+	chosen := make([]Member, 0, count)
+	inDomain := map[string]int{}
+	add := func(from []Member, limit int) {
+		for _, m := range from {
+			if len(chosen) < count && inDomain[m.Domain] < limit && !slices.Contains(chosen, m) {
+				chosen = append(chosen, m)
+				inDomain[m.Domain]++
+			}
+		}
+	}
+	add(c.eligibleOf(keep), perDomain)
+	add(c.eligible, perDomain)
+	add(c.eligible, count)
+	return byScore(c.shard.ID, chosen)
+}
+
+func (c Choice) eligibleOf(members []Member) []Member {
+	return slices.DeleteFunc(slices.Clone(c.eligible), func(m Member) bool {
+		return !containsInstance(members, m.Instance)
+	})
+}
+
+// perDomain returns the most witnesses that one failure domain may have: 2+2+1
+// for five witnesses in three domains.
+func (c Choice) perDomain(count int) int {
+	domains := map[string]bool{}
+	for _, m := range c.eligible {
+		domains[m.Domain] = true
+	}
+	if len(domains) == 0 {
+		return 0
+	}
+	return (count + len(domains) - 1) / len(domains)
+}
+
+// witnessCount returns an odd number, because an even set tolerates no more
+// losses than the next smaller odd one.
+func witnessCount(eligible int) int {
+	if eligible >= maxWitnesses {
+		return maxWitnesses
+	}
+	if eligible > 0 && eligible%2 == 0 {
+		return eligible - 1
+	}
+	return eligible
+}
+
+func byScore(shard key.ShardID, members []Member) []Member {
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, func(a, b Member) int {
+		if c := cmp.Compare(score(shard, b), score(shard, a)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Instance.String(), b.Instance.String())
+	})
+	return sorted
+}
+
+// score depends on the name only, not on the incarnation.
+func score(shard key.ShardID, m Member) uint64 {
+	return xxhash.Sum64String(shard.String() + "\x00" + m.Instance.Name)
+}
--- a/internal/authority/claim.go
+++ b/internal/authority/claim.go
@@ -22,6 +22,8 @@
 	token    Token
 	config   Config
 	promises map[Instance]grantedPromise
+	// learned is the latest mirror set that a member reported.
+	learned MirrorSet
 }
 
 // NewClaim starts a claim without promises.
@@ -54,14 +56,17 @@
 	return targets
 }
 
-// Promised records that member promised a request sent at sent and acknowledged
-// a mirror generation. Answers may arrive in any order.
-func (c *Claim) Promised(member Instance, sent time.Time, generation uint64) {
+// Promised records that member promised a request sent at sent and knows a
+// mirror set. Answers may arrive in any order.
+func (c *Claim) Promised(member Instance, sent time.Time, mirrors MirrorSet) {
 	promise := c.promises[member]
 	if sent.After(promise.sent) {
 		promise.sent = sent
 	}
-	promise.generation = max(promise.generation, generation)
+	promise.generation = max(promise.generation, mirrors.Generation)
+	if mirrors.Generation > c.learned.Generation {
+		c.learned = mirrors
+	}
 	c.promises[member] = promise
 }
 
--- a/internal/authority/config.go
+++ b/internal/authority/config.go
@@ -23,6 +23,13 @@
 	return slices.IndexFunc(c.Witnesses, func(m Member) bool { return m.Instance == i })
 }
 
+// Equal reports whether both name the same epoch and sets.
+func (c Config) Equal(other Config) bool {
+	return c.Epoch == other.Epoch &&
+		slices.Equal(c.Witnesses, other.Witnesses) &&
+		slices.EqualFunc(c.Previous, other.Previous, slices.Equal)
+}
+
 // Members returns the witnesses and the members of the previous sets, each once.
 func (c Config) Members() []Member {
 	members := slices.Clone(c.Witnesses)
--- /dev/null
+++ b/internal/authority/keeper/keeper.go
@@ -0,0 +1,139 @@
+package keeper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/key"
+)
+
+const (
+	// handOverQueue bounds the advice that waits for a receiver. Advice that does
+	// not fit is given again later.
+	handOverQueue = 64
+	// storeCalls bounds the concurrent calls to the store. A starting process
+	// reads the records of all its shards.
+	storeCalls = 8
+)
+
+var (
+	// ErrStopped means that the keeper has ended and makes no promises any more.
+	ErrStopped = errors.New("keeper: stopped; ask another instance")
+	// ErrNotHeld means that this instance does not hold the shard.
+	ErrNotHeld = errors.New("keeper: the shard is not held here; ask its holder")
+)
+
+// Keeper is the one authority.Node of a process with its I/O. One goroutine, in
+// Run, owns the node; all other methods may be called by any goroutine.
+type Keeper struct {
+	options Options
+	node    *authority.Node
+	inbox   chan func(now time.Time)
+	stopped chan struct{}
+	sources sync.Map // key.ShardID to *Source
+	advice  chan authority.HandOver
+	calls   sync.WaitGroup
+	storing chan struct{}
+
+	// waiters and replies belong to the goroutine in Run.
+	waiters map[key.ShardID][]mirrorWaiter
+	replies []func()
+}
+
+// New returns a keeper that does nothing until Run.
+func New(options Options) *Keeper {
+	return &Keeper{
+		options: options,
+		node:    authority.NewNode(time.Now(), options.Self, options.Timing, options.Random),
+		inbox:   make(chan func(now time.Time), 256),
+		stopped: make(chan struct{}),
+		advice:  make(chan authority.HandOver, handOverQueue),
+		storing: make(chan struct{}, storeCalls),
+		waiters: map[key.ShardID][]mirrorWaiter{},
+	}
+}
+
+// Run serves until ctx ends, then withdraws all tenures and waits for its calls.
+// The process must keep its peer endpoint open until Run has returned: a refused
+// connection is taken as proof that it makes no promises any more.
+func (k *Keeper) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case input := <-k.inbox:
+			input(time.Now())
+		case <-k.options.Peers.Changed():
+			k.node.SetPeers(k.options.Peers.Peers())
+		case <-timer.C:
+		}
+		now := time.Now()
+		k.node.Tick(now)
+		k.carryOut(ctx, k.node.TakeEffects())
+		timer.Reset(k.node.Wake(now).Sub(now))
+	}
+	k.stop()
+}
+
+func (k *Keeper) stop() {
+	close(k.stopped)
+	k.sources.Range(func(_, value any) bool {
+		value.(*Source).publish(nil)
+		return true
+	})
+	k.calls.Wait()
+}
+
+// Source returns the publisher of a shard. It is the same for each call.
+func (k *Keeper) Source(shard key.ShardID) *Source {
+	if source, ok := k.sources.Load(shard); ok {
+		return source.(*Source)
+	}
+	source, _ := k.sources.LoadOrStore(shard, newSource())
+	return source.(*Source)
+}
+
+// HandOvers delivers advice to hand a held shard over to its preferred holder.
+// The receiver ends the work on the shard in an orderly way and calls Release.
+func (k *Keeper) HandOvers() <-chan authority.HandOver {
+	return k.advice
+}
+
+// do runs input in the goroutine that owns the node.
+func (k *Keeper) do(ctx context.Context, input func(now time.Time)) error {
+	select {
+	case k.inbox <- input:
+		return nil
+	case <-k.stopped:
+		return ErrStopped
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "wait for the keeper")
+	}
+}
+
+// ask runs input in the goroutine that owns the node and returns its result
+// after the effects of the input have been carried out.
+func ask[T any](ctx context.Context, k *Keeper, input func(now time.Time) T) (T, error) {
+	var none T
+	result := make(chan T, 1)
+	err := k.do(ctx, func(now time.Time) {
+		value := input(now)
+		k.replies = append(k.replies, func() { result <- value })
+	})
+	if err != nil {
+		return none, err
+	}
+	select {
+	case value := <-result:
+		return value, nil
+	case <-k.stopped:
+		return none, ErrStopped
+	case <-ctx.Done():
+		return none, errors.Wrap(ctx.Err(), "wait for the keeper")
+	}
+}
--- /dev/null
+++ b/internal/authority/keeper/mirrors.go
@@ -0,0 +1,65 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/key"
+)
+
+// mirrorWaiter waits until a mirror set is acknowledged or the shard is lost.
+type mirrorWaiter struct {
+	generation uint64
+	done       chan error
+}
+
+// ProposeMirrors states the mirror set of a held shard and returns once a
+// majority of its witnesses has acknowledged it or a later one. Members that
+// are added must already hold a complete copy of the shard's request records.
+func (k *Keeper) ProposeMirrors(ctx context.Context, shard key.ShardID, members []authority.Instance) error {
+	done := make(chan error, 1)
+	err := k.do(ctx, func(now time.Time) { k.proposeMirrors(now, shard, members, done) })
+	if err != nil {
+		return err
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-k.stopped:
+		return ErrStopped
+	case <-ctx.Done():
+		return errors.Wrapf(ctx.Err(), "wait for a majority of the witnesses of %s to acknowledge its mirrors", shard)
+	}
+}
+
+func (k *Keeper) proposeMirrors(now time.Time, shard key.ShardID, members []authority.Instance, done chan error) {
+	generation, ok := k.node.ProposeMirrors(now, shard, members)
+	if !ok {
+		done <- ErrNotHeld
+		return
+	}
+	k.waiters[shard] = append(k.waiters[shard], mirrorWaiter{generation: generation, done: done})
+}
+
+// wakeMirrorWaiters answers the waiters that the published tenure decides.
+func (k *Keeper) wakeMirrorWaiters(shard key.ShardID, tenure *authority.Tenure) {
+	waiting := k.waiters[shard][:0]
+	for _, w := range k.waiters[shard] {
+		switch {
+		case tenure == nil:
+			w.done <- ErrNotHeld
+		case tenure.Mirrors.Generation >= w.generation:
+			w.done <- nil
+		default:
+			waiting = append(waiting, w)
+		}
+	}
+	if len(waiting) == 0 {
+		delete(k.waiters, shard)
+		return
+	}
+	k.waiters[shard] = waiting
+}
--- /dev/null
+++ b/internal/authority/keeper/source.go
@@ -0,0 +1,67 @@
+package keeper
+
+import (
+	"sync/atomic"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+)
+
+// Source publishes what the keeper knows of one shard. It implements
+// authority.TenureSource. All methods may be called by any goroutine.
+type Source struct {
+	tenure   atomic.Pointer[authority.Tenure]
+	config   atomic.Pointer[authority.Config]
+	accepted atomic.Pointer[authority.Acceptance]
+	changed  chan struct{}
+}
+
+func newSource() *Source {
+	return &Source{changed: make(chan struct{}, 1)}
+}
+
+// Tenure returns the latest tenure, or nil when the shard is not held.
+func (s *Source) Tenure() *authority.Tenure {
+	return s.tenure.Load()
+}
+
+// Changed receives a value after the token, the mirrors or the presence of the
+// tenure has changed. It has one receiver.
+func (s *Source) Changed() <-chan struct{} {
+	return s.changed
+}
+
+// Config returns the latest configuration read from the record, or nil.
+func (s *Source) Config() *authority.Config {
+	return s.config.Load()
+}
+
+// Accepts reports whether a mirror in this process may confirm a copy of a
+// record under token. The caller stores the copy first and asks afterwards: a
+// copy that is confirmed is then visible to every holder with a higher token.
+// highest is the token that a refused sender is told.
+func (s *Source) Accepts(holder authority.Instance, token authority.Token) (highest authority.Token, ok bool) {
+	accepted := s.accepted.Load()
+	if accepted == nil {
+		return authority.Token{}, true
+	}
+	return accepted.Token, accepted.Holder == holder || !token.Less(accepted.Token)
+}
+
+// publish stores the tenure and announces it when more than its end changed.
+func (s *Source) publish(tenure *authority.Tenure) {
+	previous := s.tenure.Swap(tenure)
+	if sameTenure(previous, tenure) {
+		return
+	}
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+func sameTenure(a, b *authority.Tenure) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return a.Token == b.Token && a.Mirrors.Generation == b.Mirrors.Generation
+}
--- /dev/null
+++ b/internal/authority/node.go
@@ -0,0 +1,129 @@
+package authority
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/key"
+)
+
+// Node decides for one process: it is a witness, a candidate and a holder of
+// shards. It is pure: its inputs are calls with the time, its outputs are
+// Effects. One goroutine owns it. After any input the owner calls Tick, carries
+// out TakeEffects and calls Tick again no later than Wake.
+type Node struct {
+	self    Member
+	timing  Timing
+	random  *rand.Rand
+	witness *Witness
+	proofs  *Proofs
+	started time.Time
+
+	shards  map[key.ShardID]*shardState
+	order   []*shardState
+	peers   []Peer
+	leaving bool
+
+	renewAt  time.Time
+	probedAt map[Instance]time.Time
+	outbox   map[Instance]*Send
+	outOrder []Instance
+	effects  Effects
+}
+
+// NewNode returns a node that holds nothing. self must carry a new incarnation.
+func NewNode(now time.Time, self Member, timing Timing, random *rand.Rand) *Node {
+	return &Node{
+		self:     self,
+		timing:   timing,
+		random:   random,
+		witness:  NewWitness(self.Instance, timing.PromiseTTL),
+		proofs:   NewProofs(timing.ExpiredAfter()),
+		started:  now,
+		shards:   map[key.ShardID]*shardState{},
+		probedAt: map[Instance]time.Time{},
+		outbox:   map[Instance]*Send{},
+		renewAt:  now.Add(timing.RenewInterval),
+	}
+}
+
+// SetShards replaces the list of shards of the settings. A shard that is no
+// longer listed is released.
+func (n *Node) SetShards(now time.Time, descriptions []Description) {
+	listed := make(map[key.ShardID]bool, len(descriptions))
+	for _, d := range descriptions {
+		listed[d.ID] = true
+		s := n.state(d.ID)
+		s.desc = d
+		s.described = true
+	}
+	for _, s := range n.order {
+		if s.described && !listed[s.id] {
+			s.described = false
+			n.release(now, s)
+		}
+	}
+	n.rank()
+}
+
+// SetPeers replaces the list of instances. Members are named with incarnation;
+// the node itself need not be listed.
+func (n *Node) SetPeers(peers []Peer) {
+	n.peers = slices.Clone(peers)
+	n.rank()
+}
+
+// SetRetired replaces the list of instances that operators declare gone. A node
+// that finds itself in the list gives up what it holds and promises nothing more.
+func (n *Node) SetRetired(now time.Time, names []string) {
+	n.proofs.Retire(now, names)
+	if n.proofs.Retired(n.self.Instance) {
+		n.Leave(now)
+	}
+	n.rank()
+}
+
+// Leave stops all candidacies. Held shards stay held until they are released.
+func (n *Node) Leave(now time.Time) {
+	n.leaving = true
+	for _, s := range n.order {
+		if s.active == nil && s.next != nil {
+			n.abandon(now, s)
+		}
+		if n.proofs.Retired(n.self.Instance) {
+			n.release(now, s)
+		}
+	}
+	n.rank()
+}
+
+func (n *Node) state(id key.ShardID) *shardState {
+	s, ok := n.shards[id]
+	if !ok {
+		s = &shardState{id: id, waits: map[Instance]time.Duration{}, rank: -1}
+		n.shards[id] = s
+		n.order = append(n.order, s)
+	}
+	return s
+}
+
+// TakeEffects returns what is to be done and forgets it.
+func (n *Node) TakeEffects() Effects {
+	effects := n.effects
+	n.effects = Effects{}
+	return effects
+}
+
+// Promise returns what this process's witness remembers about a shard.
+func (n *Node) Promise(shard key.ShardID) Promise {
+	return n.witness.Promise(shard)
+}
+
+func (n *Node) note(kind NoteKind, s *shardState, token Token, other Instance) {
+	n.effects.Notes = append(n.effects.Notes, Note{Kind: kind, Shard: s.id, Token: token, Other: other})
+}
+
+func (n *Node) goneAt(now time.Time) func(Instance) bool {
+	return func(i Instance) bool { return n.proofs.Gone(now, i) }
+}
--- /dev/null
+++ b/internal/authority/node_campaign.go
@@ -0,0 +1,204 @@
+package authority
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// expectedFor is how long an announced hand-over is waited for. The earlier
+	// holder finishes its requests in flight before it releases the shard.
+	expectedFor = 40 * time.Second
+	// abstainFor keeps a holder that released a shard from taking it back.
+	abstainFor = 2 * time.Second
+	// handOverRetry separates the attempts of an expected holder, whose witnesses
+	// get the release of the earlier holder at slightly different times.
+	handOverRetry = 5 * time.Millisecond
+	// maxBackoff bounds the pause between candidacies that find no majority.
+	maxBackoff = 320 * time.Millisecond
+	// unreachable stands for a member that did not answer.
+	unreachable = time.Duration(math.MaxInt64)
+)
+
+// campaignDue returns when this process becomes a candidate; ok is false when it
+// does not on its own.
+func (n *Node) campaignDue(s *shardState) (due time.Time, ok bool) {
+	rank := s.config.Rank(n.self.Instance)
+	if n.leaving || !s.described || s.known.IsZero() || rank < 0 || s.active != nil || s.next != nil {
+		return time.Time{}, false
+	}
+	promise := n.witness.Promise(s.id)
+	if promise.Highest.Epoch > s.config.Epoch {
+		return time.Time{}, false
+	}
+	return latestOf(s.retryAt, s.abstainUntil, n.freeAt(s, promise, rank)), true
+}
+
+// freeAt returns when the shard is free as far as the own witness knows, plus
+// the delay of the rank.
+func (n *Node) freeAt(s *shardState, promise Promise, rank int) time.Time {
+	delay := time.Duration(rank) * n.timing.RankDelay
+	switch {
+	case promise.Holder == n.self.Instance:
+		return time.Time{}
+	case promise.Holder.IsZero() && s.founder:
+		return time.Time{}
+	case promise.Holder.IsZero():
+		// This witness is new in the set; the others may have promised to a holder.
+		return s.known.Add(n.timing.ExpiredAfter() + delay)
+	case promise.Released && promise.Until.Before(s.expectedUntil):
+		return promise.Until
+	case promise.Released:
+		return promise.Until.Add(delay + n.timing.RankDelay)
+	}
+	return promise.Until.Add(delay)
+}
+
+func (n *Node) mayCampaign(now time.Time, s *shardState) bool {
+	due, ok := n.campaignDue(s)
+	return ok && !due.After(now)
+}
+
+func (n *Node) campaign(now time.Time, s *shardState) {
+	s.next = n.newClaim(s)
+	s.campaignEnds = now.Add(n.timing.CampaignTimeout)
+	clear(s.waits)
+	n.sendClaims(now, s)
+}
+
+// newClaim returns a claim under the latest configuration, above all tokens seen.
+func (n *Node) newClaim(s *shardState) *Claim {
+	claim := NewClaim(s.id, n.self.Instance, s.nextBallot(), s.config)
+	s.see(claim.token)
+	return claim
+}
+
+// settleCampaign adopts the next claim when it has a quorum, and ends a candidacy
+// that has none in time.
+func (n *Node) settleCampaign(now time.Time, s *shardState) {
+	if s.next == nil {
+		return
+	}
+	since, ok := s.next.Quorum(n.goneAt(now)).Since()
+	if ok && n.timing.TenureEnd(since).After(now) {
+		n.adopt(now, s, n.timing.TenureEnd(since))
+		return
+	}
+	if s.active == nil && !s.campaignEnds.After(now) {
+		n.fail(now, s)
+	}
+}
+
+// adopt makes the next claim the active one. A candidate becomes the holder; a
+// holder goes on under a higher token.
+func (n *Node) adopt(now time.Time, s *shardState, end time.Time) {
+	claim := s.next
+	tenure := Tenure{Shard: s.id, Token: claim.token, Holder: n.self.Instance, Since: now, End: end}
+	kind := NoteTaken
+	if s.active != nil {
+		kind = NoteTokenRaised
+		tenure.Since = s.tenure.Since
+		tenure.Mirrors = s.tenure.Mirrors
+	} else {
+		s.stated = n.inheritedMirrors(now, claim)
+		tenure.Mirrors = s.stated
+	}
+	s.active, s.next = claim, nil
+	s.failures, s.founder = 0, false
+	s.expectedUntil = time.Time{}
+	n.publish(s, &tenure)
+	n.note(kind, s, claim.token, n.self.Instance)
+}
+
+// fail ends a candidacy and sets when to try again.
+func (n *Node) fail(now time.Time, s *shardState) {
+	wait := n.campaignWait(now, s)
+	silent := wait == unreachable
+	if silent {
+		wait = min(n.timing.RankDelay<<min(s.failures, 4), maxBackoff)
+		n.probeSilent(now, s)
+		n.noteNoMajority(now, s)
+		s.outdated = true
+	}
+	s.failures++
+	n.abandon(now, s)
+	rank := max(0, s.config.Rank(n.self.Instance))
+	if now.Before(s.expectedUntil) && !silent {
+		s.retryAt = now.Add(handOverRetry)
+		return
+	}
+	jitter := time.Duration(n.random.Int64N(int64(n.timing.RankDelay)))
+	s.retryAt = now.Add(wait + time.Duration(rank)*n.timing.RankDelay + jitter)
+}
+
+// abandon gives back the promises of a candidacy, so that they do not keep
+// another candidate waiting.
+func (n *Node) abandon(now time.Time, s *shardState) {
+	n.giveBack(now, s, s.next)
+	s.next = nil
+}
+
+func (n *Node) giveBack(now time.Time, s *shardState, claim *Claim) {
+	for _, m := range claim.config.Members() {
+		n.post(now, m, ShardClaim{Shard: s.id, Token: claim.token, Release: true})
+	}
+}
+
+// campaignWait returns how long it takes until a majority of each set may be
+// free, or unreachable.
+func (n *Node) campaignWait(now time.Time, s *shardState) time.Duration {
+	claim := s.next
+	wait := n.setWait(s, claim.config.Witnesses, func(Instance) bool { return false })
+	for _, set := range claim.config.Previous {
+		wait = max(wait, n.setWait(s, set, n.goneAt(now)))
+	}
+	return wait
+}
+
+func (n *Node) setWait(s *shardState, set []Member, gone func(Instance) bool) time.Duration {
+	waits := make([]time.Duration, len(set))
+	for i, m := range set {
+		waits[i] = n.memberWait(s, m.Instance, gone)
+	}
+	slices.Sort(waits)
+	return waits[Majority(len(set))-1]
+}
+
+func (n *Node) memberWait(s *shardState, i Instance, gone func(Instance) bool) time.Duration {
+	if _, promised := s.next.promises[i]; promised || gone(i) {
+		return 0
+	}
+	if wait, refused := s.waits[i]; refused {
+		return wait
+	}
+	return unreachable
+}
+
+// giveUpIfHopeless ends a candidacy at once when refusals leave no majority.
+func (n *Node) giveUpIfHopeless(now time.Time, s *shardState) {
+	for _, set := range append([][]Member{s.next.config.Witnesses}, s.next.config.Previous...) {
+		refused := 0
+		for _, m := range set {
+			if _, ok := s.waits[m.Instance]; ok {
+				refused++
+			}
+		}
+		if len(set)-refused < Majority(len(set)) {
+			n.fail(now, s)
+			return
+		}
+	}
+}
+
+func (n *Node) noteNoMajority(now time.Time, s *shardState) {
+	if now.Before(s.lastNoMajority.Add(noteInterval)) {
+		return
+	}
+	s.lastNoMajority = now
+	n.note(NoteNoMajority, s, s.next.token, Instance{})
+}
+
+func latestOf(times ...time.Time) time.Time {
+	return slices.MaxFunc(times, time.Time.Compare)
+}
--- /dev/null
+++ b/internal/authority/node_holder.go
@@ -0,0 +1,152 @@
+package authority
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/key"
+)
+
+// noteInterval bounds repeated notes about one shard.
+const noteInterval = 5 * time.Second
+
+// sendClaims asks all members that matter for the latest claim. A promise for a
+// higher token also extends the active claim, since it is made to the same holder.
+func (n *Node) sendClaims(now time.Time, s *shardState) {
+	latest := s.latest()
+	claim := ShardClaim{Shard: s.id, Token: latest.token}
+	if s.active != nil {
+		claim.Mirrors = s.stated
+	}
+	targets := latest.Targets(n.goneAt(now))
+	if s.active != nil && s.next != nil {
+		for _, m := range s.active.config.Witnesses {
+			if !containsInstance(targets, m.Instance) {
+				targets = append(targets, m)
+			}
+		}
+	}
+	for _, m := range targets {
+		n.post(now, m, claim)
+	}
+}
+
+// extend publishes a later end of the tenure, or newly acknowledged mirrors.
+func (n *Node) extend(now time.Time, s *shardState) {
+	if s.active == nil {
+		return
+	}
+	tenure := *s.tenure
+	if since, ok := s.active.Quorum(n.goneAt(now)).Since(); ok {
+		tenure.End = latestOf(tenure.End, n.timing.TenureEnd(since))
+	}
+	if s.stated.Generation > tenure.Mirrors.Generation && s.active.Acknowledged(s.stated.Generation) {
+		tenure.Mirrors = s.stated
+	}
+	if tenure.End.After(s.tenure.End) || tenure.Mirrors.Generation > s.tenure.Mirrors.Generation {
+		n.publish(s, &tenure)
+	}
+}
+
+// expire ends a tenure whose time is over.
+func (n *Node) expire(now time.Time, s *shardState) {
+	if s.active == nil || s.tenure.End.After(now) {
+		return
+	}
+	n.note(NoteLost, s, s.active.token, Instance{})
+	n.drop(now, s)
+	s.retryAt = now.Add(n.timing.RankDelay)
+}
+
+// drop stops holding the shard and gives all promises back.
+func (n *Node) drop(now time.Time, s *shardState) {
+	n.publish(s, nil)
+	n.giveBack(now, s, s.latest())
+	if s.next != nil {
+		n.giveBack(now, s, s.active)
+	}
+	s.active, s.next = nil, nil
+	s.loadAt = now
+	s.loadPause = n.timing.LoadRetryMin
+}
+
+func (n *Node) publish(s *shardState, tenure *Tenure) {
+	s.tenure = tenure
+	n.effects.Published = append(n.effects.Published, Publication{Shard: s.id, Tenure: tenure})
+}
+
+// raiseToken lets a holder whose witness accepted another candidate's token go
+// on under a higher one, so that the witness promises to it again.
+func (n *Node) raiseToken(now time.Time, s *shardState, refusal ClaimReply) {
+	latest := s.latest().token
+	if refusal.Holder == n.self.Instance || refusal.Highest.Less(latest) {
+		return
+	}
+	if refusal.Highest.Epoch != s.config.Epoch {
+		return
+	}
+	s.next = n.newClaim(s)
+	n.sendClaims(now, s)
+}
+
+// Release gives a held shard back at once for a hand-over. The caller has
+// stopped giving orders under the tenure. It reports whether the shard was held.
+func (n *Node) Release(now time.Time, shard key.ShardID) bool {
+	s := n.state(shard)
+	held := s.active != nil
+	n.release(now, s)
+	return held
+}
+
+func (n *Node) release(now time.Time, s *shardState) {
+	s.abstainUntil = now.Add(abstainFor)
+	if s.active != nil {
+		n.note(NoteReleased, s, s.active.token, Instance{})
+		n.drop(now, s)
+		return
+	}
+	if s.next != nil {
+		n.abandon(now, s)
+	}
+}
+
+// Expect prepares this process to take a shard over as soon as its holder
+// releases it. It reports false when this process may not become the holder.
+func (n *Node) Expect(now time.Time, shard key.ShardID) bool {
+	s := n.state(shard)
+	if n.leaving || s.known.IsZero() || s.config.Rank(n.self.Instance) < 0 {
+		return false
+	}
+	s.expectedUntil = now.Add(expectedFor)
+	return true
+}
+
+// NextHolder returns the witness that should take the shard over from this
+// process; ok is false when none is in service.
+func (n *Node) NextHolder(shard key.ShardID) (next Member, ok bool) {
+	for _, m := range n.state(shard).config.Witnesses {
+		if p, known := n.peer(m.Instance); known && p.Live && m.Instance != n.self.Instance {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// adviseHandOver proposes to hand the shard to its preferred holder once that
+// has been in service for a while. The pause keeps a flapping instance from
+// pulling shards back and forth.
+func (n *Node) adviseHandOver(now time.Time, s *shardState) {
+	if n.leaving || len(s.config.Witnesses) == 0 || len(s.config.Previous) > 0 {
+		return
+	}
+	preferred := s.config.Witnesses[0]
+	since := latestOf(s.tenure.Since, s.advisedAt).Add(n.timing.StableFor)
+	if preferred.Instance == n.self.Instance || since.After(now) {
+		return
+	}
+	p, known := n.peer(preferred.Instance)
+	if !known || !p.liveFor(n.timing.StableFor, now) {
+		return
+	}
+	s.advisedAt = now
+	n.effects.HandOvers = append(n.effects.HandOvers, HandOver{Shard: s.id, To: preferred})
+}
--- /dev/null
+++ b/internal/authority/node_messages.go
@@ -0,0 +1,120 @@
+package authority
+
+import "time"
+
+// HandlePromise decides a request of another instance as a witness.
+func (n *Node) HandlePromise(now time.Time, request PromiseRequest) PromiseReply {
+	if n.proofs.Retired(n.self.Instance) {
+		// Operators vouch that this instance makes no promises any more.
+		return PromiseReply{Witness: n.self.Instance}
+	}
+	reply := n.witness.HandlePromise(now, request)
+	for _, r := range reply.Replies {
+		s := n.state(r.Shard)
+		if r.Highest != s.accepted {
+			s.accepted = r.Highest
+			n.effects.Accepted = append(n.effects.Accepted, Acceptance{r.Shard, r.Highest, r.Holder})
+		}
+		s.see(r.Highest)
+		if r.Highest.Epoch > s.config.Epoch {
+			s.outdated = true
+		}
+	}
+	return reply
+}
+
+// PromiseAnswered takes the answer of a witness to a request.
+func (n *Node) PromiseAnswered(now time.Time, send Send, reply PromiseReply) {
+	if reply.Witness != send.To.Instance {
+		n.observeGone(now, send.To.Instance)
+		return
+	}
+	for i, r := range reply.Replies {
+		if i < len(send.Request.Claims) && send.Request.Claims[i].Shard == r.Shard {
+			n.claimAnswered(now, send, send.Request.Claims[i], r)
+		}
+	}
+}
+
+// PromiseFailed takes the failure of a request. refused reports that the
+// connection was refused; any other failure proves nothing.
+func (n *Node) PromiseFailed(now time.Time, send Send, refused bool) {
+	if refused {
+		n.observeGone(now, send.To.Instance)
+	}
+}
+
+// observeGone records that the process of i was found gone.
+func (n *Node) observeGone(now time.Time, i Instance) {
+	if i == n.self.Instance || n.proofs.Observed(i) {
+		return
+	}
+	n.proofs.Observe(now, i)
+	n.effects.Notes = append(n.effects.Notes, Note{Kind: NoteProvenGone, Other: i})
+}
+
+func (n *Node) claimAnswered(now time.Time, send Send, claim ShardClaim, r ClaimReply) {
+	s := n.state(r.Shard)
+	s.see(r.Highest)
+	if r.Highest.Epoch > s.config.Epoch {
+		s.outdated = true
+	}
+	// A tenure that ended may not be revived by a late answer: another instance
+	// may have held the shard in between.
+	n.expire(now, s)
+	if claim.Release {
+		return
+	}
+	if !r.Promised {
+		n.claimRefused(now, s, send.To.Instance, claim, r)
+		return
+	}
+	for _, c := range s.claims() {
+		if !claim.Token.Less(c.token) {
+			c.Promised(send.To.Instance, send.At, r.Mirrors)
+		}
+	}
+	n.settleCampaign(now, s)
+	n.extend(now, s)
+	n.settleWitnesses(now, s)
+}
+
+func (n *Node) claimRefused(now time.Time, s *shardState, from Instance, claim ShardClaim, r ClaimReply) {
+	s.waits[from] = r.Remaining
+	if s.active != nil {
+		n.raiseToken(now, s, r)
+		return
+	}
+	if s.next != nil && claim.Token == s.next.token {
+		n.giveUpIfHopeless(now, s)
+	}
+}
+
+// post queues a claim for a member. All claims of one input go out in one message.
+func (n *Node) post(now time.Time, to Member, claim ShardClaim) {
+	send, ok := n.outbox[to.Instance]
+	if !ok {
+		request := PromiseRequest{Candidate: n.self.Instance, To: to.Instance}
+		send = &Send{To: to, Request: request, At: now}
+		n.outbox[to.Instance] = send
+		n.outOrder = append(n.outOrder, to.Instance)
+	}
+	send.Request.Claims = append(send.Request.Claims, claim)
+}
+
+// flush hands the queued messages to the driver. The message to the own witness
+// is decided here, which may queue further ones.
+func (n *Node) flush(now time.Time) {
+	for len(n.outOrder) > 0 {
+		order, outbox := n.outOrder, n.outbox
+		n.outOrder, n.outbox = nil, map[Instance]*Send{}
+		for _, to := range order {
+			send := *outbox[to]
+			if to == n.self.Instance {
+				n.PromiseAnswered(now, send, n.HandlePromise(now, send.Request))
+				continue
+			}
+			n.effects.Sends = append(n.effects.Sends, send)
+		}
+	}
+}
--- /dev/null
+++ b/internal/authority/node_records.go
@@ -0,0 +1,124 @@
+package authority
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/key"
+)
+
+// Loaded takes the configuration read from the record of a shard. found is false
+// when there is no record yet.
+func (n *Node) Loaded(now time.Time, shard key.ShardID, config Config, found bool) {
+	s := n.state(shard)
+	s.loading = false
+	s.missing = !found
+	if found && n.learn(now, s, config) {
+		s.loadPause = n.timing.LoadRetryMin
+	}
+	n.scheduleLoad(now, s)
+}
+
+// LoadFailed takes the failure to read the record of a shard.
+func (n *Node) LoadFailed(now time.Time, shard key.ShardID) {
+	s := n.state(shard)
+	s.loading = false
+	n.scheduleLoad(now, s)
+}
+
+// Committed takes the configuration that the record has after a proposal. It is
+// another one than proposed when another writer was first.
+func (n *Node) Committed(now time.Time, proposal Proposal, config Config) {
+	s := n.state(proposal.Shard)
+	s.committing = false
+	s.missing = false
+	won := config.Equal(proposal.Next)
+	if won {
+		n.noteCommitted(s, proposal)
+		s.founder = s.active == nil && s.config.Epoch < config.Epoch
+	}
+	n.learn(now, s, config)
+}
+
+// CommitFailed takes the failure of a proposal. It may still take effect, so the
+// record is read again.
+func (n *Node) CommitFailed(now time.Time, proposal Proposal) {
+	s := n.state(proposal.Shard)
+	s.committing = false
+	s.outdated = true
+	s.loadAt = now.Add(n.timing.LoadRetryMin)
+}
+
+func (n *Node) noteCommitted(s *shardState, p Proposal) {
+	token := Token{Epoch: p.Next.Epoch}
+	switch {
+	case p.Base.Epoch == 0:
+		n.note(NoteRecordCreated, s, token, Instance{})
+	case p.Base.Epoch == p.Next.Epoch:
+		n.note(NoteWitnessesSettled, s, token, Instance{})
+	case s.active == nil:
+		n.note(NoteMajorityLost, s, token, Instance{})
+	default:
+		n.note(NoteWitnessesChanged, s, token, Instance{})
+	}
+}
+
+// learn takes a configuration from the record and reports whether it is new.
+// Older ones are ignored, also when the store returns an older value.
+func (n *Node) learn(now time.Time, s *shardState, config Config) bool {
+	s.outdated = n.witness.Promise(s.id).Highest.Epoch > config.Epoch
+	newer := config.Epoch > s.config.Epoch
+	settled := config.Epoch == s.config.Epoch && len(config.Previous) < len(s.config.Previous)
+	if !newer && !settled {
+		return false
+	}
+	s.config = config
+	s.known = now
+	n.effects.Configs = append(n.effects.Configs, ConfigChange{Shard: s.id, Config: config})
+	if s.active == nil {
+		if s.next != nil && newer {
+			n.abandon(now, s)
+		}
+		return true
+	}
+	if newer {
+		s.next = n.newClaim(s)
+		n.sendClaims(now, s)
+		return true
+	}
+	if s.active.config.Epoch == config.Epoch {
+		s.active.config = config
+	}
+	return true
+}
+
+// wantsLoad reports whether the record is read when loadAt comes. A witness
+// whose promise is in force needs nothing from the store.
+func (n *Node) wantsLoad(now time.Time, s *shardState) bool {
+	if !s.described || s.loading || s.committing || n.leaving {
+		return false
+	}
+	if s.outdated {
+		return true
+	}
+	if s.active != nil || n.witness.Promise(s.id).InForce(now) {
+		return s.known.IsZero()
+	}
+	return s.interested || s.config.Rank(n.self.Instance) >= 0
+}
+
+func (n *Node) loadIfDue(now time.Time, s *shardState) {
+	if !n.wantsLoad(now, s) || s.loadAt.After(now) {
+		return
+	}
+	s.loading = true
+	n.effects.Loads = append(n.effects.Loads, s.id)
+}
+
+// scheduleLoad sets the next read, with growing pauses and a quarter of jitter
+// so that processes do not read in step.
+func (n *Node) scheduleLoad(now time.Time, s *shardState) {
+	s.loadPause = max(s.loadPause, n.timing.LoadRetryMin)
+	jitter := time.Duration(n.random.Int64N(int64(s.loadPause)/4 + 1))
+	s.loadAt = now.Add(s.loadPause + jitter)
+	s.loadPause = min(2*s.loadPause, n.timing.LoadRetryMax)
+}
--- /dev/null
+++ b/internal/authority/node_recovery.go
@@ -0,0 +1,134 @@
+package authority
+
+import "time"
+
+const (
+	// interestedRanks is how many instances of the rendezvous order read the
+	// record of a shard without being its witnesses. Two more than there are
+	// witnesses find and recover a shard whose witnesses are all gone.
+	interestedRanks = maxWitnesses + 2
+	// writeRankDelay separates the instances that would write the same change,
+	// by more than a write to the store takes.
+	writeRankDelay = 100 * time.Millisecond
+)
+
+// rank computes for each shard where this process stands among the instances in
+// service. The order is the same on every process with the same list.
+func (n *Node) rank() {
+	live := n.liveMembers()
+	for _, s := range n.order {
+		if !s.described {
+			s.interested = false
+			continue
+		}
+		s.rank = -1
+		for i, m := range NewChoice(s.desc, live).Ranking() {
+			if m.Instance == n.self.Instance {
+				s.rank = i
+			}
+		}
+		s.interested = s.rank >= 0 && s.rank < interestedRanks
+	}
+}
+
+// recover writes the record of a shard that has none, and a new epoch for a
+// shard whose witnesses cannot form a majority any more.
+func (n *Node) recover(now time.Time, s *shardState) {
+	eligible := s.active == nil && s.described && !n.leaving && s.rank >= 0
+	if !eligible || !n.orphaned(now, s) {
+		s.orphanedAt = time.Time{}
+		return
+	}
+	if s.orphanedAt.IsZero() {
+		s.orphanedAt = now
+	}
+	n.probeSilent(now, s)
+	if due, ok := n.recoveryDue(now, s); !ok || due.After(now) {
+		return
+	}
+	witnesses := NewChoice(s.desc, n.liveMembers()).Witnesses(nil)
+	if len(witnesses) > 0 {
+		n.propose(now, s, s.config.Next(witnesses))
+	}
+}
+
+// orphaned reports whether the shard has no record, or no majority of its
+// witnesses is in service.
+func (n *Node) orphaned(now time.Time, s *shardState) bool {
+	if s.known.IsZero() {
+		return s.missing && s.interested
+	}
+	if n.witness.Promise(s.id).InForce(now) {
+		return false
+	}
+	out := 0
+	for _, m := range s.config.Witnesses {
+		if !n.inService(m.Instance) {
+			out++
+		}
+	}
+	return len(s.config.Witnesses)-out < Majority(len(s.config.Witnesses))
+}
+
+func (n *Node) inService(i Instance) bool {
+	if i == n.self.Instance {
+		return true
+	}
+	p, known := n.peer(i)
+	return known && p.Live && !n.proofs.Observed(i)
+}
+
+// recoveryDue returns when this process writes the change; ok is false while
+// there is no proof that allows it.
+func (n *Node) recoveryDue(now time.Time, s *shardState) (due time.Time, ok bool) {
+	if s.orphanedAt.IsZero() || s.committing {
+		return time.Time{}, false
+	}
+	due = s.orphanedAt.Add(time.Duration(s.rank) * writeRankDelay)
+	if s.known.IsZero() {
+		return latestOf(due, n.started.Add(n.timing.SettleTime)), true
+	}
+	gone := 0
+	for _, m := range s.config.Witnesses {
+		if n.proofs.Gone(now, m.Instance) {
+			gone++
+		}
+	}
+	if len(s.config.Witnesses)-gone >= Majority(len(s.config.Witnesses)) {
+		return time.Time{}, false
+	}
+	return latestOf(due, s.changedAt.Add(changeInterval)), true
+}
+
+// probeSilent asks for the incarnation at the addresses of members that do not
+// answer and are not proven gone.
+func (n *Node) probeSilent(now time.Time, s *shardState) {
+	for _, m := range s.config.Members() {
+		if n.proofs.Observed(m.Instance) || m.Instance == n.self.Instance || n.answered(s, m.Instance) {
+			continue
+		}
+		if n.probedAt[m.Instance].Add(n.timing.ProbeInterval).After(now) {
+			continue
+		}
+		n.probedAt[m.Instance] = now
+		n.effects.Probes = append(n.effects.Probes, m)
+	}
+}
+
+// answered reports whether a member has answered the candidacy in progress.
+func (n *Node) answered(s *shardState, i Instance) bool {
+	if s.next == nil {
+		return false
+	}
+	_, promised := s.next.promises[i]
+	_, refused := s.waits[i]
+	return promised || refused
+}
+
+// Probed takes the answer to a probe: the instance found at the address of
+// asked, or that the connection was refused.
+func (n *Node) Probed(now time.Time, asked Member, found Instance, refused bool) {
+	if refused || found != asked.Instance {
+		n.observeGone(now, asked.Instance)
+	}
+}
--- /dev/null
+++ b/internal/authority/node_witnesses.go
@@ -0,0 +1,143 @@
+package authority
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// maintainInterval separates two checks of a held shard's witness set.
+	maintainInterval = 250 * time.Millisecond
+	// changeInterval keeps the writes of one shard record under 2 a second.
+	changeInterval = 2 * time.Second
+	// answeredWithin is how recent an answer of a witness must be to outweigh the
+	// list of instances: four renewals.
+	answeredWithin = 4
+)
+
+// maintainWitnesses replaces witnesses that are out of service, and returns to
+// the preferred set once that has been stable.
+func (n *Node) maintainWitnesses(now time.Time, s *shardState) {
+	if s.maintainAt.After(now) {
+		return
+	}
+	s.maintainAt = now.Add(maintainInterval)
+	n.settleWitnesses(now, s)
+	if !n.mayChangeWitnesses(now, s) {
+		return
+	}
+	choice := NewChoice(s.desc, n.eligible(now, s))
+	keep := slices.DeleteFunc(slices.Clone(s.config.Witnesses), func(m Member) bool {
+		return n.outOfService(now, s, m.Instance)
+	})
+	witnesses := choice.Witnesses(keep)
+	if len(keep) == len(s.config.Witnesses) {
+		witnesses = choice.Witnesses(nil)
+		if !n.stable(now, s, witnesses) {
+			return
+		}
+	}
+	if len(witnesses) == 0 || slices.Equal(witnesses, s.config.Witnesses) {
+		return
+	}
+	n.propose(now, s, s.config.Next(witnesses))
+}
+
+func (n *Node) mayChangeWitnesses(now time.Time, s *shardState) bool {
+	settled := s.next == nil && len(s.config.Previous) == 0 && s.config.Epoch == s.active.config.Epoch
+	return settled && !n.leaving && s.described && !s.committing && !s.changedAt.Add(changeInterval).After(now)
+}
+
+// settleWitnesses clears the previous sets from the record once the new set has
+// promised, knows the mirror set, and the previous sets are sealed or gone.
+func (n *Node) settleWitnesses(now time.Time, s *shardState) {
+	if s.active == nil || s.next != nil || s.committing || len(s.active.config.Previous) == 0 {
+		return
+	}
+	if s.config.Epoch != s.active.config.Epoch || s.settleAt.After(now) {
+		return
+	}
+	if !s.active.Acknowledged(s.stated.Generation) {
+		return
+	}
+	s.settleAt = now.Add(n.timing.ReplaceAfter)
+	n.propose(now, s, s.config.Settled())
+}
+
+func (n *Node) propose(now time.Time, s *shardState, next Config) {
+	s.committing = true
+	s.changedAt = now
+	n.effects.Proposals = append(n.effects.Proposals, Proposal{Shard: s.id, Base: s.config, Next: next})
+}
+
+// eligible returns the instances that may be witnesses: those in service, and
+// those that answer whatever the list says.
+func (n *Node) eligible(now time.Time, s *shardState) []Member {
+	members := n.liveMembers()
+	for _, m := range s.config.Witnesses {
+		if !containsInstance(members, m.Instance) && !n.outOfService(now, s, m.Instance) {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+// liveMembers returns the instances in service, with this one unless it leaves.
+func (n *Node) liveMembers() []Member {
+	var members []Member
+	if !n.leaving && !n.proofs.Retired(n.self.Instance) {
+		members = append(members, n.self)
+	}
+	for _, p := range n.peers {
+		if p.Live && p.Member.Instance != n.self.Instance && !n.proofs.Observed(p.Member.Instance) {
+			members = append(members, p.Member)
+		}
+	}
+	return members
+}
+
+// outOfService reports whether a witness of a held shard is to be replaced.
+func (n *Node) outOfService(now time.Time, s *shardState, i Instance) bool {
+	if i == n.self.Instance {
+		return n.leaving
+	}
+	if n.proofs.Observed(i) {
+		return true
+	}
+	p, known := n.peer(i)
+	if known && p.Leaving {
+		return true
+	}
+	silentSince := s.active.promises[i].sent
+	if silentSince.Add(answeredWithin * n.timing.RenewInterval).After(now) {
+		return false
+	}
+	if known && p.Live {
+		return false
+	}
+	return !latestOf(silentSince, s.tenure.Since, p.Since).Add(n.timing.ReplaceAfter).After(now)
+}
+
+// stable reports whether the members that a set would add have been in service
+// for a while, and the holder too.
+func (n *Node) stable(now time.Time, s *shardState, witnesses []Member) bool {
+	if latestOf(s.tenure.Since, s.changedAt).Add(n.timing.StableFor).After(now) {
+		return false
+	}
+	for _, m := range witnesses {
+		p, known := n.peer(m.Instance)
+		own := m.Instance == n.self.Instance || s.config.Rank(m.Instance) >= 0
+		if !own && (!known || !p.liveFor(n.timing.StableFor, now)) {
+			return false
+		}
+	}
+	return true
+}
+
+func (n *Node) peer(i Instance) (Peer, bool) {
+	index := slices.IndexFunc(n.peers, func(p Peer) bool { return p.Member.Instance == i })
+	if index < 0 {
+		return Peer{}, false
+	}
+	return n.peers[index], true
+}
