Add the planner's rules and the book of grants

A grant now names the server's incarnation, because a restarted server's clock may begin at 0 and would turn an old expiry into hours.

--- /dev/null
+++ b/internal/assign/compact.go
@@ -0,0 +1,55 @@
+package assign
+
+// compactionsPerPlan bounds how many joins one plan makes.
+const compactionsPerPlan = 4
+
+// compact joins light adjacent ranges while the shard has more than its cap.
+// Each hot key leaves up to two extra ranges behind.
+func (d *draft) compact() {
+	for range compactionsPerPlan {
+		if len(d.ranges) <= d.rangeCap() {
+			return
+		}
+		i := d.lightestPair()
+		if i == none {
+			return
+		}
+		if d.mergeable(i) {
+			d.merge(i, ReasonCompact)
+			continue
+		}
+		if d.moveLimit == 0 {
+			return
+		}
+		d.moveLighter(i)
+	}
+}
+
+// lightestPair returns the first index of the adjacent ranges with the least load
+// that are not hot keys, or none. Pairs of one owner go first.
+func (d *draft) lightestPair() int {
+	best, bestLoad, bestJoins := none, 0.0, false
+	for i := 0; i+1 < len(d.ranges); i++ {
+		a, b := d.ranges[i], d.ranges[i+1]
+		if a.Bounds.IsSingle() || b.Bounds.IsSingle() || !d.joinable(i) || !d.joinable(i+1) {
+			continue
+		}
+		load, joins := a.load+b.load, a.owner == b.owner
+		if load >= heavyShare*d.mean {
+			continue
+		}
+		if best == none || (joins && !bestJoins) || (joins == bestJoins && load < bestLoad) {
+			best, bestLoad, bestJoins = i, load, joins
+		}
+	}
+	return best
+}
+
+// moveLighter moves the lighter range of a pair to the other's owner.
+func (d *draft) moveLighter(i int) {
+	from, to := i, i+1
+	if d.ranges[i+1].load < d.ranges[i].load {
+		from, to = i+1, i
+	}
+	d.move(from, d.ranges[to].owner, ReasonCompact, false)
+}
--- /dev/null
+++ b/internal/assign/draft.go
@@ -0,0 +1,134 @@
+package assign
+
+// none stands for no server in a draft.
+const none = -1
+
+// draftServer is a server with what the draft gives it.
+type draftServer struct {
+	Server
+	load   float64
+	ranges int
+	// standbys counts the ranges for which the server is first or second standby.
+	standbys int
+}
+
+// draftRange is a range of the draft, with servers by index.
+type draftRange struct {
+	Range
+	owner int
+	load  float64
+	// fixed reports that the range is being moved already.
+	fixed bool
+}
+
+// draft is a plan being made.
+type draft struct {
+	in      Input
+	servers []draftServer
+	index   map[string]int
+	// usable lists the servers that may own ranges.
+	usable []int
+	ranges []draftRange
+	// mean is the load per usable server.
+	mean float64
+	// base is added to the load of each range, so that idle ranges are spread too.
+	base      float64
+	moveLimit int
+	pairs     []uint16
+
+	moves    []Move
+	splits   []Split
+	merges   []Merge
+	standbys []StandbyChange
+}
+
+// baseShare is the weight of a range without requests, as a share of the mean load of a range.
+const baseShare = 0.05
+
+func newDraft(in Input) *draft {
+	d := &draft{in: in, index: make(map[string]int, len(in.Servers))}
+	d.servers = make([]draftServer, len(in.Servers))
+	for i, s := range in.Servers {
+		d.servers[i].Server = s
+		d.index[s.Name] = i
+		if s.State.Usable() {
+			d.usable = append(d.usable, i)
+		}
+	}
+	d.setBase()
+	d.addRanges()
+	return d
+}
+
+// setBase sets the weight of an idle range and the mean load of a usable server.
+func (d *draft) setBase() {
+	total := 0.0
+	for _, load := range d.in.Loads {
+		total += load
+	}
+	count := float64(max(len(d.in.Current.Ranges), 1))
+	d.base = baseShare * total / count
+	if total == 0 {
+		d.base = 1
+	}
+	d.mean = (total + d.base*count) / float64(max(len(d.usable), 1))
+}
+
+func (d *draft) addRanges() {
+	d.ranges = make([]draftRange, len(d.in.Current.Ranges), len(d.in.Current.Ranges)+8)
+	for i, r := range d.in.Current.Ranges {
+		next := draftRange{Range: r, owner: d.serverIndex(r.Owner), load: d.base}
+		if i < len(d.in.Loads) {
+			next.load += d.in.Loads[i]
+		}
+		if i < len(d.in.Busy) {
+			next.fixed = d.in.Busy[i]
+		}
+		d.ranges[i] = next
+		d.countOwner(next, 1)
+	}
+}
+
+func (d *draft) serverIndex(name string) int {
+	if i, known := d.index[name]; known {
+		return i
+	}
+	return none
+}
+
+// countOwner adds the range to its owner's load, or takes it off when sign is -1.
+func (d *draft) countOwner(r draftRange, sign int) {
+	if r.owner == none {
+		return
+	}
+	d.servers[r.owner].load += float64(sign) * r.load
+	d.servers[r.owner].ranges += sign
+}
+
+// ownerUsable reports whether the range's owner may keep it.
+func (d *draft) ownerUsable(r draftRange) bool {
+	return r.owner != none && d.servers[r.owner].State.Usable()
+}
+
+// move gives range i to the server with index to.
+func (d *draft) move(i, to int, reason Reason, urgent bool) {
+	r := &d.ranges[i]
+	from := r.Owner
+	d.countOwner(*r, -1)
+	r.owner = to
+	r.Owner = d.servers[to].Name
+	d.countOwner(*r, 1)
+	r.fixed = true
+	d.moves = append(d.moves, Move{Bounds: r.Bounds, From: from, To: r.Owner, Reason: reason, Urgent: urgent})
+	if !urgent {
+		d.moveLimit--
+	}
+}
+
+func (d *draft) plan() Plan {
+	next := Assignment{Ranges: make([]Range, len(d.ranges))}
+	for i, r := range d.ranges {
+		next.Ranges[i] = r.Range
+	}
+	return Plan{Next: next, Moves: d.moves, Splits: d.splits, Merges: d.merges, Standbys: d.standbys}
+}
--- /dev/null
+++ b/internal/assign/hotsplit.go
@@ -0,0 +1,128 @@
+package assign
+
+import (
+	"slices"
+
+	"peridotmoor.org/peridotmoor/internal/key"
+)
+
+// heavyShare is the share of a server's mean load from which a range is halved:
+// about the tolerated overload, so that moving one range can correct it.
+const heavyShare = 0.25
+
+// heavySplitsPerPlan bounds halvings, because the load of the halves must be
+// measured before the next one is useful.
+const heavySplitsPerPlan = 2
+
+// hotThreshold is the request rate from which a key gets its own range.
+func (d *draft) hotThreshold() float64 {
+	return max(d.in.Settings.HotKeyShare*d.mean, d.in.Settings.HotKeyMinRate)
+}
+
+// rangeCap is the number of ranges above which adjacent ones are joined. Hot keys
+// may exceed it for a while.
+func (d *draft) rangeCap() int {
+	return 2 * max(d.in.Settings.RangesPerServer, 1) * len(d.usable)
+}
+
+// splitHotKeys gives each hot key a range of its own.
+func (d *draft) splitHotKeys() {
+	threshold := d.hotThreshold()
+	for _, hot := range d.in.HotKeys {
+		if hot.Rate < threshold || len(d.ranges) > 2*d.rangeCap() {
+			continue
+		}
+		i := d.find(hot.Hash)
+		if i == none || d.ranges[i].fixed || d.ranges[i].Bounds.IsSingle() {
+			continue
+		}
+		d.splitAround(i, hot)
+	}
+}
+
+// splitAround gives hot a range of its own out of range i and divides the rest of
+// the load among the other parts.
+func (d *draft) splitAround(i int, hot HotKey) {
+	total := d.ranges[i].load
+	parts := around(d.ranges[i].Bounds, hot.Hash)
+	d.split(i, parts, ReasonHotKey)
+	rate := min(hot.Rate, total)
+	for n := range parts {
+		load := (total - rate) / float64(max(len(parts)-1, 1))
+		if parts[n].IsSingle() && parts[n].Start == hot.Hash {
+			load = rate
+		}
+		d.setLoad(i+n, load)
+	}
+}
+
+// setLoad changes the load of range i.
+func (d *draft) setLoad(i int, load float64) {
+	if owner := d.ranges[i].owner; owner != none {
+		d.servers[owner].load += load - d.ranges[i].load
+	}
+	d.ranges[i].load = load
+}
+
+// around cuts bounds into the hash itself and what is left on each side.
+func around(bounds key.Range, h key.Hash) []key.Range {
+	parts := make([]key.Range, 0, 3)
+	if bounds.Start < h {
+		parts = append(parts, key.Range{Start: bounds.Start, End: h})
+	}
+	parts = append(parts, key.Single(h))
+	if h != bounds.Last() {
+		parts = append(parts, key.Range{Start: h + 1, End: bounds.End})
+	}
+	return parts
+}
+
+// splitHeavyRanges halves ranges that are too heavy to balance by moving.
+func (d *draft) splitHeavyRanges() {
+	left := heavySplitsPerPlan
+	for i := 0; i < len(d.ranges) && left > 0; i++ {
+		r := d.ranges[i]
+		if r.fixed || r.load < heavyShare*d.mean || len(d.ranges) >= d.rangeCap() {
+			continue
+		}
+		if width := uint64(r.Bounds.Last() - r.Bounds.Start); width < 2 {
+			continue
+		}
+		d.split(i, cut(r.Bounds, 2), ReasonHeavyRange)
+		left--
+		i++
+	}
+}
+
+// split replaces range i by parts, with the load in equal shares.
+func (d *draft) split(i int, parts []key.Range, reason Reason) {
+	old := d.ranges[i]
+	d.countOwner(old, -1)
+	rows := make([]draftRange, len(parts))
+	for n, part := range parts {
+		rows[n] = old
+		rows[n].Bounds = part
+		rows[n].load = old.load / float64(len(parts))
+		d.countOwner(rows[n], 1)
+	}
+	d.ranges = slices.Replace(d.ranges, i, i+1, rows...)
+	d.splits = append(d.splits, Split{Bounds: old.Bounds, Parts: parts, Reason: reason})
+}
+
+// find returns the index of the range that contains h, or none.
+func (d *draft) find(h key.Hash) int {
+	i, found := slices.BinarySearchFunc(d.ranges, h, func(r draftRange, h key.Hash) int {
+		switch {
+		case r.Bounds.Contains(h):
+			return 0
+		case r.Bounds.Start > h:
+			return 1
+		default:
+			return -1
+		}
+	})
+	if !found {
+		return none
+	}
+	return i
+}
--- a/internal/assign/input.go
+++ b/internal/assign/input.go
@@ -15,7 +15,10 @@
 	// Current names the present owners; Ranges may be empty.
 	Current Assignment
 	// Loads holds requests per second, one for each range of Current.
-	Loads    []float64
+	Loads []float64
+	// Busy marks the ranges of Current that are being moved. They are not split,
+	// merged or moved, except off a server that cannot keep them. May be empty.
+	Busy     []bool
 	HotKeys  []HotKey
 	Settings Settings
 	Now      time.Time
--- /dev/null
+++ b/internal/assign/standby.go
@@ -0,0 +1,143 @@
+package assign
+
+// placeStandbys replaces standbys that cannot take over: unknown, not usable, the
+// owner itself, or in a failure domain of the owner or of the other standby while
+// the shard has enough domains.
+func (d *draft) placeStandbys() {
+	domains := d.usableDomains()
+	for i := range d.ranges {
+		r := &d.ranges[i]
+		if !d.ownerUsable(*r) {
+			continue
+		}
+		first, second := d.serverIndex(r.First), d.serverIndex(r.Second)
+		newFirst, newSecond := d.standbysOf(r.owner, first, second, domains)
+		if newFirst == first && newSecond == second && d.name(first) == r.First && d.name(second) == r.Second {
+			continue
+		}
+		r.First, r.Second = d.name(newFirst), d.name(newSecond)
+		d.standbys = append(d.standbys, StandbyChange{
+			Bounds: r.Bounds, First: r.First, Second: r.Second, Reason: ReasonStandby,
+		})
+	}
+}
+
+// standbysOf returns the standbys for an owner, keeping those that are suitable.
+func (d *draft) standbysOf(owner, first, second, domains int) (int, int) {
+	if !d.suits(first, owner, none, domains) {
+		first = none
+		if d.suits(second, owner, none, domains) {
+			first, second = second, none
+		}
+	}
+	if first == none {
+		first = d.pickStandby(owner, none, domains)
+	}
+	if first == none || !d.suits(second, owner, first, domains) {
+		second = d.pickStandby(owner, first, domains)
+	}
+	return first, second
+}
+
+// suits reports whether candidate may stand by for owner next to other, which may be none.
+func (d *draft) suits(candidate, owner, other, domains int) bool {
+	if !d.canOwn(candidate) || candidate == owner || candidate == other {
+		return false
+	}
+	if domains > 1 && d.servers[candidate].Domain == d.servers[owner].Domain {
+		return false
+	}
+	return domains < 3 || other == none || d.servers[candidate].Domain != d.servers[other].Domain
+}
+
+// pickStandby returns the suitable server that stands by least for this owner,
+// then least in all; ties are broken at random. The loss of one owner is thereby
+// spread over many servers.
+func (d *draft) pickStandby(owner, other, domains int) int {
+	d.countPairs()
+	best, ties := none, 0
+	for _, i := range d.usable {
+		if !d.suits(i, owner, other, domains) {
+			continue
+		}
+		order := 1
+		if best != none {
+			order = d.compareStandbys(owner, i, best)
+		}
+		switch {
+		case order > 0:
+			best, ties = i, 1
+		case order == 0:
+			ties++
+			if d.in.Random.IntN(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	if best != none {
+		d.countPair(owner, best)
+	}
+	return best
+}
+
+// compareStandbys returns 1 when a is the better standby for owner, -1 when b is.
+func (d *draft) compareStandbys(owner, a, b int) int {
+	if d.burden(a) != d.burden(b) {
+		return sign(d.burden(b) - d.burden(a))
+	}
+	pairA, pairB := d.pairs[owner*len(d.servers)+a], d.pairs[owner*len(d.servers)+b]
+	if pairA != pairB {
+		return sign(int(pairB) - int(pairA))
+	}
+	return sign(d.servers[b].standbys - d.servers[a].standbys)
+}
+
+func sign(n int) int {
+	switch {
+	case n > 0:
+		return 1
+	case n < 0:
+		return -1
+	}
+	return 0
+}
+
+// countPairs counts, once per draft, how often each server stands by for each owner.
+func (d *draft) countPairs() {
+	if d.pairs != nil {
+		return
+	}
+	d.pairs = make([]uint16, len(d.servers)*len(d.servers))
+	for _, r := range d.ranges {
+		if r.owner == none {
+			continue
+		}
+		for _, name := range [2]string{r.First, r.Second} {
+			if i := d.serverIndex(name); i != none {
+				d.countPair(r.owner, i)
+			}
+		}
+	}
+}
+
+func (d *draft) countPair(owner, standby int) {
+	d.pairs[owner*len(d.servers)+standby]++
+	d.servers[standby].standbys++
+}
+
+// usableDomains counts the failure domains that have a usable server.
+func (d *draft) usableDomains() int {
+	seen := map[string]bool{}
+	for _, i := range d.usable {
+		seen[d.servers[i].Domain] = true
+	}
+	return len(seen)
+}
+
+// name returns the name of server i, or an empty one for none.
+func (d *draft) name(i int) string {
+	if i == none {
+		return ""
+	}
+	return d.servers[i].Name
+}
--- a/internal/backend/grant.go
+++ b/internal/backend/grant.go
@@ -10,6 +10,10 @@
 type Grant struct {
 	Order  Order
 	Ranges []key.Range
+	// Incarnation is the run of the server whose clock Expiry refers to. A server
+	// with another incarnation ignores ranges and expiry: its clock may have
+	// restarted at 0, so that the grant would last for hours. It still answers.
+	Incarnation string
 	// Expiry is when the grant ends, on the server's own monotonic clock. 0 asks
 	// for the clock only and changes nothing.
 	Expiry time.Duration
--- /dev/null
+++ b/internal/grant/echo.go
@@ -0,0 +1,38 @@
+package grant
+
+import "time"
+
+// MaxEchoAge is the age from which an echo no longer justifies an expiry. The
+// drift margin of a tenure covers 600 ms of clock drift, and so must an echo.
+const MaxEchoAge = 600 * time.Millisecond
+
+// driftShare is the clock drift between holder and server that provable expiry
+// allows for: 1%, as for tenures.
+const driftShare = 100
+
+// Echo is a reading of a server's monotonic clock.
+type Echo struct {
+	// Clock is what the server answered.
+	Clock time.Duration
+	// At is when the holder received the answer, on its own monotonic clock. The
+	// server's clock reaches Clock+d not later than the holder's reaches At+d.
+	At time.Time
+}
+
+// Expiry returns the end of a grant on the server's clock such that the grant
+// does not outlive end on the holder's clock.
+func (e Echo) Expiry(end time.Time) time.Duration {
+	return e.Clock + end.Sub(e.At)
+}
+
+// ExpiredBy returns the holder's time by which a grant with the given expiry has
+// ended on the server, with the drift margin added.
+func (e Echo) ExpiredBy(expiry time.Duration) time.Time {
+	left := max(expiry-e.Clock, 0)
+	return e.At.Add(left + left/driftShare)
+}
+
+// Fresh reports whether the echo may still be used at now.
+func (e Echo) Fresh(now time.Time) bool {
+	return !e.At.IsZero() && now.Sub(e.At) <= MaxEchoAge
+}
