--- /dev/null
+++ b/internal/events/shard.go
@@ -0,0 +1,24 @@
+package events
+
+import "github.com/charmbracelet/log"
+
+// Events of the holder of a shard, 1200 to 1299.
+var (
+	ShardTaken         = register(1200, "shard_taken", log.InfoLevel, "The instance began to grant the ranges of a shard.")
+	ShardReleased      = register(1201, "shard_released", log.InfoLevel, "The instance's tenure of a shard has ended.")
+	ShardLoadFailed    = register(1202, "shard_load_failed", log.WarnLevel, "The assignment of a shard could not be read and is read again.")
+	ShardRecordInvalid = register(1203, "shard_record_invalid", log.ErrorLevel, "The stored assignment does not cover the shard and is planned anew.")
+	ShardCommitted     = register(1204, "shard_committed", log.InfoLevel, "An assignment was committed to the store.")
+	ShardCommitFailed  = register(1205, "shard_commit_failed", log.WarnLevel, "An assignment could not be committed and is planned again.")
+	ServerSilent       = register(1210, "server_silent", log.WarnLevel, "A backend server did not acknowledge its grant in time.")
+	ServerAnswering    = register(1211, "server_answering", log.InfoLevel, "A backend server acknowledges grants again.")
+	ServerRestarted    = register(1212, "server_restarted", log.WarnLevel, "A backend server answered with a new incarnation and holds no grant.")
+	ServerLeaving      = register(1213, "server_leaving", log.InfoLevel, "A backend server changed whether it is draining.")
+	ServerStale        = register(1214, "server_follows_higher_token", log.WarnLevel, "A backend server follows a holder with a higher token.")
+	ServerOut          = register(1215, "server_state_changed", log.InfoLevel, "Settings took a backend server out or back in.")
+	OwnerReplaced      = register(1220, "owner_replaced", log.WarnLevel, "A standby took over a range because the grant of its owner ended.")
+	OwnerMissing       = register(1221, "owner_missing", log.ErrorLevel, "The owner of a range was lost and no standby answers.")
+	MoveStarted        = register(1222, "move_started", log.DebugLevel, "A range began to move to another backend server.")
+	MoveEnded          = register(1223, "move_ended", log.InfoLevel, "A range is served by its new owner.")
+	MovePutOff         = register(1224, "move_put_off", log.InfoLevel, "A move was put off because requests of the range did not end in time.")
+)
