Add the path of a request at the holder of its shard

Request records with mirrors, budget, choice of two, quarantine, watched bodies and the dispatcher that joins them.

--- a/internal/admission/enqueue.go
+++ b/internal/admission/enqueue.go
@@ -23,17 +23,10 @@
 
 // join counts the waiter in, unless the queue is full or the wait would be too long.
 func (g *Gate) join(w *waiter, now time.Time) error {
-	limit := g.limits.Load().queue
 	for {
 		old := word(g.word.Load())
-		if old.has(flagClosed) {
-			return g.closedProblem()
-		}
-		if old.waiting() >= limit {
-			return g.fullProblem(old)
-		}
-		if wait := g.expectedWait(old); now.Add(wait).After(w.deadline) {
-			return g.waitProblem(wait, w.deadline.Sub(now))
+		if err := g.refusal(old, w.deadline, now); err != nil {
+			return err
 		}
 		if g.swap(old, old+oneWaiting) {
 			return nil
@@ -41,6 +34,29 @@
 	}
 }
 
+// Refusal returns the problem with which Acquire would refuse a request that
+// arrives now, or nil. It takes nothing.
+func (g *Gate) Refusal(deadline, now time.Time) error {
+	w := word(g.word.Load())
+	if w.isOpen() {
+		return nil
+	}
+	return g.refusal(w, deadline, now)
+}
+
+func (g *Gate) refusal(w word, deadline, now time.Time) error {
+	if w.has(flagClosed) {
+		return g.closedProblem()
+	}
+	if w.waiting() >= g.limits.Load().queue {
+		return g.fullProblem(w)
+	}
+	if wait := g.expectedWait(w); now.Add(wait).After(deadline) {
+		return g.waitProblem(wait, deadline.Sub(now))
+	}
+	return nil
+}
+
 func (g *Gate) await(ctx context.Context, w *waiter, now time.Time) (*Slot, error) {
 	timer := time.NewTimer(w.deadline.Sub(now))
 	defer timer.Stop()
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -57,6 +57,14 @@
 	return g.enqueue(ctx, &waiter{deadline: deadline, priority: priority, wake: make(chan struct{}, 1)}, now)
 }
 
+// TryAcquire takes a slot if one is free and nobody waits.
+func (g *Gate) TryAcquire() (*Slot, bool) {
+	if g.tryTake() {
+		return &Slot{gate: g}, true
+	}
+	return nil, false
+}
+
 // TryAcquireExclusive takes all slots if none is busy and nobody waits. A server
 // that is not warm is paced, so there it always fails; use AcquireExclusive.
 func (g *Gate) TryAcquireExclusive() (*Slot, bool) {
--- /dev/null
+++ b/internal/dispatch/answer.go
@@ -0,0 +1,37 @@
+package dispatch
+
+import (
+	"bytes"
+	"io"
+
+	"github.com/pkg/errors"
+	"peridotmoor.org/peridotmoor/internal/request"
+)
+
+// readWhole reads an answer of up to AnswerBufferBytes to its end. For a larger
+// one whole is false and rest yields the entire body.
+func readWhole(a *request.Answer) (content []byte, rest io.Reader, whole bool, err error) {
+	if a.ContentLength > AnswerBufferBytes {
+		return nil, a.Body, false, nil
+	}
+	if a.ContentLength >= 0 {
+		content = make([]byte, a.ContentLength)
+		_, err = io.ReadFull(a.Body, content)
+		return content, nil, true, shortAnswer(err)
+	}
+	content, err = io.ReadAll(io.LimitReader(a.Body, AnswerBufferBytes+1))
+	if err != nil {
+		return nil, nil, false, shortAnswer(err)
+	}
+	if len(content) <= AnswerBufferBytes {
+		return content, nil, true, nil
+	}
+	return nil, io.MultiReader(bytes.NewReader(content), a.Body), false, nil
+}
+
+func shortAnswer(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return errors.WithStack(err)
+}
--- /dev/null
+++ b/internal/dispatch/options.go
@@ -0,0 +1,98 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/admission"
+	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/budget"
+	"peridotmoor.org/peridotmoor/internal/choice"
+	"peridotmoor.org/peridotmoor/internal/events"
+	"peridotmoor.org/peridotmoor/internal/progress"
+	"peridotmoor.org/peridotmoor/internal/quarantine"
+	"peridotmoor.org/peridotmoor/internal/record"
+	"peridotmoor.org/peridotmoor/internal/request"
+	"peridotmoor.org/peridotmoor/internal/route"
+)
+
+const (
+	// DefaultMaxRetries is the number of retries of one request.
+	DefaultMaxRetries = 2
+	// maxDelivery is how long an order may take to a server that does not check tokens.
+	maxDelivery = 200 * time.Millisecond
+	// AnswerBufferBytes is the largest answer that is read whole before it is
+	// passed on, so that a break can still be retried.
+	AnswerBufferBytes = 256 << 10
+)
+
+// Limits are the settings of a service that a request reads.
+type Limits struct {
+	// MaxRetries is the number of retries of one request; negative for none, 0 for the default.
+	MaxRetries int
+	// NoHedge forbids hedging.
+	NoHedge bool
+	// IdleTimeout ends a streamed body that makes no progress; 0 for the default.
+	IdleTimeout time.Duration
+	// MaxDelivery replaces the delivery margin; 0 for the default of 200 ms.
+	MaxDelivery time.Duration
+}
+
+func (l Limits) withDefaults() Limits {
+	if l.MaxRetries == 0 {
+		l.MaxRetries = DefaultMaxRetries
+	}
+	if l.IdleTimeout <= 0 {
+		l.IdleTimeout = progress.IdleTimeout
+	}
+	if l.MaxDelivery <= 0 {
+		l.MaxDelivery = maxDelivery
+	}
+	return l
+}
+
+// Options configures the dispatcher of one shard for one tenure.
+type Options struct {
+	Self authority.Instance
+	// Views is where the shard's goroutine publishes.
+	Views *atomic.Pointer[route.View]
+	// Records holds the request records of this tenure. A service with idempotent
+	// requests only may leave it nil; then non-idempotent ones are refused.
+	Records *record.Keeper
+	// Quarantine and Budget are shared by all shards of the instance and of the service.
+	Quarantine *quarantine.List
+	Budget     *budget.Budget
+	// Delay is the hedge delay, shared by all shards of the service.
+	Delay *choice.Delay
+	// Limits is read by each request; nil stands for the defaults.
+	Limits *atomic.Pointer[Limits]
+	// Priority orders the queue before the deadline does; nil stands for equal priorities.
+	Priority func(*request.Request) admission.Priority
+	Events   *events.Logger
+	// Random returns the random numbers of one request; nil stands for the
+	// runtime's source. It is called by many goroutines.
+	Random func() *rand.Rand
+}
+
+func (o Options) withDefaults() Options {
+	if o.Quarantine == nil {
+		o.Quarantine = quarantine.NewList()
+	}
+	if o.Budget == nil {
+		o.Budget = budget.New()
+	}
+	if o.Delay == nil {
+		o.Delay = &choice.Delay{}
+	}
+	if o.Random == nil {
+		o.Random = runtimeRandom
+	}
+	if o.Limits == nil {
+		o.Limits = &atomic.Pointer[Limits]{}
+	}
+	if o.Limits.Load() == nil {
+		o.Limits.Store(&Limits{})
+	}
+	return o
+}
--- /dev/null
+++ b/internal/dispatch/stagename.go
@@ -0,0 +1,26 @@
+package dispatch
+
+import (
+	"strconv"
+
+	"peridotmoor.org/peridotmoor/internal/outcome"
+)
+
+var stageNames = map[outcome.Stage]string{
+	outcome.StageEntry:           "entry",
+	outcome.StageForwardUnsent:   "forward-unsent",
+	outcome.StageForwardSent:     "forward-sent",
+	outcome.StageQueued:          "queued",
+	outcome.StageConnect:         "connect",
+	outcome.StageRefusedByServer: "refused-by-server",
+	outcome.StageWritten:         "written",
+	outcome.StageWhole:           "whole",
+}
+
+// stageName names a stage in events: it is the proof of the outcome.
+func stageName(s outcome.Stage) string {
+	if name, ok := stageNames[s]; ok {
+		return name
+	}
+	return strconv.Itoa(int(s))
+}
--- /dev/null
+++ b/internal/events/dispatch.go
@@ -0,0 +1,25 @@
+package events
+
+import "github.com/charmbracelet/log"
+
+// Events of one request at the holder of its shard, 1400 to 1449.
+var (
+	RequestAdmitted    = register(1400, "request_admitted", log.InfoLevel, "A request got a slot of a backend server.")
+	RequestCopied      = register(1401, "request_copied", log.InfoLevel, "All mirrors hold the record of a request.")
+	RequestDispatched  = register(1402, "request_dispatched", log.InfoLevel, "A request is sent to a backend server.")
+	RequestAnswered    = register(1403, "request_answered", log.InfoLevel, "A backend server has answered a request.")
+	RequestRefused     = register(1404, "request_refused", log.InfoLevel, "A request was refused and did not run.")
+	RequestRetried     = register(1405, "request_retried", log.InfoLevel, "A request is sent again.")
+	RequestHedged      = register(1406, "request_hedged", log.InfoLevel, "A slow request is sent to a second backend server.")
+	RequestJoined      = register(1407, "request_joined", log.InfoLevel, "A resent request waits for the one that is running.")
+	RequestReplayed    = register(1408, "request_replayed", log.InfoLevel, "A resent request gets the kept answer.")
+	RequestUnknown     = register(1409, "request_unknown", log.WarnLevel, "A request may have run and its answer is lost.")
+	RequestEnded       = register(1410, "request_ended", log.InfoLevel, "A request has ended at the holder of its shard.")
+	DispatchFailed     = register(1411, "dispatch_failed", log.WarnLevel, "A backend server did not answer a request.")
+	ServerCold         = register(1412, "server_cold", log.WarnLevel, "A backend server counts as cold and gets little work.")
+	RequestsMarked     = register(1413, "requests_marked", log.WarnLevel, "Requests were in flight when a backend server crashed.")
+	RequestCleared     = register(1414, "request_cleared", log.InfoLevel, "A marked request has succeeded alone on a backend server.")
+	MirrorSetChanged   = register(1415, "mirror_set_changed", log.InfoLevel, "The witnesses have acknowledged a new mirror set.")
+	RecordsTakenOver   = register(1416, "records_taken_over", log.InfoLevel, "A new holder has the request records of its shard.")
+	RequestLoserClosed = register(1417, "request_loser_cancelled", log.InfoLevel, "The slower of two hedged dispatches was cancelled.")
+)
--- /dev/null
+++ b/internal/quarantine/verdict.go
@@ -0,0 +1,25 @@
+package quarantine
+
+// Verdict says how a request may run.
+type Verdict int
+
+// The verdicts.
+const (
+	// Free means that the request runs like any other.
+	Free Verdict = iota
+	// Alone means that the request runs only with all slots of its server.
+	Alone
+	// Refused means that the request is not run.
+	Refused
+)
+
+func verdictOf(crashes int) Verdict {
+	switch {
+	case crashes <= 0:
+		return Free
+	case crashes == 1:
+		return Alone
+	default:
+		return Refused
+	}
+}
--- /dev/null
+++ b/internal/quarantine/watch.go
@@ -0,0 +1,88 @@
+package quarantine
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// crashWindow is the time between a dead connection and the evidence that the
+// server crashed.
+const crashWindow = time.Second
+
+// Watch decides which requests were in flight when one server crashed. A crash
+// has two signs: connections that die without an answer, and a new incarnation
+// or a refused connection within crashWindow of that.
+type Watch struct {
+	state atomic.Pointer[watchState]
+}
+
+type watchState struct {
+	suspects []suspect
+	// crashed is when the last evidence came.
+	crashed time.Time
+}
+
+// suspect is a request whose connection died.
+type suspect struct {
+	fingerprint Fingerprint
+	died        time.Time
+}
+
+// NewWatch returns a watch that has seen nothing.
+func NewWatch() *Watch {
+	w := &Watch{}
+	w.state.Store(&watchState{})
+	return w
+}
+
+// Died reports that the connection of a request died without an answer. It
+// returns the fingerprints to mark: the request itself, when the evidence came
+// after its dispatch and less than crashWindow ago.
+func (w *Watch) Died(f Fingerprint, dispatched, now time.Time) []Fingerprint {
+	for {
+		old := w.state.Load()
+		if old.crashed.After(dispatched) && now.Sub(old.crashed) <= crashWindow {
+			return []Fingerprint{f}
+		}
+		next := &watchState{crashed: old.crashed}
+		next.suspects = append(recent(old.suspects, now), suspect{fingerprint: f, died: now})
+		if w.state.CompareAndSwap(old, next) {
+			return nil
+		}
+	}
+}
+
+// Crashed reports evidence of a crash and returns the fingerprints to mark, each once.
+func (w *Watch) Crashed(now time.Time) []Fingerprint {
+	for {
+		old := w.state.Load()
+		suspects := recent(old.suspects, now)
+		if len(suspects) == 0 && old.crashed.Equal(now) {
+			return nil
+		}
+		if !w.state.CompareAndSwap(old, &watchState{crashed: now}) {
+			continue
+		}
+		fingerprints := make([]Fingerprint, 0, len(suspects))
+		for _, s := range suspects {
+			fingerprints = append(fingerprints, s.fingerprint)
+		}
+		return fingerprints
+	}
+}
+
+// Suspects reports whether evidence that comes now would mark a request.
+func (w *Watch) Suspects(now time.Time) bool {
+	return len(recent(w.state.Load().suspects, now)) > 0
+}
+
+// recent returns a copy of the suspects that died within crashWindow.
+func recent(all []suspect, now time.Time) []suspect {
+	kept := make([]suspect, 0, len(all)+1)
+	for _, s := range all {
+		if now.Sub(s.died) <= crashWindow {
+			kept = append(kept, s)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/record/action.go
@@ -0,0 +1,32 @@
+package record
+
+import (
+	"peridotmoor.org/peridotmoor/internal/problem"
+	"peridotmoor.org/peridotmoor/internal/request"
+)
+
+// Action is what a holder does with a request after it has read its record.
+type Action int
+
+// The actions.
+const (
+	// ActionRun means that the caller runs the request and concludes it.
+	ActionRun Action = iota
+	// ActionJoin means that the same request is running; wait for its end.
+	ActionJoin
+	// ActionReplay means that the answer is known.
+	ActionReplay
+	// ActionRefuse means that the request is not run now.
+	ActionRefuse
+)
+
+// Decision is what the record of a request says.
+type Decision struct {
+	Action Action
+	// Run is set for ActionRun and ActionJoin.
+	Run *Run
+	// Answer is set for ActionReplay.
+	Answer *request.Answer
+	// Problem is set for ActionRefuse.
+	Problem *problem.Problem
+}
--- /dev/null
+++ b/internal/record/conclude.go
@@ -0,0 +1,92 @@
+package record
+
+import (
+	"fmt"
+	"maps"
+
+	"peridotmoor.org/peridotmoor/internal/outcome"
+	"peridotmoor.org/peridotmoor/internal/problem"
+	"peridotmoor.org/peridotmoor/internal/request"
+)
+
+// Conclude ends a run with its record and wakes everyone who joined it. Only
+// the first conclusion of a run counts.
+func (t *Table) Conclude(run *Run, r Record) Record {
+	e := run.entry
+	r = t.keep(e, r)
+	current := e.phase.Load()
+	if current.run != run || current.record != nil {
+		return r
+	}
+	if !e.phase.CompareAndSwap(current, &phase{run: run, record: &r}) {
+		return r
+	}
+	run.record = &r
+	close(run.done)
+	return r
+}
+
+// keep drops the answer of r when the kept answers take too much memory, or
+// when the entry has left the table.
+func (t *Table) keep(e *entry, r Record) Record {
+	size := int64(len(r.Body))
+	if size == 0 {
+		return r
+	}
+	if t.kept.Add(size) <= t.options.KeptBytes && e.kept.CompareAndSwap(0, size) {
+		return r
+	}
+	t.kept.Add(-size)
+	r.AnswerKept = false
+	r.Status, r.Header, r.Body = 0, nil, nil
+	return r
+}
+
+// Outcome returns how a concluded run ended: the kept answer or the problem.
+func (r *Run) Outcome() (*request.Answer, *problem.Problem) {
+	if r.record.State == NotRun {
+		return nil, problem.New(problem.Kind(r.record.Kind), outcome.StageQueued, "%s", r.record.Message)
+	}
+	decision := ended(*r.record)
+	return decision.Answer, decision.Problem
+}
+
+// AnsweredRecord returns the record of a run that was answered. body is nil when
+// the answer is too large to keep.
+func AnsweredRecord(run *Run, a *request.Answer, body []byte, kept bool) Record {
+	r := run.Record()
+	r.State = Answered
+	r.Server = a.Server
+	if !kept {
+		return r
+	}
+	r.AnswerKept = true
+	// The receiver of the answer may change its header.
+	r.Status, r.Header, r.Body = a.Status, maps.Clone(a.Header), body
+	return r
+}
+
+// FailedRecord returns the record of a run that ended with a problem.
+func FailedRecord(run *Run, server string, p *problem.Problem) Record {
+	r := run.Record()
+	r.Server = server
+	if p.Outcome == outcome.NotRun {
+		r.State = NotRun
+		r.Kind, r.Message = string(p.Kind), p.Message
+		return r
+	}
+	return unknownRecord(r, p)
+}
+
+func unknownRecord(r Record, p *problem.Problem) Record {
+	r.State = Unknown
+	r.Kind, r.Message = string(p.Kind), p.Message
+	return r
+}
+
+func lostWithHolder(r Record) Record {
+	r.State = Unknown
+	r.Kind = string(problem.KindHolderLost)
+	r.Message = fmt.Sprintf("the holder that dispatched request %s was lost before its answer", r.ID)
+	return r
+}
--- /dev/null
+++ b/internal/record/control.go
@@ -0,0 +1,251 @@
+package record
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/outcome"
+	"peridotmoor.org/peridotmoor/internal/problem"
+)
+
+const (
+	// mirrorCount is the number of mirrors a holder strives for, in two other failure domains.
+	mirrorCount = 2
+	// mirrorRetry is the pause before a mirror that failed is tried again.
+	mirrorRetry = time.Second
+	// proposeTimeout bounds one proposal to the witnesses.
+	proposeTimeout = 500 * time.Millisecond
+	// proposeRetry is the pause after a proposal that was not acknowledged by a majority.
+	proposeRetry = 50 * time.Millisecond
+)
+
+// control is the goroutine that owns the peers of one replicator.
+type control struct {
+	r          *replicator
+	candidates []authority.Instance
+	peers      []*peer
+	members    []authority.Instance
+	generation uint64
+	// dirty reports that the set differs from the one acknowledged last.
+	dirty bool
+	// avoided holds candidates that failed recently.
+	avoided map[authority.Instance]bool
+	retry   *time.Timer
+	deposed error
+}
+
+func newControl(r *replicator) *control {
+	retry := time.NewTimer(time.Hour)
+	retry.Stop()
+	return &control{r: r, avoided: map[authority.Instance]bool{}, retry: retry}
+}
+
+func (c *control) run() {
+	defer c.retry.Stop()
+	for {
+		select {
+		case event := <-c.r.events:
+			c.handle(event)
+		case <-c.retry.C:
+			clear(c.avoided)
+		case <-c.r.closed:
+			c.refuseAll(stoppedProblem(c.r))
+			return
+		}
+		if c.deposed == nil {
+			c.plan()
+			c.commit()
+		}
+	}
+}
+
+// handle applies one event. A deposed holder has no peers that events could concern.
+func (c *control) handle(event func(*control)) {
+	if c.deposed == nil {
+		event(c)
+	}
+}
+
+// plan starts to probe candidates while mirrors are missing, and lets a member
+// that is no candidate any more leave once it is replaced.
+func (c *control) plan() {
+	wanted, full := 0, 0
+	for _, p := range c.peers {
+		if p.state == peerLeaving || !slices.Contains(c.candidates, p.sender.to) {
+			continue
+		}
+		wanted++
+		if p.state == peerMember {
+			full++
+		}
+	}
+	for _, candidate := range c.candidates {
+		if wanted < mirrorCount && c.isNew(candidate) {
+			c.probe(candidate)
+			wanted++
+		}
+	}
+	if full >= min(mirrorCount, len(c.candidates)) && full > 0 {
+		c.retire()
+	}
+}
+
+func (c *control) isNew(candidate authority.Instance) bool {
+	known := slices.ContainsFunc(c.peers, func(p *peer) bool { return p.sender.to == candidate })
+	return !known && !c.avoided[candidate] && candidate != c.r.self
+}
+
+func (c *control) retire() {
+	for _, p := range c.peers {
+		if p.state == peerMember && !slices.Contains(c.candidates, p.sender.to) {
+			p.state = peerLeaving
+			c.dirty = true
+		}
+	}
+}
+
+// probe asks a candidate with an empty batch, so that no request waits for an
+// instance that does not respond.
+func (c *control) probe(candidate authority.Instance) {
+	p := &peer{sender: newSender(candidate)}
+	p.sender.copy = c.r.copyTo
+	p.sender.failed = func(_ *sender, err error) {
+		go c.r.post(func(c *control) { c.lost(p, err) })
+	}
+	c.peers = append(c.peers, p)
+	c.r.running.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), mirrorTimeout)
+		defer cancel()
+		err := c.r.copyTo(ctx, candidate, nil)
+		c.r.post(func(c *control) { c.probed(p, err) })
+	})
+}
+
+// probed makes requests wait for the peer from now on and starts its backfill.
+func (c *control) probed(p *peer, err error) {
+	if err != nil {
+		c.lost(p, err)
+		return
+	}
+	p.state = peerJoining
+	c.r.running.Go(p.sender.run)
+	c.publish()
+	c.r.running.Go(func() {
+		err := c.r.backfill(p.sender.to)
+		c.r.post(func(c *control) { c.backfilled(p, err) })
+	})
+}
+
+func (c *control) backfilled(p *peer, err error) {
+	if p.state != peerJoining {
+		return
+	}
+	if err != nil {
+		c.lost(p, err)
+		return
+	}
+	p.state = peerMember
+	c.dirty = true
+}
+
+// lost takes a peer out. One that no witness may know as a member leaves at
+// once; for any other, requests wait until a set without it is acknowledged.
+func (c *control) lost(p *peer, err error) {
+	if p.state == peerLeaving {
+		return
+	}
+	if errors.Is(err, errDeposed) {
+		c.deposed = err
+		c.refuseAll(problem.Wrap(err, problem.KindNotHolder, outcome.StageForwardUnsent,
+			"shard %s has a new holder", c.r.shard))
+		return
+	}
+	c.avoided[p.sender.to] = true
+	c.retry.Reset(mirrorRetry)
+	if p.proposed {
+		p.state = peerLeaving
+		c.dirty = true
+		return
+	}
+	c.remove(p)
+	c.publish()
+	c.stop(p, nil)
+	p.state = peerLeaving
+}
+
+func (c *control) remove(p *peer) {
+	c.peers = slices.DeleteFunc(c.peers, func(other *peer) bool { return other == p })
+}
+
+func (c *control) stop(p *peer, err error) {
+	if p.state != peerProbing {
+		p.sender.stop <- err
+	}
+}
+
+// commit proposes the set of members until a majority of the witnesses has it.
+func (c *control) commit() {
+	if !c.dirty {
+		return
+	}
+	set := c.nextSet()
+	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+	defer cancel()
+	if err := c.r.sets.Propose(ctx, set); err != nil {
+		c.retry.Reset(proposeRetry)
+		return
+	}
+	c.dirty = false
+	c.members = set.Members
+	left := slices.Clone(c.peers)
+	c.peers = slices.DeleteFunc(c.peers, func(p *peer) bool { return p.state == peerLeaving })
+	c.publish()
+	for _, p := range left {
+		if p.state == peerLeaving {
+			c.stop(p, nil)
+		}
+	}
+	if c.r.onSet != nil {
+		c.r.onSet(set)
+	}
+}
+
+func (c *control) nextSet() authority.MirrorSet {
+	c.generation = max(c.generation, c.r.sets.Mirrors().Generation) + 1
+	set := authority.MirrorSet{Generation: c.generation}
+	for _, p := range c.peers {
+		if p.state == peerMember {
+			p.proposed = true
+			set.Members = append(set.Members, p.sender.to)
+		}
+	}
+	return set
+}
+
+// publish makes requests wait for every peer that is or may become a member.
+func (c *control) publish() {
+	next := &targets{members: c.members}
+	for _, p := range c.peers {
+		if p.state != peerProbing {
+			next.senders = append(next.senders, p.sender)
+		}
+	}
+	c.r.targets.Store(next)
+}
+
+// refuseAll fails everything that is pending and every later request.
+func (c *control) refuseAll(err error) {
+	c.r.targets.Store(&targets{err: err})
+	for _, p := range c.peers {
+		c.stop(p, err)
+	}
+	c.peers = nil
+}
+
+func stoppedProblem(r *replicator) error {
+	return problem.New(problem.KindNotHolder, outcome.StageForwardUnsent,
+		"this instance does not hold shard %s any more", r.shard)
+}
--- /dev/null
+++ b/internal/record/copyreply.go
@@ -0,0 +1,10 @@
+package record
+
+import "peridotmoor.org/peridotmoor/internal/authority"
+
+// CopyReply says whether a mirror holds the records of a batch.
+type CopyReply struct {
+	Accepted bool
+	// Highest is the highest token that the mirror has accepted for the shard.
+	Highest authority.Token
+}
--- /dev/null
+++ b/internal/record/keeper.go
@@ -0,0 +1,119 @@
+package record
+
+import (
+	"context"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/key"
+)
+
+// KeeperOptions configures the records of one tenure of a shard.
+type KeeperOptions struct {
+	Shard key.ShardID
+	Token authority.Token
+	Self  authority.Instance
+	// Copier must reach this instance's own Mirror too when asked for Self.
+	Copier Copier
+	Sets   MirrorSets
+	// First reports that the shard never had a holder, so no record can exist.
+	First   bool
+	Records Options
+	// OnSet is called by the control goroutine after each acknowledged mirror set. It may be nil.
+	OnSet func(authority.MirrorSet)
+}
+
+// Keeper holds the request records of one shard during one tenure: the table,
+// its copies at the mirrors and the takeover from the holder before.
+type Keeper struct {
+	table      *Table
+	replicator *replicator
+	source     authority.Instance
+}
+
+// Open takes over the records of the previous holder and starts to copy to the
+// candidates set by SetCandidates. When no member of the latest mirror set can be
+// reached, every request created up to now counts as unknown.
+func Open(ctx context.Context, o KeeperOptions) *Keeper {
+	options := o.Records.withDefaults()
+	t := &takeover{
+		shard: o.Shard, token: o.Token, copier: o.Copier,
+		set: o.Sets.Mirrors(), first: o.First, skew: options.MaxClockSkew,
+	}
+	records, since := t.run(ctx)
+	table := NewTable(options, records, since)
+	r := &replicator{shard: o.Shard, self: o.Self, copier: o.Copier, sets: o.Sets, table: table, onSet: o.OnSet}
+	r.token.Store(&o.Token)
+	r.start()
+	return &Keeper{table: table, replicator: r, source: t.source}
+}
+
+// Source returns the mirror that the records were fetched from, or the zero
+// instance when there was none.
+func (k *Keeper) Source() authority.Instance {
+	return k.source
+}
+
+// CompleteSince returns the creation time from which on all requests are known.
+func (k *Keeper) CompleteSince() time.Time {
+	return k.table.CompleteSince()
+}
+
+// Len returns the number of records.
+func (k *Keeper) Len() int {
+	return k.table.Len()
+}
+
+// SetCandidates names the instances that may become mirrors, best first:
+// witnesses in other failure domains than the holder.
+func (k *Keeper) SetCandidates(candidates []authority.Instance) {
+	k.replicator.post(func(c *control) { c.candidates = candidates })
+}
+
+// SetToken replaces the token after the same holder has raised the epoch.
+func (k *Keeper) SetToken(token authority.Token) {
+	k.replicator.token.Store(&token)
+}
+
+// Mirrors returns the members of the mirror set acknowledged last.
+func (k *Keeper) Mirrors() []authority.Instance {
+	return k.replicator.targets.Load().members
+}
+
+// Begin decides what to do with a non-idempotent request that has arrived.
+func (k *Keeper) Begin(requestKey, id string, digest uint64, now time.Time) Decision {
+	return k.table.Begin(requestKey, id, digest, now)
+}
+
+// Ready returns nil while mirrors hold the records. Otherwise the error is a
+// *problem.Problem with outcome "not run".
+func (k *Keeper) Ready() error {
+	return k.replicator.ready()
+}
+
+// Copy returns nil once all mirrors know that the run may be dispatched. The
+// error is a *problem.Problem with outcome "not run".
+func (k *Keeper) Copy(ctx context.Context, run *Run) error {
+	return k.replicator.copyAll(ctx, run.Record())
+}
+
+// Conclude ends the run, wakes everyone who joined it and passes the end on to
+// the mirrors without waiting for them. A request that did not run stays
+// dispatched at the mirrors, which is the safe side.
+func (k *Keeper) Conclude(run *Run, r Record) {
+	r = k.table.Conclude(run, r)
+	if r.State != NotRun {
+		k.replicator.enqueue(r)
+	}
+}
+
+// Expire drops records older than the retention; the caller runs it once a second
+// so that an idle shard frees its memory too.
+func (k *Keeper) Expire(now time.Time) {
+	k.table.Expire(now)
+}
+
+// Close stops copying. Requests whose copies are pending are refused "not run".
+func (k *Keeper) Close() {
+	k.replicator.close()
+}
--- /dev/null
+++ b/internal/record/mirror.go
@@ -0,0 +1,114 @@
+package record
+
+import (
+	"sync"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/key"
+)
+
+// Mirror holds copies of other holders' request records in memory. One
+// goroutine per shard checks tokens and writes, so that a copy is either in
+// place before a new holder's fetch or refused after it.
+type Mirror struct {
+	self    authority.Instance
+	options Options
+	shards  sync.Map // key.ShardID to chan func(*copies)
+	closed  chan struct{}
+	running sync.WaitGroup
+	starts  chan func()
+}
+
+// NewMirror returns the mirror of one instance.
+func NewMirror(self authority.Instance, o Options) *Mirror {
+	m := &Mirror{self: self, options: o, closed: make(chan struct{}), starts: make(chan func())}
+	m.running.Go(m.startShards)
+	return m
+}
+
+// Copy stores a batch. It refuses one that is meant for another incarnation or
+// comes from a holder that has been replaced.
+func (m *Mirror) Copy(c CopyRequest) CopyReply {
+	var reply CopyReply
+	if c.To != m.self {
+		return reply
+	}
+	m.do(c.Shard, func(held *copies) { reply = held.write(c, time.Now()) })
+	return reply
+}
+
+// Fetch returns the records of a shard to a new holder, or ErrNoCopy.
+func (m *Mirror) Fetch(f FetchRequest) ([]Record, time.Time, error) {
+	if f.To != m.self {
+		return nil, time.Time{}, ErrNoCopy
+	}
+	var records []Record
+	var since time.Time
+	var ok bool
+	m.do(f.Shard, func(held *copies) { records, since, ok = held.read(f.Token, time.Now()) })
+	if !ok {
+		return nil, time.Time{}, ErrNoCopy
+	}
+	return records, since, nil
+}
+
+// Close stops all goroutines. Later calls are refused.
+func (m *Mirror) Close() {
+	close(m.closed)
+	m.running.Wait()
+}
+
+// do runs work in the shard's goroutine and waits for it.
+func (m *Mirror) do(shard key.ShardID, work func(*copies)) {
+	finished := make(chan struct{})
+	task := func(held *copies) {
+		work(held)
+		close(finished)
+	}
+	select {
+	case m.shard(shard) <- task:
+		<-finished
+	case <-m.closed:
+	}
+}
+
+func (m *Mirror) shard(shard key.ShardID) chan func(*copies) {
+	if tasks, ok := m.shards.Load(shard); ok {
+		return tasks.(chan func(*copies))
+	}
+	tasks := make(chan func(*copies))
+	if winner, loaded := m.shards.LoadOrStore(shard, tasks); loaded {
+		return winner.(chan func(*copies))
+	}
+	select {
+	case m.starts <- func() { m.runShard(tasks) }:
+	case <-m.closed:
+	}
+	return tasks
+}
+
+// startShards starts the goroutine of each shard on its first use. It is the
+// only place that does, so Close waits for all of them.
+func (m *Mirror) startShards() {
+	for {
+		select {
+		case run := <-m.starts:
+			m.running.Go(run)
+		case <-m.closed:
+			return
+		}
+	}
+}
+
+func (m *Mirror) runShard(tasks chan func(*copies)) {
+	held := newCopies(m.options)
+	for {
+		select {
+		case task := <-tasks:
+			task(held)
+		case <-m.closed:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/record/options.go
@@ -0,0 +1,45 @@
+package record
+
+import "time"
+
+// Defaults of the settings record_retention, max_clock_skew and record_limit.
+const (
+	DefaultRetention    = 120 * time.Second
+	DefaultMaxClockSkew = 2 * time.Second
+	DefaultLimit        = 65536
+	// DefaultKeptBytes bounds the kept answers of one shard.
+	DefaultKeptBytes = 16 << 20
+)
+
+// Options configures the records of one shard.
+type Options struct {
+	// Retention is how long after its creation a request ID is accepted.
+	Retention time.Duration
+	// MaxClockSkew is how far a caller's clock may be ahead.
+	MaxClockSkew time.Duration
+	// Limit is the largest number of records.
+	Limit int
+	// KeptBytes bounds the bodies of kept answers; beyond it answers are not kept.
+	KeptBytes int64
+}
+
+func (o Options) withDefaults() Options {
+	if o.Retention <= 0 {
+		o.Retention = DefaultRetention
+	}
+	if o.MaxClockSkew <= 0 {
+		o.MaxClockSkew = DefaultMaxClockSkew
+	}
+	if o.Limit <= 0 {
+		o.Limit = DefaultLimit
+	}
+	if o.KeptBytes <= 0 {
+		o.KeptBytes = DefaultKeptBytes
+	}
+	return o
+}
+
+// span is the number of seconds of which creation times may be in the table.
+func (o Options) span() int {
+	return int((o.Retention+2*o.MaxClockSkew)/time.Second) + 3
+}
--- /dev/null
+++ b/internal/record/pending.go
@@ -0,0 +1,35 @@
+package record
+
+import "sync/atomic"
+
+// pending is one record on its way to all mirrors.
+type pending struct {
+	record Record
+	// remaining counts the mirrors that have neither acknowledged nor left the set.
+	remaining atomic.Int32
+	failure   atomic.Pointer[error]
+	done      chan struct{}
+}
+
+func newPending(r Record, mirrors int) *pending {
+	p := &pending{record: r, done: make(chan struct{})}
+	p.remaining.Store(int32(mirrors))
+	return p
+}
+
+// settle counts one mirror. A non-nil err fails the record.
+func (p *pending) settle(err error) {
+	if err != nil {
+		p.failure.CompareAndSwap(nil, &err)
+	}
+	if p.remaining.Add(-1) == 0 {
+		close(p.done)
+	}
+}
+
+func (p *pending) err() error {
+	if failure := p.failure.Load(); failure != nil {
+		return *failure
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/record/replicator.go
@@ -0,0 +1,160 @@
+package record
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/key"
+	"peridotmoor.org/peridotmoor/internal/outcome"
+	"peridotmoor.org/peridotmoor/internal/problem"
+)
+
+// errDeposed means that a mirror has accepted a higher token.
+var errDeposed = errors.New("a mirror follows a holder with a higher token")
+
+// errMirrorRefused means that a mirror does not accept copies although no other
+// holder is known to it: it is another incarnation.
+var errMirrorRefused = errors.New("the mirror is another incarnation")
+
+// replicator copies the records of one shard from its holder to the mirrors and
+// keeps the mirror set agreed with the witnesses. Requests read an immutable
+// list of targets; one control goroutine changes it.
+type replicator struct {
+	shard   key.ShardID
+	self    authority.Instance
+	copier  Copier
+	sets    MirrorSets
+	table   *Table
+	token   atomic.Pointer[authority.Token]
+	targets atomic.Pointer[targets]
+	events  chan func(*control)
+	closed  chan struct{}
+	running sync.WaitGroup
+	onSet   func(authority.MirrorSet)
+}
+
+func (r *replicator) start() {
+	r.events = make(chan func(*control))
+	r.closed = make(chan struct{})
+	r.targets.Store(&targets{})
+	r.running.Go(newControl(r).run)
+}
+
+func (r *replicator) close() {
+	close(r.closed)
+	r.running.Wait()
+}
+
+// post hands an event to the control goroutine.
+func (r *replicator) post(event func(*control)) {
+	select {
+	case r.events <- event:
+	case <-r.closed:
+	}
+}
+
+// copyAll returns nil once all mirrors have the record.
+func (r *replicator) copyAll(ctx context.Context, record Record) error {
+	if err := r.ready(); err != nil {
+		return err
+	}
+	p := r.enqueue(record)
+	select {
+	case <-p.done:
+	case <-ctx.Done():
+		return problem.Wrap(context.Cause(ctx), problem.KindMirrorUnavailable, outcome.StageQueued,
+			"the mirrors of shard %s did not acknowledge the record in time", r.shard)
+	}
+	if err := p.err(); err != nil {
+		return err
+	}
+	return r.ready()
+}
+
+// ready refuses while no mirror holds the records: an empty set leaves no proof
+// of a dispatch if this holder is lost.
+func (r *replicator) ready() error {
+	set := r.targets.Load()
+	if set.err != nil {
+		return set.err
+	}
+	if len(set.members) == 0 {
+		p := problem.New(problem.KindMirrorUnavailable, outcome.StageQueued,
+			"no mirror holds the request records of shard %s", r.shard)
+		return p.WithRetryAfter(mirrorRetry)
+	}
+	return nil
+}
+
+// enqueue queues the record for all mirrors. The record is in the table before
+// the targets are read: a mirror that joins afterwards gets it by the backfill.
+func (r *replicator) enqueue(record Record) *pending {
+	set := r.targets.Load()
+	p := newPending(record, len(set.senders))
+	if len(set.senders) == 0 {
+		close(p.done)
+	}
+	for _, s := range set.senders {
+		s.send(p)
+	}
+	return p
+}
+
+// copyTo sends one batch and turns a refusal into an error.
+func (r *replicator) copyTo(ctx context.Context, to authority.Instance, records []Record) error {
+	token := *r.token.Load()
+	reply, err := r.copier.Copy(ctx, to, CopyRequest{
+		Shard: r.shard, Token: token, Holder: r.self, To: to, Records: records,
+		CompleteSince: r.table.CompleteSince(),
+	})
+	switch {
+	case err != nil:
+		return errors.Wrapf(err, "copy to mirror %s", to)
+	case reply.Accepted:
+		return nil
+	case token.Less(reply.Highest):
+		return errors.Wrapf(errDeposed, "mirror %s has accepted %s", to, reply.Highest)
+	default:
+		return errors.Wrapf(errMirrorRefused, "mirror %s", to)
+	}
+}
+
+const (
+	// backfillRecords and backfillBytes bound one message of a backfill.
+	backfillRecords = 512
+	backfillBytes   = 256 << 10
+	// backfillTimeout bounds one message of a backfill, which is larger than a
+	// request's and not waited for by any request.
+	backfillTimeout = time.Second
+)
+
+// backfill copies all records of the table. The last message may be empty: it
+// tells the mirror the complete since time.
+func (r *replicator) backfill(to authority.Instance) error {
+	var batch []Record
+	size := 0
+	var failure error
+	r.table.Snapshot(func(record Record) {
+		batch = append(batch, record)
+		size += len(record.Body)
+		if failure != nil || len(batch) < backfillRecords && size < backfillBytes {
+			return
+		}
+		failure = r.copyBatch(to, batch)
+		batch, size = nil, 0
+	})
+	if failure != nil {
+		return failure
+	}
+	return r.copyBatch(to, batch)
+}
+
+func (r *replicator) copyBatch(to authority.Instance, batch []Record) error {
+	ctx, cancel := context.WithTimeout(context.Background(), backfillTimeout)
+	defer cancel()
+	return r.copyTo(ctx, to, batch)
+}
--- /dev/null
+++ b/internal/record/sender.go
@@ -0,0 +1,100 @@
+package record
+
+import (
+	"context"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+)
+
+// mirrorTimeout is how long a mirror may take before it is dropped from the set.
+// A round trip between failure domains takes 3 ms; 50 ms covers a short pause.
+const mirrorTimeout = 50 * time.Millisecond
+
+// sender copies records to one mirror. One message at a time is on its way; it
+// carries everything that arrived while the previous one was.
+type sender struct {
+	to   authority.Instance
+	copy func(ctx context.Context, to authority.Instance, records []Record) error
+	// failed is called once, when the mirror has not acknowledged a message.
+	failed func(*sender, error)
+	inbox  chan *pending
+	// stop gets the error with which everything that is pending is settled.
+	stop    chan error
+	stopped chan struct{}
+	// final is that error; it is set before stopped is closed.
+	final error
+}
+
+func newSender(to authority.Instance) *sender {
+	return &sender{
+		to:      to,
+		inbox:   make(chan *pending),
+		stop:    make(chan error, 1),
+		stopped: make(chan struct{}),
+	}
+}
+
+// send queues a record. The inbox is unbuffered, so a record is either taken by
+// the running sender or settled here once it has stopped.
+func (s *sender) send(p *pending) {
+	select {
+	case s.inbox <- p:
+	case <-s.stopped:
+		p.settle(s.final)
+	}
+}
+
+func (s *sender) run() {
+	var batch, flight []*pending
+	var result chan error
+	broken := false
+	for {
+		if len(batch) > 0 && result == nil && !broken {
+			flight, batch = batch, nil
+			result = s.launch(flight)
+		}
+		select {
+		case p := <-s.inbox:
+			batch = append(batch, p)
+		case err := <-result:
+			result = nil
+			if err != nil {
+				broken = true
+				batch = append(flight, batch...)
+				s.failed(s, err)
+				continue
+			}
+			settleAll(flight, nil)
+		case err := <-s.stop:
+			s.final = err
+			close(s.stopped)
+			if result != nil {
+				settleAll(flight, err)
+			}
+			settleAll(batch, err)
+			return
+		}
+	}
+}
+
+// launch sends one message and returns the channel that gets its result.
+func (s *sender) launch(flight []*pending) chan error {
+	records := make([]Record, len(flight))
+	for i, p := range flight {
+		records[i] = p.record
+	}
+	result := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), mirrorTimeout)
+		defer cancel()
+		result <- s.copy(ctx, s.to, records)
+	}()
+	return result
+}
+
+func settleAll(all []*pending, err error) {
+	for _, p := range all {
+		p.settle(err)
+	}
+}
--- /dev/null
+++ b/internal/record/takeover.go
@@ -0,0 +1,76 @@
+package record
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/key"
+)
+
+// fetchTimeout bounds the fetch at a takeover, which must end well within 1 s.
+const fetchTimeout = 300 * time.Millisecond
+
+// takeover reads the records of the previous holder from a mirror.
+type takeover struct {
+	shard  key.ShardID
+	token  authority.Token
+	copier Copier
+	// set is the latest mirror set that a majority of the witnesses knows.
+	set authority.MirrorSet
+	// first reports that the shard never had a holder.
+	first  bool
+	skew   time.Duration
+	source authority.Instance
+}
+
+// fetched is what one member of the mirror set returned.
+type fetched struct {
+	from          authority.Instance
+	records       []Record
+	completeSince time.Time
+	err           error
+}
+
+// run returns the records and the time since when they are complete. Any member
+// will do: a request is dispatched only after all members have its record.
+func (t *takeover) run(ctx context.Context) ([]Record, time.Time) {
+	if t.first {
+		return nil, time.UnixMilli(1)
+	}
+	found, err := t.fetchAny(ctx)
+	if err != nil {
+		return nil, time.Now().Add(2 * t.skew)
+	}
+	t.source = found.from
+	return found.records, found.completeSince
+}
+
+func (t *takeover) fetchAny(ctx context.Context) (fetched, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	results := make(chan fetched, len(t.set.Members))
+	for _, member := range t.set.Members {
+		go func() { results <- t.fetch(ctx, member) }()
+	}
+	failure := errors.New("the mirror set is empty")
+	for range t.set.Members {
+		select {
+		case f := <-results:
+			if f.err == nil {
+				return f, nil
+			}
+			failure = f.err
+		case <-ctx.Done():
+			return fetched{}, errors.Wrap(ctx.Err(), "fetch request records")
+		}
+	}
+	return fetched{}, failure
+}
+
+func (t *takeover) fetch(ctx context.Context, member authority.Instance) fetched {
+	request := FetchRequest{Shard: t.shard, Token: t.token, To: member}
+	records, since, err := t.copier.Fetch(ctx, member, request)
+	return fetched{from: member, records: records, completeSince: since, err: err}
+}
--- /dev/null
+++ b/internal/record/targets.go
@@ -0,0 +1,12 @@
+package record
+
+import "peridotmoor.org/peridotmoor/internal/authority"
+
+// targets is the immutable list of mirrors that a record is copied to.
+type targets struct {
+	senders []*sender
+	// members is the mirror set that a majority of the witnesses has acknowledged.
+	members []authority.Instance
+	// err refuses all requests, once the holder has been replaced or stopped.
+	err error
+}
