Test a fault at each stage of a dispatch

Fake servers note what they run; their log judges outcome and number of runs. Seen failing with each of these taken out: the unknown outcome of an earlier attempt, the check of the request ID, the retry rule, the check for a short answer, the release of a cancelled slot.

--- /dev/null
+++ b/internal/dispatch/fakenetwork_test.go
@@ -0,0 +1,87 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/record"
+)
+
+// fakeNetwork carries records between mirrors in memory. An instance that is
+// lost does not respond.
+type fakeNetwork struct {
+	mu      sync.Mutex
+	mirrors map[authority.Instance]*record.Mirror
+	lost    map[authority.Instance]bool
+	all     []*record.Mirror
+	delay   time.Duration
+	// ignoreTokens takes the mirrors' token check out.
+	ignoreTokens bool
+}
+
+func newFakeNetwork() *fakeNetwork {
+	return &fakeNetwork{
+		mirrors: map[authority.Instance]*record.Mirror{},
+		lost:    map[authority.Instance]bool{},
+		delay:   time.Millisecond,
+	}
+}
+
+func (n *fakeNetwork) add(i authority.Instance) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m := record.NewMirror(i, record.Options{})
+	n.mirrors[i] = m
+	n.all = append(n.all, m)
+}
+
+func (n *fakeNetwork) setLost(i authority.Instance, lost bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lost[i] = lost
+}
+
+func (n *fakeNetwork) close() {
+	for _, m := range n.all {
+		m.Close()
+	}
+}
+
+// reach returns the mirror after the delay, or an error once ctx ends.
+func (n *fakeNetwork) reach(ctx context.Context, i authority.Instance) (*record.Mirror, error) {
+	if err := pause(ctx, n.delay); err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	m, lost := n.mirrors[i], n.lost[i]
+	n.mu.Unlock()
+	if m == nil || lost {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return m, nil
+}
+
+// Copy implements record.Copier.
+func (n *fakeNetwork) Copy(ctx context.Context, to authority.Instance, c record.CopyRequest) (record.CopyReply, error) {
+	m, err := n.reach(ctx, to)
+	if err != nil {
+		return record.CopyReply{}, err
+	}
+	reply := m.Copy(c)
+	if n.ignoreTokens {
+		reply = record.CopyReply{Accepted: true, Highest: c.Token}
+	}
+	return reply, pause(ctx, n.delay)
+}
+
+// Fetch implements record.Copier.
+func (n *fakeNetwork) Fetch(ctx context.Context, to authority.Instance, f record.FetchRequest) ([]record.Record, time.Time, error) {
+	m, err := n.reach(ctx, to)
+	if err != nil {
+		return nil, time.Time{}, err
+	}
+	return m.Fetch(f)
+}
--- /dev/null
+++ b/internal/dispatch/fakewitnesses_test.go
@@ -0,0 +1,56 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+	"peridotmoor.org/peridotmoor/internal/authority"
+)
+
+// fakeWitnesses stands for the majority of the witnesses: one place that
+// follows the highest token and keeps the latest mirror set.
+type fakeWitnesses struct {
+	mu      sync.Mutex
+	highest authority.Token
+	set     authority.MirrorSet
+}
+
+// promise makes token the only one whose proposals are accepted.
+func (f *fakeWitnesses) promise(token authority.Token) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.highest = token
+}
+
+func (f *fakeWitnesses) propose(token authority.Token, set authority.MirrorSet) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if token != f.highest {
+		return errors.New("the witnesses follow another holder")
+	}
+	f.set = set
+	return nil
+}
+
+func (f *fakeWitnesses) current() authority.MirrorSet {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.set
+}
+
+// fakeSets is the view that one holder has of the witnesses.
+type fakeSets struct {
+	witnesses *fakeWitnesses
+	token     authority.Token
+}
+
+// Mirrors implements record.MirrorSets.
+func (f *fakeSets) Mirrors() authority.MirrorSet {
+	return f.witnesses.current()
+}
+
+// Propose implements record.MirrorSets.
+func (f *fakeSets) Propose(_ context.Context, set authority.MirrorSet) error {
+	return f.witnesses.propose(f.token, set)
+}
--- /dev/null
+++ b/internal/dispatch/faults_test.go
@@ -0,0 +1,132 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/outcome"
+	"peridotmoor.org/peridotmoor/internal/problem"
+	"peridotmoor.org/peridotmoor/internal/request"
+)
+
+// world is a first holder with two mirrors and its servers.
+type world struct {
+	network   *fakeNetwork
+	witnesses *fakeWitnesses
+	log       *runLog
+	holder    *holder
+}
+
+func newWorld(keyed bool, slots int, limits Limits, servers ...*fakeServer) *world {
+	w := &world{network: newFakeNetwork(), witnesses: &fakeWitnesses{}, log: servers[0].log}
+	for i := range 4 {
+		w.network.add(instance(i))
+	}
+	token := authority.Token{Epoch: 1, Ballot: 1}
+	w.witnesses.promise(token)
+	w.holder = newHolder(holderOptions{
+		self: instance(0), token: token, network: w.network, witnesses: w.witnesses,
+		candidates: []authority.Instance{instance(1), instance(2)}, first: true,
+		keyed: keyed, slots: slots, limits: limits, servers: servers,
+	})
+	return w
+}
+
+func (w *world) close() {
+	w.holder.close()
+	w.network.close()
+}
+
+// handle runs a request and reads its whole answer.
+func (h *holder) handle(ctx context.Context, r *request.Request) (string, error) {
+	answer, err := h.dispatcher.Handle(ctx, r)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	content, err := io.ReadAll(answer.Body)
+	return string(content), err
+}
+
+// Guards against an outcome that the run log of the server contradicts, and
+// against a second run of a non-idempotent request, for a fault at each stage of
+// a dispatch.
+func TestFaultsOfOneDispatch(t *testing.T) {
+	type want struct {
+		outcome outcome.Outcome
+		kind    problem.Kind
+		runs    int
+	}
+	once := answerAfter(time.Millisecond)
+	cases := []struct {
+		name   string
+		script []behaviour
+		// plain and idempotent are what a request of that kind gets.
+		plain, idempotent want
+	}{
+		{"no fault", nil,
+			want{outcome.Answered, "", 1}, want{outcome.Answered, "", 1}},
+		{"connection refused once", []behaviour{refuseConnection},
+			want{outcome.Answered, "", 1}, want{outcome.Answered, "", 1}},
+		{"connection always refused", []behaviour{refuseConnection, refuseConnection, refuseConnection},
+			want{outcome.NotRun, problem.KindConnectFailed, 0}, want{outcome.NotRun, problem.KindConnectFailed, 0}},
+		{"shed once", []behaviour{shed},
+			want{outcome.Answered, "", 1}, want{outcome.Answered, "", 1}},
+		{"reset within the request", []behaviour{resetWithin},
+			want{outcome.Unknown, problem.KindAnswerLost, 0}, want{outcome.Answered, "", 1}},
+		{"reset after the request", []behaviour{resetAfter},
+			want{outcome.Unknown, problem.KindAnswerLost, 1}, want{outcome.Answered, "", 2}},
+		{"reset, then refused", []behaviour{resetAfter, refuseConnection, refuseConnection},
+			want{outcome.Unknown, problem.KindAnswerLost, 1}, want{outcome.Unknown, problem.KindConnectFailed, 1}},
+		{"silence after the request", []behaviour{silence},
+			want{outcome.Unknown, problem.KindDeadlinePassed, 1}, want{outcome.Unknown, problem.KindDeadlinePassed, 1}},
+		{"headers, then silence", []behaviour{headersThenSilence},
+			want{outcome.Unknown, problem.KindDeadlinePassed, 1}, want{outcome.Unknown, problem.KindDeadlinePassed, 1}},
+		{"short body", []behaviour{shortBody},
+			want{outcome.Unknown, problem.KindAnswerShort, 1}, want{outcome.Answered, "", 2}},
+		{"answer to another request", []behaviour{crossed},
+			want{outcome.Unknown, problem.KindAnswerCrossed, 1}, want{outcome.Answered, "", 2}},
+		{"run after the caller gave up", []behaviour{runsAfterGiveUp},
+			want{outcome.Unknown, problem.KindDeadlinePassed, 1}, want{outcome.Unknown, problem.KindDeadlinePassed, 1}},
+		{"crash of the server", []behaviour{crash},
+			want{outcome.Unknown, problem.KindAnswerLost, 1}, want{outcome.Answered, "", 2}},
+	}
+	for _, c := range cases {
+		for _, idempotent := range []bool{false, true} {
+			expected := c.plain
+			name := c.name + ", not idempotent"
+			if idempotent {
+				expected = c.idempotent
+				name = c.name + ", idempotent"
+			}
+			t.Run(name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					server := newFakeServer("bosho-01", newRunLog(), once, c.script...)
+					w := newWorld(true, 3, Limits{}, server)
+					defer w.close()
+					r := newRequest(idempotent)
+					text, err := w.holder.handle(t.Context(), r)
+					time.Sleep(5 * time.Second)
+					synctest.Wait()
+					is.Equal(w.log.count(r.ID), expected.runs)
+					is.Equal(w.holder.targets[0].Gate.Outstanding(), 0)
+					is.Equal(w.holder.views.Load().Ranges[0].State.InFlight.Load(), int64(0))
+					if expected.outcome == outcome.Answered {
+						is.NoErr(err)
+						is.Equal(text, "answer to "+r.ID)
+						return
+					}
+					is.True(err != nil)
+					is.Equal(problem.From(err).Outcome, expected.outcome)
+					is.Equal(problem.From(err).Kind, expected.kind)
+				})
+			})
+		}
+	}
+}
