Add the backend server stand-ins

Many servers in one process, each on its own loopback port, with grants by range and expiry on their own clocks, slots, cold starts, stragglers, freezes, crashes and broken answers. Grant gets a sequence number, so that a delayed grant of the same token cannot bring back a range that was moved away.

--- a/internal/backend/grant.go
+++ b/internal/backend/grant.go
@@ -13,4 +13,7 @@
 	// Expiry is when the grant ends, on the server's own monotonic clock. 0 asks
 	// for the clock only and changes nothing.
 	Expiry time.Duration
+	// Sequence orders the grants of one token, so that a delayed grant does not
+	// replace a later one; 0 leaves the order unchecked.
+	Sequence uint64
 }
--- a/internal/backend/httpbackend/messages.go
+++ b/internal/backend/httpbackend/messages.go
@@ -58,6 +58,7 @@
 	OrderCall
 	Ranges   []RangeCall `json:"ranges"`
 	ExpiryNS int64       `json:"expiry_ns"`
+	Sequence uint64      `json:"sequence,omitempty"`
 }
 
 // RangeCall is a half-open range of hashes.
@@ -68,7 +69,12 @@
 
 // GrantCallOf encodes a grant.
 func GrantCallOf(grant backend.Grant) GrantCall {
-	call := GrantCall{OrderCall: OrderCallOf(grant.Order), Ranges: []RangeCall{}, ExpiryNS: int64(grant.Expiry)}
+	call := GrantCall{
+		OrderCall: OrderCallOf(grant.Order),
+		Ranges:    []RangeCall{},
+		ExpiryNS:  int64(grant.Expiry),
+		Sequence:  grant.Sequence,
+	}
 	for _, r := range grant.Ranges {
 		call.Ranges = append(call.Ranges, RangeCall{Start: hex(r.Start), End: hex(r.End)})
 	}
@@ -81,7 +87,7 @@
 	if err != nil {
 		return backend.Grant{}, err
 	}
-	grant := backend.Grant{Order: order, Expiry: time.Duration(c.ExpiryNS)}
+	grant := backend.Grant{Order: order, Expiry: time.Duration(c.ExpiryNS), Sequence: c.Sequence}
 	for _, r := range c.Ranges {
 		start, errStart := strconv.ParseUint(r.Start, 16, 64)
 		end, errEnd := strconv.ParseUint(r.End, 16, 64)
--- /dev/null
+++ b/internal/dev/ownership/interval.go
@@ -0,0 +1,23 @@
+// Package ownership watches which backend server owns which keys, as seen by
+// the servers themselves, and finds keys with two owners at a time.
+package ownership
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/key"
+)
+
+// Interval is a time during which one server owned a range.
+type Interval struct {
+	Service string    `json:"service"`
+	Server  string    `json:"server"`
+	Range   key.Range `json:"range"`
+	From    time.Time `json:"from"`
+	// Until is when the ownership ended, or will end unless renewed.
+	Until time.Time `json:"until"`
+}
+
+func (i *Interval) coversAt(now time.Time) bool {
+	return now.Before(i.Until)
+}
--- /dev/null
+++ b/internal/dev/servers/fleetcontrol.go
@@ -0,0 +1,134 @@
+package servers
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/backend"
+	"peridotmoor.org/peridotmoor/internal/dev/ownership"
+	"peridotmoor.org/peridotmoor/internal/dev/runlog"
+)
+
+// Listed is one server in the answer to GET /dev/servers.
+type Listed struct {
+	Name        string `json:"name"`
+	Service     string `json:"service"`
+	Domain      string `json:"domain"`
+	Address     string `json:"address"`
+	Incarnation string `json:"incarnation"`
+}
+
+// Evidence is the answer to GET /dev/runlog.
+type Evidence struct {
+	Runs []runlog.Run `json:"runs"`
+	// Dropped counts the runs and intervals that did not fit; the evidence is whole only when it is 0.
+	Dropped   int                  `json:"dropped"`
+	Overlaps  []ownership.Overlap  `json:"overlaps"`
+	Intervals []ownership.Interval `json:"intervals"`
+}
+
+func (f *Fleet) controlRoutes() *mux.Router {
+	routes := mux.NewRouter()
+	routes.HandleFunc("/dev/servers", f.serveList).Methods(http.MethodGet)
+	routes.HandleFunc("/dev/servers/{name}/{action}", f.serveAction).Methods(http.MethodPost)
+	routes.HandleFunc("/dev/runlog", f.serveEvidence).Methods(http.MethodGet)
+	return routes
+}
+
+func (f *Fleet) serveList(w http.ResponseWriter, _ *http.Request) {
+	listed := []Listed{}
+	for _, name := range f.Names() {
+		s := f.servers[name]
+		listed = append(listed, Listed{
+			Name:        name,
+			Service:     s.config.Service,
+			Domain:      s.config.Domain,
+			Address:     s.Address(),
+			Incarnation: s.Incarnation(),
+		})
+	}
+	writeJSON(w, http.StatusOK, listed)
+}
+
+func (f *Fleet) serveEvidence(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, f.Evidence())
+}
+
+// Evidence returns all that the servers have recorded.
+func (f *Fleet) Evidence() Evidence {
+	runs, droppedRuns := f.log.Snapshot()
+	intervals, droppedIntervals := f.monitor.Intervals()
+	return Evidence{
+		Runs:      runs,
+		Dropped:   droppedRuns + droppedIntervals,
+		Overlaps:  f.monitor.Overlaps(),
+		Intervals: intervals,
+	}
+}
+
+func (f *Fleet) serveAction(w http.ResponseWriter, r *http.Request) {
+	vars := mux.Vars(r)
+	server := f.servers[vars["name"]]
+	if server == nil {
+		http.Error(w, "no server is called "+strconv.Quote(vars["name"]), http.StatusNotFound)
+		return
+	}
+	if err := server.act(vars["action"], r.URL.Query().Get("value")); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// act runs one action of the control endpoint; value is its argument.
+func (s *Server) act(action, value string) error {
+	switch action {
+	case "crash":
+		s.Crash()
+	case "start":
+		return s.Start()
+	case "freeze":
+		s.Freeze()
+	case "thaw":
+		s.Thaw()
+	case "cold":
+		s.TurnCold()
+	case "fault":
+		s.FailNext(Fault(value))
+	case "leaving":
+		return withBool(value, s.SetLeaving)
+	case "shedding":
+		return withBool(value, s.SetShedding)
+	case "mislead":
+		return withBool(value, s.mislead)
+	case "slow":
+		factor, err := strconv.ParseFloat(value, 64)
+		if err != nil || factor < 0 {
+			return errors.Errorf("factor %q is not a number of 0 or more", value)
+		}
+		s.SetSlow(factor)
+	default:
+		return errors.Errorf("unknown action %q; use crash, start, freeze, thaw, cold, fault, leaving, shedding, mislead or slow", action)
+	}
+	return nil
+}
+
+func withBool(value string, set func(bool)) error {
+	parsed, err := strconv.ParseBool(value)
+	if err != nil {
+		return errors.Errorf("value %q is not true or false", value)
+	}
+	set(parsed)
+	return nil
+}
+
+func (s *Server) mislead(on bool) {
+	if !on {
+		s.MisleadHealth(nil)
+		return
+	}
+	s.MisleadHealth(&backend.Health{Accepting: true, Incarnation: s.Incarnation()})
+}
--- /dev/null
+++ b/internal/dev/servers/freezer.go
@@ -0,0 +1,36 @@
+package servers
+
+import (
+	"context"
+	"sync/atomic"
+)
+
+// freezer halts all work of a server, as a stopped process does: nothing is
+// read, run or answered, and what has arrived is handled after the thaw.
+type freezer struct {
+	// thawed is nil while the server is not frozen, and closed by the thaw.
+	thawed atomic.Pointer[chan struct{}]
+}
+
+func (f *freezer) freeze() {
+	fresh := make(chan struct{})
+	f.thawed.CompareAndSwap(nil, &fresh)
+}
+
+func (f *freezer) thaw() {
+	if frozen := f.thawed.Swap(nil); frozen != nil {
+		close(*frozen)
+	}
+}
+
+// wait returns when the server is not frozen or its life has ended.
+func (f *freezer) wait(life context.Context) {
+	frozen := f.thawed.Load()
+	if frozen == nil {
+		return
+	}
+	select {
+	case <-*frozen:
+	case <-life.Done():
+	}
+}
--- /dev/null
+++ b/internal/dev/servers/holding.go
@@ -0,0 +1,45 @@
+package servers
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/key"
+)
+
+// holding is what one shard has granted to a server. It is immutable.
+type holding struct {
+	// highest is the highest token seen for the shard.
+	highest authority.Token
+	// sequence is that of the last accepted grant with the highest token.
+	sequence uint64
+	ranges   []key.Range
+	// expiry is on the server's clock.
+	expiry time.Duration
+}
+
+// owns reports whether h is granted at the reading now of the server's clock.
+func (h holding) owns(hash key.Hash, now time.Duration) bool {
+	if now >= h.expiry {
+		return false
+	}
+	for _, r := range h.ranges {
+		if r.Contains(hash) {
+			return true
+		}
+	}
+	return false
+}
+
+// holdings maps shards to what they have granted. It is immutable.
+type holdings map[key.ShardID]holding
+
+// with returns a copy in which shard has granted h.
+func (all holdings) with(shard key.ShardID, h holding) holdings {
+	next := make(holdings, len(all)+1)
+	for id, other := range all {
+		next[id] = other
+	}
+	next[shard] = h
+	return next
+}
--- /dev/null
+++ b/internal/dev/servers/listener.go
@@ -0,0 +1,78 @@
+package servers
+
+import (
+	"net"
+	"sync"
+)
+
+// listener tracks the connections of one life, so that a crash can reset them.
+type listener struct {
+	net.Listener
+	limit int
+
+	mu     sync.Mutex
+	conns  map[*conn]bool
+	closed bool
+}
+
+// conn is one tracked connection.
+type conn struct {
+	*net.TCPConn
+	owner *listener
+}
+
+func newListener(inner net.Listener, limit int) *listener {
+	return &listener{Listener: inner, limit: limit, conns: map[*conn]bool{}}
+}
+
+// Accept returns the next connection within the limit; further ones are reset.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{TCPConn: accepted.(*net.TCPConn), owner: l}
+		if l.add(c) {
+			return c, nil
+		}
+		c.reset()
+	}
+}
+
+func (l *listener) add(c *conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || len(l.conns) >= l.limit {
+		return false
+	}
+	l.conns[c] = true
+	return true
+}
+
+// resetAll stops listening and resets every connection.
+func (l *listener) resetAll() {
+	_ = l.Listener.Close()
+	l.mu.Lock()
+	conns := l.conns
+	l.conns = map[*conn]bool{}
+	l.closed = true
+	l.mu.Unlock()
+	for c := range conns {
+		c.reset()
+	}
+}
+
+// Close closes the connection and stops tracking it.
+func (c *conn) Close() error {
+	c.owner.mu.Lock()
+	delete(c.owner.conns, c)
+	c.owner.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+// reset closes the connection with a TCP reset, as the end of a process does.
+func (c *conn) reset() {
+	_ = c.SetLinger(0)
+	_ = c.Close()
+}
--- /dev/null
+++ b/internal/dev/servers/server.go
@@ -0,0 +1,159 @@
+package servers
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/backend"
+	"peridotmoor.org/peridotmoor/internal/dev/ownership"
+	"peridotmoor.org/peridotmoor/internal/dev/runlog"
+)
+
+// Server is one backend server. Requests read its state through atomics; start,
+// crash and grants take the lock.
+type Server struct {
+	config  Config
+	log     *runlog.Log
+	monitor *ownership.Monitor
+	clock   *clock
+	freezer freezer
+
+	life     atomic.Pointer[life]
+	holdings atomic.Pointer[holdings]
+	leaving  atomic.Bool
+	shedding atomic.Bool
+	slow     atomic.Int64 // factor in percent
+	fault    atomic.Pointer[Fault]
+	sequence atomic.Uint64
+	health   *lagged[backend.Health]
+	misled   atomic.Pointer[backend.Health]
+	load     *lagged[backend.Load]
+
+	mu      sync.Mutex
+	address string
+	closed  bool
+}
+
+// NewServer returns a server that is not started.
+func NewServer(config Config, log *runlog.Log, monitor *ownership.Monitor) *Server {
+	config = config.withDefaults()
+	s := &Server{
+		config:  config,
+		log:     log,
+		monitor: monitor,
+		clock:   newClock(config.ClockDrift, time.Duration(config.Seed%1000)*time.Second),
+		health:  newLagged(config.ReportLag, backend.Health{Accepting: true}),
+		load:    newLagged(config.ReportLag, backend.Load{}),
+		address: config.Address,
+	}
+	s.holdings.Store(&holdings{})
+	s.slow.Store(100)
+	return s
+}
+
+// Start starts the first incarnation, or a new one after a crash.
+func (s *Server) Start() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return errors.Errorf("server %s was closed", s.config.Name)
+	}
+	if s.life.Load() != nil {
+		return errors.Errorf("server %s is running already", s.config.Name)
+	}
+	first := s.address == s.config.Address
+	fresh, err := newLife(s.config, s.address, s.handler)
+	if err != nil {
+		return err
+	}
+	if first && s.config.Warm {
+		fresh.cold.turnWarm()
+	}
+	s.address = fresh.listener.Addr().String()
+	s.leaving.Store(false)
+	s.life.Store(fresh)
+	s.report()
+	return nil
+}
+
+// Crash ends the incarnation. Its connections are reset, its runs cut off, its grants gone.
+func (s *Server) Crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := s.life.Swap(nil)
+	if current == nil {
+		return
+	}
+	// The runs end before the grants, so that no run is outside a grant.
+	current.stop()
+	s.freezer.thaw()
+	for shard := range *s.holdings.Load() {
+		now := time.Now()
+		s.monitor.Set(shard, s.config.Name, nil, now, now)
+	}
+	s.holdings.Store(&holdings{})
+	s.report()
+}
+
+// crashAndRestart crashes the server and starts it again as its supervisor would.
+func (s *Server) crashAndRestart() {
+	s.Crash()
+	if s.config.RestartAfter > 0 {
+		time.AfterFunc(s.config.RestartAfter, func() { _ = s.Start() })
+	}
+}
+
+// Close crashes the server for good.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	s.Crash()
+}
+
+// Address returns host:port of the server; it stays the same after a restart.
+func (s *Server) Address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.address
+}
+
+// Incarnation returns the ID of the running incarnation, or "" after a crash.
+func (s *Server) Incarnation() string {
+	if current := s.life.Load(); current != nil {
+		return current.incarnation
+	}
+	return ""
+}
+
+// Config returns the configuration of the server.
+func (s *Server) Config() Config {
+	return s.config
+}
+
+// report records the current state for the lagging health and load reports.
+func (s *Server) report() {
+	now := time.Now()
+	health := backend.Health{Leaving: s.leaving.Load()}
+	load := backend.Load{}
+	if current := s.life.Load(); current != nil {
+		health.Accepting = !health.Leaving && !s.shedding.Load()
+		load.Running = int(current.running.Load())
+		load.Utilization = float64(load.Running) / float64(s.config.Slots)
+	}
+	s.health.set(now, health)
+	s.load.set(now, load)
+}
+
+func (s *Server) handler(l *life) http.Handler {
+	routes := http.NewServeMux()
+	routes.Handle(backend.PathGrant, s.control(l, s.serveGrant))
+	routes.Handle(backend.PathDrain, s.control(l, s.serveDrain))
+	routes.Handle(backend.PathHealth, s.control(l, s.serveHealth))
+	routes.Handle(backend.PathLoad, s.control(l, s.serveLoad))
+	return &requestHandler{server: s, life: l, control: routes}
+}
--- /dev/null
+++ b/internal/dev/servers/work.go
@@ -0,0 +1,40 @@
+package servers
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// slowWindow is how long a noisy neighbour slows a server down at a time.
+const slowWindow = 200 * time.Millisecond
+
+// Work is the distribution of service times. The zero value takes no time.
+type Work struct {
+	// Median is the median of a log-normal distribution.
+	Median time.Duration
+	// Sigma is the standard deviation of the logarithm; 0.4 puts the 99th percentile at 2.5 medians.
+	Sigma float64
+	// SlowShare is the share of time windows in which the server is a straggler.
+	SlowShare float64
+	// SlowFactor multiplies service times in those windows.
+	SlowFactor float64
+}
+
+// duration returns the service time of one request that starts at offset since the server's start.
+func (w Work) duration(random *rand.Rand, seed uint64, offset time.Duration) time.Duration {
+	d := float64(w.Median) * math.Exp(w.Sigma*random.NormFloat64())
+	if w.straggles(seed, offset) {
+		d *= w.SlowFactor
+	}
+	return time.Duration(d)
+}
+
+// straggles reports whether the window that contains offset is a slow one.
+func (w Work) straggles(seed uint64, offset time.Duration) bool {
+	if w.SlowShare == 0 {
+		return false
+	}
+	window := rand.New(rand.NewPCG(seed, uint64(offset/slowWindow)))
+	return window.Float64() < w.SlowShare
+}
