--- /dev/null
+++ b/internal/dev/callers/client.go
@@ -0,0 +1,130 @@
+package callers
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/backend"
+	"peridotmoor.org/peridotmoor/internal/dev/payload"
+	"peridotmoor.org/peridotmoor/internal/dev/servers"
+	"peridotmoor.org/peridotmoor/internal/outcome"
+	"peridotmoor.org/peridotmoor/internal/wire"
+)
+
+// maxAnswerBytes bounds the answer that a caller reads.
+const maxAnswerBytes = 64 << 20
+
+// Client sends single attempts and checks their answers.
+type Client struct {
+	transport *http.Transport
+}
+
+// NewClient returns a client that opens at most connections connections per instance.
+func NewClient(connections int) *Client {
+	dialer := &wire.Dialer{Dialer: net.Dialer{Timeout: time.Second}}
+	return &Client{transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxConnsPerHost:     connections,
+		MaxIdleConnsPerHost: connections,
+		DisableCompression:  true,
+	}}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.transport.CloseIdleConnections()
+}
+
+// refusal is the body of a refusal.
+type refusal struct {
+	Kind         string `json:"kind"`
+	RetryAfterMS int64  `json:"retry_after_ms"`
+}
+
+// Send sends one attempt and returns what became of it and the advised wait
+// before the next one.
+func (c *Client) Send(ctx context.Context, entry *Entry, id, key string, kind Kind) (Attempt, time.Duration) {
+	result := Attempt{Entry: entry.Callers}
+	var attempt wire.Attempt
+	request := newRequest(httptrace.WithClientTrace(ctx, attempt.Trace()), entry, id, key, kind)
+	response, err := c.transport.RoundTrip(request)
+	if err != nil {
+		result.Sent = attempt.Written()
+		result.Error = err.Error()
+		return result, 0
+	}
+	defer response.Body.Close()
+	result.Sent = true
+	result.Status = response.StatusCode
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		result.Error = err.Error()
+		return result, 0
+	}
+	return judge(result, response, content, id, kind)
+}
+
+// judge decides what a whole response says about the request.
+func judge(result Attempt, response *http.Response, content []byte, id string, kind Kind) (Attempt, time.Duration) {
+	result.Outcome = outcome.Outcome(response.Header.Get(backend.HeaderOutcome))
+	switch result.Outcome {
+	case outcome.Answered:
+		result.Crossed = foreign(response, content, id, kind)
+		return result, 0
+	case outcome.NotRun, outcome.Unknown:
+		var refused refusal
+		if err := json.Unmarshal(content, &refused); err != nil {
+			result.Error = "the refusal is not valid JSON: " + err.Error()
+		}
+		result.Kind = refused.Kind
+		return result, time.Duration(refused.RetryAfterMS) * time.Millisecond
+	default:
+		result.Error = "the answer has no known outcome: " + string(result.Outcome)
+		result.Outcome = ""
+		return result, 0
+	}
+}
+
+// foreign reports whether an answer is another request's or not whole.
+func foreign(response *http.Response, content []byte, id string, kind Kind) bool {
+	if response.Header.Get(backend.HeaderRequestID) != id {
+		return true
+	}
+	if response.StatusCode != http.StatusOK {
+		return false
+	}
+	return payload.Check(id, kind.answerBytes(), content) != nil
+}
+
+func newRequest(ctx context.Context, entry *Entry, id, key string, kind Kind) *http.Request {
+	target := "http://" + entry.Callers + "/" + kind.Service + "/" + key + kind.Path
+	if kind.AnswerBytes > 0 {
+		target += "?size=" + strconv.Itoa(kind.AnswerBytes)
+	}
+	request, err := http.NewRequestWithContext(ctx, kind.Method, target, nil)
+	if err != nil {
+		panic("callers: request target " + target + ": " + err.Error())
+	}
+	// A body without GetBody keeps net/http from sending the request again by itself.
+	request.Body = io.NopCloser(bytes.NewReader(nil))
+	if kind.BodyBytes > 0 {
+		content := payload.Make(id, kind.BodyBytes)
+		request.Body = io.NopCloser(bytes.NewReader(content))
+		request.ContentLength = int64(len(content))
+		request.Header.Set(servers.HeaderCheckPayload, "1")
+	}
+	request.Header.Set(backend.HeaderRequestID, id)
+	request.Header.Set(backend.HeaderIdempotent, strconv.FormatBool(kind.Idempotent()))
+	if deadline, ok := ctx.Deadline(); ok {
+		left := max(1, time.Until(deadline).Milliseconds())
+		request.Header.Set(backend.HeaderTimeoutMS, strconv.FormatInt(left, 10))
+	}
+	return request
+}
--- /dev/null
+++ b/internal/dev/callers/record.go
@@ -0,0 +1,74 @@
+package callers
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/outcome"
+)
+
+// Record is what a caller knows about one request after its last attempt.
+type Record struct {
+	RequestID  string    `json:"request_id"`
+	Kind       string    `json:"kind"`
+	Service    string    `json:"service"`
+	Key        string    `json:"key"`
+	Idempotent bool      `json:"idempotent"`
+	Attempts   []Attempt `json:"attempts"`
+	// Due is when the request was to be sent; Latency counts from then.
+	Due     time.Time     `json:"due"`
+	Latency time.Duration `json:"latency_ns"`
+}
+
+// Attempt is one sending of a request to one entry instance.
+type Attempt struct {
+	Entry string `json:"entry"`
+	// Sent reports whether a byte of the request may have been written.
+	Sent bool `json:"sent"`
+	// Outcome is what the instance claimed; empty when it answered nothing whole.
+	Outcome outcome.Outcome `json:"outcome"`
+	Status  int             `json:"status"`
+	Kind    string          `json:"problem,omitempty"`
+	// Crossed reports a whole answer that was another request's.
+	Crossed bool   `json:"crossed"`
+	Error   string `json:"error,omitempty"`
+}
+
+// Final is the outcome of the request over all attempts.
+func (r *Record) Final() outcome.Outcome {
+	final := outcome.NotRun
+	for _, attempt := range r.Attempts {
+		switch {
+		case attempt.Outcome == outcome.Answered:
+			return outcome.Answered
+		case attempt.Outcome == outcome.NotRun, !attempt.Sent:
+		default:
+			final = outcome.Unknown
+		}
+	}
+	return final
+}
+
+// ClaimedNotRun reports whether every attempt that reached an instance was answered with "not run".
+func (r *Record) ClaimedNotRun() bool {
+	claimed := false
+	for _, attempt := range r.Attempts {
+		if !attempt.Sent {
+			continue
+		}
+		if attempt.Outcome != outcome.NotRun {
+			return false
+		}
+		claimed = true
+	}
+	return claimed
+}
+
+// Crossed reports whether any attempt got an answer of another request.
+func (r *Record) Crossed() bool {
+	for _, attempt := range r.Attempts {
+		if attempt.Crossed {
+			return true
+		}
+	}
+	return false
+}
