--- a/internal/store/memstore/faults.go
+++ b/internal/store/memstore/faults.go
@@ -15,23 +15,23 @@
 	lose   atomic.Int64
 	slow   atomic.Int64
 	frozen atomic.Pointer[map[string]record]
-	outage atomic.Pointer[chan struct{}]
+	// outage and speed wake the calls that wait when down or slow change.
+	outage signal
+	speed  signal
 }
 
 // SetDown makes each call fail with store.ErrUnavailable and ends waiting watches.
 func (f *Faults) SetDown(down bool) {
-	signal := f.downSignal()
-	if f.down.Swap(down) == down || !down {
-		return
-	}
-	f.outage.Store(nil)
-	close(signal)
+	f.down.Store(down)
+	f.outage.broadcast()
 }
 
-// SetSlow delays each call by d before it takes effect. A write whose context
-// ends during the delay still takes effect.
+// SetSlow delays each call by d before it takes effect; calls that wait
+// already go on at once. A write whose context ends during the delay still
+// takes effect.
 func (f *Faults) SetSlow(d time.Duration) {
 	f.slow.Store(int64(d))
+	f.speed.broadcast()
 }
 
 // LoseNextAnswer loses the answer of the next write that takes effect: the
@@ -76,6 +76,7 @@
 }
 
 func (f *Faults) delay(ctx context.Context) error {
+	changed := f.speed.wait()
 	d := time.Duration(f.slow.Load())
 	if d == 0 {
 		return ctx.Err()
@@ -85,6 +86,8 @@
 	select {
 	case <-timer.C:
 		return nil
+	case <-changed:
+		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -101,15 +104,3 @@
 		}
 	}
 }
-
-// downSignal returns the channel that the next outage closes.
-func (f *Faults) downSignal() chan struct{} {
-	if current := f.outage.Load(); current != nil {
-		return *current
-	}
-	fresh := make(chan struct{})
-	if f.outage.CompareAndSwap(nil, &fresh) {
-		return fresh
-	}
-	return f.downSignal()
-}
--- a/internal/store/memstore/store.go
+++ b/internal/store/memstore/store.go
@@ -97,17 +97,17 @@
 		return store.Entry{}, err
 	}
 	for {
+		outage := s.faults.outage.wait()
+		if s.faults.down.Load() {
+			return store.Entry{}, store.ErrUnavailable
+		}
 		entry, changed, err := s.peek(key, after)
 		if err != nil || entry.Revision > after {
 			return entry, err
 		}
 		select {
 		case <-changed:
-			if s.faults.down.Load() {
-				return store.Entry{}, store.ErrUnavailable
-			}
-		case <-s.faults.downSignal():
-			return store.Entry{}, store.ErrUnavailable
+		case <-outage:
 		case <-ctx.Done():
 			return store.Entry{}, ctx.Err()
 		}
--- /dev/null
+++ b/internal/store/storetest/faults.go
@@ -0,0 +1,174 @@
+package storetest
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/store"
+)
+
+// faults is the contract of a store whose platform fails.
+func faults() []contractCase {
+	cases := []contractCase{
+		{"down: waiting watch ends", downEndsWatch},
+		{"slow: a write that was given up takes effect", slowWrite},
+		{"answer lost: the change took effect", lostChange},
+		{"answer lost: only the next one", lostOnce},
+		{"answer of a conflict is not lost", lostConflict},
+		{"stale reads", staleReads},
+	}
+	for _, c := range calls() {
+		cases = append(cases,
+			contractCase{"down: " + c.name, func(t *testing.T, h Harness) { callDown(t, h, c) }},
+			contractCase{"slow: " + c.name, func(t *testing.T, h Harness) { callSlow(t, h, c) }})
+		if c.changes {
+			cases = append(cases, contractCase{"answer lost: " + c.name, func(t *testing.T, h Harness) { callLost(t, h, c) }})
+		}
+	}
+	return cases
+}
+
+// call is one method of the store with valid arguments.
+type call struct {
+	name    string
+	changes bool
+	run     func(ctx context.Context, s store.Store, lease store.LeaseID) error
+}
+
+func calls() []call {
+	return []call{
+		{"Get", false, func(ctx context.Context, s store.Store, _ store.LeaseID) error {
+			_, err := s.Get(ctx, "there")
+			return err
+		}},
+		{"List", false, func(ctx context.Context, s store.Store, _ store.LeaseID) error {
+			_, err := s.List(ctx, "")
+			return err
+		}},
+		{"CompareAndSwap", true, func(ctx context.Context, s store.Store, _ store.LeaseID) error {
+			_, err := s.CompareAndSwap(ctx, "new", 0, []byte("x"), "")
+			return err
+		}},
+		{"Grant", true, func(ctx context.Context, s store.Store, _ store.LeaseID) error {
+			_, err := s.Grant(ctx, leaseTTL)
+			return err
+		}},
+		{"Renew", true, func(ctx context.Context, s store.Store, lease store.LeaseID) error {
+			return s.Renew(ctx, lease)
+		}},
+		{"Revoke", true, func(ctx context.Context, s store.Store, lease store.LeaseID) error {
+			return s.Revoke(ctx, lease)
+		}},
+	}
+}
+
+func prepare(t *testing.T, h Harness) store.LeaseID {
+	t.Helper()
+	put(t, h.Store, "there", "x", "")
+	lease, err := h.Store.Grant(t.Context(), leaseTTL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return lease
+}
+
+func callDown(t *testing.T, h Harness, c call) {
+	is := is.New(t)
+	lease := prepare(t, h)
+	h.Behind.Faults().SetDown(true)
+	err := c.run(t.Context(), h.Store, lease)
+	is.True(errors.Is(err, store.ErrUnavailable))
+	is.True(!errors.Is(err, store.ErrUncertain))
+	h.Behind.Faults().SetDown(false)
+	is.NoErr(c.run(t.Context(), h.Store, lease))
+}
+
+// callSlow gives a call up before the store lets it go on.
+func callSlow(t *testing.T, h Harness, c call) {
+	is := is.New(t)
+	lease := prepare(t, h)
+	h.Behind.Faults().SetSlow(time.Hour)
+	defer h.Behind.Faults().SetSlow(0)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	err := c.run(ctx, h.Store, lease)
+	is.Equal(errors.Is(err, store.ErrUncertain), c.changes)
+	is.Equal(errors.Is(err, store.ErrUnavailable), !c.changes)
+	is.True(errors.Is(err, context.DeadlineExceeded))
+}
+
+func callLost(t *testing.T, h Harness, c call) {
+	is := is.New(t)
+	lease := prepare(t, h)
+	h.Behind.Faults().LoseNextAnswer()
+	err := c.run(t.Context(), h.Store, lease)
+	is.True(errors.Is(err, store.ErrUncertain))
+	is.True(!errors.Is(err, store.ErrUnavailable))
+}
+
+func downEndsWatch(t *testing.T, h Harness) {
+	is := is.New(t)
+	first := put(t, h.Store, "k", "one", "")
+	result := watch(t, h.Store, "k", first.Revision)
+	h.Behind.Faults().SetDown(true)
+	is.True(errors.Is((<-result).err, store.ErrUnavailable))
+}
+
+func slowWrite(t *testing.T, h Harness) {
+	is := is.New(t)
+	h.Behind.Faults().SetSlow(time.Hour)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err := h.Store.CompareAndSwap(ctx, "k", 0, []byte("late"), "")
+	is.True(errors.Is(err, store.ErrUncertain))
+	h.Behind.Faults().SetSlow(0)
+	got := <-watch(t, h.Store, "k", 0)
+	is.NoErr(got.err)
+	is.Equal(string(got.entry.Value), "late")
+}
+
+func lostChange(t *testing.T, h Harness) {
+	is := is.New(t)
+	h.Behind.Faults().LoseNextAnswer()
+	_, err := h.Store.CompareAndSwap(t.Context(), "k", 0, []byte("mine"), "")
+	is.True(errors.Is(err, store.ErrUncertain))
+	read, err := h.Store.Get(t.Context(), "k")
+	is.NoErr(err)
+	is.Equal(string(read.Value), "mine")
+}
+
+func lostOnce(t *testing.T, h Harness) {
+	is := is.New(t)
+	h.Behind.Faults().LoseNextAnswer()
+	_, err := h.Store.CompareAndSwap(t.Context(), "k", 0, []byte("one"), "")
+	is.True(errors.Is(err, store.ErrUncertain))
+	_, err = h.Store.CompareAndSwap(t.Context(), "other", 0, []byte("two"), "")
+	is.NoErr(err)
+}
+
+func lostConflict(t *testing.T, h Harness) {
+	is := is.New(t)
+	put(t, h.Store, "k", "one", "")
+	h.Behind.Faults().LoseNextAnswer()
+	_, err := h.Store.CompareAndSwap(t.Context(), "k", 0, []byte("two"), "")
+	is.True(errors.Is(err, store.ErrConflict))
+}
+
+func staleReads(t *testing.T, h Harness) {
+	is := is.New(t)
+	first := put(t, h.Store, "k", "one", "")
+	h.Behind.ServeStaleReads(true)
+	_, err := h.Store.CompareAndSwap(t.Context(), "k", first.Revision, []byte("two"), "")
+	is.NoErr(err)
+	read, err := h.Store.Get(t.Context(), "k")
+	is.NoErr(err)
+	is.Equal(read.Revision, first.Revision)
+	h.Behind.ServeStaleReads(false)
+	read, err = h.Store.Get(t.Context(), "k")
+	is.NoErr(err)
+	is.Equal(string(read.Value), "two")
+}
