--- a/internal/events/shard.go
+++ b/internal/events/shard.go
@@ -4,8 +4,8 @@
 
 // Events of the holder of a shard, 1200 to 1299.
 var (
-	ShardTaken         = register(1200, "shard_taken", log.InfoLevel, "The instance began to grant the ranges of a shard.")
-	ShardReleased      = register(1201, "shard_released", log.InfoLevel, "The instance's tenure of a shard has ended.")
+	GrantsBegun        = register(1200, "grants_begun", log.InfoLevel, "The instance began to grant the ranges of a shard.")
+	GrantsEnded        = register(1201, "grants_ended", log.InfoLevel, "The instance's tenure of a shard has ended.")
 	ShardLoadFailed    = register(1202, "shard_load_failed", log.WarnLevel, "The assignment of a shard could not be read and is read again.")
 	ShardRecordInvalid = register(1203, "shard_record_invalid", log.ErrorLevel, "The stored assignment does not cover the shard and is planned anew.")
 	ShardCommitted     = register(1204, "shard_committed", log.InfoLevel, "An assignment was committed to the store.")
--- a/internal/shard/term.go
+++ b/internal/shard/term.go
@@ -79,7 +79,7 @@
 
 // run works until the tenure or the context ends.
 func (t *term) run() {
-	t.options.Log.Emit(events.ShardTaken, "shard", t.options.Shard.String(), "token", t.tenure.Token.String())
+	t.options.Log.Emit(events.GrantsBegun, "shard", t.options.Shard.String(), "token", t.tenure.Token.String())
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for t.step(time.Now()) {
@@ -177,5 +177,5 @@
 	t.runtime.graves = t.graves
 	t.pruneGraves(now)
 	t.runtime.graves = t.graves
-	t.options.Log.Emit(events.ShardReleased, "shard", t.options.Shard.String(), "token", t.tenure.Token.String())
+	t.options.Log.Emit(events.GrantsEnded, "shard", t.options.Shard.String(), "token", t.tenure.Token.String())
 }
