Add settings versions with apply by compare-and-swap

Apply checks tree, parent and transition, keeps the version it replaces in the history and writes the new one with compare-and-swap. A lost answer is read back by write_id; an unchanged key gets the same bytes on the same revision again, so at most one attempt takes effect. The loser of a race is told the winner's version, author and settings.

--- /dev/null
+++ b/internal/settings/settingstest/store.go
@@ -0,0 +1,236 @@
+// Package settingstest holds an in-memory platform store with injected faults
+// for the tests of settings versions and their dissemination.
+package settingstest
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/store"
+)
+
+// Store is an in-memory store.Store. The zero value is not usable; see NewStore.
+type Store struct {
+	mu       sync.Mutex
+	entries  map[string]store.Entry
+	owners   map[string]store.LeaseID
+	leases   map[store.LeaseID]*lease
+	revision uint64
+	changed  chan struct{}
+	calls    map[string]int
+
+	// Before runs before a call takes effect; an error ends the call without effect.
+	Before func(op, key string) error
+	// After runs after a call took effect; an error replaces the answer.
+	After func(op, key string) error
+}
+
+type lease struct {
+	ttl   time.Duration
+	timer *time.Timer
+}
+
+var _ store.Store = (*Store)(nil)
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{
+		entries: map[string]store.Entry{},
+		owners:  map[string]store.LeaseID{},
+		leases:  map[store.LeaseID]*lease{},
+		changed: make(chan struct{}),
+		calls:   map[string]int{},
+	}
+}
+
+// Calls returns how often op was called: get, list, cas, watch, grant, renew or revoke.
+func (s *Store) Calls(op string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[op]
+}
+
+// Restore replaces the content, as when operators of the store bring back a
+// backup. Revisions of restored keys are those of the backup.
+func (s *Store) Restore(entries ...store.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries = map[string]store.Entry{}
+	for _, e := range entries {
+		s.entries[e.Key] = e
+	}
+	s.wake()
+}
+
+// Get implements store.Store.
+func (s *Store) Get(_ context.Context, key string) (store.Entry, error) {
+	if err := s.begin("get", key); err != nil {
+		return store.Entry{}, err
+	}
+	s.mu.Lock()
+	entry, ok := s.entries[key]
+	s.mu.Unlock()
+	if !ok {
+		return store.Entry{Key: key}, s.end("get", key, store.ErrNotFound)
+	}
+	return entry, s.end("get", key, nil)
+}
+
+// List implements store.Store for tests that count keys; the order is not defined.
+func (s *Store) List(_ context.Context, prefix string) ([]store.Entry, error) {
+	if err := s.begin("list", prefix); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []store.Entry
+	for key, entry := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, entry)
+		}
+	}
+	return found, nil
+}
+
+// CompareAndSwap implements store.Store.
+func (s *Store) CompareAndSwap(_ context.Context, key string, revision uint64, value []byte, id store.LeaseID) (store.Entry, error) {
+	if err := s.begin("cas", key); err != nil {
+		return store.Entry{}, err
+	}
+	entry, err := s.swap(key, revision, value, id)
+	return entry, s.end("cas", key, err)
+}
+
+func (s *Store) swap(key string, revision uint64, value []byte, id store.LeaseID) (store.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := s.entries[key]
+	if found.Revision != revision {
+		return found, store.ErrConflict
+	}
+	if id != "" && s.leases[id] == nil {
+		return found, store.ErrNotFound
+	}
+	s.revision++
+	entry := store.Entry{Key: key, Value: append([]byte(nil), value...), Revision: s.revision}
+	s.entries[key] = entry
+	s.owners[key] = id
+	s.wake()
+	return entry, nil
+}
+
+// Watch implements store.Store.
+func (s *Store) Watch(ctx context.Context, key string, after uint64) (store.Entry, error) {
+	if err := s.begin("watch", key); err != nil {
+		return store.Entry{}, err
+	}
+	for {
+		s.mu.Lock()
+		entry, ok := s.entries[key]
+		changed := s.changed
+		s.mu.Unlock()
+		if !ok && after > 0 {
+			return store.Entry{}, store.ErrNotFound
+		}
+		if entry.Revision > after {
+			return entry, s.end("watch", key, nil)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return store.Entry{}, ctx.Err()
+		}
+	}
+}
+
+// Grant implements store.Store.
+func (s *Store) Grant(_ context.Context, ttl time.Duration) (store.LeaseID, error) {
+	if err := s.begin("grant", ""); err != nil {
+		return "", err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	id := store.LeaseID("lease-" + strconv.FormatUint(s.revision, 10))
+	s.leases[id] = &lease{ttl: ttl, timer: time.AfterFunc(ttl, func() { s.expire(id) })}
+	return id, nil
+}
+
+// Renew implements store.Store.
+func (s *Store) Renew(_ context.Context, id store.LeaseID) error {
+	if err := s.begin("renew", string(id)); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	if l == nil {
+		return store.ErrNotFound
+	}
+	l.timer.Reset(l.ttl)
+	return nil
+}
+
+// Revoke implements store.Store.
+func (s *Store) Revoke(_ context.Context, id store.LeaseID) error {
+	if err := s.begin("revoke", string(id)); err != nil {
+		return err
+	}
+	s.expire(id)
+	return nil
+}
+
+func (s *Store) expire(id store.LeaseID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.leases[id]; l != nil {
+		l.timer.Stop()
+	}
+	delete(s.leases, id)
+	for key, owner := range s.owners {
+		if owner == id {
+			delete(s.owners, key)
+			delete(s.entries, key)
+		}
+	}
+	s.wake()
+}
+
+// wake wakes the waiting watches. The caller holds mu.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) begin(op, key string) error {
+	s.mu.Lock()
+	s.calls[op]++
+	before := s.Before
+	s.mu.Unlock()
+	if before == nil {
+		return nil
+	}
+	return before(op, key)
+}
+
+func (s *Store) end(op, key string, err error) error {
+	s.mu.Lock()
+	after := s.After
+	s.mu.Unlock()
+	if after != nil {
+		if fault := after(op, key); fault != nil {
+			return fault
+		}
+	}
+	return err
+}
+
+// SetFaults replaces both hooks while calls may be running.
+func (s *Store) SetFaults(before, after func(op, key string) error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Before, s.After = before, after
+}
--- /dev/null
+++ b/internal/settings/version/apply_test.go
@@ -0,0 +1,243 @@
+package version
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"peridotmoor.org/peridotmoor/internal/settings"
+	"peridotmoor.org/peridotmoor/internal/settings/settingstest"
+	"peridotmoor.org/peridotmoor/internal/store"
+)
+
+var testTime = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+const (
+	textOut = "[DEFAULT]\ntimeout = 1s\n[service.graves]\nstate = out\n"
+	textTwo = "[DEFAULT]\ntimeout = 2s\n[service.graves]\nstate = out\n"
+	textBig = "[DEFAULT]\ntimeout = 1s\n[service.graves]\nstate = out\nshards = 2\n"
+)
+
+func proposal(text, author string, parent uint64) Proposal {
+	return Proposal{Text: text, FileName: author + ".ini", Author: author, Parent: parent, Time: testTime}
+}
+
+func mustApply(t testing.TB, s store.Store, p Proposal) Version {
+	t.Helper()
+	v, err := Apply(t.Context(), s, p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+// Guards against a loser of a race who does not learn by whom and about what.
+func TestRacingOperators(t *testing.T) {
+	is := is.New(t)
+	s := settingstest.NewStore()
+	mustApply(t, s, proposal(textOut, "aoi", 0))
+	var winner Version
+	raced := false
+	s.Before = func(op, key string) error {
+		if op == "cas" && key == CurrentKey && !raced { // the other operator comes between read and write
+			raced = true
+			winner = mustApply(t, s, proposal(textTwo, "bryn", 1))
+		}
+		return nil
+	}
+	_, err := Apply(t.Context(), s, proposal(textBig+"[domain.north]\nregion = r\n", "aoi", 1).settled())
+	var race *RaceError
+	is.True(errors.As(err, &race))
+	is.Equal(race.Winner, winner)
+	for _, part := range []string{"version 2 by bryn", "[DEFAULT] timeout changed: 1s -> 2s", "set its parent to 2", "nothing was applied"} {
+		if !strings.Contains(err.Error(), part) {
+			t.Errorf("error does not contain %q:\n%v", part, err)
+		}
+	}
+	is.True(!strings.Contains(err.Error(), "domain.north")) // not changed by the winner
+	current, _, err := Current(t.Context(), s)
+	is.NoErr(err)
+	is.Equal(current, winner)
+}
+
+func (p Proposal) settled() Proposal {
+	p.Settled = func(context.Context, uint64) error { return nil }
+	return p
+}
+
+// Guards against a file built on an old version that silently reverts what others applied since.
+func TestApplyOnOldParent(t *testing.T) {
+	is := is.New(t)
+	s := settingstest.NewStore()
+	mustApply(t, s, proposal(textOut, "aoi", 0))
+	mustApply(t, s, proposal(textTwo, "bryn", 1))
+	_, err := Apply(t.Context(), s, proposal("[service.graves]\nstate = out\n", "aoi", 1))
+	var race *RaceError
+	is.True(errors.As(err, &race))
+	is.Equal(race.Winner.Number, uint64(2))
+}
+
+// Guards against claiming a change that did not take effect, or denying one
+// that did, when the answer of the compare-and-swap is lost.
+func TestLostAnswer(t *testing.T) {
+	cases := []struct {
+		name     string
+		effect   bool // the lost write took effect
+		follow   bool // another operator applies before the read back
+		outage   int  // reads that fail before the store responds
+		accepted bool
+	}{
+		{"took effect", true, false, 0, true},
+		{"took effect, read back fails first", true, false, 3, true},
+		{"took no effect", false, false, 0, true}, // the same write is repeated
+		{"took effect and was followed", true, true, 0, true},
+		{"took no effect and another won", false, true, 0, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := settingstest.NewStore()
+				mustApply(t, s, proposal(textOut, "aoi", 0))
+				loseOnce(t, s, c.effect, c.follow, c.outage)
+				v, err := Apply(t.Context(), s, proposal(textTwo, "aoi", 1))
+				s.SetFaults(nil, nil)
+				is.Equal(err == nil, c.accepted)
+				kept, getErr := Get(t.Context(), s, 2)
+				is.NoErr(getErr)
+				is.Equal(kept.WriteID == v.WriteID, c.accepted)
+			})
+		})
+	}
+}
+
+// loseOnce loses the answer of the next write of the current key.
+func loseOnce(t *testing.T, s *settingstest.Store, effect, follow bool, outage int) {
+	lost := false
+	lose := func(op, key string) error {
+		if op == "get" && lost && outage > 0 {
+			outage--
+			return store.ErrUnavailable
+		}
+		if op != "cas" || key != CurrentKey || lost {
+			return nil
+		}
+		lost = true
+		if follow {
+			parent := uint64(1)
+			if effect {
+				parent = 2
+			}
+			mustApply(t, s, proposal("[service.graves]\nstate = out\n", "bryn", parent))
+		}
+		return store.ErrUncertain
+	}
+	if effect {
+		s.After = lose
+	} else {
+		s.Before = lose
+	}
+}
+
+// Guards against an endless wait, or a claim either way, while the store stays down after a lost answer.
+func TestLostAnswerAndStoreDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := settingstest.NewStore()
+		down := false
+		s.Before = func(op, key string) error {
+			if down {
+				return store.ErrUnavailable
+			}
+			down = op == "cas"
+			return nil
+		}
+		s.After = func(op, key string) error {
+			if op == "cas" {
+				return store.ErrUncertain
+			}
+			return nil
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		_, err := Apply(ctx, s, proposal(textOut, "aoi", 0))
+		var uncertain *UncertainError
+		is.True(errors.As(err, &uncertain))
+		is.True(strings.Contains(err.Error(), uncertain.Proposal.WriteID))
+		s.SetFaults(nil, nil)
+		current, _, err := Current(t.Context(), s)
+		is.NoErr(err)
+		is.Equal(current.WriteID, uncertain.Proposal.WriteID)
+	})
+}
+
+// Guards against bad proposals that reach the store.
+func TestApplyRefuses(t *testing.T) {
+	cases := []struct {
+		name string
+		p    Proposal
+		want string
+	}{
+		{"faulty tree", proposal("[DEFAULT]\ntimeout = x", "aoi", 1), "not a duration"},
+		{"no author", proposal(textTwo, "", 1), "author"},
+		{"author of two lines", proposal(textTwo, "a\nb", 1), "author"},
+		{"parent ahead", proposal(textTwo, "aoi", 7), "correct the parent"},
+		{"same text", proposal(textOut, "aoi", 1), "nothing to apply"},
+		{"older store", Proposal{Text: textTwo, Author: "aoi", Parent: 1, InEffect: 3}, "version 3 is in effect"},
+		{"transition", proposal("[DEFAULT]\ntimeout = 1s\n", "aoi", 1).settled(), ""},
+		{"not settled", proposal(textBig, "aoi", 1), "needs version 1 in effect at every instance"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := settingstest.NewStore()
+			first := mustApply(t, s, proposal(textOut, "aoi", 0))
+			v, err := Apply(t.Context(), s, c.p)
+			if c.want == "" {
+				is.NoErr(err)
+				is.Equal(v.Number, uint64(2))
+				return
+			}
+			if err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("got %v, want %q", err, c.want)
+			}
+			current, _, err := Current(t.Context(), s)
+			is.NoErr(err)
+			is.Equal(current, first)
+		})
+	}
+}
+
+// Guards against a change of ownership while some instance still runs the version before.
+func TestApplyAsksWhetherSettled(t *testing.T) {
+	is := is.New(t)
+	s := settingstest.NewStore()
+	mustApply(t, s, proposal(textOut, "aoi", 0))
+	p := proposal(textBig, "aoi", 1)
+	var asked uint64
+	p.Settled = func(_ context.Context, number uint64) error {
+		asked = number
+		return errors.New("entry-3 has version 0")
+	}
+	_, err := Apply(t.Context(), s, p)
+	var not *NotSettledError
+	is.True(errors.As(err, &not))
+	is.True(strings.Contains(err.Error(), "entry-3"))
+	is.Equal(asked, uint64(1))
+}
+
+// Guards against a transition that the check refuses but the store gets.
+func TestApplyChecksTransition(t *testing.T) {
+	is := is.New(t)
+	s := settingstest.NewStore()
+	in := "[domain.d]\nregion = r\n[service.x]\n[server.x1]\nservice = x\ndomain = d\naddress = h:1\n"
+	mustApply(t, s, proposal(in, "aoi", 0))
+	_, err := Apply(t.Context(), s, proposal(strings.Replace(in, "h:1", "h:2", 1), "aoi", 1).settled())
+	var issues settings.Issues
+	is.True(errors.As(err, &issues))
+	is.True(strings.Contains(err.Error(), "while the server is in"))
+}
--- /dev/null
+++ b/internal/settings/version/raceerror.go
@@ -0,0 +1,37 @@
+package version
+
+import (
+	"fmt"
+	"strings"
+
+	"peridotmoor.org/peridotmoor/internal/settings"
+)
+
+// RaceError means that another operator's version was accepted first. Nothing of
+// the proposal took effect.
+type RaceError struct {
+	// Parent is the version that the proposal was built on.
+	Parent uint64
+	Winner Version
+	// Changes is what differs between Parent and Winner, or between the proposal
+	// and Winner when the store no longer keeps Parent.
+	Changes []settings.Change
+	// FromProposal says that Changes starts from the proposal.
+	FromProposal bool
+}
+
+// Error names the winner, the differing settings and how to proceed.
+func (e *RaceError) Error() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "the proposal was built on version %d, but %s was accepted first; nothing was applied\n", e.Parent, e.Winner)
+	if e.FromProposal {
+		b.WriteString("settings that differ from the proposal:\n")
+	} else {
+		fmt.Fprintf(&b, "settings changed since version %d:\n", e.Parent)
+	}
+	for _, change := range e.Changes {
+		fmt.Fprintf(&b, "  %s\n", change)
+	}
+	fmt.Fprintf(&b, "take these over into the proposal, set its parent to %d and apply it again", e.Winner.Number)
+	return b.String()
+}
--- /dev/null
+++ b/internal/settings/version/read.go
@@ -0,0 +1,64 @@
+package version
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"peridotmoor.org/peridotmoor/internal/store"
+)
+
+// Current reads the accepted version and the store revision it has. It returns
+// store.ErrNotFound when none has been applied.
+func Current(ctx context.Context, s store.Store) (Version, uint64, error) {
+	return read(ctx, s, CurrentKey)
+}
+
+// Get reads one version, past or current. It returns store.ErrNotFound when the
+// store does not keep it.
+func Get(ctx context.Context, s store.Store, number uint64) (Version, error) {
+	v, _, err := read(ctx, s, HistoryKey(number))
+	if !errors.Is(err, store.ErrNotFound) {
+		return v, err
+	}
+	current, _, err := Current(ctx, s)
+	if err != nil {
+		return Version{}, err
+	}
+	if current.Number != number {
+		return Version{}, errors.Wrapf(store.ErrNotFound, "settings version %d", number)
+	}
+	return current, nil
+}
+
+// History returns up to limit versions, the current one first. It ends early
+// where the store no longer keeps a version.
+func History(ctx context.Context, s store.Store, limit int) ([]Version, error) {
+	current, _, err := Current(ctx, s)
+	if err != nil {
+		return nil, err
+	}
+	versions := []Version{current}
+	for len(versions) < limit && versions[len(versions)-1].Parent > 0 {
+		v, _, err := read(ctx, s, HistoryKey(versions[len(versions)-1].Parent))
+		if errors.Is(err, store.ErrNotFound) {
+			return versions, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		versions = append(versions, v)
+	}
+	return versions, nil
+}
+
+func read(ctx context.Context, s store.Store, key string) (Version, uint64, error) {
+	entry, err := s.Get(ctx, key)
+	if err != nil {
+		return Version{}, 0, errors.Wrapf(err, "read %s", key)
+	}
+	v, err := Decode(entry.Value)
+	if err != nil {
+		return Version{}, entry.Revision, errors.Wrapf(err, "read %s", key)
+	}
+	return v, entry.Revision, nil
+}
