--- a/internal/publish/exchange/rounds_test.go
+++ b/internal/publish/exchange/rounds_test.go
@@ -19,7 +19,8 @@
 	loss     float64 // share of calls that are lost
 	push     bool
 	now      time.Time
-	payloads int // settings values and full shard tables sent
+	settings int // settings values sent in replies
+	tables   int // shard tables and quarantines sent in replies
 	queue    []pushed
 }
 
@@ -66,11 +67,11 @@
 
 func (f *fleet) receive(i int, r Reply) {
 	state, news := f.states[i].Learn(r.Shards, r.Quarantine, f.now)
-	if len(r.Shards) > 0 {
-		f.payloads++
+	if len(r.Shards) > 0 || len(r.Quarantine) > 0 {
+		f.tables++
 	}
 	if r.Settings != nil {
-		f.payloads++
+		f.settings++
 		var installed News
 		state, installed = state.Install(*r.Settings)
 		news = news.And(installed)
@@ -142,7 +143,7 @@
 					}
 					f.round()
 				}
-				t.Logf("%d rounds, %d payloads", rounds, f.payloads)
+				t.Logf("%d rounds, %d settings values, %d tables", rounds, f.settings, f.tables)
 			})
 		}
 	}
@@ -154,18 +155,19 @@
 	const instances = 200
 	f := newFleet(instances, 1, 0, true)
 	state, news := f.states[0].Install(SettingsValue{Version: 1})
-	f.learned(0, state, news)
+	state, more := state.Learn([]ShardEntry{{Token: authority.Token{Epoch: 1}}}, []Mark{{Fingerprint: 1, Crashes: 1, Remaining: time.Hour}}, f.now)
+	f.learned(0, state, news.And(more))
 	for range 20 {
 		f.round()
 	}
-	if f.payloads != instances-1 {
-		t.Errorf("%d payloads for %d instances that lacked the version", f.payloads, instances-1)
+	if f.settings != instances-1 {
+		t.Errorf("%d settings values for %d instances that lacked the version", f.settings, instances-1)
 	}
-	before := f.payloads
+	settings, tables := f.settings, f.tables
 	for range 10 {
 		f.round()
 	}
-	if f.payloads != before {
-		t.Errorf("%d payloads between equal instances", f.payloads-before)
+	if f.settings != settings || f.tables != tables {
+		t.Errorf("%d settings values and %d tables between equal instances", f.settings-settings, f.tables-tables)
 	}
 }
--- a/internal/publish/exchange/state_test.go
+++ b/internal/publish/exchange/state_test.go
@@ -100,11 +100,12 @@
 	mark := Mark{Fingerprint: 1, Crashes: 2, Remaining: time.Minute}
 	a, _ := State{}.Learn(nil, []Mark{mark}, now)
 	b := State{}
-	for range 130 { // both exchange once a second, each message taking 20 ms
-		now = now.Add(500 * time.Millisecond)
-		b, _ = b.Learn(nil, a.Quarantine.Marks(now.Add(-20*time.Millisecond)), now)
-		now = now.Add(500 * time.Millisecond)
-		a, _ = a.Learn(nil, b.Quarantine.Marks(now.Add(-20*time.Millisecond)), now)
+	const delay = 20 * time.Millisecond
+	for range 7000 { // 70 s of messages in turn, as often as in a large fleet
+		now = now.Add(5 * time.Millisecond)
+		b, _ = b.Learn(nil, a.Quarantine.Marks(now.Add(-delay)), now)
+		now = now.Add(5 * time.Millisecond)
+		a, _ = a.Learn(nil, b.Quarantine.Marks(now.Add(-delay)), now)
 	}
 	is.Equal(a.Quarantine.Crashes(1, now), 0)
 	is.Equal(b.Quarantine.Crashes(1, now), 0)
