--- a/internal/peer/handlers.go
+++ b/internal/peer/handlers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/publish/exchange"
 	"peridotmoor.org/peridotmoor/internal/record"
 	"peridotmoor.org/peridotmoor/internal/request"
 )
@@ -14,6 +15,8 @@
 	Requests request.Handler
 	Witness  WitnessHandler
 	Mirror   MirrorHandler
+	Exchange ExchangeHandler
+	HandOver HandOverHandler
 }
 
 // WitnessHandler serves promise requests.
@@ -26,3 +29,13 @@
 	Copy(c record.CopyRequest) record.CopyReply
 	Fetch(f record.FetchRequest) ([]record.Record, time.Time, error)
 }
+
+// ExchangeHandler serves exchanges.
+type ExchangeHandler interface {
+	HandleExchange(ctx context.Context, r exchange.Request) (exchange.Reply, error)
+}
+
+// HandOverHandler prepares to take a shard over. An error says why it does not.
+type HandOverHandler interface {
+	HandleHandOver(ctx context.Context, h HandOver) error
+}
