--- a/internal/shardrecord/codec.go
+++ b/internal/shardrecord/codec.go
@@ -72,7 +72,7 @@
 }
 
 func fromWire(wire []wireMember) []authority.Member {
-	members := make([]authority.Member, 0, len(wire))
+	var members []authority.Member
 	for _, w := range wire {
 		instance := authority.Instance{Name: w.Name, Incarnation: w.Incarnation}
 		members = append(members, authority.Member{Instance: instance, Address: w.Address, Domain: w.Domain})
