--- a/internal/dispatch/fakewitnesses_test.go
+++ b/internal/dispatch/fakewitnesses_test.go
@@ -54,3 +54,9 @@
 func (f *fakeSets) Propose(_ context.Context, set authority.MirrorSet) error {
 	return f.witnesses.propose(f.token, set)
 }
+
+func (f *fakeWitnesses) ballot() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.highest.Ballot
+}
--- a/internal/record/control.go
+++ b/internal/record/control.go
@@ -52,7 +52,7 @@
 		case <-c.retry.C:
 			clear(c.avoided)
 		case <-c.r.closed:
-			c.refuseAll(stoppedProblem(c.r))
+			c.refuseAll(stoppedProblem(c.r), true)
 			return
 		}
 		if c.deposed == nil {
@@ -160,7 +160,7 @@
 	if errors.Is(err, errDeposed) {
 		c.deposed = err
 		c.refuseAll(problem.Wrap(err, problem.KindNotHolder, outcome.StageForwardUnsent,
-			"shard %s has a new holder", c.r.shard))
+			"shard %s has a new holder", c.r.shard), false)
 		return
 	}
 	c.avoided[p.sender.to] = true
@@ -172,7 +172,7 @@
 	}
 	c.remove(p)
 	c.publish()
-	c.stop(p, nil)
+	c.stop(p, stopOrder{})
 	p.state = peerLeaving
 }
 
@@ -180,9 +180,9 @@
 	c.peers = slices.DeleteFunc(c.peers, func(other *peer) bool { return other == p })
 }
 
-func (c *control) stop(p *peer, err error) {
+func (c *control) stop(p *peer, order stopOrder) {
 	if p.state != peerProbing {
-		p.sender.stop <- err
+		p.sender.stop <- order
 	}
 }
 
@@ -205,7 +205,7 @@
 	c.publish()
 	for _, p := range left {
 		if p.state == peerLeaving {
-			c.stop(p, nil)
+			c.stop(p, stopOrder{})
 		}
 	}
 	if c.r.onSet != nil {
@@ -236,11 +236,12 @@
 	c.r.targets.Store(next)
 }
 
-// refuseAll fails everything that is pending and every later request.
-func (c *control) refuseAll(err error) {
+// refuseAll fails everything that is pending and every later request. With flush
+// the mirrors still get the records that are pending.
+func (c *control) refuseAll(err error, flush bool) {
 	c.r.targets.Store(&targets{err: err})
 	for _, p := range c.peers {
-		c.stop(p, err)
+		c.stop(p, stopOrder{err: err, flush: flush})
 	}
 	c.peers = nil
 }
--- a/internal/record/sender.go
+++ b/internal/record/sender.go
@@ -19,18 +19,26 @@
 	// failed is called once, when the mirror has not acknowledged a message.
 	failed func(*sender, error)
 	inbox  chan *pending
-	// stop gets the error with which everything that is pending is settled.
-	stop    chan error
+	stop    chan stopOrder
 	stopped chan struct{}
-	// final is that error; it is set before stopped is closed.
+	// final settles what arrives after the stop; it is set before stopped is closed.
 	final error
 }
 
+// stopOrder ends a sender.
+type stopOrder struct {
+	// err settles everything that is pending.
+	err error
+	// flush sends what is pending nevertheless, so that the mirror learns how
+	// requests ended before a planned hand-over.
+	flush bool
+}
+
 func newSender(to authority.Instance) *sender {
 	return &sender{
 		to:      to,
 		inbox:   make(chan *pending),
-		stop:    make(chan error, 1),
+		stop:    make(chan stopOrder, 1),
 		stopped: make(chan struct{}),
 	}
 }
@@ -66,18 +74,29 @@
 				continue
 			}
 			settleAll(flight, nil)
-		case err := <-s.stop:
-			s.final = err
+		case order := <-s.stop:
+			s.final = order.err
 			close(s.stopped)
 			if result != nil {
-				settleAll(flight, err)
+				settleAll(flight, order.err)
 			}
-			settleAll(batch, err)
+			settleAll(batch, order.err)
+			s.finish(batch, result, order.flush && !broken)
 			return
 		}
 	}
 }
 
+// finish waits for the message that is on its way and, for a flush, sends the rest.
+func (s *sender) finish(batch []*pending, result chan error, flush bool) {
+	if result != nil {
+		flush = <-result == nil && flush
+	}
+	if flush && len(batch) > 0 {
+		<-s.launch(batch)
+	}
+}
+
 // launch sends one message and returns the channel that gets its result.
 func (s *sender) launch(flight []*pending) chan error {
 	records := make([]Record, len(flight))
