--- a/internal/dispatch/fakenetwork_test.go
+++ b/internal/dispatch/fakenetwork_test.go
@@ -17,6 +17,9 @@
 	lost    map[authority.Instance]bool
 	all     []*record.Mirror
 	delay   time.Duration
+	// delays are used once each, then delay. A copy whose sender gives up
+	// meanwhile is delivered nevertheless.
+	delays []time.Duration
 	// ignoreTokens takes the mirrors' token check out.
 	ignoreTokens bool
 }
@@ -49,11 +52,8 @@
 	}
 }
 
-// reach returns the mirror after the delay, or an error once ctx ends.
+// reach returns the mirror, or an error once ctx ends.
 func (n *fakeNetwork) reach(ctx context.Context, i authority.Instance) (*record.Mirror, error) {
-	if err := pause(ctx, n.delay); err != nil {
-		return nil, err
-	}
 	n.mu.Lock()
 	m, lost := n.mirrors[i], n.lost[i]
 	n.mu.Unlock()
@@ -70,11 +70,29 @@
 	if err != nil {
 		return record.CopyReply{}, err
 	}
-	reply := m.Copy(c)
-	if n.ignoreTokens {
-		reply = record.CopyReply{Accepted: true, Highest: c.Token}
+	delay := n.nextDelay()
+	delivered := make(chan record.CopyReply, 1)
+	time.AfterFunc(delay, func() { delivered <- m.Copy(c) })
+	select {
+	case reply := <-delivered:
+		if n.ignoreTokens {
+			reply = record.CopyReply{Accepted: true, Highest: c.Token}
+		}
+		return reply, pause(ctx, n.delay)
+	case <-ctx.Done():
+		return record.CopyReply{}, ctx.Err()
+	}
+}
+
+func (n *fakeNetwork) nextDelay() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.delays) == 0 {
+		return n.delay
 	}
-	return reply, pause(ctx, n.delay)
+	next := n.delays[0]
+	n.delays = n.delays[1:]
+	return next
 }
 
 // Fetch implements record.Copier.
@@ -83,5 +101,8 @@
 	if err != nil {
 		return nil, time.Time{}, err
 	}
+	if err := pause(ctx, n.delay); err != nil {
+		return nil, time.Time{}, err
+	}
 	return m.Fetch(f)
 }
--- a/internal/dispatch/fakewitnesses_test.go
+++ b/internal/dispatch/fakewitnesses_test.go
@@ -14,8 +14,21 @@
 	mu      sync.Mutex
 	highest authority.Token
 	set     authority.MirrorSet
+	// faults are used by one proposal each, then none.
+	faults []proposalFault
 }
 
+// proposalFault is what goes wrong with a proposal.
+type proposalFault int
+
+const (
+	proposalWorks proposalFault = iota
+	// proposalLost reaches no witness.
+	proposalLost
+	// proposalHalf reaches witnesses, one of which the next holder asks, but no majority answers.
+	proposalHalf
+)
+
 // promise makes token the only one whose proposals are accepted.
 func (f *fakeWitnesses) promise(token authority.Token) {
 	f.mu.Lock()
@@ -29,7 +42,17 @@
 	if token != f.highest {
 		return errors.New("the witnesses follow another holder")
 	}
+	fault := proposalWorks
+	if len(f.faults) > 0 {
+		fault, f.faults = f.faults[0], f.faults[1:]
+	}
+	if fault == proposalLost {
+		return errors.New("no witness answered")
+	}
 	f.set = set
+	if fault == proposalHalf {
+		return errors.New("no majority of the witnesses answered")
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/dispatch/history_test.go
@@ -0,0 +1,239 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/outcome"
+	"peridotmoor.org/peridotmoor/internal/problem"
+	"peridotmoor.org/peridotmoor/internal/request"
+	"pgregory.net/rapid"
+)
+
+// step is one event of a history.
+type step struct {
+	Kind string
+	// A and B choose the request, holder or instance, modulo how many there are.
+	A, B int
+	// Pause is the time before the step.
+	Pause time.Duration
+}
+
+// history is a sequence of steps and what the server does with each request it gets.
+type history struct {
+	Steps      []step
+	Behaviours []int
+	// CopyDelays are the delays of the messages to mirrors, in order.
+	CopyDelays []time.Duration
+	// Proposals are the faults of the proposals of mirror sets, in order.
+	Proposals []int
+}
+
+var historyBehaviours = []behaviour{
+	answerAfter(0), answerAfter(30 * time.Millisecond), answerAfter(400 * time.Millisecond),
+	resetAfter, resetWithin, refuseConnection, shed, runsAfterGiveUp, shortBody,
+}
+
+const (
+	historyInstances = 5
+	historyRequests  = 4
+)
+
+func historyGenerator() *rapid.Generator[history] {
+	steps := rapid.Custom(func(t *rapid.T) step {
+		return step{
+			Kind:  rapid.SampledFrom([]string{"send", "send", "send", "takeover", "lose", "return", "restart"}).Draw(t, "kind"),
+			A:     rapid.IntRange(0, 100).Draw(t, "a"),
+			B:     rapid.IntRange(0, 100).Draw(t, "b"),
+			Pause: time.Duration(rapid.SampledFrom([]int{0, 0, 1, 3, 20, 60, 300, 1500}).Draw(t, "pause")) * time.Millisecond,
+		}
+	})
+	return rapid.Custom(func(t *rapid.T) history {
+		return history{
+			Steps:      rapid.SliceOfN(steps, 5, 40).Draw(t, "steps"),
+			Behaviours: rapid.SliceOfN(rapid.IntRange(0, len(historyBehaviours)-1), 20, 20).Draw(t, "behaviours"),
+			CopyDelays: rapid.SliceOfN(rapid.Map(rapid.SampledFrom([]int{1, 1, 1, 2, 10, 45, 55, 200, 900}),
+				func(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }), 30, 30).Draw(t, "delays"),
+			Proposals: rapid.SliceOfN(rapid.SampledFrom([]int{0, 0, 0, 1, 2}), 12, 12).Draw(t, "proposals"),
+		}
+	})
+}
+
+// claim is how one delivery of a request ended.
+type claim struct {
+	id      string
+	outcome outcome.Outcome
+}
+
+// player plays one history.
+type player struct {
+	world    *world
+	server   *fakeServer
+	holders  []*holder
+	requests []*request.Request
+	names    []authority.Instance
+	first    bool
+	mu       sync.Mutex
+	claims   []claim
+	sends    sync.WaitGroup
+}
+
+// play returns what the run log of the server contradicts, or "".
+func (h history) play(noTokenCheck, noCompleteSince bool) string {
+	p := &player{first: noCompleteSince}
+	var script []behaviour
+	for _, b := range h.Behaviours {
+		script = append(script, historyBehaviours[b])
+	}
+	p.server = newFakeServer("bosho-01", newRunLog(), answerAfter(time.Millisecond), script...)
+	p.world = newWorld(true, 3, Limits{}, p.server)
+	p.world.network.ignoreTokens = noTokenCheck
+	p.world.network.delays = h.CopyDelays
+	for _, fault := range h.Proposals {
+		p.world.witnesses.faults = append(p.world.witnesses.faults, proposalFault(fault))
+	}
+	p.holders = []*holder{p.world.holder}
+	for i := range historyInstances {
+		p.names = append(p.names, instance(i))
+	}
+	p.world.network.add(instance(4))
+	for range historyRequests {
+		p.requests = append(p.requests, newRequest(false))
+	}
+	for _, s := range h.Steps {
+		time.Sleep(s.Pause)
+		p.apply(s)
+	}
+	p.sends.Wait()
+	time.Sleep(10 * time.Second)
+	synctest.Wait()
+	for _, held := range p.holders {
+		held.close()
+	}
+	time.Sleep(10 * time.Second)
+	p.world.network.close()
+	return p.verdict()
+}
+
+func (p *player) apply(s step) {
+	name := s.A % historyInstances
+	switch s.Kind {
+	case "send":
+		p.send(p.holders[s.B%len(p.holders)], p.requests[s.A%historyRequests])
+	case "takeover":
+		p.takeover(name)
+	case "lose":
+		p.world.network.setLost(p.names[name], true)
+	case "return":
+		p.world.network.setLost(p.names[name], false)
+	case "restart":
+		p.names[name].Incarnation += "r"
+		p.world.network.add(p.names[name])
+	}
+}
+
+func (p *player) send(h *holder, r *request.Request) {
+	again := resend(r)
+	p.sends.Go(func() {
+		_, err := h.handle(context.Background(), again)
+		c := claim{id: r.ID, outcome: outcome.Answered}
+		if err != nil {
+			c.outcome = problem.From(err).Outcome
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.claims = append(p.claims, c)
+	})
+}
+
+func (p *player) takeover(self int) {
+	token := authority.Token{Epoch: 1, Ballot: p.world.witnesses.ballot() + 1}
+	p.world.witnesses.promise(token)
+	var candidates []authority.Instance
+	for i, name := range p.names {
+		if i != self {
+			candidates = append(candidates, name)
+		}
+	}
+	p.holders = append(p.holders, newHolder(holderOptions{
+		self: p.names[self], token: token, network: p.world.network, witnesses: p.world.witnesses,
+		candidates: candidates, keyed: true, slots: 3, servers: []*fakeServer{p.server}, first: p.first,
+	}))
+}
+
+func (p *player) verdict() string {
+	for _, r := range p.requests {
+		runs := p.server.log.count(r.ID)
+		if runs > 1 {
+			return fmt.Sprintf("request %s ran %d times", r.ID, runs)
+		}
+		answered, notRun, total := 0, 0, 0
+		for _, c := range p.claims {
+			if c.id != r.ID {
+				continue
+			}
+			total++
+			switch c.outcome {
+			case outcome.Answered:
+				answered++
+			case outcome.NotRun:
+				notRun++
+			}
+		}
+		if answered > 0 && runs != 1 {
+			return fmt.Sprintf("request %s was answered and ran %d times", r.ID, runs)
+		}
+		if notRun == total && runs != 0 {
+			return fmt.Sprintf("request %s ran although each delivery ended not run", r.ID)
+		}
+	}
+	return ""
+}
+
+// Guards against a second run, and against a false "not run", in any order of
+// holder changes, lost and restarted mirrors, late copies and resends to old and
+// new holders. Every old holder is convinced of its tenure throughout.
+func TestHistoriesRunAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		h := historyGenerator().Draw(rt, "history")
+		var contradiction string
+		synctest.Test(t, func(*testing.T) { contradiction = h.play(false, false) })
+		if contradiction != "" {
+			rt.Fatal(contradiction)
+		}
+	})
+}
+
+// Guards against a history test that cannot fail: with a guard taken out, some
+// of the same histories must run a request twice.
+func TestHistoriesFindMissingGuards(t *testing.T) {
+	cases := []struct {
+		name                          string
+		noTokenCheck, noCompleteSince bool
+	}{
+		{"mirrors do not check tokens", true, false},
+		{"holders ignore complete_since", false, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			found := 0
+			for seed := range 200 {
+				h := historyGenerator().Example(seed)
+				synctest.Test(t, func(*testing.T) {
+					if h.play(c.noTokenCheck, c.noCompleteSince) != "" {
+						found++
+					}
+				})
+			}
+			t.Logf("%d of 200 histories contradict the run log", found)
+			if found == 0 {
+				t.Error("no history noticed the missing guard")
+			}
+		})
+	}
+}
--- a/internal/record/sender.go
+++ b/internal/record/sender.go
@@ -17,8 +17,8 @@
 	to   authority.Instance
 	copy func(ctx context.Context, to authority.Instance, records []Record) error
 	// failed is called once, when the mirror has not acknowledged a message.
-	failed func(*sender, error)
-	inbox  chan *pending
+	failed  func(*sender, error)
+	inbox   chan *pending
 	stop    chan stopOrder
 	stopped chan struct{}
 	// final settles what arrives after the stop; it is set before stopped is closed.
--- /dev/null
+++ b/internal/record/table_test.go
@@ -0,0 +1,219 @@
+package record
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"peridotmoor.org/peridotmoor/internal/outcome"
+	"peridotmoor.org/peridotmoor/internal/problem"
+	"peridotmoor.org/peridotmoor/internal/request"
+	"pgregory.net/rapid"
+)
+
+// naiveTable is the table as a map under a mutex that scans everything.
+type naiveTable struct {
+	mu      sync.Mutex
+	o       Options
+	since   time.Time
+	newest  time.Time
+	records map[identity]*naiveRecord
+}
+
+type naiveRecord struct {
+	created time.Time
+	digest  uint64
+	running bool
+	state   State
+	kept    bool
+}
+
+// begin returns the action and, for a refusal, its kind and outcome.
+func (n *naiveTable) begin(id identity, created time.Time, digest uint64, now time.Time) (Action, problem.Kind, outcome.Outcome) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if created.After(now.Add(n.o.MaxClockSkew)) {
+		return ActionRefuse, problem.KindIDAhead, outcome.NotRun
+	}
+	n.expire(now)
+	r, ok := n.records[id]
+	if !ok {
+		return n.add(id, created, digest, now)
+	}
+	switch {
+	case r.digest != digest:
+		return ActionRefuse, problem.KindIDReused, outcome.NotRun
+	case r.running:
+		return ActionJoin, "", ""
+	case r.state == NotRun:
+		r.running = true
+		return ActionRun, "", ""
+	case r.state == Answered && r.kept:
+		return ActionReplay, "", ""
+	case r.state == Answered:
+		return ActionRefuse, problem.KindAnswerNotKept, outcome.Unknown
+	default:
+		return ActionRefuse, problem.KindAnswerLost, outcome.Unknown
+	}
+}
+
+func (n *naiveTable) add(id identity, created time.Time, digest uint64, now time.Time) (Action, problem.Kind, outcome.Outcome) {
+	switch {
+	case now.Sub(created) > n.o.Retention || !n.isKept(created):
+		return ActionRefuse, problem.KindIDExpired, outcome.Unknown
+	case created.Before(n.since):
+		return ActionRefuse, problem.KindRecordsLost, outcome.Unknown
+	case len(n.records) >= n.o.Limit:
+		return ActionRefuse, problem.KindRecordsFull, outcome.NotRun
+	}
+	n.records[id] = &naiveRecord{created: created, digest: digest, running: true}
+	return ActionRun, "", ""
+}
+
+// isKept reports whether a record created then has not been dropped by any clock so far.
+func (n *naiveTable) isKept(created time.Time) bool {
+	return created.Unix() > n.newest.Add(-n.o.Retention).Unix()-1
+}
+
+func (n *naiveTable) expire(now time.Time) {
+	if now.After(n.newest) {
+		n.newest = now
+	}
+	for id, r := range n.records {
+		if !n.isKept(r.created) {
+			delete(n.records, id)
+		}
+	}
+}
+
+// Guards against any difference between the table and the naive version, in
+// sequences of requests, ends and clock steps in both directions.
+func TestTableDifferential(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		o := Options{Retention: 10 * time.Second, MaxClockSkew: 2 * time.Second, Limit: 5, KeptBytes: 1 << 20}
+		now := time.Unix(1_700_000_000, 0)
+		since := now.Add(time.Duration(rapid.IntRange(-20, 4).Draw(rt, "since")) * time.Second)
+		table := NewTable(o, nil, since)
+		naive := &naiveTable{o: o, since: since, newest: now, records: map[identity]*naiveRecord{}}
+		table.Expire(now)
+		runs := map[identity]*Run{}
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			if rapid.IntRange(0, 3).Draw(rt, "clock") == 0 {
+				now = now.Add(time.Duration(rapid.IntRange(-1500, 6000).Draw(rt, "ms")) * time.Millisecond)
+			}
+			if len(runs) > 0 && rapid.Bool().Draw(rt, "conclude") {
+				concludeOne(rt, table, naive, runs)
+				continue
+			}
+			beginOne(rt, table, naive, runs, now)
+		}
+		if table.Len() != len(naive.records) {
+			rt.Fatalf("table has %d records, naive %d", table.Len(), len(naive.records))
+		}
+	})
+}
+
+func beginOne(rt *rapid.T, table *Table, naive *naiveTable, runs map[identity]*Run, now time.Time) {
+	age := rapid.IntRange(-4, 14).Draw(rt, "age")
+	created := now.Add(-time.Duration(age) * time.Second).Truncate(time.Second)
+	id := testID(created, uint32(rapid.IntRange(0, 1).Draw(rt, "sequence")))
+	digest := rapid.Uint64Range(0, 9).Draw(rt, "digest") / 9
+	action, kind, out := naive.begin(identity{"k", id}, created, digest, now)
+	got := table.Begin("k", id, digest, now)
+	if got.Action != action {
+		rt.Fatalf("begin %s at %v: action %v, naive %v %s", id, now, got.Action, action, kind)
+	}
+	if got.Action == ActionRun {
+		runs[identity{"k", id}] = got.Run
+	}
+	if got.Problem != nil && (got.Problem.Kind != kind || got.Problem.Outcome != out) {
+		rt.Fatalf("refusal %s %s, naive %s %s", got.Problem.Kind, got.Problem.Outcome, kind, out)
+	}
+}
+
+func concludeOne(rt *rapid.T, table *Table, naive *naiveTable, runs map[identity]*Run) {
+	var ids []identity
+	for id := range runs {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b identity) int { return strings.Compare(a.id, b.id) })
+	id := ids[rapid.IntRange(0, len(ids)-1).Draw(rt, "run")%len(ids)]
+	run := runs[id]
+	delete(runs, id)
+	r, known := naive.records[id]
+	if known {
+		r.running = false
+	} else {
+		r = &naiveRecord{}
+	}
+	switch rapid.IntRange(0, 3).Draw(rt, "end") {
+	case 0:
+		r.state, r.kept = Answered, true
+		table.Conclude(run, AnsweredRecord(run, &request.Answer{Status: 200}, []byte("body"), true))
+	case 1:
+		r.state, r.kept = Answered, false
+		table.Conclude(run, AnsweredRecord(run, &request.Answer{Status: 200}, nil, false))
+	case 2:
+		r.state = Unknown
+		table.Conclude(run, FailedRecord(run, "s", problem.New(problem.KindAnswerLost, outcome.StageWritten, "reset")))
+	case 3:
+		r.state = NotRun
+		table.Conclude(run, FailedRecord(run, "s", problem.New(problem.KindShed, outcome.StageQueued, "shed")))
+	}
+}
+
+// Guards against two runs of one request when many resends arrive at once.
+func TestOneRunAmongConcurrentResends(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(Options{}, nil, time.UnixMilli(1))
+	for round := range 200 {
+		id := testID(time.Now(), uint32(round))
+		var runs, joins atomic.Int64
+		var wg sync.WaitGroup
+		for range 8 {
+			wg.Go(func() {
+				decision := table.Begin("k", id, 1, time.Now())
+				if decision.Action == ActionRun {
+					runs.Add(1)
+					table.Conclude(decision.Run, AnsweredRecord(decision.Run, &request.Answer{Status: 201}, []byte("x"), true))
+					return
+				}
+				if decision.Action == ActionJoin {
+					<-decision.Run.Done()
+					answer, p := decision.Run.Outcome()
+					if p != nil || answer.Status != 201 {
+						t.Error("a joined resend did not get the answer")
+					}
+				}
+				joins.Add(1)
+			})
+		}
+		wg.Wait()
+		is.Equal(runs.Load(), int64(1))
+		is.Equal(joins.Load(), int64(7))
+	}
+}
+
+// Guards against kept answers that are counted after their records are gone, or
+// kept beyond the bound.
+func TestKeptAnswersAreBounded(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	table := NewTable(Options{KeptBytes: 1000}, nil, time.UnixMilli(1))
+	for i := range 5 {
+		run := table.Begin("k", testID(now, uint32(i)), 1, now).Run
+		table.Conclude(run, AnsweredRecord(run, &request.Answer{}, make([]byte, 300), true))
+	}
+	is.Equal(table.kept.Load(), int64(900))
+	is.Equal(table.Begin("k", testID(now, 0), 1, now).Action, ActionReplay)
+	is.Equal(table.Begin("k", testID(now, 4), 1, now).Problem.Kind, problem.KindAnswerNotKept)
+	late := table.Begin("k", testID(now, 9), 1, now).Run
+	table.Expire(now.Add(time.Hour))
+	table.Conclude(late, AnsweredRecord(late, &request.Answer{}, make([]byte, 300), true))
+	is.Equal(table.kept.Load(), int64(0))
+	is.Equal(table.Len(), 0)
+}
