Tighten the test of streamed answers

The body now ends with its context and the range is checked during the stream. Seen failing with the range left early and with the deadline kept.

--- a/internal/dispatch/behaviour_test.go
+++ b/internal/dispatch/behaviour_test.go
@@ -343,8 +343,8 @@
 	const size = 2 * AnswerBufferBytes
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		server := newFakeServer("shashin-01", newRunLog(), func(_ context.Context, s *fakeServer, r *request.Request) (*request.Answer, error) {
-			return s.answer(r.ID, io.NopCloser(strings.NewReader(strings.Repeat("x", size))), size), nil
+		server := newFakeServer("shashin-01", newRunLog(), func(ctx context.Context, s *fakeServer, r *request.Request) (*request.Answer, error) {
+			return s.answer(r.ID, &cancellableBody{ctx, strings.NewReader(strings.Repeat("x", size))}, size), nil
 		})
 		w := newWorld(true, 1, Limits{}, server)
 		defer w.close()
@@ -353,6 +353,7 @@
 			is.NoErr(err)
 			time.Sleep(3 * time.Second)
 			is.Equal(w.holder.targets[0].Gate.Running(), 1)
+			is.Equal(w.holder.views.Load().Ranges[0].State.InFlight.Load(), int64(1))
 			if whole {
 				n, err := io.Copy(io.Discard, answer.Body)
 				is.NoErr(err)
@@ -365,6 +366,21 @@
 	})
 }
 
+// cancellableBody ends with its context, as a connection does.
+type cancellableBody struct {
+	ctx context.Context
+	io.Reader
+}
+
+func (b *cancellableBody) Read(p []byte) (int, error) {
+	if err := b.ctx.Err(); err != nil {
+		return 0, err
+	}
+	return b.Reader.Read(p)
+}
+
+func (b *cancellableBody) Close() error { return nil }
+
 // Guards against a request that is refused, or sent to the old owner, while its
 // range moves.
 func TestHeldRangeWaits(t *testing.T) {
