--- /dev/null
+++ b/internal/backend/backendtest/deadline.go
@@ -0,0 +1,43 @@
+package backendtest
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// deadline is a context whose deadline passes when the case says so, so that
+// no verdict depends on the machine's speed.
+type deadline struct {
+	context.Context
+	passed chan struct{}
+	once   sync.Once
+}
+
+func newDeadline(parent context.Context) *deadline {
+	return &deadline{Context: parent, passed: make(chan struct{})}
+}
+
+func (d *deadline) pass() {
+	d.once.Do(func() { close(d.passed) })
+}
+
+// Deadline implements context.Context.
+func (d *deadline) Deadline() (time.Time, bool) {
+	return time.Now().Add(limit), true
+}
+
+// Done implements context.Context.
+func (d *deadline) Done() <-chan struct{} {
+	return d.passed
+}
+
+// Err implements context.Context.
+func (d *deadline) Err() error {
+	select {
+	case <-d.passed:
+		return context.DeadlineExceeded
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/backend/backendtest/failures.go
@@ -0,0 +1,159 @@
+package backendtest
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"peridotmoor.org/peridotmoor/internal/backend"
+	"peridotmoor.org/peridotmoor/internal/outcome"
+	"peridotmoor.org/peridotmoor/internal/problem"
+)
+
+// failures is the contract of requests that get no whole answer of their own.
+func failures() []contractCase {
+	cases := []contractCase{
+		{"cancelled while running", Options{}, cancelled},
+		{"context deadline while running", Options{}, contextDeadline},
+		{"connection refused", Options{}, connectionRefused},
+		{"server error without a mark is an answer", Options{}, plain503},
+		{"frozen server", Options{}, frozen},
+	}
+	for _, c := range brokenAnswers {
+		cases = append(cases, contractCase{"broken answer: " + string(c.fault), Options{}, func(t *testing.T, h Harness) {
+			brokenAnswer(t, h, c)
+		}})
+	}
+	for _, fault := range []Fault{Short, ResetBody} {
+		cases = append(cases, contractCase{"broken body: " + string(fault), Options{}, func(t *testing.T, h Harness) {
+			brokenBody(t, h, fault)
+		}})
+	}
+	return cases
+}
+
+// broken is a fault that shows before the body and the claim that it justifies.
+type broken struct {
+	fault Fault
+	kind  problem.Kind
+	runs  int
+}
+
+var brokenAnswers = []broken{
+	{Crossed, problem.KindAnswerCrossed, 1},
+	{NoID, problem.KindAnswerCrossed, 1},
+	{ForeignRefusal, problem.KindAnswerCrossed, 1},
+	{NoLength, problem.KindAnswerShort, 1},
+	{ResetUnread, problem.KindAnswerLost, 0},
+	{ResetRun, problem.KindAnswerLost, 1},
+	{ResetHeader, problem.KindAnswerLost, 1},
+}
+
+// brokenAnswer checks the claim, that the request was sent only once, and that
+// the connection is not used again.
+func brokenAnswer(t *testing.T, h Harness, c broken) {
+	is := is.New(t)
+	read(t, answered(t, h, 1, get("before")))
+	h.Peer.FailNext(c.fault)
+	_, err := h.Server.Send(t.Context(), order(1), get("one"))
+	expect(t, err, c.kind, outcome.StageWritten)
+	is.Equal(h.Peer.Runs(t.Context(), "one"), c.runs)
+	read(t, answered(t, h, 1, get("after")))
+}
+
+func brokenBody(t *testing.T, h Harness, fault Fault) {
+	is := is.New(t)
+	h.Peer.FailNext(fault)
+	answer, err := h.Server.Send(t.Context(), order(1), get("one"))
+	is.NoErr(err)
+	content, err := io.ReadAll(answer.Body)
+	is.True(errors.Is(err, io.ErrUnexpectedEOF))
+	is.True(len(content) < 5000)
+	_ = answer.Body.Close()
+	is.Equal(h.Peer.Runs(t.Context(), "one"), 1)
+	read(t, answered(t, h, 1, get("after")))
+}
+
+func cancelled(t *testing.T, h Harness) {
+	h.Peer.FailNext(Hang)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := h.Server.Send(ctx, order(1), post("one", []byte("x")))
+		ended <- err
+	}()
+	h.Peer.Started(t.Context(), "one")
+	cancel()
+	expect(t, <-ended, problem.KindCallerGone, outcome.StageWritten)
+	h.Peer.Cancelled(t.Context(), "one")
+}
+
+func contextDeadline(t *testing.T, h Harness) {
+	h.Peer.FailNext(Hang)
+	ctx := newDeadline(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := h.Server.Send(ctx, order(1), post("one", nil))
+		ended <- err
+	}()
+	h.Peer.Started(t.Context(), "one")
+	ctx.pass()
+	expect(t, <-ended, problem.KindDeadlinePassed, outcome.StageWritten)
+	h.Peer.Cancelled(t.Context(), "one")
+}
+
+func connectionRefused(t *testing.T, h Harness) {
+	is := is.New(t)
+	before, err := h.Server.Grant(t.Context(), backend.Grant{Order: order(1)})
+	is.NoErr(err)
+	h.Peer.Crash()
+	_, err = h.Server.Send(t.Context(), order(1), post("one", []byte("x")))
+	expect(t, err, problem.KindConnectFailed, outcome.StageConnect)
+	is.NoErr(h.Peer.Start())
+	read(t, answered(t, h, 1, post("two", []byte("x"))))
+	after, err := h.Server.Grant(t.Context(), backend.Grant{Order: order(1)})
+	is.NoErr(err)
+	is.True(before.Incarnation != after.Incarnation)
+	is.Equal(h.Peer.Runs(t.Context(), "one"), 0)
+}
+
+func plain503(t *testing.T, h Harness) {
+	is := is.New(t)
+	h.Peer.FailNext(Plain503)
+	answer, err := h.Server.Send(t.Context(), order(1), get("one"))
+	is.NoErr(err)
+	is.Equal(answer.Status, 503)
+	read(t, answer)
+	is.Equal(h.Peer.Runs(t.Context(), "one"), 1)
+}
+
+// frozen checks that a request which a frozen server may still run is not
+// claimed otherwise, and that control calls end with their context.
+func frozen(t *testing.T, h Harness) {
+	is := is.New(t)
+	h.Peer.Freeze()
+	ctx := newDeadline(t.Context())
+	ended := make(chan error, 2)
+	go func() {
+		_, err := h.Server.Send(ctx, order(1), post("one", nil))
+		ended <- err
+	}()
+	h.Peer.Held(t.Context())
+	ctx.pass()
+	expect(t, <-ended, problem.KindDeadlinePassed, outcome.StageWritten)
+	control := newDeadline(t.Context())
+	go func() {
+		_, err := h.Server.Grant(control, backend.Grant{Order: order(1)})
+		ended <- err
+	}()
+	h.Peer.Held(t.Context())
+	control.pass()
+	is.True(errors.Is(<-ended, context.DeadlineExceeded))
+	h.Peer.Thaw()
+	h.Peer.Started(t.Context(), "one")
+	read(t, answered(t, h, 1, get("two")))
+}
--- /dev/null
+++ b/internal/backend/backendtest/sending.go
@@ -0,0 +1,187 @@
+package backendtest
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/textproto"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotmoor.org/peridotmoor/internal/backend"
+	"peridotmoor.org/peridotmoor/internal/outcome"
+	"peridotmoor.org/peridotmoor/internal/problem"
+	"peridotmoor.org/peridotmoor/internal/request"
+)
+
+// sending is the contract of requests that the server answers or refuses.
+func sending() []contractCase {
+	return []contractCase{
+		{"whole answer", Options{}, wholeAnswer},
+		{"request with a body", Options{}, withBody},
+		{"streamed body", Options{}, streamedBody},
+		{"answer closed before its end", Options{}, abandonedAnswer},
+		{"shed", Options{}, shed},
+		{"drained", Options{}, drained},
+		{"slots taken", Options{Slots: 1}, slotsTaken},
+		{"deadline passed before sending", Options{}, deadlineBefore},
+		{"deadline passes on the server", Options{}, deadlineOnServer},
+		{"health and load", Options{}, reports},
+	}
+}
+
+// read returns the whole body of an answer.
+func read(t *testing.T, answer *request.Answer) []byte {
+	t.Helper()
+	content, err := io.ReadAll(answer.Body)
+	if err != nil {
+		t.Fatalf("body: %v", err)
+	}
+	if err := answer.Body.Close(); err != nil {
+		t.Fatalf("close: %v", err)
+	}
+	return content
+}
+
+// answered sends a request that must be answered with status 200.
+func answered(t *testing.T, h Harness, ballot uint64, r *request.Request) *request.Answer {
+	t.Helper()
+	answer, err := h.Server.Send(t.Context(), order(ballot), r)
+	if err != nil {
+		t.Fatalf("request %s: %v", r.ID, err)
+	}
+	if answer.RequestID != r.ID || answer.Status != 200 {
+		t.Fatalf("request %s: answer to %s with status %d", r.ID, answer.RequestID, answer.Status)
+	}
+	return answer
+}
+
+// refused sends a request that the server must refuse without running it.
+func refused(t *testing.T, h Harness, ballot uint64, r *request.Request) {
+	t.Helper()
+	_, err := h.Server.Send(t.Context(), order(ballot), r)
+	expect(t, err, problem.KindShed, outcome.StageRefusedByServer)
+	if runs := h.Peer.Runs(t.Context(), r.ID); runs != 0 {
+		t.Fatalf("refused request %s ran %d times", r.ID, runs)
+	}
+}
+
+// expect checks the kind and stage of a failure.
+func expect(t *testing.T, err error, kind problem.Kind, stage outcome.Stage) {
+	t.Helper()
+	if err == nil {
+		t.Fatalf("no error instead of %s", kind)
+	}
+	p := problem.From(err)
+	if p.Kind != kind || p.Stage != stage {
+		t.Fatalf("%s at stage %d instead of %s at stage %d: %v", p.Kind, p.Stage, kind, stage, err)
+	}
+}
+
+func wholeAnswer(t *testing.T, h Harness) {
+	is := is.New(t)
+	answer := answered(t, h, 1, get("one"))
+	is.Equal(answer.ContentLength, int64(5000))
+	is.True(answer.Server != "")
+	is.True(answer.Header.Get(backend.HeaderIncarnation) != "")
+	is.Equal(len(read(t, answer)), 5000)
+	is.Equal(h.Peer.Runs(t.Context(), "one"), 1)
+	again := read(t, answered(t, h, 1, get("two")))
+	is.Equal(len(again), 5000)
+}
+
+func withBody(t *testing.T, h Harness) {
+	is := is.New(t)
+	r := post("one", bytes.Repeat([]byte("x"), 10_000))
+	r.Header = textproto.MIMEHeader{"Content-Type": {"text/plain"}, "Connection": {"close"}}
+	read(t, answered(t, h, 1, r))
+	read(t, answered(t, h, 1, post("two", nil)))
+	is.Equal(h.Peer.Runs(t.Context(), "one"), 1)
+	is.Equal(h.Peer.Runs(t.Context(), "two"), 1)
+}
+
+func streamedBody(t *testing.T, h Harness) {
+	for name, length := range map[string]int64{"known": 3 << 20, "unknown": -1} {
+		r := post(name, nil)
+		r.Body = bytes.NewReader(make([]byte, 3<<20))
+		r.ContentLength = length
+		read(t, answered(t, h, 1, r))
+	}
+}
+
+func abandonedAnswer(t *testing.T, h Harness) {
+	r := get("one")
+	r.Path = "/plot?size=4000000"
+	answer := answered(t, h, 1, r)
+	_ = answer.Body.Close()
+	read(t, answered(t, h, 1, get("two")))
+}
+
+func shed(t *testing.T, h Harness) {
+	h.Peer.SetShedding(true)
+	refused(t, h, 1, post("one", []byte("x")))
+	h.Peer.SetShedding(false)
+	read(t, answered(t, h, 1, post("one", []byte("x"))))
+}
+
+func drained(t *testing.T, h Harness) {
+	is := is.New(t)
+	is.NoErr(h.Server.Drain(t.Context(), order(1)))
+	refused(t, h, 1, get("one"))
+	health, err := h.Server.Health(t.Context())
+	is.NoErr(err)
+	is.True(health.Leaving)
+	is.True(!health.Accepting)
+	answer, err := h.Server.Grant(t.Context(), backend.Grant{Order: order(1)})
+	is.NoErr(err)
+	is.True(answer.Leaving)
+}
+
+func slotsTaken(t *testing.T, h Harness) {
+	h.Peer.FailNext(Hang)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := h.Server.Send(ctx, order(1), get("running"))
+		ended <- err
+	}()
+	h.Peer.Started(t.Context(), "running")
+	refused(t, h, 1, get("second"))
+	cancel()
+	expect(t, <-ended, problem.KindCallerGone, outcome.StageWritten)
+}
+
+func deadlineBefore(t *testing.T, h Harness) {
+	is := is.New(t)
+	r := post("one", nil)
+	r.Deadline = time.Now().Add(-time.Millisecond)
+	_, err := h.Server.Send(t.Context(), order(1), r)
+	expect(t, err, problem.KindDeadlinePassed, outcome.StageConnect)
+	is.Equal(h.Peer.Runs(t.Context(), "one"), 0)
+}
+
+// deadlineOnServer checks that the remaining time reaches the server, which
+// answers by itself when it has passed.
+func deadlineOnServer(t *testing.T, h Harness) {
+	is := is.New(t)
+	r := get("one")
+	r.Path = "/plot?work_ms=3600000"
+	r.Deadline = time.Now().Add(50 * time.Millisecond)
+	answer, err := h.Server.Send(t.Context(), order(1), r)
+	is.NoErr(err)
+	is.Equal(answer.Status, 504)
+	read(t, answer)
+}
+
+func reports(t *testing.T, h Harness) {
+	is := is.New(t)
+	health, err := h.Server.Health(t.Context())
+	is.NoErr(err)
+	is.True(health.Accepting)
+	is.True(health.Incarnation != "")
+	load, err := h.Server.Load(t.Context())
+	is.NoErr(err)
+	is.Equal(load, backend.Load{})
+}
--- /dev/null
+++ b/internal/dev/servers/contract_test.go
@@ -0,0 +1,108 @@
+package servers_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"peridotmoor.org/peridotmoor/internal/backend/backendtest"
+	"peridotmoor.org/peridotmoor/internal/backend/httpbackend"
+	"peridotmoor.org/peridotmoor/internal/dev/ownership"
+	"peridotmoor.org/peridotmoor/internal/dev/runlog"
+	"peridotmoor.org/peridotmoor/internal/dev/servers"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// peer drives one stand-in for the contract of backend.Server.
+type peer struct {
+	*servers.Server
+	log *runlog.Log
+}
+
+func (p *peer) FailNext(fault backendtest.Fault) {
+	p.Server.FailNext(servers.Fault(fault))
+}
+
+func (p *peer) Runs(ctx context.Context, id string) int {
+	p.wait(ctx, func(runs []runlog.Run) bool {
+		for _, run := range runs {
+			if run.RequestID == id && run.End.IsZero() {
+				return false
+			}
+		}
+		return true
+	})
+	runs, _ := p.log.Snapshot()
+	count := 0
+	for _, run := range runs {
+		if run.RequestID == id {
+			count++
+		}
+	}
+	return count
+}
+
+func (p *peer) Started(ctx context.Context, id string) {
+	p.wait(ctx, func(runs []runlog.Run) bool {
+		return has(runs, func(run runlog.Run) bool { return run.RequestID == id })
+	})
+}
+
+func (p *peer) Cancelled(ctx context.Context, id string) {
+	p.wait(ctx, func(runs []runlog.Run) bool {
+		return has(runs, func(run runlog.Run) bool { return run.RequestID == id && run.Cancelled })
+	})
+}
+
+func (p *peer) Held(ctx context.Context) {
+	select {
+	case <-p.Server.Held():
+	case <-ctx.Done():
+		panic("no call met the frozen server")
+	}
+}
+
+func (p *peer) wait(ctx context.Context, fulfilled func([]runlog.Run) bool) {
+	ctx, cancel := context.WithTimeout(ctx, 30*time.Second)
+	defer cancel()
+	if err := p.log.Wait(ctx, fulfilled); err != nil {
+		panic("the run log does not show what the case waits for")
+	}
+}
+
+func has(runs []runlog.Run, match func(runlog.Run) bool) bool {
+	for _, run := range runs {
+		if match(run) {
+			return true
+		}
+	}
+	return false
+}
+
+func TestBackendContractOverHTTP(t *testing.T) {
+	backendtest.Run(t, func(t *testing.T, options backendtest.Options) backendtest.Harness {
+		log := runlog.New()
+		server := servers.NewServer(servers.Config{
+			Name:         "bosho-1",
+			Service:      "bosho",
+			Keyed:        options.Keyed,
+			ChecksTokens: options.ChecksTokens,
+			Slots:        options.Slots,
+			Warm:         true,
+		}, log, ownership.NewMonitor())
+		if err := server.Start(); err != nil {
+			t.Fatal(err)
+		}
+		client := httpbackend.New("bosho-1", server.Address(), 6)
+		t.Cleanup(func() {
+			server.Close()
+			client.Close()
+		})
+		return backendtest.Harness{Server: client, Peer: &peer{Server: server, log: log}}
+	})
+}
--- a/internal/dev/servers/freezer.go
+++ b/internal/dev/servers/freezer.go
@@ -10,6 +10,8 @@
 type freezer struct {
 	// thawed is nil while the server is not frozen, and closed by the thaw.
 	thawed atomic.Pointer[chan struct{}]
+	// held gets a value for each call that begins to wait, as far as it has room.
+	held chan struct{}
 }
 
 func (f *freezer) freeze() {
@@ -30,6 +32,10 @@
 		return
 	}
 	select {
+	case f.held <- struct{}{}:
+	default:
+	}
+	select {
 	case <-*frozen:
 	case <-life.Done():
 	}
--- a/internal/dev/servers/run.go
+++ b/internal/dev/servers/run.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -66,7 +67,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), c.timeout)
 	defer cancel()
 	select {
-	case <-time.After(h.serviceTime()):
+	case <-time.After(h.serviceTime(r)):
 		return reply{status: http.StatusOK, body: payload.Make(c.id, sizeOf(r))}
 	case <-h.life.ctx.Done():
 	case <-ctx.Done():
@@ -77,7 +78,11 @@
 	return reply{status: http.StatusGatewayTimeout, body: []byte("deadline passed")}
 }
 
-func (h *requestHandler) serviceTime() time.Duration {
+// serviceTime draws how long the request takes, or returns what its query asks for.
+func (h *requestHandler) serviceTime(r *http.Request) time.Duration {
+	if asked, err := strconv.Atoi(r.URL.Query().Get("work_ms")); err == nil && asked >= 0 {
+		return time.Duration(asked) * time.Millisecond
+	}
 	s := h.server
 	random := rand.New(rand.NewPCG(s.config.Seed, s.sequence.Add(1)))
 	d := s.config.Work.duration(random, s.config.Seed, time.Since(s.clock.start))
--- a/internal/dev/servers/server.go
+++ b/internal/dev/servers/server.go
@@ -50,6 +50,7 @@
 		load:    newLagged(config.ReportLag, backend.Load{}),
 		address: config.Address,
 	}
+	s.freezer.held = make(chan struct{}, 16)
 	s.holdings.Store(&holdings{})
 	s.slow.Store(100)
 	return s
--- a/internal/dev/servers/switches.go
+++ b/internal/dev/servers/switches.go
@@ -12,6 +12,9 @@
 // Thaw lets a frozen server go on with what has arrived.
 func (s *Server) Thaw() { s.freezer.thaw() }
 
+// Held returns a channel that gets a value for each call that meets the frozen server.
+func (s *Server) Held() <-chan struct{} { return s.freezer.held }
+
 // SetLeaving makes the server refuse new work, as in a planned departure.
 func (s *Server) SetLeaving(leaving bool) {
 	s.leaving.Store(leaving)
