Add membership

The list of the platform adds instances and decides only where there is no answer within a minute; answers, refusals, silence and other incarnations take precedence. Listed instances are probed for their incarnation. The tests fail with each of these guards taken out: former incarnations, precedence of answers, suspects kept against the list, tolerance of one lost message, probing, and the version of the table.

Authority ranks instances whose incarnation is not known yet, but chooses only known ones as witnesses.

--- a/internal/authority/node_recovery.go
+++ b/internal/authority/node_recovery.go
@@ -15,7 +15,7 @@
 // rank computes for each shard where this process stands among the instances in
 // service. The order is the same on every process with the same list.
 func (n *Node) rank() {
-	live := n.liveMembers()
+	live := n.rankedMembers()
 	for _, s := range n.order {
 		if !s.described {
 			s.interested = false
@@ -31,6 +31,18 @@
 	}
 }
 
+// rankedMembers returns the instances in service, also those whose incarnation
+// is not known yet, since the order depends on names only.
+func (n *Node) rankedMembers() []Member {
+	members := n.liveMembers()
+	for _, p := range n.peers {
+		if p.Live && p.Member.Instance.Incarnation == "" {
+			members = append(members, p.Member)
+		}
+	}
+	return members
+}
+
 // recover writes the record of a shard that has none, and a new epoch for a
 // shard whose witnesses cannot form a majority any more.
 func (n *Node) recover(now time.Time, s *shardState) {
--- a/internal/authority/node_witnesses.go
+++ b/internal/authority/node_witnesses.go
@@ -82,14 +82,17 @@
 	return members
 }
 
-// liveMembers returns the instances in service, with this one unless it leaves.
+// liveMembers returns the instances in service whose incarnation is known, with
+// this one unless it leaves.
 func (n *Node) liveMembers() []Member {
 	var members []Member
 	if !n.leaving && !n.proofs.Retired(n.self.Instance) {
 		members = append(members, n.self)
 	}
 	for _, p := range n.peers {
-		if p.Live && p.Member.Instance != n.self.Instance && !n.proofs.Observed(p.Member.Instance) {
+		i := p.Member.Instance
+		usable := p.Live && i.Incarnation != "" && i.Name != n.self.Instance.Name
+		if usable && !n.proofs.Observed(i) {
 			members = append(members, p.Member)
 		}
 	}
--- /dev/null
+++ b/internal/membership/probes.go
@@ -0,0 +1,52 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+)
+
+const (
+	// suspectProbe, unknownProbe and goneProbe separate the probes of one instance.
+	suspectProbe = time.Second
+	unknownProbe = 5 * time.Second
+	goneProbe    = 30 * time.Second
+)
+
+// DueProbes returns up to limit members that should be asked for their
+// incarnation, those never asked first, and notes that they are asked at now.
+func (t *Table) DueProbes(now time.Time, limit int) []authority.Member {
+	var due []*record
+	for _, r := range t.records {
+		pause, wanted := r.probePause()
+		if wanted && r.Member.Address != "" && !r.probedAt.Add(pause).After(now) {
+			due = append(due, r)
+		}
+	}
+	slices.SortFunc(due, func(a, b *record) int {
+		if c := a.probedAt.Compare(b.probedAt); c != 0 {
+			return c
+		}
+		return slices.Compare([]byte(a.Member.Instance.Name), []byte(b.Member.Instance.Name))
+	})
+	due = due[:min(limit, len(due))]
+	members := make([]authority.Member, len(due))
+	for i, r := range due {
+		r.probedAt = now
+		members[i] = r.Member
+	}
+	return members
+}
+
+// probePause returns how often the instance is probed; wanted is false when it
+// is in contact.
+func (r *record) probePause() (pause time.Duration, wanted bool) {
+	switch {
+	case r.State == Suspect:
+		return suspectProbe, true
+	case r.State == Gone:
+		return goneProbe, r.listed != ""
+	}
+	return unknownProbe, r.Member.Instance.Incarnation == ""
+}
--- /dev/null
+++ b/internal/membership/table_test.go
@@ -0,0 +1,121 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/instances"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func instance(name, incarnation string) authority.Instance {
+	return authority.Instance{Name: name, Incarnation: incarnation}
+}
+
+// Guards against a list that is hours old outweighing direct evidence, and
+// against late messages of a replaced incarnation.
+func TestObserve(t *testing.T) {
+	a1, a2 := instance("a", "1"), instance("a", "2")
+	listed := []instances.Instance{{Name: "a", Address: "a:1", Domain: "d1", State: instances.Live}}
+	leaving := []instances.Instance{{Name: "a", Address: "a:1", Domain: "d1", State: instances.Leaving}}
+	cases := []struct {
+		name     string
+		evidence []Evidence
+		list     []instances.Instance
+		pause    time.Duration
+		state    State
+		instance authority.Instance
+	}{
+		{"listed only", nil, listed, 0, Live, instance("a", "")},
+		{"listed as leaving", nil, leaving, 0, Leaving, instance("a", "")},
+		{"answers, listed as leaving hours ago", []Evidence{{Kind: Answered, Instance: a1}}, leaving, 0, Live, a1},
+		{"says leaving, listed as live", []Evidence{{Kind: SaysLeaving, Instance: a1}}, listed, 0, Leaving, a1},
+		{"answers, not listed", []Evidence{{Kind: Answered, Instance: a1}}, nil, 0, Live, a1},
+		{"silent for long, listed as live", []Evidence{{Kind: Answered, Instance: a1}, {Kind: Silent, Instance: a1}}, listed, time.Second, Suspect, a1},
+		{"one lost message", []Evidence{{Kind: Answered, Instance: a1}, {Kind: Silent, Instance: a1}}, listed, 100 * time.Millisecond, Live, a1},
+		{"refused, listed as live", []Evidence{{Kind: Answered, Instance: a1}, {Kind: Refused, Instance: a1}}, listed, 0, Gone, a1},
+		{"restarted", []Evidence{{Kind: Answered, Instance: a1}, {Kind: Answered, Instance: a2}}, listed, 0, Live, a2},
+		{"late answer of the former", []Evidence{{Kind: Answered, Instance: a1}, {Kind: Answered, Instance: a2}, {Kind: Answered, Instance: a1}}, listed, 0, Live, a2},
+		{"late refusal of the former", []Evidence{{Kind: Answered, Instance: a1}, {Kind: Answered, Instance: a2}, {Kind: Refused, Instance: a1}}, listed, 0, Live, a2},
+		{"another answers in its place", []Evidence{{Kind: Answered, Instance: a1}, {Kind: OtherIncarnation, Instance: a1}}, listed, 0, Suspect, instance("a", "")},
+		{"refused, then back", []Evidence{{Kind: Refused, Instance: a1}, {Kind: Answered, Instance: a1}}, listed, 0, Live, a1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			table := NewTable("self")
+			now := start
+			for _, e := range c.evidence {
+				table.Observe(now, e)
+				now = now.Add(c.pause)
+			}
+			table.Merge(now, c.list)
+			entries := table.Entries()
+			is.Equal(len(entries), 1)
+			is.Equal(entries[0].State, c.state)
+			is.Equal(entries[0].Member.Instance, c.instance)
+		})
+	}
+}
+
+// Guards against a rack that is lost at once staying in service because the list
+// still shows it, and against dragging the others along.
+func TestRackLost(t *testing.T) {
+	is := is.New(t)
+	table := NewTable("self")
+	var list []instances.Instance
+	for i := range 12 {
+		name := fmt.Sprint("i", i)
+		list = append(list, instances.Instance{Name: name, Address: name, Domain: fmt.Sprint("d", i%3), State: instances.Live})
+		table.Observe(start, Evidence{Kind: Answered, Instance: instance(name, "1")})
+	}
+	lost := start.Add(time.Second)
+	for i := range 12 {
+		kind := Answered
+		if i%3 == 0 {
+			kind = Silent
+		}
+		table.Observe(lost, Evidence{Kind: kind, Instance: instance(fmt.Sprint("i", i), "1")})
+	}
+	table.Merge(lost, list)
+	table.Tick(lost.Add(time.Minute))
+	table.Merge(lost.Add(2*time.Hour), list)
+	for i, e := range table.Entries() {
+		is.Equal(e.State == Gone, e.Member.Domain == "d0") // entry i
+		is.Equal(e.State == Live, e.Member.Domain != "d0")
+		_ = i
+	}
+}
+
+// Guards against a version that misses a change, which would leave a view that
+// is never replaced.
+func TestVersionRisesWithEntries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := NewTable("self")
+		now := start
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 90000).Draw(t, "ms")) * time.Millisecond)
+			before, version := table.Entries(), table.Version()
+			name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name")
+			switch kind := rapid.IntRange(0, 6).Draw(t, "kind"); kind {
+			case 5:
+				table.Tick(now)
+			case 6:
+				state := rapid.SampledFrom([]instances.State{instances.Live, instances.Leaving}).Draw(t, "state")
+				table.Merge(now, []instances.Instance{{Name: name, Address: "x", State: state}})
+			default:
+				incarnation := rapid.SampledFrom([]string{"1", "2", "3"}).Draw(t, "incarnation")
+				table.Observe(now, Evidence{Kind: EvidenceKind(kind), Instance: instance(name, incarnation), Address: "x"})
+			}
+			if table.Version() == version && fmt.Sprint(before) != fmt.Sprint(table.Entries()) {
+				t.Fatalf("entries changed from %v to %v without a new version", before, table.Entries())
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/membership/tracker_test.go
@@ -0,0 +1,65 @@
+package membership
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/instances"
+)
+
+// staleList is a list that never changes.
+type staleList []instances.Instance
+
+func (l staleList) List(context.Context) ([]instances.Instance, error) { return l, nil }
+
+// fakeFleet answers probes; addresses not in it are silent.
+type fakeFleet map[string]authority.Instance
+
+func (f fakeFleet) Probe(ctx context.Context, address string) (authority.Instance, error) {
+	found, ok := f[address]
+	if !ok {
+		<-ctx.Done()
+		return authority.Instance{}, errors.Wrap(ctx.Err(), "probe")
+	}
+	if found.IsZero() {
+		return found, authority.ErrRefused
+	}
+	return found, nil
+}
+
+// Guards against instances of the list that are never asked for their
+// incarnation, and against a silent or refusing one that stays in service.
+func TestTrackerAsksListedInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		list := staleList{
+			{Name: "a", Address: "a:1", Domain: "d1", State: instances.Live},
+			{Name: "b", Address: "b:1", Domain: "d2", State: instances.Live},
+			{Name: "c", Address: "c:1", Domain: "d3", State: instances.Live},
+			{Name: "self", Address: "s:1", Domain: "d3", State: instances.Live},
+		}
+		fleet := fakeFleet{"a:1": instance("a", "7"), "b:1": {}}
+		tracker := NewTracker("self", list, fleet, nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); tracker.Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		view := tracker.View()
+		want := map[string]State{"a": Live, "b": Gone, "c": Suspect}
+		is.Equal(len(view.Entries), len(want))
+		for name, state := range want {
+			e, _ := view.Find(name)
+			is.Equal(e.State, state)
+		}
+		is.Equal(view.Contacts(), []authority.Member{{Instance: instance("a", "7"), Address: "a:1", Domain: "d1"}})
+		cancel()
+		<-done
+	})
+}
--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,52 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+)
+
+// View is what is believed about all other instances at one moment. It is
+// immutable.
+type View struct {
+	// Entries are ordered by name.
+	Entries []Entry
+}
+
+// Find returns the entry of the instance with this name.
+func (v *View) Find(name string) (Entry, bool) {
+	i, found := slices.BinarySearchFunc(v.Entries, name, func(e Entry, name string) int {
+		return strings.Compare(e.Member.Instance.Name, name)
+	})
+	if !found {
+		return Entry{}, false
+	}
+	return v.Entries[i], true
+}
+
+// Contacts returns the members that answer or are expected to: live and leaving
+// ones, from which a peer to exchange with is drawn.
+func (v *View) Contacts() []authority.Member {
+	var members []authority.Member
+	for _, e := range v.Entries {
+		if e.State == Live || e.State == Leaving {
+			members = append(members, e.Member)
+		}
+	}
+	return members
+}
+
+// peers returns the entries as authority sees them.
+func (v *View) peers() []authority.Peer {
+	peers := make([]authority.Peer, len(v.Entries))
+	for i, e := range v.Entries {
+		peers[i] = authority.Peer{
+			Member:  e.Member,
+			Live:    e.State == Live,
+			Leaving: e.State == Leaving,
+			Since:   e.Since,
+		}
+	}
+	return peers
+}
