Add the demo and the program peridotmoor-dev

The demo starts the stand-ins and the routers as child processes, breaks parts of the system under load and judges the run log. Its tests let the test binary act as router and operators' program; routers that run an order twice, cross answers, deny a run or grant a key twice must fail it, and no process may be left behind after a failure or an interruption.

--- /dev/null
+++ b/cmd/peridotmoor-dev/main.go
@@ -0,0 +1,12 @@
+// Program peridotmoor-dev runs the development stand-ins and the demo.
+package main
+
+import (
+	"os"
+
+	"peridotmoor.org/peridotmoor/internal/dev/command"
+)
+
+func main() {
+	os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/dev/command/main.go
@@ -0,0 +1,60 @@
+// Package command holds the subcommands of peridotmoor-dev.
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+)
+
+// Exit codes of the program.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// subcommand is one role of the program.
+type subcommand interface {
+	// attach declares the subcommand with its flags.
+	attach() *flaggy.Subcommand
+	// run works until it is done or ctx ends.
+	run(ctx context.Context, out io.Writer) error
+}
+
+// Main runs the subcommand that args name and returns the exit code. SIGINT and
+// SIGTERM end it in an orderly way.
+func Main(args []string, stdout, stderr io.Writer) int {
+	parser := flaggy.NewParser("peridotmoor-dev")
+	parser.Description = "development stand-ins for the platform, backend servers and callers, and the demo"
+	parser.ShowHelpOnUnexpected = false
+	commands := []subcommand{&platformCommand{}, &serversCommand{}, &callersCommand{}, &demoCommand{}}
+	attached := make([]*flaggy.Subcommand, len(commands))
+	for i, command := range commands {
+		attached[i] = command.attach()
+		parser.AttachSubcommand(attached[i], 1)
+	}
+	if err := parser.ParseArgs(args); err != nil {
+		fmt.Fprintln(stderr, "peridotmoor-dev:", err)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	for i, command := range commands {
+		if !attached[i].Used {
+			continue
+		}
+		if err := command.run(ctx, stdout); err != nil {
+			fmt.Fprintln(stderr, "peridotmoor-dev:", err)
+			return exitFailed
+		}
+		return exitOK
+	}
+	fmt.Fprintln(stderr, "peridotmoor-dev: name a subcommand: platform, servers, callers or demo (--help lists their flags)")
+	return exitUsage
+}
--- /dev/null
+++ b/internal/dev/demo/children.go
@@ -0,0 +1,89 @@
+package demo
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// Children are all programs that the demo has started. They are killed by the
+// kernel when the demo itself is killed.
+type Children struct {
+	bin string
+	dir string
+	// starts carries work to the thread that starts programs. The kernel ties
+	// the death signal to that thread, so it lives as long as the demo.
+	starts chan func()
+	ended  chan struct{}
+
+	mu  sync.Mutex
+	all []*Child
+}
+
+// NewChildren returns a starter of programs in bin whose logs go to dir. End it with Close.
+func NewChildren(bin, dir string) *Children {
+	c := &Children{bin: bin, dir: dir, starts: make(chan func()), ended: make(chan struct{})}
+	go c.starter()
+	return c
+}
+
+func (c *Children) starter() {
+	runtime.LockOSThread()
+	defer close(c.ended)
+	for start := range c.starts {
+		start()
+	}
+}
+
+// Start starts program as name with args.
+func (c *Children) Start(name, program string, args ...string) (*Child, error) {
+	log, err := os.Create(filepath.Join(c.dir, name+".log"))
+	if err != nil {
+		return nil, errors.Wrap(err, "log file")
+	}
+	command := exec.Command(filepath.Join(c.bin, program), args...)
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	output, err := command.StdoutPipe()
+	if err != nil {
+		return nil, errors.Wrap(err, "output pipe")
+	}
+	command.Stderr = command.Stdout
+	child := &Child{name: name, command: command, log: log, address: make(chan string, 1), done: make(chan struct{})}
+	result := make(chan error)
+	c.starts <- func() { result <- command.Start() }
+	if err := <-result; err != nil {
+		_ = log.Close()
+		return nil, errors.Wrapf(err, "cannot start %s; build the programs with make build", program)
+	}
+	go child.watch(output)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.all = append(c.all, child)
+	return child, nil
+}
+
+// Close stops all programs at once and returns those that had to be killed.
+func (c *Children) Close() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var killed []string
+	var stops sync.WaitGroup
+	results := make([]bool, len(c.all))
+	for i, child := range c.all {
+		stops.Go(func() { results[i] = child.stop() })
+	}
+	stops.Wait()
+	for i, child := range c.all {
+		if !results[i] {
+			killed = append(killed, child.name)
+		}
+	}
+	close(c.starts)
+	<-c.ended
+	return killed
+}
--- /dev/null
+++ b/internal/dev/demo/fake_test.go
@@ -0,0 +1,181 @@
+package demo_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"peridotmoor.org/peridotmoor/internal/backend"
+	"peridotmoor.org/peridotmoor/internal/backend/httpbackend"
+	"peridotmoor.org/peridotmoor/internal/key"
+	"peridotmoor.org/peridotmoor/internal/outcome"
+	"peridotmoor.org/peridotmoor/internal/problem"
+	"peridotmoor.org/peridotmoor/internal/request"
+	"peridotmoor.org/peridotmoor/internal/store/httpstore"
+)
+
+// settingsKey is where the fakes keep the tree.
+const settingsKey = "settings/current"
+
+// fakeCtl stores the tree as it is; its wait returns at once.
+func fakeCtl(args []string) int {
+	if args[0] == "wait" {
+		return 0
+	}
+	text, err := os.ReadFile(args[len(args)-1])
+	if err != nil {
+		return 1
+	}
+	s, err := httpstore.New(args[2], 1)
+	if err != nil {
+		return 1
+	}
+	current, _ := s.Get(context.Background(), settingsKey)
+	if _, err := s.CompareAndSwap(context.Background(), settingsKey, current.Revision, text, ""); err != nil {
+		return 1
+	}
+	return 0
+}
+
+// router forwards each request once to the next server of its service. It
+// knows nothing of shards. fault makes it break an invariant.
+type router struct {
+	servers map[string][]*httpbackend.Server
+	next    atomic.Uint64
+	fault   string
+}
+
+func fakeRouter(args []string) int {
+	config, err := ini.Load(args[1])
+	if err != nil {
+		return 1
+	}
+	listen := config.Section("listen")
+	r, err := newRouter(config.Section("platform").Key("store").String())
+	if err != nil {
+		fmt.Println(err)
+		return 1
+	}
+	go func() { _ = http.ListenAndServe(listen.Key("callers").String(), r) }()
+	operators := http.NewServeMux()
+	operators.HandleFunc("/ready", func(http.ResponseWriter, *http.Request) {})
+	go func() { _ = http.ListenAndServe(listen.Key("operators").String(), operators) }()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM)
+	<-stop
+	if r.fault == "stays" {
+		time.Sleep(time.Minute)
+	}
+	return 0
+}
+
+func newRouter(platform string) (*router, error) {
+	s, err := httpstore.New(platform, 1)
+	if err != nil {
+		return nil, err
+	}
+	entry, err := s.Get(context.Background(), settingsKey)
+	if err != nil {
+		return nil, err
+	}
+	tree, err := ini.Load(entry.Value)
+	if err != nil {
+		return nil, err
+	}
+	r := &router{servers: map[string][]*httpbackend.Server{}, fault: tree.Section("").Key("fault").String()}
+	for _, section := range tree.Sections() {
+		name, found := strings.CutPrefix(section.Name(), "server.")
+		if !found {
+			continue
+		}
+		service := section.Key("service").String()
+		r.servers[service] = append(r.servers[service], httpbackend.New(name, section.Key("address").String(), 20))
+	}
+	if r.fault == "owners" {
+		return r, r.grantToAll("bosho")
+	}
+	return r, nil
+}
+
+func (r *router) grantToAll(service string) error {
+	for _, server := range r.servers[service] {
+		grant := backend.Grant{Order: backend.Order{Shard: key.ShardID{Service: service}}, Ranges: []key.Range{{}}, Expiry: 1 << 60}
+		if _, err := server.Grant(context.Background(), grant); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ServeHTTP implements http.Handler.
+func (r *router) ServeHTTP(w http.ResponseWriter, in *http.Request) {
+	parts := strings.SplitN(strings.TrimPrefix(in.URL.RequestURI(), "/"), "/", 3)
+	content, err := io.ReadAll(in.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	timeout, _ := strconv.Atoi(in.Header.Get(backend.HeaderTimeoutMS))
+	out := &request.Request{
+		ID:         in.Header.Get(backend.HeaderRequestID),
+		Service:    parts[0],
+		Key:        parts[1],
+		Method:     in.Method,
+		Path:       "/" + parts[2],
+		Idempotent: in.Header.Get(backend.HeaderIdempotent) == "true",
+		Deadline:   time.Now().Add(time.Duration(timeout) * time.Millisecond),
+		Buffered:   content,
+	}
+	servers := r.servers[out.Service]
+	server := servers[r.next.Add(1)%uint64(len(servers))]
+	order := backend.Order{Shard: key.ShardID{Service: out.Service}}
+	if r.fault == "twice" {
+		if answer, err := server.Send(in.Context(), order, out); err == nil {
+			_, _ = io.Copy(io.Discard, answer.Body)
+			_ = answer.Body.Close()
+		}
+	}
+	answer, err := server.Send(in.Context(), order, out)
+	if err != nil {
+		r.refuse(w, out, problem.From(err).Outcome)
+		return
+	}
+	defer answer.Body.Close()
+	r.answer(w, out, answer)
+}
+
+func (r *router) answer(w http.ResponseWriter, out *request.Request, answer *request.Answer) {
+	content, err := io.ReadAll(answer.Body)
+	if err != nil {
+		r.refuse(w, out, outcome.Unknown)
+		return
+	}
+	switch r.fault {
+	case "not-run":
+		r.refuse(w, out, outcome.NotRun)
+		return
+	case "crossed":
+		content[len(content)/2]++
+	}
+	w.Header().Set(backend.HeaderRequestID, out.ID)
+	w.Header().Set(backend.HeaderOutcome, string(outcome.Answered))
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(content)
+}
+
+func (r *router) refuse(w http.ResponseWriter, out *request.Request, claimed outcome.Outcome) {
+	w.Header().Set(backend.HeaderRequestID, out.ID)
+	w.Header().Set(backend.HeaderOutcome, string(claimed))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_ = json.NewEncoder(w).Encode(map[string]any{"kind": "fake", "outcome": claimed})
+}
--- /dev/null
+++ b/internal/dev/demo/mix.go
@@ -0,0 +1,34 @@
+// Package demo starts the whole system on loopback, breaks parts of it under
+// load and judges what became of each request.
+package demo
+
+import (
+	"net/http"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/dev/callers"
+)
+
+// probeKeys and probeInterval make 80 probes per second.
+const (
+	probeKeys     = 8
+	probeInterval = 100 * time.Millisecond
+)
+
+// Mix is the load of Kokemori Systems: photo reads, survey uploads, renewal
+// orders and visit bookings.
+func Mix() []callers.Kind {
+	return []callers.Kind{
+		{Name: "plot", Service: "bosho", Method: http.MethodGet, Weight: 40, Keys: 200, Path: "/plot"},
+		{Name: "survey", Service: "bosho", Method: http.MethodPut, Weight: 2, Keys: 20, Path: "/survey", BodyBytes: 300 << 10},
+		{Name: "renewal", Service: "chumon", Method: http.MethodPost, Weight: 15, Keys: 200, Path: "/order", BodyBytes: 600},
+		{Name: "photo", Service: "shashin", Method: http.MethodGet, Weight: 28, Keys: 200, Path: "/photo", AnswerBytes: 24 << 10},
+		{Name: "album", Service: "shashin", Method: http.MethodGet, Weight: 2, Keys: 20, Path: "/album", AnswerBytes: 400 << 10},
+		{Name: "visit", Service: "yoyaku", Method: http.MethodPost, Weight: 13, Keys: 100, Path: "/visit", BodyBytes: 200},
+	}
+}
+
+// probe is the request that shows how long a key is unserved.
+func probe() callers.Kind {
+	return callers.Kind{Name: "probe", Service: "bosho", Method: http.MethodGet, Keys: probeKeys, Path: "/probe"}
+}
--- /dev/null
+++ b/internal/dev/demo/plan.go
@@ -0,0 +1,102 @@
+package demo
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/dev/servers"
+)
+
+// event is one planned failure or change.
+type event struct {
+	// share is when it happens, as a part of the load's time.
+	share float64
+	what  string
+	run   func(ctx context.Context) error
+}
+
+// plan returns the events in order. The failure domain is taken out before any
+// instance is lost, so that two instances remain at all times.
+func (d *demo) plan() []event {
+	out := d.instances[len(d.instances)-1].domain
+	lost := d.instances[0]
+	server := d.serverOf("bosho", lost.domain)
+	reader := d.serverOf("shashin", lost.domain)
+	return []event{
+		{0.05, "a server answers with another request's answer", d.action(reader, "fault?value="+string(servers.FaultCrossed))},
+		{0.08, "a server cuts an answer short", d.action(reader, "fault?value="+string(servers.FaultShort))},
+		{0.12, "failure domain " + out + " is taken out", d.domainTo(out, "out")},
+		{0.40, "failure domain " + out + " is brought back", d.domainTo(out, "in")},
+		{0.58, "backend server " + server + " is lost", d.action(server, "crash")},
+		{0.68, "router " + lost.name + " is killed", d.killRouter(lost)},
+		{0.78, "backend server " + server + " starts again, cold", d.action(server, "start")},
+	}
+}
+
+// runPlan runs the events at their times.
+func (d *demo) runPlan(ctx context.Context, start time.Time) error {
+	for _, e := range d.plan() {
+		due := start.Add(time.Duration(e.share * float64(d.options.loadTime())))
+		timer := time.NewTimer(time.Until(due))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		}
+		d.say("%s", e.what)
+		if err := e.run(ctx); err != nil {
+			return errors.Wrap(err, e.what)
+		}
+	}
+	return nil
+}
+
+// serverOf returns the first server of the service in the domain, or else the
+// first of the service.
+func (d *demo) serverOf(service, domain string) string {
+	other := ""
+	for _, server := range d.listed {
+		if server.Service != service {
+			continue
+		}
+		if server.Domain == domain {
+			return server.Name
+		}
+		if other == "" {
+			other = server.Name
+		}
+	}
+	return other
+}
+
+// action calls a control endpoint of a server.
+func (d *demo) action(server, what string) func(context.Context) error {
+	return func(ctx context.Context) error {
+		return exchange(ctx, http.MethodPost, d.control+"/dev/servers/"+server+"/"+what, nil, nil)
+	}
+}
+
+// domainTo changes the state of a failure domain through the operators' program.
+func (d *demo) domainTo(domain, state string) func(context.Context) error {
+	return func(ctx context.Context) error {
+		d.tree.setState(domain, state)
+		if err := d.apply(ctx, d.tree); err != nil {
+			return err
+		}
+		err := d.wait(ctx)
+		d.say("state = %s of %s is in effect everywhere", state, domain)
+		return err
+	}
+}
+
+// killRouter kills the router and takes it off the platform's list, which shows it after its lag.
+func (d *demo) killRouter(i *instance) func(context.Context) error {
+	return func(ctx context.Context) error {
+		i.child.kill()
+		return exchange(ctx, http.MethodDelete, d.platform+"/dev/instances/"+i.name, nil, nil)
+	}
+}
--- /dev/null
+++ b/internal/dev/demo/start.go
@@ -0,0 +1,105 @@
+package demo
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/dev/platform"
+	"peridotmoor.org/peridotmoor/internal/instances"
+	"peridotmoor.org/peridotmoor/internal/instances/httplist"
+)
+
+// listLagMS is how long a change of the instance list takes to show.
+const listLagMS = 2000
+
+func (d *demo) startPlatform(ctx context.Context) error {
+	child, err := d.children.Start("platform", programDev, "platform")
+	if err != nil {
+		return err
+	}
+	address, err := child.listening(ctx)
+	if err != nil {
+		return err
+	}
+	d.platform = "http://" + address
+	d.say("platform stand-in started")
+	return nil
+}
+
+// startServers starts the backend servers of the tree and fills in their addresses.
+func (d *demo) startServers(ctx context.Context) error {
+	loaded, err := loadTree(d.options.Settings)
+	if err != nil {
+		return err
+	}
+	child, err := d.children.Start("servers", programDev, "servers",
+		"--settings", d.options.Settings, "--seed", strconv.FormatUint(d.options.Seed, 10))
+	if err != nil {
+		return err
+	}
+	address, err := child.listening(ctx)
+	if err != nil {
+		return err
+	}
+	d.control = "http://" + address
+	if err := get(ctx, d.control+"/dev/servers", &d.listed); err != nil {
+		return err
+	}
+	loaded.fill(d.listed)
+	d.tree = loaded
+	d.say("%d backend servers started", len(d.listed))
+	return nil
+}
+
+// startRouters applies the tree and starts one router for each failure domain.
+func (d *demo) startRouters(ctx context.Context) error {
+	if err := d.apply(ctx, d.tree); err != nil {
+		return err
+	}
+	planned, err := newInstances(d.tree)
+	if err != nil {
+		return err
+	}
+	if len(planned) < 2 {
+		return errors.New("the settings tree names fewer than 2 failure domains; the demo takes one out")
+	}
+	d.instances = planned
+	if err := d.register(ctx); err != nil {
+		return err
+	}
+	for _, i := range d.instances {
+		if err := d.startRouter(i); err != nil {
+			return err
+		}
+	}
+	for _, i := range d.instances {
+		if err := waitReady(ctx, i); err != nil {
+			return err
+		}
+	}
+	d.say("%d routers are ready", len(d.instances))
+	return d.wait(ctx)
+}
+
+// register puts the instances into the platform's list, which lags from then on.
+func (d *demo) register(ctx context.Context) error {
+	for _, i := range d.instances {
+		listed := httplist.ListedInstance{Name: i.name, Address: i.peers, Domain: i.domain, State: instances.Live}
+		if err := post(ctx, d.platform+"/dev/instances", listed); err != nil {
+			return err
+		}
+	}
+	lag := listLagMS
+	return post(ctx, d.platform+"/dev/faults", platform.Control{ListLagMS: &lag})
+}
+
+func (d *demo) startRouter(i *instance) error {
+	config, err := i.writeConfig(d.dir, d.platform, d.instances)
+	if err != nil {
+		return err
+	}
+	i.child, err = d.children.Start(i.name, programRouter, "--config", config)
+	return err
+}
--- a/internal/store/storetest/faults.go
+++ b/internal/store/storetest/faults.go
@@ -121,6 +121,7 @@
 func slowWrite(t *testing.T, h Harness) {
 	is := is.New(t)
 	h.Behind.Faults().SetSlow(time.Hour)
+	defer h.Behind.Faults().SetSlow(0)
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
 	_, err := h.Store.CompareAndSwap(ctx, "k", 0, []byte("late"), "")
