--- a/internal/dev/demo/tree.go
+++ b/internal/dev/demo/tree.go
@@ -18,6 +18,8 @@
 }
 
 func loadTree(path string) (*tree, error) {
+	// Without it the library writes [DEFAULT] without its header.
+	ini.DefaultHeader = true
 	file, err := ini.Load(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "name a readable settings tree with --settings")
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return nil, err
 	}
-	reply, err := s.handlers.Exchange.HandleExchange(ctx, r)
+	reply, err := s.handlers.Exchange.Exchange(ctx, r)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/handlers.go
+++ b/internal/peer/handlers.go
@@ -30,9 +30,9 @@
 	Fetch(f record.FetchRequest) ([]record.Record, time.Time, error)
 }
 
-// ExchangeHandler serves exchanges.
+// ExchangeHandler serves exchanges. publish.Publisher implements it.
 type ExchangeHandler interface {
-	HandleExchange(ctx context.Context, r exchange.Request) (exchange.Reply, error)
+	Exchange(ctx context.Context, r exchange.Request) (exchange.Reply, error)
 }
 
 // HandOverHandler prepares to take a shard over. An error says why it does not.
