--- /dev/null
+++ b/internal/publish/follower.go
@@ -0,0 +1,115 @@
+package publish
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+	"peridotmoor.org/peridotmoor/internal/events"
+	"peridotmoor.org/peridotmoor/internal/publish/exchange"
+	"peridotmoor.org/peridotmoor/internal/settings/version"
+	"peridotmoor.org/peridotmoor/internal/store"
+)
+
+// follower follows the accepted version in the store while this instance is the
+// watcher. It passes newer versions on and repairs a store that came back older.
+type follower struct {
+	publisher *Publisher
+	random    *rand.Rand
+	down      bool // the last call failed
+}
+
+// run reads the key, then watches it from the revision read. It reads again when
+// a watch ends without news, since a restored store may have lower revisions.
+func (f *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		entry, err := f.publisher.store.get(ctx, version.CurrentKey)
+		if err != nil && !errors.Is(err, store.ErrNotFound) {
+			f.failed(ctx, err)
+			continue
+		}
+		f.succeeded()
+		if f.consider(ctx, entry) {
+			f.follow(ctx, entry.Revision)
+		}
+	}
+}
+
+// follow watches until a watch ends without a newer entry.
+func (f *follower) follow(ctx context.Context, revision uint64) {
+	for {
+		entry, err := f.publisher.store.watch(ctx, version.CurrentKey, revision)
+		if errors.Is(err, context.DeadlineExceeded) || ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			f.failed(ctx, err)
+			return
+		}
+		revision = entry.Revision
+		if !f.consider(ctx, entry) {
+			return
+		}
+	}
+}
+
+// failed notes an outage once and pauses.
+func (f *follower) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if !f.down && !errors.Is(err, store.ErrNotFound) {
+		f.publisher.config.Events.Emit(events.WatcherStoreLost, "error", err.Error())
+		f.down = true
+	}
+	sleep(ctx, storePause/2+time.Duration(f.random.Int64N(int64(storePause))))
+}
+
+func (f *follower) succeeded() {
+	if f.down {
+		f.publisher.config.Events.Emit(events.WatcherStoreBack)
+		f.down = false
+	}
+}
+
+// consider compares an entry with the version in effect. It returns false when
+// the key must be read again.
+func (f *follower) consider(ctx context.Context, entry store.Entry) bool {
+	inEffect := f.publisher.Settings().Version
+	stored, _ := version.Decode(entry.Value) // number 0 for a damaged or missing value
+	switch {
+	case stored.Number > inEffect.Number:
+		f.publisher.offer(ctx, exchange.SettingsValue{Version: stored.Number, Value: entry.Value})
+	case stored.Number < inEffect.Number:
+		f.repair(ctx)
+		return false
+	case stored.WriteID != inEffect.WriteID:
+		f.publisher.config.Events.Emit(events.SettingsForked, "version", stored.Number, "stored_author", stored.Author, "author_in_effect", inEffect.Author)
+	}
+	return true
+}
+
+// repair writes the version in effect to a store that a second read confirms to
+// be older. The compare-and-swap fails if the reads were stale.
+func (f *follower) repair(ctx context.Context) {
+	if !sleep(ctx, confirmPause) {
+		return
+	}
+	entry, err := f.publisher.store.get(ctx, version.CurrentKey)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		f.failed(ctx, err)
+		return
+	}
+	stored, _ := version.Decode(entry.Value)
+	inEffect := f.publisher.Settings()
+	if stored.Number >= inEffect.Version.Number {
+		return
+	}
+	_, err = f.publisher.store.compareAndSwap(ctx, version.CurrentKey, entry.Revision, inEffect.value, "")
+	if err != nil {
+		f.publisher.config.Events.Emit(events.SettingsNoRepair, "stored", stored.Number, "in_effect", inEffect.Version.Number, "error", err.Error())
+		return
+	}
+	f.publisher.config.Events.Emit(events.SettingsRepaired, "stored", stored.Number, "in_effect", inEffect.Version.Number)
+}
--- /dev/null
+++ b/internal/publish/publisher.go
@@ -0,0 +1,163 @@
+package publish
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"peridotmoor.org/peridotmoor/internal/publish/exchange"
+)
+
+// ErrStopped means that this instance no longer exchanges.
+var ErrStopped = errors.New("this instance has stopped exchanging; ask another one")
+
+// Publisher publishes settings, shard table and quarantine of one instance.
+// Reading is safe from any goroutine and never blocks.
+type Publisher struct {
+	config Config
+	store  *countedStore
+
+	settings   atomic.Pointer[Installed]
+	shards     atomic.Pointer[exchange.ShardTable]
+	quarantine atomic.Pointer[exchange.Quarantine]
+
+	settingsNotice   *notice
+	shardNotice      *notice
+	quarantineNotice *notice
+	ready            chan struct{}
+
+	inbound chan inbound
+	local   chan local
+	found   chan found
+	results chan result
+	stopped chan struct{}
+}
+
+// inbound is an exchange that a peer opened.
+type inbound struct {
+	request exchange.Request
+	reply   chan exchange.Reply
+}
+
+// local is news of this instance itself.
+type local struct {
+	shards  []exchange.ShardEntry
+	marks   []exchange.Mark
+	leaving bool
+}
+
+// found is a settings value from the store.
+type found struct {
+	value exchange.SettingsValue
+	done  chan error
+}
+
+// New returns a publisher without settings. Run starts it.
+func New(config Config) *Publisher {
+	return &Publisher{
+		config:           config,
+		store:            &countedStore{store: config.Store},
+		settingsNotice:   newNotice(),
+		shardNotice:      newNotice(),
+		quarantineNotice: newNotice(),
+		ready:            make(chan struct{}),
+		inbound:          make(chan inbound),
+		local:            make(chan local),
+		found:            make(chan found),
+		results:          make(chan result),
+		stopped:          make(chan struct{}),
+	}
+}
+
+// Run exchanges with peers and takes part in watching the store until the
+// context ends. Call it once.
+func (p *Publisher) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg sync.WaitGroup
+	w := &watcher{publisher: p, random: rand.New(rand.NewPCG(p.config.Random.Uint64(), p.config.Random.Uint64()))}
+	wg.Go(func() { w.run(ctx) })
+	newLoop(p).run(ctx)
+	close(p.stopped)
+	cancel()
+	wg.Wait()
+}
+
+// Ready is closed once a settings version is in effect.
+func (p *Publisher) Ready() <-chan struct{} { return p.ready }
+
+// Settings returns the version in effect, or nil before Ready.
+func (p *Publisher) Settings() *Installed { return p.settings.Load() }
+
+// SettingsChanged returns a channel that is closed when another version comes
+// into effect. Take it before Settings.
+func (p *Publisher) SettingsChanged() <-chan struct{} { return p.settingsNotice.wait() }
+
+// Shards returns the shard table; nil is an empty table.
+func (p *Publisher) Shards() *exchange.ShardTable { return p.shards.Load() }
+
+// ShardsChanged returns a channel that is closed when the shard table changes.
+func (p *Publisher) ShardsChanged() <-chan struct{} { return p.shardNotice.wait() }
+
+// Quarantine returns the marks in effect; nil is an empty table.
+func (p *Publisher) Quarantine() *exchange.Quarantine { return p.quarantine.Load() }
+
+// QuarantineChanged returns a channel that is closed when a mark is added.
+func (p *Publisher) QuarantineChanged() <-chan struct{} { return p.quarantineNotice.wait() }
+
+// StoreCalls returns how many calls this instance has made to the store for
+// settings, a waiting watch counted once.
+func (p *Publisher) StoreCalls() uint64 { return p.store.calls.Load() }
+
+// Claim enters holders of shards, as when this instance has taken one over.
+// Entries with a token that is not higher than the known one have no effect.
+func (p *Publisher) Claim(entries ...exchange.ShardEntry) { p.tell(local{shards: entries}) }
+
+// Quarantined enters marks of this instance.
+func (p *Publisher) Quarantined(marks ...exchange.Mark) { p.tell(local{marks: marks}) }
+
+// SetLeaving makes peers learn that this instance leaves.
+func (p *Publisher) SetLeaving() { p.tell(local{leaving: true}) }
+
+func (p *Publisher) tell(news local) {
+	select {
+	case p.local <- news:
+	case <-p.stopped:
+	}
+}
+
+// Exchange answers an exchange that a peer opened.
+func (p *Publisher) Exchange(ctx context.Context, r exchange.Request) (exchange.Reply, error) {
+	in := inbound{request: r, reply: make(chan exchange.Reply, 1)}
+	select {
+	case p.inbound <- in:
+	case <-p.stopped:
+		return exchange.Reply{}, ErrStopped
+	case <-ctx.Done():
+		return exchange.Reply{}, ctx.Err()
+	}
+	select {
+	case reply := <-in.reply:
+		return reply, nil
+	case <-p.stopped:
+		return exchange.Reply{}, ErrStopped
+	}
+}
+
+// offer hands a value from the store to the loop and returns whether it was accepted.
+func (p *Publisher) offer(ctx context.Context, value exchange.SettingsValue) error {
+	f := found{value: value, done: make(chan error, 1)}
+	select {
+	case p.found <- f:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case err := <-f.done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/publish/stalestore_test.go
@@ -0,0 +1,40 @@
+package publish
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"peridotmoor.org/peridotmoor/internal/publish/exchange"
+	"peridotmoor.org/peridotmoor/internal/settings/version"
+	"peridotmoor.org/peridotmoor/internal/store"
+)
+
+// staleStore answers reads of the current settings with an old entry.
+type staleStore struct {
+	store.Store
+	entry store.Entry
+}
+
+func (s *staleStore) Get(ctx context.Context, key string) (store.Entry, error) {
+	if key == version.CurrentKey {
+		return s.entry, nil
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// follower returns a follower of s for which the version that the network's
+// store holds now is in effect.
+func (n *network) follower(s store.Store) *follower {
+	entry := n.backup()
+	v, err := version.Decode(entry.Value)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	installed, err := load(exchange.SettingsValue{Version: v.Number, Value: entry.Value})
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	p := New(Config{Store: s})
+	p.settings.Store(installed)
+	return &follower{publisher: p, random: rand.New(rand.NewPCG(1, 1))}
+}
--- /dev/null
+++ b/internal/publish/watcher.go
@@ -0,0 +1,105 @@
+package publish
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+	"peridotmoor.org/peridotmoor/internal/events"
+	"peridotmoor.org/peridotmoor/internal/store"
+)
+
+// watcher takes part in the choice of the one instance of a failure domain that
+// watches the settings in the store. Two watchers at once are harmless: both
+// only offer newer versions and repair by compare-and-swap.
+type watcher struct {
+	publisher *Publisher
+	random    *rand.Rand
+}
+
+// WatcherKey returns the store key of the watcher's lease of a failure domain.
+func WatcherKey(domain string) string {
+	return "settings/watcher/" + domain
+}
+
+// run tries to become the watcher from time to time and serves while it is.
+func (w *watcher) run(ctx context.Context) {
+	select {
+	case <-w.publisher.Ready():
+	case <-ctx.Done():
+		return
+	}
+	for sleep(ctx, w.untilAttempt()) {
+		if lease, ok := w.acquire(ctx); ok {
+			w.serve(ctx, lease)
+		}
+	}
+}
+
+// untilAttempt returns a random time whose mean grows with the number of
+// instances in the failure domain.
+func (w *watcher) untilAttempt() time.Duration {
+	members := 1
+	for _, peer := range w.publisher.config.Peers.Peers() {
+		if peer.Domain == w.publisher.config.Domain {
+			members++
+		}
+	}
+	return time.Duration(w.random.Int64N(2 * int64(members) * int64(attemptTime)))
+}
+
+// acquire becomes the watcher if there is none. A lost answer counts as success.
+func (w *watcher) acquire(ctx context.Context) (store.LeaseID, bool) {
+	s := w.publisher.store
+	key := WatcherKey(w.publisher.config.Domain)
+	if _, err := s.get(ctx, key); !errors.Is(err, store.ErrNotFound) {
+		return "", false
+	}
+	lease, err := s.grant(ctx, watcherTTL)
+	if err != nil {
+		return "", false
+	}
+	_, err = s.compareAndSwap(ctx, key, 0, []byte(w.publisher.config.Self.String()), lease)
+	if err == nil || errors.Is(err, store.ErrUncertain) {
+		return lease, true
+	}
+	s.revoke(ctx, lease)
+	return "", false
+}
+
+// serve follows the store until the lease has ended or the context ends.
+func (w *watcher) serve(ctx context.Context, lease store.LeaseID) {
+	log := w.publisher.config.Events
+	log.Emit(events.WatcherStarted, "domain", w.publisher.config.Domain)
+	defer log.Emit(events.WatcherEnded, "domain", w.publisher.config.Domain)
+	followCtx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	f := &follower{publisher: w.publisher, random: rand.New(rand.NewPCG(w.random.Uint64(), w.random.Uint64()))}
+	go func() {
+		defer close(done)
+		f.run(followCtx)
+	}()
+	for sleep(ctx, watcherRenewal) {
+		if err := w.publisher.store.renew(ctx, lease); errors.Is(err, store.ErrNotFound) {
+			break
+		}
+	}
+	cancel()
+	<-done
+	if ctx.Err() != nil {
+		w.publisher.store.revoke(ctx, lease)
+	}
+}
+
+// sleep waits and reports whether the context is still alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
