Assemble one instance and serve requests end to end

Cause: the parts had no program that connects them. Change: peridotmoor-router starts the entry, the authority keeper, one unit per shard, the publisher and the membership, applies settings to them, and hands its shards over in a planned stop.

--- /dev/null
+++ b/cmd/peridotmoor-router/main.go
@@ -0,0 +1,12 @@
+// Command peridotmoor-router runs one instance.
+package main
+
+import (
+	"os"
+
+	"peridotmoor.org/peridotmoor/internal/router/command"
+)
+
+func main() {
+	os.Exit(command.Run(os.Args[1:], os.Stderr))
+}
--- /dev/null
+++ b/internal/router/caller.go
@@ -0,0 +1,28 @@
+package router
+
+import (
+	"context"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/forward"
+	"peridotmoor.org/peridotmoor/internal/peer"
+	"peridotmoor.org/peridotmoor/internal/request"
+	"peridotmoor.org/peridotmoor/internal/tracing"
+)
+
+// holderCaller sends a request to its holder: in this process or by drpc.
+type holderCaller struct {
+	self   authority.Instance
+	local  request.Handler
+	peers  *peer.Client
+	tracer *tracing.Tracer
+}
+
+// Call implements forward.Caller.
+func (c *holderCaller) Call(ctx context.Context, holder *forward.Holder, r *request.Request) (*request.Answer, error) {
+	r.TraceParent = c.tracer.TraceParent(ctx)
+	if holder.Instance == c.self {
+		return c.local.Handle(ctx, r)
+	}
+	return c.peers.Forward(ctx, holder.Address, r)
+}
--- /dev/null
+++ b/internal/router/contacts.go
@@ -0,0 +1,49 @@
+package router
+
+import (
+	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/membership"
+	"peridotmoor.org/peridotmoor/internal/publish/exchange"
+)
+
+// contacts connects the membership with the exchange and the record copies.
+type contacts struct {
+	tracker *membership.Tracker
+}
+
+// Heard implements publish.Observer.
+func (c *contacts) Heard(from authority.Instance, domain, address string, leaving bool) {
+	kind := membership.Answered
+	if leaving {
+		kind = membership.SaysLeaving
+	}
+	c.tracker.Report(membership.Evidence{Kind: kind, Instance: from, Address: address, Domain: domain})
+}
+
+// Unreachable implements publish.Observer.
+func (c *contacts) Unreachable(address string) {
+	for _, e := range c.tracker.View().Entries {
+		if e.Member.Address == address {
+			c.tracker.Report(membership.Evidence{Kind: membership.Silent, Instance: e.Member.Instance})
+		}
+	}
+}
+
+// Peers implements publish.PeerList.
+func (c *contacts) Peers() []exchange.Peer {
+	members := c.tracker.View().Contacts()
+	peers := make([]exchange.Peer, 0, len(members))
+	for _, m := range members {
+		peers = append(peers, exchange.Peer{Name: m.Instance.Name, Domain: m.Domain, Address: m.Address})
+	}
+	return peers
+}
+
+// Address implements peer.Addresses.
+func (c *contacts) Address(i authority.Instance) (string, bool) {
+	found, known := c.tracker.View().Find(i.Name)
+	if !known || found.Member.Instance != i {
+		return "", false
+	}
+	return found.Member.Address, true
+}
--- /dev/null
+++ b/internal/router/errors.go
@@ -0,0 +1,10 @@
+package router
+
+import "github.com/pkg/errors"
+
+// ErrNoSettings means that neither the store nor a peer has given the instance
+// a version of the settings yet.
+var ErrNoSettings = errors.New("no settings are in effect yet; apply a settings tree with peridotmoorctl apply, or wait until the store or a peer answers")
+
+// ErrStopping means that the instance is in a planned stop.
+var ErrStopping = errors.New("the instance is stopping; send requests to another one")
--- /dev/null
+++ b/internal/router/handover.go
@@ -0,0 +1,119 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/events"
+	"peridotmoor.org/peridotmoor/internal/peer"
+)
+
+// Bounds of a hand-over.
+const (
+	// handOverDrain is how long the holder waits for requests in flight before it
+	// gives the shard away; their slots then stay taken at the next holder.
+	handOverDrain = 2 * time.Second
+	// handOverCall bounds the calls to the next holder and the witnesses.
+	handOverCall = 500 * time.Millisecond
+	// busyLimit is the longest time for which slots stay taken at the next holder.
+	busyLimit = 30 * time.Second
+)
+
+// handOver gives the shard to another witness in an orderly way: it turns new
+// requests away, waits for those in flight and returns its promises. It does
+// nothing when the shard is not held.
+func (u *unit) handOver(ctx context.Context) {
+	tenure := u.source.Tenure()
+	if !tenure.ValidAt(time.Now(), 0) || !u.stopping.CompareAndSwap(false, true) {
+		return
+	}
+	u.parts.log.Emit(events.HandOverBegun, events.FieldShard, u.id.String())
+	u.drain(ctx)
+	u.prepareNext(ctx, tenure)
+	call, cancel := context.WithTimeout(ctx, handOverCall)
+	defer cancel()
+	if err := u.parts.keeper.Release(call, u.id); err != nil {
+		u.parts.log.Emit(events.HandOverFailed, events.FieldShard, u.id.String(), events.FieldMessage, err.Error())
+		u.stopping.Store(false)
+		return
+	}
+	u.parts.log.Emit(events.HandOverEnded, events.FieldShard, u.id.String())
+}
+
+// drain waits until no request is in flight, at most handOverDrain.
+func (u *unit) drain(ctx context.Context) {
+	timer := time.NewTimer(handOverDrain)
+	defer timer.Stop()
+	for u.inFlight.Load() > 0 {
+		select {
+		case <-u.idle:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// prepareNext asks the next holder to take over at once and tells it the slots
+// that are still in use. Without a next holder the promises are still returned,
+// and the witnesses elect one.
+func (u *unit) prepareNext(ctx context.Context, tenure *authority.Tenure) {
+	ctx, cancel := context.WithTimeout(ctx, handOverCall)
+	defer cancel()
+	next, found, err := u.parts.keeper.NextHolder(ctx, u.id)
+	if err != nil || !found {
+		return
+	}
+	err = u.parts.peers.HandOver(ctx, next.Address, peer.HandOver{
+		Shard: u.id,
+		Token: tenure.Token,
+		From:  tenure.Holder,
+		To:    next.Instance,
+		Busy:  u.busyServers(),
+	})
+	if err != nil {
+		u.parts.log.Emit(events.HandOverFailed, events.FieldShard, u.id.String(), events.FieldMessage, err.Error())
+	}
+}
+
+func (u *unit) busyServers() []peer.BusyServer {
+	view := u.runtime.Views().Load()
+	if view == nil {
+		return nil
+	}
+	var busy []peer.BusyServer
+	for _, t := range view.Targets {
+		if n := t.Gate.Running(); n > 0 {
+			busy = append(busy, peer.BusyServer{Server: t.Name, Slots: n, Remaining: busyLimit})
+		}
+	}
+	return busy
+}
+
+// expect prepares this instance to take the shard over from h.From.
+func (u *unit) expect(ctx context.Context, h peer.HandOver) error {
+	slots := &busySlots{servers: map[string]int{}, until: time.Now().Add(busyLimit)}
+	for _, b := range h.Busy {
+		slots.servers[b.Server] = b.Slots
+	}
+	u.busy.Store(slots)
+	accepted, err := u.parts.keeper.Expect(ctx, u.id)
+	if err != nil {
+		return err
+	}
+	if !accepted {
+		return peer.ErrHandOverRefused
+	}
+	return nil
+}
+
+// refreshAssignment reads the committed assignment into the copy that a
+// takeover without the store starts from.
+func (u *unit) refreshAssignment(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverCall)
+	defer cancel()
+	// A failed read leaves the older copy; the next announced commit reads again.
+	_ = u.commits.refresh(ctx)
+}
--- /dev/null
+++ b/internal/router/local.go
@@ -0,0 +1,40 @@
+package router
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"peridotmoor.org/peridotmoor/internal/key"
+	"peridotmoor.org/peridotmoor/internal/outcome"
+	"peridotmoor.org/peridotmoor/internal/problem"
+	"peridotmoor.org/peridotmoor/internal/request"
+	"peridotmoor.org/peridotmoor/internal/tracing"
+)
+
+// localHandler runs requests whose shard this instance holds.
+type localHandler struct {
+	shards *shardSet
+	tracer *tracing.Tracer
+}
+
+// Handle passes the request to its shard, or refuses it with not-holder. The
+// stage of that refusal is StageForwardUnsent because nothing was begun here.
+func (h *localHandler) Handle(ctx context.Context, r *request.Request) (*request.Answer, error) {
+	unit := h.shards.find(r.Service, r.KeyHash)
+	if unit == nil {
+		return nil, problem.New(problem.KindNotHolder, outcome.StageForwardUnsent,
+			"this instance knows no shard of service %q for the key", r.Service)
+	}
+	if !unit.holds() {
+		return nil, notHolder(unit.id)
+	}
+	ctx, span := h.tracer.Start(ctx, "holder", r.TraceParent, attribute.String("peridotmoor.shard", unit.id.String()))
+	answer, err := unit.handle(ctx, r)
+	tracing.End(span, err)
+	return answer, err
+}
+
+func notHolder(shard key.ShardID) *problem.Problem {
+	return problem.New(problem.KindNotHolder, outcome.StageForwardUnsent, "this instance does not hold shard %s", shard)
+}
--- /dev/null
+++ b/internal/router/parts.go
@@ -0,0 +1,72 @@
+package router
+
+import (
+	"peridotmoor.org/peridotmoor/internal/admission"
+	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/authority/keeper"
+	"peridotmoor.org/peridotmoor/internal/events"
+	"peridotmoor.org/peridotmoor/internal/key"
+	"peridotmoor.org/peridotmoor/internal/metrics"
+	"peridotmoor.org/peridotmoor/internal/peer"
+	"peridotmoor.org/peridotmoor/internal/publish"
+	"peridotmoor.org/peridotmoor/internal/publish/exchange"
+	"peridotmoor.org/peridotmoor/internal/quarantine"
+	"peridotmoor.org/peridotmoor/internal/record"
+	"peridotmoor.org/peridotmoor/internal/request"
+	"peridotmoor.org/peridotmoor/internal/settings"
+	"peridotmoor.org/peridotmoor/internal/store"
+	"peridotmoor.org/peridotmoor/internal/tracing"
+)
+
+// parts are what the shards of one instance share.
+type parts struct {
+	self       authority.Member
+	log        *events.Logger
+	tracer     *tracing.Tracer
+	metrics    *metrics.Registry
+	store      store.Store
+	peers      *peer.Client
+	keeper     *keeper.Keeper
+	publisher  *publish.Publisher
+	mirror     *record.Mirror
+	copier     record.Copier
+	quarantine *quarantine.List
+}
+
+// tree returns the settings in effect. It is not nil once units exist.
+func (p *parts) tree() *settings.Tree {
+	return p.publisher.Settings().Tree
+}
+
+// announce tells all instances that this one holds the shard.
+func (p *parts) announce(shard key.ShardID, tenure *authority.Tenure) {
+	p.publisher.Claim(exchange.ShardEntry{
+		Shard:   shard,
+		Token:   tenure.Token,
+		Holder:  tenure.Holder,
+		Address: p.self.Address,
+	})
+}
+
+// recordOptions returns the bounds of request records in effect.
+func (p *parts) recordOptions() record.Options {
+	control := p.tree().Control()
+	return record.Options{
+		Retention:    record.DefaultRetention,
+		MaxClockSkew: control.MaxClockSkew,
+		Limit:        control.RecordLimit,
+	}
+}
+
+// priority orders the queue by the settings of the request's key.
+func (p *parts) priority(r *request.Request) admission.Priority {
+	return admission.Priority(p.tree().RequestPolicy(r.Service, p.self.Domain, r.Key).Priority)
+}
+
+// timingOf returns the protocol durations of the settings.
+func timingOf(control settings.Control) authority.Timing {
+	timing := authority.DefaultTiming()
+	timing.PromiseTTL = control.PromiseTTL
+	timing.RenewInterval = control.RenewInterval
+	return timing
+}
--- /dev/null
+++ b/internal/router/run.go
@@ -0,0 +1,188 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/entry"
+	"peridotmoor.org/peridotmoor/internal/events"
+	"peridotmoor.org/peridotmoor/internal/forward"
+	"peridotmoor.org/peridotmoor/internal/key"
+	"peridotmoor.org/peridotmoor/internal/settings"
+)
+
+const (
+	// headerTimeout bounds the time a caller takes to send its headers.
+	headerTimeout = 10 * time.Second
+	// idleConnTimeout closes callers' connections that carry no request.
+	idleConnTimeout = 2 * time.Minute
+	// settleDelay gives the balancer time to notice that the instance is not ready.
+	settleDelay = 2 * time.Second
+	// stopTimeout bounds a planned stop after the hand-over.
+	stopTimeout = 30 * time.Second
+)
+
+// Run serves until ctx ends, then does a planned stop. It returns an error when
+// an endpoint fails.
+func (i *Instance) Run(ctx context.Context) error {
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	var running sync.WaitGroup
+	failed := make(chan error, 3)
+	callers := i.callersServer()
+	operators := &http.Server{Handler: operatorsHandler(i.readiness.err, i.status, i.parts.metrics.Handler()), ReadHeaderTimeout: headerTimeout}
+	running.Go(func() { failed <- errors.Wrap(i.server.Serve(work, i.listeners.peers), "serve peers") })
+	running.Go(func() { failed <- serve(callers, i.listeners.callers, "serve callers") })
+	running.Go(func() { failed <- serve(operators, i.listeners.operators, "serve operators") })
+	running.Go(func() { i.members.Run(work) })
+	running.Go(func() { i.parts.publisher.Run(work) })
+	running.Go(func() { i.parts.keeper.Run(work) })
+	running.Go(func() { i.followSettings(work) })
+	running.Go(func() { i.followHolders(work) })
+	running.Go(func() { i.followAdvice(work) })
+	i.parts.log.Emit(events.Started, "callers", i.listeners.callers.Addr().String(), "peers", i.parts.self.Address,
+		"operators", i.listeners.operators.Addr().String(), "incarnation", i.parts.self.Instance.Incarnation)
+	err := i.wait(ctx, failed)
+	i.plannedStop(callers)
+	_ = operators.Close()
+	stopWork()
+	running.Wait()
+	i.close()
+	return err
+}
+
+// wait returns when ctx ends or an endpoint fails.
+func (i *Instance) wait(ctx context.Context, failed <-chan error) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-failed:
+		return err
+	}
+}
+
+func (i *Instance) callersServer() *http.Server {
+	views := &treeViews{publisher: i.parts.publisher, domain: i.parts.self.Domain}
+	return &http.Server{
+		Handler:           entry.New(i.config.Instance.Name, views, i.forwarder, i.observer, i.readiness.refusal),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleConnTimeout,
+	}
+}
+
+// followSettings applies each version of the settings that comes into effect.
+func (i *Instance) followSettings(ctx context.Context) {
+	for {
+		changed := i.parts.publisher.SettingsChanged()
+		if installed := i.parts.publisher.Settings(); installed != nil {
+			i.apply(ctx, installed.Tree)
+			i.parts.log.Emit(events.SettingsApplied, events.FieldVersion, installed.Version.Number)
+			if i.readiness.ready.CompareAndSwap(false, true) {
+				i.parts.log.Emit(events.InstanceReady)
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			i.shards.end()
+			return
+		}
+	}
+}
+
+func (i *Instance) apply(ctx context.Context, tree *settings.Tree) {
+	i.shards.apply(ctx, tree)
+	// The calls only queue; they fail when the keeper has stopped.
+	_ = i.parts.keeper.SetShards(ctx, descriptionsOf(tree))
+	_ = i.parts.keeper.SetRetired(ctx, tree.RetiredInstances())
+}
+
+// descriptionsOf lists the shards with the failure domains of their home regions.
+func descriptionsOf(tree *settings.Tree) []authority.Description {
+	var list []authority.Description
+	for _, name := range tree.Services() {
+		service, _ := tree.Service(name)
+		for index := range service.Shards {
+			d := authority.Description{ID: key.ShardID{Service: name, Index: index}, HomeRegion: tree.HomeRegion(name, index)}
+			for _, domain := range tree.Domains() {
+				if domain.Region == d.HomeRegion && !domain.Out {
+					d.Domains = append(d.Domains, domain.Name)
+				}
+			}
+			list = append(list, d)
+		}
+	}
+	return list
+}
+
+// followHolders rebuilds the table that requests read at each change.
+func (i *Instance) followHolders(ctx context.Context) {
+	for {
+		changed := i.parts.publisher.ShardsChanged()
+		i.holders.replace(i.currentHolders())
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (i *Instance) currentHolders() map[key.ShardID]*forward.Holder {
+	holders := map[key.ShardID]*forward.Holder{}
+	for _, e := range i.parts.publisher.Shards().Entries() {
+		holders[e.Shard] = &forward.Holder{Instance: e.Holder, Address: e.Address, Token: e.Token}
+	}
+	return holders
+}
+
+// followAdvice hands shards over to their preferred holders, one at a time.
+func (i *Instance) followAdvice(ctx context.Context) {
+	for {
+		select {
+		case advice := <-i.parts.keeper.HandOvers():
+			if unit := i.shards.get(advice.Shard); unit != nil {
+				unit.handOver(ctx)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// plannedStop leaves the balancer, hands the shards over and ends the requests
+// that are in flight.
+func (i *Instance) plannedStop(callers *http.Server) {
+	i.parts.log.Emit(events.Stopping)
+	i.readiness.stopping.Store(true)
+	i.parts.publisher.SetLeaving()
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	_ = i.parts.keeper.Leave(ctx)
+	settled := time.NewTimer(settleDelay)
+	defer settled.Stop()
+	i.shards.handOverAll(ctx)
+	<-settled.C
+	// Requests that outlast the timeout are cut off and said so in the records.
+	if err := callers.Shutdown(ctx); err != nil {
+		i.parts.log.Emit(events.StopCutOff, "in_flight", i.forwarder.InFlight())
+		_ = callers.Close()
+	}
+	i.shards.drainAll(ctx)
+}
+
+func (i *Instance) close() {
+	i.parts.mirror.Close()
+	_ = i.pool.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = i.parts.tracer.Close(ctx)
+	i.parts.log.Emit(events.Stopped)
+	i.parts.log.Close()
+	i.outputs.close()
+}
--- /dev/null
+++ b/internal/router/serverstatus.go
@@ -0,0 +1,13 @@
+package router
+
+// ServerStatus is the state of one backend server as its holder sees it.
+type ServerStatus struct {
+	Server string `json:"server"`
+	Domain string `json:"domain"`
+	Ranges int    `json:"ranges"`
+	// Running and Waiting count requests.
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	// LatencyMS is the moving average of the server's latency in milliseconds.
+	LatencyMS float64 `json:"latency_ms"`
+}
--- /dev/null
+++ b/internal/router/servicestate.go
@@ -0,0 +1,22 @@
+package router
+
+import (
+	"sync/atomic"
+
+	"peridotmoor.org/peridotmoor/internal/budget"
+	"peridotmoor.org/peridotmoor/internal/choice"
+	"peridotmoor.org/peridotmoor/internal/dispatch"
+)
+
+// serviceState is what all shards of one service share in this instance.
+type serviceState struct {
+	budget *budget.Budget
+	delay  choice.Delay
+	limits atomic.Pointer[dispatch.Limits]
+}
+
+func newServiceState(limits dispatch.Limits) *serviceState {
+	s := &serviceState{budget: budget.New()}
+	s.limits.Store(&limits)
+	return s
+}
--- /dev/null
+++ b/internal/router/states.go
@@ -0,0 +1,56 @@
+package router
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/route"
+)
+
+// status describes the instance for the operators' tool.
+func (i *Instance) status() Status {
+	s := Status{
+		Instance:    i.parts.self.Instance.Name,
+		Incarnation: i.parts.self.Instance.Incarnation,
+		Domain:      i.parts.self.Domain,
+		Ready:       i.readiness.err() == nil,
+		Stopping:    i.readiness.stopping.Load(),
+		Holds:       []ShardStatus{},
+	}
+	installed := i.parts.publisher.Settings()
+	if installed == nil {
+		return s
+	}
+	s.SettingsVersion = installed.Version.Number
+	for _, u := range i.shards.all(installed.Tree) {
+		if view := u.runtime.Views().Load(); view != nil && u.holds() {
+			s.Holds = append(s.Holds, shardStatus(view))
+		}
+	}
+	return s
+}
+
+func shardStatus(view *route.View) ShardStatus {
+	s := ShardStatus{Shard: view.Shard.String(), Token: view.Tenure.Token.String(), Ranges: len(view.Ranges)}
+	owned := map[string]int{}
+	for _, r := range view.Ranges {
+		if r.Owner == nil {
+			s.Unowned++
+			continue
+		}
+		owned[r.Owner.Name]++
+	}
+	for _, t := range view.Targets {
+		s.Servers = append(s.Servers, ServerStatus{
+			Server:    t.Name,
+			Domain:    t.Domain,
+			Ranges:    owned[t.Name],
+			Running:   t.Gate.Running(),
+			Waiting:   t.Gate.Waiting(),
+			LatencyMS: float64(t.Gate.Latency()) / float64(time.Millisecond),
+		})
+	}
+	for _, m := range view.Tenure.Mirrors.Members {
+		s.Mirrors = append(s.Mirrors, m.Name)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/router/status.go
@@ -0,0 +1,14 @@
+package router
+
+// Status is what an instance tells the operators' tool.
+type Status struct {
+	Instance    string `json:"instance"`
+	Incarnation string `json:"incarnation"`
+	Domain      string `json:"domain"`
+	// SettingsVersion is the version of the settings tree in effect, 0 without one.
+	SettingsVersion uint64 `json:"settings_version"`
+	Ready           bool   `json:"ready"`
+	Stopping        bool   `json:"stopping"`
+	// Holds lists the shards that the instance holds.
+	Holds []ShardStatus `json:"holds"`
+}
--- /dev/null
+++ b/internal/router/tracedserver.go
@@ -0,0 +1,28 @@
+package router
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"peridotmoor.org/peridotmoor/internal/backend"
+	"peridotmoor.org/peridotmoor/internal/request"
+	"peridotmoor.org/peridotmoor/internal/tracing"
+)
+
+// tracedServer adds a span to each dispatch to a backend server.
+type tracedServer struct {
+	backend.Server
+	name   string
+	tracer *tracing.Tracer
+}
+
+// Send implements backend.Server.
+func (s *tracedServer) Send(ctx context.Context, order backend.Order, r *request.Request) (*request.Answer, error) {
+	ctx, span := s.tracer.Start(ctx, "backend", "", attribute.String("peridotmoor.server", s.name))
+	traced := *r
+	traced.TraceParent = s.tracer.TraceParent(ctx)
+	answer, err := s.Server.Send(ctx, order, &traced)
+	tracing.End(span, err)
+	return answer, err
+}
--- /dev/null
+++ b/internal/router/treeviews.go
@@ -0,0 +1,42 @@
+package router
+
+import (
+	"peridotmoor.org/peridotmoor/internal/entry"
+	"peridotmoor.org/peridotmoor/internal/publish"
+)
+
+// treeViews shows the settings in effect to the entry and the forwarder.
+type treeViews struct {
+	publisher *publish.Publisher
+	domain    string
+}
+
+// Lookup implements entry.Policies.
+func (v *treeViews) Lookup(service, key string) (entry.Policy, bool) {
+	installed := v.publisher.Settings()
+	if installed == nil {
+		// The readiness check that follows refuses the request.
+		return entry.Policy{}, true
+	}
+	if _, known := installed.Tree.Service(service); !known {
+		return entry.Policy{}, false
+	}
+	policy := installed.Tree.RequestPolicy(service, v.domain, key)
+	return entry.Policy{Timeout: policy.Timeout, IdleTimeout: policy.IdleTimeout}, true
+}
+
+// Shards implements forward.Services.
+func (v *treeViews) Shards(name string) (int, bool) {
+	installed := v.publisher.Settings()
+	if installed == nil {
+		return 0, false
+	}
+	service, known := installed.Tree.Service(name)
+	if !known {
+		return 0, false
+	}
+	if service.Out {
+		return 0, true
+	}
+	return service.Shards, true
+}
