Serve services that are not partitioned by key, and wait for the holder's verdict

Cause: the view of such a service had no range, so every request of it was refused not-holder; and the entry cut a request at its deadline, just before the holder, which knew that it had not run, could say so. Change: the view has one range over the whole shard; the entry waits 100 ms past the deadline.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -30,7 +30,7 @@
 // run forwards until the request has an answer or a final problem. Attempts are
 // bounded by the deadline and the backoff; a takeover takes at most 1 s.
 func (a *attempts) run(ctx context.Context) (*request.Answer, *problem.Problem) {
-	for {
+	for time.Now().Before(a.request.Deadline) {
 		holder, changed := a.forwarder.options.Holders.Find(a.shard)
 		if holder == nil {
 			if p := a.await(ctx, changed); p != nil {
@@ -50,6 +50,7 @@
 			return nil, a.conclude(p)
 		}
 	}
+	return nil, a.conclude(problem.New(problem.KindDeadlinePassed, outcome.StageForwardUnsent, "no holder took the request before its deadline"))
 }
 
 func (a *attempts) call(ctx context.Context, holder *Holder) (*request.Answer, *problem.Problem) {
@@ -95,10 +96,14 @@
 // await blocks until the shard table changes, and returns a problem when the
 // request has no time left first.
 func (a *attempts) await(ctx context.Context, changed <-chan struct{}) *problem.Problem {
+	timer := time.NewTimer(time.Until(a.request.Deadline))
+	defer timer.Stop()
 	select {
 	case <-changed:
 		return nil
 	case <-ctx.Done():
+		return a.conclude(problem.New(problem.KindCallerGone, outcome.StageForwardUnsent, "the caller left before shard %s had a holder", a.shard))
+	case <-timer.C:
 		p := problem.New(problem.KindNoHolder, outcome.StageForwardUnsent,
 			"shard %s had no holder before the deadline", a.shard).WithRetryAfter(time.Second)
 		return a.conclude(p)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -11,6 +11,10 @@
 	"peridotmoor.org/peridotmoor/internal/request"
 )
 
+// verdictGrace is how long the entry waits past the deadline for the holder's
+// verdict: the holder ends the request at its deadline, and knows whether it ran.
+const verdictGrace = 100 * time.Millisecond
+
 // overloadRetryAfter is the advice to callers that the instance turns away.
 const overloadRetryAfter = 200 * time.Millisecond
 
@@ -55,7 +59,7 @@
 			"the instance has %d requests in flight", f.options.Limit).WithRetryAfter(overloadRetryAfter)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(time.Until(r.Deadline), func() { cancel(context.DeadlineExceeded) })
+	timer := time.AfterFunc(time.Until(r.Deadline)+verdictGrace, func() { cancel(context.DeadlineExceeded) })
 	shard := key.ShardID{Service: r.Service, Index: key.ShardIndex(r.KeyHash, shards)}
 	attempt := &attempts{forwarder: f, request: r, shard: shard}
 	answer, p := attempt.run(ctx)
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -41,16 +41,21 @@
 
 // Error returns the kind, message, cause and remedy in one line.
 func (p *Problem) Error() string {
-	text := fmt.Sprintf("%s: %s", p.Kind, p.Message)
-	if p.cause != nil {
-		text += ": " + p.cause.Error()
-	}
+	text := fmt.Sprintf("%s: %s", p.Kind, p.Detail())
 	if remedy := p.Remedy(); remedy != "" {
 		text += "; " + remedy
 	}
 	return text
 }
 
+// Detail returns the message with the cause, for records.
+func (p *Problem) Detail() string {
+	if p.cause == nil {
+		return p.Message
+	}
+	return p.Message + ": " + p.cause.Error()
+}
+
 // Unwrap returns the cause.
 func (p *Problem) Unwrap() error {
 	return p.cause
--- a/internal/shard/publish.go
+++ b/internal/shard/publish.go
@@ -38,7 +38,7 @@
 
 func (t *term) viewRanges(held <-chan struct{}) []route.Range {
 	if !t.config.Keyed {
-		return nil
+		return []route.Range{t.wholeShard(held)}
 	}
 	ranges := make([]route.Range, len(t.rows))
 	for i, r := range t.rows {
@@ -53,6 +53,20 @@
 	return ranges
 }
 
+// wholeShard returns the one range of a service that is not partitioned by key. It
+// has no owner, and is held while servers that may get work are not ready.
+func (t *term) wholeShard(held <-chan struct{}) route.Range {
+	whole := route.Range{Bounds: t.options.Interval, State: t.whole}
+	waiting := t.quiesce != nil
+	for _, l := range t.links {
+		waiting = waiting || l.usable() && !l.ready
+	}
+	if waiting {
+		whole.Held = held
+	}
+	return whole
+}
+
 // open reports whether requests of the range may go to its owner. Those of a
 // silent owner wait for its answer or for the standby.
 func (t *term) open(r *row) bool {
--- a/internal/shard/term.go
+++ b/internal/shard/term.go
@@ -9,6 +9,7 @@
 	"peridotmoor.org/peridotmoor/internal/events"
 	"peridotmoor.org/peridotmoor/internal/grant"
 	"peridotmoor.org/peridotmoor/internal/hotkey"
+	"peridotmoor.org/peridotmoor/internal/route"
 )
 
 // term is the holder's work during one tenure. Its fields belong to the runtime's goroutine.
@@ -24,6 +25,8 @@
 	// graves are the books of servers that are no longer known but may own ranges.
 	graves []*grant.Book
 	rows   []*row
+	// whole counts the requests of a service that is not partitioned by key.
+	whole *route.RangeState
 
 	answers chan answer
 	loads   chan loadResult
@@ -72,6 +75,7 @@
 		measuredAt: now,
 		planAt:     now,
 		viewDirty:  true,
+		whole:      route.NewRangeState(),
 	}
 	t.adoptConfig(now)
 	return t
