--- /dev/null
+++ b/internal/peer/stress_test.go
@@ -0,0 +1,37 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a pooled connection that carries the end of one call into the
+// next one: concurrent calls on reused connections must all end with their own answer.
+func TestForwardReusesConnections(t *testing.T) {
+	address, client := serve(t, echo)
+	var running sync.WaitGroup
+	for range 16 {
+		running.Go(func() {
+			for range 50 {
+				is := is.New(t)
+				r, body := newRequest("id-1", 100)
+				r.Buffered = body
+				answer, err := client.Forward(context.Background(), address, r)
+				is.NoErr(err)
+				if err != nil {
+					return
+				}
+				got, err := io.ReadAll(answer.Body)
+				is.NoErr(err)
+				is.True(bytes.Equal(got, body))
+				is.NoErr(answer.Body.Close())
+			}
+		})
+	}
+	running.Wait()
+}
