--- /dev/null
+++ b/internal/ctl/apply.go
@@ -0,0 +1,121 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/settings/version"
+)
+
+// applyTimeout bounds the calls to the store of one apply.
+const applyTimeout = 30 * time.Second
+
+// applied is the result of apply.
+type applied struct {
+	Version uint64  `json:"version"`
+	Parent  uint64  `json:"parent"`
+	Author  string  `json:"author"`
+	WriteID string  `json:"write_id"`
+	Waited  *waited `json:"waited,omitempty"`
+}
+
+func (a applied) human(w io.Writer) {
+	fmt.Fprintf(w, "accepted as version %d by %s\n", a.Version, a.Author)
+	if a.Waited != nil {
+		a.Waited.human(w)
+		return
+	}
+	fmt.Fprintf(w, "peridotmoorctl wait %d tells when it is in effect everywhere\n", a.Version)
+}
+
+func runApply(ctx context.Context, t *tool) (output, error) {
+	if t.options.Wait && t.options.NoInstances {
+		return nil, &usageError{"--wait needs instances and --no-instances says that there are none; leave one of them out"}
+	}
+	proposal, err := t.proposal()
+	if err != nil {
+		return nil, err
+	}
+	s, err := t.connect()
+	if err != nil {
+		return nil, err
+	}
+	if proposal.InEffect, err = t.inEffect(ctx); err != nil {
+		return nil, err
+	}
+	applyCtx, cancel := context.WithTimeout(ctx, applyTimeout+t.options.Within)
+	defer cancel()
+	v, err := version.Apply(applyCtx, s, proposal)
+	if err != nil {
+		return nil, err
+	}
+	result := applied{Version: v.Number, Parent: v.Parent, Author: v.Author, WriteID: v.WriteID}
+	if !t.options.Wait {
+		return result, nil
+	}
+	outcome, err := t.waitFor(ctx, v.Number, t.options.addresses())
+	result.Waited = &outcome
+	return result, err
+}
+
+// proposal reads the file and finds out which version it was built on.
+func (t *tool) proposal() (version.Proposal, error) {
+	name := t.options.First
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return version.Proposal{}, &usageError{fmt.Sprintf("cannot read the settings tree: %v; correct the file name", err)}
+	}
+	body, marked, hasMark := splitParent(string(text))
+	parent := t.options.Parent
+	switch {
+	case parent < 0 && !hasMark:
+		return version.Proposal{}, &usageError{fmt.Sprintf("it is not known which version %s was built on; give --parent N, or start from peridotmoorctl show --text", name)}
+	case parent < 0:
+		parent = int(marked)
+	case hasMark && uint64(parent) != marked:
+		return version.Proposal{}, &usageError{fmt.Sprintf("%s names version %d in its first line and --parent names %d; correct one of them", name, marked, parent)}
+	}
+	p := version.Proposal{Text: body, FileName: name, Author: t.options.Author, Parent: uint64(parent), Time: t.env.Now()}
+	p.Settled = t.settled
+	if t.options.NoInstances {
+		// Without a running instance no grant is in effect.
+		p.Settled = func(context.Context, uint64) error { return nil }
+	}
+	return p, nil
+}
+
+// settled waits until a version is in effect at all instances.
+func (t *tool) settled(ctx context.Context, number uint64) error {
+	fmt.Fprintf(t.env.Stderr, "this change needs version %d in effect at every instance first\n", number)
+	_, err := t.waitFor(ctx, number, t.options.addresses())
+	return err
+}
+
+// inEffect returns the highest version that an instance has in effect. One
+// answer is enough: an instance that lags only knows a lower version.
+func (t *tool) inEffect(ctx context.Context) (uint64, error) {
+	if t.options.NoInstances {
+		return 0, nil
+	}
+	addresses, err := t.needInstances()
+	if err != nil {
+		return 0, err
+	}
+	var highest uint64
+	var failures []string
+	for _, r := range t.askAll(ctx, addresses) {
+		if r.Err != nil {
+			failures = append(failures, fmt.Sprintf("%s: %v", r.Address, r.Err))
+			continue
+		}
+		highest = max(highest, r.Status.SettingsVersion)
+	}
+	if len(failures) == len(addresses) {
+		return 0, &unreachableError{fmt.Sprintf("no instance says which version is in effect:\n  %s\ncheck --instances; only when no instance runs yet, apply with --no-instances", strings.Join(failures, "\n  "))}
+	}
+	return highest, nil
+}
--- /dev/null
+++ b/internal/ctl/command.go
@@ -0,0 +1,40 @@
+package ctl
+
+import (
+	"context"
+
+	"github.com/integrii/flaggy"
+)
+
+// command is one command of the tool.
+type command struct {
+	name        string
+	description string
+	first       string // name of the first positional value, empty for none
+	firstHelp   string
+	required    bool
+	second      string
+	secondHelp  string
+	options     func(*flaggy.Subcommand, *Options)
+	// run returns what is printed, also together with an error.
+	run func(context.Context, *tool) (output, error)
+}
+
+// commands lists all commands in the order of the help.
+var commands = []command{
+	{name: "check", description: "Check a file; with --store also the change from the accepted version.", first: "FILE", firstHelp: "Settings tree.", required: true, options: storeOption, run: runCheck},
+	{name: "show", description: "Show effective values with the level that each comes from.", first: "PATH", firstHelp: "DEFAULT, service.NAME[.DOMAIN[.RANGE]], domain.NAME or server.NAME; default: an overview.", options: showOptions, run: runShow},
+	{name: "diff", description: "Compare two trees.", first: "FROM", firstHelp: "File or version number.", required: true, second: "TO", secondHelp: "File or version number; default: compare the accepted version with FROM.", options: storeOption, run: runDiff},
+	{name: "apply", description: "Make a file the accepted version.", first: "FILE", firstHelp: "Settings tree.", required: true, options: applyOptions, run: runApply},
+	{name: "wait", description: "Wait until a version is in effect at all instances.", first: "VERSION", firstHelp: "Version number; default: the accepted version.", options: waitOptions, run: runWait},
+	{name: "history", description: "List the accepted versions, the newest first.", options: historyOptions, run: runHistory},
+}
+
+func findCommand(name string) *command {
+	for i := range commands {
+		if commands[i].name == name {
+			return &commands[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/ctl/diff.go
@@ -0,0 +1,74 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strconv"
+
+	"github.com/pkg/errors"
+	"peridotmoor.org/peridotmoor/internal/settings"
+)
+
+// errDiffer makes diff exit with ExitRefused, as comparing tools do.
+var errDiffer = errors.New("the trees differ")
+
+// compared is the result of diff.
+type compared struct {
+	From    string            `json:"from"`
+	To      string            `json:"to"`
+	Changes []settings.Change `json:"changes"`
+}
+
+func (c compared) human(w io.Writer) {
+	if len(c.Changes) == 0 {
+		fmt.Fprintf(w, "%s and %s hold the same settings\n", c.From, c.To)
+		return
+	}
+	fmt.Fprintf(w, "from %s to %s\n", c.From, c.To)
+	for _, change := range c.Changes {
+		fmt.Fprintf(w, "  %s\n", change)
+	}
+}
+
+func runDiff(ctx context.Context, t *tool) (output, error) {
+	from, to := t.options.First, t.options.Second
+	if to == "" {
+		from, to = "", from
+	}
+	a, nameA, err := t.side(ctx, from)
+	if err != nil {
+		return nil, err
+	}
+	b, nameB, err := t.side(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	result := compared{From: nameA, To: nameB, Changes: settings.Diff(a, b)}
+	if len(result.Changes) > 0 {
+		return result, errDiffer
+	}
+	return result, nil
+}
+
+// side reads one side of a comparison: the accepted version, a version number or a file.
+func (t *tool) side(ctx context.Context, name string) (*settings.Tree, string, error) {
+	number, err := strconv.ParseUint(name, 10, 64)
+	if name != "" && err != nil {
+		tree, err := t.readFile(name)
+		return tree, name, err
+	}
+	s, err := t.connect()
+	if err != nil {
+		return nil, "", err
+	}
+	v, err := mustAccepted(ctx, s)
+	if name != "" {
+		v, err = readVersion(ctx, s, number)
+	}
+	if err != nil {
+		return nil, "", err
+	}
+	tree, err := v.Tree()
+	return tree, fmt.Sprintf("version %d", v.Number), err
+}
--- /dev/null
+++ b/internal/ctl/exitcode.go
@@ -0,0 +1,67 @@
+// Package ctl implements peridotmoorctl, the operators' command line tool.
+package ctl
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"peridotmoor.org/peridotmoor/internal/settings/version"
+	"peridotmoor.org/peridotmoor/internal/store"
+)
+
+// Exit codes. docs/operators/README.md lists them; a test keeps the two equal.
+const (
+	ExitDone        = 0
+	ExitRefused     = 1 // the tree or the change is faulty, or the compared trees differ
+	ExitUsage       = 2 // wrong arguments
+	ExitRace        = 3 // another operator's version was accepted first
+	ExitUnavailable = 4 // the store or an instance was needed and not reached; nothing changed
+	ExitUncertain   = 5 // the version may have been accepted
+	ExitNotInEffect = 6 // not in effect at all instances at the end of the wait
+)
+
+// usageError is a mistake in the arguments.
+type usageError struct{ message string }
+
+func (e *usageError) Error() string { return e.message }
+
+// unreachableError means that an instance did not answer.
+type unreachableError struct{ message string }
+
+func (e *unreachableError) Error() string { return e.message }
+
+// notInEffectError means that a wait ended too early.
+type notInEffectError struct{ message string }
+
+func (e *notInEffectError) Error() string { return e.message }
+
+// exitCode maps an error to the exit code of the process.
+func exitCode(err error) int {
+	var (
+		usage       *usageError
+		unreachable *unreachableError
+		notInEffect *notInEffectError
+		race        *version.RaceError
+		older       *version.OlderStoreError
+		uncertain   *version.UncertainError
+	)
+	switch {
+	case err == nil:
+		return ExitDone
+	case errors.As(err, &usage):
+		return ExitUsage
+	case errors.As(err, &uncertain):
+		return ExitUncertain
+	case errors.As(err, &race):
+		return ExitRace
+	case errors.As(err, &notInEffect):
+		return ExitNotInEffect
+	case errors.As(err, &unreachable), errors.As(err, &older), isStoreFailure(err):
+		return ExitUnavailable
+	}
+	return ExitRefused
+}
+
+func isStoreFailure(err error) bool {
+	return errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrUncertain) || errors.Is(err, context.DeadlineExceeded)
+}
--- /dev/null
+++ b/internal/ctl/golden_test.go
@@ -0,0 +1,231 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/settings/settingstest"
+	"peridotmoor.org/peridotmoor/internal/settings/version"
+	"peridotmoor.org/peridotmoor/internal/store"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+// fleetOf answers GET /status for instances named like their addresses. Each
+// gets a version by the time since the start of the test.
+type fleetOf map[string]func(since time.Duration) (Status, error)
+
+func (f fleetOf) transport() http.RoundTripper {
+	start := time.Now()
+	return roundTripper(func(r *http.Request) (*http.Response, error) {
+		answer, ok := f[r.URL.Host]
+		if !ok {
+			return nil, errors.New("connection refused")
+		}
+		status, err := answer(time.Since(start))
+		if err != nil {
+			return nil, err
+		}
+		body, err := json.Marshal(status)
+		return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(body))}, err
+	})
+}
+
+type roundTripper func(*http.Request) (*http.Response, error)
+
+func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// has answers with a version from the start.
+func has(number uint64) func(time.Duration) (Status, error) { return hasAfter(0, number, number) }
+
+// hasAfter answers with before, and from after on with the number.
+func hasAfter(after time.Duration, before, number uint64) func(time.Duration) (Status, error) {
+	return func(since time.Duration) (Status, error) {
+		if since < after {
+			number := before
+			return Status{Instance: "entry", Domain: "north", SettingsVersion: number, Ready: true}, nil
+		}
+		return Status{Instance: "entry", Domain: "north", SettingsVersion: number, Ready: true}, nil
+	}
+}
+
+// world is what a command finds.
+type world struct {
+	versions []string // files of the versions in the store
+	fleet    fleetOf
+	faults   func(op, key string) error
+	lost     func(op, key string) error
+}
+
+// seed writes versions with fixed write IDs to a store.
+func seed(t *testing.T, files []string) *settingstest.Store {
+	s := settingstest.NewStore()
+	revision := uint64(0)
+	for i, file := range files {
+		text, err := os.ReadFile(filepath.Join("testdata", file))
+		if err != nil {
+			t.Fatal(err)
+		}
+		v := version.Version{Number: uint64(i + 1), Parent: uint64(i), WriteID: fmt.Sprintf("write-%d", i+1), Author: []string{"aoi", "bryn"}[i%2],
+			Time: time.Date(2026, 3, 1, 12, i, 0, 0, time.UTC), SHA256: version.Digest(string(text)), Text: string(text)}
+		value, err := version.Encode(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		entry, err := s.CompareAndSwap(t.Context(), version.CurrentKey, revision, value, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		revision = entry.Revision
+		if i < len(files)-1 {
+			s.CompareAndSwap(t.Context(), version.HistoryKey(v.Number), 0, value, "")
+		}
+	}
+	return s
+}
+
+var uuidPattern = regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}`)
+
+// runTool runs the tool in a world and returns everything an operator sees.
+func runTool(t *testing.T, w world, arguments []string) string {
+	var stdout, stderr bytes.Buffer
+	s := seed(t, w.versions)
+	s.SetFaults(w.faults, w.lost)
+	code := Main(t.Context(), arguments, Env{
+		Stdout: &stdout, Stderr: &stderr,
+		Connect: func(string) (store.Store, error) { return s, nil },
+		Client:  &http.Client{Transport: w.fleet.transport()},
+		Now:     func() time.Time { return time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC) },
+		Getenv:  func(name string) string { return map[string]string{envUser: "aoi"}[name] },
+	})
+	text := fmt.Sprintf("$ peridotmoorctl %s\n%s--- standard error\n%s--- exit code %d\n", strings.Join(arguments, " "), stdout.String(), stderr.String(), code)
+	return uuidPattern.ReplaceAllString(text, "WRITE-ID")
+}
+
+// Guards against output, messages or exit codes that change unnoticed: operators'
+// scripts and the operators' pages rely on them.
+func TestGolden(t *testing.T) {
+	one, two := world{versions: []string{"base.ini"}}, world{versions: []string{"base.ini", "next.ini"}}
+	running := func(w world, fleet fleetOf) world { w.fleet = fleet; return w }
+	down := func(op, key string) error { return store.ErrUnavailable }
+	loseAnswer := func(op, key string) error {
+		if op == "cas" && key == version.CurrentKey {
+			return store.ErrUncertain
+		}
+		return nil
+	}
+	southOut := world{versions: []string{"base.ini", "southout.ini"}}
+	cases := []struct {
+		name      string
+		world     world
+		arguments string
+	}{
+		{"check_valid", one, "check testdata/base.ini"},
+		{"check_change", one, "check testdata/next.ini -s http://store"},
+		{"check_change_json", one, "check testdata/next.ini -s http://store --json"},
+		{"check_faulty", one, "check testdata/bad.ini"},
+		{"check_faulty_json", one, "check testdata/bad.ini --json"},
+		{"check_transition", one, "check testdata/movedin.ini -s http://store"},
+		{"check_no_file", one, "check testdata/none.ini"},
+		{"show_overview", southOut, "show -s http://store"},
+		{"show_overview_json", southOut, "show -s http://store --json"},
+		{"show_service", one, "show service.graves -s http://store"},
+		{"show_domain", southOut, "show domain.south -s http://store"},
+		{"show_service_domain", southOut, "show service.graves.south -s http://store"},
+		{"show_key", one, "show service.graves.north --key tomb -f testdata/base.ini"},
+		{"show_key_without_domain", one, "show service.graves --key tomb -f testdata/base.ini"},
+		{"show_server", southOut, "show server.graves-2 -s http://store"},
+		{"show_server_json", one, "show server.graves-2 -s http://store --json"},
+		{"show_default", one, "show DEFAULT -s http://store"},
+		{"show_past", two, "show server.graves-2 -s http://store -n 1"},
+		{"show_missing_version", two, "show -s http://store -n 9"},
+		{"show_unknown_service", one, "show service.plots -s http://store"},
+		{"show_unknown_path", one, "show graves -s http://store"},
+		{"show_text", two, "show --text -s http://store"},
+		{"show_empty_store", world{}, "show -s http://store"},
+		{"show_without_store", one, "show"},
+		{"diff_accepted", one, "diff testdata/next.ini -s http://store"},
+		{"diff_versions", two, "diff 1 2 -s http://store"},
+		{"diff_equal", one, "diff testdata/base.ini testdata/base.ini"},
+		{"diff_json", one, "diff testdata/base.ini testdata/next.ini --json"},
+		{"apply_first", world{}, "apply testdata/base.ini -s http://store --parent 0 --no-instances"},
+		{"apply", running(one, fleetOf{"a:1": has(1)}), "apply testdata/next.ini -s http://store --parent 1 -i a:1"},
+		{"apply_json", running(one, fleetOf{"a:1": has(1)}), "apply testdata/marked.ini -s http://store -i a:1 --json"},
+		{"apply_and_wait", running(one, fleetOf{"a:1": hasAfter(time.Second, 1, 2), "b:1": hasAfter(3*time.Second, 1, 2)}), "apply testdata/marked.ini -s http://store -i a:1,b:1 --wait"},
+		{"apply_without_parent", running(one, fleetOf{"a:1": has(1)}), "apply testdata/next.ini -s http://store -i a:1"},
+		{"apply_parents_differ", running(one, fleetOf{"a:1": has(1)}), "apply testdata/marked.ini -s http://store -i a:1 --parent 3"},
+		{"apply_without_instances", one, "apply testdata/next.ini -s http://store --parent 1"},
+		{"apply_instances_down", one, "apply testdata/next.ini -s http://store --parent 1 -i a:1,b:1"},
+		{"apply_race", running(two, fleetOf{"a:1": has(2)}), "apply testdata/southout.ini -s http://store --parent 1 -i a:1"},
+		{"apply_race_json", running(two, fleetOf{"a:1": has(2)}), "apply testdata/southout.ini -s http://store --parent 1 -i a:1 --json"},
+		{"apply_older_store", running(one, fleetOf{"a:1": has(4)}), "apply testdata/next.ini -s http://store --parent 1 -i a:1"},
+		{"apply_unchanged", running(one, fleetOf{"a:1": has(1)}), "apply testdata/base.ini -s http://store --parent 1 -i a:1"},
+		{"apply_faulty", running(one, fleetOf{"a:1": has(1)}), "apply testdata/bad.ini -s http://store --parent 1 -i a:1"},
+		{"apply_store_down", world{versions: one.versions, fleet: fleetOf{"a:1": has(1)}, faults: down}, "apply testdata/next.ini -s http://store --parent 1 -i a:1"},
+		{"apply_answer_lost", world{versions: one.versions, fleet: fleetOf{"a:1": has(1)}, lost: loseAnswer}, "apply testdata/next.ini -s http://store --parent 1 -i a:1"},
+		{"apply_settled", running(southOut, fleetOf{"a:1": has(2), "b:1": hasAfter(2*time.Second, 1, 2)}), "apply testdata/moved.ini -s http://store --parent 2 -i a:1,b:1"},
+		{"apply_not_settled", running(southOut, fleetOf{"a:1": has(2), "b:1": has(1)}), "apply testdata/moved.ini -s http://store --parent 2 -i a:1,b:1 --within 5s"},
+		{"wait", running(two, fleetOf{"a:1": hasAfter(time.Second, 1, 2), "b:1": hasAfter(3*time.Second, 1, 2)}), "wait 2 -i a:1,b:1"},
+		{"wait_accepted_json", running(two, fleetOf{"a:1": has(3)}), "wait -s http://store -i a:1 --json"},
+		{"wait_in_vain", running(two, fleetOf{"a:1": has(2), "b:1": has(1)}), "wait 2 -i a:1,b:1,c:1 --within 10s"},
+		{"wait_in_vain_json", running(two, fleetOf{"a:1": has(1)}), "wait 2 -i a:1 --within 10s --json"},
+		{"wait_without_instances", two, "wait 2"},
+		{"wait_bad_version", two, "wait two -i a:1"},
+		{"history", two, "history -s http://store"},
+		{"history_limit", two, "history -s http://store --limit 1"},
+		{"history_json", two, "history -s http://store --json"},
+		{"history_bad_limit", two, "history -s http://store --limit 0"},
+		{"history_store_down", world{faults: down}, "history -s http://store"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				compareGolden(t, c.name, runTool(t, c.world, strings.Fields(c.arguments)))
+			})
+		})
+	}
+}
+
+func compareGolden(t *testing.T, name, got string) {
+	path := filepath.Join("testdata", "golden", name+".txt")
+	if *update {
+		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != string(want) {
+		t.Errorf("output differs from %s; got:\n%s\nwant:\n%s", path, got, want)
+	}
+}
+
+// Guards against a wait that ends only by its own timer when the operator interrupts it.
+func TestInterruptedWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, cancel)
+		start := time.Now()
+		code := Main(ctx, []string{"wait", "2", "-i", "a:1"}, Env{Stdout: io.Discard, Stderr: io.Discard,
+			Client: &http.Client{Transport: fleetOf{"a:1": has(1)}.transport()}, Getenv: func(string) string { return "" }})
+		if code != ExitNotInEffect || time.Since(start) > 2*time.Second {
+			t.Errorf("exit code %d after %v", code, time.Since(start))
+		}
+	})
+}
--- /dev/null
+++ b/internal/ctl/history.go
@@ -0,0 +1,80 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/settings"
+	"peridotmoor.org/peridotmoor/internal/settings/version"
+)
+
+// past is one line of the history.
+type past struct {
+	Version uint64    `json:"version"`
+	Parent  uint64    `json:"parent"`
+	Author  string    `json:"author"`
+	Time    time.Time `json:"time"`
+	WriteID string    `json:"write_id"`
+	// Changes counts the settings that differ from the version before, -1 when
+	// the store no longer keeps it.
+	Changes int `json:"changes"`
+}
+
+type pastList []past
+
+func (l pastList) human(w io.Writer) {
+	table := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(table, "VERSION\tTIME\tAUTHOR\tCHANGES\tWRITE ID")
+	for _, p := range l {
+		changes := fmt.Sprint(p.Changes)
+		if p.Changes < 0 {
+			changes = "-"
+		}
+		fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%s\n", p.Version, p.Time.UTC().Format(time.RFC3339), p.Author, changes, p.WriteID)
+	}
+	table.Flush()
+}
+
+func runHistory(ctx context.Context, t *tool) (output, error) {
+	if t.options.Limit < 1 {
+		return nil, &usageError{fmt.Sprintf("limit %d is below 1", t.options.Limit)}
+	}
+	s, err := t.connect()
+	if err != nil {
+		return nil, err
+	}
+	if _, err := mustAccepted(ctx, s); err != nil {
+		return nil, err
+	}
+	versions, err := version.History(ctx, s, t.options.Limit+1)
+	if err != nil {
+		return nil, err
+	}
+	var list pastList
+	for i, v := range versions[:min(len(versions), t.options.Limit)] {
+		list = append(list, past{v.Number, v.Parent, v.Author, v.Time, v.WriteID, countChanges(versions, i)})
+	}
+	return list, nil
+}
+
+// countChanges compares a version with its parent, which follows it in the list.
+func countChanges(versions []version.Version, i int) int {
+	newer, err := versions[i].Tree()
+	if err != nil {
+		return -1
+	}
+	if versions[i].Parent == 0 {
+		return len(settings.Diff(nil, newer))
+	}
+	if i+1 >= len(versions) {
+		return -1
+	}
+	older, err := versions[i+1].Tree()
+	if err != nil {
+		return -1
+	}
+	return len(settings.Diff(older, newer))
+}
--- /dev/null
+++ b/internal/ctl/overview.go
@@ -0,0 +1,101 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"peridotmoor.org/peridotmoor/internal/settings"
+)
+
+// overview is the result of show without a path.
+type overview struct {
+	Source   string            `json:"source"`
+	Domains  []domainOverview  `json:"failure_domains"`
+	Services []serviceOverview `json:"services"`
+	Servers  []serverOverview  `json:"servers"`
+}
+
+type domainOverview struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+	State  string `json:"state"`
+}
+
+type serviceOverview struct {
+	Name    string `json:"name"`
+	Keyed   bool   `json:"keyed"`
+	Shards  int    `json:"shards"`
+	State   string `json:"state"`
+	Servers int    `json:"servers"`
+	In      int    `json:"servers_in"`
+}
+
+type serverOverview struct {
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	Domain  string `json:"failure_domain"`
+	Shard   int    `json:"shard"`
+	State   string `json:"state"`
+	OutBy   string `json:"out_by,omitempty"`
+}
+
+func newOverview(tree *settings.Tree, source string) overview {
+	o := overview{Source: source}
+	for _, d := range tree.Domains() {
+		o.Domains = append(o.Domains, domainOverview{d.Name, d.Region, stateText(!d.Out)})
+	}
+	for _, name := range tree.Services() {
+		s, _ := tree.Service(name)
+		o.Services = append(o.Services, serviceRow(tree, s))
+	}
+	for _, s := range tree.Servers() {
+		o.Servers = append(o.Servers, serverOverview{s.Name, s.Service, s.Domain, s.Shard, stateText(s.Policy.In), s.Policy.OutBy})
+	}
+	return o
+}
+
+func serviceRow(tree *settings.Tree, s *settings.Service) serviceOverview {
+	row := serviceOverview{Name: s.Name, Keyed: s.Keyed, Shards: s.Shards, State: stateText(!s.Out)}
+	for shard := range s.Shards {
+		for _, server := range tree.ServersOf(s.Name, shard) {
+			row.Servers++
+			if server.Policy.In {
+				row.In++
+			}
+		}
+	}
+	return row
+}
+
+func stateText(in bool) string {
+	if in {
+		return "in"
+	}
+	return "out"
+}
+
+func (o overview) human(w io.Writer) {
+	fmt.Fprintln(w, o.Source)
+	table := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(table, "\nFAILURE DOMAIN\tREGION\tSTATE")
+	for _, d := range o.Domains {
+		fmt.Fprintf(table, "%s\t%s\t%s\n", d.Name, d.Region, d.State)
+	}
+	fmt.Fprintln(table, "\nSERVICE\tKEYED\tSHARDS\tSTATE\tSERVERS IN")
+	for _, s := range o.Services {
+		fmt.Fprintf(table, "%s\t%v\t%d\t%s\t%d of %d\n", s.Name, s.Keyed, s.Shards, s.State, s.In, s.Servers)
+	}
+	fmt.Fprintln(table, "\nSERVER\tSERVICE\tFAILURE DOMAIN\tSHARD\tSTATE\tOUT BY")
+	for _, s := range o.Servers {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%s\n", s.Name, s.Service, s.Domain, s.Shard, s.State, outBy(s.OutBy))
+	}
+	table.Flush()
+}
+
+func outBy(section string) string {
+	if section == "" {
+		return "-"
+	}
+	return "[" + section + "]"
+}
--- /dev/null
+++ b/internal/ctl/show.go
@@ -0,0 +1,134 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"peridotmoor.org/peridotmoor/internal/settings"
+	"peridotmoor.org/peridotmoor/internal/settings/version"
+)
+
+// shown is the result of show for one place of the tree.
+type shown struct {
+	Source string               `json:"source"`
+	Path   string               `json:"path"`
+	Values []settings.Effective `json:"values"`
+}
+
+func (s shown) human(w io.Writer) {
+	fmt.Fprintf(w, "%s in %s\n", s.Path, s.Source)
+	table := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(table, "SETTING\tVALUE\tUNIT\tLEVEL")
+	for _, v := range s.Values {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", v.Name, v.Value, dash(v.Unit), level(v.Level))
+	}
+	table.Flush()
+}
+
+func level(name string) string {
+	if name == settings.BuiltIn {
+		return name
+	}
+	return "[" + name + "]"
+}
+
+func dash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+// textOutput is the text of a version.
+type textOutput struct {
+	Version uint64 `json:"version"`
+	Text    string `json:"text"`
+}
+
+func (t textOutput) human(w io.Writer) {
+	io.WriteString(w, markParent(version.Version{Number: t.Version, Text: t.Text}))
+}
+
+func runShow(ctx context.Context, t *tool) (output, error) {
+	if t.options.Text {
+		return t.showText(ctx)
+	}
+	tree, source, err := t.shownTree(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if t.options.First == "" {
+		return newOverview(tree, source), nil
+	}
+	path, err := t.shownPath(tree)
+	if err != nil {
+		return nil, err
+	}
+	values, err := tree.Effective(path)
+	if err != nil {
+		return nil, &usageError{err.Error()}
+	}
+	return shown{Source: source, Path: path, Values: values}, nil
+}
+
+func (t *tool) showText(ctx context.Context) (output, error) {
+	if t.options.File != "" {
+		return nil, &usageError{"--text shows a version of the store; leave --file out"}
+	}
+	v, err := t.shownVersion(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return textOutput{Version: v.Number, Text: v.Text}, nil
+}
+
+func (t *tool) shownVersion(ctx context.Context) (version.Version, error) {
+	if t.options.Version < 0 {
+		return version.Version{}, &usageError{fmt.Sprintf("version %d is below 1; see peridotmoorctl history", t.options.Version)}
+	}
+	s, err := t.connect()
+	if err != nil {
+		return version.Version{}, err
+	}
+	if t.options.Version > 0 {
+		return readVersion(ctx, s, uint64(t.options.Version))
+	}
+	return mustAccepted(ctx, s)
+}
+
+// shownTree returns the tree to show and how it is called.
+func (t *tool) shownTree(ctx context.Context) (*settings.Tree, string, error) {
+	if t.options.File != "" {
+		tree, err := t.readFile(t.options.File)
+		return tree, t.options.File, err
+	}
+	v, err := t.shownVersion(ctx)
+	if err != nil {
+		return nil, "", err
+	}
+	tree, err := v.Tree()
+	return tree, v.String(), err
+}
+
+// shownPath adds the key range of --key to the path.
+func (t *tool) shownPath(tree *settings.Tree) (string, error) {
+	path := t.options.First
+	if t.options.Key == "" {
+		return path, nil
+	}
+	parts := strings.Split(path, ".")
+	if len(parts) != 3 || parts[0] != "service" {
+		return "", &usageError{fmt.Sprintf("--key needs a path of the form service.NAME.DOMAIN, not %q", path)}
+	}
+	service, ok := tree.Service(parts[1])
+	if !ok {
+		return path, nil // Effective names the services that exist
+	}
+	if name := service.RangeOf(parts[2], t.options.Key); name != "" {
+		path += "." + name
+	}
+	return path, nil
+}
--- /dev/null
+++ b/internal/ctl/status.go
@@ -0,0 +1,73 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Status is what an instance answers at GET /status of its operators' endpoint.
+type Status struct {
+	Instance        string `json:"instance"`
+	Domain          string `json:"domain"`
+	SettingsVersion uint64 `json:"settings_version"`
+	Ready           bool   `json:"ready"`
+}
+
+// report is the answer of one instance, or why there is none.
+type report struct {
+	Address string
+	Status  Status
+	Err     error
+}
+
+const (
+	// statusTimeout bounds one question; an instance answers within milliseconds.
+	statusTimeout = 2 * time.Second
+	// statusCalls bounds the questions under way.
+	statusCalls = 32
+	// statusBytes bounds an answer.
+	statusBytes = 64 << 10
+)
+
+// askAll asks the instances at the same time and returns a report for each, in order.
+func (t *tool) askAll(ctx context.Context, addresses []string) []report {
+	reports := make([]report, len(addresses))
+	slots := make(chan struct{}, statusCalls)
+	var wg sync.WaitGroup
+	for i, address := range addresses {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			status, err := t.ask(ctx, address)
+			reports[i] = report{address, status, err}
+		})
+	}
+	wg.Wait()
+	return reports
+}
+
+func (t *tool) ask(ctx context.Context, address string) (Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
+	if err != nil {
+		return Status{}, &usageError{fmt.Sprintf("address %q of an instance is not host:port", address)}
+	}
+	response, err := t.env.Client.Do(request)
+	if err != nil {
+		return Status{}, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return Status{}, fmt.Errorf("GET /status answered %s; check that %s is the operators' endpoint of an instance", response.Status, address)
+	}
+	var status Status
+	if err := json.NewDecoder(http.MaxBytesReader(nil, response.Body, statusBytes)).Decode(&status); err != nil || status.Instance == "" {
+		return Status{}, fmt.Errorf("GET /status did not answer with a status; check that %s is the operators' endpoint of an instance", address)
+	}
+	return status, nil
+}
--- /dev/null
+++ b/internal/ctl/wait.go
@@ -0,0 +1,128 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// askPause is the time between two questions to the instances that lack a
+// version. Instances offer no notice to the tool; a change takes up to 18 s.
+const askPause = 500 * time.Millisecond
+
+// waited is the result of wait.
+type waited struct {
+	Version   uint64   `json:"version"`
+	Instances int      `json:"instances"`
+	InEffect  int      `json:"in_effect"`
+	Lacking   []string `json:"lacking,omitempty"`
+}
+
+func (w waited) human(out io.Writer) {
+	fmt.Fprintf(out, "version %d is in effect at %d of %d instances\n", w.Version, w.InEffect, w.Instances)
+}
+
+func runWait(ctx context.Context, t *tool) (output, error) {
+	number, err := t.waitTarget(ctx)
+	if err != nil {
+		return nil, err
+	}
+	addresses, err := t.needInstances()
+	if err != nil {
+		return nil, err
+	}
+	return t.waitFor(ctx, number, addresses)
+}
+
+// waitTarget returns the version to wait for.
+func (t *tool) waitTarget(ctx context.Context) (uint64, error) {
+	if t.options.First != "" {
+		number, err := strconv.ParseUint(t.options.First, 10, 64)
+		if err != nil || number == 0 {
+			return 0, &usageError{fmt.Sprintf("version %q is not a whole number from 1; see peridotmoorctl history", t.options.First)}
+		}
+		return number, nil
+	}
+	s, err := t.connect()
+	if err != nil {
+		return 0, err
+	}
+	v, err := mustAccepted(ctx, s)
+	return v.Number, err
+}
+
+func (t *tool) needInstances() ([]string, error) {
+	addresses := t.options.addresses()
+	if len(addresses) == 0 {
+		return nil, &usageError{"no instances are named; give --instances with the operators' endpoints of all instances or set " + envInstances}
+	}
+	return addresses, nil
+}
+
+// waitFor asks until all instances have the version or --within has passed.
+// Progress goes to the standard error.
+func (t *tool) waitFor(ctx context.Context, number uint64, addresses []string) (waited, error) {
+	ctx, cancel := context.WithTimeout(ctx, t.options.Within)
+	defer cancel()
+	result := waited{Version: number, Instances: len(addresses)}
+	lacking := addresses
+	for {
+		reports := t.askAll(ctx, lacking)
+		if ctx.Err() != nil && result.Lacking != nil {
+			return result, lackingError(result, t.options.Within)
+		}
+		lacking, result.Lacking = stillLacking(reports, number)
+		if done := len(addresses) - len(lacking); done > result.InEffect {
+			result.InEffect = done
+			t.progress(result)
+		}
+		if len(lacking) == 0 {
+			return result, nil
+		}
+		if !pause(ctx, askPause) {
+			return result, lackingError(result, t.options.Within)
+		}
+	}
+}
+
+func (t *tool) progress(w waited) {
+	fmt.Fprintf(t.env.Stderr, "version %d: %d of %d instances\n", w.Version, w.InEffect, w.Instances)
+}
+
+// stillLacking returns the addresses that lack the version and why.
+func stillLacking(reports []report, number uint64) (addresses, reasons []string) {
+	for _, r := range reports {
+		switch {
+		case r.Err != nil:
+			reasons = append(reasons, fmt.Sprintf("%s does not answer: %v", r.Address, r.Err))
+		case r.Status.SettingsVersion < number:
+			reasons = append(reasons, fmt.Sprintf("%s (%s, %s) has version %d", r.Status.Instance, r.Status.Domain, r.Address, r.Status.SettingsVersion))
+		case !r.Status.Ready:
+			reasons = append(reasons, fmt.Sprintf("%s (%s, %s) is not ready", r.Status.Instance, r.Status.Domain, r.Address))
+		default:
+			continue
+		}
+		addresses = append(addresses, r.Address)
+	}
+	return addresses, reasons
+}
+
+func lackingError(w waited, within time.Duration) error {
+	return &notInEffectError{fmt.Sprintf("version %d is not in effect everywhere after %s:\n  %s\ncheck these instances, or leave them out of --instances if they are gone, and wait again",
+		w.Version, within, strings.Join(w.Lacking, "\n  "))}
+}
+
+// pause waits and reports whether the context is still alive.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/settings/effective.go
+++ b/internal/settings/effective.go
@@ -79,6 +79,10 @@
 	if !slices.Contains(scopesAt[place.level], spec.Scope) {
 		return value, false
 	}
+	if s := t.services[place.service]; spec.Name == "hedge" && s != nil && s.Keyed {
+		value.Value, value.Level = "false", serviceSection(place.service) // by keyed = true
+		return value, true
+	}
 	found := t.chainOf(place).lookup(spec.Name)
 	value.Value, value.Level = found.text, levelName(found.section)
 	return value, true
--- a/internal/settings/service.go
+++ b/internal/settings/service.go
@@ -64,3 +64,17 @@
 	}
 	return s.servers[shard]
 }
+
+// RangeOf returns the name of the key range that key is in, or "" when none is written for it.
+func (s *Service) RangeOf(domain, key string) string {
+	in := s.domains[domain]
+	if in == nil {
+		return ""
+	}
+	for _, r := range in.ranges {
+		if r.contains(key) {
+			return r.name
+		}
+	}
+	return ""
+}
--- a/internal/settings/spec.go
+++ b/internal/settings/spec.go
@@ -127,7 +127,7 @@
 	case KeyText:
 		return "set a key of at most 1024 bytes on one line"
 	}
-	return "use lower-case letters, digits and hyphens, at most 63, starting with a letter or digit"
+	return "set a name of lower-case letters, digits and hyphens, at most 63, starting with a letter or digit"
 }
 
 func (s Spec) example() string {
