--- /dev/null
+++ b/internal/publish/repair_test.go
@@ -0,0 +1,77 @@
+package publish
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"peridotmoor.org/peridotmoor/internal/settings/version"
+	"peridotmoor.org/peridotmoor/internal/store"
+)
+
+// Guards against a reverted configuration when the store comes back with an
+// older value, with none, or with a damaged one.
+func TestRestoredStoreIsRepaired(t *testing.T) {
+	cases := map[string]func(old store.Entry) []store.Entry{
+		"older": func(old store.Entry) []store.Entry { return []store.Entry{old} },
+		"empty": func(store.Entry) []store.Entry { return nil },
+		"damaged": func(old store.Entry) []store.Entry {
+			return []store.Entry{{Key: old.Key, Value: []byte("{"), Revision: 1}}
+		},
+	}
+	for name, content := range cases {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(t *testing.T, n *network) {
+				is := is.New(t)
+				n.apply(1)
+				old := n.backup()
+				n.apply(2)
+				latest := n.apply(3)
+				for i := range 4 {
+					n.start(i, []string{"a", "b"}[i%2])
+				}
+				n.awaitVersion(3, inEffectEverywhere)
+				time.Sleep(10 * time.Second) // both failure domains have a watcher
+				n.store.Restore(content(old)...)
+				time.Sleep(inEffectEverywhere)
+				n.awaitVersion(3, 0)
+				stored, err := version.Decode(n.backup().Value)
+				is.NoErr(err)
+				is.Equal(stored, latest)
+				n.apply(4)
+				n.awaitVersion(4, inEffectEverywhere)
+			})
+		})
+	}
+}
+
+// Guards against a stale read that overwrites a newer version in the store.
+func TestStaleReadRepairsNothing(t *testing.T) {
+	run(t, func(t *testing.T, n *network) {
+		is := is.New(t)
+		n.apply(1)
+		old := n.backup()
+		n.apply(2)
+		f := n.follower(&staleStore{Store: n.store, entry: old})
+		before := n.store.Calls("cas")
+		f.consider(t.Context(), old) // reads the stale entry again and tries the repair
+		is.True(n.store.Calls("cas") > before)
+		stored, err := version.Decode(n.backup().Value)
+		is.NoErr(err)
+		is.Equal(stored.Number, uint64(2))
+	})
+}
+
+// Guards against a single stale read that already causes a write.
+func TestOneStaleReadIsNotBelieved(t *testing.T) {
+	run(t, func(t *testing.T, n *network) {
+		is := is.New(t)
+		n.apply(1)
+		old := n.backup()
+		n.apply(2)
+		f := n.follower(n.store)
+		revision := n.backup().Revision
+		f.consider(t.Context(), old)
+		is.Equal(n.backup().Revision, revision)
+	})
+}
--- /dev/null
+++ b/internal/publish/watcher_test.go
@@ -0,0 +1,84 @@
+package publish
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/store"
+)
+
+// Guards against a failure domain without a watcher after its watcher has gone,
+// with its lease given back or not.
+func TestWatcherIsReplaced(t *testing.T) {
+	for name, graceful := range map[string]bool{"stopped": true, "crashed": false} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(t *testing.T, n *network) {
+				n.apply(1)
+				for i := range 4 {
+					n.start(i, "a")
+				}
+				n.awaitVersion(1, inEffectEverywhere)
+				time.Sleep(20 * time.Second)
+				holder := n.watcherOf("a")
+				if !graceful {
+					n.store.SetFaults(func(op, key string) error {
+						if op == "revoke" {
+							return store.ErrUnavailable
+						}
+						return nil
+					}, nil)
+				}
+				n.remove(int(holder[0] - '0'))
+				time.Sleep(watcherTTL + 10*time.Second)
+				if next := n.watcherOf("a"); next == holder {
+					t.Fatalf("the watcher is still %s", next)
+				}
+				n.apply(2)
+				n.awaitVersion(2, inEffectEverywhere)
+			})
+		})
+	}
+}
+
+// watcherOf returns the instance that the lease of the failure domain names.
+func (n *network) watcherOf(domain string) string {
+	entry, err := n.store.Get(n.t.Context(), WatcherKey(domain))
+	if err != nil {
+		n.t.Fatalf("no watcher in %s: %v", domain, err)
+	}
+	return string(entry.Value)
+}
+
+// Guards against calls to the store that grow with the number of instances.
+func TestStoreCallsDoNotGrowWithTheFleet(t *testing.T) {
+	count := func(instances int) (calls uint64) {
+		run(t, func(t *testing.T, n *network) {
+			n.apply(1)
+			for i := range instances {
+				n.start(i, "a")
+			}
+			n.awaitVersion(1, inEffectEverywhere)
+			time.Sleep(time.Minute)
+			before := n.storeCalls()
+			time.Sleep(2 * time.Minute)
+			calls = n.storeCalls() - before
+		})
+		return calls
+	}
+	small, large := count(5), count(60)
+	t.Logf("calls in 2 minutes: %d with 5 instances, %d with 60", small, large)
+	// One renewal and one attempt a second, one watch and one read each 10 s.
+	if limit := uint64(3 * 120); small > limit || large > limit {
+		t.Errorf("calls in 2 minutes: %d with 5 instances, %d with 60, limit %d", small, large, limit)
+	}
+}
+
+func (n *network) storeCalls() uint64 {
+	synctest.Wait()
+	total := uint64(0)
+	for _, node := range n.nodes {
+		total += node.StoreCalls()
+	}
+	return total
+}
