Ask a peer once for a version that it does not deliver

A peer that announced a version and answered without it was asked again at once, without end: 499 calls in a virtual second, bounded only by the latency of the test's network. The transfer now ends with the answer; the next exchange names the version again. The test of an older answer counts one call, and failed with 499 before.

--- a/internal/publish/calls.go
+++ b/internal/publish/calls.go
@@ -29,7 +29,7 @@
 }
 
 // fetch is the one transfer of settings that may be under way, and the highest
-// version that was announced meanwhile.
+// version that was announced and by whom.
 type fetch struct {
 	running bool
 	address string
@@ -78,8 +78,9 @@
 		l.pushes--
 	case forFetch:
 		l.fetch.running = false
-		if l.fetch.version <= r.reply.SettingsVersion || r.err != nil {
-			// The next exchange names another peer that has the version.
+		if l.fetch.address == r.address {
+			// Whatever this peer answered, asking it again at once helps nothing.
+			// The next exchange names the version again if it is still lacking.
 			l.fetch.version = 0
 		}
 	}
--- a/internal/publish/publisher.go
+++ b/internal/publish/publisher.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 	"peridotmoor.org/peridotmoor/internal/publish/exchange"
+	"peridotmoor.org/peridotmoor/internal/settings"
 )
 
 // ErrStopped means that this instance no longer exchanges.
@@ -91,6 +92,15 @@
 // Settings returns the version in effect, or nil before Ready.
 func (p *Publisher) Settings() *Installed { return p.settings.Load() }
 
+// Tree returns the settings tree in effect, or nil before Ready.
+func (p *Publisher) Tree() *settings.Tree {
+	installed := p.settings.Load()
+	if installed == nil {
+		return nil
+	}
+	return installed.Tree
+}
+
 // SettingsChanged returns a channel that is closed when another version comes
 // into effect. Take it before Settings.
 func (p *Publisher) SettingsChanged() <-chan struct{} { return p.settingsNotice.wait() }
