--- a/internal/authority/node_tick.go
+++ b/internal/authority/node_tick.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// minPause separates two Ticks without input, so that a process never spins.
+const minPause = time.Millisecond
+
 // Tick does everything that is due at now.
 func (n *Node) Tick(now time.Time) {
 	renew := !n.renewAt.After(now)
@@ -40,7 +43,7 @@
 	for _, s := range n.order {
 		wake = earliest(wake, n.wakeShard(now, s))
 	}
-	return wake
+	return latestOf(wake, now.Add(minPause))
 }
 
 func (n *Node) holdsAny() bool {
@@ -71,9 +74,6 @@
 	} else if !s.orphanedAt.IsZero() {
 		wake = earliest(wake, now.Add(n.timing.ProbeInterval))
 	}
-	if wake.Before(now) {
-		return now
-	}
 	return wake
 }
 
