Test the shard runtime against faults in virtual time

Small fake servers enforce grants on their own clocks; two thirds of them also check tokens.

The committed owner of a range is now a candidate again after a standby took over: with the store down it was forgotten once it had returned.

--- a/internal/shard/advance.go
+++ b/internal/shard/advance.go
@@ -166,10 +166,11 @@
 }
 
 // chooseOwner assigns the range to the first server that can take it, in the
-// committed order, warm ones first. It needs no store. It reports whether there is one.
+// committed order, warm ones first. The committed owner may be back after a
+// standby took over. It needs no store. It reports whether there is one.
 func (t *term) chooseOwner(r *row, now time.Time) bool {
 	for _, cold := range [2]bool{false, true} {
-		for _, name := range [4]string{r.want, r.first, r.second, r.previous} {
+		for _, name := range [5]string{r.want, r.first, r.second, r.home, r.previous} {
 			l := t.links[name]
 			if name == r.owner || !l.canTake(now) || l.gate.Cold() != cold {
 				continue
--- a/internal/shard/apply.go
+++ b/internal/shard/apply.go
@@ -65,7 +65,7 @@
 		if len(old) > 0 && planned[old[0].bounds] == old[0].want {
 			rows[i].want = r.Owner
 		}
-		rows[i].first, rows[i].second = r.First, r.Second
+		rows[i].setCommitted(r)
 	}
 	return rows
 }
--- a/internal/shard/load.go
+++ b/internal/shard/load.go
@@ -68,7 +68,7 @@
 	for i, r := range a.Ranges {
 		next := newRow(r.Bounds)
 		next.owner, next.want = r.Owner, r.Owner
-		next.first, next.second = r.First, r.Second
+		next.setCommitted(r)
 		rows[i] = next
 	}
 	return rows
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -115,8 +115,8 @@
 	}
 }
 
-// startUrgent starts the moves off servers that are taken out whose target is a
-// committed standby. They need no store, so that an outage of the store delays
+// startUrgent starts the moves off servers that are taken out whose target is
+// committed for the range. They need no store, so that an outage of the store delays
 // no departure.
 func (t *term) startUrgent(plan assign.Plan) {
 	for _, m := range plan.Moves {
@@ -124,7 +124,7 @@
 			continue
 		}
 		for _, r := range t.rows {
-			if r.bounds == m.Bounds && (r.first == m.To || r.second == m.To) {
+			if r.bounds == m.Bounds && r.isCommitted(m.To) {
 				r.want = m.To
 			}
 		}
--- a/internal/shard/row.go
+++ b/internal/shard/row.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"peridotmoor.org/peridotmoor/internal/assign"
 	"peridotmoor.org/peridotmoor/internal/key"
 	"peridotmoor.org/peridotmoor/internal/route"
 )
@@ -17,9 +18,11 @@
 	want  string
 	// previous is the owner before; it may get the range back.
 	previous string
-	first    string
-	second   string
-	phase    phase
+	// home, first and second are the owner and standbys of the last commit.
+	home   string
+	first  string
+	second string
+	phase  phase
 	// listed reports, while granting, that the range is in the owner's list.
 	listed bool
 
@@ -44,6 +47,16 @@
 	return &row{bounds: bounds, state: route.NewRangeState()}
 }
 
+// setCommitted takes over the servers of a committed range.
+func (r *row) setCommitted(a assign.Range) {
+	r.home, r.first, r.second = a.Owner, a.First, a.Second
+}
+
+// isCommitted reports whether the last commit names the server for the range.
+func (r *row) isCommitted(server string) bool {
+	return server == r.home || server == r.first || server == r.second
+}
+
 // inList reports whether the row belongs into its owner's list.
 func (r *row) inList() bool {
 	return r.phase != granting || r.listed
--- /dev/null
+++ b/internal/shard/world_test.go
@@ -0,0 +1,289 @@
+package shard
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/assign"
+	"peridotmoor.org/peridotmoor/internal/key"
+	"peridotmoor.org/peridotmoor/internal/route"
+)
+
+var testShard = key.ShardID{Service: "bosho", Index: 0}
+
+// world is a shard with small fake servers. One lock guards all servers; check
+// compares what they accept after every change.
+type world struct {
+	mu       sync.Mutex
+	running  sync.WaitGroup
+	stop     chan struct{}
+	interval key.Range
+	store    *fakeStore
+	servers  []*fakeServer
+	settings []ServerConfig
+	unkeyed  bool
+	holders  []*fakeHolder
+	holder   *fakeHolder
+	ballot   uint64
+	promised time.Time
+	hashes   []key.Hash
+	// faults are the broken invariants.
+	faults []string
+	// unserved holds since when a hash is not served, longest the longest such time.
+	unserved map[key.Hash]time.Time
+	longest  time.Duration
+}
+
+// inWorld runs body in virtual time with a shard of n servers in three failure
+// domains, of which every third does not check tokens.
+func inWorld(t *testing.T, n int, body func(t *testing.T, w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(n)
+		w.take(w.addHolder())
+		w.running.Go(w.watch)
+		defer w.close(t)
+		body(t, w)
+	})
+}
+
+func newWorld(n int) *world {
+	w := &world{
+		stop:     make(chan struct{}),
+		store:    &fakeStore{latency: 3 * time.Millisecond},
+		unserved: map[key.Hash]time.Time{},
+	}
+	for i := range n {
+		name := fmt.Sprintf("s%02d", i)
+		w.servers = append(w.servers, &fakeServer{
+			world: w, name: name, checksTokens: i%3 != 2, started: time.Now(),
+			incarnation: "1", oneWay: 1500 * time.Microsecond,
+		})
+		w.settings = append(w.settings, ServerConfig{
+			Name: name, Domain: fmt.Sprintf("d%d", i%3), Address: name, ChecksTokens: i%3 != 2, Slots: 3,
+		})
+	}
+	for i := range 25 {
+		w.hashes = append(w.hashes, key.Hash(i)*(1<<64/25)+key.Hash(i*7919))
+	}
+	return w
+}
+
+func (w *world) close(t *testing.T) {
+	w.stopAll()
+	for _, fault := range w.faults {
+		t.Error(fault)
+	}
+}
+
+// stopAll ends all goroutines of the world.
+func (w *world) stopAll() {
+	close(w.stop)
+	w.mu.Lock()
+	for _, s := range w.servers {
+		s.setFrozen(false)
+	}
+	w.mu.Unlock()
+	for _, h := range w.holders {
+		h.cancel()
+	}
+	if w.holder != nil {
+		close(w.holder.cut)
+	}
+	w.running.Wait()
+}
+
+func (w *world) config() *Config {
+	c := DefaultConfig()
+	c.Keyed = !w.unkeyed
+	c.Servers = append([]ServerConfig{}, w.settings...)
+	return &c
+}
+
+// setOut changes the state of a failure domain in the settings of all instances.
+func (w *world) setOut(domain string, out bool) {
+	for i := range w.settings {
+		if w.settings[i].Domain == domain {
+			w.settings[i].Out = out
+		}
+	}
+	for _, h := range w.holders {
+		h.runtime.options.Config.Set(w.config())
+	}
+}
+
+func (w *world) newTarget(c ServerConfig) *route.Target {
+	for _, s := range w.servers {
+		if s.name == c.Name {
+			return &route.Target{Name: c.Name, Domain: c.Domain, Server: s, ChecksTokens: c.ChecksTokens}
+		}
+	}
+	return nil
+}
+
+func (w *world) gateOf(*route.Target) Gate { return &fakeGate{} }
+
+func (w *world) update(change func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change()
+}
+
+// setFrozen stops or resumes the server. Its clock goes on, and what arrives
+// meanwhile is handled when it resumes.
+func (s *fakeServer) setFrozen(frozen bool) {
+	if frozen && s.thaw == nil {
+		s.thaw = make(chan struct{})
+	}
+	if !frozen && s.thaw != nil {
+		close(s.thaw)
+		s.thaw = nil
+	}
+}
+
+// setDown ends the process, or starts it anew with another incarnation and clock.
+func (s *fakeServer) setDown(down bool) {
+	if s.down && !down {
+		s.incarnation += "x"
+		s.started = time.Now()
+		s.ranges, s.until = nil, 0
+	}
+	s.down = down
+}
+
+// check notes every hash that two servers accept. The caller holds the lock.
+func (w *world) check() {
+	for _, h := range w.hashes {
+		owner := ""
+		for _, s := range w.servers {
+			if !s.accepts(h) {
+				continue
+			}
+			if owner != "" && len(w.faults) < 5 {
+				w.faults = append(w.faults, fmt.Sprintf("hash %016x is accepted by %s and %s", uint64(h), owner, s.name))
+			}
+			owner = s.name
+		}
+	}
+}
+
+// watch checks service every 2 milliseconds. Ownership is checked whenever a server
+// takes a message, since no server accepts more at any other time.
+func (w *world) watch() {
+	ticker := time.NewTicker(2 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-w.stop:
+			return
+		case <-ticker.C:
+			w.mu.Lock()
+			w.measure()
+			w.mu.Unlock()
+		}
+	}
+}
+
+// measure tracks since when each hash has not been served.
+func (w *world) measure() {
+	for _, h := range w.hashes {
+		if w.served(h) != "" {
+			delete(w.unserved, h)
+			continue
+		}
+		since, known := w.unserved[h]
+		if !known {
+			since = time.Now()
+			w.unserved[h] = since
+		}
+		w.longest = max(w.longest, time.Since(since))
+	}
+}
+
+// served returns the server that requests for h reach and that accepts them.
+func (w *world) served(h key.Hash) string {
+	for _, holder := range w.holders {
+		view := holder.runtime.Views().Load()
+		if view == nil || !view.Tenure.ValidAt(time.Now(), 0) {
+			continue
+		}
+		row := view.Find(h)
+		if row == nil || row.Held != nil {
+			continue
+		}
+		if s := row.Owner.Server.(*fakeServer); s.thaw == nil && s.accepts(h) {
+			return s.name
+		}
+	}
+	return ""
+}
+
+// ownerName returns the name of the server that serves h now, or an empty one.
+func (w *world) ownerName(h key.Hash) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.served(h)
+}
+
+// ownerOf returns the server that serves h now.
+func (w *world) ownerOf(h key.Hash) *fakeServer {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	name := w.served(h)
+	for _, s := range w.servers {
+		if s.name == name {
+			return s
+		}
+	}
+	return nil
+}
+
+// settle waits until the shard has been planned and served, and forgets gaps.
+func (w *world) settle() {
+	time.Sleep(1500 * time.Millisecond)
+	w.update(func() { w.longest = 0 })
+}
+
+// resetGap lets the time without service count from now.
+func (w *world) resetGap() {
+	w.update(func() { w.unserved = map[key.Hash]time.Time{} })
+}
+
+// gap returns the longest time without service since settle.
+func (w *world) gap() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.longest
+}
+
+func (w *world) server(name string) *fakeServer {
+	for _, s := range w.servers {
+		if s.name == name {
+			return s
+		}
+	}
+	return nil
+}
+
+func (w *world) domainOf(name string) string {
+	for _, c := range w.settings {
+		if c.Name == name {
+			return c.Domain
+		}
+	}
+	return ""
+}
+
+// committedRange returns the stored range of h.
+func (w *world) committedRange(h key.Hash) assign.Range {
+	a, _ := w.store.committed()
+	for _, r := range a.Ranges {
+		if r.Bounds.Contains(h) {
+			return r
+		}
+	}
+	return assign.Range{}
+}
