--- a/internal/admission/dispatcher.go
+++ b/internal/admission/dispatcher.go
@@ -56,11 +56,12 @@
 
 // next returns the waiter to serve.
 func (d *dispatcher) next() *waiter {
-	if d.pinned != nil && d.pinned.state.Load() == waiterQueued {
+	now := time.Now()
+	if d.pinned != nil && d.pinned.waits(now) {
 		return d.pinned
 	}
 	d.pinned = nil
-	w := d.queue.top()
+	w := d.queue.top(now)
 	if w != nil && w.exclusive {
 		heap.Pop(&d.queue)
 		d.pinned = w
@@ -147,9 +148,10 @@
 func (d *dispatcher) refuseAll() bool {
 	d.refuse(d.pinned)
 	d.pinned = nil
-	for w := d.queue.top(); w != nil; w = d.queue.top() {
+	for _, w := range d.queue.waiters {
 		d.refuse(w)
 	}
+	d.queue.waiters = nil
 	return word(d.gate.word.Load()).waiting() == 0
 }
 
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -1,6 +1,9 @@
 package admission
 
-import "container/heap"
+import (
+	"container/heap"
+	"time"
+)
 
 // queue holds waiters in the order in which they are served. It belongs to the
 // dispatcher goroutine.
@@ -39,11 +42,12 @@
 	heap.Push(q, w)
 }
 
-// top returns the waiter that is served next, or nil. Waiters that have left are dropped.
-func (q *queue) top() *waiter {
+// top returns the waiter that is served next, or nil. Waiters that have left, or
+// are about to because their deadline has passed, are dropped.
+func (q *queue) top(now time.Time) *waiter {
 	for len(q.waiters) > 0 {
 		w := q.waiters[0]
-		if w.state.Load() == waiterQueued {
+		if w.waits(now) {
 			return w
 		}
 		heap.Pop(q)
--- a/internal/admission/waiter.go
+++ b/internal/admission/waiter.go
@@ -44,3 +44,8 @@
 func (w *waiter) settle(state int32) bool {
 	return w.state.CompareAndSwap(waiterQueued, state)
 }
+
+// waits reports whether w is in the queue and its deadline has not passed.
+func (w *waiter) waits(now time.Time) bool {
+	return w.state.Load() == waiterQueued && w.deadline.After(now)
+}
--- /dev/null
+++ b/internal/budget/budget_test.go
@@ -0,0 +1,63 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Guards against more retries than 10% of the requests and 3/s, in any order of
+// requests and failures, and against a budget that allows none.
+func TestBudgetBounds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		b := New()
+		start := time.Now()
+		now := start
+		requests, allowed := 0, 0
+		for range rapid.IntRange(1, 300).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(rt, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(rt, "request") {
+				requests++
+				b.Request()
+				continue
+			}
+			if b.Spend(now) {
+				allowed++
+			}
+		}
+		// The floor starts full, with 3 retries.
+		bound := 0.1*float64(requests) + floorRate*now.Sub(start).Seconds() + floorRate
+		if float64(allowed) > bound {
+			rt.Fatalf("%d retries for %d requests in %v", allowed, requests, now.Sub(start))
+		}
+	})
+	is := is.New(t)
+	b := New()
+	for range 100 {
+		b.Request()
+	}
+	now := time.Now()
+	for range 13 {
+		is.True(b.Spend(now))
+	}
+	is.True(!b.Spend(now))
+	is.Equal(b.Spent(), uint64(13))
+	is.Equal(b.Denied(), uint64(1))
+}
+
+// Guards against a burst of saved retries after a long time without failures.
+func TestSavingsAreBounded(t *testing.T) {
+	is := is.New(t)
+	b := New()
+	for range 1_000_000 {
+		b.Request()
+	}
+	now := time.Now()
+	spent := 0
+	for b.Spend(now) {
+		spent++
+	}
+	is.Equal(spent, maxEarned+floorRate)
+}
--- /dev/null
+++ b/internal/choice/choice_test.go
@@ -0,0 +1,96 @@
+package choice
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// naiveTwo draws two servers by a shuffle and compares the formula in floating point.
+func naiveTwo(rng *rand.Rand, scores []Score) int {
+	order := rng.Perm(len(scores))[:2]
+	cost := func(s, other Score) float64 {
+		latency := s.Latency
+		if latency == 0 {
+			latency = other.Latency
+		}
+		return float64(s.Outstanding+1)*float64(latency) + float64(s.Wait)
+	}
+	a, b := scores[order[0]], scores[order[1]]
+	key := func(s, other Score) []float64 { return []float64{cost(s, other), float64(s.Outstanding), s.Load} }
+	if slices.Compare(key(b, a), key(a, b)) < 0 {
+		return order[1]
+	}
+	return order[0]
+}
+
+// Guards against a choice that prefers the worse of two servers or never draws
+// some pair: over many draws both versions pick each server equally often.
+func TestTwoDifferential(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		scores := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Score {
+			return Score{
+				Outstanding: rapid.IntRange(0, 4).Draw(t, "outstanding"),
+				Latency:     time.Duration(rapid.IntRange(0, 5).Draw(t, "latency")) * time.Millisecond,
+				Wait:        time.Duration(rapid.IntRange(0, 3).Draw(t, "wait")) * time.Millisecond,
+				Load:        rapid.Float64Range(0, 2).Draw(t, "load"),
+			}
+		}), 2, 6).Draw(rt, "scores")
+		const draws = 6000
+		rng := rand.New(rand.NewPCG(1, rapid.Uint64().Draw(rt, "seed")))
+		got, want := make([]int, len(scores)), make([]int, len(scores))
+		for range draws {
+			best, other := Two(rng, len(scores), func(i int) Score { return scores[i] })
+			if best == other || Better(scores[other], scores[best]) {
+				rt.Fatalf("picked %d over %d", best, other)
+			}
+			got[best]++
+			want[naiveTwo(rng, scores)]++
+		}
+		for i := range scores {
+			// 6 standard deviations of a difference of two binomial counts.
+			if difference := got[i] - want[i]; difference*difference > 36*draws/2 {
+				rt.Errorf("server %d was picked %d times, naive %d", i, got[i], want[i])
+			}
+		}
+	})
+}
+
+// Guards against an index out of range for few servers.
+func TestTwoOfFew(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 1))
+	best, other := Two(rng, 0, nil)
+	is.Equal([2]int{best, other}, [2]int{-1, -1})
+	best, other = Two(rng, 1, nil)
+	is.Equal([2]int{best, other}, [2]int{0, 0})
+}
+
+// Guards against a hedge delay that does not follow the p95: then either half
+// of all requests are hedged or none. It compares with the sorted samples.
+func TestDelayFollowsThe95thPercentile(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(7, 7))
+	for _, scale := range []time.Duration{5 * time.Millisecond, 50 * time.Millisecond} {
+		var delay Delay
+		_, known := delay.Hedge()
+		is.True(!known)
+		hedged, total := 0, 0
+		for i := range 20000 {
+			sample := time.Duration(rng.ExpFloat64() * float64(scale))
+			if estimate, ok := delay.Hedge(); ok && i > 1000 {
+				total++
+				if sample > estimate {
+					hedged++
+				}
+			}
+			delay.Add(sample)
+		}
+		share := float64(hedged) / float64(total)
+		is.True(share > 0.04 && share < 0.06)
+	}
+}
--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,120 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"peridotmoor.org/peridotmoor/internal/request"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// Guards against two requests that share a fingerprint although their content
+// differs, and against a resend that escapes its mark by a new request ID.
+func TestFingerprint(t *testing.T) {
+	is := is.New(t)
+	base := request.Request{ID: "1", Service: "bosho", Key: "k", Method: "PUT", Path: "/a", Digest: 1}
+	same := base
+	same.ID = "2"
+	is.Equal(FingerprintOf(&base), FingerprintOf(&same))
+	for _, change := range []func(*request.Request){
+		func(r *request.Request) { r.Service = "rail" },
+		func(r *request.Request) { r.Key, r.Method = "kP", "UT" },
+		func(r *request.Request) { r.Method = "POST" },
+		func(r *request.Request) { r.Path = "/b" },
+		func(r *request.Request) { r.Digest = 2 },
+	} {
+		other := base
+		change(&other)
+		is.True(FingerprintOf(&base) != FingerprintOf(&other))
+	}
+}
+
+// Guards against a mark that has no effect, lasts for ever or cannot be cleared.
+func TestVerdicts(t *testing.T) {
+	is := is.New(t)
+	l := NewList()
+	verdict := func(at time.Time) Verdict { v, _ := l.Verdict(7, at); return v }
+	is.Equal(verdict(start), Free)
+	l.Mark("bosho", []Fingerprint{7}, start)
+	is.Equal(verdict(start), Alone)
+	l.Clear(7, start)
+	is.Equal(verdict(start), Free)
+	l.Mark("bosho", []Fingerprint{7}, start)
+	l.Mark("bosho", []Fingerprint{7}, start.Add(time.Second))
+	is.Equal(verdict(start.Add(time.Minute)), Refused)
+	is.Equal(verdict(start.Add(duration+time.Second)), Free)
+	l.Mark("bosho", []Fingerprint{8}, start.Add(duration+time.Second))
+	is.Equal(len(*l.marks.Load()), 1)
+}
+
+// Guards against marks that other instances do not learn, and against marks that
+// two instances keep alive by telling each other.
+func TestExchange(t *testing.T) {
+	is := is.New(t)
+	a, b := NewList(), NewList()
+	a.Mark("bosho", []Fingerprint{7, 7, 8}, start)
+	now := start
+	exchange := func(from, to *List) bool {
+		entries := from.Entries(now)
+		now = now.Add(30 * time.Millisecond) // the way of the message
+		return to.Merge(entries, now)
+	}
+	is.True(exchange(a, b))
+	is.Equal(a.Digest(now), b.Digest(now))
+	for range 100 {
+		is.True(!exchange(b, a))
+		is.True(!exchange(a, b))
+	}
+	verdict, remaining := b.Verdict(7, now)
+	is.Equal(verdict, Refused)
+	is.True(remaining <= start.Add(duration).Sub(now)+time.Second)
+	now = start.Add(time.Minute)
+	a.Clear(8, now)
+	is.True(exchange(a, b))
+	verdict, _ = b.Verdict(8, now)
+	is.Equal(verdict, Free)
+	now = start.Add(duration + 2*time.Minute)
+	is.Equal(len(b.Entries(now)), 0)
+}
+
+// Guards against marks for requests that were not in flight at a crash, and
+// against a crash that marks nothing.
+func TestWatch(t *testing.T) {
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	cases := []struct {
+		name string
+		play func(w *Watch) []Fingerprint
+		want int
+	}{
+		{"evidence without a death", func(w *Watch) []Fingerprint { return w.Crashed(at(0)) }, 0},
+		{"two deaths, then evidence", func(w *Watch) []Fingerprint {
+			w.Died(1, at(0), at(10))
+			w.Died(2, at(0), at(20))
+			return w.Crashed(at(900))
+		}, 2},
+		{"evidence too late", func(w *Watch) []Fingerprint {
+			w.Died(1, at(0), at(10))
+			return w.Crashed(at(1011))
+		}, 0},
+		{"evidence twice marks once", func(w *Watch) []Fingerprint {
+			w.Died(1, at(0), at(10))
+			w.Crashed(at(20))
+			return w.Crashed(at(30))
+		}, 0},
+		{"death noticed after the evidence", func(w *Watch) []Fingerprint {
+			w.Crashed(at(20))
+			return w.Died(1, at(0), at(30))
+		}, 1},
+		{"dispatched after the evidence", func(w *Watch) []Fingerprint {
+			w.Crashed(at(20))
+			return w.Died(1, at(25), at(30))
+		}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(len(c.play(NewWatch())), c.want)
+		})
+	}
+}
--- /dev/null
+++ b/internal/ramp/ramp_test.go
@@ -0,0 +1,98 @@
+package ramp
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a cold server that gets more than 1 slot and 5 requests/s, or
+// whose allowance grows other than by doubling after 10 consecutive successes.
+func TestRampSteps(t *testing.T) {
+	is := is.New(t)
+	c := Config{Slots: 3}.WithDefaults()
+	a := Cold(c)
+	steps := []Allowance{
+		{Slots: 1, Rate: 5}, {Slots: 1, Rate: 10}, {Slots: 2, Rate: 20}, {Slots: 3, Rate: 40}, {Slots: 3, Warm: true},
+	}
+	for _, want := range steps {
+		for successes := range stepSuccesses {
+			want.Successes = successes
+			if want.Warm {
+				want.Successes = 0
+			}
+			is.Equal(a, want)
+			a = a.Success(c)
+		}
+	}
+	is.Equal(Takeover(c), Allowance{Slots: 1, Rate: 20})
+}
+
+// Guards against a failing server that keeps its rate, or that gets no requests
+// at all and can never recover.
+func TestFailureHalvesTheRate(t *testing.T) {
+	is := is.New(t)
+	c := Config{Slots: 3}.WithDefaults()
+	a := Cold(c)
+	for range 9 {
+		a = a.Success(c)
+	}
+	a = a.Failure()
+	is.Equal(a, Allowance{Slots: 1, Rate: 2.5})
+	for range 10 {
+		a = a.Failure()
+	}
+	is.Equal(a.Rate, 1.0)
+	is.Equal(Warm(c).Failure(), Warm(c))
+}
+
+// Guards against a cold server that is not noticed and a warm one that is taken for cold.
+func TestDetector(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	cases := []struct {
+		name    string
+		observe func(d Detector) (Detector, Reason)
+		want    Reason
+	}{
+		{"first incarnation", func(d Detector) (Detector, Reason) { return d.Incarnation("a") }, ReasonNone},
+		{"no incarnation", func(d Detector) (Detector, Reason) {
+			d, _ = d.Incarnation("a")
+			return d.Incarnation("")
+		}, ReasonNone},
+		{"new incarnation", func(d Detector) (Detector, Reason) {
+			d, _ = d.Incarnation("a")
+			return d.Incarnation("b")
+		}, ReasonIncarnation},
+		{"refused, then accepted", func(d Detector) (Detector, Reason) { return d.Refused().Accepted() }, ReasonReconnected},
+		{"accepted twice after a refusal", func(d Detector) (Detector, Reason) {
+			d, _ = d.Refused().Accepted()
+			return d.Accepted()
+		}, ReasonNone},
+		{"one shed", func(d Detector) (Detector, Reason) { return d.Shed(now) }, ReasonNone},
+		{"two sheds within 1 s", func(d Detector) (Detector, Reason) {
+			d, _ = d.Shed(now)
+			return d.Shed(now.Add(time.Second))
+		}, ReasonSheds},
+		{"two sheds apart", func(d Detector) (Detector, Reason) {
+			d, _ = d.Shed(now)
+			return d.Shed(now.Add(1001 * time.Millisecond))
+		}, ReasonNone},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, reason := c.observe(Detector{})
+			is.New(t).Equal(reason, c.want)
+		})
+	}
+}
+
+// Guards against a slow answer of a busy server being taken for a cold start.
+func TestSlowWhileIdle(t *testing.T) {
+	is := is.New(t)
+	is.True(SlowWhileIdle(41*time.Millisecond, 10*time.Millisecond, 100, 1))
+	is.True(!SlowWhileIdle(40*time.Millisecond, 10*time.Millisecond, 100, 1))
+	is.True(!SlowWhileIdle(41*time.Millisecond, 10*time.Millisecond, 100, 2))
+	is.True(!SlowWhileIdle(41*time.Millisecond, 10*time.Millisecond, 49, 1))
+	is.True(!SlowWhileIdle(4*time.Millisecond, 100*time.Microsecond, 100, 1))
+}
