Require five slow answers in a row for a cold start

A benchmark on a busy machine showed a warm server limited to 5 requests/s after one answer that a pause of the process had delayed. Of exponentially distributed latencies 1.8% exceed four times the mean. The rule now needs five in a row; the test was seen failing with one.

--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -174,3 +174,30 @@
 		(<-granted).Release(Result{})
 	})
 }
+
+// Guards against a warm server that gets 5 requests/s because of one slow
+// answer, and against a cold one that is not noticed.
+func TestColdByLatency(t *testing.T) {
+	is := is.New(t)
+	g := New(Options{Server: "bosho-01", Slots: 3})
+	defer g.Close()
+	serve := func(latency time.Duration) {
+		slot, err := g.Acquire(t.Context(), time.Now().Add(time.Minute), 0, time.Now())
+		is.NoErr(err)
+		slot.Release(Result{Kind: Success, Latency: latency})
+	}
+	for range 100 {
+		serve(10 * time.Millisecond)
+	}
+	for range 3 {
+		for range ramp.ColdSamples - 1 {
+			serve(200 * time.Millisecond)
+		}
+		is.True(g.Allowance().Warm)
+		serve(10 * time.Millisecond)
+	}
+	for range ramp.ColdSamples {
+		serve(200 * time.Millisecond)
+	}
+	is.True(!g.Allowance().Warm)
+}
--- a/internal/admission/latency.go
+++ b/internal/admission/latency.go
@@ -20,6 +20,8 @@
 	samples atomic.Uint64
 	// last is when the last sample came, in nanoseconds of Unix time.
 	last atomic.Int64
+	// slowInARow counts samples that look like a cold start since the last one that did not.
+	slowInARow atomic.Int64
 }
 
 // add counts the latency of an answered request.
@@ -42,10 +44,22 @@
 func (l *latency) shortTerm() time.Duration { return loadAverage(&l.short) }
 func (l *latency) longTerm() time.Duration  { return loadAverage(&l.long) }
 
+// countSlow counts one sample and reports whether the server counts as cold.
+func (l *latency) countSlow(slow bool) bool {
+	if slow {
+		return l.slowInARow.Add(1) >= ramp.ColdSamples
+	}
+	if l.slowInARow.Load() != 0 {
+		l.slowInARow.Store(0)
+	}
+	return false
+}
+
 // restart makes the next samples define the long-term latency anew.
 func (l *latency) restart() {
 	l.long.Store(0)
 	l.samples.Store(0)
+	l.slowInARow.Store(0)
 }
 
 func loadAverage(average *atomic.Uint64) time.Duration {
--- a/internal/admission/observe.go
+++ b/internal/admission/observe.go
@@ -23,7 +23,7 @@
 func (g *Gate) succeeded(sample time.Duration) {
 	w := word(g.word.Load())
 	slow := ramp.SlowWhileIdle(sample, g.latency.longTerm(), g.latency.samples.Load(), w.busy()+w.foreign())
-	if slow && !w.has(flagPaced) {
+	if g.latency.countSlow(slow) && !w.has(flagPaced) {
 		g.latency.restart()
 		g.MarkCold(ramp.ReasonLatency)
 	}
--- /dev/null
+++ b/internal/dispatch/dispatch_bench_test.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/request"
+)
+
+func answerNow(_ context.Context, s *fakeServer, r *request.Request) (*request.Answer, error) {
+	return s.text(r.ID, "ok"), nil
+}
+
+// BenchmarkDispatchIdempotent measures the path of a read at the holder, without
+// network, events and the fake server's own part (see BenchmarkFakeServer).
+func BenchmarkDispatchIdempotent(b *testing.B) {
+	benchmarkDispatch(b, true)
+}
+
+// BenchmarkDispatchRecorded adds the record and copies to two mirrors in memory.
+func BenchmarkDispatchRecorded(b *testing.B) {
+	benchmarkDispatch(b, false)
+}
+
+func benchmarkDispatch(b *testing.B, idempotent bool) {
+	server := newFakeServer("bosho-01", newRunLog(), answerNow)
+	network, witnesses := newFakeNetwork(), &fakeWitnesses{}
+	network.delay = 0
+	for i := range 3 {
+		network.add(instance(i))
+	}
+	token := authority.Token{Epoch: 1, Ballot: 1}
+	witnesses.promise(token)
+	h := openHolder(holderOptions{
+		self: instance(0), token: token, network: network, witnesses: witnesses, first: true, keyed: true,
+		candidates: []authority.Instance{instance(1), instance(2)}, slots: 4000, servers: []*fakeServer{server},
+	})
+	defer network.close()
+	defer h.close()
+	for len(h.keeper.Mirrors()) < 2 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			r := newRequest(idempotent)
+			if _, err := h.handle(context.Background(), r); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+}
+
+// BenchmarkFakeServer is the part of the benchmark that is not the dispatcher's.
+func BenchmarkFakeServer(b *testing.B) {
+	server := newFakeServer("bosho-01", newRunLog(), answerNow)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			r := newRequest(true)
+			answer, err := server.next()(context.Background(), server, r)
+			if err != nil || answer == nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+}
--- a/internal/dispatch/holder_test.go
+++ b/internal/dispatch/holder_test.go
@@ -50,14 +50,19 @@
 
 // newHolder must run in a synctest bubble: it waits until the mirrors have joined.
 func newHolder(o holderOptions) *holder {
+	h := openHolder(o)
+	time.Sleep(100 * time.Millisecond)
+	synctest.Wait()
+	return h
+}
+
+func openHolder(o holderOptions) *holder {
 	h := &holder{list: quarantine.NewList(), budget: budget.New()}
 	h.keeper = record.Open(context.Background(), record.KeeperOptions{
 		Shard: testShard, Token: o.token, Self: o.self, Copier: o.network,
 		Sets: &fakeSets{witnesses: o.witnesses, token: o.token}, First: o.first,
 	})
 	h.keeper.SetCandidates(o.candidates)
-	time.Sleep(100 * time.Millisecond)
-	synctest.Wait()
 	h.publish(o)
 	var limits atomic.Pointer[Limits]
 	limits.Store(&o.limits)
