Count the pace of a cold server into its expected wait

The choice of two took an idle cold server for free although its next start was up to 200 ms away. The keeper now writes events for takeovers and mirror sets.

--- a/internal/admission/dispatcher.go
+++ b/internal/admission/dispatcher.go
@@ -134,6 +134,7 @@
 	}
 	interval := time.Duration(float64(time.Second) / allowance.Rate)
 	d.nextStart = time.Now().Add(interval)
+	d.gate.nextStart.Store(d.nextStart.UnixNano())
 }
 
 // tidy drops waiters that have left once they outnumber those that wait.
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -24,6 +24,8 @@
 	latency   latency
 	load      atomic.Uint64
 	arrivals  arrivals
+	// nextStart is the earliest start on a paced server, in nanoseconds of Unix time.
+	nextStart atomic.Int64
 	wake      chan struct{}
 	done      chan struct{}
 	onCold    func(ramp.Reason)
--- a/internal/admission/limits.go
+++ b/internal/admission/limits.go
@@ -93,8 +93,14 @@
 	if !w.has(flagPaced) {
 		return wait
 	}
-	pace := time.Duration(float64(w.waiting()) / g.allowance.Load().Rate * float64(time.Second))
-	return max(wait, pace)
+	return max(wait, g.paceWait(w))
+}
+
+// paceWait is the time to the next start and one interval for each request ahead.
+func (g *Gate) paceWait(w word) time.Duration {
+	next := time.Duration(g.nextStart.Load() - time.Now().UnixNano())
+	ahead := float64(w.waiting()) / g.allowance.Load().Rate
+	return max(next, 0) + time.Duration(ahead*float64(time.Second))
 }
 
 // slotWait assumes that the requests ahead pass through the slots at the
--- /dev/null
+++ b/internal/record/commit.go
@@ -0,0 +1,47 @@
+package record
+
+import (
+	"context"
+	"slices"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/events"
+)
+
+// commit proposes the set of members until a majority of the witnesses has it.
+func (c *control) commit() {
+	if !c.dirty {
+		return
+	}
+	set := c.nextSet()
+	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+	defer cancel()
+	if err := c.r.sets.Propose(ctx, set); err != nil {
+		c.retry.Reset(proposeRetry)
+		return
+	}
+	c.dirty = false
+	c.members = set.Members
+	left := slices.Clone(c.peers)
+	c.peers = slices.DeleteFunc(c.peers, func(p *peer) bool { return p.state == peerLeaving })
+	c.publish()
+	for _, p := range left {
+		if p.state == peerLeaving {
+			c.stop(p, stopOrder{})
+		}
+	}
+	c.r.events.Emit(events.MirrorSetChanged, "shard", c.r.shard.String(), "generation", set.Generation,
+		"mirrors", len(set.Members))
+}
+
+func (c *control) nextSet() authority.MirrorSet {
+	c.generation = max(c.generation, c.r.sets.Mirrors().Generation) + 1
+	set := authority.MirrorSet{Generation: c.generation}
+	for _, p := range c.peers {
+		if p.state == peerMember {
+			p.proposed = true
+			set.Members = append(set.Members, p.sender.to)
+		}
+	}
+	return set
+}
--- a/internal/record/control.go
+++ b/internal/record/control.go
@@ -47,7 +47,7 @@
 	defer c.retry.Stop()
 	for {
 		select {
-		case event := <-c.r.events:
+		case event := <-c.r.inbox:
 			c.handle(event)
 		case <-c.retry.C:
 			clear(c.avoided)
@@ -186,45 +186,6 @@
 	}
 }
 
-// commit proposes the set of members until a majority of the witnesses has it.
-func (c *control) commit() {
-	if !c.dirty {
-		return
-	}
-	set := c.nextSet()
-	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
-	defer cancel()
-	if err := c.r.sets.Propose(ctx, set); err != nil {
-		c.retry.Reset(proposeRetry)
-		return
-	}
-	c.dirty = false
-	c.members = set.Members
-	left := slices.Clone(c.peers)
-	c.peers = slices.DeleteFunc(c.peers, func(p *peer) bool { return p.state == peerLeaving })
-	c.publish()
-	for _, p := range left {
-		if p.state == peerLeaving {
-			c.stop(p, stopOrder{})
-		}
-	}
-	if c.r.onSet != nil {
-		c.r.onSet(set)
-	}
-}
-
-func (c *control) nextSet() authority.MirrorSet {
-	c.generation = max(c.generation, c.r.sets.Mirrors().Generation) + 1
-	set := authority.MirrorSet{Generation: c.generation}
-	for _, p := range c.peers {
-		if p.state == peerMember {
-			p.proposed = true
-			set.Members = append(set.Members, p.sender.to)
-		}
-	}
-	return set
-}
-
 // publish makes requests wait for every peer that is or may become a member.
 func (c *control) publish() {
 	next := &targets{members: c.members}
--- a/internal/record/keeper.go
+++ b/internal/record/keeper.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/events"
 	"peridotmoor.org/peridotmoor/internal/key"
 )
 
@@ -19,8 +20,8 @@
 	// First reports that the shard never had a holder, so no record can exist.
 	First   bool
 	Records Options
-	// OnSet is called by the control goroutine after each acknowledged mirror set. It may be nil.
-	OnSet func(authority.MirrorSet)
+	// Events gets the takeover and each new mirror set.
+	Events *events.Logger
 }
 
 // Keeper holds the request records of one shard during one tenure: the table,
@@ -42,9 +43,11 @@
 	}
 	records, since := t.run(ctx)
 	table := NewTable(options, records, since)
-	r := &replicator{shard: o.Shard, self: o.Self, copier: o.Copier, sets: o.Sets, table: table, onSet: o.OnSet}
+	r := &replicator{shard: o.Shard, self: o.Self, copier: o.Copier, sets: o.Sets, table: table, events: o.Events}
 	r.token.Store(&o.Token)
 	r.start()
+	o.Events.Emit(events.RecordsTakenOver, "shard", o.Shard.String(), "token", o.Token.String(),
+		"records", len(records), "source", t.source.Name, "complete_since", since.UTC().Format(time.RFC3339Nano))
 	return &Keeper{table: table, replicator: r, source: t.source}
 }
 
--- a/internal/record/replicator.go
+++ b/internal/record/replicator.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/events"
 	"peridotmoor.org/peridotmoor/internal/key"
 	"peridotmoor.org/peridotmoor/internal/outcome"
 	"peridotmoor.org/peridotmoor/internal/problem"
@@ -31,14 +32,14 @@
 	table   *Table
 	token   atomic.Pointer[authority.Token]
 	targets atomic.Pointer[targets]
-	events  chan func(*control)
+	inbox   chan func(*control)
 	closed  chan struct{}
 	running sync.WaitGroup
-	onSet   func(authority.MirrorSet)
+	events  *events.Logger
 }
 
 func (r *replicator) start() {
-	r.events = make(chan func(*control))
+	r.inbox = make(chan func(*control))
 	r.closed = make(chan struct{})
 	r.targets.Store(&targets{})
 	r.running.Go(newControl(r).run)
@@ -52,7 +53,7 @@
 // post hands an event to the control goroutine.
 func (r *replicator) post(event func(*control)) {
 	select {
-	case r.events <- event:
+	case r.inbox <- event:
 	case <-r.closed:
 	}
 }
