Test the stand-ins and the callers

Each test guards against a stand-in that is kinder than a real server or caller: a cold server that bears any load, a thawed one that runs what it no longer owns, a run that is missing from the log, or a resend with another ID.

--- /dev/null
+++ b/internal/dev/callers/load_test.go
@@ -0,0 +1,182 @@
+package callers
+
+import (
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"peridotmoor.org/peridotmoor/internal/backend"
+	"peridotmoor.org/peridotmoor/internal/dev/payload"
+	"peridotmoor.org/peridotmoor/internal/outcome"
+)
+
+// entryFake is an entry instance whose answers a case decides.
+type entryFake struct {
+	mu     sync.Mutex
+	ids    map[string][]string
+	answer func(w http.ResponseWriter, id string, size int)
+}
+
+func (e *entryFake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/ready" {
+		return
+	}
+	content, _ := io.ReadAll(r.Body)
+	id := r.Header.Get(backend.HeaderRequestID)
+	e.mu.Lock()
+	e.ids[id] = append(e.ids[id], r.Host+" "+r.Header.Get(backend.HeaderIdempotent)+" "+strconv.Itoa(len(content)))
+	e.mu.Unlock()
+	size, err := strconv.Atoi(r.URL.Query().Get("size"))
+	if err != nil {
+		size = 64
+	}
+	e.answer(w, id, size)
+}
+
+// send sends count requests of the kind through two entries of the fake.
+// It returns the records and what the entries saw of each request ID.
+func send(t *testing.T, kind Kind, answer func(http.ResponseWriter, string, int)) ([]*Record, map[string][]string) {
+	fake := &entryFake{ids: map[string][]string{}, answer: answer}
+	var entries []*Entry
+	for range 2 {
+		server := httptest.NewServer(fake)
+		t.Cleanup(server.Close)
+		address := strings.TrimPrefix(server.URL, "http://")
+		entries = append(entries, &Entry{Callers: address, Operators: address})
+	}
+	balancer := NewBalancer(entries)
+	defer balancer.Close()
+	client := NewClient(10)
+	defer client.Close()
+	load := Load{Kinds: []Kind{kind}, Rate: 1000, Count: 20, Seed: 1}
+	records := load.Run(t.Context(), balancer, client)
+	fake.mu.Lock()
+	defer fake.mu.Unlock()
+	return records, fake.ids
+}
+
+func whole(w http.ResponseWriter, id string, size int) {
+	w.Header().Set(backend.HeaderRequestID, id)
+	w.Header().Set(backend.HeaderOutcome, string(outcome.Answered))
+	_, _ = w.Write(payload.Make(id, size))
+}
+
+func refuse(claimed outcome.Outcome) func(http.ResponseWriter, string, int) {
+	return func(w http.ResponseWriter, id string, _ int) {
+		w.Header().Set(backend.HeaderOutcome, string(claimed))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_ = json.NewEncoder(w).Encode(refusal{Kind: "k", RetryAfterMS: 1})
+	}
+}
+
+var (
+	read  = Kind{Name: "r", Service: "s", Method: http.MethodGet, Weight: 1, Keys: 5, Path: "/p", AnswerBytes: 500}
+	write = Kind{Name: "w", Service: "s", Method: http.MethodPost, Weight: 1, Keys: 5, Path: "/p", BodyBytes: 300}
+)
+
+func TestWholeAnswers(t *testing.T) {
+	is := is.New(t)
+	records, seen := send(t, read, whole)
+	is.Equal(len(records), 20)
+	is.Equal(len(seen), 20)
+	for _, record := range records {
+		is.Equal(record.Final(), outcome.Answered)
+		is.True(!record.Crossed())
+		is.Equal(len(record.Attempts), 1)
+		is.True(strings.HasSuffix(seen[record.RequestID][0], " true 0"))
+	}
+}
+
+// Guards against callers that take a wrong or partial answer for their own.
+func TestWrongAnswersAreFound(t *testing.T) {
+	for name, answer := range map[string]func(http.ResponseWriter, string, int){
+		"other ID":   func(w http.ResponseWriter, id string, size int) { whole(w, "other", size) },
+		"other body": func(w http.ResponseWriter, id string, size int) { answerWith(w, id, payload.Make("other", size)) },
+		"part":       func(w http.ResponseWriter, id string, size int) { answerWith(w, id, payload.Make(id, size)[:size-1]) },
+		"empty":      func(w http.ResponseWriter, id string, _ int) { answerWith(w, id, nil) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			records, _ := send(t, read, answer)
+			for _, record := range records {
+				is.True(record.Crossed())
+			}
+		})
+	}
+}
+
+func answerWith(w http.ResponseWriter, id string, body []byte) {
+	w.Header().Set(backend.HeaderRequestID, id)
+	w.Header().Set(backend.HeaderOutcome, string(outcome.Answered))
+	_, _ = w.Write(body)
+}
+
+// Guards against resends with another ID or to the same instance: the router
+// could not recognize them, and the demo would not test its records.
+func TestResendsKeepTheID(t *testing.T) {
+	is := is.New(t)
+	lost := func(http.ResponseWriter, string, int) { panic(http.ErrAbortHandler) }
+	for name, answer := range map[string]func(http.ResponseWriter, string, int){
+		"lost":    lost,
+		"unknown": refuse(outcome.Unknown),
+		"not run": refuse(outcome.NotRun),
+	} {
+		records, seen := send(t, write, answer)
+		is.Equal(len(seen), 20)
+		for _, record := range records {
+			sent := seen[record.RequestID]
+			is.Equal(len(sent), maxAttempts)
+			is.True(sent[0] != sent[1])
+			is.True(strings.HasSuffix(sent[0], " false 300"))
+			is.Equal(record.Final() == outcome.NotRun, name == "not run")
+			is.Equal(record.ClaimedNotRun(), name == "not run")
+		}
+	}
+}
+
+// Guards against a claim about a request that reached no instance.
+func TestUnsentRequestIsNoClaim(t *testing.T) {
+	is := is.New(t)
+	record := &Record{Attempts: []Attempt{{}, {}}}
+	is.Equal(record.Final(), outcome.NotRun)
+	is.True(!record.ClaimedNotRun())
+}
+
+// Guards against a balancer that keeps sending to an instance which is not ready.
+func TestBalancerAvoidsInstances(t *testing.T) {
+	is := is.New(t)
+	entries := []*Entry{{Callers: "a"}, {Callers: "b"}, {Callers: "c"}}
+	b := &Balancer{entries: entries}
+	entries[0].ready.Store(true)
+	entries[2].ready.Store(true)
+	seen := map[string]int{}
+	for range 10 {
+		seen[b.Pick(nil).Callers]++
+	}
+	is.Equal(seen["b"], 0)
+	is.True(seen["a"] > 0 && seen["c"] > 0)
+	is.Equal(b.Pick(entries[0]), entries[2])
+	entries[0].ready.Store(false)
+	entries[2].ready.Store(false)
+	is.True(b.Pick(entries[0]) != entries[0])
+}
+
+func TestMixFollowsWeights(t *testing.T) {
+	is := is.New(t)
+	l := Load{Kinds: []Kind{{Name: "a", Weight: 90}, {Name: "b", Weight: 10}, {Name: "never"}}}
+	random := rand.New(rand.NewPCG(1, 1))
+	seen := map[string]int{}
+	for range 10_000 {
+		seen[l.pick(random).Name]++
+	}
+	is.True(seen["b"] > 800 && seen["b"] < 1200)
+	is.Equal(seen["never"], 0)
+}
--- /dev/null
+++ b/internal/dev/command/main_test.go
@@ -0,0 +1,29 @@
+package command
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a wrong call that is taken for a successful run.
+func TestBadCallsAreRefused(t *testing.T) {
+	for name, args := range map[string][]string{
+		"no subcommand":    {},
+		"no settings":      {"servers"},
+		"missing settings": {"servers", "--settings", "/nonexistent/tree.ini"},
+		"no entries":       {"callers"},
+		"bad rate":         {"callers", "--entries", "127.0.0.1:1/127.0.0.1:2", "--rate", "0"},
+		"bad address":      {"platform", "--listen", "nowhere:x"},
+		"no programs":      {"demo", "--bin", "/nonexistent", "--settings", "/nonexistent/tree.ini"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var out, failures bytes.Buffer
+			is.True(Main(args, &out, &failures) != 0)
+			is.True(strings.HasPrefix(failures.String(), "peridotmoor-dev: "))
+		})
+	}
+}
--- /dev/null
+++ b/internal/dev/servers/faults_test.go
@@ -0,0 +1,186 @@
+package servers_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/backend"
+	"peridotmoor.org/peridotmoor/internal/backend/httpbackend"
+	"peridotmoor.org/peridotmoor/internal/dev/servers"
+	"peridotmoor.org/peridotmoor/internal/key"
+	"peridotmoor.org/peridotmoor/internal/outcome"
+	"peridotmoor.org/peridotmoor/internal/problem"
+	"peridotmoor.org/peridotmoor/internal/request"
+)
+
+var (
+	shard = key.ShardID{Service: "bosho"}
+	order = backend.Order{Shard: shard, Token: authority.Token{Epoch: 1, Ballot: 1}}
+)
+
+// rig is one server of a fleet with its client and peer.
+type rig struct {
+	*peer
+	fleet  *servers.Fleet
+	client *httpbackend.Server
+}
+
+func open(t *testing.T, config servers.Config) rig {
+	t.Helper()
+	config.Name, config.Service = "bosho-1", "bosho"
+	fleet, err := servers.NewFleet([]servers.Config{config})
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := fleet.Server("bosho-1")
+	client := httpbackend.New("bosho-1", server.Address(), 130)
+	t.Cleanup(func() {
+		fleet.Close()
+		client.Close()
+	})
+	return rig{peer: &peer{Server: server, log: fleet.Log()}, fleet: fleet, client: client}
+}
+
+// send sends a request and returns its error, with the body read.
+func (r rig) send(ctx context.Context, id, path string, body []byte) error {
+	answer, err := r.client.Send(ctx, order, &request.Request{ID: id, Key: "k", Method: "POST", Path: path,
+		Buffered: body, Deadline: time.Now().Add(30 * time.Second)})
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	_, err = io.Copy(io.Discard, answer.Body)
+	return err
+}
+
+// overload runs two requests at once.
+func (r rig) overload(t *testing.T, round string) error {
+	t.Helper()
+	r.FailNext("hang")
+	ctx, cancel := context.WithCancel(t.Context())
+	first := make(chan error, 1)
+	go func() { first <- r.send(ctx, "held-"+round, "/p", nil) }()
+	r.Started(t.Context(), "held-"+round)
+	err := r.send(t.Context(), "more-"+round, "/p", nil)
+	cancel()
+	<-first
+	r.Runs(t.Context(), "held-"+round)
+	return err
+}
+
+// Guards against a cold server that bears any load: the demo would not show
+// that a router overloads it.
+func TestColdServerFallsOver(t *testing.T) {
+	is := is.New(t)
+	r := open(t, servers.Config{Cold: servers.Cold{Requests: 100, Strikes: 1, Crash: true}})
+	before := r.Incarnation()
+	is.NoErr(r.overload(t, "1"))
+	is.Equal(r.Incarnation(), before)
+	err := r.overload(t, "2")
+	is.Equal(problem.From(err).Stage, outcome.StageWritten)
+	is.Equal(r.Runs(t.Context(), "more-2"), 1)
+	r.Close()
+	is.Equal(r.Incarnation(), "")
+}
+
+// Guards against a warm server that falls over under its normal load.
+func TestWarmServerBearsItsSlots(t *testing.T) {
+	is := is.New(t)
+	r := open(t, servers.Config{Warm: true, Cold: servers.Cold{Requests: 100, Crash: true}})
+	is.NoErr(r.overload(t, "1"))
+	is.NoErr(r.overload(t, "2"))
+	r.TurnCold()
+	is.True(r.overload(t, "3") != nil)
+}
+
+func TestMarkedRequestCrashesTheServer(t *testing.T) {
+	for name, send := range map[string]func(rig) error{
+		"in the path": func(r rig) error { return r.send(t.Context(), "one", "/"+servers.CrashMarker, nil) },
+		"in the body": func(r rig) error {
+			return r.send(t.Context(), "one", "/p", append(bytes.Repeat([]byte("x"), 1000), servers.CrashMarker...))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := open(t, servers.Config{Warm: true})
+			err := send(r)
+			is.Equal(problem.From(err).Kind, problem.KindAnswerLost)
+			is.Equal(r.Runs(t.Context(), "one"), 1)
+			r.Crash()
+			is.NoErr(r.Start())
+			is.NoErr(r.send(t.Context(), "two", "/p", nil))
+		})
+	}
+}
+
+// Guards against a frozen server that runs a request for a key whose grant has
+// ended meanwhile: the key would have two owners.
+func TestThawedServerRefusesWhatItNoLongerOwns(t *testing.T) {
+	is := is.New(t)
+	r := open(t, servers.Config{Keyed: true})
+	seen, err := r.client.Grant(t.Context(), backend.Grant{Order: order})
+	is.NoErr(err)
+	_, err = r.client.Grant(t.Context(), backend.Grant{Order: order, Ranges: []key.Range{{}}, Expiry: seen.Clock + time.Hour})
+	is.NoErr(err)
+	r.Freeze()
+	result := make(chan error, 1)
+	go func() { result <- r.send(t.Context(), "one", "/p", nil) }()
+	r.Held(t.Context())
+	r.AdvanceClock(time.Hour)
+	r.Thaw()
+	is.Equal(problem.From(<-result).Stage, outcome.StageRefusedByServer)
+	is.Equal(r.Runs(t.Context(), "one"), 0)
+}
+
+// Guards against a monitor that takes a crashed server for an owner.
+func TestCrashEndsOwnership(t *testing.T) {
+	is := is.New(t)
+	r := open(t, servers.Config{Keyed: true})
+	seen, err := r.client.Grant(t.Context(), backend.Grant{Order: order})
+	is.NoErr(err)
+	_, err = r.client.Grant(t.Context(), backend.Grant{Order: order, Ranges: []key.Range{{}}, Expiry: seen.Clock + time.Hour})
+	is.NoErr(err)
+	intervals, _ := r.fleet.Monitor().Intervals()
+	is.Equal(len(intervals), 1)
+	is.True(intervals[0].Until.After(time.Now().Add(time.Minute)))
+	r.Crash()
+	intervals, _ = r.fleet.Monitor().Intervals()
+	is.Equal(len(intervals), 1)
+	is.True(!intervals[0].Until.After(time.Now()))
+}
+
+// Guards against a run that is missing from the log because its connection was cut.
+func TestCrashIsInTheRunLog(t *testing.T) {
+	is := is.New(t)
+	r := open(t, servers.Config{Warm: true})
+	result := make(chan error, 1)
+	go func() { result <- r.send(t.Context(), "one", "/p?work_ms=3600000", nil) }()
+	r.Started(t.Context(), "one")
+	r.Crash()
+	is.Equal(problem.From(<-result).Stage, outcome.StageWritten)
+	is.Equal(r.Runs(t.Context(), "one"), 1)
+	runs, _ := r.fleet.Log().Snapshot()
+	is.True(!runs[0].Answered)
+	is.True(!runs[0].Cancelled)
+}
+
+// Guards against more open connections than the server bears.
+func TestConnectionsAreLimited(t *testing.T) {
+	is := is.New(t)
+	r := open(t, servers.Config{Warm: true, MaxConnections: 1})
+	r.FailNext("hang")
+	ctx, cancel := context.WithCancel(t.Context())
+	first := make(chan error, 1)
+	go func() { first <- r.send(ctx, "one", "/p", nil) }()
+	r.Started(t.Context(), "one")
+	is.True(r.send(t.Context(), "two", "/p", nil) != nil)
+	cancel()
+	<-first
+	is.Equal(r.Runs(t.Context(), "two"), 0)
+}
