--- a/internal/dev/servers/faults_test.go
+++ b/internal/dev/servers/faults_test.go
@@ -83,6 +83,7 @@
 	is.NoErr(r.overload(t, "1"))
 	is.Equal(r.Incarnation(), before)
 	err := r.overload(t, "2")
+	is.True(err != nil)
 	is.Equal(problem.From(err).Stage, outcome.StageWritten)
 	is.Equal(r.Runs(t.Context(), "more-2"), 1)
 	r.Close()
@@ -163,7 +164,9 @@
 	go func() { result <- r.send(t.Context(), "one", "/p?work_ms=3600000", nil) }()
 	r.Started(t.Context(), "one")
 	r.Crash()
-	is.Equal(problem.From(<-result).Stage, outcome.StageWritten)
+	err := <-result
+	is.True(err != nil)
+	is.Equal(problem.From(err).Stage, outcome.StageWritten)
 	is.Equal(r.Runs(t.Context(), "one"), 1)
 	runs, _ := r.fleet.Log().Snapshot()
 	is.True(!runs[0].Answered)
