Ask a server for consent before a streamed body is sent

A server that refuses an upload closes the connection without reading the body, and the reset can overtake its refusal: a refusal proven not run became unknown.

--- a/internal/backend/backendtest/sending.go
+++ b/internal/backend/backendtest/sending.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/textproto"
+	"strconv"
 	"testing"
 	"time"
 
@@ -24,6 +25,7 @@
 		{"streamed body", Options{}, streamedBody},
 		{"answer closed before its end", Options{}, abandonedAnswer},
 		{"shed", Options{}, shed},
+		{"shed before a large body", Options{}, shedUpload},
 		{"drained", Options{}, drained},
 		{"slots taken", Options{Slots: 1}, slotsTaken},
 		{"deadline passed before sending", Options{}, deadlineBefore},
@@ -126,6 +128,18 @@
 	read(t, answered(t, h, 1, post("one", []byte("x"))))
 }
 
+// shedUpload guards against a refusal that is lost because the server closes
+// the connection while the body is still being sent.
+func shedUpload(t *testing.T, h Harness) {
+	h.Peer.SetShedding(true)
+	for _, length := range []int64{16 << 20, -1} {
+		r := post("upload-"+strconv.Itoa(int(length)), nil)
+		r.Body = bytes.NewReader(make([]byte, 16<<20))
+		r.ContentLength = length
+		refused(t, h, 1, r)
+	}
+}
+
 func drained(t *testing.T, h Harness) {
 	is := is.New(t)
 	is.NoErr(h.Server.Drain(t.Context(), order(1)))
--- a/internal/backend/httpbackend/encode.go
+++ b/internal/backend/httpbackend/encode.go
@@ -33,9 +33,13 @@
 			"request %q with path %q cannot be sent to server %s", r.ID, r.Path, s.name)
 	}
 	message := &http.Request{
-		Method:        r.Method,
-		URL:           target,
-		Host:          s.address,
+		Method: r.Method,
+		URL:    target,
+		Host:   s.address,
+		// Without the version net/http does not wait for the consent to a body.
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
 		Header:        requestHeader(r, order, left),
 		Body:          io.NopCloser(bodyOf(r)),
 		ContentLength: lengthOf(r),
@@ -81,6 +85,11 @@
 	if r.TraceParent != "" {
 		header.Set(backend.HeaderTraceParent, r.TraceParent)
 	}
+	if r.Streamed() {
+		// A server that refuses closes the connection without reading a large
+		// body, and the reset can overtake its refusal. It is asked first.
+		header.Set("Expect", "100-continue")
+	}
 	if header.Get("User-Agent") == "" {
 		// An empty value keeps net/http from adding its own.
 		header.Set("User-Agent", "")
--- a/internal/backend/httpbackend/server.go
+++ b/internal/backend/httpbackend/server.go
@@ -18,6 +18,11 @@
 // dialTimeout bounds the time to connect; a new connection takes about 1 ms.
 const dialTimeout = 500 * time.Millisecond
 
+// continueTimeout is how long a streamed body waits for the server's consent.
+// RFC 9110, section 10.1.1, obliges the server to answer; one that does not
+// delays uploads by this time.
+const continueTimeout = time.Second
+
 // Server is a backend.Server over HTTP. It never sends a request twice.
 type Server struct {
 	name     string
@@ -45,6 +50,8 @@
 		MaxConnsPerHost:     connections,
 		MaxIdleConnsPerHost: connections,
 		DisableCompression:  true,
+		// Without a wait net/http sends the body at once.
+		ExpectContinueTimeout: continueTimeout,
 	}
 }
 
