End a watch whose store falls silent

A long poll without an answer waited for the TCP connection to fail, which can take minutes when the store's host is stopped.

--- a/internal/store/httpstore/store.go
+++ b/internal/store/httpstore/store.go
@@ -19,8 +19,13 @@
 // HeaderRevision carries the revision of a key, in decimal.
 const HeaderRevision = "Revision"
 
-// maxPoll bounds one long poll of a watch, so that a lost connection is noticed.
-const maxPoll = 30 * time.Second
+// maxPoll bounds one long poll of a watch; the store answers when it has
+// passed. pollGrace is how much later the answer may be: a store that is
+// stopped, or out of reach, is noticed by its silence.
+const (
+	maxPoll   = 30 * time.Second
+	pollGrace = 5 * time.Second
+)
 
 // maxListBytes bounds the answer to a list call.
 const maxListBytes = 256 << 20
@@ -28,7 +33,9 @@
 // Store is a store.Store over HTTP. Every change that the connection lost after
 // a byte of it was written ends in store.ErrUncertain.
 type Store struct {
-	calls caller
+	calls     caller
+	maxPoll   time.Duration
+	pollGrace time.Duration
 }
 
 // New returns a client of the store at base, a URL without path such as
@@ -39,7 +46,8 @@
 	if err != nil || parsed.Host == "" || parsed.Scheme != "http" {
 		return nil, errors.Errorf("store address %q is not of the form http://host:port", base)
 	}
-	return &Store{calls: newCaller(parsed.Scheme+"://"+parsed.Host, connections)}, nil
+	calls := newCaller(parsed.Scheme+"://"+parsed.Host, connections)
+	return &Store{calls: calls, maxPoll: maxPoll, pollGrace: pollGrace}, nil
 }
 
 // Close closes all idle connections.
@@ -97,8 +105,7 @@
 // Watch implements store.Store by long polls.
 func (s *Store) Watch(ctx context.Context, key string, after uint64) (store.Entry, error) {
 	for {
-		path := watchPath(ctx, key, after)
-		reply, err := s.calls.do(ctx, http.MethodGet, path, nil, readCall)
+		reply, err := s.poll(ctx, key, after)
 		if ctx.Err() != nil {
 			return store.Entry{}, ctx.Err()
 		}
@@ -111,11 +118,18 @@
 	}
 }
 
-func watchPath(ctx context.Context, key string, after uint64) string {
-	wait := maxPoll
+// poll asks once and waits for the answer until the poll's time and grace have passed.
+func (s *Store) poll(ctx context.Context, key string, after uint64) (reply, error) {
+	wait := s.maxPoll
 	if deadline, ok := ctx.Deadline(); ok {
 		wait = min(wait, time.Until(deadline))
 	}
+	ctx, cancel := context.WithTimeout(ctx, wait+s.pollGrace)
+	defer cancel()
+	return s.calls.do(ctx, http.MethodGet, watchPath(key, after, wait), nil, readCall)
+}
+
+func watchPath(key string, after uint64, wait time.Duration) string {
 	query := url.Values{
 		"after":   {strconv.FormatUint(after, 10)},
 		"wait_ms": {strconv.FormatInt(max(1, wait.Milliseconds()), 10)},
