Let the control endpoint start a server that is already up

A server that a request crashed is started again by its supervisor; the demo's own start after that failed the demo.

--- a/internal/dev/servers/fleetcontrol.go
+++ b/internal/dev/servers/fleetcontrol.go
@@ -89,7 +89,7 @@
 	case "crash":
 		s.Crash()
 	case "start":
-		return s.Start()
+		return s.ensureStarted()
 	case "freeze":
 		s.Freeze()
 	case "thaw":
@@ -116,6 +116,14 @@
 	return nil
 }
 
+// ensureStarted starts the server unless its supervisor has already done so.
+func (s *Server) ensureStarted() error {
+	if s.Incarnation() != "" {
+		return nil
+	}
+	return s.Start()
+}
+
 func withBool(value string, set func(bool)) error {
 	parsed, err := strconv.ParseBool(value)
 	if err != nil {
--- a/internal/dev/servers/server.go
+++ b/internal/dev/servers/server.go
@@ -89,7 +89,7 @@
 	if current == nil {
 		return
 	}
-	// The runs end before the grants, so that no run is outside a grant.
+	// No run can answer any more once the grants have ended.
 	current.stop()
 	s.freezer.thaw()
 	for shard := range *s.holdings.Load() {
