--- a/internal/router/parts.go
+++ b/internal/router/parts.go
@@ -62,11 +62,3 @@
 func (p *parts) priority(r *request.Request) admission.Priority {
 	return admission.Priority(p.tree().RequestPolicy(r.Service, p.self.Domain, r.Key).Priority)
 }
-
-// timingOf returns the protocol durations of the settings.
-func timingOf(control settings.Control) authority.Timing {
-	timing := authority.DefaultTiming()
-	timing.PromiseTTL = control.PromiseTTL
-	timing.RenewInterval = control.RenewInterval
-	return timing
-}
