Refuse unknown arguments, read the settings first, record orders in the fake

A mistyped flag of peridotmoor-dev was ignored, and a demo without settings left its directory behind.

--- a/internal/dev/command/main.go
+++ b/internal/dev/command/main.go
@@ -32,7 +32,8 @@
 func Main(args []string, stdout, stderr io.Writer) int {
 	parser := flaggy.NewParser("peridotmoor-dev")
 	parser.Description = "development stand-ins for the platform, backend servers and callers, and the demo"
-	parser.ShowHelpOnUnexpected = false
+	// An argument that the program does not know ends it with the help text and code 2.
+	parser.ShowHelpOnUnexpected = true
 	commands := []subcommand{&platformCommand{}, &serversCommand{}, &callersCommand{}, &demoCommand{}}
 	attached := make([]*flaggy.Subcommand, len(commands))
 	for i, command := range commands {
--- a/internal/dev/demo/fake_test.go
+++ b/internal/dev/demo/fake_test.go
@@ -49,8 +49,10 @@
 }
 
 // router forwards each request once to the next server of its service. It
-// knows nothing of shards. fault makes it break an invariant.
+// knows nothing of shards and records orders in the store, which the load of a
+// test bears. fault makes it break an invariant.
 type router struct {
+	store   *httpstore.Store
 	servers map[string][]*httpbackend.Server
 	next    atomic.Uint64
 	fault   string
@@ -81,7 +83,7 @@
 }
 
 func newRouter(platform string) (*router, error) {
-	s, err := httpstore.New(platform, 1)
+	s, err := httpstore.New(platform, 20)
 	if err != nil {
 		return nil, err
 	}
@@ -93,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &router{servers: map[string][]*httpbackend.Server{}, fault: tree.Section("").Key("fault").String()}
+	r := &router{store: s, servers: map[string][]*httpbackend.Server{}, fault: tree.Section("").Key("fault").String()}
 	for _, section := range tree.Sections() {
 		name, found := strings.CutPrefix(section.Name(), "server.")
 		if !found {
@@ -139,6 +141,10 @@
 	servers := r.servers[out.Service]
 	server := servers[r.next.Add(1)%uint64(len(servers))]
 	order := backend.Order{Shard: key.ShardID{Service: out.Service}}
+	if !out.Idempotent && !r.first(in.Context(), out.ID) {
+		r.refuse(w, out, outcome.Unknown)
+		return
+	}
 	if r.fault == "twice" {
 		if answer, err := server.Send(in.Context(), order, out); err == nil {
 			_, _ = io.Copy(io.Discard, answer.Body)
@@ -154,6 +160,13 @@
 	r.answer(w, out, answer)
 }
 
+// first reports whether no router has taken the request before. An order that
+// was resent after its router was killed must not run again.
+func (r *router) first(ctx context.Context, id string) bool {
+	_, err := r.store.CompareAndSwap(ctx, "orders/"+id, 0, nil, "")
+	return err == nil
+}
+
 func (r *router) answer(w http.ResponseWriter, out *request.Request, answer *request.Answer) {
 	content, err := io.ReadAll(answer.Body)
 	if err != nil {
--- a/internal/dev/demo/run.go
+++ b/internal/dev/demo/run.go
@@ -35,13 +35,24 @@
 	if err := options.check(); err != nil {
 		return err
 	}
+	settings, err := loadTree(options.Settings)
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, totalTimeout-stopTimeout)
 	defer cancel()
 	dir, remove, err := workDir(options.Dir)
 	if err != nil {
 		return err
 	}
-	d := &demo{options: options, dir: dir, out: out, begin: time.Now(), children: NewChildren(options.Bin, dir)}
+	d := &demo{
+		options:  options,
+		dir:      dir,
+		out:      out,
+		begin:    time.Now(),
+		tree:     settings,
+		children: NewChildren(options.Bin, dir),
+	}
 	defer func() {
 		if err == nil {
 			remove()
--- a/internal/dev/demo/start.go
+++ b/internal/dev/demo/start.go
@@ -30,10 +30,6 @@
 
 // startServers starts the backend servers of the tree and fills in their addresses.
 func (d *demo) startServers(ctx context.Context) error {
-	loaded, err := loadTree(d.options.Settings)
-	if err != nil {
-		return err
-	}
 	child, err := d.children.Start("servers", programDev, "servers",
 		"--settings", d.options.Settings, "--seed", strconv.FormatUint(d.options.Seed, 10))
 	if err != nil {
@@ -47,8 +43,7 @@
 	if err := get(ctx, d.control+"/dev/servers", &d.listed); err != nil {
 		return err
 	}
-	loaded.fill(d.listed)
-	d.tree = loaded
+	d.tree.fill(d.listed)
 	d.say("%d backend servers started", len(d.listed))
 	return nil
 }
