Do not transfer a refused settings version with each exchange

An instance of an older release that refuses a tree announced its own version, so every exchange brought it the refused one again. The request now names the refused version as one that need not be sent; a later version is still asked for. Both conditions were taken out and the tests seen failing.

--- a/internal/publish/calls.go
+++ b/internal/publish/calls.go
@@ -100,7 +100,7 @@
 
 // announce notes that a peer has a version and fetches it unless a transfer is under way.
 func (l *loop) announce(ctx context.Context, address string, version uint64) {
-	if version <= l.refused || version <= l.fetch.version {
+	if !l.state.Wants(version) || version <= l.fetch.version {
 		return
 	}
 	l.fetch.address, l.fetch.version = address, version
--- a/internal/publish/exchange/message.go
+++ b/internal/publish/exchange/message.go
@@ -7,6 +7,8 @@
 
 // Summary is what two instances compare; details are sent only where it differs.
 type Summary struct {
+	// SettingsVersion is the version in effect. In a request it is the highest
+	// version that the sender need not be sent.
 	SettingsVersion  uint64
 	ShardDigest      uint64
 	QuarantineDigest uint64
--- a/internal/publish/exchange/state.go
+++ b/internal/publish/exchange/state.go
@@ -13,7 +13,10 @@
 	Address string
 	Leaving bool
 	// Settings is the version in effect; Version 0 stands for none.
-	Settings   SettingsValue
+	Settings SettingsValue
+	// Refused is the highest version whose tree this release does not accept, as
+	// while instances are being replaced by a newer release. It is not asked for again.
+	Refused    uint64
 	Shards     *ShardTable
 	Quarantine *Quarantine
 }
@@ -47,7 +50,9 @@
 
 // Open returns the request of the regular exchange: a summary only.
 func (s State) Open(now time.Time) Request {
-	return Request{From: s.Self, Domain: s.Domain, Address: s.Address, Leaving: s.Leaving, Summary: s.Summary(now)}
+	r := Request{From: s.Self, Domain: s.Domain, Address: s.Address, Leaving: s.Leaving, Summary: s.Summary(now)}
+	r.SettingsVersion = max(r.SettingsVersion, s.Refused)
+	return r
 }
 
 // Push returns the request that passes news on.
@@ -85,7 +90,7 @@
 
 // Wants reports whether a peer that announces the version has newer settings.
 func (s State) Wants(version uint64) bool {
-	return version > s.Settings.Version
+	return version > s.Settings.Version && version != s.Refused
 }
 
 // Install takes over a checked settings value if its version is higher than the
--- a/internal/publish/exchange/state_test.go
+++ b/internal/publish/exchange/state_test.go
@@ -24,6 +24,22 @@
 	}
 }
 
+// Guards against a version that this release refuses being sent again with each
+// exchange, and against later versions that are not asked for.
+func TestRefusedVersionIsNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	s := State{Settings: SettingsValue{Version: 5}, Refused: 7}
+	peer := State{Settings: SettingsValue{Version: 7}}
+	is.Equal(peer.Answer(s.Open(now), now).Settings, nil)
+	is.True(!s.Wants(7))
+	is.True(s.Wants(6))
+	peer.Settings.Version = 8
+	is.Equal(peer.Answer(s.Open(now), now).Settings.Version, uint64(8))
+	is.True(s.Wants(8))
+	is.Equal(s.Answer(Request{}, now).SettingsVersion, uint64(5))
+}
+
 func drawEntry(rt *rapid.T) ShardEntry {
 	return ShardEntry{
 		Shard: key.ShardID{Service: "s", Index: rapid.IntRange(0, 3).Draw(rt, "shard")},
--- a/internal/publish/loop.go
+++ b/internal/publish/loop.go
@@ -23,7 +23,6 @@
 	pushes  int           // calls under way that pass news on
 	fetch   fetch
 	start   start
-	refused uint64 // highest version that this release does not accept
 }
 
 func newLoop(p *Publisher) *loop {
@@ -155,7 +154,7 @@
 func (l *loop) refuse(version uint64, source string, err error) {
 	var issues settings.Issues
 	if errors.As(err, &issues) {
-		l.refused = max(l.refused, version)
+		l.state.Refused = max(l.state.Refused, version)
 	}
 	l.p.config.Events.Emit(events.SettingsRefused, "version", version, "source", source, "error", err.Error())
 }
