Wait for pending moves before a change of ownership

A server that is out may still own keys while a long upload runs there, so that an out state in effect everywhere does not yet mean that nobody owns anything. apply now also waits until no instance reports pending moves. A wait no longer asks for readiness: the instances of a failure domain that is out are not ready but have the version.

--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -57,7 +57,7 @@
 	if !t.options.Wait {
 		return result, nil
 	}
-	outcome, err := t.waitFor(ctx, v.Number, t.options.addresses())
+	outcome, err := t.waitFor(ctx, v.Number, t.options.addresses(), false)
 	result.Waited = &outcome
 	return result, err
 }
@@ -88,10 +88,11 @@
 	return p, nil
 }
 
-// settled waits until a version is in effect at all instances.
+// settled waits until a version is in effect at all instances and no server that
+// is out owns keys.
 func (t *tool) settled(ctx context.Context, number uint64) error {
 	fmt.Fprintf(t.env.Stderr, "this change needs version %d in effect at every instance first\n", number)
-	_, err := t.waitFor(ctx, number, t.options.addresses())
+	_, err := t.waitFor(ctx, number, t.options.addresses(), true)
 	return err
 }
 
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -15,6 +15,9 @@
 	Domain          string `json:"domain"`
 	SettingsVersion uint64 `json:"settings_version"`
 	Ready           bool   `json:"ready"`
+	// PendingMoves counts the key ranges that shards held by the instance still
+	// grant to servers that are out, as while a long upload runs there.
+	PendingMoves int `json:"pending_moves"`
 }
 
 // report is the answer of one instance, or why there is none.
--- a/internal/ctl/wait.go
+++ b/internal/ctl/wait.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return t.waitFor(ctx, number, addresses)
+	return t.waitFor(ctx, number, addresses, false)
 }
 
 // waitTarget returns the version to wait for.
@@ -62,9 +62,10 @@
 	return addresses, nil
 }
 
-// waitFor asks until all instances have the version or --within has passed.
-// Progress goes to the standard error.
-func (t *tool) waitFor(ctx context.Context, number uint64, addresses []string) (waited, error) {
+// waitFor asks until all instances have the version or --within has passed;
+// with moved also until no server that is out owns keys. Progress goes to the
+// standard error.
+func (t *tool) waitFor(ctx context.Context, number uint64, addresses []string, moved bool) (waited, error) {
 	ctx, cancel := context.WithTimeout(ctx, t.options.Within)
 	defer cancel()
 	result := waited{Version: number, Instances: len(addresses)}
@@ -74,7 +75,7 @@
 		if ctx.Err() != nil && result.Lacking != nil {
 			return result, lackingError(result, t.options.Within)
 		}
-		lacking, result.Lacking = stillLacking(reports, number)
+		lacking, result.Lacking = stillLacking(reports, number, moved)
 		if done := len(addresses) - len(lacking); done > result.InEffect {
 			result.InEffect = done
 			t.progress(result)
@@ -92,16 +93,17 @@
 	fmt.Fprintf(t.env.Stderr, "version %d: %d of %d instances\n", w.Version, w.InEffect, w.Instances)
 }
 
-// stillLacking returns the addresses that lack the version and why.
-func stillLacking(reports []report, number uint64) (addresses, reasons []string) {
+// stillLacking returns the addresses that lack the version and why. An instance
+// that is not ready may have it: those of a failure domain that is out are not ready.
+func stillLacking(reports []report, number uint64, moved bool) (addresses, reasons []string) {
 	for _, r := range reports {
 		switch {
 		case r.Err != nil:
 			reasons = append(reasons, fmt.Sprintf("%s does not answer: %v", r.Address, r.Err))
 		case r.Status.SettingsVersion < number:
 			reasons = append(reasons, fmt.Sprintf("%s (%s, %s) has version %d", r.Status.Instance, r.Status.Domain, r.Address, r.Status.SettingsVersion))
-		case !r.Status.Ready:
-			reasons = append(reasons, fmt.Sprintf("%s (%s, %s) is not ready", r.Status.Instance, r.Status.Domain, r.Address))
+		case moved && r.Status.PendingMoves > 0:
+			reasons = append(reasons, fmt.Sprintf("%s (%s, %s) still moves %d key ranges off servers that are out", r.Status.Instance, r.Status.Domain, r.Address, r.Status.PendingMoves))
 		default:
 			continue
 		}
