--- a/internal/publish/exchange/message.go
+++ b/internal/publish/exchange/message.go
@@ -7,12 +7,15 @@
 
 // Summary is what two instances compare; details are sent only where it differs.
 type Summary struct {
+	// SettingsVersion is the version in effect. In a request it is the highest
+	// version that the sender need not be sent.
 	SettingsVersion  uint64
 	ShardDigest      uint64
 	QuarantineDigest uint64
 }
 
-// SettingsValue is an accepted settings version in the form that the store holds.
+// SettingsValue is an accepted settings version. Value is the stored form as
+// packed by settings/version.Pack.
 type SettingsValue struct {
 	Version uint64
 	Value   []byte
