Connect the operators' tool to the store and prepare the next holder before a hand-over

Cause: in a trial of the demo a holder began to hand shards to an instance that had just been killed, and turned requests away meanwhile. Change: the next holder agrees before any request is turned away; only a planned stop releases a shard without one. The demo names the version and the instances that apply and wait need.

--- a/cmd/peridotmoorctl/connect.go
+++ b/cmd/peridotmoorctl/connect.go
@@ -1,12 +1,14 @@
 package main
 
 import (
-	"github.com/pkg/errors"
 	"peridotmoor.org/peridotmoor/internal/store"
+	"peridotmoor.org/peridotmoor/internal/store/httpstore"
 )
 
-// connect returns the client of the platform's store. The client is written in
-// package store/httpstore, which this branch does not have yet.
+// storeConnections serves one call at a time and a watch.
+const storeConnections = 2
+
+// connect opens the platform's store at url.
 func connect(url string) (store.Store, error) {
-	return nil, errors.Errorf("this build has no client for the store at %s; use a build with internal/store/httpstore", url)
+	return httpstore.New(url, storeConnections)
 }
--- a/internal/dev/demo/instance.go
+++ b/internal/dev/demo/instance.go
@@ -17,7 +17,9 @@
 	callers   string
 	peers     string
 	operators string
-	child     *Child
+	// lost reports that the demo has killed the router.
+	lost  bool
+	child *Child
 }
 
 // newInstances plans one instance for each failure domain.
--- a/internal/dev/demo/plan.go
+++ b/internal/dev/demo/plan.go
@@ -96,6 +96,7 @@
 // killRouter kills the router and takes it off the platform's list, which shows it after its lag.
 func (d *demo) killRouter(i *instance) func(context.Context) error {
 	return func(ctx context.Context) error {
+		i.lost = true
 		i.child.kill()
 		return exchange(ctx, http.MethodDelete, d.platform+"/dev/instances/"+i.name, nil, nil)
 	}
--- a/internal/dev/demo/programs.go
+++ b/internal/dev/demo/programs.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -39,13 +40,32 @@
 	if err := t.write(path); err != nil {
 		return err
 	}
-	_, err := d.runProgram(ctx, programCtl, "apply", "--store", d.platform, "--author", author, path)
+	args := append([]string{"apply", "--store", d.platform, "--author", author, "--parent", strconv.Itoa(d.accepted)}, d.instanceArgs()...)
+	_, err := d.runProgram(ctx, programCtl, append(args, path)...)
+	if err == nil {
+		d.accepted++
+	}
 	return err
 }
 
+// instanceArgs names the operators' endpoints of the routers that run.
+func (d *demo) instanceArgs() []string {
+	var running []string
+	for _, i := range d.instances {
+		if i.child != nil && !i.lost {
+			running = append(running, i.operators)
+		}
+	}
+	if len(running) == 0 {
+		return []string{"--no-instances"}
+	}
+	return []string{"--instances", strings.Join(running, ",")}
+}
+
 // wait returns when the version in effect has reached every instance.
 func (d *demo) wait(ctx context.Context) error {
-	_, err := d.runProgram(ctx, programCtl, "wait", "--store", d.platform)
+	args := append([]string{"wait", "--store", d.platform}, d.instanceArgs()...)
+	_, err := d.runProgram(ctx, programCtl, args...)
 	return err
 }
 
--- a/internal/dev/demo/run.go
+++ b/internal/dev/demo/run.go
@@ -26,6 +26,8 @@
 	platform  string // URL
 	control   string // URL of the servers' control endpoints
 	instances []*instance
+	// accepted is the number of the settings version that was applied last.
+	accepted int
 }
 
 // Run runs the demo and prints its progress to out. The last line is the
--- a/internal/router/handover.go
+++ b/internal/router/handover.go
@@ -20,25 +20,39 @@
 	busyLimit = 30 * time.Second
 )
 
-// handOver gives the shard to another witness in an orderly way: it turns new
-// requests away, waits for those in flight and returns its promises. It does
-// nothing when the shard is not held.
-func (u *unit) handOver(ctx context.Context) {
+// handOver gives the shard to another witness in an orderly way: it prepares the
+// next holder, turns new requests away, waits for those in flight and returns
+// its promises. It reports whether the shard was handed over or not held; a next
+// holder that cannot be prepared ends it before any request is turned away.
+func (u *unit) handOver(ctx context.Context) bool {
 	tenure := u.source.Tenure()
-	if !tenure.ValidAt(time.Now(), 0) || !u.stopping.CompareAndSwap(false, true) {
-		return
+	if !tenure.ValidAt(time.Now(), 0) {
+		return true
+	}
+	if !u.prepareNext(ctx, tenure) || !u.stopping.CompareAndSwap(false, true) {
+		return false
 	}
 	u.parts.log.Emit(events.HandOverBegun, events.FieldShard, u.id.String())
 	u.drain(ctx)
-	u.prepareNext(ctx, tenure)
-	call, cancel := context.WithTimeout(ctx, handOverCall)
+	if u.inFlight.Load() > 0 {
+		u.prepareNext(ctx, tenure)
+	}
+	return u.release(ctx)
+}
+
+// release returns the promises at once. It is also the last resort of a planned
+// stop that finds no next holder: the witnesses then elect one.
+func (u *unit) release(ctx context.Context) bool {
+	u.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(ctx, handOverCall)
 	defer cancel()
-	if err := u.parts.keeper.Release(call, u.id); err != nil {
+	if err := u.parts.keeper.Release(ctx, u.id); err != nil {
 		u.parts.log.Emit(events.HandOverFailed, events.FieldShard, u.id.String(), events.FieldMessage, err.Error())
 		u.stopping.Store(false)
-		return
+		return false
 	}
 	u.parts.log.Emit(events.HandOverEnded, events.FieldShard, u.id.String())
+	return true
 }
 
 // drain waits until no request is in flight, at most handOverDrain.
@@ -57,14 +71,13 @@
 }
 
 // prepareNext asks the next holder to take over at once and tells it the slots
-// that are still in use. Without a next holder the promises are still returned,
-// and the witnesses elect one.
-func (u *unit) prepareNext(ctx context.Context, tenure *authority.Tenure) {
+// that are in use. It reports whether the next holder agreed.
+func (u *unit) prepareNext(ctx context.Context, tenure *authority.Tenure) bool {
 	ctx, cancel := context.WithTimeout(ctx, handOverCall)
 	defer cancel()
 	next, found, err := u.parts.keeper.NextHolder(ctx, u.id)
 	if err != nil || !found {
-		return
+		return false
 	}
 	err = u.parts.peers.HandOver(ctx, next.Address, peer.HandOver{
 		Shard: u.id,
@@ -76,6 +89,7 @@
 	if err != nil {
 		u.parts.log.Emit(events.HandOverFailed, events.FieldShard, u.id.String(), events.FieldMessage, err.Error())
 	}
+	return err == nil
 }
 
 func (u *unit) busyServers() []peer.BusyServer {
--- a/internal/router/shardset.go
+++ b/internal/router/shardset.go
@@ -149,7 +149,12 @@
 func (s *shardSet) handOverAll(ctx context.Context) {
 	var running sync.WaitGroup
 	for _, u := range s.units() {
-		running.Go(func() { u.handOver(ctx) })
+		running.Go(func() {
+			if !u.handOver(ctx) {
+				u.drain(ctx)
+				u.release(ctx)
+			}
+		})
 	}
 	running.Wait()
 }
