Test two watchers of one failure domain at once

Renewals fail for 12 s, so that leases end while their holders go on. A restored store gets the version in effect back once, later versions still reach all, and one watcher is left at the end.

--- a/internal/publish/watcher_test.go
+++ b/internal/publish/watcher_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
 	"peridotmoor.org/peridotmoor/internal/store"
 )
 
@@ -82,3 +83,40 @@
 	}
 	return total
 }
+
+// Guards against harm done by two watchers at once, as when the lease of a
+// paused or cut off watcher ends while it goes on, and against both staying.
+func TestTwoWatchersAreHarmless(t *testing.T) {
+	run(t, func(t *testing.T, n *network) {
+		is := is.New(t)
+		n.apply(1)
+		old := n.backup()
+		n.apply(2)
+		for i := range 4 {
+			n.start(i, "a")
+		}
+		n.awaitVersion(2, inEffectEverywhere)
+		time.Sleep(20 * time.Second)
+		first := n.watcherOf("a")
+		n.store.SetFaults(func(op, key string) error {
+			if op == "renew" {
+				return store.ErrUnavailable
+			}
+			return nil
+		}, nil)
+		time.Sleep(12 * time.Second) // leases end, their holders go on
+		is.True(n.watcherOf("a") != first)
+		latest := n.backup()
+		n.store.Restore(old)
+		time.Sleep(inEffectEverywhere)
+		is.Equal(n.backup().Value, latest.Value)
+		n.awaitVersion(2, 0)
+		n.store.SetFaults(nil, nil)
+		n.apply(3)
+		n.awaitVersion(3, inEffectEverywhere)
+		time.Sleep(20 * time.Second)
+		before := n.store.Calls("watch")
+		time.Sleep(60 * time.Second)
+		is.Equal(n.store.Calls("watch")-before, 6) // one watch of 10 s at a time
+	})
+}
