Measure the time without service against a holder that waits for the store

A baseline with a plain map, one lock and a store write before each replacement runs over the same fake servers.

--- a/internal/assign/planner_test.go
+++ b/internal/assign/planner_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"peridotmoor.org/peridotmoor/internal/hotkey"
 	"peridotmoor.org/peridotmoor/internal/key"
 )
 
@@ -15,6 +16,7 @@
 // bench is a shard whose plans take effect at once.
 type bench struct {
 	planner *Planner
+	sketch  *hotkey.Sketch
 	in      Input
 	// share returns the load of a range.
 	load func(Range) float64
--- a/internal/shard/fakeserver_test.go
+++ b/internal/shard/fakeserver_test.go
@@ -125,5 +125,4 @@
 func (g *fakeGate) MarkCold(string)        { g.warmAt = time.Now().Add(2 * time.Second) }
 func (g *fakeGate) MarkLeaving(bool)       {}
 func (g *fakeGate) Cold() bool             { return time.Now().Before(g.warmAt) }
-func (g *fakeGate) Idle() bool             { return true }
 func (g *fakeGate) Latency() time.Duration { return time.Millisecond }
--- a/internal/shard/gate.go
+++ b/internal/shard/gate.go
@@ -11,8 +11,6 @@
 	MarkLeaving(leaving bool)
 	// Cold reports whether the ramp has not completed.
 	Cold() bool
-	// Idle reports whether no request runs on or waits for the server.
-	Idle() bool
 	// Latency is the moving average of the server's own latency, 0 when unknown.
 	Latency() time.Duration
 }
--- /dev/null
+++ b/internal/shard/unavailable_test.go
@@ -0,0 +1,60 @@
+package shard
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Measures per key how long it is not served after the loss of a server, against
+// a holder that waits for a write to the store. The outage ends after 5 s.
+func TestUnavailableTimeAgainstNaive(t *testing.T) {
+	const outage = 5 * time.Second
+	for _, storeDown := range []bool{false, true} {
+		ours := unavailable(t, storeDown, outage, false)
+		naive := unavailable(t, storeDown, outage, true)
+		is := is.New(t)
+		is.True(len(ours) > 0 && len(naive) > 0) // keys of the lost server were sampled
+		is.True(slices.Max(ours) <= servedWithin)
+		is.Equal(slices.Max(naive) > outage-time.Second, storeDown) // the baseline waits for the store
+		t.Logf("store down %v: unavailable min %v max %v, naive min %v max %v",
+			storeDown, slices.Min(ours), slices.Max(ours), slices.Min(naive), slices.Max(naive))
+	}
+}
+
+// unavailable returns the longest gap of each key that had one, over phases of
+// the renewal interval.
+func unavailable(t *testing.T, storeDown bool, outage time.Duration, naive bool) []time.Duration {
+	var gaps []time.Duration
+	for phase := time.Duration(0); phase < renewEvery; phase += 30 * time.Millisecond {
+		inWorld(t, 9, func(t *testing.T, w *world) {
+			w.settle()
+			if naive {
+				w.useNaive()
+			}
+			time.Sleep(phase)
+			w.store.setDown(storeDown)
+			w.update(func() { w.servers[4].setFrozen(true) })
+			time.Sleep(outage)
+			w.store.setDown(false)
+			time.Sleep(3 * time.Second)
+			w.update(func() {
+				for _, gap := range w.gaps {
+					gaps = append(gaps, gap)
+				}
+			})
+		})
+	}
+	return gaps
+}
+
+// useNaive lets the naive holder take over from the runtime.
+func (w *world) useNaive() {
+	w.holder.cancel()
+	time.Sleep(time.Second)
+	w.update(func() { w.naive = true })
+	w.running.Go(w.runNaive)
+	w.settle()
+}
