--- a/internal/dev/demo/children.go
+++ b/internal/dev/demo/children.go
@@ -1,10 +1,13 @@
 package demo
 
 import (
+	"bytes"
+	"context"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strings"
 	"sync"
 	"syscall"
 
@@ -47,16 +50,13 @@
 		return nil, errors.Wrap(err, "log file")
 	}
 	command := exec.Command(filepath.Join(c.bin, program), args...)
-	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	output, err := command.StdoutPipe()
 	if err != nil {
 		return nil, errors.Wrap(err, "output pipe")
 	}
 	command.Stderr = command.Stdout
 	child := &Child{name: name, command: command, log: log, address: make(chan string, 1), done: make(chan struct{})}
-	result := make(chan error)
-	c.starts <- func() { result <- command.Start() }
-	if err := <-result; err != nil {
+	if err := c.begin(command); err != nil {
 		_ = log.Close()
 		return nil, errors.Wrapf(err, "cannot start %s; build the programs with make build", program)
 	}
@@ -67,6 +67,28 @@
 	return child, nil
 }
 
+// begin starts the command on the thread of the starter.
+func (c *Children) begin(command *exec.Cmd) error {
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	result := make(chan error)
+	c.starts <- func() { result <- command.Start() }
+	return <-result
+}
+
+// Output runs program to its end and returns what it wrote. The end of ctx kills it.
+func (c *Children) Output(ctx context.Context, program string, args ...string) (string, error) {
+	command := exec.CommandContext(ctx, filepath.Join(c.bin, program), args...)
+	var output bytes.Buffer
+	command.Stdout = &output
+	command.Stderr = &output
+	err := c.begin(command)
+	if err == nil {
+		err = command.Wait()
+	}
+	text := strings.TrimSpace(output.String())
+	return text, errors.Wrapf(err, "%s %s: %s", program, strings.Join(args, " "), text)
+}
+
 // Close stops all programs at once and returns those that had to be killed.
 func (c *Children) Close() []string {
 	c.mu.Lock()
--- a/internal/dev/demo/programs.go
+++ b/internal/dev/demo/programs.go
@@ -3,11 +3,7 @@
 import (
 	"context"
 	"os"
-	"os/exec"
 	"path/filepath"
-	"strings"
-
-	"github.com/pkg/errors"
 )
 
 // author names the demo in the history of the settings.
@@ -25,12 +21,7 @@
 func (d *demo) runProgram(ctx context.Context, program string, args ...string) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	output, err := exec.CommandContext(ctx, filepath.Join(d.options.Bin, program), args...).CombinedOutput()
-	text := strings.TrimSpace(string(output))
-	if err != nil {
-		return text, errors.Wrapf(err, "%s %s: %s", program, strings.Join(args, " "), text)
-	}
-	return text, nil
+	return d.children.Output(ctx, program, args...)
 }
 
 // apply makes the tree the version in effect.
