Choose mirrors among all live instances

Change: live instances in other failure domains follow the witnesses, and the own domain comes last.

--- a/internal/router/instance.go
+++ b/internal/router/instance.go
@@ -45,7 +45,6 @@
 	readiness *readiness
 	forwarder *forward.Forwarder
 	observer  *entryObserver
-	members   *membership.Tracker
 	server    *peer.Server
 	pool      *peer.Pool
 }
@@ -129,8 +128,8 @@
 	}
 	i.pool = peer.NewPool()
 	p.peers = peer.NewClient(i.pool, registry.Control)
-	i.members = membership.NewTracker(self.Instance.Name, lister, p.peers, p.log)
-	known := &contacts{tracker: i.members}
+	p.members = membership.NewTracker(self.Instance.Name, lister, p.peers, p.log)
+	known := &contacts{tracker: p.members}
 	p.copier = &localCopier{self: self.Instance, mirror: p.mirror, next: peer.NewCopier(p.peers, known)}
 	p.publisher = publish.New(publish.Config{
 		Self:      self.Instance,
@@ -150,7 +149,7 @@
 		Store:  p.store,
 		Voter:  p.peers,
 		Prober: p.peers,
-		Peers:  i.members,
+		Peers:  p.members,
 		Random: newRandom(),
 		Log:    p.log,
 	})
--- /dev/null
+++ b/internal/router/mirrorcandidates.go
@@ -0,0 +1,40 @@
+package router
+
+import (
+	"cmp"
+	"slices"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+)
+
+// mirrorCandidates orders the live instances other than self by how well they
+// suit as mirrors: those in other failure domains before those in the domain of
+// self, one of each domain before a second, and witnesses of the shard before
+// others, since the next holder is one of them. An instance in the same failure
+// domain is the last resort: it survives the loss of the holder, not of the domain.
+func mirrorCandidates(config *authority.Config, self authority.Member, live []authority.Member) []authority.Instance {
+	ordered := slices.DeleteFunc(slices.Clone(live), func(m authority.Member) bool {
+		return m.Instance.Name == self.Instance.Name || m.Instance.Incarnation == ""
+	})
+	rank := func(m authority.Member) int {
+		if config == nil || config.Rank(m.Instance) < 0 {
+			return len(live)
+		}
+		return config.Rank(m.Instance)
+	}
+	slices.SortStableFunc(ordered, func(a, b authority.Member) int { return cmp.Compare(rank(a), rank(b)) })
+	seen := map[string]bool{self.Domain: true}
+	var first, second, same []authority.Instance
+	for _, m := range ordered {
+		switch {
+		case m.Domain == self.Domain:
+			same = append(same, m.Instance)
+		case seen[m.Domain]:
+			second = append(second, m.Instance)
+		default:
+			seen[m.Domain] = true
+			first = append(first, m.Instance)
+		}
+	}
+	return slices.Concat(first, second, same)
+}
--- a/internal/router/parts.go
+++ b/internal/router/parts.go
@@ -6,6 +6,7 @@
 	"peridotmoor.org/peridotmoor/internal/authority/keeper"
 	"peridotmoor.org/peridotmoor/internal/events"
 	"peridotmoor.org/peridotmoor/internal/key"
+	"peridotmoor.org/peridotmoor/internal/membership"
 	"peridotmoor.org/peridotmoor/internal/metrics"
 	"peridotmoor.org/peridotmoor/internal/peer"
 	"peridotmoor.org/peridotmoor/internal/publish"
@@ -27,6 +28,7 @@
 	store      store.Store
 	peers      *peer.Client
 	keeper     *keeper.Keeper
+	members    *membership.Tracker
 	publisher  *publish.Publisher
 	mirror     *record.Mirror
 	copier     record.Copier
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -39,7 +39,7 @@
 	running.Go(func() { failed <- errors.Wrap(i.server.Serve(work, i.listeners.peers), "serve peers") })
 	running.Go(func() { failed <- serve(callers, i.listeners.callers, "serve callers") })
 	running.Go(func() { failed <- serve(operators, i.listeners.operators, "serve operators") })
-	running.Go(func() { i.members.Run(work) })
+	running.Go(func() { i.parts.members.Run(work) })
 	running.Go(func() { i.parts.publisher.Run(work) })
 	running.Go(func() { i.parts.keeper.Run(work) })
 	running.Go(func() { i.followSettings(work) })
--- a/internal/router/unit.go
+++ b/internal/router/unit.go
@@ -117,7 +117,7 @@
 		u.parts.announce(u.id, tenure)
 	}
 	serving.records.SetToken(tenure.Token)
-	serving.records.SetCandidates(mirrorCandidates(u.source.Config(), u.parts.self))
+	serving.records.SetCandidates(mirrorCandidates(u.source.Config(), u.parts.self, u.parts.members.View().Contacts()))
 }
 
 func (u *unit) openServing(ctx context.Context, tenure *authority.Tenure) *servingTenure {
