Take a failure domain's instances out, shorten hand-overs, and follow settings

Change: a hand-over waits 100 ms; requests that run keep their slots at the next holder, those that wait go there. An instance whose failure domain is out leaves the balancer and hands its shards over. Promise and renewal durations follow the settings, marks of crashing requests travel between instances, and the status counts ranges still granted to servers that are out.

--- a/internal/router/handover.go
+++ b/internal/router/handover.go
@@ -12,8 +12,9 @@
 // Bounds of a hand-over.
 const (
 	// handOverDrain is how long the holder waits for requests in flight before it
-	// gives the shard away; their slots then stay taken at the next holder.
-	handOverDrain = 2 * time.Second
+	// gives the shard away. Later ones that run keep their slots at the next holder
+	// and get their answers; those that still wait go to the next holder.
+	handOverDrain = 100 * time.Millisecond
 	// handOverCall bounds the calls to the next holder and the witnesses.
 	handOverCall = 500 * time.Millisecond
 	// busyLimit is the longest time for which slots stay taken at the next holder.
@@ -33,7 +34,7 @@
 		return false
 	}
 	u.parts.log.Emit(events.HandOverBegun, events.FieldShard, u.id.String())
-	u.drain(ctx)
+	u.drainBriefly(ctx)
 	if u.inFlight.Load() > 0 {
 		u.prepareNext(ctx, tenure)
 	}
@@ -55,21 +56,24 @@
 	return true
 }
 
-// drain waits until no request is in flight, at most handOverDrain.
+// drain waits until no request is in flight or ctx ends.
 func (u *unit) drain(ctx context.Context) {
-	timer := time.NewTimer(handOverDrain)
-	defer timer.Stop()
 	for u.inFlight.Load() > 0 {
 		select {
 		case <-u.idle:
-		case <-timer.C:
-			return
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// drainBriefly is drain for at most handOverDrain.
+func (u *unit) drainBriefly(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverDrain)
+	defer cancel()
+	u.drain(ctx)
+}
+
 // prepareNext asks the next holder to take over at once and tells it the slots
 // that are in use. It reports whether the next holder agreed.
 func (u *unit) prepareNext(ctx context.Context, tenure *authority.Tenure) bool {
@@ -123,6 +127,15 @@
 	return nil
 }
 
+// refreshIfWitness keeps the copy of the assignment fresh where a takeover may
+// need it: at witnesses that do not hold the shard.
+func (u *unit) refreshIfWitness(ctx context.Context) {
+	config := u.source.Config()
+	if u.source.Tenure() == nil && config != nil && config.Rank(u.parts.self.Instance) >= 0 {
+		u.refreshAssignment(ctx)
+	}
+}
+
 // refreshAssignment reads the committed assignment into the copy that a
 // takeover without the store starts from.
 func (u *unit) refreshAssignment(ctx context.Context) {
--- a/internal/router/instance.go
+++ b/internal/router/instance.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 
 	"github.com/google/uuid"
 
@@ -47,6 +48,8 @@
 	observer  *entryObserver
 	server    *peer.Server
 	pool      *peer.Pool
+	// leaving counts hand-overs that a change of the settings started.
+	leaving sync.WaitGroup
 }
 
 // New opens the endpoints and outputs and connects the parts. Run starts them.
--- a/internal/router/readiness.go
+++ b/internal/router/readiness.go
@@ -11,6 +11,8 @@
 type readiness struct {
 	ready    atomic.Bool
 	stopping atomic.Bool
+	// out reports that the failure domain of the instance is out.
+	out atomic.Bool
 }
 
 // err returns why the balancer should not use the instance, or nil.
@@ -20,6 +22,8 @@
 		return ErrStopping
 	case !r.ready.Load():
 		return ErrNoSettings
+	case r.out.Load():
+		return ErrDomainOut
 	default:
 		return nil
 	}
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -42,6 +42,7 @@
 	running.Go(func() { i.parts.members.Run(work) })
 	running.Go(func() { i.parts.publisher.Run(work) })
 	running.Go(func() { i.parts.keeper.Run(work) })
+	running.Go(func() { (&markExchange{list: i.parts.quarantine, publisher: i.parts.publisher}).run(work) })
 	running.Go(func() { i.followSettings(work) })
 	running.Go(func() { i.followHolders(work) })
 	running.Go(func() { i.followAdvice(work) })
@@ -52,6 +53,7 @@
 	_ = operators.Close()
 	stopWork()
 	running.Wait()
+	i.leaving.Wait()
 	i.close()
 	return err
 }
@@ -81,6 +83,7 @@
 		changed := i.parts.publisher.SettingsChanged()
 		if installed := i.parts.publisher.Settings(); installed != nil {
 			i.apply(ctx, installed.Tree)
+			i.followDomain(ctx, installed.Tree)
 			i.parts.log.Emit(events.SettingsApplied, events.FieldVersion, installed.Version.Number)
 			if i.readiness.ready.CompareAndSwap(false, true) {
 				i.parts.log.Emit(events.InstanceReady)
@@ -97,11 +100,23 @@
 
 func (i *Instance) apply(ctx context.Context, tree *settings.Tree) {
 	i.shards.apply(ctx, tree)
+	control := tree.Control()
 	// The calls only queue; they fail when the keeper has stopped.
+	_ = i.parts.keeper.SetTiming(ctx, control.PromiseTTL, control.RenewInterval)
 	_ = i.parts.keeper.SetShards(ctx, descriptionsOf(tree))
 	_ = i.parts.keeper.SetRetired(ctx, tree.RetiredInstances())
 }
 
+// followDomain takes the instance off the balancer while its failure domain is
+// out, and hands its shards over; requests that still arrive are served.
+func (i *Instance) followDomain(ctx context.Context, tree *settings.Tree) {
+	domain, known := tree.Domain(i.parts.self.Domain)
+	out := known && domain.Out
+	if was := i.readiness.out.Swap(out); out && !was {
+		i.leaving.Go(func() { i.shards.handOverAll(ctx) })
+	}
+}
+
 // descriptionsOf lists the shards with the failure domains of their home regions.
 func descriptionsOf(tree *settings.Tree) []authority.Description {
 	var list []authority.Description
--- a/internal/router/shardset.go
+++ b/internal/router/shardset.go
@@ -151,7 +151,7 @@
 	for _, u := range s.units() {
 		running.Go(func() {
 			if !u.handOver(ctx) {
-				u.drain(ctx)
+				u.drainBriefly(ctx)
 				u.release(ctx)
 			}
 		})
--- a/internal/router/states.go
+++ b/internal/router/states.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/route"
+	"peridotmoor.org/peridotmoor/internal/settings"
 )
 
 // status describes the instance for the operators' tool.
@@ -24,11 +25,23 @@
 	for _, u := range i.shards.all(installed.Tree) {
 		if view := u.runtime.Views().Load(); view != nil && u.holds() {
 			s.Holds = append(s.Holds, shardStatus(view))
+			s.PendingMoves += pendingMoves(view, installed.Tree)
 		}
 	}
 	return s
 }
 
+// pendingMoves counts the ranges whose owner may get no work.
+func pendingMoves(view *route.View, tree *settings.Tree) int {
+	count := 0
+	for _, r := range view.Ranges {
+		if r.Owner != nil && !tree.ServerPolicy(r.Owner.Name).In {
+			count++
+		}
+	}
+	return count
+}
+
 func shardStatus(view *route.View) ShardStatus {
 	s := ShardStatus{Shard: view.Shard.String(), Token: view.Tenure.Token.String(), Ranges: len(view.Ranges)}
 	owned := map[string]int{}
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -9,6 +9,8 @@
 	SettingsVersion uint64 `json:"settings_version"`
 	Ready           bool   `json:"ready"`
 	Stopping        bool   `json:"stopping"`
+	// PendingMoves counts ranges that are still granted to servers that are out.
+	PendingMoves int `json:"pending_moves"`
 	// Holds lists the shards that the instance holds.
 	Holds []ShardStatus `json:"holds"`
 }
--- a/internal/router/unit.go
+++ b/internal/router/unit.go
@@ -17,8 +17,13 @@
 	"peridotmoor.org/peridotmoor/internal/shardrecord"
 )
 
-// recordSweepInterval is the time between two removals of old request records.
-const recordSweepInterval = time.Second
+const (
+	// recordSweepInterval is the time between two removals of old request records.
+	recordSweepInterval = time.Second
+	// assignmentInterval is the mean time between two reads of the committed
+	// assignment by an instance that does not hold the shard.
+	assignmentInterval = 30 * time.Second
+)
 
 // unit is one shard of the settings in this instance: its runtime always, and a
 // dispatcher with request records while the instance holds the shard.
@@ -86,6 +91,8 @@
 func (u *unit) run(ctx context.Context) {
 	sweep := time.NewTicker(recordSweepInterval)
 	defer sweep.Stop()
+	refresh := time.NewTimer(assignmentInterval)
+	defer refresh.Stop()
 	defer u.closeServing()
 	// A witness keeps a copy of the assignment for a takeover without the store.
 	u.refreshAssignment(ctx)
@@ -95,6 +102,9 @@
 		case <-ctx.Done():
 			return
 		case <-u.fan.unit:
+		case <-refresh.C:
+			u.refreshIfWitness(ctx)
+			refresh.Reset(assignmentInterval/2 + rand.N(assignmentInterval))
 		case now := <-sweep.C:
 			if serving := u.serving.Load(); serving != nil {
 				serving.records.Expire(now)
