Restore older records and make retirement final

A retired incarnation stays retired when its name is taken off the list, since others may have counted it as gone.

--- a/internal/authority/node.go
+++ b/internal/authority/node.go
@@ -30,6 +30,9 @@
 	peers   []Peer
 	peerAt  map[Instance]int
 	leaving bool
+	// retired is final: others may already count this incarnation as gone, also
+	// when the operators take its name off the list again.
+	retired bool
 	// holding counts the shards that are held.
 	holding int
 
@@ -90,8 +93,12 @@
 // that finds itself in the list gives up what it holds and promises nothing more.
 func (n *Node) SetRetired(now time.Time, names []string) {
 	n.proofs.Retire(now, names)
-	if n.proofs.Retired(n.self.Instance) {
+	if n.proofs.Retired(n.self.Instance) && !n.retired {
+		n.retired = true
 		n.Leave(now)
+		for _, s := range n.order {
+			n.release(now, s)
+		}
 	}
 	n.rank()
 }
@@ -103,9 +110,6 @@
 		if s.active == nil && s.next != nil {
 			n.abandon(now, s)
 		}
-		if n.proofs.Retired(n.self.Instance) {
-			n.release(now, s)
-		}
 	}
 	n.rank()
 }
--- a/internal/authority/node_campaign.go
+++ b/internal/authority/node_campaign.go
@@ -103,6 +103,8 @@
 		tenure.Mirrors = s.tenure.Mirrors
 	} else {
 		n.holding++
+		s.loadPause = n.timing.LoadRetryMax
+		n.scheduleLoad(now, s)
 		s.stated = n.inheritedMirrors(now, claim)
 		tenure.Mirrors = s.stated
 	}
--- a/internal/authority/node_messages.go
+++ b/internal/authority/node_messages.go
@@ -4,7 +4,7 @@
 
 // HandlePromise decides a request of another instance as a witness.
 func (n *Node) HandlePromise(now time.Time, request PromiseRequest) PromiseReply {
-	if n.proofs.Retired(n.self.Instance) {
+	if n.retired {
 		// Operators vouch that this instance makes no promises any more.
 		return PromiseReply{Witness: n.self.Instance}
 	}
--- a/internal/authority/node_records.go
+++ b/internal/authority/node_records.go
@@ -20,6 +20,22 @@
 		s.loadPause = n.timing.LoadRetryMin
 	}
 	n.scheduleLoad(now, s)
+	n.restoreRecord(now, s, config)
+}
+
+// restoreRecord writes the configuration of the holder back when the store has
+// an older record or none, as it may after an outage. Instances that read the
+// older one would otherwise ask witnesses that are replaced.
+func (n *Node) restoreRecord(now time.Time, s *shardState, stored Config) {
+	if s.active == nil || s.next != nil || s.committing || !s.described {
+		return
+	}
+	if stored.Epoch >= s.active.config.Epoch || s.changedAt.Add(changeInterval).After(now) {
+		return
+	}
+	s.committing = true
+	s.changedAt = now
+	n.effects.Proposals = append(n.effects.Proposals, Proposal{Shard: s.id, Base: stored, Next: s.active.config})
 }
 
 // LoadFailed takes the failure to read the record of a shard.
@@ -94,8 +110,8 @@
 	return true
 }
 
-// wantsLoad reports whether the record is read when loadAt comes. A witness
-// whose promise is in force needs nothing from the store.
+// wantsLoad reports whether the record is read when loadAt comes. The holder
+// checks it now and then; a witness whose promise is in force needs nothing.
 func (n *Node) wantsLoad(now time.Time, s *shardState) bool {
 	if !s.described || s.loading || s.committing || n.leaving {
 		return false
@@ -103,7 +119,10 @@
 	if s.outdated {
 		return true
 	}
-	if s.active != nil || n.witness.Promise(s.id).InForce(now) {
+	if s.active != nil {
+		return true
+	}
+	if n.witness.Promise(s.id).InForce(now) {
 		return s.known.IsZero()
 	}
 	return s.interested || s.config.Rank(n.self.Instance) >= 0
--- a/internal/authority/node_witnesses.go
+++ b/internal/authority/node_witnesses.go
@@ -96,7 +96,7 @@
 // this one unless it leaves.
 func (n *Node) liveMembers() []Member {
 	var members []Member
-	if !n.leaving && !n.proofs.Retired(n.self.Instance) {
+	if !n.leaving {
 		members = append(members, n.self)
 	}
 	for _, p := range n.peers {
