Hold ranges of servers that are out, and report a status

With no server left to move to, ranges stayed open at a server that settings had taken out; they are held now, which the new test showed failing before. An answer of a dropped server no longer changes anything. The status is a summary for metrics, published twice a second.

--- a/internal/shard/advance.go
+++ b/internal/shard/advance.go
@@ -178,6 +178,7 @@
 			t.options.Log.Emit(events.OwnerReplaced, "shard", t.options.Shard.String(),
 				"range", r.bounds.String(), "from", r.owner, "to", name)
 			r.assignTo(name)
+			t.counters.replaced++
 			t.planSoon(now)
 			return true
 		}
@@ -188,6 +189,7 @@
 // serve opens the range at its owner.
 func (t *term) serve(r *row) {
 	if r.previous != "" && r.previous != r.owner {
+		t.counters.moved++
 		t.options.Log.Emit(events.MoveEnded, "shard", t.options.Shard.String(),
 			"range", r.bounds.String(), "from", r.previous, "to", r.owner)
 	}
--- a/internal/shard/measure.go
+++ b/internal/shard/measure.go
@@ -42,6 +42,7 @@
 	}
 	t.sketch.Decay(keep)
 	t.runtime.sampler.Drain(t.sketch.Add)
+	t.report(now)
 }
 
 // measure folds the requests since the last measurement into the average rate.
--- a/internal/shard/move.go
+++ b/internal/shard/move.go
@@ -29,6 +29,7 @@
 	t.cancelMove(r)
 	r.retryAt = now.Add(moveBackoff(r.putOffs))
 	r.putOffs++
+	t.counters.putOff++
 	t.alarm.at(r.retryAt)
 	t.options.Log.Emit(events.MovePutOff, "shard", t.options.Shard.String(),
 		"range", r.bounds.String(), "in_flight", r.inFlight())
--- a/internal/shard/move_test.go
+++ b/internal/shard/move_test.go
@@ -153,3 +153,23 @@
 	}
 	return count
 }
+
+// With no server left to move to, ranges of servers that are out stay held.
+// Guards against new work for a domain that was taken out.
+func TestNoNewWorkWhenAllAreOut(t *testing.T) {
+	inWorld(t, 6, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.settle()
+		for _, domain := range []string{"d0", "d1", "d2"} {
+			w.setOut(domain, true)
+		}
+		time.Sleep(2 * time.Second)
+		for _, h := range w.hashes {
+			entry, held := route.Enter(w.holder.runtime.Views(), h)
+			is.True(entry == nil && held != nil)
+		}
+		w.setOut("d1", false)
+		time.Sleep(time.Second)
+		is.Equal(w.domainOf(w.ownerName(w.hashes[0])), "d1")
+	})
+}
--- a/internal/shard/publish.go
+++ b/internal/shard/publish.go
@@ -54,9 +54,11 @@
 }
 
 // open reports whether requests of the range may go to its owner. Those of a
-// silent owner wait for its answer or for the standby.
+// silent owner wait for its answer or for the standby, those of one that is taken
+// out for the move.
 func (t *term) open(r *row) bool {
-	return r.phase == serving && t.links[r.owner].answers() && t.quiesce == nil
+	owner := t.links[r.owner]
+	return r.phase == serving && owner.answers() && owner.usable() && t.quiesce == nil
 }
 
 // viewTargets lists the servers that may get new work. When none answers, those
--- a/internal/shard/runtime.go
+++ b/internal/shard/runtime.go
@@ -13,10 +13,11 @@
 )
 
 // Runtime does the work of one shard while this instance holds it. Run owns all
-// fields but views and sampler.
+// fields but views, status and sampler.
 type Runtime struct {
 	options  Options
 	views    atomic.Pointer[route.View]
+	status   atomic.Pointer[Status]
 	sampler  hotkey.Sampler
 	quiesces chan *quiesce
 	// senders counts the goroutines that Run started.
@@ -38,6 +39,12 @@
 	return &r.views
 }
 
+// Status returns the newest summary, at most about half a second old, or nil
+// while this instance does not hold the shard.
+func (r *Runtime) Status() *Status {
+	return r.status.Load()
+}
+
 // Observe counts one request for h in the sketch of hot keys. It takes no lock
 // and may be called from many goroutines.
 func (r *Runtime) Observe(h key.Hash) {
--- a/internal/shard/send.go
+++ b/internal/shard/send.go
@@ -86,6 +86,9 @@
 // answered takes over how a call ended.
 func (t *term) answered(a answer, now time.Time) {
 	l := a.link
+	if t.links[l.config.Name] != l {
+		return // dropped meanwhile; its book waits for the expiry
+	}
 	l.busy = false
 	switch {
 	case a.unsent:
--- /dev/null
+++ b/internal/shard/status.go
@@ -0,0 +1,35 @@
+package shard
+
+import (
+	"peridotmoor.org/peridotmoor/internal/authority"
+	"peridotmoor.org/peridotmoor/internal/key"
+)
+
+// Status is a summary of a held shard for metrics. It is immutable.
+type Status struct {
+	Shard key.ShardID
+	Token authority.Token
+	// Ranges counts all ranges, Held those whose requests wait.
+	Ranges int
+	Held   int
+	// Uncommitted reports that owners in force differ from the stored assignment.
+	Uncommitted bool
+	// Replaced counts owners replaced after a loss, Moved completed changes of
+	// owner, PutOff moves put off for requests in flight, since the takeover.
+	Replaced uint64
+	Moved    uint64
+	PutOff   uint64
+	Servers  []ServerStatus
+}
+
+// ServerStatus is the part of a Status for one server, ordered as in the settings.
+type ServerStatus struct {
+	Name string
+	// State is in, cold, leaving, out or lost.
+	State string
+	// Answering reports whether the server acknowledged its last call.
+	Answering bool
+	Ranges    int
+	// Rate is the load of its ranges in requests per second.
+	Rate float64
+}
--- a/internal/shard/term.go
+++ b/internal/shard/term.go
@@ -45,6 +45,7 @@
 	planAt       time.Time
 	measuredAt   time.Time
 	totalRate    float64
+	counters     counters
 
 	listsDirty bool
 	viewDirty  bool
@@ -164,6 +165,7 @@
 func (t *term) end(now time.Time) {
 	t.cancel()
 	t.runtime.views.Store(nil)
+	t.runtime.status.Store(nil)
 	if t.closeHeld != nil {
 		close(t.closeHeld)
 	}
