--- /dev/null
+++ b/internal/backend/httpbackend/grantcall.go
@@ -0,0 +1,52 @@
+package httpbackend
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/backend"
+	"peridotmoor.org/peridotmoor/internal/key"
+)
+
+// GrantCall is the body of a grant. Bounds of ranges are hexadecimal; an end of
+// 0 stands for 2^64. The expiry is on the server's clock.
+type GrantCall struct {
+	OrderCall
+	Ranges   []RangeCall `json:"ranges"`
+	ExpiryNS int64       `json:"expiry_ns"`
+	Sequence uint64      `json:"sequence,omitempty"`
+}
+
+// GrantCallOf encodes a grant.
+func GrantCallOf(grant backend.Grant) GrantCall {
+	call := GrantCall{
+		OrderCall: OrderCallOf(grant.Order),
+		Ranges:    []RangeCall{},
+		ExpiryNS:  int64(grant.Expiry),
+		Sequence:  grant.Sequence,
+	}
+	for _, r := range grant.Ranges {
+		call.Ranges = append(call.Ranges, RangeCall{Start: hex(r.Start), End: hex(r.End)})
+	}
+	return call
+}
+
+// Decode reads the grant.
+func (c GrantCall) Decode() (backend.Grant, error) {
+	order, err := c.OrderCall.Decode()
+	if err != nil {
+		return backend.Grant{}, err
+	}
+	grant := backend.Grant{Order: order, Expiry: time.Duration(c.ExpiryNS), Sequence: c.Sequence}
+	for _, r := range c.Ranges {
+		start, errStart := strconv.ParseUint(r.Start, 16, 64)
+		end, errEnd := strconv.ParseUint(r.End, 16, 64)
+		if errStart != nil || errEnd != nil {
+			return backend.Grant{}, errors.Errorf("range %q to %q is not hexadecimal", r.Start, r.End)
+		}
+		grant.Ranges = append(grant.Ranges, key.Range{Start: key.Hash(start), End: key.Hash(end)})
+	}
+	return grant, nil
+}
--- /dev/null
+++ b/internal/backend/httpbackend/grantreply.go
@@ -0,0 +1,28 @@
+package httpbackend
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/backend"
+)
+
+// GrantReply is the answer to a grant.
+type GrantReply struct {
+	ClockNS     int64  `json:"clock_ns"`
+	Incarnation string `json:"incarnation"`
+	Highest     string `json:"highest"`
+	Running     int    `json:"running"`
+	Leaving     bool   `json:"leaving"`
+}
+
+// Decode reads the answer.
+func (r GrantReply) Decode() (backend.GrantAnswer, error) {
+	highest, err := ParseToken(r.Highest)
+	return backend.GrantAnswer{
+		Clock:       time.Duration(r.ClockNS),
+		Incarnation: r.Incarnation,
+		Highest:     highest,
+		Running:     r.Running,
+		Leaving:     r.Leaving,
+	}, err
+}
--- a/internal/backend/httpbackend/send.go
+++ b/internal/backend/httpbackend/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -104,33 +103,3 @@
 	}
 	return time.Duration(seconds) * time.Second
 }
-
-// body is the body of an answer. Its reads end in io.EOF or io.ErrUnexpectedEOF.
-type body struct {
-	content io.ReadCloser
-	cancel  context.CancelFunc
-	whole   bool
-}
-
-// Read implements io.Reader.
-func (b *body) Read(p []byte) (int, error) {
-	n, err := b.content.Read(p)
-	switch {
-	case err == nil:
-	case err == io.EOF:
-		b.whole = true
-	default:
-		err = &shortBody{cause: err}
-	}
-	return n, err
-}
-
-// Close closes the body. The connection is used again only when the whole body was read.
-func (b *body) Close() error {
-	if !b.whole {
-		b.cancel()
-	}
-	err := b.content.Close()
-	b.cancel()
-	return err
-}
--- a/internal/dev/callers/client.go
+++ b/internal/dev/callers/client.go
@@ -42,12 +42,6 @@
 	c.transport.CloseIdleConnections()
 }
 
-// refusal is the body of a refusal.
-type refusal struct {
-	Kind         string `json:"kind"`
-	RetryAfterMS int64  `json:"retry_after_ms"`
-}
-
 // Send sends one attempt and returns what became of it and the advised wait
 // before the next one.
 func (c *Client) Send(ctx context.Context, entry *Entry, id, key string, kind Kind) (Attempt, time.Duration) {
--- a/internal/dev/callers/load.go
+++ b/internal/dev/callers/load.go
@@ -3,14 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"strconv"
-	"sync"
 	"time"
-
-	"github.com/google/uuid"
-
-	"peridotmoor.org/peridotmoor/internal/outcome"
 )
 
 // The bounds of one request.
@@ -92,66 +86,6 @@
 	return keys
 }
 
-// loadRun is one run of a load.
-type loadRun struct {
-	load     Load
-	balancer *Balancer
-	client   *Client
-	requests sync.WaitGroup
-
-	mu      sync.Mutex
-	records []*Record
-}
-
-func (l *loadRun) probe(ctx context.Context, kind Kind) {
-	start := time.Now()
-	for round := 0; ; round++ {
-		due := start.Add(time.Duration(round) * l.load.ProbeInterval)
-		if !sleepUntil(ctx, due) {
-			return
-		}
-		for number := range kind.Keys {
-			l.send(ctx, due, kind, keyName(kind, number))
-		}
-	}
-}
-
-// send starts one request. A load that has ended leaves the requests it has sent to their own deadlines.
-func (l *loadRun) send(ctx context.Context, due time.Time, kind Kind, key string) {
-	id := uuid.Must(uuid.NewV7()).String()
-	record := &Record{RequestID: id, Kind: kind.Name, Service: kind.Service, Key: key, Idempotent: kind.Idempotent(), Due: due}
-	l.mu.Lock()
-	l.records = append(l.records, record)
-	l.mu.Unlock()
-	l.requests.Go(func() { l.attempts(context.WithoutCancel(ctx), record, kind) })
-}
-
-// attempts sends the request until it is answered, with the same ID and to
-// another instance each time.
-func (l *loadRun) attempts(ctx context.Context, record *Record, kind Kind) {
-	ctx, cancel := context.WithDeadline(ctx, record.Due.Add(requestTimeout))
-	defer cancel()
-	var entry *Entry
-	for range maxAttempts {
-		entry = l.balancer.Pick(entry)
-		attempt, wait := l.client.Send(ctx, entry, record.RequestID, record.Key, kind)
-		record.Attempts = append(record.Attempts, attempt)
-		if attempt.Outcome == outcome.Answered || permanent(attempt) {
-			break
-		}
-		if !sleepUntil(ctx, time.Now().Add(max(wait, resendDelay))) {
-			break
-		}
-	}
-	record.Latency = time.Since(record.Due)
-}
-
-// permanent reports a refusal that a resend does not change.
-func permanent(attempt Attempt) bool {
-	return attempt.Status >= http.StatusBadRequest && attempt.Status < http.StatusInternalServerError &&
-		attempt.Status != http.StatusTooManyRequests
-}
-
 // sleepUntil waits until at and reports whether ctx is still open.
 func sleepUntil(ctx context.Context, at time.Time) bool {
 	timer := time.NewTimer(time.Until(at))
--- a/internal/dev/callers/record.go
+++ b/internal/dev/callers/record.go
@@ -19,20 +19,6 @@
 	Latency time.Duration `json:"latency_ns"`
 }
 
-// Attempt is one sending of a request to one entry instance.
-type Attempt struct {
-	Entry string `json:"entry"`
-	// Sent reports whether a byte of the request may have been written.
-	Sent bool `json:"sent"`
-	// Outcome is what the instance claimed; empty when it answered nothing whole.
-	Outcome outcome.Outcome `json:"outcome"`
-	Status  int             `json:"status"`
-	Kind    string          `json:"problem,omitempty"`
-	// Crossed reports a whole answer that was another request's.
-	Crossed bool   `json:"crossed"`
-	Error   string `json:"error,omitempty"`
-}
-
 // Final is the outcome of the request over all attempts.
 func (r *Record) Final() outcome.Outcome {
 	final := outcome.NotRun
--- a/internal/dev/demo/load.go
+++ b/internal/dev/demo/load.go
@@ -13,14 +13,6 @@
 // callerConnections bounds the connections of the callers to one instance.
 const callerConnections = 256
 
-// loadResult is what the callers saw, and when.
-type loadResult struct {
-	records  []*callers.Record
-	from, to time.Time
-	probe    callers.Kind
-	keys     []string
-}
-
 // load sends the requests while the planned failures happen.
 func (d *demo) load(ctx context.Context) (loadResult, error) {
 	var entries []*callers.Entry
--- a/internal/dev/demo/plan.go
+++ b/internal/dev/demo/plan.go
@@ -10,14 +10,6 @@
 	"peridotmoor.org/peridotmoor/internal/dev/servers"
 )
 
-// event is one planned failure or change.
-type event struct {
-	// share is when it happens, as a part of the load's time.
-	share float64
-	what  string
-	run   func(ctx context.Context) error
-}
-
 // plan returns the events in order. The failure domain is taken out before any
 // instance is lost, so that two instances remain at all times.
 func (d *demo) plan() []event {
--- a/internal/dev/ownership/monitor.go
+++ b/internal/dev/ownership/monitor.go
@@ -11,13 +11,6 @@
 // maxPast bounds the ended intervals and the overlaps that are kept.
 const maxPast = 200_000
 
-// owner names one server of one service under one shard.
-type owner struct {
-	service string
-	shard   int
-	server  string
-}
-
 // Monitor keeps the ownership that each server reports. Times are of the
 // process's own clock; each server translates the expiries of its grants.
 type Monitor struct {
@@ -30,13 +23,6 @@
 	dropped int
 }
 
-// pair names two servers and the range that both own.
-type pair struct {
-	service       string
-	shared        key.Range
-	first, second string
-}
-
 // NewMonitor returns a monitor of no servers.
 func NewMonitor() *Monitor {
 	return &Monitor{current: map[owner][]Interval{}, found: map[pair]bool{}}
--- a/internal/dev/platform/control.go
+++ b/internal/dev/platform/control.go
@@ -11,15 +11,6 @@
 	"peridotmoor.org/peridotmoor/internal/instances/httplist"
 )
 
-// Control is the body of POST /dev/faults. Absent fields stay as they are.
-type Control struct {
-	Down           *bool `json:"down,omitempty"`
-	SlowMS         *int  `json:"slow_ms,omitempty"`
-	Stale          *bool `json:"stale,omitempty"`
-	LoseNextAnswer bool  `json:"lose_next_answer,omitempty"`
-	ListLagMS      *int  `json:"list_lag_ms,omitempty"`
-}
-
 func (s *Server) devRoutes() {
 	s.routes.HandleFunc("/dev/faults", s.control).Methods(http.MethodPost)
 	s.routes.HandleFunc("/dev/instances", s.setInstance).Methods(http.MethodPost)
--- a/internal/dev/platform/list.go
+++ b/internal/dev/platform/list.go
@@ -1,13 +1,11 @@
 package platform
 
 import (
-	"net/http"
 	"sort"
 	"sync"
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/instances"
-	"peridotmoor.org/peridotmoor/internal/instances/httplist"
 )
 
 // List is the lagging list of instances: a change shows after the lag that was
@@ -20,13 +18,6 @@
 	pending []change
 }
 
-// change sets or removes one instance at a time.
-type change struct {
-	at       time.Time
-	instance instances.Instance
-	removed  bool
-}
-
 // NewList returns an empty list without lag.
 func NewList() *List {
 	return &List{shown: map[string]instances.Instance{}}
@@ -81,15 +72,3 @@
 		l.shown[c.instance.Name] = c.instance
 	}
 }
-
-func (s *Server) listRoutes() {
-	s.routes.HandleFunc("/v1/instances", s.listInstances).Methods(http.MethodGet)
-}
-
-func (s *Server) listInstances(w http.ResponseWriter, r *http.Request) {
-	listed := []httplist.ListedInstance{}
-	for _, instance := range s.list.Instances() {
-		listed = append(listed, httplist.ListedInstance(instance))
-	}
-	answerJSON(w, listed)
-}
--- /dev/null
+++ b/internal/dev/servers/conn.go
@@ -0,0 +1,23 @@
+package servers
+
+import "net"
+
+// conn is one tracked connection.
+type conn struct {
+	*net.TCPConn
+	owner *listener
+}
+
+// Close closes the connection and stops tracking it.
+func (c *conn) Close() error {
+	c.owner.mu.Lock()
+	delete(c.owner.conns, c)
+	c.owner.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+// reset closes the connection with a TCP reset, as the end of a process does.
+func (c *conn) reset() {
+	_ = c.SetLinger(0)
+	_ = c.Close()
+}
--- /dev/null
+++ b/internal/dev/servers/evidence.go
@@ -0,0 +1,15 @@
+package servers
+
+import (
+	"peridotmoor.org/peridotmoor/internal/dev/ownership"
+	"peridotmoor.org/peridotmoor/internal/dev/runlog"
+)
+
+// Evidence is the answer to GET /dev/runlog.
+type Evidence struct {
+	Runs []runlog.Run `json:"runs"`
+	// Dropped counts the runs and intervals that did not fit; the evidence is whole only when it is 0.
+	Dropped   int                  `json:"dropped"`
+	Overlaps  []ownership.Overlap  `json:"overlaps"`
+	Intervals []ownership.Interval `json:"intervals"`
+}
--- a/internal/dev/servers/fleetcontrol.go
+++ b/internal/dev/servers/fleetcontrol.go
@@ -8,28 +8,8 @@
 	"github.com/pkg/errors"
 
 	"peridotmoor.org/peridotmoor/internal/backend"
-	"peridotmoor.org/peridotmoor/internal/dev/ownership"
-	"peridotmoor.org/peridotmoor/internal/dev/runlog"
 )
 
-// Listed is one server in the answer to GET /dev/servers.
-type Listed struct {
-	Name        string `json:"name"`
-	Service     string `json:"service"`
-	Domain      string `json:"domain"`
-	Address     string `json:"address"`
-	Incarnation string `json:"incarnation"`
-}
-
-// Evidence is the answer to GET /dev/runlog.
-type Evidence struct {
-	Runs []runlog.Run `json:"runs"`
-	// Dropped counts the runs and intervals that did not fit; the evidence is whole only when it is 0.
-	Dropped   int                  `json:"dropped"`
-	Overlaps  []ownership.Overlap  `json:"overlaps"`
-	Intervals []ownership.Interval `json:"intervals"`
-}
-
 func (f *Fleet) controlRoutes() *mux.Router {
 	routes := mux.NewRouter()
 	routes.HandleFunc("/dev/servers", f.serveList).Methods(http.MethodGet)
--- a/internal/dev/servers/handler.go
+++ b/internal/dev/servers/handler.go
@@ -2,12 +2,9 @@
 
 import (
 	"net/http"
-	"net/url"
-	"strconv"
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/backend"
-	"peridotmoor.org/peridotmoor/internal/backend/httpbackend"
 	"peridotmoor.org/peridotmoor/internal/dev/runlog"
 	"peridotmoor.org/peridotmoor/internal/key"
 )
@@ -89,37 +86,6 @@
 	http.Error(w, reason, http.StatusServiceUnavailable)
 }
 
-// call is one request as read from its headers.
-type call struct {
-	id         string
-	key        string
-	order      backend.Order
-	idempotent bool
-	timeout    time.Duration
-}
-
-func readCall(r *http.Request) (call, error) {
-	name, err := url.PathUnescape(r.Header.Get(backend.HeaderKey))
-	if err != nil {
-		return call{}, err
-	}
-	timeout, err := strconv.ParseInt(r.Header.Get(backend.HeaderTimeoutMS), 10, 64)
-	if err != nil {
-		return call{}, err
-	}
-	order, err := httpbackend.OrderCall{
-		Shard: r.Header.Get(backend.HeaderShard),
-		Token: r.Header.Get(backend.HeaderToken),
-	}.Decode()
-	return call{
-		id:         r.Header.Get(backend.HeaderRequestID),
-		key:        name,
-		order:      order,
-		idempotent: r.Header.Get(backend.HeaderIdempotent) == "true",
-		timeout:    time.Duration(timeout) * time.Millisecond,
-	}, err
-}
-
 func (h *requestHandler) begin(c call) int {
 	return h.server.log.Begin(runlog.Run{
 		RequestID:   c.id,
--- a/internal/dev/servers/lagged.go
+++ b/internal/dev/servers/lagged.go
@@ -13,11 +13,6 @@
 	changes []dated[T]
 }
 
-type dated[T any] struct {
-	at    time.Time
-	value T
-}
-
 func newLagged[T any](lag time.Duration, first T) *lagged[T] {
 	return &lagged[T]{lag: lag, changes: []dated[T]{{value: first}}}
 }
--- /dev/null
+++ b/internal/dev/servers/listed.go
@@ -0,0 +1,10 @@
+package servers
+
+// Listed is one server in the answer to GET /dev/servers.
+type Listed struct {
+	Name        string `json:"name"`
+	Service     string `json:"service"`
+	Domain      string `json:"domain"`
+	Address     string `json:"address"`
+	Incarnation string `json:"incarnation"`
+}
--- a/internal/dev/servers/listener.go
+++ b/internal/dev/servers/listener.go
@@ -15,12 +15,6 @@
 	closed bool
 }
 
-// conn is one tracked connection.
-type conn struct {
-	*net.TCPConn
-	owner *listener
-}
-
 func newListener(inner net.Listener, limit int) *listener {
 	return &listener{Listener: inner, limit: limit, conns: map[*conn]bool{}}
 }
@@ -62,17 +56,3 @@
 		c.reset()
 	}
 }
-
-// Close closes the connection and stops tracking it.
-func (c *conn) Close() error {
-	c.owner.mu.Lock()
-	delete(c.owner.conns, c)
-	c.owner.mu.Unlock()
-	return c.TCPConn.Close()
-}
-
-// reset closes the connection with a TCP reset, as the end of a process does.
-func (c *conn) reset() {
-	_ = c.SetLinger(0)
-	_ = c.Close()
-}
--- a/internal/store/httpstore/caller.go
+++ b/internal/store/httpstore/caller.go
@@ -18,14 +18,6 @@
 // dialTimeout bounds the time to connect. A connection within a region takes about 1 ms.
 const dialTimeout = time.Second
 
-// callKind says what a lost answer leaves open.
-type callKind int
-
-const (
-	readCall callKind = iota
-	changeCall
-)
-
 // caller sends one HTTP request per call and never sends one twice.
 type caller struct {
 	base      string
--- a/internal/store/memstore/store.go
+++ b/internal/store/memstore/store.go
@@ -24,13 +24,6 @@
 	changed chan struct{}
 }
 
-// record is one key as stored.
-type record struct {
-	value    []byte
-	revision uint64
-	lease    store.LeaseID
-}
-
 // New returns an empty store.
 func New() *Store {
 	return &Store{
@@ -194,8 +187,4 @@
 	return r.entry(key), nil
 }
 
-func (r record) entry(key string) store.Entry {
-	return store.Entry{Key: key, Value: append([]byte(nil), r.value...), Revision: r.revision}
-}
-
 var _ store.Store = (*Store)(nil)
