Add peridotmoor-report with the commands request and verify

Records of all instances are joined in the order of time. request tells the story of one request with the proof of its outcome; verify checks the records against what callers saw and backend servers ran. The second value of a repeated field (instance_state has two) is kept apart, and lines without an instance (events_dropped) belong to the instance of their neighbours. The demo passes the callers' records to verify as well.

--- a/internal/dev/demo/conclude.go
+++ b/internal/dev/demo/conclude.go
@@ -90,5 +90,5 @@
 	if err != nil {
 		return errors.Wrap(err, "records of the callers")
 	}
-	return errors.Wrap(os.WriteFile(d.dir+"/callers.json", content, 0o644), "records of the callers")
+	return errors.Wrap(os.WriteFile(d.callersPath(), content, 0o644), "records of the callers")
 }
--- a/internal/dev/demo/programs.go
+++ b/internal/dev/demo/programs.go
@@ -50,12 +50,12 @@
 }
 
 // verify lets the report program compare the routers' records with the run log
-// of the servers. It returns an empty text when the program is not there.
+// of the servers and the records of the callers. It returns an empty text when the program is not there.
 func (d *demo) verify(ctx context.Context) (string, error) {
 	if _, err := os.Stat(filepath.Join(d.options.Bin, programReport)); err != nil {
 		return "", nil
 	}
-	args := []string{"verify", "--runlog", d.runlogPath()}
+	args := []string{"verify", "--runlog", d.runlogPath(), "--callers", d.callersPath()}
 	for _, i := range d.instances {
 		args = append(args, i.records(d.dir))
 	}
@@ -65,3 +65,7 @@
 func (d *demo) runlogPath() string {
 	return filepath.Join(d.dir, "runlog.json")
 }
+
+func (d *demo) callersPath() string {
+	return filepath.Join(d.dir, "callers.json")
+}
--- /dev/null
+++ b/internal/report/account.go
@@ -0,0 +1,122 @@
+package report
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/events"
+	"peridotmoor.org/peridotmoor/internal/outcome"
+)
+
+// Account is what the records show about one request.
+type Account struct {
+	ID      string
+	Service string
+	Key     string
+	// Marked reports whether a record says if the request is idempotent.
+	Marked     bool
+	Idempotent bool
+	Records    []*Record
+	// Endings are the conclusions of entry instances, one for each sending by the caller.
+	Endings    []Ending
+	Dispatches []Dispatch
+	// HolderEnds are the records of holders that the request has ended there.
+	HolderEnds []*Record
+}
+
+// AccountOf joins the records of one request.
+func (j *Journal) AccountOf(id string) *Account {
+	a := &Account{ID: id, Records: j.Request(id)}
+	for _, r := range a.Records {
+		a.add(r)
+	}
+	return a
+}
+
+func (a *Account) add(r *Record) {
+	if a.Service == "" {
+		a.Service, a.Key = r.Text(fieldService), r.Text(fieldKey)
+	}
+	if r.Has(fieldIdempotent) {
+		a.Marked, a.Idempotent = true, r.Flag(fieldIdempotent)
+	}
+	switch r.Event {
+	case events.EntryEnded.Number, events.EntryRefused.Number:
+		a.Endings = append(a.Endings, newEnding(r))
+	case events.RequestDispatched.Number:
+		a.Dispatches = append(a.Dispatches, Dispatch{At: r.At, Holder: r.Instance, Server: r.Text(fieldServer), Token: r.Text(fieldToken)})
+	case events.RequestAnswered.Number, events.DispatchFailed.Number:
+		a.endDispatch(r)
+	case events.RequestEnded.Number:
+		a.HolderEnds = append(a.HolderEnds, r)
+	}
+}
+
+// endDispatch ends the first open dispatch of the same holder to the same server.
+func (a *Account) endDispatch(r *Record) {
+	for n := range a.Dispatches {
+		d := &a.Dispatches[n]
+		if !d.Open() || d.Holder != r.Instance || d.Server != r.Text(fieldServer) {
+			continue
+		}
+		d.End = r.At
+		d.Answered = r.Event == events.RequestAnswered.Number
+		d.Kind, d.Detail, d.stage = r.Text(fieldKind), reasonOf(r), stageOf(r)
+		return
+	}
+}
+
+// Outcome is what the entry instances told the caller in all, and empty when no
+// record of an entry says it.
+func (a *Account) Outcome() outcome.Outcome {
+	if len(a.Endings) == 0 {
+		return ""
+	}
+	all := outcome.NotRun
+	for _, ending := range a.Endings {
+		switch ending.Outcome {
+		case outcome.Answered:
+			return outcome.Answered
+		case outcome.NotRun:
+		default:
+			all = outcome.Unknown
+		}
+	}
+	return all
+}
+
+// Start is when the first entry instance received the request, or else the time
+// of the first record.
+func (a *Account) Start() time.Time {
+	if len(a.Records) == 0 {
+		return time.Time{}
+	}
+	start := a.Records[0].At
+	for _, ending := range a.Endings {
+		if begun := ending.At.Add(-ending.Took); begun.Before(start) {
+			start = begun
+		}
+	}
+	return start
+}
+
+// End is the time of the last record.
+func (a *Account) End() time.Time {
+	if len(a.Records) == 0 {
+		return time.Time{}
+	}
+	return a.Records[len(a.Records)-1].At
+}
+
+// last returns the conclusion that decided the outcome: the first answer, or
+// else the last conclusion.
+func (a *Account) last() *Ending {
+	for n := range a.Endings {
+		if a.Endings[n].Outcome == outcome.Answered {
+			return &a.Endings[n]
+		}
+	}
+	if len(a.Endings) == 0 {
+		return nil
+	}
+	return &a.Endings[len(a.Endings)-1]
+}
--- /dev/null
+++ b/internal/report/command/command.go
@@ -0,0 +1,41 @@
+package command
+
+import (
+	"github.com/integrii/flaggy"
+)
+
+// command is one subcommand.
+type command struct {
+	name        string
+	description string
+	first       string // name of the first positional value, empty for none
+	firstHelp   string
+	flags       func(*flaggy.Subcommand, *options)
+	run         func(*tool) error
+}
+
+// commands lists all subcommands in the order of the help.
+var commands = []command{
+	{name: "request", description: "Tell what happened to one request, with the proof of its outcome.",
+		first: "ID", firstHelp: "Request ID; the record FILES follow.", run: runRequest},
+	{name: "verify", description: "Check the records against what the callers saw and the backend servers ran.",
+		flags: verifyFlags, run: runVerify},
+}
+
+func (c command) declare(o *options) *flaggy.Subcommand {
+	sub := flaggy.NewSubcommand(c.name)
+	sub.Description = c.description
+	sub.Bool(&o.JSON, "j", "json", "Print JSON.")
+	if c.first != "" {
+		sub.AddPositionalValue(&o.First, c.first, 1, true, c.firstHelp)
+	}
+	if c.flags != nil {
+		c.flags(sub, o)
+	}
+	return sub
+}
+
+func verifyFlags(sub *flaggy.Subcommand, o *options) {
+	sub.String(&o.RunLog, "r", "runlog", "Run log of the backend servers (JSON).")
+	sub.String(&o.Callers, "c", "callers", "Records of the callers (JSON).")
+}
--- /dev/null
+++ b/internal/report/command/options.go
@@ -0,0 +1,33 @@
+package command
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// options are the arguments of all subcommands.
+type options struct {
+	JSON    bool
+	First   string // request ID or failure domain
+	RunLog  string
+	Callers string
+	From    string
+	To      string
+	Output  string
+}
+
+// times are the layouts of --from and --to; a time without zone is UTC.
+var times = []string{time.RFC3339Nano, "2006-01-02T15:04:05", "2006-01-02T15:04", "2006-01-02"}
+
+func parseTime(flag, text string) (time.Time, error) {
+	if text == "" {
+		return time.Time{}, nil
+	}
+	for _, layout := range times {
+		if at, err := time.Parse(layout, text); err == nil {
+			return at, nil
+		}
+	}
+	return time.Time{}, errors.Errorf("%s %q is not a time; write it as 2026-12-04T10:00:00Z", flag, text)
+}
--- /dev/null
+++ b/internal/report/decode/decode.go
@@ -0,0 +1,144 @@
+// Package decode reads records from JSON lines.
+package decode
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/events"
+	"peridotmoor.org/peridotmoor/internal/report"
+)
+
+// maxLineBytes bounds one line. The longest field is a message with a path of
+// at most 4 KB.
+const maxLineBytes = 1 << 20
+
+// Lines reads the records of one source. A line that is no record is reported
+// and does not end the reading; a failed read does.
+func Lines(source string, in io.Reader) ([]*report.Record, []report.BadLine, error) {
+	var records []*report.Record
+	var bad []report.BadLine
+	reader := bufio.NewReaderSize(in, maxLineBytes)
+	for number := 1; ; number++ {
+		line, long, err := readLine(reader)
+		if err != nil && err != io.EOF {
+			return records, bad, errors.Wrapf(err, "read %s", source)
+		}
+		switch record, problem := parse(line); {
+		case long:
+			bad = append(bad, report.BadLine{Source: source, Line: number, Reason: "the line is longer than 1 MiB"})
+		case len(bytes.TrimSpace(line)) == 0:
+		case problem != nil:
+			bad = append(bad, report.BadLine{Source: source, Line: number, Reason: problem.Error()})
+		default:
+			records = append(records, record)
+		}
+		if err == io.EOF {
+			attribute(source, records)
+			return records, bad, nil
+		}
+	}
+}
+
+// attribute gives a record without an instance, as events_dropped, to the
+// instance of its neighbours: one source is the output of one instance, or
+// several such outputs joined.
+func attribute(source string, records []*report.Record) {
+	name := "unnamed instance of " + source
+	for _, r := range slices.Backward(records) {
+		if r.Instance != "" {
+			name = r.Instance
+		}
+	}
+	for _, r := range records {
+		if r.Instance == "" {
+			r.Instance = name
+		}
+		name = r.Instance
+	}
+}
+
+// readLine returns the next line, and whether it did not fit; the rest of a
+// line that did not fit is skipped.
+func readLine(reader *bufio.Reader) ([]byte, bool, error) {
+	line, err := reader.ReadSlice('\n')
+	if err != bufio.ErrBufferFull {
+		return line, false, err
+	}
+	for err == bufio.ErrBufferFull {
+		_, err = reader.ReadSlice('\n')
+	}
+	return nil, true, err
+}
+
+// parse returns the record in a line.
+func parse(line []byte) (*report.Record, error) {
+	fields, err := parseFields(line)
+	if err != nil {
+		return nil, err
+	}
+	r := &report.Record{Fields: fields}
+	if r.At, err = time.Parse(time.RFC3339Nano, take(fields, "at")); err != nil {
+		return nil, errors.New(`field "at" is not a time (RFC 3339)`)
+	}
+	number, isNumber := fields["event"].(float64)
+	if !isNumber {
+		return nil, errors.New(`field "event" is not a number`)
+	}
+	delete(fields, "event")
+	r.Event = int(number)
+	r.Name = take(fields, "name")
+	r.Level = take(fields, "level")
+	r.Message = take(fields, "msg")
+	r.Instance = take(fields, events.FieldInstance)
+	r.Domain = take(fields, events.FieldDomain)
+	return r, nil
+}
+
+// parseFields reads an object and keeps both values of a repeated name, which
+// encoding/json would not.
+func parseFields(line []byte) (map[string]any, error) {
+	decoder := json.NewDecoder(bytes.NewReader(line))
+	if token, err := decoder.Token(); err != nil || token != json.Delim('{') {
+		return nil, errors.New("not a JSON object")
+	}
+	fields := map[string]any{}
+	for decoder.More() {
+		name, err := decoder.Token()
+		if err != nil {
+			return nil, errors.New("the JSON object is cut off or damaged")
+		}
+		var value any
+		if err := decoder.Decode(&value); err != nil {
+			return nil, errors.New("the JSON object is cut off or damaged")
+		}
+		keep(fields, name.(string), value)
+	}
+	if _, err := decoder.Token(); err != nil {
+		return nil, errors.New("the JSON object is cut off or damaged")
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return nil, errors.New("there is more after the JSON object")
+	}
+	return fields, nil
+}
+
+func keep(fields map[string]any, name string, value any) {
+	if _, repeated := fields[name]; repeated {
+		name = report.SecondPrefix + name
+	}
+	fields[name] = value
+}
+
+// take removes a text field and returns it.
+func take(fields map[string]any, name string) string {
+	value, _ := fields[name].(string)
+	delete(fields, name)
+	return value
+}
--- /dev/null
+++ b/internal/report/ending.go
@@ -0,0 +1,36 @@
+package report
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/events"
+	"peridotmoor.org/peridotmoor/internal/outcome"
+)
+
+// Ending is how an entry instance concluded one sending of a request by its caller.
+type Ending struct {
+	At       time.Time       `json:"at"`
+	Instance string          `json:"instance"`
+	Outcome  outcome.Outcome `json:"outcome"`
+	Kind     string          `json:"kind,omitempty"`
+	Detail   string          `json:"detail,omitempty"`
+	// Took is from the arrival at the entry to the conclusion.
+	Took time.Duration `json:"took_ns"`
+	// Refused reports that the request did not pass the checks of the entry.
+	Refused bool `json:"refused,omitempty"`
+
+	stage outcome.Stage
+}
+
+func newEnding(r *Record) Ending {
+	return Ending{
+		At:       r.At,
+		Instance: r.Instance,
+		Outcome:  outcome.Outcome(r.Text(fieldOutcome)),
+		Kind:     r.Text(fieldKind),
+		Detail:   reasonOf(r),
+		Took:     r.Duration(fieldTook),
+		Refused:  r.Event == events.EntryRefused.Number,
+		stage:    stageOf(r),
+	}
+}
--- /dev/null
+++ b/internal/report/fields.go
@@ -0,0 +1,49 @@
+package report
+
+import "peridotmoor.org/peridotmoor/internal/events"
+
+// Names of the fields that the report reads. The first group is shared by
+// several packages; the others belong to single events.
+const (
+	fieldRequestID  = events.FieldRequestID
+	fieldService    = events.FieldService
+	fieldKey        = events.FieldKey
+	fieldShard      = events.FieldShard
+	fieldServer     = events.FieldServer
+	fieldOutcome    = events.FieldOutcome
+	fieldKind       = events.FieldKind
+	fieldStage      = events.FieldStage
+	fieldDetail     = events.FieldMessage
+	fieldTook       = events.FieldDuration
+	fieldHolder     = events.FieldHolder
+	fieldIdempotent = events.FieldIdempotent
+	fieldToken      = events.FieldToken
+	fieldVersion    = events.FieldVersion
+
+	fieldProblem     = "problem"
+	fieldDurationMS  = "duration_ms"
+	fieldWaitMS      = "wait_ms"
+	fieldBackoffMS   = "backoff_ms"
+	fieldDelayMS     = "delay_ms"
+	fieldSlowServer  = "slow_server"
+	fieldStatus      = "status"
+	fieldCount       = "count"
+	fieldCallers     = "callers"
+	fieldRange       = "range"
+	fieldFrom        = "from"
+	fieldTo          = "to"
+	fieldOut         = "out"
+	fieldReason      = "reason"
+	fieldAuthor      = "author"
+	fieldInstalled   = "version"
+	fieldState       = "state"
+	fieldIncarnation = "incarnation"
+)
+
+// reasonOf returns what a record says about the cause of a refusal or failure.
+func reasonOf(r *Record) string {
+	if detail := r.Text(fieldDetail); detail != "" {
+		return detail
+	}
+	return r.Text(fieldProblem)
+}
--- /dev/null
+++ b/internal/report/verification.go
@@ -0,0 +1,52 @@
+package report
+
+// Verification is the result of Verify.
+type Verification struct {
+	// Sent counts the requests of the callers.
+	Sent int `json:"sent"`
+	// InRecords counts those with any record, and Partial those of them that
+	// lack the conclusion of an attempt.
+	InRecords int `json:"in_records"`
+	Partial   int `json:"partial"`
+	// NoRecord counts requests that reached an instance and have no record;
+	// nothing is claimed about them.
+	NoRecord int `json:"no_record"`
+	// NeverSent counts requests of which no attempt reached an instance.
+	NeverSent int `json:"never_sent"`
+	// NotOfCallers counts requests that have records and are in no caller's list.
+	NotOfCallers int `json:"not_of_callers"`
+	// Answered, NotRun and Unknown count the outcomes by the records.
+	Answered int `json:"answered"`
+	NotRun   int `json:"not_run"`
+	Unknown  int `json:"unknown"`
+
+	Violations []Violation `json:"violations"`
+	// KnownMissing are requests whose missing records are explained by the loss
+	// of an instance or of its lines. Unaccounted are those without explanation.
+	KnownMissing []MissingRequest `json:"known_missing"`
+	Unaccounted  []MissingRequest `json:"unaccounted"`
+	// Losses say which records are known to be missing.
+	Losses []string `json:"losses"`
+	// Unchecked says what could not be checked.
+	Unchecked []string `json:"unchecked"`
+}
+
+// OK reports whether there is no violation and every request is accounted for.
+func (v Verification) OK() bool {
+	return len(v.Violations) == 0 && len(v.Unaccounted) == 0 && len(v.Unchecked) == 0
+}
+
+// Violation is a claim that the evidence disproves.
+type Violation struct {
+	RequestID string `json:"request_id"`
+	What      string `json:"what"`
+}
+
+// MissingRequest is a request whose records are missing in whole or in part.
+type MissingRequest struct {
+	RequestID string `json:"request_id"`
+	// What says what is missing.
+	What string `json:"what"`
+	// Instance is where the missing records were lost; empty when that is not known.
+	Instance string `json:"instance,omitempty"`
+}
--- /dev/null
+++ b/internal/report/verify.go
@@ -0,0 +1,156 @@
+package report
+
+import (
+	"fmt"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/outcome"
+)
+
+// lossSlack is how far the clocks of a caller and an instance may differ when a
+// lost record is put down to a killed instance; it is max_clock_skew of the settings.
+const lossSlack = 2 * time.Second
+
+// Verify compares the records with what the callers saw and the servers ran.
+func Verify(j *Journal, e Evidence) Verification {
+	v := &verifier{journal: j, evidence: e, runs: e.runsByID(), losses: newLosses(j)}
+	v.result.Sent = len(e.Sent)
+	v.result.Losses = lossesOf(j)
+	known := map[string]bool{}
+	for n := range e.Sent {
+		known[e.Sent[n].RequestID] = true
+		v.sent(&e.Sent[n])
+	}
+	for _, id := range j.RequestIDs() {
+		if !known[id] {
+			v.result.NotOfCallers++
+			v.claims(j.AccountOf(id), nil)
+		}
+	}
+	if e.DroppedRuns > 0 {
+		v.result.Unchecked = append(v.result.Unchecked, fmt.Sprintf("%d runs did not fit into the run log, so an answer without a run proves nothing", e.DroppedRuns))
+	}
+	return v.result
+}
+
+type verifier struct {
+	journal  *Journal
+	evidence Evidence
+	runs     map[string][]Run
+	losses   losses
+	result   Verification
+}
+
+// sent accounts for one request of a caller.
+func (v *verifier) sent(s *Sent) {
+	a := v.journal.AccountOf(s.RequestID)
+	reached := s.reached()
+	switch {
+	case len(reached) == 0 && len(a.Records) == 0:
+		v.result.NeverSent++
+	case len(a.Records) == 0:
+		v.result.NoRecord++
+		v.unrecorded(s, "no record")
+	case len(a.Endings) < len(reached):
+		v.result.InRecords++
+		v.result.Partial++
+		v.unrecorded(s, fmt.Sprintf("%d of %d conclusions recorded", len(a.Endings), len(reached)))
+	default:
+		v.result.InRecords++
+	}
+	v.count(a)
+	v.claims(a, s)
+	v.agreement(a, s)
+}
+
+// unrecorded decides whether the loss of an instance's records explains that
+// those of a request are missing.
+func (v *verifier) unrecorded(s *Sent, what string) {
+	m := MissingRequest{RequestID: s.RequestID, What: what}
+	if m.Instance = v.losses.explain(s); m.Instance != "" {
+		v.result.KnownMissing = append(v.result.KnownMissing, m)
+		return
+	}
+	v.result.Unaccounted = append(v.result.Unaccounted, m)
+}
+
+func (v *verifier) count(a *Account) {
+	switch a.Outcome() {
+	case outcome.Answered:
+		v.result.Answered++
+	case outcome.NotRun:
+		v.result.NotRun++
+	case outcome.Unknown:
+		v.result.Unknown++
+	}
+}
+
+// claims checks what callers and records claim about a request against the runs.
+// s is nil for a request that is in no caller's list.
+func (v *verifier) claims(a *Account, s *Sent) {
+	runs := v.runs[a.ID]
+	if v.claimedNotRun(a, s) && len(runs) > 0 {
+		v.violate(a.ID, "claimed not run, but server %s ran it at %s (I6)", runs[0].Server, runs[0].Start.Format(time.RFC3339Nano))
+	}
+	if v.claimedAnswered(a, s) && len(runs) == 0 && v.evidence.DroppedRuns == 0 {
+		v.violate(a.ID, "claimed answered, but no server ran it (I5)")
+	}
+	if len(runs) > 1 && v.exact(a, s, runs) {
+		v.violate(a.ID, "not idempotent, but it ran %d times (I7)", len(runs))
+	}
+	if s != nil && s.crossed() {
+		v.violate(a.ID, "its caller got the answer of another request (I5)")
+	}
+	for _, contradiction := range a.Contradictions() {
+		v.violate(a.ID, "the records contradict each other: %s", contradiction)
+	}
+}
+
+// claimedNotRun reports whether every attempt was told "not run". The records
+// say so only if none of the caller's attempts is missing from them.
+func (v *verifier) claimedNotRun(a *Account, s *Sent) bool {
+	recorded := a.Outcome() == outcome.NotRun
+	if s == nil {
+		return recorded
+	}
+	return s.claimedNotRun() || recorded && len(a.Endings) >= len(s.reached())
+}
+
+func (v *verifier) claimedAnswered(a *Account, s *Sent) bool {
+	return a.Outcome() == outcome.Answered || s != nil && s.told(outcome.Answered) > 0
+}
+
+// exact reports whether the request may run only once: whoever says so is believed.
+func (v *verifier) exact(a *Account, s *Sent, runs []Run) bool {
+	if a.Marked && !a.Idempotent || s != nil && !s.Idempotent {
+		return true
+	}
+	for _, run := range runs {
+		if !run.Idempotent {
+			return true
+		}
+	}
+	return false
+}
+
+// agreement checks that each outcome that the caller was told is in the records.
+func (v *verifier) agreement(a *Account, s *Sent) {
+	if len(a.Endings) < len(s.reached()) {
+		return
+	}
+	for _, told := range []outcome.Outcome{outcome.Answered, outcome.NotRun, outcome.Unknown} {
+		recorded := 0
+		for _, ending := range a.Endings {
+			if ending.Outcome == told {
+				recorded++
+			}
+		}
+		if count := s.told(told); count > recorded {
+			v.violate(s.RequestID, "its caller was told %s %d times, but the records say it %d times", told, count, recorded)
+		}
+	}
+}
+
+func (v *verifier) violate(id, format string, values ...any) {
+	v.result.Violations = append(v.result.Violations, Violation{RequestID: id, What: fmt.Sprintf(format, values...)})
+}
