--- a/internal/report/account.go
+++ b/internal/report/account.go
@@ -107,11 +107,21 @@
 	return a.Records[len(a.Records)-1].At
 }
 
-// last returns the conclusion that decided the outcome: the first answer, or
-// else the last conclusion.
-func (a *Account) last() *Ending {
+// Took is from the first arrival at an entry instance to the deciding conclusion,
+// and 0 when no conclusion is recorded.
+func (a *Account) Took() time.Duration {
+	if told := a.deciding(); told != nil {
+		return told.At.Sub(a.Start())
+	}
+	return 0
+}
+
+// deciding returns the conclusion that decided the outcome: the first one that
+// says the outcome of the request as a whole, or nil when none is recorded.
+func (a *Account) deciding() *Ending {
+	all := a.Outcome()
 	for n := range a.Endings {
-		if a.Endings[n].Outcome == outcome.Answered {
+		if a.Endings[n].Outcome == all {
 			return &a.Endings[n]
 		}
 	}
--- a/internal/report/command/command.go
+++ b/internal/report/command/command.go
@@ -20,6 +20,10 @@
 		first: "ID", firstHelp: "Request ID; the record FILES follow.", run: runRequest},
 	{name: "verify", description: "Check the records against what the callers saw and the backend servers ran.",
 		flags: verifyFlags, run: runVerify},
+	{name: "summary", description: "Count outcomes and latencies by service and hour.", flags: windowFlags, run: runSummary},
+	{name: "unanswered", description: "List every request that may have run without its caller getting the answer.", flags: windowFlags, run: runUnanswered},
+	{name: "domain", description: "Tell how a failure domain was taken out and brought back.",
+		first: "NAME", firstHelp: "Failure domain; the record FILES follow.", run: runDomain},
 }
 
 func (c command) declare(o *options) *flaggy.Subcommand {
@@ -39,3 +43,8 @@
 	sub.String(&o.RunLog, "r", "runlog", "Run log of the backend servers (JSON).")
 	sub.String(&o.Callers, "c", "callers", "Records of the callers (JSON).")
 }
+
+func windowFlags(sub *flaggy.Subcommand, o *options) {
+	sub.String(&o.From, "", "from", "Only requests that arrived at this time or later, such as 2026-12-04T10:00:00Z.")
+	sub.String(&o.To, "", "to", "Only requests that arrived before this time.")
+}
--- a/internal/report/command/request.go
+++ b/internal/report/command/request.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,7 +35,7 @@
 func writeStory(w io.Writer, s report.Story) {
 	fmt.Fprintf(w, "Request %s\n", s.ID)
 	if len(s.Steps) > 0 {
-		fmt.Fprintf(w, "  service %s, key %s, %s\n", s.Service, s.Key, idempotence(s))
+		fmt.Fprintf(w, "  service %s, key %s, %s\n", s.Service, s.Key, idempotence(s.Marked, s.Idempotent))
 		fmt.Fprintf(w, "  arrived %s", s.Start.UTC().Format(timeLayout))
 		if s.Took > 0 {
 			fmt.Fprintf(w, ", concluded after %s", report.Millis(s.Took))
@@ -47,22 +48,29 @@
 		fmt.Fprintln(w, "What happened:")
 	}
 	for _, step := range s.Steps {
-		fmt.Fprintf(w, "  %s  %s\n", offset(step.Offset), step.Text)
+		fmt.Fprintf(w, "  %s  %s%s\n", offset(step.Offset), step.Text, repeats(step))
 	}
 	writeList(w, "Missing records", s.Missing)
 }
 
-func idempotence(s report.Story) string {
+func idempotence(marked, idempotent bool) string {
 	switch {
-	case !s.Marked:
+	case !marked:
 		return "not recorded whether idempotent"
-	case s.Idempotent:
+	case idempotent:
 		return "idempotent"
 	default:
 		return "not idempotent: it must run at most once"
 	}
 }
 
+func repeats(step report.Step) string {
+	if step.Repeats == 0 {
+		return ""
+	}
+	return fmt.Sprintf(" (and %d times more until %s)", step.Repeats, strings.TrimSpace(offset(step.Until)))
+}
+
 // offset formats the time since the start of a request.
 func offset(d time.Duration) string {
 	return fmt.Sprintf("%+10.1f ms", float64(d)/float64(time.Millisecond))
--- /dev/null
+++ b/internal/report/domainchanges.go
@@ -0,0 +1,131 @@
+package report
+
+import (
+	"slices"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/events"
+)
+
+// attributionLimit is how far an installation of settings may be from a change
+// of a server that is put down to it. Settings are in effect everywhere within
+// seconds, and the two records may be written in either order.
+const attributionLimit = 5 * time.Second
+
+// domainChanges finds the departures and returns of a domain by what holders did
+// with its servers: changes of the same kind under one settings version are one.
+func domainChanges(j *Journal, name string) []DomainChange {
+	installed := installations(j)
+	var changes []DomainChange
+	for _, r := range j.Records {
+		if r.Event == events.ServerOut.Number && r.Text(fieldServerDomain) == name {
+			changes = addChange(changes, r, nearestVersion(installed[r.Instance], r.At))
+		}
+	}
+	for n := range changes {
+		changes[n].inEffect(j)
+	}
+	return changes
+}
+
+// installations returns the records of installed settings by instance.
+func installations(j *Journal) map[string][]*Record {
+	installed := map[string][]*Record{}
+	for _, r := range j.Records {
+		if r.Event == events.SettingsInstalled.Number {
+			installed[r.Instance] = append(installed[r.Instance], r)
+		}
+	}
+	return installed
+}
+
+// nearestVersion returns the version that was installed closest to at, or 0.
+func nearestVersion(installed []*Record, at time.Time) int {
+	version, nearest := 0, attributionLimit
+	for _, r := range installed {
+		if distance := r.At.Sub(at).Abs(); distance < nearest {
+			version, nearest = int(r.Number(fieldInstalled)), distance
+		}
+	}
+	return version
+}
+
+func addChange(changes []DomainChange, r *Record, version int) []DomainChange {
+	server := ServerChange{Server: r.Text(fieldServer), Shard: r.Text(fieldShard), Holder: r.Instance, At: r.At}
+	last := len(changes) - 1
+	if last < 0 || changes[last].Out != r.Flag(fieldOut) || changes[last].Version != version {
+		return append(changes, DomainChange{Out: r.Flag(fieldOut), Version: version, Begin: r.At, Servers: []ServerChange{server}})
+	}
+	changes[last].Servers = append(changes[last].Servers, server)
+	return changes
+}
+
+// inEffect notes when each instance had the version in effect.
+func (c *DomainChange) inEffect(j *Journal) {
+	if c.Version == 0 {
+		return
+	}
+	for _, r := range j.Records {
+		if r.Event == events.SettingsInstalled.Number && int(r.Number(fieldInstalled)) == c.Version {
+			c.InEffect = append(c.InEffect, InEffect{Instance: r.Instance, At: r.At})
+		}
+	}
+	if len(c.InEffect) > 0 && c.InEffect[0].At.Before(c.Begin) {
+		c.Begin = c.InEffect[0].At
+	}
+	for _, i := range j.Instances() {
+		has := slices.ContainsFunc(c.InEffect, func(e InEffect) bool { return e.Instance == i.Name })
+		if !has && !i.First.After(c.Begin) && !i.Last.Before(c.Begin) {
+			c.Without = append(c.Without, i.Name)
+		}
+	}
+}
+
+// follow notes what happened to the servers of the change within the window.
+func (c *DomainChange) follow(j *Journal, w Window) {
+	for _, r := range j.Records {
+		if !w.Contains(r.At) {
+			continue
+		}
+		switch r.Event {
+		case events.MoveEnded.Number, events.OwnerReplaced.Number:
+			c.moved(r)
+		case events.ServerCold.Number:
+			if s := c.server(r.Text(fieldServer)); s != nil && s.Cold == "" {
+				s.Cold = r.Text(fieldReason)
+			}
+		case events.RequestDispatched.Number:
+			c.worked(r)
+		}
+	}
+}
+
+// moved counts a range that went the way of the change.
+func (c *DomainChange) moved(r *Record) {
+	field := fieldTo
+	if c.Out {
+		field = fieldFrom
+	}
+	if c.server(r.Text(field)) == nil {
+		return
+	}
+	if c.Ranges == 0 {
+		c.FirstMove = r.At
+	}
+	c.Ranges++
+	c.LastMove = r.At
+}
+
+func (c *DomainChange) worked(r *Record) {
+	s := c.server(r.Text(fieldServer))
+	if s == nil {
+		return
+	}
+	work := &Work{At: r.At, RequestID: r.Text(fieldRequestID)}
+	if s.First == nil {
+		s.First = work
+	}
+	s.Last = work
+	s.Work++
+	c.Work++
+}
--- a/internal/report/journal.go
+++ b/internal/report/journal.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"maps"
 	"slices"
+
+	"peridotmoor.org/peridotmoor/internal/events"
 )
 
 // Journal holds the records of all instances in the order of time.
@@ -11,6 +13,8 @@
 	Records   []*Record
 	byRequest map[string][]*Record
 	byName    map[string]*Instance
+	// anonymous are the refusals of requests without an ID.
+	anonymous []*Record
 	// BadLines are the lines that could not be read.
 	BadLines []BadLine
 }
@@ -37,6 +41,8 @@
 func (j *Journal) index(r *Record) {
 	if id := r.Text(fieldRequestID); id != "" {
 		j.byRequest[id] = append(j.byRequest[id], r)
+	} else if r.Event == events.EntryRefused.Number {
+		j.anonymous = append(j.anonymous, r)
 	}
 	instance := j.byName[r.Instance]
 	if instance == nil {
--- a/internal/report/proof.go
+++ b/internal/report/proof.go
@@ -30,6 +30,15 @@
 	return "at a stage that the record does not name"
 }
 
+// meaning says what the ending proves. A refusal that proves nothing about an
+// earlier attempt is concluded as unknown.
+func (e Ending) meaning() string {
+	if e.Outcome == outcome.Unknown && outcome.Conclude(e.stage, false).Outcome == outcome.NotRun {
+		return "after an earlier attempt that may have run it"
+	}
+	return meaning(e.stage)
+}
+
 // Proof says why the outcome holds, or what is missing to say so.
 func (a *Account) Proof() string {
 	switch a.Outcome() {
@@ -45,7 +54,7 @@
 }
 
 func (a *Account) proofOfAnswer() string {
-	told := a.last()
+	told := a.deciding()
 	for _, d := range a.Dispatches {
 		if d.Answered {
 			return fmt.Sprintf("answered, because server %s answered holder %s and entry %s passed the whole answer on", d.Server, d.Holder, told.Instance)
@@ -57,16 +66,16 @@
 func (a *Account) proofOfNotRun() string {
 	var clauses []string
 	for _, ending := range a.Endings {
-		clause := "it was refused " + meaning(ending.stage) + where(ending)
+		clause := a.by(ending) + meaning(ending.stage) + where(ending)
 		if len(clauses) == 0 || clauses[len(clauses)-1] != clause {
 			clauses = append(clauses, clause)
 		}
 	}
-	attempts := "its only attempt ended so: "
+	attempts := "its only attempt was refused "
 	if len(a.Endings) > 1 {
-		attempts = fmt.Sprintf("each of its %d attempts ended so: ", len(a.Endings))
+		attempts = fmt.Sprintf("every one of its %d attempts was refused: ", len(a.Endings))
 	}
-	text := "not run, because " + attempts + strings.Join(clauses, "; ")
+	text := "not run, because " + attempts + strings.Join(clauses, "; and ")
 	if len(a.Dispatches) > 0 {
 		text += fmt.Sprintf("; of its %d dispatches to servers %s", len(a.Dispatches), a.dispatchesProve())
 	}
@@ -75,18 +84,26 @@
 
 // dispatchesProve says what the dispatches of a request that is claimed not run show.
 func (a *Account) dispatchesProve() string {
-	doubtful := 0
-	for n := range a.Dispatches {
-		if a.Dispatches[n].MayHaveRun() {
-			doubtful++
-		}
-	}
-	if doubtful > 0 {
+	if doubtful := len(a.doubtful()); doubtful > 0 {
 		return fmt.Sprintf("%d may have run it by these records", doubtful)
 	}
 	return "none wrote a byte that the server took for the request"
 }
 
+// by names the holder that refused the request. Its own record must say the
+// same as that of the entry, since the clocks of two instances do not order them.
+func (a *Account) by(e Ending) string {
+	if e.stage < outcome.StageQueued {
+		return ""
+	}
+	for _, end := range a.HolderEnds {
+		if end.Text(fieldKind) == e.Kind && stageOf(end) == e.stage {
+			return "at holder " + end.Instance + " "
+		}
+	}
+	return ""
+}
+
 func where(e Ending) string {
 	cause := e.Kind
 	if e.Detail != "" {
@@ -100,7 +117,7 @@
 		if ending.Outcome == outcome.NotRun {
 			continue
 		}
-		return "unknown, because it ended " + meaning(ending.stage) + where(ending) + a.seenOfServers()
+		return "unknown, because it ended " + ending.meaning() + where(ending) + a.seenOfServers()
 	}
 	return "unknown"
 }
@@ -108,11 +125,8 @@
 // seenOfServers lists the dispatches that may have run the request.
 func (a *Account) seenOfServers() string {
 	var servers []string
-	for n := range a.Dispatches {
-		d := &a.Dispatches[n]
-		if d.MayHaveRun() {
-			servers = append(servers, d.Server)
-		}
+	for _, d := range a.doubtful() {
+		servers = append(servers, d.Server)
 	}
 	if len(servers) == 0 {
 		return "; no record shows a dispatch to a server"
--- a/internal/report/step.go
+++ b/internal/report/step.go
@@ -10,8 +10,27 @@
 	Event    int           `json:"event"`
 	Instance string        `json:"instance"`
 	Text     string        `json:"text"`
+	// Repeats counts further events of the same text that followed at once, the
+	// last of them at Until.
+	Repeats int           `json:"repeats,omitempty"`
+	Until   time.Duration `json:"until_ns,omitempty"`
 }
 
 func newStep(start time.Time, r *Record) Step {
 	return Step{At: r.At, Offset: r.At.Sub(start), Event: r.Event, Instance: r.Instance, Text: sentence(r)}
 }
+
+// steps puts records into words and joins those that repeat each other.
+func steps(start time.Time, records []*Record) []Step {
+	var all []Step
+	for _, r := range records {
+		next := newStep(start, r)
+		if len(all) > 0 && all[len(all)-1].Text == next.Text {
+			all[len(all)-1].Repeats++
+			all[len(all)-1].Until = next.Offset
+			continue
+		}
+		all = append(all, next)
+	}
+	return all
+}
--- a/internal/report/story.go
+++ b/internal/report/story.go
@@ -21,7 +21,7 @@
 	// Proof says why the outcome holds.
 	Proof string    `json:"proof"`
 	Start time.Time `json:"start"`
-	// Took is from the arrival to the last conclusion of an entry; 0 when that is missing.
+	// Took is from the arrival to the deciding conclusion of an entry; 0 when that is missing.
 	Took  time.Duration `json:"took_ns"`
 	Steps []Step        `json:"steps"`
 	// Contradictions are records that do not agree with the outcome.
@@ -48,12 +48,8 @@
 	if s.Outcome == "" {
 		s.Outcome = OutcomeNotRecorded
 	}
-	if told := a.last(); told != nil {
-		s.Took = told.At.Sub(s.Start)
-	}
-	for _, r := range a.Records {
-		s.Steps = append(s.Steps, newStep(s.Start, r))
-	}
+	s.Took = a.Took()
+	s.Steps = steps(s.Start, a.Records)
 	return s
 }
 
@@ -79,7 +75,7 @@
 }
 
 // missing says which records of the request are missing, and which instances
-// are known to have lost records.
+// are known to have lost records of its time.
 func missing(j *Journal, a *Account) []string {
 	var found []string
 	for n := range a.Dispatches {
@@ -90,7 +86,12 @@
 	if len(a.Endings) == 0 {
 		found = append(found, "the conclusion of an entry instance")
 	}
-	return append(found, lossesOf(j)...)
+	for _, i := range j.Instances() {
+		if len(a.Records) == 0 || i.lost(a.Start(), a.End()) {
+			found = append(found, i.losses()...)
+		}
+	}
+	return append(found, j.unreadable()...)
 }
 
 // lossesOf lists what is known to be missing from the records as a whole.
@@ -99,8 +100,12 @@
 	for _, i := range j.Instances() {
 		found = append(found, i.losses()...)
 	}
-	if len(j.BadLines) > 0 {
-		found = append(found, fmt.Sprintf("%d lines that could not be read", len(j.BadLines)))
+	return append(found, j.unreadable()...)
+}
+
+func (j *Journal) unreadable() []string {
+	if len(j.BadLines) == 0 {
+		return nil
 	}
-	return found
+	return []string{fmt.Sprintf("%d lines that could not be read", len(j.BadLines))}
 }
--- /dev/null
+++ b/internal/report/unanswered.go
@@ -0,0 +1,93 @@
+package report
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/outcome"
+)
+
+// Unanswered lists the requests that may have run without their caller getting the answer.
+type Unanswered struct {
+	Window   Window              `json:"window"`
+	Requests []UnansweredRequest `json:"requests"`
+	// Missing says which records are known to be missing; more requests may be concerned.
+	Missing []string `json:"missing"`
+}
+
+// UnansweredRequest is one request that may have run without an answer.
+type UnansweredRequest struct {
+	ID         string          `json:"request_id"`
+	Service    string          `json:"service"`
+	Key        string          `json:"key"`
+	Idempotent bool            `json:"idempotent"`
+	Marked     bool            `json:"-"`
+	Arrived    time.Time       `json:"arrived"`
+	Outcome    outcome.Outcome `json:"outcome"`
+	Kind       string          `json:"kind"`
+	// Ran is what the records show about a run: RanSurely, RanPerhaps or RanNotShown.
+	Ran string `json:"ran"`
+	// Servers are those that ran it or may have.
+	Servers []string `json:"servers"`
+	Proof   string   `json:"proof"`
+}
+
+// What the records show about a run.
+const (
+	RanSurely   = "ran"
+	RanPerhaps  = "may have run"
+	RanNotShown = "no dispatch recorded"
+)
+
+// FindUnanswered returns the requests that arrived in the window and may have run
+// without their caller getting the answer. A request whose conclusion is not
+// recorded is one of them unless all its dispatches provably did not run.
+func FindUnanswered(j *Journal, w Window) Unanswered {
+	u := Unanswered{Window: w, Missing: lossesOf(j)}
+	for _, a := range j.Accounts(w) {
+		if a.mayHaveRunUnanswered() {
+			u.Requests = append(u.Requests, a.unanswered())
+		}
+	}
+	return u
+}
+
+func (a *Account) mayHaveRunUnanswered() bool {
+	switch a.Outcome() {
+	case outcome.Answered:
+		return false
+	case outcome.NotRun:
+		return len(a.doubtful()) > 0
+	default:
+		return true
+	}
+}
+
+// doubtful returns the dispatches that may have run the request.
+func (a *Account) doubtful() []*Dispatch {
+	var found []*Dispatch
+	for n := range a.Dispatches {
+		if a.Dispatches[n].MayHaveRun() {
+			found = append(found, &a.Dispatches[n])
+		}
+	}
+	return found
+}
+
+func (a *Account) unanswered() UnansweredRequest {
+	u := UnansweredRequest{ID: a.ID, Service: a.Service, Key: a.Key, Idempotent: a.Idempotent, Marked: a.Marked,
+		Arrived: a.Start(), Outcome: a.Outcome(), Ran: RanNotShown, Proof: a.Proof()}
+	if told := a.deciding(); told != nil {
+		u.Kind = told.Kind
+	} else {
+		u.Outcome = OutcomeNotRecorded
+	}
+	for _, d := range a.doubtful() {
+		u.Servers = append(u.Servers, d.Server)
+		if d.Answered {
+			u.Ran = RanSurely
+		} else if u.Ran == RanNotShown {
+			u.Ran = RanPerhaps
+		}
+	}
+	return u
+}
