--- /dev/null
+++ b/internal/report/proof.go
@@ -0,0 +1,146 @@
+package report
+
+import (
+	"fmt"
+	"strings"
+
+	"peridotmoor.org/peridotmoor/internal/outcome"
+)
+
+// meanings say what a stage proves about a backend server.
+var meanings = map[outcome.Stage]string{
+	outcome.StageEntry:           "before it was sent to any holder",
+	outcome.StageForwardUnsent:   "before any byte of it was sent to a holder that could run it",
+	outcome.StageForwardSent:     "after it was sent to a holder whose answer was lost",
+	outcome.StageQueued:          "before any byte of it was sent to a backend server",
+	outcome.StageConnect:         "before any byte of it was written to the backend server",
+	outcome.StageRefusedByServer: "by the backend server itself, which stated for this request ID that it does not run it",
+	outcome.StageWritten:         "after bytes of it were written to a backend server",
+	outcome.StageWhole:           "after the whole answer was received",
+}
+
+func stageMeaning(r *Record) string {
+	return meaning(stageOf(r))
+}
+
+func meaning(stage outcome.Stage) string {
+	if text, known := meanings[stage]; known {
+		return text
+	}
+	return "at a stage that the record does not name"
+}
+
+// meaning says what the ending proves. A refusal that proves nothing about an
+// earlier attempt is concluded as unknown.
+func (e Ending) meaning() string {
+	if e.Outcome == outcome.Unknown && outcome.Conclude(e.stage, false).Outcome == outcome.NotRun {
+		return "after an earlier attempt that may have run it"
+	}
+	return meaning(e.stage)
+}
+
+// Proof says why the outcome holds, or what is missing to say so.
+func (a *Account) Proof() string {
+	switch a.Outcome() {
+	case outcome.Answered:
+		return a.proofOfAnswer()
+	case outcome.NotRun:
+		return a.proofOfNotRun()
+	case outcome.Unknown:
+		return a.reasonOfDoubt()
+	default:
+		return a.withoutEntry()
+	}
+}
+
+func (a *Account) proofOfAnswer() string {
+	told := a.deciding()
+	for _, d := range a.Dispatches {
+		if d.Answered {
+			return fmt.Sprintf("answered, because server %s answered holder %s and entry %s passed the whole answer on", d.Server, d.Holder, told.Instance)
+		}
+	}
+	return fmt.Sprintf("answered, because entry %s passed a whole answer on; the record of the server's answer is missing", told.Instance)
+}
+
+func (a *Account) proofOfNotRun() string {
+	var clauses []string
+	for _, ending := range a.Endings {
+		clause := a.by(ending) + meaning(ending.stage) + where(ending)
+		if len(clauses) == 0 || clauses[len(clauses)-1] != clause {
+			clauses = append(clauses, clause)
+		}
+	}
+	attempts := "its only attempt was refused "
+	if len(a.Endings) > 1 {
+		attempts = fmt.Sprintf("every one of its %d attempts was refused: ", len(a.Endings))
+	}
+	text := "not run, because " + attempts + strings.Join(clauses, "; and ")
+	if len(a.Dispatches) > 0 {
+		text += fmt.Sprintf("; of its %d dispatches to servers %s", len(a.Dispatches), a.dispatchesProve())
+	}
+	return text
+}
+
+// dispatchesProve says what the dispatches of a request that is claimed not run show.
+func (a *Account) dispatchesProve() string {
+	if doubtful := len(a.doubtful()); doubtful > 0 {
+		return fmt.Sprintf("%d may have run it by these records", doubtful)
+	}
+	return "none wrote a byte that the server took for the request"
+}
+
+// by names the holder that refused the request. Its own record must say the
+// same as that of the entry, since the clocks of two instances do not order them.
+func (a *Account) by(e Ending) string {
+	if e.stage < outcome.StageQueued {
+		return ""
+	}
+	for _, end := range a.HolderEnds {
+		if end.Text(fieldKind) == e.Kind && stageOf(end) == e.stage {
+			return "at holder " + end.Instance + " "
+		}
+	}
+	return ""
+}
+
+func where(e Ending) string {
+	cause := e.Kind
+	if e.Detail != "" {
+		cause += ": " + e.Detail
+	}
+	return fmt.Sprintf(" (entry %s, %s)", e.Instance, cause)
+}
+
+func (a *Account) reasonOfDoubt() string {
+	for _, ending := range a.Endings {
+		if ending.Outcome == outcome.NotRun {
+			continue
+		}
+		return "unknown, because it ended " + ending.meaning() + where(ending) + a.seenOfServers()
+	}
+	return "unknown"
+}
+
+// seenOfServers lists the dispatches that may have run the request.
+func (a *Account) seenOfServers() string {
+	var servers []string
+	for _, d := range a.doubtful() {
+		servers = append(servers, d.Server)
+	}
+	if len(servers) == 0 {
+		return "; no record shows a dispatch to a server"
+	}
+	return "; it may have run on " + strings.Join(servers, ", ")
+}
+
+func (a *Account) withoutEntry() string {
+	if len(a.Records) == 0 {
+		return "no record: nothing can be said about this request"
+	}
+	if len(a.HolderEnds) > 0 {
+		end := a.HolderEnds[len(a.HolderEnds)-1]
+		return fmt.Sprintf("not recorded: the record of the entry instance is missing, so what the caller was told is not known; holder %s concluded %s", end.Instance, end.Text(fieldOutcome))
+	}
+	return "not recorded: the records of the request break off before its end" + a.seenOfServers()
+}
