Take all grants back before a shard is handed over

When promises are returned early, grants of the old tenure are still in force, and the next holder, which takes for granted that they are not, granted moved ranges to their former owners from an older copy of the assignment. Change: Surrender empties all lists and waits until every server provably owns nothing; only then are the promises returned. Conclusion: the rule that a grant never outlives its tenure now also holds for tenures that end early.

--- a/internal/router/handover.go
+++ b/internal/router/handover.go
@@ -17,6 +17,9 @@
 	handOverDrain = 100 * time.Millisecond
 	// handOverCall bounds the calls to the next holder and the witnesses.
 	handOverCall = 500 * time.Millisecond
+	// surrenderLimit bounds the time until all grants are taken back, which is at
+	// most the time of a promise, 600 ms, for a server that does not answer.
+	surrenderLimit = 1500 * time.Millisecond
 	// busyLimit is the longest time for which slots stay taken at the next holder.
 	busyLimit = 30 * time.Second
 )
@@ -41,13 +44,17 @@
 	return u.release(ctx)
 }
 
-// release returns the promises at once. It is also the last resort of a planned
+// release takes all grants back and returns the promises at once. It is also the last resort of a planned
 // stop that finds no next holder: the witnesses then elect one.
 func (u *unit) release(ctx context.Context) bool {
 	u.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(ctx, handOverCall)
+	ctx, cancel := context.WithTimeout(ctx, surrenderLimit)
 	defer cancel()
-	if err := u.parts.keeper.Release(ctx, u.id); err != nil {
+	err := u.runtime.Surrender(ctx)
+	if err == nil {
+		err = u.parts.keeper.Release(ctx, u.id)
+	}
+	if err != nil {
 		u.parts.log.Emit(events.HandOverFailed, events.FieldShard, u.id.String(), events.FieldMessage, err.Error())
 		u.stopping.Store(false)
 		return false
--- a/internal/shard/fakestore_test.go
+++ b/internal/shard/fakestore_test.go
@@ -57,3 +57,10 @@
 	defer s.mu.Unlock()
 	return s.value.Clone(), s.writes
 }
+
+// set replaces the assignment, as when only an older copy can be read.
+func (s *fakeStore) set(older assign.Assignment) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.value = older.Clone()
+}
--- a/internal/shard/runtime.go
+++ b/internal/shard/runtime.go
@@ -15,11 +15,12 @@
 // Runtime does the work of one shard while this instance holds it. Run owns all
 // fields but views, status and sampler.
 type Runtime struct {
-	options  Options
-	views    atomic.Pointer[route.View]
-	status   atomic.Pointer[Status]
-	sampler  hotkey.Sampler
-	quiesces chan *quiesce
+	options    Options
+	views      atomic.Pointer[route.View]
+	status     atomic.Pointer[Status]
+	sampler    hotkey.Sampler
+	quiesces   chan *quiesce
+	surrenders chan *surrender
 	// senders counts the goroutines that Run started.
 	senders sync.WaitGroup
 	// generation is that of the last view; it rises through all terms.
@@ -30,7 +31,7 @@
 
 // New returns a runtime that has not started.
 func New(options Options) *Runtime {
-	return &Runtime{options: options, quiesces: make(chan *quiesce)}
+	return &Runtime{options: options, quiesces: make(chan *quiesce), surrenders: make(chan *surrender)}
 }
 
 // Views returns the pointer that requests pass to route.Enter. It holds nil
--- a/internal/shard/send.go
+++ b/internal/shard/send.go
@@ -197,6 +197,9 @@
 	for _, l := range t.links {
 		l.list = make([]key.Range, 0, len(l.list))
 	}
+	if len(t.surrenders) > 0 {
+		return
+	}
 	for _, r := range t.rows {
 		l := t.links[r.owner]
 		if l == nil || !r.inList() {
--- a/internal/shard/term.go
+++ b/internal/shard/term.go
@@ -54,6 +54,8 @@
 	viewDirty  bool
 	closeHeld  chan struct{}
 	quiesce    *quiesce
+	// surrenders is not empty once all grants are to be taken back.
+	surrenders []*surrender
 }
 
 // newTerm returns the term that begins with tenure.
@@ -102,6 +104,8 @@
 			t.commitEnded(result, time.Now())
 		case q := <-t.runtime.quiesces:
 			t.beginQuiesce(q)
+		case s := <-t.runtime.surrenders:
+			t.beginSurrender(s)
 		case <-t.wake:
 		case <-timer.C:
 		}
@@ -136,6 +140,7 @@
 	t.plan(now)
 	t.settle(now)
 	t.send(now)
+	t.checkSurrender(now)
 	t.dropRemoved(now)
 	return true
 }
@@ -177,6 +182,7 @@
 		r.stopWatching()
 	}
 	t.endQuiesce()
+	t.endSurrender()
 	for _, l := range t.links {
 		t.graves = append(t.graves, &l.book)
 	}
