Keep an outcome of unknown through later attempts, and never resend a used upload

Cause: a trial of the demo showed a request that had run and was answered not run. Its holder dispatched it, lost its tenure before the retry and reported unknown at a stage that may be retried; the entry forgot the outcome and passed on the refusal of the next holder. Change: an attempt that ended unknown counts as one that may have run. An upload goes to another holder only when no connection was made. Before and after: the new table rows fail before, pass after. Conclusion: confirmed by the test.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -22,8 +22,7 @@
 	forwarder *Forwarder
 	request   *request.Request
 	shard     key.ShardID
-	// mayHaveRun is set once a holder may have received the request and its
-	// verdict was lost.
+	// mayHaveRun is set once an attempt has ended with outcome unknown.
 	mayHaveRun bool
 }
 
@@ -60,9 +59,9 @@
 		return answer, nil
 	}
 	p := problem.From(err)
-	if p.Stage == outcome.StageForwardSent {
-		a.mayHaveRun = true
-	}
+	// A holder that lost its tenure between two dispatches reports unknown at a
+	// stage that may be retried.
+	a.mayHaveRun = a.mayHaveRun || p.Outcome == outcome.Unknown
 	return nil, p
 }
 
@@ -70,14 +69,11 @@
 // did not take it, or the record of the next holder decides whether it runs.
 // Retries towards backend servers are the holder's business.
 func (a *attempts) retriable(p *problem.Problem) bool {
-	switch p.Stage {
-	case outcome.StageForwardUnsent:
-		return true
-	case outcome.StageForwardSent:
-		return !a.request.Streamed()
-	default:
+	if a.request.Streamed() && p.Kind != problem.KindNoHolder {
+		// A part of the body may be gone.
 		return false
 	}
+	return p.Stage == outcome.StageForwardUnsent || p.Stage == outcome.StageForwardSent
 }
 
 // conclude returns p with the outcome that all attempts together justify. A
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -60,6 +60,8 @@
 	lost := at(problem.KindHolderLost, outcome.StageForwardSent)
 	refused := at(problem.KindNoHolder, outcome.StageForwardUnsent)
 	shed := at(problem.KindShed, outcome.StageQueued)
+	deposed := at(problem.KindNotHolder, outcome.StageForwardUnsent)
+	deposedAfterDispatch := deposed.WithOutcome(outcome.Unknown)
 	cases := []struct {
 		name       string
 		idempotent bool
@@ -74,6 +76,10 @@
 		{"shed", false, false, []*problem.Problem{shed}, outcome.NotRun, 1},
 		{"lost, then the records of the holder say not run", false, false, []*problem.Problem{lost, shed}, outcome.NotRun, 2},
 		{"lost, then shed without a record", true, false, []*problem.Problem{lost, shed}, outcome.Unknown, 2},
+		{"deposed after a dispatch, then shed", true, false, []*problem.Problem{deposedAfterDispatch, shed}, outcome.Unknown, 2},
+		{"deposed before a dispatch, then shed", true, false, []*problem.Problem{deposed, shed}, outcome.NotRun, 2},
+		{"upload to a deposed holder", false, true, []*problem.Problem{deposed}, outcome.NotRun, 1},
+		{"upload to a holder that refuses connections", false, true, []*problem.Problem{refused, nil}, outcome.Answered, 2},
 		{"lost upload", false, true, []*problem.Problem{lost}, outcome.Unknown, 1},
 	}
 	for _, c := range cases {
