--- a/internal/record/commit.go
+++ b/internal/record/commit.go
@@ -21,6 +21,7 @@
 		return
 	}
 	c.dirty = false
+	c.complete = authority.Instance{}
 	c.members = set.Members
 	left := slices.Clone(c.peers)
 	c.peers = slices.DeleteFunc(c.peers, func(p *peer) bool { return p.state == peerLeaving })
--- a/internal/record/control.go
+++ b/internal/record/control.go
@@ -35,12 +35,16 @@
 	avoided map[authority.Instance]bool
 	retry   *time.Timer
 	deposed error
+	// complete is the mirror that the records were fetched from. It holds all of
+	// them until the first set is acknowledged, from when on requests are
+	// dispatched; until then it joins without a backfill, which shortens a takeover.
+	complete authority.Instance
 }
 
 func newControl(r *replicator) *control {
 	retry := time.NewTimer(time.Hour)
 	retry.Stop()
-	return &control{r: r, avoided: map[authority.Instance]bool{}, retry: retry}
+	return &control{r: r, avoided: map[authority.Instance]bool{}, retry: retry, complete: r.source}
 }
 
 func (c *control) run() {
@@ -133,6 +137,10 @@
 	p.state = peerJoining
 	c.r.running.Go(p.sender.run)
 	c.publish()
+	if p.sender.to == c.complete {
+		c.backfilled(p, nil)
+		return
+	}
 	c.r.running.Go(func() {
 		err := c.r.backfill(p.sender.to)
 		c.r.post(func(c *control) { c.backfilled(p, err) })
@@ -163,6 +171,9 @@
 			"shard %s has a new holder", c.r.shard), false)
 		return
 	}
+	if p.sender.to == c.complete {
+		c.complete = authority.Instance{}
+	}
 	c.avoided[p.sender.to] = true
 	c.retry.Reset(mirrorRetry)
 	if p.proposed {
--- a/internal/record/keeper.go
+++ b/internal/record/keeper.go
@@ -43,7 +43,7 @@
 	}
 	records, since := t.run(ctx)
 	table := NewTable(options, records, since)
-	r := &replicator{shard: o.Shard, self: o.Self, copier: o.Copier, sets: o.Sets, table: table, events: o.Events}
+	r := &replicator{shard: o.Shard, self: o.Self, copier: o.Copier, sets: o.Sets, table: table, source: t.source, events: o.Events}
 	r.token.Store(&o.Token)
 	r.start()
 	o.Events.Emit(events.RecordsTakenOver, "shard", o.Shard.String(), "token", o.Token.String(),
@@ -52,7 +52,8 @@
 }
 
 // Source returns the mirror that the records were fetched from, or the zero
-// instance when there was none.
+// instance when there was none. Named first in SetCandidates it joins soonest,
+// since it needs no backfill.
 func (k *Keeper) Source() authority.Instance {
 	return k.source
 }
--- a/internal/record/replicator.go
+++ b/internal/record/replicator.go
@@ -25,11 +25,13 @@
 // keeps the mirror set agreed with the witnesses. Requests read an immutable
 // list of targets; one control goroutine changes it.
 type replicator struct {
-	shard   key.ShardID
-	self    authority.Instance
-	copier  Copier
-	sets    MirrorSets
-	table   *Table
+	shard  key.ShardID
+	self   authority.Instance
+	copier Copier
+	sets   MirrorSets
+	table  *Table
+	// source is the mirror that the table was fetched from, if any.
+	source  authority.Instance
 	token   atomic.Pointer[authority.Token]
 	targets atomic.Pointer[targets]
 	inbox   chan func(*control)
--- a/internal/record/takeover.go
+++ b/internal/record/takeover.go
@@ -9,8 +9,9 @@
 	"peridotmoor.org/peridotmoor/internal/key"
 )
 
-// fetchTimeout bounds the fetch at a takeover, which must end well within 1 s.
-const fetchTimeout = 300 * time.Millisecond
+// fetchTimeout bounds the fetch at a takeover. A new holder waits 200 ms anyway
+// before its first order to servers that do not check tokens.
+const fetchTimeout = 200 * time.Millisecond
 
 // takeover reads the records of the previous holder from a mirror.
 type takeover struct {
