Test the events of one request

Each request has exactly one final event with outcome and stage. Seen failing without the final event of an answered request. Random histories now also change the candidates of a running holder.

--- /dev/null
+++ b/internal/dispatch/events_test.go
@@ -0,0 +1,82 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"peridotmoor.org/peridotmoor/internal/events"
+	"peridotmoor.org/peridotmoor/internal/request"
+)
+
+// line is what the analyst reads of one event.
+type line struct {
+	Name      string `json:"name"`
+	RequestID string `json:"request_id"`
+	Outcome   string `json:"outcome"`
+	Stage     string `json:"stage"`
+}
+
+// Guards against a request whose events do not tell how it ended: each must have
+// exactly one final event, with outcome and stage.
+func TestEventsOfOneRequest(t *testing.T) {
+	cases := []struct {
+		name       string
+		idempotent bool
+		script     []behaviour
+		want       []string
+		stage      string
+	}{
+		{"answered", false, nil, []string{"request_copied", "request_admitted", "request_dispatched", "request_answered", "request_ended"}, "whole"},
+		{"retried", true, []behaviour{refuseConnection}, []string{"request_admitted", "request_dispatched", "dispatch_failed",
+			"request_retried", "request_admitted", "request_dispatched", "request_answered", "request_ended"}, "whole"},
+		{"unknown", false, []behaviour{shortBody}, []string{"request_copied", "request_admitted", "request_dispatched",
+			"dispatch_failed", "request_unknown", "request_ended"}, "written"},
+		{"cancelled", true, []behaviour{silence}, []string{"request_admitted", "request_dispatched", "dispatch_failed",
+			"request_unknown", "request_ended"}, "written"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var out bytes.Buffer
+				logger := events.NewLogger(&out)
+				w := newWorld(true, 3, Limits{}, newFakeServer("bosho-01", newRunLog(), answerAfter(time.Millisecond), c.script...))
+				defer w.close()
+				w.holder.dispatcher.o.Events = logger
+				r := newRequest(c.idempotent)
+				_, _ = w.holder.handle(context.Background(), r)
+				logger.Close()
+				lines := linesOf(t, &out, r)
+				names := make([]string, 0, len(lines))
+				for _, l := range lines {
+					names = append(names, l.Name)
+				}
+				is.Equal(names, c.want)
+				final := lines[slices.Index(names, "request_ended")]
+				is.Equal(final.Stage, c.stage)
+				is.True(final.Outcome != "")
+			})
+		})
+	}
+}
+
+func linesOf(t *testing.T, out *bytes.Buffer, r *request.Request) []line {
+	var lines []line
+	decoder := json.NewDecoder(out)
+	for decoder.More() {
+		var l line
+		if err := decoder.Decode(&l); err != nil {
+			t.Fatal(err)
+		}
+		if l.RequestID == r.ID {
+			lines = append(lines, l)
+		}
+	}
+	return lines
+}
--- a/internal/dispatch/history_test.go
+++ b/internal/dispatch/history_test.go
@@ -47,7 +47,7 @@
 func historyGenerator() *rapid.Generator[history] {
 	steps := rapid.Custom(func(t *rapid.T) step {
 		return step{
-			Kind:  rapid.SampledFrom([]string{"send", "send", "send", "takeover", "lose", "return", "restart"}).Draw(t, "kind"),
+			Kind:  rapid.SampledFrom([]string{"send", "send", "send", "takeover", "lose", "return", "restart", "candidates"}).Draw(t, "kind"),
 			A:     rapid.IntRange(0, 100).Draw(t, "a"),
 			B:     rapid.IntRange(0, 100).Draw(t, "b"),
 			Pause: time.Duration(rapid.SampledFrom([]int{0, 0, 1, 3, 20, 60, 300, 1500}).Draw(t, "pause")) * time.Millisecond,
@@ -131,6 +131,8 @@
 		p.world.network.setLost(p.names[name], true)
 	case "return":
 		p.world.network.setLost(p.names[name], false)
+	case "candidates":
+		p.holders[s.B%len(p.holders)].keeper.SetCandidates([]authority.Instance{p.names[name], p.names[(name+1+s.B%3)%historyInstances]})
 	case "restart":
 		p.names[name].Incarnation += "r"
 		p.world.network.add(p.names[name])
