--- a/internal/authority/claim.go
+++ b/internal/authority/claim.go
@@ -6,14 +6,6 @@
 	"peridotmoor.org/peridotmoor/internal/key"
 )
 
-// grantedPromise is what a claim knows of one member's promise.
-type grantedPromise struct {
-	// sent is when the latest promised request was sent.
-	sent time.Time
-	// generation is the highest mirror generation that the member acknowledged.
-	generation uint64
-}
-
 // Claim collects the promises about one shard under one token. It is pure. It
 // serves a candidate until it has a quorum and a holder afterwards.
 type Claim struct {
--- a/internal/authority/keeper/cluster_test.go
+++ b/internal/authority/keeper/cluster_test.go
@@ -6,10 +6,12 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"peridotmoor.org/peridotmoor/internal/authority"
 	"peridotmoor.org/peridotmoor/internal/key"
 )
@@ -32,17 +34,18 @@
 	overlaps       int
 }
 
-// process is one run of an instance.
-type process struct {
-	cluster *cluster
-	member  authority.Member
-	keeper  *Keeper
-	cancel  context.CancelFunc
-	done    chan struct{}
-	gone    atomic.Bool
-	paused  atomic.Pointer[chan struct{}]
-	changed chan struct{}
-	since   time.Time
+// inCluster lets act run with count instances in virtual time and checks that no
+// two of them held the shard at once. The domains are a, b and c unless given.
+func inCluster(t *testing.T, count int, act func(is *is.I, c *cluster), domains ...string) {
+	if len(domains) == 0 {
+		domains = []string{"a", "b", "c"}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, count, domains...)
+		act(is, c)
+		is.Equal(c.overlaps, 0)
+	})
 }
 
 // newCluster starts count instances, spread over the domains in turn.
@@ -77,16 +80,6 @@
 	return p
 }
 
-// kill ends the process; its address refuses connections from then on.
-func (p *process) kill() {
-	p.gone.Store(true)
-	p.cancel()
-	if p.paused.Load() != nil {
-		p.resume()
-	}
-	<-p.done
-}
-
 // isolate decides from now on which instances cannot reach each other.
 func (c *cluster) isolate(cut func(a, b *process) bool) {
 	c.mu.Lock()
@@ -123,40 +116,6 @@
 	}
 }
 
-// Peers implements PeerSource.
-func (p *process) Peers() []authority.Peer {
-	if gate := p.paused.Load(); gate != nil {
-		<-*gate
-	}
-	p.cluster.mu.Lock()
-	defer p.cluster.mu.Unlock()
-	var peers []authority.Peer
-	for _, other := range p.cluster.processes {
-		if !other.gone.Load() {
-			peers = append(peers, authority.Peer{Member: other.member, Live: true, Since: other.since})
-		}
-	}
-	return peers
-}
-
-// Changed implements PeerSource.
-func (p *process) Changed() <-chan struct{} { return p.changed }
-
-// reach returns the process at address after a network delay.
-func (p *process) reach(ctx context.Context, address string) (*process, error) {
-	time.Sleep(time.Millisecond)
-	p.cluster.mu.Lock()
-	defer p.cluster.mu.Unlock()
-	to := p.cluster.at(address)
-	switch {
-	case p.cluster.cut != nil && p.cluster.cut(p, to):
-		return nil, context.DeadlineExceeded
-	case to.gone.Load():
-		return nil, authority.ErrRefused
-	}
-	return to, nil
-}
-
 // at returns the latest process at an address.
 func (c *cluster) at(address string) *process {
 	for _, p := range slices.Backward(c.processes) {
@@ -167,30 +126,6 @@
 	panic("no process at " + address)
 }
 
-// Promise implements authority.Voter.
-func (p *process) Promise(ctx context.Context, _ authority.Instance, address string, request authority.PromiseRequest) (authority.PromiseReply, error) {
-	to, err := p.reach(ctx, address)
-	if err != nil {
-		return authority.PromiseReply{}, err
-	}
-	reply, err := to.keeper.HandlePromise(ctx, request)
-	time.Sleep(time.Millisecond)
-	return reply, err
-}
-
-// Probe implements authority.Prober.
-func (p *process) Probe(ctx context.Context, address string) (authority.Instance, error) {
-	to, err := p.reach(ctx, address)
-	if err != nil {
-		return authority.Instance{}, err
-	}
-	if to.paused.Load() != nil {
-		<-ctx.Done()
-		return authority.Instance{}, ctx.Err()
-	}
-	return to.member.Instance, nil
-}
-
 // holders returns the processes with a valid tenure.
 func (c *cluster) holders(shard key.ShardID) []*process {
 	var holders []*process
--- /dev/null
+++ b/internal/authority/keeper/process_test.go
@@ -0,0 +1,92 @@
+package keeper
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+)
+
+// process is one run of an instance.
+type process struct {
+	cluster *cluster
+	member  authority.Member
+	keeper  *Keeper
+	cancel  context.CancelFunc
+	done    chan struct{}
+	gone    atomic.Bool
+	paused  atomic.Pointer[chan struct{}]
+	changed chan struct{}
+	since   time.Time
+}
+
+func (p *process) source() *Source { return p.keeper.Source(testShard) }
+
+// kill ends the process; its address refuses connections from then on.
+func (p *process) kill() {
+	p.gone.Store(true)
+	p.cancel()
+	if p.paused.Load() != nil {
+		p.resume()
+	}
+	<-p.done
+}
+
+// Peers implements PeerSource.
+func (p *process) Peers() []authority.Peer {
+	if gate := p.paused.Load(); gate != nil {
+		<-*gate
+	}
+	p.cluster.mu.Lock()
+	defer p.cluster.mu.Unlock()
+	var peers []authority.Peer
+	for _, other := range p.cluster.processes {
+		if !other.gone.Load() {
+			peers = append(peers, authority.Peer{Member: other.member, Live: true, Since: other.since})
+		}
+	}
+	return peers
+}
+
+// Changed implements PeerSource.
+func (p *process) Changed() <-chan struct{} { return p.changed }
+
+// reach returns the process at address after a network delay.
+func (p *process) reach(ctx context.Context, address string) (*process, error) {
+	time.Sleep(time.Millisecond)
+	p.cluster.mu.Lock()
+	defer p.cluster.mu.Unlock()
+	to := p.cluster.at(address)
+	switch {
+	case p.cluster.cut != nil && p.cluster.cut(p, to):
+		return nil, context.DeadlineExceeded
+	case to.gone.Load():
+		return nil, authority.ErrRefused
+	}
+	return to, nil
+}
+
+// Promise implements authority.Voter.
+func (p *process) Promise(ctx context.Context, _ authority.Instance, address string, request authority.PromiseRequest) (authority.PromiseReply, error) {
+	to, err := p.reach(ctx, address)
+	if err != nil {
+		return authority.PromiseReply{}, err
+	}
+	reply, err := to.keeper.HandlePromise(ctx, request)
+	time.Sleep(time.Millisecond)
+	return reply, err
+}
+
+// Probe implements authority.Prober.
+func (p *process) Probe(ctx context.Context, address string) (authority.Instance, error) {
+	to, err := p.reach(ctx, address)
+	if err != nil {
+		return authority.Instance{}, err
+	}
+	if to.paused.Load() != nil {
+		<-ctx.Done()
+		return authority.Instance{}, ctx.Err()
+	}
+	return to.member.Instance, nil
+}
--- a/internal/shardrecord/codec.go
+++ b/internal/shardrecord/codec.go
@@ -8,25 +8,6 @@
 	"peridotmoor.org/peridotmoor/internal/authority"
 )
 
-// wireMember is the JSON form of a member of a witness set.
-type wireMember struct {
-	Name        string `json:"name"`
-	Incarnation string `json:"incarnation"`
-	Address     string `json:"address"`
-	Domain      string `json:"domain"`
-}
-
-// wireRecord is the JSON form of a record.
-type wireRecord struct {
-	Epoch             uint64          `json:"epoch"`
-	Witnesses         []wireMember    `json:"witnesses"`
-	PreviousWitnesses [][]wireMember  `json:"previous_witnesses,omitempty"`
-	Sequence          uint64          `json:"sequence"`
-	WriteID           string          `json:"write_id"`
-	RecentWriteIDs    []string        `json:"recent_write_ids,omitempty"`
-	Assignment        json.RawMessage `json:"assignment,omitempty"`
-}
-
 // encode returns the stored form of a record.
 func encode(r Record) ([]byte, error) {
 	wire := wireRecord{
