Keep a range at its owner when the target of its move is lost

A move that was put off stayed planned after its target had gone, and the next plan moved the range to a standby although its owner served it.

--- a/internal/shard/move_test.go
+++ b/internal/shard/move_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"peridotmoor.org/peridotmoor/internal/assign"
 	"peridotmoor.org/peridotmoor/internal/route"
 )
 
@@ -173,3 +174,61 @@
 		is.Equal(w.domainOf(w.ownerName(w.hashes[0])), "d1")
 	})
 }
+
+// A failure domain leaves and returns without a key out of service for longer
+// than a handover, and its servers, which start cold, fill up again.
+func TestDomainLeavesAndReturns(t *testing.T) {
+	inWorld(t, 9, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.settle()
+		w.setOut("d1", true)
+		time.Sleep(3 * time.Second)
+		out := w.gap()
+		w.settle()
+		w.setOut("d1", false)
+		time.Sleep(time.Second)
+		for _, status := range w.holder.runtime.Status().Servers {
+			is.True(status.State != "cold" || status.Ranges <= 1)
+		}
+		time.Sleep(30 * time.Second)
+		for _, status := range w.holder.runtime.Status().Servers {
+			is.True(status.Ranges >= 4) // half of an even share
+		}
+		is.True(out <= 50*time.Millisecond && w.gap() <= 50*time.Millisecond)
+		t.Logf("longest gap while the domain left %v, while it returned %v", out, w.gap())
+	})
+}
+
+// Guards against ranges that move to a standby because the server they were about
+// to move to is lost, although their owner serves them.
+func TestMoveToLostServerIsDropped(t *testing.T) {
+	inWorld(t, 6, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.settle()
+		before, _ := w.store.committed()
+		w.sampleStarts(before)
+		uploads := w.enterAll(is)
+		w.addServer("s99", "d0")
+		time.Sleep(time.Second)
+		is.True(w.holder.runtime.Status().PutOff > 0)
+		w.update(func() { w.server("s99").setDown(true) })
+		time.Sleep(5 * time.Second)
+		for _, upload := range uploads {
+			upload.Leave()
+		}
+		time.Sleep(60 * time.Second) // the longest backoff and then some
+		for _, r := range before.Ranges {
+			is.Equal(w.ownerName(r.Bounds.Start), r.Owner)
+		}
+	})
+}
+
+// sampleStarts replaces the sampled hashes by the first one of each range.
+func (w *world) sampleStarts(a assign.Assignment) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hashes = nil
+	for _, r := range a.Ranges {
+		w.hashes = append(w.hashes, r.Bounds.Start)
+	}
+}
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -34,6 +34,7 @@
 	}
 	t.planAt = now.Add(planEvery)
 	t.alarm.at(t.planAt)
+	t.dropVoidMoves(now)
 	before := t.effective()
 	plan := t.planner.Plan(t.planInput(before, now))
 	t.startUrgent(plan)
@@ -43,6 +44,17 @@
 	t.commit(before, plan.Next)
 }
 
+// dropVoidMoves leaves ranges with their owners when the server that they should
+// move to is gone. The plan would move them to a standby instead.
+func (t *term) dropVoidMoves(now time.Time) {
+	for _, r := range t.rows {
+		want := t.links[r.want]
+		if r.want != r.owner && t.links[r.owner].usable() && (!want.usable() || want.lost(now)) {
+			r.want = r.owner
+		}
+	}
+}
+
 // heardAll reports whether the first call to every server has ended.
 func (t *term) heardAll() bool {
 	for _, l := range t.links {
