Refuse a verdict when no probed key was ever granted

A settings tree whose servers are not keyed made the count of two owners meaningless: it could not rise. The judge now calls such evidence not whole, and the demo's fake router grants keys.

--- a/internal/dev/demo/demo_test.go
+++ b/internal/dev/demo/demo_test.go
@@ -19,7 +19,7 @@
 )
 
 // options prepares a directory of programs that are links to this test binary,
-// and a settings tree of unkeyed services. fault is the invariant that the fake routers break.
+// and a settings tree of two domains. fault is the invariant that the fake routers break.
 func options(t *testing.T, fault string) demo.Options {
 	t.Helper()
 	self, err := os.Executable()
@@ -45,7 +45,7 @@
 }
 
 func treeText(fault string) string {
-	text := "fault = " + fault + "\n"
+	text := "fault = " + fault + "\n[service.bosho]\nkeyed = true\n"
 	for _, domain := range []string{"kyu-kita", "kyu-naka"} {
 		text += fmt.Sprintf("[domain.%s]\nregion = kyushu\nstate = in\n", domain)
 		for _, service := range []string{"bosho", "chumon", "shashin", "yoyaku"} {
--- a/internal/dev/demo/fake_test.go
+++ b/internal/dev/demo/fake_test.go
@@ -48,9 +48,9 @@
 	return 0
 }
 
-// router forwards each request once to the next server of its service. It
-// knows nothing of shards and records orders in the store, which the load of a
-// test bears. fault makes it break an invariant.
+// router forwards each request once: to the owner of the key for bosho, else to
+// the next server of the service. It grants each server of bosho an equal part
+// of the keys and records orders in the store, which the load of a test bears. fault makes it break an invariant.
 type router struct {
 	store   *httpstore.Store
 	servers map[string][]*httpbackend.Server
@@ -104,20 +104,39 @@
 		service := section.Key("service").String()
 		r.servers[service] = append(r.servers[service], httpbackend.New(name, section.Key("address").String(), 20))
 	}
-	if r.fault == "owners" {
-		return r, r.grantToAll("bosho")
+	for i := range r.servers[keyedService] {
+		if err := r.grant(i); err != nil {
+			return nil, err
+		}
 	}
 	return r, nil
 }
 
-func (r *router) grantToAll(service string) error {
-	for _, server := range r.servers[service] {
-		grant := backend.Grant{Order: backend.Order{Shard: key.ShardID{Service: service}}, Ranges: []key.Range{{}}, Expiry: 1 << 60}
-		if _, err := server.Grant(context.Background(), grant); err != nil {
-			return err
-		}
+// keyedService is the only service that the fake partitions by key.
+const keyedService = "bosho"
+
+var order = backend.Order{Shard: key.ShardID{Service: keyedService}}
+
+// grant grants the server with the given number its part of the keys.
+func (r *router) grant(number int) error {
+	part := key.ShardRange(number, len(r.servers[keyedService]))
+	if r.fault == "owners" {
+		part = key.Range{}
 	}
-	return nil
+	grant := backend.Grant{Order: order, Ranges: []key.Range{part}, Expiry: 1 << 60}
+	_, err := r.servers[keyedService][number].Grant(context.Background(), grant)
+	return err
+}
+
+// pick returns the server for the request. A server that was restarted gets its grant again.
+func (r *router) pick(out *request.Request) *httpbackend.Server {
+	servers := r.servers[out.Service]
+	if out.Service != keyedService {
+		return servers[r.next.Add(1)%uint64(len(servers))]
+	}
+	owner := key.ShardIndex(key.HashOf(out.Key), len(servers))
+	_ = r.grant(owner)
+	return servers[owner]
 }
 
 // ServeHTTP implements http.Handler.
@@ -138,9 +157,7 @@
 		Deadline:   time.Now().Add(time.Duration(timeout) * time.Millisecond),
 		Buffered:   content,
 	}
-	servers := r.servers[out.Service]
-	server := servers[r.next.Add(1)%uint64(len(servers))]
-	order := backend.Order{Shard: key.ShardID{Service: out.Service}}
+	server := r.pick(out)
 	if !out.Idempotent && !r.first(in.Context(), out.ID) {
 		r.refuse(w, out, outcome.Unknown)
 		return
--- a/internal/dev/judge/judge.go
+++ b/internal/dev/judge/judge.go
@@ -84,11 +84,16 @@
 	return twice
 }
 
-// incomplete finds evidence that contradicts itself: an answered request that no server ran.
+// incomplete finds evidence that is not whole or contradicts itself: an
+// answered request that no server ran, or probed keys that no server was ever
+// granted, so that two owners could not have been seen.
 func incomplete(c Case, runs map[string][]runlog.Run) string {
 	if c.Dropped > 0 {
 		return fmt.Sprintf("%d runs or intervals did not fit", c.Dropped)
 	}
+	if len(c.ProbeKeys) > 0 && !granted(c) {
+		return fmt.Sprintf("no server of %s was granted a key; are its servers keyed in the settings tree?", c.Probe)
+	}
 	missing := 0
 	for _, record := range c.Records {
 		if record.Final() == outcome.Answered && len(runs[record.RequestID]) == 0 {
@@ -101,6 +106,15 @@
 	return ""
 }
 
+func granted(c Case) bool {
+	for _, interval := range c.Intervals {
+		if interval.Service == c.Probe {
+			return true
+		}
+	}
+	return false
+}
+
 // unserved returns the longest time within From and To in which a probed key
 // had no owner, or no answered run beyond the interval between probes.
 func unserved(c Case) time.Duration {
--- a/internal/dev/judge/judge_test.go
+++ b/internal/dev/judge/judge_test.go
@@ -106,6 +106,9 @@
 	missing := sound()
 	missing.Runs = missing.Runs[1:]
 	is.True(Judge(missing).Err() != nil)
+	ungranted := sound()
+	ungranted.Intervals = nil
+	is.True(Judge(ungranted).Err() != nil)
 	dropped := sound()
 	dropped.Dropped = 1
 	is.True(Judge(dropped).Err() != nil)
