--- /dev/null
+++ b/internal/report/board.go
@@ -0,0 +1,43 @@
+package report
+
+import (
+	"slices"
+
+	"peridotmoor.org/peridotmoor/internal/events"
+)
+
+// Board is all that the page for a board shows.
+type Board struct {
+	Summary    Summary    `json:"summary"`
+	Unanswered Unanswered `json:"unanswered"`
+	Timeline   Timeline   `json:"timeline"`
+	Lanes      []Lane     `json:"lanes"`
+	Domains    []Domain   `json:"domains"`
+}
+
+// NewBoard collects the page for the requests that arrived in the window.
+func NewBoard(j *Journal, w Window) Board {
+	return Board{
+		Summary:    Summarize(j, w),
+		Unanswered: FindUnanswered(j, w),
+		Timeline:   newTimeline(j.Accounts(w)),
+		Lanes:      newLanes(j),
+		Domains:    changedDomains(j),
+	}
+}
+
+// changedDomains explains each failure domain of which a server was taken out or back.
+func changedDomains(j *Journal) []Domain {
+	var names []string
+	for _, r := range j.Records {
+		if r.Event == events.ServerOut.Number && r.Text(fieldServerDomain) != "" {
+			names = append(names, r.Text(fieldServerDomain))
+		}
+	}
+	slices.Sort(names)
+	var domains []Domain
+	for _, name := range slices.Compact(names) {
+		domains = append(domains, ExplainDomain(j, name))
+	}
+	return domains
+}
--- a/internal/report/command/command.go
+++ b/internal/report/command/command.go
@@ -24,6 +24,7 @@
 	{name: "unanswered", description: "List every request that may have run without its caller getting the answer.", flags: windowFlags, run: runUnanswered},
 	{name: "domain", description: "Tell how a failure domain was taken out and brought back.",
 		first: "NAME", firstHelp: "Failure domain; the record FILES follow.", run: runDomain},
+	{name: "html", description: "Write one page with plots for a board.", flags: htmlFlags, run: runHTML},
 }
 
 func (c command) declare(o *options) *flaggy.Subcommand {
@@ -48,3 +49,8 @@
 	sub.String(&o.From, "", "from", "Only requests that arrived at this time or later, such as 2026-12-04T10:00:00Z.")
 	sub.String(&o.To, "", "to", "Only requests that arrived before this time.")
 }
+
+func htmlFlags(sub *flaggy.Subcommand, o *options) {
+	windowFlags(sub, o)
+	sub.String(&o.Output, "o", "output", "File to write; default: standard output.")
+}
--- /dev/null
+++ b/internal/report/command/html.go
@@ -0,0 +1,49 @@
+package command
+
+import (
+	"bufio"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/report"
+	"peridotmoor.org/peridotmoor/internal/report/page"
+)
+
+// runHTML writes the page to --output, or to the standard output. With --json
+// it prints what the page shows.
+func runHTML(t *tool) error {
+	window, err := t.window()
+	if err != nil {
+		return err
+	}
+	journal, err := t.journal()
+	if err != nil {
+		return err
+	}
+	board := report.NewBoard(journal, window)
+	if t.options.JSON {
+		return t.print(board, nil)
+	}
+	if t.options.Output == "" {
+		return page.Write(t.stdout, board)
+	}
+	return writePage(t.options.Output, board)
+}
+
+func writePage(name string, board report.Board) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return errors.Wrap(err, "--output")
+	}
+	buffer := bufio.NewWriter(file)
+	if err := page.Write(buffer, board); err != nil {
+		_ = file.Close() // the first error is reported
+		return err
+	}
+	if err := buffer.Flush(); err != nil {
+		_ = file.Close() // the first error is reported
+		return errors.Wrap(err, "--output")
+	}
+	return errors.Wrap(file.Close(), "--output")
+}
--- /dev/null
+++ b/internal/report/timeline.go
@@ -0,0 +1,67 @@
+package report
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/outcome"
+)
+
+// maxBuckets bounds the buckets of a timeline.
+const maxBuckets = 80
+
+// bucketWidths are the widths that a timeline chooses from.
+var bucketWidths = []time.Duration{
+	100 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond,
+	time.Second, 2 * time.Second, 5 * time.Second, 10 * time.Second, 30 * time.Second,
+	time.Minute, 2 * time.Minute, 5 * time.Minute, 10 * time.Minute, 30 * time.Minute,
+	time.Hour, 2 * time.Hour, 6 * time.Hour, 12 * time.Hour, 24 * time.Hour,
+}
+
+// Timeline holds outcomes and latencies over time.
+type Timeline struct {
+	Width   time.Duration `json:"width_ns"`
+	Buckets []Bucket      `json:"buckets"`
+}
+
+// Bucket holds the requests that arrived in one step of a timeline.
+type Bucket struct {
+	Start time.Time `json:"start"`
+	Counts
+	Latencies Latencies `json:"latencies"`
+}
+
+// newTimeline sorts accounts, which are in the order of arrival, into buckets.
+func newTimeline(accounts []*Account) Timeline {
+	if len(accounts) == 0 {
+		return Timeline{}
+	}
+	first, last := accounts[0].Start(), accounts[len(accounts)-1].Start()
+	t := Timeline{Width: bucketWidth(last.Sub(first))}
+	latencies := []*latencyCounter{}
+	for at := first.Truncate(t.Width); !at.After(last); at = at.Add(t.Width) {
+		t.Buckets = append(t.Buckets, Bucket{Start: at})
+		latencies = append(latencies, newLatencyCounter())
+	}
+	for _, a := range accounts {
+		n := int(a.Start().Sub(t.Buckets[0].Start) / t.Width)
+		t.Buckets[n].add(a.Outcome())
+		if a.Outcome() == outcome.Answered {
+			latencies[n].add(a.Took())
+		}
+	}
+	for n := range t.Buckets {
+		t.Buckets[n].Latencies = latencies[n].latencies()
+	}
+	return t
+}
+
+func bucketWidth(span time.Duration) time.Duration {
+	for _, width := range bucketWidths {
+		if span/width < maxBuckets-1 {
+			return width
+		}
+	}
+	// A span of years gets as many whole days to a bucket as it needs.
+	const day = 24 * time.Hour
+	return (span/(maxBuckets-1)/day + 1) * day
+}
