Move the start and stop of programs out of the demo

Cause: the measuring subcommand needs the same child processes, control calls and router configuration as the demo. The library's default header is set before any run, because the race detector reported its write in tests that run the demo in parallel.

--- a/internal/dev/demo/conclude.go
+++ b/internal/dev/demo/conclude.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"peridotmoor.org/peridotmoor/internal/dev/judge"
+	"peridotmoor.org/peridotmoor/internal/dev/programs"
 	"peridotmoor.org/peridotmoor/internal/dev/servers"
 )
 
@@ -20,7 +21,7 @@
 		return err
 	}
 	var evidence servers.Evidence
-	if err := get(ctx, d.control+"/dev/runlog", &evidence); err != nil {
+	if err := programs.Get(ctx, d.control+"/dev/runlog", &evidence); err != nil {
 		return err
 	}
 	if err := d.writeEvidence(evidence, result); err != nil {
@@ -58,8 +59,8 @@
 	failed := make([]error, len(d.instances))
 	for n, i := range d.instances {
 		stops.Go(func() {
-			if !i.child.stop() {
-				failed[n] = errors.Errorf("router %s did not end within %s of SIGTERM", i.name, stopTimeout)
+			if !i.Child.Stop() {
+				failed[n] = errors.Errorf("router %s did not end within %s of SIGTERM", i.Name, programs.StopTimeout)
 			}
 		})
 	}
--- a/internal/dev/demo/load.go
+++ b/internal/dev/demo/load.go
@@ -25,7 +25,7 @@
 func (d *demo) load(ctx context.Context) (loadResult, error) {
 	var entries []*callers.Entry
 	for _, i := range d.instances {
-		entries = append(entries, &callers.Entry{Callers: i.callers, Operators: i.operators})
+		entries = append(entries, &callers.Entry{Callers: i.Callers, Operators: i.Operators})
 	}
 	balancer := callers.NewBalancer(entries)
 	defer balancer.Close()
--- a/internal/dev/demo/options.go
+++ b/internal/dev/demo/options.go
@@ -10,12 +10,8 @@
 const (
 	// totalTimeout bounds the whole demo, with its stops.
 	totalTimeout = 29 * time.Second
-	// readyTimeout bounds the start of one program.
-	readyTimeout = 8 * time.Second
 	// commandTimeout bounds one call of an operators' or analysts' program.
 	commandTimeout = 8 * time.Second
-	// stopTimeout is how long a program gets for its planned stop before it is killed.
-	stopTimeout = 3 * time.Second
 )
 
 // Options say what the demo runs.
--- a/internal/dev/demo/plan.go
+++ b/internal/dev/demo/plan.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"peridotmoor.org/peridotmoor/internal/dev/programs"
 	"peridotmoor.org/peridotmoor/internal/dev/servers"
 )
 
@@ -21,17 +22,17 @@
 // plan returns the events in order. The failure domain is taken out before any
 // instance is lost, so that two instances remain at all times.
 func (d *demo) plan() []event {
-	out := d.instances[len(d.instances)-1].domain
+	out := d.instances[len(d.instances)-1].Domain
 	lost := d.instances[0]
-	server := d.serverOf("bosho", lost.domain)
-	reader := d.serverOf("shashin", lost.domain)
+	server := d.serverOf("bosho", lost.Domain)
+	reader := d.serverOf("shashin", lost.Domain)
 	return []event{
 		{0.05, "a server answers with another request's answer", d.action(reader, "fault?value="+string(servers.FaultCrossed))},
 		{0.08, "a server cuts an answer short", d.action(reader, "fault?value="+string(servers.FaultShort))},
 		{0.12, "failure domain " + out + " is taken out", d.domainTo(out, "out")},
 		{0.40, "failure domain " + out + " is brought back", d.domainTo(out, "in")},
 		{0.58, "backend server " + server + " is lost", d.action(server, "crash")},
-		{0.68, "router " + lost.name + " is killed", d.killRouter(lost)},
+		{0.68, "router " + lost.Name + " is killed", d.killRouter(lost)},
 		{0.78, "backend server " + server + " starts again, cold", d.action(server, "start")},
 	}
 }
@@ -76,7 +77,7 @@
 // action calls a control endpoint of a server.
 func (d *demo) action(server, what string) func(context.Context) error {
 	return func(ctx context.Context) error {
-		return exchange(ctx, http.MethodPost, d.control+"/dev/servers/"+server+"/"+what, nil, nil)
+		return programs.Exchange(ctx, http.MethodPost, d.control+"/dev/servers/"+server+"/"+what, nil, nil)
 	}
 }
 
@@ -94,10 +95,10 @@
 }
 
 // killRouter kills the router and takes it off the platform's list, which shows it after its lag.
-func (d *demo) killRouter(i *instance) func(context.Context) error {
+func (d *demo) killRouter(i *programs.Instance) func(context.Context) error {
 	return func(ctx context.Context) error {
-		i.lost = true
-		i.child.kill()
-		return exchange(ctx, http.MethodDelete, d.platform+"/dev/instances/"+i.name, nil, nil)
+		i.Lost = true
+		i.Child.Kill()
+		return programs.Exchange(ctx, http.MethodDelete, d.platform+"/dev/instances/"+i.Name, nil, nil)
 	}
 }
--- a/internal/dev/demo/programs.go
+++ b/internal/dev/demo/programs.go
@@ -44,8 +44,8 @@
 func (d *demo) instanceArgs() []string {
 	var running []string
 	for _, i := range d.instances {
-		if i.child != nil && !i.lost {
-			running = append(running, i.operators)
+		if i.Child != nil && !i.Lost {
+			running = append(running, i.Operators)
 		}
 	}
 	if len(running) == 0 {
@@ -69,7 +69,7 @@
 	}
 	args := []string{"verify", "--runlog", d.runlogPath()}
 	for _, i := range d.instances {
-		args = append(args, i.records(d.dir))
+		args = append(args, i.Records(d.dir))
 	}
 	return d.runProgram(ctx, programReport, args...)
 }
--- a/internal/dev/demo/run.go
+++ b/internal/dev/demo/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"peridotmoor.org/peridotmoor/internal/dev/programs"
 	"peridotmoor.org/peridotmoor/internal/dev/servers"
 )
 
@@ -20,12 +21,12 @@
 	out       io.Writer
 	outMu     sync.Mutex
 	begin     time.Time
-	children  *Children
+	children  *programs.Children
 	tree      *tree
 	listed    []servers.Listed
 	platform  string // URL
 	control   string // URL of the servers' control endpoints
-	instances []*instance
+	instances []*programs.Instance
 	// accepted is the number of the settings version that was applied last.
 	accepted int
 }
@@ -41,7 +42,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, totalTimeout-stopTimeout)
+	ctx, cancel := context.WithTimeout(ctx, totalTimeout-programs.StopTimeout)
 	defer cancel()
 	dir, remove, err := workDir(options.Dir)
 	if err != nil {
@@ -53,7 +54,7 @@
 		out:      out,
 		begin:    time.Now(),
 		tree:     settings,
-		children: NewChildren(options.Bin, dir),
+		children: programs.NewChildren(options.Bin, dir),
 	}
 	defer func() {
 		if err == nil {
@@ -63,7 +64,7 @@
 		err = errors.Wrapf(err, "logs and records are in %s", dir)
 	}()
 	defer d.children.Close()
-	defer client.CloseIdleConnections()
+	defer programs.Client.CloseIdleConnections()
 	return d.run(ctx)
 }
 
--- a/internal/dev/demo/start.go
+++ b/internal/dev/demo/start.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"peridotmoor.org/peridotmoor/internal/dev/platform"
+	"peridotmoor.org/peridotmoor/internal/dev/programs"
 	"peridotmoor.org/peridotmoor/internal/instances"
 	"peridotmoor.org/peridotmoor/internal/instances/httplist"
 )
@@ -19,7 +20,7 @@
 	if err != nil {
 		return err
 	}
-	address, err := child.listening(ctx)
+	address, err := child.Listening(ctx)
 	if err != nil {
 		return err
 	}
@@ -35,12 +36,12 @@
 	if err != nil {
 		return err
 	}
-	address, err := child.listening(ctx)
+	address, err := child.Listening(ctx)
 	if err != nil {
 		return err
 	}
 	d.control = "http://" + address
-	if err := get(ctx, d.control+"/dev/servers", &d.listed); err != nil {
+	if err := programs.Get(ctx, d.control+"/dev/servers", &d.listed); err != nil {
 		return err
 	}
 	d.tree.fill(d.listed)
@@ -65,12 +66,12 @@
 		return err
 	}
 	for _, i := range d.instances {
-		if err := d.startRouter(i); err != nil {
+		if err := i.Start(d.children, d.platform, d.instances); err != nil {
 			return err
 		}
 	}
 	for _, i := range d.instances {
-		if err := waitReady(ctx, i); err != nil {
+		if err := i.WaitReady(ctx); err != nil {
 			return err
 		}
 	}
@@ -81,20 +82,11 @@
 // register puts the instances into the platform's list, which lags from then on.
 func (d *demo) register(ctx context.Context) error {
 	for _, i := range d.instances {
-		listed := httplist.ListedInstance{Name: i.name, Address: i.peers, Domain: i.domain, State: instances.Live}
-		if err := post(ctx, d.platform+"/dev/instances", listed); err != nil {
+		listed := httplist.ListedInstance{Name: i.Name, Address: i.Peers, Domain: i.Domain, State: instances.Live}
+		if err := programs.Post(ctx, d.platform+"/dev/instances", listed); err != nil {
 			return err
 		}
 	}
 	lag := listLagMS
-	return post(ctx, d.platform+"/dev/faults", platform.Control{ListLagMS: &lag})
-}
-
-func (d *demo) startRouter(i *instance) error {
-	config, err := i.writeConfig(d.dir, d.platform, d.instances)
-	if err != nil {
-		return err
-	}
-	i.child, err = d.children.Start(i.name, programRouter, "--config", config)
-	return err
+	return programs.Post(ctx, d.platform+"/dev/faults", platform.Control{ListLagMS: &lag})
 }
--- a/internal/dev/demo/tree.go
+++ b/internal/dev/demo/tree.go
@@ -17,9 +17,13 @@
 	file *ini.File
 }
 
-func loadTree(path string) (*tree, error) {
-	// Without it the library writes [DEFAULT] without its header.
+// Without it the library writes [DEFAULT] without its header. It is set before
+// any run, because the library reads it without synchronization.
+func init() {
 	ini.DefaultHeader = true
+}
+
+func loadTree(path string) (*tree, error) {
 	file, err := ini.Load(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "name a readable settings tree with --settings")
--- a/internal/dev/demo/child.go
+++ b/internal/dev/programs/child.go
@@ -1,4 +1,4 @@
-package demo
+package programs
 
 import (
 	"bufio"
@@ -13,7 +13,7 @@
 	"github.com/pkg/errors"
 )
 
-// Child is a program that the demo has started.
+// Child is a program that was started.
 type Child struct {
 	name    string
 	command *exec.Cmd
@@ -44,8 +44,8 @@
 	c.err = c.command.Wait()
 }
 
-// listening returns the address that the program says it listens on.
-func (c *Child) listening(ctx context.Context) (string, error) {
+// Listening returns the address that the program says it listens on.
+func (c *Child) Listening(ctx context.Context) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	select {
@@ -58,23 +58,28 @@
 	}
 }
 
-// kill ends the program at once.
-func (c *Child) kill() {
+// Kill ends the program at once.
+func (c *Child) Kill() {
 	_ = c.command.Process.Kill()
 	<-c.done
 }
 
-// stop asks the program to end and kills it when it takes too long. It
+// Stop asks the program to end and kills it when it takes too long. It
 // reports whether the program ended by itself.
-func (c *Child) stop() bool {
+func (c *Child) Stop() bool {
 	_ = c.command.Process.Signal(syscall.SIGTERM)
-	timer := time.NewTimer(stopTimeout)
+	timer := time.NewTimer(StopTimeout)
 	defer timer.Stop()
 	select {
 	case <-c.done:
 		return true
 	case <-timer.C:
-		c.kill()
+		c.Kill()
 		return false
 	}
 }
+
+// PID returns the process ID of the program.
+func (c *Child) PID() int {
+	return c.command.Process.Pid
+}
--- a/internal/dev/demo/children.go
+++ b/internal/dev/programs/children.go
@@ -1,4 +1,4 @@
-package demo
+package programs
 
 import (
 	"bytes"
@@ -14,13 +14,13 @@
 	"github.com/pkg/errors"
 )
 
-// Children are all programs that the demo has started. They are killed by the
-// kernel when the demo itself is killed.
+// Children are all programs that one run has started. They are killed by the
+// kernel when the run itself is killed.
 type Children struct {
 	bin string
 	dir string
 	// starts carries work to the thread that starts programs. The kernel ties
-	// the death signal to that thread, so it lives as long as the demo.
+	// the death signal to that thread, so it lives as long as the run.
 	starts chan func()
 	ended  chan struct{}
 
@@ -45,11 +45,18 @@
 
 // Start starts program as name with args.
 func (c *Children) Start(name, program string, args ...string) (*Child, error) {
+	return c.StartWith(nil, name, program, args...)
+}
+
+// StartWith starts program as name with args and with environment variables
+// (NAME=value) on top of the inherited ones.
+func (c *Children) StartWith(environment []string, name, program string, args ...string) (*Child, error) {
 	log, err := os.Create(filepath.Join(c.dir, name+".log"))
 	if err != nil {
 		return nil, errors.Wrap(err, "log file")
 	}
 	command := exec.Command(filepath.Join(c.bin, program), args...)
+	command.Env = append(os.Environ(), environment...)
 	output, err := command.StdoutPipe()
 	if err != nil {
 		return nil, errors.Wrap(err, "output pipe")
@@ -97,7 +104,7 @@
 	var stops sync.WaitGroup
 	results := make([]bool, len(c.all))
 	for i, child := range c.all {
-		stops.Go(func() { results[i] = child.stop() })
+		stops.Go(func() { results[i] = child.Stop() })
 	}
 	stops.Wait()
 	for i, child := range c.all {
--- /dev/null
+++ b/internal/dev/programs/control.go
@@ -0,0 +1,52 @@
+package programs
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// readyInterval is how often a starting program is asked whether it is ready.
+const readyInterval = 50 * time.Millisecond
+
+// Client calls the control endpoints of the stand-ins and of the routers.
+var Client = &http.Client{Transport: &http.Transport{}}
+
+// Post sends body as JSON; nil sends nothing.
+func Post(ctx context.Context, url string, body any) error {
+	content, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, url)
+	}
+	return Exchange(ctx, http.MethodPost, url, bytes.NewReader(content), nil)
+}
+
+// Get reads JSON into out.
+func Get(ctx context.Context, url string, out any) error {
+	return Exchange(ctx, http.MethodGet, url, nil, out)
+}
+
+func Exchange(ctx context.Context, method, url string, body io.Reader, out any) error {
+	request, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return errors.Wrap(err, url)
+	}
+	response, err := Client.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "control call")
+	}
+	defer response.Body.Close()
+	if response.StatusCode/100 != 2 {
+		text, _ := io.ReadAll(io.LimitReader(response.Body, 200))
+		return errors.Errorf("%s %s: status %d: %s", method, url, response.StatusCode, text)
+	}
+	if out == nil {
+		return nil
+	}
+	return errors.Wrap(json.NewDecoder(response.Body).Decode(out), url)
+}
--- a/internal/dev/demo/ports.go
+++ b/internal/dev/programs/ports.go
@@ -1,4 +1,4 @@
-package demo
+package programs
 
 import (
 	"net"
