Measure the running system with a subcommand

Change: peridotmoor-dev bench starts routers and stand-ins, applies a generated settings tree, sends open-loop load and prints rates, latencies, outcomes and what each router used.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 PACKAGES := ./...
 
-.PHONY: build test check fmt generate demo fuzz
+.PHONY: build test check fmt generate demo fuzz bench
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -21,6 +21,10 @@
 demo: build
 	./bin/peridotmoor-dev demo --bin bin
 
+# Flags of one run go into BENCH, such as BENCH="--rate 2000 --orders 50".
+bench: build
+	./bin/peridotmoor-dev bench --bin bin $(BENCH)
+
 # Needs protoc (Debian package protobuf-compiler). The generated code is committed.
 generate:
 	mkdir -p bin/tools
--- /dev/null
+++ b/internal/dev/bench/bench_test.go
@@ -0,0 +1,153 @@
+package bench
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotmoor.org/peridotmoor/internal/backend"
+	"peridotmoor.org/peridotmoor/internal/outcome"
+	"peridotmoor.org/peridotmoor/internal/settings"
+)
+
+// Guards against a generated tree that routers would refuse or that has other sizes than asked.
+func TestGeneratedTreeIsValid(t *testing.T) {
+	for name, change := range map[string]func(*Options){
+		"default":     func(*Options) {},
+		"keyed":       func(o *Options) { o.Keyed = true },
+		"many shards": func(o *Options) { o.Services, o.Shards, o.Servers = 4, 64, 640 },
+		"ranges":      func(o *Options) { o.Ranges = 20 },
+		"few keys":    func(o *Options) { o.Ranges, o.Keys = 20, 3 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			o := DefaultOptions()
+			change(&o)
+			is.NoErr(o.check())
+			tree, err := settings.Parse(settingsTree(o, nil), "tree.ini")
+			is.NoErr(err)
+			is.Equal(len(tree.Services()), o.Services)
+			is.Equal(strings.Count(tree.Text(), "[server."), o.Servers)
+			is.Equal(len(tree.Domains()), o.Domains)
+		})
+	}
+}
+
+// Guards against options that would measure something else than asked.
+func TestBadOptionsAreRefused(t *testing.T) {
+	for name, change := range map[string]func(*Options){
+		"no routers":             func(o *Options) { o.Routers = 0 },
+		"negative rate":          func(o *Options) { o.Rate = -1 },
+		"orders over 100":        func(o *Options) { o.Orders = 101 },
+		"shards without servers": func(o *Options) { o.Shards = 100 },
+		"keyed without grants":   func(o *Options) { o.Keyed, o.Direct = true, true },
+		"too long":               func(o *Options) { o.Duration = time.Hour },
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := DefaultOptions()
+			change(&o)
+			is.New(t).True(o.check() != nil)
+		})
+	}
+}
+
+// Guards against a program name with spaces or parentheses that shifts the fields.
+func TestProcessorTimeSkipsTheName(t *testing.T) {
+	is := is.New(t)
+	cpu, err := parseStat([]byte("7 (a) b (c) S 1 2 3 4 5 6 7 8 9 10 250 50 0 0"))
+	is.NoErr(err)
+	is.Equal(cpu, 3.0)
+	_, err = parseStat([]byte("7 (short) S 1 2"))
+	is.True(err != nil)
+}
+
+// Guards against a format of /proc that the parser does not read.
+func TestOwnUsageIsRead(t *testing.T) {
+	is := is.New(t)
+	used, err := usageOf(os.Getpid())
+	is.NoErr(err)
+	is.True(used.resident > 1<<20)
+	_, err = parseStatus("VmSize:\t1 kB\n")
+	is.True(err != nil)
+}
+
+// Guards against samples that are lost or counted under another message.
+func TestMetricsAreSummedByNameAndMessage(t *testing.T) {
+	is := is.New(t)
+	text := `# HELP x y
+m{direction="sent",message="a"} 2
+m{direction="received",message="a"} 3
+m{direction="sent",message="b"} 1e3
+plain 4
+`
+	sums, err := parseMetrics(text)
+	is.NoErr(err)
+	is.Equal(sums, counters{"m": 1005, "m/a": 5, "m/b": 1000, "plain": 4})
+	_, err = parseMetrics("m many\n")
+	is.True(err != nil)
+}
+
+// Guards against refusals that enter the latencies, and against late ones that leave them.
+func TestOnlyAnsweredRequestsEnterTheLatencies(t *testing.T) {
+	is := is.New(t)
+	l := newLatencies()
+	l.add(string(outcome.Answered), 20*time.Millisecond)
+	l.add(string(outcome.Answered), time.Hour)
+	l.add(string(outcome.NotRun), time.Microsecond)
+	answered, sent := l.count()
+	is.Equal(answered, 2)
+	is.Equal(sent, 3)
+	is.Equal(l.answered.Min()/1000, int64(20))
+	is.True(l.answered.Max() >= highestMicros)
+}
+
+// Guards against wrong answers that count as answered.
+func TestAnswersAreJudged(t *testing.T) {
+	router, server := target{address: "r"}, target{address: "s", service: "svc", shard: "svc/0"}
+	for _, c := range []struct {
+		name    string
+		to      target
+		status  int
+		id      string
+		outcome string
+		want    string
+	}{
+		{"answered", router, 200, "id", "answered", "answered"},
+		{"application error", router, 404, "id", "answered", "answered"},
+		{"refused", router, 503, "id", "not-run", "not-run"},
+		{"no outcome", router, 200, "id", "", failed},
+		{"other request", router, 200, "other", "answered", crossed},
+		{"direct", server, 200, "id", "", "answered"},
+		{"direct shed", server, 503, "id", "", refused},
+		{"direct other request", server, 200, "other", "", crossed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			recorder := httptest.NewRecorder()
+			recorder.Header().Set(backend.HeaderRequestID, c.id)
+			recorder.Header().Set(backend.HeaderOutcome, c.outcome)
+			recorder.WriteHeader(c.status)
+			is.New(t).Equal(resultOf(recorder.Result(), c.to, "id"), c.want)
+		})
+	}
+}
+
+// Guards against an order that net/http may send twice and a read that is marked as an order.
+func TestRequestsAreMarked(t *testing.T) {
+	is := is.New(t)
+	s := newSender(10)
+	order, err := s.request(t.Context(), target{address: "a"}, call{service: "s", key: "k", order: true}, "id")
+	is.NoErr(err)
+	is.Equal(order.Method, http.MethodPost)
+	is.Equal(order.Header.Get(backend.HeaderIdempotent), "false")
+	is.True(order.GetBody == nil)
+	is.Equal(order.ContentLength, int64(10))
+	read, err := s.request(t.Context(), target{address: "a"}, call{service: "s", key: "k"}, "id")
+	is.NoErr(err)
+	is.Equal(read.Header.Get(backend.HeaderIdempotent), "true")
+	is.True(strings.HasSuffix(read.URL.Path, "/s/k/bench"))
+}
--- /dev/null
+++ b/internal/dev/bench/counters.go
@@ -0,0 +1,74 @@
+package bench
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/dev/programs"
+)
+
+// Metrics of a router that a run reads.
+const (
+	metricBytes    = "peridotmoor_control_bytes_total"
+	metricMessages = "peridotmoor_control_messages_total"
+	metricStore    = "peridotmoor_store_calls_total"
+)
+
+// counters are sums of the metrics of one router over all labels.
+type counters map[string]float64
+
+// countersOf reads the metrics that a router exposes to operators.
+func countersOf(ctx context.Context, operators string) (counters, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+operators+"/metrics", nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "metrics")
+	}
+	response, err := programs.Client.Do(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "metrics")
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, errors.Wrap(err, "metrics")
+	}
+	return parseMetrics(string(content))
+}
+
+// parseMetrics sums the samples of each metric, and of each metric and message
+// under "metric/message". Comments are skipped.
+func parseMetrics(text string) (counters, error) {
+	sums := counters{}
+	for line := range strings.Lines(text) {
+		line = strings.TrimSpace(line)
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		split := strings.LastIndexByte(line, ' ')
+		value, err := strconv.ParseFloat(line[split+1:], 64)
+		if err != nil {
+			return nil, errors.Wrapf(err, "metrics line %q", line)
+		}
+		name, labels, _ := strings.Cut(line[:max(split, 0)], "{")
+		sums[name] += value
+		if message := labelOf(labels, "message"); message != "" {
+			sums[name+"/"+message] += value
+		}
+	}
+	return sums, nil
+}
+
+// labelOf returns the value of a label, or "".
+func labelOf(labels, name string) string {
+	_, rest, found := strings.Cut(labels, name+`="`)
+	if !found {
+		return ""
+	}
+	value, _, _ := strings.Cut(rest, `"`)
+	return value
+}
--- /dev/null
+++ b/internal/dev/bench/latencies.go
@@ -0,0 +1,58 @@
+package bench
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"peridotmoor.org/peridotmoor/internal/outcome"
+)
+
+// The histogram covers 1 µs to 10 s with an error of at most 0.1%.
+const (
+	lowestMicros  = 1
+	highestMicros = 10_000_000
+	digits        = 3
+)
+
+// latencies are the latencies and outcomes of one kind of request.
+type latencies struct {
+	mu       sync.Mutex
+	answered *hdrhistogram.Histogram
+	outcomes map[string]int
+}
+
+func newLatencies() *latencies {
+	return &latencies{answered: hdrhistogram.New(lowestMicros, highestMicros, digits), outcomes: map[string]int{}}
+}
+
+// add counts a request. Only answered ones enter the histogram: a fast refusal
+// would make the latency look better.
+func (l *latencies) add(result string, latency time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outcomes[result]++
+	if result == string(outcome.Answered) {
+		_ = l.answered.RecordValue(min(max(latency.Microseconds(), lowestMicros), highestMicros))
+	}
+}
+
+// count returns how many requests were answered and how many were sent.
+func (l *latencies) count() (answered, sent int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, n := range l.outcomes {
+		sent += n
+	}
+	return l.outcomes[string(outcome.Answered)], sent
+}
+
+// quantiles returns p50, p99 and p99.9 in ms.
+func (l *latencies) quantiles() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ms := func(quantile float64) float64 { return float64(l.answered.ValueAtQuantile(quantile)) / 1000 }
+	return fmt.Sprintf("%.2f/%.2f/%.2f", ms(50), ms(99), ms(99.9))
+}
--- /dev/null
+++ b/internal/dev/bench/sender.go
@@ -0,0 +1,116 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"peridotmoor.org/peridotmoor/internal/backend"
+	"peridotmoor.org/peridotmoor/internal/outcome"
+)
+
+// The bounds of the requests of a run.
+const (
+	requestTimeout    = 2 * time.Second
+	connectionsPerHop = 512
+	// crossed counts answers that name another request.
+	crossed = "crossed"
+	// failed counts requests without a whole answer.
+	failed = "failed"
+	// refused counts answers of a server that did not run the request, sent directly.
+	refused = "refused"
+)
+
+// target is where a request may be sent.
+type target struct {
+	address string
+	// service and shard are set when the target is a server.
+	service string
+	shard   string
+}
+
+// call is one request of the load.
+type call struct {
+	service string
+	key     string
+	order   bool
+}
+
+// sender sends single requests, without retries.
+type sender struct {
+	transport *http.Transport
+	body      []byte
+}
+
+func newSender(bodyBytes int) *sender {
+	return &sender{
+		transport: &http.Transport{MaxConnsPerHost: connectionsPerHop, MaxIdleConnsPerHost: connectionsPerHop, DisableCompression: true},
+		body:      bytes.Repeat([]byte("x"), bodyBytes),
+	}
+}
+
+// send sends a request and returns what became of it.
+func (s *sender) send(ctx context.Context, to target, c call) string {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	id := uuid.Must(uuid.NewV7()).String()
+	request, err := s.request(ctx, to, c, id)
+	if err != nil {
+		return failed
+	}
+	response, err := s.transport.RoundTrip(request)
+	if err != nil {
+		return failed
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return failed
+	}
+	return resultOf(response, to, id)
+}
+
+func (s *sender) request(ctx context.Context, to target, c call, id string) (*http.Request, error) {
+	method, body := http.MethodGet, io.Reader(nil)
+	if c.order {
+		// A reader that is not replayable keeps net/http from sending an order twice.
+		method, body = http.MethodPost, io.NopCloser(bytes.NewReader(s.body))
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+to.address+"/"+c.service+"/"+c.key+"/bench", body)
+	if err != nil {
+		return nil, err
+	}
+	if c.order {
+		request.ContentLength = int64(len(s.body))
+	}
+	request.Header.Set(backend.HeaderRequestID, id)
+	request.Header.Set(backend.HeaderIdempotent, strconv.FormatBool(!c.order))
+	request.Header.Set(backend.HeaderTimeoutMS, strconv.FormatInt(requestTimeout.Milliseconds(), 10))
+	if to.shard != "" {
+		request.Header.Set(backend.HeaderKey, c.key)
+		request.Header.Set(backend.HeaderShard, to.shard)
+		request.Header.Set(backend.HeaderToken, "1.1")
+	}
+	return request, nil
+}
+
+// resultOf names what became of an answered request.
+func resultOf(response *http.Response, to target, id string) string {
+	if to.shard != "" && response.StatusCode != http.StatusOK {
+		return refused
+	}
+	if to.shard == "" && response.Header.Get(backend.HeaderOutcome) != string(outcome.Answered) {
+		if claimed := response.Header.Get(backend.HeaderOutcome); claimed != "" {
+			return claimed
+		}
+		return failed
+	}
+	if response.Header.Get(backend.HeaderRequestID) != id {
+		return crossed
+	}
+	return string(outcome.Answered)
+}
--- /dev/null
+++ b/internal/dev/bench/start.go
@@ -0,0 +1,126 @@
+package bench
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/dev/programs"
+	"peridotmoor.org/peridotmoor/internal/instances"
+	"peridotmoor.org/peridotmoor/internal/instances/httplist"
+)
+
+// The programs that a run starts, apart from the routers.
+const (
+	programDev = "peridotmoor-dev"
+	programCtl = "peridotmoorctl"
+)
+
+// start starts everything that the run needs.
+func (r *run) start(ctx context.Context) error {
+	if err := r.startServers(ctx); err != nil {
+		return err
+	}
+	if r.options.Direct {
+		return nil
+	}
+	steps := []func(context.Context) error{r.startPlatform, r.apply, r.startRouters, r.wait}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *run) startServers(ctx context.Context) error {
+	path, err := r.writeTree()
+	if err != nil {
+		return err
+	}
+	r.fleet, err = r.children.Start("servers", programDev, "servers", "--settings", path,
+		"--median-ms", strconv.Itoa(r.options.WorkMS), "--seed", strconv.FormatUint(r.options.Seed, 10))
+	if err != nil {
+		return err
+	}
+	address, err := r.fleet.Listening(ctx)
+	if err != nil {
+		return err
+	}
+	return programs.Get(ctx, "http://"+address+"/dev/servers", &r.listed)
+}
+
+// writeTree writes the settings tree with the addresses that are known so far.
+func (r *run) writeTree() (string, error) {
+	path := filepath.Join(r.dir, "settings.ini")
+	text := settingsTree(r.options, addressesOf(r.listed))
+	return path, errors.Wrap(os.WriteFile(path, []byte(text), 0o644), "settings tree")
+}
+
+func (r *run) startPlatform(ctx context.Context) error {
+	var err error
+	if r.store, err = r.children.Start("platform", programDev, "platform"); err != nil {
+		return err
+	}
+	address, err := r.store.Listening(ctx)
+	r.platform = "http://" + address
+	return err
+}
+
+func (r *run) apply(ctx context.Context) error {
+	path, err := r.writeTree()
+	if err != nil {
+		return err
+	}
+	_, err = r.children.Output(ctx, programCtl, "apply", "--store", r.platform, "--author", "bench", "--parent", "0", "--no-instances", path)
+	return err
+}
+
+func (r *run) startRouters(ctx context.Context) error {
+	for n := range r.options.Routers {
+		domain := domainName(n % r.options.Domains)
+		r.instances = append(r.instances, &programs.Instance{Name: "entry-" + strconv.Itoa(n), Domain: domain, Region: region})
+	}
+	if err := programs.AssignPorts(r.instances); err != nil {
+		return err
+	}
+	for _, i := range r.instances {
+		listed := httplist.ListedInstance{Name: i.Name, Address: i.Peers, Domain: i.Domain, State: instances.Live}
+		if err := programs.Post(ctx, r.platform+"/dev/instances", listed); err != nil {
+			return err
+		}
+	}
+	for _, i := range r.instances {
+		if err := i.Start(r.children, r.platform, r.instances, r.environment()...); err != nil {
+			return err
+		}
+	}
+	for _, i := range r.instances {
+		if err := i.WaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// environment limits the processors of a router, if asked.
+func (r *run) environment() []string {
+	if r.options.Procs == 0 {
+		return nil
+	}
+	return []string{"GOMAXPROCS=" + strconv.Itoa(r.options.Procs)}
+}
+
+// wait returns when the settings are in effect in every router.
+func (r *run) wait(ctx context.Context) error {
+	var operators []string
+	for _, i := range r.instances {
+		operators = append(operators, i.Operators)
+	}
+	_, err := r.children.Output(ctx, programCtl, "wait", "--store", r.platform, "--instances", strings.Join(operators, ","))
+	return err
+}
--- /dev/null
+++ b/internal/dev/bench/usage.go
@@ -0,0 +1,70 @@
+package bench
+
+import (
+	"bytes"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// ticksPerSecond is the unit of times in /proc/PID/stat on Linux.
+const ticksPerSecond = 100
+
+// usage is what one process has used, as /proc says.
+type usage struct {
+	// cpu is user and system time in seconds.
+	cpu float64
+	// resident is the resident memory in bytes.
+	resident float64
+}
+
+// usageOf reads the usage of a process.
+func usageOf(pid int) (usage, error) {
+	directory := "/proc/" + strconv.Itoa(pid)
+	stat, err := os.ReadFile(directory + "/stat")
+	if err != nil {
+		return usage{}, errors.Wrap(err, "processor time")
+	}
+	status, err := os.ReadFile(directory + "/status")
+	if err != nil {
+		return usage{}, errors.Wrap(err, "resident memory")
+	}
+	cpu, err := parseStat(stat)
+	if err != nil {
+		return usage{}, err
+	}
+	resident, err := parseStatus(string(status))
+	return usage{cpu: cpu, resident: resident}, err
+}
+
+// parseStat returns the processor time in seconds. The name of the program is
+// in parentheses and may contain spaces.
+func parseStat(stat []byte) (float64, error) {
+	fields := bytes.Fields(stat[bytes.LastIndexByte(stat, ')')+1:])
+	// User and system time are the 14th and 15th field; the first here is the 3rd.
+	const userField, systemField = 11, 12
+	if len(fields) <= systemField {
+		return 0, errors.Errorf("/proc stat has %d fields after the name", len(fields))
+	}
+	user, errUser := strconv.ParseInt(string(fields[userField]), 10, 64)
+	system, errSystem := strconv.ParseInt(string(fields[systemField]), 10, 64)
+	if errUser != nil || errSystem != nil {
+		return 0, errors.Errorf("/proc stat has no numbers for processor time: %s", stat)
+	}
+	return float64(user+system) / ticksPerSecond, nil
+}
+
+// parseStatus returns the resident memory in bytes.
+func parseStatus(status string) (float64, error) {
+	for line := range strings.Lines(status) {
+		value, found := strings.CutPrefix(line, "VmRSS:")
+		if !found {
+			continue
+		}
+		kilobytes, err := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(value), " kB"), 10, 64)
+		return float64(kilobytes << 10), errors.Wrap(err, "VmRSS")
+	}
+	return 0, errors.New("/proc status has no VmRSS")
+}
