Tell the next holder which servers are warm and which slots are still in use

Cause: in a trial of the demo a server stood still for 6 s after a hand-over: slots that the last holder's requests used stayed taken for 30 s at the next holder, and the ramp after a takeover allowed no other. Change: the last holder reports every 50 ms until its requests have ended, and names the warm servers, which then need no new ramp.

--- a/internal/peer/handover.go
+++ b/internal/peer/handover.go
@@ -17,7 +17,7 @@
 	Token authority.Token
 	From  authority.Instance
 	To    authority.Instance
-	// Busy lists the slots that requests of the sender still use.
+	// Busy lists the servers that are warm or still run requests of the sender.
 	Busy []BusyServer
 }
 
@@ -33,7 +33,7 @@
 		To:    instanceToWire(h.To),
 	}
 	for _, b := range h.Busy {
-		out.Busy = append(out.Busy, &peerpb.BusyServer{Server: b.Server, Slots: int32(b.Slots), RemainingMs: ceilMillis(b.Remaining)})
+		out.Busy = append(out.Busy, &peerpb.BusyServer{Server: b.Server, Slots: int32(b.Slots), RemainingMs: ceilMillis(b.Remaining), Warm: b.Warm})
 	}
 	sent(c.meter, messageHandOver, out)
 	var in *peerpb.HandOverReply
@@ -60,7 +60,7 @@
 	}
 	h := HandOver{Shard: shard, Token: tokenFromWire(in.Token), From: instanceFromWire(in.From), To: instanceFromWire(in.To)}
 	for _, b := range in.Busy {
-		h.Busy = append(h.Busy, BusyServer{Server: b.Server, Slots: int(b.Slots), Remaining: time.Duration(b.RemainingMs) * time.Millisecond})
+		h.Busy = append(h.Busy, BusyServer{Server: b.Server, Slots: int(b.Slots), Remaining: time.Duration(b.RemainingMs) * time.Millisecond, Warm: b.Warm})
 	}
 	out := &peerpb.HandOverReply{Accepted: true}
 	if err := s.handlers.HandOver.HandleHandOver(ctx, h); err != nil {
--- a/internal/router/busyslots.go
+++ b/internal/router/busyslots.go
@@ -2,17 +2,23 @@
 
 import "time"
 
-// busySlots are the slots of backend servers that requests of a shard's last
-// holder still use after a hand-over.
+// busySlots is what the last holder of a shard has told in a hand-over. It is immutable.
 type busySlots struct {
-	servers map[string]int
+	servers map[string]busyServer
 	until   time.Time
 }
 
-// at returns the slots in use on server at now.
-func (b *busySlots) at(server string, now time.Time) int {
+// busyServer is the part of a hand-over about one backend server.
+type busyServer struct {
+	// slots is how many slots requests of the last holder still use.
+	slots int
+	warm  bool
+}
+
+// at returns what is known of server at now.
+func (b *busySlots) at(server string, now time.Time) busyServer {
 	if b == nil || !now.Before(b.until) {
-		return 0
+		return busyServer{}
 	}
 	return b.servers[server]
 }
--- a/internal/router/handover.go
+++ b/internal/router/handover.go
@@ -7,6 +7,7 @@
 	"peridotmoor.org/peridotmoor/internal/authority"
 	"peridotmoor.org/peridotmoor/internal/events"
 	"peridotmoor.org/peridotmoor/internal/peer"
+	"peridotmoor.org/peridotmoor/internal/route"
 )
 
 // Bounds of a hand-over.
@@ -22,26 +23,36 @@
 	surrenderLimit = 1500 * time.Millisecond
 	// busyLimit is the longest time for which slots stay taken at the next holder.
 	busyLimit = 30 * time.Second
+	// busyInterval is the time between two reports of the slots that are still in use.
+	busyInterval = 50 * time.Millisecond
 )
 
 // handOver gives the shard to another witness in an orderly way: it prepares the
-// next holder, turns new requests away, waits for those in flight and returns
-// its promises. It reports whether the shard was handed over or not held; a next
-// holder that cannot be prepared ends it before any request is turned away.
+// next holder, turns new requests away, waits for those in flight, takes the
+// grants back and returns its promises. It reports whether the shard was handed
+// over or not held; a next holder that cannot be prepared ends it before any
+// request is turned away.
 func (u *unit) handOver(ctx context.Context) bool {
 	tenure := u.source.Tenure()
 	if !tenure.ValidAt(time.Now(), 0) {
 		return true
 	}
-	if !u.prepareNext(ctx, tenure) || !u.stopping.CompareAndSwap(false, true) {
+	targets := u.targets()
+	next, ok := u.prepareNext(ctx, tenure, targets)
+	if !ok || !u.stopping.CompareAndSwap(false, true) {
 		return false
 	}
 	u.parts.log.Emit(events.HandOverBegun, events.FieldShard, u.id.String())
 	u.drainBriefly(ctx)
 	if u.inFlight.Load() > 0 {
-		u.prepareNext(ctx, tenure)
+		// A failed report leaves the next holder with the slots told before.
+		_ = u.tell(ctx, next, tenure, targets)
 	}
-	return u.release(ctx)
+	if !u.release(ctx) {
+		return false
+	}
+	u.parts.reports.Go(func() { u.reportBusy(next, tenure, targets) })
+	return true
 }
 
 // release takes all grants back and returns the promises at once. It is also the last resort of a planned
@@ -81,49 +92,91 @@
 	u.drain(ctx)
 }
 
-// prepareNext asks the next holder to take over at once and tells it the slots
-// that are in use. It reports whether the next holder agreed.
-func (u *unit) prepareNext(ctx context.Context, tenure *authority.Tenure) bool {
+// prepareNext asks the next holder to take over at once. It reports whether one agreed.
+func (u *unit) prepareNext(ctx context.Context, tenure *authority.Tenure, targets []*route.Target) (authority.Member, bool) {
 	ctx, cancel := context.WithTimeout(ctx, handOverCall)
 	defer cancel()
 	next, found, err := u.parts.keeper.NextHolder(ctx, u.id)
 	if err != nil || !found {
-		return false
+		return next, false
 	}
-	err = u.parts.peers.HandOver(ctx, next.Address, peer.HandOver{
+	err = u.tell(ctx, next, tenure, targets)
+	if err != nil {
+		u.parts.log.Emit(events.HandOverFailed, events.FieldShard, u.id.String(), events.FieldMessage, err.Error())
+	}
+	return next, err == nil
+}
+
+// tell sends the next holder what it must know of the servers.
+func (u *unit) tell(ctx context.Context, next authority.Member, tenure *authority.Tenure, targets []*route.Target) error {
+	ctx, cancel := context.WithTimeout(ctx, handOverCall)
+	defer cancel()
+	return u.parts.peers.HandOver(ctx, next.Address, peer.HandOver{
 		Shard: u.id,
 		Token: tenure.Token,
 		From:  tenure.Holder,
 		To:    next.Instance,
-		Busy:  u.busyServers(),
+		Busy:  busyServers(targets),
 	})
-	if err != nil {
-		u.parts.log.Emit(events.HandOverFailed, events.FieldShard, u.id.String(), events.FieldMessage, err.Error())
+}
+
+// reportBusy tells the next holder which slots are still in use until none is. A
+// report that is lost leaves slots taken until busyLimit.
+func (u *unit) reportBusy(next authority.Member, tenure *authority.Tenure, targets []*route.Target) {
+	ctx, cancel := context.WithTimeout(context.Background(), busyLimit)
+	defer cancel()
+	ticker := time.NewTicker(busyInterval)
+	defer ticker.Stop()
+	for running := true; running && ctx.Err() == nil; {
+		select {
+		case <-ticker.C:
+			running = runningOn(targets) > 0
+			_ = u.tell(ctx, next, tenure, targets)
+		case <-ctx.Done():
+		}
 	}
-	return err == nil
 }
 
-func (u *unit) busyServers() []peer.BusyServer {
-	view := u.runtime.Views().Load()
-	if view == nil {
-		return nil
+func (u *unit) targets() []*route.Target {
+	if view := u.runtime.Views().Load(); view != nil {
+		return view.Targets
+	}
+	return nil
+}
+
+func runningOn(targets []*route.Target) int {
+	running := 0
+	for _, t := range targets {
+		running += t.Gate.Running()
 	}
+	return running
+}
+
+func busyServers(targets []*route.Target) []peer.BusyServer {
 	var busy []peer.BusyServer
-	for _, t := range view.Targets {
-		if n := t.Gate.Running(); n > 0 {
-			busy = append(busy, peer.BusyServer{Server: t.Name, Slots: n, Remaining: busyLimit})
+	for _, t := range targets {
+		b := peer.BusyServer{Server: t.Name, Slots: t.Gate.Running(), Remaining: busyLimit, Warm: t.Gate.Allowance().Warm}
+		if b.Slots > 0 || b.Warm {
+			busy = append(busy, b)
 		}
 	}
 	return busy
 }
 
-// expect prepares this instance to take the shard over from h.From.
+// expect prepares this instance to take the shard over from h.From, or takes over
+// a report of the slots that are still in use.
 func (u *unit) expect(ctx context.Context, h peer.HandOver) error {
-	slots := &busySlots{servers: map[string]int{}, until: time.Now().Add(busyLimit)}
+	slots := &busySlots{servers: map[string]busyServer{}, until: time.Now().Add(busyLimit)}
 	for _, b := range h.Busy {
-		slots.servers[b.Server] = b.Slots
+		slots.servers[b.Server] = busyServer{slots: b.Slots, warm: b.Warm}
 	}
 	u.busy.Store(slots)
+	if u.holds() {
+		for _, t := range u.targets() {
+			t.Gate.SetBusy(slots.servers[t.Name].slots)
+		}
+		return nil
+	}
 	accepted, err := u.parts.keeper.Expect(ctx, u.id)
 	if err != nil {
 		return err
--- a/internal/router/parts.go
+++ b/internal/router/parts.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"sync"
+
 	"peridotmoor.org/peridotmoor/internal/admission"
 	"peridotmoor.org/peridotmoor/internal/authority"
 	"peridotmoor.org/peridotmoor/internal/authority/keeper"
@@ -33,6 +35,8 @@
 	mirror     *record.Mirror
 	copier     record.Copier
 	quarantine *quarantine.List
+	// reports counts the goroutines that follow up a hand-over.
+	reports sync.WaitGroup
 }
 
 // tree returns the settings in effect. It is not nil once units exist.
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -189,6 +189,7 @@
 		_ = callers.Close()
 	}
 	i.shards.drainAll(ctx)
+	i.parts.reports.Wait()
 }
 
 func (i *Instance) close() {
--- a/internal/router/targets.go
+++ b/internal/router/targets.go
@@ -24,6 +24,9 @@
 	now := time.Now()
 	if tenure := u.source.Tenure(); tenure != nil && now.Sub(tenure.Since) < takeoverWindow {
 		options.Start = ramp.ReasonTakeover
+		if u.busy.Load().at(config.Name, now).warm {
+			options.Start = ramp.ReasonNone
+		}
 	}
 	options.OnCold = func(reason ramp.Reason) {
 		u.parts.log.Emit(events.ServerCold, events.FieldShard, u.id.String(), events.FieldServer, config.Name, "reason", string(reason))
@@ -53,7 +56,7 @@
 // until they end.
 func (u *unit) occupy(target *route.Target, now time.Time) {
 	busy := u.busy.Load()
-	slots := busy.at(target.Name, now)
+	slots := busy.at(target.Name, now).slots
 	if slots == 0 {
 		return
 	}
