Give the last mirror more time, and let requests wait for the first

Change: the last member that was only slow tries again with 500 ms; requests wait up to 1 s while no mirror holds the records. Before and after: TestSlowMirrorsDoNotRefuse fails with spare taken out, passes with it.

--- a/internal/record/control.go
+++ b/internal/record/control.go
@@ -16,6 +16,8 @@
 	mirrorCount = 2
 	// mirrorRetry is the pause before a mirror that failed is tried again.
 	mirrorRetry = time.Second
+	// mirrorWait is how long a request waits while no mirror holds the records.
+	mirrorWait = time.Second
 	// proposeTimeout bounds one proposal to the witnesses.
 	proposeTimeout = 500 * time.Millisecond
 	// proposeRetry is the pause after a proposal that was not acknowledged by a majority.
@@ -171,6 +173,9 @@
 			"shard %s has a new holder", c.r.shard), false)
 		return
 	}
+	if c.spare(p, err) {
+		return
+	}
 	if p.sender.to == c.complete {
 		c.complete = authority.Instance{}
 	}
@@ -187,6 +192,20 @@
 	p.state = peerLeaving
 }
 
+// spare lets the last member of the set try again with more time when it was only
+// slow: a set without members refuses every request.
+func (c *control) spare(p *peer, err error) bool {
+	if p.state != peerMember || !errors.Is(err, errMirrorSlow) {
+		return false
+	}
+	for _, other := range c.peers {
+		if other != p && other.state == peerMember {
+			return false
+		}
+	}
+	return p.sender.tryAgain()
+}
+
 func (c *control) remove(p *peer) {
 	c.peers = slices.DeleteFunc(c.peers, func(other *peer) bool { return other == p })
 }
@@ -205,13 +224,13 @@
 			next.senders = append(next.senders, p.sender)
 		}
 	}
-	c.r.targets.Store(next)
+	c.r.replaceTargets(next)
 }
 
 // refuseAll fails everything that is pending and every later request. With flush
 // the mirrors still get the records that are pending.
 func (c *control) refuseAll(err error, flush bool) {
-	c.r.targets.Store(&targets{err: err})
+	c.r.replaceTargets(&targets{err: err})
 	for _, p := range c.peers {
 		c.stop(p, stopOrder{err: err, flush: flush})
 	}
--- a/internal/record/keeper_test.go
+++ b/internal/record/keeper_test.go
@@ -18,6 +18,8 @@
 	mirrors  sync.Map // authority.Instance to *Mirror
 	set      atomic.Pointer[authority.MirrorSet]
 	messages atomic.Int64
+	// delay is how long a copy takes, in nanoseconds; 0 stands for 10 ms.
+	delay atomic.Int64
 }
 
 func newMemory(names ...string) *memory {
@@ -36,9 +38,17 @@
 }
 
 // Copy implements Copier.
-func (m *memory) Copy(_ context.Context, to authority.Instance, c CopyRequest) (CopyReply, error) {
+func (m *memory) Copy(ctx context.Context, to authority.Instance, c CopyRequest) (CopyReply, error) {
 	m.messages.Add(1)
-	time.Sleep(10 * time.Millisecond)
+	delay := time.Duration(m.delay.Load())
+	if delay == 0 {
+		delay = 10 * time.Millisecond
+	}
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return CopyReply{}, ctx.Err()
+	}
 	return m.mirror(to).Copy(c), nil
 }
 
--- a/internal/record/replicator.go
+++ b/internal/record/replicator.go
@@ -17,6 +17,9 @@
 // errDeposed means that a mirror has accepted a higher token.
 var errDeposed = errors.New("a mirror follows a holder with a higher token")
 
+// errMirrorSlow means that a mirror did not answer in time.
+var errMirrorSlow = errors.New("the mirror did not answer in time")
+
 // errMirrorRefused means that a mirror does not accept copies although no other
 // holder is known to it: it is another incarnation.
 var errMirrorRefused = errors.New("the mirror is another incarnation")
@@ -43,7 +46,7 @@
 func (r *replicator) start() {
 	r.inbox = make(chan func(*control))
 	r.closed = make(chan struct{})
-	r.targets.Store(&targets{})
+	r.targets.Store(&targets{changed: make(chan struct{})})
 	r.running.Go(newControl(r).run)
 }
 
@@ -62,7 +65,7 @@
 
 // copyAll returns nil once all mirrors have the record.
 func (r *replicator) copyAll(ctx context.Context, record Record) error {
-	if err := r.ready(); err != nil {
+	if err := r.await(ctx); err != nil {
 		return err
 	}
 	p := r.enqueue(record)
@@ -78,6 +81,34 @@
 	return r.ready()
 }
 
+// await waits while no mirror holds the records, as after a takeover or while the
+// set changes, and refuses after mirrorWait.
+func (r *replicator) await(ctx context.Context) error {
+	var timer <-chan time.Time
+	for {
+		set := r.targets.Load()
+		if set.err != nil || len(set.members) > 0 {
+			return set.err
+		}
+		if timer == nil {
+			timer = time.After(mirrorWait)
+		}
+		select {
+		case <-set.changed:
+		case <-timer:
+			return r.ready()
+		case <-ctx.Done():
+			return r.ready()
+		}
+	}
+}
+
+// replaceTargets publishes a new list and wakes who waits for one.
+func (r *replicator) replaceTargets(next *targets) {
+	next.changed = make(chan struct{})
+	close(r.targets.Swap(next).changed)
+}
+
 // ready refuses while no mirror holds the records: an empty set leaves no proof
 // of a dispatch if this holder is lost.
 func (r *replicator) ready() error {
--- a/internal/record/sender.go
+++ b/internal/record/sender.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"peridotmoor.org/peridotmoor/internal/authority"
 )
 
@@ -11,16 +14,24 @@
 // A round trip between failure domains takes 3 ms; 50 ms covers a short pause.
 const mirrorTimeout = 50 * time.Millisecond
 
+// lastMirrorTimeout is how long the last member of the set may take. Dropping it
+// refuses all requests, so it gets the time of a takeover.
+const lastMirrorTimeout = 500 * time.Millisecond
+
 // sender copies records to one mirror. One message at a time is on its way; it
 // carries everything that arrived while the previous one was.
 type sender struct {
 	to   authority.Instance
 	copy func(ctx context.Context, to authority.Instance, records []Record) error
-	// failed is called once, when the mirror has not acknowledged a message.
+	// failed is called when the mirror has not acknowledged a message.
 	failed  func(*sender, error)
 	inbox   chan *pending
 	stop    chan stopOrder
 	stopped chan struct{}
+	// again lets a sender that has failed send once more; patient reports that it
+	// has been used and that the longer timeout applies until the next success.
+	again   chan struct{}
+	patient atomic.Bool
 	// final settles what arrives after the stop; it is set before stopped is closed.
 	final error
 }
@@ -40,7 +51,26 @@
 		inbox:   make(chan *pending),
 		stop:    make(chan stopOrder, 1),
 		stopped: make(chan struct{}),
+		again:   make(chan struct{}, 1),
+	}
+}
+
+// tryAgain lets a sender that has failed send once more with more time. It
+// returns false when it has already done so since the last success.
+func (s *sender) tryAgain() bool {
+	if !s.patient.CompareAndSwap(false, true) {
+		return false
 	}
+	s.again <- struct{}{}
+	return true
+}
+
+// timeout returns how long the next message may take.
+func (s *sender) timeout() time.Duration {
+	if s.patient.Load() {
+		return lastMirrorTimeout
+	}
+	return mirrorTimeout
 }
 
 // send queues a record. The inbox is unbuffered, so a record is either taken by
@@ -73,7 +103,10 @@
 				s.failed(s, err)
 				continue
 			}
+			s.patient.Store(false)
 			settleAll(flight, nil)
+		case <-s.again:
+			broken = false
 		case order := <-s.stop:
 			s.final = order.err
 			close(s.stopped)
@@ -105,9 +138,13 @@
 	}
 	result := make(chan error, 1)
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), mirrorTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), s.timeout())
 		defer cancel()
-		result <- s.copy(ctx, s.to, records)
+		err := s.copy(ctx, s.to, records)
+		if err != nil && ctx.Err() != nil {
+			err = errors.Wrap(errMirrorSlow, err.Error())
+		}
+		result <- err
 	}()
 	return result
 }
--- a/internal/record/targets.go
+++ b/internal/record/targets.go
@@ -4,6 +4,8 @@
 
 // targets is the immutable list of mirrors that a record is copied to.
 type targets struct {
+	// changed is closed when a newer list replaces this one.
+	changed chan struct{}
 	senders []*sender
 	// members is the mirror set that a majority of the witnesses has acknowledged.
 	members []authority.Instance
