Accept answers that have no body whatever length they announce

An answer to HEAD, or with status 204 or 304, was taken for a short one and its request for unknown. Seen failing without the rule.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"net/http"
 
 	"github.com/pkg/errors"
 	"peridotmoor.org/peridotmoor/internal/request"
@@ -10,7 +11,10 @@
 
 // readWhole reads an answer of up to AnswerBufferBytes to its end. For a larger
 // one whole is false and rest yields the entire body.
-func readWhole(a *request.Answer) (content []byte, rest io.Reader, whole bool, err error) {
+func readWhole(a *request.Answer, method string) (content []byte, rest io.Reader, whole bool, err error) {
+	if hasNoBody(a, method) {
+		return nil, nil, true, nil
+	}
 	if a.ContentLength > AnswerBufferBytes {
 		return nil, a.Body, false, nil
 	}
@@ -29,6 +33,12 @@
 	return nil, io.MultiReader(bytes.NewReader(content), a.Body), false, nil
 }
 
+// hasNoBody reports whether the answer ends with its head, whatever length it
+// announces (RFC 9110, section 6.4.1).
+func hasNoBody(a *request.Answer, method string) bool {
+	return method == http.MethodHead || a.Status == http.StatusNoContent || a.Status == http.StatusNotModified
+}
+
 func shortAnswer(err error) error {
 	if err == io.EOF {
 		return io.ErrUnexpectedEOF
--- a/internal/dispatch/faults_test.go
+++ b/internal/dispatch/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -130,3 +131,17 @@
 		}
 	}
 }
+
+// Guards against an answer without a body being taken for a short one.
+func TestAnswersWithoutBody(t *testing.T) {
+	cases := []struct {
+		method string
+		status int
+		want   bool
+	}{{"HEAD", 200, true}, {"GET", 204, true}, {"GET", 304, true}, {"GET", 200, false}}
+	for _, c := range cases {
+		a := &request.Answer{Status: c.status, ContentLength: 10, Body: io.NopCloser(strings.NewReader(""))}
+		_, _, _, err := readWhole(a, c.method)
+		is.New(t).Equal(err == nil, c.want)
+	}
+}
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -46,7 +46,7 @@
 			"server %s answered request %q instead of %s", t.Name, a.RequestID, j.r.ID)
 		return nil, j.sendFailed(ctx, w, t, slot, p, start)
 	}
-	content, rest, whole, err := readWhole(a)
+	content, rest, whole, err := readWhole(a, j.r.Method)
 	if err != nil {
 		_ = a.Body.Close() // the answer is discarded with its connection
 		p := problem.Wrap(err, problem.KindAnswerShort, outcome.StageWritten,
@@ -65,7 +65,9 @@
 func (j *job) answered(t *route.Target, slot *admission.Slot, a *request.Answer, content []byte, start time.Time) *request.Answer {
 	_ = a.Body.Close() // the answer is whole; an error on closing changes nothing
 	a.Body = newWholeBody(content)
-	a.ContentLength = int64(len(content))
+	if a.ContentLength < 0 {
+		a.ContentLength = int64(len(content))
+	}
 	elapsed := time.Since(start)
 	if slot.Exclusive() {
 		j.d.o.Quarantine.Clear(j.fingerprint, time.Now())
