Test the loss of a holder between copy and dispatch

The next holder says unknown, and the old one does not dispatch after its tenure; seen failing without the check of the tenure. A backfill ends when its holder stops.

--- a/internal/dispatch/holderloss_test.go
+++ b/internal/dispatch/holderloss_test.go
@@ -43,6 +43,7 @@
 		wantRuns                      int
 	}{
 		{"dispatched, then the holder is lost", false, false, holderLostAfterDispatch, 1},
+		{"copied, then the holder is lost before the dispatch", false, false, holderLostBeforeDispatch, 0},
 		{"dispatched, then holder and both mirrors are lost", false, false, holderAndMirrorsLost, 1},
 		{"the same without complete_since", false, true, holderAndMirrorsLost, 2},
 		{"old holder gets the request after the takeover", false, false, oldHolderDispatchesLate, 1},
@@ -72,6 +73,19 @@
 	expectUnknown(t, next, resend(r), problem.KindHolderLost)
 }
 
+func holderLostBeforeDispatch(t *testing.T, w *world, servers []*fakeServer, first bool, r *request.Request) {
+	w.holder.targets[0].Gate.SetBusy(3)
+	ended := make(chan error, 1)
+	go func() { _, err := w.holder.handle(context.Background(), r); ended <- err }()
+	time.Sleep(50 * time.Millisecond)
+	w.holder.endTenure()
+	next := w.successor(3, servers, first)
+	defer next.close()
+	expectUnknown(t, next, resend(r), problem.KindHolderLost)
+	w.holder.targets[0].Gate.SetBusy(0)
+	is.New(t).Equal(problem.From(<-ended).Kind, problem.KindNotHolder)
+}
+
 func holderAndMirrorsLost(t *testing.T, w *world, servers []*fakeServer, first bool, r *request.Request) {
 	_, err := w.holder.handle(context.Background(), r)
 	is.New(t).NoErr(err)
--- a/internal/record/replicator.go
+++ b/internal/record/replicator.go
@@ -17,6 +17,9 @@
 // errDeposed means that a mirror has accepted a higher token.
 var errDeposed = errors.New("a mirror follows a holder with a higher token")
 
+// errStopped ends a backfill whose holder does not need it any more.
+var errStopped = errors.New("the holder has stopped")
+
 // errMirrorRefused means that a mirror does not accept copies although no other
 // holder is known to it: it is another incarnation.
 var errMirrorRefused = errors.New("the mirror is another incarnation")
@@ -52,6 +55,15 @@
 	r.running.Wait()
 }
 
+func (r *replicator) isClosed() bool {
+	select {
+	case <-r.closed:
+		return true
+	default:
+		return false
+	}
+}
+
 // post hands an event to the control goroutine.
 func (r *replicator) post(event func(*control)) {
 	select {
@@ -149,6 +161,9 @@
 		}
 		failure = r.copyBatch(to, batch)
 		batch, size = nil, 0
+		if failure == nil && r.isClosed() {
+			failure = errStopped
+		}
 	})
 	if failure != nil {
 		return failure
