--- a/internal/record/keeper.go
+++ b/internal/record/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/authority"
@@ -69,9 +70,12 @@
 }
 
 // SetCandidates names the instances that may become mirrors, best first:
-// witnesses in other failure domains than the holder.
+// witnesses in other failure domains than the holder. The holder itself is left
+// out. The call waits while a mirror set is being proposed, at most 500 ms.
 func (k *Keeper) SetCandidates(candidates []authority.Instance) {
-	k.replicator.post(func(c *control) { c.candidates = candidates })
+	self := k.replicator.self
+	others := slices.DeleteFunc(slices.Clone(candidates), func(i authority.Instance) bool { return i == self })
+	k.replicator.post(func(c *control) { c.candidates = others })
 }
 
 // SetToken replaces the token after the same holder has raised the epoch.
--- a/internal/record/keeper_test.go
+++ b/internal/record/keeper_test.go
@@ -118,8 +118,8 @@
 		k := m.open(2, false)
 		defer k.Close()
 		is.Equal(k.Source().Name, "a")
-		for sequence, names := range [][]string{{"b"}, {"b", "a"}, {"c", "a"}, {"b", "c"}} {
-			k.SetCandidates(candidates(names...))
+		for sequence, names := range [][]string{{"b"}, {"b", "a"}, {"c", "a"}, {"b", "c"}, {"a"}} {
+			k.SetCandidates(candidates(append(names, "self")...))
 			time.Sleep(time.Second)
 			is.Equal(len(k.Mirrors()), len(names))
 			run := k.Begin("k", testID(time.Now(), uint32(sequence)), 1, time.Now()).Run
