--- a/internal/dispatch/hedge_test.go
+++ b/internal/dispatch/hedge_test.go
@@ -1,15 +1,20 @@
 package dispatch
 
 import (
+	"context"
+	"io"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"peridotmoor.org/peridotmoor/internal/request"
 )
 
 // Guards against a request that waits for a straggler although another server
-// is free, against a loser that goes on, and against hedges beyond the budget.
+// is free, and against a slot that is left behind.
 func TestHedge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -86,3 +91,37 @@
 		is.Equal(log.count(r.ID), 1)
 	})
 }
+
+// Guards against a loser that keeps its slot while the winner's answer is
+// streamed: there the end of the request does not cancel it.
+func TestLoserIsCancelledDuringTheStream(t *testing.T) {
+	const size = 2 * AnswerBufferBytes
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := newRunLog()
+		a := newFakeServer("shashin-01", log, answerAfter(time.Millisecond))
+		b := newFakeServer("shashin-02", log, answerAfter(time.Millisecond))
+		w := newWorld(false, 3, Limits{}, a, b)
+		defer w.close()
+		_, err := w.holder.handle(t.Context(), newRequest(true))
+		is.NoErr(err)
+		var dispatches atomic.Int64
+		slowThenLarge := func(ctx context.Context, s *fakeServer, r *request.Request) (*request.Answer, error) {
+			if dispatches.Add(1) == 1 {
+				return silence(ctx, s, r)
+			}
+			return s.answer(r.ID, io.NopCloser(strings.NewReader(strings.Repeat("x", size))), size), nil
+		}
+		a.usual, b.usual = slowThenLarge, slowThenLarge
+		answer, err := w.holder.dispatcher.Handle(t.Context(), newRequest(true))
+		is.NoErr(err)
+		synctest.Wait()
+		is.Equal(dispatches.Load(), int64(2))
+		is.Equal(w.holder.targets[0].Gate.Running()+w.holder.targets[1].Gate.Running(), 1)
+		n, err := io.Copy(io.Discard, answer.Body)
+		is.NoErr(err)
+		is.Equal(n, int64(size))
+		is.NoErr(answer.Body.Close())
+		is.Equal(w.holder.targets[0].Gate.Running()+w.holder.targets[1].Gate.Running(), 0)
+	})
+}
