Carry the configuration of a new epoch in the first claims

A store outage between a change of witnesses and the reads of the new ones left no instance that could succeed the holder: old witnesses are sealed, new ones did not know that they are witnesses. The first claim to each witness now carries the configuration; renewals do not.

--- a/internal/authority/node_holder.go
+++ b/internal/authority/node_holder.go
@@ -22,7 +22,11 @@
 		}
 	}
 	for _, m := range targets {
-		n.post(now, m, ShardClaim{Shard: s.id, Token: latest.token, Mirrors: s.statedTo(m.Instance)})
+		claim := ShardClaim{Shard: s.id, Token: latest.token, Mirrors: s.statedTo(m.Instance)}
+		if _, promised := latest.promises[m.Instance]; !promised {
+			claim.Config = &latest.config
+		}
+		n.post(now, m, claim)
 	}
 }
 
--- a/internal/authority/node_messages.go
+++ b/internal/authority/node_messages.go
@@ -9,8 +9,12 @@
 		return PromiseReply{Witness: n.self.Instance}
 	}
 	reply := n.witness.HandlePromise(now, request)
-	for _, r := range reply.Replies {
+	for i, r := range reply.Replies {
 		s := n.state(r.Shard)
+		config := request.Claims[i].Config
+		if r.Promised && config != nil && request.Candidate != n.self.Instance {
+			n.learn(now, s, *config)
+		}
 		if r.Highest != s.accepted {
 			s.accepted = r.Highest
 			n.effects.Accepted = append(n.effects.Accepted, Acceptance{r.Shard, r.Highest, n.witness.Promise(r.Shard).Holder})
--- a/internal/authority/shardclaim.go
+++ b/internal/authority/shardclaim.go
@@ -10,6 +10,10 @@
 	// and leaves the set that the witness knows. Members are left out once the
 	// witness has acknowledged the generation.
 	Mirrors MirrorSet
+	// Config is sent until the witness has promised under the claim. A witness
+	// that learns a new epoch from it can succeed the holder although the store
+	// went down before it read the record. It is nil afterwards.
+	Config *Config
 	// Release gives the promise back at once.
 	Release bool
 }
