--- a/internal/authority/node.go
+++ b/internal/authority/node.go
@@ -29,6 +29,8 @@
 	due     dueQueue
 	peers   []Peer
 	peerAt  map[Instance]int
+	// ranked holds the members for which the ranks were computed.
+	ranked  []Member
 	leaving bool
 	// retired is final: others may already count this incarnation as gone, also
 	// when the operators take its name off the list again.
@@ -75,6 +77,7 @@
 			n.release(now, s)
 		}
 	}
+	n.ranked = nil
 	n.rank()
 }
 
--- a/internal/authority/node_recovery.go
+++ b/internal/authority/node_recovery.go
@@ -1,6 +1,9 @@
 package authority
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// interestedRanks is how many instances of the rendezvous order read the
@@ -13,27 +16,39 @@
 )
 
 // rank computes for each shard where this process stands among the instances in
-// service. The order is the same on every process with the same list.
+// service. The order is the same on every process with the same list. It takes
+// 5 ms with 930 instances and shards, so it is skipped when no name has changed.
 func (n *Node) rank() {
-	ranking := newRanking(n.self, n.rankedMembers())
 	n.touchAll()
+	members := n.rankedMembers()
+	if slices.Equal(members, n.ranked) {
+		return
+	}
+	n.ranked = members
+	ranking := newRanking(n.self, members)
 	for _, s := range n.order {
-		if !s.described {
-			s.interested = false
-			continue
+		s.rank = -1
+		if s.described {
+			s.rank = ranking.rank(s.desc)
 		}
-		s.rank = ranking.rank(s.desc)
 		s.interested = s.rank >= 0 && s.rank < interestedRanks
 	}
 }
 
-// rankedMembers returns the instances in service, also those whose incarnation
-// is not known yet, since the order depends on names only.
+// rankedMembers returns names and domains of the instances in service, also of
+// those whose incarnation is not known yet.
 func (n *Node) rankedMembers() []Member {
-	members := n.liveMembers()
+	var members []Member
+	add := func(m Member) {
+		members = append(members, Member{Instance: Instance{Name: m.Instance.Name}, Domain: m.Domain})
+	}
+	if !n.leaving {
+		add(n.self)
+	}
 	for _, p := range n.peers {
-		if p.Live && p.Member.Instance.Incarnation == "" {
-			members = append(members, p.Member)
+		i := p.Member.Instance
+		if p.Live && i.Name != n.self.Instance.Name && !n.proofs.Observed(i) {
+			add(p.Member)
 		}
 	}
 	return members
