--- a/internal/authority/keeper/options.go
+++ b/internal/authority/keeper/options.go
@@ -14,7 +14,8 @@
 // Options configures a Keeper.
 type Options struct {
 	// Self is this process with an incarnation that was never used before.
-	Self   authority.Member
+	Self authority.Member
+	// Timing has passed Validate.
 	Timing authority.Timing
 	Store  store.Store
 	Voter  authority.Voter
--- a/internal/authority/timing.go
+++ b/internal/authority/timing.go
@@ -1,6 +1,10 @@
 package authority
 
-import "time"
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
 
 // Timing holds the durations of the protocol. All are measured on the local
 // monotonic clock of the process that waits.
@@ -48,6 +52,27 @@
 	}
 }
 
+// Validate reports the first duration with which holders could not keep or take
+// a shard.
+func (t Timing) Validate() error {
+	for name, d := range map[string]time.Duration{
+		"promise ttl": t.PromiseTTL, "renew interval": t.RenewInterval, "rank delay": t.RankDelay,
+		"campaign timeout": t.CampaignTimeout, "probe interval": t.ProbeInterval,
+		"shortest load retry": t.LoadRetryMin,
+	} {
+		if d <= 0 {
+			return errors.Errorf("authority: the %s is %v; it must be above 0", name, d)
+		}
+	}
+	if t.PromiseTTL < 3*t.RenewInterval {
+		return errors.Errorf("authority: the promise ttl %v is less than three renew intervals of %v, so two lost renewals would end a tenure; raise the first or lower the second", t.PromiseTTL, t.RenewInterval)
+	}
+	if t.LoadRetryMax < t.LoadRetryMin {
+		return errors.Errorf("authority: the longest load retry %v is below the shortest %v; raise it", t.LoadRetryMax, t.LoadRetryMin)
+	}
+	return nil
+}
+
 // TenureEnd returns when a tenure ends whose requests were sent at sent.
 func (t Timing) TenureEnd(sent time.Time) time.Time {
 	return sent.Add(t.PromiseTTL - t.PromiseTTL*driftPercent/100)
--- a/internal/authority/clockrate_test.go
+++ b/internal/authority/timing_test.go
@@ -26,3 +26,18 @@
 	is.Equal(s.holder(), preferred)
 	is.Equal(s.faults, nil)
 }
+
+// Guards against durations with which a holder would lose its shard at once.
+func TestTimingIsValidated(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(DefaultTiming().Validate())
+	for _, change := range []func(*Timing){
+		func(t *Timing) { t.RankDelay = 0 },
+		func(t *Timing) { t.RenewInterval = 300 * time.Millisecond },
+		func(t *Timing) { t.LoadRetryMax = time.Millisecond },
+	} {
+		timing := DefaultTiming()
+		change(&timing)
+		is.True(timing.Validate() != nil)
+	}
+}
