Keep departures away from servers that do not answer

Random histories showed a key that was out of service for 1.23 s: its owner was leaving, and the plan sent it to a standby that had gone silent 0.3 s before and did not count as lost yet, while the other standby was live. The planner now gives nothing to silent servers, and a range of a departing server goes to another committed server when its target cannot take it.

--- a/internal/assign/planner_test.go
+++ b/internal/assign/planner_test.go
@@ -211,3 +211,21 @@
 	}
 	is.True(read.Equal(b.in.Current)) // bad input changed nothing
 }
+
+// Guards against moves to a server that does not answer but is not lost yet.
+func TestSilentServerGetsNothing(t *testing.T) {
+	is := is.New(t)
+	b := newBench(9)
+	r := b.in.Current.Ranges[0]
+	for i := range b.in.Servers {
+		b.in.Servers[i].Silent = b.in.Servers[i].Name == r.First
+		if b.in.Servers[i].Name == r.Owner {
+			b.in.Servers[i].State = Leaving
+		}
+	}
+	b.step(time.Second)
+	is.Equal(b.in.Current.Ranges[0].Owner, r.Second)
+	for _, m := range b.run(30 * time.Second) {
+		is.True(m.To != r.First)
+	}
+}
--- a/internal/shard/advance.go
+++ b/internal/shard/advance.go
@@ -39,6 +39,7 @@
 	if t.grantEnded(r, now) {
 		return t.replaceOwner(r, now)
 	}
+	t.redirect(r, now)
 	if r.want == r.owner || !t.links[r.owner].answers() || !t.links[r.want].canTake(now) {
 		return false
 	}
@@ -50,11 +51,26 @@
 	return true
 }
 
+// redirect lets a range of a server that is taken out move to another committed
+// server when its target cannot take it: requests are held until it has moved.
+func (t *term) redirect(r *row, now time.Time) {
+	if t.links[r.owner].usable() || t.links[r.want].canTake(now) {
+		return
+	}
+	for _, name := range [3]string{r.first, r.second, r.home} {
+		if name != r.owner && t.links[name].canTake(now) {
+			r.want = name
+			return
+		}
+	}
+}
+
 // advanceDraining hands the range over once no request is in flight.
 func (t *term) advanceDraining(r *row, now time.Time) bool {
 	if t.grantEnded(r, now) {
 		return t.replaceOwner(r, now)
 	}
+	t.redirect(r, now)
 	urgent := !t.links[r.owner].usable()
 	if r.want == r.owner || (!urgent && !t.links[r.want].canTake(now)) {
 		t.cancelMove(r)
--- a/internal/shard/move_test.go
+++ b/internal/shard/move_test.go
@@ -232,3 +232,18 @@
 		w.hashes = append(w.hashes, r.Bounds.Start)
 	}
 }
+
+// Guards against a departure that waits for a server which has just gone silent.
+func TestDepartureAvoidsSilentTarget(t *testing.T) {
+	inWorld(t, 9, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.settle()
+		w.store.setDown(true)
+		row := w.committedRange(w.hashes[4])
+		w.update(func() { w.server(row.First).setDown(true) })
+		time.Sleep(200 * time.Millisecond) // silent, not yet lost
+		w.update(func() { w.server(row.Owner).leaving = true })
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(w.ownerName(w.hashes[4]), row.Second)
+	})
+}
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -105,7 +105,8 @@
 	for _, c := range t.config.Servers {
 		l := t.links[c.Name]
 		servers = append(servers, assign.Server{
-			Name: c.Name, Domain: c.Domain, State: l.plannedState(now), Slow: slow[c.Name],
+			Name: c.Name, Domain: c.Domain, State: l.plannedState(now),
+			Slow: slow[c.Name], Silent: l.condition == silent,
 		})
 	}
 	return servers
