Lose the server and the router that serve a probed key; use fixed port ranges

The demo lost a server that owned none of the probed keys, so that unserved_ms did not show the loss. It now asks the stand-ins which server owns a probed key and which instance granted it. A restart at a fixed address counted as warm; a new test covers that.

--- a/internal/dev/command/servers.go
+++ b/internal/dev/command/servers.go
@@ -9,6 +9,7 @@
 	"github.com/integrii/flaggy"
 	"github.com/pkg/errors"
 
+	"peridotmoor.org/peridotmoor/internal/dev/ports"
 	"peridotmoor.org/peridotmoor/internal/dev/servers"
 )
 
@@ -42,6 +43,13 @@
 	if err != nil {
 		return errors.Wrap(err, c.settings)
 	}
+	addresses, err := ports.Free(len(configs))
+	if err != nil {
+		return err
+	}
+	for i := range configs {
+		configs[i].Address = addresses[i]
+	}
 	fleet, err := servers.NewFleet(configs)
 	if err != nil {
 		return err
--- a/internal/dev/demo/demo_test.go
+++ b/internal/dev/demo/demo_test.go
@@ -126,6 +126,7 @@
 			o := options(t, fault)
 			var out bytes.Buffer
 			err := demo.Run(t.Context(), o, &out)
+			t.Log(err, out.String())
 			is.True(err != nil)
 			is.True(counts(t, out.String())[count] > 0)
 			noneLeft(t, o)
--- a/internal/dev/demo/fake_test.go
+++ b/internal/dev/demo/fake_test.go
@@ -56,6 +56,7 @@
 	servers map[string][]*httpbackend.Server
 	next    atomic.Uint64
 	fault   string
+	name    string
 }
 
 func fakeRouter(args []string) int {
@@ -64,7 +65,7 @@
 		return 1
 	}
 	listen := config.Section("listen")
-	r, err := newRouter(config.Section("platform").Key("store").String())
+	r, err := newRouter(config.Section("platform").Key("store").String(), config.Section("instance").Key("name").String())
 	if err != nil {
 		fmt.Println(err)
 		return 1
@@ -82,7 +83,7 @@
 	return 0
 }
 
-func newRouter(platform string) (*router, error) {
+func newRouter(platform, name string) (*router, error) {
 	s, err := httpstore.New(platform, 20)
 	if err != nil {
 		return nil, err
@@ -95,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &router{store: s, servers: map[string][]*httpbackend.Server{}, fault: tree.Section("").Key("fault").String()}
+	r := &router{name: name, store: s, servers: map[string][]*httpbackend.Server{}, fault: tree.Section("").Key("fault").String()}
 	for _, section := range tree.Sections() {
 		name, found := strings.CutPrefix(section.Name(), "server.")
 		if !found {
@@ -123,7 +124,9 @@
 	if r.fault == "owners" {
 		part = key.Range{}
 	}
-	grant := backend.Grant{Order: order, Ranges: []key.Range{part}, Expiry: 1 << 60}
+	named := order
+	named.Holder.Name = r.name
+	grant := backend.Grant{Order: named, Ranges: []key.Range{part}, Expiry: 1 << 60}
 	_, err := r.servers[keyedService][number].Grant(context.Background(), grant)
 	return err
 }
--- a/internal/dev/demo/instance.go
+++ b/internal/dev/demo/instance.go
@@ -7,6 +7,8 @@
 
 	"github.com/pkg/errors"
 	"gopkg.in/ini.v1"
+
+	"peridotmoor.org/peridotmoor/internal/dev/ports"
 )
 
 // instance is one entry instance with its router.
@@ -23,7 +25,7 @@
 // newInstances plans one instance for each failure domain.
 func newInstances(t *tree) ([]*instance, error) {
 	domains := t.domains()
-	ports, err := freePorts(3 * len(domains))
+	free, err := ports.Free(3 * len(domains))
 	if err != nil {
 		return nil, err
 	}
@@ -33,9 +35,9 @@
 			name:      "entry-" + domain,
 			domain:    domain,
 			region:    t.region(domain),
-			callers:   ports[3*i],
-			peers:     ports[3*i+1],
-			operators: ports[3*i+2],
+			callers:   free[3*i],
+			peers:     free[3*i+1],
+			operators: free[3*i+2],
 		})
 	}
 	return all, nil
--- a/internal/dev/demo/mix.go
+++ b/internal/dev/demo/mix.go
@@ -28,6 +28,12 @@
 	}
 }
 
+// probeKeyNames returns the keys that are probed.
+func probeKeyNames() []string {
+	probed := probe()
+	return callers.Load{Probe: &probed}.ProbeKeys()
+}
+
 // probe is the request that shows how long a key is unserved.
 func probe() callers.Kind {
 	return callers.Kind{Name: "probe", Service: "bosho", Method: http.MethodGet, Keys: probeKeys, Path: "/probe"}
--- a/internal/dev/demo/plan.go
+++ b/internal/dev/demo/plan.go
@@ -14,17 +14,15 @@
 // instance is lost, so that two instances remain at all times.
 func (d *demo) plan() []event {
 	out := d.instances[len(d.instances)-1].domain
-	lost := d.instances[0]
-	server := d.serverOf("bosho", lost.domain)
-	reader := d.serverOf("shashin", lost.domain)
+	reader := d.serverOf("shashin")
 	return []event{
 		{0.05, "a server answers with another request's answer", d.action(reader, "fault?value="+string(servers.FaultCrossed))},
 		{0.08, "a server cuts an answer short", d.action(reader, "fault?value="+string(servers.FaultShort))},
 		{0.12, "failure domain " + out + " is taken out", d.domainTo(out, "out")},
 		{0.40, "failure domain " + out + " is brought back", d.domainTo(out, "in")},
-		{0.58, "backend server " + server + " is lost", d.action(server, "crash")},
-		{0.68, "router " + lost.name + " is killed", d.killRouter(lost)},
-		{0.78, "backend server " + server + " starts again, cold", d.action(server, "start")},
+		{0.58, "the backend server that owns a probed key is lost", d.loseOwner},
+		{0.68, "the router that granted the key is killed", d.killHolder},
+		{0.78, "the backend server starts again, cold", d.restartLost},
 	}
 }
 
@@ -47,22 +45,14 @@
 	return nil
 }
 
-// serverOf returns the first server of the service in the domain, or else the
-// first of the service.
-func (d *demo) serverOf(service, domain string) string {
-	other := ""
+// serverOf returns the first server of the service.
+func (d *demo) serverOf(service string) string {
 	for _, server := range d.listed {
-		if server.Service != service {
-			continue
-		}
-		if server.Domain == domain {
+		if server.Service == service {
 			return server.Name
 		}
-		if other == "" {
-			other = server.Name
-		}
 	}
-	return other
+	return ""
 }
 
 // action calls a control endpoint of a server.
@@ -84,11 +74,3 @@
 		return err
 	}
 }
-
-// killRouter kills the router and takes it off the platform's list, which shows it after its lag.
-func (d *demo) killRouter(i *instance) func(context.Context) error {
-	return func(ctx context.Context) error {
-		i.child.kill()
-		return exchange(ctx, http.MethodDelete, d.platform+"/dev/instances/"+i.name, nil, nil)
-	}
-}
--- a/internal/dev/demo/run.go
+++ b/internal/dev/demo/run.go
@@ -26,6 +26,7 @@
 	platform  string // URL
 	control   string // URL of the servers' control endpoints
 	instances []*instance
+	lost      losses
 }
 
 // Run runs the demo and prints its progress to out. The last line is the
--- a/internal/dev/ownership/monitor.go
+++ b/internal/dev/ownership/monitor.go
@@ -114,6 +114,20 @@
 	}
 }
 
+// Owner returns the server that owns h of service at now, or "".
+func (m *Monitor) Owner(service string, h key.Hash, now time.Time) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for who, intervals := range m.current {
+		for i := range intervals {
+			if who.service == service && intervals[i].Range.Contains(h) && intervals[i].coversAt(now) {
+				return who.server
+			}
+		}
+	}
+	return ""
+}
+
 // Overlaps returns every range that had two owners at a time.
 func (m *Monitor) Overlaps() []Overlap {
 	m.mu.Lock()
--- a/internal/dev/servers/control.go
+++ b/internal/dev/servers/control.go
@@ -58,7 +58,13 @@
 	if outOfOrder(grant, held) {
 		return http.StatusPreconditionFailed, held.highest
 	}
-	next := holding{highest: grant.Order.Token, sequence: grant.Sequence, ranges: grant.Ranges, expiry: grant.Expiry}
+	next := holding{
+		highest:  grant.Order.Token,
+		sequence: grant.Sequence,
+		ranges:   grant.Ranges,
+		holder:   grant.Order.Holder.Name,
+		expiry:   grant.Expiry,
+	}
 	if grant.Order.Token.Less(held.highest) {
 		next.highest = held.highest
 	}
--- a/internal/dev/servers/faults_test.go
+++ b/internal/dev/servers/faults_test.go
@@ -12,6 +12,7 @@
 	"peridotmoor.org/peridotmoor/internal/authority"
 	"peridotmoor.org/peridotmoor/internal/backend"
 	"peridotmoor.org/peridotmoor/internal/backend/httpbackend"
+	"peridotmoor.org/peridotmoor/internal/dev/ports"
 	"peridotmoor.org/peridotmoor/internal/dev/servers"
 	"peridotmoor.org/peridotmoor/internal/key"
 	"peridotmoor.org/peridotmoor/internal/outcome"
@@ -90,6 +91,20 @@
 	is.Equal(r.Incarnation(), "")
 }
 
+// Guards against a restart at a fixed address that counts as the first, warm start.
+func TestRestartedServerIsCold(t *testing.T) {
+	is := is.New(t)
+	addresses, err := ports.Free(1)
+	is.NoErr(err)
+	r := open(t, servers.Config{Address: addresses[0], Warm: true, Cold: servers.Cold{Requests: 100, Crash: true}})
+	is.NoErr(r.overload(t, "1"))
+	r.Crash()
+	is.NoErr(r.Start())
+	// A request on a connection of the crashed incarnation would not arrive.
+	r.client.Close()
+	is.True(r.overload(t, "2") != nil)
+}
+
 // Guards against a warm server that falls over under its normal load.
 func TestWarmServerBearsItsSlots(t *testing.T) {
 	is := is.New(t)
@@ -147,10 +162,13 @@
 	is.NoErr(err)
 	_, err = r.client.Grant(t.Context(), backend.Grant{Order: order, Ranges: []key.Range{{}}, Expiry: seen.Clock + time.Hour})
 	is.NoErr(err)
+	owner := func() string { return r.fleet.Monitor().Owner("bosho", key.HashOf("k"), time.Now()) }
+	is.Equal(owner(), "bosho-1")
 	intervals, _ := r.fleet.Monitor().Intervals()
 	is.Equal(len(intervals), 1)
 	is.True(intervals[0].Until.After(time.Now().Add(time.Minute)))
 	r.Crash()
+	is.Equal(owner(), "")
 	intervals, _ = r.fleet.Monitor().Intervals()
 	is.Equal(len(intervals), 1)
 	is.True(!intervals[0].Until.After(time.Now()))
--- a/internal/dev/servers/fleetcontrol.go
+++ b/internal/dev/servers/fleetcontrol.go
@@ -3,17 +3,20 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
 	"peridotmoor.org/peridotmoor/internal/backend"
+	"peridotmoor.org/peridotmoor/internal/key"
 )
 
 func (f *Fleet) controlRoutes() *mux.Router {
 	routes := mux.NewRouter()
 	routes.HandleFunc("/dev/servers", f.serveList).Methods(http.MethodGet)
 	routes.HandleFunc("/dev/servers/{name}/{action}", f.serveAction).Methods(http.MethodPost)
+	routes.HandleFunc("/dev/owner", f.serveOwner).Methods(http.MethodGet)
 	routes.HandleFunc("/dev/runlog", f.serveEvidence).Methods(http.MethodGet)
 	return routes
 }
@@ -33,6 +36,17 @@
 	writeJSON(w, http.StatusOK, listed)
 }
 
+// serveOwner answers with the server that owns a key now and the instance that granted it.
+func (f *Fleet) serveOwner(w http.ResponseWriter, r *http.Request) {
+	service, name := r.URL.Query().Get("service"), r.URL.Query().Get("key")
+	server := f.servers[f.monitor.Owner(service, key.HashOf(name), time.Now())]
+	if server == nil {
+		http.Error(w, "no server owns key "+strconv.Quote(name)+" of service "+strconv.Quote(service), http.StatusNotFound)
+		return
+	}
+	writeJSON(w, http.StatusOK, Owner{Server: server.config.Name, Holder: server.holder(key.HashOf(name))})
+}
+
 func (f *Fleet) serveEvidence(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, f.Evidence())
 }
--- a/internal/dev/servers/holding.go
+++ b/internal/dev/servers/holding.go
@@ -14,6 +14,8 @@
 	// sequence is that of the last accepted grant with the highest token.
 	sequence uint64
 	ranges   []key.Range
+	// holder is the instance that granted them.
+	holder string
 	// expiry is on the server's clock.
 	expiry time.Duration
 }
--- /dev/null
+++ b/internal/dev/servers/owner.go
@@ -0,0 +1,20 @@
+package servers
+
+import "peridotmoor.org/peridotmoor/internal/key"
+
+// Owner is the answer to GET /dev/owner.
+type Owner struct {
+	// Server owns the key, and Holder is the instance that granted it.
+	Server string `json:"server"`
+	Holder string `json:"holder"`
+}
+
+// holder returns the instance that granted the range of h to the server, or "".
+func (s *Server) holder(h key.Hash) string {
+	for _, held := range *s.holdings.Load() {
+		if held.owns(h, s.clock.now()) {
+			return held.holder
+		}
+	}
+	return ""
+}
--- a/internal/dev/servers/parts_test.go
+++ b/internal/dev/servers/parts_test.go
@@ -160,6 +160,7 @@
 	is.Equal(call(http.MethodPost, "/dev/servers/a/slow?value=x").Code, http.StatusBadRequest)
 	is.Equal(call(http.MethodPost, "/dev/servers/a/leaving?value=true").Code, http.StatusNoContent)
 	is.True(fleet.Server("a").leaving.Load())
+	is.Equal(call(http.MethodGet, "/dev/owner?service=s&key=k").Code, http.StatusNotFound)
 	is.Equal(call(http.MethodGet, "/dev/servers").Code, http.StatusOK)
 	is.Equal(call(http.MethodGet, "/dev/runlog").Code, http.StatusOK)
 }
--- a/internal/dev/servers/server.go
+++ b/internal/dev/servers/server.go
@@ -36,6 +36,8 @@
 	mu      sync.Mutex
 	address string
 	closed  bool
+	// started tells the first incarnation, which may be warm, from later ones.
+	started bool
 }
 
 // NewServer returns a server that is not started.
@@ -66,7 +68,7 @@
 	if s.life.Load() != nil {
 		return errors.Errorf("server %s is running already", s.config.Name)
 	}
-	first := s.address == s.config.Address
+	first := !s.started
 	fresh, err := newLife(s.config, s.address, s.handler)
 	if err != nil {
 		return err
@@ -76,6 +78,7 @@
 	}
 	s.address = fresh.listener.Addr().String()
 	s.leaving.Store(false)
+	s.started = true
 	s.life.Store(fresh)
 	s.report()
 	return nil
