Test that the demo heeds the report program's verdict

A report program that refuses the run log must fail the demo while the counts of the stand-ins are sound. With its verdict ignored the test fails.

--- a/internal/backend/httpbackend/send.go
+++ b/internal/backend/httpbackend/send.go
@@ -16,7 +16,8 @@
 	"peridotmoor.org/peridotmoor/internal/wire"
 )
 
-// Send implements backend.Server.
+// Send implements backend.Server. A read of a streamed body that is in progress
+// when Send fails may end after Send has returned.
 func (s *Server) Send(ctx context.Context, order backend.Order, r *request.Request) (*request.Answer, error) {
 	var attempt wire.Attempt
 	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(ctx, attempt.Trace()))
--- a/internal/dev/demo/demo_test.go
+++ b/internal/dev/demo/demo_test.go
@@ -31,6 +31,9 @@
 		t.Fatal(err)
 	}
 	for name := range fakes {
+		if name == reportProgram {
+			continue
+		}
 		if err := os.Symlink(self, filepath.Join(bin, name)); err != nil {
 			t.Fatal(err)
 		}
@@ -134,6 +137,19 @@
 	}
 }
 
+// Guards against a verdict of the report program that is left out.
+func TestReportIsHeard(t *testing.T) {
+	is := is.New(t)
+	o := options(t, "")
+	self, err := os.Executable()
+	is.NoErr(err)
+	is.NoErr(os.Symlink(self, filepath.Join(o.Bin, reportProgram)))
+	var out bytes.Buffer
+	is.True(demo.Run(t.Context(), o, &out) != nil)
+	is.True(strings.Contains(out.String(), "refused by the report"))
+	is.Equal(counts(t, out.String())["ran_twice"], 0)
+}
+
 // Guards against programs that outlive a demo which failed or was interrupted.
 func TestNoProgramIsLeft(t *testing.T) {
 	t.Run("router that does not stop", func(t *testing.T) {
--- a/internal/dev/demo/fake_test.go
+++ b/internal/dev/demo/fake_test.go
@@ -18,6 +18,7 @@
 
 	"peridotmoor.org/peridotmoor/internal/backend"
 	"peridotmoor.org/peridotmoor/internal/backend/httpbackend"
+	"peridotmoor.org/peridotmoor/internal/dev/servers"
 	"peridotmoor.org/peridotmoor/internal/key"
 	"peridotmoor.org/peridotmoor/internal/outcome"
 	"peridotmoor.org/peridotmoor/internal/problem"
@@ -48,6 +49,22 @@
 	return 0
 }
 
+// fakeReport refuses each run log, after it has checked that it can be read.
+func fakeReport(args []string) int {
+	if len(args) != 5 || args[0] != "verify" || args[1] != "--runlog" {
+		fmt.Println("wrong arguments")
+		return 2
+	}
+	var evidence servers.Evidence
+	content, err := os.ReadFile(args[2])
+	if err != nil || json.Unmarshal(content, &evidence) != nil || len(evidence.Runs) == 0 {
+		fmt.Println("no run log")
+		return 2
+	}
+	fmt.Println("refused by the report")
+	return 1
+}
+
 // router forwards each request once: to the owner of the key for bosho, else to
 // the next server of the service. It grants each server of bosho an equal part
 // of the keys and records orders in the store, which the load of a test bears. fault makes it break an invariant.
--- a/internal/dev/demo/main_test.go
+++ b/internal/dev/demo/main_test.go
@@ -25,9 +25,13 @@
 	os.Exit(fakes[name](os.Args[1:]))
 }
 
+// reportProgram is there only in the tests that link it.
+const reportProgram = "peridotmoor-report"
+
 // fakes are the programs of the demo. The stand-ins are the real ones.
 var fakes = map[string]func(args []string) int{
 	"peridotmoor-dev":    func(args []string) int { return command.Main(args, os.Stdout, os.Stderr) },
 	"peridotmoor-router": fakeRouter,
 	"peridotmoorctl":     fakeCtl,
+	reportProgram:        fakeReport,
 }
