--- a/internal/dev/demo/fake_test.go
+++ b/internal/dev/demo/fake_test.go
@@ -18,6 +18,7 @@
 
 	"peridotmoor.org/peridotmoor/internal/backend"
 	"peridotmoor.org/peridotmoor/internal/backend/httpbackend"
+	"peridotmoor.org/peridotmoor/internal/dev/servers"
 	"peridotmoor.org/peridotmoor/internal/key"
 	"peridotmoor.org/peridotmoor/internal/outcome"
 	"peridotmoor.org/peridotmoor/internal/problem"
@@ -48,6 +49,22 @@
 	return 0
 }
 
+// fakeReport refuses each run log, after it has checked that it can be read.
+func fakeReport(args []string) int {
+	if len(args) != 5 || args[0] != "verify" || args[1] != "--runlog" {
+		fmt.Println("wrong arguments")
+		return 2
+	}
+	var evidence servers.Evidence
+	content, err := os.ReadFile(args[2])
+	if err != nil || json.Unmarshal(content, &evidence) != nil || len(evidence.Runs) == 0 {
+		fmt.Println("no run log")
+		return 2
+	}
+	fmt.Println("refused by the report")
+	return 1
+}
+
 // router forwards each request once: to the owner of the key for bosho, else to
 // the next server of the service. It grants each server of bosho an equal part
 // of the keys and records orders in the store, which the load of a test bears. fault makes it break an invariant.
@@ -56,6 +73,7 @@
 	servers map[string][]*httpbackend.Server
 	next    atomic.Uint64
 	fault   string
+	name    string
 }
 
 func fakeRouter(args []string) int {
@@ -64,7 +82,7 @@
 		return 1
 	}
 	listen := config.Section("listen")
-	r, err := newRouter(config.Section("platform").Key("store").String())
+	r, err := newRouter(config.Section("platform").Key("store").String(), config.Section("instance").Key("name").String())
 	if err != nil {
 		fmt.Println(err)
 		return 1
@@ -82,7 +100,7 @@
 	return 0
 }
 
-func newRouter(platform string) (*router, error) {
+func newRouter(platform, name string) (*router, error) {
 	s, err := httpstore.New(platform, 20)
 	if err != nil {
 		return nil, err
@@ -95,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &router{store: s, servers: map[string][]*httpbackend.Server{}, fault: tree.Section("").Key("fault").String()}
+	r := &router{name: name, store: s, servers: map[string][]*httpbackend.Server{}, fault: tree.Section("").Key("fault").String()}
 	for _, section := range tree.Sections() {
 		name, found := strings.CutPrefix(section.Name(), "server.")
 		if !found {
@@ -123,7 +141,9 @@
 	if r.fault == "owners" {
 		part = key.Range{}
 	}
-	grant := backend.Grant{Order: order, Ranges: []key.Range{part}, Expiry: 1 << 60}
+	named := order
+	named.Holder.Name = r.name
+	grant := backend.Grant{Order: named, Ranges: []key.Range{part}, Expiry: 1 << 60}
 	_, err := r.servers[keyedService][number].Grant(context.Background(), grant)
 	return err
 }
--- a/internal/dev/demo/run.go
+++ b/internal/dev/demo/run.go
@@ -29,6 +29,7 @@
 	instances []*programs.Instance
 	// accepted is the number of the settings version that was applied last.
 	accepted int
+	lost     losses
 }
 
 // Run runs the demo and prints its progress to out. The last line is the
--- a/internal/dev/programs/instance.go
+++ b/internal/dev/programs/instance.go
@@ -9,6 +9,8 @@
 
 	"github.com/pkg/errors"
 	"gopkg.in/ini.v1"
+
+	"peridotmoor.org/peridotmoor/internal/dev/ports"
 )
 
 // routerProgram is the program of an entry instance.
@@ -33,12 +35,12 @@
 
 // AssignPorts gives each instance free ports on loopback.
 func AssignPorts(all []*Instance) error {
-	ports, err := freePorts(3 * len(all))
+	free, err := ports.Free(3 * len(all))
 	if err != nil {
 		return err
 	}
 	for n, i := range all {
-		i.Callers, i.Peers, i.Operators = ports[3*n], ports[3*n+1], ports[3*n+2]
+		i.Callers, i.Peers, i.Operators = free[3*n], free[3*n+1], free[3*n+2]
 	}
 	return nil
 }
