Test the report program by golden files, histories and lost records

Seen failing with the guard taken out: each check of verify, the extent of gaps, repeated fields, lines without an instance, the order of records, the attribution to a settings version, unknown flags, control characters, and marks and markup of the page. A property test drops any part of the records of a truthful history; verify must then claim nothing false. Instances that others mention and of which no record is given are now listed as missing.

--- a/internal/report/command/tool.go
+++ b/internal/report/command/tool.go
@@ -49,7 +49,7 @@
 			fmt.Fprintf(t.stderr, "... and %d more lines that could not be read\n", len(bad)-n)
 			break
 		}
-		fmt.Fprintln(t.stderr, line)
+		fmt.Fprintln(printable{t.stderr}, line)
 	}
 	if len(records) == 0 {
 		return nil, errors.New("the input holds no records; give the files of [records] path of each instance")
@@ -85,7 +85,7 @@
 // print writes value as JSON, or as text with the function given.
 func (t *tool) print(value any, text func(io.Writer)) error {
 	if !t.options.JSON {
-		text(t.stdout)
+		text(printable{t.stdout})
 		return nil
 	}
 	encoder := json.NewEncoder(t.stdout)
--- /dev/null
+++ b/internal/report/contradictions.go
@@ -0,0 +1,46 @@
+package report
+
+import (
+	"fmt"
+
+	"peridotmoor.org/peridotmoor/internal/outcome"
+)
+
+// Contradictions returns one sentence for each part of the records that does
+// not agree with the outcome or with the rules of the router. A "not run" that
+// a dispatch denies is one only if all conclusions are recorded, which the
+// records alone do not tell.
+func (a *Account) Contradictions() []string {
+	return append(a.deniedNotRun(), a.ranTwice()...)
+}
+
+func (a *Account) deniedNotRun() []string {
+	if a.Outcome() != outcome.NotRun {
+		return nil
+	}
+	var found []string
+	for _, d := range a.recordedRuns() {
+		found = append(found, fmt.Sprintf("the recorded conclusions say not run, but the dispatch to server %s by holder %s may have run it", d.Server, d.Holder))
+	}
+	return found
+}
+
+func (a *Account) ranTwice() []string {
+	runs := len(a.recordedRuns())
+	if !a.Marked || a.Idempotent || runs < 2 {
+		return nil
+	}
+	return []string{fmt.Sprintf("the request is not idempotent, but %d of its dispatches may have run it", runs)}
+}
+
+// recordedRuns returns the dispatches whose recorded end says that the server
+// may have run the request.
+func (a *Account) recordedRuns() []*Dispatch {
+	var runs []*Dispatch
+	for _, d := range a.doubtful() {
+		if !d.Open() {
+			runs = append(runs, d)
+		}
+	}
+	return runs
+}
--- /dev/null
+++ b/internal/report/decode/decode_test.go
@@ -0,0 +1,85 @@
+package decode
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const good = `{"level":"info","msg":"m","at":"2026-12-04T10:00:00Z","event":1001,"name":"instance_started","instance":"entry-a","domain":"d"}`
+
+// Guards against a line that ends the reading, or that is lost without notice.
+func TestBadLinesAreReported(t *testing.T) {
+	for name, c := range map[string]struct{ line, reason string }{
+		"text":             {"panic: out of memory", "not a JSON object"},
+		"array":            {"[1]", "not a JSON object"},
+		"cut off":          {good[:60], "the JSON object is cut off or damaged"},
+		"cut at the end":   {good[:len(good)-1], "the JSON object is cut off or damaged"},
+		"two objects":      {good + good, "there is more after the JSON object"},
+		"no time":          {`{"event":1001,"instance":"a"}`, `field "at" is not a time (RFC 3339)`},
+		"bad time":         {`{"at":"noon","event":1001}`, `field "at" is not a time (RFC 3339)`},
+		"no event":         {`{"at":"2026-12-04T10:00:00Z"}`, `field "event" is not a number`},
+		"event as text":    {`{"at":"2026-12-04T10:00:00Z","event":"1001"}`, `field "event" is not a number`},
+		"longer than 1 MB": {`{"at":"` + strings.Repeat("x", maxLineBytes) + `"}`, "the line is longer than 1 MiB"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			records, bad, err := Lines("a.records", strings.NewReader(good+"\n\n"+c.line+"\n"+good))
+			is.NoErr(err)
+			is.Equal(len(records), 2)
+			is.Equal(len(bad), 1)
+			is.Equal(bad[0].String(), "a.records:3: "+c.reason)
+		})
+	}
+}
+
+// Guards against taking the instance that a line is about for its writer.
+func TestRepeatedFieldKeepsBothValues(t *testing.T) {
+	is := is.New(t)
+	line := `{"at":"2026-12-04T10:00:00Z","event":1500,"name":"instance_state","instance":"entry-a","domain":"d","instance":"entry-b@1","domain":"e","state":"gone"}`
+	records, _, err := Lines("a", strings.NewReader(line))
+	is.NoErr(err)
+	is.Equal(records[0].Instance, "entry-a")
+	is.Equal(records[0].Text("other_instance"), "entry-b@1")
+	is.Equal(records[0].Text("state"), "gone")
+}
+
+// Guards against losing an event that this version does not know.
+func TestUnknownEventIsKept(t *testing.T) {
+	is := is.New(t)
+	records, bad, err := Lines("a", strings.NewReader(`{"at":"2026-12-04T10:00:00Z","event":9999,"name":"later","instance":"a","n":{"x":[1]}}`))
+	is.NoErr(err)
+	is.Equal(len(bad), 0)
+	is.Equal(records[0].Event, 9999)
+}
+
+// Guards against a report of dropped lines that belongs to no instance.
+func TestLineWithoutInstanceBelongsToItsNeighbour(t *testing.T) {
+	is := is.New(t)
+	dropped := `{"at":"2026-12-04T10:00:00Z","event":1000,"name":"events_dropped","count":7}`
+	for _, text := range []string{good + "\n" + dropped, dropped + "\n" + good} {
+		records, _, err := Lines("a", strings.NewReader(text))
+		is.NoErr(err)
+		is.Equal(records[0].Instance, "entry-a")
+		is.Equal(records[1].Instance, "entry-a")
+	}
+}
+
+// Guards against a verdict on evidence that is not whole.
+func TestDamagedEvidenceIsRefused(t *testing.T) {
+	for name, text := range map[string]string{
+		"cut off":   `{"runs":[{"request_id":"a"`,
+		"no runs":   `{"dropped":0}`,
+		"run of no": `{"runs":[{"server":"s"}]}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, _, err := Runs(strings.NewReader(text))
+			is.True(err != nil)
+		})
+	}
+	is := is.New(t)
+	_, err := Sent(strings.NewReader(`[{"kind":"visit"}]`))
+	is.True(err != nil)
+}
--- a/internal/report/domain.go
+++ b/internal/report/domain.go
@@ -75,7 +75,7 @@
 
 // ExplainDomain tells the departures and returns of a failure domain.
 func ExplainDomain(j *Journal, name string) Domain {
-	d := Domain{Name: name, Changes: domainChanges(j, name), Missing: lossesOf(j)}
+	d := Domain{Name: name, Changes: domainChanges(j, name), Missing: j.Losses()}
 	for n := range d.Changes {
 		until := time.Time{}
 		if n+1 < len(d.Changes) {
--- a/internal/report/domainchanges.go
+++ b/internal/report/domainchanges.go
@@ -16,7 +16,7 @@
 // with its servers: changes of the same kind under one settings version are one.
 func domainChanges(j *Journal, name string) []DomainChange {
 	installed := installations(j)
-	var changes []DomainChange
+	changes := []DomainChange{}
 	for _, r := range j.Records {
 		if r.Event == events.ServerOut.Number && r.Text(fieldServerDomain) == name {
 			changes = addChange(changes, r, nearestVersion(installed[r.Instance], r.At))
--- a/internal/report/journal.go
+++ b/internal/report/journal.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"peridotmoor.org/peridotmoor/internal/events"
 )
@@ -13,22 +15,27 @@
 	Records   []*Record
 	byRequest map[string][]*Record
 	byName    map[string]*Instance
+	// mentioned are the instances that records name besides their writers.
+	mentioned map[string]bool
 	// anonymous are the refusals of requests without an ID.
 	anonymous []*Record
 	// BadLines are the lines that could not be read.
 	BadLines []BadLine
 }
 
-// NewJournal joins records in any order. Records of the same time keep the order in
-// which they were given.
+// NewJournal joins records in any order. Records of one instance and the same time
+// keep the order in which they were given.
 func NewJournal(records []*Record, bad []BadLine) *Journal {
 	j := &Journal{
 		Records:   slices.Clone(records),
 		byRequest: map[string][]*Record{},
 		byName:    map[string]*Instance{},
+		mentioned: map[string]bool{},
 		BadLines:  bad,
 	}
-	slices.SortStableFunc(j.Records, func(a, b *Record) int { return a.At.Compare(b.At) })
+	slices.SortStableFunc(j.Records, func(a, b *Record) int {
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Instance, b.Instance))
+	})
 	for _, r := range j.Records {
 		j.index(r)
 	}
@@ -44,14 +51,26 @@
 	} else if r.Event == events.EntryRefused.Number {
 		j.anonymous = append(j.anonymous, r)
 	}
+	j.mention(r)
 	instance := j.byName[r.Instance]
 	if instance == nil {
-		instance = &Instance{Name: r.Instance}
+		instance = newInstance(r)
 		j.byName[r.Instance] = instance
 	}
 	instance.add(r)
 }
 
+// mention notes the instance that a record is about.
+func (j *Journal) mention(r *Record) {
+	switch r.Event {
+	case events.InstanceState.Number:
+		name, _, _ := strings.Cut(r.Text(fieldAbout), "@") // the incarnation follows
+		j.mentioned[name] = true
+	case events.EntryRetried.Number:
+		j.mentioned[r.Text(fieldHolder)] = true
+	}
+}
+
 // Request returns the records of a request in the order of time.
 func (j *Journal) Request(id string) []*Record {
 	return j.byRequest[id]
@@ -66,3 +85,33 @@
 func (j *Journal) Instances() []*Instance {
 	return slices.SortedFunc(maps.Values(j.byName), func(a, b *Instance) int { return cmp.Compare(a.Name, b.Name) })
 }
+
+// Gaps returns all times of which records are known to be missing.
+func (j *Journal) Gaps() []Gap {
+	var gaps []Gap
+	for _, instance := range j.Instances() {
+		gaps = append(gaps, instance.Gaps...)
+	}
+	for _, name := range slices.Sorted(maps.Keys(j.mentioned)) {
+		if name != "" && j.byName[name] == nil {
+			gaps = append(gaps, Gap{Instance: name, Why: GapAbsent})
+		}
+	}
+	return gaps
+}
+
+// Losses says in words which records are known to be missing.
+func (j *Journal) Losses() []string {
+	var losses []string
+	for _, gap := range j.Gaps() {
+		losses = append(losses, gap.String())
+	}
+	return append(losses, j.unreadable()...)
+}
+
+func (j *Journal) unreadable() []string {
+	if len(j.BadLines) == 0 {
+		return nil
+	}
+	return []string{fmt.Sprintf("%d lines that could not be read", len(j.BadLines))}
+}
--- /dev/null
+++ b/internal/report/loss_test.go
@@ -0,0 +1,133 @@
+package report
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"peridotmoor.org/peridotmoor/internal/events"
+	"peridotmoor.org/peridotmoor/internal/outcome"
+)
+
+// history is a truthful run of several requests: what was recorded, what the
+// callers saw, and what the servers ran.
+type history struct {
+	builder
+	evidence Evidence
+}
+
+// attempt adds one truthful attempt at request id and returns what its caller was told.
+func (h *history) attempt(t *rapid.T, id string, idempotent bool, ran *bool) Attempt {
+	entry := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "entry")
+	holder := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "holder")
+	address := map[string]string{"a": addressA, "b": addressB}[entry]
+	how := rapid.SampledFrom([]string{"queued", "connect", "written", "answered"}).Draw(t, "how")
+	if *ran && !idempotent {
+		how = "queued"
+	}
+	stage, result := outcome.StageQueued, outcome.NotRun
+	if how != "queued" {
+		h.dispatched(holder, id, "s")
+	}
+	switch how {
+	case "connect":
+		h.failed(holder, id, "s", how)
+		stage = outcome.StageConnect
+	case "written":
+		h.failed(holder, id, "s", how)
+		stage, result = outcome.StageWritten, outcome.Unknown
+	case "answered":
+		h.answered(holder, id, "s")
+		stage, result = outcome.StageWhole, outcome.Answered
+	}
+	if how == "written" || how == "answered" {
+		h.evidence.Runs = append(h.evidence.Runs, ranOn(id, "s", idempotent))
+		*ran = true
+	} else if *ran && !idempotent {
+		result = outcome.Unknown // the record of the request forbids "not run"
+	}
+	h.ended(entry, id, result, stage, idempotent)
+	return told(address, result)
+}
+
+func drawHistory(t *rapid.T) *history {
+	h := &history{}
+	h.start("a", addressA)
+	h.start("b", addressB)
+	for n := range rapid.IntRange(1, 6).Draw(t, "requests") {
+		id := fmt.Sprintf("r%d", n)
+		idempotent := rapid.Bool().Draw(t, "idempotent")
+		var attempts []Attempt
+		ran := false
+		from := h.now()
+		for range rapid.IntRange(1, 3).Draw(t, "attempts") {
+			attempts = append(attempts, h.attempt(t, id, idempotent, &ran))
+		}
+		h.evidence.Sent = append(h.evidence.Sent, sentTo(id, idempotent, from, h.now(), attempts...))
+	}
+	h.add("a", events.Stopped)
+	h.add("b", events.Stopped)
+	return h
+}
+
+// Guards against a claim that rests on a record that is missing: the records of
+// a truthful history violate nothing, however many of them are lost, and with
+// all of them every request is accounted for.
+func TestLostRecordsProveNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := drawHistory(t)
+		if v := Verify(h.journal(), h.evidence); !v.OK() {
+			t.Fatalf("whole records: %+v", v)
+		}
+		var kept []*Record
+		for _, r := range h.records {
+			if rapid.Bool().Draw(t, "kept") {
+				kept = append(kept, r)
+			}
+		}
+		v := Verify(NewJournal(kept, nil), h.evidence)
+		if len(v.Violations) > 0 {
+			t.Fatalf("%d of %d records: %+v", len(kept), len(h.records), v.Violations)
+		}
+	})
+}
+
+// Guards against a result that depends on the order in which records are read.
+func TestOrderOfRecordsDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := drawHistory(t)
+		shuffled := NewJournal(rapid.Permutation(h.records).Draw(t, "order"), nil)
+		want, got := fmt.Sprintf("%+v", NewBoard(h.journal(), Window{})), fmt.Sprintf("%+v", NewBoard(shuffled, Window{}))
+		if want != got {
+			t.Fatalf("in order: %s\nshuffled: %s", want, got)
+		}
+	})
+}
+
+// Guards against a gap that reaches further than the loss.
+func TestGapCovers(t *testing.T) {
+	b := &builder{}
+	b.start("a", addressA)
+	for range 10_000 {
+		b.add("a", events.RequestAdmitted)
+	}
+	b.start("a", addressA) // killed and started again
+	b.add("a", events.Stopped)
+	instance := b.journal().Instances()[0]
+	killed := testStart.Add(10 * time.Second)
+	for name, c := range map[string]struct {
+		from, until time.Duration
+		want        bool
+	}{
+		"long before": {-9 * time.Second, -3 * time.Second, false},
+		"across":      {-3 * time.Second, time.Second, true},
+		"just after":  {time.Second, 3 * time.Second, true},
+		"long after":  {3 * time.Second, 4 * time.Second, false},
+	} {
+		if got := instance.lost(killed.Add(c.from), killed.Add(c.until)); got != c.want {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
--- a/internal/report/losses.go
+++ b/internal/report/losses.go
@@ -1,15 +1,12 @@
 package report
 
-import "time"
-
 // losses knows where records were lost, by the address that callers used.
 type losses struct {
-	journal *Journal
 	byEntry map[string]*Instance
 }
 
 func newLosses(j *Journal) losses {
-	l := losses{journal: j, byEntry: map[string]*Instance{}}
+	l := losses{byEntry: map[string]*Instance{}}
 	for _, instance := range j.Instances() {
 		for _, address := range instance.Callers {
 			l.byEntry[address] = instance
@@ -29,21 +26,3 @@
 	}
 	return ""
 }
-
-// lost reports whether the instance may have lost records that it wrote between
-// from and until. Its lines are written in order, so a killed instance lost only
-// what came after its last one.
-func (i *Instance) lost(from, until time.Time) bool {
-	if i.NoStart && from.Before(i.First.Add(lossSlack)) {
-		return true
-	}
-	if i.Dropped > 0 && from.Before(i.DroppedAt.Add(lossSlack)) {
-		return true
-	}
-	for _, at := range i.Killed {
-		if until.After(at.Add(-lossSlack)) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/report/proof.go
+++ b/internal/report/proof.go
@@ -71,9 +71,9 @@
 			clauses = append(clauses, clause)
 		}
 	}
-	attempts := "its only attempt was refused "
+	attempts := "its only recorded attempt was refused "
 	if len(a.Endings) > 1 {
-		attempts = fmt.Sprintf("every one of its %d attempts was refused: ", len(a.Endings))
+		attempts = fmt.Sprintf("every one of its %d recorded attempts was refused: ", len(a.Endings))
 	}
 	text := "not run, because " + attempts + strings.Join(clauses, "; and ")
 	if len(a.Dispatches) > 0 {
--- a/internal/report/story.go
+++ b/internal/report/story.go
@@ -40,7 +40,7 @@
 		Marked:         a.Marked,
 		Idempotent:     a.Idempotent,
 		Outcome:        a.Outcome(),
-		Proof:          a.Proof(),
+		Proof:          qualified(j, a),
 		Start:          a.Start(),
 		Contradictions: a.Contradictions(),
 		Missing:        missing(j, a),
@@ -53,29 +53,8 @@
 	return s
 }
 
-// Contradictions returns one sentence for each part of the records that does
-// not agree with the outcome or with the rules of the router.
-func (a *Account) Contradictions() []string {
-	var found []string
-	ran := 0
-	for n := range a.Dispatches {
-		d := &a.Dispatches[n]
-		if d.Open() || !d.MayHaveRun() {
-			continue
-		}
-		ran++
-		if a.Outcome() == outcome.NotRun {
-			found = append(found, fmt.Sprintf("the caller was told not run, but the dispatch to server %s by holder %s may have run it", d.Server, d.Holder))
-		}
-	}
-	if a.Marked && !a.Idempotent && ran > 1 {
-		found = append(found, fmt.Sprintf("the request is not idempotent, but %d of its dispatches may have run it", ran))
-	}
-	return found
-}
-
-// missing says which records of the request are missing, and which instances
-// are known to have lost records of its time.
+// missing says which records of the request are missing, and which gaps of the
+// records cover its time.
 func missing(j *Journal, a *Account) []string {
 	var found []string
 	for n := range a.Dispatches {
@@ -86,26 +65,30 @@
 	if len(a.Endings) == 0 {
 		found = append(found, "the conclusion of an entry instance")
 	}
-	for _, i := range j.Instances() {
-		if len(a.Records) == 0 || i.lost(a.Start(), a.End()) {
-			found = append(found, i.losses()...)
-		}
+	for _, gap := range gapsOf(j, a) {
+		found = append(found, gap.String())
 	}
 	return append(found, j.unreadable()...)
 }
 
-// lossesOf lists what is known to be missing from the records as a whole.
-func lossesOf(j *Journal) []string {
-	var found []string
-	for _, i := range j.Instances() {
-		found = append(found, i.losses()...)
+// gapsOf returns the gaps that cover the time of a request, and all gaps when
+// its time is not known.
+func gapsOf(j *Journal, a *Account) []Gap {
+	var gaps []Gap
+	for _, gap := range j.Gaps() {
+		if len(a.Records) == 0 || gap.Covers(a.Start(), a.End()) {
+			gaps = append(gaps, gap)
+		}
 	}
-	return append(found, j.unreadable()...)
+	return gaps
 }
 
-func (j *Journal) unreadable() []string {
-	if len(j.BadLines) == 0 {
-		return nil
+// qualified adds to a proof of "not run" that another attempt may have left no
+// record. The record of a non-idempotent request counts for all its attempts.
+func qualified(j *Journal, a *Account) string {
+	proof := a.Proof()
+	if a.Outcome() != outcome.NotRun || a.Marked && !a.Idempotent || len(gapsOf(j, a)) == 0 {
+		return proof
 	}
-	return []string{fmt.Sprintf("%d lines that could not be read", len(j.BadLines))}
+	return proof + "; this holds for the recorded attempts only, since records of its time are missing"
 }
--- a/internal/report/summary.go
+++ b/internal/report/summary.go
@@ -44,7 +44,7 @@
 
 // Summarize counts the requests that arrived in the window.
 func Summarize(j *Journal, w Window) Summary {
-	s := Summary{Window: w, Missing: lossesOf(j)}
+	s := Summary{Window: w, Rows: []Row{}, Missing: j.Losses()}
 	rows := map[rowKey]*rowCounter{}
 	for _, a := range j.Accounts(w) {
 		key := rowKey{service: a.Service, hour: a.Start().UTC().Truncate(time.Hour)}
--- a/internal/report/unanswered.go
+++ b/internal/report/unanswered.go
@@ -42,7 +42,7 @@
 // without their caller getting the answer. A request whose conclusion is not
 // recorded is one of them unless all its dispatches provably did not run.
 func FindUnanswered(j *Journal, w Window) Unanswered {
-	u := Unanswered{Window: w, Missing: lossesOf(j)}
+	u := Unanswered{Window: w, Requests: []UnansweredRequest{}, Missing: j.Losses()}
 	for _, a := range j.Accounts(w) {
 		if a.mayHaveRunUnanswered() {
 			u.Requests = append(u.Requests, a.unanswered())
--- a/internal/report/verification.go
+++ b/internal/report/verification.go
@@ -31,6 +31,11 @@
 	Unchecked []string `json:"unchecked"`
 }
 
+func newVerification(sent int, losses []string) Verification {
+	return Verification{Sent: sent, Losses: losses,
+		Violations: []Violation{}, KnownMissing: []MissingRequest{}, Unaccounted: []MissingRequest{}, Unchecked: []string{}}
+}
+
 // OK reports whether there is no violation and every request is accounted for.
 func (v Verification) OK() bool {
 	return len(v.Violations) == 0 && len(v.Unaccounted) == 0 && len(v.Unchecked) == 0
--- a/internal/report/verify.go
+++ b/internal/report/verify.go
@@ -7,15 +7,10 @@
 	"peridotmoor.org/peridotmoor/internal/outcome"
 )
 
-// lossSlack is how far the clocks of a caller and an instance may differ when a
-// lost record is put down to a killed instance; it is max_clock_skew of the settings.
-const lossSlack = 2 * time.Second
-
 // Verify compares the records with what the callers saw and the servers ran.
 func Verify(j *Journal, e Evidence) Verification {
 	v := &verifier{journal: j, evidence: e, runs: e.runsByID(), losses: newLosses(j)}
-	v.result.Sent = len(e.Sent)
-	v.result.Losses = lossesOf(j)
+	v.result = newVerification(len(e.Sent), j.Losses())
 	known := map[string]bool{}
 	for n := range e.Sent {
 		known[e.Sent[n].RequestID] = true
@@ -101,17 +96,25 @@
 	if s != nil && s.crossed() {
 		v.violate(a.ID, "its caller got the answer of another request (I5)")
 	}
-	for _, contradiction := range a.Contradictions() {
+	for _, contradiction := range v.contradictions(a, s) {
 		v.violate(a.ID, "the records contradict each other: %s", contradiction)
 	}
 }
 
+// contradictions leaves out what a conclusion that is not recorded may explain.
+func (v *verifier) contradictions(a *Account, s *Sent) []string {
+	if s != nil && len(a.Endings) >= len(s.reached()) {
+		return a.Contradictions()
+	}
+	return a.ranTwice()
+}
+
 // claimedNotRun reports whether every attempt was told "not run". The records
-// say so only if none of the caller's attempts is missing from them.
+// say so only if none of the caller's attempts can be missing from them.
 func (v *verifier) claimedNotRun(a *Account, s *Sent) bool {
 	recorded := a.Outcome() == outcome.NotRun
 	if s == nil {
-		return recorded
+		return recorded && len(gapsOf(v.journal, a)) == 0
 	}
 	return s.claimedNotRun() || recorded && len(a.Endings) >= len(s.reached())
 }
