--- /dev/null
+++ b/internal/report/lane_test.go
@@ -0,0 +1,64 @@
+package report
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotmoor.org/peridotmoor/internal/events"
+)
+
+// Guards against a holder shown after its last record, and against a pause that
+// hides the time in which the loss of a server was noticed.
+func TestLanes(t *testing.T) {
+	is := is.New(t)
+	b := &builder{}
+	at := func(n int) time.Time { return testStart.Add(time.Duration(n) * time.Millisecond) }
+	b.add("a", events.GrantsBegun, fieldShard, "bosho/0", fieldToken, "1.1")                                   // 0
+	b.add("a", events.ServerSilent, fieldShard, "bosho/0", fieldServer, "s1")                                  // 1
+	b.add("b", events.Started)                                                                                 // 2
+	b.add("a", events.OwnerReplaced, fieldShard, "bosho/0", fieldRange, "0-1", fieldFrom, "s1", fieldTo, "s2") // 3, killed
+	b.add("b", events.GrantsBegun, fieldShard, "bosho/0", fieldToken, "1.2")                                   // 4
+	b.add("b", events.OwnerMissing, fieldShard, "bosho/0", fieldRange, "0-1")                                  // 5
+	b.add("b", events.GrantsEnded, fieldShard, "bosho/0", fieldToken, "1.2")                                   // 6
+	b.add("b", events.GrantsBegun, fieldShard, "bosho/0", fieldToken, "1.3")                                   // 7, not ended
+	b.add("b", events.GrantsBegun, fieldShard, "bosho/0", fieldToken, "1.4")                                   // 8
+	b.add("b", events.GrantsEnded, fieldShard, "bosho/0", fieldToken, "1.4")                                   // 9
+	lanes := newLanes(b.journal())
+	is.Equal(lanes, []Lane{{
+		Shard: "bosho/0",
+		Tenures: []Tenure{
+			{Holder: "a", Token: "1.1", From: at(0), Until: at(3), Cut: true},
+			{Holder: "b", Token: "1.2", From: at(4), Until: at(6)},
+			{Holder: "b", Token: "1.3", From: at(7), Until: at(8), Cut: true},
+			{Holder: "b", Token: "1.4", From: at(8), Until: at(9)},
+		},
+		Pauses:  []Pause{{Range: "0-1", Lost: "s1", Next: "s2", From: at(1), Until: at(3)}},
+		Missing: []Orphan{{Range: "0-1", At: at(5)}},
+	}})
+}
+
+// Guards against a failure domain that is listed twice or left out.
+func TestBoardListsEachChangedDomainOnce(t *testing.T) {
+	is := is.New(t)
+	b := &builder{}
+	for _, domain := range []string{"kyu-naka", "kyu-kita", "kyu-naka"} {
+		b.add("a", events.ServerOut, fieldServer, "s-"+domain, fieldServerDomain, domain, fieldOut, true)
+	}
+	board := NewBoard(b.journal(), Window{})
+	is.Equal(len(board.Domains), 2)
+	is.Equal(board.Domains[0].Name, "kyu-kita")
+	is.Equal(board.Domains[1].Name, "kyu-naka")
+}
+
+// Guards against a timeline of more buckets than a plot shows, and against
+// requests that fall out of it.
+func TestBucketWidth(t *testing.T) {
+	is := is.New(t)
+	for span := time.Millisecond; span < 20*365*24*time.Hour; span = span*3/2 + 1 {
+		width := bucketWidth(span)
+		is.True(span/width < maxBuckets)
+	}
+	is.Equal(bucketWidth(15*time.Second), 250*time.Millisecond)
+}
--- a/internal/report/page/page_test.go
+++ b/internal/report/page/page_test.go
@@ -32,7 +32,7 @@
 		Timeline: report.Timeline{Width: time.Second, Buckets: []report.Bucket{
 			{Start: at(0), Counts: report.Counts{Sent: 6, Answered: 3, NotRun: 2, Unknown: 1}, Latencies: latencies},
 			{Start: at(1)},
-			{Start: at(2), Counts: report.Counts{Sent: 1, NotRecorded: 1}},
+			{Start: at(2), Counts: report.Counts{Sent: 1, NotRecorded: 1}, Latencies: latencies},
 		}},
 		Lanes: []report.Lane{{Shard: "bosho/0",
 			Tenures: []report.Tenure{{Holder: "entry-a", From: at(0), Until: at(1), Cut: true}, {Holder: "entry-b", From: at(2), Until: at(3)}},
@@ -77,7 +77,7 @@
 	}
 	is.Equal(marks, map[string]int{
 		"rect answered": 1, "rect not-run": 1, "rect unknown": 1, "rect not-recorded": 1,
-		"polyline p50": 1, "polyline p90": 1, "polyline p99": 1,
+		"polyline p50": 2, "polyline p90": 2, "polyline p99": 2, // the bucket without answers interrupts them
 		"rect holder0 cut": 1, "rect holder1": 1, "rect pause": 1, "rect orphan": 1,
 		"line grid": 10,
 	})
