--- /dev/null
+++ b/internal/report/command/docs_test.go
@@ -0,0 +1,45 @@
+package command
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against an analyst's page whose examples print something else, or that
+// names a command that does not exist.
+func TestExamplesOfTheAnalystsPage(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../../docs/analyst.md")
+	is.NoErr(err)
+	examples := regexp.MustCompile("(?s)```console\n\\$ peridotmoor-report (.*?)\n(.*?)```").FindAllStringSubmatch(string(page), -1)
+	is.Equal(len(examples), 6)
+	for _, example := range examples {
+		got, _, _ := strings.Cut(call(exampleArgs(example[1]), nil, ""), "--- standard error")
+		if got != example[2] {
+			t.Errorf("%s prints:\n%s", example[1], got)
+		}
+	}
+	for _, c := range commands {
+		is.True(strings.Contains(string(page), "peridotmoor-report "+c.name))
+	}
+}
+
+// exampleArgs puts the files of the sample in place of their names on the page.
+func exampleArgs(text string) []string {
+	var args []string
+	for _, arg := range strings.Fields(text) {
+		switch {
+		case arg == "*.records":
+			args = append(args, sample...)
+		case strings.HasSuffix(arg, ".json"):
+			args = append(args, "testdata/sample/"+arg)
+		default:
+			args = append(args, arg)
+		}
+	}
+	return args
+}
--- a/internal/report/command/domain.go
+++ b/internal/report/command/domain.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -43,54 +42,14 @@
 		fmt.Fprintf(w, " with settings version %d", c.Version)
 	}
 	fmt.Fprintln(w)
-	line := func(at time.Time, format string, values ...any) {
-		fmt.Fprintf(w, "  %s  %s\n", offset(at.Sub(c.Begin)), fmt.Sprintf(format, values...))
+	steps := &domainSteps{}
+	steps.settings(c)
+	steps.servers(c)
+	steps.work(c)
+	for _, step := range steps.sorted() {
+		fmt.Fprintf(w, "  %s  %s\n", offset(step.at.Sub(c.Begin)), step.text)
 	}
-	for _, e := range c.InEffect {
-		line(e.At, "in effect at %s", e.Instance)
+	for _, note := range steps.notes {
+		fmt.Fprintf(w, "  %13s  %s\n", "-", note)
 	}
-	for _, name := range c.Without {
-		fmt.Fprintf(w, "  %13s  no record that it was in effect at %s\n", "-", name)
-	}
-	writeServers(c, line)
-	if c.Ranges > 0 {
-		line(c.FirstMove, "first range moved")
-		line(c.LastMove, "last of %d ranges moved", c.Ranges)
-	}
-	writeWork(w, c, line)
-}
-
-// writeServers says when the holders acted.
-func writeServers(c *report.DomainChange, line func(time.Time, string, ...any)) {
-	first, last := c.Servers[0], c.Servers[len(c.Servers)-1]
-	verb := "brought back"
-	if c.Out {
-		verb = "taken out"
-	}
-	line(first.At, "holder %s: first server %s (%s)", first.Holder, verb, first.Server)
-	line(last.At, "holder %s: last of %d servers %s (%s)", last.Holder, len(c.Servers), verb, last.Server)
-}
-
-// writeWork says what work the servers still got, or got again.
-func writeWork(w io.Writer, c *report.DomainChange, line func(time.Time, string, ...any)) {
-	for _, s := range c.Servers {
-		switch {
-		case c.Out && s.Last != nil:
-			line(s.Last.At, "server %s: last of %d new requests (%s)", s.Server, s.Work, s.Last.RequestID)
-		case !c.Out && s.First != nil:
-			line(s.First.At, "server %s: first of %d requests (%s)%s", s.Server, s.Work, s.First.RequestID, coldness(s))
-		case !c.Out:
-			fmt.Fprintf(w, "  %13s  server %s: no work recorded%s\n", "-", s.Server, coldness(s))
-		}
-	}
-	if c.Out && c.Work == 0 {
-		fmt.Fprintf(w, "  %13s  no new work on its servers is recorded from then on\n", "-")
-	}
-}
-
-func coldness(s report.ServerChange) string {
-	if s.Cold == "" {
-		return ""
-	}
-	return ", cold: " + s.Cold
 }
--- /dev/null
+++ b/internal/report/command/domainsteps.go
@@ -0,0 +1,87 @@
+package command
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/report"
+)
+
+// domainSteps collects the lines about one change of a failure domain.
+type domainSteps struct {
+	steps []domainStep
+	// notes are the lines without a time.
+	notes []string
+}
+
+// domainStep is one line with its time.
+type domainStep struct {
+	at   time.Time
+	text string
+}
+
+func (d *domainSteps) add(at time.Time, format string, values ...any) {
+	d.steps = append(d.steps, domainStep{at: at, text: fmt.Sprintf(format, values...)})
+}
+
+func (d *domainSteps) note(format string, values ...any) {
+	d.notes = append(d.notes, fmt.Sprintf(format, values...))
+}
+
+// sorted returns the lines in the order of time.
+func (d *domainSteps) sorted() []domainStep {
+	slices.SortStableFunc(d.steps, func(a, b domainStep) int { return a.at.Compare(b.at) })
+	return d.steps
+}
+
+// settings says when the version was in effect.
+func (d *domainSteps) settings(c *report.DomainChange) {
+	for _, e := range c.InEffect {
+		d.add(e.At, "settings version %d in effect at %s", c.Version, e.Instance)
+	}
+	for _, name := range c.Without {
+		d.note("no record that version %d was in effect at %s", c.Version, name)
+	}
+}
+
+// servers says when the holders acted.
+func (d *domainSteps) servers(c *report.DomainChange) {
+	verb := "brought back"
+	if c.Out {
+		verb = "taken out"
+	}
+	first, last := c.Servers[0], c.Servers[len(c.Servers)-1]
+	d.add(first.At, "first of %d servers %s: %s by holder %s", len(c.Servers), verb, first.Server, first.Holder)
+	if len(c.Servers) > 1 {
+		d.add(last.At, "last of %d servers %s: %s by holder %s", len(c.Servers), verb, last.Server, last.Holder)
+	}
+	if c.Ranges > 0 {
+		d.add(c.FirstMove, "first range moved")
+		d.add(c.LastMove, "last of %d ranges moved", c.Ranges)
+	}
+}
+
+// work says what work the servers still got, or got again.
+func (d *domainSteps) work(c *report.DomainChange) {
+	for _, s := range c.Servers {
+		switch {
+		case c.Out && s.Last != nil:
+			d.add(s.Last.At, "server %s: last of %d new requests (%s)", s.Server, s.Work, s.Last.RequestID)
+		case !c.Out && s.First != nil:
+			d.add(s.First.At, "server %s: first of %d requests (%s)%s", s.Server, s.Work, s.First.RequestID, coldness(s))
+		case !c.Out:
+			d.note("server %s: no work recorded%s", s.Server, coldness(s))
+		}
+	}
+	if c.Out && c.Work == 0 {
+		d.note("no new work on its servers is recorded from then on")
+	}
+}
+
+func coldness(s report.ServerChange) string {
+	if s.Cold == "" {
+		return ""
+	}
+	return ", cold: " + s.Cold
+}
