--- a/internal/record/control.go
+++ b/internal/record/control.go
@@ -16,6 +16,8 @@
 	mirrorCount = 2
 	// mirrorRetry is the pause before a mirror that failed is tried again.
 	mirrorRetry = time.Second
+	// mirrorWait is how long a request waits while no mirror holds the records.
+	mirrorWait = time.Second
 	// proposeTimeout bounds one proposal to the witnesses.
 	proposeTimeout = 500 * time.Millisecond
 	// proposeRetry is the pause after a proposal that was not acknowledged by a majority.
@@ -35,12 +37,16 @@
 	avoided map[authority.Instance]bool
 	retry   *time.Timer
 	deposed error
+	// complete is the mirror that the records were fetched from. It holds all of
+	// them until the first set is acknowledged, from when on requests are
+	// dispatched; until then it joins without a backfill, which shortens a takeover.
+	complete authority.Instance
 }
 
 func newControl(r *replicator) *control {
 	retry := time.NewTimer(time.Hour)
 	retry.Stop()
-	return &control{r: r, avoided: map[authority.Instance]bool{}, retry: retry}
+	return &control{r: r, avoided: map[authority.Instance]bool{}, retry: retry, complete: r.source}
 }
 
 func (c *control) run() {
@@ -133,6 +139,10 @@
 	p.state = peerJoining
 	c.r.running.Go(p.sender.run)
 	c.publish()
+	if p.sender.to == c.complete {
+		c.backfilled(p, nil)
+		return
+	}
 	c.r.running.Go(func() {
 		err := c.r.backfill(p.sender.to)
 		c.r.post(func(c *control) { c.backfilled(p, err) })
@@ -163,6 +173,12 @@
 			"shard %s has a new holder", c.r.shard), false)
 		return
 	}
+	if c.spare(p, err) {
+		return
+	}
+	if p.sender.to == c.complete {
+		c.complete = authority.Instance{}
+	}
 	c.avoided[p.sender.to] = true
 	c.retry.Reset(mirrorRetry)
 	if p.proposed {
@@ -176,6 +192,20 @@
 	p.state = peerLeaving
 }
 
+// spare lets the last member of the set try again with more time when it was only
+// slow: a set without members refuses every request.
+func (c *control) spare(p *peer, err error) bool {
+	if p.state != peerMember || !errors.Is(err, errMirrorSlow) {
+		return false
+	}
+	for _, other := range c.peers {
+		if other != p && other.state == peerMember {
+			return false
+		}
+	}
+	return p.sender.tryAgain()
+}
+
 func (c *control) remove(p *peer) {
 	c.peers = slices.DeleteFunc(c.peers, func(other *peer) bool { return other == p })
 }
@@ -194,13 +224,13 @@
 			next.senders = append(next.senders, p.sender)
 		}
 	}
-	c.r.targets.Store(next)
+	c.r.replaceTargets(next)
 }
 
 // refuseAll fails everything that is pending and every later request. With flush
 // the mirrors still get the records that are pending.
 func (c *control) refuseAll(err error, flush bool) {
-	c.r.targets.Store(&targets{err: err})
+	c.r.replaceTargets(&targets{err: err})
 	for _, p := range c.peers {
 		c.stop(p, stopOrder{err: err, flush: flush})
 	}
--- a/internal/shard/runtime.go
+++ b/internal/shard/runtime.go
@@ -13,12 +13,14 @@
 )
 
 // Runtime does the work of one shard while this instance holds it. Run owns all
-// fields but views and sampler.
+// fields but views, status and sampler.
 type Runtime struct {
-	options  Options
-	views    atomic.Pointer[route.View]
-	sampler  hotkey.Sampler
-	quiesces chan *quiesce
+	options    Options
+	views      atomic.Pointer[route.View]
+	status     atomic.Pointer[Status]
+	sampler    hotkey.Sampler
+	quiesces   chan *quiesce
+	surrenders chan *surrender
 	// senders counts the goroutines that Run started.
 	senders sync.WaitGroup
 	// generation is that of the last view; it rises through all terms.
@@ -29,7 +31,7 @@
 
 // New returns a runtime that has not started.
 func New(options Options) *Runtime {
-	return &Runtime{options: options, quiesces: make(chan *quiesce)}
+	return &Runtime{options: options, quiesces: make(chan *quiesce), surrenders: make(chan *surrender)}
 }
 
 // Views returns the pointer that requests pass to route.Enter. It holds nil
@@ -38,6 +40,12 @@
 	return &r.views
 }
 
+// Status returns the newest summary, at most about half a second old, or nil
+// while this instance does not hold the shard.
+func (r *Runtime) Status() *Status {
+	return r.status.Load()
+}
+
 // Observe counts one request for h in the sketch of hot keys. It takes no lock
 // and may be called from many goroutines.
 func (r *Runtime) Observe(h key.Hash) {
--- a/internal/shard/send.go
+++ b/internal/shard/send.go
@@ -86,6 +86,9 @@
 // answered takes over how a call ended.
 func (t *term) answered(a answer, now time.Time) {
 	l := a.link
+	if t.links[l.config.Name] != l {
+		return // dropped meanwhile; its book waits for the expiry
+	}
 	l.busy = false
 	switch {
 	case a.unsent:
@@ -194,6 +197,9 @@
 	for _, l := range t.links {
 		l.list = make([]key.Range, 0, len(l.list))
 	}
+	if len(t.surrenders) > 0 {
+		return
+	}
 	for _, r := range t.rows {
 		l := t.links[r.owner]
 		if l == nil || !r.inList() {
--- a/internal/store/memstore/store.go
+++ b/internal/store/memstore/store.go
@@ -12,6 +12,9 @@
 	"peridotmoor.org/peridotmoor/internal/store"
 )
 
+// maxWaiting bounds the delayed calls that are told apart by Faults.Waiting.
+const maxWaiting = 64
+
 // Store keeps entries and leases in memory.
 type Store struct {
 	faults Faults
@@ -24,16 +27,10 @@
 	changed chan struct{}
 }
 
-// record is one key as stored.
-type record struct {
-	value    []byte
-	revision uint64
-	lease    store.LeaseID
-}
-
 // New returns an empty store.
 func New() *Store {
 	return &Store{
+		faults:  Faults{waiting: make(chan struct{}, maxWaiting)},
 		entries: map[string]record{},
 		leases:  map[store.LeaseID]*lease{},
 		changed: make(chan struct{}),
@@ -194,8 +191,4 @@
 	return r.entry(key), nil
 }
 
-func (r record) entry(key string) store.Entry {
-	return store.Entry{Key: key, Value: append([]byte(nil), r.value...), Revision: r.revision}
-}
-
 var _ store.Store = (*Store)(nil)
