--- a/internal/report/command/domainsteps.go
+++ b/internal/report/command/domainsteps.go
@@ -15,12 +15,6 @@
 	notes []string
 }
 
-// domainStep is one line with its time.
-type domainStep struct {
-	at   time.Time
-	text string
-}
-
 func (d *domainSteps) add(at time.Time, format string, values ...any) {
 	d.steps = append(d.steps, domainStep{at: at, text: fmt.Sprintf(format, values...)})
 }
--- a/internal/report/command/tool.go
+++ b/internal/report/command/tool.go
@@ -21,9 +21,6 @@
 	stderr  io.Writer
 }
 
-// usageError is a call that cannot be carried out as it is.
-type usageError struct{ error }
-
 func (t *tool) exit(c command, err error) int {
 	if err == nil {
 		return ExitOK
--- a/internal/report/decode/evidence.go
+++ b/internal/report/decode/callerslog.go
@@ -11,17 +11,6 @@
 	"peridotmoor.org/peridotmoor/internal/report"
 )
 
-// runLog is the part of the backend servers' run log that verification reads.
-type runLog struct {
-	Runs []struct {
-		RequestID  string    `json:"request_id"`
-		Server     string    `json:"server"`
-		Idempotent bool      `json:"idempotent"`
-		Start      time.Time `json:"start"`
-	} `json:"runs"`
-	Dropped int `json:"dropped"`
-}
-
 // callersLog is the part of the callers' records that verification reads.
 type callersLog []struct {
 	RequestID  string `json:"request_id"`
@@ -36,25 +25,6 @@
 	Latency time.Duration `json:"latency_ns"`
 }
 
-// Runs reads a run log. Evidence that is not whole is refused: a verdict on a
-// part of it would claim too much.
-func Runs(in io.Reader) (runs []report.Run, dropped int, err error) {
-	var log runLog
-	if err := json.NewDecoder(in).Decode(&log); err != nil {
-		return nil, 0, errors.Wrap(err, "the run log is damaged; write it again")
-	}
-	if log.Runs == nil {
-		return nil, 0, errors.New(`the run log has no "runs"; give the file that the backend servers wrote`)
-	}
-	for n, run := range log.Runs {
-		if run.RequestID == "" {
-			return nil, 0, errors.Errorf("run %d of the run log has no request_id", n+1)
-		}
-		runs = append(runs, report.Run{RequestID: run.RequestID, Server: run.Server, Idempotent: run.Idempotent, Start: run.Start})
-	}
-	return runs, log.Dropped, nil
-}
-
 // Sent reads the callers' records of the requests that they sent.
 func Sent(in io.Reader) ([]report.Sent, error) {
 	var log callersLog
--- a/internal/report/gap.go
+++ b/internal/report/gap.go
@@ -21,23 +21,6 @@
 	Lines int `json:"lines,omitempty"`
 }
 
-// GapReason says how records were lost.
-type GapReason string
-
-// The reasons for missing records.
-const (
-	// GapCut means that a run of the instance has no end of a planned stop: it
-	// was killed, or its records are cut off.
-	GapCut GapReason = "no planned stop recorded"
-	// GapDropped means that the instance reported dropped lines.
-	GapDropped GapReason = "lines dropped"
-	// GapNoStart means that the records do not begin with a start of the instance.
-	GapNoStart GapReason = "no start recorded"
-	// GapAbsent means that other instances mention an instance of which no
-	// record was given.
-	GapAbsent GapReason = "no records given"
-)
-
 // Covers reports whether records written between from and until may be missing.
 func (g Gap) Covers(from, until time.Time) bool {
 	begins := g.From.IsZero() || until.After(g.From.Add(-gapSlack))
--- a/internal/report/page/axis.go
+++ b/internal/report/page/axis.go
@@ -1,7 +1,6 @@
 package page
 
 import (
-	"fmt"
 	"math"
 	"time"
 )
@@ -14,12 +13,6 @@
 	plotTop    = 10.0
 )
 
-// tick is one labelled position of an axis.
-type tick struct {
-	At    float64
-	Label string
-}
-
 // timeAxis maps times to the width of a plot.
 type timeAxis struct {
 	from, until time.Time
@@ -47,17 +40,6 @@
 	return ticks
 }
 
-// valueTicks returns the labelled values of an axis from 0 to top.
-func valueTicks(top float64, unit string) []tick {
-	const steps = 4
-	var ticks []tick
-	for n := range steps + 1 {
-		value := top * float64(n) / steps
-		ticks = append(ticks, tick{At: y(value, top), Label: fmt.Sprintf("%.4g%s", value, unit)})
-	}
-	return ticks
-}
-
 // y maps a value to the height of a plot.
 func y(value, top float64) float64 {
 	if top <= 0 {
--- /dev/null
+++ b/internal/report/page/bar.go
@@ -0,0 +1,8 @@
+package page
+
+// bar is one part of a stacked bar. Class is the outcome.
+type bar struct {
+	X, Y, W, H float64
+	Class      string
+	Title      string
+}
--- a/internal/report/page/bars.go
+++ b/internal/report/page/bars.go
@@ -14,13 +14,6 @@
 	YTicks []tick
 }
 
-// bar is one part of a stacked bar. Class is the outcome.
-type bar struct {
-	X, Y, W, H float64
-	Class      string
-	Title      string
-}
-
 // newBarPlot returns nil when there is nothing to plot.
 func newBarPlot(t report.Timeline) *barPlot {
 	if len(t.Buckets) == 0 {
--- a/internal/report/page/lanes.go
+++ b/internal/report/page/lanes.go
@@ -20,13 +20,6 @@
 	XTicks  []tick
 }
 
-// laneView is one shard.
-type laneView struct {
-	Shard string
-	Y     float64
-	Bars  []bar
-}
-
 // newLanePlot returns nil when there is nothing to plot.
 func newLanePlot(lanes []report.Lane) *lanePlot {
 	axis := axisOfLanes(lanes)
--- a/internal/report/page/lines.go
+++ b/internal/report/page/lines.go
@@ -1,8 +1,6 @@
 package page
 
 import (
-	"fmt"
-	"strings"
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/report"
@@ -16,19 +14,6 @@
 	YTicks []tick
 }
 
-// line is one percentile. A bucket without answers interrupts it, so it has one or more parts.
-type line struct {
-	Class string
-	Label string
-	Parts []string // points of SVG polylines
-}
-
-// percentile names one percentile of latencies.
-type percentile struct {
-	class, label string
-	of           func(report.Latencies) time.Duration
-}
-
 var percentiles = []percentile{
 	{"p50", "50 in 100", func(l report.Latencies) time.Duration { return l.P50 }},
 	{"p90", "90 in 100", func(l report.Latencies) time.Duration { return l.P90 }},
@@ -53,27 +38,6 @@
 	return p
 }
 
-func (p percentile) line(axis timeAxis, t report.Timeline, top float64) line {
-	l := line{Class: p.class, Label: p.label}
-	var part []string
-	flush := func() {
-		if len(part) > 0 {
-			l.Parts = append(l.Parts, strings.Join(part, " "))
-		}
-		part = nil
-	}
-	for _, b := range t.Buckets {
-		if b.Latencies.Count == 0 {
-			flush()
-			continue
-		}
-		point := fmt.Sprintf("%g,%g", axis.x(b.Start.Add(t.Width/2)), y(milliseconds(p.of(b.Latencies)), top))
-		part = append(part, point)
-	}
-	flush()
-	return l
-}
-
 func milliseconds(d time.Duration) float64 {
 	return float64(d) / float64(time.Millisecond)
 }
--- /dev/null
+++ b/internal/report/rowcounter.go
@@ -0,0 +1,36 @@
+package report
+
+import (
+	"cmp"
+	"slices"
+
+	"peridotmoor.org/peridotmoor/internal/outcome"
+)
+
+// rowCounter collects one row.
+type rowCounter struct {
+	counts    Counts
+	reasons   map[Reason]int
+	latencies *latencyCounter
+}
+
+func (c *rowCounter) add(a *Account) {
+	c.counts.add(a.Outcome())
+	if a.Outcome() == outcome.Answered {
+		c.latencies.add(a.Took())
+		return
+	}
+	c.reasons[a.reason()]++
+}
+
+func (c *rowCounter) row(key rowKey) Row {
+	row := Row{Service: key.service, Hour: key.hour, Counts: c.counts, Latencies: c.latencies.latencies()}
+	for reason, count := range c.reasons {
+		reason.Count = count
+		row.Reasons = append(row.Reasons, reason)
+	}
+	slices.SortFunc(row.Reasons, func(a, b Reason) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Why, b.Why), cmp.Compare(a.Outcome, b.Outcome))
+	})
+	return row
+}
--- /dev/null
+++ b/internal/report/sent.go
@@ -0,0 +1,53 @@
+package report
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/outcome"
+)
+
+// Sent is one request as its caller saw it.
+type Sent struct {
+	RequestID  string
+	Idempotent bool
+	Attempts   []Attempt
+	// From is when the request was due and Until when its caller was done with it.
+	From, Until time.Time
+}
+
+// reached returns the attempts that may have reached an instance.
+func (s *Sent) reached() []Attempt {
+	var reached []Attempt
+	for _, attempt := range s.Attempts {
+		if attempt.Sent {
+			reached = append(reached, attempt)
+		}
+	}
+	return reached
+}
+
+// told counts the attempts that were told an outcome.
+func (s *Sent) told(o outcome.Outcome) int {
+	count := 0
+	for _, attempt := range s.Attempts {
+		if attempt.Sent && attempt.Outcome == o {
+			count++
+		}
+	}
+	return count
+}
+
+// claimedNotRun reports whether every attempt that reached an instance was told "not run".
+func (s *Sent) claimedNotRun() bool {
+	reached := len(s.reached())
+	return reached > 0 && s.told(outcome.NotRun) == reached
+}
+
+func (s *Sent) crossed() bool {
+	for _, attempt := range s.Attempts {
+		if attempt.Crossed {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/report/serverchange.go
@@ -0,0 +1,19 @@
+package report
+
+import "time"
+
+// ServerChange is what a change of its domain meant for one server.
+type ServerChange struct {
+	Server string    `json:"server"`
+	Shard  string    `json:"shard"`
+	Holder string    `json:"holder"`
+	At     time.Time `json:"at"`
+	// Cold says why the server was taken as cold after its return; empty otherwise.
+	Cold string `json:"cold,omitempty"`
+	// Work counts the dispatches to the server from Begin to the next change.
+	Work int `json:"work"`
+	// First and Last are the first and last of them; for a departure Last is the
+	// last new work, and it is nil when there was none after Begin.
+	First *Work `json:"first_work"`
+	Last  *Work `json:"last_work"`
+}
--- a/internal/report/summary.go
+++ b/internal/report/summary.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"peridotmoor.org/peridotmoor/internal/outcome"
 )
 
 // Summary counts outcomes by service and hour.
@@ -17,31 +15,6 @@
 	Missing []string `json:"missing"`
 }
 
-// Row is one service in one hour.
-type Row struct {
-	Service string    `json:"service"`
-	Hour    time.Time `json:"hour"`
-	Counts
-	// Reasons are why requests were not answered, the most frequent first.
-	Reasons []Reason `json:"reasons"`
-	// Latencies are those of answered requests.
-	Latencies Latencies `json:"latencies"`
-}
-
-// Reason is one cause of requests that were not answered.
-type Reason struct {
-	Outcome outcome.Outcome `json:"outcome"`
-	Kind    string          `json:"kind"`
-	// Why says at which stage the requests ended.
-	Why   string `json:"why"`
-	Count int    `json:"count"`
-}
-
-type rowKey struct {
-	service string
-	hour    time.Time
-}
-
 // Summarize counts the requests that arrived in the window.
 func Summarize(j *Journal, w Window) Summary {
 	s := Summary{Window: w, Rows: []Row{}, Missing: j.Losses()}
@@ -65,34 +38,6 @@
 	return s
 }
 
-// rowCounter collects one row.
-type rowCounter struct {
-	counts    Counts
-	reasons   map[Reason]int
-	latencies *latencyCounter
-}
-
-func (c *rowCounter) add(a *Account) {
-	c.counts.add(a.Outcome())
-	if a.Outcome() == outcome.Answered {
-		c.latencies.add(a.Took())
-		return
-	}
-	c.reasons[a.reason()]++
-}
-
-func (c *rowCounter) row(key rowKey) Row {
-	row := Row{Service: key.service, Hour: key.hour, Counts: c.counts, Latencies: c.latencies.latencies()}
-	for reason, count := range c.reasons {
-		reason.Count = count
-		row.Reasons = append(row.Reasons, reason)
-	}
-	slices.SortFunc(row.Reasons, func(a, b Reason) int {
-		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Why, b.Why), cmp.Compare(a.Outcome, b.Outcome))
-	})
-	return row
-}
-
 // reason returns why the request was not answered, without a count.
 func (a *Account) reason() Reason {
 	last := a.deciding()
--- a/internal/report/timeline.go
+++ b/internal/report/timeline.go
@@ -23,13 +23,6 @@
 	Buckets []Bucket      `json:"buckets"`
 }
 
-// Bucket holds the requests that arrived in one step of a timeline.
-type Bucket struct {
-	Start time.Time `json:"start"`
-	Counts
-	Latencies Latencies `json:"latencies"`
-}
-
 // newTimeline sorts accounts, which are in the order of arrival, into buckets.
 func newTimeline(accounts []*Account) Timeline {
 	if len(accounts) == 0 {
--- a/internal/report/unanswered.go
+++ b/internal/report/unanswered.go
@@ -1,10 +1,6 @@
 package report
 
-import (
-	"time"
-
-	"peridotmoor.org/peridotmoor/internal/outcome"
-)
+import "peridotmoor.org/peridotmoor/internal/outcome"
 
 // Unanswered lists the requests that may have run without their caller getting the answer.
 type Unanswered struct {
@@ -14,23 +10,6 @@
 	Missing []string `json:"missing"`
 }
 
-// UnansweredRequest is one request that may have run without an answer.
-type UnansweredRequest struct {
-	ID         string          `json:"request_id"`
-	Service    string          `json:"service"`
-	Key        string          `json:"key"`
-	Idempotent bool            `json:"idempotent"`
-	Marked     bool            `json:"-"`
-	Arrived    time.Time       `json:"arrived"`
-	Outcome    outcome.Outcome `json:"outcome"`
-	Kind       string          `json:"kind"`
-	// Ran is what the records show about a run: RanSurely, RanPerhaps or RanNotShown.
-	Ran string `json:"ran"`
-	// Servers are those that ran it or may have.
-	Servers []string `json:"servers"`
-	Proof   string   `json:"proof"`
-}
-
 // What the records show about a run.
 const (
 	RanSurely   = "ran"
--- /dev/null
+++ b/internal/report/unansweredrequest.go
@@ -0,0 +1,24 @@
+package report
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/outcome"
+)
+
+// UnansweredRequest is one request that may have run without an answer.
+type UnansweredRequest struct {
+	ID         string          `json:"request_id"`
+	Service    string          `json:"service"`
+	Key        string          `json:"key"`
+	Idempotent bool            `json:"idempotent"`
+	Marked     bool            `json:"-"`
+	Arrived    time.Time       `json:"arrived"`
+	Outcome    outcome.Outcome `json:"outcome"`
+	Kind       string          `json:"kind"`
+	// Ran is what the records show about a run: RanSurely, RanPerhaps or RanNotShown.
+	Ran string `json:"ran"`
+	// Servers are those that ran it or may have.
+	Servers []string `json:"servers"`
+	Proof   string   `json:"proof"`
+}
--- a/internal/report/verification.go
+++ b/internal/report/verification.go
@@ -40,18 +40,3 @@
 func (v Verification) OK() bool {
 	return len(v.Violations) == 0 && len(v.Unaccounted) == 0 && len(v.Unchecked) == 0
 }
-
-// Violation is a claim that the evidence disproves.
-type Violation struct {
-	RequestID string `json:"request_id"`
-	What      string `json:"what"`
-}
-
-// MissingRequest is a request whose records are missing in whole or in part.
-type MissingRequest struct {
-	RequestID string `json:"request_id"`
-	// What says what is missing.
-	What string `json:"what"`
-	// Instance is where the missing records were lost; empty when that is not known.
-	Instance string `json:"instance,omitempty"`
-}
--- /dev/null
+++ b/internal/report/violation.go
@@ -0,0 +1,7 @@
+package report
+
+// Violation is a claim that the evidence disproves.
+type Violation struct {
+	RequestID string `json:"request_id"`
+	What      string `json:"what"`
+}
