List runs that nobody sent, and instances that share an address

Two instances may have taken requests at the same address one after the other. The plots get room for shard names.

--- a/internal/report/losses.go
+++ b/internal/report/losses.go
@@ -1,15 +1,16 @@
 package report
 
-// losses knows where records were lost, by the address that callers used.
+// losses knows where records were lost, by the address that callers used. An
+// address may pass from one instance to another.
 type losses struct {
-	byEntry map[string]*Instance
+	byEntry map[string][]*Instance
 }
 
 func newLosses(j *Journal) losses {
-	l := losses{byEntry: map[string]*Instance{}}
+	l := losses{byEntry: map[string][]*Instance{}}
 	for _, instance := range j.Instances() {
 		for _, address := range instance.Callers {
-			l.byEntry[address] = instance
+			l.byEntry[address] = append(l.byEntry[address], instance)
 		}
 	}
 	return l
@@ -19,9 +20,10 @@
 // are missing: one that the request was sent to, and that lost records of that time.
 func (l losses) explain(s *Sent) string {
 	for _, attempt := range s.reached() {
-		instance := l.byEntry[attempt.Entry]
-		if instance != nil && instance.lost(s.From, s.Until) {
-			return instance.Name
+		for _, instance := range l.byEntry[attempt.Entry] {
+			if instance.lost(s.From, s.Until) {
+				return instance.Name
+			}
 		}
 	}
 	return ""
--- a/internal/report/page/axis.go
+++ b/internal/report/page/axis.go
@@ -7,9 +7,9 @@
 
 // The size of the plots in SVG units.
 const (
-	plotWidth  = 860.0
+	plotWidth  = 840.0
 	plotHeight = 180.0
-	plotLeft   = 70.0
+	plotLeft   = 110.0 // room for labels of about 16 characters
 	plotTop    = 10.0
 )
 
--- a/internal/report/page/page_test.go
+++ b/internal/report/page/page_test.go
@@ -62,7 +62,7 @@
 	is.True(strings.Contains(text, "what instance entry-a did"))
 }
 
-var plots = regexp.MustCompile(`(?s)<svg viewBox="0 0 960 ([0-9.]+)".*?</svg>`)
+var plots = regexp.MustCompile(`(?s)<svg viewBox="0 0 990 ([0-9.]+)".*?</svg>`)
 
 // Guards against marks outside of their plot, of negative size, or not in the page.
 func TestPlots(t *testing.T) {
--- a/internal/report/verify.go
+++ b/internal/report/verify.go
@@ -18,10 +18,12 @@
 	}
 	for _, id := range j.RequestIDs() {
 		if !known[id] {
+			known[id] = true
 			v.result.NotOfCallers++
 			v.claims(j.AccountOf(id), nil)
 		}
 	}
+	v.strayRuns(known)
 	if e.DroppedRuns > 0 {
 		v.result.Unchecked = append(v.result.Unchecked, fmt.Sprintf("%d runs did not fit into the run log, so an answer without a run proves nothing", e.DroppedRuns))
 	}
@@ -58,6 +60,17 @@
 	v.agreement(a, s)
 }
 
+// strayRuns lists the runs of requests that no caller sent and no record names.
+func (v *verifier) strayRuns(known map[string]bool) {
+	for _, run := range v.evidence.Runs {
+		if !known[run.RequestID] {
+			known[run.RequestID] = true
+			what := fmt.Sprintf("ran on server %s, but no caller sent it and no record names it", run.Server)
+			v.result.Unaccounted = append(v.result.Unaccounted, MissingRequest{RequestID: run.RequestID, What: what})
+		}
+	}
+}
+
 // unrecorded decides whether the loss of an instance's records explains that
 // those of a request are missing.
 func (v *verifier) unrecorded(s *Sent, what string) {
--- a/internal/report/verify_test.go
+++ b/internal/report/verify_test.go
@@ -101,6 +101,8 @@
 		"half recorded": {records: notRun, sent: request(false, told(addressB, ""), told(addressA, outcome.NotRun)), unaccounted: 1},
 		"half recorded, the other ran": {records: notRun, killed: true, sent: request(false, told(addressA, ""), told(addressB, outcome.NotRun)),
 			runs: []Run{ranOn("r", "s1", false)}, known: 1},
+		"ran, and nobody sent it": {records: notRun, sent: request(false, told(addressA, outcome.NotRun)),
+			runs: []Run{ranOn("other", "s1", false)}, unaccounted: 1},
 		"never sent": {records: none, sent: Sent{RequestID: "r", Attempts: []Attempt{{Entry: addressA}}}},
 		"lines dropped": {records: func(b *builder) { b.add("a", events.Dropped, fieldCount, 3.0) },
 			sent: request(false, told(addressA, "")), known: 1},
