Measure records, transferred bytes and a change of the settings

Cause: the counters of control bytes leave out grants and other calls of backend servers, and records that the queue of the logger drops were not visible. Change: the subcommand prints the bytes of all read and write calls of each router, written and dropped record lines, store calls by call and the time until a new version of the settings is in effect in every router. Time-outs and broken connections count apart.

--- a/internal/dev/bench/bench_test.go
+++ b/internal/dev/bench/bench_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -29,7 +30,7 @@
 			o := DefaultOptions()
 			change(&o)
 			is.NoErr(o.check())
-			tree, err := settings.Parse(settingsTree(o, nil), "tree.ini")
+			tree, err := settings.Parse(settingsTree(o, nil, 0), "tree.ini")
 			is.NoErr(err)
 			is.Equal(len(tree.Services()), o.Services)
 			is.Equal(strings.Count(tree.Text(), "[server."), o.Servers)
@@ -74,6 +75,11 @@
 	is.True(used.resident > 1<<20)
 	_, err = parseStatus("VmSize:\t1 kB\n")
 	is.True(err != nil)
+	transferred, err := parseIO("rchar: 5\nwchar: 7\nsyscr: 9\n")
+	is.NoErr(err)
+	is.Equal(transferred, 12.0)
+	_, err = parseIO("rchar: 5\n")
+	is.True(err != nil)
 }
 
 // Guards against samples that are lost or counted under another message.
@@ -151,3 +157,20 @@
 	is.Equal(read.Header.Get(backend.HeaderIdempotent), "true")
 	is.True(strings.HasSuffix(read.URL.Path, "/s/k/bench"))
 }
+
+// Guards against dropped records that the figures do not show.
+func TestDroppedRecordsAreCounted(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "records")
+	text := `{"event":1000,"name":"events_dropped","count":12}
+{"event":1001,"name":"instance_started","count":99}
+{"event":1000,"name":"events_dropped","count":3}
+`
+	is.NoErr(os.WriteFile(path, []byte(text), 0o600))
+	counted, err := countRecords(path)
+	is.NoErr(err)
+	is.Equal(counted, recordCount{written: 3, dropped: 15})
+	is.NoErr(os.WriteFile(path, []byte("no record\n"), 0o600))
+	_, err = countRecords(path)
+	is.True(err != nil)
+}
--- a/internal/dev/bench/counters.go
+++ b/internal/dev/bench/counters.go
@@ -40,8 +40,8 @@
 	return parseMetrics(string(content))
 }
 
-// parseMetrics sums the samples of each metric, and of each metric and message
-// under "metric/message". Comments are skipped.
+// parseMetrics sums the samples of each metric, and those of each message or
+// store call under "metric/message" or "metric/call". Comments are skipped.
 func parseMetrics(text string) (counters, error) {
 	sums := counters{}
 	for line := range strings.Lines(text) {
@@ -56,8 +56,10 @@
 		}
 		name, labels, _ := strings.Cut(line[:max(split, 0)], "{")
 		sums[name] += value
-		if message := labelOf(labels, "message"); message != "" {
-			sums[name+"/"+message] += value
+		for _, label := range []string{"message", "call"} {
+			if detail := labelOf(labels, label); detail != "" {
+				sums[name+"/"+detail] += value
+			}
 		}
 	}
 	return sums, nil
--- a/internal/dev/bench/result.go
+++ b/internal/dev/bench/result.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 )
 
 // result is what one run measured.
@@ -12,6 +13,9 @@
 	options       Options
 	before, after snapshot
 	load          phase
+	records       []recordCount
+	// change is how long a new version of the settings took to be in effect in every router.
+	change time.Duration
 }
 
 // seconds is the length of the measured stretch.
@@ -77,16 +81,23 @@
 		add("cpu_us_per_request", "%.0f", 1e6*mean(cpu)*float64(len(cpu))/float64(reads+orders))
 	}
 	add("rss_mb", "%s", listOf(r.perRouter(func(n int) float64 { return r.after.routers[n].resident / (1 << 20) }), "%.0f"))
+	add("transferred_bytes_s", "%s", listOf(r.perRouter(func(n int) float64 {
+		return (r.after.routers[n].transferred - r.before.routers[n].transferred) / r.seconds()
+	}), "%.0f"))
 	add("control_bytes_s", "%s", listOf(r.rates(metricBytes), "%.0f"))
 	add("control_bytes_s_mean", "%.0f", mean(r.rates(metricBytes)))
 	add("control_messages_s", "%s", listOf(r.rates(metricMessages), "%.0f"))
 	add("store_calls_s", "%s", listOf(r.rates(metricStore), "%.1f"))
-	add("bytes_by_message", "%s", r.byMessage(metricBytes))
-	add("messages_by_message", "%s", r.byMessage(metricMessages))
+	add("record_lines", "%s", listOf(r.perRouter(func(n int) float64 { return float64(r.records[n].written) }), "%.0f"))
+	add("records_dropped", "%s", listOf(r.perRouter(func(n int) float64 { return float64(r.records[n].dropped) }), "%.0f"))
+	add("bytes_by_message", "%s", r.byDetail(metricBytes, "%.0f"))
+	add("settings_s", "%.2f", r.change.Seconds())
+	add("store_calls_by_call", "%s", r.byDetail(metricStore, "%.2f"))
+	add("messages_by_message", "%s", r.byDetail(metricMessages, "%.0f"))
 }
 
-// byMessage returns the mean rate per router of each message.
-func (r result) byMessage(metric string) string {
+// byDetail returns the mean rate per router of each message or store call.
+func (r result) byDetail(metric, format string) string {
 	names := map[string]bool{}
 	for _, counted := range r.after.counters {
 		for name := range counted {
@@ -97,7 +108,7 @@
 	}
 	var parts []string
 	for _, name := range slices.Sorted(maps.Keys(names)) {
-		parts = append(parts, fmt.Sprintf("%s:%.0f", name, mean(r.rates(metric+"/"+name))))
+		parts = append(parts, fmt.Sprintf("%s:"+format, name, mean(r.rates(metric+"/"+name))))
 	}
 	return strings.Join(parts, ",")
 }
--- a/internal/dev/bench/run.go
+++ b/internal/dev/bench/run.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"sync"
 
 	"github.com/pkg/errors"
 
@@ -26,6 +27,8 @@
 	platform  string // URL
 	listed    []servers.Listed
 	instances []*programs.Instance
+	// accepted is the number of the settings version that was applied last.
+	accepted int
 }
 
 // Run measures once and prints one line of figures to out. No program that it
@@ -73,9 +76,33 @@
 	if measured.after, err = r.snapshot(ctx); err != nil {
 		return measured, err
 	}
+	if measured.change, err = r.change(ctx); err != nil {
+		return measured, err
+	}
+	if measured.records, err = r.stopRouters(); err != nil {
+		return measured, err
+	}
 	return measured, errors.Wrap(ctx.Err(), "the run was cut off")
 }
 
+// stopRouters stops all routers at once and reads what they have recorded.
+func (r *run) stopRouters() ([]recordCount, error) {
+	var stops sync.WaitGroup
+	for _, i := range r.instances {
+		stops.Go(func() { i.Child.Stop() })
+	}
+	stops.Wait()
+	var all []recordCount
+	for _, i := range r.instances {
+		counted, err := countRecords(i.Records(r.dir))
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, counted)
+	}
+	return all, nil
+}
+
 // targets are the routers, or the servers when the load goes to them directly.
 func (r *run) targets() []target {
 	var all []target
--- a/internal/dev/bench/sender.go
+++ b/internal/dev/bench/sender.go
@@ -20,8 +20,9 @@
 	connectionsPerHop = 512
 	// crossed counts answers that name another request.
 	crossed = "crossed"
-	// failed counts requests without a whole answer.
-	failed = "failed"
+	// timedOut counts requests without an answer in time, failed those whose connection broke.
+	timedOut = "timed-out"
+	failed   = "failed"
 	// refused counts answers of a server that did not run the request, sent directly.
 	refused = "refused"
 )
@@ -65,15 +66,23 @@
 	}
 	response, err := s.transport.RoundTrip(request)
 	if err != nil {
-		return failed
+		return failure(ctx)
 	}
 	defer response.Body.Close()
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		return failed
+		return failure(ctx)
 	}
 	return resultOf(response, to, id)
 }
 
+// failure names why a request has no whole answer.
+func failure(ctx context.Context) string {
+	if ctx.Err() != nil {
+		return timedOut
+	}
+	return failed
+}
+
 func (s *sender) request(ctx context.Context, to target, c call, id string) (*http.Request, error) {
 	method, body := http.MethodGet, io.Reader(nil)
 	if c.order {
--- a/internal/dev/bench/start.go
+++ b/internal/dev/bench/start.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -57,7 +58,7 @@
 // writeTree writes the settings tree with the addresses that are known so far.
 func (r *run) writeTree() (string, error) {
 	path := filepath.Join(r.dir, "settings.ini")
-	text := settingsTree(r.options, addressesOf(r.listed))
+	text := settingsTree(r.options, addressesOf(r.listed), r.accepted)
 	return path, errors.Wrap(os.WriteFile(path, []byte(text), 0o644), "settings tree")
 }
 
@@ -76,7 +77,9 @@
 	if err != nil {
 		return err
 	}
-	_, err = r.children.Output(ctx, programCtl, "apply", "--store", r.platform, "--author", "bench", "--parent", "0", "--no-instances", path)
+	_, err = r.children.Output(ctx, programCtl, "apply", "--store", r.platform, "--author", "bench",
+		"--parent", strconv.Itoa(r.accepted), "--no-instances", path)
+	r.accepted++
 	return err
 }
 
@@ -124,3 +127,17 @@
 	_, err := r.children.Output(ctx, programCtl, "wait", "--store", r.platform, "--instances", strings.Join(operators, ","))
 	return err
 }
+
+// change applies another version of the settings and returns the time until it
+// is in effect in every router, including the start of the operators' tool.
+func (r *run) change(ctx context.Context) (time.Duration, error) {
+	if r.options.Direct {
+		return 0, nil
+	}
+	begin := time.Now()
+	if err := r.apply(ctx); err != nil {
+		return 0, err
+	}
+	err := r.wait(ctx)
+	return time.Since(begin), err
+}
--- a/internal/dev/bench/tree.go
+++ b/internal/dev/bench/tree.go
@@ -28,10 +28,11 @@
 }
 
 // settingsTree returns a settings tree of the given sizes in INI. Addresses
-// maps server names to addresses; a missing one gets a placeholder.
-func settingsTree(o Options, addresses map[string]string) string {
+// maps server names to addresses; a missing one gets a placeholder. Each
+// version differs from the one before.
+func settingsTree(o Options, addresses map[string]string, version int) string {
 	var text strings.Builder
-	fmt.Fprintf(&text, "[DEFAULT]\nslots = %d\nconnections = 130\ntimeout = 2s\nchecks_tokens = true\nhedge = false\n", o.Slots)
+	fmt.Fprintf(&text, "[DEFAULT]\nslots = %d\nconnections = 130\ntimeout = %ds\nchecks_tokens = true\nhedge = false\n", o.Slots, 2+version)
 	for domain := range o.Domains {
 		fmt.Fprintf(&text, "\n[domain.%s]\nregion = %s\n", domainName(domain), region)
 	}
--- a/internal/dev/bench/usage.go
+++ b/internal/dev/bench/usage.go
@@ -18,6 +18,8 @@
 	cpu float64
 	// resident is the resident memory in bytes.
 	resident float64
+	// transferred is the bytes of all read and write calls, of sockets and files alike.
+	transferred float64
 }
 
 // usageOf reads the usage of a process.
@@ -36,7 +38,15 @@
 		return usage{}, err
 	}
 	resident, err := parseStatus(string(status))
-	return usage{cpu: cpu, resident: resident}, err
+	if err != nil {
+		return usage{}, err
+	}
+	counters, err := os.ReadFile(directory + "/io")
+	if err != nil {
+		return usage{}, errors.Wrap(err, "bytes transferred")
+	}
+	transferred, err := parseIO(string(counters))
+	return usage{cpu: cpu, resident: resident, transferred: transferred}, err
 }
 
 // parseStat returns the processor time in seconds. The name of the program is
@@ -68,3 +78,24 @@
 	}
 	return 0, errors.New("/proc status has no VmRSS")
 }
+
+// parseIO returns the bytes of read and write calls.
+func parseIO(counters string) (float64, error) {
+	sum, seen := int64(0), 0
+	for line := range strings.Lines(counters) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
+		if name != "rchar" && name != "wchar" {
+			continue
+		}
+		count, err := strconv.ParseInt(value, 10, 64)
+		if err != nil {
+			return 0, errors.Wrap(err, name)
+		}
+		sum += count
+		seen++
+	}
+	if seen != 2 {
+		return 0, errors.New("/proc io has no rchar or no wchar")
+	}
+	return float64(sum), nil
+}
