Print the size of the settings tree and the kinds of refusals

Cause: the bytes of a change on each node follow from the size of the tree, which is sent whole; and half of the orders at 2,000/s were refused without the figures saying why.

--- a/internal/dev/bench/bench_test.go
+++ b/internal/dev/bench/bench_test.go
@@ -125,7 +125,7 @@
 	}{
 		{"answered", router, 200, "id", "answered", "answered"},
 		{"application error", router, 404, "id", "answered", "answered"},
-		{"refused", router, 503, "id", "not-run", "not-run"},
+		{"refused", router, 503, "id", "not-run", "not-run/shed"},
 		{"no outcome", router, 200, "id", "", failed},
 		{"other request", router, 200, "other", "answered", crossed},
 		{"direct", server, 200, "id", "", "answered"},
@@ -137,7 +137,7 @@
 			recorder.Header().Set(backend.HeaderRequestID, c.id)
 			recorder.Header().Set(backend.HeaderOutcome, c.outcome)
 			recorder.WriteHeader(c.status)
-			is.New(t).Equal(resultOf(recorder.Result(), c.to, "id"), c.want)
+			is.New(t).Equal(resultOf(recorder.Result(), []byte(`{"kind":"shed"}`), c.to, "id"), c.want)
 		})
 	}
 }
--- a/internal/dev/bench/result.go
+++ b/internal/dev/bench/result.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"peridotmoor.org/peridotmoor/internal/dev/servers"
 )
 
 // result is what one run measured.
@@ -13,6 +15,7 @@
 	options       Options
 	before, after snapshot
 	load          phase
+	listed        []servers.Listed
 	records       []recordCount
 	// change is how long a new version of the settings took to be in effect in every router.
 	change time.Duration
@@ -91,6 +94,7 @@
 	add("record_lines", "%s", listOf(r.perRouter(func(n int) float64 { return float64(r.records[n].written) }), "%.0f"))
 	add("records_dropped", "%s", listOf(r.perRouter(func(n int) float64 { return float64(r.records[n].dropped) }), "%.0f"))
 	add("bytes_by_message", "%s", r.byDetail(metricBytes, "%.0f"))
+	add("settings_bytes", "%d", len(settingsTree(r.options, addressesOf(r.listed), 0)))
 	add("settings_s", "%.2f", r.change.Seconds())
 	add("store_calls_by_call", "%s", r.byDetail(metricStore, "%.2f"))
 	add("messages_by_message", "%s", r.byDetail(metricMessages, "%.0f"))
--- a/internal/dev/bench/run.go
+++ b/internal/dev/bench/run.go
@@ -60,6 +60,7 @@
 	if err := r.start(ctx); err != nil {
 		return measured, err
 	}
+	measured.listed = r.listed
 	l := &load{
 		options: r.options,
 		targets: r.targets(),
--- a/internal/dev/bench/sender.go
+++ b/internal/dev/bench/sender.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -69,10 +70,11 @@
 		return failure(ctx)
 	}
 	defer response.Body.Close()
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
 		return failure(ctx)
 	}
-	return resultOf(response, to, id)
+	return resultOf(response, content, to, id)
 }
 
 // failure names why a request has no whole answer.
@@ -107,19 +109,28 @@
 	return request, nil
 }
 
-// resultOf names what became of an answered request.
-func resultOf(response *http.Response, to target, id string) string {
+// resultOf names what became of an answered request. A refusal is named with
+// the kind of its problem.
+func resultOf(response *http.Response, content []byte, to target, id string) string {
 	if to.shard != "" && response.StatusCode != http.StatusOK {
 		return refused
 	}
 	if to.shard == "" && response.Header.Get(backend.HeaderOutcome) != string(outcome.Answered) {
-		if claimed := response.Header.Get(backend.HeaderOutcome); claimed != "" {
-			return claimed
-		}
-		return failed
+		return refusalOf(response.Header.Get(backend.HeaderOutcome), content)
 	}
 	if response.Header.Get(backend.HeaderRequestID) != id {
 		return crossed
 	}
 	return string(outcome.Answered)
 }
+
+// refusalOf returns the claimed outcome and the kind of the problem.
+func refusalOf(claimed string, content []byte) string {
+	var refusal struct {
+		Kind string `json:"kind"`
+	}
+	if claimed == "" || json.Unmarshal(content, &refusal) != nil {
+		return failed
+	}
+	return claimed + "/" + refusal.Kind
+}
