--- a/internal/dev/bench/sender.go
+++ b/internal/dev/bench/sender.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -20,8 +21,9 @@
 	connectionsPerHop = 512
 	// crossed counts answers that name another request.
 	crossed = "crossed"
-	// failed counts requests without a whole answer.
-	failed = "failed"
+	// timedOut counts requests without an answer in time, failed those whose connection broke.
+	timedOut = "timed-out"
+	failed   = "failed"
 	// refused counts answers of a server that did not run the request, sent directly.
 	refused = "refused"
 )
@@ -65,13 +67,22 @@
 	}
 	response, err := s.transport.RoundTrip(request)
 	if err != nil {
-		return failed
+		return failure(ctx)
 	}
 	defer response.Body.Close()
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		return failed
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return failure(ctx)
+	}
+	return resultOf(response, content, to, id)
+}
+
+// failure names why a request has no whole answer.
+func failure(ctx context.Context) string {
+	if ctx.Err() != nil {
+		return timedOut
 	}
-	return resultOf(response, to, id)
+	return failed
 }
 
 func (s *sender) request(ctx context.Context, to target, c call, id string) (*http.Request, error) {
@@ -98,19 +109,28 @@
 	return request, nil
 }
 
-// resultOf names what became of an answered request.
-func resultOf(response *http.Response, to target, id string) string {
+// resultOf names what became of an answered request. A refusal is named with
+// the kind of its problem.
+func resultOf(response *http.Response, content []byte, to target, id string) string {
 	if to.shard != "" && response.StatusCode != http.StatusOK {
 		return refused
 	}
 	if to.shard == "" && response.Header.Get(backend.HeaderOutcome) != string(outcome.Answered) {
-		if claimed := response.Header.Get(backend.HeaderOutcome); claimed != "" {
-			return claimed
-		}
-		return failed
+		return refusalOf(response.Header.Get(backend.HeaderOutcome), content)
 	}
 	if response.Header.Get(backend.HeaderRequestID) != id {
 		return crossed
 	}
 	return string(outcome.Answered)
 }
+
+// refusalOf returns the claimed outcome and the kind of the problem.
+func refusalOf(claimed string, content []byte) string {
+	var refusal struct {
+		Kind string `json:"kind"`
+	}
+	if claimed == "" || json.Unmarshal(content, &refusal) != nil {
+		return failed
+	}
+	return claimed + "/" + refusal.Kind
+}
