Let settings and messages reach the parts that need them

A grant carries the server's incarnation and a sequence, a claim carries the witness configuration, a refused promise counts as proof, the mirror checks the promises of its own process, the keeper ends before the peer endpoint closes, and retention, answer limit, quarantine time, slots and queue bounds follow the settings. Surrender no longer reads a channel field that the shard's goroutine clears, which made a hand-over wait until its timeout: the new test hung before and passes now.

--- a/internal/backend/httpbackend/grantcall.go
+++ b/internal/backend/httpbackend/grantcall.go
@@ -17,6 +17,8 @@
 	Ranges   []RangeCall `json:"ranges"`
 	ExpiryNS int64       `json:"expiry_ns"`
 	Sequence uint64      `json:"sequence,omitempty"`
+	// ServerIncarnation is the run of the server whose clock the expiry refers to.
+	ServerIncarnation string `json:"server_incarnation,omitempty"`
 }
 
 // GrantCallOf encodes a grant.
@@ -26,6 +28,8 @@
 		Ranges:    []RangeCall{},
 		ExpiryNS:  int64(grant.Expiry),
 		Sequence:  grant.Sequence,
+
+		ServerIncarnation: grant.Incarnation,
 	}
 	for _, r := range grant.Ranges {
 		call.Ranges = append(call.Ranges, RangeCall{Start: hex(r.Start), End: hex(r.End)})
@@ -39,7 +43,7 @@
 	if err != nil {
 		return backend.Grant{}, err
 	}
-	grant := backend.Grant{Order: order, Expiry: time.Duration(c.ExpiryNS), Sequence: c.Sequence}
+	grant := backend.Grant{Order: order, Expiry: time.Duration(c.ExpiryNS), Sequence: c.Sequence, Incarnation: c.ServerIncarnation}
 	for _, r := range c.Ranges {
 		start, errStart := strconv.ParseUint(r.Start, 16, 64)
 		end, errEnd := strconv.ParseUint(r.End, 16, 64)
--- a/internal/dev/servers/control.go
+++ b/internal/dev/servers/control.go
@@ -55,6 +55,10 @@
 	if grant.Expiry == 0 || l.ctx.Err() != nil {
 		return http.StatusOK, held.highest
 	}
+	if grant.Incarnation != "" && grant.Incarnation != l.incarnation {
+		// The expiry refers to the clock of an earlier run.
+		return http.StatusOK, held.highest
+	}
 	if outOfOrder(grant, held) {
 		return http.StatusPreconditionFailed, held.highest
 	}
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -35,6 +35,8 @@
 	NoHedge bool
 	// IdleTimeout ends a streamed body that makes no progress; 0 for the default.
 	IdleTimeout time.Duration
+	// AnswerLimit is the largest answer body in bytes that is kept for resends; 0 for the default.
+	AnswerLimit int
 	// MaxDelivery replaces the delivery margin; 0 for the default of 200 ms.
 	MaxDelivery time.Duration
 }
@@ -46,6 +48,9 @@
 	if l.IdleTimeout <= 0 {
 		l.IdleTimeout = progress.IdleTimeout
 	}
+	if l.AnswerLimit <= 0 {
+		l.AnswerLimit = record.KeptAnswerBytes
+	}
 	if l.MaxDelivery <= 0 {
 		l.MaxDelivery = maxDelivery
 	}
--- a/internal/dispatch/recorded.go
+++ b/internal/dispatch/recorded.go
@@ -60,7 +60,7 @@
 		j.d.o.Records.Conclude(run, record.FailedRecord(run, j.failed, p))
 		return nil, p
 	}
-	j.d.o.Records.Conclude(run, answeredRecord(run, answer))
+	j.d.o.Records.Conclude(run, answeredRecord(run, answer, j.d.limits().AnswerLimit))
 	return answer, nil
 }
 
@@ -102,9 +102,9 @@
 }
 
 // answeredRecord keeps the answer when it was read whole and is small enough.
-func answeredRecord(run *record.Run, a *request.Answer) record.Record {
+func answeredRecord(run *record.Run, a *request.Answer, limit int) record.Record {
 	body, ok := a.Body.(*wholeBody)
-	kept := ok && len(body.bytes) <= record.KeptAnswerBytes
+	kept := ok && len(body.bytes) <= limit
 	if !kept {
 		return record.AnsweredRecord(run, a, nil, false)
 	}
--- a/internal/peer/probe.go
+++ b/internal/peer/probe.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"syscall"
-
-	"github.com/pkg/errors"
 
 	"peridotmoor.org/peridotmoor/internal/authority"
 )
@@ -13,9 +10,6 @@
 // any incarnation answers with its name.
 func (c *Client) Probe(ctx context.Context, address string) (authority.Instance, error) {
 	reply, err := c.Promise(ctx, authority.Instance{}, address, authority.PromiseRequest{})
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return authority.Instance{}, errors.Wrap(authority.ErrRefused, err.Error())
-	}
 	if err != nil {
 		return authority.Instance{}, err
 	}
--- a/internal/peer/promise.go
+++ b/internal/peer/promise.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"syscall"
+
+	"github.com/pkg/errors"
 
 	"peridotmoor.org/peridotmoor/internal/authority"
 	"peridotmoor.org/peridotmoor/internal/peer/peerpb"
@@ -16,6 +19,9 @@
 		in, err = p.Promise(ctx, out)
 		return err
 	})
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return authority.PromiseReply{}, errors.Wrap(authority.ErrRefused, err.Error())
+	}
 	if err != nil {
 		return authority.PromiseReply{}, err
 	}
--- a/internal/peer/promise_test.go
+++ b/internal/peer/promise_test.go
@@ -17,12 +17,24 @@
 		instance := rapid.Custom(func(rt *rapid.T) authority.Instance {
 			return authority.Instance{Name: rapid.StringN(1, 8, 8).Draw(rt, "name"), Incarnation: rapid.StringN(1, 8, 8).Draw(rt, "incarnation")}
 		})
+		member := rapid.Custom(func(rt *rapid.T) authority.Member {
+			return authority.Member{Instance: instance.Draw(rt, "member"), Address: rapid.StringN(1, 8, 8).Draw(rt, "address"), Domain: rapid.StringN(1, 8, 8).Draw(rt, "domain")}
+		})
+		members := rapid.SliceOfN(member, 1, 5)
+		config := rapid.Custom(func(rt *rapid.T) authority.Config {
+			return authority.Config{
+				Epoch:     rapid.Uint64().Draw(rt, "config epoch"),
+				Witnesses: members.Draw(rt, "witnesses"),
+				Previous:  rapid.SliceOfN(members, 1, 2).Draw(rt, "previous"),
+			}
+		})
 		claim := rapid.Custom(func(rt *rapid.T) authority.ShardClaim {
 			return authority.ShardClaim{
 				Shard:   key.ShardID{Service: "bosho", Index: rapid.IntRange(0, 9).Draw(rt, "shard")},
 				Token:   authority.Token{Epoch: rapid.Uint64().Draw(rt, "epoch"), Ballot: rapid.Uint64().Draw(rt, "ballot")},
 				Mirrors: authority.MirrorSet{Generation: rapid.Uint64().Draw(rt, "generation"), Members: rapid.SliceOfN(instance, 1, 3).Draw(rt, "mirrors")},
 				Release: rapid.Bool().Draw(rt, "release"),
+				Config:  rapid.Ptr(config, true).Draw(rt, "config"),
 			}
 		})
 		in := authority.PromiseRequest{
--- a/internal/peer/promisewire.go
+++ b/internal/peer/promisewire.go
@@ -19,6 +19,7 @@
 			Mirrors:          instancesToWire(c.Mirrors.Members),
 			MirrorGeneration: c.Mirrors.Generation,
 			Release:          c.Release,
+			Config:           configToWire(c.Config),
 		})
 	}
 	return wire
@@ -36,6 +37,7 @@
 			Token:   tokenFromWire(c.Token),
 			Mirrors: authority.MirrorSet{Generation: c.MirrorGeneration, Members: instancesFromWire(c.Mirrors)},
 			Release: c.Release,
+			Config:  configFromWire(c.Config),
 		})
 	}
 	return r, nil
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// duration is how long a fingerprint stays marked or refused.
-	duration = 10 * time.Minute
+	// DefaultDuration is how long a fingerprint stays marked or refused.
+	DefaultDuration = 10 * time.Minute
 	// tolerance is the difference of two expiries that counts as none: the
 	// remaining time ages on its way between instances, and without a tolerance
 	// the entry would be renewed by each exchange and never expire.
@@ -28,15 +28,27 @@
 // snapshot; changes are rare and replace it as a whole.
 type List struct {
 	marks atomic.Pointer[map[Fingerprint]mark]
+	// duration is in nanoseconds.
+	duration atomic.Int64
 }
 
 // NewList returns an empty list.
 func NewList() *List {
 	l := &List{}
 	l.marks.Store(&map[Fingerprint]mark{})
+	l.SetDuration(DefaultDuration)
 	return l
 }
 
+// SetDuration changes how long later marks stay.
+func (l *List) SetDuration(d time.Duration) {
+	l.duration.Store(int64(d))
+}
+
+func (l *List) lifetime() time.Duration {
+	return time.Duration(l.duration.Load())
+}
+
 // Verdict says how a request may run at now, and how long that holds.
 func (l *List) Verdict(f Fingerprint, now time.Time) (Verdict, time.Duration) {
 	marks := *l.marks.Load()
@@ -54,7 +66,7 @@
 func (l *List) Mark(service string, fingerprints []Fingerprint, now time.Time) {
 	l.change(now, func(marks map[Fingerprint]mark) {
 		for _, f := range fingerprints {
-			marks[f] = mark{service: service, crashes: marks[f].crashes + 1, until: now.Add(duration)}
+			marks[f] = mark{service: service, crashes: marks[f].crashes + 1, until: now.Add(l.lifetime())}
 		}
 	})
 }
@@ -64,7 +76,7 @@
 func (l *List) Clear(f Fingerprint, now time.Time) {
 	l.change(now, func(marks map[Fingerprint]mark) {
 		if m, ok := marks[f]; ok {
-			marks[f] = mark{service: m.service, until: now.Add(duration)}
+			marks[f] = mark{service: m.service, until: now.Add(l.lifetime())}
 		}
 	})
 }
@@ -75,7 +87,7 @@
 	l.change(now, func(marks map[Fingerprint]mark) {
 		changed = false
 		for _, e := range entries {
-			theirs := mark{service: e.Service, crashes: e.Crashes, until: now.Add(min(e.Remaining, duration))}
+			theirs := mark{service: e.Service, crashes: e.Crashes, until: now.Add(min(e.Remaining, l.lifetime()))}
 			mine, known := marks[e.Fingerprint]
 			if !known && theirs.until.After(now) || known && theirs.supersedes(mine) {
 				marks[e.Fingerprint] = theirs
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -44,8 +44,8 @@
 	l.Mark("bosho", []Fingerprint{7}, start)
 	l.Mark("bosho", []Fingerprint{7}, start.Add(time.Second))
 	is.Equal(verdict(start.Add(time.Minute)), Refused)
-	is.Equal(verdict(start.Add(duration+time.Second)), Free)
-	l.Mark("bosho", []Fingerprint{8}, start.Add(duration+time.Second))
+	is.Equal(verdict(start.Add(DefaultDuration+time.Second)), Free)
+	l.Mark("bosho", []Fingerprint{8}, start.Add(DefaultDuration+time.Second))
 	is.Equal(len(*l.marks.Load()), 1)
 }
 
@@ -69,13 +69,13 @@
 	}
 	verdict, remaining := b.Verdict(7, now)
 	is.Equal(verdict, Refused)
-	is.True(remaining <= start.Add(duration).Sub(now)+time.Second)
+	is.True(remaining <= start.Add(DefaultDuration).Sub(now)+time.Second)
 	now = start.Add(time.Minute)
 	a.Clear(8, now)
 	is.True(exchange(a, b))
 	verdict, _ = b.Verdict(8, now)
 	is.Equal(verdict, Free)
-	now = start.Add(duration + 2*time.Minute)
+	now = start.Add(DefaultDuration + 2*time.Minute)
 	is.Equal(len(b.Entries(now)), 0)
 }
 
--- a/internal/record/mirror.go
+++ b/internal/record/mirror.go
@@ -13,16 +13,22 @@
 // place before a new holder's fetch or refused after it.
 type Mirror struct {
 	self    authority.Instance
-	options Options
+	options func(key.ShardID) Options
 	shards  sync.Map // key.ShardID to chan func(*copies)
 	closed  chan struct{}
 	running sync.WaitGroup
 	starts  chan func()
 }
 
-// NewMirror returns the mirror of one instance.
+// NewMirror returns the mirror of one instance with the same options for all shards.
 func NewMirror(self authority.Instance, o Options) *Mirror {
-	m := &Mirror{self: self, options: o, closed: make(chan struct{}), starts: make(chan func())}
+	return NewMirrorOf(self, func(key.ShardID) Options { return o })
+}
+
+// NewMirrorOf returns the mirror of one instance. options is called at the first
+// use of each shard.
+func NewMirrorOf(self authority.Instance, options func(key.ShardID) Options) *Mirror {
+	m := &Mirror{self: self, options: options, closed: make(chan struct{}), starts: make(chan func())}
 	m.running.Go(m.startShards)
 	return m
 }
@@ -82,7 +88,7 @@
 		return winner.(chan func(*copies))
 	}
 	select {
-	case m.starts <- func() { m.runShard(tasks) }:
+	case m.starts <- func() { m.runShard(shard, tasks) }:
 	case <-m.closed:
 	}
 	return tasks
@@ -101,8 +107,8 @@
 	}
 }
 
-func (m *Mirror) runShard(tasks chan func(*copies)) {
-	held := newCopies(m.options)
+func (m *Mirror) runShard(shard key.ShardID, tasks chan func(*copies)) {
+	held := newCopies(m.options(shard))
 	for {
 		select {
 		case task := <-tasks:
--- a/internal/router/instance.go
+++ b/internal/router/instance.go
@@ -14,6 +14,7 @@
 	"peridotmoor.org/peridotmoor/internal/events"
 	"peridotmoor.org/peridotmoor/internal/forward"
 	"peridotmoor.org/peridotmoor/internal/instances/httplist"
+	"peridotmoor.org/peridotmoor/internal/key"
 	"peridotmoor.org/peridotmoor/internal/membership"
 	"peridotmoor.org/peridotmoor/internal/metrics"
 	"peridotmoor.org/peridotmoor/internal/nodeconfig"
@@ -91,7 +92,7 @@
 	i.server = peer.NewServer(peer.Handlers{
 		Requests: local,
 		Witness:  p.keeper,
-		Mirror:   p.mirror,
+		Mirror:   &mirrorGuard{mirror: p.mirror, keeper: p.keeper},
 		Exchange: p.publisher,
 		HandOver: &handOverHandler{shards: i.shards},
 	}, p.metrics.Control)
@@ -127,12 +128,17 @@
 		metrics:    registry,
 		store:      metrics.NewCountedStore(platform, registry.Store),
 		quarantine: quarantine.NewList(),
-		mirror:     record.NewMirror(self.Instance, record.Options{}),
 	}
 	i.pool = peer.NewPool()
 	p.peers = peer.NewClient(i.pool, registry.Control)
 	p.members = membership.NewTracker(self.Instance.Name, lister, p.peers, p.log)
 	known := &contacts{tracker: p.members}
+	p.mirror = record.NewMirrorOf(self.Instance, func(shard key.ShardID) record.Options {
+		if p.publisher.Settings() == nil {
+			return record.Options{} // the defaults, until settings are in effect here too
+		}
+		return p.recordOptions(shard.Service)
+	})
 	p.copier = &localCopier{self: self.Instance, mirror: p.mirror, next: peer.NewCopier(p.peers, known)}
 	p.publisher = publish.New(publish.Config{
 		Self:      self.Instance,
--- /dev/null
+++ b/internal/router/mirrorguard.go
@@ -0,0 +1,34 @@
+package router
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/authority/keeper"
+	"peridotmoor.org/peridotmoor/internal/record"
+)
+
+// mirrorGuard confirms a copy only while this instance has not promised the shard
+// to a later holder. The copy is stored first and the promise checked afterwards,
+// so a confirmed copy is visible to every holder with a higher token.
+type mirrorGuard struct {
+	mirror *record.Mirror
+	keeper *keeper.Keeper
+}
+
+// Copy implements peer.MirrorHandler.
+func (g *mirrorGuard) Copy(c record.CopyRequest) record.CopyReply {
+	reply := g.mirror.Copy(c)
+	if !reply.Accepted {
+		return reply
+	}
+	highest, ok := g.keeper.Source(c.Shard).Accepts(c.Holder, c.Token)
+	if !ok {
+		return record.CopyReply{Highest: highest}
+	}
+	return reply
+}
+
+// Fetch implements peer.MirrorHandler.
+func (g *mirrorGuard) Fetch(f record.FetchRequest) ([]record.Record, time.Time, error) {
+	return g.mirror.Fetch(f)
+}
--- a/internal/router/parts.go
+++ b/internal/router/parts.go
@@ -54,11 +54,11 @@
 	})
 }
 
-// recordOptions returns the bounds of request records in effect.
-func (p *parts) recordOptions() record.Options {
+// recordOptions returns the bounds of a service's request records in effect.
+func (p *parts) recordOptions(service string) record.Options {
 	control := p.tree().Control()
 	return record.Options{
-		Retention:    record.DefaultRetention,
+		Retention:    p.tree().RequestPolicy(service, p.self.Domain, "").RecordRetention,
 		MaxClockSkew: control.MaxClockSkew,
 		Limit:        control.RecordLimit,
 	}
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -41,7 +41,12 @@
 	running.Go(func() { failed <- serve(operators, i.listeners.operators, "serve operators") })
 	running.Go(func() { i.parts.members.Run(work) })
 	running.Go(func() { i.parts.publisher.Run(work) })
-	running.Go(func() { i.parts.keeper.Run(work) })
+	// The keeper ends before the peer endpoint closes: a refused connection proves
+	// that this process makes no promises any more.
+	keeping, stopKeeping := context.WithCancel(work)
+	defer stopKeeping()
+	var promises sync.WaitGroup
+	promises.Go(func() { i.parts.keeper.Run(keeping) })
 	running.Go(func() { (&markExchange{list: i.parts.quarantine, publisher: i.parts.publisher}).run(work) })
 	running.Go(func() { i.followSettings(work) })
 	running.Go(func() { i.followHolders(work) })
@@ -51,6 +56,8 @@
 	err := i.wait(ctx, failed)
 	i.plannedStop(callers)
 	_ = operators.Close()
+	stopKeeping()
+	promises.Wait()
 	stopWork()
 	running.Wait()
 	i.leaving.Wait()
@@ -102,6 +109,7 @@
 	i.shards.apply(ctx, tree)
 	control := tree.Control()
 	// The calls only queue; they fail when the keeper has stopped.
+	i.parts.quarantine.SetDuration(control.QuarantineTime)
 	_ = i.parts.keeper.SetTiming(ctx, control.PromiseTTL, control.RenewInterval)
 	_ = i.parts.keeper.SetShards(ctx, descriptionsOf(tree))
 	_ = i.parts.keeper.SetRetired(ctx, tree.RetiredInstances())
--- a/internal/router/shardset.go
+++ b/internal/router/shardset.go
@@ -68,6 +68,7 @@
 		}
 		for i, u := range units {
 			u.config.Set(shardConfig(tree, service, i))
+			u.applyLimits(tree)
 		}
 		next[name] = units
 	}
@@ -102,6 +103,7 @@
 		NoHedge:     !policy.Hedge,
 		IdleTimeout: policy.IdleTimeout,
 		MaxDelivery: tree.Control().MaxDelivery,
+		AnswerLimit: tree.Control().AnswerLimit,
 	}
 	if policy.RetryLimit == 0 {
 		limits.MaxRetries = -1
--- a/internal/router/targets.go
+++ b/internal/router/targets.go
@@ -52,6 +52,13 @@
 	}
 }
 
+// applyLimits takes over changed slots, queue bounds and rates of known servers.
+func (u *unit) applyLimits(tree *settings.Tree) {
+	for _, t := range u.targets() {
+		t.Gate.SetLimits(u.gateOptions(t.Name, tree.ServerPolicy(t.Name)))
+	}
+}
+
 // occupy keeps the slots that the last holder's requests still use out of use
 // until they end.
 func (u *unit) occupy(target *route.Target, now time.Time) {
--- a/internal/router/unit.go
+++ b/internal/router/unit.go
@@ -127,7 +127,8 @@
 		u.parts.announce(u.id, tenure)
 	}
 	serving.records.SetToken(tenure.Token)
-	serving.records.SetCandidates(mirrorCandidates(u.source.Config(), u.parts.self, u.parts.members.View().Contacts()))
+	candidates := mirrorCandidates(u.source.Config(), u.parts.self, u.parts.members.View().Contacts())
+	serving.records.SetCandidates(firstOf(candidates, serving.records.Source()))
 }
 
 func (u *unit) openServing(ctx context.Context, tenure *authority.Tenure) *servingTenure {
@@ -140,7 +141,7 @@
 		// No witness of any epoch has ever been told a mirror set, so no
 		// non-idempotent request of the shard has been dispatched.
 		First:   tenure.Mirrors.Generation == 0,
-		Records: u.parts.recordOptions(),
+		Records: u.parts.recordOptions(u.id.Service),
 	})
 	return &servingTenure{
 		since:   tenure.Since,
--- a/internal/shard/send.go
+++ b/internal/shard/send.go
@@ -55,6 +55,7 @@
 	next.number = message.Number
 	next.grant.Ranges = message.Ranges
 	next.grant.Incarnation = message.Incarnation
+	next.grant.Sequence = message.Number
 	next.grant.Expiry = message.Expiry
 	next.margin = t.margin(l)
 	l.sent = l.list
--- a/internal/shard/surrender.go
+++ b/internal/shard/surrender.go
@@ -8,6 +8,9 @@
 // surrender is a request to take all grants back.
 type surrender struct {
 	done chan struct{}
+	// ended reports that done is closed. The waiter reads done at any time, so the
+	// field itself never changes.
+	ended bool
 }
 
 // Surrender holds all ranges, takes the grants of all servers back and returns
@@ -63,9 +66,9 @@
 // endSurrender releases the waiters; the lists stay empty.
 func (t *term) endSurrender() {
 	for _, s := range t.surrenders {
-		if s.done != nil {
+		if !s.ended {
 			close(s.done)
-			s.done = nil
+			s.ended = true
 		}
 	}
 }
--- a/internal/shard/surrender_test.go
+++ b/internal/shard/surrender_test.go
@@ -51,3 +51,19 @@
 		})
 	}
 }
+
+// Guards against a hand-over of a service without keys that waits for grants,
+// of which it has none, also when servers are taken out at the same moment.
+func TestSurrenderWithoutKeys(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		is := is.New(t)
+		time.Sleep(time.Second)
+		w.unkeyed = true
+		w.holder.runtime.options.Config.Set(w.config())
+		time.Sleep(time.Second)
+		w.setOut("d1", true)
+		start := time.Now()
+		is.NoErr(w.holder.runtime.Surrender(context.Background()))
+		is.True(time.Since(start) <= 10*time.Millisecond)
+	})
+}
