Size the buffer of a forwarded answer by its announced length

Cause: a profile of the router under load showed 38% of the allocated bytes in the 32 KB buffer that each forwarded answer got. Change: the buffer has the announced length and one byte, at most 32 KB.

--- a/internal/peer/forward_test.go
+++ b/internal/peer/forward_test.go
@@ -51,7 +51,11 @@
 	if r.Streamed() {
 		body = r.Body
 	}
-	return &request.Answer{RequestID: r.ID, Status: 200, ContentLength: -1, Body: io.NopCloser(body)}, nil
+	length := int64(len(r.Buffered))
+	if r.Streamed() {
+		length = -1
+	}
+	return &request.Answer{RequestID: r.ID, Status: 200, ContentLength: length, Body: io.NopCloser(body)}, nil
 }
 
 func newRequest(id string, size int) (*request.Request, []byte) {
--- a/internal/peer/forwardserver.go
+++ b/internal/peer/forwardserver.go
@@ -54,7 +54,7 @@
 
 func sendAnswer(stream peerpb.DRPCPeer_ForwardStream, answer *request.Answer) error {
 	head := answerToWire(answer)
-	chunk := make([]byte, streamedChunkBytes)
+	chunk := make([]byte, chunkBytes(answer.ContentLength))
 	for {
 		n, ended, err := readChunk(answer.Body, chunk)
 		if err != nil {
@@ -67,3 +67,12 @@
 		head = nil
 	}
 }
+
+// chunkBytes returns the size of the buffer for an answer of the announced length:
+// one byte more than the answer, so that its end is found within one frame.
+func chunkBytes(length int64) int64 {
+	if length < 0 {
+		return streamedChunkBytes
+	}
+	return min(length+1, streamedChunkBytes)
+}
