--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -11,6 +11,8 @@
 	HeaderReplayed   = "Peridotmoor-Replayed"
 	HeaderServer     = "Peridotmoor-Server"
 	HeaderInstance   = "Peridotmoor-Instance"
+	// headerIncarnation is of the backend server and does not go to callers.
+	headerIncarnation = "Peridotmoor-Incarnation"
 )
 
 // Bounds on what a caller sends.
--- a/internal/entry/respond.go
+++ b/internal/entry/respond.go
@@ -65,7 +65,7 @@
 func (h *Handler) writeHead(w http.ResponseWriter, r *request.Request, a *request.Answer, buffered int) {
 	header := w.Header()
 	for name, values := range a.Header {
-		if !hopByHop[name] {
+		if !hopByHop[name] && name != headerIncarnation {
 			header[name] = values
 		}
 	}
--- /dev/null
+++ b/internal/router/collector_test.go
@@ -0,0 +1,30 @@
+package router
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"peridotmoor.org/peridotmoor/internal/shard"
+)
+
+// Guards against an imbalance that servers without ranges or an idle shard distort.
+func TestImbalance(t *testing.T) {
+	cases := []struct {
+		name    string
+		servers []shard.ServerStatus
+		want    float64
+	}{
+		{"no servers", nil, 1},
+		{"idle", []shard.ServerStatus{{Ranges: 2}, {Ranges: 2}}, 1},
+		{"even", []shard.ServerStatus{{Ranges: 2, Rate: 10}, {Ranges: 2, Rate: 10}}, 1},
+		{"one hot", []shard.ServerStatus{{Ranges: 2, Rate: 30}, {Ranges: 2, Rate: 10}}, 1.5},
+		{"out server does not count", []shard.ServerStatus{{Ranges: 2, Rate: 10}, {}}, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(imbalanceOf(c.servers), c.want)
+		})
+	}
+}
--- a/internal/router/instance.go
+++ b/internal/router/instance.go
@@ -7,8 +7,6 @@
 	"math/rand/v2"
 	"sync"
 
-	"github.com/google/uuid"
-
 	"peridotmoor.org/peridotmoor/internal/authority"
 	"peridotmoor.org/peridotmoor/internal/authority/keeper"
 	"peridotmoor.org/peridotmoor/internal/events"
@@ -96,6 +94,8 @@
 		Exchange: p.publisher,
 		HandOver: &handOverHandler{shards: i.shards},
 	}, p.metrics.Control)
+	p.metrics.Register(newShardCollector(i.shards))
+	p.metrics.Register(newInstanceCollector(i))
 	return nil
 }
 
@@ -104,7 +104,7 @@
 func (i *Instance) newParts(ctx context.Context) (*parts, error) {
 	c := i.config
 	self := authority.Member{
-		Instance: authority.Instance{Name: c.Instance.Name, Incarnation: uuid.NewString()},
+		Instance: authority.Instance{Name: c.Instance.Name, Incarnation: keeper.NewIncarnation()},
 		Address:  i.listeners.peers.Addr().String(),
 		Domain:   c.Instance.Domain,
 	}
--- a/internal/router/shardset.go
+++ b/internal/router/shardset.go
@@ -172,3 +172,14 @@
 func (s *shardSet) end() {
 	endAll(s.units())
 }
+
+// spent returns the retries and hedges of each service since the start.
+func (s *shardSet) spent() map[string]uint64 {
+	spent := map[string]uint64{}
+	for name, units := range *s.current.Load() {
+		if len(units) > 0 {
+			spent[name] = units[0].service.budget.Spent()
+		}
+	}
+	return spent
+}
