--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -86,15 +86,14 @@
 
 // followSettings applies each version of the settings that comes into effect.
 func (i *Instance) followSettings(ctx context.Context) {
+	var first sync.Once
 	for {
 		changed := i.parts.publisher.SettingsChanged()
 		if installed := i.parts.publisher.Settings(); installed != nil {
 			i.apply(ctx, installed.Tree)
 			i.followDomain(ctx, installed.Tree)
 			i.parts.log.Emit(events.SettingsApplied, events.FieldVersion, installed.Version.Number)
-			if i.readiness.ready.CompareAndSwap(false, true) {
-				i.parts.log.Emit(events.InstanceReady)
-			}
+			first.Do(func() { i.leaving.Go(func() { i.becomeReady(ctx) }) })
 		}
 		select {
 		case <-changed:
