--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,12 @@
 bench: build
 	./bin/peridotmoor-dev bench --bin bin $(BENCH)
 
+# Fuzzes what is read from outside, FUZZTIME for each target.
+FUZZTIME ?= 10s
+fuzz:
+	$(GO) test ./internal/entry -run '^$$' -fuzz FuzzHeaders -fuzztime $(FUZZTIME)
+	$(GO) test ./internal/settings -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME)
+
 # Needs protoc (Debian package protobuf-compiler). The generated code is committed.
 generate:
 	mkdir -p bin/tools
