--- a/internal/admission/limits.go
+++ b/internal/admission/limits.go
@@ -7,6 +7,12 @@
 	"peridotmoor.org/peridotmoor/internal/ramp"
 )
 
+// limits is the immutable configuration that SetLimits replaces.
+type limits struct {
+	ramp  ramp.Config
+	queue int
+}
+
 // latencyHalfLife is the time after which the latency of a server that got no
 // requests counts half, so that a server that was slow is tried again.
 const latencyHalfLife = 2 * time.Second
--- a/internal/admission/options.go
+++ b/internal/admission/options.go
@@ -47,9 +47,3 @@
 		return ramp.Cold(c)
 	}
 }
-
-// limits is the immutable configuration that SetLimits replaces.
-type limits struct {
-	ramp  ramp.Config
-	queue int
-}
--- a/internal/admission/waiter.go
+++ b/internal/admission/waiter.go
@@ -5,9 +5,6 @@
 	"time"
 )
 
-// Priority orders the queue before the deadline does; higher goes first.
-type Priority int
-
 // The states of a waiter. Exactly one party moves it out of waiterQueued.
 const (
 	waiterQueued int32 = iota
--- a/internal/assign/codec.go
+++ b/internal/assign/codec.go
@@ -15,13 +15,6 @@
 	Ranges  []encodedRange `json:"ranges,omitempty"`
 }
 
-// encodedRange holds the start in hexadecimal and one-based indexes of owner,
-// first and second standby; 0 stands for none.
-type encodedRange struct {
-	Start   string `json:"s"`
-	Servers [3]int `json:"o"`
-}
-
 // MarshalJSON writes the assignment in its stored form.
 func (a Assignment) MarshalJSON() ([]byte, error) {
 	out := encodedAssignment{Ranges: make([]encodedRange, len(a.Ranges))}
--- a/internal/assign/draft.go
+++ b/internal/assign/draft.go
@@ -3,24 +3,6 @@
 // none stands for no server in a draft.
 const none = -1
 
-// draftServer is a server with what the draft gives it.
-type draftServer struct {
-	Server
-	load   float64
-	ranges int
-	// standbys counts the ranges for which the server is first or second standby.
-	standbys int
-}
-
-// draftRange is a range of the draft, with servers by index.
-type draftRange struct {
-	Range
-	owner int
-	load  float64
-	// fixed reports that the range is being moved already.
-	fixed bool
-}
-
 // draft is a plan being made.
 type draft struct {
 	in      Input
--- /dev/null
+++ b/internal/assign/standbychange.go
@@ -0,0 +1,13 @@
+package assign
+
+import (
+	"peridotmoor.org/peridotmoor/internal/key"
+)
+
+// StandbyChange replaces the standbys of a range.
+type StandbyChange struct {
+	Bounds key.Range
+	First  string
+	Second string
+	Reason Reason
+}
--- /dev/null
+++ b/internal/backend/backendtest/contractcase.go
@@ -0,0 +1,12 @@
+package backendtest
+
+import (
+	"testing"
+)
+
+// contractCase is one case of the contract.
+type contractCase struct {
+	name    string
+	options Options
+	run     func(t *testing.T, h Harness)
+}
--- a/internal/backend/backendtest/harness.go
+++ b/internal/backend/backendtest/harness.go
@@ -3,7 +3,6 @@
 package backendtest
 
 import (
-	"context"
 	"testing"
 	"time"
 
@@ -13,70 +12,12 @@
 	"peridotmoor.org/peridotmoor/internal/request"
 )
 
-// Options is what a case needs of its server. Its reports do not lag.
-type Options struct {
-	Keyed        bool
-	ChecksTokens bool
-	Slots        int
-}
-
-// Peer is the backend server behind the implementation under test.
-type Peer interface {
-	// FailNext makes the next request meet the fault.
-	FailNext(fault Fault)
-	AdvanceClock(d time.Duration)
-	Freeze()
-	Thaw()
-	// Crash resets all connections; Start begins a new incarnation at the same address.
-	Crash()
-	Start() error
-	SetShedding(on bool)
-	// Runs returns how often the request was run. It waits until those runs have ended.
-	Runs(ctx context.Context, id string) int
-	// Timeout returns the remaining time that reached the server with the request.
-	Timeout(id string) time.Duration
-	// Started waits until the request is being run.
-	Started(ctx context.Context, id string)
-	// Held waits until a call has met the frozen server.
-	Held(ctx context.Context)
-	// Cancelled waits until a run of the request was cancelled.
-	Cancelled(ctx context.Context, id string)
-}
-
 // Harness is an implementation under test and its peer.
 type Harness struct {
 	Server backend.Server
 	Peer   Peer
 }
 
-// Open makes a harness for one case.
-type Open func(t *testing.T, options Options) Harness
-
-// Fault names a failure that one request meets.
-type Fault string
-
-// The faults that the contract needs.
-const (
-	Crossed        Fault = "crossed"
-	NoID           Fault = "no-id"
-	Short          Fault = "short"
-	NoLength       Fault = "no-length"
-	ResetUnread    Fault = "reset-unread"
-	ResetRun       Fault = "reset-run"
-	ResetHeader    Fault = "reset-header"
-	ResetBody      Fault = "reset-body"
-	Plain503       Fault = "plain-503"
-	ForeignRefusal Fault = "foreign-refusal"
-	Hang           Fault = "hang"
-)
-
-// contractCase is one case of the contract.
-type contractCase struct {
-	name    string
-	options Options
-	run     func(t *testing.T, h Harness)
-}
-
 // Run runs the whole contract.
 func Run(t *testing.T, open Open) {
 	cases := append(sending(), failures()...)
--- /dev/null
+++ b/internal/ctl/domainoverview.go
@@ -0,0 +1,7 @@
+package ctl
+
+type domainOverview struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+	State  string `json:"state"`
+}
--- a/internal/ctl/exitcode.go
+++ b/internal/ctl/exitcode.go
@@ -25,16 +25,6 @@
 
 func (e *usageError) Error() string { return e.message }
 
-// unreachableError means that an instance did not answer.
-type unreachableError struct{ message string }
-
-func (e *unreachableError) Error() string { return e.message }
-
-// notInEffectError means that a wait ended too early.
-type notInEffectError struct{ message string }
-
-func (e *notInEffectError) Error() string { return e.message }
-
 // exitCode maps an error to the exit code of the process.
 func exitCode(err error) int {
 	var (
--- a/internal/ctl/history.go
+++ b/internal/ctl/history.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"text/tabwriter"
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/settings"
@@ -23,21 +21,6 @@
 	Changes int `json:"changes"`
 }
 
-type pastList []past
-
-func (l pastList) human(w io.Writer) {
-	table := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(table, "VERSION\tTIME\tAUTHOR\tCHANGES\tWRITE ID")
-	for _, p := range l {
-		changes := fmt.Sprint(p.Changes)
-		if p.Changes < 0 {
-			changes = "-"
-		}
-		fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%s\n", p.Version, p.Time.UTC().Format(time.RFC3339), p.Author, changes, p.WriteID)
-	}
-	table.Flush()
-}
-
 func runHistory(ctx context.Context, t *tool) (output, error) {
 	if t.options.Limit < 1 {
 		return nil, &usageError{fmt.Sprintf("limit %d is below 1", t.options.Limit)}
--- a/internal/ctl/overview.go
+++ b/internal/ctl/overview.go
@@ -16,30 +16,6 @@
 	Servers  []serverOverview  `json:"servers"`
 }
 
-type domainOverview struct {
-	Name   string `json:"name"`
-	Region string `json:"region"`
-	State  string `json:"state"`
-}
-
-type serviceOverview struct {
-	Name    string `json:"name"`
-	Keyed   bool   `json:"keyed"`
-	Shards  int    `json:"shards"`
-	State   string `json:"state"`
-	Servers int    `json:"servers"`
-	In      int    `json:"servers_in"`
-}
-
-type serverOverview struct {
-	Name    string `json:"name"`
-	Service string `json:"service"`
-	Domain  string `json:"failure_domain"`
-	Shard   int    `json:"shard"`
-	State   string `json:"state"`
-	OutBy   string `json:"out_by,omitempty"`
-}
-
 func newOverview(tree *settings.Tree, source string) overview {
 	o := overview{Source: source}
 	for _, d := range tree.Domains() {
--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -42,16 +42,6 @@
 	return text
 }
 
-// textOutput is the text of a version.
-type textOutput struct {
-	Version uint64 `json:"version"`
-	Text    string `json:"text"`
-}
-
-func (t textOutput) human(w io.Writer) {
-	io.WriteString(w, markParent(version.Version{Number: t.Version, Text: t.Text}))
-}
-
 func runShow(ctx context.Context, t *tool) (output, error) {
 	if t.options.Text {
 		return t.showText(ctx)
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -20,13 +20,6 @@
 	PendingMoves int `json:"pending_moves"`
 }
 
-// report is the answer of one instance, or why there is none.
-type report struct {
-	Address string
-	Status  Status
-	Err     error
-}
-
 const (
 	// statusTimeout bounds one question; an instance answers within milliseconds.
 	statusTimeout = 2 * time.Second
--- /dev/null
+++ b/internal/ctl/textoutput.go
@@ -0,0 +1,17 @@
+package ctl
+
+import (
+	"io"
+
+	"peridotmoor.org/peridotmoor/internal/settings/version"
+)
+
+// textOutput is the text of a version.
+type textOutput struct {
+	Version uint64 `json:"version"`
+	Text    string `json:"text"`
+}
+
+func (t textOutput) human(w io.Writer) {
+	io.WriteString(w, markParent(version.Version{Number: t.Version, Text: t.Text}))
+}
--- /dev/null
+++ b/internal/dev/bench/call.go
@@ -0,0 +1,8 @@
+package bench
+
+// call is one request of the load.
+type call struct {
+	service string
+	key     string
+	order   bool
+}
--- a/internal/dev/bench/load.go
+++ b/internal/dev/bench/load.go
@@ -17,16 +17,6 @@
 	pending sync.WaitGroup
 }
 
-// phase is the latencies of one stretch of the load.
-type phase struct {
-	reads  *latencies
-	orders *latencies
-}
-
-func newPhase() phase {
-	return phase{reads: newLatencies(), orders: newLatencies()}
-}
-
 // run sends rate requests per second for the given time and waits for the last one.
 func (l *load) run(ctx context.Context, rate int, duration time.Duration) phase {
 	into := newPhase()
--- a/internal/dev/bench/sender.go
+++ b/internal/dev/bench/sender.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/google/uuid"
-
 	"peridotmoor.org/peridotmoor/internal/backend"
 	"peridotmoor.org/peridotmoor/internal/outcome"
 )
@@ -28,21 +27,6 @@
 	refused = "refused"
 )
 
-// target is where a request may be sent.
-type target struct {
-	address string
-	// service and shard are set when the target is a server.
-	service string
-	shard   string
-}
-
-// call is one request of the load.
-type call struct {
-	service string
-	key     string
-	order   bool
-}
-
 // sender sends single requests, without retries.
 type sender struct {
 	transport *http.Transport
--- a/internal/dispatch/race.go
+++ b/internal/dispatch/race.go
@@ -25,15 +25,6 @@
 	cancels []context.CancelCauseFunc
 }
 
-// raceResult is the end of one of the two dispatches.
-type raceResult struct {
-	index  int
-	answer *request.Answer
-	p      *problem.Problem
-	// failed names the server that failed, if any.
-	failed string
-}
-
 func newRace(j *job, w *work, entry *route.Entry, delay time.Duration) *race {
 	return &race{j: j, w: w, entry: entry, delay: delay, results: make(chan raceResult, 2)}
 }
--- a/internal/events/logger.go
+++ b/internal/events/logger.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -21,21 +20,6 @@
 	fields []any
 }
 
-// loggerQueue is the queue and writer goroutine that related loggers share.
-type loggerQueue struct {
-	lines   chan line
-	dropped atomic.Uint64
-	closed  chan struct{}
-	done    chan struct{}
-}
-
-type line struct {
-	event  Event
-	at     time.Time
-	fields []any
-	more   []any
-}
-
 // NewLogger starts a logger that writes to w. fields are added to each line, as
 // alternating names and values.
 func NewLogger(w io.Writer, fields ...any) *Logger {
@@ -82,43 +66,6 @@
 	<-l.shared.done
 }
 
-func (q *loggerQueue) run(w io.Writer) {
-	defer close(q.done)
-	out := log.NewWithOptions(w, log.Options{Formatter: log.JSONFormatter, Level: log.DebugLevel})
-	for {
-		select {
-		case next := <-q.lines:
-			q.write(out, next)
-		case <-q.closed:
-			q.drain(out)
-			return
-		}
-	}
-}
-
-func (q *loggerQueue) drain(out *log.Logger) {
-	for {
-		select {
-		case next := <-q.lines:
-			q.write(out, next)
-		default:
-			q.reportDropped(out)
-			return
-		}
-	}
-}
-
-func (q *loggerQueue) write(out *log.Logger, next line) {
-	q.reportDropped(out)
-	writeLine(out, next)
-}
-
-func (q *loggerQueue) reportDropped(out *log.Logger) {
-	if count := q.dropped.Swap(0); count > 0 {
-		writeLine(out, line{event: Dropped, at: time.Now(), more: []any{"count", count}})
-	}
-}
-
 // writeLine adds the fields that every line has: at, event and name.
 func writeLine(out *log.Logger, next line) {
 	fields := make([]any, 0, 6+len(next.fields)+len(next.more))
--- a/internal/nodeconfig/issue.go
+++ b/internal/nodeconfig/issue.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 )
 
 // Issue is one fault of the file.
@@ -26,15 +25,3 @@
 	}
 	return place + i.Reason + "; " + i.Remedy
 }
-
-// Issues is the error that Parse returns: every fault found.
-type Issues []Issue
-
-// Error lists the issues, one a line.
-func (s Issues) Error() string {
-	lines := make([]string, len(s))
-	for i, issue := range s {
-		lines[i] = issue.String()
-	}
-	return strings.Join(lines, "\n")
-}
--- /dev/null
+++ b/internal/peer/exchangehandler.go
@@ -0,0 +1,12 @@
+package peer
+
+import (
+	"context"
+
+	"peridotmoor.org/peridotmoor/internal/publish/exchange"
+)
+
+// ExchangeHandler serves exchanges. publish.Publisher implements it.
+type ExchangeHandler interface {
+	Exchange(ctx context.Context, r exchange.Request) (exchange.Reply, error)
+}
--- /dev/null
+++ b/internal/peer/witnesshandler.go
@@ -0,0 +1,12 @@
+package peer
+
+import (
+	"context"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+)
+
+// WitnessHandler serves promise requests.
+type WitnessHandler interface {
+	HandlePromise(ctx context.Context, r authority.PromiseRequest) (authority.PromiseReply, error)
+}
--- a/internal/publish/calls.go
+++ b/internal/publish/calls.go
@@ -20,22 +20,6 @@
 	forStoreRead                // first settings from the store
 )
 
-// result is the end of a call to a peer.
-type result struct {
-	purpose purpose
-	address string
-	reply   exchange.Reply
-	err     error
-}
-
-// fetch is the one transfer of settings that may be under way, and the highest
-// version that was announced and by whom.
-type fetch struct {
-	running bool
-	address string
-	version uint64
-}
-
 // call sends a request without waiting for the reply.
 func (l *loop) call(ctx context.Context, purpose purpose, address string, r exchange.Request) {
 	l.calls.Go(func() {
--- a/internal/publish/config.go
+++ b/internal/publish/config.go
@@ -4,12 +4,10 @@
 package publish
 
 import (
-	"context"
 	"math/rand/v2"
 
 	"peridotmoor.org/peridotmoor/internal/authority"
 	"peridotmoor.org/peridotmoor/internal/events"
-	"peridotmoor.org/peridotmoor/internal/publish/exchange"
 	"peridotmoor.org/peridotmoor/internal/store"
 )
 
@@ -29,26 +27,3 @@
 	// Random is used by the publisher's goroutines only after New returned.
 	Random *rand.Rand
 }
-
-// PeerList is the view of the other instances.
-type PeerList interface {
-	// Peers returns the instances to exchange with, without this one. It must not
-	// block, and the caller does not change the slice.
-	Peers() []exchange.Peer
-}
-
-// Caller carries exchanges to peers.
-type Caller interface {
-	// Exchange sends the request to the peer endpoint at address. It returns the
-	// context's error when the deadline passes first.
-	Exchange(ctx context.Context, address string, r exchange.Request) (exchange.Reply, error)
-}
-
-// Observer hears of the peers that were in contact, as direct evidence for the
-// membership. Its methods are called by one goroutine and must not block.
-type Observer interface {
-	// Heard reports a message from an instance.
-	Heard(from authority.Instance, domain, address string, leaving bool)
-	// Unreachable reports a call that got no answer.
-	Unreachable(address string)
-}
--- a/internal/publish/exchange/quarantine.go
+++ b/internal/publish/exchange/quarantine.go
@@ -23,12 +23,6 @@
 	marks map[uint64]heldMark
 }
 
-type heldMark struct {
-	service string
-	crashes int
-	until   time.Time // on the local monotonic clock
-}
-
 // Crashes returns how many servers requests with the fingerprint have crashed, 0 without a mark.
 func (q *Quarantine) Crashes(fingerprint uint64, now time.Time) int {
 	if q == nil {
--- /dev/null
+++ b/internal/publish/exchange/reply.go
@@ -0,0 +1,16 @@
+package exchange
+
+import (
+	"peridotmoor.org/peridotmoor/internal/authority"
+)
+
+// Reply ends an exchange. It corresponds to ExchangeReply of the peer protocol.
+type Reply struct {
+	From    authority.Instance
+	Domain  string
+	Leaving bool
+	Summary
+	Shards     []ShardEntry
+	Quarantine []Mark
+	Settings   *SettingsValue
+}
--- /dev/null
+++ b/internal/publish/fetch.go
@@ -0,0 +1,9 @@
+package publish
+
+// fetch is the one transfer of settings that may be under way, and the highest
+// version that was announced and by whom.
+type fetch struct {
+	running bool
+	address string
+	version uint64
+}
--- a/internal/publish/publisher.go
+++ b/internal/publish/publisher.go
@@ -36,25 +36,6 @@
 	stopped chan struct{}
 }
 
-// inbound is an exchange that a peer opened.
-type inbound struct {
-	request exchange.Request
-	reply   chan exchange.Reply
-}
-
-// local is news of this instance itself.
-type local struct {
-	shards  []exchange.ShardEntry
-	marks   []exchange.Mark
-	leaving bool
-}
-
-// found is a settings value from the store.
-type found struct {
-	value exchange.SettingsValue
-	done  chan error
-}
-
 // New returns a publisher without settings. Run starts it.
 func New(config Config) *Publisher {
 	return &Publisher{
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -17,13 +17,6 @@
 	maxMarks = 10000
 )
 
-// mark is one fingerprint of the list.
-type mark struct {
-	service string
-	crashes int
-	until   time.Time
-}
-
 // List holds the marked fingerprints of one instance. Requests read an immutable
 // snapshot; changes are rare and replace it as a whole.
 type List struct {
@@ -98,16 +91,6 @@
 	return changed
 }
 
-// supersedes reports whether m is news. Of two marks of about the same time the
-// one with more crashes is kept, which costs at most one more exclusive run.
-func (m mark) supersedes(other mark) bool {
-	later := m.until.Sub(other.until)
-	if later > tolerance {
-		return m.crashes != other.crashes || later > 10*tolerance
-	}
-	return later >= -tolerance && m.crashes > other.crashes
-}
-
 // Entries returns all marks in force for the exchange with another instance.
 func (l *List) Entries(now time.Time) []Entry {
 	marks := *l.marks.Load()
--- /dev/null
+++ b/internal/quarantine/suspect.go
@@ -0,0 +1,11 @@
+package quarantine
+
+import (
+	"time"
+)
+
+// suspect is a request whose connection died.
+type suspect struct {
+	fingerprint Fingerprint
+	died        time.Time
+}
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -16,18 +16,6 @@
 	state atomic.Pointer[watchState]
 }
 
-type watchState struct {
-	suspects []suspect
-	// crashed is when the last evidence came.
-	crashed time.Time
-}
-
-// suspect is a request whose connection died.
-type suspect struct {
-	fingerprint Fingerprint
-	died        time.Time
-}
-
 // NewWatch returns a watch that has seen nothing.
 func NewWatch() *Watch {
 	w := &Watch{}
--- a/internal/record/action.go
+++ b/internal/record/action.go
@@ -1,10 +1,5 @@
 package record
 
-import (
-	"peridotmoor.org/peridotmoor/internal/problem"
-	"peridotmoor.org/peridotmoor/internal/request"
-)
-
 // Action is what a holder does with a request after it has read its record.
 type Action int
 
@@ -19,14 +14,3 @@
 	// ActionRefuse means that the request is not run now.
 	ActionRefuse
 )
-
-// Decision is what the record of a request says.
-type Decision struct {
-	Action Action
-	// Run is set for ActionRun and ActionJoin.
-	Run *Run
-	// Answer is set for ActionReplay.
-	Answer *request.Answer
-	// Problem is set for ActionRefuse.
-	Problem *problem.Problem
-}
--- /dev/null
+++ b/internal/record/decision.go
@@ -0,0 +1,17 @@
+package record
+
+import (
+	"peridotmoor.org/peridotmoor/internal/problem"
+	"peridotmoor.org/peridotmoor/internal/request"
+)
+
+// Decision is what the record of a request says.
+type Decision struct {
+	Action Action
+	// Run is set for ActionRun and ActionJoin.
+	Run *Run
+	// Answer is set for ActionReplay.
+	Answer *request.Answer
+	// Problem is set for ActionRefuse.
+	Problem *problem.Problem
+}
--- a/internal/record/entry.go
+++ b/internal/record/entry.go
@@ -20,12 +20,6 @@
 // keptDropped marks an entry that has left the table.
 const keptDropped = -1
 
-// phase is what the entry knows: a run in progress, or the record of its end.
-type phase struct {
-	run    *Run
-	record *Record
-}
-
 func newEntry(id identity, digest uint64, created time.Time) *entry {
 	e := &entry{identity: id, digest: digest, created: created}
 	e.phase.Store(&phase{run: newRun(e)})
--- a/internal/record/keeper.go
+++ b/internal/record/keeper.go
@@ -7,24 +7,8 @@
 
 	"peridotmoor.org/peridotmoor/internal/authority"
 	"peridotmoor.org/peridotmoor/internal/events"
-	"peridotmoor.org/peridotmoor/internal/key"
 )
 
-// KeeperOptions configures the records of one tenure of a shard.
-type KeeperOptions struct {
-	Shard key.ShardID
-	Token authority.Token
-	Self  authority.Instance
-	// Copier must reach this instance's own Mirror too when asked for Self.
-	Copier Copier
-	Sets   MirrorSets
-	// First reports that the shard never had a holder, so no record can exist.
-	First   bool
-	Records Options
-	// Events gets the takeover and each new mirror set.
-	Events *events.Logger
-}
-
 // Keeper holds the request records of one shard during one tenure: the table,
 // its copies at the mirrors and the takeover from the holder before.
 type Keeper struct {
--- a/internal/record/peerstate.go
+++ b/internal/record/peerstate.go
@@ -13,11 +13,3 @@
 	// peerLeaving: requests wait for it until a set without it is acknowledged.
 	peerLeaving
 )
-
-// peer is one mirror as the control goroutine sees it.
-type peer struct {
-	sender *sender
-	state  peerState
-	// proposed reports that a set with this peer may be known to a witness.
-	proposed bool
-}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -33,12 +33,6 @@
 	Message string
 }
 
-// identity distinguishes the records of one shard.
-type identity struct {
-	key string
-	id  string
-}
-
 func (r Record) identity() identity {
 	return identity{key: r.Key, id: r.ID}
 }
--- a/internal/record/sender.go
+++ b/internal/record/sender.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-
 	"peridotmoor.org/peridotmoor/internal/authority"
 )
 
@@ -36,15 +35,6 @@
 	final error
 }
 
-// stopOrder ends a sender.
-type stopOrder struct {
-	// err settles everything that is pending.
-	err error
-	// flush sends what is pending nevertheless, so that the mirror learns how
-	// requests ended before a planned hand-over.
-	flush bool
-}
-
 func newSender(to authority.Instance) *sender {
 	return &sender{
 		to:      to,
--- a/internal/record/takeover.go
+++ b/internal/record/takeover.go
@@ -26,14 +26,6 @@
 	source authority.Instance
 }
 
-// fetched is what one member of the mirror set returned.
-type fetched struct {
-	from          authority.Instance
-	records       []Record
-	completeSince time.Time
-	err           error
-}
-
 // run returns the records and the time since when they are complete. Any member
 // will do: a request is dispatched only after all members have its record.
 func (t *takeover) run(ctx context.Context) ([]Record, time.Time) {
--- /dev/null
+++ b/internal/router/busyserver.go
@@ -0,0 +1,8 @@
+package router
+
+// busyServer is the part of a hand-over about one backend server.
+type busyServer struct {
+	// slots is how many slots requests of the last holder still use.
+	slots int
+	warm  bool
+}
--- a/internal/router/committer.go
+++ b/internal/router/committer.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 
 	"github.com/pkg/errors"
-
 	"peridotmoor.org/peridotmoor/internal/assign"
 	"peridotmoor.org/peridotmoor/internal/authority"
 	"peridotmoor.org/peridotmoor/internal/shardrecord"
@@ -16,13 +15,6 @@
 // errSuperseded means that a later holder has committed an assignment.
 var errSuperseded = errors.New("a later holder of the shard has committed an assignment; this one is dropped")
 
-// committedAssignment is what the shard record holds for the shard package. The
-// token fences commits of deposed holders.
-type committedAssignment struct {
-	Token      authority.Token   `json:"token"`
-	Assignment assign.Assignment `json:"assignment"`
-}
-
 // committer implements shard.Committer over the shard record. It keeps the last
 // assignment it has seen, so that a takeover during a store outage can go on.
 type committer struct {
--- a/internal/router/holders.go
+++ b/internal/router/holders.go
@@ -12,12 +12,6 @@
 	current atomic.Pointer[holderSnapshot]
 }
 
-// holderSnapshot is one immutable state of the table.
-type holderSnapshot struct {
-	holders map[key.ShardID]*forward.Holder
-	changed chan struct{}
-}
-
 func newHolderTable() *holderTable {
 	t := &holderTable{}
 	t.current.Store(&holderSnapshot{changed: make(chan struct{})})
--- a/internal/settings/lineindex.go
+++ b/internal/settings/lineindex.go
@@ -1,6 +1,8 @@
 package settings
 
-import "strings"
+import (
+	"strings"
+)
 
 // lineIndex finds the line of a section or setting. The INI library reports
 // neither line numbers nor more than the first malformed line.
@@ -11,11 +13,6 @@
 	wellFormed string
 }
 
-type malformedLine struct {
-	number int
-	text   string
-}
-
 // scanLines indexes the lines of text by section and name; the first line of a name counts.
 func scanLines(text string) *lineIndex {
 	index := &lineIndex{numbers: map[string]int{}}
--- /dev/null
+++ b/internal/settings/malformedline.go
@@ -0,0 +1,6 @@
+package settings
+
+type malformedLine struct {
+	number int
+	text   string
+}
--- /dev/null
+++ b/internal/settings/settingstest/lease.go
@@ -0,0 +1,10 @@
+package settingstest
+
+import (
+	"time"
+)
+
+type lease struct {
+	ttl   time.Duration
+	timer *time.Timer
+}
--- a/internal/settings/settingstest/store.go
+++ b/internal/settings/settingstest/store.go
@@ -28,11 +28,6 @@
 	After func(op, key string) error
 }
 
-type lease struct {
-	ttl   time.Duration
-	timer *time.Timer
-}
-
 var _ store.Store = (*Store)(nil)
 
 // NewStore returns an empty store.
--- a/internal/settings/spec.go
+++ b/internal/settings/spec.go
@@ -12,33 +12,6 @@
 	"github.com/pkg/errors"
 )
 
-// Kind is the type of a setting's value.
-type Kind string
-
-// The kinds of values.
-const (
-	Duration Kind = "duration"
-	Whole    Kind = "whole number"
-	Bool     Kind = "true or false"
-	State    Kind = "in or out"
-	Name     Kind = "name"
-	Address  Kind = "host:port"
-	KeyText  Kind = "key"
-	NameList Kind = "list of NAME@INCARNATION"
-)
-
-// Scope says what a setting applies to and how it resolves.
-type Scope string
-
-// The scopes.
-const (
-	ScopeRequest  Scope = "request"  // resolves with the entry's failure domain and the key
-	ScopeServer   Scope = "server"   // resolves with the server's failure domain
-	ScopeService  Scope = "service"  // one value per service
-	ScopeControl  Scope = "control"  // one value for the whole system
-	ScopeIdentity Scope = "identity" // describes the section itself and is not inherited
-)
-
 // Spec declares one setting.
 type Spec struct {
 	Name    string
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -21,15 +21,3 @@
 	PutOff   uint64
 	Servers  []ServerStatus
 }
-
-// ServerStatus is the part of a Status for one server, ordered as in the settings.
-type ServerStatus struct {
-	Name string
-	// State is in, cold, leaving, out or lost.
-	State string
-	// Answering reports whether the server acknowledged its last call.
-	Answering bool
-	Ranges    int
-	// Rate is the load of its ranges in requests per second.
-	Rate float64
-}
--- /dev/null
+++ b/internal/store/storetest/contractcase.go
@@ -0,0 +1,11 @@
+package storetest
+
+import (
+	"testing"
+)
+
+// contractCase is one case of the contract.
+type contractCase struct {
+	name string
+	run  func(t *testing.T, h Harness)
+}
--- a/internal/store/storetest/harness.go
+++ b/internal/store/storetest/harness.go
@@ -21,9 +21,3 @@
 		t.Run(c.name, func(t *testing.T) { c.run(t, open(t)) })
 	}
 }
-
-// contractCase is one case of the contract.
-type contractCase struct {
-	name string
-	run  func(t *testing.T, h Harness)
-}
