--- a/internal/authority/node_holder.go
+++ b/internal/authority/node_holder.go
@@ -24,7 +24,10 @@
 	for _, m := range targets {
 		claim := ShardClaim{Shard: s.id, Token: latest.token, Mirrors: s.statedTo(m.Instance)}
 		if _, promised := latest.promises[m.Instance]; !promised {
-			claim.Config = &latest.config
+			// A copy: the message is encoded by another goroutine, and the claim's
+			// configuration changes when its record is settled.
+			config := latest.config
+			claim.Config = &config
 		}
 		n.post(now, m, claim)
 	}
--- /dev/null
+++ b/internal/dev/system/system_test.go
@@ -0,0 +1,125 @@
+package system
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"peridotmoor.org/peridotmoor/internal/outcome"
+)
+
+// sending is what a caller got for one sending of a request.
+type sending struct {
+	id      string
+	outcome outcome.Outcome
+	kind    string
+	err     error
+}
+
+// order sends a non-idempotent request to an instance.
+func (i *runningInstance) order(id, key string) sending {
+	url := fmt.Sprintf("http://%s/chumon/%s/renewal", i.config.Listen.Callers, key)
+	in, err := http.NewRequest(http.MethodPost, url, strings.NewReader(id))
+	if err != nil {
+		return sending{id: id, err: err}
+	}
+	in.Header.Set("Peridotmoor-Request-Id", id)
+	in.Header.Set("Peridotmoor-Timeout-Ms", "10000")
+	response, err := http.DefaultClient.Do(in)
+	if err != nil {
+		return sending{id: id, err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	var refusal struct{ Kind string }
+	_ = json.Unmarshal(body, &refusal) // an answer of a server need not be JSON
+	return sending{id: id, outcome: outcome.Outcome(response.Header.Get("Peridotmoor-Outcome")), kind: refusal.Kind, err: err}
+}
+
+// Guards against an order that runs twice when it is sent to every instance at
+// the same time, against one that is lost, and against parts that work alone but
+// not together.
+func TestOrdersRunOnceAcrossInstances(t *testing.T) {
+	is := is.New(t)
+	w := start(t)
+	const orders = 60
+	var running sync.WaitGroup
+	var answered atomic.Int64
+	for n := range orders {
+		id := uuid.Must(uuid.NewV7()).String()
+		for _, i := range w.instances {
+			running.Go(func() {
+				if got := i.order(id, fmt.Sprintf("plot-%d", n)); got.outcome == outcome.Answered {
+					answered.Add(1)
+				} else {
+					t.Errorf("order %s: %+v", id, got)
+				}
+			})
+		}
+	}
+	running.Wait()
+	is.Equal(answered.Load(), int64(orders*len(w.instances)))
+	ran := map[string]int{}
+	for _, run := range w.fleet.Evidence().Runs {
+		ran[run.RequestID]++
+		is.Equal(ran[run.RequestID], 1)
+	}
+	is.Equal(len(ran), orders)
+}
+
+// Guards against a planned stop that cuts off a request, runs one twice, gives a
+// key two owners or claims "not run" of one that ran.
+func TestPlannedStopUnderLoad(t *testing.T) {
+	is := is.New(t)
+	w := start(t)
+	leaving, staying := w.instances[0], w.instances[1:]
+	results := make([][]sending, 8)
+	var load sync.WaitGroup
+	stopping := make(chan struct{})
+	for caller := range results {
+		load.Go(func() {
+			for n := 0; ; n++ {
+				got := staying[(caller+n)%2].order(uuid.Must(uuid.NewV7()).String(), fmt.Sprintf("plot-%d", n%50))
+				results[caller] = append(results[caller], got)
+				select {
+				case <-stopping:
+					return
+				default:
+				}
+			}
+		})
+	}
+	leaving.end()
+	close(stopping)
+	load.Wait()
+	ran := map[string]int{}
+	evidence := w.fleet.Evidence()
+	for _, run := range evidence.Runs {
+		ran[run.RequestID]++
+		is.Equal(ran[run.RequestID], 1)
+	}
+	is.Equal(len(evidence.Overlaps), 0)
+	sent := 0
+	for _, got := range slices.Concat(results...) {
+		sent++
+		is.NoErr(got.err)
+		switch got.outcome {
+		case outcome.Answered:
+			is.Equal(ran[got.id], 1)
+		case outcome.NotRun:
+			is.Equal(ran[got.id], 0)
+		default:
+			t.Errorf("cut off: %+v", got)
+		}
+	}
+	is.True(sent > 0)
+}
--- a/internal/router/targets.go
+++ b/internal/router/targets.go
@@ -31,11 +31,12 @@
 	options.OnCold = func(reason ramp.Reason) {
 		u.parts.log.Emit(events.ServerCold, events.FieldShard, u.id.String(), events.FieldServer, config.Name, "reason", string(reason))
 	}
+	gate := admission.New(options)
 	target := &route.Target{
 		Name:         config.Name,
 		Domain:       config.Domain,
-		Server:       u.parts.connect(config.Name, config.Address, policy.Connections),
-		Gate:         admission.New(options),
+		Server:       u.parts.connect(config.Name, config.Address, policy.Connections, gate),
+		Gate:         gate,
 		ChecksTokens: config.ChecksTokens,
 	}
 	u.occupy(target, now)
@@ -72,6 +73,6 @@
 }
 
 // connect returns the client of a server, with a span for each dispatch.
-func (p *parts) connect(name, address string, connections int) *tracedServer {
-	return &tracedServer{Server: httpbackend.New(name, address, connections), name: name, tracer: p.tracer}
+func (p *parts) connect(name, address string, connections int, gate *admission.Gate) *tracedServer {
+	return &tracedServer{Server: httpbackend.New(name, address, connections), name: name, tracer: p.tracer, gate: gate}
 }
--- a/internal/router/tracedserver.go
+++ b/internal/router/tracedserver.go
@@ -5,6 +5,7 @@
 
 	"go.opentelemetry.io/otel/attribute"
 
+	"peridotmoor.org/peridotmoor/internal/admission"
 	"peridotmoor.org/peridotmoor/internal/backend"
 	"peridotmoor.org/peridotmoor/internal/request"
 	"peridotmoor.org/peridotmoor/internal/tracing"
@@ -15,6 +16,13 @@
 	backend.Server
 	name   string
 	tracer *tracing.Tracer
+	gate   *admission.Gate
+}
+
+// Close also ends the server's gate, so that its goroutine does not outlive the tenure.
+func (s *tracedServer) Close() {
+	s.gate.Close()
+	s.Server.Close()
 }
 
 // Send implements backend.Server.
