--- /dev/null
+++ b/internal/dev/system/judge_test.go
@@ -0,0 +1,63 @@
+package system
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"peridotmoor.org/peridotmoor/internal/outcome"
+)
+
+// lostTenure marks the record of a holder that could not renew in time.
+const lostTenure = `"name":"shard_lost"`
+
+// judge compares what the callers were told with what the servers ran. Every
+// sending must be answered, unless a record shows that a holder lost its tenure,
+// as when the machine does not run the test for longer than a promise; then
+// refusals and unknown outcomes are allowed, but must still be true.
+func (w *world) judge(t *testing.T, sendings []sending) {
+	t.Helper()
+	is := is.New(t)
+	evidence := w.fleet.Evidence()
+	is.Equal(len(evidence.Overlaps), 0)
+	ran := map[string]int{}
+	for _, run := range evidence.Runs {
+		ran[run.RequestID]++
+		is.Equal(ran[run.RequestID], 1) // no order runs twice
+	}
+	lost := w.lostTenures(t)
+	answered := map[string]bool{}
+	for _, got := range sendings {
+		if got.outcome == outcome.Answered {
+			answered[got.id] = true
+		}
+	}
+	for _, got := range sendings {
+		is.NoErr(got.err)
+		switch got.outcome {
+		case outcome.Answered:
+			is.Equal(ran[got.id], 1)
+			continue
+		case outcome.NotRun:
+			is.True(answered[got.id] || ran[got.id] == 0)
+		}
+		if lost == 0 {
+			t.Errorf("no holder lost its tenure, but %+v", got)
+		}
+	}
+	is.True(len(answered) > 0)
+}
+
+// lostTenures counts the tenures that ended because they were not renewed.
+func (w *world) lostTenures(t *testing.T) int {
+	t.Helper()
+	count := 0
+	for _, i := range w.instances {
+		text, err := os.ReadFile(i.config.Records.Path)
+		check(t, err)
+		count += strings.Count(string(text), lostTenure)
+	}
+	return count
+}
--- a/internal/router/unit.go
+++ b/internal/router/unit.go
@@ -22,7 +22,7 @@
 	recordSweepInterval = time.Second
 	// assignmentInterval is the mean time between two reads of the committed
 	// assignment by an instance that does not hold the shard.
-	assignmentInterval = 30 * time.Second
+	assignmentInterval = 10 * time.Second
 )
 
 // unit is one shard of the settings in this instance: its runtime always, and a
