End callers' connections with their answers during a planned stop

Cause: the test of a planned stop sent nothing through the stopping instance, and a connection that stayed open could be closed under a request. Change: answers during a planned stop close the connection; the test sends orders through the stopping instance until it is not ready, and an upload that takes 2 s.

--- a/internal/dev/system/system_test.go
+++ b/internal/dev/system/system_test.go
@@ -25,8 +25,13 @@
 
 // order sends a non-idempotent request to an instance.
 func (i *runningInstance) order(id, key string) sending {
+	return i.send(id, key, strings.NewReader(id))
+}
+
+// send sends a non-idempotent request with the body to an instance.
+func (i *runningInstance) send(id, key string, body io.Reader) sending {
 	url := fmt.Sprintf("http://%s/chumon/%s/renewal", i.config.Listen.Callers, key)
-	in, err := http.NewRequest(http.MethodPost, url, strings.NewReader(id))
+	in, err := http.NewRequest(http.MethodPost, url, body)
 	if err != nil {
 		return sending{id: id, err: err}
 	}
@@ -37,9 +42,9 @@
 		return sending{id: id, err: err}
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	answer, err := io.ReadAll(response.Body)
 	var refusal struct{ Kind string }
-	_ = json.Unmarshal(body, &refusal) // an answer of a server need not be JSON
+	_ = json.Unmarshal(answer, &refusal) // an answer of a server need not be JSON
 	return sending{id: id, outcome: outcome.Outcome(response.Header.Get("Peridotmoor-Outcome")), kind: refusal.Kind, err: err}
 }
 
@@ -66,13 +71,20 @@
 func TestPlannedStopUnderLoad(t *testing.T) {
 	w := start(t)
 	leaving, staying := w.instances[0], w.instances[1:]
-	results := make([][]sending, 8)
+	results := make([][]sending, 13)
 	var load sync.WaitGroup
 	stopping := make(chan struct{})
-	for caller := range results {
+	for caller := range 12 {
 		load.Go(func() {
 			for n := 0; ; n++ {
-				got := staying[(caller+n)%2].order(uuid.Must(uuid.NewV7()).String(), fmt.Sprintf("plot-%d", n%50))
+				to := staying[(caller+n)%2]
+				if caller >= 8 {
+					to = leaving
+				}
+				if !to.isReady() {
+					return // the balancer sends nothing more to it
+				}
+				got := to.order(uuid.Must(uuid.NewV7()).String(), fmt.Sprintf("plot-%d", n%50))
 				results[caller] = append(results[caller], got)
 				select {
 				case <-stopping:
@@ -82,6 +94,12 @@
 			}
 		})
 	}
+	upload := newSlowBody(40)
+	load.Go(func() {
+		id := uuid.Must(uuid.NewV7()).String()
+		results[12] = append(results[12], leaving.send(id, "plot-1", upload))
+	})
+	<-upload.started
 	leaving.end()
 	close(stopping)
 	load.Wait()
--- a/internal/dev/system/world_test.go
+++ b/internal/dev/system/world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -111,16 +110,22 @@
 func (i *runningInstance) awaitReady(t *testing.T) {
 	t.Helper()
 	for t.Context().Err() == nil {
-		response, err := http.Get("http://" + i.config.Listen.Operators + "/ready")
-		if err == nil {
-			_ = response.Body.Close()
-			if response.StatusCode == http.StatusOK {
-				return
-			}
+		if i.isReady() {
+			return
 		}
 		time.Sleep(readyInterval)
 	}
-	t.Fatal(fmt.Errorf("%s did not become ready", i.config.Instance.Name))
+	t.Fatalf("%s did not become ready", i.config.Instance.Name)
+}
+
+// isReady asks like the load balancer does.
+func (i *runningInstance) isReady() bool {
+	response, err := http.Get("http://" + i.config.Listen.Operators + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
 }
 
 func check(t *testing.T, err error) {
--- a/internal/router/gateadapter.go
+++ b/internal/router/gateadapter.go
@@ -32,11 +32,6 @@
 	return !a.gate.Allowance().Warm
 }
 
-// Idle implements shard.Gate.
-func (a *gateAdapter) Idle() bool {
-	return a.gate.Outstanding() == 0
-}
-
 // Latency implements shard.Gate.
 func (a *gateAdapter) Latency() time.Duration {
 	return a.gate.Latency()
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -77,13 +77,25 @@
 
 func (i *Instance) callersServer() *http.Server {
 	views := &treeViews{publisher: i.parts.publisher, domain: i.parts.self.Domain}
+	handler := entry.New(i.config.Instance.Name, views, i.forwarder, i.observer, i.readiness.refusal)
 	return &http.Server{
-		Handler:           entry.New(i.config.Instance.Name, views, i.forwarder, i.observer, i.readiness.refusal),
+		Handler:           i.closeWhenStopping(handler),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleConnTimeout,
 	}
 }
 
+// closeWhenStopping ends a caller's connection with its answer during a planned
+// stop, so that no request is on its way when idle connections are closed.
+func (i *Instance) closeWhenStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if i.readiness.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // followSettings applies each version of the settings that comes into effect.
 func (i *Instance) followSettings(ctx context.Context) {
 	var first sync.Once
