--- a/internal/nodeconfig/field.go
+++ b/internal/nodeconfig/field.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/textlist"
 )
 
 // field declares one setting of the file.
@@ -35,7 +37,7 @@
 	{"listen", "operators", true, checkAddress, addressRemedy, func(c *Config, t string) { c.Listen.Operators = t }},
 	{"platform", "store", true, checkURL, urlRemedy, func(c *Config, t string) { c.Platform.Store = t }},
 	{"platform", "instances", true, checkURL, urlRemedy, func(c *Config, t string) { c.Platform.Instances = t }},
-	{"peers", "addresses", false, checkAddresses, "list host:port, separated by commas", func(c *Config, t string) { c.Peers.Addresses = splitList(t) }},
+	{"peers", "addresses", false, checkAddresses, "list host:port, separated by commas", func(c *Config, t string) { c.Peers.Addresses = textlist.Split(t) }},
 	{"records", "path", false, checkPath, "set a file name", func(c *Config, t string) { c.Records.Path = t }},
 	{"trace", "endpoint", false, checkURL, urlRemedy, func(c *Config, t string) { c.Trace.Endpoint = t }},
 	{"trace", "path", false, checkPath, "set a file name", func(c *Config, t string) { c.Trace.Path = t }},
@@ -62,7 +64,7 @@
 }
 
 func checkAddresses(text string) error {
-	for _, item := range splitList(text) {
+	for _, item := range textlist.Split(text) {
 		if err := checkAddress(item); err != nil {
 			return errors.Wrapf(err, "%q", item)
 		}
@@ -84,13 +86,3 @@
 	}
 	return nil
 }
-
-func splitList(text string) []string {
-	var items []string
-	for _, item := range strings.Split(text, ",") {
-		if item = strings.TrimSpace(item); item != "" {
-			items = append(items, item)
-		}
-	}
-	return items
-}
--- a/internal/settings/build.go
+++ b/internal/settings/build.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"strconv"
+
+	"peridotmoor.org/peridotmoor/internal/textlist"
 )
 
 // build compiles a checked document.
@@ -22,7 +24,7 @@
 	t.buildServices()
 	t.buildServers()
 	if s := doc.sections[instancesSection]; s != nil {
-		for _, item := range splitList(s.values["retired"]) {
+		for _, item := range textlist.Split(s.values["retired"]) {
 			t.retired[item] = true
 		}
 	}
--- a/internal/settings/spec.go
+++ b/internal/settings/spec.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/textlist"
 )
 
 // Spec declares one setting.
@@ -136,7 +138,7 @@
 }
 
 func checkInstances(text string) error {
-	for _, item := range splitList(text) {
+	for _, item := range textlist.Split(text) {
 		if !instancePattern.MatchString(item) {
 			return errors.Errorf("%q is not of the form NAME@INCARNATION", item)
 		}
@@ -154,17 +156,6 @@
 	return nil
 }
 
-// splitList returns the items of a comma-separated list without empty ones.
-func splitList(text string) []string {
-	var items []string
-	for _, item := range strings.Split(text, ",") {
-		if item = strings.TrimSpace(item); item != "" {
-			items = append(items, item)
-		}
-	}
-	return items
-}
-
 // shortDuration formats d without trailing zero units.
 func shortDuration(d time.Duration) string {
 	text := d.String()
