--- a/internal/report/command/html.go
+++ b/internal/report/command/html.go
@@ -13,11 +13,7 @@
 // runHTML writes the page to --output, or to the standard output. With --json
 // it prints what the page shows.
 func runHTML(t *tool) error {
-	window, err := t.window()
-	if err != nil {
-		return err
-	}
-	journal, err := t.journal()
+	journal, window, err := t.journalAndWindow()
 	if err != nil {
 		return err
 	}
--- a/internal/report/command/summary.go
+++ b/internal/report/command/summary.go
@@ -10,11 +10,7 @@
 )
 
 func runSummary(t *tool) error {
-	window, err := t.window()
-	if err != nil {
-		return err
-	}
-	journal, err := t.journal()
+	journal, window, err := t.journalAndWindow()
 	if err != nil {
 		return err
 	}
--- a/internal/report/command/unanswered.go
+++ b/internal/report/command/unanswered.go
@@ -8,11 +8,7 @@
 )
 
 func runUnanswered(t *tool) error {
-	window, err := t.window()
-	if err != nil {
-		return err
-	}
-	journal, err := t.journal()
+	journal, window, err := t.journalAndWindow()
 	if err != nil {
 		return err
 	}
--- a/internal/report/command/window.go
+++ b/internal/report/command/window.go
@@ -2,6 +2,17 @@
 
 import "peridotmoor.org/peridotmoor/internal/report"
 
+// journalAndWindow returns the records and the part of them that the options
+// choose. A bad option ends the command before any record is read.
+func (t *tool) journalAndWindow() (*report.Journal, report.Window, error) {
+	window, err := t.window()
+	if err != nil {
+		return nil, window, err
+	}
+	journal, err := t.journal()
+	return journal, window, err
+}
+
 // window returns the time that --from and --to bound.
 func (t *tool) window() (report.Window, error) {
 	from, err := parseTime("--from", t.options.From)
