Add the platform's adapter and the HTTP connections of callers and servers

platform/ alone knows the names on the wire and decodes each message once into the types of internal/fleet. callerhttp runs pipelined requests side by side, backhttp binds each answer to its request and never reuses a connection that carried anything unexpected.

--- /dev/null
+++ b/internal/backhttp/answer.go
@@ -0,0 +1,18 @@
+package backhttp
+
+import (
+	"io"
+	"net/http"
+)
+
+// Answer is a whole answer, or its start when it is too long to hold in memory.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Rest streams what follows Body of a long answer, or is nil. The receiver
+	// closes it. It returns io.ErrUnexpectedEOF when the answer ends early.
+	Rest io.ReadCloser
+	// Length is the length of a long answer in bytes, or -1 when unknown.
+	Length int64
+}
--- /dev/null
+++ b/internal/backhttp/pool.go
@@ -0,0 +1,117 @@
+package backhttp
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/sockopt"
+)
+
+// Pool holds the connections to one backend server. It is safe for concurrent use.
+type Pool struct {
+	address string
+	idle    stack
+	dialer  net.Dialer
+	closed  atomic.Bool
+	dialled atomic.Uint64
+}
+
+// NewPool returns a pool for the server at address (host and port).
+// dialTimeout bounds the establishment of a connection.
+func NewPool(address string, dialTimeout time.Duration) *Pool {
+	return &Pool{
+		address: address,
+		dialer:  net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: sockopt.Unacked(unackedTimeout)},
+	}
+}
+
+// Dialled returns how many connections were opened.
+func (p *Pool) Dialled() uint64 {
+	return p.dialled.Load()
+}
+
+// Do sends the request and waits for its whole answer, or for the start of a
+// long one. When ctx ends first, the connection is reset, which cancels the
+// server's work. The error is a *Failure.
+func (p *Pool) Do(ctx context.Context, request *Request) (*Answer, error) {
+	for {
+		c, err := p.take(ctx)
+		if err != nil {
+			return nil, &Failure{Refused: errors.Is(err, syscall.ECONNREFUSED), Cause: err}
+		}
+		x := &exchange{request: request, done: make(chan result, 1)}
+		c.written.Store(false)
+		c.pending.Store(x)
+		if c.dead.Load() {
+			continue // closed by the server while it was unused; nothing was written
+		}
+		return p.run(ctx, c, x)
+	}
+}
+
+func (p *Pool) run(ctx context.Context, c *conn, x *exchange) (*Answer, error) {
+	stop := context.AfterFunc(ctx, c.abort)
+	err := c.write(x.request)
+	if err != nil && c.pending.CompareAndSwap(x, nil) {
+		stop()
+		c.abort()
+		return nil, &Failure{Sent: true, Cause: errors.Wrap(err, "write the request")}
+	}
+	r := <-x.done
+	reusable := stop()
+	if r.err != nil {
+		if ctx.Err() != nil {
+			r.err = ctx.Err()
+		}
+		return nil, &Failure{Sent: true, Cause: r.err}
+	}
+	if reusable {
+		p.give(c)
+	}
+	return r.answer, nil
+}
+
+func (p *Pool) take(ctx context.Context) (*conn, error) {
+	now := time.Now()
+	for {
+		c := p.idle.pop()
+		if c == nil {
+			break
+		}
+		if c.fresh(now) {
+			return c, nil
+		}
+		c.abort()
+	}
+	p.dialled.Add(1)
+	raw, err := p.dialer.DialContext(ctx, "tcp4", p.address)
+	if err != nil {
+		return nil, errors.Wrap(err, "connect")
+	}
+	return newConn(raw), nil
+}
+
+func (p *Pool) give(c *conn) {
+	// The reader goroutine ends a connection that must not be used again, once a
+	// long answer has been streamed.
+	if !c.usable.Load() {
+		return
+	}
+	p.idle.push(c)
+	if p.closed.Load() {
+		p.Close()
+	}
+}
+
+// Close ends the unused connections; those in use end after their request.
+func (p *Pool) Close() {
+	p.closed.Store(true)
+	for c := p.idle.pop(); c != nil; c = p.idle.pop() {
+		c.abort()
+	}
+}
--- /dev/null
+++ b/internal/backhttp/stacknode.go
@@ -0,0 +1,7 @@
+package backhttp
+
+// stackNode is one element of a stack. It is immutable once it is on the stack.
+type stackNode struct {
+	conn *conn
+	next *stackNode
+}
--- /dev/null
+++ b/internal/callerhttp/conn.go
@@ -0,0 +1,269 @@
+package callerhttp
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// conn is one caller's connection. serve reads requests; each request has a
+// goroutine that runs it and writes its answer once the one before is written.
+type conn struct {
+	server *Server
+	net    net.Conn
+	source *io.LimitedReader
+	reader *bufio.Reader
+	// ctx ends when the caller has left.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// running counts requests that are not answered yet.
+	running atomic.Int64
+	// closing is set once an answer has announced the end of the connection.
+	closing atomic.Bool
+	// idle is set while the connection waits for the first byte of a request and none is running.
+	idle atomic.Bool
+	// slots bounds the requests side by side.
+	slots chan struct{}
+}
+
+// unlimited lifts the limit of headers while a body is read.
+const unlimited = 1 << 62
+
+func newConn(s *Server, raw net.Conn, ctx context.Context, cancel context.CancelFunc) *conn {
+	source := &io.LimitedReader{R: raw, N: unlimited}
+	return &conn{
+		server: s,
+		net:    raw,
+		source: source,
+		reader: bufio.NewReaderSize(source, readBuffer),
+		ctx:    ctx,
+		cancel: cancel,
+		slots:  make(chan struct{}, pipelineDepth),
+	}
+}
+
+func (c *conn) serve() {
+	previous := make(chan struct{})
+	close(previous)
+	for !c.closing.Load() {
+		next, more := c.readOne(previous)
+		if next != nil {
+			previous = next
+		}
+		if !more {
+			break
+		}
+	}
+	<-previous
+	c.cancel()
+	c.linger()
+	_ = c.net.Close() // nothing is left to send
+	c.server.ended(c)
+}
+
+// readOne reads one request and starts it. It returns the channel that closes
+// with its answer, and whether another request may follow.
+func (c *conn) readOne(previous chan struct{}) (chan struct{}, bool) {
+	limits := c.server.limits().orDefaults()
+	if !c.awaitFirstByte(limits) {
+		return nil, false
+	}
+	_ = c.net.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // fails only on a closed connection, as does the read below
+	c.source.N = int64(limits.HeaderBytes)
+	request, err := http.ReadRequest(c.reader)
+	if err != nil {
+		return c.rejectUnreadable(previous, err), false
+	}
+	c.source.N = unlimited
+	_ = c.net.SetReadDeadline(time.Time{})
+	if !c.server.handler.Pipelined(request) {
+		select {
+		case <-previous:
+		case <-c.ctx.Done():
+		}
+	}
+	if c.closing.Load() {
+		return nil, false // not run: the caller was told that the connection ends
+	}
+	return c.start(request, previous)
+}
+
+// awaitFirstByte waits for the next request. A caller that leaves meanwhile
+// cancels the requests that run.
+func (c *conn) awaitFirstByte(limits Limits) bool {
+	for {
+		_ = c.net.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+		c.idle.Store(c.running.Load() == 0)
+		_, err := c.reader.Peek(1)
+		c.idle.Store(false)
+		if err == nil {
+			return true
+		}
+		if c.closing.Load() {
+			return false
+		}
+		var timeout net.Error
+		if errors.As(err, &timeout) && timeout.Timeout() && c.running.Load() > 0 {
+			continue
+		}
+		if c.running.Load() > 0 {
+			c.cancel()
+		}
+		return false
+	}
+}
+
+func (c *conn) rejectUnreadable(previous chan struct{}, err error) chan struct{} {
+	status := http.StatusBadRequest
+	var timeout net.Error
+	switch {
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF) && c.source.N > 0:
+		c.cancel()
+		return nil
+	case c.source.N <= 0:
+		status = http.StatusRequestHeaderFieldsTooLarge
+	case errors.As(err, &timeout) && timeout.Timeout():
+		status = http.StatusRequestTimeout
+	case errors.As(err, &timeout):
+		c.cancel()
+		return nil
+	}
+	done := make(chan struct{})
+	c.running.Add(1)
+	go c.answer(&Answer{Status: status}, previous, done, true)
+	return done
+}
+
+// start runs the request in a goroutine of its own and waits until its body is read.
+func (c *conn) start(request *http.Request, previous chan struct{}) (chan struct{}, bool) {
+	select {
+	case c.slots <- struct{}{}:
+	case <-c.ctx.Done():
+		return nil, false
+	}
+	closing := request.Close || len(request.TransferEncoding) > 0 && request.Header.Get("Content-Length") != ""
+	var incoming *body
+	if request.Body != nil && request.Body != http.NoBody {
+		incoming = newBody(request.Body, c.net, c.continueFor(request, previous))
+		request.Body = incoming
+	}
+	done := make(chan struct{})
+	c.running.Add(1)
+	go func() {
+		answer := c.server.handler.Handle(c.ctx, request)
+		c.answer(answer, previous, done, closing)
+		<-c.slots
+	}()
+	if incoming == nil {
+		return done, !closing
+	}
+	return done, c.finishBody(incoming, done) && !closing
+}
+
+// continueFor returns what asks the caller for its body, or nil.
+func (c *conn) continueFor(request *http.Request, previous chan struct{}) func() {
+	if !strings.EqualFold(request.Header.Get("Expect"), "100-continue") {
+		return nil
+	}
+	return func() {
+		<-previous
+		_, _ = c.net.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")) // a failure shows at the read that follows
+	}
+}
+
+// finishBody waits until the body is read, and reads what nobody wants. It
+// reports whether another request may follow.
+func (c *conn) finishBody(incoming *body, done chan struct{}) bool {
+	select {
+	case <-incoming.done:
+	case <-done:
+	}
+	incoming.end(false)
+	<-incoming.done
+	if incoming.whole {
+		return true
+	}
+	_ = c.net.SetReadDeadline(time.Now().Add(drainTimeout))
+	_, err := io.CopyN(io.Discard, incoming.Reader, drainBytes)
+	_ = c.net.SetReadDeadline(time.Time{})
+	return errors.Is(err, io.EOF)
+}
+
+// answer writes the answer after the previous one.
+func (c *conn) answer(a *Answer, previous, done chan struct{}, closing bool) {
+	defer close(done)
+	defer c.running.Add(-1)
+	<-previous
+	if a.Rest != nil {
+		defer a.Rest.Close()
+	}
+	if c.closing.Load() || a.Status == 0 {
+		c.closing.Store(true)
+		c.wake()
+		return
+	}
+	closing = closing || c.server.stopping.Load()
+	if closing {
+		c.closing.Store(true)
+	}
+	if err := c.write(a, closing); err != nil {
+		c.closing.Store(true)
+		c.cancel()
+		if a.Failed != nil {
+			a.Failed(err)
+		}
+	}
+	if c.closing.Load() {
+		c.wake()
+	}
+}
+
+// wake ends the wait of the reading goroutine.
+func (c *conn) wake() {
+	_ = c.net.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+}
+
+func (c *conn) write(a *Answer, closing bool) error {
+	_ = c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
+	out := append(a.head(closing), a.Body...)
+	if a.Rest == nil || a.Length >= 0 {
+		if _, err := c.net.Write(out); err != nil || a.Rest == nil {
+			return errors.Wrap(err, "write the answer")
+		}
+		n, err := io.Copy(c.net, a.Rest)
+		if err == nil && n+int64(len(a.Body)) != a.Length {
+			err = io.ErrUnexpectedEOF
+		}
+		return errors.Wrap(err, "pass on a long answer")
+	}
+	return c.writeChunks(a, closing)
+}
+
+// closeIdle ends the connection if no request is under way.
+func (c *conn) closeIdle() {
+	if c.idle.Load() && c.running.Load() == 0 {
+		c.closing.Store(true)
+		c.wake()
+	}
+}
+
+// linger waits for the caller's close, since closing with unread bytes would
+// reset the connection and take the last answer along.
+func (c *conn) linger() {
+	if !c.closing.Load() {
+		return
+	}
+	tcp, ok := c.net.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil {
+		return
+	}
+	_ = c.net.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.Copy(io.Discard, c.net) // whatever comes belongs to no request
+}
--- /dev/null
+++ b/internal/callerhttp/server.go
@@ -0,0 +1,67 @@
+package callerhttp
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Server accepts callers' connections.
+type Server struct {
+	handler  Handler
+	limits   func() Limits
+	conns    sync.Map // *conn to nil
+	open     atomic.Int64
+	stopping atomic.Bool
+}
+
+// NewServer returns a server. limits is asked for each request.
+func NewServer(handler Handler, limits func() Limits) *Server {
+	return &Server{handler: handler, limits: limits}
+}
+
+// Serve accepts connections until listener is closed.
+func (s *Server) Serve(listener net.Listener) error {
+	for {
+		raw, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			time.Sleep(acceptBackoff)
+			continue
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		c := newConn(s, raw, ctx, cancel)
+		s.conns.Store(c, nil)
+		s.open.Add(1)
+		go c.serve()
+	}
+}
+
+// Open returns the number of open connections.
+func (s *Server) Open() int {
+	return int(s.open.Load())
+}
+
+// Stop makes each later answer the last one of its connection.
+func (s *Server) Stop() {
+	s.stopping.Store(true)
+}
+
+// CloseIdle ends the connections on which no request is under way.
+func (s *Server) CloseIdle() {
+	s.conns.Range(func(key, _ any) bool {
+		key.(*conn).closeIdle()
+		return true
+	})
+}
+
+func (s *Server) ended(c *conn) {
+	s.conns.Delete(c)
+	s.open.Add(-1)
+}
--- /dev/null
+++ b/internal/fleet/route.go
@@ -0,0 +1,46 @@
+package fleet
+
+import "time"
+
+// Route says how the requests of one host and path prefix are handled.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time that a request may be kept waiting.
+	Timeout time.Duration
+	// LatencyTarget is the time within which an answer has its full value.
+	LatencyTarget time.Duration
+	// Priority is the rank of the route; 0 is the highest.
+	Priority int
+	// MaxAttempts bounds the backend servers that one request may be sent to.
+	MaxAttempts int
+	// Shares is never empty.
+	Shares []Share
+}
+
+// goldenRatio spaces successive picks evenly, so that each share gets its
+// weight over a few requests already.
+const goldenRatio = 0.6180339887498949
+
+// Service returns the service for the nth request of the route.
+func (r *Route) Service(n uint64) string {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Service
+	}
+	total := 0.0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	position := float64(n) * goldenRatio
+	position = (position - float64(uint64(position))) * total
+	for _, s := range r.Shares {
+		if position < s.Weight {
+			return s.Service
+		}
+		position -= s.Weight
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
