Decide in one place who owns keys and which server runs a request

owners and placing are pure: time comes as an argument. One instance decides for all, so that slots, cold starts and retries are bounded exactly; internal/link carries its verdicts and the facts over drpc.

--- a/Makefile
+++ b/Makefile
@@ -36,4 +36,4 @@
 	mkdir -p bin/tools
 	$(GO) build -o bin/tools/ google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
 	PATH="$(CURDIR)/bin/tools:$$PATH" protoc --go_out=. --go_opt=paths=source_relative \
-		--go-drpc_out=. --go-drpc_opt=paths=source_relative internal/peer/peerpb/peer.proto
+		--go-drpc_out=. --go-drpc_opt=paths=source_relative internal/peer/peerpb/peer.proto internal/link/linkpb/link.proto
--- /dev/null
+++ b/internal/link/client.go
@@ -0,0 +1,106 @@
+package link
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc/drpcconn"
+
+	"peridotmoor.org/peridotmoor/internal/link/linkpb"
+	"peridotmoor.org/peridotmoor/internal/sockopt"
+)
+
+// Client is a follower's end of a link to a holder.
+type Client struct {
+	conn   *drpcconn.Conn
+	outbox chan *linkpb.Up
+	done   chan struct{}
+	ended  atomic.Bool
+}
+
+// Dial joins the holder at address. onDown gets each message, in order, on one goroutine.
+func Dial(ctx context.Context, address, instance, domain string, onDown func(*linkpb.Down)) (*Client, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, Control: sockopt.Unacked(unackedTimeout)}
+	raw, err := dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to the holder at %s", address)
+	}
+	c := &Client{conn: drpcconn.New(raw), outbox: make(chan *linkpb.Up, outboxMessages), done: make(chan struct{})}
+	stream, err := linkpb.NewDRPCLinkClient(c.conn).Follow(context.Background())
+	if err == nil {
+		err = stream.Send(&linkpb.Up{Instance: instance, Domain: domain})
+	}
+	if err != nil {
+		c.Close()
+		return nil, errors.Wrapf(err, "follow the holder at %s", address)
+	}
+	go c.receive(stream, onDown)
+	go c.send(stream)
+	return c, nil
+}
+
+// Done closes when the link has ended.
+func (c *Client) Done() <-chan struct{} {
+	return c.done
+}
+
+// Send queues a message. It returns false when the link has ended or is too slow.
+func (c *Client) Send(up *linkpb.Up) bool {
+	select {
+	case <-c.done:
+		return false
+	case c.outbox <- up:
+		return true
+	default:
+		return false
+	}
+}
+
+// Close ends the link.
+func (c *Client) Close() {
+	if !c.ended.Swap(true) {
+		close(c.done)
+		_ = c.conn.Close() // the link is given up
+	}
+}
+
+func (c *Client) receive(stream linkpb.DRPCLink_FollowClient, onDown func(*linkpb.Down)) {
+	defer c.Close()
+	for {
+		down, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		onDown(down)
+	}
+}
+
+func (c *Client) send(stream linkpb.DRPCLink_FollowClient) {
+	defer c.Close()
+	for {
+		select {
+		case <-c.done:
+			return
+		case up := <-c.outbox:
+			if err := stream.Send(c.merge(up)); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// merge adds what waits in the outbox.
+func (c *Client) merge(up *linkpb.Up) *linkpb.Up {
+	for {
+		select {
+		case more := <-c.outbox:
+			up.Asks = append(up.Asks, more.Asks...)
+			up.Finishes = append(up.Finishes, more.Finishes...)
+			up.Withdrawn = append(up.Withdrawn, more.Withdrawn...)
+		default:
+			return up
+		}
+	}
+}
--- /dev/null
+++ b/internal/link/constants.go
@@ -0,0 +1,17 @@
+package link
+
+import "time"
+
+const (
+	// outboxMessages bounds what waits for a slow peer; beyond it the link is cut.
+	outboxMessages = 512
+	// dialTimeout bounds the connection to another instance: several round trips.
+	dialTimeout = 400 * time.Millisecond
+	// unackedTimeout ends a link whose bytes the peer does not acknowledge.
+	unackedTimeout = time.Second
+	// HeartbeatEvery is how often the holder tells its followers that it lives.
+	HeartbeatEvery = 250 * time.Millisecond
+	// SilentAfter without a heartbeat a follower cuts the link: two heartbeats
+	// that are lost and a delay.
+	SilentAfter = 800 * time.Millisecond
+)
--- /dev/null
+++ b/internal/link/convert.go
@@ -0,0 +1,175 @@
+package link
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/facts"
+	"peridotmoor.org/peridotmoor/internal/fleet"
+	"peridotmoor.org/peridotmoor/internal/link/linkpb"
+	"peridotmoor.org/peridotmoor/internal/owners"
+	"peridotmoor.org/peridotmoor/internal/placing"
+)
+
+// EncodeAsk converts an ask that is sent at now.
+func EncodeAsk(a placing.Ask, now time.Time) *linkpb.Ask {
+	return &linkpb.Ask{
+		Number:     a.Ticket.Number,
+		Service:    a.Service,
+		Key:        int32(a.Key),
+		Priority:   int32(a.Priority),
+		Large:      a.Large,
+		TargetUs:   a.Target.Sub(now).Microseconds(),
+		DeadlineUs: a.Deadline.Sub(now).Microseconds(),
+		Avoid:      a.Avoid,
+		Mark:       a.Mark,
+	}
+}
+
+// DecodeAsk converts an ask of an instance that arrived at now.
+func DecodeAsk(a *linkpb.Ask, instance, domain string, now time.Time) placing.Ask {
+	return placing.Ask{
+		Ticket:   placing.Ticket{Instance: instance, Number: a.Number},
+		Service:  a.Service,
+		Key:      int(a.Key),
+		Priority: int(a.Priority),
+		Domain:   domain,
+		Large:    a.Large,
+		Target:   now.Add(micros(a.TargetUs)),
+		Deadline: now.Add(micros(a.DeadlineUs)),
+		Avoid:    a.Avoid,
+		Mark:     a.Mark,
+	}
+}
+
+// EncodeFinish converts the end of an attempt.
+func EncodeFinish(f placing.Finish) *linkpb.Finish {
+	return &linkpb.Finish{
+		Number:    f.Ticket.Number,
+		Server:    f.Server,
+		Outcome:   uint32(f.Outcome),
+		TookUs:    f.Took.Microseconds(),
+		LoadKnown: f.Load.Known,
+		Running:   int32(f.Load.Running),
+		Waiting:   int32(f.Load.Waiting),
+		Slots:     int32(f.Load.Slots),
+		Slowness:  float32(f.Load.Slowness),
+		Mark:      f.Mark,
+	}
+}
+
+// DecodeFinish converts the end of an attempt of an instance.
+func DecodeFinish(f *linkpb.Finish, instance string) placing.Finish {
+	return placing.Finish{
+		Ticket:  placing.Ticket{Instance: instance, Number: f.Number},
+		Server:  f.Server,
+		Outcome: placing.Outcome(f.Outcome),
+		Took:    micros(f.TookUs),
+		Mark:    f.Mark,
+		Load: placing.Load{
+			Known:    f.LoadKnown,
+			Running:  int(f.Running),
+			Waiting:  int(f.Waiting),
+			Slots:    int(f.Slots),
+			Slowness: float64(f.Slowness),
+		},
+	}
+}
+
+// EncodeVerdict converts a verdict.
+func EncodeVerdict(v placing.Verdict) *linkpb.Verdict {
+	return &linkpb.Verdict{
+		Number:       v.Ticket.Number,
+		Server:       v.Server,
+		Reason:       uint32(v.Reason),
+		RetryAfterUs: v.RetryAfter.Microseconds(),
+	}
+}
+
+// DecodeVerdict converts a verdict for an instance.
+func DecodeVerdict(v *linkpb.Verdict, instance string) placing.Verdict {
+	return placing.Verdict{
+		Ticket:     placing.Ticket{Instance: instance, Number: v.Number},
+		Server:     v.Server,
+		Reason:     placing.Reason(v.Reason),
+		RetryAfter: micros(v.RetryAfterUs),
+	}
+}
+
+// EncodeFacts converts the parts of a view that differ from what was sent before.
+func EncodeFacts(view *facts.View, sent Sent, now time.Time) *linkpb.Facts {
+	out := &linkpb.Facts{Epoch: view.Epoch}
+	if view.OrdersSequence != sent.Orders {
+		out.Orders = &linkpb.Orders{Config: view.Orders.Config, DomainsOut: view.Orders.DomainsOut}
+	}
+	if view.ListingSequence != sent.Listing {
+		out.Listing = encodeListing(view.Servers, now)
+	}
+	if view.OwnedSequence != sent.Owned {
+		out.Ownership = encodeOwnership(view.Owned)
+	}
+	return out
+}
+
+func encodeListing(servers []fleet.Server, now time.Time) *linkpb.Listing {
+	out := &linkpb.Listing{}
+	for _, s := range servers {
+		out.Servers = append(out.Servers, &linkpb.Server{
+			Name:    s.Name,
+			Born:    s.Born,
+			Service: s.Service,
+			Address: s.Address,
+			Domain:  s.Domain,
+			Slots:   int32(s.Slots),
+			Leaving: s.Leaving,
+			ColdUs:  max(0, s.ColdUntil.Sub(now).Microseconds()),
+		})
+	}
+	return out
+}
+
+// DecodeListing converts a listing that arrived at now.
+func DecodeListing(l *linkpb.Listing, now time.Time) []fleet.Server {
+	out := make([]fleet.Server, 0, len(l.Servers))
+	for _, s := range l.Servers {
+		server := fleet.Server{
+			Life:    fleet.Life{Name: s.Name, Born: s.Born},
+			Service: s.Service,
+			Address: s.Address,
+			Domain:  s.Domain,
+			Slots:   int(s.Slots),
+			Leaving: s.Leaving,
+		}
+		if s.ColdUs > 0 {
+			server.ColdUntil = now.Add(micros(s.ColdUs))
+		}
+		out = append(out, server)
+	}
+	return out
+}
+
+func encodeOwnership(owned map[string][]owners.View) *linkpb.Ownership {
+	out := &linkpb.Ownership{}
+	for service, ranges := range owned {
+		for _, r := range ranges {
+			out.Ranges = append(out.Ranges, &linkpb.OwnedRange{
+				Service: service, From: int32(r.From), To: int32(r.To), Owner: r.Owner, Held: r.Held,
+			})
+		}
+	}
+	return out
+}
+
+// DecodeOwnership converts the owners of all services.
+func DecodeOwnership(o *linkpb.Ownership) map[string][]owners.View {
+	out := map[string][]owners.View{}
+	for _, r := range o.Ranges {
+		out[r.Service] = append(out[r.Service], owners.View{
+			Interval: owners.Interval{From: int(r.From), To: int(r.To)}, Owner: r.Owner, Held: r.Held,
+		})
+	}
+	return out
+}
+
+func micros(us int64) time.Duration {
+	return time.Duration(us) * time.Microsecond
+}
--- /dev/null
+++ b/internal/link/follower.go
@@ -0,0 +1,45 @@
+package link
+
+import (
+	"sync/atomic"
+
+	"peridotmoor.org/peridotmoor/internal/link/linkpb"
+)
+
+// Follower is the holder's end of one link.
+type Follower struct {
+	// Instance and Domain name the instance at the other end.
+	Instance string
+	Domain   string
+	// Sent is used by the hub's goroutine only.
+	Sent Sent
+	// deliver passes a message on without waiting; it returns false when the
+	// follower is too slow.
+	deliver func(*linkpb.Down) bool
+	cut     func()
+	closed  atomic.Bool
+}
+
+// NewLocalFollower returns the end of a link within one process.
+func NewLocalFollower(instance, domain string, deliver func(*linkpb.Down)) *Follower {
+	return &Follower{
+		Instance: instance,
+		Domain:   domain,
+		deliver:  func(d *linkpb.Down) bool { deliver(d); return true },
+		cut:      func() {},
+	}
+}
+
+// Deliver sends a message. A follower that is too slow is cut off.
+func (f *Follower) Deliver(d *linkpb.Down) {
+	if !f.deliver(d) {
+		f.Cut()
+	}
+}
+
+// Cut ends the link.
+func (f *Follower) Cut() {
+	if !f.closed.Swap(true) {
+		f.cut()
+	}
+}
--- /dev/null
+++ b/internal/link/server.go
@@ -0,0 +1,127 @@
+package link
+
+import (
+	"context"
+	"net"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"peridotmoor.org/peridotmoor/internal/link/linkpb"
+	"peridotmoor.org/peridotmoor/internal/sockopt"
+)
+
+// Server serves the links of other instances.
+type Server struct {
+	linkpb.DRPCLinkUnimplementedServer
+	hub Hub
+}
+
+// NewServer returns a server that joins followers to hub.
+func NewServer(hub Hub) *Server {
+	return &Server{hub: hub}
+}
+
+// Listen opens the listener for Serve.
+func Listen(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: sockopt.Unacked(unackedTimeout)}
+	listener, err := config.Listen(ctx, "tcp4", address)
+	return listener, errors.Wrapf(err, "listen for other instances on %s", address)
+}
+
+// Serve accepts links until ctx ends.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	mux := drpcmux.New()
+	if err := linkpb.DRPCRegisterLink(mux, s); err != nil {
+		return errors.Wrap(err, "register the link service")
+	}
+	return drpcserver.New(mux).Serve(ctx, listener)
+}
+
+var errNotHolder = errors.New("this instance is not the holder; read the holder's key again")
+
+// Follow serves one link.
+func (s *Server) Follow(stream linkpb.DRPCLink_FollowStream) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return errors.Wrap(err, "read the first message of a link")
+	}
+	outbox := make(chan *linkpb.Down, outboxMessages)
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	f := &Follower{
+		Instance: first.Instance,
+		Domain:   first.Domain,
+		deliver: func(d *linkpb.Down) bool {
+			select {
+			case outbox <- d:
+				return true
+			default:
+				return false
+			}
+		},
+		cut: func() {
+			cancel()
+			_ = stream.Close() // the link is given up
+		},
+	}
+	if !s.hub.Join(f) {
+		return errNotHolder
+	}
+	defer s.hub.Leave(f)
+	go s.receive(stream, f, cancel)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case d := <-outbox:
+			if err := stream.Send(merge(d, outbox)); err != nil {
+				return errors.Wrap(err, "send to a follower")
+			}
+		}
+	}
+}
+
+func (s *Server) receive(stream linkpb.DRPCLink_FollowStream, f *Follower, cancel func()) {
+	defer cancel()
+	for {
+		up, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		s.hub.Receive(f, up)
+	}
+}
+
+// merge adds what waits in the outbox, up to the next message with facts.
+func merge(d *linkpb.Down, outbox <-chan *linkpb.Down) *linkpb.Down {
+	for {
+		select {
+		case more := <-outbox:
+			d.Verdicts = append(d.Verdicts, more.Verdicts...)
+			d.Waiting = append(d.Waiting, more.Waiting...)
+			if more.Facts != nil {
+				d.Facts = mergeFacts(d.Facts, more.Facts)
+			}
+		default:
+			return d
+		}
+	}
+}
+
+func mergeFacts(old, next *linkpb.Facts) *linkpb.Facts {
+	if old == nil {
+		return next
+	}
+	if next.Orders == nil {
+		next.Orders = old.Orders
+	}
+	if next.Listing == nil {
+		next.Listing = old.Listing
+	}
+	if next.Ownership == nil {
+		next.Ownership = old.Ownership
+	}
+	return next
+}
--- /dev/null
+++ b/internal/owners/action.go
@@ -0,0 +1,18 @@
+package owners
+
+// Action is what an order asks of a server.
+type Action uint8
+
+// The actions.
+const (
+	ActionGrant Action = iota
+	ActionRelease
+)
+
+// String returns the name of the action in logs.
+func (a Action) String() string {
+	if a == ActionRelease {
+		return "release"
+	}
+	return "grant"
+}
--- /dev/null
+++ b/internal/owners/candidate.go
@@ -0,0 +1,15 @@
+package owners
+
+import "peridotmoor.org/peridotmoor/internal/fleet"
+
+// Candidate is a server that may own keys, as the planner sees it.
+type Candidate struct {
+	fleet.Life
+	Slots int
+	// Usable servers may keep their keys and get more.
+	Usable bool
+	// Cold servers get no further keys.
+	Cold bool
+	// Took is the average service time in seconds.
+	Took float64
+}
--- /dev/null
+++ b/internal/owners/constants.go
@@ -0,0 +1,41 @@
+package owners
+
+import "time"
+
+const (
+	// HoldFor is how long a grant lasts without renewal. A server that falls silent
+	// keeps its keys unserved for as long; a holder is replaced within it.
+	HoldFor = 3 * time.Second
+	// renewEvery leaves three renewals within a hold.
+	renewEvery = 900 * time.Millisecond
+	// OrderTimeout bounds one call to a server; a sound one answers in milliseconds.
+	OrderTimeout = 400 * time.Millisecond
+	// ReleaseTimeout bounds a release, which is answered once the running work has ended.
+	ReleaseTimeout = 1500 * time.Millisecond
+	// retryEvery is the wait after an order without an answer.
+	retryEvery = 200 * time.Millisecond
+	// clockDrift is how much slower a server's clock may run.
+	clockDrift = 0.02
+	// holdMargin covers timers and scheduling at both ends.
+	holdMargin = 100 * time.Millisecond
+	// suspectAfter orders without an answer in a row, a new owner is looked for.
+	suspectAfter = 3
+	// suspectFor is how long a server that does not answer gets no keys; its entry
+	// is removed, or it is back, within that time.
+	suspectFor = 4 * time.Second
+	// fenceBits leaves each epoch a million fences.
+	fenceBits = 20
+	// Keys is the number of keys of a service.
+	Keys = 1 << 16
+
+	// busyShare is the use of a server's slots above which keys are moved off it.
+	busyShare = 0.7
+	// busyLead is by how much it must exceed the average use, so that noise moves nothing.
+	busyLead = 0.25
+	// movesAtOnce bounds the moves of a service that are under way.
+	movesAtOnce = 6
+	// joinShare is the part of an average server's keys that a new server starts with.
+	joinShare = 0.5
+	// spanLimit bounds the ranges of one server, which are renewed one by one.
+	spanLimit = 8
+)
--- /dev/null
+++ b/internal/owners/hold.go
@@ -0,0 +1,15 @@
+package owners
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/fleet"
+)
+
+// Hold is the right of one life of a server to a range, under one fence.
+type Hold struct {
+	Life  fleet.Life
+	Fence int64
+	// Until is when the hold has ended at the latest, on the holder's clock.
+	Until time.Time
+}
--- /dev/null
+++ b/internal/owners/loads.go
@@ -0,0 +1,155 @@
+package owners
+
+import "time"
+
+// loads is the load of all servers of one service while a plan is made.
+type loads struct {
+	list []*load
+	of   map[string]*load
+	heat Heat
+}
+
+func (t *Table) newLoads(now time.Time, service string, candidates []Candidate, heat Heat) *loads {
+	out := &loads{of: map[string]*load{}, heat: heat}
+	for _, c := range candidates {
+		l := &load{Candidate: c}
+		if now.Before(t.suspects[c.Life]) {
+			l.Usable = false
+		}
+		out.list = append(out.list, l)
+		out.of[c.Name] = l
+	}
+	for _, s := range t.services[service] {
+		if l := out.of[s.owner.Name]; l != nil {
+			l.rate += out.rateOf(s.Interval)
+			l.keys += s.Size()
+		}
+	}
+	return out
+}
+
+func (l *loads) rateOf(i Interval) float64 {
+	rate := 0.0
+	for key := i.From; key <= i.To; key++ {
+		rate += l.heat.Rate(key)
+	}
+	return rate
+}
+
+func (l *loads) usable() []*load {
+	var out []*load
+	for _, one := range l.list {
+		if one.Usable {
+			out = append(out, one)
+		}
+	}
+	return out
+}
+
+// busiest returns the usable server with the highest use.
+func (l *loads) busiest() *load {
+	var best *load
+	for _, one := range l.usable() {
+		if best == nil || one.use() > best.use() || one.use() == best.use() && one.keys > best.keys {
+			best = one
+		}
+	}
+	return best
+}
+
+// idlest returns the usable server with the lowest use that is not cold, or else a cold one.
+func (l *loads) idlest(except string) *load {
+	var best *load
+	for _, cold := range []bool{false, true} {
+		for _, one := range l.usable() {
+			if one.Cold != cold || one.Name == except {
+				continue
+			}
+			if best == nil || one.use() < best.use() || one.use() == best.use() && one.keys < best.keys {
+				best = one
+			}
+		}
+		if best != nil {
+			return best
+		}
+	}
+	return nil
+}
+
+func (l *loads) averageUse() float64 {
+	rate, capacity := 0.0, 0.0
+	for _, one := range l.usable() {
+		rate += one.rate
+		capacity += float64(one.Slots) / one.Took
+	}
+	if capacity == 0 {
+		return 0
+	}
+	return rate / capacity
+}
+
+func (l *loads) averageRate() float64 {
+	rate := 0.0
+	usable := l.usable()
+	for _, one := range usable {
+		rate += one.rate
+	}
+	return rate / float64(max(1, len(usable)))
+}
+
+// shift moves the load of an interval in the planner's books.
+func (l *loads) shift(i Interval, from, to *load) {
+	rate := l.rateOf(i)
+	if from != nil {
+		from.rate -= rate
+		from.keys -= i.Size()
+	}
+	to.rate += rate
+	to.keys += i.Size()
+}
+
+// cut divides an interval so that no part is more than half an average server's load.
+func (l *loads) cut(i Interval) []Interval {
+	limit := l.averageRate() / 2
+	total := l.rateOf(i)
+	parts := 1
+	if limit > 0 {
+		parts = min(spanLimit/2, max(1, int(total/limit)))
+	}
+	var out []Interval
+	from, sum := i.From, 0.0
+	for key := i.From; key <= i.To; key++ {
+		sum += l.heat.Rate(key)
+		if len(out) < parts-1 && sum >= total/float64(parts) && key < i.To {
+			out = append(out, Interval{From: from, To: key})
+			from, sum = key+1, 0
+		}
+	}
+	return append(out, Interval{From: from, To: i.To})
+}
+
+// window returns the fewest neighbouring keys of i whose rate is at least four fifths of want.
+func (l *loads) window(i Interval, want float64) (Interval, bool) {
+	const enough = 0.8
+	if want <= 0 {
+		return Interval{From: i.From, To: i.From + (i.Size()-1)/2}, true
+	}
+	var best Interval
+	found := false
+	from, sum := i.From, 0.0
+	for to := i.From; to <= i.To; to++ {
+		sum += l.heat.Rate(to)
+		for from < to && sum-l.heat.Rate(from) >= want*enough {
+			sum -= l.heat.Rate(from)
+			from++
+		}
+		if sum >= want*enough && (!found || to-from+1 < best.Size()) {
+			best, found = Interval{From: from, To: to}, true
+		}
+	}
+	if !found && i.Size() > 1 {
+		// The whole range has less: half of it is a fair part.
+		return Interval{From: i.From, To: i.From + i.Size()/2 - 1}, true
+	}
+	return best, found
+}
--- /dev/null
+++ b/internal/owners/order.go
@@ -0,0 +1,23 @@
+package owners
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/fleet"
+)
+
+// Order is one call to a server.
+type Order struct {
+	Service string
+	Interval
+	Action Action
+	Life   fleet.Life
+	Fence  int64
+	// Hold is how long the keys are granted for.
+	Hold time.Duration
+	// Handover passes on the state of the last owner.
+	Handover string
+	version  uint64
+	// before is when the hold would have ended without this order.
+	before time.Time
+}
--- /dev/null
+++ b/internal/owners/orders.go
@@ -0,0 +1,162 @@
+package owners
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/fleet"
+)
+
+// Lives tells which life of a server is listed now.
+type Lives interface {
+	// Current returns the listed life of the server, and false when it is not listed.
+	Current(service, name string) (fleet.Life, bool)
+}
+
+// Due returns the orders to send now and marks them as under way.
+func (t *Table) Due(now time.Time, lives Lives) []Order {
+	var orders []Order
+	for service, spans := range t.services {
+		for _, s := range spans {
+			if order, ok := t.due(now, service, s, lives); ok {
+				orders = append(orders, order)
+			}
+		}
+	}
+	return orders
+}
+
+func (t *Table) due(now time.Time, service string, s *span, lives Lives) (Order, bool) {
+	if s.phase == PhaseReleasing {
+		t.endPrevious(now, service, s, lives)
+	}
+	if s.busy || now.Before(s.nextAt) || s.owner.Name == "" {
+		return Order{}, false
+	}
+	order := Order{Service: service, Interval: s.Interval, version: s.version}
+	switch s.phase {
+	case PhaseReleasing:
+		order.Action, order.Life, order.Fence = ActionRelease, s.previous.Life, s.previous.Fence
+	case PhaseGranting, PhaseHeld:
+		order.Action, order.Life, order.Fence = ActionGrant, s.owner, s.fence
+		order.Hold, order.Handover = t.holdFor, s.handover
+		order.before = s.until
+		if until := holdEnd(now.Add(OrderTimeout), t.holdFor); until.After(s.until) {
+			s.until = until
+		}
+	default:
+		return Order{}, false
+	}
+	s.busy = true
+	return order, true
+}
+
+// endPrevious lets a move go on without the last owner's answer once its hold
+// has ended or another life of it is listed.
+func (t *Table) endPrevious(now time.Time, service string, s *span, lives Lives) {
+	life, listed := lives.Current(service, s.previous.Life.Name)
+	reborn := listed && life != s.previous.Life && s.previous.Life.Born != 0
+	if reborn || now.After(s.previous.Until) {
+		t.released(s, "")
+	}
+}
+
+func (t *Table) released(s *span, handover string) {
+	s.previous = nil
+	s.handover = handover
+	s.phase = PhaseGranting
+	s.nextAt = time.Time{}
+	s.busy = false
+	s.failures = 0
+	s.version = t.change()
+}
+
+// Apply takes note of the end of an order's call. It returns false when a higher
+// fence shows that another instance has become the holder.
+func (t *Table) Apply(reply Reply) bool {
+	o := reply.Order
+	s := t.find(o.Service, o.From)
+	if o.Action == ActionGrant && reply.Outcome != Unsent && reply.Outcome != Gone {
+		t.extend(reply)
+	}
+	if s == nil || s.Interval != o.Interval || s.version != o.version {
+		return reply.Outcome != Fenced
+	}
+	s.busy = false
+	if o.Action == ActionRelease {
+		t.applyRelease(s, reply)
+		return true
+	}
+	return t.applyGrant(s, reply)
+}
+
+// extend notes that the server may hold the keys of a grant, whatever the
+// table says of them by now.
+func (t *Table) extend(reply Reply) {
+	o := reply.Order
+	until := holdEnd(reply.Ended, o.Hold)
+	for _, s := range t.services[o.Service] {
+		if s.To < o.From || s.From > o.To {
+			continue
+		}
+		if s.owner == o.Life && until.After(s.until) {
+			s.until = until
+		}
+		if s.previous != nil && s.previous.Life == o.Life && reply.Outcome == Silent && until.After(s.previous.Until) {
+			s.previous.Until = until
+		}
+	}
+}
+
+func (t *Table) applyRelease(s *span, reply Reply) {
+	switch reply.Outcome {
+	case Done:
+		t.released(s, reply.Handover)
+	case Gone:
+		t.released(s, "")
+	default:
+		s.nextAt = reply.Ended.Add(retryEvery)
+	}
+}
+
+func (t *Table) applyGrant(s *span, reply Reply) bool {
+	switch reply.Outcome {
+	case Done:
+		if s.phase != PhaseHeld {
+			t.version++
+		}
+		s.phase = PhaseHeld
+		s.failures = 0
+		s.handover = ""
+		s.nextAt = reply.Ended.Add(renewEvery)
+	case Fenced:
+		s.nextAt = reply.Ended.Add(renewEvery)
+		return false
+	case Gone:
+		s.failures = suspectAfter
+		s.until = reply.Ended
+		t.suspects[s.owner] = reply.Ended.Add(suspectFor)
+		s.nextAt = reply.Ended.Add(retryEvery)
+	default:
+		if reply.Outcome == Unsent {
+			s.until = reply.Order.before
+		}
+		if s.failures++; s.failures >= suspectAfter {
+			t.suspects[s.owner] = reply.Ended.Add(suspectFor)
+		}
+		s.nextAt = reply.Ended.Add(retryEvery)
+		if s.phase == PhaseHeld && reply.Ended.After(s.until) {
+			s.phase = PhaseGranting
+		}
+	}
+	return true
+}
+
+// holdEnd returns when a grant has ended at the latest that arrived at the given time.
+func holdEnd(arrived time.Time, hold time.Duration) time.Time {
+	return arrived.Add(time.Duration(float64(hold)*(1+clockDrift)) + holdMargin)
+}
+
+// SetHold changes the length of later grants.
+func (t *Table) SetHold(hold time.Duration) {
+	t.holdFor = hold
+}
--- /dev/null
+++ b/internal/owners/phase.go
@@ -0,0 +1,27 @@
+package owners
+
+// Phase is the state of a range.
+type Phase uint8
+
+// The phases.
+const (
+	// PhaseUnowned ranges need a server.
+	PhaseUnowned Phase = iota
+	// PhasePlanned ranges have a new owner that is not stored yet.
+	PhasePlanned
+	// PhaseReleasing ranges wait for their last owner to give them up.
+	PhaseReleasing
+	// PhaseGranting ranges wait for the new owner's answer.
+	PhaseGranting
+	// PhaseHeld ranges are served.
+	PhaseHeld
+)
+
+// String returns the name of the phase in logs.
+func (p Phase) String() string {
+	names := [...]string{"unowned", "planned", "releasing", "granting", "held"}
+	if int(p) < len(names) {
+		return names[p]
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/internal/owners/plan.go
@@ -0,0 +1,169 @@
+package owners
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// Heat tells the request rate of each key.
+type Heat interface {
+	// Rate returns the requests/s for key.
+	Rate(key int) float64
+}
+
+// Plan looks for owners of ranges that need one and moves keys off busy servers.
+// It reports whether the plan has changed.
+func (t *Table) Plan(now time.Time, service string, candidates []Candidate, heat Heat) bool {
+	before := t.version
+	sort.Slice(candidates, func(i, j int) bool { return candidates[i].Name < candidates[j].Name })
+	loads := t.newLoads(now, service, candidates, heat)
+	if len(loads.usable()) == 0 {
+		return false
+	}
+	if len(t.services[service]) == 0 {
+		t.planFirst(service, loads)
+		return t.version != before
+	}
+	t.planLost(service, loads)
+	t.planJoined(service, loads)
+	t.planBusy(service, loads)
+	return t.version != before
+}
+
+// planFirst gives all servers equal parts by their slots.
+func (t *Table) planFirst(service string, loads *loads) {
+	usable := loads.usable()
+	total := 0
+	for _, l := range usable {
+		total += l.Slots
+	}
+	version := t.change()
+	from, slots := 0, 0
+	for _, l := range usable {
+		slots += l.Slots
+		to := Keys*slots/total - 1
+		t.services[service] = append(t.services[service], &span{
+			Interval: Interval{From: from, To: to},
+			owner:    l.Life,
+			fence:    t.nextFence(),
+			phase:    PhasePlanned,
+			version:  version,
+		})
+		from = to + 1
+	}
+}
+
+// planLost moves ranges whose owner is gone, leaves or is silent.
+func (t *Table) planLost(service string, loads *loads) {
+	for _, s := range append([]*span(nil), t.services[service]...) {
+		owner := loads.of[s.owner.Name]
+		if s.phase == PhasePlanned && owner != nil && owner.Usable {
+			continue
+		}
+		if owner != nil && owner.Usable && owner.Life != s.owner {
+			t.move(s, owner.Life) // the server started again and knows nothing
+			continue
+		}
+		if owner != nil && owner.Usable && s.failures < suspectAfter {
+			continue
+		}
+		t.spread(service, s, loads, s.owner.Name)
+	}
+}
+
+// spread gives the range to the servers with most room, cut so that none is overloaded.
+func (t *Table) spread(service string, s *span, loads *loads, except string) {
+	for _, cut := range loads.cut(s.Interval) {
+		to := loads.idlest(except)
+		if to == nil {
+			return
+		}
+		part := t.find(service, cut.From)
+		if part == nil {
+			return
+		}
+		part = t.split(service, part, cut)
+		loads.shift(cut, nil, to)
+		t.move(part, to.Life)
+	}
+}
+
+// planJoined gives servers without keys a part of the busiest servers' keys.
+func (t *Table) planJoined(service string, loads *loads) {
+	for _, l := range loads.usable() {
+		if l.keys > 0 || t.moving(service) >= movesAtOnce {
+			continue
+		}
+		from := loads.busiest()
+		if from == nil || from == l {
+			return
+		}
+		want := loads.averageRate() * joinShare
+		if s, cut, ok := t.cutOf(service, from, want, loads); ok {
+			t.moveCut(service, s, cut, from, l, loads)
+		}
+	}
+}
+
+// planBusy moves the fewest keys that relieve a server that is far busier than the others.
+func (t *Table) planBusy(service string, loads *loads) {
+	for t.moving(service) < movesAtOnce {
+		from, to := loads.busiest(), loads.idlest("")
+		if from == nil || to == nil || from == to {
+			return
+		}
+		average := loads.averageUse()
+		if from.use() < busyShare || from.use() < average+busyLead {
+			return
+		}
+		room := (average+(busyShare-average)/2)*float64(to.Slots)/to.Took - to.rate
+		excess := from.rate - average*float64(from.Slots)/from.Took
+		want := math.Min(room, excess)
+		if want <= 0 {
+			return
+		}
+		s, cut, ok := t.cutOf(service, from, want, loads)
+		if !ok {
+			return
+		}
+		rate := loads.rateOf(cut)
+		if (to.rate+rate)*to.Took/float64(to.Slots) >= from.use() {
+			return
+		}
+		t.moveCut(service, s, cut, from, to, loads)
+	}
+}
+
+func (t *Table) moveCut(service string, s *span, cut Interval, from, to *load, loads *loads) {
+	part := t.split(service, s, cut)
+	loads.shift(cut, from, to)
+	t.move(part, to.Life)
+}
+
+// cutOf returns the fewest neighbouring keys of a server that have the wanted rate.
+func (t *Table) cutOf(service string, from *load, want float64, loads *loads) (*span, Interval, bool) {
+	var best *span
+	var cut Interval
+	for _, s := range t.services[service] {
+		if s.owner != from.Life || s.phase != PhaseHeld {
+			continue
+		}
+		i, ok := loads.window(s.Interval, want)
+		if ok && (best == nil || i.Size() < cut.Size()) {
+			best, cut = s, i
+		}
+	}
+	return best, cut, best != nil
+}
+
+// moving returns the number of ranges that are changing their owner.
+func (t *Table) moving(service string) int {
+	n := 0
+	for _, s := range t.services[service] {
+		if s.phase != PhaseHeld {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/owners/record.go
@@ -0,0 +1,31 @@
+package owners
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+)
+
+// Record is what the store keeps of all services: enough for a successor to go
+// on without giving a key to two servers.
+type Record struct {
+	// Epoch rises with each holder.
+	Epoch int64 `json:"epoch"`
+	// Holder is the name and incarnation of the instance that wrote the record.
+	Holder string `json:"holder"`
+	// Services holds the ranges of each service in the order of their keys.
+	Services map[string][]RecordSpan `json:"services"`
+}
+
+// Encode returns the record as the store keeps it.
+func (r Record) Encode() ([]byte, error) {
+	text, err := json.Marshal(r)
+	return text, errors.Wrap(err, "encode the record of owners")
+}
+
+// DecodeRecord reads a record.
+func DecodeRecord(text []byte) (Record, error) {
+	var r Record
+	err := json.Unmarshal(text, &r)
+	return r, errors.Wrap(err, "the record of owners is not readable; remove its key to start anew")
+}
--- /dev/null
+++ b/internal/owners/recordspan.go
@@ -0,0 +1,14 @@
+package owners
+
+// RecordSpan is one range in the record.
+type RecordSpan struct {
+	From  int    `json:"from"`
+	To    int    `json:"to"`
+	Owner string `json:"owner"`
+	Born  int64  `json:"born"`
+	Fence int64  `json:"fence"`
+	// Previous is the owner that may not have given the range up yet.
+	Previous      string `json:"previous,omitempty"`
+	PreviousBorn  int64  `json:"previousBorn,omitempty"`
+	PreviousFence int64  `json:"previousFence,omitempty"`
+}
--- /dev/null
+++ b/internal/owners/span.go
@@ -0,0 +1,29 @@
+package owners
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/fleet"
+)
+
+// span is one range of a service with its owner.
+type span struct {
+	Interval
+	owner fleet.Life
+	fence int64
+	phase Phase
+	// until is when the owner's hold has ended at the latest.
+	until time.Time
+	// previous is the hold that must end before the owner gets the range, or nil.
+	previous *Hold
+	// handover is what the last owner gave with the release.
+	handover string
+	// busy is set while an order for the range is under way.
+	busy bool
+	// nextAt is when the next order is due.
+	nextAt time.Time
+	// failures counts orders in a row without an answer.
+	failures int
+	// version changes with each transition, so that late answers are recognised.
+	version uint64
+}
--- /dev/null
+++ b/internal/owners/table.go
@@ -0,0 +1,211 @@
+package owners
+
+import (
+	"sort"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/fleet"
+)
+
+// Table is the state of all services at the holder. It is not safe for
+// concurrent use: the holder's goroutine owns it.
+type Table struct {
+	epoch    int64
+	holder   string
+	fences   int64
+	services map[string][]*span
+	version  uint64
+	// planned is the version of the last change that the store must know.
+	planned uint64
+	// dirty is set while the plan differs from the stored record.
+	dirty bool
+	// suspects are lives that refuse connections or answer no orders, with the end of the suspicion.
+	suspects map[fleet.Life]time.Time
+	// holdFor is the current length of grants.
+	holdFor time.Duration
+}
+
+// NewTable takes over a record for a new holder: each range is granted again
+// to its owner under a higher fence, which ends the say of earlier holders.
+// Holds of earlier holders end at until at the latest.
+func NewTable(record Record, holder string, until time.Time) *Table {
+	t := &Table{epoch: record.Epoch, holder: holder, services: map[string][]*span{}, suspects: map[fleet.Life]time.Time{}, holdFor: HoldFor}
+	for name, spans := range record.Services {
+		for _, r := range spans {
+			s := &span{
+				Interval: Interval{From: r.From, To: r.To},
+				owner:    fleet.Life{Name: r.Owner, Born: r.Born},
+				fence:    t.nextFence(),
+				until:    until,
+				phase:    PhaseGranting,
+			}
+			if r.Previous != "" {
+				s.previous = &Hold{Life: fleet.Life{Name: r.Previous, Born: r.PreviousBorn}, Fence: r.PreviousFence, Until: until}
+				s.phase = PhaseReleasing
+			}
+			t.services[name] = append(t.services[name], s)
+		}
+	}
+	return t
+}
+
+func (t *Table) nextFence() int64 {
+	t.fences++
+	return t.epoch<<fenceBits + t.fences
+}
+
+// Record returns the plan for the store and whether it differs from what was stored last.
+func (t *Table) Record() (Record, bool) {
+	r := Record{Epoch: t.epoch, Holder: t.holder, Services: map[string][]RecordSpan{}}
+	for name, spans := range t.services {
+		for _, s := range spans {
+			out := RecordSpan{From: s.From, To: s.To, Owner: s.owner.Name, Born: s.owner.Born, Fence: s.fence}
+			if s.previous != nil {
+				out.Previous, out.PreviousBorn, out.PreviousFence = s.previous.Life.Name, s.previous.Life.Born, s.previous.Fence
+			}
+			r.Services[name] = append(r.Services[name], out)
+		}
+	}
+	return r, t.dirty
+}
+
+// Planned returns the version of the plan, to be given to Stored.
+func (t *Table) Planned() uint64 {
+	return t.planned
+}
+
+// Version changes with everything that Spans shows.
+func (t *Table) Version() uint64 {
+	return t.version
+}
+
+// Urgent reports whether a move waits for the store.
+func (t *Table) Urgent() bool {
+	for _, spans := range t.services {
+		for _, s := range spans {
+			if s.phase == PhasePlanned {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// change begins a change of the plan and returns its version.
+func (t *Table) change() uint64 {
+	t.version++
+	t.planned = t.version
+	t.dirty = true
+	return t.version
+}
+
+// Stored tells that the plan of the given version is in the store: its moves may begin.
+func (t *Table) Stored(version uint64) {
+	for _, spans := range t.services {
+		for _, s := range spans {
+			if s.phase == PhasePlanned && s.version <= version {
+				t.begin(s)
+			}
+		}
+	}
+	if version == t.planned {
+		t.dirty = false
+	}
+}
+
+func (t *Table) begin(s *span) {
+	s.phase = PhaseGranting
+	if s.previous != nil {
+		s.phase = PhaseReleasing
+	}
+	s.nextAt = time.Time{}
+	s.busy = false
+	t.version++
+}
+
+// Owner returns the server that holds key, and false while it has none.
+func (t *Table) Owner(service string, key int) (string, bool) {
+	s := t.find(service, key)
+	if s == nil {
+		return "", false
+	}
+	return s.owner.Name, s.phase == PhaseHeld
+}
+
+func (t *Table) find(service string, key int) *span {
+	spans := t.services[service]
+	i := sort.Search(len(spans), func(i int) bool { return spans[i].To >= key })
+	if i == len(spans) || !spans[i].Contains(key) {
+		return nil
+	}
+	return spans[i]
+}
+
+// move plans a new owner for s. The record must be stored before it begins.
+func (t *Table) move(s *span, to fleet.Life) {
+	version := t.change()
+	switch s.phase {
+	case PhaseHeld, PhaseGranting:
+		if s.owner.Name != "" && s.previous == nil {
+			s.previous = &Hold{Life: s.owner, Fence: s.fence, Until: s.until}
+		}
+	}
+	s.owner = to
+	s.fence = t.nextFence()
+	s.phase = PhasePlanned
+	s.version = version
+	s.until = time.Time{}
+	s.handover = ""
+	s.failures = 0
+	s.busy = false
+}
+
+// split cuts the interval out of s and returns the span that covers exactly it.
+func (t *Table) split(service string, s *span, cut Interval) *span {
+	if cut == s.Interval {
+		return s
+	}
+	version := t.change()
+	spans := t.services[service]
+	at := sort.Search(len(spans), func(i int) bool { return spans[i].To >= s.To })
+	var parts []*span
+	var middle *span
+	for _, i := range []Interval{{s.From, cut.From - 1}, cut, {cut.To + 1, s.To}} {
+		if i.Size() <= 0 {
+			continue
+		}
+		part := *s
+		part.Interval = i
+		part.version = version
+		part.busy = false
+		if s.previous != nil {
+			hold := *s.previous
+			part.previous = &hold
+		}
+		parts = append(parts, &part)
+		if i == cut {
+			middle = &part
+		}
+	}
+	t.services[service] = append(spans[:at:at], append(parts, spans[at+1:]...)...)
+	return middle
+}
+
+// Spans returns what is known of each range of a service, for publication and logs.
+func (t *Table) Spans(service string) []View {
+	out := make([]View, 0, len(t.services[service]))
+	for _, s := range t.services[service] {
+		out = append(out, View{Interval: s.Interval, Owner: s.owner.Name, Held: s.phase == PhaseHeld})
+	}
+	return out
+}
+
+// Services returns the names of the services that have ranges.
+func (t *Table) Services() []string {
+	var names []string
+	for name := range t.services {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/internal/placing/ask.go
@@ -0,0 +1,33 @@
+package placing
+
+import "time"
+
+// NoKey marks a request of a service that is not divided by key.
+const NoKey = -1
+
+// Ask is one attempt that needs a server.
+type Ask struct {
+	Ticket  Ticket
+	Service string
+	// Key is NoKey or a key of the service.
+	Key int
+	// Priority is the rank of the route; 0 is the highest.
+	Priority int
+	// Domain is the failure domain of the instance.
+	Domain string
+	// Large requests are kept in their failure domain when that costs no time.
+	Large bool
+	// Target is when an answer loses part of its value.
+	Target time.Time
+	// Deadline is when an answer is worth nothing.
+	Deadline time.Time
+	// Mark identifies the content of the request, so that one that crashes servers is recognised.
+	Mark uint64
+	// Avoid holds the servers that this request was sent to before.
+	Avoid []string
+}
+
+// repeat reports whether the request was sent to a server before.
+func (a *Ask) repeat() bool {
+	return len(a.Avoid) > 0
+}
--- /dev/null
+++ b/internal/placing/budget.go
@@ -0,0 +1,10 @@
+package placing
+
+import "time"
+
+// Budget bounds the retries for a service: within Window, Ratio of its requests plus Extra.
+type Budget struct {
+	Window time.Duration
+	Ratio  float64
+	Extra  float64
+}
--- /dev/null
+++ b/internal/placing/constants.go
@@ -0,0 +1,35 @@
+package placing
+
+import "time"
+
+const (
+	// defaultTook is the assumed service time of a server that has not answered yet.
+	defaultTook = 150 * time.Millisecond
+	// tookWeight is the weight of the newest answer in the average service time:
+	// about the last eight answers count.
+	tookWeight = 0.12
+	// slownessLife is how long a server's report of its machine's speed is
+	// believed; neighbours change several times a second.
+	slownessLife = 300 * time.Millisecond
+	// crossDomain is the extra time of a server in another failure domain: two hops.
+	crossDomain = 3 * time.Millisecond
+	// crossDomainLarge is what keeps large requests in their failure domain,
+	// where their bytes are cheap.
+	crossDomainLarge = 30 * time.Millisecond
+	// firstSuspicion and longestSuspicion bound how long a server that failed gets
+	// no work; it doubles with each failure in a row.
+	firstSuspicion   = 200 * time.Millisecond
+	longestSuspicion = 2 * time.Second
+	// shedPause is how long a server that shed work while it had free slots gets none.
+	shedPause = 50 * time.Millisecond
+	// coldBurst is how many requests a cold server may get at once.
+	coldBurst = 1.5
+	// shortestRetry and longestRetry bound the advice when to come back.
+	shortestRetry = 50 * time.Millisecond
+	longestRetry  = 2 * time.Second
+	// loadTimeConstant is the decay of the request rate of a key: hot keys last
+	// some seconds, and shorter averages follow noise.
+	loadTimeConstant = 1500 * time.Millisecond
+	// Keys is the number of keys of a service.
+	Keys = 1 << 16
+)
--- /dev/null
+++ b/internal/placing/crashes.go
@@ -0,0 +1,40 @@
+package placing
+
+import "time"
+
+const (
+	// crashLimit is how many servers a request may take down before it is refused.
+	crashLimit = 2
+	// crashLife is how long a crash is remembered; such requests come again within seconds.
+	crashLife = 60 * time.Second
+	// crashEntries bounds the memory of crashes.
+	crashEntries = 4096
+)
+
+// crashes counts by content how often a request ended with its server's connection.
+type crashes struct {
+	seen map[uint64]crash
+}
+
+// note counts a lost answer, or forgets the request when it was answered.
+func (c *crashes) note(now time.Time, f Finish) {
+	switch {
+	case f.Outcome == Answered:
+		delete(c.seen, f.Mark)
+	case f.Outcome == Lost:
+		if c.seen == nil || len(c.seen) >= crashEntries {
+			c.seen = map[uint64]crash{}
+		}
+		old := c.seen[f.Mark]
+		if now.Sub(old.last) > crashLife {
+			old.count = 0
+		}
+		c.seen[f.Mark] = crash{count: old.count + 1, last: now}
+	}
+}
+
+// refuses reports whether the request has taken down too many servers.
+func (c *crashes) refuses(now time.Time, mark uint64) bool {
+	old, ok := c.seen[mark]
+	return ok && old.count >= crashLimit && now.Sub(old.last) < crashLife
+}
--- /dev/null
+++ b/internal/placing/load.go
@@ -0,0 +1,11 @@
+package placing
+
+// Load is a server's report of itself.
+type Load struct {
+	Known   bool
+	Running int
+	Waiting int
+	Slots   int
+	// Slowness is how long work takes on the server's machine at the moment; 1 is usual, 0 unknown.
+	Slowness float64
+}
--- /dev/null
+++ b/internal/placing/server.go
@@ -0,0 +1,90 @@
+package placing
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/fleet"
+)
+
+// server is what the placer knows of one life of a backend server.
+type server struct {
+	fleet.Server
+	// out servers get no new work: they leave, or their failure domain is taken out.
+	out bool
+	// running holds the attempts that are under way.
+	running map[Ticket]time.Time
+	// took is the average service time in seconds, or 0 before the first answer.
+	took float64
+	// slowness is the last report, made at slownessAt.
+	slowness   float64
+	slownessAt time.Time
+	// pausedUntil is when a server that failed or shed may get work again.
+	pausedUntil time.Time
+	failures    int
+	cold        bucket
+	// queue holds the requests for keys of this server.
+	queue queue
+}
+
+func newServer(s fleet.Server) *server {
+	return &server{Server: s, running: map[Ticket]time.Time{}}
+}
+
+// expected returns how long a request is likely to take at the server.
+func (s *server) expected(now time.Time, fallback float64) float64 {
+	took := s.took
+	if took == 0 {
+		took = fallback
+	}
+	if now.Sub(s.slownessAt) < slownessLife && s.slowness > 0 {
+		took *= s.slowness
+	}
+	return took
+}
+
+// free reports whether the server has a free slot and may be given work.
+func (s *server) free(now time.Time) bool {
+	return !s.out && len(s.running) < s.Slots && !now.Before(s.pausedUntil)
+}
+
+// admit takes a slot, and a token while the server is cold.
+func (s *server) admit(now time.Time, coldRate float64) bool {
+	if !s.free(now) {
+		return false
+	}
+	if coldRate > 0 && s.Cold(now) {
+		return s.cold.take(now, coldRate, coldBurst)
+	}
+	return true
+}
+
+// finished learns from the end of an attempt.
+func (s *server) finished(now time.Time, f Finish) {
+	delete(s.running, f.Ticket)
+	if f.Load.Known && f.Load.Slowness > 0 {
+		s.slowness, s.slownessAt = f.Load.Slowness, now
+	}
+	switch f.Outcome {
+	case Answered:
+		s.failures = 0
+		s.pausedUntil = time.Time{}
+		s.learn(f.Took)
+	case Shed:
+		s.pausedUntil = now.Add(shedPause)
+	case Unreached, Lost:
+		s.failures++
+		pause := firstSuspicion << min(s.failures-1, 8)
+		s.pausedUntil = now.Add(min(pause, longestSuspicion))
+	case Abandoned:
+		s.learn(f.Took)
+	}
+}
+
+func (s *server) learn(took time.Duration) {
+	sample := took.Seconds()
+	if s.took == 0 {
+		s.took = sample
+		return
+	}
+	s.took += tookWeight * (sample - s.took)
+}
