--- /dev/null
+++ b/internal/entrynode/command/command.go
@@ -0,0 +1,63 @@
+// Package command is the command line of peridotmoor-entry.
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+
+	"peridotmoor.org/peridotmoor/internal/entrynode"
+)
+
+// Exit codes of peridotmoor-entry.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// Run runs the instance until SIGTERM or SIGINT, which start a planned stop.
+// SIGHUP checks the settings file again. It returns the exit code.
+func Run(arguments []string, out, faults io.Writer) int {
+	path, check := "", false
+	parser := flaggy.NewParser("peridotmoor-entry")
+	parser.Description = "Runs one entry instance of peridotmoor on a platform with its own store and list of servers."
+	parser.String(&path, "c", "config", "INI file with the settings of the instance")
+	parser.Bool(&check, "", "check", "check the settings file and exit")
+	if err := parser.ParseArgs(arguments); err != nil {
+		fmt.Fprintf(faults, "%v; see peridotmoor-entry --help\n", err)
+		return exitUsage
+	}
+	if path == "" {
+		fmt.Fprintln(faults, "no settings file is given; start with --config FILE")
+		return exitUsage
+	}
+	config, err := entrynode.Load(path)
+	if err != nil {
+		fmt.Fprintln(faults, err)
+		return exitUsage
+	}
+	if check {
+		return exitOK
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	node := entrynode.New(config, out)
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	go func() {
+		for range hangup {
+			node.Reload(path)
+		}
+	}()
+	if err := node.Run(ctx); err != nil {
+		fmt.Fprintln(faults, err)
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/internal/entrynode/config.go
@@ -0,0 +1,26 @@
+package entrynode
+
+import "time"
+
+// Config holds the settings of one instance, from its INI file.
+type Config struct {
+	// Name, Domain and FirstStart are of section [instance].
+	Name   string
+	Domain string
+	// FirstStart is set when the whole fleet starts for the first time.
+	FirstStart bool
+	// Callers, Ready, Peers and Metrics are addresses of section [listen].
+	Callers string
+	Ready   string
+	Peers   string
+	Metrics string
+	// Store is the address of the platform's store, of section [store].
+	Store string
+	// The rest is of section [bounds].
+	// Grace is the time from SIGTERM to SIGKILL.
+	Grace time.Duration
+	// RetryRatio, RetryExtra and RetryWindow bound the retries for a service, of all instances together.
+	RetryRatio  float64
+	RetryExtra  float64
+	RetryWindow time.Duration
+}
--- /dev/null
+++ b/internal/entrynode/constants.go
@@ -0,0 +1,18 @@
+package entrynode
+
+import "time"
+
+const (
+	// readyAfter is the longest that an instance waits for complete facts before
+	// it takes callers with what it has.
+	readyAfter = 6 * time.Second
+	// stopNotice is how long an instance that stops goes on taking new
+	// connections: the balancer asks once a second and acts on two misses.
+	stopNotice = 2500 * time.Millisecond
+	// stopPoll is how often a stopping instance looks whether it is idle.
+	stopPoll = 100 * time.Millisecond
+	// stopReserve is kept from the grace time for the end of the process.
+	stopReserve = 600 * time.Millisecond
+	// metricsTimeout bounds the headers of a request for metrics.
+	metricsTimeout = 2 * time.Second
+)
--- /dev/null
+++ b/internal/entrynode/parse.go
@@ -0,0 +1,106 @@
+package entrynode
+
+import (
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"gopkg.in/ini.v1"
+
+	"peridotmoor.org/peridotmoor/internal/nodeconfig"
+)
+
+// Load reads and checks the settings file.
+func Load(path string) (Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, errors.Wrap(err, "read the settings file; give its path with --config")
+	}
+	return Parse(text, path)
+}
+
+// Parse checks text and returns its settings. The error is nodeconfig.Issues
+// with every fault found. fileName only appears in messages.
+func Parse(text []byte, fileName string) (Config, error) {
+	file, err := ini.Load(text)
+	if err != nil {
+		return Config{}, nodeconfig.Issues{{File: fileName, Reason: "not readable as INI: " + err.Error(), Remedy: "correct the line that the message names"}}
+	}
+	p := &parser{file: fileName, ini: file}
+	config := Config{
+		Name:        p.text("instance", "name"),
+		Domain:      p.text("instance", "domain"),
+		FirstStart:  p.flag("instance", "first_start"),
+		Callers:     p.address("listen", "callers"),
+		Ready:       p.address("listen", "ready"),
+		Peers:       p.address("listen", "peers"),
+		Metrics:     p.address("listen", "metrics"),
+		Store:       p.address("store", "address"),
+		Grace:       p.seconds("bounds", "grace_s"),
+		RetryRatio:  p.number("bounds", "retry_ratio"),
+		RetryExtra:  p.number("bounds", "retry_extra"),
+		RetryWindow: p.seconds("bounds", "retry_window_s"),
+	}
+	if len(p.issues) > 0 {
+		return Config{}, p.issues
+	}
+	return config, nil
+}
+
+// parser collects the faults of a file.
+type parser struct {
+	file   string
+	ini    *ini.File
+	issues nodeconfig.Issues
+}
+
+func (p *parser) fault(section, key, value, reason, remedy string) {
+	p.issues = append(p.issues, nodeconfig.Issue{File: p.file, Section: section, Key: key, Value: value, Reason: reason, Remedy: remedy})
+}
+
+func (p *parser) text(section, key string) string {
+	value := p.ini.Section(section).Key(key).String()
+	if value == "" {
+		p.fault(section, key, value, "is missing", "set it")
+	}
+	return value
+}
+
+func (p *parser) flag(section, key string) bool {
+	value := p.text(section, key)
+	flag, err := strconv.ParseBool(value)
+	if value != "" && err != nil {
+		p.fault(section, key, value, "is not a truth value", "write true or false")
+	}
+	return flag
+}
+
+func (p *parser) address(section, key string) string {
+	value := p.text(section, key)
+	if value == "" {
+		return ""
+	}
+	if _, port, err := net.SplitHostPort(value); err != nil || port == "" {
+		p.fault(section, key, value, "is not an address", "write host:port")
+	}
+	return value
+}
+
+func (p *parser) number(section, key string) float64 {
+	value := p.text(section, key)
+	n, err := strconv.ParseFloat(value, 64)
+	if value != "" && (err != nil || n < 0) {
+		p.fault(section, key, value, "is not a number of 0 or more", "write a number")
+	}
+	return n
+}
+
+func (p *parser) seconds(section, key string) time.Duration {
+	n := p.number(section, key)
+	if n == 0 && len(p.issues) == 0 {
+		p.fault(section, key, "0", "is not a time", "write a number of seconds above 0")
+	}
+	return time.Duration(n * float64(time.Second))
+}
--- a/internal/events/catalogue_test.go
+++ b/internal/events/catalogue_test.go
@@ -28,6 +28,7 @@
 	{1450, "Request at the entry instance"},
 	{1500, "Instances of the fleet"},
 	{1600, "Other"},
+	{1700, "Instance on a platform with its own list of servers"},
 }
 
 const pageHead = `# Events
--- /dev/null
+++ b/internal/facts/reader.go
@@ -0,0 +1,91 @@
+package facts
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/events"
+	"peridotmoor.org/peridotmoor/internal/fleet"
+)
+
+const (
+	// readTimeout bounds one reading; a store that is slow answers within it.
+	readTimeout = 900 * time.Millisecond
+	// outageAfter without a reading, entries may have lapsed because the store was away.
+	outageAfter = 1500 * time.Millisecond
+	// reappearWithin is how long after an outage live servers may take to be listed again.
+	reappearWithin = 2200 * time.Millisecond
+)
+
+// Reader reads the facts from the store into a board.
+type Reader struct {
+	source Source
+	board  *Board
+	log    *events.Logger
+	// lastRead is when the last reading began, or nil before the first.
+	lastRead atomic.Pointer[time.Time]
+	// recoveredAt is when the store was back after the last outage.
+	recoveredAt time.Time
+	last        []fleet.Server
+	unreadable  map[string]bool
+	lost        bool
+}
+
+// NewReader returns a reader. One goroutine at a time may call Read.
+func NewReader(source Source, board *Board, log *events.Logger) *Reader {
+	return &Reader{source: source, board: board, log: log, unreadable: map[string]bool{}}
+}
+
+// Age returns how long ago the store was read, and false before the first reading.
+func (r *Reader) Age(now time.Time) (time.Duration, bool) {
+	at := r.lastRead.Load()
+	if at == nil {
+		return 0, false
+	}
+	return now.Sub(*at), true
+}
+
+// Read reads everything once. The error says that the store did not answer.
+func (r *Reader) Read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	began := time.Now()
+	listing, err := r.source.Listing(ctx)
+	if err == nil {
+		var orders fleet.Orders
+		if orders, err = r.source.Orders(ctx); err == nil {
+			r.take(began, listing, orders)
+			return nil
+		}
+	}
+	if !r.lost && ctx.Err() != context.Canceled {
+		r.lost = true
+		r.log.Emit(events.StoreLost, "detail", err.Error())
+	}
+	return err
+}
+
+func (r *Reader) take(began time.Time, listing fleet.Listing, orders fleet.Orders) {
+	if age, known := r.Age(began); known && age > outageAfter {
+		r.recoveredAt = began
+	}
+	if r.lost {
+		r.lost = false
+		r.log.Emit(events.StoreRegained)
+	}
+	r.lastRead.Store(&began)
+	for _, key := range listing.Unreadable {
+		if !r.unreadable[key] {
+			r.unreadable[key] = true
+			r.log.Emit(events.EntryUnreadable, "detail", key)
+		}
+	}
+	servers := listing.Servers
+	if began.Sub(r.recoveredAt) < reappearWithin {
+		servers = Retain(r.last, servers)
+	}
+	r.last = servers
+	r.board.Orders(orders, began)
+	r.board.Servers(servers, began)
+}
--- /dev/null
+++ b/internal/facts/retain.go
@@ -0,0 +1,26 @@
+package facts
+
+import (
+	"sort"
+
+	"peridotmoor.org/peridotmoor/internal/fleet"
+)
+
+// Retain returns the listed servers and those of the last listing that are
+// missing: their entries may have lapsed while the store was away.
+func Retain(last, listed []fleet.Server) []fleet.Server {
+	found := make(map[string]bool, len(listed))
+	addresses := make(map[string]bool, len(listed))
+	for _, s := range listed {
+		found[s.Name] = true
+		addresses[s.Address] = true
+	}
+	out := append([]fleet.Server(nil), listed...)
+	for _, s := range last {
+		if !found[s.Name] && !addresses[s.Address] {
+			out = append(out, s)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
--- /dev/null
+++ b/internal/facts/source.go
@@ -0,0 +1,15 @@
+package facts
+
+import (
+	"context"
+
+	"peridotmoor.org/peridotmoor/internal/fleet"
+)
+
+// Source reads the facts from the platform's store. Errors are those of package store.
+type Source interface {
+	// Orders returns what the operators have written.
+	Orders(ctx context.Context) (fleet.Orders, error)
+	// Listing returns the listed backend servers.
+	Listing(ctx context.Context) (fleet.Listing, error)
+}
--- /dev/null
+++ b/internal/facts/view.go
@@ -0,0 +1,84 @@
+package facts
+
+import (
+	"sort"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/fleet"
+	"peridotmoor.org/peridotmoor/internal/owners"
+)
+
+// View is one state of the facts. It is immutable.
+type View struct {
+	// Orders is what the operators have written; Config is its decoded form or nil.
+	Orders   fleet.Orders
+	OrdersAt time.Time
+	Config   *fleet.Config
+	// Servers holds the listed servers; ListingAt is when they were read.
+	Servers   []fleet.Server
+	ListingAt time.Time
+	// Owned holds the ranges of the services divided by key, in the order of their keys.
+	Owned map[string][]owners.View
+	// Epoch is the epoch of the holder that published Owned.
+	Epoch int64
+	// The sequences change with their parts.
+	OrdersSequence, ListingSequence, OwnedSequence uint64
+
+	byName map[string]*fleet.Server
+	out    map[string]bool
+}
+
+// Server returns the listed server of that name, or nil.
+func (v *View) Server(name string) *fleet.Server {
+	return v.byName[name]
+}
+
+// Usable reports whether the server may get new work.
+func (v *View) Usable(s *fleet.Server) bool {
+	return !s.Leaving && !v.out[s.Domain]
+}
+
+// Owner returns the owner of a key, and false while it has none.
+func (v *View) Owner(service string, key int) (string, bool) {
+	ranges := v.Owned[service]
+	i := sort.Search(len(ranges), func(i int) bool { return ranges[i].To >= key })
+	if i == len(ranges) || !ranges[i].Contains(key) {
+		return "", false
+	}
+	return ranges[i].Owner, ranges[i].Held
+}
+
+// Complete reports whether requests of all routes can be served.
+func (v *View) Complete() bool {
+	if v.Config == nil || len(v.Servers) == 0 {
+		return false
+	}
+	for _, name := range v.Config.KeyedServices() {
+		if len(v.Owned[name]) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (v *View) withOrders(o fleet.Orders, config *fleet.Config, at time.Time) *View {
+	next := *v
+	next.Orders, next.Config, next.OrdersAt = o, config, at
+	next.OrdersSequence++
+	next.out = map[string]bool{}
+	for _, d := range o.DomainsOut {
+		next.out[d] = true
+	}
+	return &next
+}
+
+func (v *View) withServers(servers []fleet.Server, at time.Time) *View {
+	next := *v
+	next.Servers, next.ListingAt = servers, at
+	next.ListingSequence++
+	next.byName = make(map[string]*fleet.Server, len(servers))
+	for i := range servers {
+		next.byName[servers[i].Name] = &servers[i]
+	}
+	return &next
+}
--- /dev/null
+++ b/internal/gateway/body.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// heldBody is how much of a body is held in memory, so that it can be sent again.
+const heldBody = 512 << 10
+
+// Body is the body of a call. Its start is held; a longer rest is streamed once.
+type Body struct {
+	// Held is the start of the body after Hold.
+	Held []byte
+	// Rest streams what follows, or is nil.
+	Rest io.Reader
+	// Length is the announced length in bytes, or -1.
+	Length int64
+	source io.Reader
+}
+
+// deadliner is a source whose reads can be bounded.
+type deadliner interface {
+	SetReadDeadline(t time.Time) error
+}
+
+// NewBody returns the body that source delivers. A nil source is an empty body.
+func NewBody(source io.Reader, length int64) *Body {
+	return &Body{source: source, Length: length}
+}
+
+var (
+	errBodyTooLarge = errors.New("the body exceeds the limit of the configuration; send less or raise the limit")
+	errBodyLate     = errors.New("the body was not sent in time; send it faster or allow more time")
+)
+
+// Hold reads the start of the body until deadline. limit is the longest body allowed.
+func (b *Body) Hold(ctx context.Context, deadline time.Time, limit int64) error {
+	if b.source == nil {
+		return nil
+	}
+	if limit > 0 && b.Length > limit {
+		return errBodyTooLarge
+	}
+	if d, ok := b.source.(deadliner); ok {
+		if err := d.SetReadDeadline(deadline); err != nil {
+			return errors.Wrap(err, "bound the reading of the body")
+		}
+	}
+	want := int64(heldBody)
+	if b.Length >= 0 && b.Length < want {
+		want = b.Length
+	}
+	held := make([]byte, 0, max(want, 512))
+	held, err := readUpTo(held, io.LimitReader(b.source, heldBody))
+	b.Held = held
+	switch {
+	case err != nil && ctx.Err() == nil && !time.Now().Before(deadline):
+		return errBodyLate
+	case err != nil:
+		return errors.Wrap(err, "read the body")
+	case int64(len(held)) < heldBody:
+		return nil
+	}
+	b.Rest = b.source
+	if limit > 0 {
+		b.Rest = &limited{source: b.source, left: limit - heldBody}
+	}
+	return nil
+}
+
+// readUpTo appends all of r to buffer.
+func readUpTo(buffer []byte, r io.Reader) ([]byte, error) {
+	for {
+		if len(buffer) == cap(buffer) {
+			buffer = append(buffer, 0)[:len(buffer)]
+		}
+		n, err := r.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		if errors.Is(err, io.EOF) {
+			return buffer, nil
+		}
+		if err != nil {
+			return buffer, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/desk.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/facts"
+	"peridotmoor.org/peridotmoor/internal/fleet"
+	"peridotmoor.org/peridotmoor/internal/link"
+	"peridotmoor.org/peridotmoor/internal/link/linkpb"
+	"peridotmoor.org/peridotmoor/internal/placing"
+)
+
+// Desk gets a server for each attempt: from the holder, or on its own while the
+// holder is silent. It is safe for concurrent use.
+type Desk struct {
+	instance string
+	board    *facts.Board
+	local    *local
+	link     atomic.Pointer[attached]
+	next     atomic.Uint64
+	pending  sync.Map // uint64 to *pending
+	// heard is when the holder's last message came, age how old its reading of
+	// the store was then.
+	heard atomic.Pointer[heard]
+}
+
+// NewDesk returns a desk without a holder.
+func NewDesk(instance, domain string, board *facts.Board) *Desk {
+	return &Desk{instance: instance, board: board, local: newLocal(domain, board)}
+}
+
+// Attach uses the link until it ends.
+func (d *Desk) Attach(l link.Link) {
+	d.heard.CompareAndSwap(nil, &heard{at: time.Now()})
+	h := *d.heard.Load()
+	h.at = time.Now()
+	d.heard.Store(&h)
+	d.link.Store(&attached{Link: l})
+}
+
+// Silent returns how long the holder has been silent, and how old its reading of the store is.
+func (d *Desk) Silent(now time.Time) (silent, age time.Duration) {
+	h := d.heard.Load()
+	if h == nil {
+		return 0, 0
+	}
+	silent = now.Sub(h.at)
+	if h.age < 0 {
+		return silent, 0
+	}
+	return silent, h.age + silent
+}
+
+// OnDown takes a message of the holder. It does not wait.
+func (d *Desk) OnDown(down *linkpb.Down) {
+	now := time.Now()
+	if f := down.Facts; f != nil {
+		d.takeFacts(f, now)
+	} else if h := d.heard.Load(); h != nil {
+		next := *h
+		next.at = now
+		if next.age >= 0 {
+			next.age += now.Sub(h.at)
+		}
+		d.heard.Store(&next)
+	}
+	for _, number := range down.Waiting {
+		if p, ok := d.pending.Load(number); ok {
+			p.(*pending).waits.Store(true)
+		}
+	}
+	for _, v := range down.Verdicts {
+		verdict := link.DecodeVerdict(v, d.instance)
+		if p, ok := d.pending.LoadAndDelete(v.Number); ok {
+			p.(*pending).verdict <- verdict
+		} else if verdict.Server != "" {
+			d.Finish(placing.Finish{Ticket: verdict.Ticket, Server: verdict.Server, Outcome: placing.Unused})
+		}
+	}
+}
+
+func (d *Desk) takeFacts(f *linkpb.Facts, now time.Time) {
+	age := time.Duration(f.AgeUs) * time.Microsecond
+	read := now
+	if age > 0 {
+		read = now.Add(-age)
+	} else if f.AgeUs < 0 {
+		age = -1
+	}
+	d.heard.Store(&heard{at: now, age: age})
+	if f.Orders != nil && f.Orders.Config != nil {
+		d.board.Orders(fleet.Orders{Config: f.Orders.Config, DomainsOut: f.Orders.DomainsOut}, read)
+	}
+	if f.Listing != nil && len(f.Listing.Servers) > 0 {
+		d.board.Servers(link.DecodeListing(f.Listing, now), read)
+	}
+	if f.Ownership != nil {
+		d.board.Owned(link.DecodeOwnership(f.Ownership), f.Epoch)
+	}
+}
+
+// Place returns a verdict for the ask, whose ticket it sets.
+func (d *Desk) Place(ctx context.Context, ask placing.Ask) placing.Verdict {
+	now := time.Now()
+	number := d.next.Add(1)
+	ask.Ticket = placing.Ticket{Instance: d.instance, Number: number}
+	l := d.link.Load()
+	if l == nil || l.suspect(now) {
+		return d.local.place(now, ask)
+	}
+	p := &pending{verdict: make(chan placing.Verdict, 1)}
+	d.pending.Store(number, p)
+	if !l.Send(&linkpb.Up{Asks: []*linkpb.Ask{link.EncodeAsk(ask, now)}}) {
+		d.pending.Delete(number)
+		return d.local.place(now, ask)
+	}
+	return d.await(ctx, l, p, ask)
+}
+
+func (d *Desk) await(ctx context.Context, l *attached, p *pending, ask placing.Ask) placing.Verdict {
+	timer := time.NewTimer(ackTimeout)
+	defer timer.Stop()
+	for {
+		select {
+		case v := <-p.verdict:
+			return v
+		case <-l.Done():
+			return d.withdraw(l, p, ask, true)
+		case <-ctx.Done():
+			return d.withdraw(l, p, ask, false)
+		case <-timer.C:
+			if !p.waits.Load() {
+				l.suspectUntil(time.Now().Add(suspectFor))
+				return d.withdraw(l, p, ask, true)
+			}
+			timer.Reset(ackTimeout)
+			if silent, _ := d.Silent(time.Now()); silent > link.SilentAfter {
+				return d.withdraw(l, p, ask, true)
+			}
+		}
+	}
+}
+
+// withdraw gives up waiting. A verdict that has come meanwhile is used.
+func (d *Desk) withdraw(l *attached, p *pending, ask placing.Ask, choose bool) placing.Verdict {
+	if _, ours := d.pending.LoadAndDelete(ask.Ticket.Number); !ours {
+		return <-p.verdict
+	}
+	l.Send(&linkpb.Up{Withdrawn: []uint64{ask.Ticket.Number}}) // a link that has ended needs no withdrawal
+	if choose {
+		return d.local.place(time.Now(), ask)
+	}
+	return placing.Verdict{Ticket: ask.Ticket, Reason: placing.ReasonOverload, RetryAfter: retryDefault}
+}
+
+// Finish reports the end of an attempt.
+func (d *Desk) Finish(f placing.Finish) {
+	d.local.finish(f)
+	if l := d.link.Load(); l != nil {
+		l.Send(&linkpb.Up{Finishes: []*linkpb.Finish{link.EncodeFinish(f)}}) // without the holder the slot frees itself at the deadline
+	}
+}
--- /dev/null
+++ b/internal/gateway/heard.go
@@ -0,0 +1,10 @@
+package gateway
+
+import "time"
+
+// heard is what the holder's last message said of its reading of the store.
+type heard struct {
+	at time.Time
+	// age is how old that reading was, or negative when there was none.
+	age time.Duration
+}
--- /dev/null
+++ b/internal/gateway/pending.go
@@ -0,0 +1,14 @@
+package gateway
+
+import (
+	"sync/atomic"
+
+	"peridotmoor.org/peridotmoor/internal/placing"
+)
+
+// pending is an ask without a verdict.
+type pending struct {
+	verdict chan placing.Verdict
+	// waits is set once the holder has said that the ask waits.
+	waits atomic.Bool
+}
--- /dev/null
+++ b/internal/holder/constants.go
@@ -0,0 +1,46 @@
+package holder
+
+import "time"
+
+const (
+	// tickEvery is how often waiting requests and due orders are looked at.
+	tickEvery = 50 * time.Millisecond
+	// planEvery is how often the owners of keys are planned anew.
+	planEvery = 400 * time.Millisecond
+	// eventQueue bounds the events that wait for the holder's goroutine.
+	eventQueue = 1024
+	// storeTimeout bounds one call to the store.
+	storeTimeout = 900 * time.Millisecond
+	// storeRetry is the wait after a failed call.
+	storeRetry = 300 * time.Millisecond
+	// cleanAfter is how long finished moves may stay in the stored record.
+	cleanAfter = 1500 * time.Millisecond
+	// leaseFor is the lifetime of the holder's lease; a dead holder is replaced after it.
+	leaseFor = 2 * time.Second
+	// renewEvery leaves two further tries within the lease.
+	renewEvery = 650 * time.Millisecond
+	// withoutStore is how long a holder goes on renewing grants without the store.
+	withoutStore = 15 * time.Second
+	// holdWithoutStore is the length of grants while no successor can be elected.
+	holdWithoutStore = 6 * time.Second
+	// outageSign is how long the store is silent before grants get longer.
+	outageSign = 1500 * time.Millisecond
+	// frozenAfter without a tick the process has been standing still, and its
+	// tenure must be proved again.
+	frozenAfter = 700 * time.Millisecond
+	// longestForeignHold is how long a grant of an earlier holder may last after
+	// that holder's end: its longest hold, slow clocks and one call included.
+	longestForeignHold = 7 * time.Second
+	// electionJitter spreads the candidates.
+	electionJitter = 150 * time.Millisecond
+	// firstJitter spreads the instances of a fleet that starts as a whole.
+	firstJitter = 800 * time.Millisecond
+)
+
+// Keys in the store.
+const (
+	// KeyHolder names the holder; it lives as long as the holder's lease.
+	KeyHolder = "peridotmoor/holder"
+	// KeyRecord holds the record of owners.
+	KeyRecord = "peridotmoor/owners"
+)
--- /dev/null
+++ b/internal/holder/granter.go
@@ -0,0 +1,15 @@
+package holder
+
+import (
+	"context"
+
+	"peridotmoor.org/peridotmoor/internal/fleet"
+	"peridotmoor.org/peridotmoor/internal/owners"
+)
+
+// Granter sends orders to backend servers.
+type Granter interface {
+	// Order sends one order and returns how it ended. Nothing of it can arrive at
+	// the server after it has returned.
+	Order(ctx context.Context, server fleet.Server, order owners.Order) owners.Reply
+}
--- /dev/null
+++ b/internal/holder/stored.go
@@ -0,0 +1,90 @@
+package holder
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/owners"
+	"peridotmoor.org/peridotmoor/internal/store"
+)
+
+// ErrDeposed means that another instance has become the holder.
+var ErrDeposed = errors.New("another instance has become the holder; follow it")
+
+// stored is the record of owners in the store, as its holder last saw it.
+type stored struct {
+	store    store.Store
+	holder   string
+	revision uint64
+}
+
+// claim raises the epoch in the name of the holder and returns the record that was found.
+func (s *stored) claim(ctx context.Context) (owners.Record, error) {
+	for {
+		record, err := s.read(ctx)
+		if err == nil && record.Holder != s.holder {
+			record.Epoch++
+			record.Holder = s.holder
+			err = s.write(ctx, record)
+		}
+		if err == nil {
+			return record, nil
+		}
+		if ctx.Err() != nil {
+			return record, err
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(storeRetry):
+		}
+	}
+}
+
+func (s *stored) read(ctx context.Context) (owners.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	entry, err := s.store.Get(ctx, KeyRecord)
+	if errors.Is(err, store.ErrNotFound) {
+		s.revision = 0
+		return owners.Record{}, nil
+	}
+	if err != nil {
+		return owners.Record{}, err
+	}
+	s.revision = entry.Revision
+	return owners.DecodeRecord(entry.Value)
+}
+
+// write replaces the record. An own write whose answer was lost is recognised
+// by the holder's name; the record is then written once more.
+func (s *stored) write(ctx context.Context, record owners.Record) error {
+	text, err := record.Encode()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	entry, err := s.store.CompareAndSwap(ctx, KeyRecord, s.revision, text, "")
+	if errors.Is(err, store.ErrConflict) {
+		return s.conflict(entry, err)
+	}
+	if err != nil {
+		return err
+	}
+	s.revision = entry.Revision
+	return nil
+}
+
+func (s *stored) conflict(entry store.Entry, cause error) error {
+	found, err := owners.DecodeRecord(entry.Value)
+	if err != nil {
+		return err
+	}
+	if found.Holder != s.holder {
+		return errors.Wrap(ErrDeposed, found.Holder)
+	}
+	s.revision = entry.Revision
+	return cause
+}
