Release after renewals under way; end a planned stop by refusing

A release now waits for grants under way. Cause of LOST: an instance served requests until its end, 5.4 s after SIGTERM. It now refuses, truthfully, for its last 1.9 s. Ruled out: late answers of the store and two holders at once (one epoch in the trace).

--- a/internal/entrynode/constants.go
+++ b/internal/entrynode/constants.go
@@ -8,11 +8,14 @@
 	readyAfter = 6 * time.Second
 	// stopNotice is how long an instance that stops goes on taking new
 	// connections: the balancer asks once a second and acts on two misses.
-	stopNotice = 2500 * time.Millisecond
+	stopNotice = 3 * time.Second
 	// stopPoll is how often a stopping instance looks whether it is idle.
 	stopPoll = 100 * time.Millisecond
 	// stopReserve is kept from the grace time for the end of the process.
-	stopReserve = 600 * time.Millisecond
+	stopReserve = 300 * time.Millisecond
+	// stopRefuse is how long before the end new requests are refused, so that
+	// those under way get their answers.
+	stopRefuse = 1900 * time.Millisecond
 	// metricsTimeout bounds the headers of a request for metrics.
 	metricsTimeout = 2 * time.Second
 )
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -30,6 +30,7 @@
 	campaign *holder.Campaign
 	backends *platform.Backends
 	callers  *callerhttp.Server
+	gateway  *gateway.Gateway
 	metrics  *metrics
 	started  time.Time
 	ready    atomic.Bool
@@ -50,9 +51,9 @@
 	n.metrics = newMetrics(
 		func() float64 { return float64(store.Calls()) },
 		func() float64 { return float64(n.callers.Open()) })
-	g := gateway.New(config.Domain, n.board, desk, n.backends, n.metrics, log)
+	n.gateway = gateway.New(config.Domain, n.board, desk, n.backends, n.metrics, log)
 	unwritten := func(id string, err error) { log.Emit(events.CallUnwritten, "request", id, "detail", err.Error()) }
-	n.callers = callerhttp.NewServer(platform.Callers{Gateway: g, Unwritten: unwritten}, n.limits)
+	n.callers = callerhttp.NewServer(platform.Callers{Gateway: n.gateway, Unwritten: unwritten}, n.limits)
 	log.Emit(events.Started, "callers", config.Callers, "peers", config.Peers, "incarnation", self.Incarnation)
 	return n
 }
@@ -170,6 +171,9 @@
 	deadline := began.Add(n.config.Grace - stopReserve)
 	time.Sleep(time.Until(began.Add(stopNotice)))
 	for n.callers.Open() > 0 && time.Now().Before(deadline) {
+		if time.Until(deadline) < stopRefuse {
+			n.gateway.Refuse()
+		}
 		n.callers.CloseIdle()
 		time.Sleep(stopPoll)
 	}
--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -11,11 +11,13 @@
 	// suspectFor is how long a holder that missed an ask is not asked.
 	suspectFor = 250 * time.Millisecond
 	// answerMargin is kept from the caller's patience for the way back.
-	answerMargin = 10 * time.Millisecond
+	answerMargin = 25 * time.Millisecond
 	// shortestAttempt is the least time in which an attempt makes sense.
 	shortestAttempt = 15 * time.Millisecond
 	// retryWithoutConfig is when to come back to an instance that knows no routes yet.
 	retryWithoutConfig = 300 * time.Millisecond
+	// retryElsewhere is when to come back, to another instance.
+	retryElsewhere = 20 * time.Millisecond
 	// retryDefault is when to come back when nothing better is known.
 	retryDefault = 100 * time.Millisecond
 	// sendsPerServer bounds the attempts of one call; a server that sheds may be asked again.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	metrics  Metrics
 	// counters spreads the calls of each route over its shares.
 	counters sync.Map // route name to *atomic.Uint64
+	refusing atomic.Bool
 }
 
 // New returns a gateway of an instance in the failure domain.
@@ -33,6 +34,11 @@
 	return &Gateway{domain: domain, board: board, desk: desk, backends: backends, metrics: metrics, log: log}
 }
 
+// Refuse makes the gateway refuse all later calls, as the instance is about to end.
+func (g *Gateway) Refuse() {
+	g.refusing.Store(true)
+}
+
 // Route returns the route of a host and path, or nil.
 func (g *Gateway) Route(host, path string) *fleet.Route {
 	config := g.board.View().Config
@@ -57,6 +63,9 @@
 }
 
 func (g *Gateway) run(ctx context.Context, call *Call) (Reply, attempt) {
+	if g.refusing.Load() {
+		return Reply{Outcome: OutcomeNotRun, RetryAfter: retryElsewhere, Detail: "the instance is about to end"}, attempt{}
+	}
 	config := g.board.View().Config
 	if config == nil {
 		return Reply{Outcome: OutcomeNotRun, RetryAfter: retryWithoutConfig, Detail: "no configuration yet"}, attempt{}
--- a/internal/holder/actor.go
+++ b/internal/holder/actor.go
@@ -40,11 +40,13 @@
 	epoch     int64
 	seen      *facts.View
 	published uint64
-	storing   bool
-	storedAt  time.Time
-	plannedAt time.Time
-	beatAt    time.Time
-	tickedAt  time.Time
+	// publishedAt is when the owners were last published.
+	publishedAt time.Time
+	storing     bool
+	storedAt    time.Time
+	plannedAt   time.Time
+	beatAt      time.Time
+	tickedAt    time.Time
 }
 
 func newActor(ctx context.Context, c *Campaign, record *stored, found owners.Record, until time.Time) *Actor {
@@ -363,8 +365,8 @@
 
 // publish sends changed facts, and heartbeats.
 func (a *Actor) publish(now time.Time) {
-	if version := a.table.Version(); version != a.published {
-		a.published = version
+	if version := a.table.Version(); version != a.published && now.Sub(a.publishedAt) >= publishEvery {
+		a.published, a.publishedAt = version, now
 		owned := map[string][]owners.View{}
 		for _, service := range a.table.Services() {
 			owned[service] = a.table.Spans(service)
--- a/internal/holder/constants.go
+++ b/internal/holder/constants.go
@@ -7,6 +7,9 @@
 	tickEvery = 50 * time.Millisecond
 	// planEvery is how often the owners of keys are planned anew.
 	planEvery = 400 * time.Millisecond
+	// publishEvery bounds how often all owners are sent to all instances, which
+	// use them only while the holder is silent.
+	publishEvery = time.Second
 	// eventQueue bounds the events that wait for the holder's goroutine.
 	eventQueue = 1024
 	// storeTimeout bounds one call to the store.
--- a/internal/owners/constants.go
+++ b/internal/owners/constants.go
@@ -23,6 +23,9 @@
 	// suspectFor is how long a server that does not answer gets no keys; its entry
 	// is removed, or it is back, within that time.
 	suspectFor = 4 * time.Second
+	// settleFor without a change in the number of servers, the first plan is made;
+	// servers report every second or two.
+	settleFor = 1800 * time.Millisecond
 	// fenceBits leaves each epoch a million fences.
 	fenceBits = 20
 	// Keys is the number of keys of a service.
--- a/internal/owners/order.go
+++ b/internal/owners/order.go
@@ -18,6 +18,7 @@
 	// Handover passes on the state of the last owner.
 	Handover string
 	version  uint64
+	number   uint64
 	// before is when the hold would have ended without this order.
 	before time.Time
 }
--- a/internal/owners/orders.go
+++ b/internal/owners/orders.go
@@ -26,9 +26,12 @@
 }
 
 func (t *Table) due(now time.Time, service string, s *span, lives Lives) (Order, bool) {
-	if s.phase == PhaseReleasing {
+	if s.phase == PhaseReleasing && !t.granting(service, s.previous.Life, s.Interval) {
 		t.endPrevious(now, service, s, lives)
 	}
+	if s.phase == PhaseReleasing && t.granting(service, s.previous.Life, s.Interval) {
+		return Order{}, false
+	}
 	if s.busy || now.Before(s.nextAt) || s.owner.Name == "" {
 		return Order{}, false
 	}
@@ -47,9 +50,25 @@
 		return Order{}, false
 	}
 	s.busy = true
+	t.orders++
+	order.number = t.orders
+	if order.Action == ActionGrant {
+		t.flying[order.number] = order
+	}
 	return order, true
 }
 
+// granting reports whether a grant of some of the keys is on its way to the
+// server. A release that overtook it would be undone.
+func (t *Table) granting(service string, life fleet.Life, i Interval) bool {
+	for _, o := range t.flying {
+		if o.Service == service && o.Life == life && o.From <= i.To && o.To >= i.From {
+			return true
+		}
+	}
+	return false
+}
+
 // endPrevious lets a move go on without the last owner's answer once its hold
 // has ended or another life of it is listed.
 func (t *Table) endPrevious(now time.Time, service string, s *span, lives Lives) {
@@ -74,6 +93,7 @@
 // fence shows that another instance has become the holder.
 func (t *Table) Apply(reply Reply) bool {
 	o := reply.Order
+	delete(t.flying, o.number)
 	s := t.find(o.Service, o.From)
 	if o.Action == ActionGrant && reply.Outcome != Unsent && reply.Outcome != Gone {
 		t.extend(reply)
--- a/internal/owners/plan.go
+++ b/internal/owners/plan.go
@@ -22,6 +22,9 @@
 		return false
 	}
 	if len(t.services[service]) == 0 {
+		if !t.settled(now, service, len(loads.usable())) {
+			return false
+		}
 		t.planFirst(service, loads)
 		return t.version != before
 	}
@@ -31,6 +34,17 @@
 	return t.version != before
 }
 
+// settled reports whether the number of usable servers has stayed the same for
+// a while, since servers that start together are listed one after the other.
+func (t *Table) settled(now time.Time, service string, usable int) bool {
+	c, ok := t.counted[service]
+	if !ok || c.servers != usable {
+		t.counted[service] = count{servers: usable, since: now}
+		return false
+	}
+	return now.Sub(c.since) >= settleFor
+}
+
 // planFirst gives all servers equal parts by their slots.
 func (t *Table) planFirst(service string, loads *loads) {
 	usable := loads.usable()
--- a/internal/owners/table.go
+++ b/internal/owners/table.go
@@ -21,6 +21,11 @@
 	dirty bool
 	// suspects are lives that refuse connections or answer no orders, with the end of the suspicion.
 	suspects map[fleet.Life]time.Time
+	// counted holds the number of servers of services without ranges.
+	counted map[string]count
+	// flying are the grants under way by their number: what they grant may arrive at any moment.
+	flying map[uint64]Order
+	orders uint64
 	// holdFor is the current length of grants.
 	holdFor time.Duration
 }
@@ -29,7 +34,7 @@
 // to its owner under a higher fence, which ends the say of earlier holders.
 // Holds of earlier holders end at until at the latest.
 func NewTable(record Record, holder string, until time.Time) *Table {
-	t := &Table{epoch: record.Epoch, holder: holder, services: map[string][]*span{}, suspects: map[fleet.Life]time.Time{}, holdFor: HoldFor}
+	t := &Table{epoch: record.Epoch, holder: holder, services: map[string][]*span{}, suspects: map[fleet.Life]time.Time{}, flying: map[uint64]Order{}, counted: map[string]count{}, holdFor: HoldFor}
 	for name, spans := range record.Services {
 		for _, r := range spans {
 			s := &span{
--- /dev/null
+++ b/internal/owners/table_test.go
@@ -0,0 +1,143 @@
+package owners
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotmoor.org/peridotmoor/internal/fleet"
+)
+
+// flat is a heat without differences.
+type flat struct{}
+
+func (flat) Rate(int) float64 { return 0.001 }
+
+// heatOf gives some keys a rate.
+type heatOf map[int]float64
+
+func (h heatOf) Rate(key int) float64 { return h[key] }
+
+// listed is the listing of lives.
+type listed map[string]fleet.Life
+
+func (l listed) Current(_, name string) (fleet.Life, bool) {
+	life, ok := l[name]
+	return life, ok
+}
+
+func life(name string) fleet.Life { return fleet.Life{Name: name, Born: 1} }
+
+func candidates(names ...string) []Candidate {
+	var out []Candidate
+	for _, n := range names {
+		out = append(out, Candidate{Life: life(n), Slots: 3, Usable: true, Took: 0.1})
+	}
+	return out
+}
+
+func lives(names ...string) listed {
+	out := listed{}
+	for _, n := range names {
+		out[n] = life(n)
+	}
+	return out
+}
+
+const service = "plots"
+
+// settledTable returns a table in which the servers hold equal parts.
+func settledTable(t *testing.T, now time.Time, names ...string) *Table {
+	t.Helper()
+	table := NewTable(Record{Epoch: 1}, "holder", now)
+	table.Plan(now.Add(-settleFor), service, candidates(names...), flat{})
+	if !table.Plan(now, service, candidates(names...), flat{}) {
+		t.Fatal("no first plan")
+	}
+	table.Stored(table.Planned())
+	for _, o := range table.Due(now, lives(names...)) {
+		table.Apply(Reply{Order: o, Outcome: Done, Ended: now})
+	}
+	return table
+}
+
+// Guards against a release that overtakes a renewal on its way to the same
+// server: the renewal would give the server keys that another one has by then.
+func TestReleaseWaitsForRenewal(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := settledTable(t, now, "a", "b")
+	now = now.Add(renewEvery)
+	renewals := table.Due(now, lives("a", "b"))
+	is.Equal(len(renewals), 2)
+
+	hot := heatOf{10: 20, 20: 20}
+	is.True(table.Plan(now, service, candidates("a", "b"), hot))
+	table.Stored(table.Planned())
+	for _, o := range table.Due(now, lives("a", "b")) {
+		is.True(o.Action != ActionRelease) // the renewal of the whole range is still under way
+	}
+	for _, o := range renewals {
+		table.Apply(Reply{Order: o, Outcome: Done, Ended: now})
+	}
+	released := false
+	for _, o := range table.Due(now, lives("a", "b")) {
+		released = released || o.Action == ActionRelease
+	}
+	is.True(released)
+}
+
+// Guards against a range that is given to another server while the last owner,
+// which does not answer, may still hold it.
+func TestSilentOwnerKeepsItsKeysUntilTheHoldEnds(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	now := start
+	table := settledTable(t, now, "a", "b")
+	granted := time.Time{}
+	for now.Sub(start) < 10*time.Second && granted.IsZero() {
+		now = now.Add(50 * time.Millisecond)
+		table.Plan(now, service, candidates("a", "b"), flat{})
+		table.Stored(table.Planned())
+		for _, o := range table.Due(now, lives("a", "b")) {
+			reply := Reply{Order: o, Outcome: Done, Ended: now}
+			if o.Life.Name == "a" {
+				reply.Outcome = Unsent
+			} else if o.Contains(0) {
+				granted = now
+			}
+			table.Apply(reply)
+		}
+	}
+	is.True(!granted.IsZero())                            // the keys find a new owner
+	is.True(granted.Sub(start) >= HoldFor)                // not before the hold has ended
+	is.True(granted.Sub(start) < HoldFor+2*time.Second/2) // and soon after it
+}
+
+// Guards against a successor that grants a moving range before the earlier
+// owner has given it up, and against fences that do not rise.
+func TestSuccessorReleasesFirst(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := settledTable(t, now, "a", "b")
+	is.True(table.Plan(now, service, candidates("a", "b"), heatOf{10: 20, 20: 20}))
+	record, dirty := table.Record()
+	is.True(dirty)
+	highest := int64(0)
+	for _, s := range record.Services[service] {
+		highest = max(highest, s.Fence)
+	}
+	record.Epoch++
+	next := NewTable(record, "successor", now.Add(time.Minute))
+	moving := map[int]bool{}
+	for _, o := range next.Due(now, lives("a", "b")) {
+		if o.Action == ActionRelease {
+			moving[o.From] = true
+			continue
+		}
+		is.True(o.Fence > highest)
+		is.True(!moving[o.From])
+	}
+	is.Equal(len(moving), 1)
+}
