Void grants that may come late before their keys move

A grant under a higher fence now goes before the release, which makes the earlier one void; servers are suspected by consecutive silence of all their orders instead of one range's.

--- a/internal/owners/hold.go
+++ b/internal/owners/hold.go
@@ -12,4 +12,7 @@
 	Fence int64
 	// Until is when the hold has ended at the latest, on the holder's clock.
 	Until time.Time
+	// LateUntil is until when an order without an answer may still take effect.
+	// A later order under a higher fence makes it void.
+	LateUntil time.Time
 }
--- a/internal/owners/orders.go
+++ b/internal/owners/orders.go
@@ -38,7 +38,7 @@
 	order := Order{Service: service, Interval: s.Interval, version: s.version}
 	switch s.phase {
 	case PhaseReleasing:
-		order.Action, order.Life, order.Fence = ActionRelease, s.previous.Life, s.previous.Fence
+		t.takeBack(now, s, &order)
 	case PhaseGranting, PhaseHeld:
 		order.Action, order.Life, order.Fence = ActionGrant, s.owner, s.fence
 		order.Hold, order.Handover = t.holdFor, s.handover
@@ -58,6 +58,24 @@
 	return order, true
 }
 
+// takeBack asks the last owner for the range. While an earlier grant to it may
+// still take effect, a grant under a higher fence goes first, which makes that
+// one void.
+func (t *Table) takeBack(now time.Time, s *span, order *Order) {
+	previous := s.previous
+	order.Life = previous.Life
+	if now.Before(previous.LateUntil) {
+		previous.Fence = t.nextFence()
+		order.Action, order.Fence, order.Hold = ActionGrant, previous.Fence, t.holdFor
+		order.before = previous.Until
+		if until := holdEnd(now.Add(OrderTimeout), t.holdFor); until.After(previous.Until) {
+			previous.Until = until
+		}
+		return
+	}
+	order.Action, order.Fence = ActionRelease, previous.Fence
+}
+
 // granting reports whether a grant of some of the keys is on its way to the
 // server. A release that overtook it would be undone.
 func (t *Table) granting(service string, life fleet.Life, i Interval) bool {
@@ -85,7 +103,7 @@
 	s.phase = PhaseGranting
 	s.nextAt = time.Time{}
 	s.busy = false
-	s.failures = 0
+	s.fence = t.nextFence()
 	s.version = t.change()
 }
 
@@ -102,9 +120,12 @@
 		return reply.Outcome != Fenced
 	}
 	s.busy = false
-	if o.Action == ActionRelease {
+	switch {
+	case o.Action == ActionRelease:
 		t.applyRelease(s, reply)
 		return true
+	case s.phase == PhaseReleasing:
+		return t.applyTakeBack(s, reply)
 	}
 	return t.applyGrant(s, reply)
 }
@@ -118,13 +139,58 @@
 		if s.To < o.From || s.From > o.To {
 			continue
 		}
-		if s.owner == o.Life && until.After(s.until) {
-			s.until = until
+		late := reply.Outcome == Silent
+		if s.owner == o.Life {
+			s.until = later(s.until, until)
+			if late {
+				s.lateUntil = later(s.lateUntil, until)
+			}
+		}
+		if s.previous != nil && s.previous.Life == o.Life && late {
+			s.previous.Until = later(s.previous.Until, until)
+			if o.Fence >= s.previous.Fence {
+				s.previous.LateUntil = later(s.previous.LateUntil, until)
+			}
 		}
-		if s.previous != nil && s.previous.Life == o.Life && reply.Outcome == Silent && until.After(s.previous.Until) {
-			s.previous.Until = until
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// answered and unanswered keep account of lives that do not answer.
+func (t *Table) answered(life fleet.Life) {
+	delete(t.failures, life)
+}
+
+func (t *Table) unanswered(life fleet.Life, now time.Time) {
+	if t.failures[life]++; t.failures[life] >= suspectAfter {
+		t.suspects[life] = now.Add(suspectFor)
+	}
+}
+
+// applyTakeBack takes note of the grant that goes before a release.
+func (t *Table) applyTakeBack(s *span, reply Reply) bool {
+	switch reply.Outcome {
+	case Done:
+		s.previous.LateUntil = time.Time{}
+		s.nextAt = time.Time{}
+	case Fenced:
+		s.nextAt = reply.Ended.Add(renewEvery)
+		return false
+	case Gone:
+		t.released(s, "")
+	default:
+		if reply.Outcome == Unsent {
+			s.previous.Until = reply.Order.before
 		}
+		s.nextAt = reply.Ended.Add(retryEvery)
 	}
+	return true
 }
 
 func (t *Table) applyRelease(s *span, reply Reply) {
@@ -145,27 +211,25 @@
 			t.version++
 		}
 		s.phase = PhaseHeld
-		s.failures = 0
 		s.handover = ""
 		s.nextAt = reply.Ended.Add(renewEvery)
+		t.answered(s.owner)
 	case Fenced:
 		s.nextAt = reply.Ended.Add(renewEvery)
 		return false
 	case Gone:
-		s.failures = suspectAfter
 		s.until = reply.Ended
-		t.suspects[s.owner] = reply.Ended.Add(suspectFor)
 		s.nextAt = reply.Ended.Add(retryEvery)
+		t.suspects[s.owner] = reply.Ended.Add(suspectFor)
 	default:
 		if reply.Outcome == Unsent {
 			s.until = reply.Order.before
 		}
-		if s.failures++; s.failures >= suspectAfter {
-			t.suspects[s.owner] = reply.Ended.Add(suspectFor)
-		}
+		t.unanswered(s.owner, reply.Ended)
 		s.nextAt = reply.Ended.Add(retryEvery)
 		if s.phase == PhaseHeld && reply.Ended.After(s.until) {
 			s.phase = PhaseGranting
+			t.version++
 		}
 	}
 	return true
--- a/internal/owners/plan.go
+++ b/internal/owners/plan.go
@@ -72,14 +72,12 @@
 func (t *Table) planLost(service string, loads *loads) {
 	for _, s := range append([]*span(nil), t.services[service]...) {
 		owner := loads.of[s.owner.Name]
-		if s.phase == PhasePlanned && owner != nil && owner.Usable {
-			continue
-		}
-		if owner != nil && owner.Usable && owner.Life != s.owner {
+		switch {
+		case owner == nil || !owner.Usable:
+		case owner.Life != s.owner:
 			t.move(s, owner.Life) // the server started again and knows nothing
 			continue
-		}
-		if owner != nil && owner.Usable && s.failures < suspectAfter {
+		default:
 			continue
 		}
 		t.spread(service, s, loads, s.owner.Name)
--- a/internal/owners/span.go
+++ b/internal/owners/span.go
@@ -14,6 +14,8 @@
 	phase Phase
 	// until is when the owner's hold has ended at the latest.
 	until time.Time
+	// lateUntil is until when a grant without an answer may still take effect.
+	lateUntil time.Time
 	// previous is the hold that must end before the owner gets the range, or nil.
 	previous *Hold
 	// handover is what the last owner gave with the release.
@@ -22,8 +24,6 @@
 	busy bool
 	// nextAt is when the next order is due.
 	nextAt time.Time
-	// failures counts orders in a row without an answer.
-	failures int
 	// version changes with each transition, so that late answers are recognised.
 	version uint64
 }
--- a/internal/owners/table.go
+++ b/internal/owners/table.go
@@ -21,6 +21,8 @@
 	dirty bool
 	// suspects are lives that refuse connections or answer no orders, with the end of the suspicion.
 	suspects map[fleet.Life]time.Time
+	// failures counts the orders in a row that a life did not answer.
+	failures map[fleet.Life]int
 	// counted holds the number of servers of services without ranges.
 	counted map[string]count
 	// flying are the grants under way by their number: what they grant may arrive at any moment.
@@ -34,7 +36,7 @@
 // to its owner under a higher fence, which ends the say of earlier holders.
 // Holds of earlier holders end at until at the latest.
 func NewTable(record Record, holder string, until time.Time) *Table {
-	t := &Table{epoch: record.Epoch, holder: holder, services: map[string][]*span{}, suspects: map[fleet.Life]time.Time{}, flying: map[uint64]Order{}, counted: map[string]count{}, holdFor: HoldFor}
+	t := &Table{epoch: record.Epoch, holder: holder, services: map[string][]*span{}, suspects: map[fleet.Life]time.Time{}, flying: map[uint64]Order{}, failures: map[fleet.Life]int{}, counted: map[string]count{}, holdFor: HoldFor}
 	for name, spans := range record.Services {
 		for _, r := range spans {
 			s := &span{
@@ -45,7 +47,7 @@
 				phase:    PhaseGranting,
 			}
 			if r.Previous != "" {
-				s.previous = &Hold{Life: fleet.Life{Name: r.Previous, Born: r.PreviousBorn}, Fence: r.PreviousFence, Until: until}
+				s.previous = &Hold{Life: fleet.Life{Name: r.Previous, Born: r.PreviousBorn}, Fence: r.PreviousFence, Until: until, LateUntil: until}
 				s.phase = PhaseReleasing
 			}
 			t.services[name] = append(t.services[name], s)
@@ -152,16 +154,15 @@
 	switch s.phase {
 	case PhaseHeld, PhaseGranting:
 		if s.owner.Name != "" && s.previous == nil {
-			s.previous = &Hold{Life: s.owner, Fence: s.fence, Until: s.until}
+			s.previous = &Hold{Life: s.owner, Fence: s.fence, Until: s.until, LateUntil: s.lateUntil}
 		}
 	}
 	s.owner = to
 	s.fence = t.nextFence()
 	s.phase = PhasePlanned
 	s.version = version
-	s.until = time.Time{}
+	s.until, s.lateUntil = time.Time{}, time.Time{}
 	s.handover = ""
-	s.failures = 0
 	s.busy = false
 }
 
--- a/internal/owners/table_test.go
+++ b/internal/owners/table_test.go
@@ -115,6 +115,44 @@
 	is.True(granted.Sub(start) < HoldFor+2*time.Second/2) // and soon after it
 }
 
+// step is what an order asked of a server.
+type step struct {
+	action Action
+	server string
+}
+
+// stepsFor carries out orders until none is due and returns those on key.
+func stepsFor(t *testing.T, table *Table, now time.Time, key int, names ...string) []step {
+	t.Helper()
+	var steps []step
+	fence := int64(0)
+	for range 10 {
+		for _, o := range table.Due(now, lives(names...)) {
+			if o.Contains(key) {
+				if o.Action == ActionGrant && o.Fence <= fence {
+					t.Errorf("%s gets key %d under fence %d after %d", o.Life.Name, key, o.Fence, fence)
+				}
+				fence = max(fence, o.Fence)
+				steps = append(steps, step{o.Action, o.Life.Name})
+			}
+			table.Apply(Reply{Order: o, Outcome: Done, Ended: now})
+		}
+	}
+	return steps
+}
+
+// movedKey returns a key that the plan has given from a to b.
+func movedKey(t *testing.T, table *Table) int {
+	t.Helper()
+	for _, s := range table.services[service] {
+		if s.previous != nil && s.owner.Name == "b" && s.previous.Life.Name == "a" {
+			return s.From
+		}
+	}
+	t.Fatal("no key moves")
+	return 0
+}
+
 // Guards against a successor that grants a moving range before the earlier
 // owner has given it up, and against fences that do not rise.
 func TestSuccessorReleasesFirst(t *testing.T) {
@@ -122,22 +160,31 @@
 	now := time.Unix(1000, 0)
 	table := settledTable(t, now, "a", "b")
 	is.True(table.Plan(now, service, candidates("a", "b"), heatOf{10: 20, 20: 20}))
+	key := movedKey(t, table)
 	record, dirty := table.Record()
 	is.True(dirty)
-	highest := int64(0)
-	for _, s := range record.Services[service] {
-		highest = max(highest, s.Fence)
-	}
 	record.Epoch++
 	next := NewTable(record, "successor", now.Add(time.Minute))
-	moving := map[int]bool{}
-	for _, o := range next.Due(now, lives("a", "b")) {
-		if o.Action == ActionRelease {
-			moving[o.From] = true
-			continue
+	// The grant to the earlier owner voids what an earlier holder may have sent.
+	is.Equal(stepsFor(t, next, now, key, "a", "b"), []step{{ActionGrant, "a"}, {ActionRelease, "a"}, {ActionGrant, "b"}})
+}
+
+// Guards against a grant without an answer that takes effect after its keys
+// have moved on: the server then has them under a fence below the new owner's.
+func TestLateGrantIsVoidedBeforeAMove(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := settledTable(t, now, "a", "b")
+	now = now.Add(renewEvery)
+	for _, o := range table.Due(now, lives("a", "b")) {
+		outcome := Done
+		if o.Life.Name == "a" {
+			outcome = Silent
 		}
-		is.True(o.Fence > highest)
-		is.True(!moving[o.From])
+		table.Apply(Reply{Order: o, Outcome: outcome, Ended: now})
 	}
-	is.Equal(len(moving), 1)
+	is.True(table.Plan(now, service, candidates("a", "b"), heatOf{10: 20, 20: 20}))
+	key := movedKey(t, table)
+	table.Stored(table.Planned())
+	is.Equal(stepsFor(t, table, now, key, "a", "b"), []step{{ActionGrant, "a"}, {ActionRelease, "a"}, {ActionGrant, "b"}})
 }
