Serve on-time requests first, move hot keys to fast servers, read owners alone

Moves for load took ranges without requests, and a hot key bounced between servers of nearly the same speed. Now a move needs one request a second, a dominant key goes only to a clearly faster server, and a range rests for 4 s. Waiting requests are served by target first; a few late ones wait. Instances that cannot reach the holder read the owners from the store.

--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -23,5 +23,5 @@
 	// sendsPerServer bounds the attempts of one call; a server that sheds may be asked again.
 	sendsPerServer = 2
 	// localLimit bounds what one instance sends to one server on its own.
-	localLimit = 2
+	localLimit = 4
 )
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -152,7 +152,7 @@
 		Priority: call.Route.Priority,
 		Domain:   g.domain,
 		Large:    call.Route.Kind == fleet.KindUpload,
-		Target:   call.Arrived.Add(call.Route.LatencyTarget),
+		Target:   call.Arrived.Add(call.Route.LatencyTarget - answerMargin),
 		Deadline: a.deadline,
 		Mark:     a.mark,
 		Avoid:    a.tried,
--- a/internal/gateway/local.go
+++ b/internal/gateway/local.go
@@ -52,7 +52,7 @@
 	usable := func(s *fleet.Server) bool {
 		return s != nil && s.Service == ask.Service && view.Usable(s) && !s.Cold(now)
 	}
-	if ask.Key != placing.NoKey && len(view.Owned[ask.Service]) > 0 {
+	if ask.Key != placing.NoKey {
 		name, held := view.Owner(ask.Service, ask.Key)
 		if !held || !usable(view.Server(name)) {
 			return ""
--- a/internal/holder/actor.go
+++ b/internal/holder/actor.go
@@ -252,8 +252,11 @@
 				Took:   a.placer.Took(service, s.Name),
 			})
 		}
-		if a.table.Plan(now, service, candidates, a.placer.Heat(now, service)) {
-			a.log.Emit(events.MovePlanned, "service", service, "epoch", a.epoch)
+		heat := a.placer.Heat(now, service)
+		a.table.Plan(now, service, candidates, heat)
+		for _, m := range a.table.TakeMoves() {
+			a.log.Emit(events.MovePlanned, "service", service, "from", m.From, "to", m.To, "first", m.Interval.From, "last", m.Interval.To,
+				"reason", m.Reason.String(), "per_s", heat.Sum(m.Interval.From, m.Interval.To), "listing_age_ms", now.Sub(a.seen.ListingAt).Milliseconds())
 		}
 	}
 	a.store(now)
--- a/internal/holder/campaign.go
+++ b/internal/holder/campaign.go
@@ -124,9 +124,14 @@
 		return
 	}
 	c.log.Emit(events.HolderFollowed, "holder", holder.String())
+	began := time.Now()
 	c.desk.Attach(client)
 	c.accompany(ctx, client, holder)
 	client.Close()
+	if time.Since(began) < storeRetry {
+		// The process at that address is not the holder (yet).
+		c.readAlone(ctx)
+	}
 }
 
 // accompany waits for the end of the link. While the holder cannot read the
@@ -164,13 +169,26 @@
 
 // readAlone reads the store while the holder cannot be reached.
 func (c *Campaign) readAlone(ctx context.Context) {
-	if err := c.reader.Read(ctx); err != nil {
+	err := c.reader.Read(ctx)
+	if err == nil {
+		err = c.readOwners(ctx)
+	}
+	if err != nil {
 		sleep(ctx, backoff())
 		return
 	}
 	sleep(ctx, storeRetry)
 }
 
+// readOwners takes the owners of keys from the stored record.
+func (c *Campaign) readOwners(ctx context.Context) error {
+	record, err := (&stored{store: c.store, holder: c.self.String()}).read(ctx)
+	if err == nil && len(record.Services) > 0 {
+		c.board.Owned(record.Views(), record.Epoch)
+	}
+	return err
+}
+
 // elect tries to become the holder in place of the one at the given revision of
 // the key (0: none). foreign is how long that one's orders may still count.
 func (c *Campaign) elect(ctx context.Context, revision uint64, foreign time.Duration) {
--- a/internal/holder/constants.go
+++ b/internal/holder/constants.go
@@ -6,7 +6,7 @@
 	// tickEvery is how often waiting requests and due orders are looked at.
 	tickEvery = 50 * time.Millisecond
 	// planEvery is how often the owners of keys are planned anew.
-	planEvery = 400 * time.Millisecond
+	planEvery = 250 * time.Millisecond
 	// publishEvery bounds how often all owners are sent to all instances, which
 	// use them only while the holder is silent.
 	publishEvery = time.Second
@@ -17,7 +17,7 @@
 	// storeRetry is the wait after a failed call.
 	storeRetry = 300 * time.Millisecond
 	// cleanAfter is how long finished moves may stay in the stored record.
-	cleanAfter = 1500 * time.Millisecond
+	cleanAfter = 600 * time.Millisecond
 	// leaseFor is the lifetime of the holder's lease; a dead holder is replaced after it.
 	leaseFor = 2 * time.Second
 	// renewEvery leaves two further tries within the lease.
--- a/internal/owners/constants.go
+++ b/internal/owners/constants.go
@@ -35,6 +35,18 @@
 	busyShare = 0.7
 	// busyLead is by how much it must exceed the average use, so that noise moves nothing.
 	busyLead = 0.25
+	// leastMove is the least rate, in requests/s, that is worth a move: each one
+	// stops its keys for as long as their running work takes.
+	leastMove = 1.0
+	// dominantShare of a server's requests for one key, only a faster server or
+	// fewer neighbours help.
+	dominantShare = 0.5
+	// clearlyFaster is how much faster a server must be measured before a key
+	// moves for its sake; averages of some answers differ by chance.
+	clearlyFaster = 1.3
+	// restFor is how long a range stays after it was moved for load: a server's
+	// speed under that load must be seen first, and each move interrupts its keys.
+	restFor = 4 * time.Second
 	// movesAtOnce bounds the moves of a service that are under way.
 	movesAtOnce = 6
 	// joinShare is the part of an average server's keys that a new server starts with.
--- a/internal/owners/load.go
+++ b/internal/owners/load.go
@@ -12,3 +12,8 @@
 func (l *load) use() float64 {
 	return l.rate * l.Took / float64(l.Slots)
 }
+
+// capacity returns the requests/s that the server can run.
+func (l *load) capacity() float64 {
+	return float64(l.Slots) / l.Took
+}
--- a/internal/owners/loads.go
+++ b/internal/owners/loads.go
@@ -80,7 +80,7 @@
 	rate, capacity := 0.0, 0.0
 	for _, one := range l.usable() {
 		rate += one.rate
-		capacity += float64(one.Slots) / one.Took
+		capacity += one.capacity()
 	}
 	if capacity == 0 {
 		return 0
@@ -147,9 +147,31 @@
 			best, found = Interval{From: from, To: to}, true
 		}
 	}
-	if !found && i.Size() > 1 {
-		// The whole range has less: half of it is a fair part.
-		return Interval{From: i.From, To: i.From + i.Size()/2 - 1}, true
+	if !found && sum >= leastMove {
+		return l.trim(i), true // the whole range has less than is wanted
 	}
 	return best, found
 }
+
+// fastest returns the usable warm server with the highest capacity.
+func (l *loads) fastest() *load {
+	var best *load
+	for _, one := range l.usable() {
+		if !one.Cold && (best == nil || one.capacity() > best.capacity()) {
+			best = one
+		}
+	}
+	return best
+}
+
+// trim cuts keys without requests off both ends of i.
+func (l *loads) trim(i Interval) Interval {
+	const idle = 0.05
+	for i.From < i.To && l.heat.Rate(i.From) < idle {
+		i.From++
+	}
+	for i.To > i.From && l.heat.Rate(i.To) < idle {
+		i.To--
+	}
+	return i
+}
--- /dev/null
+++ b/internal/owners/move.go
@@ -0,0 +1,10 @@
+package owners
+
+// Move is a planned change of owner.
+type Move struct {
+	Service string
+	Interval
+	// From and To are the servers; From is empty for the first owner.
+	From, To string
+	Reason   MoveReason
+}
--- a/internal/owners/plan.go
+++ b/internal/owners/plan.go
@@ -16,6 +16,7 @@
 // It reports whether the plan has changed.
 func (t *Table) Plan(now time.Time, service string, candidates []Candidate, heat Heat) bool {
 	before := t.version
+	t.now = now
 	sort.Slice(candidates, func(i, j int) bool { return candidates[i].Name < candidates[j].Name })
 	loads := t.newLoads(now, service, candidates, heat)
 	if len(loads.usable()) == 0 {
@@ -75,7 +76,7 @@
 		switch {
 		case owner == nil || !owner.Usable:
 		case owner.Life != s.owner:
-			t.move(s, owner.Life) // the server started again and knows nothing
+			t.move(service, s, owner.Life, MoveReborn) // the server started again and knows nothing
 			continue
 		default:
 			continue
@@ -97,7 +98,7 @@
 		}
 		part = t.split(service, part, cut)
 		loads.shift(cut, nil, to)
-		t.move(part, to.Life)
+		t.move(service, part, to.Life, MoveLost)
 	}
 }
 
@@ -113,7 +114,7 @@
 		}
 		want := loads.averageRate() * joinShare
 		if s, cut, ok := t.cutOf(service, from, want, loads); ok {
-			t.moveCut(service, s, cut, from, l, loads)
+			t.moveCut(service, s, cut, from, l, loads, MoveJoined)
 		}
 	}
 }
@@ -121,36 +122,97 @@
 // planBusy moves the fewest keys that relieve a server that is far busier than the others.
 func (t *Table) planBusy(service string, loads *loads) {
 	for t.moving(service) < movesAtOnce {
-		from, to := loads.busiest(), loads.idlest("")
-		if from == nil || to == nil || from == to {
+		from := loads.busiest()
+		if from == nil {
 			return
 		}
 		average := loads.averageUse()
 		if from.use() < busyShare || from.use() < average+busyLead {
 			return
 		}
-		room := (average+(busyShare-average)/2)*float64(to.Slots)/to.Took - to.rate
-		excess := from.rate - average*float64(from.Slots)/from.Took
-		want := math.Min(room, excess)
-		if want <= 0 {
+		if !t.relieve(service, from, average, loads) {
 			return
 		}
-		s, cut, ok := t.cutOf(service, from, want, loads)
-		if !ok {
-			return
+	}
+}
+
+// relieve plans one move off the server and reports whether there is a useful one.
+func (t *Table) relieve(service string, from *load, average float64, loads *loads) bool {
+	excess := from.rate - average*from.capacity()
+	key, rate := t.hottest(service, from, loads)
+	if rate >= dominantShare*from.rate {
+		return t.isolate(service, key, rate, from, loads)
+	}
+	to := loads.idlest(from.Name)
+	if to == nil {
+		return false
+	}
+	room := (average+(busyShare-average)/2)*to.capacity() - to.rate
+	want := math.Min(room, excess)
+	if want < leastMove {
+		return false
+	}
+	s, cut, ok := t.cutOf(service, from, want, loads)
+	if !ok || loads.rateOf(cut) < leastMove || (to.rate+loads.rateOf(cut))/to.capacity() >= from.use() {
+		return false
+	}
+	t.moveCut(service, s, cut, from, to, loads, MoveBusy)
+	return true
+}
+
+// isolate serves a key that alone fills a server: it goes to a clearly faster
+// server if there is one, and its neighbours at its server go elsewhere.
+func (t *Table) isolate(service string, key int, rate float64, from *load, loads *loads) bool {
+	if best := loads.fastest(); best != nil && best != from && best.capacity() > from.capacity()*clearlyFaster &&
+		(best.rate+rate)/best.capacity() < from.use() {
+		if s := t.find(service, key); s != nil && t.movable(s) {
+			t.moveCut(service, s, Interval{From: key, To: key}, from, best, loads, MoveBusy)
+			return true
 		}
-		rate := loads.rateOf(cut)
-		if (to.rate+rate)*to.Took/float64(to.Slots) >= from.use() {
-			return
+	}
+	to := loads.idlest(from.Name)
+	if to == nil || from.rate-rate < leastMove {
+		return false
+	}
+	for _, s := range t.services[service] {
+		if s.owner != from.Life || !t.movable(s) {
+			continue
+		}
+		for _, cut := range []Interval{{s.From, min(s.To, key-1)}, {max(s.From, key+1), s.To}} {
+			if cut.Size() <= 0 || loads.rateOf(cut) < leastMove {
+				continue
+			}
+			t.moveCut(service, s, loads.trim(cut), from, to, loads, MoveBusy)
+			return true
+		}
+	}
+	return false
+}
+
+// movable reports whether the range may be moved for load.
+func (t *Table) movable(s *span) bool {
+	return s.phase == PhaseHeld && !t.now.Before(s.restsUntil)
+}
+
+// hottest returns the busiest key of a server.
+func (t *Table) hottest(service string, from *load, loads *loads) (key int, rate float64) {
+	for _, s := range t.services[service] {
+		if s.owner != from.Life {
+			continue
+		}
+		for k := s.From; k <= s.To; k++ {
+			if r := loads.heat.Rate(k); r > rate {
+				key, rate = k, r
+			}
 		}
-		t.moveCut(service, s, cut, from, to, loads)
 	}
+	return key, rate
 }
 
-func (t *Table) moveCut(service string, s *span, cut Interval, from, to *load, loads *loads) {
+func (t *Table) moveCut(service string, s *span, cut Interval, from, to *load, loads *loads, reason MoveReason) {
 	part := t.split(service, s, cut)
 	loads.shift(cut, from, to)
-	t.move(part, to.Life)
+	t.move(service, part, to.Life, reason)
 }
 
 // cutOf returns the fewest neighbouring keys of a server that have the wanted rate.
@@ -158,7 +220,7 @@
 	var best *span
 	var cut Interval
 	for _, s := range t.services[service] {
-		if s.owner != from.Life || s.phase != PhaseHeld {
+		if s.owner != from.Life || !t.movable(s) {
 			continue
 		}
 		i, ok := loads.window(s.Interval, want)
--- a/internal/owners/record.go
+++ b/internal/owners/record.go
@@ -29,3 +29,15 @@
 	err := json.Unmarshal(text, &r)
 	return r, errors.Wrap(err, "the record of owners is not readable; remove its key to start anew")
 }
+
+// Views returns the ranges as instances know them. A range is taken as held
+// unless its previous owner may not have given it up.
+func (r Record) Views() map[string][]View {
+	out := map[string][]View{}
+	for name, spans := range r.Services {
+		for _, s := range spans {
+			out[name] = append(out[name], View{Interval: Interval{From: s.From, To: s.To}, Owner: s.Owner, Held: s.Previous == ""})
+		}
+	}
+	return out
+}
--- a/internal/owners/span.go
+++ b/internal/owners/span.go
@@ -20,6 +20,8 @@
 	previous *Hold
 	// handover is what the last owner gave with the release.
 	handover string
+	// restsUntil is until when the range is not moved for load again.
+	restsUntil time.Time
 	// busy is set while an order for the range is under way.
 	busy bool
 	// nextAt is when the next order is due.
--- a/internal/owners/table.go
+++ b/internal/owners/table.go
@@ -21,6 +21,10 @@
 	dirty bool
 	// suspects are lives that refuse connections or answer no orders, with the end of the suspicion.
 	suspects map[fleet.Life]time.Time
+	// now is the time of the plan that is being made.
+	now time.Time
+	// moves are the plans since the last TakeMoves.
+	moves []Move
 	// failures counts the orders in a row that a life did not answer.
 	failures map[fleet.Life]int
 	// counted holds the number of servers of services without ranges.
@@ -47,7 +51,9 @@
 				phase:    PhaseGranting,
 			}
 			if r.Previous != "" {
-				s.previous = &Hold{Life: fleet.Life{Name: r.Previous, Born: r.PreviousBorn}, Fence: r.PreviousFence, Until: until, LateUntil: until}
+				// Whether the previous owner has given the range up is not known: it is
+				// asked once more, and must not be granted anything.
+				s.previous = &Hold{Life: fleet.Life{Name: r.Previous, Born: r.PreviousBorn}, Fence: r.PreviousFence, Until: until}
 				s.phase = PhaseReleasing
 			}
 			t.services[name] = append(t.services[name], s)
@@ -149,14 +155,18 @@
 }
 
 // move plans a new owner for s. The record must be stored before it begins.
-func (t *Table) move(s *span, to fleet.Life) {
+func (t *Table) move(service string, s *span, to fleet.Life, reason MoveReason) {
 	version := t.change()
+	t.moves = append(t.moves, Move{Service: service, Interval: s.Interval, From: s.owner.Name, To: to.Name, Reason: reason})
 	switch s.phase {
 	case PhaseHeld, PhaseGranting:
 		if s.owner.Name != "" && s.previous == nil {
 			s.previous = &Hold{Life: s.owner, Fence: s.fence, Until: s.until, LateUntil: s.lateUntil}
 		}
 	}
+	if reason == MoveBusy {
+		s.restsUntil = t.now.Add(restFor)
+	}
 	s.owner = to
 	s.fence = t.nextFence()
 	s.phase = PhasePlanned
@@ -166,6 +176,13 @@
 	s.busy = false
 }
 
+// TakeMoves returns the moves planned since the last call, for the log.
+func (t *Table) TakeMoves() []Move {
+	out := t.moves
+	t.moves = nil
+	return out
+}
+
 // split cuts the interval out of s and returns the span that covers exactly it.
 func (t *Table) split(service string, s *span, cut Interval) *span {
 	if cut == s.Interval {
--- a/internal/placing/constants.go
+++ b/internal/placing/constants.go
@@ -8,6 +8,12 @@
 	// tookWeight is the weight of the newest answer in the average service time:
 	// about the last eight answers count.
 	tookWeight = 0.12
+	// lateMargin is how many average service times must remain: the work of a
+	// request varies, and one that is cut off has wasted a slot.
+	lateMargin = 1.3
+	// speedWeight is the weight of the newest answer in a server's long-term
+	// average: the last twenty count, so that chance moves no keys.
+	speedWeight = 0.05
 	// slownessLife is how long a server's report of its machine's speed is
 	// believed; neighbours change several times a second.
 	slownessLife = 300 * time.Millisecond
@@ -29,7 +35,7 @@
 	longestRetry  = 2 * time.Second
 	// loadTimeConstant is the decay of the request rate of a key: hot keys last
 	// some seconds, and shorter averages follow noise.
-	loadTimeConstant = 1500 * time.Millisecond
+	loadTimeConstant = 1000 * time.Millisecond
 	// Keys is the number of keys of a service.
 	Keys = 1 << 16
 )
--- a/internal/placing/heat.go
+++ b/internal/placing/heat.go
@@ -37,3 +37,12 @@
 func (h *Heat) Rate(key int) float64 {
 	return float64(h.rate[key]) / loadTimeConstant.Seconds()
 }
+
+// Sum returns the rate of the keys from first to last in requests/s.
+func (h *Heat) Sum(first, last int) float64 {
+	sum := 0.0
+	for key := first; key <= last; key++ {
+		sum += h.Rate(key)
+	}
+	return sum
+}
--- a/internal/placing/placer.go
+++ b/internal/placing/placer.go
@@ -112,7 +112,7 @@
 	}
 	took := svc.typical()
 	wait := took * float64(svc.queue.ahead(w.Priority)+1) / float64(slots)
-	if !inTime(now, wait+took, w) {
+	if !worthWaiting(now, w, svc.queue, wait, took, slots) {
 		p.refuse(w.Ticket, ReasonOverload, seconds(wait))
 		return
 	}
@@ -150,13 +150,22 @@
 		wait = max(wait, ahead/svc.ColdRate)
 		reason = ReasonCold
 	}
-	if !inTime(now, wait+took, w) {
+	if !worthWaiting(now, w, owner.queue, wait, took, owner.Slots) {
 		p.refuse(w.Ticket, reason, seconds(wait))
 		return
 	}
 	owner.queue.add(w)
 }
 
+// worthWaiting reports whether the request should wait: it will be answered by
+// its target, or late but while few others wait that are late too.
+func worthWaiting(now time.Time, w *waiting, q queue, wait, took float64, slots int) bool {
+	if w.onTime(now, wait+took) {
+		return true
+	}
+	return w.possible(now, wait+took*lateMargin) && q.late(now, wait+took) < slots
+}
+
 // placeFree gives the request to the server that is likely to answer first.
 func (p *Placer) placeFree(now time.Time, svc *service, w *waiting) bool {
 	typical := svc.typical()
@@ -252,12 +261,17 @@
 // fill gives free slots to requests that wait.
 func (p *Placer) fill(now time.Time, svc *service, s *server) {
 	for len(s.queue) > 0 && s.admit(now, svc.ColdRate) {
-		w := s.queue[0]
-		s.queue = s.queue[1:]
+		i := s.queue.next(now, s.expected(now, svc.typical()))
+		w := s.queue[i]
+		s.queue.remove(i)
 		p.place(now, s, w)
 	}
-	for len(svc.queue) > 0 && p.placeFree(now, svc, svc.queue[0]) {
-		svc.queue = svc.queue[1:]
+	for len(svc.queue) > 0 {
+		i := svc.queue.next(now, svc.typical())
+		if !p.placeFree(now, svc, svc.queue[i]) {
+			return
+		}
+		svc.queue.remove(i)
 	}
 }
 
@@ -301,7 +315,7 @@
 	took := svc.typical()
 	late := func(reason Reason) func(*waiting) bool {
 		return func(w *waiting) bool {
-			if inTime(now, took/2, w) {
+			if w.possible(now, took*lateMargin) {
 				return true
 			}
 			p.refuse(w.Ticket, reason, seconds(took))
@@ -325,23 +339,18 @@
 	return svc.heat
 }
 
-// Took returns the average service time of a server in seconds.
+// Took returns the usual service time of a server in seconds.
 func (p *Placer) Took(name, id string) float64 {
 	svc := p.services[name]
 	if svc == nil {
 		return defaultTook.Seconds()
 	}
-	if s := svc.servers[id]; s != nil && s.took > 0 {
-		return s.took
+	if s := svc.servers[id]; s != nil && s.speed > 0 {
+		return max(s.speed, s.took/2) // a server that has become slow shows soon
 	}
 	return svc.typical()
 }
 
-// inTime reports whether a request that needs the given seconds ends before its deadline.
-func inTime(now time.Time, need float64, w *waiting) bool {
-	return now.Add(seconds(need)).Before(w.Deadline)
-}
-
 func seconds(s float64) time.Duration {
 	return time.Duration(s * float64(time.Second))
 }
--- a/internal/placing/queue.go
+++ b/internal/placing/queue.go
@@ -1,6 +1,9 @@
 package placing
 
-import "sort"
+import (
+	"sort"
+	"time"
+)
 
 // queue holds waiting requests: the higher priority first, then the earlier.
 type queue []*waiting
@@ -28,3 +31,30 @@
 	clear((*q)[len(kept):])
 	*q = kept
 }
+
+// next returns the index of the request to serve now if it takes the given
+// seconds: the first that is answered by its target, or else the first.
+func (q queue) next(now time.Time, took float64) int {
+	for i, w := range q {
+		if w.onTime(now, took) {
+			return i
+		}
+	}
+	return 0
+}
+
+// late counts the requests that will miss their target.
+func (q queue) late(now time.Time, took float64) int {
+	n := 0
+	for _, w := range q {
+		if !w.onTime(now, took) {
+			n++
+		}
+	}
+	return n
+}
+
+// remove takes the request at index i out.
+func (q *queue) remove(i int) {
+	*q = append((*q)[:i], (*q)[i+1:]...)
+}
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -15,6 +15,8 @@
 	running map[Ticket]time.Time
 	// took is the average service time in seconds, or 0 before the first answer.
 	took float64
+	// speed is the long-term average service time in seconds, or 0.
+	speed float64
 	// slowness is the last report, made at slownessAt.
 	slowness   float64
 	slownessAt time.Time
@@ -83,8 +85,9 @@
 func (s *server) learn(took time.Duration) {
 	sample := took.Seconds()
 	if s.took == 0 {
-		s.took = sample
+		s.took, s.speed = sample, sample
 		return
 	}
 	s.took += tookWeight * (sample - s.took)
+	s.speed += speedWeight * (sample - s.speed)
 }
--- a/internal/placing/waiting.go
+++ b/internal/placing/waiting.go
@@ -7,3 +7,13 @@
 	Ask
 	arrived time.Time
 }
+
+// onTime reports whether a request that needs the given seconds ends by its target.
+func (w *waiting) onTime(now time.Time, need float64) bool {
+	return now.Add(seconds(need)).Before(w.Target)
+}
+
+// possible reports whether it ends before its deadline.
+func (w *waiting) possible(now time.Time, need float64) bool {
+	return now.Add(seconds(need)).Before(w.Deadline)
+}
