Reach servers that are listed no more; end foreign holds with most followers

Orders now reach former servers; a holder without the store goes on only while it keeps 60% of its followers, so a successor that has 45% of them need not wait so long. Ruled out: the placer (the refusals had no owner).

--- a/internal/facts/view.go
+++ b/internal/facts/view.go
@@ -25,6 +25,8 @@
 	OrdersSequence, ListingSequence, OwnedSequence uint64
 
 	byName map[string]*fleet.Server
+	// former holds servers that are listed no more, for orders to those that live on.
+	former map[fleet.Life]formerServer
 	out    map[string]bool
 }
 
@@ -33,6 +35,17 @@
 	return v.byName[name]
 }
 
+// Known returns the life of a server that is or was listed, or nil.
+func (v *View) Known(life fleet.Life) *fleet.Server {
+	if s := v.byName[life.Name]; s != nil && s.Life == life {
+		return s
+	}
+	if f, ok := v.former[life]; ok {
+		return &f.server
+	}
+	return nil
+}
+
 // Usable reports whether the server may get new work.
 func (v *View) Usable(s *fleet.Server) bool {
 	return !s.Leaving && !v.out[s.Domain]
@@ -80,5 +93,16 @@
 	for i := range servers {
 		next.byName[servers[i].Name] = &servers[i]
 	}
+	next.former = map[fleet.Life]formerServer{}
+	for life, f := range v.former {
+		if at.Sub(f.since) < formerFor {
+			next.former[life] = f
+		}
+	}
+	for _, s := range v.Servers {
+		if now := next.byName[s.Name]; now == nil || now.Life != s.Life {
+			next.former[s.Life] = formerServer{server: s, since: at}
+		}
+	}
 	return &next
 }
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -54,6 +54,14 @@
 	return silent, h.age + silent
 }
 
+// Instances returns how many instances followed the holder when it was last heard.
+func (d *Desk) Instances() int {
+	if h := d.heard.Load(); h != nil {
+		return h.instances
+	}
+	return 0
+}
+
 // OnDown takes a message of the holder. It does not wait.
 func (d *Desk) OnDown(down *linkpb.Down) {
 	now := time.Now()
@@ -90,7 +98,7 @@
 	} else if f.AgeUs < 0 {
 		age = -1
 	}
-	d.heard.Store(&heard{at: now, age: age})
+	d.heard.Store(&heard{at: now, age: age, instances: int(f.Instances)})
 	if f.Orders != nil && f.Orders.Config != nil {
 		d.board.Orders(fleet.Orders{Config: f.Orders.Config, DomainsOut: f.Orders.DomainsOut}, read)
 	}
--- a/internal/gateway/heard.go
+++ b/internal/gateway/heard.go
@@ -7,4 +7,6 @@
 	at time.Time
 	// age is how old that reading was, or negative when there was none.
 	age time.Duration
+	// instances is how many instances followed the holder.
+	instances int
 }
--- a/internal/holder/actor.go
+++ b/internal/holder/actor.go
@@ -34,8 +34,14 @@
 	// contact is when the lease was last known to be ours, on this process's clock.
 	contact atomic.Pointer[time.Time]
 
+	// expected is how many instances followed the last holder, or 0 once the
+	// grants of earlier holders have a near end.
+	expected int
+
 	// What follows belongs to the goroutine.
 	followers map[*link.Follower]bool
+	// usual is the number of followers while the store last answered.
+	usual     int
 	byName    map[string]*link.Follower
 	epoch     int64
 	seen      *facts.View
@@ -298,15 +304,28 @@
 // mayOrder reports whether this instance may still be the holder.
 func (a *Actor) mayOrder(now time.Time) bool {
 	contact := a.contact.Load()
-	if contact == nil || a.deposed.Load() || now.Sub(*contact) > withoutStore {
+	if contact == nil || a.deposed.Load() {
 		return false
 	}
-	hold := owners.HoldFor
-	if now.Sub(*contact) > outageSign {
-		hold = holdWithoutStore
+	a.shortenForeign(now)
+	silent := now.Sub(*contact)
+	if silent <= aloneAfter {
+		a.usual = len(a.followers)
+		a.table.SetHold(owners.HoldFor)
+		return true
+	}
+	// The store may be away for all, or only for this instance; in the second case
+	// the followers leave for a successor.
+	a.table.SetHold(holdWithoutStore)
+	return silent <= withoutStore && float64(len(a.followers)) >= keptShare*float64(a.usual)
+}
+
+// shortenForeign ends the wait for grants of earlier holders once most instances follow this one.
+func (a *Actor) shortenForeign(now time.Time) {
+	if a.expected > 0 && float64(len(a.followers)) >= joinedShare*float64(a.expected) {
+		a.expected = 0
+		a.table.EndForeign(now.Add(foreignEnd))
 	}
-	a.table.SetHold(hold)
-	return true
 }
 
 // order sends what is due.
@@ -315,8 +334,8 @@
 		return
 	}
 	for _, order := range a.table.Due(now, lives{a.seen}) {
-		server := a.seen.Server(order.Life.Name)
-		if server == nil || server.Life != order.Life {
+		server := a.seen.Known(order.Life)
+		if server == nil {
 			a.apply(owners.Reply{Order: order, Outcome: owners.Unsent, Ended: now})
 			continue
 		}
@@ -398,6 +417,7 @@
 	if age, known := a.reader.Age(now); known {
 		message.AgeUs = age.Microseconds()
 	}
+	message.Instances = int32(len(a.followers))
 	f.Sent = sequences(view)
 	f.Deliver(&linkpb.Down{Facts: message})
 }
--- a/internal/holder/campaign.go
+++ b/internal/holder/campaign.go
@@ -26,6 +26,8 @@
 	// Silent returns how long the holder has been silent, and how old its reading
 	// of the store is.
 	Silent(now time.Time) (silent, age time.Duration)
+	// Instances returns how many instances followed the last holder.
+	Instances() int
 }
 
 // Campaign follows the holder, or becomes it.
@@ -246,6 +248,7 @@
 		until = began
 	}
 	a := newActor(ctx, c, record, found, until)
+	a.expected = c.desk.Instances()
 	a.contact.Store(&began)
 	c.log.Emit(events.HolderElected, "epoch", found.Epoch)
 	c.tenure.Store(a)
--- a/internal/holder/constants.go
+++ b/internal/holder/constants.go
@@ -1,6 +1,10 @@
 package holder
 
-import "time"
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/owners"
+)
 
 const (
 	// tickEvery is how often waiting requests and due orders are looked at.
@@ -26,8 +30,18 @@
 	withoutStore = 15 * time.Second
 	// holdWithoutStore is the length of grants while no successor can be elected.
 	holdWithoutStore = 6 * time.Second
-	// outageSign is how long the store is silent before grants get longer.
+	// outageSign is how long the store is silent before followers read it themselves.
 	outageSign = 1500 * time.Millisecond
+	// aloneAfter without the store, a holder goes on only with most of its followers.
+	aloneAfter = 2500 * time.Millisecond
+	// keptShare of the followers must stay, and joinedShare is enough for a
+	// successor: the two cannot be reached at the same time.
+	keptShare   = 0.6
+	joinedShare = 0.45
+	// foreignEnd is how long the grants of an earlier holder last after a successor
+	// has joinedShare: that holder notices the loss of its links within 1.5 s, and
+	// its last grants are of the usual length.
+	foreignEnd = 1500*time.Millisecond + owners.HoldFor + 200*time.Millisecond
 	// frozenAfter without a tick the process has been standing still, and its
 	// tenure must be proved again.
 	frozenAfter = 700 * time.Millisecond
--- a/internal/owners/table.go
+++ b/internal/owners/table.go
@@ -29,6 +29,8 @@
 	failures map[fleet.Life]int
 	// counted holds the number of servers of services without ranges.
 	counted map[string]count
+	// foreign is when the holds of earlier holders end at the latest.
+	foreign time.Time
 	// flying are the grants under way by their number: what they grant may arrive at any moment.
 	flying map[uint64]Order
 	orders uint64
@@ -40,7 +42,7 @@
 // to its owner under a higher fence, which ends the say of earlier holders.
 // Holds of earlier holders end at until at the latest.
 func NewTable(record Record, holder string, until time.Time) *Table {
-	t := &Table{epoch: record.Epoch, holder: holder, services: map[string][]*span{}, suspects: map[fleet.Life]time.Time{}, flying: map[uint64]Order{}, failures: map[fleet.Life]int{}, counted: map[string]count{}, holdFor: HoldFor}
+	t := &Table{epoch: record.Epoch, holder: holder, services: map[string][]*span{}, suspects: map[fleet.Life]time.Time{}, foreign: until, flying: map[uint64]Order{}, failures: map[fleet.Life]int{}, counted: map[string]count{}, holdFor: HoldFor}
 	for name, spans := range record.Services {
 		for _, r := range spans {
 			s := &span{
@@ -176,6 +178,24 @@
 	s.busy = false
 }
 
+// EndForeign tells that the holds of earlier holders end sooner than was assumed.
+func (t *Table) EndForeign(until time.Time) {
+	if !until.Before(t.foreign) {
+		return
+	}
+	for _, spans := range t.services {
+		for _, s := range spans {
+			if s.until.Equal(t.foreign) {
+				s.until = until
+			}
+			if s.previous != nil && s.previous.Until.Equal(t.foreign) {
+				s.previous.Until = until
+			}
+		}
+	}
+	t.foreign = until
+}
+
 // TakeMoves returns the moves planned since the last call, for the log.
 func (t *Table) TakeMoves() []Move {
 	out := t.moves
