--- a/internal/facts/board.go
+++ b/internal/facts/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -131,7 +132,7 @@
 // Owned takes over the owners of keys as published by the holder of an epoch.
 func (b *Board) Owned(owned map[string][]owners.View, epoch int64) {
 	b.replace(func(v *View) *View {
-		if epoch < v.Epoch {
+		if epoch < v.Epoch || epoch == v.Epoch && maps.EqualFunc(v.Owned, owned, slices.Equal[[]owners.View]) {
 			return nil
 		}
 		next := *v
--- /dev/null
+++ b/internal/facts/board_test.go
@@ -0,0 +1,101 @@
+package facts
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/fleet"
+	"peridotmoor.org/peridotmoor/internal/owners"
+)
+
+// decodeVersion reads a configuration that is one digit.
+func decodeVersion(text []byte) (*fleet.Config, error) {
+	if len(text) != 1 || text[0] < '0' || text[0] > '9' {
+		return nil, errors.New("not a version")
+	}
+	return fleet.NewConfig(int64(text[0]-'0'), nil, nil, fleet.Limits{}), nil
+}
+
+// Guards against a configuration that goes back: an older or unreadable one,
+// or an older reading, leaves the one in force.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name string
+		text string
+		at   time.Time
+		want int64
+	}{
+		{"newer", "5", start.Add(time.Second), 5},
+		{"older", "2", start.Add(time.Second), 3},
+		{"unreadable", "x", start.Add(time.Second), 3},
+		{"missing", "", start.Add(time.Second), 3},
+		{"read earlier", "5", start.Add(-time.Second), 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := NewBoard(decodeVersion, nil)
+			b.Orders(fleet.Orders{Config: []byte("3")}, start)
+			orders := fleet.Orders{Config: []byte(c.text)}
+			if c.text == "" {
+				orders.Config = nil
+			}
+			b.Orders(orders, c.at)
+			is.New(t).Equal(b.View().Config.Version, c.want)
+		})
+	}
+}
+
+// Guards against news that are none: the holder publishes to its own instance
+// too, and would go on for ever.
+func TestEqualFactsChangeNothing(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(1000, 0)
+	b := NewBoard(decodeVersion, nil)
+	tell := func() {
+		b.Orders(fleet.Orders{Config: []byte("3"), DomainsOut: []string{"d"}}, at)
+		b.Servers([]fleet.Server{{Life: fleet.Life{Name: "a"}, Address: "h:1"}}, at)
+		b.Owned(map[string][]owners.View{"s": {{Interval: owners.Interval{From: 0, To: 9}, Owner: "a", Held: true}}}, 1)
+	}
+	tell()
+	view := b.View()
+	tell()
+	is.True(b.View() == view)
+}
+
+// Guards against live servers that count as gone because their entries lapsed
+// while the store was away, and against a server whose address has a new owner.
+func TestRetain(t *testing.T) {
+	is := is.New(t)
+	server := func(name, address string) fleet.Server {
+		return fleet.Server{Life: fleet.Life{Name: name}, Address: address}
+	}
+	got := Retain(
+		[]fleet.Server{server("a", "h:1"), server("b", "h:2"), server("c", "h:3")},
+		[]fleet.Server{server("a", "h:1"), server("d", "h:3")})
+	var names []string
+	for _, s := range got {
+		names = append(names, s.Name)
+	}
+	is.Equal(names, []string{"a", "b", "d"})
+}
+
+// Guards against orders that cannot be sent to a server that lives on though it
+// is listed no more.
+func TestFormerServersAreKnown(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(1000, 0)
+	b := NewBoard(decodeVersion, nil)
+	a := fleet.Server{Life: fleet.Life{Name: "a", Born: 1}, Address: "h:1"}
+	reborn := a
+	reborn.Born = 2
+	b.Servers([]fleet.Server{a}, at)
+	b.Servers([]fleet.Server{reborn}, at.Add(time.Second))
+	is.Equal(b.View().Known(a.Life).Address, "h:1")
+	is.True(b.View().Server("a").Life == reborn.Life)
+	b.Servers([]fleet.Server{{Life: fleet.Life{Name: "b"}}}, at.Add(2*time.Second))
+	is.True(b.View().Known(reborn.Life) != nil)
+	is.True(b.View().Server("a") == nil)
+}
--- a/internal/holder/actor.go
+++ b/internal/holder/actor.go
@@ -49,10 +49,12 @@
 	// publishedAt is when the owners were last published.
 	publishedAt time.Time
 	storing     bool
-	storedAt    time.Time
-	plannedAt   time.Time
-	beatAt      time.Time
-	tickedAt    time.Time
+	// soon is set when replies have come since the last tick.
+	soon      bool
+	storedAt  time.Time
+	plannedAt time.Time
+	beatAt    time.Time
+	tickedAt  time.Time
 }
 
 func newActor(ctx context.Context, c *Campaign, record *stored, found owners.Record, until time.Time) *Actor {
@@ -96,6 +98,7 @@
 		case event := <-a.events:
 			event()
 			a.drain()
+			a.goOn()
 		case <-a.board.Changed():
 			a.refresh(time.Now())
 		case <-ticker.C:
@@ -270,13 +273,13 @@
 
 // store writes the record when moves wait for it, or after a while to note their end.
 func (a *Actor) store(now time.Time) {
-	record, dirty := a.table.Record()
-	if a.storing || !dirty || !a.table.Urgent() && now.Sub(a.storedAt) < cleanAfter {
+	if a.storing || !a.table.Dirty() || !a.table.Urgent() && now.Sub(a.storedAt) < cleanAfter {
 		return
 	}
 	a.storing = true
 	a.storedAt = now
 	version := a.table.Planned()
+	record := a.table.Record()
 	go func() {
 		err := a.record.write(a.ctx, record)
 		if errors.Is(err, ErrDeposed) {
@@ -345,7 +348,7 @@
 			cancel()
 			a.post(func() {
 				a.apply(reply)
-				a.tickSoon()
+				a.soon = true
 			})
 		}()
 	}
@@ -359,8 +362,12 @@
 	return owners.OrderTimeout
 }
 
-// tickSoon goes on with a move without waiting for the next tick.
-func (a *Actor) tickSoon() {
+// goOn sends the orders that follow from replies without waiting for the next tick.
+func (a *Actor) goOn() {
+	if !a.soon {
+		return
+	}
+	a.soon = false
 	now := time.Now()
 	if a.mayOrder(now) {
 		a.order(now)
--- a/internal/link/follower.go
+++ b/internal/link/follower.go
@@ -20,16 +20,6 @@
 	closed  atomic.Bool
 }
 
-// NewLocalFollower returns the end of a link within one process.
-func NewLocalFollower(instance, domain string, deliver func(*linkpb.Down)) *Follower {
-	return &Follower{
-		Instance: instance,
-		Domain:   domain,
-		deliver:  func(d *linkpb.Down) bool { deliver(d); return true },
-		cut:      func() {},
-	}
-}
-
 // Deliver sends a message. A follower that is too slow is cut off.
 func (f *Follower) Deliver(d *linkpb.Down) {
 	if !f.deliver(d) {
--- a/internal/owners/constants.go
+++ b/internal/owners/constants.go
@@ -18,6 +18,8 @@
 	clockDrift = 0.02
 	// holdMargin covers timers and scheduling at both ends.
 	holdMargin = 100 * time.Millisecond
+	// ordersAtOnce bounds the orders under way to one server, each of which takes a connection.
+	ordersAtOnce = 2
 	// suspectAfter orders without an answer in a row, a new owner is looked for.
 	suspectAfter = 3
 	// suspectFor is how long a server that does not answer gets no keys; its entry
--- a/internal/owners/orders.go
+++ b/internal/owners/orders.go
@@ -38,8 +38,14 @@
 	order := Order{Service: service, Interval: s.Interval, version: s.version}
 	switch s.phase {
 	case PhaseReleasing:
+		if t.underway[s.previous.Life] >= ordersAtOnce {
+			return Order{}, false
+		}
 		t.takeBack(now, s, &order)
 	case PhaseGranting, PhaseHeld:
+		if t.underway[s.owner] >= ordersAtOnce {
+			return Order{}, false
+		}
 		order.Action, order.Life, order.Fence = ActionGrant, s.owner, s.fence
 		order.Hold, order.Handover = t.holdFor, s.handover
 		order.before = s.until
@@ -49,6 +55,7 @@
 	default:
 		return Order{}, false
 	}
+	t.underway[order.Life]++
 	s.busy = true
 	t.orders++
 	order.number = t.orders
@@ -112,6 +119,9 @@
 func (t *Table) Apply(reply Reply) bool {
 	o := reply.Order
 	delete(t.flying, o.number)
+	if t.underway[o.Life]--; t.underway[o.Life] <= 0 {
+		delete(t.underway, o.Life)
+	}
 	s := t.find(o.Service, o.From)
 	if o.Action == ActionGrant && reply.Outcome != Unsent && reply.Outcome != Gone {
 		t.extend(reply)
--- a/internal/owners/plan.go
+++ b/internal/owners/plan.go
@@ -32,6 +32,7 @@
 	t.planLost(service, loads)
 	t.planJoined(service, loads)
 	t.planBusy(service, loads)
+	t.merge(service)
 	return t.version != before
 }
 
--- a/internal/owners/table.go
+++ b/internal/owners/table.go
@@ -33,7 +33,9 @@
 	foreign time.Time
 	// flying are the grants under way by their number: what they grant may arrive at any moment.
 	flying map[uint64]Order
-	orders uint64
+	// underway counts the orders under way to each life.
+	underway map[fleet.Life]int
+	orders   uint64
 	// holdFor is the current length of grants.
 	holdFor time.Duration
 }
@@ -42,7 +44,7 @@
 // to its owner under a higher fence, which ends the say of earlier holders.
 // Holds of earlier holders end at until at the latest.
 func NewTable(record Record, holder string, until time.Time) *Table {
-	t := &Table{epoch: record.Epoch, holder: holder, services: map[string][]*span{}, suspects: map[fleet.Life]time.Time{}, foreign: until, flying: map[uint64]Order{}, failures: map[fleet.Life]int{}, counted: map[string]count{}, holdFor: HoldFor}
+	t := &Table{epoch: record.Epoch, holder: holder, services: map[string][]*span{}, suspects: map[fleet.Life]time.Time{}, foreign: until, flying: map[uint64]Order{}, underway: map[fleet.Life]int{}, failures: map[fleet.Life]int{}, counted: map[string]count{}, holdFor: HoldFor}
 	for name, spans := range record.Services {
 		for _, r := range spans {
 			s := &span{
@@ -69,8 +71,13 @@
 	return t.epoch<<fenceBits + t.fences
 }
 
-// Record returns the plan for the store and whether it differs from what was stored last.
-func (t *Table) Record() (Record, bool) {
+// Dirty reports whether the plan differs from what was stored last.
+func (t *Table) Dirty() bool {
+	return t.dirty
+}
+
+// Record returns the plan for the store.
+func (t *Table) Record() Record {
 	r := Record{Epoch: t.epoch, Holder: t.holder, Services: map[string][]RecordSpan{}}
 	for name, spans := range t.services {
 		for _, s := range spans {
@@ -81,7 +88,7 @@
 			r.Services[name] = append(r.Services[name], out)
 		}
 	}
-	return r, t.dirty
+	return r
 }
 
 // Planned returns the version of the plan, to be given to Stored.
@@ -234,6 +241,34 @@
 	return middle
 }
 
+// merge joins neighbouring ranges of one owner that have rested. They are
+// granted under a new fence; the stored record stays true.
+func (t *Table) merge(service string) {
+	spans := t.services[service]
+	out := spans[:0:0]
+	for _, s := range spans {
+		if len(out) > 0 && t.joinable(out[len(out)-1], s) {
+			last := out[len(out)-1]
+			t.version++
+			last.To = s.To
+			last.fence = t.nextFence()
+			last.until = later(last.until, s.until)
+			last.nextAt = time.Time{}
+			last.version = t.version
+			continue
+		}
+		out = append(out, s)
+	}
+	t.services[service] = out
+}
+
+func (t *Table) joinable(a, b *span) bool {
+	rested := func(s *span) bool {
+		return t.movable(s) && !s.busy && s.previous == nil && !t.now.Before(s.lateUntil)
+	}
+	return a.owner == b.owner && rested(a) && rested(b)
+}
+
 // Spans returns what is known of each range of a service, for publication and logs.
 func (t *Table) Spans(service string) []View {
 	out := make([]View, 0, len(t.services[service]))
--- a/internal/owners/table_test.go
+++ b/internal/owners/table_test.go
@@ -161,8 +161,8 @@
 	table := settledTable(t, now, "a", "b")
 	is.True(table.Plan(now, service, candidates("a", "b"), heatOf{10: 20, 20: 20}))
 	key := movedKey(t, table)
-	record, dirty := table.Record()
-	is.True(dirty)
+	is.True(table.Dirty())
+	record := table.Record()
 	record.Epoch++
 	next := NewTable(record, "successor", now.Add(time.Minute))
 	// The earlier owner gets no grant: it may have given the range up already.
@@ -188,3 +188,44 @@
 	table.Stored(table.Planned())
 	is.Equal(stepsFor(t, table, now, key, "a", "b"), []step{{ActionGrant, "a"}, {ActionRelease, "a"}, {ActionGrant, "b"}})
 }
+
+// Guards against ranges that only ever become more: neighbours of one owner are
+// granted together again once they have rested.
+func TestNeighboursOfOneOwnerAreMerged(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := settledTable(t, now, "a", "b")
+	for _, key := range []int{10, 100, 1000} {
+		table.split(service, table.find(service, key), Interval{From: key, To: key})
+	}
+	is.Equal(len(table.Spans(service)), 8)
+	now = now.Add(restFor)
+	table.Plan(now, service, candidates("a", "b"), flat{})
+	is.Equal(len(table.Spans(service)), 2)
+	for _, o := range table.Due(now, lives("a", "b")) {
+		is.True(o.Size() == Keys/2) // one grant for all keys of the server
+	}
+}
+
+// Guards against a flood of orders to one server after a takeover.
+func TestOrdersOfOneServerAreBounded(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := settledTable(t, now, "a", "b")
+	for key := range 20 {
+		table.split(service, table.find(service, key*50), Interval{From: key * 50, To: key * 50})
+	}
+	now = now.Add(renewEvery)
+	first := table.Due(now, lives("a", "b"))
+	count := 0
+	for _, o := range first {
+		if o.Life.Name == "a" {
+			count++
+		}
+	}
+	is.Equal(count, ordersAtOnce)
+	for _, o := range first {
+		table.Apply(Reply{Order: o, Outcome: Done, Ended: now})
+	}
+	is.True(len(table.Due(now, lives("a", "b"))) > 0) // the others follow
+}
