Test the adapter against a stand-in of the platform's store

The hang of FuzzConnection was the test's own: it left its end of the connection open while the server waited for a body.

--- a/internal/callerhttp/fuzz_test.go
+++ b/internal/callerhttp/fuzz_test.go
@@ -37,9 +37,10 @@
 		}()
 		go func() {
 			_, _ = near.Write(input) // the server may close first
-			_ = near.SetReadDeadline(time.Now().Add(time.Second))
+			_ = near.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
 		}()
-		_, _ = io.Copy(io.Discard, near) // until the server closes
+		_, _ = io.Copy(io.Discard, near) // until the server closes, or waits for a body that does not come
+		_ = near.Close()
 		<-done
 		if most := bytes.Count(input, []byte("HTTP/1.")); len(ran) > most {
 			t.Errorf("%d requests ran, at most %d were sent", len(ran), most)
--- /dev/null
+++ b/internal/dev/kvstore/eventspage.go
@@ -0,0 +1,6 @@
+package kvstore
+
+// eventsPage is the answer of a watch.
+type eventsPage struct {
+	Events []item `json:"events"`
+}
--- /dev/null
+++ b/internal/dev/kvstore/server.go
@@ -0,0 +1,215 @@
+// Package kvstore is a stand-in for the store of the users' platform: its
+// published HTTP protocol over the memory store, whose faults tests switch.
+package kvstore
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/store"
+	"peridotmoor.org/peridotmoor/internal/store/memstore"
+)
+
+// pageItems is how many items one answer of a range holds at most.
+const pageItems = 500
+
+// longestWait bounds a watch.
+const longestWait = 30 * time.Second
+
+// Server serves the store.
+type Server struct {
+	store *memstore.Store
+	mux   *mux.Router
+	calls atomic.Int64
+	// pageItems may be lowered by tests.
+	pageItems atomic.Int64
+}
+
+// New returns an empty store.
+func New() *Server {
+	s := &Server{store: memstore.New(), mux: mux.NewRouter()}
+	s.pageItems.Store(pageItems)
+	s.mux.HandleFunc("/kv-key", s.get).Methods(http.MethodGet)
+	s.mux.HandleFunc("/kv-range", s.list).Methods(http.MethodGet)
+	s.mux.HandleFunc("/kv-watch", s.watch).Methods(http.MethodGet)
+	s.mux.HandleFunc("/kv-txn", s.change).Methods(http.MethodPost)
+	s.mux.HandleFunc("/kv-lease", s.grant).Methods(http.MethodPost)
+	s.mux.HandleFunc("/kv-keep/{id}", s.keep).Methods(http.MethodPost)
+	s.mux.HandleFunc("/kv-lease-end/{id}", s.end).Methods(http.MethodDelete)
+	return s
+}
+
+// Store returns the memory store behind the protocol.
+func (s *Server) Store() *memstore.Store {
+	return s.store
+}
+
+// Calls returns how many calls were taken.
+func (s *Server) Calls() int64 {
+	return s.calls.Load()
+}
+
+// SetPageItems changes how many items one answer of a range holds.
+func (s *Server) SetPageItems(n int) {
+	s.pageItems.Store(int64(n))
+}
+
+// ServeHTTP serves one call.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.calls.Add(1)
+	s.mux.ServeHTTP(w, r)
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	entry, err := s.store.Get(r.Context(), r.URL.Query().Get("key"))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	answer(w, http.StatusOK, itemOf(entry))
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	entries, err := s.store.List(r.Context(), r.URL.Query().Get("path_prefix"))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	after := r.URL.Query().Get("after")
+	page := itemsPage{Items: []item{}}
+	for _, e := range entries {
+		if e.Key <= after {
+			continue
+		}
+		if len(page.Items) == int(s.pageItems.Load()) {
+			page.More = true
+			break
+		}
+		page.Items = append(page.Items, itemOf(e))
+	}
+	answer(w, http.StatusOK, page)
+}
+
+// watch waits for a change of one key; a prefix of several keys is polled.
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	after, errAfter := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	wait, errWait := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
+	if errAfter != nil || errWait != nil {
+		http.Error(w, "after or wait_ms is not a whole number", http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), min(longestWait, time.Duration(wait)*time.Millisecond))
+	defer cancel()
+	entry, err := s.store.Watch(ctx, r.URL.Query().Get("path_prefix"), after)
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		answer(w, http.StatusOK, eventsPage{Events: []item{}})
+	case errors.Is(err, store.ErrNotFound):
+		answer(w, http.StatusOK, eventsPage{Events: []item{{Key: r.URL.Query().Get("path_prefix"), Tombstone: true}}})
+	case err != nil:
+		fail(w, err)
+	default:
+		answer(w, http.StatusOK, eventsPage{Events: []item{itemOf(entry)}})
+	}
+}
+
+// change carries out a change of one key under one condition, as the product makes them.
+func (s *Server) change(w http.ResponseWriter, r *http.Request) {
+	var c changeCall
+	if err := json.NewDecoder(r.Body).Decode(&c); err != nil || len(c.Conditions) != 1 || len(c.Puts) != 1 || c.Conditions[0].Key != c.Puts[0].Key {
+		http.Error(w, "one condition and one value of the same key are served here", http.StatusBadRequest)
+		return
+	}
+	key := c.Puts[0].Key
+	if strings.HasPrefix(key, "op/") || strings.HasPrefix(key, "servers/") {
+		http.Error(w, "the key is not the system's", http.StatusForbidden)
+		return
+	}
+	lease := store.LeaseID("")
+	if c.Puts[0].Lease != 0 {
+		lease = leaseID(strconv.FormatInt(c.Puts[0].Lease, 10))
+	}
+	entry, err := s.store.CompareAndSwap(context.WithoutCancel(r.Context()), key, c.Conditions[0].Revision, c.Puts[0].Value, lease)
+	if errors.Is(err, store.ErrConflict) {
+		conflict := changeAnswer{Items: []item{}}
+		if entry.Revision > 0 {
+			conflict.Items = append(conflict.Items, itemOf(entry))
+		}
+		answer(w, http.StatusPreconditionFailed, conflict)
+		return
+	}
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	answer(w, http.StatusOK, changeAnswer{Revision: entry.Revision})
+}
+
+// leasePrefix is what the memory store puts before the number of a lease.
+const leasePrefix = "lease-"
+
+func leaseID(number string) store.LeaseID {
+	return store.LeaseID(leasePrefix + number)
+}
+
+func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
+	var c leaseCall
+	if err := json.NewDecoder(r.Body).Decode(&c); err != nil || c.TTL <= 0 {
+		http.Error(w, "the lifetime is missing", http.StatusBadRequest)
+		return
+	}
+	id, err := s.store.Grant(context.WithoutCancel(r.Context()), time.Duration(c.TTL*float64(time.Second)))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	c.Lease, err = strconv.ParseInt(strings.TrimPrefix(string(id), leasePrefix), 10, 64)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	answer(w, http.StatusOK, c)
+}
+
+func (s *Server) keep(w http.ResponseWriter, r *http.Request) {
+	if err := s.store.Renew(context.WithoutCancel(r.Context()), leaseID(mux.Vars(r)["id"])); err != nil {
+		fail(w, err)
+		return
+	}
+	answer(w, http.StatusOK, leaseCall{})
+}
+
+func (s *Server) end(w http.ResponseWriter, r *http.Request) {
+	if err := s.store.Revoke(context.WithoutCancel(r.Context()), leaseID(mux.Vars(r)["id"])); err != nil {
+		fail(w, err)
+		return
+	}
+	answer(w, http.StatusOK, leaseCall{})
+}
+
+func answer(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value) // a caller that has gone needs no answer
+}
+
+// fail writes the status of a typed error. An answer that the store lost ends
+// the connection without one.
+func fail(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, store.ErrUncertain):
+		panic(http.ErrAbortHandler)
+	case errors.Is(err, store.ErrNotFound):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	default:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
