Test whole instances against stand-ins of the store and of servers that own keys

Three instances, three servers that check fences and holds: a planned stop of an instance and an outage of the store under load, and a server that leaves. Every claim to a caller is compared with what the servers ran.

--- /dev/null
+++ b/internal/entrynode/fleet_test.go
@@ -0,0 +1,346 @@
+package entrynode
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotmoor.org/peridotmoor/internal/dev/kvstore"
+)
+
+// upstream is a stand-in for a backend server that owns keys: it checks fences,
+// runs a request only while it holds the key, and counts what it ran.
+type upstream struct {
+	name string
+	http *httptest.Server
+	mu   sync.Mutex
+	held map[int]hold // by key
+	ran  map[string]int
+	// clash is told of keys that are begun while another server holds them too.
+	clash func(key int, name string)
+}
+
+// hold is the right to one key.
+type hold struct {
+	fence int64
+	until time.Time
+}
+
+func newUpstream(t *testing.T, name string) *upstream {
+	u := &upstream{name: name, held: map[int]hold{}, ran: map[string]int{}}
+	u.http = httptest.NewServer(u)
+	t.Cleanup(u.http.Close)
+	return u
+}
+
+func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != u.name {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch r.URL.Path {
+	case "/grant", "/release":
+		u.order(w, r)
+	default:
+		u.run(w, r)
+	}
+}
+
+func (u *upstream) order(w http.ResponseWriter, r *http.Request) {
+	var o struct {
+		From  int     `json:"from"`
+		To    int     `json:"to"`
+		Fence int64   `json:"fence"`
+		Hold  float64 `json:"hold_s"`
+	}
+	if json.NewDecoder(r.Body).Decode(&o) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for key := o.From; key <= o.To; key++ {
+		if r.URL.Path == "/grant" && u.held[key].fence > o.Fence {
+			w.WriteHeader(http.StatusConflict)
+			return
+		}
+	}
+	for key := o.From; key <= o.To; key++ {
+		if r.URL.Path == "/grant" {
+			u.held[key] = hold{o.Fence, time.Now().Add(time.Duration(o.Hold * float64(time.Second)))}
+		} else {
+			u.held[key] = hold{fence: u.held[key].fence}
+		}
+	}
+	w.Header().Set("X-Handover", "h")
+}
+
+func (u *upstream) holds(key int) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return time.Now().Before(u.held[key].until)
+}
+
+func (u *upstream) run(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Attempt-Id")
+	key, err := strconv.Atoi(r.Header.Get("X-Shard-Key"))
+	if err != nil || !u.holds(key) {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	u.clash(key, u.name)
+	u.mu.Lock()
+	u.ran[id]++
+	u.mu.Unlock()
+	body, _ := io.ReadAll(r.Body) // a caller that breaks off gets no answer anyway
+	time.Sleep(5 * time.Millisecond)
+	w.Header().Set("X-Attempt-Id", id)
+	w.Header().Set("X-Response-Stamp", "stamp")
+	fmt.Fprintf(w, "%s:%s:%s", id, r.URL.Path, body)
+}
+
+// instance is one node under test.
+type instance struct {
+	config Config
+	stop   context.CancelFunc
+	done   chan error
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func startInstance(t *testing.T, store, name string) *instance {
+	t.Helper()
+	i := &instance{done: make(chan error, 1), config: Config{
+		Name: name, Domain: "d-" + name, Callers: freeAddress(t), Ready: freeAddress(t), Peers: freeAddress(t), Metrics: freeAddress(t),
+		Store: store, Grace: 4 * time.Second, RetryRatio: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second,
+	}}
+	ctx, stop := context.WithCancel(context.Background())
+	i.stop = stop
+	go func() { i.done <- New(i.config, io.Discard).Run(ctx) }()
+	t.Cleanup(stop)
+	return i
+}
+
+func (i *instance) ready() bool {
+	response, err := http.Get("http://" + i.config.Ready + "/readiness")
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func put(t *testing.T, s *kvstore.Server, key string, value any) {
+	t.Helper()
+	text, err := json.Marshal(value)
+	if err == nil {
+		_, err = s.Store().CompareAndSwap(context.Background(), key, 0, text, "")
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// fleet is three instances, three servers and a store.
+type fleet struct {
+	store     *kvstore.Server
+	upstreams []*upstream
+	instances []*instance
+	mu        sync.Mutex
+	clashes   []string
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{store: kvstore.New()}
+	server := httptest.NewServer(f.store)
+	t.Cleanup(server.Close)
+	put(t, f.store, "op/config", map[string]any{
+		"version": 1, "services": []any{map[string]any{"name": "s", "sharded": true, "warmup_s": 1.0}},
+		"limits": map[string]any{"max_body_bytes": 1 << 20},
+		"hosts": []any{map[string]any{"host": "h", "paths": []any{map[string]any{
+			"name": "r", "path_prefix": "/p/", "kind": "unsafe", "timeout_s": 2.0, "target_latency_s": 1.0, "service": "s", "max_attempts": 2}}}},
+	})
+	for n := range 3 {
+		u := newUpstream(t, fmt.Sprintf("i-%d", n))
+		u.clash = f.clash
+		f.upstreams = append(f.upstreams, u)
+		put(t, f.store, "servers/"+u.name, map[string]any{
+			"address": u.http.Listener.Addr().String(), "born": 1, "info": map[string]any{"service": "s", "zone": "d-a", "slots": 3},
+			"status": map[string]any{"state": "ready", "sequence": 1, "cold_remaining_s": 0.0}})
+	}
+	for _, name := range []string{"a", "b", "c"} {
+		f.instances = append(f.instances, startInstance(t, server.Listener.Addr().String(), name))
+	}
+	waitFor(t, "all instances ready", func() bool {
+		for _, i := range f.instances {
+			if !i.ready() {
+				return false
+			}
+		}
+		return true
+	})
+	return f
+}
+
+// clash notes a key that two servers hold while one begins a request for it.
+func (f *fleet) clash(key int, name string) {
+	for _, u := range f.upstreams {
+		if u.name != name && u.holds(key) {
+			f.mu.Lock()
+			f.clashes = append(f.clashes, fmt.Sprintf("key %d: %s and %s", key, name, u.name))
+			f.mu.Unlock()
+		}
+	}
+}
+
+// waitFor waits for an event of real processes; it judges no time.
+func waitFor(t *testing.T, what string, happened func() bool) {
+	t.Helper()
+	for range 2000 {
+		if happened() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("did not happen: " + what)
+}
+
+// order sends one non-idempotent request and returns its status and body; 0 means no answer.
+func order(client *http.Client, i *instance, id string, key int) (int, string) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+i.config.Callers+"/p/x", nil)
+	if err != nil {
+		return 0, ""
+	}
+	request.Host = "h"
+	request.Header.Set("X-Attempt-Id", id)
+	request.Header.Set("X-Shard-Key", strconv.Itoa(key))
+	request.Header.Set("X-Deadline-Ms", "2000")
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return response.StatusCode, string(body)
+}
+
+func (f *fleet) runs(id string) int {
+	n := 0
+	for _, u := range f.upstreams {
+		u.mu.Lock()
+		n += u.ran[id]
+		u.mu.Unlock()
+	}
+	return n
+}
+
+// load sends orders through the given instances until stop closes and checks
+// every claim that callers are made.
+func (f *fleet) load(t *testing.T, through []*instance, stop <-chan struct{}) (answered int) {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}, Timeout: 5 * time.Second}
+	defer client.CloseIdleConnections()
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return answered
+		default:
+		}
+		id := fmt.Sprintf("%p-%d", stop, n)
+		status, body := order(client, through[n%len(through)], id, n*7919%65536)
+		ran := f.runs(id)
+		switch {
+		case ran > 1:
+			t.Errorf("%s ran %d times", id, ran)
+		case status == http.StatusOK && (body != id+":/p/x:" || ran != 1):
+			t.Errorf("%s was answered %q and ran %d times", id, body, ran)
+		case (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) && ran != 0:
+			t.Errorf("%s was refused and ran", id)
+		case status == http.StatusNotFound || status == http.StatusBadRequest:
+			t.Errorf("%s was denied: %d", id, status)
+		}
+		if status == http.StatusOK {
+			answered++
+		}
+	}
+}
+
+// Guards against orders that run twice, false refusals, crossed answers and two
+// owners of a key while the holder makes a planned stop and the store is away.
+func TestFleetKeepsItsPromises(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	stop := make(chan struct{})
+	total := make(chan int, 1)
+	go func() { total <- f.load(t, f.instances[1:], stop) }()
+
+	f.instances[0].stop() // the holder, or a follower of it
+	is.NoErr(<-f.instances[0].done)
+
+	f.store.Store().Faults().SetDown(true)
+	time.Sleep(time.Second)
+	f.store.Store().Faults().SetDown(false)
+
+	answered := func() bool {
+		_, body := order(http.DefaultClient, f.instances[1], "after", 5)
+		return body == "after:/p/x:"
+	}
+	waitFor(t, "orders are served after the outage", answered)
+	close(stop)
+	is.True(<-total > 0)
+	is.Equal(f.clashes, nil)
+}
+
+// Guards against a key that stays with a server that leaves, and against work
+// sent to it after its instance of the list said so.
+func TestKeysLeaveADrainingServer(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	leaving := f.upstreams[0]
+	entry, err := f.store.Store().Get(context.Background(), "servers/"+leaving.name)
+	is.NoErr(err)
+	text := []byte(string(entry.Value))
+	var value map[string]any
+	is.NoErr(json.Unmarshal(text, &value))
+	value["status"].(map[string]any)["state"] = "draining"
+	text, err = json.Marshal(value)
+	is.NoErr(err)
+	_, err = f.store.Store().CompareAndSwap(context.Background(), entry.Key, entry.Revision, text, "")
+	is.NoErr(err)
+	waitFor(t, "the leaving server holds no key and all others are held", func() bool {
+		for key := 0; key < 65536; key += 997 {
+			if leaving.holds(key) || !f.upstreams[1].holds(key) && !f.upstreams[2].holds(key) {
+				return false
+			}
+		}
+		return true
+	})
+	for n := range 20 {
+		status, _ := order(http.DefaultClient, f.instances[n%3], fmt.Sprintf("d-%d", n), n*3001)
+		is.Equal(status, http.StatusOK)
+	}
+	is.Equal(f.clashes, nil)
+}
--- /dev/null
+++ b/internal/entrynode/parse_test.go
@@ -0,0 +1,67 @@
+package entrynode
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const properFile = `[instance]
+name = a
+domain = d
+first_start = true
+[listen]
+callers = 127.0.0.1:1
+ready = 127.0.0.1:2
+peers = 127.0.0.1:3
+metrics = 127.0.0.1:4
+[store]
+address = 127.0.0.1:5
+[bounds]
+grace_s = 6
+retry_ratio = 0.2
+retry_extra = 64
+retry_window_s = 10
+`
+
+// Guards against settings that are read wrongly.
+func TestParse(t *testing.T) {
+	is := is.New(t)
+	c, err := Parse([]byte(properFile), "f")
+	is.NoErr(err)
+	is.Equal(c, Config{Name: "a", Domain: "d", FirstStart: true, Callers: "127.0.0.1:1", Ready: "127.0.0.1:2", Peers: "127.0.0.1:3",
+		Metrics: "127.0.0.1:4", Store: "127.0.0.1:5", Grace: 6 * time.Second, RetryRatio: 0.2, RetryExtra: 64, RetryWindow: 10 * time.Second})
+}
+
+// Guards against a start with settings that are wrong, and against an error
+// that does not name the place and the remedy.
+func TestFaultsNameFieldAndRemedy(t *testing.T) {
+	for name, c := range map[string]struct{ old, next, want string }{
+		"missing":        {"name = a\n", "", `f: [instance] name = "": is missing; set it`},
+		"no address":     {"127.0.0.1:5", "nowhere", `f: [store] address = "nowhere": is not an address; write host:port`},
+		"no number":      {"retry_ratio = 0.2", "retry_ratio = much", `f: [bounds] retry_ratio = "much": is not a number of 0 or more; write a number`},
+		"negative":       {"grace_s = 6", "grace_s = -1", `f: [bounds] grace_s = "-1": is not a number of 0 or more; write a number`},
+		"no time":        {"grace_s = 6", "grace_s = 0", `f: [bounds] grace_s = "0": is not a time; write a number of seconds above 0`},
+		"no truth":       {"first_start = true", "first_start = perhaps", `f: [instance] first_start = "perhaps": is not a truth value; write true or false`},
+		"not INI at all": {"[instance]", "[instance", "not readable as INI"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Parse([]byte(strings.Replace(properFile, c.old, c.next, 1)), "f")
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), c.want))
+		})
+	}
+}
+
+// FuzzParse guards against a settings file that stops the program without a message.
+func FuzzParse(f *testing.F) {
+	f.Add(properFile)
+	f.Fuzz(func(t *testing.T, text string) {
+		if c, err := Parse([]byte(text), "f"); err == nil && (c.Name == "" || c.Grace <= 0) {
+			t.Error("accepted without a name or a grace time")
+		}
+	})
+}
