--- a/internal/entrynode/fleet_test.go
+++ b/internal/entrynode/fleet_test.go
@@ -320,6 +320,9 @@
 	is := is.New(t)
 	f := newFleet(t)
 	leaving := f.upstreams[0]
+	stop := make(chan struct{})
+	total := make(chan int, 1)
+	go func() { total <- f.load(t, f.instances, stop) }()
 	entry, err := f.store.Store().Get(context.Background(), "servers/"+leaving.name)
 	is.NoErr(err)
 	text := []byte(string(entry.Value))
@@ -342,5 +345,7 @@
 		status, _ := order(http.DefaultClient, f.instances[n%3], fmt.Sprintf("d-%d", n), n*3001)
 		is.Equal(status, http.StatusOK)
 	}
+	close(stop)
+	is.True(<-total > 0)
 	is.Equal(f.clashes, nil)
 }
