Prove an end before keys move; keep facts fresh when the holder loses the store

A refusal now proves an end only when it is repeated over 250 ms and no request runs at the server. Ruled out: late grants (the orders were refused, not silent). A follower read the store in its place, but retained the removed server, as it had not read the store itself for long. Servers are now retained by the age of the fleet's last reading, followers read after 1.05 s and tell the holder.

--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -20,6 +20,7 @@
 	RecordFailed    = register(1716, "record_failed", log.WarnLevel, "The record of owners was not stored; it is tried again.")
 	OrderEnded      = register(1717, "order_ended", log.InfoLevel, "An order to a backend server has ended.")
 	MovePlanned     = register(1718, "move_planned", log.InfoLevel, "Keys are planned to change their owner.")
+	ReadForHolder   = register(1719, "read_for_holder", log.InfoLevel, "This instance reads the store because the holder's reading is old.")
 	CallEnded       = register(1720, "call_ended", log.InfoLevel, "A request has got its final answer.")
 	AttemptEnded    = register(1721, "attempt_ended", log.InfoLevel, "An attempt at a backend server has ended without an answer for the caller.")
 	CallUnwritten   = register(1722, "call_unwritten", log.WarnLevel, "An answer could not be written to its caller.")
--- a/internal/facts/board.go
+++ b/internal/facts/board.go
@@ -21,6 +21,8 @@
 	log     *events.Logger
 	// refused is the last configuration that could not be used, for one log line each.
 	refused atomic.Pointer[[]byte]
+	// read is when the store was last read for this board, here or elsewhere.
+	read atomic.Pointer[time.Time]
 }
 
 // NewBoard returns an empty board. decode reads the operators' configuration.
@@ -42,6 +44,25 @@
 	return *b.changed.Load()
 }
 
+// Confirm notes that the board holds what the store held at the given time.
+func (b *Board) Confirm(at time.Time) {
+	for {
+		old := b.read.Load()
+		if old != nil && !at.After(*old) || b.read.CompareAndSwap(old, &at) {
+			return
+		}
+	}
+}
+
+// Age returns how long ago the store was read for this board, and false before that.
+func (b *Board) Age(now time.Time) (time.Duration, bool) {
+	at := b.read.Load()
+	if at == nil {
+		return 0, false
+	}
+	return now.Sub(*at), true
+}
+
 // replace publishes what next makes of the current view; nil means no change.
 func (b *Board) replace(next func(*View) *View) bool {
 	for {
--- a/internal/facts/reader.go
+++ b/internal/facts/reader.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/events"
@@ -12,8 +11,9 @@
 const (
 	// readTimeout bounds one reading; a store that is slow answers within it.
 	readTimeout = 900 * time.Millisecond
-	// outageAfter without a reading, entries may have lapsed because the store was away.
-	outageAfter = 1500 * time.Millisecond
+	// outageAfter without a reading, entries may have lapsed because the store was away;
+	// an entry lives for three heartbeats.
+	outageAfter = 2400 * time.Millisecond
 	// reappearWithin is how long after an outage live servers may take to be listed again.
 	reappearWithin = 2200 * time.Millisecond
 )
@@ -23,11 +23,8 @@
 	source Source
 	board  *Board
 	log    *events.Logger
-	// lastRead is when the last reading began, or nil before the first.
-	lastRead atomic.Pointer[time.Time]
 	// recoveredAt is when the store was back after the last outage.
 	recoveredAt time.Time
-	last        []fleet.Server
 	unreadable  map[string]bool
 	lost        bool
 }
@@ -37,15 +34,6 @@
 	return &Reader{source: source, board: board, log: log, unreadable: map[string]bool{}}
 }
 
-// Age returns how long ago the store was read, and false before the first reading.
-func (r *Reader) Age(now time.Time) (time.Duration, bool) {
-	at := r.lastRead.Load()
-	if at == nil {
-		return 0, false
-	}
-	return now.Sub(*at), true
-}
-
 // Read reads everything once. The error says that the store did not answer.
 func (r *Reader) Read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -67,14 +55,13 @@
 }
 
 func (r *Reader) take(began time.Time, listing fleet.Listing, orders fleet.Orders) {
-	if age, known := r.Age(began); known && age > outageAfter {
+	if age, known := r.board.Age(began); known && age > outageAfter {
 		r.recoveredAt = began
 	}
 	if r.lost {
 		r.lost = false
 		r.log.Emit(events.StoreRegained)
 	}
-	r.lastRead.Store(&began)
 	for _, key := range listing.Unreadable {
 		if !r.unreadable[key] {
 			r.unreadable[key] = true
@@ -83,9 +70,9 @@
 	}
 	servers := listing.Servers
 	if began.Sub(r.recoveredAt) < reappearWithin {
-		servers = Retain(r.last, servers)
+		servers = Retain(r.board.View().Servers, servers)
 	}
-	r.last = servers
 	r.board.Orders(orders, began)
 	r.board.Servers(servers, began)
+	r.board.Confirm(began)
 }
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/facts"
-	"peridotmoor.org/peridotmoor/internal/fleet"
 	"peridotmoor.org/peridotmoor/internal/link"
 	"peridotmoor.org/peridotmoor/internal/link/linkpb"
 	"peridotmoor.org/peridotmoor/internal/placing"
@@ -22,8 +21,7 @@
 	link     atomic.Pointer[attached]
 	next     atomic.Uint64
 	pending  sync.Map // uint64 to *pending
-	// heard is when the holder's last message came, age how old its reading of
-	// the store was then.
+	// heard is what the holder's last message said.
 	heard atomic.Pointer[heard]
 }
 
@@ -34,24 +32,17 @@
 
 // Attach uses the link until it ends.
 func (d *Desk) Attach(l link.Link) {
-	d.heard.CompareAndSwap(nil, &heard{at: time.Now()})
-	h := *d.heard.Load()
-	h.at = time.Now()
-	d.heard.Store(&h)
+	d.heard.Store(&heard{at: time.Now(), instances: d.Instances()})
 	d.link.Store(&attached{Link: l})
 }
 
-// Silent returns how long the holder has been silent, and how old its reading of the store is.
-func (d *Desk) Silent(now time.Time) (silent, age time.Duration) {
+// Silent returns how long the holder has been silent.
+func (d *Desk) Silent(now time.Time) time.Duration {
 	h := d.heard.Load()
 	if h == nil {
-		return 0, 0
+		return 0
 	}
-	silent = now.Sub(h.at)
-	if h.age < 0 {
-		return silent, 0
-	}
-	return silent, h.age + silent
+	return now.Sub(h.at)
 }
 
 // Instances returns how many instances followed the holder when it was last heard.
@@ -68,12 +59,7 @@
 	if f := down.Facts; f != nil {
 		d.takeFacts(f, now)
 	} else if h := d.heard.Load(); h != nil {
-		next := *h
-		next.at = now
-		if next.age >= 0 {
-			next.age += now.Sub(h.at)
-		}
-		d.heard.Store(&next)
+		d.heard.Store(&heard{at: now, instances: h.instances})
 	}
 	for _, number := range down.Waiting {
 		if p, ok := d.pending.Load(number); ok {
@@ -91,20 +77,8 @@
 }
 
 func (d *Desk) takeFacts(f *linkpb.Facts, now time.Time) {
-	age := time.Duration(f.AgeUs) * time.Microsecond
-	read := now
-	if age > 0 {
-		read = now.Add(-age)
-	} else if f.AgeUs < 0 {
-		age = -1
-	}
-	d.heard.Store(&heard{at: now, age: age, instances: int(f.Instances)})
-	if f.Orders != nil && f.Orders.Config != nil {
-		d.board.Orders(fleet.Orders{Config: f.Orders.Config, DomainsOut: f.Orders.DomainsOut}, read)
-	}
-	if f.Listing != nil && len(f.Listing.Servers) > 0 {
-		d.board.Servers(link.DecodeListing(f.Listing, now), read)
-	}
+	d.heard.Store(&heard{at: now, instances: int(f.Instances)})
+	link.TakeFacts(d.board, f, now)
 	if f.Ownership != nil {
 		d.board.Owned(link.DecodeOwnership(f.Ownership), f.Epoch)
 	}
@@ -145,7 +119,7 @@
 				return d.withdraw(l, p, ask, true)
 			}
 			timer.Reset(ackTimeout)
-			if silent, _ := d.Silent(time.Now()); silent > link.SilentAfter {
+			if silent := d.Silent(time.Now()); silent > link.SilentAfter {
 				return d.withdraw(l, p, ask, true)
 			}
 		}
--- a/internal/holder/actor.go
+++ b/internal/holder/actor.go
@@ -21,7 +21,6 @@
 // and the followers; everything else reaches it as an event.
 type Actor struct {
 	board   *facts.Board
-	reader  *facts.Reader
 	granter Granter
 	log     *events.Logger
 	record  *stored
@@ -49,6 +48,7 @@
 	// publishedAt is when the owners were last published.
 	publishedAt time.Time
 	storing     bool
+	refusals    owners.Refusals
 	// soon is set when replies have come since the last tick.
 	soon      bool
 	storedAt  time.Time
@@ -60,7 +60,6 @@
 func newActor(ctx context.Context, c *Campaign, record *stored, found owners.Record, until time.Time) *Actor {
 	a := &Actor{
 		board:     c.board,
-		reader:    c.reader,
 		granter:   c.granter,
 		log:       c.log,
 		record:    record,
@@ -148,6 +147,9 @@
 // Receive takes a message of a follower.
 func (a *Actor) Receive(f *link.Follower, up *linkpb.Up) {
 	arrived := time.Now()
+	if up.Facts != nil {
+		link.TakeFacts(a.board, up.Facts, arrived)
+	}
 	a.post(func() {
 		now := time.Now()
 		for _, finish := range up.Finishes {
@@ -378,6 +380,7 @@
 
 func (a *Actor) apply(reply owners.Reply) {
 	o := reply.Order
+	reply = a.refusals.Judge(reply, a.placer.Running(o.Service, o.Life.Name) == 0)
 	if reply.Outcome != owners.Done || o.Action == owners.ActionRelease || o.Handover != "" {
 		a.log.Emit(events.OrderEnded, "action", o.Action.String(), "service", o.Service, "from", o.From, "to", o.To,
 			"server", o.Life.Name, "fence", o.Fence, "outcome", reply.Outcome.String())
@@ -420,10 +423,7 @@
 
 func (a *Actor) send(f *link.Follower, view *facts.View, now time.Time) {
 	message := link.EncodeFacts(view, f.Sent, now)
-	message.AgeUs = -1
-	if age, known := a.reader.Age(now); known {
-		message.AgeUs = age.Microseconds()
-	}
+	message.AgeUs = link.AgeOf(a.board, now)
 	message.Instances = int32(len(a.followers))
 	f.Sent = sequences(view)
 	f.Deliver(&linkpb.Down{Facts: message})
--- a/internal/holder/campaign.go
+++ b/internal/holder/campaign.go
@@ -23,9 +23,8 @@
 	Attach(l link.Link)
 	// OnDown takes a message of the holder.
 	OnDown(d *linkpb.Down)
-	// Silent returns how long the holder has been silent, and how old its reading
-	// of the store is.
-	Silent(now time.Time) (silent, age time.Duration)
+	// Silent returns how long the holder has been silent.
+	Silent(now time.Time) time.Duration
 	// Instances returns how many instances followed the last holder.
 	Instances() int
 }
@@ -148,23 +147,27 @@
 			return
 		case <-time.After(link.HeartbeatEvery):
 		}
-		silent, age := c.desk.Silent(time.Now())
-		if silent > link.SilentAfter {
-			c.log.Emit(events.HolderLost, "holder", holder.String(), "detail", "no heartbeat", "silent_ms", silent.Milliseconds())
+		now := time.Now()
+		if silent := c.desk.Silent(now); silent > link.SilentAfter {
+			c.log.Emit(events.HolderLost, "holder", holder.String(), "detail", "no heartbeat", "silent_ms", c.desk.Silent(now).Milliseconds())
 			return
 		}
-		if age > outageSign && c.replaced(ctx, holder) {
+		patience := readAfter + time.Duration(rand.Int64N(int64(readJitter)))
+		if age, known := c.board.Age(now); known && age > patience && c.replaced(ctx, client, holder) {
 			return
 		}
 	}
 }
 
-// replaced reads the store in the holder's place and reports whether the holder's key is gone.
-func (c *Campaign) replaced(ctx context.Context, holder Identity) bool {
+// replaced reads the store in the holder's place, tells the holder, and reports
+// whether the holder's key is gone.
+func (c *Campaign) replaced(ctx context.Context, client link.Link, holder Identity) bool {
 	if err := c.reader.Read(ctx); err != nil {
 		sleep(ctx, backoff())
 		return false
 	}
+	c.log.Emit(events.ReadForHolder, "holder", holder.String())
+	client.Send(&linkpb.Up{Facts: link.EncodeReading(c.board, time.Now())}) // a link that has ended is noticed by its end
 	found, _, err := c.readHolder(ctx)
 	return errors.Is(err, store.ErrNotFound) || err == nil && found != holder
 }
--- a/internal/holder/constants.go
+++ b/internal/holder/constants.go
@@ -30,8 +30,12 @@
 	withoutStore = 15 * time.Second
 	// holdWithoutStore is the length of grants while no successor can be elected.
 	holdWithoutStore = 6 * time.Second
-	// outageSign is how long the store is silent before followers read it themselves.
-	outageSign = 1500 * time.Millisecond
+	// readAfter without a reading by the holder, a follower reads the store in its
+	// place: later than the holder's own pause and a slow answer, and early enough
+	// for what must be known everywhere within two seconds. readJitter lets one
+	// follower go first.
+	readAfter  = 1050 * time.Millisecond
+	readJitter = 250 * time.Millisecond
 	// aloneAfter without the store, a holder goes on only with most of its followers.
 	aloneAfter = 2500 * time.Millisecond
 	// keptShare of the followers must stay, and joinedShare is enough for a
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -99,6 +99,9 @@
 			up.Asks = append(up.Asks, more.Asks...)
 			up.Finishes = append(up.Finishes, more.Finishes...)
 			up.Withdrawn = append(up.Withdrawn, more.Withdrawn...)
+			if more.Facts != nil {
+				up.Facts = more.Facts // a later reading holds everything
+			}
 		default:
 			return up
 		}
--- a/internal/link/convert.go
+++ b/internal/link/convert.go
@@ -97,7 +97,7 @@
 
 // EncodeFacts converts the parts of a view that differ from what was sent before.
 func EncodeFacts(view *facts.View, sent Sent, now time.Time) *linkpb.Facts {
-	out := &linkpb.Facts{Epoch: view.Epoch}
+	out := &linkpb.Facts{Epoch: view.Epoch, AgeUs: -1}
 	if view.OrdersSequence != sent.Orders {
 		out.Orders = &linkpb.Orders{Config: view.Orders.Config, DomainsOut: view.Orders.DomainsOut}
 	}
@@ -110,6 +110,39 @@
 	return out
 }
 
+// TakeFacts publishes configuration and servers on a board, as read by the
+// sender some time before they arrived at now.
+func TakeFacts(board *facts.Board, f *linkpb.Facts, now time.Time) {
+	if f.AgeUs < 0 {
+		return // the sender has not read the store
+	}
+	read := now.Add(-micros(f.AgeUs))
+	if f.Orders != nil && f.Orders.Config != nil {
+		board.Orders(fleet.Orders{Config: f.Orders.Config, DomainsOut: f.Orders.DomainsOut}, read)
+	}
+	if f.Listing != nil && len(f.Listing.Servers) > 0 {
+		board.Servers(DecodeListing(f.Listing, now), read)
+	}
+	board.Confirm(read)
+}
+
+// EncodeReading converts everything that this instance knows from the store.
+func EncodeReading(board *facts.Board, now time.Time) *linkpb.Facts {
+	view := board.View()
+	out := EncodeFacts(view, Sent{Owned: view.OwnedSequence}, now)
+	out.AgeUs = AgeOf(board, now)
+	return out
+}
+
+// AgeOf returns the age of the board in microseconds, or -1.
+func AgeOf(board *facts.Board, now time.Time) int64 {
+	age, known := board.Age(now)
+	if !known {
+		return -1
+	}
+	return age.Microseconds()
+}
+
 func encodeListing(servers []fleet.Server, now time.Time) *linkpb.Listing {
 	out := &linkpb.Listing{}
 	for _, s := range servers {
--- a/internal/owners/orders.go
+++ b/internal/owners/orders.go
@@ -123,7 +123,7 @@
 		delete(t.underway, o.Life)
 	}
 	s := t.find(o.Service, o.From)
-	if o.Action == ActionGrant && reply.Outcome != Unsent && reply.Outcome != Gone {
+	if o.Action == ActionGrant && reply.Outcome != Unsent && reply.Outcome != Refused && reply.Outcome != Gone {
 		t.extend(reply)
 	}
 	if s == nil || s.Interval != o.Interval || s.version != o.version {
@@ -195,7 +195,7 @@
 	case Gone:
 		t.released(s, "")
 	default:
-		if reply.Outcome == Unsent {
+		if reply.Outcome == Unsent || reply.Outcome == Refused {
 			s.previous.Until = reply.Order.before
 		}
 		s.nextAt = reply.Ended.Add(retryEvery)
@@ -232,7 +232,7 @@
 		s.nextAt = reply.Ended.Add(retryEvery)
 		t.suspects[s.owner] = reply.Ended.Add(suspectFor)
 	default:
-		if reply.Outcome == Unsent {
+		if reply.Outcome == Unsent || reply.Outcome == Refused {
 			s.until = reply.Order.before
 		}
 		t.unanswered(s.owner, reply.Ended)
--- a/internal/owners/outcome.go
+++ b/internal/owners/outcome.go
@@ -9,17 +9,20 @@
 	Done Outcome = iota
 	// Fenced means that the server has seen a higher fence.
 	Fenced
-	// Gone means that no process listens at the server's address.
+	// Gone means that the process of that life has provably ended.
 	Gone
 	// Silent means that the order may have been carried out.
 	Silent
 	// Unsent means that nothing reached the server.
 	Unsent
+	// Refused means that the server's machine refused the connection: the process
+	// has ended, or it has as many connections as it takes.
+	Refused
 )
 
 // String returns the name of the outcome in logs.
 func (o Outcome) String() string {
-	names := [...]string{"done", "fenced", "gone", "silent", "unsent"}
+	names := [...]string{"done", "fenced", "gone", "silent", "unsent", "refused"}
 	if int(o) < len(names) {
 		return names[o]
 	}
--- /dev/null
+++ b/internal/owners/refusals.go
@@ -0,0 +1,42 @@
+package owners
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/fleet"
+)
+
+const (
+	// refusalsProve in a row, over refusedFor, a server that runs no request has
+	// ended. A full server refuses connections too, but it is at work.
+	refusalsProve = 2
+	refusedFor    = 250 * time.Millisecond
+)
+
+// Refusals tells servers that have ended from those that take no more connections.
+type Refusals struct {
+	seen map[fleet.Life]refusal
+}
+
+// Judge returns the reply with Refused replaced by Gone once the life has
+// provably ended. idle reports that no request runs at the server.
+func (r *Refusals) Judge(reply Reply, idle bool) Reply {
+	life := reply.Order.Life
+	if reply.Outcome != Refused || !idle {
+		delete(r.seen, life)
+		return reply
+	}
+	if r.seen == nil {
+		r.seen = map[fleet.Life]refusal{}
+	}
+	seen, ok := r.seen[life]
+	if !ok {
+		seen.since = reply.Ended
+	}
+	seen.count++
+	r.seen[life] = seen
+	if seen.count >= refusalsProve && reply.Ended.Sub(seen.since) >= refusedFor {
+		reply.Outcome = Gone
+	}
+	return reply
+}
--- /dev/null
+++ b/internal/owners/refusals_test.go
@@ -0,0 +1,30 @@
+package owners
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a full server, which refuses connections while it works, that
+// is taken for one that has ended: its keys went to another one.
+func TestRefusalsProveAnEndOnlyOfIdleServers(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	refused := func(after time.Duration) Reply {
+		return Reply{Order: Order{Life: life("a")}, Outcome: Refused, Ended: now.Add(after)}
+	}
+	var r Refusals
+	for i := range 10 {
+		is.Equal(r.Judge(refused(time.Duration(i)*time.Second), false).Outcome, Refused) // it is at work
+	}
+	is.Equal(r.Judge(refused(0), true).Outcome, Refused) // once proves nothing
+	is.Equal(r.Judge(refused(10*time.Millisecond), true).Outcome, Refused)
+	is.Equal(r.Judge(refused(refusedFor), true).Outcome, Gone)
+
+	done := refused(0)
+	done.Outcome = Done
+	r.Judge(done, true)
+	is.Equal(r.Judge(refused(time.Second), true).Outcome, Refused) // an answer starts the count anew
+}
--- a/internal/placing/placer.go
+++ b/internal/placing/placer.go
@@ -339,6 +339,14 @@
 	return svc.heat
 }
 
+// Running returns how many requests are under way at a server.
+func (p *Placer) Running(name, id string) int {
+	if svc := p.services[name]; svc != nil && svc.servers[id] != nil {
+		return len(svc.servers[id].running)
+	}
+	return 0
+}
+
 // Took returns the usual service time of a server in seconds.
 func (p *Placer) Took(name, id string) float64 {
 	svc := p.services[name]
