--- a/internal/placing/constants.go
+++ b/internal/placing/constants.go
@@ -26,6 +26,9 @@
 	// no work; it doubles with each failure in a row.
 	firstSuspicion   = 200 * time.Millisecond
 	longestSuspicion = 2 * time.Second
+	// ahead is how many requests beyond its slots a busy server gets from its
+	// queue, so that a slot does not stay empty for the round trip of its end.
+	ahead = 1
 	// shedPause is how long a server that shed work while it had free slots gets none.
 	shedPause = 50 * time.Millisecond
 	// coldBurst is how many requests a cold server may get at once.
--- a/internal/placing/placer.go
+++ b/internal/placing/placer.go
@@ -138,7 +138,7 @@
 		svc.parked.add(w)
 		return
 	}
-	if len(owner.queue) == 0 && owner.admit(now, svc.ColdRate) {
+	if len(owner.queue) == 0 && owner.admit(now, owner.Slots, svc.ColdRate) {
 		p.place(now, owner, w)
 		return
 	}
@@ -191,7 +191,7 @@
 			break
 		}
 	}
-	if best == nil || !best.admit(now, svc.ColdRate) {
+	if best == nil || !best.admit(now, best.Slots, svc.ColdRate) {
 		return false
 	}
 	p.place(now, best, w)
@@ -260,7 +260,7 @@
 
 // fill gives free slots to requests that wait.
 func (p *Placer) fill(now time.Time, svc *service, s *server) {
-	for len(s.queue) > 0 && s.admit(now, svc.ColdRate) {
+	for len(s.queue) > 0 && s.admit(now, s.Slots+ahead, svc.ColdRate) {
 		i := s.queue.next(now, s.expected(now, svc.typical()))
 		w := s.queue[i]
 		s.queue.remove(i)
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -46,12 +46,17 @@
 
 // free reports whether the server has a free slot and may be given work.
 func (s *server) free(now time.Time) bool {
-	return !s.out && len(s.running) < s.Slots && !now.Before(s.pausedUntil)
+	return s.room(now, s.Slots)
 }
 
-// admit takes a slot, and a token while the server is cold.
-func (s *server) admit(now time.Time, coldRate float64) bool {
-	if !s.free(now) {
+// room reports whether the server may be given work up to a number of requests.
+func (s *server) room(now time.Time, limit int) bool {
+	return !s.out && len(s.running) < limit && !now.Before(s.pausedUntil)
+}
+
+// admit takes a slot of up to limit, and a token while the server is cold.
+func (s *server) admit(now time.Time, limit int, coldRate float64) bool {
+	if !s.room(now, limit) {
 		return false
 	}
 	if coldRate > 0 && s.Cold(now) {
