--- a/internal/placing/constants.go
+++ b/internal/placing/constants.go
@@ -21,7 +21,7 @@
 	crossDomain = 3 * time.Millisecond
 	// crossDomainLarge is what keeps large requests in their failure domain,
 	// where their bytes are cheap.
-	crossDomainLarge = 200 * time.Millisecond
+	crossDomainLarge = 400 * time.Millisecond
 	// firstSuspicion and longestSuspicion bound how long a server that failed gets
 	// no work; it doubles with each failure in a row.
 	firstSuspicion   = 200 * time.Millisecond
