--- a/internal/owners/hold.go
+++ b/internal/owners/hold.go
@@ -15,4 +15,9 @@
 	// LateUntil is until when an order without an answer may still take effect.
 	// A later order under a higher fence makes it void.
 	LateUntil time.Time
+	// PlannedLate tells that such an order was known of when the move was planned.
+	PlannedLate bool
+	// WaitOut holds end by time only: an order of an earlier holder may still take
+	// effect, and this holder cannot make it void.
+	WaitOut bool
 }
--- a/internal/owners/orders.go
+++ b/internal/owners/orders.go
@@ -71,7 +71,7 @@
 func (t *Table) takeBack(now time.Time, s *span, order *Order) {
 	previous := s.previous
 	order.Life = previous.Life
-	if now.Before(previous.LateUntil) {
+	if now.Before(previous.LateUntil) && !previous.WaitOut {
 		previous.Fence = t.nextFence()
 		order.Action, order.Fence, order.Hold = ActionGrant, previous.Fence, t.holdFor
 		order.before = previous.Until
@@ -100,7 +100,7 @@
 	life, listed := lives.Current(service, s.previous.Life.Name)
 	reborn := listed && life != s.previous.Life && s.previous.Life.Born != 0
 	if reborn || now.After(s.previous.Until) {
-		t.released(s, "")
+		t.released(s, s.handover)
 	}
 }
 
@@ -206,6 +206,11 @@
 func (t *Table) applyRelease(s *span, reply Reply) {
 	switch reply.Outcome {
 	case Done:
+		if s.previous.WaitOut {
+			s.handover = reply.Handover
+			s.nextAt = s.previous.Until.Add(retryEvery)
+			return
+		}
 		t.released(s, reply.Handover)
 	case Gone:
 		t.released(s, "")
@@ -222,6 +227,7 @@
 		}
 		s.phase = PhaseHeld
 		s.handover = ""
+		s.inherited = false
 		s.nextAt = reply.Ended.Add(renewEvery)
 		t.answered(s.owner)
 	case Fenced:
--- a/internal/owners/recordspan.go
+++ b/internal/owners/recordspan.go
@@ -11,4 +11,7 @@
 	Previous      string `json:"previous,omitempty"`
 	PreviousBorn  int64  `json:"previousBorn,omitempty"`
 	PreviousFence int64  `json:"previousFence,omitempty"`
+	// PreviousLate tells that a grant to the previous owner may still take effect
+	// after its release.
+	PreviousLate bool `json:"previousLate,omitempty"`
 }
--- a/internal/owners/span.go
+++ b/internal/owners/span.go
@@ -16,6 +16,9 @@
 	until time.Time
 	// lateUntil is until when a grant without an answer may still take effect.
 	lateUntil time.Time
+	// inherited ranges were planned by an earlier holder, and this one has not been
+	// answered yet: what that one has sent may still take effect.
+	inherited bool
 	// previous is the hold that must end before the owner gets the range, or nil.
 	previous *Hold
 	// handover is what the last owner gave with the release.
--- a/internal/owners/table.go
+++ b/internal/owners/table.go
@@ -48,16 +48,17 @@
 	for name, spans := range record.Services {
 		for _, r := range spans {
 			s := &span{
-				Interval: Interval{From: r.From, To: r.To},
-				owner:    fleet.Life{Name: r.Owner, Born: r.Born},
-				fence:    t.nextFence(),
-				until:    until,
-				phase:    PhaseGranting,
+				Interval:  Interval{From: r.From, To: r.To},
+				owner:     fleet.Life{Name: r.Owner, Born: r.Born},
+				fence:     t.nextFence(),
+				until:     until,
+				inherited: true,
+				phase:     PhaseGranting,
 			}
 			if r.Previous != "" {
 				// Whether the previous owner has given the range up is not known: it is
 				// asked once more, and must not be granted anything.
-				s.previous = &Hold{Life: fleet.Life{Name: r.Previous, Born: r.PreviousBorn}, Fence: r.PreviousFence, Until: until}
+				s.previous = &Hold{Life: fleet.Life{Name: r.Previous, Born: r.PreviousBorn}, Fence: r.PreviousFence, Until: until, PlannedLate: r.PreviousLate, WaitOut: r.PreviousLate}
 				s.phase = PhaseReleasing
 			}
 			t.services[name] = append(t.services[name], s)
@@ -84,6 +85,7 @@
 			out := RecordSpan{From: s.From, To: s.To, Owner: s.owner.Name, Born: s.owner.Born, Fence: s.fence}
 			if s.previous != nil {
 				out.Previous, out.PreviousBorn, out.PreviousFence = s.previous.Life.Name, s.previous.Life.Born, s.previous.Fence
+				out.PreviousLate = s.previous.PlannedLate
 			}
 			r.Services[name] = append(r.Services[name], out)
 		}
@@ -171,8 +173,17 @@
 	case PhaseHeld, PhaseGranting:
 		if s.owner.Name != "" && s.previous == nil {
 			s.previous = &Hold{Life: s.owner, Fence: s.fence, Until: s.until, LateUntil: s.lateUntil}
+			if s.inherited {
+				s.previous.LateUntil = later(s.lateUntil, t.foreign)
+			}
+			s.previous.PlannedLate = t.now.Before(s.lateUntil) || t.granting(service, s.owner, s.Interval)
 		}
 	}
+	if s.inherited && s.phase == PhaseReleasing {
+		// The owner of the record may hold the range as well as the one before.
+		s.previous.WaitOut, s.previous.PlannedLate = true, true
+		s.previous.Until = later(s.previous.Until, s.until)
+	}
 	if reason == MoveBusy {
 		s.restsUntil = t.now.Add(restFor)
 	}
@@ -192,17 +203,23 @@
 	}
 	for _, spans := range t.services {
 		for _, s := range spans {
-			if s.until.Equal(t.foreign) {
-				s.until = until
-			}
-			if s.previous != nil && s.previous.Until.Equal(t.foreign) {
-				s.previous.Until = until
+			shorten(&s.until, t.foreign, until)
+			if s.previous != nil {
+				shorten(&s.previous.Until, t.foreign, until)
+				shorten(&s.previous.LateUntil, t.foreign, until)
 			}
 		}
 	}
 	t.foreign = until
 }
 
+// shorten replaces a time that was assumed for lack of knowledge.
+func shorten(t *time.Time, assumed, known time.Time) {
+	if t.Equal(assumed) {
+		*t = known
+	}
+}
+
 // TakeMoves returns the moves planned since the last call, for the log.
 func (t *Table) TakeMoves() []Move {
 	out := t.moves
--- a/internal/owners/table_test.go
+++ b/internal/owners/table_test.go
@@ -229,3 +229,80 @@
 	}
 	is.True(len(table.Due(now, lives("a", "b"))) > 0) // the others follow
 }
+
+// Guards against a grant of an earlier holder without an answer that takes
+// effect while its successor has given the keys to another server: the
+// successor cannot make it void, and must let it run out.
+func TestSuccessorWaitsForLateGrantsOfItsPredecessor(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := settledTable(t, now, "a", "b")
+	now = now.Add(renewEvery)
+	for _, o := range table.Due(now, lives("a", "b")) {
+		table.Apply(Reply{Order: o, Outcome: Silent, Ended: now})
+	}
+	is.True(table.Plan(now, service, candidates("a", "b"), heatOf{10: 20, 20: 20}))
+	key := movedKey(t, table)
+	record := table.Record()
+	record.Epoch++
+	foreign := now.Add(5 * time.Second)
+	next := NewTable(record, "successor", foreign)
+	is.Equal(stepsFor(t, next, now, key, "a", "b"), []step{{ActionRelease, "a"}})
+	is.Equal(stepsFor(t, next, foreign, key, "a", "b"), nil)
+	is.Equal(stepsFor(t, next, foreign.Add(time.Second), key, "a", "b"), []step{{ActionGrant, "b"}})
+}
+
+// Guards against a successor that moves a range before its own first grant has
+// made void what its predecessor had sent to the owner.
+func TestSuccessorVoidsBeforeItsOwnMove(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	record := settledTable(t, now, "a", "b").Record()
+	record.Epoch++
+	next := NewTable(record, "successor", now.Add(5*time.Second))
+	next.Plan(now, service, candidates("b"), flat{}) // a leaves before it was granted anything
+	next.Stored(next.Planned())
+	is.Equal(stepsFor(t, next, now, 5, "a", "b"), []step{{ActionGrant, "a"}, {ActionRelease, "a"}, {ActionGrant, "b"}})
+}
+
+// Guards against a successor that forgets its own grant without an answer once
+// a later one under the same fence was answered: the first may still take effect.
+func TestAnAnswerDoesNotVoidAnEarlierGrantUnderItsFence(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	record := settledTable(t, now, "a", "b").Record()
+	record.Epoch++
+	next := NewTable(record, "successor", now.Add(20*time.Second))
+	for _, outcome := range []Outcome{Silent, Done} {
+		for _, o := range next.Due(now, lives("a", "b")) {
+			next.Apply(Reply{Order: o, Outcome: outcome, Ended: now})
+		}
+		now = now.Add(retryEvery)
+	}
+	next.Plan(now, service, candidates("b"), flat{}) // a leaves
+	next.Stored(next.Planned())
+	is.Equal(stepsFor(t, next, now, 5, "a", "b"), []step{{ActionGrant, "a"}, {ActionRelease, "a"}, {ActionGrant, "b"}})
+}
+
+// Guards against a successor that moves a range on while its recorded owner may
+// hold it as well as the owner before: the record does not say how far the
+// move had come.
+func TestSuccessorWaitsForBothPossibleHolders(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := settledTable(t, now, "a", "b", "c")
+	is.True(table.Plan(now, service, candidates("a", "b", "c"), heatOf{10: 20, 20: 20}))
+	key := movedKey(t, table)
+	record := table.Record()
+	record.Epoch++
+	foreign := now.Add(5 * time.Second)
+	next := NewTable(record, "successor", foreign)
+	next.Plan(now, service, candidates("a", "c"), flat{}) // b, the recorded owner, leaves
+	next.Stored(next.Planned())
+	for _, s := range stepsFor(t, next, now, key, "a", "b", "c") {
+		is.Equal(s.action, ActionRelease)
+	}
+	granted := stepsFor(t, next, foreign.Add(time.Second), key, "a", "b", "c")
+	is.Equal(len(granted), 1)
+	is.Equal(granted[0].action, ActionGrant)
+}
