Hold the retry budget wherever the window begins, and over a change of holder

Requests now count once, retries are counted over eleven slices and requests over ten, and a successor takes the extra as used.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -34,6 +34,11 @@
 	}
 }
 
+// asked reports whether the call has asked for a server before.
+func (a *attempt) asked() bool {
+	return a.sends > 0 || a.unused > 0
+}
+
 // mayRepeat reports whether the call may be sent again after an attempt ended so.
 func (a *attempt) mayRepeat(call *Call, o placing.Outcome) bool {
 	if a.mayHaveRun && !call.Route.Kind.Idempotent() || call.Body.Rest != nil && a.sends > 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -155,6 +155,7 @@
 		Target:   call.Arrived.Add(call.Route.LatencyTarget - answerMargin),
 		Deadline: a.deadline,
 		Mark:     a.mark,
+		Again:    a.asked(),
 		Avoid:    a.tried,
 	}
 }
--- a/internal/holder/actor.go
+++ b/internal/holder/actor.go
@@ -70,7 +70,9 @@
 		byName:    map[string]*link.Follower{},
 		epoch:     found.Epoch,
 	}
-	a.placer = placing.New(c.budget, a.table, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	budget := c.budget
+	budget.Spent = found.Epoch > 1
+	a.placer = placing.New(budget, a.table, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	return a
 }
 
@@ -153,7 +155,7 @@
 	a.post(func() {
 		now := time.Now()
 		for _, finish := range up.Finishes {
-			a.placer.Finish(now, link.DecodeFinish(finish, f.Instance))
+			a.finish(now, link.DecodeFinish(finish, f.Instance))
 		}
 		for _, number := range up.Withdrawn {
 			a.placer.Withdraw(placing.Ticket{Instance: f.Instance, Number: number})
@@ -165,6 +167,18 @@
 	})
 }
 
+// finish takes note of the end of an attempt. An answer shows that the server
+// lives, though orders to it may be lost.
+func (a *Actor) finish(now time.Time, end placing.Finish) {
+	a.placer.Finish(now, end)
+	if end.Outcome != placing.Answered && end.Outcome != placing.Shed || a.seen == nil {
+		return
+	}
+	if server := a.seen.Server(end.Server); server != nil {
+		a.table.Answered(server.Life)
+	}
+}
+
 // answer sends the verdicts and says which asks wait, so that their instance does too.
 func (a *Actor) answer(f *link.Follower, asks []*linkpb.Ask) {
 	decided := map[uint64]bool{}
--- a/internal/link/convert.go
+++ b/internal/link/convert.go
@@ -22,6 +22,7 @@
 		DeadlineUs: a.Deadline.Sub(now).Microseconds(),
 		Avoid:      a.Avoid,
 		Mark:       a.Mark,
+		Again:      a.Again,
 	}
 }
 
@@ -38,6 +39,7 @@
 		Deadline: now.Add(micros(a.DeadlineUs)),
 		Avoid:    a.Avoid,
 		Mark:     a.Mark,
+		Again:    a.Again,
 	}
 }
 
--- a/internal/owners/orders.go
+++ b/internal/owners/orders.go
@@ -172,11 +172,13 @@
 	return b
 }
 
-// answered and unanswered keep account of lives that do not answer.
-func (t *Table) answered(life fleet.Life) {
+// Answered tells that the life has answered an order or a request: orders that
+// were lost on the way do not make it suspect.
+func (t *Table) Answered(life fleet.Life) {
 	delete(t.failures, life)
 }
 
+// unanswered counts an order without an answer.
 func (t *Table) unanswered(life fleet.Life, now time.Time) {
 	if t.failures[life]++; t.failures[life] >= suspectAfter {
 		t.suspects[life] = now.Add(suspectFor)
@@ -229,7 +231,7 @@
 		s.handover = ""
 		s.inherited = false
 		s.nextAt = reply.Ended.Add(renewEvery)
-		t.answered(s.owner)
+		t.Answered(s.owner)
 	case Fenced:
 		s.nextAt = reply.Ended.Add(renewEvery)
 		return false
--- a/internal/placing/ask.go
+++ b/internal/placing/ask.go
@@ -23,6 +23,8 @@
 	Deadline time.Time
 	// Mark identifies the content of the request, so that one that crashes servers is recognised.
 	Mark uint64
+	// Again is set when the request has asked before, whatever came of it.
+	Again bool
 	// Avoid holds the servers that this request was sent to before.
 	Avoid []string
 }
--- a/internal/placing/budget.go
+++ b/internal/placing/budget.go
@@ -7,4 +7,6 @@
 	Window time.Duration
 	Ratio  float64
 	Extra  float64
+	// Spent tells that a predecessor may have used Extra within the last window.
+	Spent bool
 }
--- a/internal/placing/placer.go
+++ b/internal/placing/placer.go
@@ -41,6 +41,9 @@
 				repeats: repeats{window: p.budget.Window, ratio: p.budget.Ratio, extra: p.budget.Extra},
 				heat:    &Heat{},
 			}
+			if p.budget.Spent {
+				known.repeats.spend(now)
+			}
 			p.services[name] = known
 		}
 		known.Service = s
@@ -90,7 +93,7 @@
 			p.refuse(ask.Ticket, ReasonRetryBudget, shortestRetry)
 			return
 		}
-	} else {
+	} else if !ask.Again {
 		svc.repeats.request(now)
 	}
 	w := &waiting{Ask: ask, arrived: now}
--- a/internal/placing/placer_test.go
+++ b/internal/placing/placer_test.go
@@ -171,6 +171,30 @@
 	}
 }
 
+// Guards against a budget that grows with asks that were no new requests.
+func TestAsksAgainEarnNoRetries(t *testing.T) {
+	is := is.New(t)
+	p := newPlacer(false, &owned{}, backend("a", "d1"))
+	for n := range uint64(1000) {
+		again := ask(n, start)
+		again.Again = true
+		p.Arrive(start, again)
+	}
+	p.Take()
+	allowed := 0
+	for n := uint64(2000); n < 2100; n++ {
+		retry := ask(n, start)
+		retry.Again, retry.Avoid = true, []string{"a"}
+		p.Arrive(start, retry)
+	}
+	for _, v := range p.Take() {
+		if v.Reason != ReasonRetryBudget {
+			allowed++
+		}
+	}
+	is.True(allowed <= 5)
+}
+
 // Guards against a request that takes down one server after the other.
 func TestCrashingRequestIsRefused(t *testing.T) {
 	is := is.New(t)
@@ -250,3 +274,19 @@
 	is.Equal(near.Server, "a")
 	is.Equal(far.Server, "b")
 }
+
+// Guards against retries that two holders in turn allow within one window.
+func TestSuccessorTakesTheExtraRetriesAsUsed(t *testing.T) {
+	is := is.New(t)
+	p := New(Budget{Window: 10 * time.Second, Ratio: 0.2, Extra: 5, Spent: true}, &owned{}, rand.New(rand.NewPCG(1, 2)))
+	p.Update(start, map[string]*fleet.Service{"s": {Name: "s"}}, []fleet.Server{backend("a", "d1")}, func(*fleet.Server) bool { return false })
+	retry := func(n uint64, now time.Time) Reason {
+		a := ask(n, now)
+		a.Again, a.Avoid = true, []string{"a"}
+		p.Arrive(now, a)
+		v, _ := verdictOf(p.Take(), n)
+		return v.Reason
+	}
+	is.Equal(retry(1, start.Add(time.Second)), ReasonRetryBudget)
+	is.Equal(retry(2, start.Add(12*time.Second)), ReasonNone)
+}
--- a/internal/placing/repeats.go
+++ b/internal/placing/repeats.go
@@ -2,30 +2,46 @@
 
 import "time"
 
-// repeatBuckets divides the window of the retry budget.
-const repeatBuckets = 10
+const (
+	// repeatSlices divides the window of the retry budget.
+	repeatSlices = 10
+	// repeatKept slices are kept: the window, and one more, since it may begin
+	// within a slice.
+	repeatKept = repeatSlices + 1
+)
 
-// repeats bounds how often requests are sent to a further server, over a sliding window.
+// repeats bounds how often requests are sent to a further server, over any
+// window. Retries are counted over more than the window and requests over less,
+// so that the bound holds wherever the window begins.
 type repeats struct {
 	window time.Duration
 	ratio  float64
 	extra  float64
-	// first and again count arrivals by slices of the window.
-	first, again [repeatBuckets]float64
+	// first and again count requests and retries by slices of the window.
+	first, again [repeatKept]float64
 	slice        int64
 }
 
 func (r *repeats) advance(now time.Time) int {
-	slice := now.UnixNano() / (int64(r.window) / repeatBuckets)
-	if slice-r.slice >= repeatBuckets {
-		r.first, r.again = [repeatBuckets]float64{}, [repeatBuckets]float64{}
+	slice := now.UnixNano() / (int64(r.window) / repeatSlices)
+	if slice-r.slice >= repeatKept || slice < r.slice {
+		setBack := slice < r.slice
+		r.first, r.again = [repeatKept]float64{}, [repeatKept]float64{}
 		r.slice = slice
+		if setBack {
+			r.again[slice%repeatKept] = r.extra // what was counted is lost with the clock
+		}
 	}
 	for r.slice < slice {
 		r.slice++
-		r.first[r.slice%repeatBuckets], r.again[r.slice%repeatBuckets] = 0, 0
+		r.first[r.slice%repeatKept], r.again[r.slice%repeatKept] = 0, 0
 	}
-	return int(slice % repeatBuckets)
+	return int(slice % repeatKept)
+}
+
+// spend counts the extra retries as used at now.
+func (r *repeats) spend(now time.Time) {
+	r.again[r.advance(now)] += r.extra
 }
 
 // request counts a request for the service.
@@ -36,10 +52,13 @@
 // allow reports whether one more retry fits the budget, and takes it.
 func (r *repeats) allow(now time.Time) bool {
 	at := r.advance(now)
+	oldest := (at + 1) % repeatKept
 	var first, again float64
 	for i := range r.first {
-		first += r.first[i]
 		again += r.again[i]
+		if i != oldest {
+			first += r.first[i]
+		}
 	}
 	if again+1 > r.ratio*first+r.extra {
 		return false
