--- a/internal/holder/actor.go
+++ b/internal/holder/actor.go
@@ -132,7 +132,9 @@
 	return a.post(func() {
 		a.followers[f] = true
 		a.byName[f.Instance] = f
-		a.send(f, a.view(), time.Now())
+		view := a.view()
+		f.Deliver(&linkpb.Down{Facts: a.encode(view, f.Sent, time.Now())})
+		f.Sent = sequences(view)
 	})
 }
 
@@ -424,10 +426,16 @@
 		a.beatAt = now
 	}
 	view := a.view()
+	encoded := map[link.Sent]*linkpb.Facts{} // most followers have got the same
 	for f := range a.followers {
-		if beat || f.Sent != sequences(view) {
-			a.send(f, view, now)
+		if !beat && f.Sent == sequences(view) {
+			continue
+		}
+		if encoded[f.Sent] == nil {
+			encoded[f.Sent] = a.encode(view, f.Sent, now)
 		}
+		f.Deliver(&linkpb.Down{Facts: encoded[f.Sent]})
+		f.Sent = sequences(view)
 	}
 }
 
@@ -435,10 +443,10 @@
 	return link.Sent{Orders: v.OrdersSequence, Listing: v.ListingSequence, Owned: v.OwnedSequence}
 }
 
-func (a *Actor) send(f *link.Follower, view *facts.View, now time.Time) {
-	message := link.EncodeFacts(view, f.Sent, now)
+// encode returns what a follower must be told that has got sent.
+func (a *Actor) encode(view *facts.View, sent link.Sent, now time.Time) *linkpb.Facts {
+	message := link.EncodeFacts(view, sent, now)
 	message.AgeUs = link.AgeOf(a.board, now)
 	message.Instances = int32(len(a.followers))
-	f.Sent = sequences(view)
-	f.Deliver(&linkpb.Down{Facts: message})
+	return message
 }
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -110,18 +110,24 @@
 	}
 }
 
+// mergeFacts joins two messages to one. Parts are shared with other followers'
+// messages and are not changed.
 func mergeFacts(old, next *linkpb.Facts) *linkpb.Facts {
 	if old == nil {
 		return next
 	}
-	if next.Orders == nil {
-		next.Orders = old.Orders
+	out := &linkpb.Facts{
+		Epoch: next.Epoch, AgeUs: next.AgeUs, Instances: next.Instances,
+		Orders: next.Orders, Listing: next.Listing, Ownership: next.Ownership,
 	}
-	if next.Listing == nil {
-		next.Listing = old.Listing
+	if out.Orders == nil {
+		out.Orders = old.Orders
 	}
-	if next.Ownership == nil {
-		next.Ownership = old.Ownership
+	if out.Listing == nil {
+		out.Listing = old.Listing
 	}
-	return next
+	if out.Ownership == nil {
+		out.Ownership = old.Ownership
+	}
+	return out
 }
