--- a/internal/entrynode/config.go
+++ b/internal/entrynode/config.go
@@ -9,6 +9,9 @@
 	Domain string
 	// FirstStart is set when the whole fleet starts for the first time.
 	FirstStart bool
+	// ProcessorShare is the part of a processor that the machine gives, from section
+	// [instance]; machines with more of it become the holder first.
+	ProcessorShare float64
 	// Callers, Ready, Peers and Metrics are addresses of section [listen].
 	Callers string
 	Ready   string
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -47,7 +47,7 @@
 	reader := facts.NewReader(platform.Source{Store: store}, n.board, log)
 	desk := gateway.NewDesk(self.String(), config.Domain, n.board)
 	budget := placing.Budget{Window: config.RetryWindow, Ratio: config.RetryRatio, Extra: config.RetryExtra}
-	n.campaign = holder.NewCampaign(self, store, n.board, reader, n.backends, desk, budget, config.FirstStart, log)
+	n.campaign = holder.NewCampaign(self, store, n.board, reader, n.backends, desk, budget, config.FirstStart, config.ProcessorShare, log)
 	n.metrics = newMetrics(
 		func() float64 { return float64(store.Calls()) },
 		func() float64 { return float64(n.callers.Open()) })
--- a/internal/entrynode/parse.go
+++ b/internal/entrynode/parse.go
@@ -30,18 +30,19 @@
 	}
 	p := &parser{file: fileName, ini: file}
 	config := Config{
-		Name:        p.text("instance", "name"),
-		Domain:      p.text("instance", "domain"),
-		FirstStart:  p.flag("instance", "first_start"),
-		Callers:     p.address("listen", "callers"),
-		Ready:       p.address("listen", "ready"),
-		Peers:       p.address("listen", "peers"),
-		Metrics:     p.address("listen", "metrics"),
-		Store:       p.address("store", "address"),
-		Grace:       p.seconds("bounds", "grace_s"),
-		RetryRatio:  p.number("bounds", "retry_ratio"),
-		RetryExtra:  p.number("bounds", "retry_extra"),
-		RetryWindow: p.seconds("bounds", "retry_window_s"),
+		Name:           p.text("instance", "name"),
+		Domain:         p.text("instance", "domain"),
+		FirstStart:     p.flag("instance", "first_start"),
+		ProcessorShare: p.number("instance", "processor_share"),
+		Callers:        p.address("listen", "callers"),
+		Ready:          p.address("listen", "ready"),
+		Peers:          p.address("listen", "peers"),
+		Metrics:        p.address("listen", "metrics"),
+		Store:          p.address("store", "address"),
+		Grace:          p.seconds("bounds", "grace_s"),
+		RetryRatio:     p.number("bounds", "retry_ratio"),
+		RetryExtra:     p.number("bounds", "retry_extra"),
+		RetryWindow:    p.seconds("bounds", "retry_window_s"),
 	}
 	if len(p.issues) > 0 {
 		return Config{}, p.issues
--- a/internal/entrynode/parse_test.go
+++ b/internal/entrynode/parse_test.go
@@ -12,6 +12,7 @@
 name = a
 domain = d
 first_start = true
+processor_share = 0.32
 [listen]
 callers = 127.0.0.1:1
 ready = 127.0.0.1:2
@@ -31,7 +32,7 @@
 	is := is.New(t)
 	c, err := Parse([]byte(properFile), "f")
 	is.NoErr(err)
-	is.Equal(c, Config{Name: "a", Domain: "d", FirstStart: true, Callers: "127.0.0.1:1", Ready: "127.0.0.1:2", Peers: "127.0.0.1:3",
+	is.Equal(c, Config{Name: "a", Domain: "d", FirstStart: true, ProcessorShare: 0.32, Callers: "127.0.0.1:1", Ready: "127.0.0.1:2", Peers: "127.0.0.1:3",
 		Metrics: "127.0.0.1:4", Store: "127.0.0.1:5", Grace: 6 * time.Second, RetryRatio: 0.2, RetryExtra: 64, RetryWindow: 10 * time.Second})
 }
 
--- a/internal/holder/campaign.go
+++ b/internal/holder/campaign.go
@@ -41,13 +41,16 @@
 	log     *events.Logger
 	// first is set when the whole fleet starts.
 	first bool
+	// weakness is 1 less the machine's share of a processor.
+	weakness float64
 	// tenure is the actor while this instance is the holder.
 	tenure atomic.Pointer[Actor]
 }
 
-// NewCampaign returns a campaign for the instance. first tells that the whole fleet starts.
-func NewCampaign(self Identity, s store.Store, board *facts.Board, reader *facts.Reader, granter Granter, desk Desk, budget placing.Budget, first bool, log *events.Logger) *Campaign {
-	return &Campaign{self: self, store: s, board: board, reader: reader, granter: granter, desk: desk, budget: budget, first: first, log: log}
+// NewCampaign returns a campaign for the instance. first tells that the whole
+// fleet starts; processorShare is the part of a processor that the machine gives.
+func NewCampaign(self Identity, s store.Store, board *facts.Board, reader *facts.Reader, granter Granter, desk Desk, budget placing.Budget, first bool, processorShare float64, log *events.Logger) *Campaign {
+	return &Campaign{self: self, store: s, board: board, reader: reader, granter: granter, desk: desk, budget: budget, first: first, weakness: max(0, 1-processorShare), log: log}
 }
 
 // Join admits a follower while this instance is the holder.
@@ -73,7 +76,7 @@
 // Run follows and leads until ctx ends.
 func (c *Campaign) Run(ctx context.Context) {
 	if c.first {
-		sleep(ctx, time.Duration(rand.Int64N(int64(firstJitter))))
+		c.standBack(ctx, firstDelay, firstJitter)
 	}
 	for ctx.Err() == nil {
 		holder, entry, err := c.readHolder(ctx)
@@ -93,6 +96,11 @@
 	}
 }
 
+// standBack lets stronger machines go first.
+func (c *Campaign) standBack(ctx context.Context, delay, jitter time.Duration) {
+	sleep(ctx, time.Duration(c.weakness*float64(delay))+time.Duration(rand.Int64N(int64(jitter))))
+}
+
 // backoff is the wait after a failed call; the fleet's calls are counted.
 func backoff() time.Duration {
 	return storeRetry*3 + time.Duration(rand.Int64N(int64(storeRetry*2)))
@@ -115,7 +123,6 @@
 	client, err := link.Dial(ctx, holder.Address, c.self.String(), c.self.Domain, c.desk.OnDown)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		// No process listens there: that holder has ended.
-		sleep(ctx, time.Duration(rand.Int64N(int64(electionJitter))))
 		c.elect(ctx, revision, longestForeignHold)
 		return
 	}
@@ -197,7 +204,7 @@
 // elect tries to become the holder in place of the one at the given revision of
 // the key (0: none). foreign is how long that one's orders may still count.
 func (c *Campaign) elect(ctx context.Context, revision uint64, foreign time.Duration) {
-	sleep(ctx, time.Duration(rand.Int64N(int64(electionJitter))))
+	c.standBack(ctx, electionDelay, electionJitter)
 	began := time.Now()
 	lease, err := c.win(ctx, revision)
 	if errors.Is(err, store.ErrUncertain) {
--- a/internal/holder/constants.go
+++ b/internal/holder/constants.go
@@ -52,10 +52,16 @@
 	// longestForeignHold is how long a grant of an earlier holder may last after
 	// that holder's end: its longest hold, slow clocks and one call included.
 	longestForeignHold = 7 * time.Second
-	// electionJitter spreads the candidates.
-	electionJitter = 150 * time.Millisecond
-	// firstJitter spreads the instances of a fleet that starts as a whole.
-	firstJitter = 800 * time.Millisecond
+	// electionDelay is how long a machine without any processor would wait before
+	// it becomes a candidate; one with a whole processor does not wait. The holder
+	// decides for all, so a strong machine should win.
+	electionDelay = 120 * time.Millisecond
+	// electionJitter spreads candidates of the same strength.
+	electionJitter = 60 * time.Millisecond
+	// firstDelay and firstJitter are the same when a fleet starts as a whole, in
+	// any order within some tenths of a second.
+	firstDelay  = 700 * time.Millisecond
+	firstJitter = 200 * time.Millisecond
 )
 
 // Keys in the store.
