Leave shared bounds to the successor while there may be one

While the lease may have lapsed and followers are missing, it now allows no retries and gives cold servers nothing; a successor allows no retries for half a window.

--- a/internal/holder/actor.go
+++ b/internal/holder/actor.go
@@ -241,10 +241,20 @@
 	if a.mayOrder(now) {
 		a.order(now)
 	}
+	a.placer.SetAlone(a.sole(now))
 	a.placer.Tick(now)
 	a.publish(now)
 }
 
+// sole reports whether no successor can have been elected, or none has any followers.
+func (a *Actor) sole(now time.Time) bool {
+	contact := a.contact.Load()
+	if contact == nil || a.deposed.Load() {
+		return false
+	}
+	return now.Sub(*contact) < leaseFor || len(a.followers) >= a.usual
+}
+
 // refresh takes over a changed view.
 func (a *Actor) refresh(now time.Time) {
 	view := a.board.View()
--- a/internal/placing/placer.go
+++ b/internal/placing/placer.go
@@ -16,11 +16,20 @@
 	random   *rand.Rand
 	verdicts []Verdict
 	crashes  crashes
+	// alone is false while another holder may place requests too.
+	alone bool
 }
 
 // New returns a placer without services.
 func New(budget Budget, owners Owners, random *rand.Rand) *Placer {
-	return &Placer{services: map[string]*service{}, budget: budget, owners: owners, random: random}
+	return &Placer{services: map[string]*service{}, budget: budget, owners: owners, random: random, alone: true}
+}
+
+// SetAlone tells whether this placer is the only one. While another may place
+// requests too, cold servers and retries, whose bounds hold for all together,
+// are left to that one.
+func (p *Placer) SetAlone(alone bool) {
+	p.alone = alone
 }
 
 // Take returns the verdicts since the last call.
@@ -89,7 +98,7 @@
 		return
 	}
 	if ask.repeat() {
-		if !svc.repeats.allow(now) {
+		if !p.alone || !svc.repeats.allow(now) {
 			p.refuse(ask.Ticket, ReasonRetryBudget, shortestRetry)
 			return
 		}
@@ -141,7 +150,7 @@
 		svc.parked.add(w)
 		return
 	}
-	if len(owner.queue) == 0 && owner.admit(now, owner.Slots, svc.ColdRate) {
+	if len(owner.queue) == 0 && p.admit(now, owner, owner.Slots, svc) {
 		p.place(now, owner, w)
 		return
 	}
@@ -181,7 +190,7 @@
 			}
 			if s.Cold(now) && svc.ColdRate > 0 {
 				s.cold.refill(now, svc.ColdRate, coldBurst)
-				if s.cold.tokens < 1 {
+				if !p.alone || s.cold.tokens < 1 {
 					continue
 				}
 			}
@@ -194,13 +203,21 @@
 			break
 		}
 	}
-	if best == nil || !best.admit(now, best.Slots, svc.ColdRate) {
+	if best == nil || !p.admit(now, best, best.Slots, svc) {
 		return false
 	}
 	p.place(now, best, w)
 	return true
 }
 
+// admit takes a slot of the server, and a token while it is cold.
+func (p *Placer) admit(now time.Time, s *server, limit int, svc *service) bool {
+	if !p.alone && s.Cold(now) && svc.ColdRate > 0 {
+		return false
+	}
+	return s.admit(now, limit, svc.ColdRate)
+}
+
 // timeAt estimates the time to an answer; a small random part spreads equal servers.
 func (p *Placer) timeAt(now time.Time, s *server, w *waiting, typical float64) float64 {
 	t := s.expected(now, typical)
@@ -263,7 +280,7 @@
 
 // fill gives free slots to requests that wait.
 func (p *Placer) fill(now time.Time, svc *service, s *server) {
-	for len(s.queue) > 0 && s.admit(now, s.Slots+ahead, svc.ColdRate) {
+	for len(s.queue) > 0 && p.admit(now, s, s.Slots+ahead, svc) {
 		i := s.queue.next(now, s.expected(now, svc.typical()))
 		w := s.queue[i]
 		s.queue.remove(i)
--- a/internal/placing/placer_test.go
+++ b/internal/placing/placer_test.go
@@ -290,3 +290,28 @@
 	is.Equal(retry(1, start.Add(time.Second)), ReasonRetryBudget)
 	is.Equal(retry(2, start.Add(12*time.Second)), ReasonNone)
 }
+
+// Guards against two holders that spend the bounds of all instances twice: one
+// that may have a successor gives cold servers nothing and allows no retries.
+func TestNotAloneLeavesSharedBoundsToTheOther(t *testing.T) {
+	is := is.New(t)
+	cold := backend("a", "d1")
+	cold.ColdUntil = start.Add(time.Hour)
+	p := newPlacer(false, &owned{}, cold, backend("b", "d1"))
+	now := start.Add(5 * time.Second)
+	p.Arrive(now, ask(1, now)) // starts the tokens of the cold server
+	p.SetAlone(false)
+	now = now.Add(5 * time.Second)
+	p.Take()
+	for n := uint64(10); n < 16; n++ {
+		p.Arrive(now, ask(n, now))
+	}
+	for _, v := range p.Take() {
+		is.True(v.Server != "a")
+	}
+	retry := ask(20, now)
+	retry.Again, retry.Avoid = true, []string{"b"}
+	p.Arrive(now, retry)
+	v, _ := verdictOf(p.Take(), 20)
+	is.Equal(v.Reason, ReasonRetryBudget)
+}
--- a/internal/placing/repeats.go
+++ b/internal/placing/repeats.go
@@ -20,6 +20,8 @@
 	// first and again count requests and retries by slices of the window.
 	first, again [repeatKept]float64
 	slice        int64
+	// blockedUntil is until when a predecessor's retries leave no room.
+	blockedUntil time.Time
 }
 
 func (r *repeats) advance(now time.Time) int {
@@ -39,9 +41,11 @@
 	return int(slice % repeatKept)
 }
 
-// spend counts the extra retries as used at now.
+// spend counts the extra retries as used at now, and allows none for half a
+// window, in which a predecessor may have used its share.
 func (r *repeats) spend(now time.Time) {
 	r.again[r.advance(now)] += r.extra
+	r.blockedUntil = now.Add(r.window / 2)
 }
 
 // request counts a request for the service.
@@ -51,6 +55,9 @@
 
 // allow reports whether one more retry fits the budget, and takes it.
 func (r *repeats) allow(now time.Time) bool {
+	if now.Before(r.blockedUntil) {
+		return false
+	}
 	at := r.advance(now)
 	oldest := (at + 1) % repeatKept
 	var first, again float64
