Name addresses and instances in the record; wait for silent last owners

It did not know the addresses of servers that were listed no more, nor how many instances to expect, so it waited for foreign holds; and each grant that should void a late one prolonged the hold of a server that answered nothing. Ruled out: the store (it was back at 26 s, the keys were not). Both tests were seen failing.

--- a/internal/fleet/life.go
+++ b/internal/fleet/life.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "strconv"
+
 // Life is one run of a backend server's process. A server that starts again
 // under its name is another life, which knows nothing of the one before.
 type Life struct {
@@ -7,3 +9,8 @@
 	// Born is the Unix time of the start in milliseconds, or 0 when the server does not say.
 	Born int64
 }
+
+// String returns name and start, which identify the life.
+func (l Life) String() string {
+	return l.Name + "/" + strconv.FormatInt(l.Born, 10)
+}
--- a/internal/holder/actor.go
+++ b/internal/holder/actor.go
@@ -33,6 +33,8 @@
 	// contact is when the lease was last known to be ours, on this process's clock.
 	contact atomic.Pointer[time.Time]
 
+	// recorded holds the servers of the record that was found.
+	recorded map[fleet.Life]*fleet.Server
 	// expected is how many instances followed the last holder, or 0 once the
 	// grants of earlier holders have a near end.
 	expected int
@@ -69,6 +71,13 @@
 		followers: map[*link.Follower]bool{},
 		byName:    map[string]*link.Follower{},
 		epoch:     found.Epoch,
+		recorded:  map[fleet.Life]*fleet.Server{},
+		expected:  max(c.desk.Instances(), found.Instances),
+	}
+	for life, service := range found.Lives() {
+		if address := found.Addresses[life.String()]; address != "" {
+			a.recorded[life] = &fleet.Server{Life: life, Service: service, Address: address}
+		}
 	}
 	budget := c.budget
 	budget.Spent = found.Epoch > 1
@@ -308,6 +317,13 @@
 	a.storedAt = now
 	version := a.table.Planned()
 	record := a.table.Record()
+	record.Instances = len(a.followers)
+	record.Addresses = map[string]string{}
+	for life := range record.Lives() {
+		if server := a.known(life); server != nil {
+			record.Addresses[life.String()] = server.Address
+		}
+	}
 	go func() {
 		err := a.record.write(a.ctx, record)
 		if errors.Is(err, ErrDeposed) {
@@ -365,7 +381,7 @@
 		return
 	}
 	for _, order := range a.table.Due(now, lives{a.seen}) {
-		server := a.seen.Known(order.Life)
+		server := a.known(order.Life)
 		if server == nil {
 			a.apply(owners.Reply{Order: order, Outcome: owners.Unsent, Ended: now})
 			continue
@@ -382,6 +398,17 @@
 	}
 }
 
+// known returns a server that is or was listed, or that an earlier holder
+// recorded, or nil.
+func (a *Actor) known(life fleet.Life) *fleet.Server {
+	if a.seen != nil {
+		if server := a.seen.Known(life); server != nil {
+			return server
+		}
+	}
+	return a.recorded[life]
+}
+
 // orderTimeout leaves a release the time that running work may take.
 func orderTimeout(order owners.Order) time.Duration {
 	if order.Action == owners.ActionRelease {
--- a/internal/holder/campaign.go
+++ b/internal/holder/campaign.go
@@ -258,7 +258,6 @@
 		until = began
 	}
 	a := newActor(ctx, c, record, found, until)
-	a.expected = c.desk.Instances()
 	a.contact.Store(&began)
 	c.log.Emit(events.HolderElected, "epoch", found.Epoch)
 	c.tenure.Store(a)
--- a/internal/owners/constants.go
+++ b/internal/owners/constants.go
@@ -20,6 +20,9 @@
 	holdMargin = 100 * time.Millisecond
 	// ordersAtOnce bounds the orders under way to one server, each of which takes a connection.
 	ordersAtOnce = 2
+	// voidsAtMost grants are sent to a last owner to make late ones void; one that
+	// answers none of them is waited for.
+	voidsAtMost = 2
 	// suspectAfter orders without an answer in a row, a new owner is looked for.
 	suspectAfter = 3
 	// suspectFor is how long a server that does not answer gets no keys; its entry
--- a/internal/owners/orders.go
+++ b/internal/owners/orders.go
@@ -72,7 +72,11 @@
 func (t *Table) takeBack(now time.Time, s *span, order *Order) {
 	previous := s.previous
 	order.Life = previous.Life
+	if previous.voids >= voidsAtMost {
+		previous.WaitOut = true // each further grant would only prolong the hold
+	}
 	if now.Before(previous.LateUntil) && !previous.WaitOut {
+		previous.voids++
 		previous.Fence = t.nextFence()
 		order.Action, order.Fence, order.Hold = ActionGrant, previous.Fence, t.holdFor
 		order.before = previous.Until
@@ -191,6 +195,7 @@
 	switch reply.Outcome {
 	case Done:
 		s.previous.LateUntil = time.Time{}
+		s.previous.voids = 0
 		s.nextAt = time.Time{}
 	case Fenced:
 		s.nextAt = reply.Ended.Add(renewEvery)
--- a/internal/owners/record.go
+++ b/internal/owners/record.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 
 	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/fleet"
 )
 
 // Record is what the store keeps of all services: enough for a successor to go
@@ -15,6 +17,25 @@
 	Holder string `json:"holder"`
 	// Services holds the ranges of each service in the order of their keys.
 	Services map[string][]RecordSpan `json:"services"`
+	// Instances is how many instances followed the holder.
+	Instances int `json:"instances,omitempty"`
+	// Addresses holds the address of each life in the spans by its String, as a
+	// server that lives on may be listed no more.
+	Addresses map[string]string `json:"addresses,omitempty"`
+}
+
+// Lives returns the lives in the spans with the services that they belong to.
+func (r Record) Lives() map[fleet.Life]string {
+	out := map[fleet.Life]string{}
+	for service, spans := range r.Services {
+		for _, s := range spans {
+			out[fleet.Life{Name: s.Owner, Born: s.Born}] = service
+			if s.Previous != "" {
+				out[fleet.Life{Name: s.Previous, Born: s.PreviousBorn}] = service
+			}
+		}
+	}
+	return out
 }
 
 // Encode returns the record as the store keeps it.
--- /dev/null
+++ b/internal/owners/record_test.go
@@ -0,0 +1,39 @@
+package owners
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"peridotmoor.org/peridotmoor/internal/fleet"
+)
+
+// Guards against a successor that cannot reach a server because it started
+// after the server was removed from the list.
+func TestRecordNamesAllLives(t *testing.T) {
+	is := is.New(t)
+	r := Record{Epoch: 3, Holder: "h", Instances: 12, Services: map[string][]RecordSpan{
+		"s": {{From: 0, To: 9, Owner: "a", Born: 1, Previous: "b", PreviousBorn: 2}}}}
+	r.Addresses = map[string]string{}
+	for life := range r.Lives() {
+		r.Addresses[life.String()] = life.Name + ":1"
+	}
+	text, err := r.Encode()
+	is.NoErr(err)
+	read, err := DecodeRecord(text)
+	is.NoErr(err)
+	is.Equal(read.Addresses[fleet.Life{Name: "a", Born: 1}.String()], "a:1")
+	is.Equal(read.Addresses[fleet.Life{Name: "b", Born: 2}.String()], "b:1")
+	is.Equal(read.Instances, 12)
+}
+
+// FuzzDecodeRecord guards against a record that stops the holder.
+func FuzzDecodeRecord(f *testing.F) {
+	f.Add([]byte(`{"epoch":1,"holder":"h","services":{"s":[{"from":0,"to":65535,"owner":"a","born":1,"fence":5}]}}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if r, err := DecodeRecord(text); err == nil {
+			r.Views()
+			r.Lives()
+		}
+	})
+}
--- a/internal/owners/table_test.go
+++ b/internal/owners/table_test.go
@@ -91,6 +91,12 @@
 // Guards against a range that is given to another server while the last owner,
 // which does not answer, may still hold it.
 func TestSilentOwnerKeepsItsKeysUntilTheHoldEnds(t *testing.T) {
+	for name, outcome := range map[string]Outcome{"nothing reaches it": Unsent, "it does not answer": Silent} {
+		t.Run(name, func(t *testing.T) { silentOwner(t, outcome) })
+	}
+}
+
+func silentOwner(t *testing.T, outcome Outcome) {
 	is := is.New(t)
 	start := time.Unix(1000, 0)
 	now := start
@@ -103,16 +109,22 @@
 		for _, o := range table.Due(now, lives("a", "b")) {
 			reply := Reply{Order: o, Outcome: Done, Ended: now}
 			if o.Life.Name == "a" {
-				reply.Outcome = Unsent
+				reply.Outcome = outcome
 			} else if o.Contains(0) {
 				granted = now
 			}
 			table.Apply(reply)
 		}
 	}
-	is.True(!granted.IsZero())                            // the keys find a new owner
-	is.True(granted.Sub(start) >= HoldFor)                // not before the hold has ended
-	is.True(granted.Sub(start) < HoldFor+2*time.Second/2) // and soon after it
+	is.True(!granted.IsZero())             // the keys find a new owner
+	is.True(granted.Sub(start) >= HoldFor) // not before the hold has ended
+	if outcome == Unsent {
+		is.True(granted.Sub(start) < HoldFor+time.Second) // and soon after it
+	} else {
+		// Each order that is not answered may have renewed the hold: three until the
+		// server is suspect, and those that void them.
+		is.True(granted.Sub(start) < 2*HoldFor+2*time.Second)
+	}
 }
 
 // step is what an order asked of a server.
