--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -22,11 +22,6 @@
 	source io.Reader
 }
 
-// deadliner is a source whose reads can be bounded.
-type deadliner interface {
-	SetReadDeadline(t time.Time) error
-}
-
 // NewBody returns the body that source delivers. A nil source is an empty body.
 func NewBody(source io.Reader, length int64) *Body {
 	return &Body{source: source, Length: length}
--- /dev/null
+++ b/internal/holder/desk.go
@@ -0,0 +1,20 @@
+package holder
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/link"
+	"peridotmoor.org/peridotmoor/internal/link/linkpb"
+)
+
+// Desk is what an instance does with its link to the holder.
+type Desk interface {
+	// Attach uses the link for the asks of this instance until it ends.
+	Attach(l link.Link)
+	// OnDown takes a message of the holder.
+	OnDown(d *linkpb.Down)
+	// Silent returns how long the holder has been silent.
+	Silent(now time.Time) time.Duration
+	// Instances returns how many instances followed the last holder.
+	Instances() int
+}
--- /dev/null
+++ b/internal/holder/follow.go
@@ -0,0 +1,110 @@
+package holder
+
+import (
+	"context"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/events"
+	"peridotmoor.org/peridotmoor/internal/link"
+	"peridotmoor.org/peridotmoor/internal/link/linkpb"
+	"peridotmoor.org/peridotmoor/internal/store"
+)
+
+func (c *Campaign) readHolder(ctx context.Context) (Identity, store.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	entry, err := c.store.Get(ctx, KeyHolder)
+	if err != nil {
+		return Identity{}, entry, err
+	}
+	holder, err := decodeIdentity(entry.Value)
+	return holder, entry, err
+}
+
+// follow joins the holder and stays until the link ends or the holder has lost
+// the store while this instance reaches it.
+func (c *Campaign) follow(ctx context.Context, holder Identity, revision uint64) {
+	client, err := link.Dial(ctx, holder.Address, c.self.String(), c.self.Domain, c.desk.OnDown)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		// No process listens there: that holder has ended.
+		c.elect(ctx, revision, longestForeignHold)
+		return
+	}
+	if err != nil {
+		c.log.Emit(events.HolderLost, "holder", holder.String(), "detail", err.Error())
+		c.readAlone(ctx)
+		return
+	}
+	c.log.Emit(events.HolderFollowed, "holder", holder.String())
+	began := time.Now()
+	c.desk.Attach(client)
+	c.accompany(ctx, client, holder)
+	client.Close()
+	if time.Since(began) < storeRetry {
+		// The process at that address is not the holder (yet).
+		c.readAlone(ctx)
+	}
+}
+
+// accompany waits for the end of the link. While the holder cannot read the
+// store, this instance does, and looks for a successor.
+func (c *Campaign) accompany(ctx context.Context, client link.Link, holder Identity) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-client.Done():
+			c.log.Emit(events.HolderLost, "holder", holder.String(), "detail", "the link has ended")
+			return
+		case <-time.After(link.HeartbeatEvery):
+		}
+		now := time.Now()
+		if silent := c.desk.Silent(now); silent > link.SilentAfter {
+			c.log.Emit(events.HolderLost, "holder", holder.String(), "detail", "no heartbeat", "silent_ms", c.desk.Silent(now).Milliseconds())
+			return
+		}
+		patience := readAfter + time.Duration(rand.Int64N(int64(readJitter)))
+		if age, known := c.board.Age(now); known && age > patience && c.replaced(ctx, client, holder) {
+			return
+		}
+	}
+}
+
+// replaced reads the store in the holder's place, tells the holder, and reports
+// whether the holder's key is gone.
+func (c *Campaign) replaced(ctx context.Context, client link.Link, holder Identity) bool {
+	if err := c.reader.Read(ctx); err != nil {
+		sleep(ctx, backoff())
+		return false
+	}
+	c.log.Emit(events.ReadForHolder, "holder", holder.String())
+	client.Send(&linkpb.Up{Facts: link.EncodeReading(c.board, time.Now())}) // a link that has ended is noticed by its end
+	found, _, err := c.readHolder(ctx)
+	return errors.Is(err, store.ErrNotFound) || err == nil && found != holder
+}
+
+// readAlone reads the store while the holder cannot be reached.
+func (c *Campaign) readAlone(ctx context.Context) {
+	err := c.reader.Read(ctx)
+	if err == nil {
+		err = c.readOwners(ctx)
+	}
+	if err != nil {
+		sleep(ctx, backoff())
+		return
+	}
+	sleep(ctx, storeRetry)
+}
+
+// readOwners takes the owners of keys from the stored record.
+func (c *Campaign) readOwners(ctx context.Context) error {
+	record, err := (&stored{store: c.store, holder: c.self.String()}).read(ctx)
+	if err == nil && len(record.Services) > 0 {
+		c.board.Owned(record.Views(), record.Epoch)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/holder/followers.go
@@ -0,0 +1,113 @@
+package holder
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/link"
+	"peridotmoor.org/peridotmoor/internal/link/linkpb"
+	"peridotmoor.org/peridotmoor/internal/placing"
+)
+
+func (a *Actor) cutAll() {
+	for f := range a.followers {
+		f.Cut()
+	}
+}
+
+// Join admits a follower.
+func (a *Actor) Join(f *link.Follower) bool {
+	return a.post(func() {
+		a.followers[f] = true
+		a.byName[f.Instance] = f
+		view := a.view()
+		f.Deliver(&linkpb.Down{Facts: a.encode(view, f.Sent, time.Now())})
+		f.Sent = sequences(view)
+	})
+}
+
+// Leave forgets a follower.
+func (a *Actor) Leave(f *link.Follower) {
+	a.post(func() {
+		delete(a.followers, f)
+		if a.byName[f.Instance] == f {
+			delete(a.byName, f.Instance)
+		}
+	})
+}
+
+// Receive takes a message of a follower.
+func (a *Actor) Receive(f *link.Follower, up *linkpb.Up) {
+	arrived := time.Now()
+	if up.Facts != nil {
+		link.TakeFacts(a.board, up.Facts, arrived)
+	}
+	a.post(func() {
+		now := time.Now()
+		for _, finish := range up.Finishes {
+			a.finish(now, link.DecodeFinish(finish, f.Instance))
+		}
+		for _, number := range up.Withdrawn {
+			a.placer.Withdraw(placing.Ticket{Instance: f.Instance, Number: number})
+		}
+		for _, ask := range up.Asks {
+			a.placer.Arrive(now, link.DecodeAsk(ask, f.Instance, f.Domain, arrived))
+		}
+		a.answer(f, up.Asks)
+	})
+}
+
+// finish takes note of the end of an attempt. An answer shows that the server
+// lives, though orders to it may be lost.
+func (a *Actor) finish(now time.Time, end placing.Finish) {
+	a.placer.Finish(now, end)
+	if end.Outcome != placing.Answered && end.Outcome != placing.Shed || a.seen == nil {
+		return
+	}
+	if server := a.seen.Server(end.Server); server != nil {
+		a.table.Answered(server.Life)
+	}
+}
+
+// answer sends the verdicts and says which asks wait, so that their instance does too.
+func (a *Actor) answer(f *link.Follower, asks []*linkpb.Ask) {
+	decided := map[uint64]bool{}
+	downs := a.verdicts()
+	if down := downs[f]; down != nil {
+		for _, v := range down.Verdicts {
+			decided[v.Number] = true
+		}
+	}
+	for _, ask := range asks {
+		if !decided[ask.Number] {
+			if downs[f] == nil {
+				downs[f] = &linkpb.Down{}
+			}
+			downs[f].Waiting = append(downs[f].Waiting, ask.Number)
+		}
+	}
+	for to, down := range downs {
+		to.Deliver(down)
+	}
+}
+
+// flush sends the verdicts that events have brought about.
+func (a *Actor) flush() {
+	for to, down := range a.verdicts() {
+		to.Deliver(down)
+	}
+}
+
+func (a *Actor) verdicts() map[*link.Follower]*linkpb.Down {
+	out := map[*link.Follower]*linkpb.Down{}
+	for _, v := range a.placer.Take() {
+		f := a.byName[v.Ticket.Instance]
+		if f == nil {
+			continue
+		}
+		if out[f] == nil {
+			out[f] = &linkpb.Down{}
+		}
+		out[f].Verdicts = append(out[f].Verdicts, link.EncodeVerdict(v))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/holder/lead.go
@@ -0,0 +1,147 @@
+package holder
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/events"
+	"peridotmoor.org/peridotmoor/internal/link"
+	"peridotmoor.org/peridotmoor/internal/store"
+)
+
+// standBack lets stronger machines go first.
+func (c *Campaign) standBack(ctx context.Context, delay, jitter time.Duration) {
+	sleep(ctx, time.Duration(c.weakness*float64(delay))+time.Duration(rand.Int64N(int64(jitter))))
+}
+
+// elect tries to become the holder in place of the one at the given revision of
+// the key (0: none). foreign is how long that one's orders may still count.
+func (c *Campaign) elect(ctx context.Context, revision uint64, foreign time.Duration) {
+	c.standBack(ctx, electionDelay, electionJitter)
+	began := time.Now()
+	lease, err := c.win(ctx, revision)
+	if errors.Is(err, store.ErrUncertain) {
+		found, _, readErr := c.readHolder(ctx)
+		if readErr != nil || found != c.self {
+			return
+		}
+		err = nil
+	}
+	if err != nil {
+		if !errors.Is(err, store.ErrConflict) {
+			sleep(ctx, backoff())
+		}
+		return
+	}
+	if foreign == 0 {
+		foreign = withoutStore + longestForeignHold
+	}
+	c.lead(ctx, lease, began, began.Add(foreign))
+}
+
+func (c *Campaign) win(ctx context.Context, revision uint64) (store.LeaseID, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	identity, err := c.self.encode()
+	if err != nil {
+		return "", err
+	}
+	lease, err := c.store.Grant(ctx, leaseFor)
+	if err != nil {
+		return "", err
+	}
+	_, err = c.store.CompareAndSwap(ctx, KeyHolder, revision, identity, lease)
+	return lease, err
+}
+
+// lead is the holder until the lease is lost. Grants of earlier holders end at until.
+func (c *Campaign) lead(parent context.Context, lease store.LeaseID, began, until time.Time) {
+	ctx, cancel := context.WithCancel(parent)
+	defer cancel()
+	record := &stored{store: c.store, holder: c.self.String()}
+	claim, stop := context.WithTimeout(ctx, leaseFor)
+	found, err := record.claim(claim)
+	stop()
+	if err != nil {
+		c.log.Emit(events.RecordFailed, "detail", err.Error())
+		c.revoke(lease)
+		return
+	}
+	if found.Epoch == 1 && len(found.Services) == 0 {
+		until = began
+	}
+	a := newActor(ctx, c, record, found, until)
+	a.contact.Store(&began)
+	c.log.Emit(events.HolderElected, "epoch", found.Epoch)
+	c.tenure.Store(a)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		a.run()
+	}()
+	if local := link.JoinLocal(c, c.self.String(), c.self.Domain, c.desk.OnDown); local != nil {
+		c.desk.Attach(local)
+		defer local.Close()
+	}
+	go c.read(ctx)
+	c.keep(ctx, a, lease, began)
+	cancel()
+	<-done
+	c.tenure.Store(nil)
+	c.log.Emit(events.HolderEnded, "epoch", found.Epoch)
+	c.revoke(lease)
+}
+
+// read reads the store for the fleet.
+func (c *Campaign) read(ctx context.Context) {
+	for ctx.Err() == nil {
+		if c.reader.Read(ctx) != nil {
+			sleep(ctx, storeRetry)
+			continue
+		}
+		sleep(ctx, readEvery)
+	}
+}
+
+// readEvery is the pause between two readings; a server that leaves, or a new
+// configuration, has two seconds to be known everywhere.
+const readEvery = 600 * time.Millisecond
+
+// keep renews the lease until it is lost or another holder shows itself.
+func (c *Campaign) keep(ctx context.Context, a *Actor, lease store.LeaseID, confirmed time.Time) {
+	for {
+		sleep(ctx, renewEvery)
+		if ctx.Err() != nil || a.deposed.Load() {
+			return
+		}
+		sent := time.Now()
+		call, cancel := context.WithTimeout(ctx, storeTimeout)
+		err := c.store.Renew(call, lease)
+		cancel()
+		switch {
+		case err == nil:
+			confirmed = sent
+			a.contact.Store(&sent)
+		case errors.Is(err, store.ErrNotFound):
+			c.log.Emit(events.LeaseLost, "detail", err.Error())
+			return
+		default:
+			c.log.Emit(events.LeaseLost, "detail", err.Error())
+			if time.Since(confirmed) > withoutStore {
+				return
+			}
+		}
+	}
+}
+
+// revoke gives the lease back so that a successor need not wait for its end.
+func (c *Campaign) revoke(lease store.LeaseID) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	if err := c.store.Revoke(ctx, lease); err != nil && !errors.Is(err, store.ErrNotFound) {
+		c.log.Emit(events.LeaseLost, "detail", err.Error())
+	}
+}
--- /dev/null
+++ b/internal/holder/publish.go
@@ -0,0 +1,55 @@
+package holder
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/facts"
+	"peridotmoor.org/peridotmoor/internal/link"
+	"peridotmoor.org/peridotmoor/internal/link/linkpb"
+	"peridotmoor.org/peridotmoor/internal/owners"
+)
+
+// view returns what followers are told.
+func (a *Actor) view() *facts.View {
+	return a.board.View()
+}
+
+// publish sends changed facts, and heartbeats.
+func (a *Actor) publish(now time.Time) {
+	if version := a.table.Version(); version != a.published && now.Sub(a.publishedAt) >= publishEvery {
+		a.published, a.publishedAt = version, now
+		owned := map[string][]owners.View{}
+		for _, service := range a.table.Services() {
+			owned[service] = a.table.Spans(service)
+		}
+		a.board.Owned(owned, a.epoch)
+	}
+	beat := now.Sub(a.beatAt) >= link.HeartbeatEvery
+	if beat {
+		a.beatAt = now
+	}
+	view := a.view()
+	encoded := map[link.Sent]*linkpb.Facts{} // most followers have got the same
+	for f := range a.followers {
+		if !beat && f.Sent == sequences(view) {
+			continue
+		}
+		if encoded[f.Sent] == nil {
+			encoded[f.Sent] = a.encode(view, f.Sent, now)
+		}
+		f.Deliver(&linkpb.Down{Facts: encoded[f.Sent]})
+		f.Sent = sequences(view)
+	}
+}
+
+func sequences(v *facts.View) link.Sent {
+	return link.Sent{Orders: v.OrdersSequence, Listing: v.ListingSequence, Owned: v.OwnedSequence}
+}
+
+// encode returns what a follower must be told that has got sent.
+func (a *Actor) encode(view *facts.View, sent link.Sent, now time.Time) *linkpb.Facts {
+	message := link.EncodeFacts(view, sent, now)
+	message.AgeUs = link.AgeOf(a.board, now)
+	message.Instances = int32(len(a.followers))
+	return message
+}
--- /dev/null
+++ b/internal/holder/tenure.go
@@ -0,0 +1,43 @@
+package holder
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/owners"
+)
+
+// sole reports whether no successor can have been elected, or none has any followers.
+func (a *Actor) sole(now time.Time) bool {
+	contact := a.contact.Load()
+	if contact == nil || a.deposed.Load() {
+		return false
+	}
+	return now.Sub(*contact) < leaseFor || len(a.followers) >= a.usual
+}
+
+// mayOrder reports whether this instance may still be the holder.
+func (a *Actor) mayOrder(now time.Time) bool {
+	contact := a.contact.Load()
+	if contact == nil || a.deposed.Load() {
+		return false
+	}
+	a.shortenForeign(now)
+	silent := now.Sub(*contact)
+	if silent <= aloneAfter {
+		a.usual = len(a.followers)
+		a.table.SetHold(owners.HoldFor)
+		return true
+	}
+	// The store may be away for all, or only for this instance; in the second case
+	// the followers leave for a successor.
+	a.table.SetHold(holdWithoutStore)
+	return silent <= withoutStore && float64(len(a.followers)) >= keptShare*float64(a.usual)
+}
+
+// shortenForeign ends the wait for grants of earlier holders once most instances follow this one.
+func (a *Actor) shortenForeign(now time.Time) {
+	if a.expected > 0 && float64(len(a.followers)) >= joinedShare*float64(a.expected) {
+		a.expected = 0
+		a.table.EndForeign(now.Add(foreignEnd))
+	}
+}
--- /dev/null
+++ b/internal/owners/replies.go
@@ -0,0 +1,152 @@
+package owners
+
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/fleet"
+)
+
+// Apply takes note of the end of an order's call. It returns false when a higher
+// fence shows that another instance has become the holder.
+func (t *Table) Apply(reply Reply) bool {
+	o := reply.Order
+	delete(t.flying, o.number)
+	if t.underway[o.Life]--; t.underway[o.Life] <= 0 {
+		delete(t.underway, o.Life)
+	}
+	s := t.find(o.Service, o.From)
+	if o.Action == ActionGrant && reply.Outcome != Unsent && reply.Outcome != Refused && reply.Outcome != Gone {
+		t.extend(reply)
+	}
+	if s == nil || s.Interval != o.Interval || s.version != o.version {
+		return reply.Outcome != Fenced
+	}
+	s.busy = false
+	switch {
+	case o.Action == ActionRelease:
+		t.applyRelease(s, reply)
+		return true
+	case s.phase == PhaseReleasing:
+		return t.applyTakeBack(s, reply)
+	}
+	return t.applyGrant(s, reply)
+}
+
+// extend notes that the server may hold the keys of a grant, whatever the
+// table says of them by now.
+func (t *Table) extend(reply Reply) {
+	o := reply.Order
+	until := holdEnd(reply.Ended, o.Hold)
+	for _, s := range t.services[o.Service] {
+		if s.To < o.From || s.From > o.To {
+			continue
+		}
+		late := reply.Outcome == Silent
+		if s.owner == o.Life {
+			s.until = later(s.until, until)
+			if late {
+				s.lateUntil = later(s.lateUntil, until)
+			}
+		}
+		if s.previous != nil && s.previous.Life == o.Life {
+			s.previous.Until = later(s.previous.Until, until)
+			if late && o.Fence >= s.previous.Fence {
+				s.previous.LateUntil = later(s.previous.LateUntil, until)
+			}
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Answered tells that the life has answered an order or a request: orders that
+// were lost on the way do not make it suspect.
+func (t *Table) Answered(life fleet.Life) {
+	delete(t.failures, life)
+}
+
+// unanswered counts an order without an answer.
+func (t *Table) unanswered(life fleet.Life, now time.Time) {
+	if t.failures[life]++; t.failures[life] >= suspectAfter {
+		t.suspects[life] = now.Add(suspectFor)
+	}
+}
+
+// applyTakeBack takes note of the grant that goes before a release.
+func (t *Table) applyTakeBack(s *span, reply Reply) bool {
+	switch reply.Outcome {
+	case Done:
+		s.previous.LateUntil = time.Time{}
+		s.previous.voids = 0
+		s.nextAt = time.Time{}
+	case Fenced:
+		s.nextAt = reply.Ended.Add(renewEvery)
+		return false
+	case Gone:
+		t.released(s, "")
+	default:
+		if reply.Outcome == Unsent || reply.Outcome == Refused {
+			s.previous.Until = reply.Order.before
+		}
+		s.nextAt = reply.Ended.Add(retryEvery)
+	}
+	return true
+}
+
+func (t *Table) applyRelease(s *span, reply Reply) {
+	switch reply.Outcome {
+	case Done:
+		if s.previous.WaitOut {
+			s.handover = reply.Handover
+			s.nextAt = s.previous.Until.Add(retryEvery)
+			return
+		}
+		t.released(s, reply.Handover)
+	case Gone:
+		t.released(s, "")
+	default:
+		s.nextAt = reply.Ended.Add(retryEvery)
+	}
+}
+
+func (t *Table) applyGrant(s *span, reply Reply) bool {
+	switch reply.Outcome {
+	case Done:
+		if s.phase != PhaseHeld {
+			t.version++
+		}
+		s.phase = PhaseHeld
+		s.handover = ""
+		s.inherited = false
+		s.nextAt = reply.Ended.Add(renewEvery)
+		t.Answered(s.owner)
+	case Fenced:
+		s.nextAt = reply.Ended.Add(renewEvery)
+		return false
+	case Gone:
+		s.until = reply.Ended
+		s.nextAt = reply.Ended.Add(retryEvery)
+		t.suspects[s.owner] = reply.Ended.Add(suspectFor)
+	default:
+		if reply.Outcome == Unsent || reply.Outcome == Refused {
+			s.until = reply.Order.before
+		}
+		t.unanswered(s.owner, reply.Ended)
+		s.nextAt = reply.Ended.Add(retryEvery)
+		if s.phase == PhaseHeld && reply.Ended.After(s.until) {
+			s.phase = PhaseGranting
+			t.version++
+		}
+	}
+	return true
+}
+
+// holdEnd returns when a grant has ended at the latest that arrived at the given time.
+func holdEnd(arrived time.Time, hold time.Duration) time.Time {
+	return arrived.Add(time.Duration(float64(hold)*(1+clockDrift)) + holdMargin)
+}
--- /dev/null
+++ b/internal/owners/stored.go
@@ -0,0 +1,104 @@
+package owners
+
+import (
+	"time"
+)
+
+// Dirty reports whether the plan differs from what was stored last.
+func (t *Table) Dirty() bool {
+	return t.dirty
+}
+
+// Record returns the plan for the store.
+func (t *Table) Record() Record {
+	r := Record{Epoch: t.epoch, Holder: t.holder, Services: map[string][]RecordSpan{}}
+	for name, spans := range t.services {
+		for _, s := range spans {
+			out := RecordSpan{From: s.From, To: s.To, Owner: s.owner.Name, Born: s.owner.Born, Fence: s.fence}
+			if s.previous != nil {
+				out.Previous, out.PreviousBorn, out.PreviousFence = s.previous.Life.Name, s.previous.Life.Born, s.previous.Fence
+				out.PreviousLate = s.previous.PlannedLate
+			}
+			r.Services[name] = append(r.Services[name], out)
+		}
+	}
+	return r
+}
+
+// Planned returns the version of the plan, to be given to Stored.
+func (t *Table) Planned() uint64 {
+	return t.planned
+}
+
+// Version changes with everything that Spans shows.
+func (t *Table) Version() uint64 {
+	return t.version
+}
+
+// Urgent reports whether a move waits for the store.
+func (t *Table) Urgent() bool {
+	for _, spans := range t.services {
+		for _, s := range spans {
+			if s.phase == PhasePlanned {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// change begins a change of the plan and returns its version.
+func (t *Table) change() uint64 {
+	t.version++
+	t.planned = t.version
+	t.dirty = true
+	return t.version
+}
+
+// Stored tells that the plan of the given version is in the store: its moves may begin.
+func (t *Table) Stored(version uint64) {
+	for _, spans := range t.services {
+		for _, s := range spans {
+			if s.phase == PhasePlanned && s.version <= version {
+				t.begin(s)
+			}
+		}
+	}
+	if version == t.planned {
+		t.dirty = false
+	}
+}
+
+func (t *Table) begin(s *span) {
+	s.phase = PhaseGranting
+	if s.previous != nil {
+		s.phase = PhaseReleasing
+	}
+	s.nextAt = time.Time{}
+	s.busy = false
+	t.version++
+}
+
+// EndForeign tells that the holds of earlier holders end sooner than was assumed.
+func (t *Table) EndForeign(until time.Time) {
+	if !until.Before(t.foreign) {
+		return
+	}
+	for _, spans := range t.services {
+		for _, s := range spans {
+			shorten(&s.until, t.foreign, until)
+			if s.previous != nil {
+				shorten(&s.previous.Until, t.foreign, until)
+				shorten(&s.previous.LateUntil, t.foreign, until)
+			}
+		}
+	}
+	t.foreign = until
+}
+
+// shorten replaces a time that was assumed for lack of knowledge.
+func shorten(t *time.Time, assumed, known time.Time) {
+	if t.Equal(assumed) {
+		*t = known
+	}
+}
--- a/internal/owners/table.go
+++ b/internal/owners/table.go
@@ -72,81 +72,6 @@
 	return t.epoch<<fenceBits + t.fences
 }
 
-// Dirty reports whether the plan differs from what was stored last.
-func (t *Table) Dirty() bool {
-	return t.dirty
-}
-
-// Record returns the plan for the store.
-func (t *Table) Record() Record {
-	r := Record{Epoch: t.epoch, Holder: t.holder, Services: map[string][]RecordSpan{}}
-	for name, spans := range t.services {
-		for _, s := range spans {
-			out := RecordSpan{From: s.From, To: s.To, Owner: s.owner.Name, Born: s.owner.Born, Fence: s.fence}
-			if s.previous != nil {
-				out.Previous, out.PreviousBorn, out.PreviousFence = s.previous.Life.Name, s.previous.Life.Born, s.previous.Fence
-				out.PreviousLate = s.previous.PlannedLate
-			}
-			r.Services[name] = append(r.Services[name], out)
-		}
-	}
-	return r
-}
-
-// Planned returns the version of the plan, to be given to Stored.
-func (t *Table) Planned() uint64 {
-	return t.planned
-}
-
-// Version changes with everything that Spans shows.
-func (t *Table) Version() uint64 {
-	return t.version
-}
-
-// Urgent reports whether a move waits for the store.
-func (t *Table) Urgent() bool {
-	for _, spans := range t.services {
-		for _, s := range spans {
-			if s.phase == PhasePlanned {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// change begins a change of the plan and returns its version.
-func (t *Table) change() uint64 {
-	t.version++
-	t.planned = t.version
-	t.dirty = true
-	return t.version
-}
-
-// Stored tells that the plan of the given version is in the store: its moves may begin.
-func (t *Table) Stored(version uint64) {
-	for _, spans := range t.services {
-		for _, s := range spans {
-			if s.phase == PhasePlanned && s.version <= version {
-				t.begin(s)
-			}
-		}
-	}
-	if version == t.planned {
-		t.dirty = false
-	}
-}
-
-func (t *Table) begin(s *span) {
-	s.phase = PhaseGranting
-	if s.previous != nil {
-		s.phase = PhaseReleasing
-	}
-	s.nextAt = time.Time{}
-	s.busy = false
-	t.version++
-}
-
 // Owner returns the server that holds key, and false while it has none.
 func (t *Table) Owner(service string, key int) (string, bool) {
 	s := t.find(service, key)
@@ -196,30 +121,6 @@
 	s.busy = false
 }
 
-// EndForeign tells that the holds of earlier holders end sooner than was assumed.
-func (t *Table) EndForeign(until time.Time) {
-	if !until.Before(t.foreign) {
-		return
-	}
-	for _, spans := range t.services {
-		for _, s := range spans {
-			shorten(&s.until, t.foreign, until)
-			if s.previous != nil {
-				shorten(&s.previous.Until, t.foreign, until)
-				shorten(&s.previous.LateUntil, t.foreign, until)
-			}
-		}
-	}
-	t.foreign = until
-}
-
-// shorten replaces a time that was assumed for lack of knowledge.
-func shorten(t *time.Time, assumed, known time.Time) {
-	if t.Equal(assumed) {
-		*t = known
-	}
-}
-
 // TakeMoves returns the moves planned since the last call, for the log.
 func (t *Table) TakeMoves() []Move {
 	out := t.moves
@@ -227,65 +128,6 @@
 	return out
 }
 
-// split cuts the interval out of s and returns the span that covers exactly it.
-func (t *Table) split(service string, s *span, cut Interval) *span {
-	if cut == s.Interval {
-		return s
-	}
-	version := t.change()
-	spans := t.services[service]
-	at := sort.Search(len(spans), func(i int) bool { return spans[i].To >= s.To })
-	var parts []*span
-	var middle *span
-	for _, i := range []Interval{{s.From, cut.From - 1}, cut, {cut.To + 1, s.To}} {
-		if i.Size() <= 0 {
-			continue
-		}
-		part := *s
-		part.Interval = i
-		part.version = version
-		part.busy = false
-		if s.previous != nil {
-			hold := *s.previous
-			part.previous = &hold
-		}
-		parts = append(parts, &part)
-		if i == cut {
-			middle = &part
-		}
-	}
-	t.services[service] = append(spans[:at:at], append(parts, spans[at+1:]...)...)
-	return middle
-}
-
-// merge joins neighbouring ranges of one owner that have rested. They are
-// granted under a new fence; the stored record stays true.
-func (t *Table) merge(service string) {
-	spans := t.services[service]
-	out := spans[:0:0]
-	for _, s := range spans {
-		if len(out) > 0 && t.joinable(out[len(out)-1], s) {
-			last := out[len(out)-1]
-			t.version++
-			last.To = s.To
-			last.fence = t.nextFence()
-			last.until = later(last.until, s.until)
-			last.nextAt = time.Time{}
-			last.version = t.version
-			continue
-		}
-		out = append(out, s)
-	}
-	t.services[service] = out
-}
-
-func (t *Table) joinable(a, b *span) bool {
-	rested := func(s *span) bool {
-		return t.movable(s) && !s.busy && s.previous == nil && !t.now.Before(s.lateUntil)
-	}
-	return a.owner == b.owner && rested(a) && rested(b)
-}
-
 // Spans returns what is known of each range of a service, for publication and logs.
 func (t *Table) Spans(service string) []View {
 	out := make([]View, 0, len(t.services[service]))
--- /dev/null
+++ b/internal/placing/knowledge.go
@@ -0,0 +1,50 @@
+package placing
+
+import (
+	"time"
+)
+
+// Heat returns the request rates of a service's keys as of now, or nil.
+func (p *Placer) Heat(now time.Time, name string) *Heat {
+	svc := p.services[name]
+	if svc == nil {
+		return nil
+	}
+	svc.heat.Decay(now)
+	return svc.heat
+}
+
+// Running returns how many requests are under way at a server.
+func (p *Placer) Running(name, id string) int {
+	if svc := p.services[name]; svc != nil && svc.servers[id] != nil {
+		return len(svc.servers[id].running)
+	}
+	return 0
+}
+
+// Took returns the usual service time of a server in seconds.
+func (p *Placer) Took(name, id string) float64 {
+	svc := p.services[name]
+	if svc == nil {
+		return defaultTook.Seconds()
+	}
+	if s := svc.servers[id]; s != nil && s.speed > 0 {
+		return max(s.speed, s.took/2) // a server that has become slow shows soon
+	}
+	return svc.typical()
+}
+
+func (s *service) typical() float64 {
+	if s.took == 0 {
+		return defaultTook.Seconds()
+	}
+	return s.took
+}
+
+func (s *service) learn(took time.Duration) {
+	if s.took == 0 {
+		s.took = took.Seconds()
+		return
+	}
+	s.took += tookWeight * (took.Seconds() - s.took)
+}
