Tell a second successor of inherited late grants

Found while reading: a range that a successor moved before its first grant was answered was recorded as free of late grants. A test fails without the change.

--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -64,7 +64,7 @@
 		}
 		now := time.Now()
 		if silent := c.desk.Silent(now); silent > link.SilentAfter {
-			c.log.Emit(events.HolderLost, "holder", holder.String(), "detail", "no heartbeat", "silent_ms", c.desk.Silent(now).Milliseconds())
+			c.log.Emit(events.HolderLost, "holder", holder.String(), "detail", "no heartbeat", "silent_ms", silent.Milliseconds())
 			return
 		}
 		patience := readAfter + time.Duration(rand.Int64N(int64(readJitter)))
--- a/internal/owners/table.go
+++ b/internal/owners/table.go
@@ -44,7 +44,18 @@
 // to its owner under a higher fence, which ends the say of earlier holders.
 // Holds of earlier holders end at until at the latest.
 func NewTable(record Record, holder string, until time.Time) *Table {
-	t := &Table{epoch: record.Epoch, holder: holder, services: map[string][]*span{}, suspects: map[fleet.Life]time.Time{}, foreign: until, flying: map[uint64]Order{}, underway: map[fleet.Life]int{}, failures: map[fleet.Life]int{}, counted: map[string]count{}, holdFor: HoldFor}
+	t := &Table{
+		epoch:    record.Epoch,
+		holder:   holder,
+		services: map[string][]*span{},
+		suspects: map[fleet.Life]time.Time{},
+		failures: map[fleet.Life]int{},
+		counted:  map[string]count{},
+		foreign:  until,
+		flying:   map[uint64]Order{},
+		underway: map[fleet.Life]int{},
+		holdFor:  HoldFor,
+	}
 	for name, spans := range record.Services {
 		for _, r := range spans {
 			s := &span{
@@ -58,7 +69,13 @@
 			if r.Previous != "" {
 				// Whether the previous owner has given the range up is not known: it is
 				// asked once more, and must not be granted anything.
-				s.previous = &Hold{Life: fleet.Life{Name: r.Previous, Born: r.PreviousBorn}, Fence: r.PreviousFence, Until: until, PlannedLate: r.PreviousLate, WaitOut: r.PreviousLate}
+				s.previous = &Hold{
+					Life:        fleet.Life{Name: r.Previous, Born: r.PreviousBorn},
+					Fence:       r.PreviousFence,
+					Until:       until,
+					PlannedLate: r.PreviousLate,
+					WaitOut:     r.PreviousLate,
+				}
 				s.phase = PhaseReleasing
 			}
 			t.services[name] = append(t.services[name], s)
@@ -94,15 +111,8 @@
 func (t *Table) move(service string, s *span, to fleet.Life, reason MoveReason) {
 	version := t.change()
 	t.moves = append(t.moves, Move{Service: service, Interval: s.Interval, From: s.owner.Name, To: to.Name, Reason: reason})
-	switch s.phase {
-	case PhaseHeld, PhaseGranting:
-		if s.owner.Name != "" && s.previous == nil {
-			s.previous = &Hold{Life: s.owner, Fence: s.fence, Until: s.until, LateUntil: s.lateUntil}
-			if s.inherited {
-				s.previous.LateUntil = later(s.lateUntil, t.foreign)
-			}
-			s.previous.PlannedLate = t.now.Before(s.lateUntil) || t.granting(service, s.owner, s.Interval)
-		}
+	if (s.phase == PhaseHeld || s.phase == PhaseGranting) && s.owner.Name != "" && s.previous == nil {
+		s.previous = t.lastHold(service, s)
 	}
 	if s.inherited && s.phase == PhaseReleasing {
 		// The owner of the record may hold the range as well as the one before.
@@ -121,6 +131,21 @@
 	s.busy = false
 }
 
+// lastHold returns what the owner of s may hold when it loses the range.
+func (t *Table) lastHold(service string, s *span) *Hold {
+	h := &Hold{
+		Life:        s.owner,
+		Fence:       s.fence,
+		Until:       s.until,
+		LateUntil:   s.lateUntil,
+		PlannedLate: s.inherited || t.now.Before(s.lateUntil) || t.granting(service, s.owner, s.Interval),
+	}
+	if s.inherited {
+		h.LateUntil = later(s.lateUntil, t.foreign)
+	}
+	return h
+}
+
 // TakeMoves returns the moves planned since the last call, for the log.
 func (t *Table) TakeMoves() []Move {
 	out := t.moves
--- a/internal/owners/table_test.go
+++ b/internal/owners/table_test.go
@@ -354,3 +354,19 @@
 		is.Equal(o.Due, now)
 	}
 }
+
+// Guards against a second change of holder while an inherited range moves: the
+// next successor must know that the first holder's grants may still take effect.
+func TestInheritedLateGrantsAreToldOn(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	record := settledTable(t, now, "a", "b").Record()
+	record.Epoch++
+	next := NewTable(record, "successor", now.Add(5*time.Second))
+	next.Plan(now, service, candidates("b"), flat{}) // a leaves before it was granted anything
+	told := false
+	for _, s := range next.Record().Services[service] {
+		told = told || s.Previous == "a" && s.PreviousLate
+	}
+	is.True(told)
+}
