--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -86,10 +86,15 @@
 		c.desk.Attach(local)
 		defer local.Close()
 	}
-	go c.read(ctx)
+	reading := make(chan struct{})
+	go func() {
+		defer close(reading)
+		c.read(ctx)
+	}()
 	c.keep(ctx, a, lease, began)
 	cancel()
 	<-done
+	<-reading // the reader is used by one goroutine at a time
 	c.tenure.Store(nil)
 	c.log.Emit(events.HolderEnded, "epoch", found.Epoch)
 	c.revoke(lease)
