--- a/internal/callerhttp/answer.go
+++ b/internal/callerhttp/answer.go
@@ -28,7 +28,7 @@
 	out = append(out, http.StatusText(a.Status)...)
 	out = append(out, "\r\n"...)
 	for name, values := range a.Header {
-		if framing[name] {
+		if PerConnection(name) {
 			continue
 		}
 		for _, v := range values {
@@ -57,8 +57,13 @@
 	return append(out, "\r\n"...)
 }
 
-// framing holds the headers that concern only one connection.
-var framing = map[string]bool{
+// PerConnection reports whether a header concerns only one connection and is
+// not passed on. name is in canonical form.
+func PerConnection(name string) bool {
+	return perConnection[name]
+}
+
+var perConnection = map[string]bool{
 	"Connection": true, "Content-Length": true, "Transfer-Encoding": true, "Keep-Alive": true,
 	"Proxy-Connection": true, "Te": true, "Trailer": true, "Upgrade": true,
 }
--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -10,7 +10,6 @@
 	StoreLost       = register(1703, "store_lost", log.WarnLevel, "The platform's store does not answer this instance.")
 	StoreRegained   = register(1704, "store_regained", log.InfoLevel, "The platform's store answers this instance again.")
 	EntryUnreadable = register(1705, "entry_unreadable", log.WarnLevel, "An entry of the list names no backend server and is left out.")
-	ServersChanged  = register(1706, "servers_changed", log.InfoLevel, "The usable backend servers have changed.")
 	HolderElected   = register(1710, "holder_elected", log.InfoLevel, "This instance has become the holder.")
 	HolderEnded     = register(1711, "holder_ended", log.InfoLevel, "This instance is the holder no more.")
 	HolderFollowed  = register(1712, "holder_followed", log.InfoLevel, "This instance follows a holder.")
--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -19,7 +19,7 @@
 	return a.post(func() {
 		a.followers[f] = true
 		a.byName[f.Instance] = f
-		view := a.view()
+		view := a.board.View()
 		f.Deliver(&linkpb.Down{Facts: a.encode(view, f.Sent, time.Now())})
 		f.Sent = sequences(view)
 	})
--- a/internal/holder/publish.go
+++ b/internal/holder/publish.go
@@ -9,11 +9,6 @@
 	"peridotmoor.org/peridotmoor/internal/owners"
 )
 
-// view returns what followers are told.
-func (a *Actor) view() *facts.View {
-	return a.board.View()
-}
-
 // publish sends changed facts, and heartbeats.
 func (a *Actor) publish(now time.Time) {
 	if version := a.table.Version(); version != a.published && now.Sub(a.publishedAt) >= publishEvery {
@@ -28,7 +23,7 @@
 	if beat {
 		a.beatAt = now
 	}
-	view := a.view()
+	view := a.board.View()
 	encoded := map[link.Sent]*linkpb.Facts{} // most followers have got the same
 	for f := range a.followers {
 		if !beat && f.Sent == sequences(view) {
--- a/internal/placing/placer.go
+++ b/internal/placing/placer.go
@@ -105,7 +105,7 @@
 	} else if !ask.Again {
 		svc.repeats.request(now)
 	}
-	w := &waiting{Ask: ask, arrived: now}
+	w := &waiting{Ask: ask}
 	if svc.Keyed {
 		p.arriveKeyed(now, svc, w)
 		return
--- a/internal/placing/waiting.go
+++ b/internal/placing/waiting.go
@@ -5,7 +5,6 @@
 // waiting is a request without a server yet.
 type waiting struct {
 	Ask
-	arrived time.Time
 }
 
 // onTime reports whether a request that needs the given seconds ends by its target.
