Let a holder go on after a mirror has accepted its raised token

Ruled out: a lost table of holders (the entry had found the holder each time) and a second holder (nobody else claimed the shard).

Now the refusal ends when the holder adopts the token that was above its own: mirrors join anew, with all records, and nothing is dispatched before a set is acknowledged. TestHolderGoesOnUnderItsRaisedToken fails without the change.

--- a/internal/record/control.go
+++ b/internal/record/control.go
@@ -36,7 +36,8 @@
 	// avoided holds candidates that failed recently.
 	avoided map[authority.Instance]bool
 	retry   *time.Timer
-	deposed error
+	// deposedBy is the token that a mirror has accepted above this holder's, or zero.
+	deposedBy authority.Token
 	// complete is the mirror that the records were fetched from. It holds all of
 	// them until the first set is acknowledged, from when on requests are
 	// dispatched; until then it joins without a backfill, which shortens a takeover.
@@ -54,25 +55,35 @@
 	for {
 		select {
 		case event := <-c.r.inbox:
-			c.handle(event)
+			event(c)
 		case <-c.retry.C:
 			clear(c.avoided)
 		case <-c.r.closed:
 			c.refuseAll(stoppedProblem(c.r), true)
 			return
 		}
-		if c.deposed == nil {
+		if !c.isDeposed() {
 			c.plan()
 			c.commit()
 		}
 	}
 }
 
-// handle applies one event. A deposed holder has no peers that events could concern.
-func (c *control) handle(event func(*control)) {
-	if c.deposed == nil {
-		event(c)
+func (c *control) isDeposed() bool {
+	return c.deposedBy != (authority.Token{})
+}
+
+// raised lets a holder go on that was refused because of its own next token: a
+// witness accepts that token before the holder has adopted it. The mirrors join
+// anew, and no request is dispatched before a set of them is acknowledged.
+func (c *control) raised() {
+	if !c.isDeposed() || c.r.token.Load().Less(c.deposedBy) {
+		return
 	}
+	c.deposedBy = authority.Token{}
+	c.members, c.complete, c.dirty = nil, authority.Instance{}, false
+	clear(c.avoided)
+	c.publish()
 }
 
 // plan starts to probe candidates while mirrors are missing, and lets a member
@@ -132,6 +143,9 @@
 
 // probed makes requests wait for the peer from now on and starts its backfill.
 func (c *control) probed(p *peer, err error) {
+	if p.state != peerProbing {
+		return
+	}
 	if err != nil {
 		c.lost(p, err)
 		return
@@ -167,10 +181,12 @@
 	if p.state == peerLeaving {
 		return
 	}
-	if errors.Is(err, errDeposed) {
-		c.deposed = err
+	var deposed *deposedError
+	if errors.As(err, &deposed) {
+		c.deposedBy = deposed.highest
 		c.refuseAll(problem.Wrap(err, problem.KindNotHolder, outcome.StageForwardUnsent,
 			"shard %s has a new holder", c.r.shard), false)
+		c.raised() // the token may have been raised while the copy was on its way
 		return
 	}
 	if c.spare(p, err) {
@@ -233,6 +249,7 @@
 	c.r.replaceTargets(&targets{err: err})
 	for _, p := range c.peers {
 		c.stop(p, stopOrder{err: err, flush: flush})
+		p.state = peerLeaving
 	}
 	c.peers = nil
 }
--- /dev/null
+++ b/internal/record/deposederror.go
@@ -0,0 +1,18 @@
+package record
+
+import (
+	"fmt"
+
+	"peridotmoor.org/peridotmoor/internal/authority"
+)
+
+// deposedError means that a mirror has accepted a higher token than the holder's.
+type deposedError struct {
+	mirror  authority.Instance
+	highest authority.Token
+}
+
+// Error implements error.
+func (e *deposedError) Error() string {
+	return fmt.Sprintf("mirror %s has accepted %s and follows no lower token; the next holder, or this one under its next token, goes on", e.mirror, e.highest)
+}
--- a/internal/record/keeper.go
+++ b/internal/record/keeper.go
@@ -62,9 +62,11 @@
 	k.replicator.post(func(c *control) { c.candidates = others })
 }
 
-// SetToken replaces the token after the same holder has raised the epoch.
+// SetToken replaces the token after the same holder has raised the epoch. Like
+// SetCandidates it waits while a mirror set is being proposed.
 func (k *Keeper) SetToken(token authority.Token) {
 	k.replicator.token.Store(&token)
+	k.replicator.post((*control).raised)
 }
 
 // Mirrors returns the members of the mirror set acknowledged last.
--- a/internal/record/replicator.go
+++ b/internal/record/replicator.go
@@ -14,9 +14,6 @@
 	"peridotmoor.org/peridotmoor/internal/problem"
 )
 
-// errDeposed means that a mirror has accepted a higher token.
-var errDeposed = errors.New("a mirror follows a holder with a higher token")
-
 // errMirrorSlow means that a mirror did not answer in time.
 var errMirrorSlow = errors.New("the mirror did not answer in time")
 
@@ -163,7 +160,7 @@
 	case reply.Accepted:
 		return nil
 	case token.Less(reply.Highest):
-		return errors.Wrapf(errDeposed, "mirror %s has accepted %s", to, reply.Highest)
+		return &deposedError{mirror: to, highest: reply.Highest}
 	default:
 		return errors.Wrapf(errMirrorRefused, "mirror %s", to)
 	}
