--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -9,6 +9,7 @@
 
 	"peridotmoor.org/peridotmoor/internal/events"
 	"peridotmoor.org/peridotmoor/internal/link"
+	"peridotmoor.org/peridotmoor/internal/owners"
 	"peridotmoor.org/peridotmoor/internal/store"
 )
 
@@ -36,10 +37,20 @@
 		}
 		return
 	}
-	if foreign == 0 {
-		foreign = withoutStore + longestForeignHold
+	c.lead(ctx, lease, began, foreign)
+}
+
+// foreignBound returns how long grants of earlier holders may still count. The
+// proven end of the last holder says nothing about the ones before it, which may
+// go on without the store while the last one has not waited for their end.
+func foreignBound(ofLast time.Duration, found owners.Record) time.Duration {
+	switch {
+	case found.Epoch == 1 && len(found.Services) == 0:
+		return 0
+	case ofLast == 0 || found.Unsettled:
+		return withoutStore + longestForeignHold
 	}
-	c.lead(ctx, lease, began, began.Add(foreign))
+	return ofLast
 }
 
 func (c *Campaign) win(ctx context.Context, revision uint64) (store.LeaseID, error) {
@@ -57,8 +68,9 @@
 	return lease, err
 }
 
-// lead is the holder until the lease is lost. Grants of earlier holders end at until.
-func (c *Campaign) lead(parent context.Context, lease store.LeaseID, began, until time.Time) {
+// lead is the holder until the lease is lost. foreign is how long the last
+// holder's grants count at most, or 0 if that is not known.
+func (c *Campaign) lead(parent context.Context, lease store.LeaseID, began time.Time, foreign time.Duration) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	record := &stored{store: c.store, holder: c.self.String()}
@@ -70,10 +82,7 @@
 		c.revoke(lease)
 		return
 	}
-	if found.Epoch == 1 && len(found.Services) == 0 {
-		until = began
-	}
-	a := newActor(ctx, c, record, found, until)
+	a := newActor(ctx, c, record, found, began.Add(foreignBound(foreign, found)))
 	a.contact.Store(&began)
 	c.log.Emit(events.HolderElected, "epoch", found.Epoch)
 	c.tenure.Store(a)
--- a/internal/holder/planning.go
+++ b/internal/holder/planning.go
@@ -65,6 +65,7 @@
 	version := a.table.Planned()
 	record := a.table.Record()
 	record.Instances = len(a.followers)
+	record.Unsettled = !a.table.Settled(now)
 	record.Addresses = map[string]string{}
 	for life := range record.Lives() {
 		if server := a.known(life); server != nil {
--- a/internal/holder/stored.go
+++ b/internal/holder/stored.go
@@ -20,14 +20,17 @@
 	revision uint64
 }
 
-// claim raises the epoch in the name of the holder and returns the record that was found.
+// claim raises the epoch in the name of the holder and returns the record that was
+// found, with the new epoch.
 func (s *stored) claim(ctx context.Context) (owners.Record, error) {
 	for {
 		record, err := s.read(ctx)
 		if err == nil && record.Holder != s.holder {
 			record.Epoch++
 			record.Holder = s.holder
-			err = s.write(ctx, record)
+			claimed := record
+			claimed.Unsettled = true
+			err = s.write(ctx, claimed)
 		}
 		if err == nil {
 			return record, nil
--- a/internal/owners/record.go
+++ b/internal/owners/record.go
@@ -19,6 +19,9 @@
 	Services map[string][]RecordSpan `json:"services"`
 	// Instances is how many instances followed the holder.
 	Instances int `json:"instances,omitempty"`
+	// Unsettled is set while holders before the one that wrote the record may still
+	// grant. It may stay set for longer, which only makes a successor wait.
+	Unsettled bool `json:"unsettled,omitempty"`
 	// Addresses holds the address of each life in the spans by its String, as a
 	// server that lives on may be listed no more.
 	Addresses map[string]string `json:"addresses,omitempty"`
--- a/internal/owners/recordspan.go
+++ b/internal/owners/recordspan.go
@@ -14,4 +14,7 @@
 	// PreviousLate tells that a grant to the previous owner may still take effect
 	// after its release.
 	PreviousLate bool `json:"previousLate,omitempty"`
+	// PreviousShared tells that an owner between the previous one and this one may
+	// hold the range as well, so that the end of the previous one proves nothing.
+	PreviousShared bool `json:"previousShared,omitempty"`
 }
--- a/internal/owners/stored.go
+++ b/internal/owners/stored.go
@@ -17,7 +17,7 @@
 			out := RecordSpan{From: s.From, To: s.To, Owner: s.owner.Name, Born: s.owner.Born, Fence: s.fence}
 			if s.previous != nil {
 				out.Previous, out.PreviousBorn, out.PreviousFence = s.previous.Life.Name, s.previous.Life.Born, s.previous.Fence
-				out.PreviousLate = s.previous.PlannedLate
+				out.PreviousLate, out.PreviousShared = s.previous.PlannedLate, s.previous.Shared
 			}
 			r.Services[name] = append(r.Services[name], out)
 		}
@@ -79,6 +79,11 @@
 	t.version++
 }
 
+// Settled reports whether all holds of earlier holders have ended.
+func (t *Table) Settled(now time.Time) bool {
+	return !now.Before(t.foreign)
+}
+
 // EndForeign tells that the holds of earlier holders end sooner than was assumed.
 func (t *Table) EndForeign(until time.Time) {
 	if !until.Before(t.foreign) {
--- a/internal/owners/table.go
+++ b/internal/owners/table.go
@@ -75,6 +75,7 @@
 					Until:       until,
 					PlannedLate: r.PreviousLate,
 					WaitOut:     r.PreviousLate,
+					Shared:      r.PreviousShared,
 				}
 				s.phase = PhaseReleasing
 			}
--- a/internal/owners/table_test.go
+++ b/internal/owners/table_test.go
@@ -327,6 +327,34 @@
 	is.Equal(granted[0].action, ActionGrant)
 }
 
+// Guards against a second successor that takes the end of the one last owner in
+// the record for the end of the other, which only its predecessor knew of.
+func TestSecondSuccessorWaitsForBothPossibleHolders(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := settledTable(t, now, "a", "b", "c")
+	is.True(table.Plan(now, service, candidates("a", "b", "c"), heatOf{10: 20, 20: 20}))
+	key := movedKey(t, table)
+	record := table.Record()
+	record.Epoch++
+	first := NewTable(record, "first", now.Add(5*time.Second))
+	first.Plan(now, service, candidates("c"), flat{}) // a and b may both hold the key, and both leave
+	record = first.Record()
+	record.Epoch++
+	foreign := now.Add(10 * time.Second)
+	second := NewTable(record, "second", foreign)
+	for range 5 {
+		for _, o := range second.Due(now, lives("c")) {
+			if o.Contains(key) {
+				is.Equal(o.Action, ActionRelease)
+			}
+			second.Apply(Reply{Order: o, Outcome: Gone, Ended: now})
+		}
+	}
+	is.Equal(stepsFor(t, second, now.Add(time.Second), key, "c"), nil)
+	is.Equal(stepsFor(t, second, foreign.Add(time.Second), key, "c"), []step{{ActionGrant, "c"}})
+}
+
 // Guards against a hold that ends in the holder's books before it ends at the
 // server: a renewal that was under way when its keys were moved is answered late.
 func TestLateAnswerExtendsTheLastHold(t *testing.T) {
