Give each tenure of a process its own epoch and identity

Cause: a process that was elected again found its own name in the record and kept the epoch of its last tenure; the new table counted its fences from 1, so it granted under fences that it had used. Ruled out by the logs: an order that was carried out late, and a second process (three tenures of one process between 30.7 and 32.3, all with epoch 3).

The record and the holder's key now name the tenure. The second also tells a candidate whose answer was lost that the key it finds is of an earlier election, under another lease.

TestEachTenureOfAProcessHasItsOwnEpoch fails without the change (1 != 2).

--- a/internal/holder/campaign.go
+++ b/internal/holder/campaign.go
@@ -28,6 +28,8 @@
 	first bool
 	// weakness is 1 less the machine's share of a processor.
 	weakness float64
+	// elections counts those that this process has stood for.
+	elections int64
 	// tenure is the actor while this instance is the holder.
 	tenure atomic.Pointer[Actor]
 }
@@ -70,7 +72,7 @@
 			c.elect(ctx, 0, 0)
 		case err != nil:
 			sleep(ctx, backoff())
-		case holder == c.self:
+		case holder.sameProcess(c.self):
 			// A lease that this process has lost sight of: it ends by itself.
 			sleep(ctx, storeRetry)
 		case holder.Name == c.self.Name:
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -102,7 +102,7 @@
 
 // readOwners takes the owners of keys from the stored record.
 func (c *Campaign) readOwners(ctx context.Context) error {
-	record, err := (&stored{store: c.store, holder: c.self.String()}).read(ctx)
+	record, err := (&stored{store: c.store}).read(ctx)
 	if err == nil && len(record.Services) > 0 {
 		c.board.Owned(record.Views(), record.Epoch)
 	}
--- a/internal/holder/identity.go
+++ b/internal/holder/identity.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 
 	"github.com/pkg/errors"
 )
@@ -15,6 +16,9 @@
 	Address string `json:"address"`
 	// Domain is the failure domain of the instance.
 	Domain string `json:"domain"`
+	// Tenure counts the elections that the process has stood for, so that its
+	// tenures are told from each other.
+	Tenure int64 `json:"tenure"`
 }
 
 // String returns name and incarnation.
@@ -22,6 +26,16 @@
 	return i.Name + "/" + i.Incarnation
 }
 
+// sameProcess reports whether both are of one process, in whichever tenure.
+func (i Identity) sameProcess(other Identity) bool {
+	return i.String() == other.String()
+}
+
+// tenureName names the tenure in the record of owners.
+func (i Identity) tenureName() string {
+	return i.String() + "/" + strconv.FormatInt(i.Tenure, 10)
+}
+
 func (i Identity) encode() ([]byte, error) {
 	text, err := json.Marshal(i)
 	return text, errors.Wrap(err, "encode the holder's identity")
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -23,10 +23,11 @@
 func (c *Campaign) elect(ctx context.Context, revision uint64, foreign time.Duration) {
 	c.standBack(ctx, electionDelay, electionJitter)
 	began := time.Now()
-	lease, err := c.win(ctx, revision)
+	candidate := c.candidate()
+	lease, err := c.win(ctx, candidate, revision)
 	if errors.Is(err, store.ErrUncertain) {
 		found, _, readErr := c.readHolder(ctx)
-		if readErr != nil || found != c.self {
+		if readErr != nil || found != candidate {
 			return
 		}
 		err = nil
@@ -37,7 +38,15 @@
 		}
 		return
 	}
-	c.lead(ctx, lease, began, foreign)
+	c.lead(ctx, candidate, lease, began, foreign)
+}
+
+// candidate returns the identity for one more election.
+func (c *Campaign) candidate() Identity {
+	c.elections++
+	candidate := c.self
+	candidate.Tenure = c.elections
+	return candidate
 }
 
 // foreignBound returns how long grants of earlier holders may still count. The
@@ -53,10 +62,10 @@
 	return ofLast
 }
 
-func (c *Campaign) win(ctx context.Context, revision uint64) (store.LeaseID, error) {
+func (c *Campaign) win(ctx context.Context, candidate Identity, revision uint64) (store.LeaseID, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	identity, err := c.self.encode()
+	identity, err := candidate.encode()
 	if err != nil {
 		return "", err
 	}
@@ -70,10 +79,10 @@
 
 // lead is the holder until the lease is lost. foreign is how long the last
 // holder's grants count at most, or 0 if that is not known.
-func (c *Campaign) lead(parent context.Context, lease store.LeaseID, began time.Time, foreign time.Duration) {
+func (c *Campaign) lead(parent context.Context, self Identity, lease store.LeaseID, began time.Time, foreign time.Duration) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
-	record := &stored{store: c.store, holder: c.self.String()}
+	record := &stored{store: c.store, holder: self.tenureName()}
 	claim, stop := context.WithTimeout(ctx, leaseFor)
 	found, err := record.claim(claim)
 	stop()
@@ -91,7 +100,7 @@
 		defer close(done)
 		a.run()
 	}()
-	if local := link.JoinLocal(c, c.self.String(), c.self.Domain, c.desk.OnDown); local != nil {
+	if local := link.JoinLocal(c, self.String(), self.Domain, c.desk.OnDown); local != nil {
 		c.desk.Attach(local)
 		defer local.Close()
 	}
--- a/internal/holder/stored.go
+++ b/internal/holder/stored.go
@@ -15,7 +15,9 @@
 
 // stored is the record of owners in the store, as its holder last saw it.
 type stored struct {
-	store    store.Store
+	store store.Store
+	// holder names the tenure. Each tenure has a name and an epoch of its own, since
+	// the fences of two tenures under one epoch would be the same.
 	holder   string
 	revision uint64
 }
--- /dev/null
+++ b/internal/holder/tenurename_test.go
@@ -0,0 +1,37 @@
+package holder
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"peridotmoor.org/peridotmoor/internal/store/memstore"
+)
+
+// Guards against a process that is elected once more under the epoch of its last
+// tenure, and grants under fences that it has used before.
+func TestEachTenureOfAProcessHasItsOwnEpoch(t *testing.T) {
+	is := is.New(t)
+	shared := memstore.New()
+	c := &Campaign{self: Identity{Name: "entry-1", Incarnation: "K55N5AKH"}, store: shared}
+	for epoch := int64(1); epoch <= 3; epoch++ {
+		record := &stored{store: shared, holder: c.candidate().tenureName()}
+		found, err := record.claim(context.Background())
+		is.NoErr(err)
+		is.Equal(found.Epoch, epoch)
+		again, err := record.claim(context.Background()) // its own claim whose answer was lost
+		is.NoErr(err)
+		is.Equal(again.Epoch, epoch)
+	}
+}
+
+// Guards against a candidate that takes its key of an earlier election for the one
+// that it has just stood for: that key ends with another lease.
+func TestElectionsOfAProcessAreToldApart(t *testing.T) {
+	is := is.New(t)
+	c := &Campaign{self: Identity{Name: "entry-1", Incarnation: "K55N5AKH"}}
+	first, second := c.candidate(), c.candidate()
+	is.True(first != second)
+	is.True(first.sameProcess(second))
+}
