Let the strongest machine become the holder, and watch a silent holder's key

Now the wait before an election is relative to the strongest follower that the last holder told of, and long enough for one that is busy with a connection; a holder that is elected all the same yields once to a follower twice as strong. Instances that cannot reach the holder wait for a change of its key instead of reading it every 0.8 s, read the facts only when theirs are old, and ask a holder again that has not claimed the record yet, without a call. Links end after the key is gone. NewCampaign takes its parts as a struct.

--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -46,8 +46,11 @@
 	n.board = facts.NewBoard(platform.DecodeConfig, log)
 	reader := facts.NewReader(platform.Source{Store: store}, n.board, log)
 	desk := gateway.NewDesk(self.String(), config.Domain, n.board)
-	budget := placing.Budget{Window: config.RetryWindow, Ratio: config.RetryRatio, Extra: config.RetryExtra}
-	n.campaign = holder.NewCampaign(self, store, n.board, reader, n.backends, desk, budget, config.FirstStart, config.ProcessorShare, log)
+	n.campaign = holder.NewCampaign(holder.Options{
+		Self: self, Store: store, Board: n.board, Reader: reader, Granter: n.backends, Desk: desk, Log: log,
+		Budget: placing.Budget{Window: config.RetryWindow, Ratio: config.RetryRatio, Extra: config.RetryExtra},
+		First:  config.FirstStart, Processor: config.ProcessorShare,
+	})
 	n.metrics = newMetrics(
 		func() float64 { return float64(store.Calls()) },
 		func() float64 { return float64(n.callers.Open()) })
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -32,7 +32,7 @@
 
 // Attach uses the link until it ends.
 func (d *Desk) Attach(l link.Link) {
-	d.heard.Store(&heard{at: time.Now(), instances: d.Instances()})
+	d.heard.Store(&heard{at: time.Now(), instances: d.Instances(), strongest: d.Strongest()})
 	d.link.Store(&attached{Link: l})
 }
 
@@ -53,13 +53,21 @@
 	return 0
 }
 
+// Strongest returns the largest processor share among them, or 0 if none was heard.
+func (d *Desk) Strongest() float64 {
+	if h := d.heard.Load(); h != nil {
+		return h.strongest
+	}
+	return 0
+}
+
 // OnDown takes a message of the holder. It does not wait.
 func (d *Desk) OnDown(down *linkpb.Down) {
 	now := time.Now()
 	if f := down.Facts; f != nil {
 		d.takeFacts(f, now)
 	} else if h := d.heard.Load(); h != nil {
-		d.heard.Store(&heard{at: now, instances: h.instances})
+		d.heard.Store(&heard{at: now, instances: h.instances, strongest: h.strongest})
 	}
 	for _, number := range down.Waiting {
 		if p, ok := d.pending.Load(number); ok {
@@ -77,7 +85,7 @@
 }
 
 func (d *Desk) takeFacts(f *linkpb.Facts, now time.Time) {
-	d.heard.Store(&heard{at: now, instances: int(f.Instances)})
+	d.heard.Store(&heard{at: now, instances: int(f.Instances), strongest: f.Strongest})
 	link.TakeFacts(d.board, f, now)
 	if f.Ownership != nil {
 		d.board.Owned(link.DecodeOwnership(f.Ownership), f.Epoch)
--- a/internal/holder/actor.go
+++ b/internal/holder/actor.go
@@ -27,6 +27,8 @@
 	ctx     context.Context
 	// deposed is set when another holder has shown itself.
 	deposed atomic.Bool
+	// yields is set when the tenure ends in favour of a stronger machine.
+	yields atomic.Bool
 	// contact is when the lease was last known to be ours, on this process's clock.
 	contact atomic.Pointer[time.Time]
 
@@ -36,6 +38,11 @@
 	// grants of earlier holders have a near end.
 	expected int
 
+	// processor is the share of a processor that this machine gives.
+	processor float64
+	// yieldsFrom is when the tenure may end in favour of a stronger machine.
+	yieldsFrom time.Time
+
 	// What follows belongs to the goroutine.
 	followers map[*link.Follower]bool
 	// usual is the number of followers while the store last answered.
@@ -70,6 +77,11 @@
 		epoch:     found.Epoch,
 		recorded:  map[fleet.Life]*fleet.Server{},
 		expected:  max(c.desk.Instances(), found.Instances),
+		processor: c.processor,
+	}
+	a.yieldsFrom = time.Now().Add(yieldAfter)
+	if found.Yielded {
+		a.yieldsFrom = time.Now().Add(yieldRest)
 	}
 	for life, service := range found.Lives() {
 		if address := found.Addresses[life.String()]; address != "" {
@@ -96,7 +108,6 @@
 func (a *Actor) run() {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
-	defer a.cutAll()
 	a.tick()
 	for {
 		select {
@@ -146,4 +157,5 @@
 	a.placer.SetAlone(a.sole(now))
 	a.placer.Tick(now)
 	a.publish(now)
+	a.yield(now)
 }
--- a/internal/holder/campaign.go
+++ b/internal/holder/campaign.go
@@ -26,18 +26,25 @@
 	log     *events.Logger
 	// first is set when the whole fleet starts.
 	first bool
-	// weakness is 1 less the machine's share of a processor.
-	weakness float64
+	// processor is the share of a processor that the machine gives.
+	processor float64
 	// elections counts those that this process has stood for.
 	elections int64
 	// tenure is the actor while this instance is the holder.
 	tenure atomic.Pointer[Actor]
 }
 
-// NewCampaign returns a campaign for the instance. first tells that the whole
-// fleet starts; processorShare is the part of a processor that the machine gives.
-func NewCampaign(self Identity, s store.Store, board *facts.Board, reader *facts.Reader, granter Granter, desk Desk, budget placing.Budget, first bool, processorShare float64, log *events.Logger) *Campaign {
-	return &Campaign{self: self, store: s, board: board, reader: reader, granter: granter, desk: desk, budget: budget, first: first, weakness: max(0, 1-processorShare), log: log}
+// NewCampaign returns a campaign for the instance.
+func NewCampaign(o Options) *Campaign {
+	return &Campaign{
+		self: o.Self, store: o.Store, board: o.Board, reader: o.Reader, granter: o.Granter, desk: o.Desk,
+		budget: o.Budget, log: o.Log, first: o.First, processor: o.Processor,
+	}
+}
+
+// member is how this instance joins a holder.
+func (c *Campaign) member() link.Member {
+	return link.Member{Instance: c.self.String(), Domain: c.self.Domain, Processor: c.processor}
 }
 
 // Join admits a follower while this instance is the holder.
@@ -63,7 +70,7 @@
 // Run follows and leads until ctx ends.
 func (c *Campaign) Run(ctx context.Context) {
 	if c.first {
-		c.standBack(ctx, firstDelay, firstJitter)
+		sleep(ctx, standBack(c.processor, 0, firstDelay, firstJitter))
 	}
 	for ctx.Err() == nil {
 		holder, entry, err := c.readHolder(ctx)
--- a/internal/holder/constants.go
+++ b/internal/holder/constants.go
@@ -49,9 +49,29 @@
 	// that holder's end: its longest hold, slow clocks and one call included.
 	longestForeignHold = 7 * time.Second
 	// electionDelay is how long a machine without any processor would wait before
-	// it becomes a candidate; one with a whole processor does not wait. The holder
-	// decides for all, so a strong machine should win.
-	electionDelay = 120 * time.Millisecond
+	// it becomes a candidate; the strongest of the fleet does not wait. The holder
+	// decides for all, so a strong machine should win, also one that sees the key
+	// lapse a call and a connection later.
+	electionDelay = 900 * time.Millisecond
+	// unknownDelay is the same while nothing is known of the others' strength: all
+	// may be equally weak, and nobody should wait long.
+	unknownDelay = 120 * time.Millisecond
+	// yieldRatio is how much stronger a follower must be before a holder ends its
+	// tenure for it; a change of holder costs the requests of some 100 ms.
+	yieldRatio = 2.0
+	// yieldAfter is how long followers have to join before that is decided.
+	yieldAfter = time.Second
+	// yieldRest keeps weak machines from yielding one after the other to strong ones
+	// that cannot become the holder.
+	yieldRest = 15 * time.Second
+	// turnedAwayRetry is the wait before an instance asks a new holder again that
+	// has its key but has not claimed the record yet: a call to the store or two.
+	turnedAwayRetry = 40 * time.Millisecond
+	// turnedAwayTries are made before the store is read again.
+	turnedAwayTries = 4
+	// watchFor bounds the wait for a change of a silent holder's key; then its
+	// address is tried again.
+	watchFor = 700 * time.Millisecond
 	// electionJitter spreads candidates of the same strength.
 	electionJitter = 60 * time.Millisecond
 	// firstDelay and firstJitter are the same when a fleet starts as a whole, in
--- a/internal/holder/desk.go
+++ b/internal/holder/desk.go
@@ -17,4 +17,6 @@
 	Silent(now time.Time) time.Duration
 	// Instances returns how many instances followed the last holder.
 	Instances() int
+	// Strongest returns the largest processor share among them, or 0 if none was heard.
+	Strongest() float64
 }
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -28,25 +28,43 @@
 // follow joins the holder and stays until the link ends or the holder has lost
 // the store while this instance reaches it.
 func (c *Campaign) follow(ctx context.Context, holder Identity, revision uint64) {
-	client, err := link.Dial(ctx, holder.Address, c.self.String(), c.self.Domain, c.desk.OnDown)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		// No process listens there: that holder has ended.
-		c.elect(ctx, revision, longestForeignHold)
-		return
+	for range turnedAwayTries {
+		client, err := link.Dial(ctx, holder.Address, c.member(), c.desk.OnDown)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			// No process listens there: that holder has ended.
+			c.elect(ctx, revision, longestForeignHold)
+			return
+		}
+		if err != nil {
+			c.log.Emit(events.HolderLost, "holder", holder.String(), "detail", err.Error())
+			c.awaitHolder(ctx, revision)
+			return
+		}
+		c.log.Emit(events.HolderFollowed, "holder", holder.String())
+		began := time.Now()
+		c.desk.Attach(client)
+		c.accompany(ctx, client, holder)
+		client.Close()
+		if time.Since(began) >= storeRetry || ctx.Err() != nil {
+			return
+		}
+		sleep(ctx, turnedAwayRetry) // the process at that address is not the holder yet
 	}
-	if err != nil {
-		c.log.Emit(events.HolderLost, "holder", holder.String(), "detail", err.Error())
+	c.readAlone(ctx)
+	sleep(ctx, storeRetry)
+}
+
+// awaitHolder waits for a change of the key of a holder that cannot be reached,
+// and reads the store in its place meanwhile.
+func (c *Campaign) awaitHolder(ctx context.Context, revision uint64) {
+	if age, known := c.board.Age(time.Now()); !known || age > readAfter {
 		c.readAlone(ctx)
-		return
 	}
-	c.log.Emit(events.HolderFollowed, "holder", holder.String())
-	began := time.Now()
-	c.desk.Attach(client)
-	c.accompany(ctx, client, holder)
-	client.Close()
-	if time.Since(began) < storeRetry {
-		// The process at that address is not the holder (yet).
-		c.readAlone(ctx)
+	ctx, cancel := context.WithTimeout(ctx, watchFor)
+	defer cancel()
+	_, err := c.store.Watch(ctx, KeyHolder, revision)
+	if err != nil && !errors.Is(err, store.ErrNotFound) && ctx.Err() == nil {
+		sleep(ctx, backoff()) // the store refuses
 	}
 }
 
@@ -95,9 +113,7 @@
 	}
 	if err != nil {
 		sleep(ctx, backoff())
-		return
 	}
-	sleep(ctx, storeRetry)
 }
 
 // readOwners takes the owners of keys from the stored record.
--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -8,12 +8,22 @@
 	"peridotmoor.org/peridotmoor/internal/placing"
 )
 
+// cutAll ends all links. The goroutine must have ended.
 func (a *Actor) cutAll() {
 	for f := range a.followers {
 		f.Cut()
 	}
 }
 
+// strongest returns the largest processor share among the followers.
+func (a *Actor) strongest() float64 {
+	share := 0.0
+	for f := range a.followers {
+		share = max(share, f.Processor)
+	}
+	return share
+}
+
 // Join admits a follower.
 func (a *Actor) Join(f *link.Follower) bool {
 	return a.post(func() {
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,15 +12,15 @@
 	"peridotmoor.org/peridotmoor/internal/store"
 )
 
-// standBack lets stronger machines go first.
-func (c *Campaign) standBack(ctx context.Context, delay, jitter time.Duration) {
-	sleep(ctx, time.Duration(c.weakness*float64(delay))+time.Duration(rand.Int64N(int64(jitter))))
-}
-
 // elect tries to become the holder in place of the one at the given revision of
 // the key (0: none). foreign is how long that one's orders may still count.
 func (c *Campaign) elect(ctx context.Context, revision uint64, foreign time.Duration) {
-	c.standBack(ctx, electionDelay, electionJitter)
+	delay := electionDelay
+	strongest := c.desk.Strongest()
+	if strongest == 0 {
+		delay = unknownDelay
+	}
+	sleep(ctx, standBack(c.processor, strongest, delay, electionJitter))
 	began := time.Now()
 	candidate := c.candidate()
 	lease, err := c.win(ctx, candidate, revision)
@@ -100,7 +99,7 @@
 		defer close(done)
 		a.run()
 	}()
-	if local := link.JoinLocal(c, self.String(), self.Domain, c.desk.OnDown); local != nil {
+	if local := link.JoinLocal(c, c.member(), c.desk.OnDown); local != nil {
 		c.desk.Attach(local)
 		defer local.Close()
 	}
@@ -114,8 +113,14 @@
 	<-done
 	<-reading // the reader is used by one goroutine at a time
 	c.tenure.Store(nil)
-	c.log.Emit(events.HolderEnded, "epoch", found.Epoch)
+	c.log.Emit(events.HolderEnded, "epoch", found.Epoch, "yields", a.yields.Load())
+	if a.yields.Load() {
+		if err := record.yielded(parent); err != nil {
+			c.log.Emit(events.RecordFailed, "detail", err.Error()) // the successor may yield once more
+		}
+	}
 	c.revoke(lease)
+	a.cutAll() // not before the key is gone: followers look for the next holder at once
 }
 
 // read reads the store for the fleet.
@@ -137,7 +142,7 @@
 func (c *Campaign) keep(ctx context.Context, a *Actor, lease store.LeaseID, confirmed time.Time) {
 	for {
 		sleep(ctx, renewEvery)
-		if ctx.Err() != nil || a.deposed.Load() {
+		if ctx.Err() != nil || a.deposed.Load() || a.yields.Load() {
 			return
 		}
 		sent := time.Now()
--- a/internal/holder/publish.go
+++ b/internal/holder/publish.go
@@ -46,5 +46,6 @@
 	message := link.EncodeFacts(view, sent, now)
 	message.AgeUs = link.AgeOf(a.board, now)
 	message.Instances = int32(len(a.followers))
+	message.Strongest = a.strongest()
 	return message
 }
--- a/internal/holder/stored.go
+++ b/internal/holder/stored.go
@@ -31,7 +31,7 @@
 			record.Epoch++
 			record.Holder = s.holder
 			claimed := record
-			claimed.Unsettled = true
+			claimed.Unsettled, claimed.Yielded = true, false
 			err = s.write(ctx, claimed)
 		}
 		if err == nil {
@@ -47,6 +47,16 @@
 	}
 }
 
+// yielded notes that the tenure has ended for a stronger machine.
+func (s *stored) yielded(ctx context.Context) error {
+	record, err := s.read(ctx)
+	if err != nil || record.Holder != s.holder {
+		return err
+	}
+	record.Yielded = true
+	return s.write(ctx, record)
+}
+
 func (s *stored) read(ctx context.Context) (owners.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
--- a/internal/holder/tenure.go
+++ b/internal/holder/tenure.go
@@ -34,6 +34,17 @@
 	return silent <= withoutStore && float64(len(a.followers)) >= keptShare*float64(a.usual)
 }
 
+// yield ends the tenure when a much stronger machine follows and can reach the
+// store as well as this one.
+func (a *Actor) yield(now time.Time) {
+	if now.Before(a.yieldsFrom) || a.strongest() < yieldRatio*a.processor {
+		return
+	}
+	if contact := a.contact.Load(); contact != nil && now.Sub(*contact) < leaseFor {
+		a.yields.Store(true)
+	}
+}
+
 // shortenForeign ends the wait for grants of earlier holders once most instances follow this one.
 func (a *Actor) shortenForeign(now time.Time) {
 	if a.expected > 0 && float64(len(a.followers)) >= joinedShare*float64(a.expected) {
--- /dev/null
+++ b/internal/holder/yielded_test.go
@@ -0,0 +1,28 @@
+package holder
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"peridotmoor.org/peridotmoor/internal/store/memstore"
+)
+
+// Guards against a successor that does not learn that its predecessor has yielded,
+// and against a holder that writes the record of its successor.
+func TestSuccessorLearnsThatItsPredecessorYielded(t *testing.T) {
+	is := is.New(t)
+	shared := memstore.New()
+	first, second, third := &stored{store: shared, holder: "first"}, &stored{store: shared, holder: "second"}, &stored{store: shared, holder: "third"}
+	_, err := first.claim(context.Background())
+	is.NoErr(err)
+	is.NoErr(first.yielded(context.Background()))
+	found, err := second.claim(context.Background())
+	is.NoErr(err)
+	is.True(found.Yielded)
+	is.NoErr(first.yielded(context.Background())) // too late: it is not the holder any more
+	found, err = third.claim(context.Background())
+	is.NoErr(err)
+	is.True(!found.Yielded)
+}
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -21,7 +21,7 @@
 }
 
 // Dial joins the holder at address. onDown gets each message, in order, on one goroutine.
-func Dial(ctx context.Context, address, instance, domain string, onDown func(*linkpb.Down)) (*Client, error) {
+func Dial(ctx context.Context, address string, member Member, onDown func(*linkpb.Down)) (*Client, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, Control: sockopt.Unacked(unackedTimeout)}
 	raw, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
@@ -30,7 +30,7 @@
 	c := &Client{conn: drpcconn.New(raw), outbox: make(chan *linkpb.Up, outboxMessages), done: make(chan struct{})}
 	stream, err := linkpb.NewDRPCLinkClient(c.conn).Follow(context.Background())
 	if err == nil {
-		err = stream.Send(&linkpb.Up{Instance: instance, Domain: domain})
+		err = stream.Send(&linkpb.Up{Instance: member.Instance, Domain: member.Domain, Processor: member.Processor})
 	}
 	if err != nil {
 		c.Close()
--- a/internal/link/follower.go
+++ b/internal/link/follower.go
@@ -8,9 +8,8 @@
 
 // Follower is the holder's end of one link.
 type Follower struct {
-	// Instance and Domain name the instance at the other end.
-	Instance string
-	Domain   string
+	// Member is the instance at the other end.
+	Member
 	// Sent is used by the hub's goroutine only.
 	Sent Sent
 	// deliver passes a message on without waiting; it returns false when the
--- a/internal/link/local.go
+++ b/internal/link/local.go
@@ -16,9 +16,9 @@
 }
 
 // JoinLocal joins the hub within the process, or returns nil when it is not the holder.
-func JoinLocal(hub Hub, instance, domain string, onDown func(*linkpb.Down)) *Local {
+func JoinLocal(hub Hub, member Member, onDown func(*linkpb.Down)) *Local {
 	l := &Local{hub: hub, done: make(chan struct{}), inbox: make(chan *linkpb.Down, outboxMessages)}
-	l.follower = &Follower{Instance: instance, Domain: domain, deliver: l.take, cut: l.end}
+	l.follower = &Follower{Member: member, deliver: l.take, cut: l.end}
 	if !hub.Join(l.follower) {
 		return nil
 	}
--- a/internal/link/local_test.go
+++ b/internal/link/local_test.go
@@ -23,7 +23,7 @@
 	answered := make(chan struct{})
 	var l *Local
 	ready := make(chan struct{})
-	l = JoinLocal(hub, "i", "d", func(*linkpb.Down) {
+	l = JoinLocal(hub, Member{Instance: "i", Domain: "d"}, func(*linkpb.Down) {
 		<-ready
 		l.Send(&linkpb.Up{})
 		close(answered)
--- /dev/null
+++ b/internal/link/member.go
@@ -0,0 +1,9 @@
+package link
+
+// Member is what an instance tells of itself when it joins the holder.
+type Member struct {
+	Instance string
+	Domain   string
+	// Processor is the share of a processor that the machine gives.
+	Processor float64
+}
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -51,8 +51,7 @@
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	f := &Follower{
-		Instance: first.Instance,
-		Domain:   first.Domain,
+		Member: Member{Instance: first.Instance, Domain: first.Domain, Processor: first.Processor},
 		deliver: func(d *linkpb.Down) bool {
 			select {
 			case outbox <- d:
@@ -117,7 +116,7 @@
 		return next
 	}
 	out := &linkpb.Facts{
-		Epoch: next.Epoch, AgeUs: next.AgeUs, Instances: next.Instances,
+		Epoch: next.Epoch, AgeUs: next.AgeUs, Instances: next.Instances, Strongest: next.Strongest,
 		Orders: next.Orders, Listing: next.Listing, Ownership: next.Ownership,
 	}
 	if out.Orders == nil {
--- a/internal/owners/record.go
+++ b/internal/owners/record.go
@@ -22,6 +22,8 @@
 	// Unsettled is set while holders before the one that wrote the record may still
 	// grant. It may stay set for longer, which only makes a successor wait.
 	Unsettled bool `json:"unsettled,omitempty"`
+	// Yielded is set when the holder has ended its tenure for a stronger machine.
+	Yielded bool `json:"yielded,omitempty"`
 	// Addresses holds the address of each life in the spans by its String, as a
 	// server that lives on may be listed no more.
 	Addresses map[string]string `json:"addresses,omitempty"`
