Relieve busy servers beside a key that fills one, and let more servers join at once

After 52 of 206 servers were replaced, 6 moves at a time took 12 s to give the new ones keys.

Tests: TestOneKeyThatFillsAServerDoesNotStopThePlan, TestManyServersJoinAtOnce fail without it.

--- /dev/null
+++ b/internal/owners/busy_test.go
@@ -0,0 +1,55 @@
+package owners
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a key that no server can serve and that keeps all other busy
+// servers from being relieved.
+func TestOneKeyThatFillsAServerDoesNotStopThePlan(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := settledTable(t, now, "a", "b", "c", "d")
+	heat := heatOf{10: 300} // at a, which serves 30/s
+	for _, s := range table.services[service] {
+		if s.owner.Name == "b" {
+			heat[s.From+1], heat[s.From+100], heat[s.From+200] = 12, 12, 12
+		}
+	}
+	moved := false
+	for range 8 {
+		now = now.Add(250 * time.Millisecond)
+		table.Plan(now, service, candidates("a", "b", "c", "d"), heat)
+		for _, m := range table.TakeMoves() {
+			moved = moved || m.From == "b"
+		}
+		table.Stored(table.Planned())
+		for _, o := range table.Due(now, lives("a", "b", "c", "d")) {
+			table.Apply(Reply{Order: o, Outcome: Done, Ended: now})
+		}
+	}
+	is.True(moved)
+}
+
+// Guards against a large fleet in which servers that join wait for their keys one
+// after the other.
+func TestManyServersJoinAtOnce(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	var old, all []string
+	for i := range 200 {
+		name := fmt.Sprintf("s%03d", i)
+		if i < 150 {
+			old = append(old, name)
+		}
+		all = append(all, name)
+	}
+	table := settledTable(t, now, old...)
+	table.Plan(now, service, candidates(all...), flat{})
+	is.Equal(len(table.TakeMoves()), 200/serversPerMove)
+	is.Equal(movesAtOnce(20), fewestMoves)
+}
--- a/internal/owners/constants.go
+++ b/internal/owners/constants.go
@@ -52,8 +52,11 @@
 	// restFor is how long a range stays after it was moved for load: a server's
 	// speed under that load must be seen first, and each move interrupts its keys.
 	restFor = 4 * time.Second
-	// movesAtOnce bounds the moves of a service that are under way.
-	movesAtOnce = 6
+	// fewestMoves of a service may be under way at the same time, and in a larger one
+	// as many as there are groups of serversPerMove servers: servers that join a
+	// fleet of 200 have keys within seconds, and nine tenths of it are not disturbed.
+	fewestMoves    = 6
+	serversPerMove = 10
 	// joinShare is the part of an average server's keys that a new server starts with.
 	joinShare = 0.5
 	// spanLimit bounds the ranges of one server, which are renewed one by one.
--- a/internal/owners/loads.go
+++ b/internal/owners/loads.go
@@ -46,10 +46,13 @@
 	return out
 }
 
-// busiest returns the usable server with the highest use.
-func (l *loads) busiest() *load {
+// busiest returns the usable server with the highest use that is not left out.
+func (l *loads) busiest(except map[*load]bool) *load {
 	var best *load
 	for _, one := range l.usable() {
+		if except[one] {
+			continue
+		}
 		if best == nil || one.use() > best.use() || one.use() == best.use() && one.keys > best.keys {
 			best = one
 		}
@@ -76,10 +79,12 @@
 	return nil
 }
 
+// averageUse returns the use of all slots. What exceeds a server's capacity does
+// not count: a key that fills any server would make all others look idle.
 func (l *loads) averageUse() float64 {
 	rate, capacity := 0.0, 0.0
 	for _, one := range l.usable() {
-		rate += one.rate
+		rate += min(one.rate, one.capacity())
 		capacity += one.capacity()
 	}
 	if capacity == 0 {
--- a/internal/owners/plan.go
+++ b/internal/owners/plan.go
@@ -105,11 +105,12 @@
 
 // planJoined gives servers without keys a part of the busiest servers' keys.
 func (t *Table) planJoined(service string, loads *loads) {
+	limit := movesAtOnce(len(loads.usable()))
 	for _, l := range loads.usable() {
-		if l.keys > 0 || t.moving(service) >= movesAtOnce {
+		if l.keys > 0 || t.moving(service) >= limit {
 			continue
 		}
-		from := loads.busiest()
+		from := loads.busiest(nil)
 		if from == nil || from == l {
 			return
 		}
@@ -120,23 +121,29 @@
 	}
 }
 
-// planBusy moves the fewest keys that relieve a server that is far busier than the others.
+// planBusy moves the fewest keys that relieve the servers that are far busier than
+// the others. One that cannot be relieved, as it has a key that fills any server,
+// does not keep the others from it.
 func (t *Table) planBusy(service string, loads *loads) {
-	for t.moving(service) < movesAtOnce {
-		from := loads.busiest()
-		if from == nil {
-			return
-		}
-		average := loads.averageUse()
-		if from.use() < busyShare || from.use() < average+busyLead {
-			return
-		}
-		if !t.relieve(service, from, average, loads) {
+	usable := loads.usable()
+	limit := movesAtOnce(len(usable))
+	average := loads.averageUse()
+	stuck := map[*load]bool{}
+	for t.moving(service) < limit {
+		from := loads.busiest(stuck)
+		if from == nil || from.use() < busyShare || from.use() < average+busyLead {
 			return
 		}
+		stuck[from] = !t.relieve(service, from, average, loads)
 	}
 }
 
+// movesAtOnce returns how many ranges of a service may change their owners at the
+// same time: a bounded part of its servers works on moves.
+func movesAtOnce(servers int) int {
+	return max(fewestMoves, servers/serversPerMove)
+}
+
 // relieve plans one move off the server and reports whether there is a useful one.
 func (t *Table) relieve(service string, from *load, average float64, loads *loads) bool {
 	excess := from.rate - average*from.capacity()
