Order facts by the store's revision instead of the time of their arrival

Cause, from the logs: the holder stood still for 5 s and woke with readings of its followers in its sockets. Their age was counted from their arrival, so they seemed newer than what the next holder told, which was refused as older and, not having changed since, never told again.

Readings now carry the store's revision of their first page, and the higher one wins. A follower keeps the parts that its holder told last and takes them once they are the newest. The test case "read earlier" compared times; it now compares revisions, with one more case (read later, seemingly earlier).

--- a/internal/dev/kvstore/itemspage.go
+++ b/internal/dev/kvstore/itemspage.go
@@ -4,4 +4,6 @@
 type itemsPage struct {
 	Items []item `json:"items"`
 	More  bool   `json:"more_pages"`
+	// Revision is the store's at the time of the answer.
+	Revision uint64 `json:"store_revision"`
 }
--- a/internal/dev/kvstore/server.go
+++ b/internal/dev/kvstore/server.go
@@ -78,13 +78,14 @@
 }
 
 func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	revision := s.store.Revision() // not after the entries: what they hold must not be older
 	entries, err := s.store.List(r.Context(), r.URL.Query().Get("path_prefix"))
 	if err != nil {
 		fail(w, err)
 		return
 	}
 	after := r.URL.Query().Get("after")
-	page := itemsPage{Items: []item{}}
+	page := itemsPage{Items: []item{}, Revision: revision}
 	for _, e := range entries {
 		if e.Key <= after {
 			continue
--- a/internal/facts/board.go
+++ b/internal/facts/board.go
@@ -80,8 +80,9 @@
 }
 
 // Orders takes over what the operators have written, as read at the given time.
-// An unreadable or older configuration leaves the one in force.
-func (b *Board) Orders(o fleet.Orders, at time.Time) {
+// An unreadable or older configuration leaves the one in force. It returns false
+// for an older reading than the board's.
+func (b *Board) Orders(o fleet.Orders, at time.Time) bool {
 	view := b.View()
 	config := view.Config
 	if o.Config != nil && (config == nil || !bytes.Equal(o.Config, view.Orders.Config)) {
@@ -99,15 +100,16 @@
 		o.Config = view.Orders.Config
 	}
 	slices.Sort(o.DomainsOut)
+	older := false
 	b.replace(func(v *View) *View {
-		if at.Before(v.OrdersAt) {
+		if older = o.Revision < v.Orders.Revision; older {
 			return nil
 		}
 		if v.Config != nil && config != nil && config.Version < v.Config.Version {
 			config, o.Config = v.Config, v.Orders.Config
 		}
 		if v.Config == config && slices.Equal(v.Orders.DomainsOut, o.DomainsOut) {
-			return nil
+			return v.confirmOrders(o.Revision)
 		}
 		if v.Config != config {
 			b.log.Emit(events.ConfigInForce, "settings_version", config.Version, "routes", config.Routes(), "read_ms_ago", time.Since(at).Milliseconds())
@@ -115,8 +117,9 @@
 		if !slices.Equal(v.Orders.DomainsOut, o.DomainsOut) {
 			b.log.Emit(events.DomainsOut, "domains", o.DomainsOut, "read_ms_ago", time.Since(at).Milliseconds())
 		}
-		return v.withOrders(o, config, at)
+		return v.withOrders(o, config)
 	})
+	return !older
 }
 
 func (b *Board) refuse(text []byte, err error) {
@@ -127,14 +130,20 @@
 	b.log.Emit(events.ConfigRefused, "detail", err.Error())
 }
 
-// Servers takes over a listing read at the given time.
-func (b *Board) Servers(servers []fleet.Server, at time.Time) {
+// Listed takes over a listing read at the given time. It returns false for an
+// older reading than the board's.
+func (b *Board) Listed(listing fleet.Listing, at time.Time) bool {
+	older := false
 	b.replace(func(v *View) *View {
-		if at.Before(v.ListingAt) || sameServers(v.Servers, servers, at) {
+		if older = listing.Revision < v.ListingRevision; older {
 			return nil
 		}
-		return v.withServers(servers, at)
+		if sameServers(v.Servers, listing.Servers, at) {
+			return v.confirmListing(listing.Revision)
+		}
+		return v.withListing(listing, at)
 	})
+	return !older
 }
 
 // coldStep is by how much the end of a cold start may differ between two
--- a/internal/facts/board_test.go
+++ b/internal/facts/board_test.go
@@ -20,25 +20,28 @@
 }
 
 // Guards against a configuration that goes back: an older or unreadable one,
-// or an older reading, leaves the one in force.
+// or an older reading, leaves the one in force. Which reading is older is told by
+// the store's revision, since a process that stood still takes late messages for new ones.
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	start := time.Unix(1000, 0)
 	for _, c := range []struct {
 		name string
 		text string
+		read uint64
 		at   time.Time
 		want int64
 	}{
-		{"newer", "5", start.Add(time.Second), 5},
-		{"older", "2", start.Add(time.Second), 3},
-		{"unreadable", "x", start.Add(time.Second), 3},
-		{"missing", "", start.Add(time.Second), 3},
-		{"read earlier", "5", start.Add(-time.Second), 3},
+		{"newer", "5", 11, start.Add(time.Second), 5},
+		{"older", "2", 11, start.Add(time.Second), 3},
+		{"unreadable", "x", 11, start.Add(time.Second), 3},
+		{"missing", "", 11, start.Add(time.Second), 3},
+		{"read earlier, heard later", "5", 9, start.Add(time.Second), 3},
+		{"read later, seemingly earlier", "5", 11, start.Add(-time.Second), 5},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := NewBoard(decodeVersion, nil)
-			b.Orders(fleet.Orders{Config: []byte("3")}, start)
-			orders := fleet.Orders{Config: []byte(c.text)}
+			b.Orders(fleet.Orders{Revision: 10, Config: []byte("3")}, start)
+			orders := fleet.Orders{Revision: c.read, Config: []byte(c.text)}
 			if c.text == "" {
 				orders.Config = nil
 			}
@@ -56,7 +59,7 @@
 	b := NewBoard(decodeVersion, nil)
 	tell := func() {
 		b.Orders(fleet.Orders{Config: []byte("3"), DomainsOut: []string{"d"}}, at)
-		b.Servers([]fleet.Server{{Life: fleet.Life{Name: "a"}, Address: "h:1"}}, at)
+		b.Listed(fleet.Listing{Servers: []fleet.Server{{Life: fleet.Life{Name: "a"}, Address: "h:1"}}}, at)
 		b.Owned(map[string][]owners.View{"s": {{Interval: owners.Interval{From: 0, To: 9}, Owner: "a", Held: true}}}, 1)
 	}
 	tell()
@@ -91,11 +94,11 @@
 	a := fleet.Server{Life: fleet.Life{Name: "a", Born: 1}, Address: "h:1"}
 	reborn := a
 	reborn.Born = 2
-	b.Servers([]fleet.Server{a}, at)
-	b.Servers([]fleet.Server{reborn}, at.Add(time.Second))
+	b.Listed(fleet.Listing{Servers: []fleet.Server{a}}, at)
+	b.Listed(fleet.Listing{Servers: []fleet.Server{reborn}}, at.Add(time.Second))
 	is.Equal(b.View().Known(a.Life).Address, "h:1")
 	is.True(b.View().Server("a").Life == reborn.Life)
-	b.Servers([]fleet.Server{{Life: fleet.Life{Name: "b"}}}, at.Add(2*time.Second))
+	b.Listed(fleet.Listing{Servers: []fleet.Server{{Life: fleet.Life{Name: "b"}}}}, at.Add(2*time.Second))
 	is.True(b.View().Known(reborn.Life) != nil)
 	is.True(b.View().Server("a") == nil)
 }
--- a/internal/facts/reader.go
+++ b/internal/facts/reader.go
@@ -68,11 +68,10 @@
 			r.log.Emit(events.EntryUnreadable, "detail", key)
 		}
 	}
-	servers := listing.Servers
 	if began.Sub(r.recoveredAt) < reappearWithin {
-		servers = Retain(r.board.View().Servers, servers)
+		listing.Servers = Retain(r.board.View().Servers, listing.Servers)
 	}
 	r.board.Orders(orders, began)
-	r.board.Servers(servers, began)
+	r.board.Listed(listing, began)
 	r.board.Confirm(began)
 }
--- a/internal/facts/view.go
+++ b/internal/facts/view.go
@@ -11,12 +11,12 @@
 // View is one state of the facts. It is immutable.
 type View struct {
 	// Orders is what the operators have written; Config is its decoded form or nil.
-	Orders   fleet.Orders
-	OrdersAt time.Time
-	Config   *fleet.Config
-	// Servers holds the listed servers; ListingAt is when they were read.
-	Servers   []fleet.Server
-	ListingAt time.Time
+	Orders fleet.Orders
+	Config *fleet.Config
+	// Servers holds the listed servers; ListingRevision is the revision of the
+	// store from which on they hold.
+	Servers         []fleet.Server
+	ListingRevision uint64
 	// Owned holds the ranges of the services divided by key, in the order of their keys.
 	Owned map[string][]owners.View
 	// Epoch is the epoch of the holder that published Owned.
@@ -74,9 +74,30 @@
 	return true
 }
 
-func (v *View) withOrders(o fleet.Orders, config *fleet.Config, at time.Time) *View {
+// confirmOrders returns a view whose orders hold from a later revision on, or nil
+// if they do already.
+func (v *View) confirmOrders(revision uint64) *View {
+	if revision == v.Orders.Revision {
+		return nil
+	}
+	next := *v
+	next.Orders.Revision = revision
+	return &next
+}
+
+// confirmListing is confirmOrders for the listing.
+func (v *View) confirmListing(revision uint64) *View {
+	if revision == v.ListingRevision {
+		return nil
+	}
+	next := *v
+	next.ListingRevision = revision
+	return &next
+}
+
+func (v *View) withOrders(o fleet.Orders, config *fleet.Config) *View {
 	next := *v
-	next.Orders, next.Config, next.OrdersAt = o, config, at
+	next.Orders, next.Config = o, config
 	next.OrdersSequence++
 	next.out = map[string]bool{}
 	for _, d := range o.DomainsOut {
@@ -85,13 +106,13 @@
 	return &next
 }
 
-func (v *View) withServers(servers []fleet.Server, at time.Time) *View {
+func (v *View) withListing(listing fleet.Listing, at time.Time) *View {
 	next := *v
-	next.Servers, next.ListingAt = servers, at
+	next.Servers, next.ListingRevision = listing.Servers, listing.Revision
 	next.ListingSequence++
-	next.byName = make(map[string]*fleet.Server, len(servers))
-	for i := range servers {
-		next.byName[servers[i].Name] = &servers[i]
+	next.byName = make(map[string]*fleet.Server, len(listing.Servers))
+	for i := range listing.Servers {
+		next.byName[listing.Servers[i].Name] = &listing.Servers[i]
 	}
 	next.former = map[fleet.Life]formerServer{}
 	for life, f := range v.former {
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -61,11 +61,16 @@
 	return 0
 }
 
-// OnDown takes a message of the holder. It does not wait.
-func (d *Desk) OnDown(down *linkpb.Down) {
+// Inbox returns what takes the messages of one link, in order. It does not wait.
+func (d *Desk) Inbox() func(*linkpb.Down) {
+	inbox := link.NewInbox(d.board)
+	return func(down *linkpb.Down) { d.take(inbox, down) }
+}
+
+func (d *Desk) take(inbox *link.Inbox, down *linkpb.Down) {
 	now := time.Now()
 	if f := down.Facts; f != nil {
-		d.takeFacts(f, now)
+		d.takeFacts(inbox, f, now)
 	} else if h := d.heard.Load(); h != nil {
 		d.heard.Store(&heard{at: now, instances: h.instances, strongest: h.strongest})
 	}
@@ -84,9 +89,9 @@
 	}
 }
 
-func (d *Desk) takeFacts(f *linkpb.Facts, now time.Time) {
+func (d *Desk) takeFacts(inbox *link.Inbox, f *linkpb.Facts, now time.Time) {
 	d.heard.Store(&heard{at: now, instances: int(f.Instances), strongest: f.Strongest})
-	link.TakeFacts(d.board, f, now)
+	inbox.Take(f, now)
 	if f.Ownership != nil {
 		d.board.Owned(link.DecodeOwnership(f.Ownership), f.Epoch)
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -49,7 +49,7 @@
 	for _, a := range up.Asks {
 		v := &linkpb.Verdict{Number: a.Number, Server: o.servers[o.next%len(o.servers)]}
 		o.next++
-		go o.desk.OnDown(&linkpb.Down{Verdicts: []*linkpb.Verdict{v}})
+		go o.desk.Inbox()(&linkpb.Down{Verdicts: []*linkpb.Verdict{v}})
 	}
 	return true
 }
@@ -70,7 +70,7 @@
 	for _, n := range []string{"a", "b", "c"} {
 		servers = append(servers, fleet.Server{Life: fleet.Life{Name: n}, Service: "s", Address: n, Domain: "d", Slots: 3})
 	}
-	b.Servers(servers, now)
+	b.Listed(fleet.Listing{Servers: servers}, now)
 	return b
 }
 
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -29,7 +29,7 @@
 // the store while this instance reaches it.
 func (c *Campaign) follow(ctx context.Context, holder Identity, revision uint64) {
 	for range turnedAwayTries {
-		client, err := link.Dial(ctx, holder.Address, c.member(), c.desk.OnDown)
+		client, err := link.Dial(ctx, holder.Address, c.member(), c.desk.Inbox())
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			// No process listens there: that holder has ended.
 			c.elect(ctx, revision, longestForeignHold)
--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -49,7 +49,7 @@
 func (a *Actor) Receive(f *link.Follower, up *linkpb.Up) {
 	arrived := time.Now()
 	if up.Facts != nil {
-		link.TakeFacts(a.board, up.Facts, arrived)
+		link.NewInbox(a.board).Take(up.Facts, arrived)
 	}
 	a.post(func() {
 		now := time.Now()
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -99,7 +99,7 @@
 		defer close(done)
 		a.run()
 	}()
-	if local := link.JoinLocal(c, c.member(), c.desk.OnDown); local != nil {
+	if local := link.JoinLocal(c, c.member(), c.desk.Inbox()); local != nil {
 		c.desk.Attach(local)
 		defer local.Close()
 	}
--- a/internal/link/convert.go
+++ b/internal/link/convert.go
@@ -99,7 +99,10 @@
 
 // EncodeFacts converts the parts of a view that differ from what was sent before.
 func EncodeFacts(view *facts.View, sent Sent, now time.Time) *linkpb.Facts {
-	out := &linkpb.Facts{Epoch: view.Epoch, AgeUs: -1}
+	out := &linkpb.Facts{
+		Epoch: view.Epoch, AgeUs: -1,
+		OrdersRevision: view.Orders.Revision, ListingRevision: view.ListingRevision,
+	}
 	if view.OrdersSequence != sent.Orders {
 		out.Orders = &linkpb.Orders{Config: view.Orders.Config, DomainsOut: view.Orders.DomainsOut}
 	}
@@ -112,22 +115,6 @@
 	return out
 }
 
-// TakeFacts publishes configuration and servers on a board, as read by the
-// sender some time before they arrived at now.
-func TakeFacts(board *facts.Board, f *linkpb.Facts, now time.Time) {
-	if f.AgeUs < 0 {
-		return // the sender has not read the store
-	}
-	read := now.Add(-micros(f.AgeUs))
-	if f.Orders != nil && f.Orders.Config != nil {
-		board.Orders(fleet.Orders{Config: f.Orders.Config, DomainsOut: f.Orders.DomainsOut}, read)
-	}
-	if f.Listing != nil && len(f.Listing.Servers) > 0 {
-		board.Servers(DecodeListing(f.Listing, now), read)
-	}
-	board.Confirm(read)
-}
-
 // EncodeReading converts everything that this instance knows from the store.
 func EncodeReading(board *facts.Board, now time.Time) *linkpb.Facts {
 	view := board.View()
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -118,6 +118,7 @@
 	out := &linkpb.Facts{
 		Epoch: next.Epoch, AgeUs: next.AgeUs, Instances: next.Instances, Strongest: next.Strongest,
 		Orders: next.Orders, Listing: next.Listing, Ownership: next.Ownership,
+		OrdersRevision: next.OrdersRevision, ListingRevision: next.ListingRevision,
 	}
 	if out.Orders == nil {
 		out.Orders = old.Orders
--- a/internal/store/memstore/store.go
+++ b/internal/store/memstore/store.go
@@ -42,6 +42,13 @@
 	return &s.faults
 }
 
+// Revision returns the revision of the last change.
+func (s *Store) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 // Get implements store.Store.
 func (s *Store) Get(ctx context.Context, key string) (store.Entry, error) {
 	if err := s.faults.beforeRead(ctx); err != nil {
