Try lost mirrors again while requests wait for one

Part of the known red TestPlannedStopUnderLoad ("no mirror holds the request records"): mirrors that failed were tried again after 1 s, and requests that wait for a mirror give up after 1 s. Without any mirror they are now tried again after 100 ms. TestLostMirrorsAreTriedAgainWhileRequestsWait fails without it.

--- a/internal/record/control.go
+++ b/internal/record/control.go
@@ -16,6 +16,9 @@
 	mirrorCount = 2
 	// mirrorRetry is the pause before a mirror that failed is tried again.
 	mirrorRetry = time.Second
+	// lastMirrorRetry is the same when no mirror is left: every request waits for one,
+	// so several tries must fit into mirrorWait.
+	lastMirrorRetry = 100 * time.Millisecond
 	// mirrorWait is how long a request waits while no mirror holds the records.
 	mirrorWait = time.Second
 	// proposeTimeout bounds one proposal to the witnesses.
@@ -196,16 +199,28 @@
 		c.complete = authority.Instance{}
 	}
 	c.avoided[p.sender.to] = true
-	c.retry.Reset(mirrorRetry)
 	if p.proposed {
 		p.state = peerLeaving
 		c.dirty = true
+		c.tryLater()
 		return
 	}
 	c.remove(p)
 	c.publish()
 	c.stop(p, stopOrder{})
 	p.state = peerLeaving
+	c.tryLater()
+}
+
+// tryLater sets when candidates that failed are tried again.
+func (c *control) tryLater() {
+	for _, p := range c.peers {
+		if p.state != peerLeaving {
+			c.retry.Reset(mirrorRetry)
+			return
+		}
+	}
+	c.retry.Reset(lastMirrorRetry)
 }
 
 // spare lets the last member of the set try again with more time when it was only
--- a/internal/record/lastmirror_test.go
+++ b/internal/record/lastmirror_test.go
@@ -52,3 +52,22 @@
 		is.NoErr(k.Copy(context.Background(), run))
 	})
 }
+
+// Guards against requests that are refused because the only mirrors, which were
+// slow for a moment, are tried again no sooner than the requests give up.
+func TestLostMirrorsAreTriedAgainWhileRequestsWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newMemory("a", "b")
+		defer m.close()
+		k := m.open(1, true)
+		defer k.Close()
+		m.delay.Store(int64(200 * time.Millisecond)) // longer than a probe may take
+		k.SetCandidates(candidates("a", "b"))
+		time.Sleep(mirrorRetry + 80*time.Millisecond) // a second try has begun
+		is.Equal(len(k.Mirrors()), 0)
+		time.AfterFunc(300*time.Millisecond, func() { m.delay.Store(0) })
+		run := k.Begin("k", testID(time.Now(), 1), 1, time.Now()).Run
+		is.NoErr(k.Copy(context.Background(), run))
+	})
+}
