--- a/internal/record/lastmirror_test.go
+++ b/internal/record/lastmirror_test.go
@@ -71,3 +71,22 @@
 		is.NoErr(k.Copy(context.Background(), run))
 	})
 }
+
+// Guards against a request that is refused at once when the last mirror is lost
+// while its record is on the way, though another one joins soon.
+func TestRecordOnItsWayWaitsForTheNextMirror(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newMemory("a")
+		defer m.close()
+		k := m.open(1, true)
+		defer k.Close()
+		k.SetCandidates(candidates("a"))
+		time.Sleep(time.Second)
+		m.delay.Store(int64(time.Second)) // longer than the last mirror may take
+		time.AfterFunc(lastMirrorTimeout, func() { m.delay.Store(0) })
+		run := k.Begin("k", testID(time.Now(), 1), 1, time.Now()).Run
+		is.NoErr(k.Copy(context.Background(), run))
+		is.Equal(len(k.Mirrors()), 1)
+	})
+}
--- a/internal/record/replicator.go
+++ b/internal/record/replicator.go
@@ -72,40 +72,41 @@
 	}
 }
 
-// copyAll returns nil once all mirrors have the record.
+// copyAll returns nil once all mirrors have the record. The set may lose its last
+// member on the way; the record then waits for the next one like a new record.
 func (r *replicator) copyAll(ctx context.Context, record Record) error {
-	if err := r.await(ctx); err != nil {
-		return err
-	}
-	p := r.enqueue(record)
-	select {
-	case <-p.done:
-	case <-ctx.Done():
-		return problem.Wrap(context.Cause(ctx), problem.KindMirrorUnavailable, outcome.StageQueued,
-			"the mirrors of shard %s did not acknowledge the record in time", r.shard)
-	}
-	if err := p.err(); err != nil {
-		return err
+	waiting, cancel := context.WithTimeout(ctx, mirrorWait)
+	defer cancel()
+	for {
+		if err := r.await(waiting); err != nil {
+			return err
+		}
+		p := r.enqueue(record)
+		select {
+		case <-p.done:
+		case <-ctx.Done():
+			return problem.Wrap(context.Cause(ctx), problem.KindMirrorUnavailable, outcome.StageQueued,
+				"the mirrors of shard %s did not acknowledge the record in time", r.shard)
+		}
+		if err := p.err(); err != nil {
+			return err
+		}
+		if err := r.ready(); err == nil || waiting.Err() != nil {
+			return err
+		}
 	}
-	return r.ready()
 }
 
 // await waits while no mirror holds the records, as after a takeover or while the
-// set changes, and refuses after mirrorWait.
+// set changes, and refuses when ctx ends.
 func (r *replicator) await(ctx context.Context) error {
-	var timer <-chan time.Time
 	for {
 		set := r.targets.Load()
 		if set.err != nil || len(set.members) > 0 {
 			return set.err
 		}
-		if timer == nil {
-			timer = time.After(mirrorWait)
-		}
 		select {
 		case <-set.changed:
-		case <-timer:
-			return r.ready()
 		case <-ctx.Done():
 			return r.ready()
 		}
