Tell followers only what has changed

A listing or the owners now go as the changes since what the link was told last; an instance that joins, or that is behind, gets all. Tests: TestFollowersLearnFromChanges, TestChangesPaintedOverTheOldMakeTheNew (rapid).

--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -69,9 +69,11 @@
 
 func (d *Desk) take(inbox *link.Inbox, down *linkpb.Down) {
 	now := time.Now()
-	if f := down.Facts; f != nil {
-		d.takeFacts(inbox, f, now)
-	} else if h := d.heard.Load(); h != nil {
+	for _, f := range down.Facts {
+		d.heard.Store(&heard{at: now, instances: int(f.Instances), strongest: f.Strongest})
+		inbox.Take(f, now)
+	}
+	if h := d.heard.Load(); h != nil && len(down.Facts) == 0 {
 		d.heard.Store(&heard{at: now, instances: h.instances, strongest: h.strongest})
 	}
 	for _, number := range down.Waiting {
@@ -89,14 +91,6 @@
 	}
 }
 
-func (d *Desk) takeFacts(inbox *link.Inbox, f *linkpb.Facts, now time.Time) {
-	d.heard.Store(&heard{at: now, instances: int(f.Instances), strongest: f.Strongest})
-	inbox.Take(f, now)
-	if f.Ownership != nil {
-		d.board.Owned(link.DecodeOwnership(f.Ownership), f.Epoch)
-	}
-}
-
 // Place returns a verdict for the ask, whose ticket it sets.
 func (d *Desk) Place(ctx context.Context, ask placing.Ask) placing.Verdict {
 	now := time.Now()
--- a/internal/holder/actor.go
+++ b/internal/holder/actor.go
@@ -51,6 +51,8 @@
 	epoch     int64
 	seen      *facts.View
 	published uint64
+	// told is the view that followers got last.
+	told *facts.View
 	// publishedAt is when the owners were last published.
 	publishedAt time.Time
 	storing     bool
--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -30,7 +30,7 @@
 		a.followers[f] = true
 		a.byName[f.Instance] = f
 		view := a.board.View()
-		f.Deliver(&linkpb.Down{Facts: a.encode(view, f.Sent, time.Now())})
+		f.Deliver(&linkpb.Down{Facts: []*linkpb.Facts{a.encode(view, f.Sent, time.Now())}})
 		f.Sent = sequences(view)
 	})
 }
--- a/internal/holder/publish.go
+++ b/internal/holder/publish.go
@@ -32,9 +32,10 @@
 		if encoded[f.Sent] == nil {
 			encoded[f.Sent] = a.encode(view, f.Sent, now)
 		}
-		f.Deliver(&linkpb.Down{Facts: encoded[f.Sent]})
+		f.Deliver(&linkpb.Down{Facts: []*linkpb.Facts{encoded[f.Sent]}})
 		f.Sent = sequences(view)
 	}
+	a.told = view
 }
 
 func sequences(v *facts.View) link.Sent {
@@ -43,7 +44,7 @@
 
 // encode returns what a follower must be told that has got sent.
 func (a *Actor) encode(view *facts.View, sent link.Sent, now time.Time) *linkpb.Facts {
-	message := link.EncodeFacts(view, sent, now)
+	message := link.EncodeFacts(view, sent, a.told, now)
 	message.AgeUs = link.AgeOf(a.board, now)
 	message.Instances = int32(len(a.followers))
 	message.Strongest = a.strongest()
--- a/internal/link/convert.go
+++ b/internal/link/convert.go
@@ -98,7 +98,9 @@
 }
 
 // EncodeFacts converts the parts of a view that differ from what was sent before.
-func EncodeFacts(view *facts.View, sent Sent, now time.Time) *linkpb.Facts {
+// Parts that were sent as in base are converted to their changes since then; base
+// may be nil.
+func EncodeFacts(view *facts.View, sent Sent, base *facts.View, now time.Time) *linkpb.Facts {
 	out := &linkpb.Facts{
 		Epoch: view.Epoch, AgeUs: -1,
 		OrdersRevision: view.Orders.Revision, ListingRevision: view.ListingRevision,
@@ -106,19 +108,45 @@
 	if view.OrdersSequence != sent.Orders {
 		out.Orders = &linkpb.Orders{Config: view.Orders.Config, DomainsOut: view.Orders.DomainsOut}
 	}
-	if view.ListingSequence != sent.Listing {
-		out.Listing = encodeListing(view.Servers, now)
+	switch {
+	case view.ListingSequence == sent.Listing:
+	case base != nil && sent.Listing > 0 && base.ListingSequence == sent.Listing:
+		out.Listing = encodeListingChanges(base, view, now)
+	default:
+		out.Listing = &linkpb.Listing{Servers: encodeServers(view.Servers, now)}
 	}
-	if view.OwnedSequence != sent.Owned {
-		out.Ownership = encodeOwnership(view.Owned)
+	switch {
+	case view.OwnedSequence == sent.Owned:
+	case base != nil && sent.Owned > 0 && base.OwnedSequence == sent.Owned && keepsServices(base.Owned, view.Owned):
+		out.Ownership = encodeOwnership(base.Owned, view.Owned)
+		out.Ownership.Changes = true
+	default:
+		out.Ownership = encodeOwnership(nil, view.Owned)
 	}
 	return out
 }
 
+func encodeListingChanges(base, view *facts.View, now time.Time) *linkpb.Listing {
+	out := &linkpb.Listing{Changes: true}
+	var changed []fleet.Server
+	for _, s := range view.Servers {
+		if old := base.Server(s.Name); old == nil || *old != s {
+			changed = append(changed, s)
+		}
+	}
+	for _, s := range base.Servers {
+		if view.Server(s.Name) == nil {
+			out.Gone = append(out.Gone, s.Name)
+		}
+	}
+	out.Servers = encodeServers(changed, now)
+	return out
+}
+
 // EncodeReading converts everything that this instance knows from the store.
 func EncodeReading(board *facts.Board, now time.Time) *linkpb.Facts {
 	view := board.View()
-	out := EncodeFacts(view, Sent{Owned: view.OwnedSequence}, now)
+	out := EncodeFacts(view, Sent{Owned: view.OwnedSequence}, nil, now)
 	out.AgeUs = AgeOf(board, now)
 	return out
 }
@@ -132,10 +160,10 @@
 	return age.Microseconds()
 }
 
-func encodeListing(servers []fleet.Server, now time.Time) *linkpb.Listing {
-	out := &linkpb.Listing{}
+func encodeServers(servers []fleet.Server, now time.Time) []*linkpb.Server {
+	out := make([]*linkpb.Server, 0, len(servers))
 	for _, s := range servers {
-		out.Servers = append(out.Servers, &linkpb.Server{
+		out = append(out, &linkpb.Server{
 			Name:    s.Name,
 			Born:    s.Born,
 			Service: s.Service,
@@ -149,10 +177,10 @@
 	return out
 }
 
-// DecodeListing converts a listing that arrived at now.
-func DecodeListing(l *linkpb.Listing, now time.Time) []fleet.Server {
-	out := make([]fleet.Server, 0, len(l.Servers))
-	for _, s := range l.Servers {
+// decodeServers converts servers that were told at now.
+func decodeServers(servers []*linkpb.Server, now time.Time) []fleet.Server {
+	out := make([]fleet.Server, 0, len(servers))
+	for _, s := range servers {
 		server := fleet.Server{
 			Life:    fleet.Life{Name: s.Name, Born: s.Born},
 			Service: s.Service,
@@ -169,10 +197,22 @@
 	return out
 }
 
-func encodeOwnership(owned map[string][]owners.View) *linkpb.Ownership {
+// keepsServices reports whether all services of base are in owned, since changes
+// do not tell of one that is not.
+func keepsServices(base, owned map[string][]owners.View) bool {
+	for service := range base {
+		if _, ok := owned[service]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// encodeOwnership converts the ranges that differ from those of base.
+func encodeOwnership(base, owned map[string][]owners.View) *linkpb.Ownership {
 	out := &linkpb.Ownership{}
 	for service, ranges := range owned {
-		for _, r := range ranges {
+		for _, r := range owners.Changed(base[service], ranges) {
 			out.Ranges = append(out.Ranges, &linkpb.OwnedRange{
 				Service: service, From: int32(r.From), To: int32(r.To), Owner: r.Owner, Held: r.Held,
 			})
@@ -181,8 +221,7 @@
 	return out
 }
 
-// DecodeOwnership converts the owners of all services.
-func DecodeOwnership(o *linkpb.Ownership) map[string][]owners.View {
+func decodeOwnership(o *linkpb.Ownership) map[string][]owners.View {
 	out := map[string][]owners.View{}
 	for _, r := range o.Ranges {
 		out[r.Service] = append(out[r.Service], owners.View{
--- a/internal/link/inbox.go
+++ b/internal/link/inbox.go
@@ -2,57 +2,107 @@
 
 import (
 	"math"
+	"slices"
+	"strings"
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/facts"
 	"peridotmoor.org/peridotmoor/internal/fleet"
 	"peridotmoor.org/peridotmoor/internal/link/linkpb"
+	"peridotmoor.org/peridotmoor/internal/owners"
 )
 
-// Inbox publishes the facts of one sender on a board. It keeps the parts that were
-// told last, since a board that has a newer reading of its own refuses them at
-// first, and the sender does not repeat what has not changed for it. It is not
-// safe for concurrent use.
+// untaken is no sequence of a board.
+const untaken = math.MaxUint64
+
+// Inbox publishes the facts of one sender on a board. It keeps what it was told,
+// since the sender tells only changes, and since a board that has a newer reading
+// of its own refuses the sender's until that is the newest. It is not safe for
+// concurrent use.
 type Inbox struct {
 	board   *facts.Board
-	orders  *linkpb.Orders
-	listing *linkpb.Listing
+	orders  fleet.Orders
+	servers map[string]fleet.Server
+	owned   map[string][]owners.View
 	// ordersTaken and listingTaken are the board's sequences after the parts were
 	// taken, or untaken.
 	ordersTaken, listingTaken uint64
 }
 
-// untaken is no sequence of a board.
-const untaken = math.MaxUint64
-
 // NewInbox returns an inbox for one sender.
 func NewInbox(board *facts.Board) *Inbox {
 	return &Inbox{board: board}
 }
 
-// Take publishes what the sender has read from the store some time before it arrived at now.
+// Take publishes the owners of keys, and what the sender has read from the store
+// some time before it arrived at now.
 func (i *Inbox) Take(f *linkpb.Facts, now time.Time) {
+	i.keep(f, now)
+	if f.Ownership != nil {
+		i.board.Owned(i.owned, f.Epoch)
+	}
 	if f.AgeUs < 0 {
 		return // the sender has not read the store
 	}
 	read := now.Add(-micros(f.AgeUs))
-	if f.Orders != nil && f.Orders.Config != nil {
-		i.orders, i.ordersTaken = f.Orders, untaken
-	}
-	if f.Listing != nil && len(f.Listing.Servers) > 0 {
-		i.listing, i.listingTaken = f.Listing, untaken
-	}
-	if i.orders != nil && i.ordersTaken != i.board.View().OrdersSequence {
-		orders := fleet.Orders{Revision: f.OrdersRevision, Config: i.orders.Config, DomainsOut: i.orders.DomainsOut}
+	if i.orders.Config != nil && i.ordersTaken != i.board.View().OrdersSequence {
+		orders := i.orders
+		orders.Revision = f.OrdersRevision
 		if i.board.Orders(orders, read) {
 			i.ordersTaken = i.board.View().OrdersSequence
 		}
 	}
-	if i.listing != nil && i.listingTaken != i.board.View().ListingSequence {
-		listing := fleet.Listing{Revision: f.ListingRevision, Servers: DecodeListing(i.listing, now)}
-		if i.board.Listed(listing, read) {
+	if len(i.servers) > 0 && i.listingTaken != i.board.View().ListingSequence {
+		if i.board.Listed(fleet.Listing{Revision: f.ListingRevision, Servers: i.listing()}, read) {
 			i.listingTaken = i.board.View().ListingSequence
 		}
 	}
 	i.board.Confirm(read)
 }
+
+// keep notes what the message changes.
+func (i *Inbox) keep(f *linkpb.Facts, now time.Time) {
+	if f.Orders != nil {
+		i.orders = fleet.Orders{Config: f.Orders.Config, DomainsOut: f.Orders.DomainsOut}
+		i.ordersTaken = untaken
+	}
+	if l := f.Listing; l != nil {
+		if !l.Changes || i.servers == nil {
+			i.servers = map[string]fleet.Server{}
+		}
+		for _, s := range decodeServers(l.Servers, now) {
+			i.servers[s.Name] = s
+		}
+		for _, name := range l.Gone {
+			delete(i.servers, name)
+		}
+		i.listingTaken = untaken
+	}
+	if o := f.Ownership; o != nil {
+		told := decodeOwnership(o)
+		if !o.Changes {
+			i.owned = told
+			return
+		}
+		next := map[string][]owners.View{}
+		for service, ranges := range i.owned {
+			next[service] = owners.Paint(ranges, told[service])
+		}
+		for service, ranges := range told {
+			if next[service] == nil {
+				next[service] = ranges
+			}
+		}
+		i.owned = next
+	}
+}
+
+// listing returns the servers by name, as the store lists them.
+func (i *Inbox) listing() []fleet.Server {
+	out := make([]fleet.Server, 0, len(i.servers))
+	for _, s := range i.servers {
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b fleet.Server) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
--- a/internal/link/inbox_test.go
+++ b/internal/link/inbox_test.go
@@ -1,14 +1,18 @@
 package link
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"peridotmoor.org/peridotmoor/internal/facts"
 	"peridotmoor.org/peridotmoor/internal/fleet"
 	"peridotmoor.org/peridotmoor/internal/link/linkpb"
+	"peridotmoor.org/peridotmoor/internal/owners"
 )
 
 func listed(revision uint64, names ...string) fleet.Listing {
@@ -58,3 +62,43 @@
 	NewInbox(b).Take(&linkpb.Facts{Listing: old, ListingRevision: 10}, thawed.Add(40*time.Millisecond))
 	is.Equal(names(b), []string{"new"})
 }
+
+// Guards against followers that differ from the holder after they were told only
+// changes, in several messages that were merged or not, and against messages as
+// large as the fleet for each change.
+func TestFollowersLearnFromChanges(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	holder, follower := facts.NewBoard(nil, nil), facts.NewBoard(nil, nil)
+	inbox := NewInbox(follower)
+	var sent Sent
+	var told *facts.View
+	tell := func() int {
+		view := holder.View()
+		message := EncodeFacts(view, sent, told, now)
+		message.AgeUs = 0
+		told, sent = view, Sent{Orders: view.OrdersSequence, Listing: view.ListingSequence, Owned: view.OwnedSequence}
+		inbox.Take(message, now)
+		is.Equal(names(follower), names(holder))
+		is.Equal(follower.View().Owned, holder.View().Owned)
+		return proto.Size(message)
+	}
+	tell()
+	var many []string
+	var ranges []owners.View
+	for n := range 200 {
+		many = append(many, fmt.Sprintf("s%03d", n))
+		ranges = append(ranges, owners.View{Interval: owners.Interval{From: 10 * n, To: 10*n + 9}, Owner: many[n], Held: true})
+	}
+	holder.Listed(listed(1, many...), now)
+	holder.Owned(map[string][]owners.View{"plots": ranges}, 1)
+	whole := tell()
+	holder.Listed(listed(2, append(many[3:], "x")...), now) // three leave, one joins
+	moved := slices.Clone(ranges)
+	moved[7].Owner, moved[8].Held = "x", false
+	holder.Owned(map[string][]owners.View{"plots": moved, "more": ranges[:1]}, 1)
+	is.True(tell() < whole/10)
+	holder.Listed(listed(3, many...), now)
+	holder.Owned(map[string][]owners.View{"plots": ranges}, 2)
+	tell()
+}
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -93,41 +93,16 @@
 	}
 }
 
-// merge adds what waits in the outbox, up to the next message with facts.
+// merge adds what waits in the outbox.
 func merge(d *linkpb.Down, outbox <-chan *linkpb.Down) *linkpb.Down {
 	for {
 		select {
 		case more := <-outbox:
 			d.Verdicts = append(d.Verdicts, more.Verdicts...)
 			d.Waiting = append(d.Waiting, more.Waiting...)
-			if more.Facts != nil {
-				d.Facts = mergeFacts(d.Facts, more.Facts)
-			}
+			d.Facts = append(d.Facts, more.Facts...)
 		default:
 			return d
 		}
 	}
 }
-
-// mergeFacts joins two messages to one. Parts are shared with other followers'
-// messages and are not changed.
-func mergeFacts(old, next *linkpb.Facts) *linkpb.Facts {
-	if old == nil {
-		return next
-	}
-	out := &linkpb.Facts{
-		Epoch: next.Epoch, AgeUs: next.AgeUs, Instances: next.Instances, Strongest: next.Strongest,
-		Orders: next.Orders, Listing: next.Listing, Ownership: next.Ownership,
-		OrdersRevision: next.OrdersRevision, ListingRevision: next.ListingRevision,
-	}
-	if out.Orders == nil {
-		out.Orders = old.Orders
-	}
-	if out.Listing == nil {
-		out.Listing = old.Listing
-	}
-	if out.Ownership == nil {
-		out.Ownership = old.Ownership
-	}
-	return out
-}
--- /dev/null
+++ b/internal/owners/paint_test.go
@@ -0,0 +1,31 @@
+package owners
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// drawViews draws ranges that cover the keys 0 to 99.
+func drawViews(t *rapid.T, label string) []View {
+	var out []View
+	for from := 0; from < 100; {
+		to := min(99, from+rapid.IntRange(0, 40).Draw(t, label))
+		owner := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, label)
+		out = append(out, View{Interval: Interval{From: from, To: to}, Owner: owner, Held: rapid.Bool().Draw(t, label)})
+		from = to + 1
+	}
+	return out
+}
+
+// Guards against followers whose owners differ from the holder's after they were
+// told the changes only.
+func TestChangesPaintedOverTheOldMakeTheNew(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		is := is.New(t)
+		old, next := drawViews(r, "old"), drawViews(r, "next")
+		is.Equal(Paint(old, Changed(old, next)), next)
+		is.Equal(Paint(nil, Changed(nil, next)), next)
+	})
+}
