Index the grants under way by server

Each reply to an order makes the due orders anew, and each releasing range looked through all grants under way.

--- a/internal/owners/orders.go
+++ b/internal/owners/orders.go
@@ -61,7 +61,7 @@
 	order.number = t.orders
 	order.Due = now
 	if order.Action == ActionGrant {
-		t.flying[order.number] = order
+		t.flying[order.Life] = append(t.flying[order.Life], order)
 	}
 	return order, true
 }
@@ -91,8 +91,8 @@
 // granting reports whether a grant of some of the keys is on its way to the
 // server. A release that overtook it would be undone.
 func (t *Table) granting(service string, life fleet.Life, i Interval) bool {
-	for _, o := range t.flying {
-		if o.Service == service && o.Life == life && o.From <= i.To && o.To >= i.From {
+	for _, o := range t.flying[life] {
+		if o.Service == service && o.From <= i.To && o.To >= i.From {
 			return true
 		}
 	}
--- a/internal/owners/replies.go
+++ b/internal/owners/replies.go
@@ -1,6 +1,7 @@
 package owners
 
 import (
+	"slices"
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/fleet"
@@ -10,7 +11,7 @@
 // fence shows that another instance has become the holder.
 func (t *Table) Apply(reply Reply) bool {
 	o := reply.Order
-	delete(t.flying, o.number)
+	t.landed(o)
 	if t.underway[o.Life]--; t.underway[o.Life] <= 0 {
 		delete(t.underway, o.Life)
 	}
@@ -32,6 +33,16 @@
 	return t.applyGrant(s, reply)
 }
 
+// landed forgets a grant that is not under way any more.
+func (t *Table) landed(o Order) {
+	left := slices.DeleteFunc(t.flying[o.Life], func(other Order) bool { return other.number == o.number })
+	if len(left) == 0 {
+		delete(t.flying, o.Life)
+		return
+	}
+	t.flying[o.Life] = left
+}
+
 // extend notes that the server may hold the keys of a grant, whatever the
 // table says of them by now.
 func (t *Table) extend(reply Reply) {
--- a/internal/owners/table.go
+++ b/internal/owners/table.go
@@ -31,8 +31,8 @@
 	counted map[string]count
 	// foreign is when the holds of earlier holders end at the latest.
 	foreign time.Time
-	// flying are the grants under way by their number: what they grant may arrive at any moment.
-	flying map[uint64]Order
+	// flying are the grants under way to each life: what they grant may arrive at any moment.
+	flying map[fleet.Life][]Order
 	// underway counts the orders under way to each life.
 	underway map[fleet.Life]int
 	orders   uint64
@@ -52,7 +52,7 @@
 		failures: map[fleet.Life]int{},
 		counted:  map[string]count{},
 		foreign:  until,
-		flying:   map[uint64]Order{},
+		flying:   map[fleet.Life][]Order{},
 		underway: map[fleet.Life]int{},
 		holdFor:  HoldFor,
 	}
--- /dev/null
+++ b/internal/owners/table_bench_test.go
@@ -0,0 +1,56 @@
+package owners
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkDue asks for the orders of 200 servers while the ranges of 40 that have
+// fallen silent move and all others are being renewed.
+func BenchmarkDue(b *testing.B) {
+	now := time.Unix(1000, 0)
+	var all []string
+	for i := range 200 {
+		all = append(all, fmt.Sprintf("s%03d", i))
+	}
+	table := NewTable(Record{Epoch: 1}, "holder", now)
+	table.Plan(now.Add(-settleFor), service, candidates(all...), flat{})
+	table.Plan(now, service, candidates(all...), flat{})
+	table.Stored(table.Planned())
+	for _, o := range table.Due(now, lives(all...)) {
+		table.Apply(Reply{Order: o, Outcome: Done, Ended: now})
+	}
+	now = now.Add(renewEvery)
+	table.Due(now, lives(all...))
+	table.Plan(now, service, candidates(all[40:]...), flat{})
+	table.Stored(table.Planned())
+	listed := lives(all[40:]...)
+	for b.Loop() {
+		table.Due(now, listed)
+	}
+}
+
+// keyRates gives each key a rate, as the placer's heat does.
+type keyRates [Keys]float32
+
+func (r *keyRates) Rate(key int) float64 { return float64(r[key]) }
+
+// BenchmarkPlan plans for 200 servers with 1,400 requests/s.
+func BenchmarkPlan(b *testing.B) {
+	now := time.Unix(1000, 0)
+	var all []string
+	for i := range 200 {
+		all = append(all, fmt.Sprintf("s%03d", i))
+	}
+	rates := &keyRates{}
+	for k := range rates {
+		rates[k] = 1400.0 / Keys
+	}
+	table := NewTable(Record{Epoch: 1}, "holder", now)
+	table.Plan(now.Add(-settleFor), service, candidates(all...), rates)
+	table.Plan(now, service, candidates(all...), rates)
+	for b.Loop() {
+		table.Plan(now, service, candidates(all...), rates)
+	}
+}
