Ask servers for their cold start while the store is silent

Servers turn cold when an evacuation ends; the store, which tells of it, was away.

While nobody has read the store for 1.5 s the holder now asks the servers that run more than twice their cold rate, every 300 ms, and keeps to the cold rate of those that say so.

--- a/internal/holder/actor.go
+++ b/internal/holder/actor.go
@@ -19,6 +19,7 @@
 type Actor struct {
 	board   *facts.Board
 	granter Granter
+	prober  Prober
 	log     *events.Logger
 	record  *stored
 	table   *owners.Table
@@ -63,12 +64,17 @@
 	plannedAt time.Time
 	beatAt    time.Time
 	tickedAt  time.Time
+	probedAt  time.Time
+	// probing holds the servers that have been asked and have not answered.
+	probing map[fleet.Life]bool
 }
 
 func newActor(ctx context.Context, c *Campaign, record *stored, found owners.Record, until time.Time) *Actor {
 	a := &Actor{
 		board:     c.board,
 		granter:   c.granter,
+		prober:    c.prober,
+		probing:   map[fleet.Life]bool{},
 		log:       c.log,
 		record:    record,
 		table:     owners.NewTable(found, record.holder, until),
@@ -159,5 +165,6 @@
 	a.placer.SetAlone(a.sole(now))
 	a.placer.Tick(now)
 	a.publish(now)
+	a.probe(now)
 	a.yield(now)
 }
--- a/internal/holder/campaign.go
+++ b/internal/holder/campaign.go
@@ -21,6 +21,7 @@
 	board   *facts.Board
 	reader  *facts.Reader
 	granter Granter
+	prober  Prober
 	desk    Desk
 	budget  placing.Budget
 	log     *events.Logger
@@ -37,7 +38,7 @@
 // NewCampaign returns a campaign for the instance.
 func NewCampaign(o Options) *Campaign {
 	return &Campaign{
-		self: o.Self, store: o.Store, board: o.Board, reader: o.Reader, granter: o.Granter, desk: o.Desk,
+		self: o.Self, store: o.Store, board: o.Board, reader: o.Reader, granter: o.Granter, prober: o.Prober, desk: o.Desk,
 		budget: o.Budget, log: o.Log, first: o.First, processor: o.Processor,
 	}
 }
--- a/internal/holder/constants.go
+++ b/internal/holder/constants.go
@@ -69,6 +69,16 @@
 	turnedAwayRetry = 40 * time.Millisecond
 	// turnedAwayTries are made before the store is read again.
 	turnedAwayTries = 4
+	// probeAfter without a reading of the store, by the holder or a follower, servers
+	// are asked themselves: a little later than the followers' own readings.
+	probeAfter = 1500 * time.Millisecond
+	// probeEvery is the pause between two rounds. A server that bears 5 requests/s
+	// may get 13 in its first cold second, and a fast one runs 20 a second.
+	probeEvery = 300 * time.Millisecond
+	// probeTimeout bounds one question; a sound server answers in milliseconds.
+	probeTimeout = 300 * time.Millisecond
+	// probeRatio times its cold rate, a server must run more to be asked.
+	probeRatio = 2.0
 	// watchFor bounds the wait for a change of a silent holder's key; then its
 	// address is tried again.
 	watchFor = 700 * time.Millisecond
--- a/internal/holder/options.go
+++ b/internal/holder/options.go
@@ -14,6 +14,7 @@
 	Board   *facts.Board
 	Reader  *facts.Reader
 	Granter Granter
+	Prober  Prober
 	Desk    Desk
 	Budget  placing.Budget
 	Log     *events.Logger
--- a/internal/placing/constants.go
+++ b/internal/placing/constants.go
@@ -33,6 +33,8 @@
 	shedPause = 50 * time.Millisecond
 	// coldBurst is how many requests a cold server may get at once.
 	coldBurst = 1.5
+	// coldNews is by how much the told end of a cold start must differ to be news.
+	coldNews = time.Second
 	// shortestRetry and longestRetry bound the advice when to come back.
 	shortestRetry = 50 * time.Millisecond
 	longestRetry  = 2 * time.Second
--- a/internal/placing/placer.go
+++ b/internal/placing/placer.go
@@ -86,6 +86,29 @@
 	p.Tick(now)
 }
 
+// TurnedCold takes note of a cold start that the server itself has told of. It
+// returns false when that is no news.
+func (p *Placer) TurnedCold(service string, life fleet.Life, until time.Time) bool {
+	svc := p.services[service]
+	if svc == nil || svc.servers[life.Name] == nil || svc.servers[life.Name].Life != life {
+		return false
+	}
+	s := svc.servers[life.Name]
+	news := until.Sub(s.coldUntil) > coldNews
+	s.coldUntil = until
+	return news
+}
+
+// Bears returns how many requests/s the server runs when all its slots are in use,
+// or 0 if it is not known or cold already.
+func (p *Placer) Bears(now time.Time, server *fleet.Server) float64 {
+	svc := p.services[server.Service]
+	if svc == nil || svc.servers[server.Name] == nil || svc.servers[server.Name].Cold(now) {
+		return 0
+	}
+	return float64(server.Slots) / svc.servers[server.Name].expected(now, svc.typical())
+}
+
 // Arrive decides about one attempt, at once or later.
 func (p *Placer) Arrive(now time.Time, ask Ask) {
 	svc := p.services[ask.Service]
--- a/internal/placing/placer_test.go
+++ b/internal/placing/placer_test.go
@@ -315,3 +315,28 @@
 	v, _ := verdictOf(p.Take(), 20)
 	is.Equal(v.Reason, ReasonRetryBudget)
 }
+
+// Guards against a server that is given its usual load in its first cold seconds
+// while the store, which tells of cold starts, is silent.
+func TestServerThatSaysItIsColdGetsItsRate(t *testing.T) {
+	is := is.New(t)
+	p := newPlacer(false, &owned{}, backend("a", "d1"))
+	life := fleet.Life{Name: "a", Born: 1}
+	is.True(!p.TurnedCold("s", fleet.Life{Name: "a", Born: 99}, start.Add(3*time.Second))) // another life
+	is.True(p.TurnedCold("s", life, start.Add(3*time.Second)))
+	is.True(!p.TurnedCold("s", life, start.Add(3*time.Second))) // no news
+	placed := 0
+	for i := range 100 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		p.Arrive(now, ask(uint64(i), now))
+		p.Tick(now)
+		for _, v := range p.Take() {
+			if v.Server != "" {
+				placed++
+				p.Finish(now, Finish{Ticket: v.Ticket, Server: v.Server, Outcome: Answered, Took: time.Millisecond})
+			}
+		}
+	}
+	is.True(placed <= 8) // 5.3 a second and a burst of 1.5
+	is.True(placed >= 4)
+}
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -24,6 +24,8 @@
 	pausedUntil time.Time
 	failures    int
 	cold        bucket
+	// coldUntil is what the server itself has said of its cold start.
+	coldUntil time.Time
 	// queue holds the requests for keys of this server.
 	queue queue
 }
@@ -32,6 +34,11 @@
 	return &server{Server: s, running: map[Ticket]time.Time{}}
 }
 
+// Cold reports whether the server bears only little load at now.
+func (s *server) Cold(now time.Time) bool {
+	return s.Server.Cold(now) || now.Before(s.coldUntil)
+}
+
 // expected returns how long a request is likely to take at the server.
 func (s *server) expected(now time.Time, fallback float64) float64 {
 	took := s.took
