Ask a server for its cold start before it is used without holder and store

The holder had lost power while the store was away for all, so nobody could be elected, and no instance knows what the others send.

An instance that chooses alone with facts older than 1.5 s now asks the server first.

--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -22,6 +22,12 @@
 	retryDefault = 100 * time.Millisecond
 	// sendsPerServer bounds the attempts of one call; a server that sheds may be asked again.
 	sendsPerServer = 2
+	// factsOld without a reading of the store by anybody, cold starts may be unknown:
+	// later than the followers' readings in place of a silent holder.
+	factsOld = 1500 * time.Millisecond
+	// probeTimeout bounds the question whether a server is cold; a sound one answers
+	// in milliseconds, and the request waits for it.
+	probeTimeout = 100 * time.Millisecond
 	// localLimit bounds what one instance sends to one server on its own.
 	localLimit = 4
 )
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/facts"
+	"peridotmoor.org/peridotmoor/internal/fleet"
 	"peridotmoor.org/peridotmoor/internal/link"
 	"peridotmoor.org/peridotmoor/internal/link/linkpb"
 	"peridotmoor.org/peridotmoor/internal/placing"
@@ -18,6 +19,7 @@
 	instance string
 	board    *facts.Board
 	local    *local
+	prober   fleet.Prober
 	link     atomic.Pointer[attached]
 	next     atomic.Uint64
 	pending  sync.Map // uint64 to *pending
@@ -26,8 +28,8 @@
 }
 
 // NewDesk returns a desk without a holder.
-func NewDesk(instance, domain string, board *facts.Board) *Desk {
-	return &Desk{instance: instance, board: board, local: newLocal(domain, board)}
+func NewDesk(instance, domain string, board *facts.Board, prober fleet.Prober) *Desk {
+	return &Desk{instance: instance, board: board, local: newLocal(domain, board), prober: prober}
 }
 
 // Attach uses the link until it ends.
@@ -98,13 +100,13 @@
 	ask.Ticket = placing.Ticket{Instance: d.instance, Number: number}
 	l := d.link.Load()
 	if l == nil || l.suspect(now) {
-		return d.local.place(now, ask)
+		return d.alone(ctx, ask)
 	}
 	p := &pending{verdict: make(chan placing.Verdict, 1)}
 	d.pending.Store(number, p)
 	if !l.Send(&linkpb.Up{Asks: []*linkpb.Ask{link.EncodeAsk(ask, now)}}) {
 		d.pending.Delete(number)
-		return d.local.place(now, ask)
+		return d.alone(ctx, ask)
 	}
 	return d.await(ctx, l, p, ask)
 }
@@ -117,34 +119,58 @@
 		case v := <-p.verdict:
 			return v
 		case <-l.Done():
-			return d.withdraw(l, p, ask, true)
+			return d.withdraw(ctx, l, p, ask, true)
 		case <-ctx.Done():
-			return d.withdraw(l, p, ask, false)
+			return d.withdraw(ctx, l, p, ask, false)
 		case <-timer.C:
 			if !p.waits.Load() {
 				l.suspectUntil(time.Now().Add(suspectFor))
-				return d.withdraw(l, p, ask, true)
+				return d.withdraw(ctx, l, p, ask, true)
 			}
 			timer.Reset(ackTimeout)
 			if silent := d.Silent(time.Now()); silent > link.SilentAfter {
-				return d.withdraw(l, p, ask, true)
+				return d.withdraw(ctx, l, p, ask, true)
 			}
 		}
 	}
 }
 
 // withdraw gives up waiting. A verdict that has come meanwhile is used.
-func (d *Desk) withdraw(l *attached, p *pending, ask placing.Ask, choose bool) placing.Verdict {
+func (d *Desk) withdraw(ctx context.Context, l *attached, p *pending, ask placing.Ask, choose bool) placing.Verdict {
 	if _, ours := d.pending.LoadAndDelete(ask.Ticket.Number); !ours {
 		return <-p.verdict
 	}
 	l.Send(&linkpb.Up{Withdrawn: []uint64{ask.Ticket.Number}}) // a link that has ended needs no withdrawal
 	if choose {
-		return d.local.place(time.Now(), ask)
+		return d.alone(ctx, ask)
 	}
 	return placing.Verdict{Ticket: ask.Ticket, Reason: placing.ReasonOverload, RetryAfter: retryDefault}
 }
 
+// alone chooses without the holder. While the store is silent too, which tells of
+// cold starts, the server is asked first: what a cold one bears holds for all
+// instances together, and none knows what the others send.
+func (d *Desk) alone(ctx context.Context, ask placing.Ask) placing.Verdict {
+	now := time.Now()
+	verdict := d.local.place(now, ask)
+	if age, known := d.board.Age(now); verdict.Server == "" || known && age < factsOld {
+		return verdict
+	}
+	view := d.board.View()
+	server, service := view.Server(verdict.Server), view.Config.Services[ask.Service]
+	if server == nil || service == nil || service.HealthPath == "" || service.ColdRate == 0 {
+		return verdict
+	}
+	probe, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	health, err := d.prober.Health(probe, *server, service.HealthPath)
+	if err != nil || health.Server != server.Name || health.ColdFor == 0 {
+		return verdict // a server that does not answer is noticed by the request
+	}
+	d.local.finish(placing.Finish{Ticket: ask.Ticket})
+	return placing.Verdict{Ticket: ask.Ticket, Reason: placing.ReasonCold, RetryAfter: suspectFor}
+}
+
 // Finish reports the end of an attempt.
 func (d *Desk) Finish(f placing.Finish) {
 	d.local.finish(f)
--- a/internal/holder/actor.go
+++ b/internal/holder/actor.go
@@ -19,7 +19,7 @@
 type Actor struct {
 	board   *facts.Board
 	granter Granter
-	prober  Prober
+	prober  fleet.Prober
 	log     *events.Logger
 	record  *stored
 	table   *owners.Table
--- a/internal/holder/campaign.go
+++ b/internal/holder/campaign.go
@@ -8,6 +8,7 @@
 
 	"peridotmoor.org/peridotmoor/internal/events"
 	"peridotmoor.org/peridotmoor/internal/facts"
+	"peridotmoor.org/peridotmoor/internal/fleet"
 	"peridotmoor.org/peridotmoor/internal/link"
 	"peridotmoor.org/peridotmoor/internal/link/linkpb"
 	"peridotmoor.org/peridotmoor/internal/placing"
@@ -21,7 +22,7 @@
 	board   *facts.Board
 	reader  *facts.Reader
 	granter Granter
-	prober  Prober
+	prober  fleet.Prober
 	desk    Desk
 	budget  placing.Budget
 	log     *events.Logger
--- a/internal/holder/options.go
+++ b/internal/holder/options.go
@@ -3,6 +3,7 @@
 import (
 	"peridotmoor.org/peridotmoor/internal/events"
 	"peridotmoor.org/peridotmoor/internal/facts"
+	"peridotmoor.org/peridotmoor/internal/fleet"
 	"peridotmoor.org/peridotmoor/internal/placing"
 	"peridotmoor.org/peridotmoor/internal/store"
 )
@@ -14,7 +15,7 @@
 	Board   *facts.Board
 	Reader  *facts.Reader
 	Granter Granter
-	Prober  Prober
+	Prober  fleet.Prober
 	Desk    Desk
 	Budget  placing.Budget
 	Log     *events.Logger
