Do not take lost answers of a living server for crashes

A popular path of one caller had lost two answers, and was refused for 60 s, though no server had ended.

A loss is now taken back when the same life of its server answers 100 ms to 1 s later. TestLostAnswersOfALivingServerAreNoCrashes fails without it; TestCrashingRequestIsRefused is unchanged.

--- a/internal/placing/crashes.go
+++ b/internal/placing/crashes.go
@@ -9,6 +9,12 @@
 	crashLife = 60 * time.Second
 	// crashEntries bounds the memory of crashes.
 	crashEntries = 4096
+	// acquitAfter the loss of a connection, an answer shows that the server lives:
+	// what it had sent before its end has arrived by then.
+	acquitAfter = 100 * time.Millisecond
+	// acquitWithin bounds how long an answer shows that. A server that ended is back
+	// after some seconds, at times under its old name.
+	acquitWithin = time.Second
 )
 
 // crashes counts by content how often a request ended with its server's connection.
@@ -33,6 +39,14 @@
 	}
 }
 
+// acquit takes one loss of the request back, as its server lives on.
+func (c *crashes) acquit(mark uint64) {
+	if old, ok := c.seen[mark]; ok && old.count > 0 {
+		old.count--
+		c.seen[mark] = old
+	}
+}
+
 // refuses reports whether the request has taken down too many servers.
 func (c *crashes) refuses(now time.Time, mark uint64) bool {
 	old, ok := c.seen[mark]
--- a/internal/placing/fill.go
+++ b/internal/placing/fill.go
@@ -13,6 +13,14 @@
 			continue
 		}
 		s.finished(now, f)
+		switch f.Outcome {
+		case Lost:
+			s.losses = append(s.losses, loss{mark: f.Mark, at: now})
+		case Answered, Shed:
+			for _, l := range s.alive(now) {
+				p.crashes.acquit(l.mark)
+			}
+		}
 		if f.Outcome == Answered {
 			svc.learn(f.Took)
 		}
--- a/internal/placing/placer_test.go
+++ b/internal/placing/placer_test.go
@@ -224,6 +224,45 @@
 	is.True(v.Server != "") // an innocent request is served
 }
 
+// Guards against a popular request that is refused for a minute because two of its
+// answers were lost at a server that lives on, and against one that is acquitted by
+// a server that ended and came back.
+func TestLostAnswersOfALivingServerAreNoCrashes(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		answers time.Duration
+		refused bool
+	}{
+		{"the server answers soon after", acquitAfter, false},
+		{"an answer that was on its way", acquitAfter / 2, true},
+		{"the server is back after its end", 3 * time.Second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPlacer(false, &owned{}, backend("a", "d1"))
+			now := start
+			place := func(n uint64, mark uint64, outcome Outcome) Verdict {
+				now = now.Add(longestSuspicion + crashLife/100)
+				request := ask(n, now)
+				request.Mark = mark
+				p.Arrive(now, request)
+				v, _ := verdictOf(p.Take(), n)
+				if v.Server != "" && outcome == Lost {
+					p.Finish(now, Finish{Ticket: v.Ticket, Server: "a", Outcome: Lost, Mark: mark})
+				}
+				return v
+			}
+			for n := range uint64(crashLimit) {
+				beside := place(100+n, 1, Answered)
+				is.True(beside.Server != "")
+				is.True(place(n, 99, Lost).Server != "")
+				p.Finish(now.Add(c.answers), Finish{Ticket: beside.Ticket, Server: "a", Outcome: Answered, Mark: 1, Took: time.Millisecond})
+			}
+			is.Equal(place(50, 99, Answered).Reason == ReasonCrashes, c.refused)
+		})
+	}
+}
+
 // Guards against requests for a key that are lost or refused while the key
 // moves: they wait and go to the new owner.
 func TestRequestsWaitForAMovingKey(t *testing.T) {
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -26,6 +26,8 @@
 	cold        bucket
 	// coldUntil is what the server itself has said of its cold start.
 	coldUntil time.Time
+	// losses are recent attempts that ended with a connection to this server.
+	losses []loss
 	// queue holds the requests for keys of this server.
 	queue queue
 }
@@ -94,6 +96,22 @@
 	}
 }
 
+// alive returns the losses that did not end the server, as it has answered now.
+func (s *server) alive(now time.Time) []loss {
+	var survived, open []loss
+	for _, l := range s.losses {
+		switch age := now.Sub(l.at); {
+		case age > acquitWithin:
+		case age >= acquitAfter:
+			survived = append(survived, l)
+		default:
+			open = append(open, l)
+		}
+	}
+	s.losses = open
+	return survived
+}
+
 func (s *server) learn(took time.Duration) {
 	sample := took.Seconds()
 	if s.took == 0 {
