Account for calls from the logs of peridotmoor-entry

peridotmoor-report call and calls read the platform's logs (call_ended, attempt_ended and the lines that change what an instance believes).

--- /dev/null
+++ b/internal/report/calls/line.go
@@ -0,0 +1,25 @@
+package calls
+
+import "time"
+
+// line is the part of a log line that an account needs.
+type line struct {
+	Event    int       `json:"event"`
+	Name     string    `json:"name"`
+	Message  string    `json:"msg"`
+	At       time.Time `json:"at"`
+	Instance string    `json:"instance"`
+
+	Request    string `json:"request"`
+	Service    string `json:"service"`
+	Key        int    `json:"key"`
+	Outcome    string `json:"outcome"`
+	Server     string `json:"server"`
+	Sends      int    `json:"sends"`
+	TookMs     int64  `json:"ms"`
+	RetryMs    int64  `json:"retry_after_ms"`
+	Version    int64  `json:"settings_version"`
+	Detail     string `json:"detail"`
+	LeftOut    int64  `json:"count"`
+	HolderName string `json:"holder"`
+}
--- /dev/null
+++ b/internal/report/calls/log.go
@@ -0,0 +1,139 @@
+package calls
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/events"
+)
+
+const (
+	// maxLine bounds a line of a log; what an instance writes is far shorter.
+	maxLine = 1 << 20
+	// newsShown is how many lines before a call are shown with it.
+	newsShown = 4
+)
+
+// beliefs are the events that tell what an instance believed or depended on.
+var beliefs = numbers(
+	events.Started, events.Stopping, events.Ready, events.ConfigInForce, events.DomainsOut, events.StoreLost, events.StoreRegained,
+	events.HolderElected, events.HolderEnded, events.HolderFollowed, events.HolderLost, events.LeaseLost, events.ReadForHolder,
+)
+
+func numbers(of ...events.Event) map[int]bool {
+	out := map[int]bool{}
+	for _, e := range of {
+		out[e.Number] = true
+	}
+	return out
+}
+
+// Log is what the logs of some instances say.
+type Log struct {
+	calls map[string]*Call
+	news  map[string][]News
+	// Unreadable counts lines that are no log lines.
+	Unreadable int
+	// Dropped counts lines that instances could not write.
+	Dropped int64
+}
+
+// NewLog returns an empty log.
+func NewLog() *Log {
+	return &Log{calls: map[string]*Call{}, news: map[string][]News{}}
+}
+
+// Read adds the lines of one stream.
+func (l *Log) Read(in io.Reader) error {
+	scanner := bufio.NewScanner(in)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		text := scanner.Bytes()
+		if len(bytes.TrimSpace(text)) == 0 {
+			continue
+		}
+		var one line
+		if json.Unmarshal(text, &one) != nil || one.Event == 0 {
+			l.Unreadable++
+			continue
+		}
+		l.add(one)
+	}
+	return errors.Wrap(scanner.Err(), "read a log; each line must be one that peridotmoor-entry wrote")
+}
+
+func (l *Log) add(one line) {
+	switch {
+	case one.Event == events.CallEnded.Number:
+		c := l.call(one.Request)
+		c.Instance, c.Service, c.Key, c.Outcome, c.Server = one.Instance, one.Service, one.Key, one.Outcome, one.Server
+		c.Sends, c.Ended, c.Version, c.Detail = one.Sends, one.At, one.Version, one.Detail
+		c.Took = time.Duration(one.TookMs) * time.Millisecond
+		c.RetryAfter = time.Duration(one.RetryMs) * time.Millisecond
+	case one.Event == events.AttemptEnded.Number:
+		c := l.call(one.Request)
+		c.Instance = one.Instance
+		c.Attempts = append(c.Attempts, Attempt{At: one.At, Server: one.Server, Outcome: one.Outcome, Detail: one.Detail})
+	case one.Event == events.Dropped.Number:
+		l.Dropped += one.LeftOut
+	case beliefs[one.Event]:
+		detail := strings.TrimSpace(one.HolderName + " " + one.Detail)
+		l.news[one.Instance] = append(l.news[one.Instance], News{At: one.At, Name: one.Name, Message: one.Message, Detail: detail})
+	}
+}
+
+func (l *Log) call(id string) *Call {
+	if l.calls[id] == nil {
+		l.calls[id] = &Call{ID: id}
+	}
+	return l.calls[id]
+}
+
+// Call returns the account of a call, and false when no line mentions it.
+func (l *Log) Call(id string) (Call, bool) {
+	found := l.calls[id]
+	if found == nil {
+		return Call{}, false
+	}
+	c := *found
+	for _, n := range l.news[c.Instance] {
+		if c.Ended.IsZero() || !n.At.After(c.Ended) {
+			c.Before = append(c.Before, n)
+		}
+	}
+	sort.SliceStable(c.Before, func(i, j int) bool { return c.Before[i].At.Before(c.Before[j].At) })
+	c.Before = c.Before[max(0, len(c.Before)-newsShown):]
+	return c, true
+}
+
+// Counts returns how the calls ended, the most frequent first.
+func (l *Log) Counts() []Count {
+	found := map[Count]int{}
+	for _, c := range l.calls {
+		key := Count{Service: c.Service, Outcome: c.Outcome}
+		if c.Outcome != "answered" {
+			key.Reason, _, _ = strings.Cut(c.Detail, ":")
+		}
+		found[key]++
+	}
+	var out []Count
+	for key, n := range found {
+		key.Calls = n
+		out = append(out, key)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		a, b := out[i], out[j]
+		if a.Calls != b.Calls {
+			return a.Calls > b.Calls
+		}
+		return a.Service+a.Outcome+a.Reason < b.Service+b.Outcome+b.Reason
+	})
+	return out
+}
--- a/internal/report/command/command.go
+++ b/internal/report/command/command.go
@@ -24,6 +24,9 @@
 	{name: "unanswered", description: "List every request that may have run without its caller getting the answer.", flags: windowFlags, run: runUnanswered},
 	{name: "domain", description: "Tell how a failure domain was taken out and brought back.",
 		first: "NAME", firstHelp: "Failure domain; the record FILES follow.", run: runDomain},
+	{name: "call", description: "Tell from the logs of peridotmoor-entry how one call ended, and why.",
+		first: "ID", firstHelp: "ID of the call; the log FILES follow.", run: runCall},
+	{name: "calls", description: "Count from the logs of peridotmoor-entry how calls ended.", run: runCalls},
 	{name: "html", description: "Write one page with plots for a board.", flags: htmlFlags, run: runHTML},
 }
 
