--- a/internal/entrynode/constants.go
+++ b/internal/entrynode/constants.go
@@ -3,6 +3,9 @@
 import "time"
 
 const (
+	// linesPerSecond bounds the log lines of each event: more than twice the calls of
+	// an instance at the busiest second of the deployments in docs/measurements.md.
+	linesPerSecond = 200
 	// readyAfter is the longest that an instance waits for complete facts before
 	// it takes callers with what it has.
 	readyAfter = 6 * time.Second
--- a/internal/events/logger.go
+++ b/internal/events/logger.go
@@ -23,10 +23,17 @@
 // NewLogger starts a logger that writes to w. fields are added to each line, as
 // alternating names and values.
 func NewLogger(w io.Writer, fields ...any) *Logger {
+	return NewBoundedLogger(w, 0, fields...)
+}
+
+// NewBoundedLogger starts a logger that writes at most perSecond lines of each
+// event in a second (0: any number). What it leaves out is counted as dropped.
+func NewBoundedLogger(w io.Writer, perSecond uint64, fields ...any) *Logger {
 	q := &loggerQueue{
-		lines:  make(chan line, queueLines),
-		closed: make(chan struct{}),
-		done:   make(chan struct{}),
+		lines:     make(chan line, queueLines),
+		closed:    make(chan struct{}),
+		done:      make(chan struct{}),
+		perSecond: perSecond,
 	}
 	go q.run(w)
 	return &Logger{shared: q, fields: fields}
@@ -45,8 +52,13 @@
 	if l == nil {
 		return
 	}
+	now := time.Now()
+	if !l.shared.allows(e, now) {
+		l.shared.dropped.Add(1)
+		return
+	}
 	select {
-	case l.shared.lines <- line{event: e, at: time.Now(), fields: l.fields, more: fields}:
+	case l.shared.lines <- line{event: e, at: now, fields: l.fields, more: fields}:
 	default:
 		l.shared.dropped.Add(1)
 	}
--- a/internal/events/loggerqueue.go
+++ b/internal/events/loggerqueue.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,22 @@
 	dropped atomic.Uint64
 	closed  chan struct{}
 	done    chan struct{}
+	// perSecond bounds the lines of each event; 0 does not.
+	perSecond uint64
+	// allowances holds an *allowance for each event number.
+	allowances sync.Map
+}
+
+// allows reports whether the bound leaves room for one more line of the event.
+func (q *loggerQueue) allows(e Event, now time.Time) bool {
+	if q.perSecond == 0 {
+		return true
+	}
+	a, ok := q.allowances.Load(e.Number)
+	if !ok {
+		a, _ = q.allowances.LoadOrStore(e.Number, new(allowance))
+	}
+	return a.(*allowance).take(now, q.perSecond)
 }
 
 func (q *loggerQueue) run(w io.Writer) {
