--- a/internal/holder/constants.go
+++ b/internal/holder/constants.go
@@ -16,6 +16,9 @@
 	storeTimeout = 900 * time.Millisecond
 	// storeRetry is the wait after a failed call.
 	storeRetry = 300 * time.Millisecond
+	// instancesPerTry is the fleet for which backoff is meant. In a larger one each
+	// instance waits longer, and one of them still tries every 0.1 s.
+	instancesPerTry = 12
 	// cleanAfter is how long finished moves may stay in the stored record.
 	cleanAfter = 600 * time.Millisecond
 	// leaseFor is the lifetime of the holder's lease; a dead holder is replaced after it.
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -96,7 +96,7 @@
 // whether the holder's key is gone.
 func (c *Campaign) replaced(ctx context.Context, client link.Link, holder Identity) bool {
 	if err := c.reader.Read(ctx); err != nil {
-		sleep(ctx, backoff())
+		sleep(ctx, backoffOf(c.desk.Instances()))
 		return false
 	}
 	c.log.Emit(events.ReadForHolder, "holder", holder.String())
--- /dev/null
+++ b/internal/holder/sleep_test.go
@@ -0,0 +1,24 @@
+package holder
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against calls to a store that is away that grow with the fleet.
+func TestTriesOfTheFleetAreBounded(t *testing.T) {
+	is := is.New(t)
+	perSecond := func(instances int) float64 {
+		total := time.Duration(0)
+		const draws = 1000
+		for range draws {
+			total += backoffOf(instances)
+		}
+		return float64(instances) / (total.Seconds() / draws)
+	}
+	small, large := perSecond(instancesPerTry), perSecond(930)
+	is.True(large < 1.1*small)
+	is.True(perSecond(1) >= 1/backoffOf(1).Seconds()*0.5) // a lone instance is not slowed
+}
