Refuse requests at once for keys whose silent owner holds them for longer

The end of the last owner's hold was known all the while.

ServedAt tells it once that owner has not answered; a request that cannot wait so long is refused with the time of return. TestRequestForAKeyOfASilentOwnerIsRefusedAtOnce, TestServedAtIsTheEndOfASilentHold.

--- a/internal/owners/hold.go
+++ b/internal/owners/hold.go
@@ -17,6 +17,8 @@
 	LateUntil time.Time
 	// PlannedLate tells that such an order was known of when the move was planned.
 	PlannedLate bool
+	// silent is set once the last owner has not answered an order.
+	silent bool
 	// voids counts the grants that were sent to make late ones void.
 	voids int
 	// WaitOut holds end by time only: an order of an earlier holder may still take
--- a/internal/owners/replies.go
+++ b/internal/owners/replies.go
@@ -104,6 +104,7 @@
 		if reply.Outcome == Unsent || reply.Outcome == Refused {
 			s.previous.Until = reply.Order.before
 		}
+		s.previous.silent = true
 		s.nextAt = reply.Ended.Add(retryEvery)
 	}
 	return true
@@ -125,6 +126,7 @@
 		}
 		t.released(s, "")
 	default:
+		s.previous.silent = true
 		s.nextAt = reply.Ended.Add(retryEvery)
 	}
 }
--- a/internal/owners/table_test.go
+++ b/internal/owners/table_test.go
@@ -406,3 +406,21 @@
 	}
 	is.True(told)
 }
+
+// Guards against a time of return for keys that may be served at any moment, and
+// against none for those of a silent owner.
+func TestServedAtIsTheEndOfASilentHold(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := settledTable(t, now, "a", "b")
+	is.True(table.Plan(now, service, candidates("b"), flat{})) // a leaves
+	table.Stored(table.Planned())
+	is.True(table.ServedAt(service, 5).IsZero()) // a may answer at once
+	for _, o := range table.Due(now, lives("b")) {
+		table.Apply(Reply{Order: o, Outcome: Silent, Ended: now.Add(OrderTimeout)})
+	}
+	at := table.ServedAt(service, 5)
+	is.True(at.After(now.Add(HoldFor)))
+	is.Equal(stepsFor(t, table, at.Add(time.Millisecond), 5, "b"), []step{{ActionGrant, "b"}})
+	is.True(table.ServedAt(service, 5).IsZero())
+}
--- a/internal/placing/placer.go
+++ b/internal/placing/placer.go
@@ -170,6 +170,10 @@
 	id, ready := p.owners.Owner(svc.Name, w.Key)
 	owner := svc.servers[id]
 	if !ready || owner == nil {
+		if at := p.owners.ServedAt(svc.Name, w.Key); !at.IsZero() && !w.possible(now, at.Sub(now).Seconds()+svc.typical()) {
+			p.refuse(w.Ticket, ReasonNoOwner, at.Sub(now))
+			return
+		}
 		svc.parked.add(w)
 		return
 	}
--- a/internal/placing/placer_test.go
+++ b/internal/placing/placer_test.go
@@ -13,7 +13,13 @@
 var start = time.Unix(100000, 0)
 
 // owned is the owner of all keys; an empty name means that none is ready.
-type owned struct{ name string }
+type owned struct {
+	name string
+	// servedAt is when all keys have an owner again.
+	servedAt time.Time
+}
+
+func (o *owned) ServedAt(string, int) time.Time { return o.servedAt }
 
 func (o *owned) Owner(string, int) (string, bool) { return o.name, o.name != "" }
 
@@ -101,7 +107,7 @@
 	is := is.New(t)
 	cold := backend("a", "d1")
 	cold.ColdUntil = start.Add(time.Hour)
-	p := newPlacer(true, &owned{"a"}, cold)
+	p := newPlacer(true, &owned{name: "a"}, cold)
 	var sent []time.Time
 	n := uint64(0)
 	for now := start; now.Before(start.Add(20 * time.Second)); now = now.Add(10 * time.Millisecond) {
@@ -263,11 +269,36 @@
 	}
 }
 
+// Guards against a request that waits until its time is up for a key whose last
+// owner is known to hold it for longer.
+func TestRequestForAKeyOfASilentOwnerIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	o := &owned{servedAt: start.Add(5 * time.Second)}
+	p := newPlacer(true, o, backend("a", "d1"))
+	place := func(n uint64, now time.Time) (Verdict, bool) {
+		request := ask(n, now) // its deadline is 1.2 s away
+		request.Key = 7
+		p.Arrive(now, request)
+		return verdictOf(p.Take(), n)
+	}
+	v, ok := place(1, start)
+	is.True(ok)
+	is.Equal(v.Reason, ReasonNoOwner)
+	is.Equal(v.RetryAfter, longestRetry)
+	_, ok = place(2, start.Add(4500*time.Millisecond)) // served in time: it waits
+	is.True(!ok)
+	o.name = "a"
+	p.Tick(start.Add(5 * time.Second))
+	v, ok = verdictOf(p.Take(), 2)
+	is.True(ok)
+	is.Equal(v.Server, "a")
+}
+
 // Guards against requests for a key that are lost or refused while the key
 // moves: they wait and go to the new owner.
 func TestRequestsWaitForAMovingKey(t *testing.T) {
 	is := is.New(t)
-	o := &owned{"a"}
+	o := &owned{name: "a"}
 	p := newPlacer(true, o, backend("a", "d1"), backend("b", "d1"))
 	o.name = ""
 	request := ask(1, start)
