Keep one list of the headers of one connection

Three readers had lists of their own, and that of the project's caller interface did not follow the names in a Connection header, so such a header reached backend servers. TestHeadersOfOneConnectionStayThere.

--- a/internal/callerhttp/answer.go
+++ b/internal/callerhttp/answer.go
@@ -4,6 +4,8 @@
 	"io"
 	"net/http"
 	"strconv"
+
+	"peridotmoor.org/peridotmoor/internal/hop"
 )
 
 // Answer is what a caller gets.
@@ -27,8 +29,9 @@
 	out = append(out, ' ')
 	out = append(out, http.StatusText(a.Status)...)
 	out = append(out, "\r\n"...)
+	connection := a.Header["Connection"]
 	for name, values := range a.Header {
-		if PerConnection(name) {
+		if !hop.EndToEnd(name, connection) {
 			continue
 		}
 		for _, v := range values {
@@ -56,14 +59,3 @@
 	}
 	return append(out, "\r\n"...)
 }
-
-// PerConnection reports whether a header concerns only one connection and is
-// not passed on. name is in canonical form.
-func PerConnection(name string) bool {
-	return perConnection[name]
-}
-
-var perConnection = map[string]bool{
-	"Connection": true, "Content-Length": true, "Transfer-Encoding": true, "Keep-Alive": true,
-	"Proxy-Connection": true, "Te": true, "Trailer": true, "Upgrade": true,
-}
--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 
+	"peridotmoor.org/peridotmoor/internal/hop"
 	"peridotmoor.org/peridotmoor/internal/key"
 	"peridotmoor.org/peridotmoor/internal/outcome"
 	"peridotmoor.org/peridotmoor/internal/problem"
@@ -21,12 +22,9 @@
 // uuidVersion is the UUID version that carries its creation time (RFC 9562).
 const uuidVersion = 7
 
-// hopByHop lists headers that end at this instance (RFC 9110, section 7.6.1).
-var hopByHop = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true,
-	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Expect": true,
-	HeaderRequestID: true, HeaderIdempotent: true, HeaderTimeoutMS: true, HeaderOutcome: true,
-	"Content-Length": true, "Traceparent": true,
+// ownHeaders are between the caller and this instance.
+var ownHeaders = map[string]bool{
+	HeaderRequestID: true, HeaderIdempotent: true, HeaderTimeoutMS: true, HeaderOutcome: true, "Traceparent": true,
 }
 
 // decode reads the request that arrived at now. It never returns a nil request:
@@ -143,13 +141,7 @@
 }
 
 func endToEnd(header http.Header) textproto.MIMEHeader {
-	kept := make(textproto.MIMEHeader, len(header))
-	for name, values := range header {
-		if !hopByHop[name] {
-			kept[name] = values
-		}
-	}
-	return kept
+	return textproto.MIMEHeader(hop.Keep(header, func(name string) bool { return !ownHeaders[name] }))
 }
 
 // decodeBody holds small bodies in memory and leaves larger ones to be streamed.
--- a/internal/entry/respond.go
+++ b/internal/entry/respond.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"peridotmoor.org/peridotmoor/internal/hop"
 	"peridotmoor.org/peridotmoor/internal/outcome"
 	"peridotmoor.org/peridotmoor/internal/problem"
 	"peridotmoor.org/peridotmoor/internal/request"
@@ -64,8 +65,9 @@
 
 func (h *Handler) writeHead(w http.ResponseWriter, r *request.Request, a *request.Answer, buffered int) {
 	header := w.Header()
+	connection := a.Header["Connection"]
 	for name, values := range a.Header {
-		if !hopByHop[name] && name != headerIncarnation {
+		if hop.EndToEnd(name, connection) && !ownHeaders[name] && name != headerIncarnation {
 			header[name] = values
 		}
 	}
--- /dev/null
+++ b/internal/hop/header_test.go
@@ -0,0 +1,20 @@
+package hop
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a header of one connection that reaches the next one, above all
+// one that only the message's own Connection header names.
+func TestHeadersOfOneConnectionStayThere(t *testing.T) {
+	is := is.New(t)
+	header := http.Header{
+		"Connection": {"close, x-trace", "Other"}, "X-Trace": {"1"}, "Other": {"2"}, "Te": {"trailers"},
+		"Content-Length": {"3"}, "Accept": {"a", "b"}, "X-Own": {"4"},
+	}
+	is.Equal(Keep(header, nil), http.Header{"Accept": {"a", "b"}, "X-Own": {"4"}})
+	is.Equal(Keep(header, func(name string) bool { return name != "X-Own" }), http.Header{"Accept": {"a", "b"}})
+}
