Remember the size of the fleet until earlier holders grant no more

Found by reading: a holder that has just been elected wrote the number of its followers, at first itself only, into the record. TestFleetIsNotForgottenBeforeItHasJoined.

--- a/internal/holder/actor.go
+++ b/internal/holder/actor.go
@@ -38,6 +38,8 @@
 	// expected is how many instances followed the last holder, or 0 once the
 	// grants of earlier holders have a near end.
 	expected int
+	// inherited is how many instances followed the last holder.
+	inherited int
 
 	// processor is the share of a processor that this machine gives.
 	processor float64
@@ -87,6 +89,7 @@
 		expected:  max(c.desk.Instances(), found.Instances),
 		processor: c.processor,
 	}
+	a.inherited = a.expected
 	a.yieldsFrom = time.Now().Add(yieldAfter)
 	if found.Yielded {
 		a.yieldsFrom = time.Now().Add(yieldRest)
--- a/internal/holder/foreign_test.go
+++ b/internal/holder/foreign_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"peridotmoor.org/peridotmoor/internal/link"
 	"peridotmoor.org/peridotmoor/internal/owners"
 	"peridotmoor.org/peridotmoor/internal/store/memstore"
 )
@@ -43,3 +44,17 @@
 	is.NoErr(fourth.write(context.Background(), owners.Record{Epoch: 4, Holder: "fourth", Services: services}))
 	is.Equal(claimed(t, holder("fifth"), longestForeignHold), longestForeignHold) // the fourth has waited
 }
+
+// Guards against a second successor that takes the few instances which had joined
+// the first for most of the fleet, and no longer waits for the holder before both.
+func TestFleetIsNotForgottenBeforeItHasJoined(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	a := &Actor{
+		table:     owners.NewTable(owners.Record{Epoch: 3}, "second", now.Add(time.Second)),
+		inherited: 12,
+		followers: map[*link.Follower]bool{{}: true},
+	}
+	is.Equal(a.instances(now), 12)
+	is.Equal(a.instances(now.Add(time.Second)), 1) // earlier holders grant no more: the others are gone
+}
--- a/internal/holder/planning.go
+++ b/internal/holder/planning.go
@@ -64,7 +64,7 @@
 	a.storedAt = now
 	version := a.table.Planned()
 	record := a.table.Record()
-	record.Instances = len(a.followers)
+	record.Instances = a.instances(now)
 	record.Unsettled = !a.table.Settled(now)
 	record.Addresses = map[string]string{}
 	for life := range record.Lives() {
--- a/internal/holder/tenure.go
+++ b/internal/holder/tenure.go
@@ -45,6 +45,16 @@
 	}
 }
 
+// instances returns the size of the fleet for the record. While earlier holders may
+// still grant, those that have not joined yet may follow one of them: a successor
+// that counted only the first to join would take them for most of the fleet.
+func (a *Actor) instances(now time.Time) int {
+	if a.table.Settled(now) {
+		return len(a.followers)
+	}
+	return max(len(a.followers), a.inherited)
+}
+
 // shortenForeign ends the wait for grants of earlier holders once most instances follow this one.
 func (a *Actor) shortenForeign(now time.Time) {
 	if a.expected > 0 && float64(len(a.followers)) >= joinedShare*float64(a.expected) {
