--- a/internal/record/control.go
+++ b/internal/record/control.go
@@ -21,6 +21,9 @@
 	lastMirrorRetry = 100 * time.Millisecond
 	// mirrorWait is how long a request waits while no mirror holds the records.
 	mirrorWait = time.Second
+	// refuseAfter this part of its time a request that waits for a mirror is refused,
+	// so that the refusal reaches its caller.
+	refuseAfter = 0.9
 	// proposeTimeout bounds one proposal to the witnesses.
 	proposeTimeout = 500 * time.Millisecond
 	// proposeRetry is the pause after a proposal that was not acknowledged by a majority.
--- a/internal/record/replicator.go
+++ b/internal/record/replicator.go
@@ -75,7 +75,11 @@
 // copyAll returns nil once all mirrors have the record. The set may lose its last
 // member on the way; the record then waits for the next one like a new record.
 func (r *replicator) copyAll(ctx context.Context, record Record) error {
-	waiting, cancel := context.WithTimeout(ctx, mirrorWait)
+	patience := mirrorWait
+	if deadline, ok := ctx.Deadline(); ok {
+		patience = min(patience, time.Duration(refuseAfter*float64(time.Until(deadline))))
+	}
+	waiting, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	for {
 		if err := r.await(waiting); err != nil {
