Spread the tries of a large fleet instead of delaying them all

The waits now begin at the usual pause and are spread; the mean rate stays bounded. TestSomeInstanceTriesAgainSoon fails without the change; TestTriesOfTheFleetAreBounded holds.

--- a/internal/holder/sleep.go
+++ b/internal/holder/sleep.go
@@ -12,9 +12,14 @@
 }
 
 // backoffOf is backoff for one of several instances that all try the same, so that
-// the fleet's calls do not grow with it.
+// the fleet's calls do not grow with it. Instances that failed together try again
+// spread over time from the usual pause on, since news must not wait for the last.
 func backoffOf(instances int) time.Duration {
-	return time.Duration(max(1, float64(instances)/instancesPerTry) * float64(backoff()))
+	wait := backoff()
+	if spread := float64(instances)/instancesPerTry - 1; spread > 0 {
+		wait += time.Duration(rand.Float64() * 2 * spread * float64(backoff()))
+	}
+	return wait
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/holder/sleep_test.go
+++ b/internal/holder/sleep_test.go
@@ -22,3 +22,15 @@
 	is.True(large < 1.1*small)
 	is.True(perSecond(1) >= 1/backoffOf(1).Seconds()*0.5) // a lone instance is not slowed
 }
+
+// Guards against a large fleet whose instances failed together and all wait for so
+// long that news are late: one that reaches the store must try soon.
+func TestSomeInstanceTriesAgainSoon(t *testing.T) {
+	is := is.New(t)
+	const instances = 84
+	first := time.Hour
+	for range instances {
+		first = min(first, backoffOf(instances))
+	}
+	is.True(first < 2*backoffOf(1))
+}
