--- /dev/null
+++ b/internal/owners/relieve.go
@@ -0,0 +1,94 @@
+package owners
+
+import "math"
+
+// planBusy moves the fewest keys that relieve the servers that are far busier than
+// the others. One that cannot be relieved, as it has a key that fills any server,
+// does not keep the others from it.
+func (t *Table) planBusy(service string, loads *loads) {
+	usable := loads.usable()
+	limit := movesAtOnce(len(usable))
+	average := loads.averageUse()
+	stuck := map[*load]bool{}
+	for t.moving(service) < limit {
+		from := loads.busiest(stuck)
+		if from == nil || from.use() < busyShare || from.use() < average+busyLead {
+			return
+		}
+		stuck[from] = !t.relieve(service, from, average, loads)
+	}
+}
+
+// movesAtOnce returns how many ranges of a service may change their owners at the
+// same time: a bounded part of its servers works on moves.
+func movesAtOnce(servers int) int {
+	return max(fewestMoves, servers/serversPerMove)
+}
+
+// relieve plans one move off the server and reports whether there is a useful one.
+func (t *Table) relieve(service string, from *load, average float64, loads *loads) bool {
+	excess := from.rate - average*from.capacity()
+	key, rate := t.hottest(service, from, loads)
+	if rate >= dominantShare*from.rate {
+		return t.isolate(service, key, rate, from, loads)
+	}
+	to := loads.idlest(from.Name)
+	if to == nil {
+		return false
+	}
+	room := (average+(busyShare-average)/2)*to.capacity() - to.rate
+	want := math.Min(room, excess)
+	if want < leastMove {
+		return false
+	}
+	s, cut, ok := t.cutOf(service, from, want, loads)
+	if !ok || loads.rateOf(cut) < leastMove || (to.rate+loads.rateOf(cut))/to.capacity() >= from.use() {
+		return false
+	}
+	t.moveCut(service, s, cut, from, to, loads, MoveBusy)
+	return true
+}
+
+// isolate serves a key that alone fills a server: it goes to a clearly faster
+// server if there is one, and its neighbours at its server go elsewhere.
+func (t *Table) isolate(service string, key int, rate float64, from *load, loads *loads) bool {
+	if best := loads.fastest(); best != nil && best != from && best.capacity() > from.capacity()*clearlyFaster &&
+		(best.rate+rate)/best.capacity() < from.use() {
+		if s := t.find(service, key); s != nil && t.movable(s) {
+			t.moveCut(service, s, Interval{From: key, To: key}, from, best, loads, MoveBusy)
+			return true
+		}
+	}
+	to := loads.idlest(from.Name)
+	if to == nil || from.rate-rate < leastMove {
+		return false
+	}
+	for _, s := range t.services[service] {
+		if s.owner != from.Life || !t.movable(s) {
+			continue
+		}
+		for _, cut := range []Interval{{s.From, min(s.To, key-1)}, {max(s.From, key+1), s.To}} {
+			if cut.Size() <= 0 || loads.rateOf(cut) < leastMove {
+				continue
+			}
+			t.moveCut(service, s, loads.trim(cut), from, to, loads, MoveBusy)
+			return true
+		}
+	}
+	return false
+}
+
+// hottest returns the busiest key of a server.
+func (t *Table) hottest(service string, from *load, loads *loads) (key int, rate float64) {
+	for _, s := range t.services[service] {
+		if s.owner != from.Life {
+			continue
+		}
+		for k := s.From; k <= s.To; k++ {
+			if r := loads.heat.Rate(k); r > rate {
+				key, rate = k, r
+			}
+		}
+	}
+	return key, rate
+}
--- a/internal/record/control.go
+++ b/internal/record/control.go
@@ -75,23 +75,6 @@
 	}
 }
 
-func (c *control) isDeposed() bool {
-	return c.deposedBy != (authority.Token{})
-}
-
-// raised lets a holder go on that was refused because of its own next token: a
-// witness accepts that token before the holder has adopted it. The mirrors join
-// anew, and no request is dispatched before a set of them is acknowledged.
-func (c *control) raised() {
-	if !c.isDeposed() || c.r.token.Load().Less(c.deposedBy) {
-		return
-	}
-	c.deposedBy = authority.Token{}
-	c.members, c.complete, c.dirty = nil, authority.Instance{}, false
-	clear(c.avoided)
-	c.publish()
-}
-
 // plan starts to probe candidates while mirrors are missing, and lets a member
 // that is no candidate any more leave once it is replaced.
 func (c *control) plan() {
@@ -260,19 +243,3 @@
 	}
 	c.r.replaceTargets(next)
 }
-
-// refuseAll fails everything that is pending and every later request. With flush
-// the mirrors still get the records that are pending.
-func (c *control) refuseAll(err error, flush bool) {
-	c.r.replaceTargets(&targets{err: err})
-	for _, p := range c.peers {
-		c.stop(p, stopOrder{err: err, flush: flush})
-		p.state = peerLeaving
-	}
-	c.peers = nil
-}
-
-func stoppedProblem(r *replicator) error {
-	return problem.New(problem.KindNotHolder, outcome.StageForwardUnsent,
-		"this instance does not hold shard %s any more", r.shard)
-}
