Log each call that a planned stop ends, and what the stop had left

Callers saw a closed connection, and the analyst saw nothing: a call that was in progress when the process ended had no call_ended line, and instance_stopping did not say how long the instance had left.

Calls that are still in progress when a planned stop runs out of time are now cancelled with the cause ErrInstanceEnded before the process ends. Each gets a final reply (not run if it was never sent, unknown otherwise) and its line, stop_cut_off counts them, call_ended has the time that the call was allowed (limit_ms), and instance_stopping and instance_stopped say what was open, how long was left and how long the stop took. peridotmoor-report prints the limit.

This does not cure the fault.

--- a/internal/callerhttp/server.go
+++ b/internal/callerhttp/server.go
@@ -17,11 +17,15 @@
 	conns     sync.Map // set of *conn
 	connCount atomic.Int64
 	draining  atomic.Bool
+	// ctx is the parent of the contexts of all connections.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
 }
 
 // NewServer returns a server. limits is called for each request.
 func NewServer(handler Handler, limits func() Limits) *Server {
-	return &Server{handler: handler, limits: limits}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	return &Server{handler: handler, limits: limits, ctx: ctx, cancel: cancel}
 }
 
 // Serve accepts connections until listener is closed.
@@ -35,7 +39,7 @@
 			time.Sleep(acceptBackoff)
 			continue
 		}
-		ctx, cancel := context.WithCancel(context.Background())
+		ctx, cancel := context.WithCancel(s.ctx)
 		c := newConn(s, raw, ctx, cancel)
 		s.conns.Store(c, nil)
 		s.connCount.Add(1)
@@ -53,6 +57,11 @@
 	s.draining.Store(true)
 }
 
+// Abort cancels the requests in progress. Their contexts have the given cause.
+func (s *Server) Abort(cause error) {
+	s.cancel(cause)
+}
+
 // CloseIdle closes the connections on which no request is in progress.
 func (s *Server) CloseIdle() {
 	s.conns.Range(func(key, _ any) bool {
--- a/internal/entrynode/constants.go
+++ b/internal/entrynode/constants.go
@@ -16,8 +16,12 @@
 	drainNotice = 3 * time.Second
 	// drainPollInterval is how often a stopping instance checks whether connections remain.
 	drainPollInterval = 100 * time.Millisecond
-	// exitReserve is the part of the grace period that is left for the process to exit.
+	// exitReserve is the part of the grace period that is left to abort calls and to exit.
 	exitReserve = 300 * time.Millisecond
+	// abortTimeout is how long the replies to aborted calls may take.
+	abortTimeout = 100 * time.Millisecond
+	// abortPollInterval is how often a stopping instance checks for these replies.
+	abortPollInterval = 10 * time.Millisecond
 	// refusalPeriod is how long before the end of draining new requests are refused, so
 	// that the requests in flight can finish.
 	refusalPeriod = 1900 * time.Millisecond
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -164,29 +164,6 @@
 	return false
 }
 
-// stop shuts the instance down without aborting requests: it fails the readiness
-// probe first, then closes each connection after its response, and finally closes
-// idle connections.
-func (n *Node) stop(callers net.Listener, stopElector func(), electorDone <-chan struct{}) {
-	n.log.Emit(events.InstanceStopping)
-	began := time.Now()
-	n.stopping.Store(true)
-	n.callerServer.StartDraining()
-	stopElector()
-	deadline := began.Add(n.config.GracePeriod - exitReserve)
-	time.Sleep(time.Until(began.Add(drainNotice)))
-	for n.callerServer.OpenConnections() > 0 && time.Now().Before(deadline) {
-		if time.Until(deadline) < refusalPeriod {
-			n.gateway.StopAccepting()
-		}
-		n.callerServer.CloseIdle()
-		time.Sleep(drainPollInterval)
-	}
-	_ = callers.Close() // the process exits next, which closes the listener anyway
-	<-electorDone
-	n.log.Emit(events.InstanceStopped)
-}
-
 // Reload reads the settings file again and logs whether it is valid. It applies
 // nothing: the settings take effect at the next start, and everything that can
 // change while the instance runs comes from the store.
--- /dev/null
+++ b/internal/entrynode/plannedstop.go
@@ -0,0 +1,48 @@
+package entrynode
+
+import (
+	"net"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/events"
+	"peridotmoor.org/peridotmoor/internal/gateway"
+)
+
+// stop shuts the instance down without aborting requests: it fails the readiness
+// probe first, then closes each connection after its response, and finally closes
+// idle connections.
+func (n *Node) stop(callers net.Listener, stopElector func(), electorDone <-chan struct{}) {
+	began := time.Now()
+	deadline := began.Add(n.config.GracePeriod - exitReserve)
+	n.log.Emit(events.InstanceStopping, "connections", n.callerServer.OpenConnections(), "in_progress", n.gateway.InProgress(),
+		"ends_in_ms", time.Until(deadline).Milliseconds())
+	n.stopping.Store(true)
+	n.callerServer.StartDraining()
+	stopElector()
+	time.Sleep(time.Until(began.Add(drainNotice)))
+	for n.callerServer.OpenConnections() > 0 && time.Now().Before(deadline) {
+		if time.Until(deadline) < refusalPeriod {
+			n.gateway.StopAccepting()
+		}
+		n.callerServer.CloseIdle()
+		time.Sleep(drainPollInterval)
+	}
+	_ = callers.Close() // the process exits next, which closes the listener anyway
+	n.abortCalls()
+	<-electorDone
+	n.log.Emit(events.InstanceStopped, "connections", n.callerServer.OpenConnections(), events.FieldDuration, time.Since(began).Milliseconds())
+}
+
+// abortCalls ends the calls that are still in progress, so that each of them has a final
+// reply and a line in the log that says what is known about it.
+func (n *Node) abortCalls() {
+	if n.gateway.InProgress() == 0 {
+		return
+	}
+	n.log.Emit(events.StopCutOff, "in_flight", n.gateway.InProgress())
+	n.callerServer.Abort(gateway.ErrInstanceEnded)
+	// The connections are counted, not the calls, because the replies must be written too.
+	for end := time.Now().Add(abortTimeout); n.callerServer.OpenConnections() > 0 && time.Now().Before(end); {
+		time.Sleep(abortPollInterval)
+	}
+}
--- a/internal/gateway/callstate.go
+++ b/internal/gateway/callstate.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"peridotmoor.org/peridotmoor/internal/placing"
 )
 
@@ -69,6 +71,29 @@
 	return Reply{Outcome: OutcomeNotRun, RetryAfter: decision.RetryAfter, Detail: detail}
 }
 
+// limit returns how long the call may take: the shorter of its own timeout and that of
+// its route. It is 0 for a call that was refused before that was known.
+func (state *callState) limit(call *Call) time.Duration {
+	if state.deadline.IsZero() {
+		return 0
+	}
+	return state.deadline.Sub(call.ArrivedAt)
+}
+
+// interruptedReply returns the reply to a call whose context was cancelled with the given
+// cause before it was answered.
+func (state *callState) interruptedReply(cause error, reply Reply) Reply {
+	switch {
+	case !errors.Is(cause, ErrInstanceEnded):
+		reply.Outcome = OutcomeCallerGone
+	case state.mayHaveRun:
+		reply = Reply{Outcome: OutcomeUnknown, Detail: cause.Error()}
+	default:
+		reply = Reply{Outcome: OutcomeNotRun, RetryAfter: retryAfterStopping, Detail: cause.Error()}
+	}
+	return reply
+}
+
 // finalReply returns the reply when no further attempt is made after a failed one.
 func (state *callState) finalReply(ctx context.Context) Reply {
 	switch {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	// shareCounters counts the calls of each route, to split them over its services.
 	shareCounters sync.Map // route name to *atomic.Uint64
 	stopping      atomic.Bool
+	inProgress    atomic.Int64
 }
 
 // New returns the gateway of an instance in the given failure domain.
@@ -48,16 +49,24 @@
 	return config.Match(host, path)
 }
 
-// Handle processes the call and returns the final reply. ctx ends when the caller leaves.
+// InProgress returns the number of calls that have no final reply yet.
+func (g *Gateway) InProgress() int {
+	return int(g.inProgress.Load())
+}
+
+// Handle processes the call and returns the final reply. ctx is cancelled when the
+// caller leaves or, with the cause ErrInstanceEnded, when the instance ends.
 func (g *Gateway) Handle(ctx context.Context, call *Call) Reply {
+	g.inProgress.Add(1)
+	defer g.inProgress.Add(-1)
 	reply, state := g.handle(ctx, call)
 	if ctx.Err() != nil && reply.Outcome != OutcomeAnswered {
-		reply.Outcome = OutcomeCallerGone
+		reply = state.interruptedReply(context.Cause(ctx), reply)
 	}
 	duration := time.Since(call.ArrivedAt)
 	g.metrics.CallEnded(state.service, reply.Outcome.String(), duration)
 	g.log.Emit(events.CallEnded, "request", call.ID, "route", state.route, "service", state.service, "key", call.Key,
-		"outcome", reply.Outcome.String(), "server", state.server, "sends", state.sends, "ms", duration.Milliseconds(),
+		"outcome", reply.Outcome.String(), "server", state.server, "sends", state.sends, "ms", duration.Milliseconds(), "limit_ms", state.limit(call).Milliseconds(),
 		"retry_after_ms", reply.RetryAfter.Milliseconds(), "settings_version", state.version, "detail", reply.Detail)
 	return reply
 }
--- a/internal/report/calls/call.go
+++ b/internal/report/calls/call.go
@@ -14,8 +14,10 @@
 	Server string `json:"server"`
 	Sends  int    `json:"sends"`
 	// Ended is the time of the final response.
-	Ended      time.Time     `json:"ended"`
-	Duration   time.Duration `json:"took_ns"`
+	Ended    time.Time     `json:"ended"`
+	Duration time.Duration `json:"took_ns"`
+	// Limit is how long the call was allowed to take, or 0 if it is unknown.
+	Limit      time.Duration `json:"limit_ns"`
 	RetryAfter time.Duration `json:"retry_after_ns"`
 	// Version is the settings version that the instance used.
 	Version  int64     `json:"settings_version"`
--- a/internal/report/calls/line.go
+++ b/internal/report/calls/line.go
@@ -17,6 +17,7 @@
 	Server       string `json:"server"`
 	Sends        int    `json:"sends"`
 	DurationMS   int64  `json:"ms"`
+	LimitMS      int64  `json:"limit_ms"`
 	RetryAfterMS int64  `json:"retry_after_ms"`
 	Version      int64  `json:"settings_version"`
 	Detail       string `json:"detail"`
--- a/internal/report/calls/log.go
+++ b/internal/report/calls/log.go
@@ -24,7 +24,7 @@
 // instanceEvents are the events that show the state of an instance or of what it depends
 // on: settings, store, holder.
 var instanceEvents = eventNumbers(
-	events.InstanceStarted, events.InstanceStopping, events.CallerReady, events.ConfigInForce, events.DomainsTakenOut, events.StoreLost, events.StoreRegained,
+	events.InstanceStarted, events.InstanceStopping, events.StopCutOff, events.CallerReady, events.ConfigInForce, events.DomainsTakenOut, events.StoreLost, events.StoreRegained,
 	events.HolderElected, events.HolderEnded, events.HolderFollowed, events.HolderLost, events.LeaseLost, events.ReadForHolder,
 )
 
@@ -77,6 +77,7 @@
 		c.Instance, c.Service, c.Key, c.Outcome, c.Server = one.Instance, one.Service, one.Key, one.Outcome, one.Server
 		c.Sends, c.Ended, c.Version, c.Detail = one.Sends, one.At, one.Version, one.Detail
 		c.Duration = time.Duration(one.DurationMS) * time.Millisecond
+		c.Limit = time.Duration(one.LimitMS) * time.Millisecond
 		c.RetryAfter = time.Duration(one.RetryAfterMS) * time.Millisecond
 	case one.Event == events.AttemptEnded.Number:
 		c := l.call(one.Request)
--- a/internal/report/command/calls.go
+++ b/internal/report/command/calls.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"text/tabwriter"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -33,7 +34,7 @@
 		fmt.Fprintf(w, "  taken by %s; how it ended is not recorded\n", c.Instance)
 	} else {
 		fmt.Fprintf(w, "  service %s, key %d, taken by %s, settings version %d\n", serviceName(c.Service), c.Key, c.Instance, c.Version)
-		fmt.Fprintf(w, "Outcome: %s after %s, at %s\n", c.Outcome, report.FormatMillis(c.Duration), c.Ended.UTC().Format(timeLayout))
+		fmt.Fprintf(w, "Outcome: %s after %s%s, at %s\n", c.Outcome, report.FormatMillis(c.Duration), limitText(c.Limit), c.Ended.UTC().Format(timeLayout))
 		if c.Detail != "" {
 			fmt.Fprintf(w, "  why: %s\n", c.Detail)
 		}
@@ -93,3 +94,11 @@
 	}
 	return log, nil
 }
+
+// limitText says how long a call was allowed to take, or nothing if that is unknown.
+func limitText(limit time.Duration) string {
+	if limit == 0 {
+		return ""
+	}
+	return " of " + report.FormatMillis(limit) + " allowed"
+}
