Keep a stopping instance with the holder until its last request

Callers of a stopping instance got refusals, requests sent to servers that no longer own the key, and long waits in the queues of busy servers: at SIGTERM the instance ended its elector, and with it the link to the holder that schedules its requests, but accepted requests for 3.8 s more. Without a holder it places them by itself: with the owners it knew last, without retries, and without knowing which servers are busy.

The elector now retires at SIGTERM: its instance is not the holder any more and is not elected, but follows the holder until its connections are closed. It tells the holder that it has no processor share to offer, so that no holder yields to it and no candidate waits for it.

--- a/internal/entrynode/fleet_test.go
+++ b/internal/entrynode/fleet_test.go
@@ -26,6 +26,8 @@
 	mu         sync.Mutex
 	grants     map[int]keyGrant // by key
 	executions map[string]int
+	// serviceTime is how long the execution of a request takes.
+	serviceTime time.Duration
 	// onExecute is called before a request for the key is executed, with the server's name.
 	onExecute func(key int, name string)
 }
@@ -37,7 +39,7 @@
 }
 
 func newFakeBackend(t *testing.T, name string) *fakeBackend {
-	b := &fakeBackend{name: name, grants: map[int]keyGrant{}, executions: map[string]int{}}
+	b := &fakeBackend{name: name, grants: map[int]keyGrant{}, executions: map[string]int{}, serviceTime: 5 * time.Millisecond}
 	b.http = httptest.NewServer(b)
 	t.Cleanup(b.http.Close)
 	return b
@@ -104,12 +106,15 @@
 	b.executions[id]++
 	b.mu.Unlock()
 	body, _ := io.ReadAll(r.Body) // on an error the caller is gone and needs no response
-	time.Sleep(5 * time.Millisecond)
+	time.Sleep(b.serviceTime)
 	w.Header().Set("X-Attempt-Id", id)
 	w.Header().Set("X-Response-Stamp", "stamp")
 	fmt.Fprintf(w, "%s:%s:%s", id, r.URL.Path, body)
 }
 
+// defaultRouteTimeout is the timeout of the route and of the requests in most tests.
+const defaultRouteTimeout = 2 * time.Second
+
 // instance is one Node under test.
 type instance struct {
 	config Config
@@ -169,7 +174,7 @@
 	conflicts []string
 }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t *testing.T, routeTimeout time.Duration) *fleet {
 	t.Helper()
 	f := &fleet{store: kvstore.New()}
 	server := httptest.NewServer(f.store)
@@ -178,7 +183,7 @@
 		"version": 1, "services": []any{map[string]any{"name": "s", "sharded": true, "warmup_s": 1.0}},
 		"limits": map[string]any{"max_body_bytes": 1 << 20},
 		"hosts": []any{map[string]any{"host": "h", "paths": []any{map[string]any{
-			"name": "r", "path_prefix": "/p/", "kind": "unsafe", "timeout_s": 2.0, "target_latency_s": 1.0, "service": "s", "max_attempts": 2}}}},
+			"name": "r", "path_prefix": "/p/", "kind": "unsafe", "timeout_s": routeTimeout.Seconds(), "target_latency_s": 1.0, "service": "s", "max_attempts": 2}}}},
 	})
 	for n := range 3 {
 		b := newFakeBackend(t, fmt.Sprintf("i-%d", n))
@@ -230,6 +235,10 @@
 // sendRequest sends one non-idempotent request and returns its status and body. Status 0
 // means that no response arrived.
 func sendRequest(client *http.Client, i *instance, id string, key int) (int, string) {
+	return sendRequestWithTimeout(client, i, id, key, defaultRouteTimeout)
+}
+
+func sendRequestWithTimeout(client *http.Client, i *instance, id string, key int, timeout time.Duration) (int, string) {
 	request, err := http.NewRequest(http.MethodPost, "http://"+i.config.CallerAddress+"/p/x", nil)
 	if err != nil {
 		return 0, ""
@@ -237,7 +246,7 @@
 	request.Host = "h"
 	request.Header.Set("X-Attempt-Id", id)
 	request.Header.Set("X-Shard-Key", strconv.Itoa(key))
-	request.Header.Set("X-Deadline-Ms", "2000")
+	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
 	response, err := client.Do(request)
 	if err != nil {
 		return 0, ""
@@ -296,7 +305,7 @@
 // (possibly the holder) and an outage of the store.
 func TestFleetDuringPlannedStopAndStoreOutage(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t)
+	f := newFleet(t, defaultRouteTimeout)
 	stop := make(chan struct{})
 	total := make(chan int, 1)
 	go func() { total <- f.generateLoad(t, f.instances[1:], stop) }()
@@ -322,7 +331,7 @@
 // because they are sent to it after its list entry says that it drains.
 func TestKeysLeaveADrainingServer(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t)
+	f := newFleet(t, defaultRouteTimeout)
 	draining := f.backends[0]
 	stop := make(chan struct{})
 	total := make(chan int, 1)
--- a/internal/entrynode/plannedstop.go
+++ b/internal/entrynode/plannedstop.go
@@ -10,7 +10,8 @@
 
 // stop shuts the instance down without aborting requests: it fails the readiness
 // probe first, then closes each connection after its response, and finally closes
-// idle connections.
+// idle connections. Until then the instance follows the holder, which schedules its
+// requests, but is not the holder any more.
 func (n *Node) stop(callers net.Listener, stopElector func(), electorDone <-chan struct{}) {
 	began := time.Now()
 	deadline := began.Add(n.config.GracePeriod - exitReserve)
@@ -18,7 +19,7 @@
 		"ends_in_ms", time.Until(deadline).Milliseconds())
 	n.stopping.Store(true)
 	n.callerServer.StartDraining()
-	stopElector()
+	n.elector.Retire()
 	time.Sleep(time.Until(began.Add(drainNotice)))
 	for n.callerServer.OpenConnections() > 0 && time.Now().Before(deadline) {
 		if time.Until(deadline) < refusalPeriod {
@@ -29,6 +30,7 @@
 	}
 	_ = callers.Close() // the process exits next, which closes the listener anyway
 	n.abortCalls()
+	stopElector()
 	<-electorDone
 	n.log.Emit(events.InstanceStopped, "connections", n.callerServer.OpenConnections(), events.FieldDuration, time.Since(began).Milliseconds())
 }
--- a/internal/holder/elector.go
+++ b/internal/holder/elector.go
@@ -35,19 +35,36 @@
 	elections int64
 	// coordinator is set while this instance is the holder.
 	coordinator atomic.Pointer[Coordinator]
+	// retired is done once this instance may not be the holder any more.
+	retired context.Context
+	retire  context.CancelFunc
 }
 
 // NewElector returns an elector that does nothing until Run is called.
 func NewElector(o Options) *Elector {
+	retired, retire := context.WithCancel(context.Background())
 	return &Elector{
+		retired: retired, retire: retire,
 		self: o.Self, store: o.Store, registry: o.Registry, reader: o.Reader, orderSender: o.OrderSender, prober: o.Prober, client: o.Client,
 		retryBudget: o.RetryBudget, log: o.Log, firstStart: o.FirstStart, processorShare: o.ProcessorShare,
 	}
 }
 
-// member describes this instance to the holder that it joins.
+// Retire ends the tenure of this instance, if it is the holder, and keeps it from being
+// elected again. The instance goes on following holders, which schedule its requests,
+// until Run ends.
+func (e *Elector) Retire() {
+	e.retire()
+}
+
+// member describes this instance to the holder that it joins. A retired instance has no
+// processor share to offer, so that nobody waits for it to be elected or yields to it.
 func (e *Elector) member() link.Member {
-	return link.Member{Instance: e.self.String(), Domain: e.self.Domain, ProcessorShare: e.processorShare}
+	share := e.processorShare
+	if e.retired.Err() != nil {
+		share = 0
+	}
+	return link.Member{Instance: e.self.String(), Domain: e.self.Domain, ProcessorShare: share}
 }
 
 // Join adds a follower. It returns false unless this instance is the holder.
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -74,10 +74,15 @@
 // the holder has lost its key. While the holder cannot read the store, it reads the
 // store in place of the holder.
 func (e *Elector) monitorLink(ctx context.Context, conn link.Link, receiver *link.FactsReceiver, holder Identity) {
+	retired := e.retired.Done()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-retired:
+			retired = nil
+			conn.Send(link.EncodeMember(e.member())) // if the link has ended, the next holder is told
+			continue
 		case <-conn.Done():
 			e.log.Emit(events.HolderLost, "holder", holder.String(), "detail", "the link has ended")
 			return
--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -53,6 +53,9 @@
 	}
 	c.enqueue(func() {
 		now := time.Now()
+		if member, changed := link.DecodeMember(up); changed {
+			f.ProcessorShare = member.ProcessorShare
+		}
 		for _, finish := range up.Finishes {
 			c.completeAttempt(now, link.DecodeFinish(finish, f.Instance))
 		}
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -17,6 +17,10 @@
 // ends. lastHolderBound limits how long grants of the replaced holder may remain valid;
 // 0 means that no limit is known.
 func (e *Elector) elect(ctx context.Context, revision uint64, lastHolderBound time.Duration) {
+	if e.retired.Err() != nil {
+		sleep(ctx, storeRetryDelay) // another instance is elected meanwhile
+		return
+	}
 	delay := maxElectionDelay
 	maxShare := e.client.MaxProcessorShare()
 	if maxShare == 0 {
@@ -80,11 +84,12 @@
 	return lease, err
 }
 
-// lead runs one tenure of the holder: until the lease is lost, another holder appears
-// or this one yields.
+// lead runs one tenure of the holder: until the lease is lost, another holder appears,
+// or this one yields or retires.
 func (e *Elector) lead(parent context.Context, self Identity, lease store.LeaseID, startedAt time.Time, lastHolderBound time.Duration) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
+	defer context.AfterFunc(e.retired, cancel)()
 	records := &recordStore{store: e.store, tenureName: self.tenureName()}
 	claimCtx, cancelClaim := context.WithTimeout(ctx, leaseTTL)
 	found, err := records.claim(claimCtx)
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -51,8 +51,9 @@
 	outbox := make(chan *linkpb.Down, outboxSize)
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
+	member, _ := DecodeMember(first) // the first message always has one
 	f := &Follower{
-		Member: Member{Instance: first.Instance, Domain: first.Domain, ProcessorShare: first.Processor},
+		Member: member,
 		send: func(d *linkpb.Down) bool {
 			select {
 			case outbox <- d:
