Wait for connections accepted during the last count of a planned stop

Callers would see a reset connection: the stop counted the open connections, found none, closed the listener and let the process end. A connection that was accepted between the count and the close was not waited for, whatever its request did. The listener is now closed first, the accepting goroutine has ended, and then the connections are counted once more. Idle ones are looked for after a pause, so that a connection accepted last can bring its request.

The stop also slept 3 s for the load balancer even if the grace period was shorter, and would have been killed; it now sleeps no longer than it has.

--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -96,11 +96,14 @@
 	}
 	failed := make(chan error, 2)
 	go func() { failed <- link.NewServer(n.elector).Serve(ctx, peers) }()
-	go func() { failed <- n.callerServer.Serve(callers) }()
 	electorContext, stopElector := context.WithCancel(ctx)
-	electorDone := make(chan struct{})
+	r := services{callers: callers, callersDone: make(chan struct{}), stopElector: stopElector, electorDone: make(chan struct{})}
 	go func() {
-		defer close(electorDone)
+		defer close(r.callersDone)
+		failed <- n.callerServer.Serve(callers)
+	}()
+	go func() {
+		defer close(r.electorDone)
 		n.elector.Run(electorContext)
 	}()
 	go n.closeRemovedServers(ctx)
@@ -110,7 +113,7 @@
 		stopElector()
 		return err
 	}
-	n.stop(callers, stopElector, electorDone)
+	n.stop(r)
 	return nil
 }
 
--- a/internal/entrynode/plannedstop.go
+++ b/internal/entrynode/plannedstop.go
@@ -1,7 +1,6 @@
 package entrynode
 
 import (
-	"net"
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/events"
@@ -12,7 +11,7 @@
 // first, accepts only requests that end before the instance does, closes each connection
 // after its response, and finally closes idle connections. Until then the instance
 // follows the holder, which schedules its requests, but is not the holder any more.
-func (n *Node) stop(callers net.Listener, stopElector func(), electorDone <-chan struct{}) {
+func (n *Node) stop(s services) {
 	began := time.Now()
 	deadline := began.Add(n.config.GracePeriod - exitReserve)
 	n.log.Emit(events.InstanceStopping, "connections", n.callerServer.OpenConnections(), "in_progress", n.gateway.InProgress(),
@@ -21,16 +20,24 @@
 	n.gateway.StopAt(deadline.Add(-replyReserve))
 	n.callerServer.StartDraining()
 	n.elector.Retire()
-	time.Sleep(time.Until(began.Add(drainNotice)))
+	time.Sleep(min(drainNotice, time.Until(deadline)))
+	n.drainConnections(deadline)
+	_ = s.callers.Close() // the process exits next, which closes the listener anyway
+	<-s.callersDone
+	n.drainConnections(deadline) // those accepted since the last count
+	n.abortCalls()
+	s.stopElector()
+	<-s.electorDone
+	n.log.Emit(events.InstanceStopped, "connections", n.callerServer.OpenConnections(), events.FieldDuration, time.Since(began).Milliseconds())
+}
+
+// drainConnections closes idle connections until none is open or the deadline has passed.
+// It waits before it looks for idle ones, as a new connection brings its request soon.
+func (n *Node) drainConnections(deadline time.Time) {
 	for n.callerServer.OpenConnections() > 0 && time.Now().Before(deadline) {
-		n.callerServer.CloseIdle()
 		time.Sleep(drainPollInterval)
+		n.callerServer.CloseIdle()
 	}
-	_ = callers.Close() // the process exits next, which closes the listener anyway
-	n.abortCalls()
-	stopElector()
-	<-electorDone
-	n.log.Emit(events.InstanceStopped, "connections", n.callerServer.OpenConnections(), events.FieldDuration, time.Since(began).Milliseconds())
 }
 
 // abortCalls ends the calls that are still in progress, so that each of them has a final
