Remove the key of a candidate that does not become the holder

A candidate that was stopped while its write of the holder's key was in progress returned without deleting the key. Its process still accepts links during its planned stop and rejects them, so that the other instances waited until the lease expired: 2 s without a holder in a rolling restart. The same happened when the response to the write was lost and the key could not be read.

Both tests of candidacy_test.go fail without the change.

--- /dev/null
+++ b/internal/holder/candidacy_test.go
@@ -0,0 +1,60 @@
+package holder
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/store"
+	"peridotmoor.org/peridotmoor/internal/store/memstore"
+)
+
+// Guards against a fleet without a holder until a lease expires: a candidate that was
+// stopped while its write of the holder's key was in progress left that key behind.
+func TestCandidateThatEndsDuringItsElectionLeavesNoKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		shared := memstore.New()
+		e := NewElector(Options{Self: Identity{Name: "entry-1", Incarnation: "K55N5AKH"}, Store: shared, Client: newFakeClient(nil)})
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			e.elect(ctx, 0, 0)
+		}()
+		shared.Faults().SetDelay(100 * time.Millisecond)
+		<-shared.Faults().Delayed() // the call that creates the lease
+		<-shared.Faults().Delayed() // the write of the key
+		stop()
+		<-done
+		_, err := shared.Get(t.Context(), KeyHolder)
+		is.True(errors.Is(err, store.ErrNotFound))
+	})
+}
+
+// Guards against the same when the response to the write is lost and the key cannot be
+// read back.
+func TestCandidateThatCannotReadItsKeyBackRemovesIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		shared := memstore.New()
+		e := NewElector(Options{Self: Identity{Name: "entry-1", Incarnation: "K55N5AKH"}, Store: unreadableStore{shared}, Client: newFakeClient(nil)})
+		shared.Faults().SetDelay(time.Millisecond)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			e.elect(t.Context(), 0, 0)
+		}()
+		<-shared.Faults().Delayed() // the call that creates the lease
+		<-shared.Faults().Delayed() // the write of the key
+		shared.Faults().LoseNextResponse()
+		<-done
+		shared.Faults().SetDelay(0)
+		_, err := shared.Get(t.Context(), KeyHolder)
+		is.True(errors.Is(err, store.ErrNotFound))
+	})
+}
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -29,6 +29,11 @@
 	if errors.Is(err, store.ErrUncertain) {
 		found, _, readErr := e.readHolder(ctx)
 		if readErr != nil || found != candidate {
+			// The write may have taken effect or do so later. Without its lease, the key
+			// cannot keep other instances from an election.
+			if lease != "" {
+				e.revokeLease(lease)
+			}
 			return
 		}
 		err = nil
@@ -64,7 +69,8 @@
 	return lastHolderBound
 }
 
-// acquireLease writes the holder's key under a new lease.
+// acquireLease writes the holder's key under a new lease. The lease that it returns
+// with an error exists and may have the key.
 func (e *Elector) acquireLease(ctx context.Context, candidate Identity, revision uint64) (store.LeaseID, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
--- /dev/null
+++ b/internal/holder/unreadablestore_test.go
@@ -0,0 +1,16 @@
+package holder
+
+import (
+	"context"
+
+	"peridotmoor.org/peridotmoor/internal/store"
+)
+
+// unreadableStore is a store whose keys cannot be read.
+type unreadableStore struct {
+	store.Store
+}
+
+func (unreadableStore) Get(context.Context, string) (store.Entry, error) {
+	return store.Entry{}, store.ErrUnavailable
+}
