Do not take most servers for lost at once

A holder on an overloaded machine got no answers from any server, planned moves of all ranges of the service and stored them. Its successors could reach the servers, but had to wait for the grants of all previous owners to expire: 700 to 1,000 refusals a second for 7 s after a rolling restart.

Unanswered orders now make servers suspect only while at most half of the usable ones leave their orders unanswered. The end of a process counts as before.

--- a/internal/owners/results.go
+++ b/internal/owners/results.go
@@ -149,7 +149,7 @@
 	case OutcomeProcessEnded:
 		r.expiresBy = result.Ended
 		r.nextOrderAt = result.Ended.Add(retryInterval)
-		t.suspects[r.owner] = result.Ended.Add(suspectDuration)
+		t.ended[r.owner] = result.Ended.Add(suspectDuration)
 	default:
 		if result.Outcome == OutcomeUnsent || result.Outcome == OutcomeRefused {
 			r.expiresBy = result.Order.previousExpiry
--- a/internal/owners/serviceloads.go
+++ b/internal/owners/serviceloads.go
@@ -11,9 +11,10 @@
 
 func (t *Table) newServiceLoads(now time.Time, service string, candidates []Candidate, rates KeyRates) *serviceLoads {
 	out := &serviceLoads{byName: map[string]*serverLoad{}, rates: rates}
+	ignoreSuspects := t.mostUnresponsive(candidates)
 	for _, c := range candidates {
 		l := &serverLoad{Candidate: c}
-		if now.Before(t.suspects[c.Incarnation]) {
+		if now.Before(t.ended[c.Incarnation]) || now.Before(t.suspects[c.Incarnation]) && !ignoreSuspects {
 			l.Usable = false
 		}
 		out.servers = append(out.servers, l)
--- a/internal/owners/table.go
+++ b/internal/owners/table.go
@@ -19,9 +19,11 @@
 	planVersion uint64
 	// dirty is set while the plan differs from the stored record.
 	dirty bool
-	// suspects holds the incarnations that have ended or that answer no orders, with the
-	// time until which they are assigned no keys.
+	// suspects holds the incarnations that answer no orders, with the time until which
+	// they are assigned no keys.
 	suspects map[fleet.Incarnation]time.Time
+	// ended is the same for incarnations whose process is proven to have ended.
+	ended map[fleet.Incarnation]time.Time
 	// now is the time of the current call of Plan.
 	now time.Time
 	// moves are the moves planned since the last TakeMoves.
@@ -52,6 +54,7 @@
 		holder:         holder,
 		services:       map[string][]*rangeState{},
 		suspects:       map[fleet.Incarnation]time.Time{},
+		ended:          map[fleet.Incarnation]time.Time{},
 		failures:       map[fleet.Incarnation]int{},
 		serverCounts:   map[string]serverCount{},
 		inheritedUntil: inheritedUntil,
