Keep the holder and the links of stopping instances until they end

An instance ended its elector, and with it its link to the holder or its own tenure, when its planned stop began, but took and finished requests for up to 5.7 s more. It placed these without the scheduler: misdirected or shed attempts that may not be repeated, and refusals. When most instances stop within seconds of each other, as in a rolling restart, the next holders were stopping, too: up to four changes of holder in 2 s, and then none until the first instance was back, which had nobody to tell it the configuration.

A stopping instance now follows holders until the end of its planned stop but is no candidate, and says so to the holder. A stopping holder hands over 1 s before its end if another instance can succeed it, and otherwise ends with its process.

TestHolderStaysWhileAllInstancesStop (503 instead of 200) and the tests of plannedstop_test.go fail without the change or with one of its conditions taken out.

--- a/internal/entrynode/constants.go
+++ b/internal/entrynode/constants.go
@@ -18,6 +18,12 @@
 	drainPollInterval = 100 * time.Millisecond
 	// exitReserve is the part of the grace period that is left for the process to exit.
 	exitReserve = 300 * time.Millisecond
+	// handOverReserve is how long before the end of draining an instance that is the
+	// holder hands over. Another instance is elected within it.
+	handOverReserve = time.Second
+	// electorReserve is how long before the end of draining the elector ends. A holder
+	// that could not hand over deletes its key in that time.
+	electorReserve = 300 * time.Millisecond
 	// refusalPeriod is how long before the end of draining new requests are refused, so
 	// that the requests in flight can finish.
 	refusalPeriod = 1900 * time.Millisecond
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -172,8 +172,10 @@
 	began := time.Now()
 	n.stopping.Store(true)
 	n.callerServer.StartDraining()
-	stopElector()
 	deadline := began.Add(n.config.GracePeriod - exitReserve)
+	n.elector.BeginStop(deadline.Add(-handOverReserve))
+	electorEnd := time.AfterFunc(time.Until(deadline.Add(-electorReserve)), stopElector)
+	defer electorEnd.Stop()
 	time.Sleep(time.Until(began.Add(drainNotice)))
 	for n.callerServer.OpenConnections() > 0 && time.Now().Before(deadline) {
 		if time.Until(deadline) < refusalPeriod {
@@ -183,6 +185,7 @@
 		time.Sleep(drainPollInterval)
 	}
 	_ = callers.Close() // the process exits next, which closes the listener anyway
+	stopElector()
 	<-electorDone
 	n.log.Emit(events.InstanceStopped)
 }
--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -27,6 +27,9 @@
 	scheduler   *placing.Scheduler
 	queue       chan func()
 	ctx         context.Context
+	// endTenure ends ctx.
+	endTenure   context.CancelFunc
+	plannedStop *plannedStop
 	// superseded is set once there is evidence of another holder.
 	superseded atomic.Bool
 	// yielding is set when the tenure ends in favour of a stronger machine.
@@ -76,7 +79,7 @@
 
 // newCoordinator starts from the record found. Grants of earlier holders are valid
 // until the given time at the latest.
-func newCoordinator(ctx context.Context, e *Elector, records *recordStore, found owners.Record, until time.Time) *Coordinator {
+func newCoordinator(ctx context.Context, endTenure context.CancelFunc, e *Elector, records *recordStore, found owners.Record, until time.Time) *Coordinator {
 	c := &Coordinator{
 		registry:          e.registry,
 		orderSender:       e.orderSender,
@@ -87,6 +90,8 @@
 		table:             owners.NewTable(found, records.tenureName, until),
 		queue:             make(chan func(), eventQueueSize),
 		ctx:               ctx,
+		endTenure:         endTenure,
+		plannedStop:       e.plannedStop,
 		followers:         map[*link.Follower]bool{},
 		byName:            map[string]*link.Follower{},
 		epoch:             found.Epoch,
@@ -175,4 +180,5 @@
 	c.publish(now)
 	c.probeServers(now)
 	c.considerYield(now)
+	c.considerHandOver(now)
 }
--- a/internal/holder/elector.go
+++ b/internal/holder/elector.go
@@ -32,7 +32,8 @@
 	// processorShare is the share of a processor available on this machine.
 	processorShare float64
 	// elections counts the elections in which this process has been a candidate.
-	elections int64
+	elections   int64
+	plannedStop *plannedStop
 	// coordinator is set while this instance is the holder.
 	coordinator atomic.Pointer[Coordinator]
 }
@@ -41,13 +42,13 @@
 func NewElector(o Options) *Elector {
 	return &Elector{
 		self: o.Self, store: o.Store, registry: o.Registry, reader: o.Reader, orderSender: o.OrderSender, prober: o.Prober, client: o.Client,
-		retryBudget: o.RetryBudget, log: o.Log, firstStart: o.FirstStart, processorShare: o.ProcessorShare,
+		retryBudget: o.RetryBudget, log: o.Log, firstStart: o.FirstStart, processorShare: o.ProcessorShare, plannedStop: newPlannedStop(),
 	}
 }
 
 // member describes this instance to the holder that it joins.
 func (e *Elector) member() link.Member {
-	return link.Member{Instance: e.self.String(), Domain: e.self.Domain, ProcessorShare: e.processorShare}
+	return link.Member{Instance: e.self.String(), Domain: e.self.Domain, ProcessorShare: e.processorShare, Stopping: e.plannedStop.hasBegun()}
 }
 
 // Join adds a follower. It returns false unless this instance is the holder.
@@ -70,6 +71,12 @@
 	}
 }
 
+// announceStop tells the holder at the other end of the link when the planned stop of
+// this instance begins. The returned function ends that.
+func (e *Elector) announceStop(l link.Link) (cancel func() bool) {
+	return context.AfterFunc(e.plannedStop.begun, func() { l.Send(&linkpb.Up{Stopping: true}) })
+}
+
 // Run follows the holder, or is the holder, until ctx is done.
 func (e *Elector) Run(ctx context.Context) {
 	if e.firstStart {
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -45,7 +45,9 @@
 		e.log.Emit(events.HolderFollowed, "holder", holder.String())
 		joinedAt := time.Now()
 		e.client.Attach(conn)
+		endAnnouncement := e.announceStop(conn)
 		e.monitorLink(ctx, conn, receiver, holder)
+		endAnnouncement()
 		conn.Close()
 		if time.Since(joinedAt) >= storeRetryDelay || ctx.Err() != nil {
 			return
--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -15,15 +15,28 @@
 	}
 }
 
-// maxProcessorShare returns the largest processor share among the followers.
+// maxProcessorShare returns the largest processor share among the followers that can
+// become the holder.
 func (c *Coordinator) maxProcessorShare() float64 {
 	share := 0.0
 	for f := range c.followers {
-		share = max(share, f.ProcessorShare)
+		if !f.Stopping {
+			share = max(share, f.ProcessorShare)
+		}
 	}
 	return share
 }
 
+// hasCandidate reports whether one of the followers can become the holder.
+func (c *Coordinator) hasCandidate() bool {
+	for f := range c.followers {
+		if !f.Stopping {
+			return true
+		}
+	}
+	return false
+}
+
 // Join adds a follower and sends it all facts. It returns false when the tenure has ended.
 func (c *Coordinator) Join(f *link.Follower) bool {
 	return c.enqueue(func() {
@@ -53,6 +66,7 @@
 	}
 	c.enqueue(func() {
 		now := time.Now()
+		f.Stopping = f.Stopping || up.Stopping
 		for _, finish := range up.Finishes {
 			c.completeAttempt(now, link.DecodeFinish(finish, f.Instance))
 		}
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -14,7 +14,7 @@
 
 // elect makes this instance a candidate, to replace the holder whose key has the given
 // revision, or 0 if there is no key. If it wins, it is the holder until its tenure
-// ends. lastHolderBound limits how long grants of the replaced holder may remain valid;
+// ends. An instance that stops is no candidate. lastHolderBound limits how long grants of the replaced holder may remain valid;
 // 0 means that no limit is known.
 func (e *Elector) elect(ctx context.Context, revision uint64, lastHolderBound time.Duration) {
 	delay := maxElectionDelay
@@ -22,7 +22,13 @@
 	if maxShare == 0 {
 		delay = maxElectionDelayUnknownShares
 	}
-	sleep(ctx, candidacyDelay(e.processorShare, maxShare, delay, electionJitter))
+	if !e.plannedStop.hasBegun() {
+		sleep(ctx, candidacyDelay(e.processorShare, maxShare, delay, electionJitter))
+	}
+	if e.plannedStop.hasBegun() {
+		sleep(ctx, storeRetryDelay) // until another instance may be the holder
+		return
+	}
 	startedAt := time.Now()
 	candidate := e.newCandidate()
 	lease, err := e.acquireLease(ctx, candidate, revision)
@@ -86,8 +92,8 @@
 	return lease, err
 }
 
-// lead runs one tenure of the holder: until the lease is lost, another holder appears
-// or this one yields.
+// lead runs one tenure of the holder: until the lease is lost, another holder appears,
+// or this one yields or hands over.
 func (e *Elector) lead(parent context.Context, self Identity, lease store.LeaseID, startedAt time.Time, lastHolderBound time.Duration) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
@@ -100,7 +106,7 @@
 		e.revokeLease(lease)
 		return
 	}
-	c := newCoordinator(ctx, e, records, found, startedAt.Add(inheritedGrantsBound(lastHolderBound, found)))
+	c := newCoordinator(ctx, cancel, e, records, found, startedAt.Add(inheritedGrantsBound(lastHolderBound, found)))
 	c.leaseConfirmedAt.Store(&startedAt)
 	e.log.Emit(events.HolderElected, "epoch", found.Epoch)
 	e.coordinator.Store(c)
@@ -113,6 +119,7 @@
 	if local := link.JoinLocal(e, e.member(), onDown); local != nil {
 		e.client.Attach(local)
 		defer local.Close()
+		defer e.announceStop(local)()
 	}
 	readerDone := make(chan struct{})
 	go func() {
--- a/internal/holder/tenure.go
+++ b/internal/holder/tenure.go
@@ -48,6 +48,14 @@
 	}
 }
 
+// considerHandOver ends the tenure of an instance that is about to end, if another one
+// can become the holder.
+func (c *Coordinator) considerHandOver(now time.Time) {
+	if c.plannedStop.handOverDue(now) && c.hasCandidate() {
+		c.endTenure()
+	}
+}
+
 // fleetSize returns the number of instances to store in the record. While grants of
 // earlier holders may be valid, instances that have not joined yet may still follow
 // an earlier holder. If only those that have joined were counted, a successor would
