--- a/internal/entrynode/constants.go
+++ b/internal/entrynode/constants.go
@@ -22,6 +22,12 @@
 	abortTimeout = 100 * time.Millisecond
 	// abortPollInterval is how often a stopping instance checks for these replies.
 	abortPollInterval = 10 * time.Millisecond
+	// handOverReserve is how long before the end of draining an instance that is the
+	// holder hands over. Another instance is elected within it.
+	handOverReserve = time.Second
+	// electorReserve is how long before the end of draining the elector ends. A holder
+	// that could not hand over deletes its key in that time.
+	electorReserve = 300 * time.Millisecond
 	// replyReserve is the part of the drain time that is left to write the last replies.
 	replyReserve = 200 * time.Millisecond
 	// headerReadTimeout limits reading the headers of a readiness or metrics request.
--- a/internal/entrynode/plannedstop.go
+++ b/internal/entrynode/plannedstop.go
@@ -9,8 +9,8 @@
 
 // stop shuts the instance down without aborting requests. It fails the readiness probe
 // first, accepts only requests that end before the instance does, closes each connection
-// after its response, and finally closes idle connections. Until then the instance
-// follows the holder, which schedules its requests, but is not the holder any more.
+// after its response, and finally closes idle connections. Until shortly before its end
+// the instance follows the holder, which schedules its requests, or stays the holder.
 func (n *Node) stop(s services) {
 	began := time.Now()
 	deadline := began.Add(n.config.GracePeriod - exitReserve)
@@ -19,7 +19,9 @@
 	n.stopping.Store(true)
 	n.gateway.StopAt(deadline.Add(-replyReserve))
 	n.callerServer.StartDraining()
-	n.elector.Retire()
+	n.elector.BeginStop(deadline.Add(-handOverReserve))
+	electorEnd := time.AfterFunc(time.Until(deadline.Add(-electorReserve)), s.stopElector)
+	defer electorEnd.Stop()
 	time.Sleep(min(drainNotice, time.Until(deadline)))
 	n.drainConnections(deadline)
 	_ = s.callers.Close() // the process exits next, which closes the listener anyway
--- a/internal/holder/elector.go
+++ b/internal/holder/elector.go
@@ -32,39 +32,23 @@
 	// processorShare is the share of a processor available on this machine.
 	processorShare float64
 	// elections counts the elections in which this process has been a candidate.
-	elections int64
+	elections   int64
+	plannedStop *plannedStop
 	// coordinator is set while this instance is the holder.
 	coordinator atomic.Pointer[Coordinator]
-	// retired is done once this instance may not be the holder any more.
-	retired context.Context
-	retire  context.CancelFunc
 }
 
 // NewElector returns an elector that does nothing until Run is called.
 func NewElector(o Options) *Elector {
-	retired, retire := context.WithCancel(context.Background())
 	return &Elector{
-		retired: retired, retire: retire,
 		self: o.Self, store: o.Store, registry: o.Registry, reader: o.Reader, orderSender: o.OrderSender, prober: o.Prober, client: o.Client,
-		retryBudget: o.RetryBudget, log: o.Log, firstStart: o.FirstStart, processorShare: o.ProcessorShare,
+		retryBudget: o.RetryBudget, log: o.Log, firstStart: o.FirstStart, processorShare: o.ProcessorShare, plannedStop: newPlannedStop(),
 	}
 }
 
-// Retire ends the tenure of this instance, if it is the holder, and keeps it from being
-// elected again. The instance goes on following holders, which schedule its requests,
-// until Run ends.
-func (e *Elector) Retire() {
-	e.retire()
-}
-
-// member describes this instance to the holder that it joins. A retired instance has no
-// processor share to offer, so that nobody waits for it to be elected or yields to it.
+// member describes this instance to the holder that it joins.
 func (e *Elector) member() link.Member {
-	share := e.processorShare
-	if e.retired.Err() != nil {
-		share = 0
-	}
-	return link.Member{Instance: e.self.String(), Domain: e.self.Domain, ProcessorShare: share}
+	return link.Member{Instance: e.self.String(), Domain: e.self.Domain, ProcessorShare: e.processorShare, Stopping: e.plannedStop.hasBegun()}
 }
 
 // Join adds a follower. It returns false unless this instance is the holder.
@@ -87,6 +71,12 @@
 	}
 }
 
+// announceStop tells the holder at the other end of the link when the planned stop of
+// this instance begins. The returned function ends that.
+func (e *Elector) announceStop(l link.Link) (cancel func() bool) {
+	return context.AfterFunc(e.plannedStop.begun, func() { l.Send(&linkpb.Up{Stopping: true}) })
+}
+
 // Run follows the holder, or is the holder, until ctx is done.
 func (e *Elector) Run(ctx context.Context) {
 	if e.firstStart {
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -14,25 +14,32 @@
 
 // elect makes this instance a candidate, to replace the holder whose key has the given
 // revision, or 0 if there is no key. If it wins, it is the holder until its tenure
-// ends. lastHolderBound limits how long grants of the replaced holder may remain valid;
+// ends. An instance that stops is no candidate. lastHolderBound limits how long grants of the replaced holder may remain valid;
 // 0 means that no limit is known.
 func (e *Elector) elect(ctx context.Context, revision uint64, lastHolderBound time.Duration) {
-	if e.retired.Err() != nil {
-		sleep(ctx, storeRetryDelay) // another instance is elected meanwhile
-		return
-	}
 	delay := maxElectionDelay
 	maxShare := e.client.MaxProcessorShare()
 	if maxShare == 0 {
 		delay = maxElectionDelayUnknownShares
 	}
-	sleep(ctx, candidacyDelay(e.processorShare, maxShare, delay, electionJitter))
+	if !e.plannedStop.hasBegun() {
+		sleep(ctx, candidacyDelay(e.processorShare, maxShare, delay, electionJitter))
+	}
+	if e.plannedStop.hasBegun() {
+		sleep(ctx, storeRetryDelay) // until another instance may be the holder
+		return
+	}
 	startedAt := time.Now()
 	candidate := e.newCandidate()
 	lease, err := e.acquireLease(ctx, candidate, revision)
 	if errors.Is(err, store.ErrUncertain) {
 		found, _, readErr := e.readHolder(ctx)
 		if readErr != nil || found != candidate {
+			// The write may have taken effect or do so later. Without its lease, the key
+			// cannot keep other instances from an election.
+			if lease != "" {
+				e.revokeLease(lease)
+			}
 			return
 		}
 		err = nil
@@ -68,7 +75,8 @@
 	return lastHolderBound
 }
 
-// acquireLease writes the holder's key under a new lease.
+// acquireLease writes the holder's key under a new lease. The lease that it returns
+// with an error exists and may have the key.
 func (e *Elector) acquireLease(ctx context.Context, candidate Identity, revision uint64) (store.LeaseID, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -85,11 +93,10 @@
 }
 
 // lead runs one tenure of the holder: until the lease is lost, another holder appears,
-// or this one yields or retires.
+// or this one yields or hands over.
 func (e *Elector) lead(parent context.Context, self Identity, lease store.LeaseID, startedAt time.Time, lastHolderBound time.Duration) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
-	defer context.AfterFunc(e.retired, cancel)()
 	records := &recordStore{store: e.store, tenureName: self.tenureName()}
 	claimCtx, cancelClaim := context.WithTimeout(ctx, leaseTTL)
 	found, err := records.claim(claimCtx)
@@ -99,7 +106,7 @@
 		e.revokeLease(lease)
 		return
 	}
-	c := newCoordinator(ctx, e, records, found, startedAt.Add(inheritedGrantsBound(lastHolderBound, found)))
+	c := newCoordinator(ctx, cancel, e, records, found, startedAt.Add(inheritedGrantsBound(lastHolderBound, found)))
 	c.leaseConfirmedAt.Store(&startedAt)
 	e.log.Emit(events.HolderElected, "epoch", found.Epoch)
 	e.coordinator.Store(c)
@@ -112,6 +119,7 @@
 	if local := link.JoinLocal(e, e.member(), onDown); local != nil {
 		e.client.Attach(local)
 		defer local.Close()
+		defer e.announceStop(local)()
 	}
 	readerDone := make(chan struct{})
 	go func() {
