Backhttp: limit the size of a response head

A server that sends a status line, a header line or header lines without end filled the memory of the instance until the deadline of the call. The platform ends a process over its memory limit, so callers would have lost all other requests of that instance too.

Cause: http.ReadResponse has no limit of its own; net/http sets one on the connection below it, and backhttp read from the socket directly.

The reader of a connection now takes at most 256 KB while it reads a head. Beyond that the request ends as "may have been executed" and the connection is reset. net/http allows 10 MB; a process on the platform has 284 MB for everything, and the heads of servers are a few KB.

Before: TestEndlessHeadIsCutOff failed in all four cases with "not true: server.written.Load() < floodLimitBytes" (4 MB read). The slow variant, a byte a second, passed before: the deadline resets the connection.

--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -16,12 +16,15 @@
 var (
 	errUnsolicitedBytes   = errors.New("the server sent bytes that belong to no request")
 	errUnmatchedResponses = errors.New("the server sent responses to other requests")
+	errHeadTooLong        = errors.Errorf("the server sent more than %d bytes without completing the head of a response", maxHeadBytes)
 )
 
 // conn is one connection. Its reader goroutine always has a read pending, also while
 // the connection is idle, so that a close or unsolicited bytes are detected at once.
 type conn struct {
-	net     net.Conn
+	net net.Conn
+	// source limits what reader takes from net while the head of a response is read.
+	source  *io.LimitedReader
 	reader  *bufio.Reader
 	pending atomic.Pointer[exchange]
 	// closed is set just before the socket is closed.
@@ -39,7 +42,8 @@
 }
 
 func newConn(c net.Conn) *conn {
-	out := &conn{net: c, reader: bufio.NewReaderSize(c, readBufferBytes), idleTimeout: defaultIdleTimeout}
+	source := &io.LimitedReader{R: c, N: noHeadLimit}
+	out := &conn{net: c, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), idleTimeout: defaultIdleTimeout}
 	out.reusable.Store(true)
 	go out.readLoop()
 	return out
@@ -77,9 +81,9 @@
 		if x == nil {
 			return errUnsolicitedBytes
 		}
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: x.request.Method})
+		response, err := c.readHead(x.request.Method)
 		if err != nil {
-			return errors.Wrap(err, "malformed response")
+			return err
 		}
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
 			continue
@@ -104,6 +108,17 @@
 	}
 }
 
+// readHead reads the head of the next response to a request with the given method.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.source.N = maxHeadBytes
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil && c.source.N <= 0 {
+		return nil, errHeadTooLong
+	}
+	c.source.N = noHeadLimit
+	return response, errors.Wrap(err, "malformed response")
+}
+
 // deliver passes the response to the waiting request. It returns once the whole body
 // has been read.
 func (c *conn) deliver(x *exchange, httpResponse *http.Response) error {
--- a/internal/backhttp/constants.go
+++ b/internal/backhttp/constants.go
@@ -1,11 +1,19 @@
 package backhttp
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// maxBufferedBytes is the size of the longest response body that is buffered
 	// completely. Such a response is passed on only once it is known to be complete.
 	maxBufferedBytes = 256 << 10
+	// maxHeadBytes limits the head of a response. It is far above the heads that servers
+	// send and keeps many malformed ones at a time within the memory of a small instance.
+	maxHeadBytes = 256 << 10
+	// noHeadLimit lifts the limit while a body is read.
+	noHeadLimit = math.MaxInt64
 	// defaultIdleTimeout is how long an idle connection is kept when the server does
 	// not state its own timeout. Common servers close idle connections after 5 s or more.
 	defaultIdleTimeout = 4 * time.Second
--- /dev/null
+++ b/internal/backhttp/endless_test.go
@@ -0,0 +1,83 @@
+package backhttp
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+)
+
+// endlessResponse is a response that never ends: start, then unit again and again.
+type endlessResponse struct {
+	start, unit string
+}
+
+// endlessHeads are responses of which no complete head arrives.
+var endlessHeads = map[string]endlessResponse{
+	"status line":  {"HTTP/1.1 200 ", strings.Repeat("O", 512)},
+	"header line":  {"HTTP/1.1 200 OK\r\nId: ", strings.Repeat("a", 512)},
+	"header lines": {"HTTP/1.1 200 OK\r\nId: a\r\n", "X-A: " + strings.Repeat("a", 512) + "\r\n"},
+	"no protocol":  {"", strings.Repeat("\x00", 512)},
+}
+
+// Guards against memory that grows with what a server sends without ever completing a
+// response, and against such a request that is reported as not sent.
+func TestEndlessHeadIsCutOff(t *testing.T) {
+	for name, c := range endlessHeads {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				pool, server, closed := newPipePool(t, func(s *pipeServer) { s.flood(c.start, c.unit) })
+				_, err := pool.Do(t.Context(), newRequest("a"))
+				var failure *RequestError
+				is.True(errors.As(err, &failure))
+				is.True(failure.Sent) // the request may have been executed
+				<-closed
+				is.True(server.written.Load() < floodLimitBytes)
+				is.True(pool.idle.pop() == nil)
+			})
+		})
+	}
+}
+
+// Guards against a request that outlasts its deadline because its server never falls
+// silent.
+func TestSlowEndlessHeadEndsAtTheDeadline(t *testing.T) {
+	for name, c := range endlessHeads {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				pool, _, closed := newPipePool(t, func(s *pipeServer) { s.trickle(c.start, c.unit) })
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				_, err := pool.Do(ctx, newRequest("a"))
+				var failure *RequestError
+				is.True(errors.As(err, &failure))
+				is.True(failure.Sent)
+				is.True(errors.Is(err, context.DeadlineExceeded))
+				<-closed
+			})
+		})
+	}
+}
+
+// Guards against a limit that cuts off complete responses with long heads.
+func TestLongHeadIsAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		value := strings.Repeat("a", maxHeadBytes/2)
+		pool, _, closed := newPipePool(t, func(s *pipeServer) {
+			_, _ = s.Write([]byte("HTTP/1.1 200 OK\r\nId: a\r\nX-A: " + value + "\r\nContent-Length: 5\r\n\r\nwhole"))
+		})
+		response, err := pool.Do(t.Context(), newRequest("a"))
+		is.NoErr(err)
+		is.Equal(response.Header.Get("X-A"), value)
+		is.Equal(string(response.Body), "whole")
+		pool.Close()
+		<-closed
+	})
+}
