Backhttp: limit interim responses

A server that sends interim responses (1xx) without end kept a processor busy with them until the deadline of the call.

Cause: each was skipped, with no limit on their number.

The limit on the size of a response head now covers the interim responses before it as well, as in net/http, so that a server may still send some progress reports or early hints.

Before: TestEndlessHeadIsCutOff/interim_responses failed with "not true: server.written.Load() < floodLimitBytes" (4 MB read).

--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -85,9 +85,6 @@
 		if err != nil {
 			return err
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
-			continue
-		}
 		matches := x.request.Matches(response.Header)
 		if !matches {
 			if unmatched++; unmatched > maxUnmatchedResponses {
@@ -108,15 +105,22 @@
 	}
 }
 
-// readHead reads the head of the next response to a request with the given method.
+// readHead reads the head of the next final response to a request with the given method.
+// The limit covers the interim responses before it too.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.source.N = maxHeadBytes
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-	if err != nil && c.source.N <= 0 {
-		return nil, errHeadTooLong
+	for {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		switch {
+		case err != nil && c.source.N <= 0:
+			return nil, errHeadTooLong
+		case err != nil:
+			return nil, errors.Wrap(err, "malformed response")
+		case response.StatusCode < 100 || response.StatusCode >= 200:
+			c.source.N = noHeadLimit
+			return response, nil
+		}
 	}
-	c.source.N = noHeadLimit
-	return response, errors.Wrap(err, "malformed response")
 }
 
 // deliver passes the response to the waiting request. It returns once the whole body
--- a/internal/backhttp/constants.go
+++ b/internal/backhttp/constants.go
@@ -9,8 +9,9 @@
 	// maxBufferedBytes is the size of the longest response body that is buffered
 	// completely. Such a response is passed on only once it is known to be complete.
 	maxBufferedBytes = 256 << 10
-	// maxHeadBytes limits the head of a response. It is far above the heads that servers
-	// send and keeps many malformed ones at a time within the memory of a small instance.
+	// maxHeadBytes limits the head of a response, together with the interim responses
+	// before it. It is far above the heads that servers send and keeps many malformed ones
+	// at a time within the memory of a small instance.
 	maxHeadBytes = 256 << 10
 	// noHeadLimit lifts the limit while a body is read.
 	noHeadLimit = math.MaxInt64
--- a/internal/backhttp/endless_test.go
+++ b/internal/backhttp/endless_test.go
@@ -16,12 +16,14 @@
 	start, unit string
 }
 
-// endlessHeads are responses of which no complete head arrives.
+// endlessHeads are responses to a request of which no complete head arrives.
 var endlessHeads = map[string]endlessResponse{
 	"status line":  {"HTTP/1.1 200 ", strings.Repeat("O", 512)},
 	"header line":  {"HTTP/1.1 200 OK\r\nId: ", strings.Repeat("a", 512)},
 	"header lines": {"HTTP/1.1 200 OK\r\nId: a\r\n", "X-A: " + strings.Repeat("a", 512) + "\r\n"},
 	"no protocol":  {"", strings.Repeat("\x00", 512)},
+	// Each of these responses is complete, but none answers the request.
+	"interim responses": {"", "HTTP/1.1 102 Processing\r\n\r\n"},
 }
 
 // Guards against memory that grows with what a server sends without ever completing a
