Backhttp, gateway: end a streamed response with its call

A response that is too long to be buffered was read without a bound on its time. When the server fell silent in the middle of the body, or went on slowly, the caller waited past its deadline; when the caller left, the server's connection stayed, with two goroutines of the instance.

Cause: Do stopped watching the context once the start of the body had arrived, and the gateway ended the context when the call had been handled, before the remainder was read. The goroutine of the connection waited for the receiver alone to close the remainder.

The context of a request now bounds its connection until the remainder is closed, and the goroutine of the connection ends with either. The gateway ends the context of a call with a remainder when that is closed, so a whole long response still reaches the caller within the deadline. What a caller gets of one that is cut off is recognizably incomplete.

--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -27,8 +27,9 @@
 	source  *io.LimitedReader
 	reader  *bufio.Reader
 	pending atomic.Pointer[exchange]
-	// closed is set just before the socket is closed.
-	closed atomic.Bool
+	// closed is set just before the socket is closed, and aborted is closed with it.
+	closed  atomic.Bool
+	aborted chan struct{}
 	// reusable is cleared when the connection must not carry another request.
 	reusable atomic.Bool
 	// requestWritten is set once the write of the request has ended, with or without error.
@@ -43,7 +44,13 @@
 
 func newConn(c net.Conn) *conn {
 	source := &io.LimitedReader{R: c, N: noHeadLimit}
-	out := &conn{net: c, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), idleTimeout: defaultIdleTimeout}
+	out := &conn{
+		net:         c,
+		source:      source,
+		reader:      bufio.NewReaderSize(source, readBufferBytes),
+		aborted:     make(chan struct{}),
+		idleTimeout: defaultIdleTimeout,
+	}
 	out.reusable.Store(true)
 	go out.readLoop()
 	return out
@@ -54,6 +61,7 @@
 	if c.closed.Swap(true) {
 		return
 	}
+	close(c.aborted)
 	if tcp, ok := c.net.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // fails only on a connection that is closed already
 	}
@@ -123,8 +131,8 @@
 	}
 }
 
-// deliver passes the response to the waiting request. It returns once the whole body
-// has been read.
+// deliver passes the response to the waiting request. It returns once the connection is
+// no longer needed to read the body.
 func (c *conn) deliver(x *exchange, httpResponse *http.Response) error {
 	c.updateIdleTimeout(httpResponse.Header)
 	body, err := readBuffered(httpResponse)
@@ -144,7 +152,11 @@
 	stream := newRemainder(httpResponse.Body)
 	response.Remainder = stream
 	c.complete(x, response)
-	<-stream.closed
+	select {
+	case <-stream.closed:
+	case <-c.aborted:
+	}
+	x.stopWatch()
 	return nil
 }
 
--- a/internal/backhttp/endless_test.go
+++ b/internal/backhttp/endless_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -67,6 +69,62 @@
 	}
 }
 
+// endlessBodies are responses whose heads answer the request.
+var endlessBodies = map[string]endlessResponse{
+	"with a length":        {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1099511627776\r\n\r\n", strings.Repeat("x", 512)},
+	"in chunks":            {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n", "200\r\n" + strings.Repeat("x", 512) + "\r\n"},
+	"delimited by a close": {"HTTP/1.1 200 OK\r\nId: a\r\n\r\n", strings.Repeat("x", 512)},
+}
+
+// Guards against a connection and its goroutine that stay for as long as the server goes
+// on with a body, and against taking the part that arrived for the complete body.
+func TestEndlessBodyEndsAtTheDeadline(t *testing.T) {
+	for name, c := range endlessBodies {
+		for _, read := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, read %t", name, read), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					streamed := c.start + strings.Repeat(c.unit, 2*maxBufferedBytes/len(c.unit))
+					pool, _, closed := newPipePool(t, func(s *pipeServer) { s.trickle(streamed, c.unit) })
+					start := time.Now()
+					ctx, cancel := context.WithTimeout(t.Context(), time.Minute-time.Second/2)
+					defer cancel()
+					response, err := pool.Do(ctx, newRequest("a"))
+					is.NoErr(err)
+					if read {
+						_, err := io.Copy(io.Discard, response.Remainder)
+						is.True(err != nil)
+						is.NoErr(response.Remainder.Close())
+					}
+					<-closed
+					is.True(ctx.Err() != nil)
+					is.True(time.Since(start) <= time.Minute) // the server notices at its next byte
+				})
+			})
+		}
+	}
+}
+
+// Guards against a connection that is kept although nobody reads the rest of its
+// response.
+func TestClosedBodyEndsTheConnection(t *testing.T) {
+	for name, c := range endlessBodies {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				pool, server, closed := newPipePool(t, func(s *pipeServer) { s.flood(c.start, c.unit) })
+				response, err := pool.Do(t.Context(), newRequest("a"))
+				is.NoErr(err)
+				is.True(len(response.Body) <= maxBufferedBytes+1)
+				is.NoErr(response.Remainder.Close())
+				<-closed
+				is.True(server.written.Load() < floodLimitBytes)
+				is.True(pool.idle.pop() == nil)
+			})
+		})
+	}
+}
+
 // Guards against a limit that cuts off complete responses with long heads.
 func TestLongHeadIsAccepted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/backhttp/exchange.go
+++ b/internal/backhttp/exchange.go
@@ -5,4 +5,7 @@
 	request *Request
 	// done receives exactly one result.
 	done chan result
+	// stopWatch ends the watch that resets the connection when the context of the request
+	// ends. It reports whether the context had not ended.
+	stopWatch func() bool
 }
--- a/internal/backhttp/pipe_test.go
+++ b/internal/backhttp/pipe_test.go
@@ -64,15 +64,17 @@
 	_ = s.Close() // the test sees how much was read
 }
 
-// trickle writes start and then unit again and again, a byte a second, until the client
-// closes the connection.
+// trickle writes start at once and then unit again and again, a byte a second, until the
+// client closes the connection. It gives up after an hour, so that a test ends.
 func (s *pipeServer) trickle(start, unit string) {
-	for next := start; ; next = unit {
-		for i := range len(next) {
-			if _, err := s.Write([]byte{next[i]}); err != nil {
-				return
-			}
-			time.Sleep(time.Second)
+	if _, err := s.Write([]byte(start)); err != nil {
+		return
+	}
+	for i := range int(time.Hour / time.Second) {
+		time.Sleep(time.Second)
+		if _, err := s.Write([]byte{unit[i%len(unit)]}); err != nil {
+			return
 		}
 	}
+	_ = s.Close() // the test sees how long it took
 }
--- a/internal/backhttp/pool.go
+++ b/internal/backhttp/pool.go
@@ -37,7 +37,8 @@
 
 // Do sends the request and waits for the complete response, or for the start of a
 // long one. When ctx ends first, the connection is reset, which tells the server to
-// cancel its work. The error is a *RequestError.
+// cancel its work. That holds until the remainder of a long response is closed: ctx must
+// not end before. The error is a *RequestError.
 func (p *Pool) Do(ctx context.Context, request *Request) (*Response, error) {
 	for {
 		if err := ctx.Err(); err != nil {
@@ -47,10 +48,11 @@
 		if err != nil {
 			return nil, &RequestError{Refused: errors.Is(err, syscall.ECONNREFUSED), Cause: err}
 		}
-		x := &exchange{request: request, done: make(chan result, 1)}
+		x := &exchange{request: request, done: make(chan result, 1), stopWatch: context.AfterFunc(ctx, c.abort)}
 		c.requestWritten.Store(false)
 		c.pending.Store(x)
 		if c.closed.Load() {
+			x.stopWatch()
 			continue // the server closed the idle connection; nothing was written
 		}
 		return p.run(ctx, c, x)
@@ -58,15 +60,17 @@
 }
 
 func (p *Pool) run(ctx context.Context, c *conn, x *exchange) (*Response, error) {
-	stop := context.AfterFunc(ctx, c.abort)
 	err := c.write(x.request)
 	if err != nil && c.pending.CompareAndSwap(x, nil) {
-		stop()
+		x.stopWatch()
 		c.abort()
 		return nil, &RequestError{Sent: true, Cause: errors.Wrap(err, "write request")}
 	}
 	r := <-x.done
-	notCancelled := stop()
+	if r.err == nil && r.response.Remainder != nil {
+		return r.response, nil // the reader goroutine ends the watch and the connection
+	}
+	notCancelled := x.stopWatch()
 	if r.err != nil {
 		if ctx.Err() != nil {
 			r.err = ctx.Err()
@@ -76,9 +80,7 @@
 	switch {
 	case !c.readyForNext(err):
 		c.reusable.Store(false)
-		if r.response.Remainder == nil { // the remainder of a long response is still being read
-			c.abort()
-		}
+		c.abort()
 	case notCancelled:
 		p.put(c)
 	}
@@ -106,8 +108,7 @@
 }
 
 func (p *Pool) put(c *conn) {
-	// A connection that must not be reused is closed by its reader goroutine, once the
-	// remainder of a long response has been streamed.
+	// A connection that must not be reused is closed by its reader goroutine.
 	if !c.reusable.Load() {
 		return
 	}
--- a/internal/backhttp/response.go
+++ b/internal/backhttp/response.go
@@ -12,7 +12,7 @@
 	Body   []byte
 	// Remainder streams the part of a long body that follows Body; it is nil when Body
 	// is the complete body. The receiver must close it. It returns io.ErrUnexpectedEOF
-	// when the response is truncated.
+	// when the response is truncated, and an error when the context of the request ends.
 	Remainder io.ReadCloser
 	// Length is the length of the complete body in bytes, or -1 when unknown.
 	Length int64
--- a/internal/gateway/backendclient.go
+++ b/internal/gateway/backendclient.go
@@ -9,7 +9,8 @@
 
 // BackendClient sends calls to backend servers.
 type BackendClient interface {
-	// Send sends the call to the server and waits for its complete response. The
-	// deadline and the end of ctx cancel the work of the server.
+	// Send sends the call to the server and waits for its complete response, or for the
+	// start of a long one. The deadline and the end of ctx cancel the work of the server
+	// and end the remainder of a long response.
 	Send(ctx context.Context, server *fleet.Server, call *Call, deadline time.Time) AttemptResult
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,8 +89,13 @@
 	}
 	state.contentHash = contentHash(call, state.service)
 	ctx, cancel := context.WithDeadline(ctx, state.deadline)
-	defer cancel()
-	return g.sendUntilDone(ctx, call, &state), state
+	reply := g.sendUntilDone(ctx, call, &state)
+	if reply.Response != nil && reply.Response.Remainder != nil {
+		reply.Response.Remainder = &streamedBody{ReadCloser: reply.Response.Remainder, cancel: cancel}
+	} else {
+		cancel()
+	}
+	return reply, state
 }
 
 func (g *Gateway) shareCounter(route string) *atomic.Uint64 {
