Answer every pipelined request in progress before a planned close

Callers saw: while an instance drains, the first response on a connection said "Connection: close" and the responses to requests pipelined behind it, which servers had run, were dropped. A malformed request behind another got no 400.

Cause: respond announced the close without looking at the requests behind it, and whether a request may start was decided apart from the number in progress.

The number in progress and the end of acceptance are now one atomic word. A response that closes ends the acceptance first, so the number in progress is final: the close is announced only with the last of them, and nothing starts in between. The wait for a request also no longer replaces the deadline by which the last response ends it; the connection stayed open until its idle timeout.

--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -21,13 +21,14 @@
 	source *io.LimitedReader
 	reader *bufio.Reader
 	// ctx is cancelled when the caller has disconnected.
-	ctx    context.Context
-	cancel context.CancelFunc
-	// activeRequests counts the requests that have not been answered yet.
-	activeRequests atomic.Int64
-	// closing is set once no further request is accepted, for example because a response
-	// has announced the close of the connection.
-	closing atomic.Bool
+	ctx      context.Context
+	cancel   context.CancelFunc
+	requests requestState
+	// broken is set when a response could not be written completely. Nothing may follow it.
+	broken atomic.Bool
+	// ending is set once nothing more is to be read for requests. It is set before the
+	// pending read is interrupted.
+	ending atomic.Bool
 	// idle is set while the connection waits for the first byte of a request and no
 	// request is in progress.
 	idle atomic.Bool
@@ -54,7 +55,7 @@
 func (c *conn) serve() {
 	previous := make(chan struct{})
 	close(previous)
-	for !c.closing.Load() {
+	for {
 		next, more := c.readRequest(previous)
 		if next != nil {
 			previous = next
@@ -63,6 +64,7 @@
 			break
 		}
 	}
+	c.requests.seal()
 	<-previous
 	c.cancel()
 	c.linger()
@@ -70,6 +72,15 @@
 	c.server.removeConn(c)
 }
 
+// setReadDeadline sets the read deadline, unless the connection is ending: then pending
+// and later reads fail at once.
+func (c *conn) setReadDeadline(t time.Time) {
+	_ = c.net.SetReadDeadline(t) // fails only on a closed connection, on which the read fails too
+	if c.ending.Load() {
+		c.interruptRead()
+	}
+}
+
 // readRequest reads one request and starts it. It returns the channel that is closed
 // once the request has been answered, and whether another request may follow.
 func (c *conn) readRequest(previous chan struct{}) (chan struct{}, bool) {
@@ -77,7 +88,7 @@
 	if !c.awaitFirstByte(limits) {
 		return nil, false
 	}
-	_ = c.net.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // fails only on a closed connection, on which the read below fails too
+	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	c.source.N = int64(limits.HeaderBytes)
 	hasLength := c.mayHaveContentLength()
 	request, err := http.ReadRequest(c.reader)
@@ -91,16 +102,13 @@
 		request.Close = true // the bytes that follow may be meant as part of the body
 	}
 	c.source.N = noHeaderLimit
-	_ = c.net.SetReadDeadline(time.Time{})
+	c.setReadDeadline(time.Time{})
 	if !c.server.handler.CanPipeline(request) {
 		select {
 		case <-previous:
 		case <-c.ctx.Done():
 		}
 	}
-	if c.closing.Load() {
-		return nil, false // not executed: the caller was told that the connection closes
-	}
 	return c.startRequest(request, previous)
 }
 
@@ -108,21 +116,21 @@
 // the caller disconnects meanwhile, the requests in progress are cancelled.
 func (c *conn) awaitFirstByte(limits Limits) bool {
 	for {
-		_ = c.net.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
-		c.idle.Store(c.activeRequests.Load() == 0)
+		c.setReadDeadline(time.Now().Add(limits.IdleTimeout))
+		c.idle.Store(c.requests.inProgress() == 0)
 		_, err := c.reader.Peek(1)
 		c.idle.Store(false)
 		if err == nil {
 			return true
 		}
-		if c.closing.Load() {
+		if c.ending.Load() {
 			return false
 		}
 		var timeout net.Error
-		if errors.As(err, &timeout) && timeout.Timeout() && c.activeRequests.Load() > 0 {
+		if errors.As(err, &timeout) && timeout.Timeout() && c.requests.inProgress() > 0 {
 			continue
 		}
-		if c.activeRequests.Load() > 0 {
+		if c.requests.inProgress() > 0 {
 			c.cancel()
 		}
 		return false
@@ -130,7 +138,8 @@
 }
 
 // rejectMalformed answers a request that could not be read because of err and closes
-// the connection. It returns nil, without an answer, if the caller has disconnected.
+// the connection. It returns nil, without an answer, if the caller has disconnected or an
+// earlier response announces the close.
 func (c *conn) rejectMalformed(previous chan struct{}, err error) chan struct{} {
 	status := http.StatusBadRequest
 	var timeout net.Error
@@ -146,8 +155,10 @@
 		c.cancel()
 		return nil
 	}
+	if !c.requests.start() {
+		return nil
+	}
 	done := make(chan struct{})
-	c.activeRequests.Add(1)
 	go c.respond(&Response{Status: status}, previous, done, true)
 	return done
 }
@@ -160,6 +171,10 @@
 	case <-c.ctx.Done():
 		return nil, false
 	}
+	if !c.requests.start() {
+		<-c.pipelineSlots
+		return nil, false // not executed: the caller is told that the connection closes
+	}
 	closing := request.Close
 	var incoming *body
 	if request.Body != nil && request.Body != http.NoBody {
@@ -167,7 +182,6 @@
 		request.Body = incoming
 	}
 	done := make(chan struct{})
-	c.activeRequests.Add(1)
 	go func() {
 		response := c.server.handler.Handle(c.ctx, request)
 		c.respond(response, previous, done, closing)
@@ -203,8 +217,7 @@
 	if incoming.complete {
 		return true
 	}
-	_ = c.net.SetReadDeadline(time.Now().Add(bodyDrainTimeout))
+	c.setReadDeadline(time.Now().Add(bodyDrainTimeout))
 	_, err := io.CopyN(io.Discard, incoming.Reader, bodyDrainBytes)
-	_ = c.net.SetReadDeadline(time.Time{})
 	return errors.Is(err, io.EOF)
 }
