Cancel and report the requests behind a response that was broken off

Callers would see: behind a response whose body breaks off, or one without a status, the requests on the same connection go on at their servers, and the connection ends only after the last of them. Their responses are dropped without call_unwritten, so that the log says "answered" for a response that nobody got.

Cause: a broken-off response only marked the connection as closing. Without a status it cancelled nothing, and responses behind it returned without a report.

A response that is broken off now cancels the requests behind it, closes the sending side at once, and each dropped response is reported.

--- /dev/null
+++ b/internal/callerhttp/close.go
@@ -0,0 +1,59 @@
+package callerhttp
+
+import (
+	"io"
+	"time"
+)
+
+// finishRequest ends a request in progress. After the last one of the connection nothing
+// more is read.
+func (c *conn) finishRequest() {
+	if c.requests.finish() {
+		c.stopReading()
+	}
+}
+
+// breakOff ends the connection after a response that is incomplete or missing. The
+// requests behind it can't be answered any more and are cancelled.
+func (c *conn) breakOff() {
+	c.broken.Store(true)
+	c.requests.seal()
+	c.cancel()
+	c.closeWrite()
+	c.stopReading()
+}
+
+// closeWrite tells the caller that no further response follows. It reports whether the
+// caller can still be waited for.
+func (c *conn) closeWrite() bool {
+	half, ok := c.net.(halfCloser)
+	return ok && half.CloseWrite() == nil
+}
+
+// stopReading ends the reading of requests.
+func (c *conn) stopReading() {
+	c.ending.Store(true)
+	c.interruptRead()
+}
+
+// interruptRead ends a pending read of the goroutine that reads requests.
+func (c *conn) interruptRead() {
+	_ = c.net.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+}
+
+// closeIdle closes the connection if no request is in progress.
+func (c *conn) closeIdle() {
+	if c.idle.Load() && c.requests.seal() == 0 {
+		c.stopReading()
+	}
+}
+
+// linger waits until the caller closes the connection. Closing a connection with
+// unread bytes would reset it, and the caller could lose the last response.
+func (c *conn) linger() {
+	if !c.closeWrite() {
+		return
+	}
+	_ = c.net.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.Copy(io.Discard, c.net) // anything received now is ignored
+}
--- a/internal/callerhttp/response.go
+++ b/internal/callerhttp/response.go
@@ -19,10 +19,17 @@
 	// Length is the total length of Body and Remainder in bytes, or -1 when unknown. It
 	// is used only with a Remainder.
 	Length int64
-	// OnWriteError, when set, is called when the response could not be written.
+	// OnWriteError, when set, is called when the response could not be written completely.
 	OnWriteError func(error)
 }
 
+// reportUnwritten calls OnWriteError for a response that should have been written.
+func (r *Response) reportUnwritten(err error) {
+	if r.Status != 0 && r.OnWriteError != nil {
+		r.OnWriteError(err)
+	}
+}
+
 // head returns the status line and the headers, with "Connection: close" if
 // closing is set. Its capacity has room for Body.
 func (r *Response) head(closing bool) []byte {
