Serve requests that arrived before an idle close, and close idle connections at once

Callers saw, during a planned stop: a request that had reached the connection, or whose first bytes had been read, was discarded when the idle closing pass came before the goroutine that reads requests. And connections that had served a request without a body were not closed as idle at all until their next request: they lasted to the end of the planned stop, whose end cuts what arrives then.

Cause: closeIdle marked the connection as closing whatever the reader had got. The flag "idle" was set once when the wait for a request began, at which time the request before it is still in progress.

closeIdle now only requests the close, in the same atomic word as the number of requests in progress, and wakes the reader. The reader closes the connection when nothing waits in its buffer or in the socket; otherwise it serves the request, whose response announces the close. A late wake-up no longer interrupts the reading.

--- a/internal/callerhttp/close.go
+++ b/internal/callerhttp/close.go
@@ -41,13 +41,6 @@
 	_ = c.net.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
 }
 
-// closeIdle closes the connection if no request is in progress.
-func (c *conn) closeIdle() {
-	if c.idle.Load() && c.requests.seal() == 0 {
-		c.stopReading()
-	}
-}
-
 // linger waits until the caller closes the connection. Closing a connection with
 // unread bytes would reset it, and the caller could lose the last response.
 func (c *conn) linger() {
--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -29,9 +29,8 @@
 	// ending is set once nothing more is to be read for requests. It is set before the
 	// pending read is interrupted.
 	ending atomic.Bool
-	// idle is set while the connection waits for the first byte of a request and no
-	// request is in progress.
-	idle atomic.Bool
+	// interrupted is closed once the requested idle close has interrupted the pending read.
+	interrupted chan struct{}
 	// pipelineSlots limits the number of concurrent requests.
 	pipelineSlots chan struct{}
 }
@@ -48,6 +47,7 @@
 		reader:        bufio.NewReaderSize(source, readBufferBytes),
 		ctx:           ctx,
 		cancel:        cancel,
+		interrupted:   make(chan struct{}),
 		pipelineSlots: make(chan struct{}, pipelineDepth),
 	}
 }
@@ -112,31 +112,6 @@
 	return c.startRequest(request, previous)
 }
 
-// awaitFirstByte waits for the next request and reports whether one has begun. When
-// the caller disconnects meanwhile, the requests in progress are cancelled.
-func (c *conn) awaitFirstByte(limits Limits) bool {
-	for {
-		c.setReadDeadline(time.Now().Add(limits.IdleTimeout))
-		c.idle.Store(c.requests.inProgress() == 0)
-		_, err := c.reader.Peek(1)
-		c.idle.Store(false)
-		if err == nil {
-			return true
-		}
-		if c.ending.Load() {
-			return false
-		}
-		var timeout net.Error
-		if errors.As(err, &timeout) && timeout.Timeout() && c.requests.inProgress() > 0 {
-			continue
-		}
-		if c.requests.inProgress() > 0 {
-			c.cancel()
-		}
-		return false
-	}
-}
-
 // rejectMalformed answers a request that could not be read because of err and closes
 // the connection. It returns nil, without an answer, if the caller has disconnected or an
 // earlier response announces the close.
@@ -187,10 +162,9 @@
 		c.respond(response, previous, done, closing)
 		<-c.pipelineSlots
 	}()
-	if incoming == nil {
-		return done, !closing
-	}
-	return done, c.drainBody(incoming, done) && !closing
+	more := incoming == nil || c.drainBody(incoming, done)
+	c.requests.endReading()
+	return done, more && !closing
 }
 
 // continueFunc returns a function that sends the interim response 100 Continue, or nil
--- /dev/null
+++ b/internal/callerhttp/idle.go
@@ -0,0 +1,64 @@
+package callerhttp
+
+import (
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/sockopt"
+)
+
+// awaitFirstByte waits for the next request and reports whether one has begun. When
+// the caller disconnects meanwhile, the requests in progress are cancelled.
+func (c *conn) awaitFirstByte(limits Limits) bool {
+	for {
+		closeRequested := c.requests.closeRequested()
+		if closeRequested {
+			<-c.interrupted
+			if !c.hasUnread() {
+				return false
+			}
+		}
+		c.setReadDeadline(time.Now().Add(limits.IdleTimeout))
+		if !closeRequested && c.requests.closeRequested() {
+			continue // the interruption may have come before the deadline was set
+		}
+		_, err := c.reader.Peek(1)
+		switch {
+		case err == nil:
+			if c.requests.beginReading() {
+				<-c.interrupted // must not interrupt the reading of the request
+			}
+			return true
+		case c.ending.Load():
+			return false
+		case !isTimeout(err):
+			c.cancel()
+			return false
+		case c.requests.closeRequested():
+		case c.requests.inProgress() == 0 && !c.hasUnread():
+			return false
+		}
+	}
+}
+
+// hasUnread reports whether a part of a request waits to be read. A read that timed out
+// does not tell, since data may have arrived before the goroutine could run.
+func (c *conn) hasUnread() bool {
+	return c.reader.Buffered() > 0 || sockopt.HasUnread(c.net)
+}
+
+// closeIdle closes the connection if no request is in progress or arriving. The goroutine
+// that reads requests does so itself, as it alone knows whether it has read something.
+func (c *conn) closeIdle() {
+	if c.requests.requestClose() {
+		c.interruptRead()
+		close(c.interrupted)
+	}
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- a/internal/callerhttp/respond.go
+++ b/internal/callerhttp/respond.go
@@ -10,8 +10,8 @@
 var errBrokenOff = errors.New("an earlier response on the connection was not completed")
 
 // respond writes the response once the previous one has been written, and then closes
-// done. A response with status 0 closes the connection instead. If closing is set, or no
-// further request is accepted, the last response announces the close.
+// done. A response with status 0 closes the connection instead. If closing is set, or the
+// connection is to end for another reason, the last response announces the close.
 func (c *conn) respond(response *Response, previous, done chan struct{}, closing bool) {
 	defer close(done)
 	defer c.finishRequest()
@@ -27,7 +27,7 @@
 		c.breakOff()
 		return
 	}
-	closing = closing || c.server.draining.Load() || c.requests.sealed()
+	closing = closing || c.server.draining.Load() || c.requests.ends()
 	last := closing && c.requests.seal() == 1
 	if err := c.write(response, last); err != nil {
 		c.breakOff()
--- a/internal/sockopt/usertimeout.go
+++ b/internal/sockopt/usertimeout.go
@@ -1,4 +1,4 @@
-// Package sockopt sets socket options that package net does not support.
+// Package sockopt gives access to sockets beyond what package net supports.
 package sockopt
 
 import (
