Measure a caller's idle time from the last response

Callers would see: a connection whose last response took 9 s is closed 1 s after that response under an idle timeout of 10 s. Callers reuse connections that have been idle for up to four fifths of the timeout. A timeout that was raised did not apply to connections that were idle already.

Cause: the timer ran from the arrival of the last request.

When the timer ends, the idle time is now computed from the end of the last response and the timeout in effect, and the wait goes on if some of it is left.

--- a/internal/callerhttp/close.go
+++ b/internal/callerhttp/close.go
@@ -8,6 +8,7 @@
 // finishRequest ends a request in progress. After the last one of the connection nothing
 // more is read.
 func (c *conn) finishRequest() {
+	c.lastResponse.Store(int64(time.Since(c.openedAt)))
 	if c.requests.finish() {
 		c.stopReading()
 	}
--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -29,6 +29,9 @@
 	// ending is set once nothing more is to be read for requests. It is set before the
 	// pending read is interrupted.
 	ending atomic.Bool
+	// lastResponse is when the last response ended, in nanoseconds after openedAt.
+	lastResponse atomic.Int64
+	openedAt     time.Time
 	// interrupted is closed once the requested idle close has interrupted the pending read.
 	interrupted chan struct{}
 	// pipelineSlots limits the number of concurrent requests.
@@ -47,6 +50,7 @@
 		reader:        bufio.NewReaderSize(source, readBufferBytes),
 		ctx:           ctx,
 		cancel:        cancel,
+		openedAt:      time.Now(),
 		interrupted:   make(chan struct{}),
 		pipelineSlots: make(chan struct{}, pipelineDepth),
 	}
@@ -84,10 +88,10 @@
 // readRequest reads one request and starts it. It returns the channel that is closed
 // once the request has been answered, and whether another request may follow.
 func (c *conn) readRequest(previous chan struct{}) (chan struct{}, bool) {
-	limits := c.server.limits().withDefaults()
-	if !c.awaitFirstByte(limits) {
+	if !c.awaitFirstByte() {
 		return nil, false
 	}
+	limits := c.server.limits().withDefaults()
 	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	c.source.N = int64(limits.HeaderBytes)
 	hasLength := c.mayHaveContentLength()
--- a/internal/callerhttp/idle.go
+++ b/internal/callerhttp/idle.go
@@ -11,7 +11,8 @@
 
 // awaitFirstByte waits for the next request and reports whether one has begun. When
 // the caller disconnects meanwhile, the requests in progress are cancelled.
-func (c *conn) awaitFirstByte(limits Limits) bool {
+func (c *conn) awaitFirstByte() bool {
+	began := time.Now()
 	for {
 		closeRequested := c.requests.closeRequested()
 		if closeRequested {
@@ -19,8 +20,9 @@
 			if !c.hasUnread() {
 				return false
 			}
+			began = time.Now() // the read needs a deadline that has not passed
 		}
-		c.setReadDeadline(time.Now().Add(limits.IdleTimeout))
+		c.setReadDeadline(c.idleDeadline(began))
 		if !closeRequested && c.requests.closeRequested() {
 			continue // the interruption may have come before the deadline was set
 		}
@@ -36,13 +38,29 @@
 		case !isTimeout(err):
 			c.cancel()
 			return false
-		case c.requests.closeRequested():
-		case c.requests.inProgress() == 0 && !c.hasUnread():
+		case c.requests.closeRequested(), c.requests.inProgress() > 0, time.Now().Before(c.idleDeadline(began)):
+		case c.hasUnread():
+			began = time.Now() // as above
+		default:
 			return false
 		}
 	}
 }
 
+// idleDeadline returns when the connection, which waits for a request since began, has been
+// idle for too long: the idle timeout after the last response, or after now while a request
+// is in progress.
+func (c *conn) idleDeadline(began time.Time) time.Time {
+	since := time.Now()
+	if c.requests.inProgress() == 0 {
+		since = c.openedAt.Add(time.Duration(c.lastResponse.Load()))
+		if since.Before(began) {
+			since = began
+		}
+	}
+	return since.Add(c.server.limits().withDefaults().IdleTimeout)
+}
+
 // hasUnread reports whether a part of a request waits to be read. A read that timed out
 // does not tell, since data may have arrived before the goroutine could run.
 func (c *conn) hasUnread() bool {
--- a/internal/callerhttp/idle_test.go
+++ b/internal/callerhttp/idle_test.go
@@ -98,13 +98,15 @@
 // discarded, because the process stood still until the timeout had passed as well.
 func TestRequestThatHasArrivedIsServedDespiteIdleTimeout(t *testing.T) {
 	is := is.New(t)
-	server := NewServer(stubHandler{handle: echo}, noLimits)
+	server := NewServer(stubHandler{handle: echo}, func() Limits { return Limits{IdleTimeout: time.Millisecond} })
 	var once sync.Once
 	c, _ := serveTCP(t, server, func(far *net.TCPConn) net.Conn {
 		return readHook{far, func() {
 			once.Do(func() {
-				_ = awaitUnread(far)                     // a failure shows as a missing response
-				_ = far.SetReadDeadline(time.Unix(1, 0)) // the idle timeout
+				_ = far.SetReadDeadline(time.Time{})
+				_ = awaitUnread(far) // a failure shows as a missing response
+				time.Sleep(time.Millisecond)
+				_ = far.SetReadDeadline(time.Unix(1, 0)) // as the idle timeout has passed
 			})
 		}}
 	})
