Cancel the last requests of a connection when their caller disconnects

Servers would see: a request with "Connection: close", of HTTP/1.0, before malformed input, or in progress while a planned stop ends the connection runs to its end although its caller has disconnected.

Cause: nothing was read from a connection after the last request that it may have.

The goroutine that reads requests now reads and ignores input until the last response has been written, and cancels the requests when the connection ends first.

--- a/internal/callerhttp/close.go
+++ b/internal/callerhttp/close.go
@@ -42,6 +42,16 @@
 	_ = c.net.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
 }
 
+// discardInput ignores what the caller sends until the last response has been written. It
+// cancels the requests in progress when the caller disconnects.
+func (c *conn) discardInput() {
+	c.setReadDeadline(time.Time{})
+	_, _ = io.Copy(io.Discard, c.net) // ends with the connection, or when the read is interrupted
+	if !c.ending.Load() {
+		c.cancel()
+	}
+}
+
 // linger waits until the caller closes the connection. Closing a connection with
 // unread bytes would reset it, and the caller could lose the last response.
 func (c *conn) linger() {
--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -68,7 +68,9 @@
 			break
 		}
 	}
-	c.requests.seal()
+	if c.requests.seal() > 0 {
+		c.discardInput()
+	}
 	<-previous
 	c.cancel()
 	c.linger()
