Close a streamed response when its caller disconnects

Servers would see: a streamed response goes on after its caller has disconnected as long as the server sends nothing, because only a failed write ended it. One that waits for the response before it was not closed either.

Evidence, on the code before: TestDisconnectClosesStreamedResponse panic: deadlock: all goroutines in bubble are blocked

The rest of the body is now closed when the connection's context is cancelled.

--- a/internal/callerhttp/respond.go
+++ b/internal/callerhttp/respond.go
@@ -1,6 +1,7 @@
 package callerhttp
 
 import (
+	"context"
 	"io"
 	"time"
 
@@ -15,10 +16,11 @@
 func (c *conn) respond(response *Response, previous, done chan struct{}, closing bool) {
 	defer close(done)
 	defer c.finishRequest()
-	<-previous
 	if response.Remainder != nil {
 		defer response.Remainder.Close()
+		defer context.AfterFunc(c.ctx, func() { _ = response.Remainder.Close() })() // the caller gets no more of it
 	}
+	<-previous
 	if c.broken.Load() {
 		response.reportUnwritten(errBrokenOff)
 		return
--- a/internal/callerhttp/response.go
+++ b/internal/callerhttp/response.go
@@ -13,8 +13,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
-	// Remainder streams the part of a long body that follows Body, or is nil. The
-	// server closes it.
+	// Remainder streams the part of a long body that follows Body, or is nil. The server
+	// closes it, also while it is read, when the caller has disconnected.
 	Remainder io.ReadCloser
 	// Length is the total length of Body and Remainder in bytes, or -1 when unknown. It
 	// is used only with a Remainder.
