Callerhttp: limit the time of each write of a long response

A long response was cut off 10 s after its start, however fast the caller read it and however long it was willing to wait.

Cause: the time limit for a caller that does not read was set once, for the whole response.

The limit now applies to each write.

Before: callerhttp TestStreamedResponseIsLimitedByProgress failed for the callers that read, with "unexpected EOF"; a caller that does not read was cut off before and after.

--- a/internal/callerhttp/constants.go
+++ b/internal/callerhttp/constants.go
@@ -6,7 +6,8 @@
 	// pipelineDepth limits the concurrent requests of one connection, so that a single
 	// caller cannot exhaust memory.
 	pipelineDepth = 32
-	// writeTimeout ends a connection whose caller does not read the response.
+	// writeTimeout ends a connection whose caller does not read the response. It applies to
+	// each write.
 	writeTimeout = 10 * time.Second
 	// bodyDrainBytes and bodyDrainTimeout limit how much of an unread body is discarded.
 	// Discarding it lets the caller receive the response instead of a reset.
--- a/internal/callerhttp/respond.go
+++ b/internal/callerhttp/respond.go
@@ -44,19 +44,19 @@
 }
 
 func (c *conn) write(response *Response, closing bool) error {
-	_ = c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
+	w := responseWriter{c.net}
 	out := append(response.head(closing), response.Body...)
 	if response.Remainder == nil || response.Length >= 0 {
-		if _, err := c.net.Write(out); err != nil || response.Remainder == nil {
+		if _, err := w.Write(out); err != nil || response.Remainder == nil {
 			return errors.Wrap(err, "write response")
 		}
-		n, err := io.Copy(c.net, response.Remainder)
+		n, err := io.Copy(w, response.Remainder)
 		if err == nil && n+int64(len(response.Body)) != response.Length {
 			err = io.ErrUnexpectedEOF
 		}
 		return errors.Wrap(err, "stream response body")
 	}
-	return c.writeChunks(response, closing)
+	return writeChunks(w, response, closing)
 }
 
 // closeIdle closes the connection if no request is in progress.
