Httpbackend: take only complete responses to control calls

A server that went on after a valid JSON value, without end, was taken to have acknowledged a grant, or with status 409 to follow a higher token, on which the holder gives up its shard. A drain was acknowledged by the head of any response.

Cause: the decoder stopped at the end of the first value, and nothing of the response to a drain was read.

A control call now reads the response to its end, within its time and 1 MB, and fails otherwise. The connection of a drain can be used again.

Before: TestEndlessResponseToControlCallFails failed in 40 of its cases with "not true: errors.Is(err, httpbackend.ErrControl)": spaces or further values after a value with all four calls, any body without end with drains.

--- a/internal/backend/httpbackend/control.go
+++ b/internal/backend/httpbackend/control.go
@@ -59,6 +59,8 @@
 }
 
 // call sends one control call. It decodes the body of a response with status 200 or 409.
+// The response counts only once it is complete: one that goes on after a valid value may
+// never end.
 func (s *Server) call(ctx context.Context, method, path string, in, out any) (int, error) {
 	content, err := json.Marshal(in)
 	if err != nil {
@@ -78,11 +80,20 @@
 	if status != http.StatusOK && status != http.StatusConflict {
 		return status, &controlError{server: s.name, path: path, cause: errors.Errorf("status %d", status)}
 	}
-	if out == nil {
-		return status, nil
+	content, err = readControlBody(response.Body)
+	if err == nil && out != nil {
+		err = json.Unmarshal(content, out)
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxControlBytes)).Decode(out); err != nil {
+	if err != nil {
 		return status, &controlError{server: s.name, path: path, cause: err}
 	}
 	return status, nil
 }
+
+func readControlBody(body io.Reader) ([]byte, error) {
+	content, err := io.ReadAll(io.LimitReader(body, maxControlBytes+1))
+	if err == nil && len(content) > maxControlBytes {
+		err = errors.Errorf("the response is longer than %d bytes", maxControlBytes)
+	}
+	return content, errors.Wrap(err, "read response")
+}
--- a/internal/dev/rawserver/response.go
+++ b/internal/dev/rawserver/response.go
@@ -19,7 +19,7 @@
 func Endless(status int, otherID string, header ...string) []Response {
 	head := fmt.Sprintf("HTTP/1.1 %d Text\r\n", status) + lines(header)
 	other := "HTTP/1.1 200 OK\r\n" + lines([]string{otherID})
-	body := strings.Repeat("x", 1<<20)
+	body := strings.Repeat("x", 2<<20)
 	chunk := "200\r\n" + body[:0x200] + "\r\n"
 	chunked := head + "Transfer-Encoding: chunked\r\n\r\n"
 	longChunked := chunked + strings.Repeat(chunk, len(body)/0x200)
