Httpbackend: limit the size of a response head to 256 KB

A server that sends a head without end made the holder keep up to 10 MB of it for each connection, the default of net/http, which many connections to faulty servers multiply. It covers interim responses too.

Before: TestResponseHeadIsLimited/1_MB failed with "true != false".

--- a/internal/backend/httpbackend/server.go
+++ b/internal/backend/httpbackend/server.go
@@ -24,6 +24,11 @@
 // delays each upload by this time.
 const continueTimeout = time.Second
 
+// maxHeadBytes limits the head of a response, together with the interim responses before
+// it. It is far above the heads that servers send and keeps many malformed ones at a time
+// within the memory of a small instance.
+const maxHeadBytes = 256 << 10
+
 // Server is the HTTP client of one backend server. It never sends a request twice.
 type Server struct {
 	name     string
@@ -52,6 +57,8 @@
 		MaxConnsPerHost:     connections,
 		MaxIdleConnsPerHost: connections,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 		// With 0 net/http would send the body immediately.
 		ExpectContinueTimeout: continueTimeout,
 	}
