Httpbackend: take no endless refusal as "not run"

A request that a server refused with a body without end, or with a truncated one, was reported as not run, on the word of a response that was never complete. It counts as "may have run" now, as any other incomplete response.

Cause: the head alone decided, and the body was not read.

The body of a refusal is now read to its end, within the time of the request and 64 KB. The connection can be used again, which saves a server that sheds load a new connection for each refusal.

Before: TestEndlessRefusalProvesNothing failed in 10 cases ("5 != 6": not run instead of unknown), TestConnectionIsReusedAfterRefusal with "3 != 1". TestEndlessResponseToRequest and TestUnfinishedResponseEndsWithItsContext passed before.

--- a/internal/backend/httpbackend/send.go
+++ b/internal/backend/httpbackend/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -17,6 +18,9 @@
 	"peridotmoor.org/peridotmoor/internal/wire"
 )
 
+// maxRefusalBytes limits the body of a refusal. Refusals say little.
+const maxRefusalBytes = 64 << 10
+
 // Send implements backend.Server. If Send fails while a streamed body is being
 // read, that read may end only after Send has returned.
 func (s *Server) Send(ctx context.Context, order backend.Order, r *request.Request) (*request.Response, error) {
@@ -37,7 +41,7 @@
 		}
 		return nil, failure
 	}
-	result, err := s.decode(r, response)
+	result, err := s.decode(ctx, r, response)
 	if err != nil {
 		// Cancelling before the body is closed keeps the connection from returning to the idle pool.
 		cancel()
@@ -70,15 +74,14 @@
 
 // decode checks that the response belongs to the request and that its end can be
 // recognized, and converts it.
-func (s *Server) decode(r *request.Request, response *http.Response) (*request.Response, error) {
+func (s *Server) decode(ctx context.Context, r *request.Request, response *http.Response) (*request.Response, error) {
 	ids := response.Header.Values(backend.HeaderRequestID)
 	if len(ids) != 1 || ids[0] != r.ID {
 		return nil, problem.New(problem.KindAnswerCrossed, outcome.StageWritten,
 			"server %s answered request %s with request ID %q", s.name, r.ID, ids)
 	}
 	if notRun(response) {
-		return nil, problem.New(problem.KindShed, outcome.StageRefusedByServer,
-			"server %s refused request %s before running it", s.name, r.ID).WithRetryAfter(retryAfter(response))
+		return nil, s.decodeRefusal(ctx, r, response)
 	}
 	if !hasBodyEnd(response) {
 		return nil, problem.New(problem.KindAnswerShort, outcome.StageWritten,
@@ -93,6 +96,21 @@
 	}, nil
 }
 
+// decodeRefusal reads a refusal to its end and returns its problem. One that is not
+// complete, or may never be, does not prove that the request was not run.
+func (s *Server) decodeRefusal(ctx context.Context, r *request.Request, response *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes+1))
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return s.classifyFailure(ctx, r, true, err)
+	case err != nil || n > maxRefusalBytes:
+		return problem.Wrap(err, problem.KindAnswerShort, outcome.StageWritten,
+			"server %s refused request %s with a response that did not end within %d bytes", s.name, r.ID, maxRefusalBytes)
+	}
+	return problem.New(problem.KindShed, outcome.StageRefusedByServer,
+		"server %s refused request %s before running it", s.name, r.ID).WithRetryAfter(retryAfter(response))
+}
+
 func notRun(response *http.Response) bool {
 	return response.StatusCode == http.StatusServiceUnavailable &&
 		response.Header.Get(backend.HeaderNotRun) == "true"
