Backhttp tests: cover the other places where a response may not end

Responses to other requests, chunk extensions, trailers, and bytes after a complete response, fast and a byte a second. All cases passed when they were added: their number or size was limited already, here or in net/http.

--- a/internal/backhttp/endless_test.go
+++ b/internal/backhttp/endless_test.go
@@ -18,20 +18,25 @@
 	start, unit string
 }
 
-// endlessHeads are responses to a request of which no complete head arrives.
-var endlessHeads = map[string]endlessResponse{
+// endlessFailures are responses of which nothing can be passed on.
+var endlessFailures = map[string]endlessResponse{
 	"status line":  {"HTTP/1.1 200 ", strings.Repeat("O", 512)},
 	"header line":  {"HTTP/1.1 200 OK\r\nId: ", strings.Repeat("a", 512)},
 	"header lines": {"HTTP/1.1 200 OK\r\nId: a\r\n", "X-A: " + strings.Repeat("a", 512) + "\r\n"},
 	"no protocol":  {"", strings.Repeat("\x00", 512)},
 	// Each of these responses is complete, but none answers the request.
-	"interim responses": {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+	"interim responses":             {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+	"responses to other requests":   {"", responseText("other", "other")},
+	"a response to another request": {"HTTP/1.1 200 OK\r\nId: other\r\n\r\n", strings.Repeat("x", 512)},
+	"chunk extension":               {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n1;", strings.Repeat("x", 512)},
+	"chunk extensions":              {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n", "1;" + strings.Repeat("x", 512) + "\r\nx\r\n"},
+	"trailer":                       {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: a\r\n"},
 }
 
 // Guards against memory that grows with what a server sends without ever completing a
 // response, and against such a request that is reported as not sent.
-func TestEndlessHeadIsCutOff(t *testing.T) {
-	for name, c := range endlessHeads {
+func TestEndlessResponseIsCutOff(t *testing.T) {
+	for name, c := range endlessFailures {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
@@ -50,8 +55,8 @@
 
 // Guards against a request that outlasts its deadline because its server never falls
 // silent.
-func TestSlowEndlessHeadEndsAtTheDeadline(t *testing.T) {
-	for name, c := range endlessHeads {
+func TestSlowEndlessResponseEndsAtTheDeadline(t *testing.T) {
+	for name, c := range endlessFailures {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
@@ -105,6 +110,26 @@
 	}
 }
 
+// Guards against bytes after a complete response that keep its connection, with or
+// without end.
+func TestBytesAfterTheResponseEndTheConnection(t *testing.T) {
+	for name, unit := range map[string]string{"no response": strings.Repeat("x", 512), "responses": responseText("a", "again")} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				pool, server, closed := newPipePool(t, func(s *pipeServer) { s.flood(responseText("a", "whole"), unit) })
+				response, err := pool.Do(t.Context(), newRequest("a"))
+				is.NoErr(err)
+				is.Equal(string(response.Body), "whole")
+				<-closed
+				is.True(server.written.Load() < floodLimitBytes)
+				c := pool.idle.pop()
+				is.True(c == nil || !c.canReuse(time.Now()))
+			})
+		})
+	}
+}
+
 // Guards against a connection that is kept although nobody reads the rest of its
 // response.
 func TestClosedBodyEndsTheConnection(t *testing.T) {
