Cut a response only when its caller makes no progress

Callers would see: a streamed response is cut 10 s after its start, however fast they read it, and a slow caller is cut in the middle of a long body.

Cause: the write deadline was set once for the whole response. On a large socket buffer a write that waits for room also shows no progress for long, although the caller acknowledges bytes all the time.

Each write has its own deadline and goes on while the caller takes or acknowledges bytes.

--- a/internal/callerhttp/chunks.go
+++ b/internal/callerhttp/chunks.go
@@ -10,12 +10,12 @@
 // writeChunks writes a response of unknown length in chunked coding. The terminating
 // chunk is sent only after the complete body, so that the caller can recognize a
 // truncated response.
-func (c *conn) writeChunks(response *Response, closing bool) error {
+func writeChunks(out io.Writer, response *Response, closing bool) error {
 	head := response.head(closing)
-	if _, err := c.net.Write(head); err != nil {
+	if _, err := out.Write(head); err != nil {
 		return errors.Wrap(err, "write response")
 	}
-	chunks := httputil.NewChunkedWriter(c.net)
+	chunks := httputil.NewChunkedWriter(out)
 	if _, err := chunks.Write(response.Body); err != nil {
 		return errors.Wrap(err, "stream response body")
 	}
@@ -25,6 +25,6 @@
 	if err := chunks.Close(); err != nil {
 		return errors.Wrap(err, "end response body")
 	}
-	_, err := io.WriteString(c.net, "\r\n")
+	_, err := io.WriteString(out, "\r\n")
 	return errors.Wrap(err, "end response body")
 }
--- a/internal/callerhttp/constants.go
+++ b/internal/callerhttp/constants.go
@@ -6,8 +6,10 @@
 	// pipelineDepth limits the concurrent requests of one connection, so that a single
 	// caller cannot exhaust memory.
 	pipelineDepth = 32
-	// writeTimeout ends a connection whose caller does not read the response.
-	writeTimeout = 10 * time.Second
+	// stallTimeout ends a connection whose caller does not read the response. Progress is
+	// checked stallChecks times in it.
+	stallTimeout = 10 * time.Second
+	stallChecks  = 5
 	// bodyDrainBytes and bodyDrainTimeout limit how much of an unread body is discarded.
 	// Discarding it lets the caller receive the response instead of a reset.
 	bodyDrainBytes   = 1 << 20
--- /dev/null
+++ b/internal/callerhttp/progresswriter.go
@@ -0,0 +1,42 @@
+package callerhttp
+
+import (
+	"net"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/sockopt"
+)
+
+// progressWriter writes a response to its caller. However long that takes, it goes on
+// while the caller takes some of it, and fails after stallTimeout without progress.
+type progressWriter struct {
+	net net.Conn
+	// queued returns the bytes that the caller has not acknowledged yet.
+	queued func() int
+}
+
+func newProgressWriter(c net.Conn) progressWriter {
+	return progressWriter{net: c, queued: func() int { return sockopt.Unacknowledged(c) }}
+}
+
+func (w progressWriter) Write(p []byte) (int, error) {
+	written, stalls, queuedBefore := 0, 0, 0
+	for {
+		_ = w.net.SetWriteDeadline(time.Now().Add(stallTimeout / stallChecks)) // fails only on a closed connection, on which the write fails too
+		n, err := w.net.Write(p[written:])
+		written += n
+		if err == nil || !isTimeout(err) {
+			return written, err
+		}
+		// The socket accepts more only when a good part of its buffer is free, which takes
+		// a slow caller longer than the timeout. Its acknowledgements show progress before.
+		queued := w.queued()
+		if stalls++; n > 0 || queued < queuedBefore {
+			stalls = 0
+		}
+		if stalls == stallChecks {
+			return written, err
+		}
+		queuedBefore = queued
+	}
+}
--- a/internal/callerhttp/respond.go
+++ b/internal/callerhttp/respond.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"time"
 
 	"github.com/pkg/errors"
 )
@@ -38,17 +37,16 @@
 }
 
 func (c *conn) write(response *Response, closing bool) error {
-	_ = c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
-	out := append(response.head(closing), response.Body...)
-	if response.Remainder == nil || response.Length >= 0 {
-		if _, err := c.net.Write(out); err != nil || response.Remainder == nil {
-			return errors.Wrap(err, "write response")
-		}
-		n, err := io.Copy(c.net, response.Remainder)
-		if err == nil && n+int64(len(response.Body)) != response.Length {
-			err = io.ErrUnexpectedEOF
-		}
-		return errors.Wrap(err, "stream response body")
+	out := newProgressWriter(c.net)
+	if response.Remainder != nil && response.Length < 0 {
+		return writeChunks(out, response, closing)
 	}
-	return c.writeChunks(response, closing)
+	if _, err := out.Write(append(response.head(closing), response.Body...)); err != nil || response.Remainder == nil {
+		return errors.Wrap(err, "write response")
+	}
+	n, err := io.Copy(out, response.Remainder)
+	if err == nil && n+int64(len(response.Body)) != response.Length {
+		err = io.ErrUnexpectedEOF
+	}
+	return errors.Wrap(err, "stream response body")
 }
