Send 100 Continue also long after the last response of the connection

Callers would see: no "100 Continue" on a connection whose last response began more than 10 s ago. A caller that waits for it sends no body, and its request is lost.

Cause: the write deadline of the response before was still set and had passed.

Evidence, with the code before: TestContinueIsSentLongAfterTheLastResponse panic: deadlock: all goroutines in bubble are blocked

It is now written with a deadline of its own.

--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -181,7 +181,7 @@
 	}
 	return func() {
 		<-previous
-		_, _ = c.net.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")) // the read that follows reports a failure
+		_, _ = newProgressWriter(c.net).Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")) // the read that follows reports a failure
 	}
 }
 
