Announce the close when the rest of a body can't be discarded

Callers would see: a request is refused before its body is read, the response says nothing of a close, and the connection is closed after 1 MB or 1 s. A caller with "Expect: 100-continue" that leaves the body out has its next request taken for the body; if the body is shorter, the next request is answered 400.

Cause: the server decided whether to go on with the connection only after the response.

Evidence, on the code before: long_body: unreadbody_test.go:41: false != true body_that_was_not_wanted: unreadbody_test.go:41: false != true

The response now announces the close if more than 1 MB is left or the caller was not asked for the body, which is not read then.

--- a/internal/callerhttp/body.go
+++ b/internal/callerhttp/body.go
@@ -3,7 +3,9 @@
 import (
 	"io"
 	"net"
+	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,21 +20,28 @@
 	done chan struct{}
 	// complete is set when the body has been read to its end.
 	complete bool
+	// unread is how much of the declared length has not been read, or negative if no length
+	// was declared.
+	unread atomic.Int64
 	// sendContinue, when set, is called before the first read. It asks a caller that sent
 	// "Expect: 100-continue" for the body.
 	sendContinue func()
+	// asked is set once sendContinue has been called.
+	asked atomic.Bool
 }
 
-func newBody(r io.Reader, conn net.Conn, sendContinue func()) *body {
-	return &body{Reader: r, net: conn, done: make(chan struct{}), sendContinue: sendContinue}
+func newBody(request *http.Request, conn net.Conn, sendContinue func()) *body {
+	b := &body{Reader: request.Body, net: conn, done: make(chan struct{}), sendContinue: sendContinue}
+	b.unread.Store(request.ContentLength)
+	return b
 }
 
 func (b *body) Read(p []byte) (int, error) {
-	if b.sendContinue != nil {
+	if b.sendContinue != nil && !b.asked.Swap(true) {
 		b.sendContinue()
-		b.sendContinue = nil
 	}
 	n, err := b.Reader.Read(p)
+	b.unread.Add(-int64(n))
 	if err != nil {
 		b.finish(errors.Is(err, io.EOF))
 	}
@@ -52,6 +61,13 @@
 	})
 }
 
+// drainable reports whether what has not been read may be discarded, so that another
+// request can follow. A caller that was not asked for its body may leave it out, and the
+// next request would be taken for it.
+func (b *body) drainable() bool {
+	return (b.sendContinue == nil || b.asked.Load()) && b.unread.Load() <= bodyDrainBytes
+}
+
 // SetReadDeadline sets the deadline for reads of the body. It has no effect after the
 // end of the body, because the connection then waits for its next request.
 func (b *body) SetReadDeadline(t time.Time) error {
--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -159,13 +159,13 @@
 	closing := request.Close
 	var incoming *body
 	if request.Body != nil && request.Body != http.NoBody {
-		incoming = newBody(request.Body, c.net, c.continueFunc(request, previous))
+		incoming = newBody(request, c.net, c.continueFunc(request, previous))
 		request.Body = incoming
 	}
 	done := make(chan struct{})
 	go func() {
 		response := c.server.handler.Handle(c.ctx, request)
-		c.respond(response, previous, done, closing)
+		c.respond(response, previous, done, closing || incoming != nil && !incoming.drainable())
 		<-c.pipelineSlots
 	}()
 	more := incoming == nil || c.drainBody(incoming, done)
@@ -197,6 +197,9 @@
 	if incoming.complete {
 		return true
 	}
+	if !incoming.drainable() {
+		return false
+	}
 	c.setReadDeadline(time.Now().Add(bodyDrainTimeout))
 	_, err := io.CopyN(io.Discard, incoming.Reader, bodyDrainBytes)
 	return errors.Is(err, io.EOF)
