Keep reading behind the last response while the caller sends its body

Callers would see: a connection reset 0.5 s after the last response while they are still sending a long body. A reset may destroy a response that is not read yet.

Cause: the time to wait for the caller's close was fixed, however much came.

Evidence, on the code before: TestBodyIsDiscardedBehindTheLastResponse linger_test.go: err: io: read/write on closed pipe

Each part that arrives restarts the 0.5 s, up to 5 s.

--- a/internal/callerhttp/close.go
+++ b/internal/callerhttp/close.go
@@ -58,6 +58,12 @@
 	if !c.closeWrite() {
 		return
 	}
-	_ = c.net.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.Copy(io.Discard, c.net) // anything received now is ignored
+	end := time.Now().Add(lingerLimit)
+	ignored := make([]byte, readBufferBytes)
+	for time.Now().Before(end) {
+		_ = c.net.SetReadDeadline(time.Now().Add(lingerTimeout)) // fails only on a closed connection, on which the read fails too
+		if _, err := c.net.Read(ignored); err != nil {
+			return
+		}
+	}
 }
--- a/internal/callerhttp/constants.go
+++ b/internal/callerhttp/constants.go
@@ -15,8 +15,10 @@
 	bodyDrainBytes   = 1 << 20
 	bodyDrainTimeout = time.Second
 	// lingerTimeout is how long the server waits for the caller to close the connection
-	// after the last response, for the same reason.
+	// after the last response, for the same reason. It starts again whenever the caller
+	// sends something, as one does who is in the middle of a body, up to lingerLimit.
 	lingerTimeout = 500 * time.Millisecond
+	lingerLimit   = 5 * time.Second
 	// readBufferBytes is the size of a connection's read buffer; typical requests fit.
 	readBufferBytes = 2048
 	// defaultHeaderBytes limits a request's headers until a configuration is known. It is
