Answer 431 to a request line over the header limit

Callers would see: the connection closes without a response if the request line alone exceeds the limit on header bytes.

Cause: the limit shows as an end of input, which was taken for a disconnect before the limit was looked at.

Evidence, on the code before: request_line_too_long: server_test.go:166: unexpected EOF

The limit is now looked at first.

--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -125,12 +125,12 @@
 	status := http.StatusBadRequest
 	var timeout net.Error
 	switch {
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF) && c.source.N > 0:
-		c.cancel()
-		return nil
 	case c.source.N <= 0:
 		status = http.StatusRequestHeaderFieldsTooLarge
-	case errors.As(err, &timeout) && timeout.Timeout():
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		c.cancel()
+		return nil
+	case isTimeout(err):
 		status = http.StatusRequestTimeout
 	case errors.As(err, &timeout):
 		c.cancel()
--- a/internal/callerhttp/server_test.go
+++ b/internal/callerhttp/server_test.go
@@ -146,6 +146,7 @@
 		status int
 	}{
 		"headers too long":        {"GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("a", 8000) + "\r\n\r\n", 431},
+		"request line too long":   {"GET /" + strings.Repeat("a", 8000) + " HTTP/1.1\r\nHost: h\r\n\r\n", 431},
 		"not HTTP":                {"\x16\x03\x01\x02\r\n\r\n", 400},
 		"two lengths":             {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\naGET /x HTTP/1.1\r\n\r\n", 400},
 		"unknown transfer coding": {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\n", 400},
