Leave requests that cross an idle close unread

Callers would see: a request that crosses the idle close of its connection is read and discarded, for up to 0.5 s after the close. A caller may send a non-idempotent request again only if the connection ended before the request was read.

Cause: an idle close lingered as the close behind a last response does.

Evidence, on the code before: idleclose_test.go:27: 1 != 0 // whatever arrives after the close stays unread

A connection that was idle is closed without lingering if the caller has acknowledged the last response. Without this condition a crossing request resets the connection before the response has arrived: idleclose_test.go:57: read: connection reset by peer

--- a/internal/callerhttp/close.go
+++ b/internal/callerhttp/close.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"time"
+
+	"peridotmoor.org/peridotmoor/internal/sockopt"
 )
 
 // finishRequest ends a request in progress. After the last one of the connection nothing
@@ -53,9 +55,11 @@
 }
 
 // linger waits until the caller closes the connection. Closing a connection with
-// unread bytes would reset it, and the caller could lose the last response.
+// unread bytes would reset it, and the caller could lose the last response. A connection
+// that was idle, and whose last response has arrived, needs no wait: a request that crosses
+// its close stays unread, so that the caller may send it again.
 func (c *conn) linger() {
-	if !c.closeWrite() {
+	if c.closedIdle && sockopt.Unacknowledged(c.net) == 0 || !c.closeWrite() {
 		return
 	}
 	end := time.Now().Add(lingerLimit)
--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -32,6 +32,9 @@
 	// lastResponse is when the last response ended, in nanoseconds after openedAt.
 	lastResponse atomic.Int64
 	openedAt     time.Time
+	// closedIdle is set when the connection ends because it was idle. It belongs to the
+	// goroutine that reads requests.
+	closedIdle bool
 	// interrupted is closed once the requested idle close has interrupted the pending read.
 	interrupted chan struct{}
 	// pipelineSlots limits the number of concurrent requests.
--- a/internal/callerhttp/idle.go
+++ b/internal/callerhttp/idle.go
@@ -18,6 +18,7 @@
 		if closeRequested {
 			<-c.interrupted
 			if !c.hasUnread() {
+				c.closedIdle = true
 				return false
 			}
 			began = time.Now() // the read needs a deadline that has not passed
@@ -42,6 +43,7 @@
 		case c.hasUnread():
 			began = time.Now() // as above
 		default:
+			c.closedIdle = true
 			return false
 		}
 	}
