--- a/internal/callerhttp/handler.go
+++ b/internal/callerhttp/handler.go
@@ -10,7 +10,9 @@
 	// CanPipeline reports whether the request may run concurrently with earlier
 	// requests of its connection.
 	CanPipeline(request *http.Request) bool
-	// Handle executes the request. ctx is cancelled when the caller disconnects. The
-	// response is never nil; one with Status 0 closes the connection without an answer.
+	// Handle executes the request. ctx is cancelled when the caller disconnects, or can't be
+	// answered as an earlier response on the connection was not completed. The
+	// response is never nil; one with Status 0 closes the connection without an answer and
+	// cancels the requests behind it.
 	Handle(ctx context.Context, request *http.Request) *Response
 }
--- a/internal/callerhttp/server.go
+++ b/internal/callerhttp/server.go
@@ -48,12 +48,14 @@
 	return int(s.connCount.Load())
 }
 
-// StartDraining makes the next response on each connection its last one.
+// StartDraining makes each connection end: from its next response on it accepts no further
+// request, and the response to the last request in progress announces the close.
 func (s *Server) StartDraining() {
 	s.draining.Store(true)
 }
 
-// CloseIdle closes the connections on which no request is in progress.
+// CloseIdle closes the connections on which no request is in progress or arriving. It does
+// not wait until they are closed.
 func (s *Server) CloseIdle() {
 	s.conns.Range(func(key, _ any) bool {
 		key.(*conn).closeIdle()
