--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -32,6 +32,9 @@
 	// lastResponse is when the last response ended, in nanoseconds after openedAt.
 	lastResponse atomic.Int64
 	openedAt     time.Time
+	// closedIdle is set when the connection ends because it was idle. It belongs to the
+	// goroutine that reads requests.
+	closedIdle bool
 	// interrupted is closed once the requested idle close has interrupted the pending read.
 	interrupted chan struct{}
 	// pipelineSlots limits the number of concurrent requests.
@@ -125,12 +128,12 @@
 	status := http.StatusBadRequest
 	var timeout net.Error
 	switch {
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF) && c.source.N > 0:
-		c.cancel()
-		return nil
 	case c.source.N <= 0:
 		status = http.StatusRequestHeaderFieldsTooLarge
-	case errors.As(err, &timeout) && timeout.Timeout():
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		c.cancel()
+		return nil
+	case isTimeout(err):
 		status = http.StatusRequestTimeout
 	case errors.As(err, &timeout):
 		c.cancel()
@@ -159,13 +162,13 @@
 	closing := request.Close
 	var incoming *body
 	if request.Body != nil && request.Body != http.NoBody {
-		incoming = newBody(request.Body, c.net, c.continueFunc(request, previous))
+		incoming = newBody(request, c.net, c.continueFunc(request, previous))
 		request.Body = incoming
 	}
 	done := make(chan struct{})
 	go func() {
 		response := c.server.handler.Handle(c.ctx, request)
-		c.respond(response, previous, done, closing)
+		c.respond(response, previous, done, closing || incoming != nil && !incoming.drainable())
 		<-c.pipelineSlots
 	}()
 	more := incoming == nil || c.drainBody(incoming, done)
@@ -181,7 +184,7 @@
 	}
 	return func() {
 		<-previous
-		_, _ = c.net.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")) // the read that follows reports a failure
+		_, _ = newProgressWriter(c.net).Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")) // the read that follows reports a failure
 	}
 }
 
@@ -197,6 +200,9 @@
 	if incoming.complete {
 		return true
 	}
+	if !incoming.drainable() {
+		return false
+	}
 	c.setReadDeadline(time.Now().Add(bodyDrainTimeout))
 	_, err := io.CopyN(io.Discard, incoming.Reader, bodyDrainBytes)
 	return errors.Is(err, io.EOF)
--- a/internal/callerhttp/constants.go
+++ b/internal/callerhttp/constants.go
@@ -6,16 +6,19 @@
 	// pipelineDepth limits the concurrent requests of one connection, so that a single
 	// caller cannot exhaust memory.
 	pipelineDepth = 32
-	// writeTimeout ends a connection whose caller does not read the response. It applies to
-	// each write.
-	writeTimeout = 10 * time.Second
+	// stallTimeout ends a connection whose caller does not read the response. Progress is
+	// checked stallChecks times in it.
+	stallTimeout = 10 * time.Second
+	stallChecks  = 5
 	// bodyDrainBytes and bodyDrainTimeout limit how much of an unread body is discarded.
 	// Discarding it lets the caller receive the response instead of a reset.
 	bodyDrainBytes   = 1 << 20
 	bodyDrainTimeout = time.Second
 	// lingerTimeout is how long the server waits for the caller to close the connection
-	// after the last response, for the same reason.
+	// after the last response, for the same reason. It starts again whenever the caller
+	// sends something, as one does who is in the middle of a body, up to lingerLimit.
 	lingerTimeout = 500 * time.Millisecond
+	lingerLimit   = 5 * time.Second
 	// readBufferBytes is the size of a connection's read buffer; typical requests fit.
 	readBufferBytes = 2048
 	// defaultHeaderBytes limits a request's headers until a configuration is known. It is
--- a/internal/callerhttp/streaming_test.go
+++ b/internal/callerhttp/streaming_test.go
@@ -33,7 +33,7 @@
 // Guards against cutting off a long response whose caller reads it as it arrives, and
 // against waiting without end for a caller that does not read.
 func TestStreamedResponseIsLimitedByProgress(t *testing.T) {
-	const blocks = 10 * int(writeTimeout/time.Second)
+	const blocks = 10 * int(stallTimeout/time.Second)
 	for _, length := range []int64{1024 * int64(blocks), -1} {
 		for _, reads := range []bool{true, false} {
 			t.Run(fmt.Sprintf("length %d, caller reads %t", length, reads), func(t *testing.T) {
