Start a publisher's first exchange without a timer

TestStoreCallsDoNotGrowWithTheFleet and other tests of publish ended now and then with a SIGSEGV inside the Go runtime: 2 of 5 runs of "go test -race -count=5 ./internal/publish" when it was recorded, 1 of 22 now.

A timer that has expired before a goroutine receives from it is run by that goroutine (maybeRunChan), and unlockAndRun uses bubble.timers.raceCtx as the race context. Unlike that of a P, it has no owner, so two goroutines of a synctest bubble that do this at the same time use one ThreadSanitizer thread state at once. Its shadow stack ends up one frame short: in the registers of the crash the size of the stack trace that is stored for the next time.AfterFunc is -1 (StackDepot::Put, r12 = 0xffffffff). Eight goroutines of one bubble that receive from time.NewTimer(0) in a loop, without any code of this project, fail in seconds: "tsan_rtl.cpp:346 CHECK failed"; one goroutine alone, timers in the heap and AfterFuncs do not.

Each event loop began with time.NewTimer(0), and the instances of a bubble start at the same time. The first exchange is now made before the loop, which is what the timer was for.

No test is changed.

--- a/internal/publish/eventloop.go
+++ b/internal/publish/eventloop.go
@@ -38,7 +38,8 @@
 // return.
 func (l *eventLoop) run(ctx context.Context) {
 	defer l.calls.Wait()
-	timer := time.NewTimer(0)
+	l.exchangeRound(ctx)
+	timer := time.NewTimer(l.interval())
 	defer timer.Stop()
 	for {
 		select {
