Reserve the ports of plays until they end

7 of 56 plays of TestOrdersRunOnceAcrossInstances, up to 7 at the same time, could not bind a port. FreeAddresses closed its listeners before the servers and instances of the play listened, so two plays could be given the same port.

ports.Reserve takes addresses from blocks of 20 ports and listens on the first port of each block until Release or the end of the process. Another play that asks for ports at that time cannot listen there and goes on to the next block, so the reserved ports need no listener. Programs that do not use the package are still noticed, since each port is tried. The reservation of the instances' ports belongs to the launcher, because a listener that nothing refers to is closed by the garbage collector.

--- a/internal/dev/bench/start.go
+++ b/internal/dev/bench/start.go
@@ -90,7 +90,7 @@
 		domain := domainName(n % r.options.Domains)
 		r.instances = append(r.instances, &programs.Instance{Name: "entry-" + strconv.Itoa(n), Domain: domain, Region: region})
 	}
-	if err := programs.AssignPorts(r.instances); err != nil {
+	if err := r.launcher.AssignPorts(r.instances); err != nil {
 		return err
 	}
 	for _, i := range r.instances {
--- a/internal/dev/command/servers.go
+++ b/internal/dev/command/servers.go
@@ -43,12 +43,13 @@
 	if err != nil {
 		return errors.Wrap(err, c.settings)
 	}
-	addresses, err := ports.FreeAddresses(len(configs))
+	reservation, err := ports.Reserve(len(configs))
 	if err != nil {
 		return err
 	}
+	defer reservation.Release()
 	for i := range configs {
-		configs[i].Address = addresses[i]
+		configs[i].Address = reservation.Addresses[i]
 	}
 	fleet, err := servers.NewFleet(configs)
 	if err != nil {
--- a/internal/dev/demo/instances.go
+++ b/internal/dev/demo/instances.go
@@ -2,8 +2,8 @@
 
 import "peridotmoor.org/peridotmoor/internal/dev/programs"
 
-// newInstances returns one instance for each failure domain, with free ports and tracing enabled.
-func newInstances(tree *settingsTree) ([]*programs.Instance, error) {
+// newInstances returns one instance for each failure domain, with reserved ports and tracing enabled.
+func newInstances(tree *settingsTree, launcher *programs.Launcher) ([]*programs.Instance, error) {
 	var all []*programs.Instance
 	for _, domain := range tree.domains() {
 		all = append(all, &programs.Instance{
@@ -13,5 +13,5 @@
 			Traced: true,
 		})
 	}
-	return all, programs.AssignPorts(all)
+	return all, launcher.AssignPorts(all)
 }
--- a/internal/dev/demo/start.go
+++ b/internal/dev/demo/start.go
@@ -54,7 +54,7 @@
 	if err := d.apply(ctx, d.tree); err != nil {
 		return err
 	}
-	created, err := newInstances(d.tree)
+	created, err := newInstances(d.tree, d.children)
 	if err != nil {
 		return err
 	}
--- a/internal/dev/ports/ports.go
+++ b/internal/dev/ports/ports.go
@@ -1,4 +1,4 @@
-// Package ports finds free loopback ports for programs that start later.
+// Package ports reserves loopback ports for programs that start later.
 package ports
 
 import (
@@ -15,25 +15,53 @@
 const (
 	firstPort = 15000
 	lastPort  = 31999
-	// maxTries bounds the search for free ports.
-	maxTries = 1000
+	// blockSize is the number of ports in a block, with the guard port.
+	blockSize = 20
+	blocks    = (lastPort + 1 - firstPort) / blockSize
 )
 
-// FreeAddresses returns count loopback addresses whose ports are free. All of
-// them stay open until the last is found, so that they differ.
-func FreeAddresses(count int) ([]string, error) {
-	var addresses []string
-	for range maxTries {
-		if len(addresses) == count {
-			return addresses, nil
-		}
-		port := firstPort + rand.IntN(lastPort-firstPort+1)
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			continue
+// Reserve returns count addresses whose ports are free. The ports are taken from blocks.
+// A reservation listens on the first port of its blocks, so that a test or program that
+// starts at the same time takes its ports from other blocks, although nothing listens on
+// the reserved ports yet.
+func Reserve(count int) (*Reservation, error) {
+	r := &Reservation{}
+	start := rand.IntN(blocks)
+	for n := 0; n < blocks && len(r.Addresses) < count; n++ {
+		r.takeBlock(firstPort+(start+n)%blocks*blockSize, count)
+	}
+	if len(r.Addresses) < count {
+		r.Release()
+		return nil, errors.Errorf("found only %d of %d free ports from %d to %d; stop other programs that listen there", len(r.Addresses), count, firstPort, lastPort)
+	}
+	return r, nil
+}
+
+// takeBlock adds free ports of the block that starts at first, up to count addresses in
+// total, unless another reservation has the block.
+func (r *Reservation) takeBlock(first, count int) {
+	guard, err := net.Listen("tcp", loopback(first))
+	if err != nil {
+		return
+	}
+	r.guards = append(r.guards, guard)
+	for port := first + 1; port < first+blockSize && len(r.Addresses) < count; port++ {
+		if isFree(port) {
+			r.Addresses = append(r.Addresses, loopback(port))
 		}
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
 	}
-	return nil, errors.Errorf("found only %d of %d free ports from %d to %d", len(addresses), count, firstPort, lastPort)
+}
+
+// isFree reports whether no program listens on the port.
+func isFree(port int) bool {
+	listener, err := net.Listen("tcp", loopback(port))
+	if err != nil {
+		return false
+	}
+	_ = listener.Close()
+	return true
+}
+
+func loopback(port int) string {
+	return fmt.Sprintf("127.0.0.1:%d", port)
 }
--- a/internal/dev/programs/instance.go
+++ b/internal/dev/programs/instance.go
@@ -9,8 +9,6 @@
 
 	"github.com/pkg/errors"
 	"gopkg.in/ini.v1"
-
-	"peridotmoor.org/peridotmoor/internal/dev/ports"
 )
 
 // routerProgram is the name of the router's program.
@@ -33,18 +31,6 @@
 	Child *Child
 }
 
-// AssignPorts assigns free loopback addresses to each instance.
-func AssignPorts(all []*Instance) error {
-	free, err := ports.FreeAddresses(3 * len(all))
-	if err != nil {
-		return err
-	}
-	for n, i := range all {
-		i.CallerAddress, i.PeerAddress, i.OperatorAddress = free[3*n], free[3*n+1], free[3*n+2]
-	}
-	return nil
-}
-
 // RecordsPath returns the path of the file to which the router writes its request records.
 func (i *Instance) RecordsPath(dir string) string {
 	return filepath.Join(dir, i.Name+".records")
--- a/internal/dev/programs/launcher.go
+++ b/internal/dev/programs/launcher.go
@@ -12,6 +12,8 @@
 	"syscall"
 
 	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/dev/ports"
 )
 
 // Launcher starts the programs of one run and stops them at its end. The kernel
@@ -24,8 +26,9 @@
 	runOnThread chan func()
 	threadEnded chan struct{}
 
-	mu      sync.Mutex
-	started []*Child
+	mu           sync.Mutex
+	started      []*Child
+	reservations []*ports.Reservation
 }
 
 // NewLauncher returns a launcher of the programs in bin. Their logs go to dir.
@@ -84,6 +87,22 @@
 	return <-result
 }
 
+// AssignPorts assigns loopback addresses to each instance. They stay reserved until Close.
+func (l *Launcher) AssignPorts(all []*Instance) error {
+	reservation, err := ports.Reserve(3 * len(all))
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	l.reservations = append(l.reservations, reservation)
+	l.mu.Unlock()
+	free := reservation.Addresses
+	for n, i := range all {
+		i.CallerAddress, i.PeerAddress, i.OperatorAddress = free[3*n], free[3*n+1], free[3*n+2]
+	}
+	return nil
+}
+
 // CombinedOutput runs program to completion and returns its standard output and
 // standard error. The end of ctx kills it.
 func (l *Launcher) CombinedOutput(ctx context.Context, program string, args ...string) (string, error) {
@@ -115,6 +134,9 @@
 			killed = append(killed, child.name)
 		}
 	}
+	for _, reservation := range l.reservations {
+		reservation.Release()
+	}
 	close(l.runOnThread)
 	<-l.threadEnded
 	return killed
--- a/internal/dev/servers/faults_test.go
+++ b/internal/dev/servers/faults_test.go
@@ -94,9 +94,10 @@
 // Guards against treating a restart at a fixed address as the first start, which may be warm.
 func TestRestartedServerIsCold(t *testing.T) {
 	is := is.New(t)
-	addresses, err := ports.FreeAddresses(1)
+	reservation, err := ports.Reserve(1)
 	is.NoErr(err)
-	r := startTestServer(t, servers.Config{Address: addresses[0], StartWarm: true, ColdStart: servers.ColdStartConfig{WarmUpRequests: 100, CrashOnOverload: true}})
+	t.Cleanup(reservation.Release)
+	r := startTestServer(t, servers.Config{Address: reservation.Addresses[0], StartWarm: true, ColdStart: servers.ColdStartConfig{WarmUpRequests: 100, CrashOnOverload: true}})
 	is.NoErr(r.sendTwo(t, "1"))
 	r.Crash()
 	is.NoErr(r.Start())
--- a/internal/dev/system/cluster_test.go
+++ b/internal/dev/system/cluster_test.go
@@ -58,8 +58,7 @@
 	requireNoError(t, err)
 	configs, err := servers.ConfigsFromTree(text, servers.Config{ServiceTimes: servers.ServiceTimes{Median: 2 * time.Millisecond}, StartWarm: true})
 	requireNoError(t, err)
-	addresses, err := ports.FreeAddresses(len(configs))
-	requireNoError(t, err)
+	addresses := reserveAddresses(t, len(configs))
 	for i := range configs {
 		configs[i].Address = addresses[i]
 		section := regexp.MustCompile(`(?s)(\[server\.` + regexp.QuoteMeta(configs[i].Name) + `\].*?address *= *)\S+`)
@@ -76,8 +75,7 @@
 
 func (c *cluster) startInstance(t *testing.T, domain string) {
 	t.Helper()
-	addresses, err := ports.FreeAddresses(3)
-	requireNoError(t, err)
+	addresses := reserveAddresses(t, 3)
 	config := nodeconfig.Config{
 		Instance: nodeconfig.Instance{Name: "entry-" + domain, Domain: domain, Region: "kyushu"},
 		Listen:   nodeconfig.Listen{Callers: addresses[0], Peers: addresses[1], Operators: addresses[2]},
@@ -128,6 +126,15 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// reserveAddresses reserves addresses until what the test starts later has stopped.
+func reserveAddresses(t *testing.T, count int) []string {
+	t.Helper()
+	reservation, err := ports.Reserve(count)
+	requireNoError(t, err)
+	t.Cleanup(reservation.Release)
+	return reservation.Addresses
+}
+
 func requireNoError(t *testing.T, err error) {
 	t.Helper()
 	if err != nil {
