Look for the next holder at once after a short time with the last one

An instance that had joined less than 0.3 s before its holder's tenure ended took that for the rejection by an instance that is not the holder yet: it tried to join the former holder three times more, then read the whole store and waited 0.3 s. In a rolling restart this kept the strong machines that had just come back out of the election after a hand-over, and a weak one won it 0.7 s later.

An instance that has received the holder's facts now reads the holder's key again after 40 ms.

--- a/internal/holder/fakeclient_test.go
+++ b/internal/holder/fakeclient_test.go
@@ -13,6 +13,9 @@
 type fakeClient struct {
 	registry *facts.Registry
 	heardAt  atomic.Pointer[time.Time]
+	// onMessage, if set, is called at the first message from a holder.
+	onMessage func()
+	messages  atomic.Int64
 }
 
 func newFakeClient(registry *facts.Registry) *fakeClient {
@@ -35,6 +38,9 @@
 		for _, update := range down.Facts {
 			receiver.Apply(update, time.Now())
 		}
+		if c.messages.Add(1) == 1 && c.onMessage != nil {
+			c.onMessage()
+		}
 	}
 }
 
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,7 +32,11 @@
 func (e *Elector) follow(ctx context.Context, holder Identity, revision uint64) {
 	for range maxRejectedJoins {
 		receiver, onDown := e.client.NewReceiver()
-		conn, err := link.Dial(ctx, holder.Address, e.member(), onDown)
+		var accepted atomic.Bool // a holder sends the facts to each instance that joins
+		conn, err := link.Dial(ctx, holder.Address, e.member(), func(down *linkpb.Down) {
+			accepted.Store(true)
+			onDown(down)
+		})
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			// No process listens on the address, so the holder has ended.
 			e.elect(ctx, revision, maxInheritedGrant)
@@ -52,7 +57,11 @@
 		if time.Since(joinedAt) >= storeRetryDelay || ctx.Err() != nil {
 			return
 		}
-		sleep(ctx, rejectedJoinDelay) // the instance at that address is not the holder yet
+		sleep(ctx, rejectedJoinDelay)
+		if accepted.Load() {
+			return
+		}
+		// The instance at that address is not the holder yet.
 	}
 	e.readStore(ctx)
 	sleep(ctx, storeRetryDelay)
