Hand over to a machine that is not much weaker while one may come back

A stopping holder handed over 1 s before its end to any candidate. In a rolling restart that was a weak machine whose link could not carry the facts for all followers, while a strong one came back 0.1 s later. The stopping holder now waits for a candidate with at least half of its processor share, from 2 s before its end on, and leaves the choice to the others when it ends.

The case of a weak follower fails without the condition.

--- a/internal/entrynode/constants.go
+++ b/internal/entrynode/constants.go
@@ -19,8 +19,9 @@
 	// exitReserve is the part of the grace period that is left for the process to exit.
 	exitReserve = 300 * time.Millisecond
 	// handOverReserve is how long before the end of draining an instance that is the
-	// holder hands over. Another instance is elected within it.
-	handOverReserve = time.Second
+	// holder may hand over. When a whole fleet restarts within seconds, its strong
+	// machines are back within it.
+	handOverReserve = 2 * time.Second
 	// electorReserve is how long before the end of draining the elector ends. A holder
 	// that could not hand over deletes its key in that time.
 	electorReserve = 300 * time.Millisecond
--- a/internal/holder/tenure.go
+++ b/internal/holder/tenure.go
@@ -48,10 +48,11 @@
 	}
 }
 
-// considerHandOver ends the tenure of an instance that is about to end, if another one
-// can become the holder.
+// considerHandOver ends the tenure of an instance that is about to end, if one on a
+// machine that is not much weaker can become the holder. In a rolling restart such an
+// instance may come back within moments.
 func (c *Coordinator) considerHandOver(now time.Time) {
-	if c.plannedStop.handOverDue(now) && c.hasCandidate() {
+	if c.plannedStop.handOverDue(now) && c.hasCandidate() && yieldShareRatio*c.maxProcessorShare() >= c.processorShare {
 		c.endTenure()
 	}
 }
