Read the store in an instance without facts if its holder sends nothing

An instance that had just started waited for the facts of the holder. If that instance was overloaded, or stopped and not the holder any more, it accepted the links and sent nothing: new instances had no configuration for up to 3 s of a rolling restart (1,000 refusals a second) and became ready one after another, so that the first one got the callers of all.

--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -83,7 +83,7 @@
 
 // monitorLink returns when the link has ended, when heartbeats are missing, or when
 // the holder has lost its key. While the holder cannot read the store, it reads the
-// store in place of the holder.
+// store in place of the holder, and while this instance has no facts, for itself.
 func (e *Elector) monitorLink(ctx context.Context, conn link.Link, receiver *link.FactsReceiver, holder Identity) {
 	for {
 		select {
@@ -99,6 +99,10 @@
 			e.log.Emit(events.HolderLost, "holder", holder.String(), "detail", "no heartbeat", "silent_ms", silence.Milliseconds())
 			return
 		}
+		if _, known := e.registry.Age(now); !known {
+			e.readStore(ctx) // the holder normally sends the facts as soon as an instance joins
+			continue
+		}
 		readDelay := followerReadDelay + time.Duration(rand.Int64N(int64(followerReadJitter)))
 		if age, known := e.registry.Age(now); known && age > readDelay && e.readForHolder(ctx, conn, receiver, holder) {
 			return
