Yield only once the record says so

A holder that yielded ended its tenure first and wrote to the record then, before it deleted its key. On an overloaded machine, which is when a holder should yield, that took 1.2 s without a holder. The yield is now written like any other change of the record while the holder goes on, and the tenure ends once it is stored.

--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -48,6 +48,9 @@
 
 	// processorShare is the share of a processor available on this machine.
 	processorShare float64
+	// yieldPlanned is set when the tenure is to end in favour of a stronger machine, once
+	// the record says so. It is used only by the event loop.
+	yieldPlanned bool
 	// yieldAllowedAt is when the tenure may first end in favour of a stronger machine.
 	yieldAllowedAt time.Time
 
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -132,11 +132,6 @@
 	<-readerDone // only one goroutine at a time may use the reader
 	e.coordinator.Store(nil)
 	e.log.Emit(events.HolderEnded, "epoch", found.Epoch, "yields", c.yielding.Load())
-	if c.yielding.Load() {
-		if err := records.markYielded(parent); err != nil {
-			e.log.Emit(events.OwnerRecordFailed, "detail", err.Error()) // the successor may then yield again
-		}
-	}
 	e.revokeLease(lease)
 	c.disconnectAll() // after the key has been deleted, as followers look for the next holder at once
 }
@@ -161,7 +156,7 @@
 func (e *Elector) renewLease(ctx context.Context, c *Coordinator, lease store.LeaseID, confirmedAt time.Time) {
 	for {
 		sleep(ctx, leaseRenewInterval)
-		if ctx.Err() != nil || c.superseded.Load() || c.yielding.Load() {
+		if ctx.Err() != nil || c.superseded.Load() {
 			return
 		}
 		sentAt := time.Now()
--- a/internal/holder/plannedstop_test.go
+++ b/internal/holder/plannedstop_test.go
@@ -129,5 +129,5 @@
 	}}
 	c.leaseConfirmedAt.Store(&now)
 	c.considerYield(now)
-	is.True(!c.yielding.Load())
+	is.True(!c.yieldPlanned)
 }
--- a/internal/holder/planning.go
+++ b/internal/holder/planning.go
@@ -58,10 +58,11 @@
 }
 
 // storeRecord writes the record of owners in the background. It does so at once if
-// moves cannot begin before they are stored, and after recordCleanupDelay if only the
-// end of moves must be recorded.
+// moves cannot begin before they are stored or this instance yields, and after
+// recordCleanupDelay if only the end of moves must be recorded.
 func (c *Coordinator) storeRecord(now time.Time) {
-	if c.storing || !c.table.Dirty() || !c.table.HasUnstoredMoves() && now.Sub(c.storedAt) < recordCleanupDelay {
+	due := c.table.Dirty() && (c.table.HasUnstoredMoves() || now.Sub(c.storedAt) >= recordCleanupDelay)
+	if c.storing || !due && !c.yieldPlanned {
 		return
 	}
 	c.storing = true
@@ -69,6 +70,7 @@
 	version := c.table.PlanVersion()
 	record := c.table.Record()
 	record.Instances = c.fleetSize(now)
+	record.Yielded = c.yieldPlanned
 	record.InheritedGrantsPending = !c.table.InheritedGrantsEnded(now)
 	record.Addresses = map[string]string{}
 	for incarnation := range record.Incarnations() {
@@ -94,6 +96,11 @@
 			c.storing = false
 			if err == nil {
 				c.table.MarkStored(version)
+				if record.Yielded {
+					c.yielding.Store(true)
+					c.endTenure()
+					return
+				}
 			}
 			c.tick()
 		})
--- a/internal/holder/processorshare_test.go
+++ b/internal/holder/processorshare_test.go
@@ -47,7 +47,7 @@
 			}}
 			c.leaseConfirmedAt.Store(&leaseConfirmedAt)
 			c.considerYield(now)
-			is.Equal(c.yielding.Load(), tc.yields)
+			is.Equal(c.yieldPlanned, tc.yields)
 		})
 	}
 }
--- a/internal/holder/recordstore.go
+++ b/internal/holder/recordstore.go
@@ -48,16 +48,6 @@
 	}
 }
 
-// markYielded records that the tenure has ended in favour of a stronger machine.
-func (s *recordStore) markYielded(ctx context.Context) error {
-	record, err := s.read(ctx)
-	if err != nil || record.Holder != s.tenureName {
-		return err
-	}
-	record.Yielded = true
-	return s.write(ctx, record)
-}
-
 // read returns the stored record, or an empty one if there is none.
 func (s *recordStore) read(ctx context.Context) (owners.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/internal/holder/tenure.go
+++ b/internal/holder/tenure.go
@@ -36,16 +36,14 @@
 	return outage <= maxStoreOutage && float64(len(c.followers)) >= retainedFollowerShare*float64(c.usualFollowers)
 }
 
-// considerYield ends the tenure when there is a follower on a much stronger machine
+// considerYield plans to end the tenure when there is a follower on a much stronger machine
 // and the lease has been confirmed recently, so that the follower is likely to reach
-// the store as well.
+// the store as well. The tenure ends once the record says so, as that may take long on
+// an overloaded machine.
 func (c *Coordinator) considerYield(now time.Time) {
-	if now.Before(c.yieldAllowedAt) || c.maxProcessorShare() < yieldShareRatio*c.processorShare {
-		return
-	}
-	if leaseConfirmedAt := c.leaseConfirmedAt.Load(); leaseConfirmedAt != nil && now.Sub(*leaseConfirmedAt) < leaseTTL {
-		c.yielding.Store(true)
-	}
+	leaseConfirmedAt := c.leaseConfirmedAt.Load()
+	c.yieldPlanned = !now.Before(c.yieldAllowedAt) && c.maxProcessorShare() >= yieldShareRatio*c.processorShare &&
+		leaseConfirmedAt != nil && now.Sub(*leaseConfirmedAt) < leaseTTL
 }
 
 // considerHandOver ends the tenure of an instance that is about to end, if one on a
