Do not yield between machines of unknown strength

Without processor shares in the settings, a holder took its followers for at least twice as strong (0 >= 2 * 0) and yielded to them every 15 s. The case of unknown shares fails without the change.

--- a/internal/holder/processorshare_test.go
+++ b/internal/holder/processorshare_test.go
@@ -26,23 +26,24 @@
 // against weak machines that yield one after another to one that cannot take over.
 func TestWeakHolderYieldsOnce(t *testing.T) {
 	cases := []struct {
-		name           string
-		follower       float64
-		yieldAllowedIn time.Duration
-		leaseAge       time.Duration
-		yields         bool
+		name             string
+		holder, follower float64
+		yieldAllowedIn   time.Duration
+		leaseAge         time.Duration
+		yields           bool
 	}{
-		{"stronger follower", 0.8, 0, 0, true},
-		{"equal followers", 0.16, 0, 0, false},
-		{"yieldDelay or yieldCooldown not over", 0.8, time.Second, 0, false},
-		{"lease not confirmed", 0.8, 0, leaseTTL, false},
+		{"stronger follower", 0.16, 0.8, 0, 0, true},
+		{"equal followers", 0.16, 0.16, 0, 0, false},
+		{"yieldDelay or yieldCooldown not over", 0.16, 0.8, time.Second, 0, false},
+		{"lease not confirmed", 0.16, 0.8, 0, leaseTTL, false},
+		{"unknown shares", 0, 0, 0, 0, false},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			now := time.Unix(1000, 0)
 			leaseConfirmedAt := now.Add(-tc.leaseAge)
-			c := &Coordinator{processorShare: 0.16, yieldAllowedAt: now.Add(tc.yieldAllowedIn), followers: map[*link.Follower]bool{
+			c := &Coordinator{processorShare: tc.holder, yieldAllowedAt: now.Add(tc.yieldAllowedIn), followers: map[*link.Follower]bool{
 				{Member: link.Member{ProcessorShare: tc.follower}}: true,
 			}}
 			c.leaseConfirmedAt.Store(&leaseConfirmedAt)
--- a/internal/holder/tenure.go
+++ b/internal/holder/tenure.go
@@ -41,8 +41,8 @@
 // the store as well. The tenure ends once the record says so, as that may take long on
 // an overloaded machine.
 func (c *Coordinator) considerYield(now time.Time) {
-	leaseConfirmedAt := c.leaseConfirmedAt.Load()
-	c.yieldPlanned = !now.Before(c.yieldAllowedAt) && c.maxProcessorShare() >= yieldShareRatio*c.processorShare &&
+	leaseConfirmedAt, strongest := c.leaseConfirmedAt.Load(), c.maxProcessorShare()
+	c.yieldPlanned = !now.Before(c.yieldAllowedAt) && strongest > 0 && strongest >= yieldShareRatio*c.processorShare &&
 		leaseConfirmedAt != nil && now.Sub(*leaseConfirmedAt) < leaseTTL
 }
 
