Notice the end of a tenure also while the store rejects reads

An instance whose holder could not read the store read it in its place. After a failed read it waited, up to 12 s in a fleet of 72, and noticed neither the end of the link nor missing heartbeats meanwhile: it kept the configuration of its former holder and placed requests without a holder.

The next read is now delayed instead, at the same rate.

--- a/internal/holder/fakeclient_test.go
+++ b/internal/holder/fakeclient_test.go
@@ -16,6 +16,7 @@
 	// onMessage, if set, is called at the first message from a holder.
 	onMessage func()
 	messages  atomic.Int64
+	fleetSize int
 }
 
 func newFakeClient(registry *facts.Registry) *fakeClient {
@@ -45,5 +46,5 @@
 }
 
 func (c *fakeClient) SilentFor(now time.Time) time.Duration { return now.Sub(*c.heardAt.Load()) }
-func (c *fakeClient) FleetSize() int                        { return 0 }
+func (c *fakeClient) FleetSize() int                        { return c.fleetSize }
 func (c *fakeClient) MaxProcessorShare() float64            { return 0 }
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -85,6 +85,7 @@
 // the holder has lost its key. While the holder cannot read the store, it reads the
 // store in place of the holder, and while this instance has no facts, for itself.
 func (e *Elector) monitorLink(ctx context.Context, conn link.Link, receiver *link.FactsReceiver, holder Identity) {
+	var nextReadAt time.Time // after a read that failed
 	for {
 		select {
 		case <-ctx.Done():
@@ -99,42 +100,54 @@
 			e.log.Emit(events.HolderLost, "holder", holder.String(), "detail", "no heartbeat", "silent_ms", silence.Milliseconds())
 			return
 		}
-		if _, known := e.registry.Age(now); !known {
-			e.readStore(ctx) // the holder normally sends the facts as soon as an instance joins
+		if now.Before(nextReadAt) {
 			continue
 		}
+		var err error
+		holderLost := false
 		readDelay := followerReadDelay + time.Duration(rand.Int64N(int64(followerReadJitter)))
-		if age, known := e.registry.Age(now); known && age > readDelay && e.readForHolder(ctx, conn, receiver, holder) {
+		if age, known := e.registry.Age(now); !known {
+			err = e.readFacts(ctx) // the holder normally sends the facts as soon as an instance joins
+		} else if age > readDelay {
+			holderLost, err = e.readForHolder(ctx, conn, receiver, holder)
+		}
+		if holderLost {
 			return
 		}
+		if err != nil {
+			nextReadAt = time.Now().Add(fleetBackoff(e.client.FleetSize()))
+		}
 	}
 }
 
 // readForHolder reads the store in place of the holder and sends the holder what has
 // changed. It reports whether the holder has lost its key.
-func (e *Elector) readForHolder(ctx context.Context, conn link.Link, receiver *link.FactsReceiver, holder Identity) bool {
+func (e *Elector) readForHolder(ctx context.Context, conn link.Link, receiver *link.FactsReceiver, holder Identity) (lost bool, err error) {
 	if err := e.reader.Read(ctx); err != nil {
-		sleep(ctx, fleetBackoff(e.client.FleetSize()))
-		return false
+		return false, err
 	}
 	e.log.Emit(events.ReadForHolder, "holder", holder.String())
 	conn.Send(&linkpb.Up{Facts: receiver.EncodeReading(time.Now())}) // if the link has ended, monitorLink notices
 	found, _, err := e.readHolder(ctx)
-	return errors.Is(err, store.ErrNotFound) || err == nil && found != holder
+	return errors.Is(err, store.ErrNotFound) || err == nil && found != holder, nil
 }
 
 // readStore reads the facts and the owners from the store while the holder cannot be
-// reached.
+// reached. After a failure it waits.
 func (e *Elector) readStore(ctx context.Context) {
-	err := e.reader.Read(ctx)
-	if err == nil {
-		err = e.readOwners(ctx)
-	}
-	if err != nil {
+	if e.readFacts(ctx) != nil {
 		sleep(ctx, backoff())
 	}
 }
 
+// readFacts reads the facts and the owners from the store.
+func (e *Elector) readFacts(ctx context.Context) error {
+	if err := e.reader.Read(ctx); err != nil {
+		return err
+	}
+	return e.readOwners(ctx)
+}
+
 // readOwners publishes the owners of keys as the stored record has them.
 func (e *Elector) readOwners(ctx context.Context) error {
 	record, err := (&recordStore{store: e.store}).read(ctx)
