--- a/internal/holder/fakeclient_test.go
+++ b/internal/holder/fakeclient_test.go
@@ -13,6 +13,10 @@
 type fakeClient struct {
 	registry *facts.Registry
 	heardAt  atomic.Pointer[time.Time]
+	// onMessage, if set, is called at the first message from a holder.
+	onMessage func()
+	messages  atomic.Int64
+	fleetSize int
 }
 
 func newFakeClient(registry *facts.Registry) *fakeClient {
@@ -35,9 +39,12 @@
 		for _, update := range down.Facts {
 			receiver.Apply(update, time.Now())
 		}
+		if c.messages.Add(1) == 1 && c.onMessage != nil {
+			c.onMessage()
+		}
 	}
 }
 
 func (c *fakeClient) SilentFor(now time.Time) time.Duration { return now.Sub(*c.heardAt.Load()) }
-func (c *fakeClient) FleetSize() int                        { return 0 }
+func (c *fakeClient) FleetSize() int                        { return c.fleetSize }
 func (c *fakeClient) MaxProcessorShare() float64            { return 0 }
