--- /dev/null
+++ b/internal/dev/tcpproxy/proxy.go
@@ -0,0 +1,127 @@
+// Package tcpproxy is a TCP proxy on loopback that injects faults into the connections
+// between two processes.
+package tcpproxy
+
+import (
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// dialTimeout bounds connecting to the target, which is on loopback.
+const dialTimeout = time.Second
+
+// Proxy accepts connections at its address and passes them on to its target.
+type Proxy struct {
+	address string
+	target  string
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	fault    Fault
+	listener net.Listener
+	// accepting is closed when the listener's goroutine has ended.
+	accepting chan struct{}
+	links     map[*link]bool
+}
+
+// New returns a proxy that is not open yet. The seed decides which connections a fault affects.
+func New(address, target string, seed uint64) *Proxy {
+	return &Proxy{address: address, target: target, random: rand.New(rand.NewPCG(seed, 0)), links: map[*link]bool{}}
+}
+
+// Address returns host:port at which the proxy listens.
+func (p *Proxy) Address() string {
+	return p.address
+}
+
+// Open starts to accept connections.
+func (p *Proxy) Open() error {
+	listener, err := net.Listen("tcp4", p.address)
+	if err != nil {
+		return errors.Wrap(err, "proxy cannot listen; check that the address is free")
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listener, p.accepting = listener, make(chan struct{})
+	go p.accept(listener, p.accepting)
+	return nil
+}
+
+// Close stops accepting connections, so that further ones are refused, and resets the
+// open ones, as the end of the target's process does. The proxy may be opened again.
+func (p *Proxy) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		<-p.accepting // until then the kernel may still complete connections
+		p.listener = nil
+	}
+	for l := range p.links {
+		l.reset()
+	}
+}
+
+// SetFault applies a fault to a share of the open connections and of those to come,
+// until it is replaced. The zero Fault ends it.
+func (p *Proxy) SetFault(fault Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = fault
+	for l := range p.links {
+		l.setFault(p.draw())
+	}
+}
+
+// draw returns the fault of one connection. The caller holds the lock.
+func (p *Proxy) draw() Fault {
+	fault := p.fault
+	if fault.Kind == "" || p.random.Float64() >= fault.Share {
+		return Fault{}
+	}
+	if fault.Kind == FaultReset {
+		fault.Delay = time.Duration(p.random.Float64() * float64(fault.Delay))
+	}
+	return fault
+}
+
+func (p *Proxy) accept(listener net.Listener, ended chan<- struct{}) {
+	defer close(ended)
+	for {
+		client, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(client.(*net.TCPConn), listener)
+	}
+}
+
+func (p *Proxy) serve(client *net.TCPConn, listener net.Listener) {
+	server, err := net.DialTimeout("tcp4", p.target, dialTimeout)
+	if err != nil {
+		_ = client.SetLinger(0)
+		_ = client.Close()
+		return
+	}
+	l := p.add(client, server.(*net.TCPConn), listener)
+	l.run()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.links, l)
+}
+
+// add creates the link of a connection that listener has accepted.
+func (p *Proxy) add(client, server *net.TCPConn, listener net.Listener) *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := newLink(client, server, p.draw())
+	p.links[l] = true
+	if p.listener != listener {
+		l.reset()
+	}
+	return l
+}
