Callers, programs: let a readiness probe miss, and pass signals to a child

The platform's load balancer keeps an instance in rotation for some failed probes. A run with faults sends more signals than a stop and needs to know how a process ended.

--- a/internal/dev/callers/entryinstance.go
+++ b/internal/dev/callers/entryinstance.go
@@ -20,7 +20,12 @@
 	// CallerAddress and OperatorAddress are the host:port of the endpoints for callers and operators.
 	CallerAddress   string
 	OperatorAddress string
-	ready           atomic.Bool
+	// ReadyPath is the path of the readiness probe; the default is /ready.
+	ReadyPath string
+	// MaxMisses is how many failed probes in a row leave the instance ready.
+	MaxMisses int
+	ready     atomic.Bool
+	misses    int
 }
 
 // Ready reports whether the last probe found the instance ready.
@@ -30,18 +35,32 @@
 
 // probe updates ready from the readiness endpoint of the instance.
 func (e *EntryInstance) probe(ctx context.Context, client *http.Client) {
+	if e.answersReady(ctx, client) {
+		e.misses = 0
+		e.ready.Store(true)
+		return
+	}
+	e.misses++
+	if e.misses > e.MaxMisses {
+		e.ready.Store(false)
+	}
+}
+
+func (e *EntryInstance) answersReady(ctx context.Context, client *http.Client) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.OperatorAddress+"/ready", nil)
+	path := e.ReadyPath
+	if path == "" {
+		path = "/ready"
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.OperatorAddress+path, nil)
 	if err != nil {
-		e.ready.Store(false)
-		return
+		return false
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		e.ready.Store(false)
-		return
+		return false
 	}
 	_ = response.Body.Close()
-	e.ready.Store(response.StatusCode == http.StatusOK)
+	return response.StatusCode == http.StatusOK
 }
--- a/internal/dev/programs/child.go
+++ b/internal/dev/programs/child.go
@@ -79,6 +79,22 @@
 	}
 }
 
+// Signal sends a signal to the process; one that has ended ignores it.
+func (c *Child) Signal(signal os.Signal) {
+	_ = c.command.Process.Signal(signal)
+}
+
+// Done returns a channel that is closed when the process has ended.
+func (c *Child) Done() <-chan struct{} {
+	return c.done
+}
+
+// Err returns how the process ended: nil after exit code 0. It must be called after the
+// channel of Done is closed.
+func (c *Child) Err() error {
+	return c.err
+}
+
 func (c *Child) PID() int {
 	return c.command.Process.Pid
 }
