Add a randomized soak of peridotmoor-entry

It runs the program as separate processes on loopback, draws planned stops, losses, faults of connections, store outages and configuration changes from a seed, and checks what callers and backend servers see against the platform's pages.

--- a/internal/dev/command/main.go
+++ b/internal/dev/command/main.go
@@ -34,7 +34,7 @@
 	parser.Description = "development stand-ins for the platform, backend servers and callers, and the demo"
 	// For an unknown argument the program prints the help text and exits with code 2.
 	parser.ShowHelpOnUnexpected = true
-	commands := []subcommand{&platformCommand{}, &serversCommand{}, &callersCommand{}, &demoCommand{}, &benchCommand{}}
+	commands := []subcommand{&platformCommand{}, &serversCommand{}, &callersCommand{}, &demoCommand{}, &benchCommand{}, &soakCommand{}}
 	attached := make([]*flaggy.Subcommand, len(commands))
 	for i, command := range commands {
 		attached[i] = command.attach()
@@ -56,6 +56,6 @@
 		}
 		return exitOK
 	}
-	fmt.Fprintln(stderr, "peridotmoor-dev: name a subcommand: platform, servers, callers, demo or bench (--help lists their flags)")
+	fmt.Fprintln(stderr, "peridotmoor-dev: name a subcommand: platform, servers, callers, demo, bench or soak (--help lists their flags)")
 	return exitUsage
 }
--- /dev/null
+++ b/internal/dev/soak/backend/config.go
@@ -0,0 +1,18 @@
+package backend
+
+import "time"
+
+// Config describes one backend server of the platform.
+type Config struct {
+	Service string
+	Domain  string
+	// Keyed servers run a request only while they hold a grant for its key.
+	Keyed bool
+	// Slots is how many requests run at once; as many more wait.
+	Slots int
+	// ClockRate is the speed of the server's clock. A slow clock makes grants last longer.
+	ClockRate float64
+	// Heartbeat is the interval of the server's status reports.
+	Heartbeat time.Duration
+	Seed      uint64
+}
--- /dev/null
+++ b/internal/dev/soak/backend/serve.go
@@ -0,0 +1,157 @@
+package backend
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/dev/payload"
+	"peridotmoor.org/peridotmoor/internal/dev/runlog"
+)
+
+// HealthPath is the path of the health check.
+const HealthPath = "/health"
+
+// headerNotExecuted marks a response to a request that was not run.
+const headerNotExecuted = "X-Not-Executed"
+
+// ServeHTTP serves requests, grants, releases and health checks.
+func (i *incarnation) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Instance-Load", fmt.Sprintf("%d,%d,%d", len(i.slots), i.waiting.Load(), i.config.Slots))
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != i.id {
+		refuse(w, http.StatusMisdirectedRequest)
+		return
+	}
+	if i.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	switch r.URL.Path {
+	case "/grant", "/release":
+		i.serveOrder(w, r)
+	case HealthPath:
+		w.Header().Set("X-Instance-Id", i.id)
+		if i.draining.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	default:
+		i.serveRequest(w, r)
+	}
+}
+
+func refuse(w http.ResponseWriter, status int) {
+	w.Header().Set(headerNotExecuted, "1")
+	w.WriteHeader(status)
+}
+
+func (i *incarnation) serveRequest(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Attempt-Id")
+	timeout, err := strconv.ParseFloat(r.Header.Get("X-Deadline-Ms"), 64)
+	if id == "" || err != nil {
+		refuse(w, http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("X-Attempt-Id", id)
+	key := -1
+	if i.config.Keyed {
+		if key, err = strconv.Atoi(r.Header.Get("X-Shard-Key")); err != nil || key < 0 || key >= keyCount {
+			refuse(w, http.StatusBadRequest)
+			return
+		}
+		if grant := i.keyGrant(key); !grant.validAt(time.Now()) {
+			refuse(w, http.StatusMisdirectedRequest)
+			return
+		}
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(timeout*float64(time.Millisecond)))
+	defer cancel()
+	if !i.awaitSlot(ctx) {
+		refuse(w, http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-i.slots }()
+	if key >= 0 {
+		if !i.owners.start(i, key, id) {
+			refuse(w, http.StatusMisdirectedRequest)
+			return
+		}
+		defer i.endKey(key)
+	}
+	index := i.log.Begin(runlog.Execution{
+		RequestID: id, Service: i.config.Service, Key: strconv.Itoa(key), Server: i.id, Incarnation: i.id,
+		Idempotent: r.Method == http.MethodGet, TimeoutMS: int64(timeout), Start: time.Now(),
+	})
+	answered := false
+	defer func() {
+		i.log.End(index, time.Now(), answered, !answered && i.ctx.Err() == nil && r.Context().Err() != nil)
+	}()
+	answered = i.run(ctx, w, r, key, fmt.Sprintf("%s.%d", i.id, index))
+}
+
+// awaitSlot waits for a slot. It returns false if the queue is full or the request's
+// time is up.
+func (i *incarnation) awaitSlot(ctx context.Context) bool {
+	select {
+	case i.slots <- struct{}{}:
+		return true
+	default:
+	}
+	defer i.waiting.Add(-1)
+	if i.waiting.Add(1) > int64(i.config.Slots) {
+		return false
+	}
+	select {
+	case i.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// run runs a request and reports whether its complete response was written. The query
+// says how long the work takes and how long the body of the response is. The body is
+// bound to the stamp, which names the server and the index of the run in the log.
+func (i *incarnation) run(ctx context.Context, w http.ResponseWriter, r *http.Request, key int, stamp string) bool {
+	content, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("X-Response-Stamp", stamp)
+	if len(content) > 0 && payload.Check(r.Header.Get("X-Attempt-Id"), len(content), content) != nil {
+		w.Header().Set(HeaderBodyMismatch, "1")
+	}
+	work, size := queryInt(r, "work_ms"), queryInt(r, "size")
+	select {
+	case <-time.After(time.Duration(work) * time.Millisecond):
+	case <-i.ctx.Done():
+	case <-ctx.Done():
+	}
+	if i.ctx.Err() != nil || r.Context().Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if ctx.Err() != nil {
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return true
+	}
+	if key >= 0 && i.grantExpired(key) {
+		w.WriteHeader(http.StatusInternalServerError)
+		return true
+	}
+	body := payload.Make(stamp, size)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, err = w.Write(body)
+	return err == nil && http.NewResponseController(w).Flush() == nil
+}
+
+// HeaderBodyMismatch marks the response to a request whose body is not its caller's.
+const HeaderBodyMismatch = "X-Body-Mismatch"
+
+func queryInt(r *http.Request, name string) int {
+	n, err := strconv.Atoi(r.URL.Query().Get(name))
+	if err != nil || n < 0 {
+		return 0
+	}
+	return n
+}
--- /dev/null
+++ b/internal/dev/soak/backend/server.go
@@ -0,0 +1,175 @@
+// Package backend simulates the backend servers of the users' platform: they speak its
+// published protocol, register themselves in its store and are reached through a proxy
+// that injects faults.
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/dev/runlog"
+	"peridotmoor.org/peridotmoor/internal/dev/tcpproxy"
+	"peridotmoor.org/peridotmoor/internal/store"
+	"peridotmoor.org/peridotmoor/internal/store/memstore"
+)
+
+const (
+	// missedHeartbeats is after how many missing status reports a server's entry is removed.
+	missedHeartbeats = 3
+	// reportTimeout bounds one status report.
+	reportTimeout = 500 * time.Millisecond
+	// drainSlack is how much longer than announced a draining server serves.
+	drainSlack = time.Second
+)
+
+// Server is one backend server over its incarnations.
+type Server struct {
+	config Config
+	name   string
+	store  *memstore.Store
+	log    *runlog.Log
+	owners *Owners
+
+	mu      sync.Mutex
+	current *incarnation
+	starts  int
+}
+
+// NewServer returns a server that is not started. It registers itself in the store.
+func NewServer(name string, config Config, store *memstore.Store, log *runlog.Log, owners *Owners) *Server {
+	return &Server{name: name, config: config, store: store, log: log, owners: owners}
+}
+
+// Start starts a new incarnation with an ID of its own.
+func (s *Server) Start() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current != nil {
+		return errors.Errorf("backend server %s is already running", s.name)
+	}
+	s.starts++
+	i, err := startIncarnation(fmt.Sprintf("%s.%d", s.name, s.starts), s.config, s.log, s.owners)
+	if err != nil {
+		return err
+	}
+	s.current = i
+	go s.report(i)
+	return nil
+}
+
+// ID returns the ID of the running incarnation, or "".
+func (s *Server) ID() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current == nil {
+		return ""
+	}
+	return s.current.id
+}
+
+// SetFault sets the fault of the connections to the server.
+func (s *Server) SetFault(fault tcpproxy.Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current != nil {
+		s.current.proxy.SetFault(fault)
+	}
+}
+
+// Crash ends the incarnation. Its entry in the store stays until its status reports are missed.
+func (s *Server) Crash() {
+	if i := s.stop(); i != nil {
+		i.crash()
+		time.AfterFunc(missedHeartbeats*s.config.Heartbeat, func() { s.store.Delete(storeKey(i.id)) })
+	}
+}
+
+// Drain announces that the server leaves, serves for as long as the platform's pages
+// say and a little longer, and ends the incarnation once its requests have ended.
+func (s *Server) Drain(ctx context.Context, drainTime time.Duration) {
+	s.mu.Lock()
+	i := s.current
+	s.mu.Unlock()
+	if i == nil {
+		return
+	}
+	i.draining.Store(true)
+	for s.put(i) != nil && ctx.Err() == nil {
+		time.Sleep(s.config.Heartbeat)
+	}
+	time.Sleep(drainTime + drainSlack)
+	s.stop()
+	s.store.Delete(storeKey(i.id))
+	ctx, cancel := context.WithTimeout(context.Background(), drainTime)
+	defer cancel()
+	_ = i.http.Shutdown(ctx) // requests that still run are cut off by the crash
+	i.crash()
+}
+
+// Close ends the server without a trace in the store.
+func (s *Server) Close() {
+	if i := s.stop(); i != nil {
+		i.crash()
+	}
+}
+
+func (s *Server) stop() *incarnation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := s.current
+	s.current = nil
+	return i
+}
+
+// report writes the entry of the incarnation until that ends.
+func (s *Server) report(i *incarnation) {
+	ticker := time.NewTicker(s.config.Heartbeat)
+	defer ticker.Stop()
+	for s.running(i) {
+		_ = s.put(i) // the store may be down; the next report follows
+		select {
+		case <-ticker.C:
+		case <-i.ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Server) running(i *incarnation) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current == i
+}
+
+// put writes the entry of the incarnation once.
+func (s *Server) put(i *incarnation) error {
+	state := "ready"
+	if i.draining.Load() {
+		state = "draining"
+	}
+	value, err := json.Marshal(map[string]any{
+		"address": i.proxy.Address(), "born": i.startedAt.UnixMilli(),
+		"info":   map[string]any{"service": s.config.Service, "zone": s.config.Domain, "slots": s.config.Slots, "version": "1"},
+		"status": map[string]any{"state": state, "sequence": i.sequence.Add(1), "cold_remaining_s": 0.0},
+	})
+	if err != nil {
+		return errors.Wrap(err, "encode the entry of a backend server")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	entry, err := s.store.Get(ctx, storeKey(i.id))
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return err
+	}
+	_, err = s.store.CompareAndSwap(ctx, storeKey(i.id), entry.Revision, value, "")
+	return err
+}
+
+func storeKey(id string) string {
+	return "servers/" + id
+}
--- /dev/null
+++ b/internal/dev/soak/caller/caller.go
@@ -0,0 +1,227 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// maxAttempts is how often a caller sends one request.
+	maxAttempts = 3
+	// maxPipelined is the largest number of requests sent without waiting for a response.
+	maxPipelined = 5
+	// retryPause is the least wait before a request is sent again.
+	retryPause = 20 * time.Millisecond
+	// maxThinkTime is the longest usual pause between requests; idleTime is a long one
+	// on a kept connection.
+	maxThinkTime = 150 * time.Millisecond
+	idleTime     = 1500 * time.Millisecond
+)
+
+// Caller sends requests one after the other or pipelined, on one connection at a time.
+type Caller struct {
+	Name     string
+	Domain   string
+	Balancer *Balancer
+	Routes   []*Route
+	Log      *Log
+	// OnFault is called when bytes arrive that belong to no request.
+	OnFault func(error)
+	// Random decides what the caller does.
+	Random *rand.Rand
+
+	conn  *conn
+	avoid *Instance
+	count int
+}
+
+// Run sends requests until ctx is done, and returns after the last one has ended.
+func (c *Caller) Run(ctx context.Context) {
+	defer c.disconnect()
+	for ctx.Err() == nil {
+		if draw := c.Random.IntN(100); draw < 20 {
+			c.pipeline(ctx)
+		} else {
+			c.request(ctx, draw)
+		}
+		pause := time.Duration(c.Random.Int64N(int64(maxThinkTime)))
+		if c.Random.IntN(20) == 0 {
+			pause = idleTime
+		}
+		sleep(ctx, pause)
+	}
+}
+
+// Send sends one idle request over the route through a new connection, for a check of the service.
+func (c *Caller) Send(ctx context.Context, instance *Instance, route *Route, key int) *Attempt {
+	c.disconnect()
+	a := c.attempt(c.nextRequest(), route, 0, 0)
+	a.Key = key
+	conn, err := dial(instance)
+	if err != nil {
+		a.Result = Unsent
+		return a
+	}
+	c.conn = conn
+	c.exchange(ctx, []*Attempt{a})
+	return a
+}
+
+// route draws a route; those that only some versions have come last and are drawn seldom.
+func (c *Caller) route() *Route {
+	n := c.Random.IntN(len(c.Routes))
+	return c.Routes[min(n, c.Random.IntN(len(c.Routes)))]
+}
+
+func (c *Caller) nextRequest() string {
+	c.count++
+	return fmt.Sprintf("%s-%d", c.Name, c.count)
+}
+
+// attempt returns the first attempt of a request.
+func (c *Caller) attempt(request string, route *Route, work time.Duration, size int) *Attempt {
+	return &Attempt{
+		ID: request + ".1", Request: request, Route: route, Timeout: route.Timeout + 2*time.Second, Key: keys[c.Random.IntN(len(keys))], size: size,
+		Target: fmt.Sprintf("%s%s?work_ms=%d&size=%d", route.Prefix, request, work.Milliseconds(), size),
+	}
+}
+
+// request sends one request until it is answered or may not be sent again.
+func (c *Caller) request(ctx context.Context, draw int) {
+	a := c.attempt(c.nextRequest(), c.route(), serviceTime(c.Random), responseSize(c.Random))
+	switch {
+	case a.Route.Upload:
+		a.bodyBytes = 1 + c.Random.IntN(900<<10)
+		a.chunked = c.Random.IntN(2) == 0
+		a.chunkPause = time.Duration(c.Random.Int64N(int64(maxThinkTime)))
+	case !a.Route.Idempotent:
+		a.bodyBytes = 8 + c.Random.IntN(2000)
+	}
+	if draw >= 92 {
+		a.leavesAfter = time.Duration(1 + c.Random.Int64N(int64(time.Second)))
+	}
+	deadline := time.Now().Add(a.Timeout)
+	for number := 1; ; number++ {
+		if c.connect() {
+			c.exchange(ctx, []*Attempt{a})
+		} else {
+			a.Result = Unsent
+		}
+		if !a.mayRetry() || number == maxAttempts || ctx.Err() != nil || time.Until(deadline) < retryPause {
+			return
+		}
+		c.disconnect()
+		sleep(ctx, min(max(a.retryAfter, retryPause), time.Until(deadline)/3))
+		a = a.again(number+1, time.Until(deadline))
+	}
+}
+
+// again returns the next attempt of the request.
+func (a *Attempt) again(number int, left time.Duration) *Attempt {
+	return &Attempt{
+		ID: fmt.Sprintf("%s.%d", a.Request, number), Request: a.Request, Route: a.Route, Target: a.Target, Key: a.Key, Timeout: left,
+		bodyBytes: a.bodyBytes, chunked: a.chunked, size: a.size,
+	}
+}
+
+// pipeline sends several idempotent requests without waiting for their responses.
+// Those without a response because of an announced close are sent again.
+func (c *Caller) pipeline(ctx context.Context) {
+	var batch []*Attempt
+	for n := range 2 + c.Random.IntN(maxPipelined-1) {
+		route := c.route()
+		if !route.Idempotent {
+			continue
+		}
+		batch = append(batch, c.attempt(c.nextRequest(), route, serviceTime(c.Random), responseSize(c.Random)))
+		batch[len(batch)-1].Ahead = min(n, len(batch)-1)
+	}
+	for number := 2; len(batch) > 0 && number <= maxAttempts+1 && ctx.Err() == nil && c.connect(); number++ {
+		c.exchange(ctx, batch)
+		var unanswered []*Attempt
+		for _, a := range batch {
+			if a.mayRetry() {
+				next := a.again(number, a.Timeout)
+				next.Ahead = len(unanswered)
+				unanswered = append(unanswered, next)
+			}
+		}
+		batch = unanswered
+	}
+}
+
+// exchange sends the attempts on the connection, reads their responses in order and
+// logs them.
+func (c *Caller) exchange(ctx context.Context, batch []*Attempt) {
+	conn := c.conn
+	for _, a := range batch {
+		if err := conn.send(a); err != nil {
+			a.Detail = "send: " + err.Error()
+		}
+	}
+	open, result := true, Cut
+	for _, a := range batch {
+		if !open {
+			a.Result, a.EndedAt = result, time.Now()
+			c.Log.add(a)
+			continue
+		}
+		open = conn.receive(a)
+		result = a.Result
+		if !open && a.Result == Complete {
+			result = Unanswered
+			if err := conn.awaitClose(); err != nil {
+				c.OnFault(err)
+			}
+		}
+		c.Log.add(a)
+	}
+	if !open || ctx.Err() != nil {
+		c.disconnect()
+	}
+}
+
+// connect makes sure that there is a connection and reports whether there is one. Some
+// kept connections are used without a check whether the instance has closed them.
+func (c *Caller) connect() bool {
+	if c.conn != nil && c.Random.IntN(3) > 0 {
+		usable, err := c.conn.usable()
+		if err != nil {
+			c.OnFault(err)
+		}
+		if !usable {
+			c.disconnect()
+		}
+	}
+	if c.conn != nil {
+		return true
+	}
+	instance := c.Balancer.Pick(c.Random, c.Domain, c.avoid)
+	conn, err := dial(instance)
+	if err != nil {
+		c.avoid = instance
+		return false
+	}
+	c.conn = conn
+	return true
+}
+
+func (c *Caller) disconnect() {
+	if c.conn != nil {
+		c.avoid = c.conn.instance
+		c.conn.close()
+		c.conn = nil
+	}
+}
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/dev/soak/check/impairments.go
@@ -0,0 +1,63 @@
+package check
+
+import (
+	"sync"
+	"time"
+)
+
+// Store is the name of the store among the subjects of impairments. The others are
+// names of instances and IDs of backend servers.
+const Store = "store"
+
+// Impairments records when faults other than planned stops affected whom.
+type Impairments struct {
+	mu    sync.Mutex
+	spans map[string][]*span
+}
+
+// NewImpairments returns a record without impairments.
+func NewImpairments() *Impairments {
+	return &Impairments{spans: map[string][]*span{}}
+}
+
+// Begin records that an impairment of the subjects begins, and returns the function
+// that records its end.
+func (i *Impairments) Begin(subjects ...string) (end func()) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	s := &span{from: time.Now()}
+	for _, subject := range subjects {
+		i.spans[subject] = append(i.spans[subject], s)
+	}
+	return func() {
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		s.until = time.Now()
+	}
+}
+
+// any reports whether the subject was impaired at some time from from to until.
+func (i *Impairments) any(subject string, from, until time.Time) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, s := range i.spans[subject] {
+		if s.overlaps(from, until) {
+			return true
+		}
+	}
+	return false
+}
+
+// duringOrAfter reports whether at lies in an impairment of anyone, or no later than slack after it.
+func (i *Impairments) duringOrAfter(at time.Time, slack time.Duration) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, spans := range i.spans {
+		for _, s := range spans {
+			if s.overlaps(at.Add(-slack), at) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/dev/soak/eventkind.go
@@ -0,0 +1,24 @@
+package soak
+
+// eventKind is a kind of fault or planned work.
+type eventKind string
+
+const (
+	eventStop          eventKind = "stop"          // SIGTERM, and a start after the end
+	eventStopTwice     eventKind = "stop twice"    // SIGTERM, and another one during the stop
+	eventStopAtStart   eventKind = "stop at start" // stop, start, SIGTERM right after the start, start
+	eventKill          eventKind = "kill"
+	eventPause         eventKind = "pause"
+	eventHangup        eventKind = "hangup"
+	eventConfigure     eventKind = "configure"
+	eventStoreDown     eventKind = "store down"
+	eventStoreSlow     eventKind = "store slow"
+	eventStoreLost     eventKind = "store loses answers"
+	eventStoreCut      eventKind = "store cut" // connections of one instance to the store
+	eventPeerFault     eventKind = "peer fault"
+	eventServerFault   eventKind = "server fault"
+	eventServerCrash   eventKind = "server crash"
+	eventServerDrain   eventKind = "server drain"
+	eventStopSeveral   eventKind = "stop several" // stops of several instances that overlap
+	eventConfigureTwin eventKind = "configure twice"
+)
--- /dev/null
+++ b/internal/dev/soak/play.go
@@ -0,0 +1,276 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/dev/callers"
+	"peridotmoor.org/peridotmoor/internal/dev/kvstore"
+	"peridotmoor.org/peridotmoor/internal/dev/ports"
+	"peridotmoor.org/peridotmoor/internal/dev/programs"
+	"peridotmoor.org/peridotmoor/internal/dev/runlog"
+	"peridotmoor.org/peridotmoor/internal/dev/soak/backend"
+	"peridotmoor.org/peridotmoor/internal/dev/soak/caller"
+	"peridotmoor.org/peridotmoor/internal/dev/soak/check"
+)
+
+const (
+	// domainCount is the number of failure domains, as in the users' deployments.
+	domainCount = 3
+	// slotsPerServer is how many requests a backend server runs at once.
+	slotsPerServer = 8
+	// heartbeat is the interval of the status reports of the backend servers.
+	heartbeat = 870 * time.Millisecond
+	// maxClockError is how much slower than real time the clock of a backend server may run.
+	maxClockError = 0.02
+	// accountFile is the name of the file that explains the failure of a seed.
+	accountFile = "account.txt"
+	// readyTime limits the start of the fleet.
+	readyTime = 15 * time.Second
+)
+
+// play is one seed being played.
+type play struct {
+	options  Options
+	seed     uint64
+	dir      string
+	random   *rand.Rand
+	startAt  time.Time
+	launcher *programs.Launcher
+
+	kv            *kvstore.Server
+	storeServer   *http.Server
+	configuration *configuration
+	runs          *runlog.Log
+	owners        *backend.Owners
+	servers       []*backend.Server
+	// serversBusy are held while an event of a server is under way.
+	serversBusy []sync.Mutex
+	instances   []*instance
+	balancer    *callers.Balancer
+	attempts    caller.Log
+	impairments *check.Impairments
+
+	mu     sync.Mutex
+	notes  []string
+	stray  []string
+	errors []error
+}
+
+// newPlay prepares the stand-ins and the instances of a seed in dir.
+func newPlay(options Options, seed uint64, dir string) (*play, error) {
+	p := &play{
+		options: options, seed: seed, dir: dir, random: rand.New(rand.NewPCG(seed, 2)), startAt: time.Now(),
+		launcher: programs.NewLauncher(options.ProgramDir, dir),
+		kv:       kvstore.New(), runs: runlog.New(), owners: backend.NewOwners(), impairments: check.NewImpairments(),
+	}
+	p.configuration = &configuration{store: p.kv.Store()}
+	if err := p.configuration.next(); err != nil {
+		return p, err
+	}
+	p.serversBusy = make([]sync.Mutex, options.Servers*len(services))
+	for n := range p.serversBusy {
+		s := backend.NewServer(fmt.Sprintf("i-%d", n), backend.Config{
+			Service: services[n%len(services)], Domain: domainName(n), Keyed: services[n%len(services)] == keyedService, Slots: slotsPerServer,
+			ClockRate: 1 - maxClockError*p.random.Float64(), Heartbeat: heartbeat, Seed: p.random.Uint64(),
+		}, p.kv.Store(), p.runs, p.owners)
+		p.servers = append(p.servers, s)
+		if err := s.Start(); err != nil {
+			return p, err
+		}
+	}
+	return p, p.addInstances()
+}
+
+func domainName(n int) string {
+	return fmt.Sprintf("domain-%d", n%domainCount)
+}
+
+// addInstances creates the instances with their proxies, and serves the store.
+func (p *play) addInstances() error {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return errors.Wrap(err, "store")
+	}
+	free, err := ports.FreeAddresses(addressesPerInstance * p.options.Instances)
+	if err != nil {
+		return err
+	}
+	front := &storeFront{store: p.kv, proxies: map[string]string{}}
+	var entries []*callers.EntryInstance
+	for n := range p.options.Instances {
+		i := newInstance(n, domainName(n), listener.Addr().String(), free[addressesPerInstance*n:], p.launcher, p.dir, p.random.Uint64())
+		p.instances = append(p.instances, i)
+		front.proxies[i.settings["peers"]] = i.peers.Address()
+		entries = append(entries, i.entry)
+		if err := i.store.Open(); err != nil {
+			return err
+		}
+	}
+	p.storeServer = &http.Server{Handler: front}
+	go func() { _ = p.storeServer.Serve(listener) }() // ends with the server
+	p.balancer = callers.NewBalancer(entries)
+	return nil
+}
+
+// close ends all processes and stand-ins.
+func (p *play) close() {
+	for _, i := range p.instances {
+		i.store.Close()
+	}
+	p.launcher.Close()
+	if p.balancer != nil {
+		p.balancer.Close()
+	}
+	if p.storeServer != nil {
+		_ = p.storeServer.Close()
+	}
+	for _, s := range p.servers {
+		s.Close()
+	}
+}
+
+// run plays the seed and returns what was seen. Its error is that of the soak itself.
+func (p *play) run(ctx context.Context, s schedule) (*check.Evidence, error) {
+	for _, i := range p.instances {
+		if err := i.start(true); err != nil {
+			return nil, err
+		}
+	}
+	if unserved := p.awaitService(ctx, readyTime); len(unserved) > 0 {
+		return nil, errors.Errorf("the fleet was not ready within %v: %s", readyTime, strings.Join(unserved, "; "))
+	}
+	p.startAt = time.Now()
+	loadContext, stopLoad := context.WithCancel(ctx)
+	defer stopLoad()
+	var load sync.WaitGroup
+	for n := range p.options.callerCount() {
+		c := p.newCaller(fmt.Sprintf("c%d", n), n)
+		load.Go(func() { c.Run(loadContext) })
+	}
+	(&faults{p: p}).run(ctx, s.events)
+	p.note("the last fault has ended")
+	stopLoad()
+	unserved := p.awaitService(ctx, check.RecoveryTime)
+	p.note("the service is back")
+	load.Wait()
+	return p.evidence(unserved), p.firstError()
+}
+
+func (p *play) newCaller(name string, number int) *caller.Caller {
+	balancer := &caller.Balancer{}
+	for _, i := range p.instances {
+		balancer.Instances = append(balancer.Instances, i.caller)
+	}
+	return &caller.Caller{
+		Name: fmt.Sprintf("%d-%s", p.seed, name), Domain: domainName(number % min(domainCount, len(p.instances))), Balancer: balancer, Routes: routes(), Log: &p.attempts,
+		OnFault: p.addStray, Random: rand.New(rand.NewPCG(p.seed, uint64(100+number))),
+	}
+}
+
+func (p *play) evidence(unserved []string) *check.Evidence {
+	e := &check.Evidence{
+		Attempts: p.attempts.Attempts(), Conflicts: p.owners.Conflicts(), Versions: p.configuration.accepted(), Impairments: p.impairments,
+		Unserved: unserved, MovedRoute: movedRoute, AddedIn: addedIn,
+	}
+	e.Runs, e.DroppedRuns = p.runs.Snapshot()
+	for _, i := range p.instances {
+		e.Processes = append(e.Processes, i.processRecords()...)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e.StrayBytes = p.stray
+	return e
+}
+
+func (p *play) instanceNames() []string {
+	var names []string
+	for _, i := range p.instances {
+		names = append(names, i.name)
+	}
+	return names
+}
+
+// note adds a line to the account of the play.
+func (p *play) note(format string, args ...any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.notes = append(p.notes, fmt.Sprintf("%7.3fs %s", time.Since(p.startAt).Seconds(), fmt.Sprintf(format, args...)))
+}
+
+func (p *play) addStray(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stray = append(p.stray, err.Error())
+}
+
+// fail records an error of the soak itself.
+func (p *play) fail(err error) {
+	if err == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.errors = append(p.errors, err)
+}
+
+func (p *play) firstError() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.errors) == 0 {
+		return nil
+	}
+	return p.errors[0]
+}
+
+// writeAccount writes the events, the violations and all that was seen of the requests
+// concerned to the account file.
+func (p *play) writeAccount(s schedule, e *check.Evidence, violations []check.Violation) error {
+	var text strings.Builder
+	fmt.Fprintf(&text, "seed %d, theme %s, times since %s\n\n", p.seed, s.theme, p.startAt.UTC().Format(time.RFC3339Nano))
+	p.mu.Lock()
+	fmt.Fprintln(&text, strings.Join(p.notes, "\n"))
+	p.mu.Unlock()
+	for _, process := range e.Processes {
+		fmt.Fprintf(&text, "%s process %d: started %s, stopped %s, killed %s, ended %s %s\n", process.Instance, process.Number,
+			p.since(process.StartedAt), p.since(process.StoppedAt), p.since(process.KilledAt), p.since(process.EndedAt), process.Failure)
+	}
+	for _, v := range violations {
+		fmt.Fprintf(&text, "\n%s: %s\n", v.Check, v.Message)
+		for _, id := range v.RequestIDs {
+			p.writeRequest(&text, e, id)
+		}
+	}
+	return errors.Wrap(os.WriteFile(filepath.Join(p.dir, accountFile), []byte(text.String()), 0o644), "account")
+}
+
+func (p *play) writeRequest(text *strings.Builder, e *check.Evidence, id string) {
+	for _, a := range e.Attempts {
+		if a.ID == id {
+			fmt.Fprintf(text, "  caller: %s\n", a.String(p.startAt))
+		}
+	}
+	for _, run := range e.Runs {
+		if run.RequestID == id {
+			fmt.Fprintf(text, "  server: %s ran %s from %s to %s, answered %t, cancelled %t\n", run.Server, id, p.since(run.Start), p.since(run.End), run.Answered, run.Cancelled)
+		}
+	}
+}
+
+// since formats a time relative to the start of the load, or "-".
+func (p *play) since(at time.Time) string {
+	if at.IsZero() {
+		return "-"
+	}
+	return fmt.Sprintf("%.3f", at.Sub(p.startAt).Seconds())
+}
--- /dev/null
+++ b/internal/dev/soak/run.go
@@ -0,0 +1,106 @@
+// Package soak plays randomized, seeded runs of peridotmoor-entry as real processes: it
+// injects faults from outside them and checks the promises of the platform's pages with
+// what callers and backend servers see.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/dev/soak/caller"
+	"peridotmoor.org/peridotmoor/internal/dev/soak/check"
+)
+
+// maxPrinted is how many violations of each check are printed for a seed.
+const maxPrinted = 3
+
+// Run plays the seeds one after the other and prints a line for each, and the
+// violations. It returns an error if any seed failed. The logs of failed seeds are kept.
+func Run(ctx context.Context, options Options, out io.Writer) error {
+	if err := options.check(); err != nil {
+		return err
+	}
+	if options.Dir == "" {
+		made, err := os.MkdirTemp("", "peridotmoor-soak-")
+		if err != nil {
+			return errors.Wrap(err, "directory of the soak")
+		}
+		options.Dir = made
+	}
+	failed := 0
+	for n := range options.Seeds {
+		violations, err := playSeed(ctx, options, options.Seed+uint64(n), out)
+		if err != nil {
+			return err
+		}
+		if len(violations) > 0 {
+			failed++
+		}
+	}
+	fmt.Fprintf(out, "soak: seeds=%d failed=%d\n", options.Seeds, failed)
+	if failed > 0 {
+		return errors.Errorf("%d of %d seeds failed; logs and accounts are in %s", failed, options.Seeds, options.Dir)
+	}
+	return os.RemoveAll(options.Dir)
+}
+
+// playSeed plays one seed and returns the violations.
+func playSeed(ctx context.Context, options Options, seed uint64, out io.Writer) ([]check.Violation, error) {
+	dir := filepath.Join(options.Dir, fmt.Sprintf("seed-%d", seed))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, errors.Wrap(err, "directory of the seed")
+	}
+	began := time.Now()
+	s := newSchedule(seed, options.Duration, options.Instances, options.Servers*len(services))
+	p, err := newPlay(options, seed, dir)
+	defer p.close()
+	if err != nil {
+		return nil, errors.Wrapf(err, "seed %d", seed)
+	}
+	evidence, err := p.run(ctx, s)
+	if err != nil {
+		return nil, errors.Wrapf(err, "seed %d; logs are in %s", seed, dir)
+	}
+	violations := evidence.Violations()
+	fmt.Fprintf(out, "seed %d (%s): %s in %.0f s, %d violations\n", seed, s.theme, summary(evidence), time.Since(began).Seconds(), len(violations))
+	printed := map[string]int{}
+	for _, v := range violations {
+		if printed[v.Check]++; printed[v.Check] <= maxPrinted {
+			fmt.Fprintf(out, "  %s: %s\n", v.Check, v.Message)
+		}
+	}
+	for name, count := range printed {
+		if count > maxPrinted {
+			fmt.Fprintf(out, "  %s: %d in all, see %s\n", name, count, filepath.Join(dir, accountFile))
+		}
+	}
+	if len(violations) == 0 {
+		return nil, os.RemoveAll(dir)
+	}
+	return violations, p.writeAccount(s, evidence, violations)
+}
+
+// summary counts the results of the attempts.
+func summary(e *check.Evidence) string {
+	answered, refused, cut, left := 0, 0, 0, 0
+	for _, a := range e.Attempts {
+		switch {
+		case a.Answered():
+			answered++
+		case a.Refused():
+			refused++
+		case a.Result == caller.Cut:
+			cut++
+		case a.Result == caller.Left:
+			left++
+		}
+	}
+	return fmt.Sprintf("sent=%d answered=%d refused=%d cut=%d left=%d other=%d runs=%d versions=%d processes=%d", len(e.Attempts), answered, refused, cut, left,
+		len(e.Attempts)-answered-refused-cut-left, len(e.Runs), len(e.Versions), len(e.Processes))
+}
--- /dev/null
+++ b/internal/dev/soak/schedule.go
@@ -0,0 +1,103 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/dev/tcpproxy"
+)
+
+const (
+	// firstEvent leaves time for the first requests.
+	firstEvent = time.Second
+	// meanEventGap is the mean time between two events.
+	meanEventGap = 1100 * time.Millisecond
+	// maxFaultTime is the longest time that a fault lasts, and maxRestartPause the
+	// longest time that an ended process stays down.
+	maxFaultTime    = 3500 * time.Millisecond
+	maxRestartPause = 1500 * time.Millisecond
+	// maxConnectionDelay is the longest delay of a connection.
+	maxConnectionDelay = 250 * time.Millisecond
+)
+
+// schedule is what happens during one seed.
+type schedule struct {
+	theme  string
+	events []event
+}
+
+// newSchedule draws the events of a seed. It depends only on its arguments.
+func newSchedule(seed uint64, duration time.Duration, instances, servers int) schedule {
+	random := rand.New(rand.NewPCG(seed, 1))
+	drawn := themes[random.IntN(len(themes))]
+	s := schedule{theme: drawn.name}
+	for at := firstEvent; at < duration; at += time.Duration(random.ExpFloat64() * float64(meanEventGap)) {
+		e := event{at: at, kind: drawn.draw(random), length: upTo(random, maxFaultTime), pause: upTo(random, maxRestartPause)}
+		switch e.kind {
+		case eventServerFault, eventServerCrash, eventServerDrain:
+			e.targets = []int{random.IntN(servers)}
+		case eventStopSeveral:
+			e.targets = drawSeveral(random, instances)
+		case eventConfigure, eventConfigureTwin, eventStoreDown, eventStoreSlow, eventStoreLost:
+		default:
+			e.targets = []int{random.IntN(instances)}
+			if random.IntN(4) == 0 {
+				e.targets = []int{holderTarget}
+			}
+		}
+		switch e.kind {
+		case eventStoreCut, eventPeerFault, eventServerFault:
+			e.fault = drawFault(random)
+		}
+		s.events = append(s.events, e)
+	}
+	return s
+}
+
+// drawSeveral draws instances that are stopped together: any, all, or all but one of a
+// failure domain, so that the load balancer uses stopping instances too.
+func drawSeveral(random *rand.Rand, instances int) []int {
+	all := random.Perm(instances)
+	switch random.IntN(8) {
+	case 0:
+		return all
+	case 1, 2, 3:
+		return all[:1+random.IntN((instances+1)/2)]
+	}
+	domain, targets := random.IntN(domainCount), []int{}
+	for _, n := range all {
+		if n%domainCount == domain {
+			targets = append(targets, n)
+		}
+	}
+	return targets[min(1, len(targets)):]
+}
+
+func (t theme) draw(random *rand.Rand) eventKind {
+	total := 0
+	for _, w := range t.weights {
+		total += w.weight
+	}
+	draw := random.IntN(total)
+	for _, w := range t.weights {
+		if draw -= w.weight; draw < 0 {
+			return w.kind
+		}
+	}
+	return ""
+}
+
+func drawFault(random *rand.Rand) tcpproxy.Fault {
+	kinds := []tcpproxy.FaultKind{tcpproxy.FaultDelay, tcpproxy.FaultReset, tcpproxy.FaultSilentRequests, tcpproxy.FaultSilentResponses, tcpproxy.FaultSilent}
+	fault := tcpproxy.Fault{Kind: kinds[random.IntN(len(kinds))], Share: 0.3 + 0.7*random.Float64(), Delay: upTo(random, maxConnectionDelay)}
+	if random.IntN(3) == 0 {
+		fault.Share = 1
+	}
+	return fault
+}
+
+// upTo draws a time up to the limit, short ones more often.
+func upTo(random *rand.Rand, limit time.Duration) time.Duration {
+	f := random.Float64()
+	return time.Duration(f * f * float64(limit))
+}
