Soak: use loopback hosts of its own, and go on after a seed that was not played

Two soaks on one machine took each other's ports while an instance was down: an instance of one could not start, and its callers reached an instance of the other.

--- a/internal/dev/ports/ports.go
+++ b/internal/dev/ports/ports.go
@@ -19,16 +19,21 @@
 	maxTries = 1000
 )
 
-// FreeAddresses returns count loopback addresses whose ports are free. All of
-// them stay open until the last is found, so that they differ.
+// FreeAddresses returns count addresses of 127.0.0.1 whose ports are free.
 func FreeAddresses(count int) ([]string, error) {
+	return FreeAddressesOf("127.0.0.1", count)
+}
+
+// FreeAddressesOf returns count addresses of a loopback host whose ports are free. All
+// of them stay open until the last is found, so that they differ.
+func FreeAddressesOf(host string, count int) ([]string, error) {
 	var addresses []string
 	for range maxTries {
 		if len(addresses) == count {
 			return addresses, nil
 		}
 		port := firstPort + rand.IntN(lastPort-firstPort+1)
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", host, port))
 		if err != nil {
 			continue
 		}
--- a/internal/dev/soak/backend/config.go
+++ b/internal/dev/soak/backend/config.go
@@ -6,6 +6,8 @@
 type Config struct {
 	Service string
 	Domain  string
+	// Host is the loopback host of the server.
+	Host string
 	// Keyed servers run a request only while they hold a grant for its key.
 	Keyed bool
 	// Slots is how many requests run at once; as many more wait.
--- a/internal/dev/soak/backend/incarnation.go
+++ b/internal/dev/soak/backend/incarnation.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "backend server %s", id)
 	}
-	free, err := ports.FreeAddresses(1)
+	free, err := ports.FreeAddressesOf(config.Host, 1)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/dev/soak/backend/server_test.go
+++ b/internal/dev/soak/backend/server_test.go
@@ -27,7 +27,7 @@
 
 func newTestServers(t *testing.T, keyed bool) *testServers {
 	s := &testServers{t: t, log: runlog.New(), owners: NewOwners(), kv: memstore.New()}
-	config := Config{Service: "s", Domain: "d", Keyed: keyed, Slots: 1, ClockRate: 1, Heartbeat: 50 * time.Millisecond}
+	config := Config{Service: "s", Domain: "d", Host: "127.0.0.1", Keyed: keyed, Slots: 1, ClockRate: 1, Heartbeat: 50 * time.Millisecond}
 	s.a, s.b = NewServer("a", config, s.kv, s.log, s.owners), NewServer("b", config, s.kv, s.log, s.owners)
 	for _, server := range []*Server{s.a, s.b} {
 		if err := server.Start(); err != nil {
--- a/internal/dev/soak/play.go
+++ b/internal/dev/soak/play.go
@@ -81,7 +81,7 @@
 	p.serversBusy = make([]sync.Mutex, options.Servers*len(services))
 	for n := range p.serversBusy {
 		s := backend.NewServer(fmt.Sprintf("i-%d", n), backend.Config{
-			Service: services[n%len(services)], Domain: domainName(n), Keyed: services[n%len(services)] == keyedService, Slots: slotsPerServer,
+			Service: services[n%len(services)], Domain: domainName(n), Host: loopbackHost(serverHost), Keyed: services[n%len(services)] == keyedService, Slots: slotsPerServer,
 			ClockRate: 1 - maxClockError*p.random.Float64(), Heartbeat: heartbeat, Seed: p.random.Uint64(),
 		}, p.kv.Store(), p.runs, p.owners)
 		p.servers = append(p.servers, s)
@@ -92,6 +92,19 @@
 	return p, p.addInstances()
 }
 
+// The last parts of the loopback hosts of the instances and of the backend servers.
+const (
+	instanceHost = 1
+	serverHost   = 2
+)
+
+// loopbackHost returns a host that only this process uses. The ports of an instance are
+// free while it is down, and on a shared host another soak would take them.
+func loopbackHost(last int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>8%250, pid%256, last)
+}
+
 func domainName(n int) string {
 	return fmt.Sprintf("domain-%d", n%domainCount)
 }
@@ -102,7 +115,7 @@
 	if err != nil {
 		return errors.Wrap(err, "store")
 	}
-	free, err := ports.FreeAddresses(addressesPerInstance * p.options.Instances)
+	free, err := ports.FreeAddressesOf(loopbackHost(instanceHost), addressesPerInstance*p.options.Instances)
 	if err != nil {
 		return err
 	}
--- a/internal/dev/soak/run.go
+++ b/internal/dev/soak/run.go
@@ -26,28 +26,33 @@
 	if err := options.check(); err != nil {
 		return err
 	}
+	made := ""
 	if options.Dir == "" {
-		made, err := os.MkdirTemp("", "peridotmoor-soak-")
-		if err != nil {
+		var err error
+		if made, err = os.MkdirTemp("", "peridotmoor-soak-"); err != nil {
 			return errors.Wrap(err, "directory of the soak")
 		}
 		options.Dir = made
 	}
 	failed := 0
 	for n := range options.Seeds {
-		violations, err := playSeed(ctx, options, options.Seed+uint64(n), out)
+		seed := options.Seed + uint64(n)
+		violations, err := playSeed(ctx, options, seed, out)
 		if err != nil {
-			return err
+			fmt.Fprintf(out, "seed %d was not played to its end: %v\n", seed, err)
 		}
-		if len(violations) > 0 {
+		if err != nil || len(violations) > 0 {
 			failed++
 		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
 	}
 	fmt.Fprintf(out, "soak: seeds=%d failed=%d\n", options.Seeds, failed)
 	if failed > 0 {
 		return errors.Errorf("%d of %d seeds failed; logs and accounts are in %s", failed, options.Seeds, options.Dir)
 	}
-	return os.RemoveAll(options.Dir)
+	return os.RemoveAll(made)
 }
 
 // playSeed plays one seed and returns the violations.
@@ -61,11 +66,11 @@
 	p, err := newPlay(options, seed, dir)
 	defer p.close()
 	if err != nil {
-		return nil, errors.Wrapf(err, "seed %d", seed)
+		return nil, err
 	}
 	evidence, err := p.run(ctx, s)
 	if err != nil {
-		return nil, errors.Wrapf(err, "seed %d; logs are in %s", seed, dir)
+		return nil, errors.Wrapf(err, "logs are in %s", dir)
 	}
 	violations := evidence.Violations()
 	fmt.Fprintf(out, "seed %d (%s): %s in %.0f s, %d violations\n", seed, s.theme, summary(evidence), time.Since(began).Seconds(), len(violations))
