--- a/internal/dev/soak/caller/caller.go
+++ b/internal/dev/soak/caller/caller.go
@@ -55,10 +55,10 @@
 }
 
 // Send sends one idle request over the route through a new connection, for a check of the service.
-func (c *Caller) Send(ctx context.Context, instance *Instance, route *Route, key int) *Attempt {
+func (c *Caller) Send(ctx context.Context, instance *Instance, route *Route, key int, timeout time.Duration) *Attempt {
 	c.disconnect()
 	a := c.attempt(c.nextRequest(), route, 0, 0)
-	a.Key = key
+	a.Key, a.Timeout = key, timeout
 	conn, err := dial(instance)
 	if err != nil {
 		a.Result = Unsent
--- a/internal/dev/soak/caller/caller_test.go
+++ b/internal/dev/soak/caller/caller_test.go
@@ -86,7 +86,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			caller, _ := newTestCaller(t, func(r *http.Request) string { return c.respond(r.Header.Get("X-Attempt-Id")) })
-			a := caller.Send(t.Context(), caller.Balancer.Instances[0], caller.Routes[0], 0)
+			a := caller.Send(t.Context(), caller.Balancer.Instances[0], caller.Routes[0], 0, time.Second)
 			is.Equal(a.Result, c.result)
 			is.Equal(a.Fault != "", c.fault)
 			is.Equal(len(caller.Log.Attempts()), 1)
--- a/internal/dev/soak/recovery.go
+++ b/internal/dev/soak/recovery.go
@@ -9,8 +9,12 @@
 	"peridotmoor.org/peridotmoor/internal/dev/soak/caller"
 )
 
-// sweepPause is the time between two requests for what was not served.
-const sweepPause = 100 * time.Millisecond
+const (
+	// sweepPause is the time between two requests for what was not served.
+	sweepPause = 100 * time.Millisecond
+	// sweepTimeout is how long a request of a sweep waits for its answer.
+	sweepTimeout = 2 * time.Second
+)
 
 // awaitService waits until each instance serves each route and each key, and returns
 // what is not served within the limit.
@@ -24,14 +28,10 @@
 	for n, i := range p.instances {
 		sweeps.Go(func() {
 			c := p.newCaller(fmt.Sprintf("sweep%d-%d", n, start.Sub(p.startAt).Milliseconds()), n)
-			for _, route := range p.routesInEffect() {
-				for _, key := range keysOf(route) {
-					if a := p.awaitServed(ctx, c, i, route, key); a != nil {
-						mu.Lock()
-						unserved = append(unserved, fmt.Sprintf("%s does not serve key %d of %s within %v: %s", i.name, key, route.Name, limit, a.String(p.startAt)))
-						mu.Unlock()
-					}
-				}
+			if a := p.sweep(ctx, c, i); a != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				unserved = append(unserved, fmt.Sprintf("%s does not serve all routes and keys within %v; the last request: %s", i.name, limit, a.String(p.startAt)))
 			}
 		})
 	}
@@ -39,20 +39,25 @@
 	return unserved
 }
 
-// awaitServed sends requests until one is answered. It returns nil, or the last attempt
-// when ctx is done first.
-func (p *play) awaitServed(ctx context.Context, c *caller.Caller, i *instance, route *caller.Route, key int) *caller.Attempt {
-	for {
-		a := c.Send(ctx, i.caller, route, key)
-		if a.Answered() {
-			return nil
-		}
-		select {
-		case <-time.After(sweepPause):
-		case <-ctx.Done():
-			return a
+// sweep sends requests for each route and each key until they are answered. It returns
+// nil, or the last attempt when ctx is done first.
+func (p *play) sweep(ctx context.Context, c *caller.Caller, i *instance) *caller.Attempt {
+	for _, route := range p.routesInEffect() {
+		for _, key := range keysOf(route) {
+			for {
+				a := c.Send(ctx, i.caller, route, key, sweepTimeout)
+				if a.Answered() {
+					break
+				}
+				select {
+				case <-time.After(sweepPause):
+				case <-ctx.Done():
+					return a
+				}
+			}
 		}
 	}
+	return nil
 }
 
 // routesInEffect returns the routes of the newest version.
