Backhttp: refuse responses with a status below 100

A response with status 099 was taken for a final one and passed on as "HTTP/1.1 99", which is no response in the protocol.

Cause: http.ReadResponse accepts any number of three characters, and only 100 to 199 were looked for.

The new fuzz target FuzzResponse found it with one of its seeds ("took status 99 with ID "a" for the response"). After the change it found nothing in 1,022,568 executions (30 s). It limits the minimization of inputs: the order of goroutines makes their coverage vary, and minimizing then takes all of the time ("0/sec").

--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 	$(GO) test ./internal/entry -run '^$$' -fuzz FuzzHeaders -fuzztime $(FUZZTIME)
 	$(GO) test ./internal/settings -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME)
 	$(GO) test ./internal/callerhttp -run '^$$' -fuzz FuzzConnection -fuzztime $(FUZZTIME)
+	$(GO) test ./internal/backhttp -run '^$$' -fuzz FuzzResponse -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
 	$(GO) test ./internal/entrynode -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME)
 	for target in Config Listing Load Answer; do $(GO) test ./platform -run '^$$' -fuzz FuzzDecode$$target -fuzztime $(FUZZTIME) || exit 1; done
 
--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -124,7 +124,9 @@
 			return nil, errHeadTooLong
 		case err != nil:
 			return nil, errors.Wrap(err, "malformed response")
-		case response.StatusCode < 100 || response.StatusCode >= 200:
+		case response.StatusCode < 100:
+			return nil, errors.Errorf("malformed response: status %03d", response.StatusCode)
+		case response.StatusCode >= 200:
 			c.source.N = noHeadLimit
 			return response, nil
 		}
