Dispatch: end a streamed response to an order when its caller leaves

When the caller of a non-idempotent request left while a long response was streamed, and the server went on with a byte now and then, the request kept its slot, its key range, which could not move, and the server's connection: nothing read more than the progress that the server made.

Cause: the execution of such a request does not end with its caller, since others may join it and get the recorded response. A streamed response is not recorded and belongs to its one caller, but was not tied to it either. That of an idempotent request is.

--- a/internal/dispatch/recordedrequest.go
+++ b/internal/dispatch/recordedrequest.go
@@ -62,9 +62,24 @@
 		return nil, p
 	}
 	h.dispatcher.options.Records.Conclude(execution, answeredRecord(execution, response, h.dispatcher.limits().MaxRecordedResponseBytes))
+	if body, ok := response.Body.(*streamedBody); ok {
+		cancelWithCaller(ctx, body, cancel)
+	}
 	return response, nil
 }
 
+// cancelWithCaller cancels a streamed response when its caller leaves. It is not
+// recorded, so no other caller gets it.
+func cancelWithCaller(caller context.Context, body *streamedBody, cancel context.CancelCauseFunc) {
+	stop := context.AfterFunc(caller, func() { cancel(context.Cause(caller)) })
+	release := body.release
+	body.release = func(err error) {
+		release(err)
+		stop()
+		cancel(errClosed)
+	}
+}
+
 // copyRecord waits until all mirrors have the record that the request may be
 // dispatched. This happens before a slot is acquired: slots are scarce, and one would
 // stay idle during the round trip to the mirrors.
