Callerhttp: notice that a caller leaves during its last response

When a caller left whose connection takes no further request (it had sent "Connection: close", or the instance is draining and a response is being streamed), its server worked on until the deadline of the call.

Cause: a caller's leaving shows at a read, and nothing was read after the last request.

The connection now reads until its last response has been written, and ignores what it reads. Closing one direction only counts as leaving here too, as on connections that are kept.

Before: TestDisconnectCancelsRequests/reset,_Connection:_close and TestDisconnectEndsStreamedResponse/last_request and /draining did not end ("test timed out after 5s").

--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -63,13 +63,38 @@
 			break
 		}
 	}
-	<-previous
+	c.awaitResponses(previous)
 	c.cancel()
 	c.linger()
 	_ = c.net.Close() // everything has been sent; an error has no consequence
 	c.server.removeConn(c)
 }
 
+// awaitResponses waits until the last response has been written. It reads meanwhile and
+// ignores what it reads, since only a read shows that the caller has disconnected, which
+// cancels the requests in progress.
+func (c *conn) awaitResponses(last chan struct{}) {
+	select {
+	case <-last:
+		return
+	default:
+	}
+	c.source.N = noHeaderLimit
+	_ = c.net.SetReadDeadline(time.Time{}) // fails only on a closed connection, on which the read below fails too
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, err := io.Copy(io.Discard, c.reader)
+		var timeout net.Error
+		if !errors.As(err, &timeout) || !timeout.Timeout() {
+			c.cancel()
+		}
+	}()
+	<-last
+	c.interruptRead()
+	<-ended
+}
+
 // readRequest reads one request and starts it. It returns the channel that is closed
 // once the request has been answered, and whether another request may follow.
 func (c *conn) readRequest(previous chan struct{}) (chan struct{}, bool) {
--- a/internal/callerhttp/server_test.go
+++ b/internal/callerhttp/server_test.go
@@ -121,21 +121,23 @@
 		"half close": (*net.TCPConn).CloseWrite,
 		"reset":      func(c *net.TCPConn) error { _ = c.SetLinger(0); return c.Close() },
 	} {
-		t.Run(name, func(t *testing.T) {
-			started, cancelled := make(chan struct{}), make(chan struct{})
-			_, c := startServer(t, stubHandler{handle: func(ctx context.Context, _ *http.Request) *Response {
-				close(started)
-				<-ctx.Done()
-				close(cancelled)
-				return &Response{}
-			}})
-			fmt.Fprint(c, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
-			<-started
-			if err := leave(c.(*net.TCPConn)); err != nil {
-				t.Fatal(err)
-			}
-			<-cancelled
-		})
+		for _, last := range []string{"", "Connection: close\r\n"} {
+			t.Run(name+", "+last, func(t *testing.T) {
+				started, cancelled := make(chan struct{}), make(chan struct{})
+				_, c := startServer(t, stubHandler{handle: func(ctx context.Context, _ *http.Request) *Response {
+					close(started)
+					<-ctx.Done()
+					close(cancelled)
+					return &Response{}
+				}})
+				fmt.Fprintf(c, "GET /1 HTTP/1.1\r\nHost: h\r\n%s\r\n", last)
+				<-started
+				if err := leave(c.(*net.TCPConn)); err != nil {
+					t.Fatal(err)
+				}
+				<-cancelled
+			})
+		}
 	}
 }
 
--- a/internal/callerhttp/streaming_test.go
+++ b/internal/callerhttp/streaming_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 )
 
 // steadyBody yields a block of 1 KB each second, for the given number of blocks.
@@ -66,3 +67,44 @@
 		}
 	}
 }
+
+// silentBody yields nothing until its context ends.
+type silentBody struct {
+	ctx context.Context
+}
+
+func (b silentBody) Read([]byte) (int, error) {
+	<-b.ctx.Done()
+	return 0, b.ctx.Err()
+}
+
+func (silentBody) Close() error { return nil }
+
+// Guards against a streamed response that goes on after the caller has left, also on a
+// connection that takes no further request.
+func TestDisconnectEndsStreamedResponse(t *testing.T) {
+	for name, c := range map[string]struct {
+		header   string
+		draining bool
+	}{
+		"kept connection": {},
+		"last request":    {header: "Connection: close\r\n"},
+		"draining":        {draining: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ended := make(chan error, 1)
+			server, caller := startServer(t, stubHandler{handle: func(ctx context.Context, _ *http.Request) *Response {
+				return &Response{Status: 200, Remainder: silentBody{ctx}, Length: -1, OnWriteError: func(err error) { ended <- err }}
+			}})
+			if c.draining {
+				server.StartDraining()
+			}
+			fmt.Fprintf(caller, "GET / HTTP/1.1\r\nHost: h\r\n%s\r\n", c.header)
+			_, err := http.ReadResponse(bufio.NewReader(caller), nil)
+			is.NoErr(err)
+			is.NoErr(caller.Close())
+			is.True(errors.Is(<-ended, context.Canceled))
+		})
+	}
+}
