Notice a disconnect while a request waits for its turn or a slot

Servers would see: a caller pipelines a non-idempotent request behind another, or more than 32 requests, and disconnects; the requests in progress go on, and the waiting one may start.

Cause: the goroutine that reads the connection waited and read nothing.

The state of the socket is watched during such a wait without reading from it, and a request is not started once its caller has disconnected.

--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -113,10 +113,10 @@
 	c.source.N = noHeaderLimit
 	c.setReadDeadline(time.Time{})
 	if !c.server.handler.CanPipeline(request) {
-		select {
-		case <-previous:
-		case <-c.ctx.Done():
-		}
+		c.awaitPrevious(previous)
+	}
+	if !c.acquireSlot() {
+		return nil, false
 	}
 	return c.startRequest(request, previous)
 }
@@ -147,14 +147,9 @@
 	return done
 }
 
-// startRequest runs the request in its own goroutine and waits until its body has been
-// read. It returns the same values as readRequest.
+// startRequest runs the request, which has a slot, in its own goroutine and waits until its
+// body has been read. It returns the same values as readRequest.
 func (c *conn) startRequest(request *http.Request, previous chan struct{}) (chan struct{}, bool) {
-	select {
-	case c.pipelineSlots <- struct{}{}:
-	case <-c.ctx.Done():
-		return nil, false
-	}
 	if !c.requests.start() {
 		<-c.pipelineSlots
 		return nil, false // not executed: the caller is told that the connection closes
