--- a/internal/shard/loss_test.go
+++ b/internal/shard/loss_test.go
@@ -12,6 +12,10 @@
 // design page.
 const maxUnavailability = time.Second
 
+// maxMoveGap is how long a key may be without service during a move without requests in
+// flight: two round trips of 3 ms and one awaited renewal.
+const maxMoveGap = 15 * time.Millisecond
+
 // failureModes are the ways in which a server stops answering.
 var failureModes = []struct {
 	name string
