Let promises expire when a holder is retired or loses a shard's settings

A holder that the operators list as retired, or whose shard leaves its settings, ended its tenure and returned its promises at once. Now such a holder lets its promises expire. Only Release, whose caller has revoked the grants, and the end of the tenure return promises.

Found by reading, in search of the overlap of owners of TestOrdersRunOnceAcrossInstances; no run shows that this was its cause.

The simulation compared only the tenures that the processes hold at a moment, and forgot a tenure that was given up. It now keeps the latest end that a holder has published, also of a holder that has terminated, and reports a successor that begins earlier.

--- a/internal/authority/inherit_test.go
+++ b/internal/authority/inherit_test.go
@@ -30,7 +30,7 @@
 		for s.record.Epoch < 2 {
 			s.advance(100 * time.Microsecond)
 		}
-		holder.enqueue(func(now time.Time) { holder.node.Release(now, simShard) })
+		s.release(holder)
 		s.advance(3 * time.Second)
 		next := s.holder()
 		is.True(next != nil)
--- a/internal/authority/model_test.go
+++ b/internal/authority/model_test.go
@@ -40,7 +40,7 @@
 		}
 	case 11:
 		if h := s.holder(); h != nil {
-			h.enqueue(func(now time.Time) { h.node.Release(now, simShard) })
+			s.release(h)
 		}
 	case 12:
 		if h := s.holder(); h != nil {
--- a/internal/authority/node.go
+++ b/internal/authority/node.go
@@ -65,7 +65,7 @@
 }
 
 // SetShards replaces the list of shards from the settings. Shards that are no
-// longer listed are released.
+// longer listed are given up.
 func (n *Node) SetShards(now time.Time, specs []ShardSpec) {
 	listed := make(map[key.ShardID]bool, len(specs))
 	for _, shard := range specs {
@@ -77,7 +77,7 @@
 	for _, s := range n.shardList {
 		if s.inSettings && !listed[s.id] {
 			s.inSettings = false
-			n.releaseShard(now, s)
+			n.abandonShard(now, s)
 		}
 	}
 	n.rankedMembers = nil
@@ -96,14 +96,14 @@
 }
 
 // SetRetired replaces the list of instances that operators declare terminated.
-// A node that is in the list releases its shards and makes no further promises.
+// A node that is in the list gives up its shards and makes no further promises.
 func (n *Node) SetRetired(now time.Time, names []string) {
 	n.proofs.SetRetired(now, names)
 	if n.proofs.IsRetired(n.self.Instance) && !n.retired {
 		n.retired = true
 		n.Leave(now)
 		for _, s := range n.shardList {
-			n.releaseShard(now, s)
+			n.abandonShard(now, s)
 		}
 	}
 	n.updateRanks()
--- a/internal/authority/node_holder.go
+++ b/internal/authority/node_holder.go
@@ -60,17 +60,22 @@
 		return
 	}
 	n.reportEvent(EventShardLost, s, s.activeClaim.token, Instance{})
-	n.loseShard(now, s)
+	n.releaseClaims(now, s)
+	n.endTenure(now, s)
 	s.campaignRetryAt = now.Add(n.timing.RankDelay)
 }
 
-// loseShard ends the tenure and releases all promises.
-func (n *Node) loseShard(now time.Time, s *shardState) {
-	n.publishTenure(s, nil)
+// releaseClaims releases all promises of a held shard. No grant may be in force any more.
+func (n *Node) releaseClaims(now time.Time, s *shardState) {
 	n.releasePromises(now, s, s.latestClaim())
 	if s.pendingClaim != nil {
 		n.releasePromises(now, s, s.activeClaim)
 	}
+}
+
+// endTenure ends the tenure. Promises that have not been released expire.
+func (n *Node) endTenure(now time.Time, s *shardState) {
+	n.publishTenure(s, nil)
 	s.activeClaim, s.pendingClaim = nil, nil
 	n.heldShards--
 	s.nextReadAt = now
@@ -97,20 +102,25 @@
 }
 
 // Release gives up a held shard immediately, for a hand-over. The caller has
-// stopped sending orders under the tenure. It reports whether the shard was
-// held.
+// stopped sending orders under the tenure and has revoked all grants. It reports
+// whether the shard was held.
 func (n *Node) Release(now time.Time, shard key.ShardID) bool {
 	s := n.shardState(shard)
 	held := s.activeClaim != nil
-	n.releaseShard(now, s)
+	if held {
+		n.releaseClaims(now, s)
+	}
+	n.abandonShard(now, s)
 	return held
 }
 
-func (n *Node) releaseShard(now time.Time, s *shardState) {
+// abandonShard ends the tenure of a held shard, or the campaign for it. The promises of
+// a tenure expire, since its grants may be in force.
+func (n *Node) abandonShard(now time.Time, s *shardState) {
 	s.abstainUntil = now.Add(abstainAfterRelease)
 	if s.activeClaim != nil {
 		n.reportEvent(EventShardReleased, s, s.activeClaim.token, Instance{})
-		n.loseShard(now, s)
+		n.endTenure(now, s)
 		return
 	}
 	if s.pendingClaim != nil {
--- a/internal/authority/sim_test.go
+++ b/internal/authority/sim_test.go
@@ -62,6 +62,11 @@
 	takeovers     []time.Time
 	highestToken  Token
 	latestMirrors MirrorSet
+	// lastHolder is the process that published a tenure last, and grantsEnd the latest end
+	// of its tenures, in real time. Its grants may be in force until then, even if it has
+	// terminated or has published an earlier end since.
+	lastHolder Instance
+	grantsEnd  time.Time
 }
 
 func newSim(seed uint64, nodes int, clockError float64) *sim {
@@ -152,6 +157,7 @@
 	if t == nil || !s.now.Before(n.globalTime(t.End)) {
 		return
 	}
+	s.checkGrants(n, n.globalTime(t.End))
 	for _, other := range s.nodes {
 		if other != n && other.alive && other.tenure != nil && s.now.Before(other.globalTime(other.tenure.End)) {
 			s.reportViolation("two holders at %v: %v %v and %v %v", s.now, n.self, t.Token, other.self, other.tenure.Token)
@@ -175,3 +181,24 @@
 		s.latestMirrors = t.Mirrors
 	}
 }
+
+// checkGrants checks that no grant of another process can be in force when n publishes a
+// tenure with the given end.
+func (s *sim) checkGrants(n *simNode, end time.Time) {
+	if n.self.Instance != s.lastHolder {
+		if s.now.Before(s.grantsEnd) {
+			s.reportViolation("grants of %v may be in force until %v, but %v holds the shard at %v", s.lastHolder, s.grantsEnd, n.self.Instance, s.now)
+		}
+		s.grantsEnd = time.Time{}
+	}
+	s.lastHolder, s.grantsEnd = n.self.Instance, latestTime(s.grantsEnd, end)
+}
+
+// release hands the shard over. The holder has revoked its grants.
+func (s *sim) release(h *simNode) {
+	h.enqueue(func(now time.Time) {
+		if h.node.Release(now, simShard) {
+			s.grantsEnd = time.Time{}
+		}
+	})
+}
--- a/internal/authority/timing_test.go
+++ b/internal/authority/timing_test.go
@@ -18,7 +18,7 @@
 	preferred := s.holder()
 	slow := s.nodeAt(s.record.Witnesses[1].Address)
 	slow.clockRate = 0.99
-	preferred.enqueue(func(now time.Time) { preferred.node.Release(now, simShard) })
+	s.release(preferred)
 	s.advance(3 * time.Second)
 	is.Equal(s.holder(), slow)
 	s.partition[slow.index] = 1
