Never move the end of a tenure back

A holder that changes its witnesses continues under a claim to the new set once that has a quorum. The tenure is measured from the latest request that a majority has promised, and the old set may have promised a later one: its only member may be the holder itself, which answers at once, while the new members take longer than a renewal interval. Grants that were issued until the earlier published end outlive the tenure: at its new end the holder returns its promises, and a witness of the new set can have promised early enough to let another holder begin while those grants are in force.

The pending claim is now adopted only when its tenure ends no earlier than the current one. Until then the old set goes on to hold the shard, and a successor needs a majority of it.

--- a/internal/authority/model_test.go
+++ b/internal/authority/model_test.go
@@ -11,7 +11,7 @@
 // injectFault draws one fault or repair and applies it.
 func injectFault(t *rapid.T, s *sim) {
 	n := s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(t, "node")]
-	switch rapid.IntRange(0, 14).Draw(t, "fault") {
+	switch rapid.IntRange(0, 15).Draw(t, "fault") {
 	case 0:
 		n.kill()
 		s.announceInstances(time.Second)
@@ -63,6 +63,8 @@
 			}
 		}
 		n.enqueue(func(time.Time) { n.node.SetPeers(incorrect) })
+	case 15:
+		s.maxMessageDelay = time.Duration(rapid.IntRange(10, 300).Draw(t, "delay")) * time.Millisecond
 	}
 }
 
--- a/internal/authority/node_campaign.go
+++ b/internal/authority/node_campaign.go
@@ -96,8 +96,8 @@
 		// campaign's deadline.
 		return
 	}
-	if ok && n.timing.TenureEnd(since).After(now) {
-		n.adoptPendingClaim(now, s, n.timing.TenureEnd(since))
+	if end := n.timing.TenureEnd(since); ok && end.After(now) && !endsEarlier(s, end) {
+		n.adoptPendingClaim(now, s, end)
 		return
 	}
 	if s.activeClaim == nil && !s.campaignDeadline.After(now) {
@@ -105,6 +105,13 @@
 	}
 }
 
+// endsEarlier reports whether the shard is held until later than end. Grants that are in
+// force until then are protected by the promises of the active claim only: members of a new
+// witness set may have promised earlier than those of the old one.
+func endsEarlier(s *shardState, end time.Time) bool {
+	return s.activeClaim != nil && end.Before(s.tenure.End)
+}
+
 // adoptPendingClaim makes the pending claim the active one. A candidate becomes
 // the holder; a holder continues under a higher token.
 func (n *Node) adoptPendingClaim(now time.Time, s *shardState, end time.Time) {
--- a/internal/authority/sim_test.go
+++ b/internal/authority/sim_test.go
@@ -12,6 +12,9 @@
 // simShard is the shard for which the simulated nodes compete.
 var simShard = key.ShardID{Service: "bosho", Index: 3}
 
+// normalMessageDelay is the maximum delay of a message without faults.
+const normalMessageDelay = 4 * time.Millisecond
+
 // simEvent is an action scheduled at a moment of real time.
 type simEvent struct {
 	at  time.Time
@@ -74,7 +77,7 @@
 		now:             time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
 		random:          rand.New(rand.NewPCG(seed, 1)),
 		storeUp:         true,
-		maxMessageDelay: 4 * time.Millisecond,
+		maxMessageDelay: normalMessageDelay,
 		partition:       make([]int, nodes),
 	}
 	for i := range nodes {
@@ -117,6 +120,7 @@
 func (s *sim) endFaults() {
 	clear(s.partition)
 	s.messageLossRate, s.lostReplyRate, s.maxStoreDelay, s.storeUp = 0, 0, 0, true
+	s.maxMessageDelay = normalMessageDelay
 }
 
 // delivers decides whether a message between two nodes is delivered.
@@ -153,6 +157,9 @@
 // backwards.
 func (s *sim) checkTenure(n *simNode, t *Tenure) {
 	newHolder := t != nil && n.tenure == nil
+	if t != nil && !newHolder && t.End.Before(n.tenure.End) {
+		s.reportViolation("the end of the tenure of %v moved back by %v at %v", n.self.Instance, n.tenure.End.Sub(t.End), s.now)
+	}
 	n.tenure = t
 	if t == nil || !s.now.Before(n.globalTime(t.End)) {
 		return
