Release only the tenure whose grants were revoked

A hand-over revokes all grants and then returns the promises. RevokeGrants also reported success when the runtime of the shard was stopped while a server still had its grant, and Release ended whatever tenure the instance had by then: also one that it had won again after the tenure of the revocation had expired, whose grants are in force. In both cases the next holder, which takes for granted that no earlier grant is in force, can give keys to a second owner.

RevokeGrants now fails when the coordinator ends while a grant may be in force, and returns the start of the tenure whose grants it revoked. Release takes that start and leaves another tenure as it is; promises that are not released expire.

Found by reading. TestInterruptedRevocationFails fails when the interrupted revocation is reported as complete; TestReleaseLeavesLaterTenure needs the new argument.

--- a/internal/authority/grants_test.go
+++ b/internal/authority/grants_test.go
@@ -82,3 +82,17 @@
 		})
 	}
 }
+
+// Guards against a hand-over that releases a tenure which began after the grants were
+// revoked: its holder has issued grants again.
+func TestReleaseLeavesLaterTenure(t *testing.T) {
+	is := is.New(t)
+	s := newSim(3, 5, 0)
+	s.advance(3 * time.Second)
+	holder := s.holder()
+	held := holder.tenure
+	is.True(!holder.node.Release(holder.localTime(s.now), simShard, held.Since.Add(-time.Second)))
+	s.advance(10 * time.Second)
+	is.Equal(len(s.takeovers), 1)
+	is.True(holder.node.Release(holder.localTime(s.now), simShard, held.Since))
+}
--- a/internal/authority/node_holder.go
+++ b/internal/authority/node_holder.go
@@ -102,11 +102,15 @@
 }
 
 // Release gives up a held shard immediately, for a hand-over. The caller has
-// stopped sending orders under the tenure and has revoked all grants. It reports
-// whether the shard was held.
-func (n *Node) Release(now time.Time, shard key.ShardID) bool {
+// stopped sending orders under the tenure that began at since, and has revoked its
+// grants. A later tenure of this process is left as it is. Release reports whether the
+// tenure was in force.
+func (n *Node) Release(now time.Time, shard key.ShardID, since time.Time) bool {
 	s := n.shardState(shard)
 	held := s.activeClaim != nil
+	if held && !s.tenure.Since.Equal(since) {
+		return false
+	}
 	if held {
 		n.releaseClaims(now, s)
 	}
--- a/internal/authority/runner/cluster_test.go
+++ b/internal/authority/runner/cluster_test.go
@@ -150,8 +150,8 @@
 		go func() {
 			for {
 				select {
-				case handOver := <-p.runner.HandOvers():
-					_ = p.runner.Release(context.Background(), handOver.Shard)
+				case <-p.runner.HandOvers():
+					_ = p.release(context.Background())
 				case <-p.done:
 					return
 				}
--- a/internal/authority/runner/handover_test.go
+++ b/internal/authority/runner/handover_test.go
@@ -23,11 +23,11 @@
 		accepted, err := c.processAt(next.Address).runner.ExpectHandOver(c.t.Context(), testShard)
 		is.NoErr(err)
 		is.True(accepted)
-		go func() { _ = old.runner.Release(context.Background(), testShard) }()
+		go func() { _ = old.release(context.Background()) }()
 		c.observe(time.Second)
 		is.True(c.longestGap <= 10*time.Millisecond) // two round trips of 2 ms and a message
 		is.Equal(c.holder().member, next)
-		is.Equal(old.runner.Release(c.t.Context(), testShard), ErrNotHeld)
+		is.Equal(old.release(c.t.Context()), ErrNotHeld)
 	})
 }
 
@@ -38,7 +38,7 @@
 		preferred := c.holder().member.Instance.Name
 		for _, p := range slices.Clone(c.processes) {
 			is.NoErr(p.runner.Leave(c.t.Context()))
-			_ = p.runner.Release(c.t.Context(), testShard)
+			_ = p.release(c.t.Context())
 			time.Sleep(100 * time.Millisecond)
 			p.kill()
 			c.start(p.member.Instance.Name, "2", p.member.Domain)
--- a/internal/authority/runner/inputs.go
+++ b/internal/authority/runner/inputs.go
@@ -39,11 +39,11 @@
 	return query(ctx, r, func(now time.Time) bool { return r.node.ExpectHandOver(now, shard) })
 }
 
-// Release ends the tenure of a shard and releases its promises, so that the
-// next holder need not wait for them to expire. The caller has sent its last
-// order. It returns ErrNotHeld if the shard was not held.
-func (r *Runner) Release(ctx context.Context, shard key.ShardID) error {
-	held, err := query(ctx, r, func(now time.Time) bool { return r.node.Release(now, shard) })
+// Release ends the tenure of a shard that began at since and releases its promises, so
+// that the next holder need not wait for them to expire. The caller has sent its last
+// order and has revoked all grants. It returns ErrNotHeld if that tenure had ended.
+func (r *Runner) Release(ctx context.Context, shard key.ShardID, since time.Time) error {
+	held, err := query(ctx, r, func(now time.Time) bool { return r.node.Release(now, shard, since) })
 	if err == nil && !held {
 		return ErrNotHeld
 	}
--- a/internal/authority/runner/process_test.go
+++ b/internal/authority/runner/process_test.go
@@ -23,6 +23,15 @@
 
 func (p *process) source() *Source { return p.runner.Source(testShard) }
 
+// release releases the shard if the process holds it. It has no grants.
+func (p *process) release(ctx context.Context) error {
+	since := time.Time{}
+	if tenure := p.source().Tenure(); tenure != nil {
+		since = tenure.Since
+	}
+	return p.runner.Release(ctx, testShard, since)
+}
+
 // kill terminates the process. Its address refuses connections from then on.
 func (p *process) kill() {
 	p.terminated.Store(true)
--- a/internal/authority/sim_test.go
+++ b/internal/authority/sim_test.go
@@ -204,7 +204,7 @@
 // release hands the shard over. The holder has revoked its grants.
 func (s *sim) release(h *simNode) {
 	h.enqueue(func(now time.Time) {
-		if h.node.Release(now, simShard) {
+		if h.tenure != nil && h.node.Release(now, simShard, h.tenure.Since) {
 			s.grantsEnd = time.Time{}
 		}
 	})
--- a/internal/router/handover.go
+++ b/internal/router/handover.go
@@ -62,9 +62,9 @@
 	l.draining.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, revokeTimeout)
 	defer cancel()
-	err := l.runtime.RevokeGrants(ctx)
+	since, err := l.runtime.RevokeGrants(ctx)
 	if err == nil {
-		err = l.components.runner.Release(ctx, l.id)
+		err = l.components.runner.Release(ctx, l.id, since)
 	}
 	if err != nil {
 		l.components.log.Emit(events.HandOverFailed, events.FieldShard, l.id.String(), events.FieldDetail, err.Error())
--- a/internal/shard/coordinator.go
+++ b/internal/shard/coordinator.go
@@ -189,7 +189,7 @@
 		r.stopWatching()
 	}
 	c.endQuiesce()
-	c.endRevocation()
+	c.endInterruptedRevocation(now)
 	for _, s := range c.servers {
 		c.retiredGrants = append(c.retiredGrants, &s.grants)
 	}
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -26,7 +26,7 @@
 // out of use start at once when they go to committed servers; everything else waits for
 // the commit.
 func (c *coordinator) planIfDue(now time.Time) {
-	if !c.loaded || !c.config.Keyed || c.quiesce != nil || !c.allServersContacted() {
+	if !c.loaded || !c.config.Keyed || c.blocksAllRanges() || !c.allServersContacted() {
 		return
 	}
 	if now.Before(c.nextPlanAt) {
--- a/internal/shard/publish.go
+++ b/internal/shard/publish.go
@@ -57,7 +57,7 @@
 // has no owner. It is blocked while a usable server may not be sent orders yet.
 func (c *coordinator) unkeyedRange(replaced <-chan struct{}) route.Range {
 	whole := route.Range{Bounds: c.options.Interval, State: c.unkeyedState}
-	blocked := c.quiesce != nil
+	blocked := c.blocksAllRanges()
 	for _, s := range c.servers {
 		blocked = blocked || s.isUsable() && !s.ordersAllowed
 	}
@@ -72,13 +72,13 @@
 // taken out of use they wait for the move.
 func (c *coordinator) isOpen(r *managedRange) bool {
 	owner := c.servers[r.owner]
-	return r.phase == serving && owner.isResponsive() && owner.isUsable() && c.quiesce == nil
+	return r.phase == serving && owner.isResponsive() && owner.isUsable() && !c.blocksAllRanges()
 }
 
 // viewTargets lists the servers that may get new work. When none is responsive, all
 // that may be used are listed: the control endpoint of a server may fail on its own.
 func (c *coordinator) viewTargets() []*route.Target {
-	if c.quiesce != nil {
+	if c.blocksAllRanges() {
 		return nil
 	}
 	var targets, allowed []*route.Target
--- a/internal/shard/revocation_test.go
+++ b/internal/shard/revocation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -12,7 +13,8 @@
 // promise.
 func (tc *testCluster) handOverTo(is *is.I, next *fakeInstance) {
 	old := tc.currentHolder
-	is.NoErr(old.runtime.RevokeGrants(context.Background()))
+	_, err := old.runtime.RevokeGrants(context.Background())
+	is.NoErr(err)
 	close(old.cutOff)
 	old.setTenure(nil)
 	tc.elect(next)
@@ -63,7 +65,22 @@
 		time.Sleep(time.Second)
 		tc.setOutOfService("d1", true)
 		start := time.Now()
-		is.NoErr(tc.currentHolder.runtime.RevokeGrants(context.Background()))
+		_, err := tc.currentHolder.runtime.RevokeGrants(context.Background())
+		is.NoErr(err)
 		is.True(time.Since(start) <= 10*time.Millisecond)
 	})
 }
+
+// Guards against a hand-over that releases the promises because the runtime stopped while
+// a server still had its grant.
+func TestInterruptedRevocationFails(t *testing.T) {
+	withTestCluster(t, 6, func(t *testing.T, tc *testCluster) {
+		is := is.New(t)
+		tc.waitUntilServed()
+		tc.withLock(func() { tc.servers[0].setFrozen(true) })
+		holder := tc.currentHolder
+		time.AfterFunc(100*time.Millisecond, holder.cancel)
+		_, err := holder.runtime.RevokeGrants(context.Background())
+		is.True(errors.Is(err, ErrRevocationInterrupted))
+	})
+}
