Serve a shard again after a hand-over was given up

A hand-over waits at most 1.5 s until all grants are revoked. When it gives up after that, as on a machine without processor time, the instance keeps the shard and renews its tenure, but all ranges stayed blocked and all grants empty until the tenure ended, which does not happen. RevokeGrants now marks the revocation as cancelled when its context ends, and the coordinator grants the ranges again once no revocation is left. A revocation that has been reported as complete still holds until the end of the tenure.

TestCancelledRevocationServesAgain fails without the step that drops cancelled revocations.

--- a/internal/shard/revocation.go
+++ b/internal/shard/revocation.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +16,8 @@
 // revocation is a request to revoke all grants.
 type revocation struct {
 	done chan struct{}
+	// cancelled is set when the waiter has given up.
+	cancelled atomic.Bool
 	// ended reports that done is closed. The waiter may read the field done at any
 	// time, so it is not set to nil.
 	ended bool
@@ -27,7 +31,7 @@
 // has expired. Call it before promises are released early: the next holder assumes that
 // no grant of an earlier holder is in force. It returns when the tenure began whose
 // grants are revoked; only the promises of that tenure may be released. The ranges stay
-// blocked until the tenure ends.
+// blocked until the tenure ends, or until ctx ends before all grants are revoked.
 func (r *Runtime) RevokeGrants(ctx context.Context) (tenureSince time.Time, err error) {
 	rev := &revocation{done: make(chan struct{})}
 	select {
@@ -39,6 +43,7 @@
 	case <-rev.done:
 		return rev.tenureSince, rev.err
 	case <-ctx.Done():
+		rev.cancelled.Store(true)
 		return time.Time{}, ctx.Err()
 	}
 }
@@ -54,6 +59,7 @@
 // checkRevocation notifies the waiters once no server owns anything, and wakes the
 // coordinator when the last grant expires.
 func (c *coordinator) checkRevocation(now time.Time) {
+	c.dropCancelledRevocations()
 	if len(c.revocations) == 0 {
 		return
 	}
@@ -64,6 +70,17 @@
 	c.endRevocation(nil)
 }
 
+// dropCancelledRevocations grants the ranges again when no revocation is left.
+func (c *coordinator) dropCancelledRevocations() {
+	before := len(c.revocations)
+	c.revocations = slices.DeleteFunc(c.revocations, func(rev *revocation) bool { return !rev.ended && rev.cancelled.Load() })
+	if before > 0 && len(c.revocations) == 0 {
+		c.grantRangesDirty = true
+		c.viewDirty = true
+		c.wakeUp()
+	}
+}
+
 // grantsEmptyBy returns the time from which no server can own anything.
 func (c *coordinator) grantsEmptyBy() time.Time {
 	emptyBy := time.Time{}
--- a/internal/shard/revocation_test.go
+++ b/internal/shard/revocation_test.go
@@ -84,3 +84,27 @@
 		is.True(errors.Is(err, ErrRevocationInterrupted))
 	})
 }
+
+// Guards against a shard that serves nothing any more after a hand-over that was given up,
+// while its holder keeps it.
+func TestCancelledRevocationServesAgain(t *testing.T) {
+	withTestCluster(t, 6, func(t *testing.T, tc *testCluster) {
+		is := is.New(t)
+		tc.waitUntilServed()
+		tc.withLock(func() { tc.servers[0].setFrozen(true) })
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		_, err := tc.currentHolder.runtime.RevokeGrants(ctx)
+		is.True(errors.Is(err, context.DeadlineExceeded))
+		time.Sleep(time.Second)
+		for _, h := range tc.sampledHashes {
+			is.True(tc.ownerName(h) != "")
+		}
+		since, err := tc.currentHolder.runtime.RevokeGrants(context.Background())
+		is.NoErr(err)
+		is.Equal(since, tc.currentHolder.Tenure().Since)
+		for _, s := range tc.servers {
+			tc.withLock(func() { is.True(s.clock() >= s.grantedUntil || len(s.ranges) == 0) })
+		}
+	})
+}
