Trace an overlap of owners in the plays of the system

TestOrdersRunOnceAcrossInstances once reported 64 overlaps of owners and nothing else, so that they could not be traced. The check of the invariants now logs the first overlaps, what the two servers owned, and what the instances recorded about the shards of the service within 3 s of the first overlap.

--- a/internal/dev/system/judge_test.go
+++ b/internal/dev/system/judge_test.go
@@ -21,6 +21,7 @@
 	t.Helper()
 	is := is.New(t)
 	evidence := c.fleet.Recording()
+	c.reportOverlaps(t, evidence)
 	is.Equal(len(evidence.Overlaps), 0)
 	ran := map[string]int{}
 	for _, run := range evidence.Executions {
