--- a/internal/shard/revocation_test.go
+++ b/internal/shard/revocation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -12,7 +13,8 @@
 // promise.
 func (tc *testCluster) handOverTo(is *is.I, next *fakeInstance) {
 	old := tc.currentHolder
-	is.NoErr(old.runtime.RevokeGrants(context.Background()))
+	_, err := old.runtime.RevokeGrants(context.Background())
+	is.NoErr(err)
 	close(old.cutOff)
 	old.setTenure(nil)
 	tc.elect(next)
@@ -63,7 +65,46 @@
 		time.Sleep(time.Second)
 		tc.setOutOfService("d1", true)
 		start := time.Now()
-		is.NoErr(tc.currentHolder.runtime.RevokeGrants(context.Background()))
+		_, err := tc.currentHolder.runtime.RevokeGrants(context.Background())
+		is.NoErr(err)
 		is.True(time.Since(start) <= 10*time.Millisecond)
 	})
 }
+
+// Guards against a hand-over that releases the promises because the runtime stopped while
+// a server still had its grant.
+func TestInterruptedRevocationFails(t *testing.T) {
+	withTestCluster(t, 6, func(t *testing.T, tc *testCluster) {
+		is := is.New(t)
+		tc.waitUntilServed()
+		tc.withLock(func() { tc.servers[0].setFrozen(true) })
+		holder := tc.currentHolder
+		time.AfterFunc(100*time.Millisecond, holder.cancel)
+		_, err := holder.runtime.RevokeGrants(context.Background())
+		is.True(errors.Is(err, ErrRevocationInterrupted))
+	})
+}
+
+// Guards against a shard that serves nothing any more after a hand-over that was given up,
+// while its holder keeps it.
+func TestCancelledRevocationServesAgain(t *testing.T) {
+	withTestCluster(t, 6, func(t *testing.T, tc *testCluster) {
+		is := is.New(t)
+		tc.waitUntilServed()
+		tc.withLock(func() { tc.servers[0].setFrozen(true) })
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		_, err := tc.currentHolder.runtime.RevokeGrants(ctx)
+		is.True(errors.Is(err, context.DeadlineExceeded))
+		time.Sleep(time.Second)
+		for _, h := range tc.sampledHashes {
+			is.True(tc.ownerName(h) != "")
+		}
+		since, err := tc.currentHolder.runtime.RevokeGrants(context.Background())
+		is.NoErr(err)
+		is.Equal(since, tc.currentHolder.Tenure().Since)
+		for _, s := range tc.servers {
+			tc.withLock(func() { is.True(s.clock() >= s.grantedUntil || len(s.ranges) == 0) })
+		}
+	})
+}
