Let instances that have just begun to stop succeed the holder

A stopping instance lives for 5.7 s. It now is no candidate in the last 2 s of that only, so that a strong machine that has begun to stop takes over until others are back.

BeginStop lost its time of the hand-over: it is called when that time has come.

--- a/internal/entrynode/constants.go
+++ b/internal/entrynode/constants.go
@@ -18,9 +18,9 @@
 	drainPollInterval = 100 * time.Millisecond
 	// exitReserve is the part of the grace period that is left for the process to exit.
 	exitReserve = 300 * time.Millisecond
-	// handOverReserve is how long before the end of draining an instance that is the
-	// holder may hand over. When a whole fleet restarts within seconds, its strong
-	// machines are back within it.
+	// handOverReserve is how long before the end of draining an instance stops being a
+	// candidate, and may hand over if it is the holder. When a whole fleet restarts within
+	// seconds, other stopping instances can succeed it, or its strong machines are back.
 	handOverReserve = 2 * time.Second
 	// electorReserve is how long before the end of draining the elector ends. A holder
 	// that could not hand over deletes its key in that time.
--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -29,7 +29,7 @@
 	ctx         context.Context
 	// endTenure ends ctx.
 	endTenure   context.CancelFunc
-	plannedStop *plannedStop
+	plannedStop plannedStop
 	// superseded is set once there is evidence of another holder.
 	superseded atomic.Bool
 	// yielding is set when the tenure ends in favour of a stronger machine.
@@ -183,5 +183,5 @@
 	c.publish(now)
 	c.probeServers(now)
 	c.considerYield(now)
-	c.considerHandOver(now)
+	c.considerHandOver()
 }
--- a/internal/holder/elector.go
+++ b/internal/holder/elector.go
@@ -33,7 +33,7 @@
 	processorShare float64
 	// elections counts the elections in which this process has been a candidate.
 	elections   int64
-	plannedStop *plannedStop
+	plannedStop plannedStop
 	// coordinator is set while this instance is the holder.
 	coordinator atomic.Pointer[Coordinator]
 }
@@ -71,8 +71,8 @@
 	}
 }
 
-// announceStop tells the holder at the other end of the link when the planned stop of
-// this instance begins. The returned function ends that.
+// announceStop tells the holder at the other end of the link when this instance is no
+// candidate any more, as it stops soon. The returned function ends that.
 func (e *Elector) announceStop(l link.Link) (cancel func() bool) {
 	return context.AfterFunc(e.plannedStop.begun, func() { l.Send(&linkpb.Up{Stopping: true}) })
 }
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -14,7 +14,7 @@
 
 // elect makes this instance a candidate, to replace the holder whose key has the given
 // revision, or 0 if there is no key. If it wins, it is the holder until its tenure
-// ends. An instance that stops is no candidate. lastHolderBound limits how long grants of the replaced holder may remain valid;
+// ends. An instance that stops soon is no candidate. lastHolderBound limits how long grants of the replaced holder may remain valid;
 // 0 means that no limit is known.
 func (e *Elector) elect(ctx context.Context, revision uint64, lastHolderBound time.Duration) {
 	delay := maxElectionDelay
--- a/internal/holder/plannedstop.go
+++ b/internal/holder/plannedstop.go
@@ -1,44 +1,30 @@
 package holder
 
-import (
-	"context"
-	"sync/atomic"
-	"time"
-)
+import "context"
 
-// plannedStop is the state of the planned stop of this instance. While an instance
-// stops, it finishes requests for seconds, and needs the holder for them.
+// plannedStop tells whether this instance stops so soon that it should not be the
+// holder. Until then, a stopping instance can be the holder as any other.
 type plannedStop struct {
-	// begun is done once the planned stop has begun.
+	// begun is done once that is so.
 	begun context.Context
 	begin context.CancelFunc
-	// handOverAt is from when on this instance, if it is the holder, may hand over. It is
-	// nil until the planned stop has begun.
-	handOverAt atomic.Pointer[time.Time]
 }
 
-func newPlannedStop() *plannedStop {
-	s := &plannedStop{}
+func newPlannedStop() plannedStop {
+	var s plannedStop
 	s.begun, s.begin = context.WithCancel(context.Background())
 	return s
 }
 
-// hasBegun reports whether the planned stop has begun.
-func (s *plannedStop) hasBegun() bool {
+// hasBegun reports whether this instance stops soon.
+func (s plannedStop) hasBegun() bool {
 	return s.begun.Err() != nil
 }
 
-// handOverDue reports whether this instance may hand over at now.
-func (s *plannedStop) handOverDue(now time.Time) bool {
-	at := s.handOverAt.Load()
-	return at != nil && !now.Before(*at)
-}
-
-// BeginStop begins the planned stop: from now on this instance is not a candidate, but
-// follows holders until Run ends. If it is the holder, it hands over from handOverAt on
-// once there is a candidate on a machine that is not much weaker, and otherwise stays
-// the holder until Run ends.
-func (e *Elector) BeginStop(handOverAt time.Time) {
-	e.plannedStop.handOverAt.Store(&handOverAt)
+// BeginStop tells the elector that this instance stops within seconds. From then on it
+// is no candidate, but follows holders until Run ends. If it is the holder, it hands
+// over once there is a candidate on a machine that is not much weaker, and otherwise
+// stays the holder until Run ends.
+func (e *Elector) BeginStop() {
 	e.plannedStop.begin()
 }
--- a/internal/holder/plannedstop_test.go
+++ b/internal/holder/plannedstop_test.go
@@ -65,11 +65,10 @@
 // holder ended its tenure at once, although no other instance could succeed it. Guards
 // also against a hand-over to a machine that is too weak, while stronger ones restart.
 func TestStoppingHolderStaysUntilThereIsASuccessor(t *testing.T) {
-	const handOverDelay = 4 * time.Second
 	cases := []struct {
 		name     string
 		follower link.Member
-		// announced is set if the follower begins its planned stop after it has joined.
+		// announced is set if the follower says that it stops after it has joined.
 		announced bool
 		handsOver bool
 	}{
@@ -91,10 +90,10 @@
 				if tc.announced {
 					follower.Send(&linkpb.Up{Stopping: true})
 				}
-				e.BeginStop(time.Now().Add(handOverDelay))
-				time.Sleep(handOverDelay - time.Millisecond)
-				is.Equal(currentHolder(t, shared), "entry-1")
 				time.Sleep(time.Second)
+				is.Equal(currentHolder(t, shared), "entry-1")
+				e.BeginStop()
+				time.Sleep(4 * time.Second)
 				is.Equal(currentHolder(t, shared) == "", tc.handsOver)
 				end()
 				is.Equal(currentHolder(t, shared), "")
@@ -110,7 +109,7 @@
 		shared := memstore.New()
 		shared.Faults().SetUnavailable(true)
 		e, end := startElector(t, shared, "entry-1")
-		e.BeginStop(time.Now().Add(4 * time.Second))
+		e.BeginStop()
 		shared.Faults().SetUnavailable(false)
 		for range 50 {
 			time.Sleep(100 * time.Millisecond)
--- a/internal/holder/tenure.go
+++ b/internal/holder/tenure.go
@@ -46,11 +46,11 @@
 		leaseConfirmedAt != nil && now.Sub(*leaseConfirmedAt) < leaseTTL
 }
 
-// considerHandOver ends the tenure of an instance that is about to end, if one on a
-// machine that is not much weaker can become the holder. In a rolling restart such an
-// instance may come back within moments.
-func (c *Coordinator) considerHandOver(now time.Time) {
-	if c.plannedStop.handOverDue(now) && c.hasCandidate() && yieldShareRatio*c.maxProcessorShare() >= c.processorShare {
+// considerHandOver ends the tenure of an instance that stops soon, if one on a machine
+// that is not much weaker can become the holder. In a rolling restart such an instance
+// may come back within moments.
+func (c *Coordinator) considerHandOver() {
+	if c.plannedStop.hasBegun() && c.hasCandidate() && yieldShareRatio*c.maxProcessorShare() >= c.processorShare {
 		c.endTenure()
 	}
 }
