Hand over to running instances only, and let those that stop fill the gaps

A stopping instance now says two things to the holder: that its planned stop has begun, after which no holder hands over or yields to it, and that it ends within 2 s, after which it is no candidate. In between it stands for election only if the holder has ended without a successor, and weak machines wait for it as for other strong ones.

--- a/internal/entrynode/constants.go
+++ b/internal/entrynode/constants.go
@@ -20,7 +20,7 @@
 	exitReserve = 300 * time.Millisecond
 	// handOverReserve is how long before the end of draining an instance stops being a
 	// candidate, and may hand over if it is the holder. When a whole fleet restarts within
-	// seconds, other stopping instances can succeed it, or its strong machines are back.
+	// seconds, its strong machines are back within it.
 	handOverReserve = 2 * time.Second
 	// electorReserve is how long before the end of draining the elector ends. A holder
 	// that could not hand over deletes its key in that time.
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -173,7 +173,8 @@
 	n.stopping.Store(true)
 	n.callerServer.StartDraining()
 	deadline := began.Add(n.config.GracePeriod - exitReserve)
-	defer time.AfterFunc(time.Until(deadline.Add(-handOverReserve)), n.elector.BeginStop).Stop()
+	n.elector.BeginStop()
+	defer time.AfterFunc(time.Until(deadline.Add(-handOverReserve)), n.elector.EndCandidacy).Stop()
 	defer time.AfterFunc(time.Until(deadline.Add(-electorReserve)), stopElector).Stop()
 	time.Sleep(time.Until(began.Add(drainNotice)))
 	for n.callerServer.OpenConnections() > 0 && time.Now().Before(deadline) {
--- a/internal/holder/elector.go
+++ b/internal/holder/elector.go
@@ -48,7 +48,7 @@
 
 // member describes this instance to the holder that it joins.
 func (e *Elector) member() link.Member {
-	return link.Member{Instance: e.self.String(), Domain: e.self.Domain, ProcessorShare: e.processorShare, Stopping: e.plannedStop.hasBegun()}
+	return link.Member{Instance: e.self.String(), Domain: e.self.Domain, ProcessorShare: e.processorShare, Stopping: e.plannedStop.isStopping(), Ending: e.plannedStop.isEnding()}
 }
 
 // Join adds a follower. It returns false unless this instance is the holder.
@@ -71,12 +71,6 @@
 	}
 }
 
-// announceStop tells the holder at the other end of the link when this instance is no
-// candidate any more, as it stops soon. The returned function ends that.
-func (e *Elector) announceStop(l link.Link) (cancel func() bool) {
-	return context.AfterFunc(e.plannedStop.begun, func() { l.Send(&linkpb.Up{Stopping: true}) })
-}
-
 // Run follows the holder, or is the holder, until ctx is done.
 func (e *Elector) Run(ctx context.Context) {
 	if e.firstStart {
--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -15,9 +15,21 @@
 	}
 }
 
-// maxProcessorShare returns the largest processor share among the followers that can
+// maxCandidateShare returns the largest processor share among the followers that can
 // become the holder.
-func (c *Coordinator) maxProcessorShare() float64 {
+func (c *Coordinator) maxCandidateShare() float64 {
+	share := 0.0
+	for f := range c.followers {
+		if !f.Ending {
+			share = max(share, f.ProcessorShare)
+		}
+	}
+	return share
+}
+
+// maxRunningShare returns the largest processor share among the followers that are not
+// stopping.
+func (c *Coordinator) maxRunningShare() float64 {
 	share := 0.0
 	for f := range c.followers {
 		if !f.Stopping {
@@ -27,8 +39,8 @@
 	return share
 }
 
-// hasCandidate reports whether one of the followers can become the holder.
-func (c *Coordinator) hasCandidate() bool {
+// hasRunningFollower reports whether one of the followers is not stopping.
+func (c *Coordinator) hasRunningFollower() bool {
 	for f := range c.followers {
 		if !f.Stopping {
 			return true
@@ -66,7 +78,7 @@
 	}
 	c.enqueue(func() {
 		now := time.Now()
-		f.Stopping = f.Stopping || up.Stopping
+		f.Stopping, f.Ending = f.Stopping || up.Stopping, f.Ending || up.Ending
 		for _, finish := range up.Finishes {
 			c.completeAttempt(now, link.DecodeFinish(finish, f.Instance))
 		}
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -14,7 +14,7 @@
 
 // elect makes this instance a candidate, to replace the holder whose key has the given
 // revision, or 0 if there is no key. If it wins, it is the holder until its tenure
-// ends. An instance that stops soon is no candidate. lastHolderBound limits how long grants of the replaced holder may remain valid;
+// ends. An instance that ends within seconds is no candidate. lastHolderBound limits how long grants of the replaced holder may remain valid;
 // 0 means that no limit is known.
 func (e *Elector) elect(ctx context.Context, revision uint64, lastHolderBound time.Duration) {
 	delay := maxElectionDelay
@@ -25,10 +25,10 @@
 	if maxShare == 0 {
 		delay = maxElectionDelayUnknownShares
 	}
-	if !e.plannedStop.hasBegun() {
+	if !e.plannedStop.isEnding() {
 		sleep(ctx, candidacyDelay(e.processorShare, maxShare, delay, electionJitter))
 	}
-	if e.plannedStop.hasBegun() {
+	if e.plannedStop.isEnding() {
 		sleep(ctx, storeRetryDelay) // until another instance may be the holder
 		return
 	}
@@ -131,7 +131,7 @@
 	if local := link.JoinLocal(e, e.member(), onDown); local != nil {
 		e.client.Attach(local)
 		defer local.Close()
-		defer e.announceStop(local)()
+		defer e.plannedStop.announce(local)()
 	}
 	readerDone := make(chan struct{})
 	go func() {
--- a/internal/holder/planning.go
+++ b/internal/holder/planning.go
@@ -70,7 +70,7 @@
 	version := c.table.PlanVersion()
 	record := c.table.Record()
 	record.Instances = c.fleetSize(now)
-	record.MaxProcessorShare = max(c.processorShare, c.maxProcessorShare())
+	record.MaxProcessorShare = max(c.processorShare, c.maxCandidateShare())
 	record.Yielded = c.yieldPlanned
 	record.InheritedGrantsPending = !c.table.InheritedGrantsEnded(now)
 	record.Addresses = map[string]string{}
--- a/internal/holder/publish.go
+++ b/internal/holder/publish.go
@@ -48,6 +48,6 @@
 	message := link.EncodeFacts(snapshot, sent, c.sentSnapshot, now)
 	message.AgeUs = link.AgeMicros(c.registry, now)
 	message.Instances = int32(len(c.followers))
-	message.Strongest = c.maxProcessorShare()
+	message.Strongest = c.maxCandidateShare()
 	return message
 }
--- a/internal/holder/tenure.go
+++ b/internal/holder/tenure.go
@@ -41,16 +41,16 @@
 // the store as well. The tenure ends once the record says so, as that may take long on
 // an overloaded machine.
 func (c *Coordinator) considerYield(now time.Time) {
-	leaseConfirmedAt, strongest := c.leaseConfirmedAt.Load(), c.maxProcessorShare()
+	leaseConfirmedAt, strongest := c.leaseConfirmedAt.Load(), c.maxRunningShare()
 	c.yieldPlanned = !now.Before(c.yieldAllowedAt) && strongest > 0 && strongest >= yieldShareRatio*c.processorShare &&
 		leaseConfirmedAt != nil && now.Sub(*leaseConfirmedAt) < leaseTTL
 }
 
-// considerHandOver ends the tenure of an instance that stops soon, if one on a machine
-// that is not much weaker can become the holder. In a rolling restart such an instance
-// may come back within moments.
+// considerHandOver ends the tenure of an instance that ends within seconds, if one that
+// is not stopping, on a machine that is not much weaker, can become the holder. In a
+// rolling restart such an instance may come back within moments.
 func (c *Coordinator) considerHandOver() {
-	if c.plannedStop.hasBegun() && c.hasCandidate() && yieldShareRatio*c.maxProcessorShare() >= c.processorShare {
+	if c.plannedStop.isEnding() && c.hasRunningFollower() && yieldShareRatio*c.maxRunningShare() >= c.processorShare {
 		c.endTenure()
 	}
 }
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -31,7 +31,7 @@
 	c := &Client{conn: drpcconn.New(raw), outbox: make(chan *linkpb.Up, outboxSize), done: make(chan struct{})}
 	stream, err := linkpb.NewDRPCLinkClient(c.conn).Follow(context.Background())
 	if err == nil {
-		err = stream.Send(&linkpb.Up{Instance: member.Instance, Domain: member.Domain, Processor: member.ProcessorShare, Stopping: member.Stopping})
+		err = stream.Send(&linkpb.Up{Instance: member.Instance, Domain: member.Domain, Processor: member.ProcessorShare, Stopping: member.Stopping, Ending: member.Ending})
 	}
 	if err != nil {
 		c.Close()
@@ -101,7 +101,7 @@
 			up.Asks = append(up.Asks, more.Asks...)
 			up.Finishes = append(up.Finishes, more.Finishes...)
 			up.Withdrawn = append(up.Withdrawn, more.Withdrawn...)
-			up.Stopping = up.Stopping || more.Stopping
+			up.Stopping, up.Ending = up.Stopping || more.Stopping, up.Ending || more.Ending
 			if more.Facts != nil {
 				up.Facts = more.Facts // a later read of the store replaces an earlier one
 			}
--- a/internal/link/follower.go
+++ b/internal/link/follower.go
@@ -8,8 +8,8 @@
 
 // Follower is the holder's end of one link.
 type Follower struct {
-	// Member is the instance at the other end. Once it has joined, its field Stopping is
-	// used only by the handler's event loop.
+	// Member is the instance at the other end. Once it has joined, its fields Stopping and
+	// Ending are used only by the handler's event loop.
 	Member
 	// Sent is used only by the handler's event loop.
 	Sent SentSequences
--- a/internal/link/member.go
+++ b/internal/link/member.go
@@ -6,6 +6,7 @@
 	Domain   string
 	// ProcessorShare is the share of a processor available on the instance's machine.
 	ProcessorShare float64
-	// Stopping is set once the instance stops so soon that it must not become the holder.
-	Stopping bool
+	// Stopping is set once the planned stop of the instance has begun, and Ending once it
+	// ends so soon that it does not become the holder.
+	Stopping, Ending bool
 }
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -52,7 +52,7 @@
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	f := &Follower{
-		Member: Member{Instance: first.Instance, Domain: first.Domain, ProcessorShare: first.Processor, Stopping: first.Stopping},
+		Member: Member{Instance: first.Instance, Domain: first.Domain, ProcessorShare: first.Processor, Stopping: first.Stopping, Ending: first.Ending},
 		send: func(d *linkpb.Down) bool {
 			select {
 			case outbox <- d:
