--- a/internal/entrynode/constants.go
+++ b/internal/entrynode/constants.go
@@ -22,9 +22,9 @@
 	abortTimeout = 100 * time.Millisecond
 	// abortPollInterval is how often a stopping instance checks for these replies.
 	abortPollInterval = 10 * time.Millisecond
-	// handOverReserve is how long before the end of draining an instance that is the
-	// holder may hand over. When a whole fleet restarts within seconds, its strong
-	// machines are back within it.
+	// handOverReserve is how long before the end of draining an instance stops being a
+	// candidate, and may hand over if it is the holder. When a whole fleet restarts within
+	// seconds, its strong machines are back within it.
 	handOverReserve = 2 * time.Second
 	// electorReserve is how long before the end of draining the elector ends. A holder
 	// that could not hand over deletes its key in that time.
