--- a/internal/dev/soak/faults.go
+++ b/internal/dev/soak/faults.go
@@ -181,8 +181,9 @@
 }
 
 // stop makes a planned stop, with a second SIGTERM after the given time unless that is
-// 0, and SIGKILL at the end of the grace period.
+// 0, and SIGKILL at the end of the grace period, which does not count stalls of the machine.
 func (f *faults) stop(i *instance, again time.Duration) {
+	start := time.Now()
 	done := i.signal(syscall.SIGTERM)
 	grace := time.NewTimer(check.GracePeriod)
 	defer grace.Stop()
@@ -198,7 +199,13 @@
 			i.signal(syscall.SIGTERM)
 			second = nil
 		case <-grace.C:
-			<-i.signal(syscall.SIGKILL)
+			allowance := f.p.stalls.since(start)
+			f.p.note("%s has not ended at the end of the grace period; the machine stalled for %v", i.name, allowance)
+			select {
+			case <-done:
+			case <-time.After(allowance):
+				<-i.signal(syscall.SIGKILL)
+			}
 			return
 		}
 	}
--- a/internal/dev/soak/play.go
+++ b/internal/dev/soak/play.go
@@ -60,6 +60,7 @@
 	balancer    *callers.Balancer
 	attempts    caller.Log
 	impairments *check.Impairments
+	stalls      stallMonitor
 
 	mu     sync.Mutex
 	notes  []string
@@ -171,6 +172,7 @@
 		c := p.newCaller(fmt.Sprintf("c%d", n), n)
 		load.Go(func() { c.Run(loadContext) })
 	}
+	go p.stalls.run(loadContext)
 	(&faults{p: p}).run(ctx, s.events)
 	p.note("the last fault has ended")
 	stopLoad()
