--- a/internal/dev/soak/run.go
+++ b/internal/dev/soak/run.go
@@ -70,6 +70,7 @@
 	}
 	evidence, err := p.run(ctx, s)
 	if err != nil {
+		_ = p.writeAccount(s, &check.Evidence{}, nil) // the error of the play goes first
 		return nil, errors.Wrapf(err, "logs are in %s", dir)
 	}
 	violations := evidence.Violations()
--- a/internal/dev/tcpproxy/proxy.go
+++ b/internal/dev/tcpproxy/proxy.go
@@ -6,13 +6,20 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 )
 
-// dialTimeout bounds connecting to the target, which is on loopback.
-const dialTimeout = time.Second
+const (
+	// dialTimeout bounds connecting to the target, which is on loopback.
+	dialTimeout = time.Second
+	// listenTimeout bounds the tries to listen on an address that is in use. A process that
+	// is being started holds a copy of a listener that was closed meanwhile, until its exec.
+	listenTimeout = 2 * time.Second
+	listenPause   = 10 * time.Millisecond
+)
 
 // Proxy accepts connections at its address and passes them on to its target.
 type Proxy struct {
@@ -41,6 +48,10 @@
 // Open starts to accept connections.
 func (p *Proxy) Open() error {
 	listener, err := net.Listen("tcp4", p.address)
+	for start := time.Now(); errors.Is(err, syscall.EADDRINUSE) && time.Since(start) < listenTimeout; {
+		time.Sleep(listenPause)
+		listener, err = net.Listen("tcp4", p.address)
+	}
 	if err != nil {
 		return errors.Wrap(err, "proxy cannot listen; check that the address is free")
 	}
