--- a/internal/dev/command/soak.go
+++ b/internal/dev/command/soak.go
@@ -24,6 +24,7 @@
 	sub.UInt64(&o.Seed, "", "seed", "first seed")
 	sub.Int(&o.Seeds, "", "seeds", "number of seeds")
 	sub.Int(&o.Instances, "", "instances", "number of instances; 100 makes a big run")
+	sub.String(&o.Theme, "", "theme", "mix of events; default: drawn from the seed")
 	sub.Int(&o.Servers, "", "servers", "backend servers of each service")
 	sub.Int(&o.Callers, "", "callers", "number of callers; default: five for each instance")
 	sub.Duration(&o.Duration, "", "duration", "time in which faults begin")
--- a/internal/dev/soak/options.go
+++ b/internal/dev/soak/options.go
@@ -21,6 +21,8 @@
 	Duration time.Duration
 	// Callers is the number of callers; 0 means five for each instance.
 	Callers int
+	// Theme names the mix of events; "" draws one.
+	Theme string
 	// Servers is the number of backend servers of each service.
 	Servers int
 }
@@ -34,6 +36,9 @@
 	if o.Seeds < 1 || o.Instances < 1 || o.Servers < 1 || o.Duration <= 0 || o.Callers < 0 {
 		return errors.New("seeds, instances, servers and duration must be above 0")
 	}
+	if _, found := themeOf(o.Theme); o.Theme != "" && !found {
+		return errors.Errorf("theme %q does not exist; docs/soak.md lists the themes", o.Theme)
+	}
 	return nil
 }
 
--- a/internal/dev/soak/run.go
+++ b/internal/dev/soak/run.go
@@ -62,7 +62,7 @@
 		return nil, errors.Wrap(err, "directory of the seed")
 	}
 	began := time.Now()
-	s := newSchedule(seed, options.Duration, options.Instances, options.Servers*len(services))
+	s := newSchedule(seed, options)
 	p, err := newPlay(options, seed, dir)
 	defer p.close()
 	if err != nil {
--- a/internal/dev/soak/schedule.go
+++ b/internal/dev/soak/schedule.go
@@ -26,10 +26,15 @@
 	events []event
 }
 
-// newSchedule draws the events of a seed. It depends only on its arguments.
-func newSchedule(seed uint64, duration time.Duration, instances, servers int) schedule {
+// newSchedule draws the events of a seed. It depends only on its arguments. The theme is
+// drawn too unless the options name one.
+func newSchedule(seed uint64, options Options) schedule {
+	duration, instances, servers := options.Duration, options.Instances, options.Servers*len(services)
 	random := rand.New(rand.NewPCG(seed, 1))
 	drawn := themes[random.IntN(len(themes))]
+	if named, found := themeOf(options.Theme); found {
+		drawn = named
+	}
 	s := schedule{theme: drawn.name}
 	for at := firstEvent; at < duration; at += time.Duration(random.ExpFloat64() * float64(meanEventGap)) {
 		e := event{at: at, kind: drawn.draw(random), length: upTo(random, maxFaultTime), pause: upTo(random, maxRestartPause)}
@@ -41,7 +46,7 @@
 		case eventConfigure, eventConfigureTwin, eventStoreDown, eventStoreSlow, eventStoreLost:
 		default:
 			e.targets = []int{random.IntN(instances)}
-			if random.IntN(4) == 0 {
+			if random.IntN(4) == 0 || drawn.atHolder {
 				e.targets = []int{holderTarget}
 			}
 		}
--- a/internal/dev/soak/schedule_test.go
+++ b/internal/dev/soak/schedule_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 )
@@ -13,20 +12,23 @@
 func TestSchedule(t *testing.T) {
 	is := is.New(t)
 	kinds := map[eventKind]bool{}
+	options := DefaultOptions()
 	for seed := range uint64(100) {
-		s := newSchedule(seed, 12*time.Second, 7, 12)
-		is.Equal(fmt.Sprint(s), fmt.Sprint(newSchedule(seed, 12*time.Second, 7, 12)))
+		s := newSchedule(seed, options)
+		is.Equal(fmt.Sprint(s), fmt.Sprint(newSchedule(seed, options)))
 		for _, e := range s.events {
 			kinds[e.kind] = true
-			count := 7
+			count := options.Instances
 			if e.kind == eventServerCrash || e.kind == eventServerDrain || e.kind == eventServerFault {
-				count = 12
+				count = options.Servers * len(services)
 			}
 			for _, target := range e.targets {
 				is.True(target >= holderTarget && target < count)
 			}
 		}
 	}
+	options.Theme = "links"
+	is.Equal(newSchedule(1, options).theme, "links")
 	for _, theme := range themes {
 		for _, w := range theme.weights {
 			is.True(kinds[w.kind])
--- a/internal/dev/soak/theme.go
+++ b/internal/dev/soak/theme.go
@@ -4,15 +4,32 @@
 type theme struct {
 	name    string
 	weights []weightedKind
+	// atHolder directs all events of instances at the holder.
+	atHolder bool
 }
 
 // themes are the mixes from which a seed draws one. Fewer kinds together leave fewer
 // requests that an impairment excuses.
 var themes = []theme{
-	{"planned work", []weightedKind{{eventStop, 5}, {eventStopTwice, 2}, {eventStopAtStart, 1}, {eventStopSeveral, 4}, {eventHangup, 1}, {eventConfigure, 2}, {eventConfigureTwin, 1}}},
-	{"lost processes", []weightedKind{{eventStop, 3}, {eventStopSeveral, 2}, {eventKill, 3}, {eventPause, 3}, {eventConfigure, 2}, {eventHangup, 1}}},
-	{"store", []weightedKind{{eventStop, 3}, {eventStopSeveral, 1}, {eventStoreDown, 2}, {eventStoreSlow, 2}, {eventStoreLost, 2}, {eventStoreCut, 2}, {eventConfigure, 2}}},
-	{"servers", []weightedKind{{eventStop, 3}, {eventStopSeveral, 1}, {eventServerFault, 4}, {eventServerCrash, 2}, {eventServerDrain, 2}, {eventConfigure, 1}}},
-	{"everything", []weightedKind{{eventStop, 2}, {eventStopTwice, 1}, {eventStopAtStart, 1}, {eventStopSeveral, 1}, {eventKill, 1}, {eventPause, 1}, {eventHangup, 1}, {eventConfigure, 2}, {eventStoreDown, 1},
+	{name: "planned work", weights: []weightedKind{{eventStop, 5}, {eventStopTwice, 2}, {eventStopAtStart, 1}, {eventStopSeveral, 4}, {eventHangup, 1}, {eventConfigure, 2}, {eventConfigureTwin, 1}}},
+	{name: "lost processes", weights: []weightedKind{{eventStop, 3}, {eventStopSeveral, 2}, {eventKill, 3}, {eventPause, 3}, {eventConfigure, 2}, {eventHangup, 1}}},
+	{name: "store", weights: []weightedKind{{eventStop, 3}, {eventStopSeveral, 1}, {eventStoreDown, 2}, {eventStoreSlow, 2}, {eventStoreLost, 2}, {eventStoreCut, 2}, {eventConfigure, 2}}},
+	{name: "servers", weights: []weightedKind{{eventStop, 3}, {eventStopSeveral, 1}, {eventServerFault, 4}, {eventServerCrash, 2}, {eventServerDrain, 2}, {eventConfigure, 1}}},
+	{name: "everything", weights: []weightedKind{{eventStop, 2}, {eventStopTwice, 1}, {eventStopAtStart, 1}, {eventStopSeveral, 1}, {eventKill, 1}, {eventPause, 1}, {eventHangup, 1}, {eventConfigure, 2}, {eventStoreDown, 1},
 		{eventStoreLost, 1}, {eventStoreCut, 1}, {eventPeerFault, 1}, {eventServerFault, 1}, {eventServerCrash, 1}, {eventServerDrain, 1}}},
 }
+
+// namedThemes are mixes that only an option selects, so that seeds without it keep their schedules.
+var namedThemes = []theme{
+	{name: "links", weights: []weightedKind{{eventPeerFault, 6}, {eventStoreCut, 2}, {eventStop, 1}, {eventPause, 1}, {eventKill, 1}}, atHolder: true},
+}
+
+// themeOf returns the theme with the name.
+func themeOf(name string) (theme, bool) {
+	for _, t := range append(namedThemes, themes...) {
+		if t.name == name {
+			return t, true
+		}
+	}
+	return theme{}, false
+}
