--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -16,16 +16,20 @@
 var (
 	errUnsolicitedBytes   = errors.New("the server sent bytes that belong to no request")
 	errUnmatchedResponses = errors.New("the server sent responses to other requests")
+	errHeadTooLong        = errors.Errorf("the server sent more than %d bytes without completing the head of a response", maxHeadBytes)
 )
 
 // conn is one connection. Its reader goroutine always has a read pending, also while
 // the connection is idle, so that a close or unsolicited bytes are detected at once.
 type conn struct {
-	net     net.Conn
+	net net.Conn
+	// source limits what reader takes from net while the head of a response is read.
+	source  *io.LimitedReader
 	reader  *bufio.Reader
 	pending atomic.Pointer[exchange]
-	// closed is set just before the socket is closed.
-	closed atomic.Bool
+	// closed is set just before the socket is closed, and aborted is closed with it.
+	closed  atomic.Bool
+	aborted chan struct{}
 	// reusable is cleared when the connection must not carry another request.
 	reusable atomic.Bool
 	// requestWritten is set once the write of the request has ended, with or without error.
@@ -39,7 +43,14 @@
 }
 
 func newConn(c net.Conn) *conn {
-	out := &conn{net: c, reader: bufio.NewReaderSize(c, readBufferBytes), idleTimeout: defaultIdleTimeout}
+	source := &io.LimitedReader{R: c, N: noHeadLimit}
+	out := &conn{
+		net:         c,
+		source:      source,
+		reader:      bufio.NewReaderSize(source, readBufferBytes),
+		aborted:     make(chan struct{}),
+		idleTimeout: defaultIdleTimeout,
+	}
 	out.reusable.Store(true)
 	go out.readLoop()
 	return out
@@ -50,6 +61,7 @@
 	if c.closed.Swap(true) {
 		return
 	}
+	close(c.aborted)
 	if tcp, ok := c.net.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // fails only on a connection that is closed already
 	}
@@ -77,12 +89,9 @@
 		if x == nil {
 			return errUnsolicitedBytes
 		}
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: x.request.Method})
+		response, err := c.readHead(x.request.Method)
 		if err != nil {
-			return errors.Wrap(err, "malformed response")
-		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
-			continue
+			return err
 		}
 		matches := x.request.Matches(response.Header)
 		if !matches {
@@ -104,8 +113,26 @@
 	}
 }
 
-// deliver passes the response to the waiting request. It returns once the whole body
-// has been read.
+// readHead reads the head of the next final response to a request with the given method.
+// The limit covers the interim responses before it too.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.source.N = maxHeadBytes
+	for {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		switch {
+		case err != nil && c.source.N <= 0:
+			return nil, errHeadTooLong
+		case err != nil:
+			return nil, errors.Wrap(err, "malformed response")
+		case response.StatusCode < 100 || response.StatusCode >= 200:
+			c.source.N = noHeadLimit
+			return response, nil
+		}
+	}
+}
+
+// deliver passes the response to the waiting request. It returns once the connection is
+// no longer needed to read the body.
 func (c *conn) deliver(x *exchange, httpResponse *http.Response) error {
 	c.updateIdleTimeout(httpResponse.Header)
 	body, err := readBuffered(httpResponse)
@@ -125,7 +152,11 @@
 	stream := newRemainder(httpResponse.Body)
 	response.Remainder = stream
 	c.complete(x, response)
-	<-stream.closed
+	select {
+	case <-stream.closed:
+	case <-c.aborted:
+	}
+	x.stopWatch()
 	return nil
 }
 
--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -21,16 +21,22 @@
 	source *io.LimitedReader
 	reader *bufio.Reader
 	// ctx is cancelled when the caller has disconnected.
-	ctx    context.Context
-	cancel context.CancelFunc
-	// activeRequests counts the requests that have not been answered yet.
-	activeRequests atomic.Int64
-	// closing is set once no further request is accepted, for example because a response
-	// has announced the close of the connection.
-	closing atomic.Bool
-	// idle is set while the connection waits for the first byte of a request and no
-	// request is in progress.
-	idle atomic.Bool
+	ctx      context.Context
+	cancel   context.CancelFunc
+	requests requestState
+	// broken is set when a response could not be written completely. Nothing may follow it.
+	broken atomic.Bool
+	// ending is set once nothing more is to be read for requests. It is set before the
+	// pending read is interrupted.
+	ending atomic.Bool
+	// lastResponse is when the last response ended, in nanoseconds after openedAt.
+	lastResponse atomic.Int64
+	openedAt     time.Time
+	// closedIdle is set when the connection ends because it was idle. It belongs to the
+	// goroutine that reads requests.
+	closedIdle bool
+	// interrupted is closed once the requested idle close has interrupted the pending read.
+	interrupted chan struct{}
 	// pipelineSlots limits the number of concurrent requests.
 	pipelineSlots chan struct{}
 }
@@ -47,6 +53,8 @@
 		reader:        bufio.NewReaderSize(source, readBufferBytes),
 		ctx:           ctx,
 		cancel:        cancel,
+		openedAt:      time.Now(),
+		interrupted:   make(chan struct{}),
 		pipelineSlots: make(chan struct{}, pipelineDepth),
 	}
 }
@@ -54,7 +62,7 @@
 func (c *conn) serve() {
 	previous := make(chan struct{})
 	close(previous)
-	for !c.closing.Load() {
+	for {
 		next, more := c.readRequest(previous)
 		if next != nil {
 			previous = next
@@ -63,6 +71,9 @@
 			break
 		}
 	}
+	if c.requests.seal() > 0 {
+		c.discardInput()
+	}
 	<-previous
 	c.cancel()
 	c.linger()
@@ -70,14 +81,23 @@
 	c.server.removeConn(c)
 }
 
+// setReadDeadline sets the read deadline, unless the connection is ending: then pending
+// and later reads fail at once.
+func (c *conn) setReadDeadline(t time.Time) {
+	_ = c.net.SetReadDeadline(t) // fails only on a closed connection, on which the read fails too
+	if c.ending.Load() {
+		c.interruptRead()
+	}
+}
+
 // readRequest reads one request and starts it. It returns the channel that is closed
 // once the request has been answered, and whether another request may follow.
 func (c *conn) readRequest(previous chan struct{}) (chan struct{}, bool) {
-	limits := c.server.limits().withDefaults()
-	if !c.awaitFirstByte(limits) {
+	if !c.awaitFirstByte() {
 		return nil, false
 	}
-	_ = c.net.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // fails only on a closed connection, on which the read below fails too
+	limits := c.server.limits().withDefaults()
+	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	c.source.N = int64(limits.HeaderBytes)
 	hasLength := c.mayHaveContentLength()
 	request, err := http.ReadRequest(c.reader)
@@ -91,63 +111,38 @@
 		request.Close = true // the bytes that follow may be meant as part of the body
 	}
 	c.source.N = noHeaderLimit
-	_ = c.net.SetReadDeadline(time.Time{})
+	c.setReadDeadline(time.Time{})
 	if !c.server.handler.CanPipeline(request) {
 		select {
 		case <-previous:
 		case <-c.ctx.Done():
 		}
 	}
-	if c.closing.Load() {
-		return nil, false // not executed: the caller was told that the connection closes
-	}
 	return c.startRequest(request, previous)
 }
 
-// awaitFirstByte waits for the next request and reports whether one has begun. When
-// the caller disconnects meanwhile, the requests in progress are cancelled.
-func (c *conn) awaitFirstByte(limits Limits) bool {
-	for {
-		_ = c.net.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
-		c.idle.Store(c.activeRequests.Load() == 0)
-		_, err := c.reader.Peek(1)
-		c.idle.Store(false)
-		if err == nil {
-			return true
-		}
-		if c.closing.Load() {
-			return false
-		}
-		var timeout net.Error
-		if errors.As(err, &timeout) && timeout.Timeout() && c.activeRequests.Load() > 0 {
-			continue
-		}
-		if c.activeRequests.Load() > 0 {
-			c.cancel()
-		}
-		return false
-	}
-}
-
 // rejectMalformed answers a request that could not be read because of err and closes
-// the connection. It returns nil, without an answer, if the caller has disconnected.
+// the connection. It returns nil, without an answer, if the caller has disconnected or an
+// earlier response announces the close.
 func (c *conn) rejectMalformed(previous chan struct{}, err error) chan struct{} {
 	status := http.StatusBadRequest
 	var timeout net.Error
 	switch {
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF) && c.source.N > 0:
-		c.cancel()
-		return nil
 	case c.source.N <= 0:
 		status = http.StatusRequestHeaderFieldsTooLarge
-	case errors.As(err, &timeout) && timeout.Timeout():
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		c.cancel()
+		return nil
+	case isTimeout(err):
 		status = http.StatusRequestTimeout
 	case errors.As(err, &timeout):
 		c.cancel()
 		return nil
 	}
+	if !c.requests.start() {
+		return nil
+	}
 	done := make(chan struct{})
-	c.activeRequests.Add(1)
 	go c.respond(&Response{Status: status}, previous, done, true)
 	return done
 }
@@ -160,23 +155,25 @@
 	case <-c.ctx.Done():
 		return nil, false
 	}
+	if !c.requests.start() {
+		<-c.pipelineSlots
+		return nil, false // not executed: the caller is told that the connection closes
+	}
 	closing := request.Close
 	var incoming *body
 	if request.Body != nil && request.Body != http.NoBody {
-		incoming = newBody(request.Body, c.net, c.continueFunc(request, previous))
+		incoming = newBody(request, c.net, c.continueFunc(request, previous))
 		request.Body = incoming
 	}
 	done := make(chan struct{})
-	c.activeRequests.Add(1)
 	go func() {
 		response := c.server.handler.Handle(c.ctx, request)
-		c.respond(response, previous, done, closing)
+		c.respond(response, previous, done, closing || incoming != nil && !incoming.drainable())
 		<-c.pipelineSlots
 	}()
-	if incoming == nil {
-		return done, !closing
-	}
-	return done, c.drainBody(incoming, done) && !closing
+	more := incoming == nil || c.drainBody(incoming, done)
+	c.requests.endReading()
+	return done, more && !closing
 }
 
 // continueFunc returns a function that sends the interim response 100 Continue, or nil
@@ -187,7 +184,7 @@
 	}
 	return func() {
 		<-previous
-		_, _ = c.net.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")) // the read that follows reports a failure
+		_, _ = newProgressWriter(c.net).Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")) // the read that follows reports a failure
 	}
 }
 
@@ -203,8 +200,10 @@
 	if incoming.complete {
 		return true
 	}
-	_ = c.net.SetReadDeadline(time.Now().Add(bodyDrainTimeout))
+	if !incoming.drainable() {
+		return false
+	}
+	c.setReadDeadline(time.Now().Add(bodyDrainTimeout))
 	_, err := io.CopyN(io.Discard, incoming.Reader, bodyDrainBytes)
-	_ = c.net.SetReadDeadline(time.Time{})
 	return errors.Is(err, io.EOF)
 }
--- a/internal/callerhttp/respond.go
+++ b/internal/callerhttp/respond.go
@@ -1,82 +1,52 @@
 package callerhttp
 
 import (
+	"context"
 	"io"
-	"net"
-	"time"
 
 	"github.com/pkg/errors"
 )
 
+var errBrokenOff = errors.New("an earlier response on the connection was not completed")
+
 // respond writes the response once the previous one has been written, and then closes
-// done. A response with status 0 closes the connection instead.
+// done. A response with status 0 closes the connection instead. If closing is set, or the
+// connection is to end for another reason, the last response announces the close.
 func (c *conn) respond(response *Response, previous, done chan struct{}, closing bool) {
 	defer close(done)
-	defer c.activeRequests.Add(-1)
-	<-previous
+	defer c.finishRequest()
 	if response.Remainder != nil {
 		defer response.Remainder.Close()
+		defer context.AfterFunc(c.ctx, func() { _ = response.Remainder.Close() })() // the caller gets no more of it
 	}
-	if c.closing.Load() || response.Status == 0 {
-		c.closing.Store(true)
-		c.interruptRead()
+	<-previous
+	if c.broken.Load() {
+		response.reportUnwritten(errBrokenOff)
 		return
 	}
-	closing = closing || c.server.draining.Load()
-	if closing {
-		c.closing.Store(true)
-	}
-	if err := c.write(response, closing); err != nil {
-		c.closing.Store(true)
-		c.cancel()
-		if response.OnWriteError != nil {
-			response.OnWriteError(err)
-		}
+	if response.Status == 0 {
+		c.breakOff()
+		return
 	}
-	if c.closing.Load() {
-		c.interruptRead()
+	closing = closing || c.server.draining.Load() || c.requests.ends()
+	last := closing && c.requests.seal() == 1
+	if err := c.write(response, last); err != nil {
+		c.breakOff()
+		response.reportUnwritten(err)
 	}
 }
 
-// interruptRead ends a pending read of the goroutine that reads requests.
-func (c *conn) interruptRead() {
-	_ = c.net.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
-}
-
 func (c *conn) write(response *Response, closing bool) error {
-	_ = c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
-	out := append(response.head(closing), response.Body...)
-	if response.Remainder == nil || response.Length >= 0 {
-		if _, err := c.net.Write(out); err != nil || response.Remainder == nil {
-			return errors.Wrap(err, "write response")
-		}
-		n, err := io.Copy(c.net, response.Remainder)
-		if err == nil && n+int64(len(response.Body)) != response.Length {
-			err = io.ErrUnexpectedEOF
-		}
-		return errors.Wrap(err, "stream response body")
+	out := newProgressWriter(c.net)
+	if response.Remainder != nil && response.Length < 0 {
+		return writeChunks(out, response, closing)
 	}
-	return c.writeChunks(response, closing)
-}
-
-// closeIdle closes the connection if no request is in progress.
-func (c *conn) closeIdle() {
-	if c.idle.Load() && c.activeRequests.Load() == 0 {
-		c.closing.Store(true)
-		c.interruptRead()
+	if _, err := out.Write(append(response.head(closing), response.Body...)); err != nil || response.Remainder == nil {
+		return errors.Wrap(err, "write response")
 	}
-}
-
-// linger waits until the caller closes the connection. Closing a connection with
-// unread bytes would reset it, and the caller could lose the last response.
-func (c *conn) linger() {
-	if !c.closing.Load() {
-		return
-	}
-	tcp, ok := c.net.(*net.TCPConn)
-	if !ok || tcp.CloseWrite() != nil {
-		return
+	n, err := io.Copy(out, response.Remainder)
+	if err == nil && n+int64(len(response.Body)) != response.Length {
+		err = io.ErrUnexpectedEOF
 	}
-	_ = c.net.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.Copy(io.Discard, c.net) // anything received now is ignored
+	return errors.Wrap(err, "stream response body")
 }
--- a/internal/dev/soak/backend/incarnation.go
+++ b/internal/dev/soak/backend/incarnation.go
@@ -25,8 +25,10 @@
 	startedAt time.Time
 	log       *runlog.Log
 	owners    *Owners
-	proxy     *tcpproxy.Proxy
-	http      *http.Server
+	// reserved holds the address of the proxy, on which nothing listens after the crash.
+	reserved *ports.Reservation
+	proxy    *tcpproxy.Proxy
+	http     *http.Server
 	// ctx ends when the process crashes.
 	ctx      context.Context
 	end      context.CancelFunc
@@ -46,13 +48,13 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "backend server %s", id)
 	}
-	free, err := ports.FreeAddressesOf(config.Host, 1)
+	reserved, err := ports.Reserve(1)
 	if err != nil {
 		return nil, err
 	}
 	i := &incarnation{
-		id: id, config: config, startedAt: time.Now(), log: log, owners: owners,
-		proxy:    tcpproxy.New(free[0], listener.Addr().String(), config.Seed),
+		id: id, config: config, reserved: reserved, startedAt: time.Now(), log: log, owners: owners,
+		proxy:    tcpproxy.New(reserved.Addresses[0], listener.Addr().String(), config.Seed),
 		slots:    make(chan struct{}, config.Slots),
 		released: make(chan struct{}),
 	}
@@ -72,6 +74,7 @@
 	i.end()
 	i.proxy.Close()
 	_ = i.http.Close()
+	i.reserved.Release()
 }
 
 // startKey counts a request of the key if the incarnation owns the key, and returns its grant before that.
--- a/internal/dev/soak/play.go
+++ b/internal/dev/soak/play.go
@@ -47,6 +47,8 @@
 	random   *rand.Rand
 	startAt  time.Time
 	launcher *programs.Launcher
+	// reserved holds the addresses of the instances, which are free while one is down.
+	reserved *ports.Reservation
 
 	kv            *kvstore.Server
 	storeServer   *http.Server
@@ -82,7 +84,7 @@
 	p.serversBusy = make([]sync.Mutex, options.Servers*len(services))
 	for n := range p.serversBusy {
 		s := backend.NewServer(fmt.Sprintf("i-%d", n), backend.Config{
-			Service: services[n%len(services)], Domain: domainName(n), Host: loopbackHost(serverHost), Keyed: services[n%len(services)] == keyedService, Slots: slotsPerServer,
+			Service: services[n%len(services)], Domain: domainName(n), Keyed: services[n%len(services)] == keyedService, Slots: slotsPerServer,
 			ClockRate: 1 - maxClockError*p.random.Float64(), Heartbeat: heartbeat, Seed: p.random.Uint64(),
 		}, p.kv.Store(), p.runs, p.owners)
 		p.servers = append(p.servers, s)
@@ -93,19 +95,6 @@
 	return p, p.addInstances()
 }
 
-// The last parts of the loopback hosts of the instances and of the backend servers.
-const (
-	instanceHost = 1
-	serverHost   = 2
-)
-
-// loopbackHost returns a host that only this process uses. The ports of an instance are
-// free while it is down, and on a shared host another soak would take them.
-func loopbackHost(last int) string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>8%250, pid%256, last)
-}
-
 func domainName(n int) string {
 	return fmt.Sprintf("domain-%d", n%domainCount)
 }
@@ -116,14 +105,14 @@
 	if err != nil {
 		return errors.Wrap(err, "store")
 	}
-	free, err := ports.FreeAddressesOf(loopbackHost(instanceHost), addressesPerInstance*p.options.Instances)
+	p.reserved, err = ports.Reserve(addressesPerInstance * p.options.Instances)
 	if err != nil {
 		return err
 	}
 	front := &storeFront{store: p.kv, proxies: map[string]string{}}
 	var entries []*callers.EntryInstance
 	for n := range p.options.Instances {
-		i := newInstance(n, domainName(n), listener.Addr().String(), free[addressesPerInstance*n:], p.launcher, p.dir, p.random.Uint64())
+		i := newInstance(n, domainName(n), listener.Addr().String(), p.reserved.Addresses[addressesPerInstance*n:], p.launcher, p.dir, p.random.Uint64())
 		p.instances = append(p.instances, i)
 		front.proxies[i.settings["peers"]] = i.peers.Address()
 		entries = append(entries, i.entry)
@@ -152,6 +141,9 @@
 	for _, s := range p.servers {
 		s.Close()
 	}
+	if p.reserved != nil {
+		p.reserved.Release()
+	}
 }
 
 // run plays the seed and returns what was seen. Its error is that of the soak itself.
--- a/internal/entrynode/constants.go
+++ b/internal/entrynode/constants.go
@@ -16,11 +16,21 @@
 	drainNotice = 3 * time.Second
 	// drainPollInterval is how often a stopping instance checks whether connections remain.
 	drainPollInterval = 100 * time.Millisecond
-	// exitReserve is the part of the grace period that is left for the process to exit.
+	// exitReserve is the part of the grace period that is left to abort calls and to exit.
 	exitReserve = 300 * time.Millisecond
-	// refusalPeriod is how long before the end of draining new requests are refused, so
-	// that the requests in flight can finish.
-	refusalPeriod = 1900 * time.Millisecond
+	// abortTimeout is how long the replies to aborted calls may take.
+	abortTimeout = 100 * time.Millisecond
+	// abortPollInterval is how often a stopping instance checks for these replies.
+	abortPollInterval = 10 * time.Millisecond
+	// handOverReserve is how long before the end of draining an instance that is the
+	// holder may hand over. When a whole fleet restarts within seconds, its strong
+	// machines are back within it.
+	handOverReserve = 2 * time.Second
+	// electorReserve is how long before the end of draining the elector ends. A holder
+	// that could not hand over deletes its key in that time.
+	electorReserve = 300 * time.Millisecond
+	// replyReserve is the part of the drain time that is left to write the last replies.
+	replyReserve = 200 * time.Millisecond
 	// headerReadTimeout limits reading the headers of a readiness or metrics request.
 	headerReadTimeout = 2 * time.Second
 )
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,7 +26,9 @@
 	metrics   Metrics
 	// shareCounters counts the calls of each route, to split them over its services.
 	shareCounters sync.Map // route name to *atomic.Uint64
-	stopping      atomic.Bool
+	// endsAt is when the instance ends, or nil while no planned stop has begun.
+	endsAt     atomic.Pointer[time.Time]
+	inProgress atomic.Int64
 }
 
 // New returns the gateway of an instance in the given failure domain.
@@ -34,9 +36,10 @@
 	return &Gateway{domain: domain, registry: registry, scheduler: scheduler, backends: backends, metrics: metrics, log: log}
 }
 
-// StopAccepting makes the gateway refuse all further calls, as the instance is stopping.
-func (g *Gateway) StopAccepting() {
-	g.stopping.Store(true)
+// StopAt makes the gateway refuse the further calls that could still be in progress at
+// end, when the instance ends: calls whose deadline is later.
+func (g *Gateway) StopAt(end time.Time) {
+	g.endsAt.Store(&end)
 }
 
 // Route returns the route that matches a host and path, or nil.
@@ -48,24 +51,29 @@
 	return config.Match(host, path)
 }
 
-// Handle processes the call and returns the final reply. ctx ends when the caller leaves.
+// InProgress returns the number of calls that have no final reply yet.
+func (g *Gateway) InProgress() int {
+	return int(g.inProgress.Load())
+}
+
+// Handle processes the call and returns the final reply. ctx is cancelled when the
+// caller leaves or, with the cause ErrInstanceEnded, when the instance ends.
 func (g *Gateway) Handle(ctx context.Context, call *Call) Reply {
+	g.inProgress.Add(1)
+	defer g.inProgress.Add(-1)
 	reply, state := g.handle(ctx, call)
 	if ctx.Err() != nil && reply.Outcome != OutcomeAnswered {
-		reply.Outcome = OutcomeCallerGone
+		reply = state.interruptedReply(context.Cause(ctx), reply)
 	}
 	duration := time.Since(call.ArrivedAt)
 	g.metrics.CallEnded(state.service, reply.Outcome.String(), duration)
 	g.log.Emit(events.CallEnded, "request", call.ID, "route", state.route, "service", state.service, "key", call.Key,
-		"outcome", reply.Outcome.String(), "server", state.server, "sends", state.sends, "ms", duration.Milliseconds(),
+		"outcome", reply.Outcome.String(), "server", state.server, "sends", state.sends, "ms", duration.Milliseconds(), "limit_ms", state.limit(call).Milliseconds(),
 		"retry_after_ms", reply.RetryAfter.Milliseconds(), "settings_version", state.version, "detail", reply.Detail)
 	return reply
 }
 
 func (g *Gateway) handle(ctx context.Context, call *Call) (Reply, callState) {
-	if g.stopping.Load() {
-		return Reply{Outcome: OutcomeNotRun, RetryAfter: retryAfterStopping, Detail: "the instance is stopping"}, callState{}
-	}
 	config := g.registry.Snapshot().Config
 	if config == nil {
 		return Reply{Outcome: OutcomeNotRun, RetryAfter: retryAfterNoConfig, Detail: "no configuration yet"}, callState{}
@@ -84,13 +92,21 @@
 		wait = min(wait, route.Timeout)
 	}
 	state.deadline = call.ArrivedAt.Add(wait)
+	if end := g.endsAt.Load(); end != nil && state.deadline.After(*end) {
+		return Reply{Outcome: OutcomeNotRun, RetryAfter: retryAfterStopping, Detail: "the instance is stopping and may end before the request"}, state
+	}
 	if err := call.Body.Buffer(ctx, state.deadline, config.Limits.BodyBytes); err != nil {
 		return bodyReply(err), state
 	}
 	state.contentHash = contentHash(call, state.service)
 	ctx, cancel := context.WithDeadline(ctx, state.deadline)
-	defer cancel()
-	return g.sendUntilDone(ctx, call, &state), state
+	reply := g.sendUntilDone(ctx, call, &state)
+	if reply.Response != nil && reply.Response.Remainder != nil {
+		reply.Response.Remainder = &streamedBody{ReadCloser: reply.Response.Remainder, cancel: cancel}
+	} else {
+		cancel()
+	}
+	return reply, state
 }
 
 func (g *Gateway) shareCounter(route string) *atomic.Uint64 {
--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -27,6 +27,9 @@
 	scheduler   *placing.Scheduler
 	queue       chan func()
 	ctx         context.Context
+	// endTenure ends ctx.
+	endTenure   context.CancelFunc
+	plannedStop *plannedStop
 	// superseded is set once there is evidence of another holder.
 	superseded atomic.Bool
 	// yielding is set when the tenure ends in favour of a stronger machine.
@@ -45,6 +48,9 @@
 
 	// processorShare is the share of a processor available on this machine.
 	processorShare float64
+	// yieldPlanned is set when the tenure is to end in favour of a stronger machine, once
+	// the record says so. It is used only by the event loop.
+	yieldPlanned bool
 	// yieldAllowedAt is when the tenure may first end in favour of a stronger machine.
 	yieldAllowedAt time.Time
 
@@ -76,7 +82,7 @@
 
 // newCoordinator starts from the record found. Grants of earlier holders are valid
 // until the given time at the latest.
-func newCoordinator(ctx context.Context, e *Elector, records *recordStore, found owners.Record, until time.Time) *Coordinator {
+func newCoordinator(ctx context.Context, endTenure context.CancelFunc, e *Elector, records *recordStore, found owners.Record, until time.Time) *Coordinator {
 	c := &Coordinator{
 		registry:          e.registry,
 		orderSender:       e.orderSender,
@@ -87,6 +93,8 @@
 		table:             owners.NewTable(found, records.tenureName, until),
 		queue:             make(chan func(), eventQueueSize),
 		ctx:               ctx,
+		endTenure:         endTenure,
+		plannedStop:       e.plannedStop,
 		followers:         map[*link.Follower]bool{},
 		byName:            map[string]*link.Follower{},
 		epoch:             found.Epoch,
@@ -175,4 +183,5 @@
 	c.publish(now)
 	c.probeServers(now)
 	c.considerYield(now)
+	c.considerHandOver(now)
 }
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -14,7 +14,7 @@
 
 // elect makes this instance a candidate, to replace the holder whose key has the given
 // revision, or 0 if there is no key. If it wins, it is the holder until its tenure
-// ends. lastHolderBound limits how long grants of the replaced holder may remain valid;
+// ends. An instance that stops is no candidate. lastHolderBound limits how long grants of the replaced holder may remain valid;
 // 0 means that no limit is known.
 func (e *Elector) elect(ctx context.Context, revision uint64, lastHolderBound time.Duration) {
 	delay := maxElectionDelay
@@ -22,13 +22,24 @@
 	if maxShare == 0 {
 		delay = maxElectionDelayUnknownShares
 	}
-	sleep(ctx, candidacyDelay(e.processorShare, maxShare, delay, electionJitter))
+	if !e.plannedStop.hasBegun() {
+		sleep(ctx, candidacyDelay(e.processorShare, maxShare, delay, electionJitter))
+	}
+	if e.plannedStop.hasBegun() {
+		sleep(ctx, storeRetryDelay) // until another instance may be the holder
+		return
+	}
 	startedAt := time.Now()
 	candidate := e.newCandidate()
 	lease, err := e.acquireLease(ctx, candidate, revision)
 	if errors.Is(err, store.ErrUncertain) {
 		found, _, readErr := e.readHolder(ctx)
 		if readErr != nil || found != candidate {
+			// The write may have taken effect or do so later. Without its lease, the key
+			// cannot keep other instances from an election.
+			if lease != "" {
+				e.revokeLease(lease)
+			}
 			return
 		}
 		err = nil
@@ -64,7 +75,8 @@
 	return lastHolderBound
 }
 
-// acquireLease writes the holder's key under a new lease.
+// acquireLease writes the holder's key under a new lease. The lease that it returns
+// with an error exists and may have the key.
 func (e *Elector) acquireLease(ctx context.Context, candidate Identity, revision uint64) (store.LeaseID, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -80,8 +92,8 @@
 	return lease, err
 }
 
-// lead runs one tenure of the holder: until the lease is lost, another holder appears
-// or this one yields.
+// lead runs one tenure of the holder: until the lease is lost, another holder appears,
+// or this one yields or hands over.
 func (e *Elector) lead(parent context.Context, self Identity, lease store.LeaseID, startedAt time.Time, lastHolderBound time.Duration) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
@@ -94,7 +106,7 @@
 		e.revokeLease(lease)
 		return
 	}
-	c := newCoordinator(ctx, e, records, found, startedAt.Add(inheritedGrantsBound(lastHolderBound, found)))
+	c := newCoordinator(ctx, cancel, e, records, found, startedAt.Add(inheritedGrantsBound(lastHolderBound, found)))
 	c.leaseConfirmedAt.Store(&startedAt)
 	e.log.Emit(events.HolderElected, "epoch", found.Epoch)
 	e.coordinator.Store(c)
@@ -107,6 +119,7 @@
 	if local := link.JoinLocal(e, e.member(), onDown); local != nil {
 		e.client.Attach(local)
 		defer local.Close()
+		defer e.announceStop(local)()
 	}
 	readerDone := make(chan struct{})
 	go func() {
@@ -119,11 +132,6 @@
 	<-readerDone // only one goroutine at a time may use the reader
 	e.coordinator.Store(nil)
 	e.log.Emit(events.HolderEnded, "epoch", found.Epoch, "yields", c.yielding.Load())
-	if c.yielding.Load() {
-		if err := records.markYielded(parent); err != nil {
-			e.log.Emit(events.OwnerRecordFailed, "detail", err.Error()) // the successor may then yield again
-		}
-	}
 	e.revokeLease(lease)
 	c.disconnectAll() // after the key has been deleted, as followers look for the next holder at once
 }
@@ -148,7 +156,7 @@
 func (e *Elector) renewLease(ctx context.Context, c *Coordinator, lease store.LeaseID, confirmedAt time.Time) {
 	for {
 		sleep(ctx, leaseRenewInterval)
-		if ctx.Err() != nil || c.superseded.Load() || c.yielding.Load() {
+		if ctx.Err() != nil || c.superseded.Load() {
 			return
 		}
 		sentAt := time.Now()
