Send decisions on the link that an instance uses

Callers saw: up to four of nine instances answered nothing, for as long as their link to the holder lasted, after connections between instances had been silent for some seconds.

Cause: an instance that hears nothing from the holder closes its link and opens another one. The join of the first link, held up by the silence, can arrive after the join of the second. The holder then sent decisions to the first link, and when that ended it removed the instance, although the second link was in use; decisions for the instance were dropped from then on.

Decisions now go to the link on which the instance has sent a message last, and when that ends, to another link of the instance if there is one.

--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -60,12 +60,19 @@
 	})
 }
 
-// Leave removes a follower.
+// Leave removes a follower. If another link of its instance remains, decisions go there:
+// the join of an ended link may have been held up until after that of the one in use.
 func (c *Coordinator) Leave(f *link.Follower) {
 	c.enqueue(func() {
 		delete(c.followers, f)
-		if c.byName[f.Instance] == f {
-			delete(c.byName, f.Instance)
+		if c.byName[f.Instance] != f {
+			return
+		}
+		delete(c.byName, f.Instance)
+		for other := range c.followers {
+			if other.Instance == f.Instance {
+				c.byName[f.Instance] = other
+			}
 		}
 	})
 }
@@ -78,6 +85,9 @@
 	}
 	c.enqueue(func() {
 		now := time.Now()
+		if c.followers[f] {
+			c.byName[f.Instance] = f // an instance sends on the link in use only
+		}
 		f.Stopping, f.Ending = f.Stopping || up.Stopping, f.Ending || up.Ending
 		for _, finish := range up.Finishes {
 			c.completeAttempt(now, link.DecodeFinish(finish, f.Instance))
