Notice the next holder while waiting to stand for election

A weak machine waits 0.7 s before it stands, and did nothing else meanwhile. It now looks for a holder every 150 ms and follows the one it finds, which also saves the two writes of a candidacy that cannot succeed.

TestWaitingCandidateNoticesTheNextHolder fails without the change.

--- a/internal/holder/candidacy_test.go
+++ b/internal/holder/candidacy_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
+	"peridotmoor.org/peridotmoor/internal/owners"
 	"peridotmoor.org/peridotmoor/internal/store"
 	"peridotmoor.org/peridotmoor/internal/store/memstore"
 )
@@ -58,3 +59,27 @@
 		is.True(errors.Is(err, store.ErrNotFound))
 	})
 }
+
+// Guards against a weak machine that waits before it stands for election, does not notice
+// that a strong one has become the holder, and succeeds that one when it hands over.
+func TestWaitingCandidateNoticesTheNextHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		shared := memstore.New()
+		record, err := owners.Record{Epoch: 1, Holder: "former", MaxProcessorShare: 0.8}.Encode()
+		is.NoErr(err)
+		shared.Put(KeyRecord, record)
+		_, end := startElector(t, shared, "entry-1", 0.16) // waits for 0.72 s or a little longer
+		time.Sleep(100 * time.Millisecond)
+		strong, err := Identity{Name: "entry-2"}.encode()
+		is.NoErr(err)
+		shared.Put(KeyHolder, strong)
+		time.Sleep(600 * time.Millisecond)
+		shared.Delete(KeyHolder)
+		time.Sleep(400 * time.Millisecond)
+		is.Equal(currentHolder(t, shared), "")
+		time.Sleep(time.Second)
+		is.Equal(currentHolder(t, shared), "entry-1") // after another wait
+		end()
+	})
+}
--- a/internal/holder/constants.go
+++ b/internal/holder/constants.go
@@ -64,6 +64,9 @@
 	// As the holder decides for the whole fleet, a strong machine should win even if it
 	// notices the expired key later by one store call and one connection attempt.
 	maxElectionDelay = 900 * time.Millisecond
+	// candidacyCheckInterval is how often an instance that waits before it becomes a
+	// candidate looks for another holder: strong machines are elected within it.
+	candidacyCheckInterval = 150 * time.Millisecond
 	// maxElectionDelayUnknownShares replaces maxElectionDelay while the processor shares
 	// of the other machines are unknown. All of them may be equally weak, and then no
 	// instance should wait long.
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -25,8 +25,9 @@
 	if maxShare == 0 {
 		delay = maxElectionDelayUnknownShares
 	}
-	if !e.plannedStop.isEnding() {
-		sleep(ctx, candidacyDelay(e.processorShare, maxShare, delay, electionJitter))
+	wait := candidacyDelay(e.processorShare, maxShare, delay, electionJitter)
+	if !e.plannedStop.isEnding() && !e.waitForCandidacy(ctx, revision, wait) {
+		return
 	}
 	if e.plannedStop.isEnding() {
 		sleep(ctx, storeRetryDelay) // until another instance may be the holder
@@ -56,6 +57,20 @@
 	e.lead(ctx, candidate, lease, startedAt, lastHolderBound)
 }
 
+// waitForCandidacy waits before this instance is a candidate. It returns false as soon as
+// it finds that another instance has become the holder in place of the one whose key has
+// the given revision.
+func (e *Elector) waitForCandidacy(ctx context.Context, revision uint64, wait time.Duration) bool {
+	for ; wait > candidacyCheckInterval; wait -= candidacyCheckInterval {
+		sleep(ctx, candidacyCheckInterval)
+		if _, entry, err := e.readHolder(ctx); err == nil && entry.Revision != revision {
+			return false
+		}
+	}
+	sleep(ctx, wait)
+	return true
+}
+
 // recordedMaxShare returns the largest processor share that the record knows of, or 0.
 func (e *Elector) recordedMaxShare(ctx context.Context) float64 {
 	record, err := (&recordStore{store: e.store}).read(ctx)
