--- a/internal/entrynode/constants.go
+++ b/internal/entrynode/constants.go
@@ -22,9 +22,10 @@
 	// candidate, and may hand over if it is the holder. When a whole fleet restarts within
 	// seconds, its strong machines are back within it.
 	handOverReserve = 2 * time.Second
-	// electorReserve is how long before the end of draining the elector ends. A holder
-	// that could not hand over deletes its key in that time.
-	electorReserve = 300 * time.Millisecond
+	// electorReserve is how long before the end of draining the elector ends. Together
+	// with exitReserve it suffices for a slow call to the store: a holder that could not
+	// hand over deletes its key.
+	electorReserve = 600 * time.Millisecond
 	// refusalPeriod is how long before the end of draining new requests are refused, so
 	// that the requests in flight can finish.
 	refusalPeriod = 1900 * time.Millisecond
