--- a/internal/dev/soak/backend/conflict.go
+++ b/internal/dev/soak/backend/conflict.go
@@ -2,13 +2,14 @@
 
 import "time"
 
-// Conflict is a key for which two servers held a grant at the same time and both
-// started requests in that time.
+// Conflict is a key for which two servers held a grant at the same time, either for
+// longer than maxSharedTime, or while both started requests of it.
 type Conflict struct {
 	Key           int
 	First, Second string
-	RequestID     string
-	At            time.Time
+	// RequestID is the second of the requests, or "" if the servers shared the key for too long.
+	RequestID string
+	At        time.Time
 	// GrantsArrivedAt holds the arrivals of the grants of both servers.
 	GrantsArrivedAt [2]time.Time
 }
--- a/internal/dev/soak/backend/owners.go
+++ b/internal/dev/soak/backend/owners.go
@@ -1,20 +1,30 @@
 package backend
 
 import (
+	"context"
 	"sync"
 	"time"
 )
 
+const (
+	// maxSharedTime is how long two servers may hold a grant of the same key without requests.
+	maxSharedTime = 500 * time.Millisecond
+	// watchInterval is the time between two looks for shared keys.
+	watchInterval = 100 * time.Millisecond
+)
+
 // Owners watches the keyed servers of a service for keys with two owners.
 type Owners struct {
 	mu        sync.Mutex
 	running   map[*incarnation]bool
 	conflicts []Conflict
+	// reported holds the shared keys already found.
+	reported map[sharedKey]bool
 }
 
 // NewOwners returns an Owners without servers.
 func NewOwners() *Owners {
-	return &Owners{running: map[*incarnation]bool{}}
+	return &Owners{running: map[*incarnation]bool{}, reported: map[sharedKey]bool{}}
 }
 
 func (o *Owners) add(i *incarnation) {
@@ -49,6 +59,40 @@
 	return true
 }
 
+// Watch looks for the keys that two servers share for too long, until ctx is done.
+func (o *Owners) Watch(ctx context.Context, keys []int) {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			o.findShared(keys, time.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (o *Owners) findShared(keys []int, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, key := range keys {
+		for first := range o.running {
+			for second := range o.running {
+				a, b := first.keyGrant(key), second.keyGrant(key)
+				shared := sharedKey{key, first.id, second.id}
+				if first.id >= second.id || !a.validAt(now) || !b.validAt(now) || o.reported[shared] ||
+					now.Sub(a.since) <= maxSharedTime || now.Sub(b.since) <= maxSharedTime {
+					continue
+				}
+				o.reported[shared] = true
+				o.conflicts = append(o.conflicts, Conflict{Key: key, First: first.id, Second: second.id, At: now,
+					GrantsArrivedAt: [2]time.Time{a.arrivedAt, b.arrivedAt}})
+			}
+		}
+	}
+}
+
 // Conflicts returns the conflicts found so far.
 func (o *Owners) Conflicts() []Conflict {
 	o.mu.Lock()
--- a/internal/dev/soak/backend/server_test.go
+++ b/internal/dev/soak/backend/server_test.go
@@ -168,4 +168,10 @@
 	conflicts = s.owners.Conflicts()
 	is.Equal(len(conflicts), 1)
 	is.Equal(conflicts[0].RequestID, "w")
+	s.owners.findShared([]int{3}, time.Now())
+	is.Equal(len(s.owners.Conflicts()), 1) // not yet shared for too long
+	for range 2 {
+		s.owners.findShared([]int{3}, time.Now().Add(time.Second))
+	}
+	is.Equal(len(s.owners.Conflicts()), 2)
 }
--- a/internal/dev/soak/check/check_test.go
+++ b/internal/dev/soak/check/check_test.go
@@ -113,6 +113,19 @@
 			e.Conflicts = []backend.Conflict{{RequestID: "x", GrantsArrivedAt: [2]time.Time{at(1), at(2)}}}
 			e.Impairments.impair("entry-1", 0, 0.8)
 		}, ""},
+		"two owners during a pause": {func(e *Evidence) {
+			e.Conflicts = []backend.Conflict{{RequestID: "x", GrantsArrivedAt: [2]time.Time{at(1), at(2)}}}
+			e.Impairments.impair("entry-1", 0.5, 5)
+		}, "two owners"},
+		"two holders of a key": {func(e *Evidence) {
+			e.Conflicts = []backend.Conflict{{First: "i-1", Second: "i-2", GrantsArrivedAt: [2]time.Time{at(1), at(2)}}}
+			e.Impairments.impair("i-1", 1.1, 5)
+			e.Impairments.impair(Store, 0, 1)
+		}, "two owners"},
+		"two holders, a grant held up": {func(e *Evidence) {
+			e.Conflicts = []backend.Conflict{{First: "i-1", Second: "i-2", GrantsArrivedAt: [2]time.Time{at(1), at(2)}}}
+			e.Impairments.impair("i-1", 0.5, 5)
+		}, ""},
 		"killed at the end of the grace period": {func(e *Evidence) { e.Processes[0].KilledAt = at(16) }, "grace period"},
 		"failed stop":                           {func(e *Evidence) { e.Processes[0].Failure = "exit status 2" }, "process"},
 		"stopped before it handles signals":     {func(e *Evidence) { e.Processes[0].Failure = "signal: terminated" }, ""},
--- a/internal/dev/soak/check/impairments.go
+++ b/internal/dev/soak/check/impairments.go
@@ -48,13 +48,14 @@
 	return false
 }
 
-// duringOrAfter reports whether at lies in an impairment of anyone, or no later than slack after it.
-func (i *Impairments) duringOrAfter(at time.Time, slack time.Duration) bool {
+// endedBefore reports whether an impairment of an instance or a server ended no earlier
+// than slack before the given time.
+func (i *Impairments) endedBefore(at time.Time, slack time.Duration) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	for _, spans := range i.spans {
+	for subject, spans := range i.spans {
 		for _, s := range spans {
-			if s.overlaps(at.Add(-slack), at) {
+			if subject != Store && !s.until.IsZero() && !s.until.After(at) && !s.until.Before(at.Add(-slack)) {
 				return true
 			}
 		}
--- a/internal/dev/soak/check/owners.go
+++ b/internal/dev/soak/check/owners.go
@@ -1,16 +1,35 @@
 package check
 
-import "fmt"
+import (
+	"fmt"
 
-// checkOwners finds keys with two owners. A grant that arrives just after an impairment
-// does not count: the platform's pages except it, as its sender could not know better.
+	"peridotmoor.org/peridotmoor/internal/dev/soak/backend"
+)
+
+// checkOwners finds keys with two owners.
 func checkOwners(e *Evidence) []Violation {
 	var found []Violation
 	for _, c := range e.Conflicts {
-		if e.Impairments.duringOrAfter(c.GrantsArrivedAt[0], thawSlack) || e.Impairments.duringOrAfter(c.GrantsArrivedAt[1], thawSlack) {
-			continue
+		switch {
+		case e.excusesGrants(c):
+		case c.RequestID == "":
+			found = append(found, Violation{Check: "two owners", Message: fmt.Sprintf("%s and %s both held key %d for over 0.5 s", c.First, c.Second, c.Key)})
+		default:
+			found = append(found, Violation{"two owners", fmt.Sprintf("%s and %s both ran requests of key %d, the second one %s", c.First, c.Second, c.Key, c.RequestID), []string{c.RequestID}})
 		}
-		found = append(found, Violation{"two owners", fmt.Sprintf("%s and %s both ran requests of key %d, the second one %s", c.First, c.Second, c.Key, c.RequestID), []string{c.RequestID}})
 	}
 	return found
 }
+
+// excusesGrants reports whether the platform's pages except one of the grants: it arrived
+// just after its sender was thawed or a link healed, or, for a key that was only held by
+// both servers, the links of its server were impaired on its arrival.
+func (e *Evidence) excusesGrants(c backend.Conflict) bool {
+	for n, server := range []string{c.First, c.Second} {
+		arrived := c.GrantsArrivedAt[n]
+		if e.Impairments.endedBefore(arrived, thawSlack) || c.RequestID == "" && e.Impairments.any(server, arrived.Add(-thawSlack), arrived) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/dev/soak/play.go
+++ b/internal/dev/soak/play.go
@@ -165,6 +165,7 @@
 		load.Go(func() { c.Run(loadContext) })
 	}
 	go p.stalls.run(loadContext)
+	go p.owners.Watch(loadContext, caller.Keys())
 	(&faults{p: p}).run(ctx, s.events)
 	p.note("the last fault has ended")
 	stopLoad()
