--- a/internal/dev/command/main_test.go
+++ b/internal/dev/command/main_test.go
@@ -18,6 +18,8 @@
 		"bad rate":         {"callers", "--entries", "127.0.0.1:1/127.0.0.1:2", "--rate", "0"},
 		"bad address":      {"platform", "--listen", "nowhere:x"},
 		"no programs":      {"demo", "--bin", "/nonexistent", "--settings", "/nonexistent/tree.ini"},
+		"no seeds":         {"soak", "--seeds", "0"},
+		"unknown theme":    {"soak", "--theme", "x"},
 		"no routers":       {"bench", "--routers", "0"},
 	} {
 		t.Run(name, func(t *testing.T) {
