--- a/internal/authority/sim_test.go
+++ b/internal/authority/sim_test.go
@@ -12,6 +12,9 @@
 // simShard is the shard for which the simulated nodes compete.
 var simShard = key.ShardID{Service: "bosho", Index: 3}
 
+// normalMessageDelay is the maximum delay of a message without faults.
+const normalMessageDelay = 4 * time.Millisecond
+
 // simEvent is an action scheduled at a moment of real time.
 type simEvent struct {
 	at  time.Time
@@ -62,6 +65,11 @@
 	takeovers     []time.Time
 	highestToken  Token
 	latestMirrors MirrorSet
+	// lastHolder is the process that published a tenure last, and grantsEnd the latest end
+	// of its tenures, in real time. Its grants may be in force until then, even if it has
+	// terminated or has published an earlier end since.
+	lastHolder Instance
+	grantsEnd  time.Time
 }
 
 func newSim(seed uint64, nodes int, clockError float64) *sim {
@@ -69,7 +77,7 @@
 		now:             time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
 		random:          rand.New(rand.NewPCG(seed, 1)),
 		storeUp:         true,
-		maxMessageDelay: 4 * time.Millisecond,
+		maxMessageDelay: normalMessageDelay,
 		partition:       make([]int, nodes),
 	}
 	for i := range nodes {
@@ -112,6 +120,7 @@
 func (s *sim) endFaults() {
 	clear(s.partition)
 	s.messageLossRate, s.lostReplyRate, s.maxStoreDelay, s.storeUp = 0, 0, 0, true
+	s.maxMessageDelay = normalMessageDelay
 }
 
 // delivers decides whether a message between two nodes is delivered.
@@ -148,10 +157,14 @@
 // backwards.
 func (s *sim) checkTenure(n *simNode, t *Tenure) {
 	newHolder := t != nil && n.tenure == nil
+	if t != nil && !newHolder && t.End.Before(n.tenure.End) {
+		s.reportViolation("the end of the tenure of %v moved back by %v at %v", n.self.Instance, n.tenure.End.Sub(t.End), s.now)
+	}
 	n.tenure = t
 	if t == nil || !s.now.Before(n.globalTime(t.End)) {
 		return
 	}
+	s.checkGrants(n, n.globalTime(t.End))
 	for _, other := range s.nodes {
 		if other != n && other.alive && other.tenure != nil && s.now.Before(other.globalTime(other.tenure.End)) {
 			s.reportViolation("two holders at %v: %v %v and %v %v", s.now, n.self, t.Token, other.self, other.tenure.Token)
@@ -175,3 +188,24 @@
 		s.latestMirrors = t.Mirrors
 	}
 }
+
+// checkGrants checks that no grant of another process can be in force when n publishes a
+// tenure with the given end.
+func (s *sim) checkGrants(n *simNode, end time.Time) {
+	if n.self.Instance != s.lastHolder {
+		if s.now.Before(s.grantsEnd) {
+			s.reportViolation("grants of %v may be in force until %v, but %v holds the shard at %v", s.lastHolder, s.grantsEnd, n.self.Instance, s.now)
+		}
+		s.grantsEnd = time.Time{}
+	}
+	s.lastHolder, s.grantsEnd = n.self.Instance, latestTime(s.grantsEnd, end)
+}
+
+// release hands the shard over. The holder has revoked its grants.
+func (s *sim) release(h *simNode) {
+	h.enqueue(func(now time.Time) {
+		if h.tenure != nil && h.node.Release(now, simShard, h.tenure.Since) {
+			s.grantsEnd = time.Time{}
+		}
+	})
+}
--- a/internal/entrynode/plannedstop.go
+++ b/internal/entrynode/plannedstop.go
@@ -19,9 +19,9 @@
 	n.stopping.Store(true)
 	n.gateway.StopAt(deadline.Add(-replyReserve))
 	n.callerServer.StartDraining()
-	n.elector.BeginStop(deadline.Add(-handOverReserve))
-	electorEnd := time.AfterFunc(time.Until(deadline.Add(-electorReserve)), s.stopElector)
-	defer electorEnd.Stop()
+	n.elector.BeginStop()
+	defer time.AfterFunc(time.Until(deadline.Add(-handOverReserve)), n.elector.EndCandidacy).Stop()
+	defer time.AfterFunc(time.Until(deadline.Add(-electorReserve)), s.stopElector).Stop()
 	time.Sleep(min(drainNotice, time.Until(deadline)))
 	n.drainConnections(deadline)
 	_ = s.callers.Close() // the process exits next, which closes the listener anyway
--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -15,9 +15,21 @@
 	}
 }
 
-// maxProcessorShare returns the largest processor share among the followers that can
+// maxCandidateShare returns the largest processor share among the followers that can
 // become the holder.
-func (c *Coordinator) maxProcessorShare() float64 {
+func (c *Coordinator) maxCandidateShare() float64 {
+	share := 0.0
+	for f := range c.followers {
+		if !f.Ending {
+			share = max(share, f.ProcessorShare)
+		}
+	}
+	return share
+}
+
+// maxRunningShare returns the largest processor share among the followers that are not
+// stopping.
+func (c *Coordinator) maxRunningShare() float64 {
 	share := 0.0
 	for f := range c.followers {
 		if !f.Stopping {
@@ -27,8 +39,8 @@
 	return share
 }
 
-// hasCandidate reports whether one of the followers can become the holder.
-func (c *Coordinator) hasCandidate() bool {
+// hasRunningFollower reports whether one of the followers is not stopping.
+func (c *Coordinator) hasRunningFollower() bool {
 	for f := range c.followers {
 		if !f.Stopping {
 			return true
@@ -48,12 +60,19 @@
 	})
 }
 
-// Leave removes a follower.
+// Leave removes a follower. If another link of its instance remains, decisions go there:
+// the join of an ended link may have been held up until after that of the one in use.
 func (c *Coordinator) Leave(f *link.Follower) {
 	c.enqueue(func() {
 		delete(c.followers, f)
-		if c.byName[f.Instance] == f {
-			delete(c.byName, f.Instance)
+		if c.byName[f.Instance] != f {
+			return
+		}
+		delete(c.byName, f.Instance)
+		for other := range c.followers {
+			if other.Instance == f.Instance {
+				c.byName[f.Instance] = other
+			}
 		}
 	})
 }
@@ -66,7 +85,10 @@
 	}
 	c.enqueue(func() {
 		now := time.Now()
-		f.Stopping = f.Stopping || up.Stopping
+		if c.followers[f] {
+			c.byName[f.Instance] = f // an instance sends on the link in use only
+		}
+		f.Stopping, f.Ending = f.Stopping || up.Stopping, f.Ending || up.Ending
 		for _, finish := range up.Finishes {
 			c.completeAttempt(now, link.DecodeFinish(finish, f.Instance))
 		}
