Router: accept a request during a planned stop only if it ends within it

Callers would see a request aborted with an unknown outcome: one that arrives in the 2 s in which the load balancer still sends requests, with a timeout of more than about 28 s (up to an hour is allowed, and an upload without a timeout has that), is accepted and aborted when the stop is over.

Such a request is now refused as not run, and served by another instance.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -17,13 +17,13 @@
 	policies   Policies
 	next       request.Handler
 	observer   Observer
-	checkReady func() *problem.Problem
+	checkReady func(deadline time.Time) *problem.Problem
 	router     *mux.Router
 }
 
 // New returns a handler that passes requests to next. checkReady returns the reason why
-// the instance accepts no requests, or nil.
-func New(instance string, policies Policies, next request.Handler, observer Observer, checkReady func() *problem.Problem) *Handler {
+// the instance does not accept a request with the given deadline, or nil.
+func New(instance string, policies Policies, next request.Handler, observer Observer, checkReady func(deadline time.Time) *problem.Problem) *Handler {
 	h := &Handler{instance: instance, policies: policies, next: next, observer: observer, checkReady: checkReady}
 	h.router = mux.NewRouter().SkipClean(true)
 	h.router.HandleFunc("/{service}/{key}/{rest:.*}", h.serve)
@@ -46,7 +46,7 @@
 	req, p := decode(in, h.policies, start)
 	req.Entry = h.instance
 	if p == nil {
-		p = h.checkReady()
+		p = h.checkReady(req.Deadline)
 	}
 	if p != nil {
 		h.observer.Refused(ctx, req, p, time.Since(start))
--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -41,7 +41,7 @@
 }
 
 func newHandler(next handlerFunc) *Handler {
-	return New("entry-1", staticPolicy{}, next, noopObserver{}, func() *problem.Problem { return nil })
+	return New("entry-1", staticPolicy{}, next, noopObserver{}, func(time.Time) *problem.Problem { return nil })
 }
 
 func respondWith(body io.Reader) handlerFunc {
--- a/internal/router/plannedstop.go
+++ b/internal/router/plannedstop.go
@@ -14,12 +14,16 @@
 	deregistrationDelay = 2 * time.Second
 	// stopTimeout limits the duration of a planned stop.
 	stopTimeout = 30 * time.Second
+	// replyReserve is the part of stopTimeout that is left to write the last replies.
+	replyReserve = 500 * time.Millisecond
 )
 
 // plannedStop reports the instance as not ready, hands its shards over and waits until
-// the requests in flight have ended.
+// the requests in flight have ended. It accepts only requests that end within it.
 func (i *Instance) plannedStop(callers *http.Server) {
 	i.components.log.Emit(events.InstanceStopping)
+	endsAt := time.Now().Add(stopTimeout - replyReserve)
+	i.readiness.endsAt.Store(&endsAt)
 	i.readiness.stopping.Store(true)
 	i.components.publisher.SetLeaving()
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
