Reserve the ports of the fleet tests

Beside load, a few of 100 runs failed with "all instances ready" not reached, and one hung in a readiness probe. The tests listened on port 0 and closed the listener, so that another test could take the port before the instance listened on it; and the probes had no time limit.

The ports now stay reserved until the instances have ended, all clients have a time limit, and a setup that fails prints what Run returned.

--- a/internal/entrynode/fleet_test.go
+++ b/internal/entrynode/fleet_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -16,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"peridotmoor.org/peridotmoor/internal/dev/kvstore"
+	"peridotmoor.org/peridotmoor/internal/dev/ports"
 )
 
 // fakeBackend is a backend server that owns keys: it checks fencing tokens, executes a
@@ -119,34 +119,51 @@
 type instance struct {
 	config Config
 	stop   context.CancelFunc
-	done   chan error
+	// done receives the result of Run, and ended is closed after it.
+	done  chan error
+	ended chan struct{}
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
+// addressesPerInstance is the number of addresses that startInstance takes.
+const addressesPerInstance = 4
+
+// requestTimeout ends a request that is never answered. It is longer than any wait that
+// the tests expect.
+const requestTimeout = 5 * time.Second
+
+// probeClient sends readiness probes. Each has a connection of its own, so that the probe
+// of an instance that has ended does not wait on a kept one.
+var probeClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: requestTimeout}
+
+// newCaller returns a client that keeps its connections.
+func newCaller() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}, Timeout: requestTimeout}
+}
+
+// newSingleUseCaller returns a client that sends each request on a connection of its own.
+func newSingleUseCaller() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: requestTimeout}
 }
 
-func startInstance(t *testing.T, store, name string) *instance {
+// startInstance starts an instance on four addresses on which nothing listens.
+func startInstance(t *testing.T, store, name string, addresses []string) *instance {
 	t.Helper()
-	i := &instance{done: make(chan error, 1), config: Config{
-		Name: name, Domain: "d-" + name, CallerAddress: freeAddress(t), ReadinessAddress: freeAddress(t), PeerAddress: freeAddress(t), MetricsAddress: freeAddress(t),
+	i := &instance{done: make(chan error, 1), ended: make(chan struct{}), config: Config{
+		Name: name, Domain: "d-" + name, CallerAddress: addresses[0], ReadinessAddress: addresses[1], PeerAddress: addresses[2], MetricsAddress: addresses[3],
 		StoreAddress: store, GracePeriod: 4 * time.Second, RetryRatio: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second,
 	}}
 	ctx, stop := context.WithCancel(context.Background())
 	i.stop = stop
-	go func() { i.done <- New(i.config, io.Discard).Run(ctx) }()
+	go func() {
+		defer close(i.ended)
+		i.done <- New(i.config, io.Discard).Run(ctx)
+	}()
 	t.Cleanup(stop)
 	return i
 }
 
 func (i *instance) ready() bool {
-	response, err := http.Get("http://" + i.config.ReadinessAddress + "/readiness")
+	response, err := probeClient.Get("http://" + i.config.ReadinessAddress + "/readiness")
 	if err != nil {
 		return false
 	}
@@ -193,11 +210,14 @@
 			"address": b.http.Listener.Addr().String(), "born": 1, "info": map[string]any{"service": "s", "zone": "d-a", "slots": 3},
 			"status": map[string]any{"state": "ready", "sequence": 1, "cold_remaining_s": 0.0}})
 	}
-	for _, name := range []string{"a", "b", "c"} {
-		f.instances = append(f.instances, startInstance(t, server.Listener.Addr().String(), name))
-	}
+	f.startInstances(t, server.Listener.Addr().String(), "a", "b", "c")
 	waitFor(t, "all instances ready", func() bool {
 		for _, i := range f.instances {
+			select {
+			case err := <-i.done:
+				t.Fatalf("instance %s ended before it was ready: %v", i.config.Name, err)
+			default:
+			}
 			if !i.ready() {
 				return false
 			}
@@ -207,6 +227,25 @@
 	return f
 }
 
+// startInstances starts an instance of each name. Their ports stay reserved until all of
+// them have ended, so that no other test gets one that an instance is yet to listen on.
+func (f *fleet) startInstances(t *testing.T, store string, names ...string) {
+	t.Helper()
+	reserved, err := ports.Reserve(addressesPerInstance * len(names))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n, name := range names {
+		f.instances = append(f.instances, startInstance(t, store, name, reserved.Addresses[addressesPerInstance*n:]))
+	}
+	go func() {
+		for _, i := range f.instances {
+			<-i.ended
+		}
+		reserved.Release()
+	}()
+}
+
 // recordConflicts records each other server that has a grant for the key while the named
 // server starts to execute a request for it.
 func (f *fleet) recordConflicts(key int, name string) {
@@ -273,7 +312,7 @@
 // each result against the recorded executions and returns the number of successes.
 func (f *fleet) generateLoad(t *testing.T, instances []*instance, stop <-chan struct{}) (answered int) {
 	t.Helper()
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}, Timeout: 5 * time.Second}
+	client := newCaller()
 	defer client.CloseIdleConnections()
 	for n := 0; ; n++ {
 		select {
@@ -317,8 +356,10 @@
 	time.Sleep(time.Second)
 	f.store.Store().Faults().SetUnavailable(false)
 
+	client := newCaller()
+	defer client.CloseIdleConnections()
 	answered := func() bool {
-		_, body := sendRequest(http.DefaultClient, f.instances[1], "after", 5)
+		_, body := sendRequest(client, f.instances[1], "after", 5)
 		return body == "after:/p/x:"
 	}
 	waitFor(t, "requests are served after the outage", answered)
@@ -354,8 +395,10 @@
 		}
 		return true
 	})
+	client := newCaller()
+	defer client.CloseIdleConnections()
 	for n := range 20 {
-		status, _ := sendRequest(http.DefaultClient, f.instances[n%3], fmt.Sprintf("d-%d", n), n*3001)
+		status, _ := sendRequest(client, f.instances[n%3], fmt.Sprintf("d-%d", n), n*3001)
 		is.Equal(status, http.StatusOK)
 	}
 	close(stop)
--- a/internal/entrynode/plannedstop_test.go
+++ b/internal/entrynode/plannedstop_test.go
@@ -21,7 +21,7 @@
 	stopping := f.instances[0] // either the holder or a follower
 	stopping.stop()
 	waitFor(t, "the instance reports that it is not ready", func() bool { return !stopping.ready() })
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := newSingleUseCaller()
 	answered, ended := 0, false
 	for n := 0; !ended; n++ {
 		if status, _ := sendRequestWithTimeout(client, stopping, fmt.Sprintf("drain-%d", n), n*7919%65536, 500*time.Millisecond); status == http.StatusOK {
@@ -55,7 +55,7 @@
 	statuses := sync.Map{} // request ID to status
 	var requests sync.WaitGroup
 	send := func(n int) {
-		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+		client := newSingleUseCaller()
 		id := fmt.Sprintf("stop-%d", n)
 		status, body := sendRequestWithTimeout(client, stopping, id, n*7919%65536, timeout)
 		if status == http.StatusOK && body != id+":/p/x:" {
@@ -111,8 +111,10 @@
 		}
 		return true
 	})
+	client := newCaller()
+	defer client.CloseIdleConnections()
 	for n := range 15 {
-		status, _ := sendRequest(http.DefaultClient, f.instances[n%3], fmt.Sprintf("s-%d", n), n*3001)
+		status, _ := sendRequest(client, f.instances[n%3], fmt.Sprintf("s-%d", n), n*3001)
 		is.Equal(status, http.StatusOK)
 	}
 	after, err := f.store.Store().Get(t.Context(), holder.KeyHolder)
