Pass on responses to HEAD

Callers got 502 for HEAD if the server stated a Content-Length, since its body was waited for ("truncated response: EOF"); otherwise the response stated a length of 0, or 0 in place of an unknown one. Responses with status 304 lost the server's Content-Length.

A response to HEAD, and one with status 204 or 304, ends with its head. It is now passed on with the length that the server states, if any, and without a body. A body that a faulty server sends all the same ends the connection, as other unsolicited bytes do.

--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -145,6 +145,11 @@
 		c.reusable.Store(false)
 	}
 	response := &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body, Length: httpResponse.ContentLength}
+	if omitsBody(x.request.Method, httpResponse.StatusCode) {
+		response.BodyOmitted, response.Length = true, statedLength(httpResponse)
+		c.complete(x, response)
+		return nil
+	}
 	if len(body) <= maxBufferedBytes {
 		response.Length = int64(len(body))
 		c.complete(x, response)
@@ -178,6 +183,9 @@
 // readBuffered reads the complete body or, of a longer one, its first
 // maxBufferedBytes+1 bytes.
 func readBuffered(response *http.Response) ([]byte, error) {
+	if response.Body == http.NoBody { // also if a length is stated, as in responses to HEAD
+		return nil, nil
+	}
 	if n := response.ContentLength; n > 0 && n <= maxBufferedBytes {
 		body := make([]byte, n)
 		_, err := io.ReadFull(response.Body, body)
--- a/internal/backhttp/response.go
+++ b/internal/backhttp/response.go
@@ -16,4 +16,7 @@
 	Remainder io.ReadCloser
 	// Length is the length of the complete body in bytes, or -1 when unknown.
 	Length int64
+	// BodyOmitted is set if the response has no body because of its status or because it
+	// answers HEAD. Length is then what the server states.
+	BodyOmitted bool
 }
--- a/internal/callerhttp/response.go
+++ b/internal/callerhttp/response.go
@@ -17,8 +17,11 @@
 	// closes it, also while it is read, when the caller has disconnected.
 	Remainder io.ReadCloser
 	// Length is the total length of Body and Remainder in bytes, or -1 when unknown. It
-	// is used only with a Remainder.
+	// is used only with a Remainder or an omitted body.
 	Length int64
+	// BodyOmitted is set if the response has no body because of its status or because it
+	// answers HEAD. Length is then that of the body that is left out.
+	BodyOmitted bool
 	// OnWriteError, when set, is called when the response could not be written completely.
 	OnWriteError func(error)
 }
@@ -51,17 +54,17 @@
 			out = append(out, "\r\n"...)
 		}
 	}
+	length := int64(len(r.Body))
+	if r.Remainder != nil || r.BodyOmitted {
+		length = r.Length
+	}
 	switch {
-	case r.Status == http.StatusNoContent || r.Status == http.StatusNotModified:
-	case r.Remainder == nil:
-		out = append(out, "Content-Length: "...)
-		out = strconv.AppendInt(out, int64(len(r.Body)), 10)
-		out = append(out, "\r\n"...)
-	case r.Length >= 0:
+	case r.Status == http.StatusNoContent, r.Status == http.StatusNotModified && !r.BodyOmitted:
+	case length >= 0:
 		out = append(out, "Content-Length: "...)
-		out = strconv.AppendInt(out, r.Length, 10)
+		out = strconv.AppendInt(out, length, 10)
 		out = append(out, "\r\n"...)
-	default:
+	case !r.BodyOmitted:
 		out = append(out, "Transfer-Encoding: chunked\r\n"...)
 	}
 	if closing {
