Say why a request behind a broken-off response was cancelled

A request that was cancelled because an earlier response on its caller's connection broke off was logged as caller-gone with nothing but its own state, as if the caller had left; one that still waited for a server said "overload". Its context was cancelled without a cause.

The cancellation now has a cause, which the detail of the request's line in the log states, together with what is known of its attempts. The outcome stays caller-gone, since the request has no response either. A cancellation without a cause still means that the caller left.

--- a/internal/callerhttp/breakoff_test.go
+++ b/internal/callerhttp/breakoff_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 )
 
 // brokenResponse is a response whose body ends before its announced length.
@@ -17,7 +18,8 @@
 }
 
 // Guards against requests that go on at servers, or whose response is dropped without a
-// report, behind a response that was broken off or that has no status.
+// report, behind a response that was broken off or that has no status; and against a
+// cancellation that looks as if the caller had left.
 func TestBrokenOffResponseEndsRequestsBehindIt(t *testing.T) {
 	for name, first := range map[string]func() *Response{
 		"truncated body": brokenResponse,
@@ -28,6 +30,7 @@
 				is := is.New(t)
 				release := make(chan struct{})
 				unwritten := make(chan string, 3)
+				cause := make(chan error, 1)
 				server := NewServer(stubHandler{handle: func(ctx context.Context, r *http.Request) *Response {
 					response := &Response{Status: 200}
 					switch r.URL.Path {
@@ -37,6 +40,7 @@
 					case "/3": // ends before the first one
 					default:
 						<-ctx.Done()
+						cause <- context.Cause(ctx)
 						response = &Response{}
 					}
 					response.OnWriteError = func(error) { unwritten <- r.URL.Path }
@@ -49,6 +53,7 @@
 				sent, _ := io.ReadAll(r) // the end of the connection is what the test waits for
 				is.True(strings.Count(string(sent), "HTTP/1.1") <= 1)
 				<-ended
+				is.True(errors.Is(<-cause, errBrokenOff))
 				close(unwritten)
 				var reported []string
 				for path := range unwritten {
--- a/internal/callerhttp/close.go
+++ b/internal/callerhttp/close.go
@@ -17,11 +17,11 @@
 }
 
 // breakOff ends the connection after a response that is incomplete or missing. The
-// requests behind it can't be answered any more and are cancelled.
-func (c *conn) breakOff() {
+// requests behind it can't be answered any more and are cancelled with the given cause.
+func (c *conn) breakOff(cause error) {
 	c.broken.Store(true)
 	c.requests.seal()
-	c.cancel()
+	c.cancel(cause)
 	c.closeWrite()
 	c.stopReading()
 }
@@ -50,7 +50,7 @@
 	c.setReadDeadline(time.Time{})
 	_, _ = io.Copy(io.Discard, c.net) // ends with the connection, or when the read is interrupted
 	if !c.ending.Load() {
-		c.cancel()
+		c.cancel(nil)
 	}
 }
 
--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -20,9 +20,10 @@
 	net    net.Conn
 	source *io.LimitedReader
 	reader *bufio.Reader
-	// ctx is cancelled when the caller has disconnected.
+	// ctx is cancelled when the caller has disconnected, without a cause, or can't be
+	// answered any more, with the cause.
 	ctx      context.Context
-	cancel   context.CancelFunc
+	cancel   context.CancelCauseFunc
 	requests requestState
 	// broken is set when a response could not be written completely. Nothing may follow it.
 	broken atomic.Bool
@@ -44,7 +45,7 @@
 // noHeaderLimit lifts the limit on header bytes while a body is read.
 const noHeaderLimit = 1 << 62
 
-func newConn(s *Server, raw net.Conn, ctx context.Context, cancel context.CancelFunc) *conn {
+func newConn(s *Server, raw net.Conn, ctx context.Context, cancel context.CancelCauseFunc) *conn {
 	source := &io.LimitedReader{R: raw, N: noHeaderLimit}
 	return &conn{
 		server:        s,
@@ -75,7 +76,7 @@
 		c.discardInput()
 	}
 	<-previous
-	c.cancel()
+	c.cancel(nil)
 	c.linger()
 	_ = c.net.Close() // everything has been sent; an error has no consequence
 	c.server.removeConn(c)
@@ -131,12 +132,12 @@
 	case c.source.N <= 0:
 		status = http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
-		c.cancel()
+		c.cancel(nil)
 		return nil
 	case isTimeout(err):
 		status = http.StatusRequestTimeout
 	case errors.As(err, &timeout):
-		c.cancel()
+		c.cancel(nil)
 		return nil
 	}
 	if !c.requests.start() {
--- a/internal/callerhttp/disconnect_test.go
+++ b/internal/callerhttp/disconnect_test.go
@@ -10,7 +10,8 @@
 )
 
 // Guards against requests that go on at servers after the caller has disconnected,
-// because nothing is read from the connection behind its last request.
+// because nothing is read from the connection behind its last request, and against a
+// cancellation with another cause.
 func TestDisconnectCancelsLastRequests(t *testing.T) {
 	for name, sent := range map[string]string{
 		"Connection: close": "GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
@@ -20,11 +21,12 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				cancelled := false
+				is := is.New(t)
+				var cause error
 				server := NewServer(stubHandler{handle: func(ctx context.Context, r *http.Request) *Response {
 					echo(ctx, r)
 					<-ctx.Done()
-					cancelled = true
+					cause = context.Cause(ctx)
 					return &Response{}
 				}}, noLimits)
 				c, _, ended := servePipe(server, nil)
@@ -32,9 +34,7 @@
 				synctest.Wait()
 				c.Close()
 				<-ended // a deadlock if the request is not cancelled
-				if !cancelled {
-					t.Error("the request was not cancelled")
-				}
+				is.Equal(cause, context.Canceled)
 			})
 		})
 	}
--- a/internal/callerhttp/fuzz_test.go
+++ b/internal/callerhttp/fuzz_test.go
@@ -28,7 +28,7 @@
 			return Limits{HeaderBytes: 4096, HeaderTimeout: 50 * time.Millisecond, IdleTimeout: 50 * time.Millisecond}
 		})
 		near, far := net.Pipe()
-		ctx, cancel := context.WithCancel(context.Background())
+		ctx, cancel := context.WithCancelCause(context.Background())
 		c := newConn(server, far, ctx, cancel)
 		done := make(chan struct{})
 		go func() {
--- a/internal/callerhttp/idle.go
+++ b/internal/callerhttp/idle.go
@@ -37,7 +37,7 @@
 		case c.ending.Load():
 			return false
 		case !isTimeout(err):
-			c.cancel()
+			c.cancel(nil)
 			return false
 		case c.requests.closeRequested(), c.requests.inProgress() > 0, time.Now().Before(c.idleDeadline(began)):
 		case c.hasUnread():
--- a/internal/callerhttp/idle_test.go
+++ b/internal/callerhttp/idle_test.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
 	c := newConn(server, wrap(far.(*net.TCPConn)), ctx, cancel)
 	server.conns.Store(c, nil)
 	server.connCount.Add(1)
--- a/internal/callerhttp/pipe_test.go
+++ b/internal/callerhttp/pipe_test.go
@@ -15,7 +15,7 @@
 	if wrap != nil {
 		far = wrap(far)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
 	c := newConn(server, far, ctx, cancel)
 	server.conns.Store(c, nil)
 	server.connCount.Add(1)
--- a/internal/callerhttp/respond.go
+++ b/internal/callerhttp/respond.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 
 	"github.com/pkg/errors"
@@ -25,13 +26,13 @@
 		return
 	}
 	if response.Status == 0 {
-		c.breakOff()
+		c.breakOff(errBrokenOff)
 		return
 	}
 	closing = closing || c.server.draining.Load() || c.requests.ends()
 	last := closing && c.requests.seal() == 1
 	if err := c.write(response, last); err != nil {
-		c.breakOff()
+		c.breakOff(fmt.Errorf("%w: %w", errBrokenOff, err))
 		response.reportUnwritten(err)
 	}
 }
--- a/internal/callerhttp/server.go
+++ b/internal/callerhttp/server.go
@@ -39,7 +39,7 @@
 			time.Sleep(acceptBackoff)
 			continue
 		}
-		ctx, cancel := context.WithCancel(s.ctx)
+		ctx, cancel := context.WithCancelCause(s.ctx)
 		c := newConn(s, raw, ctx, cancel)
 		s.conns.Store(c, nil)
 		s.connCount.Add(1)
--- a/internal/callerhttp/streaming_test.go
+++ b/internal/callerhttp/streaming_test.go
@@ -45,7 +45,7 @@
 						return &Response{Status: 200, Remainder: body, Length: length}
 					}}, func() Limits { return Limits{IdleTimeout: time.Hour} })
 					caller, raw := net.Pipe()
-					ctx, cancel := context.WithCancel(t.Context())
+					ctx, cancel := context.WithCancelCause(t.Context())
 					served := make(chan struct{})
 					go func() {
 						defer close(served)
--- a/internal/callerhttp/wait.go
+++ b/internal/callerhttp/wait.go
@@ -48,7 +48,7 @@
 	go func() {
 		defer close(watched)
 		if sockopt.AwaitHangup(c.net) {
-			c.cancel()
+			c.cancel(nil)
 		}
 	}()
 	return func() {
--- a/internal/gateway/callstate.go
+++ b/internal/gateway/callstate.go
@@ -84,8 +84,13 @@
 // cause before it was answered.
 func (state *callState) interruptedReply(cause error, reply Reply) Reply {
 	switch {
-	case !errors.Is(cause, ErrInstanceEnded):
+	case errors.Is(cause, context.Canceled):
 		reply.Outcome = OutcomeCallerGone
+	case !errors.Is(cause, ErrInstanceEnded): // the caller's connection has ended for this cause
+		reply.Outcome, reply.Detail = OutcomeCallerGone, cause.Error()
+		if state.detail != "" {
+			reply.Detail += "; " + state.detail
+		}
 	case state.mayHaveRun:
 		reply = Reply{Outcome: OutcomeUnknown, Detail: cause.Error()}
 	default:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,7 +57,8 @@
 }
 
 // Handle processes the call and returns the final reply. ctx is cancelled when the
-// caller leaves or, with the cause ErrInstanceEnded, when the instance ends.
+// caller leaves, with the cause ErrInstanceEnded when the instance ends, and with another
+// cause when the caller's connection ends because of it.
 func (g *Gateway) Handle(ctx context.Context, call *Call) Reply {
 	g.inProgress.Add(1)
 	defer g.inProgress.Add(-1)
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -19,7 +19,8 @@
 	OutcomeUnreadable
 	// OutcomeTooLarge means that the body exceeds the size limit.
 	OutcomeTooLarge
-	// OutcomeCallerGone means that the caller left before the response.
+	// OutcomeCallerGone means that the caller left before the response, or that its
+	// connection ended for another cause, which the detail of the reply states.
 	OutcomeCallerGone
 )
 
