Report streamed responses that the end of a planned stop cuts off

A response that is streamed goes on after its call has been handled. When a planned stop ran out of time, only calls without a final reply were counted, so that such a response was cut off by the end of the process with no line: the log said "answered" for a response that nobody got in full. This can happen to calls that arrived before SIGTERM with a limit longer than the grace period, and on a machine that stands still.

--- a/internal/callerhttp/server.go
+++ b/internal/callerhttp/server.go
@@ -52,13 +52,25 @@
 	return int(s.connCount.Load())
 }
 
+// RequestsInProgress returns the number of requests whose response has not been written
+// completely.
+func (s *Server) RequestsInProgress() int {
+	n := 0
+	s.conns.Range(func(key, _ any) bool {
+		n += key.(*conn).requests.inProgress()
+		return true
+	})
+	return n
+}
+
 // StartDraining makes each connection end: from its next response on it accepts no further
 // request, and the response to the last request in progress announces the close.
 func (s *Server) StartDraining() {
 	s.draining.Store(true)
 }
 
-// Abort cancels the requests in progress. Their contexts have the given cause.
+// Abort cancels the requests in progress. Their contexts have the given cause. Responses
+// that are being streamed are broken off and reported to their OnWriteError.
 func (s *Server) Abort(cause error) {
 	s.cancel(cause)
 }
--- a/internal/entrynode/plannedstop.go
+++ b/internal/entrynode/plannedstop.go
@@ -42,13 +42,14 @@
 	}
 }
 
-// abortCalls ends the calls that are still in progress, so that each of them has a final
-// reply and a line in the log that says what is known about it.
+// abortCalls ends the calls that are still in progress, and the responses that are still
+// being streamed, so that each of them has a line in the log that says what is known about it.
 func (n *Node) abortCalls() {
-	if n.gateway.InProgress() == 0 {
+	inProgress := n.callerServer.RequestsInProgress()
+	if inProgress == 0 {
 		return
 	}
-	n.log.Emit(events.StopCutOff, "in_flight", n.gateway.InProgress())
+	n.log.Emit(events.StopCutOff, "in_flight", inProgress)
 	n.callerServer.Abort(gateway.ErrInstanceEnded)
 	// The connections are counted, not the calls, because the replies must be written too.
 	for end := time.Now().Add(abortTimeout); n.callerServer.OpenConnections() > 0 && time.Now().Before(end); {
