--- a/internal/dev/soak/faults.go
+++ b/internal/dev/soak/faults.go
@@ -131,6 +131,7 @@
 				return
 			}
 			if !i.busy.TryLock() {
+				f.p.note("%s: %s is skipped, as another event is under way", i.name, e.kind)
 				return
 			}
 			defer i.busy.Unlock()
--- a/internal/dev/soak/run.go
+++ b/internal/dev/soak/run.go
@@ -106,6 +106,12 @@
 			left++
 		}
 	}
-	return fmt.Sprintf("sent=%d answered=%d refused=%d cut=%d left=%d other=%d runs=%d versions=%d processes=%d", len(e.Attempts), answered, refused, cut, left,
-		len(e.Attempts)-answered-refused-cut-left, len(e.Runs), len(e.Versions), len(e.Processes))
+	var longestStop time.Duration
+	for _, process := range e.Processes {
+		if !process.StoppedAt.IsZero() {
+			longestStop = max(longestStop, process.EndedAt.Sub(process.StoppedAt))
+		}
+	}
+	return fmt.Sprintf("sent=%d answered=%d refused=%d cut=%d left=%d other=%d runs=%d versions=%d processes=%d longest_stop=%.2fs", len(e.Attempts), answered, refused, cut, left,
+		len(e.Attempts)-answered-refused-cut-left, len(e.Runs), len(e.Versions), len(e.Processes), longestStop.Seconds())
 }
