Log backend servers that say in a response that they leave

The platform's pages have a second way in which a server announces its end: the header Server-Leaving in all its responses. Nothing looked at it, so the logs could not tell whether a server that got requests late had said so. What it says is kept for each incarnation in the facts of the instance and logged once (event 1706). Nothing decides by it yet.

--- /dev/null
+++ b/internal/backpressure/states.go
@@ -0,0 +1,47 @@
+package backpressure
+
+import (
+	"maps"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/fleet"
+)
+
+// States holds the state of each incarnation that asks anything. It is immutable; the
+// zero States is empty.
+type States struct {
+	byIncarnation map[fleet.Incarnation]State
+}
+
+// Of returns the state of an incarnation.
+func (s States) Of(server fleet.Incarnation) State {
+	return s.byIncarnation[server]
+}
+
+// Observe returns the states after a response of the server, and whether that told
+// anything new.
+func (s States) Observe(server fleet.Incarnation, signal Signal, now time.Time) (States, bool) {
+	state, changed := s.byIncarnation[server].Observe(signal, now)
+	if !changed {
+		return s, false
+	}
+	return s.with(server, state), true
+}
+
+// Retain returns the states for which keep returns true.
+func (s States) Retain(keep func(fleet.Incarnation, State) bool) States {
+	kept := map[fleet.Incarnation]State{}
+	for server, state := range s.byIncarnation {
+		if keep(server, state) {
+			kept[server] = state
+		}
+	}
+	return States{byIncarnation: kept}
+}
+
+func (s States) with(server fleet.Incarnation, state State) States {
+	next := make(map[fleet.Incarnation]State, len(s.byIncarnation)+1)
+	maps.Copy(next, s.byIncarnation)
+	next[server] = state
+	return States{byIncarnation: next}
+}
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -46,6 +46,7 @@
 	n.facts = facts.NewRegistry(platform.DecodeConfig, log)
 	reader := facts.NewReader(platform.StoreSource{Store: store}, n.facts, log)
 	schedulerClient := gateway.NewSchedulerClient(self.String(), config.Domain, n.facts, n.backends)
+	n.backends.OnSignal = schedulerClient.ObserveSignal
 	n.elector = holder.NewElector(holder.Options{
 		Self: self, Store: store, Registry: n.facts, Reader: reader, OrderSender: n.backends, Prober: n.backends, Client: schedulerClient, Log: log,
 		RetryBudget: placing.RetryBudget{Window: config.RetryWindow, Ratio: config.RetryRatio, Extra: config.RetryExtra},
--- a/internal/facts/registry.go
+++ b/internal/facts/registry.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"peridotmoor.org/peridotmoor/internal/backpressure"
 	"peridotmoor.org/peridotmoor/internal/events"
 	"peridotmoor.org/peridotmoor/internal/fleet"
 	"peridotmoor.org/peridotmoor/internal/owners"
@@ -163,6 +164,30 @@
 	})
 }
 
+// ObserveSignal records what a server asks of the fleet in a response. It returns true
+// if that is new.
+func (r *Registry) ObserveSignal(server fleet.Incarnation, signal backpressure.Signal, now time.Time) bool {
+	changed := r.update(func(s *Snapshot) *Snapshot {
+		states, changed := s.Backpressure.Observe(server, signal, now)
+		if !changed {
+			return nil
+		}
+		return s.withBackpressure(states)
+	})
+	if changed {
+		r.logSignal(server)
+	}
+	return changed
+}
+
+// logSignal logs what the server is now known to ask.
+func (r *Registry) logSignal(server fleet.Incarnation) {
+	state := r.Snapshot().Backpressure.Of(server)
+	if state.Leaving {
+		r.log.Emit(events.ServerSaysLeaving, "server", server.Name, "start_ms", server.StartMS)
+	}
+}
+
 // UpdateOwners applies the owners of keys as published by the holder of an epoch.
 func (r *Registry) UpdateOwners(owned map[string][]owners.OwnedRange, epoch int64) {
 	r.update(func(s *Snapshot) *Snapshot {
--- a/internal/facts/snapshot.go
+++ b/internal/facts/snapshot.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"peridotmoor.org/peridotmoor/internal/backpressure"
 	"peridotmoor.org/peridotmoor/internal/fleet"
 	"peridotmoor.org/peridotmoor/internal/owners"
 )
@@ -21,8 +22,10 @@
 	OwnedRanges map[string][]owners.OwnedRange
 	// Epoch is the epoch of the holder that published OwnedRanges.
 	Epoch int64
+	// Backpressure is what servers ask of the fleet in their responses.
+	Backpressure backpressure.States
 	// Each sequence number changes with the part of the snapshot that it is named after.
-	OperatorSettingsSequence, ListingSequence, OwnedRangesSequence uint64
+	OperatorSettingsSequence, ListingSequence, OwnedRangesSequence, BackpressureSequence uint64
 
 	byName map[string]*fleet.Server
 	// former holds servers that are no longer listed. They may still run and be sent orders.
@@ -107,6 +110,13 @@
 	return &next
 }
 
+func (s *Snapshot) withBackpressure(states backpressure.States) *Snapshot {
+	next := *s
+	next.Backpressure = states
+	next.BackpressureSequence++
+	return &next
+}
+
 func (s *Snapshot) withListing(listing fleet.Listing, at time.Time) *Snapshot {
 	next := *s
 	next.Servers, next.ListingRevision = listing.Servers, listing.Revision
@@ -126,5 +136,18 @@
 			next.former[server.Incarnation] = formerServer{server: server, since: at}
 		}
 	}
+	next.Backpressure = s.Backpressure.Retain(func(server fleet.Incarnation, state backpressure.State) bool {
+		return next.keepsBackpressure(s, server, state, at)
+	})
 	return &next
 }
+
+// keepsBackpressure reports whether what an incarnation asks is still known in the
+// listing s, read at the given time after old. A server that does not report its start
+// and was not listed before is a new incarnation.
+func (s *Snapshot) keepsBackpressure(old *Snapshot, server fleet.Incarnation, state backpressure.State, at time.Time) bool {
+	if server.StartMS == 0 && s.byName[server.Name] != nil && old.byName[server.Name] == nil {
+		return false
+	}
+	return s.FindIncarnation(server) != nil || at.Sub(state.ChangedAt) < formerServerRetention
+}
--- a/internal/gateway/schedulerclient.go
+++ b/internal/gateway/schedulerclient.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"peridotmoor.org/peridotmoor/internal/backpressure"
 	"peridotmoor.org/peridotmoor/internal/facts"
 	"peridotmoor.org/peridotmoor/internal/fleet"
 	"peridotmoor.org/peridotmoor/internal/link"
@@ -178,6 +179,11 @@
 	return placing.Decision{AttemptID: attempt.AttemptID, Reason: placing.ReasonCold, RetryAfter: holderBackoff}
 }
 
+// ObserveSignal records what a server asks of the fleet in a response.
+func (c *SchedulerClient) ObserveSignal(server fleet.Incarnation, signal backpressure.Signal) {
+	c.registry.ObserveSignal(server, signal, time.Now())
+}
+
 // Complete reports the end of an attempt.
 func (c *SchedulerClient) Complete(completion placing.Completion) {
 	c.local.complete(completion)
