Give no work to servers that say in a response that they leave

Callers' requests reached servers that had said Server-Leaving in all their responses, for as long as their entry in the store said nothing.

Cause: the fleet learned only from the store that a server leaves. What a server tells an instance in its responses was not looked at, so neither the instance that passed it on nor the holder could keep to it, and without the store nobody learned it at all.

The instance now keeps it for the incarnation, before it passes the response on. That check comes after the arrival of the request, so no decision that a holder made before can lead there, wherever it waited; such an attempt has not run and is placed again. The instance tells the holder, which tells all others; each of them tells the next holder when it joins it. So the word outlives the holder, needs no store, and binds an instance that is alone.

With the store out the keys of a leaving owner have no owner until the store is back, as moves must be stored first; their requests are refused.

--- a/internal/backpressure/states.go
+++ b/internal/backpressure/states.go
@@ -1,6 +1,7 @@
 package backpressure
 
 import (
+	"iter"
 	"maps"
 	"time"
 
@@ -28,6 +29,21 @@
 	return s.with(server, state), true
 }
 
+// Merge returns the states with what another instance knows of the server in addition,
+// and whether that is anything new.
+func (s States) Merge(server fleet.Incarnation, other State, now time.Time) (States, bool) {
+	state, changed := s.byIncarnation[server].merge(other, now)
+	if !changed {
+		return s, false
+	}
+	return s.with(server, state), true
+}
+
+// All returns the states by incarnation.
+func (s States) All() iter.Seq2[fleet.Incarnation, State] {
+	return maps.All(s.byIncarnation)
+}
+
 // Retain returns the states for which keep returns true.
 func (s States) Retain(keep func(fleet.Incarnation, State) bool) States {
 	kept := map[fleet.Incarnation]State{}
--- a/internal/entrynode/fakebackend_test.go
+++ b/internal/entrynode/fakebackend_test.go
@@ -22,6 +22,8 @@
 	grants     map[int]keyGrant // by key
 	orders     []receivedOrder
 	executions map[string]int
+	// leaving makes the server say in all its responses that it is leaving.
+	leaving atomic.Bool
 	// serviceTime is how long the execution of a request takes.
 	serviceTime atomic.Int64 // nanoseconds
 	// onExecute is called before a request for the key is executed, with the server's name.
@@ -40,6 +42,9 @@
 }
 
 func (b *fakeBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if b.leaving.Load() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != b.name {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -101,6 +106,13 @@
 	return time.Now().Before(b.grantOf(key).expiresAt)
 }
 
+// executed returns how often the request was executed.
+func (b *fakeBackend) executed(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.executions[id]
+}
+
 // ordersFor returns the received orders for the key.
 func (b *fakeBackend) ordersFor(key int) []receivedOrder {
 	b.mu.Lock()
--- a/internal/entrynode/fleet_test.go
+++ b/internal/entrynode/fleet_test.go
@@ -161,9 +161,7 @@
 func (f *fleet) countExecutions(id string) int {
 	n := 0
 	for _, b := range f.backends {
-		b.mu.Lock()
-		n += b.executions[id]
-		b.mu.Unlock()
+		n += b.executed(id)
 	}
 	return n
 }
--- a/internal/facts/registry.go
+++ b/internal/facts/registry.go
@@ -167,8 +167,22 @@
 // ObserveSignal records what a server asks of the fleet in a response. It returns true
 // if that is new.
 func (r *Registry) ObserveSignal(server fleet.Incarnation, signal backpressure.Signal, now time.Time) bool {
+	return r.updateBackpressure(server, func(states backpressure.States) (backpressure.States, bool) {
+		return states.Observe(server, signal, now)
+	})
+}
+
+// MergeBackpressure records what another instance knows of a server. It returns true if
+// that is new.
+func (r *Registry) MergeBackpressure(server fleet.Incarnation, state backpressure.State, now time.Time) bool {
+	return r.updateBackpressure(server, func(states backpressure.States) (backpressure.States, bool) {
+		return states.Merge(server, state, now)
+	})
+}
+
+func (r *Registry) updateBackpressure(server fleet.Incarnation, next func(backpressure.States) (backpressure.States, bool)) bool {
 	changed := r.update(func(s *Snapshot) *Snapshot {
-		states, changed := s.Backpressure.Observe(server, signal, now)
+		states, changed := next(s.Backpressure)
 		if !changed {
 			return nil
 		}
--- a/internal/facts/snapshot.go
+++ b/internal/facts/snapshot.go
@@ -52,7 +52,7 @@
 
 // Usable reports whether the server may get new work.
 func (s *Snapshot) Usable(server *fleet.Server) bool {
-	return !server.Leaving && !s.domainsOut[server.Domain]
+	return !server.Leaving && !s.Backpressure.Of(server.Incarnation).Leaving && !s.domainsOut[server.Domain]
 }
 
 // Owner returns the owner of a key, and whether it holds the key already.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -186,6 +186,9 @@
 	snapshot := g.registry.Snapshot()
 	server := snapshot.Server(decision.Server)
 	if server == nil || !snapshot.Usable(server) || time.Until(state.deadline) < minAttemptTime {
+		if server != nil && snapshot.Backpressure.Of(server.Incarnation).Leaving {
+			g.scheduler.ReportState(server.Incarnation) // the holder may not know it yet
+		}
 		g.scheduler.Complete(completion)
 		return AttemptResult{Outcome: placing.Unused, Detail: "the assigned server is no longer usable, or too little time is left"}
 	}
--- a/internal/gateway/schedulerclient.go
+++ b/internal/gateway/schedulerclient.go
@@ -38,6 +38,9 @@
 func (c *SchedulerClient) Attach(l link.Link) {
 	c.holderStatus.Store(&holderStatus{heardAt: time.Now(), instances: c.FleetSize(), maxProcessorShare: c.MaxProcessorShare()})
 	c.link.Store(&activeLink{Link: l})
+	if states := link.EncodeBackpressure(c.registry.Snapshot().Backpressure); len(states) > 0 {
+		l.Send(&linkpb.Up{Backpressure: states}) // if the link has ended, the next one is told
+	}
 }
 
 // SilentFor returns how long the holder has been silent.
@@ -179,9 +182,20 @@
 	return placing.Decision{AttemptID: attempt.AttemptID, Reason: placing.ReasonCold, RetryAfter: holderBackoff}
 }
 
-// ObserveSignal records what a server asks of the fleet in a response.
+// ObserveSignal records what a server asks of the fleet in a response, and tells the
+// holder if that is new.
 func (c *SchedulerClient) ObserveSignal(server fleet.Incarnation, signal backpressure.Signal) {
-	c.registry.ObserveSignal(server, signal, time.Now())
+	if c.registry.ObserveSignal(server, signal, time.Now()) {
+		c.ReportState(server)
+	}
+}
+
+// ReportState tells the holder what a server asks of the fleet.
+func (c *SchedulerClient) ReportState(server fleet.Incarnation) {
+	if l := c.link.Load(); l != nil {
+		// If this fails, the holder is told when it assigns an attempt against it, or by the next link.
+		l.Send(&linkpb.Up{Backpressure: []*linkpb.ServerState{link.EncodeServerState(server, c.registry.Snapshot().Backpressure.Of(server))}})
+	}
 }
 
 // Complete reports the end of an attempt.
--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -83,8 +83,12 @@
 	if up.Facts != nil {
 		link.NewFactsReceiver(c.registry).Apply(up.Facts, arrivedAt)
 	}
+	link.MergeBackpressure(c.registry, up.Backpressure, arrivedAt)
 	c.enqueue(func() {
 		now := time.Now()
+		if len(up.Backpressure) > 0 {
+			c.refresh(now) // before the attempts in the same message are placed
+		}
 		if c.followers[f] {
 			c.byName[f.Instance] = f // an instance sends on the link in use only
 		}
--- a/internal/holder/planning.go
+++ b/internal/holder/planning.go
@@ -11,14 +11,15 @@
 	"peridotmoor.org/peridotmoor/internal/owners"
 )
 
-// refresh switches to the current snapshot of the facts. If the listing or the
-// operators' settings have changed, it also plans and publishes.
+// refresh switches to the current snapshot of the facts. If the listing, the operators'
+// settings or what servers ask have changed, it also plans and publishes.
 func (c *Coordinator) refresh(now time.Time) {
 	snapshot := c.registry.Snapshot()
 	if snapshot == c.snapshot || snapshot.Config == nil {
 		return
 	}
-	changed := c.snapshot == nil || snapshot.ListingSequence != c.snapshot.ListingSequence || snapshot.OperatorSettingsSequence != c.snapshot.OperatorSettingsSequence
+	changed := c.snapshot == nil || snapshot.ListingSequence != c.snapshot.ListingSequence || snapshot.OperatorSettingsSequence != c.snapshot.OperatorSettingsSequence ||
+		snapshot.BackpressureSequence != c.snapshot.BackpressureSequence
 	c.snapshot = snapshot
 	if changed {
 		c.scheduler.Update(now, snapshot.Config.Services, snapshot.Servers, func(s *fleet.Server) bool { return !snapshot.Usable(s) })
--- a/internal/holder/publish.go
+++ b/internal/holder/publish.go
@@ -39,7 +39,7 @@
 }
 
 func sequencesOf(snapshot *facts.Snapshot) link.SentSequences {
-	return link.SentSequences{OperatorSettings: snapshot.OperatorSettingsSequence, Listing: snapshot.ListingSequence, OwnedRanges: snapshot.OwnedRangesSequence}
+	return link.SentSequences{OperatorSettings: snapshot.OperatorSettingsSequence, Listing: snapshot.ListingSequence, OwnedRanges: snapshot.OwnedRangesSequence, Backpressure: snapshot.BackpressureSequence}
 }
 
 // encodeFacts returns the message that brings a follower up to date that has
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -101,6 +101,7 @@
 			up.Asks = append(up.Asks, more.Asks...)
 			up.Finishes = append(up.Finishes, more.Finishes...)
 			up.Withdrawn = append(up.Withdrawn, more.Withdrawn...)
+			up.Backpressure = append(up.Backpressure, more.Backpressure...)
 			up.Stopping, up.Ending = up.Stopping || more.Stopping, up.Ending || more.Ending
 			if more.Facts != nil {
 				up.Facts = more.Facts // a later read of the store replaces an earlier one
--- a/internal/link/convert.go
+++ b/internal/link/convert.go
@@ -115,6 +115,9 @@
 	default:
 		out.Listing = &linkpb.Listing{Servers: encodeServers(snapshot.Servers, now)}
 	}
+	if snapshot.BackpressureSequence != sent.Backpressure {
+		out.Backpressure = EncodeBackpressure(snapshot.Backpressure)
+	}
 	switch {
 	case snapshot.OwnedRangesSequence == sent.OwnedRanges:
 	case base != nil && sent.OwnedRanges > 0 && base.OwnedRangesSequence == sent.OwnedRanges && coversServices(base.OwnedRanges, snapshot.OwnedRanges):
--- a/internal/link/factsreceiver.go
+++ b/internal/link/factsreceiver.go
@@ -42,6 +42,7 @@
 // what the sender read from the store f.AgeUs microseconds earlier.
 func (r *FactsReceiver) Apply(f *linkpb.Facts, now time.Time) {
 	r.merge(f, now)
+	MergeBackpressure(r.registry, f.Backpressure, now)
 	if f.Ownership != nil {
 		r.registry.UpdateOwners(r.ownedRanges, f.Epoch)
 	}
