Soak: back ends that leave, name limits and ask for pauses in their responses

The soak's servers could announce their end only through their entry in the store. They now say Server-Leaving in all responses, with or without saying so in the store; name a Server-Limit for some seconds; and turn requests away with 503 and Retry-After. A theme of its own, backpressure, plays them with changes of holder, cuts and a store that is out. Three checks compare what servers got with the platform's pages.

--- /dev/null
+++ b/internal/dev/soak/backend/arrival.go
@@ -0,0 +1,15 @@
+package backend
+
+import "time"
+
+// Arrival is one request that reached a server, whether the server ran it or not.
+// Requests that it misdirected are not counted.
+type Arrival struct {
+	RequestID string
+	Server    string
+	At        time.Time
+	// Pause is the time for which the server asked not to be sent requests, with its refusal.
+	Pause time.Duration
+	// AnsweredAt is when the server responded so.
+	AnsweredAt time.Time
+}
--- a/internal/dev/soak/backend/incarnation.go
+++ b/internal/dev/soak/backend/incarnation.go
@@ -30,11 +30,17 @@
 	proxy    *tcpproxy.Proxy
 	http     *http.Server
 	// ctx ends when the process crashes.
-	ctx      context.Context
-	end      context.CancelFunc
-	slots    chan struct{}
-	waiting  atomic.Int64
+	ctx     context.Context
+	end     context.CancelFunc
+	slots   chan struct{}
+	waiting atomic.Int64
+	// leaving servers say so in their responses, draining ones in their entry too.
+	leaving  atomic.Bool
 	draining atomic.Bool
+	// limit is the rate limit, in requests/s, that the responses name, or nil.
+	limit    atomic.Pointer[float64]
+	shedding atomic.Pointer[shedding]
+	arrivals *Arrivals
 	sequence atomic.Int64
 
 	mu     sync.Mutex
@@ -43,7 +49,7 @@
 	released chan struct{}
 }
 
-func startIncarnation(id string, config Config, log *runlog.Log, owners *Owners) (*incarnation, error) {
+func startIncarnation(id string, config Config, log *runlog.Log, owners *Owners, arrivals *Arrivals) (*incarnation, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrapf(err, "backend server %s", id)
@@ -53,7 +59,7 @@
 		return nil, err
 	}
 	i := &incarnation{
-		id: id, config: config, reserved: reserved, startedAt: time.Now(), log: log, owners: owners,
+		id: id, config: config, reserved: reserved, startedAt: time.Now(), log: log, owners: owners, arrivals: arrivals,
 		proxy:    tcpproxy.New(reserved.Addresses[0], listener.Addr().String(), config.Seed),
 		slots:    make(chan struct{}, config.Slots),
 		released: make(chan struct{}),
--- a/internal/dev/soak/backend/serve.go
+++ b/internal/dev/soak/backend/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -15,17 +16,30 @@
 // HealthPath is the path of the health check.
 const HealthPath = "/health"
 
+// HeaderLeaving is set in all responses of a leaving server, headerLimit in those of one
+// that takes only so many requests/s from all instances together.
+const (
+	HeaderLeaving = "Server-Leaving"
+	headerLimit   = "Server-Limit"
+)
+
 // headerNotExecuted marks a response to a request that was not run.
 const headerNotExecuted = "X-Not-Executed"
 
 // ServeHTTP serves requests, grants, releases and health checks.
 func (i *incarnation) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Instance-Load", fmt.Sprintf("%d,%d,%d", len(i.slots), i.waiting.Load(), i.config.Slots))
+	if i.leaving.Load() {
+		w.Header().Set(HeaderLeaving, "1")
+	}
+	if limit := i.limit.Load(); limit != nil {
+		w.Header().Set(headerLimit, strconv.FormatFloat(*limit, 'g', -1, 64))
+	}
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != i.id {
 		refuse(w, http.StatusMisdirectedRequest)
 		return
 	}
-	if i.draining.Load() {
+	if i.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	switch r.URL.Path {
@@ -33,7 +47,7 @@
 		i.serveOrder(w, r)
 	case HealthPath:
 		w.Header().Set("X-Instance-Id", i.id)
-		if i.draining.Load() {
+		if i.leaving.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	default:
@@ -65,6 +79,10 @@
 			return
 		}
 	}
+	if i.shed(w, id) {
+		return
+	}
+	i.arrivals.add(Arrival{RequestID: id, Server: i.id, At: time.Now()})
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(timeout*float64(time.Millisecond)))
 	defer cancel()
 	if !i.awaitSlot(ctx) {
@@ -90,6 +108,19 @@
 	answered = i.run(ctx, w, r, key, fmt.Sprintf("%s.%d", i.id, index))
 }
 
+// shed turns the request away if the server sheds and the draw is against it.
+func (i *incarnation) shed(w http.ResponseWriter, id string) bool {
+	shedding := i.shedding.Load()
+	if shedding == nil || rand.Float64() >= shedding.share {
+		return false
+	}
+	now := time.Now()
+	w.Header().Set("Retry-After", strconv.FormatFloat(shedding.pause.Seconds(), 'f', 3, 64))
+	refuse(w, http.StatusServiceUnavailable)
+	i.arrivals.add(Arrival{RequestID: id, Server: i.id, At: now, Pause: shedding.pause, AnsweredAt: now})
+	return true
+}
+
 // awaitSlot waits for a slot. It returns false if the queue is full or the request's
 // time is up.
 func (i *incarnation) awaitSlot(ctx context.Context) bool {
--- a/internal/dev/soak/backend/server.go
+++ b/internal/dev/soak/backend/server.go
@@ -34,6 +34,8 @@
 	store  *memstore.Store
 	log    *runlog.Log
 	owners *Owners
+	// arrivals records the requests that reach the server.
+	arrivals *Arrivals
 
 	mu      sync.Mutex
 	current *incarnation
@@ -41,8 +43,8 @@
 }
 
 // NewServer returns a server that is not started. It registers itself in the store.
-func NewServer(name string, config Config, store *memstore.Store, log *runlog.Log, owners *Owners) *Server {
-	return &Server{name: name, config: config, store: store, log: log, owners: owners}
+func NewServer(name string, config Config, store *memstore.Store, log *runlog.Log, owners *Owners, arrivals *Arrivals) *Server {
+	return &Server{name: name, config: config, store: store, log: log, owners: owners, arrivals: arrivals}
 }
 
 // Start starts a new incarnation with an ID of its own.
@@ -53,7 +55,7 @@
 		return errors.Errorf("backend server %s is already running", s.name)
 	}
 	s.starts++
-	i, err := startIncarnation(fmt.Sprintf("%s.%d", s.name, s.starts), s.config, s.log, s.owners)
+	i, err := startIncarnation(fmt.Sprintf("%s.%d", s.name, s.starts), s.config, s.log, s.owners, s.arrivals)
 	if err != nil {
 		return err
 	}
@@ -64,12 +66,10 @@
 
 // ID returns the ID of the running incarnation, or "".
 func (s *Server) ID() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.current == nil {
-		return ""
+	if i := s.running(); i != nil {
+		return i.id
 	}
-	return s.current.id
+	return ""
 }
 
 // SetFault sets the fault of the connections to the server.
@@ -92,16 +92,29 @@
 // Drain announces that the server leaves, serves for as long as the platform's pages
 // say and a little longer, and ends the incarnation once its requests have ended.
 func (s *Server) Drain(ctx context.Context, drainTime time.Duration) {
-	s.mu.Lock()
-	i := s.current
-	s.mu.Unlock()
+	i := s.running()
 	if i == nil {
 		return
 	}
+	i.leaving.Store(true)
 	i.draining.Store(true)
 	for s.put(i) != nil && ctx.Err() == nil {
 		time.Sleep(s.config.Heartbeat)
 	}
+	s.end(i, drainTime)
+}
+
+// Leave is Drain, but the server says only in its responses that it leaves. Its entry
+// stays as it is until the end.
+func (s *Server) Leave(drainTime time.Duration) {
+	if i := s.running(); i != nil {
+		i.leaving.Store(true)
+		s.end(i, drainTime)
+	}
+}
+
+// end serves on and ends the incarnation once its requests have ended.
+func (s *Server) end(i *incarnation, drainTime time.Duration) {
 	time.Sleep(drainTime + drainSlack)
 	s.stop()
 	s.store.Delete(storeKey(i.id))
@@ -111,6 +124,37 @@
 	i.crash()
 }
 
+// NameLimit makes the server name a rate limit in its responses for the given time.
+func (s *Server) NameLimit(perSecond float64, length time.Duration) Limit {
+	i := s.running()
+	if i == nil {
+		return Limit{}
+	}
+	limit := Limit{Server: i.id, PerSecond: perSecond, From: time.Now()}
+	i.limit.Store(&perSecond)
+	time.Sleep(length)
+	i.limit.Store(nil)
+	limit.Until = time.Now()
+	return limit
+}
+
+// Shed makes the server turn away a share of its requests for the given time, and ask
+// each of their senders for a pause.
+func (s *Server) Shed(share float64, pause, length time.Duration) {
+	if i := s.running(); i != nil {
+		i.shedding.Store(&shedding{share: share, pause: pause})
+		time.Sleep(length)
+		i.shedding.Store(nil)
+	}
+}
+
+// running returns the running incarnation, or nil.
+func (s *Server) running() *incarnation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current
+}
+
 // Close ends the server without a trace in the store.
 func (s *Server) Close() {
 	if i := s.stop(); i != nil {
@@ -130,7 +174,7 @@
 func (s *Server) report(i *incarnation) {
 	ticker := time.NewTicker(s.config.Heartbeat)
 	defer ticker.Stop()
-	for s.running(i) {
+	for s.running() == i {
 		_ = s.put(i) // the store may be down; the next report follows
 		select {
 		case <-ticker.C:
@@ -140,12 +184,6 @@
 	}
 }
 
-func (s *Server) running(i *incarnation) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.current == i
-}
-
 // put writes the entry of the incarnation once.
 func (s *Server) put(i *incarnation) error {
 	state := "ready"
--- a/internal/dev/soak/backend/server_test.go
+++ b/internal/dev/soak/backend/server_test.go
@@ -18,17 +18,18 @@
 
 // testServers are two servers of a service whose log and owners they share.
 type testServers struct {
-	t      *testing.T
-	log    *runlog.Log
-	owners *Owners
-	kv     *memstore.Store
-	a, b   *Server
+	t        *testing.T
+	log      *runlog.Log
+	owners   *Owners
+	kv       *memstore.Store
+	arrivals Arrivals
+	a, b     *Server
 }
 
 func newTestServers(t *testing.T, keyed bool) *testServers {
 	s := &testServers{t: t, log: runlog.New(), owners: NewOwners(), kv: memstore.New()}
 	config := Config{Service: "s", Domain: "d", Keyed: keyed, Slots: 1, ClockRate: 1, Heartbeat: 50 * time.Millisecond}
-	s.a, s.b = NewServer("a", config, s.kv, s.log, s.owners), NewServer("b", config, s.kv, s.log, s.owners)
+	s.a, s.b = NewServer("a", config, s.kv, s.log, s.owners, &s.arrivals), NewServer("b", config, s.kv, s.log, s.owners, &s.arrivals)
 	for _, server := range []*Server{s.a, s.b} {
 		if err := server.Start(); err != nil {
 			t.Fatal(err)
--- a/internal/dev/soak/caller/attempt.go
+++ b/internal/dev/soak/caller/attempt.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -32,6 +33,8 @@
 	Result                     Result
 	Status                     int
 	Stamp                      string
+	// ServerLeaving is set if the response says that its server is leaving.
+	ServerLeaving bool
 	// Fault says what is wrong with the response, if it is not the answer to this attempt.
 	Fault  string
 	Detail string
@@ -53,6 +56,15 @@
 	return false
 }
 
+// Server returns the ID of the backend server whose response was passed on, or "". The
+// stamp is that ID and the index of the run.
+func (a *Attempt) Server() string {
+	if end := strings.LastIndexByte(a.Stamp, '.'); end >= 0 && a.Result == Complete {
+		return a.Stamp[:end]
+	}
+	return ""
+}
+
 // Answered reports whether a backend server's successful response arrived.
 func (a *Attempt) Answered() bool {
 	return a.Result == Complete && a.Status/100 == 2
--- a/internal/dev/soak/caller/conn.go
+++ b/internal/dev/soak/caller/conn.go
@@ -124,6 +124,7 @@
 	var content []byte
 	if err == nil {
 		a.Status, a.Stamp = response.StatusCode, response.Header.Get("X-Response-Stamp")
+		a.ServerLeaving = response.Header.Get(backend.HeaderLeaving) != ""
 		content, err = io.ReadAll(response.Body)
 	}
 	if err != nil {
--- a/internal/dev/soak/check/bounds.go
+++ b/internal/dev/soak/check/bounds.go
@@ -30,6 +30,19 @@
 	// maxDenied and deniedShare limit the proper requests that are rejected.
 	maxDenied   = 5
 	deniedShare = 500
+	// leavingTime is how long after an instance has passed on that a server is leaving it
+	// may still send it requests.
+	leavingTime = 2 * time.Second
+	// pauseDelay is how long after a refusal that asks for a pause, or after a response
+	// that names a limit, an instance need not keep to it. pauseSlack requests may reach
+	// the server during the pause.
+	pauseDelay = 500 * time.Millisecond
+	pauseSlack = 2
+	// Of a server's limit, limitRatio times plus limitSlack requests may reach it in any
+	// limitWindow, from stableWindow after it first named it.
+	limitWindow = 4 * time.Second
+	limitRatio  = 1.5
+	limitSlack  = 5
 	// timeoutMargin is how much before its timeout a request counts as having reached
 	// it, as the answer needs time for its way back.
 	timeoutMargin = 100 * time.Millisecond
--- a/internal/dev/soak/check/evidence.go
+++ b/internal/dev/soak/check/evidence.go
@@ -18,6 +18,8 @@
 	Conflicts   []backend.Conflict
 	Processes   []Process
 	Versions    []Version
+	Arrivals    []backend.Arrival
+	Limits      []backend.Limit
 	Impairments *Impairments
 	// StrayBytes describes bytes that arrived without a request.
 	StrayBytes []string
@@ -30,13 +32,14 @@
 
 	runs      map[string][]runlog.Execution
 	processes map[processKey]*Process
+	attempts  map[string]*caller.Attempt
 }
 
 // Violations returns all violations.
 func (e *Evidence) Violations() []Violation {
 	e.index()
 	var all []Violation
-	for _, check := range []func(*Evidence) []Violation{checkRuns, checkRefusals, checkAnswers, checkOwners, checkStops, checkCuts, checkRecovery, checkConfiguration} {
+	for _, check := range []func(*Evidence) []Violation{checkRuns, checkRefusals, checkAnswers, checkOwners, checkStops, checkCuts, checkRecovery, checkConfiguration, checkLeaving, checkPauses, checkLimits} {
 		all = append(all, check(e)...)
 	}
 	return all
@@ -48,6 +51,10 @@
 	for _, run := range e.Runs {
 		e.runs[run.RequestID] = append(e.runs[run.RequestID], run)
 	}
+	e.attempts = map[string]*caller.Attempt{}
+	for _, a := range e.Attempts {
+		e.attempts[a.ID] = a
+	}
 	e.processes = map[processKey]*Process{}
 	for i := range e.Processes {
 		e.processes[processKey{e.Processes[i].Instance, e.Processes[i].Number}] = &e.Processes[i]
--- a/internal/dev/soak/check/impairments.go
+++ b/internal/dev/soak/check/impairments.go
@@ -9,6 +9,9 @@
 // names of instances and IDs of backend servers.
 const Store = "store"
 
+// Freeze is the subject of the times in which an instance stood still.
+func Freeze(instance string) string { return "freeze of " + instance }
+
 // Impairments records when faults other than planned stops affected whom.
 type Impairments struct {
 	mu    sync.Mutex
--- a/internal/dev/soak/event.go
+++ b/internal/dev/soak/event.go
@@ -21,6 +21,8 @@
 	length time.Duration
 	// pause is the time until an ended process is started again, and between the stops of several instances.
 	pause time.Duration
+	// rate is the rate limit that a server names, in requests/s.
+	rate float64
 	// fault is the fault of connections.
 	fault tcpproxy.Fault
 }
--- a/internal/dev/soak/eventkind.go
+++ b/internal/dev/soak/eventkind.go
@@ -19,6 +19,9 @@
 	eventServerFault   eventKind = "server fault"
 	eventServerCrash   eventKind = "server crash"
 	eventServerDrain   eventKind = "server drain"
+	eventServerLeave   eventKind = "server leave" // says so in its responses only
+	eventServerLimit   eventKind = "server limit" // names a rate limit in its responses
+	eventServerShed    eventKind = "server shed"  // turns requests away and asks for a pause
 	eventStopSeveral   eventKind = "stop several" // stops of several instances that overlap
 	eventConfigureTwin eventKind = "configure twice"
 )
--- a/internal/dev/soak/faults.go
+++ b/internal/dev/soak/faults.go
@@ -16,6 +16,8 @@
 const (
 	// drainTime is how long a backend server serves after it has announced that it leaves.
 	drainTime = 2 * time.Second
+	// shedShare is the share of its requests that a shedding server turns away.
+	shedShare = 0.5
 	// maxStartAge is the greatest age of a process at the SIGTERM of a stop at start.
 	maxStartAge = 300 * time.Millisecond
 	// slowStoreDelay is the delay of each call to a slow store.
@@ -53,7 +55,7 @@
 		f.configure(e)
 	case eventStoreDown, eventStoreSlow, eventStoreLost:
 		f.impairStore(e)
-	case eventServerFault, eventServerCrash, eventServerDrain:
+	case eventServerFault, eventServerCrash, eventServerDrain, eventServerLeave, eventServerLimit, eventServerShed:
 		f.impairServer(ctx, e)
 	default:
 		f.impairInstances(e)
@@ -109,6 +111,15 @@
 	case eventServerCrash:
 		f.p.impairments.Begin(id) // has no end
 		s.Crash()
+	case eventServerLimit:
+		f.p.addLimit(s.NameLimit(e.rate, e.length))
+		return
+	case eventServerShed:
+		s.Shed(shedShare, e.pause, e.length)
+		return
+	case eventServerLeave:
+		s.Leave(drainTime + e.length)
+		f.p.impairments.Begin(id) // has no end
 	case eventServerDrain:
 		s.Drain(ctx, drainTime)
 		f.p.impairments.Begin(id) // has no end
@@ -162,7 +173,7 @@
 		time.Sleep(e.pause)
 		f.p.fail(i.start(false))
 	case eventPause:
-		defer f.p.impairments.Begin(i.name)()
+		defer f.p.impairments.Begin(i.name, check.Freeze(i.name))()
 		i.signal(syscall.SIGSTOP)
 		time.Sleep(e.length)
 		i.signal(syscall.SIGCONT)
--- a/internal/dev/soak/play.go
+++ b/internal/dev/soak/play.go
@@ -51,6 +51,7 @@
 	configuration *configuration
 	runs          *runlog.Log
 	owners        *backend.Owners
+	arrivals      backend.Arrivals
 	servers       []*backend.Server
 	// serversBusy are held while an event of a server is under way.
 	serversBusy []sync.Mutex
@@ -62,6 +63,7 @@
 
 	mu     sync.Mutex
 	notes  []string
+	limits []backend.Limit
 	stray  []string
 	errors []error
 }
@@ -82,7 +84,7 @@
 		s := backend.NewServer(fmt.Sprintf("i-%d", n), backend.Config{
 			Service: services[n%len(services)], Domain: domainName(n), Keyed: services[n%len(services)] == keyedService, Slots: slotsPerServer,
 			ClockRate: 1 - maxClockError*p.random.Float64(), Heartbeat: heartbeat, Seed: p.random.Uint64(),
-		}, p.kv.Store(), p.runs, p.owners)
+		}, p.kv.Store(), p.runs, p.owners, &p.arrivals)
 		p.servers = append(p.servers, s)
 		if err := s.Start(); err != nil {
 			return p, err
@@ -185,7 +187,7 @@
 func (p *play) evidence(unserved []string) *check.Evidence {
 	e := &check.Evidence{
 		Attempts: p.attempts.Attempts(), Conflicts: p.owners.Conflicts(), Versions: p.configuration.accepted(), Impairments: p.impairments,
-		Unserved: unserved, MovedRoute: movedRoute, AddedIn: addedIn,
+		Unserved: unserved, MovedRoute: movedRoute, AddedIn: addedIn, Arrivals: p.arrivals.All(),
 	}
 	e.Runs, e.DroppedRuns = p.runs.Snapshot()
 	for _, i := range p.instances {
@@ -193,7 +195,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	e.StrayBytes = p.stray
+	e.StrayBytes, e.Limits = p.stray, p.limits
 	return e
 }
 
@@ -211,6 +213,12 @@
 	p.stray = append(p.stray, err.Error())
 }
 
+func (p *play) addLimit(limit backend.Limit) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limits = append(p.limits, limit)
+}
+
 // fail records an error of the soak itself.
 func (p *play) fail(err error) {
 	if err == nil {
--- a/internal/dev/soak/schedule.go
+++ b/internal/dev/soak/schedule.go
@@ -16,6 +16,14 @@
 	// longest time that an ended process stays down.
 	maxFaultTime    = 3500 * time.Millisecond
 	maxRestartPause = 1500 * time.Millisecond
+	// minLimit and maxLimit bound the rate limits of servers, in requests/s, and
+	// minLimitTime is the shortest time for which a server names one. The rules count
+	// the requests of 4 s, from 3 s after its beginning.
+	minLimit, maxLimit = 0.3, 2.0
+	minLimitTime       = 5 * time.Second
+	// minShedPause is the shortest pause that a shedding server asks for. Each instance
+	// sends a server less than one request/s.
+	minShedPause = 2 * time.Second
 	// maxConnectionDelay is the longest delay of a connection.
 	maxConnectionDelay = 250 * time.Millisecond
 )
@@ -39,7 +47,7 @@
 	for at := firstEvent; at < duration; at += time.Duration(random.ExpFloat64() * float64(meanEventGap)) {
 		e := event{at: at, kind: drawn.draw(random), length: upTo(random, maxFaultTime), pause: upTo(random, maxRestartPause)}
 		switch e.kind {
-		case eventServerFault, eventServerCrash, eventServerDrain:
+		case eventServerFault, eventServerCrash, eventServerDrain, eventServerLeave, eventServerLimit, eventServerShed:
 			e.targets = []int{random.IntN(servers)}
 		case eventStopSeveral:
 			e.targets = drawSeveral(random, instances)
@@ -53,6 +61,12 @@
 		switch e.kind {
 		case eventStoreCut, eventPeerFault, eventServerFault:
 			e.fault = drawFault(random)
+		case eventServerLimit:
+			e.rate = minLimit + (maxLimit-minLimit)*random.Float64()
+			e.length += minLimitTime
+		case eventServerShed:
+			e.pause += minShedPause
+			e.length += e.pause
 		}
 		s.events = append(s.events, e)
 	}
--- a/internal/dev/soak/schedule_test.go
+++ b/internal/dev/soak/schedule_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -13,13 +14,17 @@
 	is := is.New(t)
 	kinds := map[eventKind]bool{}
 	options := DefaultOptions()
-	for seed := range uint64(100) {
+	for seed := range uint64(200) {
+		options.Theme = ""
+		if seed >= 100 {
+			options.Theme = namedThemes[seed%uint64(len(namedThemes))].name
+		}
 		s := newSchedule(seed, options)
 		is.Equal(fmt.Sprint(s), fmt.Sprint(newSchedule(seed, options)))
 		for _, e := range s.events {
 			kinds[e.kind] = true
 			count := options.Instances
-			if e.kind == eventServerCrash || e.kind == eventServerDrain || e.kind == eventServerFault {
+			if strings.HasPrefix(string(e.kind), "server ") {
 				count = options.Servers * len(services)
 			}
 			for _, target := range e.targets {
@@ -29,7 +34,7 @@
 	}
 	options.Theme = "links"
 	is.Equal(newSchedule(1, options).theme, "links")
-	for _, theme := range themes {
+	for _, theme := range append(namedThemes, themes...) {
 		for _, w := range theme.weights {
 			is.True(kinds[w.kind])
 		}
--- a/internal/dev/soak/theme.go
+++ b/internal/dev/soak/theme.go
@@ -22,6 +22,8 @@
 // namedThemes are mixes that only an option selects, so that seeds without it keep their schedules.
 var namedThemes = []theme{
 	{name: "links", weights: []weightedKind{{eventPeerFault, 6}, {eventStoreCut, 2}, {eventStop, 1}, {eventPause, 1}, {eventKill, 1}}, atHolder: true},
+	{name: "backpressure", weights: []weightedKind{{eventServerLeave, 3}, {eventServerLimit, 5}, {eventServerShed, 4}, {eventServerDrain, 1}, {eventStop, 2}, {eventKill, 1}, {eventPause, 1},
+		{eventStoreDown, 2}, {eventStoreSlow, 1}, {eventStoreCut, 1}, {eventPeerFault, 1}}},
 }
 
 // themeOf returns the theme with the name.
