Send a server nothing for as long as it has asked this instance

A server that turned a request away with 503 and Retry-After got further requests from the same instance at once. Callers saw more refusals from a server that had too much already.

Cause: the time was not looked at; after any refusal the holder gave the server no work for 50 ms, whoever had been turned away.

The pause is kept beside the word of a leaving server, for the incarnation and for this instance alone. The last check before a request is sent and local placement keep to it; the holder is told, also by an instance that joins it, and places the attempts of that instance elsewhere. An attempt that only paused servers could run waits if the pause ends in time, without holding up those of other instances behind it, and is otherwise refused at once with the rest of the pause.

--- a/internal/backpressure/states.go
+++ b/internal/backpressure/states.go
@@ -39,6 +39,17 @@
 	return s.with(server, state), true
 }
 
+// ForOthers returns the states without what concerns only this instance.
+func (s States) ForOthers() States {
+	out := make(map[fleet.Incarnation]State, len(s.byIncarnation))
+	for server, state := range s.byIncarnation {
+		if state = state.forOthers(); state != (State{}) {
+			out[server] = state
+		}
+	}
+	return States{byIncarnation: out}
+}
+
 // All returns the states by incarnation.
 func (s States) All() iter.Seq2[fleet.Incarnation, State] {
 	return maps.All(s.byIncarnation)
--- a/internal/backpressure/states_test.go
+++ b/internal/backpressure/states_test.go
@@ -42,3 +42,21 @@
 	_, changed = known.Merge(first, State{Leaving: true}, start.Add(time.Second))
 	is.True(!changed)
 }
+
+// Guards against a pause that a later, shorter one cuts off, and against one that is
+// taken over by instances that the server has not asked for it.
+func TestPauseConcernsOneInstance(t *testing.T) {
+	is := is.New(t)
+	states, _ := States{}.Observe(first, Signal{Pause: 4 * time.Second}, start)
+	states, changed := states.Observe(first, Signal{Pause: time.Second}, start.Add(time.Second))
+	is.True(!changed)
+	is.True(states.Of(first).Paused(start.Add(3999 * time.Millisecond)))
+	is.True(!states.Of(first).Paused(start.Add(4 * time.Second)))
+	is.True(states.Of(first).SameForOthers(State{}))
+	for range states.ForOthers().All() {
+		t.Error("a pause is sent to other instances")
+	}
+	other, changed := States{}.Merge(first, states.Of(first), start)
+	is.True(!changed)
+	is.True(!other.Of(first).Paused(start.Add(time.Second)))
+}
--- a/internal/facts/registry.go
+++ b/internal/facts/registry.go
@@ -181,25 +181,32 @@
 }
 
 func (r *Registry) updateBackpressure(server fleet.Incarnation, next func(backpressure.States) (backpressure.States, bool)) bool {
+	var old, state backpressure.State
 	changed := r.update(func(s *Snapshot) *Snapshot {
 		states, changed := next(s.Backpressure)
 		if !changed {
 			return nil
 		}
-		return s.withBackpressure(states)
+		old, state = s.Backpressure.Of(server), states.Of(server)
+		return s.withBackpressure(states, !state.SameForOthers(old))
 	})
 	if changed {
-		r.logSignal(server)
+		r.logBackpressure(server, old, state)
 	}
 	return changed
 }
 
-// logSignal logs what the server is now known to ask.
-func (r *Registry) logSignal(server fleet.Incarnation) {
-	state := r.Snapshot().Backpressure.Of(server)
-	if state.Leaving {
+// logBackpressure logs what is new in the state of a server.
+func (r *Registry) logBackpressure(server fleet.Incarnation, old, state backpressure.State) {
+	if state.Leaving && !old.Leaving {
 		r.log.Emit(events.ServerSaysLeaving, "server", server.Name, "start_ms", server.StartMS)
 	}
+	if state.PausedUntil != old.PausedUntil {
+		r.log.Emit(events.ServerAsksForPause, "server", server.Name, "start_ms", server.StartMS, "pause_ms", time.Until(state.PausedUntil).Milliseconds())
+	}
+	if state.Unreadable != old.Unreadable {
+		r.log.Emit(events.SignalUnreadable, "server", server.Name, "start_ms", server.StartMS, "detail", state.Unreadable)
+	}
 }
 
 // UpdateOwners applies the owners of keys as published by the holder of an epoch.
--- a/internal/facts/snapshot.go
+++ b/internal/facts/snapshot.go
@@ -24,7 +24,8 @@
 	Epoch int64
 	// Backpressure is what servers ask of the fleet in their responses.
 	Backpressure backpressure.States
-	// Each sequence number changes with the part of the snapshot that it is named after.
+	// Each sequence number changes with the part of the snapshot that it is named after,
+	// as far as other instances need to know it.
 	OperatorSettingsSequence, ListingSequence, OwnedRangesSequence, BackpressureSequence uint64
 
 	byName map[string]*fleet.Server
@@ -50,6 +51,12 @@
 	return nil
 }
 
+// MaySend reports whether this instance may send the server a request at now: it is
+// usable and has not asked this instance for a pause.
+func (s *Snapshot) MaySend(server *fleet.Server, now time.Time) bool {
+	return s.Usable(server) && !s.Backpressure.Of(server.Incarnation).Paused(now)
+}
+
 // Usable reports whether the server may get new work.
 func (s *Snapshot) Usable(server *fleet.Server) bool {
 	return !server.Leaving && !s.Backpressure.Of(server.Incarnation).Leaving && !s.domainsOut[server.Domain]
@@ -110,10 +117,14 @@
 	return &next
 }
 
-func (s *Snapshot) withBackpressure(states backpressure.States) *Snapshot {
+// withBackpressure returns a snapshot with other states. forOthers is set if other
+// instances need to know what has changed.
+func (s *Snapshot) withBackpressure(states backpressure.States, forOthers bool) *Snapshot {
 	next := *s
 	next.Backpressure = states
-	next.BackpressureSequence++
+	if forOthers {
+		next.BackpressureSequence++
+	}
 	return &next
 }
 
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/backpressure_test.go
@@ -72,3 +72,24 @@
 	client.Attach(l)
 	is.Equal(len(l.leavingNames()), 2)
 }
+
+// Guards against requests to a server that has asked this instance for a pause, by a
+// decision of the holder that was made before or by local placement.
+func TestPausedServerGetsNoRequests(t *testing.T) {
+	is := is.New(t)
+	registry := newRegistry(fleet.KindNonIdempotent)
+	client := NewSchedulerClient("i", "d", registry, nil)
+	for _, name := range []string{"a", "b"} {
+		client.ObserveSignal(fleet.Incarnation{Name: name}, backpressure.Signal{Pause: time.Minute})
+	}
+	is.Equal(client.Place(t.Context(), placing.Attempt{Service: "s", Key: placing.NoKey, Deadline: time.Now().Add(time.Second)}).Server, "c")
+	l := &recordingLink{roundRobinLink: roundRobinLink{client: client, servers: []string{"a", "c"}}}
+	client.Attach(l)
+	is.Equal(len(l.sent[0].Backpressure), 2) // the holder is told when the instance joins it
+	is.True(l.sent[0].Backpressure[0].PauseUs > 0)
+	backends := &scriptedClient{results: []AttemptResult{{Outcome: placing.Answered, Response: &backhttp.Response{Status: 200}}}}
+	g := New("d", registry, client, backends, noMetrics{}, nil)
+	reply := g.Handle(t.Context(), &Call{ID: "1", Method: "POST", Host: "h", Path: "/p/x", Header: http.Header{}, Key: placing.NoKey, ArrivedAt: time.Now(), Timeout: time.Second, Body: NewBody(nil, 0)})
+	is.Equal(reply.Outcome, OutcomeAnswered)
+	is.Equal(backends.sent, []string{"c"})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -185,8 +185,9 @@
 	completion := placing.Completion{AttemptID: decision.AttemptID, Server: decision.Server, Outcome: placing.Unused, ContentHash: state.contentHash}
 	snapshot := g.registry.Snapshot()
 	server := snapshot.Server(decision.Server)
-	if server == nil || !snapshot.Usable(server) || time.Until(state.deadline) < minAttemptTime {
-		if server != nil && snapshot.Backpressure.Of(server.Incarnation).Leaving {
+	now := time.Now()
+	if server == nil || !snapshot.MaySend(server, now) || state.deadline.Sub(now) < minAttemptTime {
+		if server != nil && !snapshot.MaySend(server, now) {
 			g.scheduler.ReportState(server.Incarnation) // the holder may not know it yet
 		}
 		g.scheduler.Complete(completion)
--- a/internal/gateway/localscheduler.go
+++ b/internal/gateway/localscheduler.go
@@ -50,7 +50,7 @@
 func (l *localScheduler) chooseServer(now time.Time, attempt placing.Attempt) string {
 	snapshot := l.registry.Snapshot()
 	usable := func(s *fleet.Server) bool {
-		return s != nil && s.Service == attempt.Service && snapshot.Usable(s) && !s.Cold(now)
+		return s != nil && s.Service == attempt.Service && snapshot.MaySend(s, now) && !s.Cold(now)
 	}
 	if attempt.Key != placing.NoKey {
 		name, granted := snapshot.Owner(attempt.Service, attempt.Key)
--- a/internal/gateway/schedulerclient.go
+++ b/internal/gateway/schedulerclient.go
@@ -36,9 +36,10 @@
 
 // Attach uses the link to the holder until it ends.
 func (c *SchedulerClient) Attach(l link.Link) {
-	c.holderStatus.Store(&holderStatus{heardAt: time.Now(), instances: c.FleetSize(), maxProcessorShare: c.MaxProcessorShare()})
+	now := time.Now()
+	c.holderStatus.Store(&holderStatus{heardAt: now, instances: c.FleetSize(), maxProcessorShare: c.MaxProcessorShare()})
 	c.link.Store(&activeLink{Link: l})
-	if states := link.EncodeBackpressure(c.registry.Snapshot().Backpressure); len(states) > 0 {
+	if states := link.EncodeBackpressure(c.registry.Snapshot().Backpressure, now); len(states) > 0 {
 		l.Send(&linkpb.Up{Backpressure: states}) // if the link has ended, the next one is told
 	}
 }
@@ -190,11 +191,12 @@
 	}
 }
 
-// ReportState tells the holder what a server asks of the fleet.
+// ReportState tells the holder what a server asks, if it asks anything.
 func (c *SchedulerClient) ReportState(server fleet.Incarnation) {
-	if l := c.link.Load(); l != nil {
+	state := c.registry.Snapshot().Backpressure.Of(server)
+	if l := c.link.Load(); l != nil && state != (backpressure.State{}) {
 		// If this fails, the holder is told when it assigns an attempt against it, or by the next link.
-		l.Send(&linkpb.Up{Backpressure: []*linkpb.ServerState{link.EncodeServerState(server, c.registry.Snapshot().Backpressure.Of(server))}})
+		l.Send(&linkpb.Up{Backpressure: []*linkpb.ServerState{link.EncodeServerState(server, state, time.Now())}})
 	}
 }
 
--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -88,6 +88,11 @@
 		now := time.Now()
 		if len(up.Backpressure) > 0 {
 			c.refresh(now) // before the attempts in the same message are placed
+			for _, s := range up.Backpressure {
+				if server, until, ok := link.DecodePause(s, arrivedAt); ok {
+					c.scheduler.Pause(server, f.Instance, until)
+				}
+			}
 		}
 		if c.followers[f] {
 			c.byName[f.Instance] = f // an instance sends on the link in use only
--- a/internal/holder/probing.go
+++ b/internal/holder/probing.go
@@ -20,7 +20,7 @@
 	c.probedAt = now
 	for _, server := range c.snapshot.Servers {
 		service := c.snapshot.Config.Services[server.Service]
-		if service == nil || service.HealthPath == "" || !c.snapshot.Usable(&server) || c.probing[server.Incarnation] {
+		if service == nil || service.HealthPath == "" || !c.snapshot.MaySend(&server, now) || c.probing[server.Incarnation] {
 			continue
 		}
 		if c.scheduler.Capacity(now, &server) > probeCapacityRatio*service.ColdRate && service.ColdRate > 0 {
--- a/internal/link/backpressure.go
+++ b/internal/link/backpressure.go
@@ -9,24 +9,36 @@
 	"peridotmoor.org/peridotmoor/internal/link/linkpb"
 )
 
-// EncodeBackpressure converts what servers ask of the fleet.
-func EncodeBackpressure(states backpressure.States) []*linkpb.ServerState {
+// EncodeBackpressure converts what servers ask of the fleet and of the sending instance.
+func EncodeBackpressure(states backpressure.States, now time.Time) []*linkpb.ServerState {
 	var out []*linkpb.ServerState
 	for server, state := range states.All() {
-		out = append(out, EncodeServerState(server, state))
+		out = append(out, EncodeServerState(server, state, now))
 	}
 	return out
 }
 
-// EncodeServerState converts what one server asks of the fleet.
-func EncodeServerState(server fleet.Incarnation, state backpressure.State) *linkpb.ServerState {
-	return &linkpb.ServerState{Name: server.Name, Born: server.StartMS, Leaving: state.Leaving}
+// EncodeServerState converts what one server asks of the fleet and of the sending instance.
+func EncodeServerState(server fleet.Incarnation, state backpressure.State, now time.Time) *linkpb.ServerState {
+	return &linkpb.ServerState{
+		Name: server.Name, Born: server.StartMS, Leaving: state.Leaving, PauseUs: max(0, state.PausedUntil.Sub(now).Microseconds()),
+	}
+}
+
+// DecodePause returns the server that wants no requests from the sender of a message that
+// arrived at now, and until when, or false if it has not asked for a pause.
+func DecodePause(s *linkpb.ServerState, now time.Time) (fleet.Incarnation, time.Time, bool) {
+	return incarnationOf(s), now.Add(microseconds(s.PauseUs)), s.PauseUs > 0
+}
+
+func incarnationOf(s *linkpb.ServerState) fleet.Incarnation {
+	return fleet.Incarnation{Name: s.Name, StartMS: s.Born}
 }
 
 // MergeBackpressure records in the registry what servers ask of the fleet, as another
 // instance has told at now.
 func MergeBackpressure(registry *facts.Registry, states []*linkpb.ServerState, now time.Time) {
 	for _, s := range states {
-		registry.MergeBackpressure(fleet.Incarnation{Name: s.Name, StartMS: s.Born}, backpressure.State{Leaving: s.Leaving}, now)
+		registry.MergeBackpressure(incarnationOf(s), backpressure.State{Leaving: s.Leaving}, now)
 	}
 }
--- a/internal/link/convert.go
+++ b/internal/link/convert.go
@@ -116,7 +116,7 @@
 		out.Listing = &linkpb.Listing{Servers: encodeServers(snapshot.Servers, now)}
 	}
 	if snapshot.BackpressureSequence != sent.Backpressure {
-		out.Backpressure = EncodeBackpressure(snapshot.Backpressure)
+		out.Backpressure = EncodeBackpressure(snapshot.Backpressure.ForOthers(), now)
 	}
 	switch {
 	case snapshot.OwnedRangesSequence == sent.OwnedRanges:
--- a/internal/placing/assign.go
+++ b/internal/placing/assign.go
@@ -13,7 +13,7 @@
 	var bestTime float64
 	for _, skipTried := range []bool{true, false} {
 		for _, s := range svc.servers {
-			if !s.hasFreeSlot(now) || skipTried && w.hasTried(s.Name) {
+			if !s.hasFreeSlot(now) || s.pausedFor(now, w) > 0 || skipTried && w.hasTried(s.Name) {
 				continue
 			}
 			if s.Cold(now) && svc.ColdRate > 0 {
--- a/internal/placing/dispatch.go
+++ b/internal/placing/dispatch.go
@@ -44,21 +44,58 @@
 // dispatchQueued assigns queued attempts to free slots: first those for keys of
 // server s, then those that any server of the service may run.
 func (sched *Scheduler) dispatchQueued(now time.Time, svc *service, s *server) {
-	for len(s.queue) > 0 && sched.tryAdmit(now, s, s.Slots+slotOvercommit, svc) {
-		i := s.queue.nextIndex(now, s.expectedServiceTime(now, svc.typicalServiceTime()))
+	for {
+		i := s.nextQueued(now, svc)
+		if i < 0 || !sched.tryAdmit(now, s, s.Slots+slotOvercommit, svc) {
+			break
+		}
 		w := s.queue[i]
 		s.queue.removeAt(i)
 		sched.assign(now, s, w)
 	}
-	for len(svc.queue) > 0 {
-		i := svc.queue.nextIndex(now, svc.typicalServiceTime())
-		if !sched.assignToBestServer(now, svc, svc.queue[i]) {
+	for {
+		i := svc.nextQueued(now)
+		if i < 0 || !sched.assignToBestServer(now, svc, svc.queue[i]) {
 			return
 		}
 		svc.queue.removeAt(i)
 	}
 }
 
+// nextQueued returns the index of the attempt in the server's queue to serve next, or -1.
+func (s *server) nextQueued(now time.Time, svc *service) int {
+	return s.queue.nextIndex(now, s.expectedServiceTime(now, svc.typicalServiceTime()), func(w *queuedAttempt) bool { return s.pausedFor(now, w) == 0 })
+}
+
+// nextQueued returns the index of the attempt in the service's queue to serve next, or -1
+// if no server has a free slot for any of them.
+func (s *service) nextQueued(now time.Time) int {
+	free, pausing := 0, 0
+	for _, v := range s.servers {
+		if v.hasFreeSlot(now) {
+			free++
+			if len(v.pauses) > 0 {
+				pausing++
+			}
+		}
+	}
+	if free == 0 {
+		return -1
+	}
+	return s.queue.nextIndex(now, s.typicalServiceTime(), func(w *queuedAttempt) bool { return pausing < free || s.hasFreeServer(now, w) })
+}
+
+// hasFreeServer reports whether a server with a free slot takes requests from the
+// instance of the attempt.
+func (s *service) hasFreeServer(now time.Time, w *queuedAttempt) bool {
+	for _, v := range s.servers {
+		if v.hasFreeSlot(now) && v.pausedFor(now, w) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Tick refuses queued attempts that can no longer be served in time, and dispatches
 // others to capacity that has become free. It is to be called regularly.
 func (sched *Scheduler) Tick(now time.Time) {
@@ -70,6 +107,7 @@
 			sched.routeToOwner(now, svc, w)
 		}
 		for _, s := range svc.servers {
+			s.forgetEndedPauses(now)
 			sched.requeueMovedKeys(now, svc, s)
 			for id, deadline := range s.inFlight {
 				if now.After(deadline.Add(time.Second)) {
--- a/internal/placing/queue.go
+++ b/internal/placing/queue.go
@@ -34,14 +34,22 @@
 }
 
 // nextIndex returns the index of the attempt to serve next, given the service time
-// in seconds: the first that would end before its soft deadline, or else the first.
-func (q queue) nextIndex(now time.Time, serviceTime float64) int {
+// in seconds: of those for which may returns true the first that would end before its
+// soft deadline, or else the first, or -1 if there is none.
+func (q queue) nextIndex(now time.Time, serviceTime float64, may func(*queuedAttempt) bool) int {
+	first := -1
 	for i, w := range q {
+		if !may(w) {
+			continue
+		}
 		if w.meetsSoftDeadline(now, serviceTime) {
 			return i
 		}
+		if first < 0 {
+			first = i
+		}
 	}
-	return 0
+	return first
 }
 
 // countLate counts the attempts that would miss their soft deadline if they took
--- a/internal/placing/reason.go
+++ b/internal/placing/reason.go
@@ -20,11 +20,14 @@
 	ReasonCrashes
 	// ReasonNoHolder means that no holder can be reached.
 	ReasonNoHolder
+	// ReasonPaused means that the servers that could run the request want no requests
+	// from its instance for now.
+	ReasonPaused
 )
 
 // String returns the name of the reason in logs.
 func (r Reason) String() string {
-	names := [...]string{"none", "no-server", "overload", "retry-budget", "no-owner", "cold", "crashes", "no-holder"}
+	names := [...]string{"none", "no-server", "overload", "retry-budget", "no-owner", "cold", "crashes", "no-holder", "paused"}
 	if int(r) < len(names) {
 		return names[r]
 	}
--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -138,7 +138,11 @@
 }
 
 func (sched *Scheduler) submitUnkeyed(now time.Time, svc *service, w *queuedAttempt) {
-	if len(svc.queue) == 0 && sched.assignToBestServer(now, svc, w) {
+	if svc.nextQueued(now) < 0 && sched.assignToBestServer(now, svc, w) {
+		return
+	}
+	if pause, beyond := svc.pausedBeyondDeadline(now, w); beyond {
+		sched.refuse(w.AttemptID, ReasonPaused, pause)
 		return
 	}
 	slots := svc.usableSlots()
@@ -179,7 +183,8 @@
 		svc.unownedQueue.insert(w)
 		return
 	}
-	if len(owner.queue) == 0 && sched.tryAdmit(now, owner, owner.Slots, svc) {
+	pause := owner.pausedFor(now, w)
+	if pause == 0 && owner.nextQueued(now, svc) < 0 && sched.tryAdmit(now, owner, owner.Slots, svc) {
 		sched.assign(now, owner, w)
 		return
 	}
@@ -191,6 +196,9 @@
 		wait = max(wait, ahead/svc.ColdRate)
 		reason = ReasonCold
 	}
+	if pause.Seconds() > wait {
+		wait, reason = pause.Seconds(), ReasonPaused
+	}
 	if !worthQueuing(now, w, owner.queue, wait, serviceTime, owner.Slots) {
 		sched.refuse(w.AttemptID, reason, seconds(wait))
 		return
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -24,7 +24,9 @@
 	// backoffUntil is when a server that failed or shed a request may get work again.
 	backoffUntil        time.Time
 	consecutiveFailures int
-	coldTokens          tokenBucket
+	// pauses holds until when the server wants no requests from an instance, by instance.
+	pauses     map[string]time.Time
+	coldTokens tokenBucket
 	// reportedColdUntil is the end of the cold start as reported by the server itself.
 	reportedColdUntil time.Time
 	// recentLosses holds recent attempts whose connection to this server was lost.
