Log the rate limits that backend servers name

A server in need names in its responses how many requests/s it takes from all instances together (Server-Limit). Nothing looked at it, and no line told it. It is now read beside the word of a leaving server, kept for the incarnation and logged when it changes or ends (1709). Nothing decides by it yet.

--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -13,6 +13,7 @@
 	ServerSaysLeaving    = register(1706, "server_says_leaving", log.InfoLevel, "A backend server has said in a response that it is leaving.")
 	ServerAsksForPause   = register(1707, "server_asks_for_pause", log.InfoLevel, "A backend server wants no requests from this instance for a while.")
 	SignalUnreadable     = register(1708, "signal_unreadable", log.WarnLevel, "A backend server asked something of the fleet in a form that cannot be read; it is ignored.")
+	ServerLimitChanged   = register(1709, "server_limit_changed", log.InfoLevel, "A backend server names another limit on the requests/s from all instances, or none any more (0).")
 	HolderElected        = register(1710, "holder_elected", log.InfoLevel, "This instance has become the holder.")
 	HolderEnded          = register(1711, "holder_ended", log.InfoLevel, "This instance is no longer the holder.")
 	HolderFollowed       = register(1712, "holder_followed", log.InfoLevel, "This instance follows a holder.")
--- a/internal/facts/registry.go
+++ b/internal/facts/registry.go
@@ -204,6 +204,9 @@
 	if state.PausedUntil != old.PausedUntil {
 		r.log.Emit(events.ServerAsksForPause, "server", server.Name, "start_ms", server.StartMS, "pause_ms", time.Until(state.PausedUntil).Milliseconds())
 	}
+	if state.Limit != old.Limit {
+		r.log.Emit(events.ServerLimitChanged, "server", server.Name, "start_ms", server.StartMS, "per_s", state.Limit.PerSecond)
+	}
 	if state.Unreadable != old.Unreadable {
 		r.log.Emit(events.SignalUnreadable, "server", server.Name, "start_ms", server.StartMS, "detail", state.Unreadable)
 	}
