Keep to the rate limits that backend servers name

The only rate that the scheduler knew was that of a cold start.

One token bucket a server now serves both: the lower of the cold start's rate and the named limit. All that the holder assigns draws on it, first attempts, retries and queued ones, over all instances; up to a second's worth adds up. It begins empty, so a successor sends at most what its predecessor left. While another holder may assign too, each uses the share of the fleet that follows it. An instance without a holder uses 1/N of half of the limit, at a random point of its interval, and prefers servers without a limit. The limit counts as capacity when keys are planned, so they leave for servers with room. What cannot wait for its turn is refused at once (reason "limit") with the expected wait.

The limit of an incarnation is known to all instances as the word of a leaving server is, the newest response deciding: it ends with a response to a later request that does not name it. 0 means nothing; one request in 4 s still asks whether it has ended. Negative, malformed or missing digits neither set nor end a limit, of several the lowest holds.

--- a/internal/backpressure/states.go
+++ b/internal/backpressure/states.go
@@ -50,6 +50,11 @@
 	return States{byIncarnation: out}
 }
 
+// ChangedSince returns the states that tell other instances something else than in base.
+func (s States) ChangedSince(base States) States {
+	return s.Retain(func(server fleet.Incarnation, state State) bool { return !state.SameForOthers(base.Of(server)) })
+}
+
 // All returns the states by incarnation.
 func (s States) All() iter.Seq2[fleet.Incarnation, State] {
 	return maps.All(s.byIncarnation)
--- a/internal/entrynode/fakebackend_test.go
+++ b/internal/entrynode/fakebackend_test.go
@@ -22,6 +22,10 @@
 	grants     map[int]keyGrant // by key
 	orders     []receivedOrder
 	executions map[string]int
+	// arrivals holds when each request that it did not misdirect arrived.
+	arrivals []time.Time
+	// limit is the rate limit in requests/s that the server names, or "".
+	limit atomic.Pointer[string]
 	// leaving makes the server say in all its responses that it is leaving.
 	leaving atomic.Bool
 	// serviceTime is how long the execution of a request takes.
@@ -42,6 +46,9 @@
 }
 
 func (b *fakeBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if limit := b.limit.Load(); limit != nil {
+		w.Header().Set("Server-Limit", *limit)
+	}
 	if b.leaving.Load() {
 		w.Header().Set("Server-Leaving", "1")
 	}
@@ -137,6 +144,7 @@
 	b.onExecute(key, b.name)
 	b.mu.Lock()
 	b.executions[id]++
+	b.arrivals = append(b.arrivals, time.Now())
 	b.mu.Unlock()
 	body, _ := io.ReadAll(r.Body) // on an error the caller is gone and needs no response
 	time.Sleep(time.Duration(b.serviceTime.Load()))
--- a/internal/facts/registry.go
+++ b/internal/facts/registry.go
@@ -188,7 +188,7 @@
 			return nil
 		}
 		old, state = s.Backpressure.Of(server), states.Of(server)
-		return s.withBackpressure(states, !state.SameForOthers(old))
+		return s.withBackpressure(states, server)
 	})
 	if changed {
 		r.logBackpressure(server, old, state)
--- a/internal/facts/snapshot.go
+++ b/internal/facts/snapshot.go
@@ -27,6 +27,8 @@
 	// Each sequence number changes with the part of the snapshot that it is named after,
 	// as far as other instances need to know it.
 	OperatorSettingsSequence, ListingSequence, OwnedRangesSequence, BackpressureSequence uint64
+	// LeavingSequence changes when a server says that it is leaving.
+	LeavingSequence uint64
 
 	byName map[string]*fleet.Server
 	// former holds servers that are no longer listed. They may still run and be sent orders.
@@ -117,14 +119,17 @@
 	return &next
 }
 
-// withBackpressure returns a snapshot with other states. forOthers is set if other
-// instances need to know what has changed.
-func (s *Snapshot) withBackpressure(states backpressure.States, forOthers bool) *Snapshot {
+// withBackpressure returns a snapshot with other states, which differ for one server.
+func (s *Snapshot) withBackpressure(states backpressure.States, server fleet.Incarnation) *Snapshot {
+	old, state := s.Backpressure.Of(server), states.Of(server)
 	next := *s
 	next.Backpressure = states
-	if forOthers {
+	if !state.SameForOthers(old) {
 		next.BackpressureSequence++
 	}
+	if state.Leaving != old.Leaving {
+		next.LeavingSequence++
+	}
 	return &next
 }
 
--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -38,4 +38,7 @@
 	// maxLocalInFlight limits the concurrent attempts of one instance at one server
 	// that the holder has not assigned.
 	maxLocalInFlight = 4
+	// localLimitShare is the share of a server's rate limit that all instances without a
+	// holder use together. A holder that they have lost may go on to use all of it.
+	localLimitShare = 0.5
 )
--- a/internal/gateway/localscheduler.go
+++ b/internal/gateway/localscheduler.go
@@ -13,16 +13,20 @@
 )
 
 // localScheduler chooses servers without the holder. It uses no cold servers and
-// allows no retries, since their limits hold for the whole fleet.
+// allows no retries, since their limits hold for the whole fleet. Of the limit that a
+// server names it uses a share.
 type localScheduler struct {
 	domain   string
 	registry *facts.Registry
-	inFlight sync.Map // server name to *atomic.Int64, the number of attempts at the server
-	attempts sync.Map // attempt number to server name
+	// fleetSize returns the number of instances, or 0 if it is unknown.
+	fleetSize func() int
+	limiter   shareLimiter
+	inFlight  sync.Map // server name to *atomic.Int64, the number of attempts at the server
+	attempts  sync.Map // attempt number to server name
 }
 
-func newLocalScheduler(domain string, registry *facts.Registry) *localScheduler {
-	return &localScheduler{domain: domain, registry: registry}
+func newLocalScheduler(domain string, registry *facts.Registry, fleetSize func() int) *localScheduler {
+	return &localScheduler{domain: domain, registry: registry, fleetSize: fleetSize}
 }
 
 func (l *localScheduler) inFlightCounter(server string) *atomic.Int64 {
@@ -54,15 +58,23 @@
 	}
 	if attempt.Key != placing.NoKey {
 		name, granted := snapshot.Owner(attempt.Service, attempt.Key)
-		if !granted || !usable(snapshot.Server(name)) {
+		if owner := snapshot.Server(name); !granted || !usable(owner) || !l.takeShare(now, snapshot, owner) {
 			return ""
 		}
 		return name
 	}
 	var names []string
 	for i := range snapshot.Servers {
-		if usable(&snapshot.Servers[i]) {
-			names = append(names, snapshot.Servers[i].Name)
+		s := &snapshot.Servers[i]
+		if _, limited := snapshot.Backpressure.Of(s.Incarnation).Limit.Rate(); usable(s) && !limited {
+			names = append(names, s.Name)
+		}
+	}
+	if len(names) == 0 {
+		for i := range snapshot.Servers {
+			if s := &snapshot.Servers[i]; usable(s) && l.takeShare(now, snapshot, s) {
+				return s.Name
+			}
 		}
 	}
 	best, _ := choice.PowerOfTwo(rand.New(rand.NewPCG(rand.Uint64(), 0)), len(names), func(i int) choice.Score {
@@ -74,6 +86,17 @@
 	return names[best]
 }
 
+// takeShare reports whether this instance may send one more request to the server under
+// the limit that the server names, if any.
+func (l *localScheduler) takeShare(now time.Time, snapshot *facts.Snapshot, server *fleet.Server) bool {
+	rate, limited := snapshot.Backpressure.Of(server.Incarnation).Limit.Rate()
+	if !limited {
+		return true
+	}
+	instances := l.fleetSize()
+	return instances > 0 && l.limiter.take(now, server.Incarnation, localLimitShare*rate/float64(instances))
+}
+
 func (l *localScheduler) complete(completion placing.Completion) {
 	if server, ok := l.attempts.LoadAndDelete(completion.AttemptID.Number); ok {
 		l.inFlightCounter(server.(string)).Add(-1)
--- a/internal/gateway/schedulerclient.go
+++ b/internal/gateway/schedulerclient.go
@@ -31,7 +31,9 @@
 
 // NewSchedulerClient returns a client without a link to a holder.
 func NewSchedulerClient(instance, domain string, registry *facts.Registry, prober fleet.Prober) *SchedulerClient {
-	return &SchedulerClient{instance: instance, registry: registry, local: newLocalScheduler(domain, registry), prober: prober}
+	c := &SchedulerClient{instance: instance, registry: registry, prober: prober}
+	c.local = newLocalScheduler(domain, registry, c.FleetSize)
+	return c
 }
 
 // Attach uses the link to the holder until it ends.
--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -178,7 +178,7 @@
 	if c.maySendOrders(now) {
 		c.sendOrders(now)
 	}
-	c.scheduler.SetExclusive(c.exclusive(now))
+	c.scheduler.SetShare(c.share(now))
 	c.scheduler.Tick(now)
 	c.publish(now)
 	c.probeServers(now)
--- a/internal/holder/planning.go
+++ b/internal/holder/planning.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"peridotmoor.org/peridotmoor/internal/backpressure"
 	"peridotmoor.org/peridotmoor/internal/events"
 	"peridotmoor.org/peridotmoor/internal/fleet"
 	"peridotmoor.org/peridotmoor/internal/link"
@@ -12,15 +13,20 @@
 )
 
 // refresh switches to the current snapshot of the facts. If the listing, the operators'
-// settings or what servers ask have changed, it also plans and publishes.
+// settings or the leaving servers have changed, it also plans and publishes. Limits of
+// servers are planned and published with the next tick.
 func (c *Coordinator) refresh(now time.Time) {
 	snapshot := c.registry.Snapshot()
 	if snapshot == c.snapshot || snapshot.Config == nil {
 		return
 	}
 	changed := c.snapshot == nil || snapshot.ListingSequence != c.snapshot.ListingSequence || snapshot.OperatorSettingsSequence != c.snapshot.OperatorSettingsSequence ||
-		snapshot.BackpressureSequence != c.snapshot.BackpressureSequence
+		snapshot.LeavingSequence != c.snapshot.LeavingSequence
+	limitsChanged := c.snapshot == nil || snapshot.BackpressureSequence != c.snapshot.BackpressureSequence
 	c.snapshot = snapshot
+	if changed || limitsChanged {
+		c.scheduler.SetLimits(func(s fleet.Incarnation) backpressure.Limit { return snapshot.Backpressure.Of(s).Limit })
+	}
 	if changed {
 		c.scheduler.Update(now, snapshot.Config.Services, snapshot.Servers, func(s *fleet.Server) bool { return !snapshot.Usable(s) })
 		c.plan(now)
@@ -46,6 +52,7 @@
 				Usable:      c.snapshot.Usable(s),
 				Cold:        s.Cold(now),
 				ServiceTime: c.scheduler.ServiceTime(service, s.Name),
+				Limit:       c.snapshot.Backpressure.Of(s.Incarnation).Limit,
 			})
 		}
 		rates := c.scheduler.KeyRates(now, service)
--- a/internal/holder/tenure.go
+++ b/internal/holder/tenure.go
@@ -16,6 +16,17 @@
 	return now.Sub(*leaseConfirmedAt) < leaseTTL || len(c.followers) >= c.usualFollowers
 }
 
+// share returns the share of limits that hold for the whole fleet which this holder may
+// use: all of it while it is the only holder, and otherwise the share of the fleet that
+// follows it, since each instance follows one holder at a time.
+func (c *Coordinator) share(now time.Time) float64 {
+	if c.exclusive(now) {
+		return 1
+	}
+	followers := max(1, len(c.followers))
+	return float64(followers) / float64(max(followers+1, c.usualFollowers, c.previousFleetSize))
+}
+
 // maySendOrders reports whether this instance may still act as the holder. It also
 // sets the duration of new grants, which is longer during a store outage.
 func (c *Coordinator) maySendOrders(now time.Time) bool {
--- a/internal/link/backpressure.go
+++ b/internal/link/backpressure.go
@@ -20,9 +20,14 @@
 
 // EncodeServerState converts what one server asks of the fleet and of the sending instance.
 func EncodeServerState(server fleet.Incarnation, state backpressure.State, now time.Time) *linkpb.ServerState {
-	return &linkpb.ServerState{
+	out := &linkpb.ServerState{
 		Name: server.Name, Born: server.StartMS, Leaving: state.Leaving, PauseUs: max(0, state.PausedUntil.Sub(now).Microseconds()),
 	}
+	if !state.LimitAt.IsZero() {
+		out.LimitKnown, out.LimitAgeUs = true, now.Sub(state.LimitAt).Microseconds()
+		out.Limited, out.LimitPerS = state.Limit.Named, state.Limit.PerSecond
+	}
+	return out
 }
 
 // DecodePause returns the server that wants no requests from the sender of a message that
@@ -39,6 +44,11 @@
 // instance has told at now.
 func MergeBackpressure(registry *facts.Registry, states []*linkpb.ServerState, now time.Time) {
 	for _, s := range states {
-		registry.MergeBackpressure(incarnationOf(s), backpressure.State{Leaving: s.Leaving}, now)
+		state := backpressure.State{Leaving: s.Leaving}
+		if s.LimitKnown {
+			state.Limit = backpressure.Limit{Named: s.Limited, PerSecond: s.LimitPerS}
+			state.LimitAt = now.Add(-microseconds(s.LimitAgeUs))
+		}
+		registry.MergeBackpressure(incarnationOf(s), state, now)
 	}
 }
--- a/internal/link/convert.go
+++ b/internal/link/convert.go
@@ -116,7 +116,11 @@
 		out.Listing = &linkpb.Listing{Servers: encodeServers(snapshot.Servers, now)}
 	}
 	if snapshot.BackpressureSequence != sent.Backpressure {
-		out.Backpressure = EncodeBackpressure(snapshot.Backpressure.ForOthers(), now)
+		states := snapshot.Backpressure.ForOthers()
+		if base != nil && sent.Backpressure > 0 && base.BackpressureSequence == sent.Backpressure {
+			states = states.ChangedSince(base.Backpressure)
+		}
+		out.Backpressure = EncodeBackpressure(states, now)
 	}
 	switch {
 	case snapshot.OwnedRangesSequence == sent.OwnedRanges:
--- a/internal/link/factsreceiver.go
+++ b/internal/link/factsreceiver.go
@@ -69,7 +69,7 @@
 // the sender: the age of the read, and the parts that differ from what the sender sent.
 func (r *FactsReceiver) EncodeReading(now time.Time) *linkpb.Facts {
 	snapshot := r.registry.Snapshot()
-	out := EncodeFacts(snapshot, SentSequences{OperatorSettings: r.appliedSettingsSequence.Load(), Listing: r.appliedListingSequence.Load(), OwnedRanges: snapshot.OwnedRangesSequence}, nil, now)
+	out := EncodeFacts(snapshot, SentSequences{OperatorSettings: r.appliedSettingsSequence.Load(), Listing: r.appliedListingSequence.Load(), OwnedRanges: snapshot.OwnedRangesSequence, Backpressure: snapshot.BackpressureSequence}, nil, now)
 	out.AgeUs = AgeMicros(r.registry, now)
 	return out
 }
--- a/internal/owners/candidate.go
+++ b/internal/owners/candidate.go
@@ -1,6 +1,9 @@
 package owners
 
-import "peridotmoor.org/peridotmoor/internal/fleet"
+import (
+	"peridotmoor.org/peridotmoor/internal/backpressure"
+	"peridotmoor.org/peridotmoor/internal/fleet"
+)
 
 // Candidate describes a server of a service to the planner.
 type Candidate struct {
@@ -12,4 +15,6 @@
 	Cold bool
 	// ServiceTime is the average service time in seconds.
 	ServiceTime float64
+	// Limit is the rate limit that the server names.
+	Limit backpressure.Limit
 }
--- a/internal/owners/serverload.go
+++ b/internal/owners/serverload.go
@@ -8,12 +8,16 @@
 	keys int
 }
 
-// utilization returns the average share of the server's slots that is in use.
+// utilization returns the average share of the server's capacity that is in use.
 func (l *serverLoad) utilization() float64 {
-	return l.rate * l.ServiceTime / float64(l.Slots)
+	return l.rate / l.capacity()
 }
 
-// capacity returns the highest rate, in requests/s, that the server can sustain.
+// capacity returns the highest rate, in requests/s, that the server can sustain and takes.
 func (l *serverLoad) capacity() float64 {
-	return float64(l.Slots) / l.ServiceTime
+	capacity := float64(l.Slots) / l.ServiceTime
+	if rate, limited := l.Limit.Rate(); limited {
+		return min(capacity, rate)
+	}
+	return capacity
 }
--- a/internal/placing/assign.go
+++ b/internal/placing/assign.go
@@ -16,11 +16,8 @@
 			if !s.hasFreeSlot(now) || s.pausedFor(now, w) > 0 || skipTried && w.hasTried(s.Name) {
 				continue
 			}
-			if s.Cold(now) && svc.ColdRate > 0 {
-				s.coldTokens.refill(now, svc.ColdRate, coldStartBurst)
-				if !sched.exclusive || s.coldTokens.tokens < 1 {
-					continue
-				}
+			if !sched.hasToken(now, s, svc) {
+				continue
 			}
 			t := sched.estimateResponseTime(now, s, w, typical)
 			if best == nil || t < bestTime {
@@ -38,15 +35,6 @@
 	return true
 }
 
-// tryAdmit is server.tryAdmit, but admits nothing to a cold server while another
-// holder may use up the rate of that server.
-func (sched *Scheduler) tryAdmit(now time.Time, s *server, limit int, svc *service) bool {
-	if !sched.exclusive && s.Cold(now) && svc.ColdRate > 0 {
-		return false
-	}
-	return s.tryAdmit(now, limit, svc.ColdRate)
-}
-
 // estimateResponseTime estimates the response time of the attempt at the server in
 // seconds. A small random part spreads the load over equal servers.
 func (sched *Scheduler) estimateResponseTime(now time.Time, s *server, w *queuedAttempt, typical float64) float64 {
--- a/internal/placing/constants.go
+++ b/internal/placing/constants.go
@@ -33,8 +33,12 @@
 	// shedBackoff is how long a server gets no work after it shed a request although
 	// it had free slots.
 	shedBackoff = 50 * time.Millisecond
-	// coldStartBurst is the burst of the token bucket of a cold server.
-	coldStartBurst = 1.5
+	// minRateBurst is the least burst of the token bucket of a server with a limited rate.
+	// A cold server falls over under more.
+	minRateBurst = 1.5
+	// limitBurstTime is how much of the limit that a server names adds up while it gets
+	// fewer requests. Limits are stated for a second.
+	limitBurstTime = time.Second
 	// minColdStartChange is how much later a reported end of a cold start must be
 	// than the one reported before to count as a change.
 	minColdStartChange = time.Second
--- a/internal/placing/reason.go
+++ b/internal/placing/reason.go
@@ -23,11 +23,13 @@
 	// ReasonPaused means that the servers that could run the request want no requests
 	// from its instance for now.
 	ReasonPaused
+	// ReasonLimit means that the rate limit that the key's owner names is used up.
+	ReasonLimit
 )
 
 // String returns the name of the reason in logs.
 func (r Reason) String() string {
-	names := [...]string{"none", "no-server", "overload", "retry-budget", "no-owner", "cold", "crashes", "no-holder", "paused"}
+	names := [...]string{"none", "no-server", "overload", "retry-budget", "no-owner", "cold", "crashes", "no-holder", "paused", "limit"}
 	if int(r) < len(names) {
 		return names[r]
 	}
--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"peridotmoor.org/peridotmoor/internal/backpressure"
 	"peridotmoor.org/peridotmoor/internal/fleet"
 )
 
@@ -16,20 +17,31 @@
 	random    *rand.Rand
 	decisions []Decision
 	crashes   crashTracker
-	// exclusive is false while another holder may assign requests too.
-	exclusive bool
+	// share is the share of limits of the whole fleet that this scheduler may use. It is
+	// below 1 while another holder may assign requests too.
+	share float64
+	// limitOf returns the rate limit that a server names.
+	limitOf func(fleet.Incarnation) backpressure.Limit
 }
 
 // New returns a scheduler without services.
 func New(budget RetryBudget, owners Owners, random *rand.Rand) *Scheduler {
-	return &Scheduler{services: map[string]*service{}, budget: budget, owners: owners, random: random, exclusive: true}
+	return &Scheduler{services: map[string]*service{}, budget: budget, owners: owners, random: random, share: 1, limitOf: noLimit}
 }
 
-// SetExclusive sets whether this scheduler is the only one of the fleet. While
-// another holder may assign requests too, this one assigns nothing to cold servers
-// and allows no retries, since their limits hold for the whole fleet.
-func (sched *Scheduler) SetExclusive(exclusive bool) {
-	sched.exclusive = exclusive
+func noLimit(fleet.Incarnation) backpressure.Limit { return backpressure.Limit{} }
+
+// SetShare sets the share of the limits of the whole fleet that this scheduler may use.
+// While it is below 1, another holder may assign requests too. Then this one assigns
+// nothing to cold servers, allows no retries, and gives its share to servers that name
+// a limit.
+func (sched *Scheduler) SetShare(share float64) {
+	sched.share = share
+}
+
+// exclusive reports whether no other holder assigns requests.
+func (sched *Scheduler) exclusive() bool {
+	return sched.share >= 1
 }
 
 // TakeDecisions returns the decisions made since the last call.
@@ -68,6 +80,7 @@
 		if old == nil || old.Incarnation != s.Incarnation || old.Address != s.Address {
 			svc.servers[s.Name] = newServer(s)
 			old = svc.servers[s.Name]
+			old.limit = sched.limitOf(s.Incarnation)
 		}
 		old.Server = s
 		old.excluded = exclude(&s)
@@ -100,13 +113,18 @@
 }
 
 // Capacity returns the throughput of the server in requests/s when all its slots
-// are in use, or 0 if it is unknown or already cold.
+// are in use and it names no lower limit, or 0 if it is unknown or already cold.
 func (sched *Scheduler) Capacity(now time.Time, server *fleet.Server) float64 {
 	svc := sched.services[server.Service]
 	if svc == nil || svc.servers[server.Name] == nil || svc.servers[server.Name].Cold(now) {
 		return 0
 	}
-	return float64(server.Slots) / svc.servers[server.Name].expectedServiceTime(now, svc.typicalServiceTime())
+	s := svc.servers[server.Name]
+	capacity := float64(server.Slots) / s.expectedServiceTime(now, svc.typicalServiceTime())
+	if rate, limited := s.limit.Rate(); limited {
+		capacity = min(capacity, rate)
+	}
+	return capacity
 }
 
 // Submit assigns, queues or refuses one attempt. The decision comes from
@@ -122,7 +140,7 @@
 		return
 	}
 	if attempt.isRetry() {
-		if !sched.exclusive || !svc.retries.tryRetry(now) {
+		if !sched.exclusive() || !svc.retries.tryRetry(now) {
 			sched.refuse(attempt.AttemptID, ReasonRetryBudget, minRetryAfter)
 			return
 		}
@@ -151,9 +169,10 @@
 		return
 	}
 	serviceTime := svc.typicalServiceTime()
-	wait := serviceTime * float64(svc.queue.countAhead(w.Priority)+1) / float64(slots)
+	throughput, reason := sched.throughput(svc, serviceTime)
+	wait := float64(svc.queue.countAhead(w.Priority)+1) / throughput
 	if !worthQueuing(now, w, svc.queue, wait, serviceTime, slots) {
-		sched.refuse(w.AttemptID, ReasonOverload, seconds(wait))
+		sched.refuse(w.AttemptID, reason, seconds(wait))
 		return
 	}
 	svc.queue.insert(w)
@@ -192,9 +211,8 @@
 	ahead := float64(owner.queue.countAhead(w.Priority) + 1)
 	wait := serviceTime * ahead / float64(owner.Slots)
 	reason := ReasonOverload
-	if owner.Cold(now) && svc.ColdRate > 0 {
-		wait = max(wait, ahead/svc.ColdRate)
-		reason = ReasonCold
+	if rate, limited := sched.rateLimit(now, owner, svc); limited && ahead/rate.perSecond > wait {
+		wait, reason = ahead/rate.perSecond, rate.reason
 	}
 	if pause.Seconds() > wait {
 		wait, reason = pause.Seconds(), ReasonPaused
--- a/internal/placing/scheduler_test.go
+++ b/internal/placing/scheduler_test.go
@@ -373,7 +373,7 @@
 	sched := newScheduler(false, &soleOwner{}, cold, backend("b", "d1"))
 	now := start.Add(5 * time.Second)
 	sched.Submit(now, newAttempt(1, now)) // starts the token bucket of the cold server
-	sched.SetExclusive(false)
+	sched.SetShare(0.5)
 	now = now.Add(5 * time.Second)
 	sched.TakeDecisions()
 	for n := uint64(10); n < 16; n++ {
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"peridotmoor.org/peridotmoor/internal/backpressure"
 	"peridotmoor.org/peridotmoor/internal/fleet"
 )
 
@@ -25,8 +26,11 @@
 	backoffUntil        time.Time
 	consecutiveFailures int
 	// pauses holds until when the server wants no requests from an instance, by instance.
-	pauses     map[string]time.Time
-	coldTokens tokenBucket
+	pauses map[string]time.Time
+	// limit is the rate limit that the server names.
+	limit backpressure.Limit
+	// tokens limits the rate of the server while it is cold or names a limit.
+	tokens tokenBucket
 	// reportedColdUntil is the end of the cold start as reported by the server itself.
 	reportedColdUntil time.Time
 	// recentLosses holds recent attempts whose connection to this server was lost.
@@ -69,18 +73,6 @@
 	return !s.excluded && len(s.inFlight) < limit && !now.Before(s.backoffUntil)
 }
 
-// tryAdmit reports whether the server may run one more request, with at most limit
-// in all. While the server is cold, that takes a token.
-func (s *server) tryAdmit(now time.Time, limit int, coldRate float64) bool {
-	if !s.hasCapacity(now, limit) {
-		return false
-	}
-	if coldRate > 0 && s.Cold(now) {
-		return s.coldTokens.take(now, coldRate, coldStartBurst)
-	}
-	return true
-}
-
 // recordCompletion frees the slot of an attempt and updates the server's averages
 // and its backoff.
 func (s *server) recordCompletion(now time.Time, completion Completion) {
