Fill servers up to the average load in a busy fleet

While most servers of a service were busy, servers with room got no more keys, and requests for keys of overloaded owners were refused.

Cause: keys moved to a server only up to the middle between the average utilization and the mark from which on a server counts as busy (0.7). With an average above that mark the middle lies below the average.

TestBusyServersAreRelievedInABusyFleet failed before.

--- a/internal/owners/limit_test.go
+++ b/internal/owners/limit_test.go
@@ -41,3 +41,29 @@
 	is.True(left <= 4)
 	is.True(left >= 1) // it keeps a part
 }
+
+// Guards against servers with room that get no keys because all servers together are busier
+// than the mark from which on a server counts as busy.
+func TestBusyServersAreRelievedInABusyFleet(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := newHeldTable(t, now, "a", "b", "c")
+	rates := ratesByKey{}
+	for _, r := range table.services[service] {
+		load := 1.0 // b and c: 24/s each, of 30/s
+		if r.owner.Name == "a" {
+			load = 1.75 // 42/s
+		}
+		for n := range 24 {
+			rates[r.From+100*n] = load
+		}
+	}
+	table.Plan(now.Add(250*time.Millisecond), service, candidates("a", "b", "c"), rates)
+	moved := 0.0
+	for _, m := range table.TakeMoves() {
+		for key := m.Interval.From; key <= m.Interval.To; key++ {
+			moved += rates[key]
+		}
+	}
+	is.True(moved >= 3) // up to the average, which is 28 of 30/s
+}
--- a/internal/owners/relieve.go
+++ b/internal/owners/relieve.go
@@ -36,7 +36,7 @@
 	if to == nil {
 		return false
 	}
-	room := (average+(busyUtilization-average)/2)*to.capacity() - to.rate
+	room := (average+max(0, busyUtilization-average)/2)*to.capacity() - to.rate
 	want := math.Min(room, excess)
 	if want < minMoveRate {
 		return false
