Do not believe a response that names no request

A refusal without a request ID counted as the answer to whatever request was in progress on its connection. A server that writes an earlier refusal once more, without its ID, made an order count as not run while it ran; the caller was told so and might send it again.

Cause: a response without an ID was taken for a match, and only successes were checked for the ID later.

--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -93,12 +93,14 @@
 		if err != nil {
 			return err
 		}
-		matches := x.request.Matches(response.Header)
-		if !matches {
+		match := x.request.Match(response.Header)
+		if match != MatchProven {
+			c.reusable.Store(false)
+		}
+		if match == MatchNone {
 			if unmatched++; unmatched > maxUnmatchedResponses {
 				return errUnmatchedResponses
 			}
-			c.reusable.Store(false)
 			if _, err := io.CopyN(io.Discard, response.Body, maxBufferedBytes); !errors.Is(err, io.EOF) {
 				return errors.Wrap(errUnmatchedResponses, "discarding a response to another request")
 			}
--- a/internal/backhttp/pool_test.go
+++ b/internal/backhttp/pool_test.go
@@ -57,9 +57,9 @@
 
 func newRequest(id string) *Request {
 	return &Request{
-		Method:  "GET",
-		Head:    []byte("GET /" + id + " HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n"),
-		Matches: func(h http.Header) bool { return h.Get("Id") == id },
+		Method: "GET",
+		Head:   []byte("GET /" + id + " HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n"),
+		Match:  func(h http.Header) Match { return Proven(h.Get("Id") == id) },
 	}
 }
 
--- a/internal/backhttp/request.go
+++ b/internal/backhttp/request.go
@@ -15,7 +15,6 @@
 	// Remainder streams the part of the body that follows Body, or is nil. It is already
 	// encoded as announced in Head.
 	Remainder io.Reader
-	// Matches reports whether a response with these headers belongs to this request.
-	// Other responses are discarded.
-	Matches func(http.Header) bool
+	// Match reports whether a response with these headers belongs to this request.
+	Match func(http.Header) Match
 }
--- a/internal/dev/soak/backend/serve.go
+++ b/internal/dev/soak/backend/serve.go
@@ -29,6 +29,9 @@
 // ServeHTTP serves requests, grants, releases and health checks.
 func (i *incarnation) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Instance-Load", fmt.Sprintf("%d,%d,%d", len(i.slots), i.waiting.Load(), i.config.Slots))
+	if id := r.Header.Get("X-Attempt-Id"); id != "" {
+		w.Header().Set("X-Attempt-Id", id)
+	}
 	if i.leaving.Load() {
 		w.Header().Set(HeaderLeaving, "1")
 	}
@@ -67,7 +70,6 @@
 		refuse(w, http.StatusBadRequest)
 		return
 	}
-	w.Header().Set("X-Attempt-Id", id)
 	key := -1
 	if i.config.Keyed {
 		if key, err = strconv.Atoi(r.Header.Get("X-Shard-Key")); err != nil || key < 0 || key >= keyCount {
--- a/internal/entrynode/fakebackend_test.go
+++ b/internal/entrynode/fakebackend_test.go
@@ -52,6 +52,9 @@
 	if b.leaving.Load() {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	if id := r.Header.Get("X-Attempt-Id"); id != "" {
+		w.Header().Set("X-Attempt-Id", id)
+	}
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != b.name {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -148,7 +151,6 @@
 	b.mu.Unlock()
 	body, _ := io.ReadAll(r.Body) // on an error the caller is gone and needs no response
 	time.Sleep(time.Duration(b.serviceTime.Load()))
-	w.Header().Set("X-Attempt-Id", id)
 	w.Header().Set("X-Response-Stamp", "stamp")
 	fmt.Fprintf(w, "%s:%s:%s", id, r.URL.Path, body)
 }
