Send a request again over a connection of its own

A request that a server had refused could go to the same server again, over the same connection, with the same ID. If the server then wrote its first refusal once more, that counted as the answer to the second sending: the caller of an order was told that it had not run, while it ran.

Cause: the ID tells requests apart, not sendings of one request, and a connection goes back to the pool after a refusal.

A request goes over a new connection to a server that an attempt of it may have reached. What the server writes on the old one belongs to no request there and closes it.

--- a/internal/backhttp/pool.go
+++ b/internal/backhttp/pool.go
@@ -44,7 +44,7 @@
 		if err := ctx.Err(); err != nil {
 			return nil, &RequestError{Cause: err}
 		}
-		c, err := p.get(ctx)
+		c, err := p.get(ctx, request.FreshConnection)
 		if err != nil {
 			return nil, &RequestError{Refused: errors.Is(err, syscall.ECONNREFUSED), Cause: err}
 		}
@@ -87,9 +87,10 @@
 	return r.response, nil
 }
 
-func (p *Pool) get(ctx context.Context) (*conn, error) {
+// get returns an idle connection or, if there is none or fresh is set, a new one.
+func (p *Pool) get(ctx context.Context, fresh bool) (*conn, error) {
 	now := time.Now()
-	for {
+	for !fresh {
 		c := p.idle.pop()
 		if c == nil {
 			break
--- a/internal/backhttp/request.go
+++ b/internal/backhttp/request.go
@@ -15,6 +15,9 @@
 	// Remainder streams the part of the body that follows Body, or is nil. It is already
 	// encoded as announced in Head.
 	Remainder io.Reader
+	// FreshConnection is set if the request must not go over a connection that has carried
+	// another one: a response to that could not be told from the response to this one.
+	FreshConnection bool
 	// Match reports whether a response with these headers belongs to this request.
 	Match func(http.Header) Match
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -7,7 +7,7 @@
 	"peridotmoor.org/peridotmoor/internal/fleet"
 )
 
-// Call is one request of a caller. Only Timeout, Route and Body change while it is
+// Call is one request of a caller. Only Timeout, Route, Body and Tried change while it is
 // processed.
 type Call struct {
 	// ID is the request ID. It identifies this request of the caller.
@@ -26,6 +26,8 @@
 	// Timeout is how long the caller waits, or 0 if it states no timeout.
 	Timeout time.Duration
 	Body    *Body
+	// Tried holds the server of each attempt that may have reached it.
+	Tried []string
 	// Route is set when the call has been matched to a route.
 	Route *fleet.Route
 }
--- a/internal/gateway/callstate.go
+++ b/internal/gateway/callstate.go
@@ -11,13 +11,11 @@
 
 // callState is the state of a call over its attempts.
 type callState struct {
-	route       string
-	service     string
-	version     int64
-	deadline    time.Time
-	contentHash uint64
-	// tried holds the server of each attempt that may have reached it.
-	tried           []string
+	route           string
+	service         string
+	version         int64
+	deadline        time.Time
+	contentHash     uint64
 	server          string
 	sends           int
 	unusedDecisions int
@@ -53,7 +51,7 @@
 		return false
 	}
 	distinct := map[string]bool{}
-	for _, s := range state.tried {
+	for _, s := range call.Tried {
 		distinct[s] = true
 	}
 	return len(distinct) < call.Route.MaxAttempts
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -176,7 +176,7 @@
 		Deadline:     state.deadline,
 		ContentHash:  state.contentHash,
 		Resubmitted:  state.hasSubmitted(),
-		Tried:        state.tried,
+		Tried:        call.Tried,
 	}
 }
 
@@ -200,7 +200,7 @@
 	state.server = decision.Server
 	state.sends++
 	if result.Outcome != placing.Unreached {
-		state.tried = append(state.tried, decision.Server)
+		call.Tried = append(call.Tried, decision.Server)
 	}
 	return result
 }
