--- a/internal/dev/soak/seeds_test.go
+++ b/internal/dev/soak/seeds_test.go
@@ -45,3 +45,14 @@
 func TestSilentLinksSeed(t *testing.T) {
 	playShort(t, 1, "links", "the late join of an ended link replaced the link in use at the holder, which then dropped all decisions for the instance")
 }
+
+// Guards against servers that get what they do not want, although they say so in their
+// responses: work while they leave (seed 2), requests in a pause or beyond their limit (7).
+func TestBackpressureSeeds(t *testing.T) {
+	for seed, cause := range map[uint64]string{
+		2: "instances did not read that a server leaves",
+		7: "instances kept neither to the pause that a server had asked for nor to its limit",
+	} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playShort(t, seed, "backpressure", cause) })
+	}
+}
