--- a/internal/placing/rates.go
+++ b/internal/placing/rates.go
@@ -7,6 +7,22 @@
 	"peridotmoor.org/peridotmoor/internal/fleet"
 )
 
+// noLimit is SetLimits' function before the first call: no server names a limit.
+func noLimit(fleet.Incarnation) backpressure.Limit { return backpressure.Limit{} }
+
+// SetShare sets the share of the limits of the whole fleet that this scheduler may use.
+// While it is below 1, another holder may assign requests too. Then this one assigns
+// nothing to cold servers, allows no retries, and gives its share to servers that name
+// a limit.
+func (sched *Scheduler) SetShare(share float64) {
+	sched.share = share
+}
+
+// exclusive reports whether no other holder assigns requests.
+func (sched *Scheduler) exclusive() bool {
+	return sched.share >= 1
+}
+
 // SetLimits replaces the rate limits that servers name, also of servers that are added later.
 func (sched *Scheduler) SetLimits(limitOf func(fleet.Incarnation) backpressure.Limit) {
 	sched.limitOf = limitOf
--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -29,21 +29,6 @@
 	return &Scheduler{services: map[string]*service{}, budget: budget, owners: owners, random: random, share: 1, limitOf: noLimit}
 }
 
-func noLimit(fleet.Incarnation) backpressure.Limit { return backpressure.Limit{} }
-
-// SetShare sets the share of the limits of the whole fleet that this scheduler may use.
-// While it is below 1, another holder may assign requests too. Then this one assigns
-// nothing to cold servers, allows no retries, and gives its share to servers that name
-// a limit.
-func (sched *Scheduler) SetShare(share float64) {
-	sched.share = share
-}
-
-// exclusive reports whether no other holder assigns requests.
-func (sched *Scheduler) exclusive() bool {
-	return sched.share >= 1
-}
-
 // TakeDecisions returns the decisions made since the last call.
 func (sched *Scheduler) TakeDecisions() []Decision {
 	out := sched.decisions
