Do not look for free servers when no attempt waits

Since attempts of paused instances may wait beside others, each tick of the holder looked at all servers of a service once for each of them, also with an empty queue: 3.2 ms a tick for 300 servers, 20 times a second.

An empty queue ends the search at once: 0.12 ms (BenchmarkTick, arm64).

--- a/internal/placing/dispatch.go
+++ b/internal/placing/dispatch.go
@@ -70,6 +70,9 @@
 // nextQueued returns the index of the attempt in the service's queue to serve next, or -1
 // if no server has a free slot for any of them.
 func (s *service) nextQueued(now time.Time) int {
+	if len(s.queue) == 0 {
+		return -1
+	}
 	free, pausing := 0, 0
 	for _, v := range s.servers {
 		if v.hasFreeSlot(now) {
