Probe all servers that may exceed their cold rate

Only servers whose estimated capacity is above twice their cold rate were probed, and the estimate, an average, was lower than what the server ran at the moment.

Servers above their cold rate are probed now.

--- a/internal/holder/constants.go
+++ b/internal/holder/constants.go
@@ -95,9 +95,10 @@
 	probeInterval = 300 * time.Millisecond
 	// probeTimeout bounds one probe. A healthy server responds within milliseconds.
 	probeTimeout = 300 * time.Millisecond
-	// probeCapacityRatio is how many times its cold rate the capacity of a server must
-	// exceed for the server to be probed.
-	probeCapacityRatio = 2.0
+	// probeCapacityRatio is how many times its cold rate the estimated capacity of a server
+	// must exceed for the server to be probed. The estimate averages over its last
+	// responses: a server may run twice as many requests at the moment.
+	probeCapacityRatio = 1.0
 	// holderWatchTimeout bounds the wait for a change of the key of an unreachable
 	// holder. After it, the address of the holder is tried again.
 	holderWatchTimeout = 700 * time.Millisecond
