--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -186,10 +186,11 @@
 	snapshot := g.registry.Snapshot()
 	server := snapshot.Server(decision.Server)
 	now := time.Now()
-	if server == nil || !snapshot.MaySend(server, now) || state.deadline.Sub(now) < minAttemptTime {
-		if server != nil && !snapshot.MaySend(server, now) {
-			g.scheduler.ReportState(server.Incarnation) // the holder may not know it yet
-		}
+	maySend := server != nil && snapshot.MaySend(server, now)
+	if server != nil && !maySend {
+		g.scheduler.ReportState(server.Incarnation) // the holder may not know yet what the server has asked
+	}
+	if !maySend || state.deadline.Sub(now) < minAttemptTime {
 		g.scheduler.Complete(completion)
 		return AttemptResult{Outcome: placing.Unused, Detail: "the assigned server is no longer usable, or too little time is left"}
 	}
