--- a/internal/dev/soak/backend/serve.go
+++ b/internal/dev/soak/backend/serve.go
@@ -36,7 +36,7 @@
 		w.Header().Set(HeaderLeaving, "1")
 	}
 	if limit := i.limit.Load(); limit != nil {
-		w.Header().Set(headerLimit, strconv.FormatFloat(*limit, 'g', -1, 64))
+		w.Header().Set(headerLimit, strconv.FormatFloat(*limit, 'f', -1, 64))
 	}
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != i.id {
 		refuse(w, http.StatusMisdirectedRequest)
--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -88,11 +88,7 @@
 		now := time.Now()
 		if len(up.Backpressure) > 0 {
 			c.refresh(now) // before the attempts in the same message are placed
-			for _, s := range up.Backpressure {
-				if server, until, ok := link.DecodePause(s, arrivedAt); ok {
-					c.scheduler.Pause(server, f.Instance, until)
-				}
-			}
+			c.pauseServers(f.Instance, up.Backpressure, arrivedAt)
 		}
 		if c.followers[f] {
 			c.byName[f.Instance] = f // an instance sends on the link in use only
@@ -111,6 +107,16 @@
 	})
 }
 
+// pauseServers makes the scheduler keep the pauses that servers have asked an instance
+// for, as its message that arrived at the given time tells.
+func (c *Coordinator) pauseServers(instance string, states []*linkpb.ServerState, arrivedAt time.Time) {
+	for _, s := range states {
+		if server, until, ok := link.DecodePause(s, arrivedAt); ok {
+			c.scheduler.Pause(server, instance, until)
+		}
+	}
+}
+
 // completeAttempt reports the end of an attempt to the scheduler. A response shows
 // that the server is alive, even if orders to it have been lost.
 func (c *Coordinator) completeAttempt(now time.Time, completion placing.Completion) {
--- a/internal/placing/pause.go
+++ b/internal/placing/pause.go
@@ -26,9 +26,8 @@
 	return max(0, s.pauses[w.AttemptID.Instance].Sub(now))
 }
 
-// pausedBeyondDeadline returns how long it takes until a server of the service wants
-// requests from the instance of the attempt again, if that is after its deadline for all
-// usable servers.
+// pausedBeyondDeadline reports whether all usable servers pause the instance of the attempt
+// beyond its deadline, and returns the time until the first of them does not.
 func (s *service) pausedBeyondDeadline(now time.Time, w *queuedAttempt) (time.Duration, bool) {
 	shortest := time.Duration(-1)
 	for _, v := range s.servers {
--- a/internal/placing/rates.go
+++ b/internal/placing/rates.go
@@ -50,24 +50,24 @@
 	return cold, true
 }
 
-// tryAdmit reports whether the server may run one more request, with at most limit in
-// all. While its rate is limited, that takes a token.
-func (sched *Scheduler) tryAdmit(now time.Time, s *server, limit int, svc *service) bool {
-	if !s.hasCapacity(now, limit) {
+// tryAdmit reports whether the server may run one more request, with at most maxRunning
+// in all. While its rate is limited, that takes a token.
+func (sched *Scheduler) tryAdmit(now time.Time, s *server, maxRunning int, svc *service) bool {
+	if !s.hasCapacity(now, maxRunning) {
 		return false
 	}
-	rate, limited := sched.rateLimit(now, s, svc)
-	return !limited || !rate.blocked && s.tokens.take(now, rate.perSecond, rate.burst())
+	limit, limited := sched.rateLimit(now, s, svc)
+	return !limited || !limit.blocked && s.tokens.take(now, limit.perSecond, limit.burst())
 }
 
 // hasToken reports whether the rate of the server allows one more request now.
 func (sched *Scheduler) hasToken(now time.Time, s *server, svc *service) bool {
-	rate, limited := sched.rateLimit(now, s, svc)
+	limit, limited := sched.rateLimit(now, s, svc)
 	if !limited {
 		return true
 	}
-	s.tokens.refill(now, rate.perSecond, rate.burst())
-	return !rate.blocked && s.tokens.tokens >= 1
+	s.tokens.refill(now, limit.perSecond, limit.burst())
+	return !limit.blocked && s.tokens.tokens >= 1
 }
 
 // throughput returns how many requests/s the usable servers run at most, with the given
--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -196,8 +196,8 @@
 	ahead := float64(owner.queue.countAhead(w.Priority) + 1)
 	wait := serviceTime * ahead / float64(owner.Slots)
 	reason := ReasonOverload
-	if rate, limited := sched.rateLimit(now, owner, svc); limited && ahead/rate.perSecond > wait {
-		wait, reason = ahead/rate.perSecond, rate.reason
+	if limit, limited := sched.rateLimit(now, owner, svc); limited && ahead/limit.perSecond > wait {
+		wait, reason = ahead/limit.perSecond, limit.reason
 	}
 	if pause.Seconds() > wait {
 		wait, reason = pause.Seconds(), ReasonPaused
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -68,9 +68,9 @@
 }
 
 // hasCapacity reports whether the server may be given work and runs fewer than
-// limit requests.
-func (s *server) hasCapacity(now time.Time, limit int) bool {
-	return !s.excluded && len(s.inFlight) < limit && !now.Before(s.backoffUntil)
+// maxRunning requests.
+func (s *server) hasCapacity(now time.Time, maxRunning int) bool {
+	return !s.excluded && len(s.inFlight) < maxRunning && !now.Before(s.backoffUntil)
 }
 
 // recordCompletion frees the slot of an attempt and updates the server's averages
