Cap rates by a limit in one place, and drop a derived time

No behaviour changes. The planner and the scheduler each took the lower one of a capacity and a named limit: Limit.Cap does. The soak kept the time of a refusal, which is that of its arrival. Two comments said something else than the code: when an instance without a holder begins its interval anew, and which of several unreadable values a signal holds.

--- a/internal/backpressure/limit.go
+++ b/internal/backpressure/limit.go
@@ -24,6 +24,14 @@
 	return max(l.PerSecond, minRate), l.Named
 }
 
+// Cap returns the lower one of a rate, in requests/s, and that of the limit.
+func (l Limit) Cap(perSecond float64) float64 {
+	if rate, limited := l.Rate(); limited {
+		return min(perSecond, rate)
+	}
+	return perSecond
+}
+
 // similar reports whether both limits are about the same.
 func (l Limit) similar(other Limit) bool {
 	return l.Named == other.Named && math.Abs(l.PerSecond-other.PerSecond) <= rateTolerance*max(l.PerSecond, other.PerSecond)
--- a/internal/backpressure/signal.go
+++ b/internal/backpressure/signal.go
@@ -13,7 +13,6 @@
 	// SentAt is when the request was sent. A response that names no limit ends one only
 	// if that was later than when the limit was learned.
 	SentAt time.Time
-	// Unreadable is the first value that could not be read, with the name of its field,
-	// or "". Such a value asks nothing and takes nothing back.
+	// Unreadable is a value that could not be read, with the name of its field, or "". Such a value asks nothing and takes nothing back.
 	Unreadable string
 }
--- a/internal/dev/soak/backend/arrival.go
+++ b/internal/dev/soak/backend/arrival.go
@@ -8,8 +8,7 @@
 	RequestID string
 	Server    string
 	At        time.Time
-	// Pause is the time for which the server asked not to be sent requests, with its refusal.
+	// Pause is the time for which the server asked not to be sent requests, with a refusal
+	// at once, or 0.
 	Pause time.Duration
-	// AnsweredAt is when the server responded so.
-	AnsweredAt time.Time
 }
--- a/internal/dev/soak/backend/serve.go
+++ b/internal/dev/soak/backend/serve.go
@@ -116,10 +116,9 @@
 	if shedding == nil || rand.Float64() >= shedding.share {
 		return false
 	}
-	now := time.Now()
 	w.Header().Set("Retry-After", strconv.FormatFloat(shedding.pause.Seconds(), 'f', 3, 64))
 	refuse(w, http.StatusServiceUnavailable)
-	i.arrivals.add(Arrival{RequestID: id, Server: i.id, At: now, Pause: shedding.pause, AnsweredAt: now})
+	i.arrivals.add(Arrival{RequestID: id, Server: i.id, At: time.Now(), Pause: shedding.pause})
 	return true
 }
 
--- a/internal/dev/soak/check/backpressure_test.go
+++ b/internal/dev/soak/check/backpressure_test.go
@@ -91,6 +91,6 @@
 // pause adds a refusal in which i-1 asks for a pause of the given seconds.
 func pause(e *Evidence, second, length float64) {
 	arrival := arrive(e, second)
-	arrival.AnsweredAt, arrival.Pause = at(second), time.Duration(length*float64(time.Second))
+	arrival.Pause = time.Duration(length * float64(time.Second))
 	e.Attempts[len(e.Attempts)-1] = &caller.Attempt{ID: arrival.RequestID, Route: readRoute, Instance: "entry-0", Process: 1, StartedAt: at(second), SentAt: at(second), EndedAt: at(second + 0.1)}
 }
--- a/internal/dev/soak/check/pauses.go
+++ b/internal/dev/soak/check/pauses.go
@@ -28,7 +28,7 @@
 		if !ok || refusal.Pause <= pauseDelay {
 			continue
 		}
-		from, until := refusal.AnsweredAt.Add(pauseDelay), refusal.AnsweredAt.Add(refusal.Pause)
+		from, until := refusal.At.Add(pauseDelay), refusal.At.Add(refusal.Pause)
 		var ids []string
 		for _, arrival := range arrivals[k] {
 			if arrival.At.After(from) && arrival.At.Before(until) {
--- a/internal/gateway/sharelimiter.go
+++ b/internal/gateway/sharelimiter.go
@@ -11,8 +11,8 @@
 
 // shareLimiter limits the requests that one instance places on servers with a rate limit
 // while it has no holder. All instances start at the same time when a holder is lost, so
-// each begins, and begins again after it has let a request pass, at a random point of its
-// interval: unused requests do not add up. It is safe for concurrent use.
+// each begins at a random point of its interval, and begins again so after an interval in
+// which it sent nothing: unused requests do not add up. It is safe for concurrent use.
 type shareLimiter struct {
 	// next holds when the next request may be sent, in Unix nanoseconds, as *atomic.Int64.
 	next sync.Map // by fleet.Incarnation
--- a/internal/owners/serverload.go
+++ b/internal/owners/serverload.go
@@ -15,9 +15,5 @@
 
 // capacity returns the highest rate, in requests/s, that the server can sustain and takes.
 func (l *serverLoad) capacity() float64 {
-	capacity := float64(l.Slots) / l.ServiceTime
-	if rate, limited := l.Limit.Rate(); limited {
-		return min(capacity, rate)
-	}
-	return capacity
+	return l.Limit.Cap(float64(l.Slots) / l.ServiceTime)
 }
--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -105,11 +105,7 @@
 		return 0
 	}
 	s := svc.servers[server.Name]
-	capacity := float64(server.Slots) / s.expectedServiceTime(now, svc.typicalServiceTime())
-	if rate, limited := s.limit.Rate(); limited {
-		capacity = min(capacity, rate)
-	}
-	return capacity
+	return s.limit.Cap(float64(server.Slots) / s.expectedServiceTime(now, svc.typicalServiceTime()))
 }
 
 // Submit assigns, queues or refuses one attempt. The decision comes from
