Bound what other programs write to the store and what servers say

Cause: another writer's entry among the servers was taken for a server if its JSON had the right types. By test on the code before: ports 99999, 0, -1, none, a line break in the address (which went into request heads), empty services and failure domains, 2^63-1 slots (all keys of the service, and cut to 32 bits at followers), cold times that no time.Duration holds (another value on arm64 than on amd64), start times before 1970 and after 9999, keys with line breaks. The same for numbers of the configuration, the load and cold headers and the deadline of callers. Nothing ended a process: deep nesting, numbers beyond the field and entries without a port were refused or led to failed dials.

Change: one checked type for each quantity (fleet.Address, Slots, Label, names; seconds in platform), so that an odd entry alone is unreadable, with its reason in the log once. Slots count up to the connections of the service. A server due less than one key gets no empty range.

The record of owners and the holder's key had no such check: a spoiled record left the fleet without a holder until an operator deleted it, and a spoiled key of the holder kept all instances from joining or being elected. A holder now writes both again, the record only after its lease is confirmed, since it may have been a successor's that was spoiled; a new holder begins a record above all earlier epochs and grants nothing until earlier grants have expired.

--- a/internal/facts/backpressure_test.go
+++ b/internal/facts/backpressure_test.go
@@ -13,7 +13,7 @@
 func listing(revision uint64, servers ...fleet.Incarnation) fleet.Listing {
 	l := fleet.Listing{Revision: revision}
 	for _, s := range servers {
-		l.Servers = append(l.Servers, fleet.Server{Incarnation: s, Address: s.String()})
+		l.Servers = append(l.Servers, fleet.Server{Incarnation: s, Address: fleet.Address(s.String())})
 	}
 	return l
 }
--- a/internal/facts/reader.go
+++ b/internal/facts/reader.go
@@ -25,8 +25,9 @@
 	log      *events.Logger
 	// recoveredAt is when the store was reachable again after the last outage.
 	recoveredAt time.Time
-	unreadable  map[string]bool
-	storeLost   bool
+	// unreadable holds the keys of the entries that the last reading could not decode.
+	unreadable map[string]bool
+	storeLost  bool
 }
 
 // NewReader returns a reader. Its Read is not safe for concurrent use.
@@ -62,12 +63,7 @@
 		r.storeLost = false
 		r.log.Emit(events.StoreRegained)
 	}
-	for _, key := range listing.Unreadable {
-		if !r.unreadable[key] {
-			r.unreadable[key] = true
-			r.log.Emit(events.EntryUnreadable, "detail", key)
-		}
-	}
+	r.logUnreadable(listing.Unreadable)
 	if began.Sub(r.recoveredAt) < relistPeriod {
 		listing.Servers = RetainMissing(r.registry.Snapshot().Servers, listing.Servers)
 	}
@@ -75,3 +71,15 @@
 	r.registry.UpdateListing(listing, began)
 	r.registry.ConfirmRead(began)
 }
+
+// logUnreadable logs each entry that has become unreadable since the last reading.
+func (r *Reader) logUnreadable(entries []fleet.UnreadableEntry) {
+	unreadable := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		unreadable[e.Key] = true
+		if !r.unreadable[e.Key] {
+			r.log.Emit(events.EntryUnreadable, "entry", e.Key, "detail", e.Reason)
+		}
+	}
+	r.unreadable = unreadable
+}
--- a/internal/facts/reader_test.go
+++ b/internal/facts/reader_test.go
@@ -40,7 +40,7 @@
 func servers(list ...string) []fleet.Server {
 	var out []fleet.Server
 	for _, n := range list {
-		out = append(out, fleet.Server{Incarnation: fleet.Incarnation{Name: n}, Address: n + ":1"})
+		out = append(out, fleet.Server{Incarnation: fleet.Incarnation{Name: n}, Address: fleet.Address(n + ":1")})
 	}
 	return out
 }
--- a/internal/facts/registry_test.go
+++ b/internal/facts/registry_test.go
@@ -73,7 +73,7 @@
 func TestRetain(t *testing.T) {
 	is := is.New(t)
 	server := func(name, address string) fleet.Server {
-		return fleet.Server{Incarnation: fleet.Incarnation{Name: name}, Address: address}
+		return fleet.Server{Incarnation: fleet.Incarnation{Name: name}, Address: fleet.Address(address)}
 	}
 	got := RetainMissing(
 		[]fleet.Server{server("a", "h:1"), server("b", "h:2"), server("c", "h:3")},
@@ -95,7 +95,7 @@
 	restarted.StartMS = 2
 	r.UpdateListing(fleet.Listing{Servers: []fleet.Server{a}}, at)
 	r.UpdateListing(fleet.Listing{Servers: []fleet.Server{restarted}}, at.Add(time.Second))
-	is.Equal(r.Snapshot().FindIncarnation(a.Incarnation).Address, "h:1")
+	is.Equal(r.Snapshot().FindIncarnation(a.Incarnation).Address, fleet.Address("h:1"))
 	is.True(r.Snapshot().Server("a").Incarnation == restarted.Incarnation)
 	r.UpdateListing(fleet.Listing{Servers: []fleet.Server{{Incarnation: fleet.Incarnation{Name: "b"}}}}, at.Add(2*time.Second))
 	is.True(r.Snapshot().FindIncarnation(restarted.Incarnation) != nil)
--- a/internal/facts/retain.go
+++ b/internal/facts/retain.go
@@ -11,7 +11,7 @@
 // a missing server if its address now belongs to a listed one.
 func RetainMissing(last, listed []fleet.Server) []fleet.Server {
 	found := make(map[string]bool, len(listed))
-	addresses := make(map[string]bool, len(listed))
+	addresses := make(map[fleet.Address]bool, len(listed))
 	for _, s := range listed {
 		found[s.Name] = true
 		addresses[s.Address] = true
--- a/internal/fleet/listing.go
+++ b/internal/fleet/listing.go
@@ -6,6 +6,6 @@
 	// higher revision is newer, in whatever order and by whatever path they arrive.
 	Revision uint64
 	Servers  []Server
-	// Unreadable holds the keys of entries that could not be decoded, for the log.
-	Unreadable []string
+	// Unreadable holds the entries that could not be decoded, for the log.
+	Unreadable []UnreadableEntry
 }
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -6,10 +6,10 @@
 type Server struct {
 	Incarnation
 	Service string
-	// Address is the host and port of the server.
-	Address string
+	Address Address
 	Domain  string
-	Slots   int
+	// Slots is 1 to MaxSlots; see Service.UsableSlots.
+	Slots int
 	// Leaving servers get no new work.
 	Leaving bool
 	// ColdUntil is when the server stops being cold, on the clock of the process that read the list.
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -19,3 +19,12 @@
 	// the state that its previous owner handed over.
 	WarmUp time.Duration
 }
+
+// UsableSlots returns the number of requests that a server with the given slots can run at
+// the same time, each on a connection of its own.
+func (s *Service) UsableSlots(slots int) int {
+	if s.MaxConnections <= 0 {
+		return slots
+	}
+	return min(slots, s.MaxConnections)
+}
--- /dev/null
+++ b/internal/fleet/unreadableentry.go
@@ -0,0 +1,8 @@
+package fleet
+
+// UnreadableEntry is an entry of the platform's list that does not describe a server.
+type UnreadableEntry struct {
+	Key string
+	// Reason says what is wrong with the entry.
+	Reason string
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -71,7 +71,7 @@
 	registry.UpdateOperatorSettings(fleet.OperatorSettings{Config: []byte("c")}, now)
 	var servers []fleet.Server
 	for _, n := range []string{"a", "b", "c"} {
-		servers = append(servers, fleet.Server{Incarnation: fleet.Incarnation{Name: n}, Service: "s", Address: n, Domain: "d", Slots: 3})
+		servers = append(servers, fleet.Server{Incarnation: fleet.Incarnation{Name: n}, Service: "s", Address: fleet.Address(n), Domain: "d", Slots: 3})
 	}
 	registry.UpdateListing(fleet.Listing{Servers: servers}, now)
 	return registry
--- a/internal/holder/candidacy_test.go
+++ b/internal/holder/candidacy_test.go
@@ -20,7 +20,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		shared := memstore.New()
-		e := NewElector(Options{Self: Identity{Name: "entry-1", Incarnation: "K55N5AKH"}, Store: shared, Client: newFakeClient(nil)})
+		e := NewElector(Options{Self: Identity{Name: "entry-1", Incarnation: "K55N5AKH", Address: "127.0.0.1:1"}, Store: shared, Client: newFakeClient(nil)})
 		ctx, stop := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
@@ -43,7 +43,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		shared := memstore.New()
-		e := NewElector(Options{Self: Identity{Name: "entry-1", Incarnation: "K55N5AKH"}, Store: unreadableStore{shared}, Client: newFakeClient(nil)})
+		e := NewElector(Options{Self: Identity{Name: "entry-1", Incarnation: "K55N5AKH", Address: "127.0.0.1:1"}, Store: unreadableStore{shared}, Client: newFakeClient(nil)})
 		shared.Faults().SetDelay(time.Millisecond)
 		done := make(chan struct{})
 		go func() {
@@ -71,7 +71,7 @@
 		shared.Put(KeyRecord, record)
 		_, end := startElector(t, shared, "entry-1", 0.16) // waits for 0.72 s or a little longer
 		time.Sleep(100 * time.Millisecond)
-		strong, err := Identity{Name: "entry-2"}.encode()
+		strong, err := Identity{Name: "entry-2", Incarnation: "CXBMA3T3", Address: "127.0.0.1:1"}.encode()
 		is.NoErr(err)
 		shared.Put(KeyHolder, strong)
 		time.Sleep(600 * time.Millisecond)
--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -102,15 +102,23 @@
 		expectedFollowers: max(e.client.FleetSize(), found.Instances),
 		processorShare:    e.processorShare,
 	}
+	records.leaseConfirmedAt = c.lastLeaseConfirmation
 	c.previousFleetSize = c.expectedFollowers
 	c.yieldAllowedAt = time.Now().Add(yieldDelay)
 	if found.Yielded {
 		c.yieldAllowedAt = time.Now().Add(yieldCooldown)
 	}
 	for incarnation, service := range found.Incarnations() {
-		if address := found.Addresses[incarnation.String()]; address != "" {
-			c.recordedServers[incarnation] = &fleet.Server{Incarnation: incarnation, Service: service, Address: address}
+		text, recorded := found.Addresses[incarnation.String()]
+		if !recorded {
+			continue
 		}
+		address, err := fleet.ParseAddress(text)
+		if err != nil {
+			c.log.Emit(events.OwnerRecordUnreadable, "server", incarnation.Name, "detail", err.Error())
+			continue
+		}
+		c.recordedServers[incarnation] = &fleet.Server{Incarnation: incarnation, Service: service, Address: address}
 	}
 	retryBudget := e.retryBudget
 	retryBudget.AssumeSpent = found.Epoch > 1
--- a/internal/holder/elector.go
+++ b/internal/holder/elector.go
@@ -81,6 +81,8 @@
 		switch {
 		case errors.Is(err, store.ErrNotFound):
 			e.elect(ctx, 0, 0)
+		case errors.Is(err, errUnreadableHolder):
+			e.replaceUnreadableHolder(ctx, entry.Revision, err)
 		case err != nil:
 			sleep(ctx, backoff())
 		case holder.sameProcess(e.self):
--- a/internal/holder/firstfacts_test.go
+++ b/internal/holder/firstfacts_test.go
@@ -36,7 +36,7 @@
 	source := recordingSource{reads: make(chan struct{}, 1)}
 	registry := facts.NewRegistry(nil, nil)
 	e := NewElector(Options{
-		Self: Identity{Name: "entry-1", Incarnation: "K55N5AKH"}, Store: shared, Registry: registry,
+		Self: Identity{Name: "entry-1", Incarnation: "K55N5AKH", Address: "127.0.0.1:1"}, Store: shared, Registry: registry,
 		Reader: facts.NewReader(source, registry, nil), Client: newFakeClient(registry), ProcessorShare: 0.8,
 	})
 	ended := make(chan struct{})
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -12,6 +12,7 @@
 	"peridotmoor.org/peridotmoor/internal/events"
 	"peridotmoor.org/peridotmoor/internal/link"
 	"peridotmoor.org/peridotmoor/internal/link/linkpb"
+	"peridotmoor.org/peridotmoor/internal/owners"
 	"peridotmoor.org/peridotmoor/internal/store"
 )
 
@@ -151,6 +152,10 @@
 // readOwners publishes the owners of keys as the stored record has them.
 func (e *Elector) readOwners(ctx context.Context) error {
 	record, err := (&recordStore{store: e.store}).read(ctx)
+	if errors.Is(err, owners.ErrUnreadableRecord) {
+		e.log.Emit(events.OwnerRecordUnreadable, "detail", err.Error())
+		return nil // the owners that this instance knows of are the best there are
+	}
 	if err == nil && len(record.Services) > 0 {
 		e.registry.UpdateOwners(record.OwnedRanges(), record.Epoch)
 	}
--- a/internal/holder/identity.go
+++ b/internal/holder/identity.go
@@ -5,6 +5,8 @@
 	"strconv"
 
 	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/fleet"
 )
 
 // Identity identifies one tenure of a holder. Its encoding is the value of KeyHolder.
@@ -41,8 +43,21 @@
 	return text, errors.Wrap(err, "encode the identity of the holder")
 }
 
+// errUnreadableHolder means that the key of the holder was not written by one. The holder
+// writes it again; if there is none, an instance is elected in its place.
+var errUnreadableHolder = errors.New("the store key " + KeyHolder + " was not written by a holder; it is written again")
+
 func decodeIdentity(text []byte) (Identity, error) {
 	var i Identity
 	err := json.Unmarshal(text, &i)
-	return i, errors.Wrap(err, "cannot decode the value of the store key peridotmoor/holder; delete the key so that a holder can be elected")
+	if err == nil && (i.Name == "" || i.Incarnation == "") {
+		err = errors.New("it names no process")
+	}
+	if err == nil {
+		_, err = fleet.ParseAddress(i.Address)
+	}
+	if err != nil {
+		return Identity{}, errors.Wrap(errUnreadableHolder, err.Error())
+	}
+	return i, nil
 }
--- /dev/null
+++ b/internal/holder/keepkey.go
@@ -0,0 +1,68 @@
+package holder
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/events"
+	"peridotmoor.org/peridotmoor/internal/store"
+)
+
+// keepKey writes the holder's key again when another program has changed or deleted it, and
+// ends the tenure when it finds another holder there. It returns when ctx is done.
+func (e *Elector) keepKey(ctx context.Context, c *Coordinator, self Identity, lease store.LeaseID) {
+	for ctx.Err() == nil {
+		sleep(ctx, keyCheckInterval)
+		if ctx.Err() == nil {
+			e.checkKey(ctx, c, self, lease)
+		}
+	}
+}
+
+func (e *Elector) checkKey(ctx context.Context, c *Coordinator, self Identity, lease store.LeaseID) {
+	found, entry, err := e.readHolder(ctx)
+	switch {
+	case err == nil && found == self:
+		return
+	case err == nil:
+		c.superseded.Store(true)
+		return
+	case !errors.Is(err, errUnreadableHolder) && !errors.Is(err, store.ErrNotFound):
+		return // renewLease notices that the store does not answer
+	}
+	identity, encodeErr := self.encode()
+	if encodeErr != nil {
+		e.log.Emit(events.LeaseLost, "detail", encodeErr.Error())
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	// Fails if the lease has ended, or if another instance has become the holder.
+	if _, writeErr := e.store.CompareAndSwap(callCtx, KeyHolder, entry.Revision, identity, lease); writeErr != nil {
+		e.log.Emit(events.LeaseLost, "detail", writeErr.Error())
+		return
+	}
+	e.log.Emit(events.HolderKeyRepaired, "detail", err.Error())
+}
+
+// replaceUnreadableHolder waits for the holder to repair its key, which has the given
+// revision, and becomes a candidate if it does not.
+func (e *Elector) replaceUnreadableHolder(ctx context.Context, revision uint64, cause error) {
+	e.log.Emit(events.HolderLost, "detail", cause.Error())
+	e.readStore(ctx)
+	waitCtx, cancel := context.WithTimeout(ctx, unreadableKeyTimeout)
+	defer cancel()
+	for waitCtx.Err() == nil {
+		entry, err := e.store.Watch(waitCtx, KeyHolder, revision)
+		if errors.Is(err, store.ErrNotFound) || err == nil && entry.Revision > revision {
+			return
+		}
+		if err != nil {
+			sleep(waitCtx, storeRetryDelay)
+		}
+	}
+	if ctx.Err() == nil {
+		e.elect(ctx, revision, 0)
+	}
+}
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -63,7 +63,7 @@
 func (e *Elector) waitForCandidacy(ctx context.Context, revision uint64, wait time.Duration) bool {
 	for ; wait > candidacyCheckInterval; wait -= candidacyCheckInterval {
 		sleep(ctx, candidacyCheckInterval)
-		if _, entry, err := e.readHolder(ctx); err == nil && entry.Revision != revision {
+		if _, entry, err := e.readHolder(ctx); (err == nil || errors.Is(err, errUnreadableHolder)) && entry.Revision != revision {
 			return false
 		}
 	}
@@ -124,7 +124,7 @@
 func (e *Elector) lead(parent context.Context, self Identity, lease store.LeaseID, startedAt time.Time, lastHolderBound time.Duration) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
-	records := &recordStore{store: e.store, tenureName: self.tenureName()}
+	records := &recordStore{store: e.store, tenureName: self.tenureName(), followedHolder: e.registry.Snapshot().Epoch > 0}
 	claimCtx, cancelClaim := context.WithTimeout(ctx, leaseTTL)
 	found, err := records.claim(claimCtx)
 	cancelClaim()
@@ -133,6 +133,9 @@
 		e.revokeLease(lease)
 		return
 	}
+	if found.RangesLost {
+		e.log.Emit(events.OwnerRecordReplaced, "epoch", found.Epoch)
+	}
 	c := newCoordinator(ctx, cancel, e, records, found, startedAt.Add(inheritedGrantsBound(lastHolderBound, found)))
 	c.leaseConfirmedAt.Store(&startedAt)
 	e.log.Emit(events.HolderElected, "epoch", found.Epoch)
@@ -153,8 +156,14 @@
 		defer close(readerDone)
 		e.readStorePeriodically(ctx)
 	}()
+	keyDone := make(chan struct{})
+	go func() {
+		defer close(keyDone)
+		e.keepKey(ctx, c, self, lease)
+	}()
 	e.renewLease(ctx, c, lease, startedAt)
 	cancel()
+	<-keyDone
 	<-loopDone
 	<-readerDone // only one goroutine at a time may use the reader
 	e.coordinator.Store(nil)
--- a/internal/holder/plannedstop_test.go
+++ b/internal/holder/plannedstop_test.go
@@ -22,7 +22,7 @@
 	t.Helper()
 	registry := facts.NewRegistry(nil, nil)
 	e := NewElector(Options{
-		Self: Identity{Name: name, Incarnation: "K55N5AKH"}, Store: shared, Registry: registry,
+		Self: Identity{Name: name, Incarnation: "K55N5AKH", Address: "127.0.0.1:1"}, Store: shared, Registry: registry,
 		Reader: facts.NewReader(emptySource{}, registry, nil), Client: newFakeClient(registry), ProcessorShare: processorShare,
 	})
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/holder/planning.go
+++ b/internal/holder/planning.go
@@ -40,6 +40,7 @@
 		return
 	}
 	for _, service := range c.snapshot.Config.KeyedServices() {
+		usableSlots := c.snapshot.Config.Services[service].UsableSlots
 		var candidates []owners.Candidate
 		for i := range c.snapshot.Servers {
 			s := &c.snapshot.Servers[i]
@@ -48,7 +49,7 @@
 			}
 			candidates = append(candidates, owners.Candidate{
 				Incarnation: s.Incarnation,
-				Slots:       s.Slots,
+				Slots:       usableSlots(s.Slots),
 				Usable:      c.snapshot.Usable(s),
 				Cold:        s.Cold(now),
 				ServiceTime: c.scheduler.ServiceTime(service, s.Name),
@@ -81,10 +82,11 @@
 	record.MaxProcessorShare = max(c.processorShare, c.maxCandidateShare())
 	record.Yielded = c.yieldPlanned
 	record.InheritedGrantsPending = !c.table.InheritedGrantsEnded(now)
+	record.RangesLost = c.table.RangesLost(now)
 	record.Addresses = map[string]string{}
 	for incarnation := range record.Incarnations() {
 		if server := c.findServer(incarnation); server != nil {
-			record.Addresses[incarnation.String()] = server.Address
+			record.Addresses[incarnation.String()] = string(server.Address)
 		}
 	}
 	go func() {
--- a/internal/holder/rejoin_test.go
+++ b/internal/holder/rejoin_test.go
@@ -57,7 +57,7 @@
 	client := newFakeClient(registry)
 	client.onMessage = func() { close(former.heard) }
 	e := NewElector(Options{
-		Self: Identity{Name: "entry-1", Incarnation: "K55N5AKH"}, Store: shared, Registry: registry,
+		Self: Identity{Name: "entry-1", Incarnation: "K55N5AKH", Address: "127.0.0.1:1"}, Store: shared, Registry: registry,
 		Reader: facts.NewReader(emptySource{}, registry, nil), Client: client, ProcessorShare: 0.8,
 	})
 	ended := make(chan struct{})
--- a/internal/holder/tenure.go
+++ b/internal/holder/tenure.go
@@ -16,6 +16,15 @@
 	return now.Sub(*leaseConfirmedAt) < leaseTTL || len(c.followers) >= c.usualFollowers
 }
 
+// lastLeaseConfirmation returns when the lease was last known to be held by this process,
+// or the zero time if that must be confirmed again.
+func (c *Coordinator) lastLeaseConfirmation() time.Time {
+	if at := c.leaseConfirmedAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // share returns the share of limits that hold for the whole fleet which this holder may
 // use: all of it while it is the only holder, and otherwise the share of the fleet that
 // follows it, since each instance follows one holder at a time.
--- a/internal/link/convert.go
+++ b/internal/link/convert.go
@@ -169,7 +169,7 @@
 			Name:    s.Name,
 			Born:    s.StartMS,
 			Service: s.Service,
-			Address: s.Address,
+			Address: string(s.Address),
 			Domain:  s.Domain,
 			Slots:   int32(s.Slots),
 			Leaving: s.Leaving,
@@ -186,7 +186,7 @@
 		server := fleet.Server{
 			Incarnation: fleet.Incarnation{Name: s.Name, StartMS: s.Born},
 			Service:     s.Service,
-			Address:     s.Address,
+			Address:     fleet.Address(s.Address),
 			Domain:      s.Domain,
 			Slots:       int(s.Slots),
 			Leaving:     s.Leaving,
--- a/internal/link/factsreceiver_test.go
+++ b/internal/link/factsreceiver_test.go
@@ -18,7 +18,7 @@
 func listed(revision uint64, names ...string) fleet.Listing {
 	listing := fleet.Listing{Revision: revision}
 	for _, n := range names {
-		listing.Servers = append(listing.Servers, fleet.Server{Incarnation: fleet.Incarnation{Name: n}, Address: n})
+		listing.Servers = append(listing.Servers, fleet.Server{Incarnation: fleet.Incarnation{Name: n}, Address: fleet.Address(n)})
 	}
 	return listing
 }
--- a/internal/owners/plan.go
+++ b/internal/owners/plan.go
@@ -22,7 +22,7 @@
 		return false
 	}
 	if len(t.services[service]) == 0 {
-		if !t.serverCountStable(now, service, len(loads.usable())) {
+		if !t.serverCountStable(now, service, len(loads.usable())) || t.RangesLost(now) {
 			return false
 		}
 		t.planFirst(service, loads)
@@ -58,6 +58,9 @@
 	for _, l := range usable {
 		slots += l.Slots
 		to := NumKeys*slots/total - 1
+		if to < from {
+			continue // its share is less than a key
+		}
 		t.services[service] = append(t.services[service], &rangeState{
 			Interval: Interval{From: from, To: to},
 			owner:    l.Incarnation,
--- a/internal/owners/record.go
+++ b/internal/owners/record.go
@@ -26,6 +26,9 @@
 	// InheritedGrantsPending is set while holders before the one that wrote the record
 	// may still make grants. It may stay set for longer, which only makes a successor wait.
 	InheritedGrantsPending bool `json:"unsettled,omitempty"`
+	// RangesLost is set after an earlier record was spoiled by another program: until the
+	// grants of earlier holders have expired, servers may hold keys that are in no range.
+	RangesLost bool `json:"rangesLost,omitempty"`
 	// Yielded is set when the holder has stepped down for a stronger machine.
 	Yielded bool `json:"yielded,omitempty"`
 	// Addresses holds the address of each incarnation in the ranges, keyed by its String,
@@ -53,11 +56,18 @@
 	return text, errors.Wrap(err, "encode the record of key owners")
 }
 
-// DecodeRecord parses the stored form of a record.
-func DecodeRecord(text []byte) (Record, error) {
+// DecodeRecord parses the stored form of a record, which was written at the given revision
+// of the store. The error is ErrUnreadableRecord.
+func DecodeRecord(text []byte, revision uint64) (Record, error) {
 	var r Record
 	err := json.Unmarshal(text, &r)
-	return r, errors.Wrap(err, "decode the record of key owners (delete its key in the store to start without one)")
+	if err == nil {
+		err = r.check(revision)
+	}
+	if err != nil {
+		return Record{}, errors.Wrap(ErrUnreadableRecord, err.Error())
+	}
+	return r, nil
 }
 
 // OwnedRanges returns the ranges of each service as published to instances. A range
--- a/internal/owners/stored.go
+++ b/internal/owners/stored.go
@@ -85,6 +85,11 @@
 	return !now.Before(t.inheritedUntil)
 }
 
+// RangesLost reports whether servers may hold keys that the table does not know of.
+func (t *Table) RangesLost(now time.Time) bool {
+	return t.rangesLost && !t.InheritedGrantsEnded(now)
+}
+
 // ShortenInheritedGrants replaces the assumed expiry of the grants of earlier holders
 // if they are now known to expire sooner.
 func (t *Table) ShortenInheritedGrants(until time.Time) {
--- a/internal/owners/table.go
+++ b/internal/owners/table.go
@@ -34,6 +34,8 @@
 	serverCounts map[string]serverCount
 	// inheritedUntil is the latest time at which grants of earlier holders expire.
 	inheritedUntil time.Time
+	// rangesLost is set if servers may hold keys by such grants that are in no range.
+	rangesLost bool
 	// grantsInFlight holds the grants in flight to each incarnation, which may take
 	// effect at any moment.
 	grantsInFlight map[fleet.Incarnation][]Order
@@ -58,6 +60,7 @@
 		failures:       map[fleet.Incarnation]int{},
 		serverCounts:   map[string]serverCount{},
 		inheritedUntil: inheritedUntil,
+		rangesLost:     record.RangesLost,
 		grantsInFlight: map[fleet.Incarnation][]Order{},
 		ordersInFlight: map[fleet.Incarnation]int{},
 		grantDuration:  GrantDuration,
--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -68,6 +68,7 @@
 			old.limit = sched.limitOf(s.Incarnation)
 		}
 		old.Server = s
+		old.Slots = svc.UsableSlots(s.Slots)
 		old.excluded = exclude(&s)
 	}
 	for _, svc := range sched.services {
@@ -105,7 +106,7 @@
 		return 0
 	}
 	s := svc.servers[server.Name]
-	return s.limit.Cap(float64(server.Slots) / s.expectedServiceTime(now, svc.typicalServiceTime()))
+	return s.limit.Cap(float64(s.Slots) / s.expectedServiceTime(now, svc.typicalServiceTime()))
 }
 
 // Submit assigns, queues or refuses one attempt. The decision comes from
--- a/internal/placing/scheduler_test.go
+++ b/internal/placing/scheduler_test.go
@@ -25,7 +25,7 @@
 func (o *soleOwner) Owner(string, int) (string, bool) { return o.name, o.name != "" }
 
 func backend(name, domain string) fleet.Server {
-	return fleet.Server{Incarnation: fleet.Incarnation{Name: name, StartMS: 1}, Service: "s", Address: name + ":1", Domain: domain, Slots: 3}
+	return fleet.Server{Incarnation: fleet.Incarnation{Name: name, StartMS: 1}, Service: "s", Address: fleet.Address(name + ":1"), Domain: domain, Slots: 3}
 }
 
 func newScheduler(keyed bool, o Owners, servers ...fleet.Server) *Scheduler {
@@ -413,3 +413,24 @@
 	is.True(placed <= 8) // at most 5.3 requests/s and a burst of 1.5
 	is.True(placed >= 4)
 }
+
+// Guards against a server whose entry claims more slots than it takes connections, and
+// which then gets the requests of all others.
+func TestSlotsBeyondTheConnectionsOfAServerAreNotUsed(t *testing.T) {
+	is := is.New(t)
+	odd := backend("a", "d1")
+	odd.Slots = fleet.MaxSlots
+	sched := newScheduler(false, &soleOwner{})
+	sched.Update(start, map[string]*fleet.Service{"s": {Name: "s", MaxConnections: 4}}, []fleet.Server{odd}, func(*fleet.Server) bool { return false })
+	for n := range uint64(20) {
+		sched.Submit(start, newAttempt(n+1, start))
+	}
+	assigned := 0
+	for _, d := range sched.TakeDecisions() {
+		if d.Server != "" {
+			assigned++
+		}
+	}
+	is.Equal(assigned, 4)
+	is.True(sched.Capacity(start, &odd) <= 4/sched.services["s"].typicalServiceTime())
+}
