Show odd entries of the store to operators, and play them in the soak

Cause: an entry that instances ignore could be found only in the log of the instance that was the holder at that time.

The soak has a theme "odd entries": another program writes among the servers from the start, ten times a second during an event, and over the record of owners, the key of the holder and the configuration, beside stops, kills and cuts.

--- a/cmd/peridotmoorctl/main.go
+++ b/cmd/peridotmoorctl/main.go
@@ -15,12 +15,13 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := ctl.Main(ctx, os.Args[1:], ctl.Env{
-		Stdout:  os.Stdout,
-		Stderr:  os.Stderr,
-		Connect: connect,
-		Client:  &http.Client{},
-		Now:     time.Now,
-		Getenv:  os.Getenv,
+		Stdout:       os.Stdout,
+		Stderr:       os.Stderr,
+		Connect:      connect,
+		ReadPlatform: readPlatform,
+		Client:       &http.Client{},
+		Now:          time.Now,
+		Getenv:       os.Getenv,
 	})
 	stop()
 	os.Exit(code)
--- a/internal/ctl/check.go
+++ b/internal/ctl/check.go
@@ -32,6 +32,12 @@
 }
 
 func runCheck(ctx context.Context, t *tool) (output, error) {
+	switch {
+	case (t.options.First == "") == (t.options.Platform == ""):
+		return nil, &usageError{"name either a FILE or --platform with the address of a store"}
+	case t.options.Platform != "":
+		return runCheckPlatform(ctx, t)
+	}
 	tree, err := t.readFile(t.options.First)
 	if err != nil {
 		return nil, err
--- a/internal/ctl/env.go
+++ b/internal/ctl/env.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -14,6 +15,9 @@
 	Stderr io.Writer
 	// Connect returns a client of the platform's store at a base URL.
 	Connect func(url string) (store.Store, error)
+	// ReadPlatform reads what instances read from the store of the users' platform at an
+	// address (host:port).
+	ReadPlatform func(ctx context.Context, address string) (PlatformState, error)
 	// Client requests the status of instances.
 	Client *http.Client
 	Now    func() time.Time
--- a/internal/ctl/options.go
+++ b/internal/ctl/options.go
@@ -15,6 +15,7 @@
 	Instances   string // comma-separated operators' endpoints, host:port
 	NoInstances bool   // apply: no instance runs yet
 	JSON        bool
+	Platform    string // check: address of the store of the users' platform
 
 	File    string // show: read this file instead of the store
 	Version int    // show: number of the version, 0 for the accepted one
--- a/internal/ctl/parser.go
+++ b/internal/ctl/parser.go
@@ -45,6 +45,11 @@
 	s.String(&o.Store, "s", "store", "Base URL of the platform's store (PERIDOTMOOR_STORE).")
 }
 
+func checkOptions(s *flaggy.Subcommand, o *Options) {
+	storeOption(s, o)
+	s.String(&o.Platform, "", "platform", "Address (host:port) of the store of the users' platform: check what peridotmoor-entry reads there, instead of FILE.")
+}
+
 func instancesOption(s *flaggy.Subcommand, o *Options) {
 	s.String(&o.Instances, "i", "instances", "Operators' endpoints of all instances, host:port separated by commas (PERIDOTMOOR_INSTANCES).")
 }
--- a/internal/ctl/usage_test.go
+++ b/internal/ctl/usage_test.go
@@ -23,6 +23,7 @@
 		{"bogus", ExitUsage},
 		{"check", ExitUsage},
 		{"check a b", ExitUsage},
+		{"check a --platform b:1", ExitUsage},
 		{"show --bogus", ExitUsage},
 		{"apply --parent x f", ExitUsage},
 		{"wait --within soon", ExitUsage},
--- a/internal/dev/soak/check/evidence.go
+++ b/internal/dev/soak/check/evidence.go
@@ -23,6 +23,8 @@
 	Impairments *Impairments
 	// StrayBytes describes bytes that arrived without a request.
 	StrayBytes []string
+	// OddConnections describes connections to addresses that only odd entries of the server list name.
+	OddConnections []string
 	// Unserved describes what was not served again in time after the last fault.
 	Unserved []string
 	// MovedRoute is the name of the route that moves with each version. AddedIn holds the
@@ -39,7 +41,7 @@
 func (e *Evidence) Violations() []Violation {
 	e.index()
 	var all []Violation
-	for _, check := range []func(*Evidence) []Violation{checkRuns, checkRefusals, checkAnswers, checkOwners, checkStops, checkCuts, checkRecovery, checkConfiguration, checkLeaving, checkPauses, checkLimits} {
+	for _, check := range []func(*Evidence) []Violation{checkRuns, checkRefusals, checkAnswers, checkOwners, checkStops, checkCuts, checkRecovery, checkConfiguration, checkLeaving, checkPauses, checkLimits, checkOddEntries} {
 		all = append(all, check(e)...)
 	}
 	return all
--- a/internal/dev/soak/configuration.go
+++ b/internal/dev/soak/configuration.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	// configKey is the key of the operators' configuration.
+	configKey = "op/config"
 	// keyedService is the service whose servers own keys.
 	keyedService = "graves"
 	// movedRoute is the route whose service changes with each version.
@@ -35,6 +37,8 @@
 
 	mu       sync.Mutex
 	versions []check.Version
+	// newest is the text of the newest version.
+	newest []byte
 }
 
 // next writes the next version.
@@ -60,10 +64,18 @@
 		return errors.Wrap(err, "encode the configuration")
 	}
 	c.versions = append(c.versions, check.Version{Number: number, AcceptedAt: time.Now(), MovedService: moved})
-	c.store.Put("op/config", text)
+	c.newest = text
+	c.store.Put(configKey, text)
 	return nil
 }
 
+// restore writes the newest version again.
+func (c *configuration) restore() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.store.Put(configKey, c.newest)
+}
+
 func (c *configuration) accepted() []check.Version {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/dev/soak/eventkind.go
+++ b/internal/dev/soak/eventkind.go
@@ -22,6 +22,10 @@
 	eventServerLeave   eventKind = "server leave" // says so in its responses only
 	eventServerLimit   eventKind = "server limit" // names a rate limit in its responses
 	eventServerShed    eventKind = "server shed"  // turns requests away and asks for a pause
+	eventOddEntries    eventKind = "odd entries"  // another program writes among the backend servers
+	eventSpoilRecord   eventKind = "spoil record" // another program writes over the record of owners
+	eventSpoilHolder   eventKind = "spoil holder" // and over the key of the holder
+	eventSpoilConfig   eventKind = "spoil config" // and over the configuration, until the operator writes it again
 	eventStopSeveral   eventKind = "stop several" // stops of several instances that overlap
 	eventConfigureTwin eventKind = "configure twice"
 )
--- a/internal/dev/soak/play.go
+++ b/internal/dev/soak/play.go
@@ -49,6 +49,7 @@
 	kv            *kvstore.Server
 	storeServer   *http.Server
 	configuration *configuration
+	odd           *oddEntries
 	runs          *runlog.Log
 	owners        *backend.Owners
 	arrivals      backend.Arrivals
@@ -75,6 +76,13 @@
 		launcher: programs.NewLauncher(options.ProgramDir, dir),
 		kv:       kvstore.New(), runs: runlog.New(), owners: backend.NewOwners(), impairments: check.NewImpairments(),
 	}
+	var err error
+	if p.odd, err = newOddEntries(seed); err != nil {
+		return p, err
+	}
+	if options.Theme == oddEntriesTheme {
+		p.putOddEntries()
+	}
 	p.configuration = &configuration{store: p.kv.Store()}
 	if err := p.configuration.next(); err != nil {
 		return p, err
@@ -93,6 +101,13 @@
 	return p, p.addInstances()
 }
 
+// putOddEntries writes odd entries among those of the backend servers, or changes them.
+func (p *play) putOddEntries() {
+	for n := range oddEntryCount {
+		p.kv.Store().Put(fmt.Sprintf("servers/a-odd-%d", n), p.odd.next())
+	}
+}
+
 func domainName(n int) string {
 	return fmt.Sprintf("domain-%d", n%domainCount)
 }
@@ -133,6 +148,9 @@
 	if p.balancer != nil {
 		p.balancer.Close()
 	}
+	if p.odd != nil {
+		_ = p.odd.Close()
+	}
 	if p.storeServer != nil {
 		_ = p.storeServer.Close()
 	}
@@ -187,7 +205,7 @@
 func (p *play) evidence(unserved []string) *check.Evidence {
 	e := &check.Evidence{
 		Attempts: p.attempts.Attempts(), Conflicts: p.owners.Conflicts(), Versions: p.configuration.accepted(), Impairments: p.impairments,
-		Unserved: unserved, MovedRoute: movedRoute, AddedIn: addedIn, Arrivals: p.arrivals.All(),
+		Unserved: unserved, MovedRoute: movedRoute, AddedIn: addedIn, Arrivals: p.arrivals.All(), OddConnections: p.odd.seen(),
 	}
 	e.Runs, e.DroppedRuns = p.runs.Snapshot()
 	for _, i := range p.instances {
--- a/internal/dev/soak/seeds_test.go
+++ b/internal/dev/soak/seeds_test.go
@@ -46,6 +46,12 @@
 	playShort(t, 1, "links", "the late join of an ended link replaced the link in use at the holder, which then dropped all decisions for the instance")
 }
 
+// Guards against entries of another program that are taken for servers, that end a process,
+// or that leave the fleet without a holder.
+func TestOddEntriesSeed(t *testing.T) {
+	playShort(t, 1, oddEntriesTheme, "odd entries of the server list got connections, and a spoiled record of owners left the fleet without a holder")
+}
+
 // Guards against servers that get what they do not want, although they say so in their
 // responses: work while they leave (seed 2), requests in a pause or beyond their limit (7).
 func TestBackpressureSeeds(t *testing.T) {
--- a/internal/dev/soak/theme.go
+++ b/internal/dev/soak/theme.go
@@ -19,11 +19,17 @@
 		{eventStoreLost, 1}, {eventStoreCut, 1}, {eventPeerFault, 1}, {eventServerFault, 1}, {eventServerCrash, 1}, {eventServerDrain, 1}}},
 }
 
+// oddEntriesTheme is the name of the theme in which odd entries stand among those of the
+// backend servers from the start.
+const oddEntriesTheme = "odd entries"
+
 // namedThemes are mixes that only an option selects, so that seeds without it keep their schedules.
 var namedThemes = []theme{
 	{name: "links", weights: []weightedKind{{eventPeerFault, 6}, {eventStoreCut, 2}, {eventStop, 1}, {eventPause, 1}, {eventKill, 1}}, atHolder: true},
 	{name: "backpressure", weights: []weightedKind{{eventServerLeave, 3}, {eventServerLimit, 5}, {eventServerShed, 4}, {eventServerDrain, 1}, {eventStop, 2}, {eventKill, 1}, {eventPause, 1},
 		{eventStoreDown, 2}, {eventStoreSlow, 1}, {eventStoreCut, 1}, {eventPeerFault, 1}}},
+	{name: oddEntriesTheme, weights: []weightedKind{{eventOddEntries, 6}, {eventSpoilRecord, 3}, {eventSpoilHolder, 2}, {eventSpoilConfig, 2}, {eventServerDrain, 1}, {eventServerCrash, 1}, {eventStop, 2},
+		{eventKill, 2}, {eventPause, 1}, {eventStoreDown, 1}, {eventStoreCut, 1}, {eventConfigure, 1}}},
 }
 
 // themeOf returns the theme with the name.
