--- a/internal/holder/keepkey.go
+++ b/internal/holder/keepkey.go
@@ -23,7 +23,7 @@
 func (e *Elector) checkKey(ctx context.Context, c *Coordinator, self Identity, lease store.LeaseID) {
 	found, entry, err := e.readHolder(ctx)
 	switch {
-	case err == nil && found == self:
+	case err == nil && found.tenureName() == self.tenureName():
 		return
 	case err == nil:
 		c.superseded.Store(true)
--- a/internal/holder/spoiled_test.go
+++ b/internal/holder/spoiled_test.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"bytes"
 	"context"
 	"strconv"
 	"testing"
@@ -186,3 +187,22 @@
 	_, err = records.read(ctx)
 	is.NoErr(err)
 }
+
+// Guards against a holder that ends its tenure because its key holds another address of
+// its own, as behind an address translation.
+func TestHolderKnowsItsKeyByItsTenure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		shared := memstore.New()
+		e, end := startElector(t, shared, "entry-1", 0.8)
+		time.Sleep(2 * time.Second)
+		tenure := e.coordinator.Load()
+		is.True(tenure != nil)
+		entry, err := shared.Get(t.Context(), KeyHolder)
+		is.NoErr(err)
+		shared.Put(KeyHolder, bytes.Replace(entry.Value, []byte("127.0.0.1:1"), []byte("127.0.0.1:2"), 1))
+		time.Sleep(2 * keyCheckInterval)
+		is.Equal(e.coordinator.Load(), tenure)
+		end()
+	})
+}
