Tell mirrors which requests have not run, and refuse queued ones at a hand-over

Cause: an order is copied to the mirrors and waits for a slot; when its shard is handed over it is refused as not run, which mirrors were never told, so that the next holder counted it as dispatched and answered "unknown, holder-lost" (known red TestPlannedStopUnderLoad). Also, by reading: a caller or the holder sends an order again over the connection on which its server refused it; the refusal, written once more, was believed although the second sending ran.

Change: records carry the number of the execution, so that mirrors can store "not run" without a late copy hiding a later dispatch. A hand-over ends the waits of requests that have not been sent and flushes the records before it releases the tenure; streamed requests wait on, as they cannot be forwarded again. A request that was sent before gets a new connection.

--- a/internal/backend/httpbackend/send.go
+++ b/internal/backend/httpbackend/send.go
@@ -31,6 +31,10 @@
 		cancel()
 		return nil, err
 	}
+	if r.Resent {
+		// The server may write its refusal of an earlier sending, with the same ID, once more.
+		s.requests.CloseIdleConnections()
+	}
 	response, err := s.requests.RoundTrip(message)
 	if err != nil {
 		failure := s.classifyFailure(ctx, r, attempt.Written(), err)
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -64,13 +64,30 @@
 			return nil, problem.New(problem.KindNotHolder, outcome.StageForwardUnsent,
 				"this instance does not hold the shard of key %q", h.request.Key)
 		}
+		gate := h.queueGate()
 		select {
 		case <-blocked:
 		case <-rc.Done():
+		case <-gate.ctx.Done():
+			return nil, h.queueClosedProblem()
 		}
 	}
 }
 
+// queueGate returns the gate that ends the wait of this request. A streamed request cannot
+// be forwarded to the next holder, so it waits for as long as this one may run it.
+func (h *requestHandler) queueGate() *queueGate {
+	if h.request.Streamed() {
+		return openGate
+	}
+	return h.dispatcher.queue.Load()
+}
+
+func (h *requestHandler) queueClosedProblem() *problem.Problem {
+	return problem.New(problem.KindNotHolder, outcome.StageForwardUnsent,
+		"the shard of key %q is being handed over", h.request.Key)
+}
+
 func (h *requestHandler) sendToOwner(rc *requestContext, rangeRef *route.RangeRef) (*request.Response, *problem.Problem) {
 	owner := rangeRef.Range.Owner
 	if owner == nil {
@@ -115,7 +132,24 @@
 	if exclusive {
 		acquire = t.Limiter.AcquireExclusive
 	}
-	slot, err := acquire(ctx, h.request.Deadline, h.dispatcher.priority(h.request), time.Now())
+	gate := h.queueGate()
+	if gate.isClosed() {
+		return nil, h.queueClosedProblem()
+	}
+	if !exclusive {
+		if slot, ok := t.Limiter.TryAcquire(); ok {
+			return slot, nil
+		}
+	}
+	waitCtx, release := gate.attach(ctx)
+	defer release()
+	slot, err := acquire(waitCtx, h.request.Deadline, h.dispatcher.priority(h.request), time.Now())
+	if gate.isClosed() {
+		if err == nil {
+			slot.Release(admission.Result{})
+		}
+		return nil, h.queueClosedProblem()
+	}
 	if err != nil {
 		return nil, problem.From(err)
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/admission"
@@ -23,11 +24,25 @@
 	options Options
 	// crashDetectors maps each *route.Target that has failed to its crash detector.
 	crashDetectors sync.Map
+	queue          atomic.Pointer[queueGate]
 }
 
 // New returns a dispatcher. Options that are not set get their defaults.
 func New(o Options) *Dispatcher {
-	return &Dispatcher{options: o.withDefaults()}
+	d := &Dispatcher{options: o.withDefaults()}
+	d.queue.Store(newQueueGate())
+	return d
+}
+
+// CloseQueue refuses the requests that have not been sent to a server, those that wait
+// and those that arrive, as not run: the next holder can run them. OpenQueue ends that.
+func (d *Dispatcher) CloseQueue() {
+	d.queue.Load().close(errQueueClosed)
+}
+
+// OpenQueue lets requests wait again after a hand-over that failed.
+func (d *Dispatcher) OpenQueue() {
+	d.queue.Store(newQueueGate())
 }
 
 // Handle executes a request, including retries and hedges, until its outcome is
--- a/internal/dispatch/recordedrequest.go
+++ b/internal/dispatch/recordedrequest.go
@@ -50,6 +50,7 @@
 	execution.SetCancel(func() { cancel(context.Cause(ctx)) })
 	stop := context.AfterFunc(ctx, execution.Leave)
 	defer stop()
+	h.resubmitted = execution.Repeated()
 	if p := h.copyRecord(detached, execution); p != nil {
 		cancel(nil)
 		h.dispatcher.options.Records.Conclude(execution, record.FailedRecord(execution, "", p))
--- a/internal/dispatch/requesthandler.go
+++ b/internal/dispatch/requesthandler.go
@@ -19,6 +19,8 @@
 	fingerprint quarantine.Fingerprint
 	started     time.Time
 	retries     int
+	// resubmitted is set for a request of which an earlier execution was refused.
+	resubmitted bool
 	// mayHaveRun is set after an attempt with an unknown outcome: from then on, a
 	// refusal of a later attempt does not prove that the request has not run.
 	mayHaveRun bool
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -31,6 +31,11 @@
 	}
 	order := backend.Order{Shard: view.Shard, Token: view.Tenure.Token, Holder: h.dispatcher.options.Self}
 	h.emit(events.RequestDispatched, "server", t.Name, "token", order.Token.String(), "attempt", h.retries+1)
+	if h.retries > 0 || h.resubmitted {
+		resent := *rc.request
+		resent.Resent = true
+		rc.request = &resent
+	}
 	response, err := t.Server.Send(ctx, order, rc.request)
 	if err != nil {
 		return nil, h.handleSendFailure(ctx, rc, t, slot, problem.From(err), start)
--- a/internal/record/begin.go
+++ b/internal/record/begin.go
@@ -89,7 +89,7 @@
 		if current.record.State != NotRun {
 			return decideEnded(*current.record)
 		}
-		execution := newExecution(e)
+		execution := newExecution(e, current.record.Execution+1)
 		if e.state.CompareAndSwap(current, &entryState{execution: execution}) {
 			return Decision{Action: ActionRun, Execution: execution}
 		}
--- a/internal/record/entry.go
+++ b/internal/record/entry.go
@@ -23,16 +23,17 @@
 
 func newEntry(id identity, digest uint64, created time.Time) *entry {
 	e := &entry{identity: id, digest: digest, created: created}
-	e.state.Store(&entryState{execution: newExecution(e)})
+	e.state.Store(&entryState{execution: newExecution(e, 0)})
 	return e
 }
 
-// snapshot returns the record to copy to a mirror. It returns false for a request
-// that has not run, whose record mirrors do not store.
+// snapshot returns the record to copy to a mirror. It returns false for a request that has
+// not run and that no mirror knows of.
 func (e *entry) snapshot() (Record, bool) {
 	current := e.state.Load()
 	if current.record == nil {
 		return current.execution.DispatchedRecord(), true
 	}
-	return *current.record, current.record.State != NotRun
+	unknownToMirrors := current.record.State == NotRun && current.execution != nil && !current.execution.copied.Load()
+	return *current.record, !unknownToMirrors
 }
--- a/internal/record/execution.go
+++ b/internal/record/execution.go
@@ -8,7 +8,11 @@
 // Execution is one execution of a recorded request, shared by the caller that started
 // it and those whose resends joined it.
 type Execution struct {
-	entry   *entry
+	entry *entry
+	// number is that of the record.
+	number uint32
+	// copied is set once the dispatched record is on its way to the mirrors.
+	copied  atomic.Bool
 	done    chan struct{}
 	callers atomic.Int64
 	cancel  context.CancelFunc
@@ -16,8 +20,8 @@
 	record *Record
 }
 
-func newExecution(e *entry) *Execution {
-	execution := &Execution{entry: e, done: make(chan struct{})}
+func newExecution(e *entry, number uint32) *Execution {
+	execution := &Execution{entry: e, number: number, done: make(chan struct{})}
 	execution.callers.Store(1)
 	return execution
 }
@@ -40,8 +44,13 @@
 	return r.done
 }
 
+// Repeated reports whether an earlier execution of the request did not run.
+func (r *Execution) Repeated() bool {
+	return r.number > 0
+}
+
 // DispatchedRecord returns the record that is copied to the mirrors before the dispatch.
 func (r *Execution) DispatchedRecord() Record {
 	e := r.entry
-	return Record{Key: e.identity.key, ID: e.identity.id, Digest: e.digest, State: Dispatched}
+	return Record{Key: e.identity.key, ID: e.identity.id, Digest: e.digest, State: Dispatched, Execution: r.number}
 }
--- a/internal/record/mirror_test.go
+++ b/internal/record/mirror_test.go
@@ -105,3 +105,42 @@
 		is.Equal(fetch(), 0)
 	})
 }
+
+// Guards against an order that is taken for one that has not run, and is run again, because
+// the copy of an earlier execution arrived late.
+func TestMirrorOrdersExecutions(t *testing.T) {
+	const first, second = 0, 1
+	type copied struct {
+		execution uint32
+		state     State
+	}
+	for _, c := range []struct {
+		name   string
+		copies []copied
+		want   State
+	}{
+		{"not run", []copied{{first, Dispatched}, {first, NotRun}}, NotRun},
+		{"dispatch arrives late", []copied{{first, NotRun}, {first, Dispatched}}, NotRun},
+		{"dispatched again", []copied{{first, Dispatched}, {first, NotRun}, {second, Dispatched}}, Dispatched},
+		{"refusal of the first arrives late", []copied{{first, Dispatched}, {second, Dispatched}, {first, NotRun}}, Dispatched},
+		{"dispatch of the first arrives last", []copied{{first, NotRun}, {second, NotRun}, {first, Dispatched}}, NotRun},
+		{"refused again", []copied{{first, NotRun}, {second, Dispatched}, {first, NotRun}, {second, NotRun}}, NotRun},
+		{"answered", []copied{{second, Answered}, {first, NotRun}, {second, NotRun}, {second, Dispatched}, {second, Unknown}}, Answered},
+		{"unknown", []copied{{first, NotRun}, {second, Unknown}, {second, NotRun}, {second, Dispatched}}, Unknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			id := testID(time.Now(), 1)
+			m := NewMirror(mirrorSelf, Options{})
+			defer m.Close()
+			for _, next := range c.copies {
+				r := recordOf(id, next.state)
+				r.Execution = next.execution
+				m.Copy(copyOf(lowToken, r))
+			}
+			records, _, err := m.Fetch(FetchRequest{Shard: mirrorShard, Token: highToken, To: mirrorSelf})
+			is.NoErr(err)
+			is.Equal(records[0].State, c.want)
+		})
+	}
+}
--- a/internal/record/pendingcopy.go
+++ b/internal/record/pendingcopy.go
@@ -5,6 +5,8 @@
 // pendingCopy is one record that is being copied to all mirrors.
 type pendingCopy struct {
 	record Record
+	// mark is set for a message without a record.
+	mark bool
 	// remaining counts the mirrors that have neither acknowledged the record nor been removed.
 	remaining atomic.Int32
 	failure   atomic.Pointer[error]
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -21,6 +21,9 @@
 	ID     string
 	Digest uint64
 	State  State
+	// Execution counts the executions of the request at its holders: one that was proven
+	// not to have run may be sent again.
+	Execution uint32
 	// Status, Header and Body are the recorded response if HasResponse is true.
 	Status      int
 	Header      textproto.MIMEHeader
@@ -49,3 +52,12 @@
 		Replayed:      true,
 	}
 }
+
+// supersedes reports whether r says more of the request than other: it concerns a later
+// execution, or a later state of the same one. Copies may arrive late and in any order.
+func (r Record) supersedes(other Record) bool {
+	if r.Execution != other.Execution {
+		return r.Execution > other.Execution
+	}
+	return r.State.isAfter(other.State)
+}
--- a/internal/record/replicatedtable.go
+++ b/internal/record/replicatedtable.go
@@ -87,19 +87,29 @@
 // the request may be sent to a server. The error is a *problem.Problem with outcome
 // "not run".
 func (t *ReplicatedTable) Copy(ctx context.Context, execution *Execution) error {
+	execution.copied.Store(true)
 	return t.replicator.copyToAll(ctx, execution.DispatchedRecord())
 }
 
 // Conclude ends the execution, wakes the requests that joined it and sends the final
-// record to the mirrors without waiting for them. A request that did not run stays
-// dispatched at the mirrors, which is safe: after a takeover its outcome is unknown.
+// record to the mirrors without waiting for them. A mirror that does not get it counts
+// the request as dispatched, which is safe: after a takeover its outcome is unknown.
 func (t *ReplicatedTable) Conclude(execution *Execution, r Record) {
 	r = t.table.Conclude(execution, r)
-	if r.State != NotRun {
+	if r.State != NotRun || execution.copied.Load() {
 		t.replicator.enqueue(r)
 	}
 }
 
+// Flush waits until the mirrors have all records that were sent to them before, or until
+// ctx ends.
+func (t *ReplicatedTable) Flush(ctx context.Context) {
+	select {
+	case <-t.replicator.enqueueMark().done:
+	case <-ctx.Done():
+	}
+}
+
 // Expire drops records older than the retention. The owner calls it once a second, so
 // that an idle shard frees its memory too.
 func (t *ReplicatedTable) Expire(now time.Time) {
--- a/internal/record/replicator.go
+++ b/internal/record/replicator.go
@@ -141,8 +141,12 @@
 // enqueue queues the record for all mirrors. The caller has put it into the table before
 // the targets are read here, so a mirror that joins later gets it by the backfill.
 func (r *replicator) enqueue(record Record) *pendingCopy {
+	return r.enqueueCopy(func(mirrors int) *pendingCopy { return newPendingCopy(record, mirrors) })
+}
+
+func (r *replicator) enqueueCopy(make func(mirrors int) *pendingCopy) *pendingCopy {
 	targets := r.targets.Load()
-	p := newPendingCopy(record, len(targets.senders))
+	p := make(len(targets.senders))
 	if len(targets.senders) == 0 {
 		close(p.done)
 	}
@@ -152,6 +156,16 @@
 	return p
 }
 
+// enqueueMark queues a message without a record for all mirrors. Each has all that was
+// queued before once it has the mark.
+func (r *replicator) enqueueMark() *pendingCopy {
+	return r.enqueueCopy(func(mirrors int) *pendingCopy {
+		p := newPendingCopy(Record{}, mirrors)
+		p.mark = true
+		return p
+	})
+}
+
 // copyTo sends one batch to a mirror and returns an error unless the mirror accepts it.
 func (r *replicator) copyTo(ctx context.Context, to authority.Instance, records []Record) error {
 	token := *r.token.Load()
--- a/internal/record/sender.go
+++ b/internal/record/sender.go
@@ -123,9 +123,11 @@
 
 // startCopy sends one message and returns the channel that receives its result.
 func (s *sender) startCopy(inFlight []*pendingCopy) chan error {
-	records := make([]Record, len(inFlight))
-	for i, p := range inFlight {
-		records[i] = p.record
+	records := make([]Record, 0, len(inFlight))
+	for _, p := range inFlight {
+		if !p.mark {
+			records = append(records, p.record)
+		}
 	}
 	result := make(chan error, 1)
 	go func() {
--- a/internal/record/shardcopy.go
+++ b/internal/record/shardcopy.go
@@ -41,12 +41,12 @@
 	return CopyReply{Accepted: true, Highest: c.highest}
 }
 
-// merge stores r unless the record already has the same or a later state, so that a
-// batch that arrives late does not revert a record.
+// merge stores r if it supersedes the record, so that a batch that arrives late does not
+// revert a record.
 func (c *shardCopy) merge(r Record) {
 	id := r.identity()
 	old, known := c.records[id]
-	if known && old.State >= r.State {
+	if known && !r.supersedes(old) {
 		return
 	}
 	c.records[id] = r
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -11,7 +11,7 @@
 )
 
 // Request is a caller's request. Once the entry instance has built it, its fields do not
-// change, apart from Body, and Attempt and TraceParent at each forward.
+// change, apart from Body, Attempt and TraceParent at each forward, and Resent at the holder.
 type Request struct {
 	ID         string // UUID version 7
 	Service    string
@@ -35,6 +35,8 @@
 	Entry string
 	// Attempt is the number of times the entry instance has forwarded this request, from 1.
 	Attempt int
+	// Resent is set at the holder if the request has been sent to a server before.
+	Resent bool
 	// TraceParent is the W3C trace context of the caller's or previous hop's span.
 	TraceParent string
 }
--- a/internal/router/handover.go
+++ b/internal/router/handover.go
@@ -24,6 +24,9 @@
 	// inheritedSlotsTimeout is the longest time for which the next holder reserves slots
 	// for requests of its predecessor.
 	inheritedSlotsTimeout = 30 * time.Second
+	// flushTimeout is how long the holder waits until the mirrors know which requests have
+	// not run. To the next holder, the others may have.
+	flushTimeout = 100 * time.Millisecond
 	// slotReportInterval is the time between two reports of the slots still in use.
 	slotReportInterval = 50 * time.Millisecond
 )
@@ -44,6 +47,7 @@
 		return false
 	}
 	l.components.log.Emit(events.HandOverBegun, events.FieldShard, l.id.String())
+	l.closeQueue()
 	l.drainWithTimeout(ctx)
 	if l.inFlight.Load() > 0 {
 		// If this report fails, the next holder uses the slots of the previous one.
@@ -60,6 +64,8 @@
 // last resort if no next holder was found: the witnesses then elect one.
 func (l *localShard) release(ctx context.Context) bool {
 	l.draining.Store(true)
+	l.closeQueue()
+	l.flushRecords(ctx)
 	ctx, cancel := context.WithTimeout(ctx, revokeTimeout)
 	defer cancel()
 	since, err := l.runtime.RevokeGrants(ctx)
@@ -68,6 +74,9 @@
 	}
 	if err != nil {
 		l.components.log.Emit(events.HandOverFailed, events.FieldShard, l.id.String(), events.FieldDetail, err.Error())
+		if serving := l.serving.Load(); serving != nil {
+			serving.dispatcher.OpenQueue()
+		}
 		l.draining.Store(false)
 		return false
 	}
@@ -75,6 +84,23 @@
 	return true
 }
 
+// closeQueue refuses the requests that have not been sent to a server, so that the next
+// holder runs them.
+func (l *localShard) closeQueue() {
+	if serving := l.serving.Load(); serving != nil {
+		serving.dispatcher.CloseQueue()
+	}
+}
+
+// flushRecords waits until the mirrors have the records of the requests that have ended.
+func (l *localShard) flushRecords(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	if serving := l.serving.Load(); serving != nil {
+		serving.records.Flush(ctx)
+	}
+}
+
 // drain waits until no request is in flight or ctx is cancelled.
 func (l *localShard) drain(ctx context.Context) {
 	for l.inFlight.Load() > 0 {
