Refuse configurations without routes or with a negative version

An instance that had just started took a spoiled value of the configuration's key for the first configuration, since JSON with a number at "version" sufficed.

Change: a configuration has a version of 0 or more and at least one route.

--- a/cmd/peridotmoorctl/readplatform_test.go
+++ b/cmd/peridotmoorctl/readplatform_test.go
@@ -16,7 +16,7 @@
 
 const (
 	validServer = `{"address":"10.0.0.1:80","born":1700000000123,"info":{"service":"s","zone":"d","slots":3},"status":{"state":"ready","sequence":4,"cold_remaining_s":0}}`
-	validConfig = `{"version":7,"services":[{"name":"s"}],"hosts":[]}`
+	validConfig = `{"version":7,"services":[{"name":"s"}],"hosts":[{"host":"h","paths":[{"name":"r","path_prefix":"/","kind":"safe","service":"s"}]}]}`
 )
 
 // check runs "peridotmoorctl check --platform" against a store with the entries.
