Send nothing for a while to a server that misdirects unkeyed requests

Change: outside of keyed services, misdirected counts as unreached for the backoff; an instance without a holder passes over servers that took no request in the last 0.5 s. TestMisdirectingServerDoesNotAttractRequests and TestLocalPlacementAvoidsServersThatTakeNoRequest fail without it.

--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -9,6 +9,9 @@
 	// this instance chooses a server by itself: several round trips between failure
 	// domains.
 	ackTimeout = 120 * time.Millisecond
+	// localFailureBackoff is how long an instance without a holder sends no unkeyed request to a
+	// server that took none: the list shows within two seconds that it has ended.
+	localFailureBackoff = 500 * time.Millisecond
 	// holderBackoff is how long no attempt is sent to the holder after it did not
 	// acknowledge one. It is also the retry delay suggested when the local scheduler
 	// refuses an attempt.
--- a/internal/gateway/localscheduler.go
+++ b/internal/gateway/localscheduler.go
@@ -23,6 +23,7 @@
 	limiter   shareLimiter
 	inFlight  sync.Map // server name to *atomic.Int64, the number of attempts at the server
 	attempts  sync.Map // attempt number to server name
+	failedAt  sync.Map // server name to the time.Time of its last failure to take a request
 }
 
 func newLocalScheduler(domain string, registry *facts.Registry, fleetSize func() int) *localScheduler {
@@ -66,7 +67,7 @@
 	var names []string
 	for i := range snapshot.Servers {
 		s := &snapshot.Servers[i]
-		if _, limited := snapshot.Backpressure.Of(s.Incarnation).Limit.Rate(); usable(s) && !limited {
+		if _, limited := snapshot.Backpressure.Of(s.Incarnation).Limit.Rate(); usable(s) && !limited && !l.failedRecently(now, s.Name) {
 			names = append(names, s.Name)
 		}
 	}
@@ -97,7 +98,22 @@
 	return instances > 0 && l.limiter.take(now, server.Incarnation, localLimitShare*rate/float64(instances))
 }
 
-func (l *localScheduler) complete(completion placing.Completion) {
+// failedRecently reports whether the server took no request a short while ago. A server
+// that refuses connections, or whose address belongs to another one, does so at once and
+// would seem to be free.
+func (l *localScheduler) failedRecently(now time.Time, server string) bool {
+	at, known := l.failedAt.Load(server)
+	if known && now.Sub(at.(time.Time)) >= localFailureBackoff {
+		l.failedAt.CompareAndDelete(server, at)
+		return false
+	}
+	return known
+}
+
+func (l *localScheduler) complete(now time.Time, completion placing.Completion) {
+	if completion.Outcome == placing.Unreached || completion.Outcome == placing.Misdirected {
+		l.failedAt.Store(completion.Server, now)
+	}
 	if server, ok := l.attempts.LoadAndDelete(completion.AttemptID.Number); ok {
 		l.inFlightCounter(server.(string)).Add(-1)
 	}
--- a/internal/gateway/localscheduler_test.go
+++ b/internal/gateway/localscheduler_test.go
@@ -63,3 +63,33 @@
 		})
 	}
 }
+
+// Guards against the same for an instance without a holder.
+func TestLocalPlacementAvoidsServersThatTakeNoRequest(t *testing.T) {
+	for _, outcome := range []placing.Outcome{placing.Misdirected, placing.Unreached} {
+		t.Run(outcome.String(), func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			registry := facts.NewRegistry(nil, nil)
+			var listing fleet.Listing
+			for _, name := range []string{"a", "b", "c"} {
+				listing.Servers = append(listing.Servers, fleet.Server{Incarnation: fleet.Incarnation{Name: name}, Service: "s", Slots: 3})
+			}
+			registry.UpdateListing(listing, now)
+			local := newLocalScheduler("d", registry, func() int { return 3 })
+			failed := 0
+			for n := range uint64(200) { // for 2 s
+				now = now.Add(10 * time.Millisecond)
+				d := local.place(now, placing.Attempt{AttemptID: placing.AttemptID{Number: n}, Service: "s", Key: placing.NoKey})
+				completion := placing.Completion{AttemptID: d.AttemptID, Server: d.Server, Outcome: placing.Answered}
+				if d.Server == "c" {
+					failed++
+					completion.Outcome = outcome
+				}
+				local.complete(now, completion)
+			}
+			is.True(failed >= 1)
+			is.True(failed <= 5)
+		})
+	}
+}
--- a/internal/gateway/schedulerclient.go
+++ b/internal/gateway/schedulerclient.go
@@ -181,7 +181,7 @@
 	if err != nil || health.Server != server.Name || health.ColdRemaining == 0 {
 		return decision // if the server does not answer, the attempt itself will fail
 	}
-	c.local.complete(placing.Completion{AttemptID: attempt.AttemptID})
+	c.local.complete(now, placing.Completion{AttemptID: attempt.AttemptID})
 	return placing.Decision{AttemptID: attempt.AttemptID, Reason: placing.ReasonCold, RetryAfter: holderBackoff}
 }
 
@@ -204,7 +204,7 @@
 
 // Complete reports the end of an attempt.
 func (c *SchedulerClient) Complete(completion placing.Completion) {
-	c.local.complete(completion)
+	c.local.complete(time.Now(), completion)
 	if l := c.link.Load(); l != nil {
 		l.Send(&linkpb.Up{Finishes: []*linkpb.Finish{link.EncodeFinish(completion)}}) // if this fails, the holder frees the slot after the deadline
 	}
--- a/internal/placing/dispatch.go
+++ b/internal/placing/dispatch.go
@@ -12,7 +12,7 @@
 		if s == nil {
 			continue
 		}
-		s.recordCompletion(now, completion)
+		s.recordCompletion(now, completion, svc.Keyed)
 		switch completion.Outcome {
 		case Lost:
 			s.recentLosses = append(s.recentLosses, lostAttempt{contentHash: completion.ContentHash, at: now})
--- a/internal/placing/overload_test.go
+++ b/internal/placing/overload_test.go
@@ -74,3 +74,37 @@
 	is.True(beyond >= 0.8*20)
 	is.True(beyond > before)
 }
+
+// Guards against requests that are all sent to the one server whose address belongs to
+// another by now: it misdirects each at once, and so always has a free slot.
+func TestMisdirectingServerDoesNotAttractRequests(t *testing.T) {
+	is := is.New(t)
+	sched := newScheduler(false, &soleOwner{}, backend("a", "d1"), backend("b", "d1"), backend("c", "d1"))
+	now := start
+	type running struct {
+		id  AttemptID
+		end time.Time
+		at  string
+	}
+	var inFlight []running
+	misdirected, answered := 0, 0
+	for n := uint64(1); n <= 400; n++ { // 40/s for 10 s; a and b answer up to 60/s
+		now = now.Add(25 * time.Millisecond)
+		sched.Submit(now, newAttempt(n, now))
+		sched.Tick(now)
+		for _, d := range sched.TakeDecisions() {
+			if d.Server == "c" {
+				misdirected++
+				sched.Complete(now, Completion{AttemptID: d.AttemptID, Server: "c", Outcome: Misdirected, Duration: time.Millisecond})
+			} else if d.Server != "" {
+				inFlight = append(inFlight, running{d.AttemptID, now.Add(100 * time.Millisecond), d.Server})
+			}
+		}
+		for len(inFlight) > 0 && !now.Before(inFlight[0].end) {
+			sched.Complete(now, Completion{AttemptID: inFlight[0].id, Server: inFlight[0].at, Outcome: Answered, Duration: 100 * time.Millisecond})
+			inFlight, answered = inFlight[1:], answered+1
+		}
+	}
+	is.True(misdirected <= 20) // it is tried about every 2 s
+	is.True(answered >= 370)
+}
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -74,13 +74,19 @@
 }
 
 // recordCompletion frees the slot of an attempt and updates the server's averages
-// and its backoff.
-func (s *server) recordCompletion(now time.Time, completion Completion) {
+// and its backoff. A server of a service that is not divided by key misdirects a request
+// only if its address belongs to another one: it would do so at once with each request,
+// and seem to be free.
+func (s *server) recordCompletion(now time.Time, completion Completion, keyed bool) {
 	delete(s.inFlight, completion.AttemptID)
 	if completion.Load.Known && completion.Load.SlowdownFactor > 0 {
 		s.slowdownFactor, s.slowdownAt = completion.Load.SlowdownFactor, now
 	}
-	switch completion.Outcome {
+	outcome := completion.Outcome
+	if outcome == Misdirected && !keyed {
+		outcome = Unreached
+	}
+	switch outcome {
 	case Answered:
 		s.consecutiveFailures = 0
 		s.backoffUntil = time.Time{}
