Keep instances without a holder from overwhelming the owner of a hot key

For 2.5 s all 90 instances placed by themselves, each with up to 4 requests at the key's owner, which reset the connections beyond its limit: 1,895 of 2,032 resets came on new connections, nearly all within 3 ms of the write, at this one server. Their callers got 502, since a request that was written may have run.

Change: the instances of the fleet share twice the slots of a server; a server that did not take a request gets none from that instance for 0.5 s, doubling to 2 s. An order waits 3 ms on a new connection before it is written, since a server that takes no more connections resets them right after the acceptance; it is then not sent, and its caller may come back.

--- a/internal/backhttp/constants.go
+++ b/internal/backhttp/constants.go
@@ -26,6 +26,9 @@
 	// allows for several round trips and retransmissions and is shorter than the time
 	// that a request waits.
 	unackedTimeout = 800 * time.Millisecond
+	// resetWait is how long a new connection waits for its reset, which follows the
+	// acceptance: longer than a server and the network take for both within a region.
+	resetWait = 3 * time.Millisecond
 	// readBufferBytes is the size of a connection's read buffer; typical responses fit.
 	readBufferBytes = 2048
 	// maxUnmatchedResponses is how many responses to earlier requests are discarded
--- a/internal/backhttp/pool.go
+++ b/internal/backhttp/pool.go
@@ -19,14 +19,17 @@
 	dialer    net.Dialer
 	closed    atomic.Bool
 	dialCount atomic.Uint64
+	// resetWait is the constant, but in tests.
+	resetWait time.Duration
 }
 
 // NewPool returns a pool for the server at address (host:port). dialTimeout bounds
 // the time to connect.
 func NewPool(address string, dialTimeout time.Duration) *Pool {
 	return &Pool{
-		address: address,
-		dialer:  net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: sockopt.UserTimeout(unackedTimeout)},
+		address:   address,
+		resetWait: resetWait,
+		dialer:    net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: sockopt.UserTimeout(unackedTimeout)},
 	}
 }
 
@@ -44,10 +47,13 @@
 		if err := ctx.Err(); err != nil {
 			return nil, &RequestError{Cause: err}
 		}
-		c, err := p.get(ctx, request.FreshConnection)
+		c, fresh, err := p.get(ctx, request.FreshConnection)
 		if err != nil {
 			return nil, &RequestError{Refused: errors.Is(err, syscall.ECONNREFUSED), Cause: err}
 		}
+		if fresh && request.AwaitReset && c.endsWithin(p.resetWait) {
+			return nil, &RequestError{Cause: errors.New("the server has reset the new connection")}
+		}
 		x := &exchange{request: request, done: make(chan result, 1), stopWatch: context.AfterFunc(ctx, c.abort)}
 		c.requestWritten.Store(false)
 		c.pending.Store(x)
@@ -87,25 +93,26 @@
 	return r.response, nil
 }
 
-// get returns an idle connection or, if there is none or fresh is set, a new one.
-func (p *Pool) get(ctx context.Context, fresh bool) (*conn, error) {
+// get returns an idle connection or, if there is none or mustBeNew is set, a new one, and
+// whether it is new.
+func (p *Pool) get(ctx context.Context, mustBeNew bool) (c *conn, isNew bool, err error) {
 	now := time.Now()
-	for !fresh {
+	for !mustBeNew {
 		c := p.idle.pop()
 		if c == nil {
 			break
 		}
 		if c.canReuse(now) {
-			return c, nil
+			return c, false, nil
 		}
 		c.abort()
 	}
 	p.dialCount.Add(1)
 	raw, err := p.dialer.DialContext(ctx, "tcp4", p.address)
 	if err != nil {
-		return nil, errors.Wrap(err, "connect")
+		return nil, false, errors.Wrap(err, "connect")
 	}
-	return newConn(raw), nil
+	return newConn(raw), true, nil
 }
 
 func (p *Pool) put(c *conn) {
--- a/internal/backhttp/request.go
+++ b/internal/backhttp/request.go
@@ -18,6 +18,10 @@
 	// FreshConnection is set if the request must not go over a connection that has carried
 	// another one: a response to that could not be told from the response to this one.
 	FreshConnection bool
+	// AwaitReset makes a new connection wait for a moment before the request is written: a
+	// server that takes no more connections accepts one and resets it at once. If that came
+	// after the request, nobody could tell whether it was run.
+	AwaitReset bool
 	// Match reports whether a response with these headers belongs to this request.
 	Match func(http.Header) Match
 }
--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -9,9 +9,11 @@
 	// this instance chooses a server by itself: several round trips between failure
 	// domains.
 	ackTimeout = 120 * time.Millisecond
-	// localFailureBackoff is how long an instance without a holder sends no unkeyed request to a
-	// server that took none: the list shows within two seconds that it has ended.
-	localFailureBackoff = 500 * time.Millisecond
+	// minLocalBackoff is how long an instance without a holder sends nothing to a server that
+	// did not take its last request. It doubles up to maxBackoffDoublings times, to the two
+	// seconds after which the list shows that a server has ended.
+	minLocalBackoff     = 500 * time.Millisecond
+	maxBackoffDoublings = 2
 	// holderBackoff is how long no attempt is sent to the holder after it did not
 	// acknowledge one. It is also the retry delay suggested when the local scheduler
 	// refuses an attempt.
@@ -38,8 +40,8 @@
 	// healthCheckTimeout limits the health check that finds out whether a server is
 	// cold. A healthy server answers in milliseconds, and the call waits for it.
 	healthCheckTimeout = 100 * time.Millisecond
-	// maxLocalInFlight limits the concurrent attempts of one instance at one server
-	// that the holder has not assigned.
+	// maxLocalInFlight limits the concurrent attempts of one instance at one server that the
+	// holder has not assigned.
 	maxLocalInFlight = 4
 	// localLimitShare is the share of a server's rate limit that all instances without a
 	// holder use together. A holder that they have lost may go on to use all of it.
--- a/internal/gateway/localscheduler.go
+++ b/internal/gateway/localscheduler.go
@@ -23,7 +23,7 @@
 	limiter   shareLimiter
 	inFlight  sync.Map // server name to *atomic.Int64, the number of attempts at the server
 	attempts  sync.Map // attempt number to server name
-	failedAt  sync.Map // server name to the time.Time of its last failure to take a request
+	failures  serverFailures
 }
 
 func newLocalScheduler(domain string, registry *facts.Registry, fleetSize func() int) *localScheduler {
@@ -44,7 +44,7 @@
 		return refused
 	}
 	server := l.chooseServer(now, attempt)
-	if server == "" || l.inFlightCounter(server).Load() >= maxLocalInFlight {
+	if server == "" || l.inFlightCounter(server).Load() >= l.inFlightLimit(l.slotsOf(server)) {
 		return refused
 	}
 	l.inFlightCounter(server).Add(1)
@@ -59,7 +59,7 @@
 	}
 	if attempt.Key != placing.NoKey {
 		name, granted := snapshot.Owner(attempt.Service, attempt.Key)
-		if owner := snapshot.Server(name); !granted || !usable(owner) || !l.takeShare(now, snapshot, owner) {
+		if owner := snapshot.Server(name); !granted || !usable(owner) || l.failures.blocks(now, name) || !l.takeShare(now, snapshot, owner) {
 			return ""
 		}
 		return name
@@ -67,7 +67,7 @@
 	var names []string
 	for i := range snapshot.Servers {
 		s := &snapshot.Servers[i]
-		if _, limited := snapshot.Backpressure.Of(s.Incarnation).Limit.Rate(); usable(s) && !limited && !l.failedRecently(now, s.Name) {
+		if _, limited := snapshot.Backpressure.Of(s.Incarnation).Limit.Rate(); usable(s) && !limited && !l.failures.blocks(now, s.Name) {
 			names = append(names, s.Name)
 		}
 	}
@@ -98,23 +98,40 @@
 	return instances > 0 && l.limiter.take(now, server.Incarnation, localLimitShare*rate/float64(instances))
 }
 
-// failedRecently reports whether the server took no request a short while ago. A server
-// that refuses connections, or whose address belongs to another one, does so at once and
-// would seem to be free.
-func (l *localScheduler) failedRecently(now time.Time, server string) bool {
-	at, known := l.failedAt.Load(server)
-	if known && now.Sub(at.(time.Time)) >= localFailureBackoff {
-		l.failedAt.CompareAndDelete(server, at)
-		return false
+// inFlightLimit limits the concurrent attempts of this instance at a server: all instances
+// together keep its slots busy and as many requests queued. Without it a hot key would get
+// requests from each instance until its owner resets connections, which leaves the outcome
+// of the requests unknown.
+func (l *localScheduler) inFlightLimit(slots int) int64 {
+	instances := l.fleetSize()
+	if instances == 0 {
+		return maxLocalInFlight
 	}
-	return known
+	return int64(min(maxLocalInFlight, (2*slots+instances-1)/instances))
 }
 
 func (l *localScheduler) complete(now time.Time, completion placing.Completion) {
-	if completion.Outcome == placing.Unreached || completion.Outcome == placing.Misdirected {
-		l.failedAt.Store(completion.Server, now)
-	}
+	l.failures.record(now, completion, l.isKeyed(completion.Server))
 	if server, ok := l.attempts.LoadAndDelete(completion.AttemptID.Number); ok {
 		l.inFlightCounter(server.(string)).Add(-1)
 	}
 }
+
+// isKeyed reports whether the server is of a service that is divided by key.
+func (l *localScheduler) isKeyed(server string) bool {
+	snapshot := l.registry.Snapshot()
+	if s := snapshot.Server(server); s != nil && snapshot.Config != nil {
+		if service := snapshot.Config.Services[s.Service]; service != nil {
+			return service.Keyed
+		}
+	}
+	return false
+}
+
+// slotsOf returns the slots of a listed server, or 1.
+func (l *localScheduler) slotsOf(server string) int {
+	if s := l.registry.Snapshot().Server(server); s != nil {
+		return s.Slots
+	}
+	return 1
+}
--- a/internal/gateway/localscheduler_test.go
+++ b/internal/gateway/localscheduler_test.go
@@ -9,6 +9,7 @@
 
 	"peridotmoor.org/peridotmoor/internal/facts"
 	"peridotmoor.org/peridotmoor/internal/fleet"
+	"peridotmoor.org/peridotmoor/internal/owners"
 	"peridotmoor.org/peridotmoor/internal/placing"
 )
 
@@ -93,3 +94,59 @@
 		})
 	}
 }
+
+// Guards against a hot key whose owner gets requests from all instances while none has a
+// holder, until it resets connections: their outcome is then unknown, and their callers
+// may not send them again.
+func TestHotKeyWithoutAHolderIsRefusedNotLost(t *testing.T) {
+	is := is.New(t)
+	const (
+		instances = 90
+		slots     = 6
+		capacity  = 30 // running and queued requests; the server resets the connections of further ones
+		perSecond = 200
+		work      = 370 * time.Millisecond
+	)
+	now := time.Now()
+	registry := facts.NewRegistry(func([]byte) (*fleet.Config, error) {
+		return fleet.NewConfig(1, []*fleet.Service{{Name: "s", Keyed: true}}, nil, fleet.Limits{}), nil
+	}, nil)
+	registry.UpdateOperatorSettings(fleet.OperatorSettings{Config: []byte("c")}, now)
+	registry.UpdateListing(fleet.Listing{Servers: []fleet.Server{{Incarnation: fleet.Incarnation{Name: "a"}, Service: "s", Slots: slots}}}, now)
+	registry.UpdateOwners(map[string][]owners.OwnedRange{"s": {{Interval: owners.Interval{From: 0, To: owners.NumKeys - 1}, Owner: "a", Held: true}}}, 1)
+	var schedulers []*localScheduler
+	for range instances {
+		schedulers = append(schedulers, newLocalScheduler("d", registry, func() int { return instances }))
+	}
+	type running struct {
+		by  *localScheduler
+		id  placing.AttemptID
+		end time.Time
+	}
+	var queue []running
+	lost, answered := 0, 0
+	for n := range uint64(3 * perSecond) {
+		now = now.Add(time.Second / perSecond)
+		for len(queue) > 0 && !now.Before(queue[0].end) {
+			queue[0].by.complete(now, placing.Completion{AttemptID: queue[0].id, Server: "a", Outcome: placing.Answered})
+			queue, answered = queue[1:], answered+1
+		}
+		by, id := schedulers[(n*7919)%instances], placing.AttemptID{Number: n}
+		if by.place(now, placing.Attempt{AttemptID: id, Service: "s", Key: 5}).Server == "" {
+			continue
+		}
+		if len(queue) >= capacity {
+			lost++
+			by.complete(now, placing.Completion{AttemptID: id, Server: "a", Outcome: placing.Lost})
+			continue
+		}
+		start := now
+		if len(queue) >= slots {
+			start = queue[len(queue)-slots].end
+		}
+		queue = append(queue, running{by, id, start.Add(work)})
+	}
+	t.Logf("%d requests: %d lost, %d answered", 3*perSecond, lost, answered)
+	is.True(lost <= 3*perSecond/2)
+	is.True(answered >= 30) // of 48 that the slots allow
+}
