Read the facts while the key of the holder cannot be read

The holder's key was spoiled after the holder had lost its lease, and instances waited 7 s for a repair without reading the store.

Change: they wait as for the key of a holder that cannot be reached, which reads the facts when they are older than a second. TestInstanceReadsTheFactsWhileTheHolderKeyIsUnreadable fails without it.

--- a/internal/holder/keepkey.go
+++ b/internal/holder/keepkey.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -50,19 +51,15 @@
 // revision, and becomes a candidate if it does not.
 func (e *Elector) replaceUnreadableHolder(ctx context.Context, revision uint64, cause error) {
 	e.log.Emit(events.HolderLost, "detail", cause.Error())
-	e.readStore(ctx)
-	waitCtx, cancel := context.WithTimeout(ctx, unreadableKeyTimeout)
-	defer cancel()
-	for waitCtx.Err() == nil {
-		entry, err := e.store.Watch(waitCtx, KeyHolder, revision)
-		if errors.Is(err, store.ErrNotFound) || err == nil && entry.Revision > revision {
+	for end := time.Now().Add(unreadableKeyTimeout); time.Now().Before(end); {
+		e.watchHolderKey(ctx, revision) // reads the facts too, while no holder sends them
+		if ctx.Err() != nil {
 			return
 		}
-		if err != nil {
-			sleep(waitCtx, storeRetryDelay)
+		_, entry, err := e.readHolder(ctx)
+		if errors.Is(err, store.ErrNotFound) || err == nil || entry.Revision > revision {
+			return
 		}
 	}
-	if ctx.Err() == nil {
-		e.elect(ctx, revision, 0)
-	}
+	e.elect(ctx, revision, 0)
 }
--- a/internal/holder/spoiled_test.go
+++ b/internal/holder/spoiled_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
+	"peridotmoor.org/peridotmoor/internal/facts"
 	"peridotmoor.org/peridotmoor/internal/owners"
 	"peridotmoor.org/peridotmoor/internal/store"
 	"peridotmoor.org/peridotmoor/internal/store/memstore"
@@ -206,3 +207,34 @@
 		end()
 	})
 }
+
+// Guards against an instance that follows no new configuration while it waits for the holder
+// to repair its key.
+func TestInstanceReadsTheFactsWhileTheHolderKeyIsUnreadable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		shared := memstore.New()
+		shared.Put(KeyHolder, []byte("{"))
+		registry := facts.NewRegistry(nil, nil)
+		source := recordingSource{reads: make(chan struct{}, 100)}
+		e := NewElector(Options{
+			Self: Identity{Name: "entry-1", Incarnation: "K55N5AKH", Address: "127.0.0.1:1"}, Store: shared, Registry: registry,
+			Reader: facts.NewReader(source, registry, nil), Client: newFakeClient(registry), ProcessorShare: 0.8,
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			e.Run(ctx)
+		}()
+		for range 3 {
+			time.Sleep(2 * time.Second) // within which a configuration must be known, by the platform's pages
+			is.True(len(source.reads) > 0)
+			for len(source.reads) > 0 {
+				<-source.reads
+			}
+		}
+		cancel()
+		<-done
+	})
+}
