--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -68,18 +68,6 @@
 	_ = c.net.Close() // the connection is abandoned; an error needs no handling
 }
 
-// endsWithin waits for the time and reports whether the connection has ended by then.
-func (c *conn) endsWithin(wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-c.aborted:
-		return true
-	case <-timer.C:
-		return false
-	}
-}
-
 // readLoop is the body of the reader goroutine. It fails the pending request, if any,
 // when the connection ends.
 func (c *conn) readLoop() {
--- a/internal/dev/soak/play.go
+++ b/internal/dev/soak/play.go
@@ -101,13 +101,6 @@
 	return p, p.addInstances()
 }
 
-// putOddEntries writes odd entries among those of the backend servers, or changes them.
-func (p *play) putOddEntries() {
-	for n := range oddEntryCount {
-		p.kv.Store().Put(fmt.Sprintf("servers/a-odd-%d", n), p.odd.next())
-	}
-}
-
 func domainName(n int) string {
 	return fmt.Sprintf("domain-%d", n%domainCount)
 }
--- a/internal/gateway/serverfailures.go
+++ b/internal/gateway/serverfailures.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/placing"
@@ -18,13 +17,6 @@
 	servers sync.Map
 }
 
-// failureCount is the number of attempts in a row that a server did not take.
-type failureCount struct {
-	count atomic.Int64
-	// lastAt is when the last one ended, in Unix nanoseconds.
-	lastAt atomic.Int64
-}
-
 // record counts the end of an attempt.
 func (f *serverFailures) record(now time.Time, completion placing.Completion, keyed bool) {
 	switch completion.Outcome {
