Never shift by the count of a failure that is being recorded

Cause: found by reading: between the entry of a server's first failure and its count, another request computed a shift by -1, which ends the process.

Change: the number of doublings is at least 0. TestFailureThatIsBeingRecorded fails without it.

--- a/internal/gateway/serverfailures.go
+++ b/internal/gateway/serverfailures.go
@@ -51,7 +51,8 @@
 		return false
 	}
 	failures := c.(*failureCount)
-	last, backoff := failures.lastAt.Load(), minLocalBackoff<<min(failures.count.Load()-1, maxBackoffDoublings)
+	doublings := min(max(failures.count.Load()-1, 0), maxBackoffDoublings) // the count may be about to rise from 0
+	last, backoff := failures.lastAt.Load(), minLocalBackoff<<doublings
 	if now.UnixNano()-last < int64(backoff) {
 		return true
 	}
