--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,8 @@
 	$(GO) test ./internal/callerhttp -run '^$$' -fuzz FuzzConnection -fuzztime $(FUZZTIME)
 	$(GO) test ./internal/backhttp -run '^$$' -fuzz FuzzResponse -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
 	$(GO) test ./internal/entrynode -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME)
-	for target in Config Listing Load Answer; do $(GO) test ./platform -run '^$$' -fuzz FuzzDecode$$target -fuzztime $(FUZZTIME) || exit 1; done
+	$(GO) test ./internal/owners -run '^$$' -fuzz FuzzDecodeRecord -fuzztime $(FUZZTIME)
+	for target in Config Listing Server Load Answer; do $(GO) test ./platform -run '^$$' -fuzz FuzzDecode$$target -fuzztime $(FUZZTIME) || exit 1; done
 
 # Needs protoc (Debian package protobuf-compiler). The generated code is committed.
 generate:
