Wait for grants in keyOf, where both tests take a key

By reading, an instance is ready once the owners are planned, before the grants are answered; that was so before.

--- a/internal/entrynode/restart_test.go
+++ b/internal/entrynode/restart_test.go
@@ -52,14 +52,6 @@
 			client := newCaller()
 			defer client.CloseIdleConnections()
 			left := f.backends[0]
-			waitFor(t, "the server owns a key", func() bool { // an instance may be ready before all grants are answered
-				for key := 0; key < 65536; key += 997 {
-					if left.ownsKey(key) {
-						return true
-					}
-				}
-				return false
-			})
 			key := f.keyOf(t, left)
 			tc.leave(f, left)
 			for n, i := range f.instances {
--- a/internal/entrynode/saysleaving_test.go
+++ b/internal/entrynode/saysleaving_test.go
@@ -13,16 +13,20 @@
 // requests, by the platform's pages.
 const maxLeavingTime = 2 * time.Second
 
-// keyOf returns a key that the server owns.
+// keyOf returns a key that the server owns. It waits for one, since an instance may be ready
+// before the grants of the first plan are answered.
 func (f *fleet) keyOf(t *testing.T, b *fakeBackend) int {
 	t.Helper()
-	for key := 0; key < 65536; key += 997 {
-		if b.ownsKey(key) {
-			return key
+	owned := -1
+	waitFor(t, b.name+" owns a key", func() bool {
+		for key := 0; key < 65536 && owned < 0; key += 997 {
+			if b.ownsKey(key) {
+				owned = key
+			}
 		}
-	}
-	t.Fatalf("%s owns no key", b.name)
-	return 0
+		return owned >= 0
+	})
+	return owned
 }
 
 // Guards against requests that reach a server later than 2 s after an instance has passed
