--- a/internal/holder/elector.go
+++ b/internal/holder/elector.go
@@ -36,6 +36,10 @@
 	plannedStop plannedStop
 	// coordinator is set while this instance is the holder.
 	coordinator atomic.Pointer[Coordinator]
+	// current is the holder that this instance is or follows, or nil.
+	current atomic.Pointer[Identity]
+	// peers holds the addresses of some other instances, or nil.
+	peers atomic.Pointer[[]string]
 }
 
 // NewElector returns an elector that does nothing until Run is called.
@@ -48,7 +52,7 @@
 
 // member describes this instance to the holder that it joins.
 func (e *Elector) member() link.Member {
-	return link.Member{Instance: e.self.String(), Domain: e.self.Domain, ProcessorShare: e.processorShare, Stopping: e.plannedStop.isStopping(), Ending: e.plannedStop.isEnding()}
+	return link.Member{Instance: e.self.String(), Domain: e.self.Domain, Address: e.self.Address, ProcessorShare: e.processorShare, Stopping: e.plannedStop.isStopping(), Ending: e.plannedStop.isEnding()}
 }
 
 // Join adds a follower. It returns false unless this instance is the holder.
@@ -76,6 +80,7 @@
 	if e.firstStart {
 		sleep(ctx, candidacyDelay(e.processorShare, 0, firstElectionDelay, firstElectionJitter))
 	}
+	var lost Identity // the holder that this instance followed last
 	for ctx.Err() == nil {
 		holder, entry, err := e.readHolder(ctx)
 		switch {
@@ -84,7 +89,13 @@
 		case errors.Is(err, errUnreadableHolder):
 			e.replaceUnreadableHolder(ctx, entry.Revision, err)
 		case err != nil:
-			sleep(ctx, backoff())
+			next, found := e.askPeers(ctx, lost)
+			if !found {
+				sleep(ctx, backoff())
+				continue
+			}
+			lost = next
+			e.follow(ctx, next, 0)
 		case holder.sameProcess(e.self):
 			// The key belongs to a lease that this process no longer renews. Wait until
 			// the lease expires.
@@ -92,6 +103,7 @@
 		case holder.Name == e.self.Name:
 			e.elect(ctx, entry.Revision, maxInheritedGrant)
 		default:
+			lost = holder
 			e.follow(ctx, holder, entry.Revision)
 		}
 	}
--- a/internal/holder/firstfacts_test.go
+++ b/internal/holder/firstfacts_test.go
@@ -18,6 +18,7 @@
 func (silentHolder) Join(*link.Follower) bool           { return true }
 func (silentHolder) Receive(*link.Follower, *linkpb.Up) {}
 func (silentHolder) Leave(*link.Follower)               {}
+func (silentHolder) Holder() []byte                     { return nil }
 
 // Guards against an instance that has just started and never learns the configuration,
 // because the holder that it follows sends nothing.
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -36,6 +36,7 @@
 		var accepted atomic.Bool // a holder sends the facts to each instance that joins
 		conn, err := link.Dial(ctx, holder.Address, e.member(), func(down *linkpb.Down) {
 			accepted.Store(true)
+			e.rememberPeers(down)
 			onDown(down)
 		})
 		if errors.Is(err, syscall.ECONNREFUSED) {
@@ -51,8 +52,10 @@
 		e.log.Emit(events.HolderFollowed, "holder", holder.String())
 		joinedAt := time.Now()
 		e.client.Attach(conn)
+		e.current.Store(&holder)
 		endAnnouncement := e.plannedStop.announce(conn)
 		e.monitorLink(ctx, conn, receiver, holder)
+		e.current.Store(nil)
 		endAnnouncement()
 		conn.Close()
 		if time.Since(joinedAt) >= storeRetryDelay || ctx.Err() != nil {
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -140,6 +140,7 @@
 	c.leaseConfirmedAt.Store(&startedAt)
 	e.log.Emit(events.HolderElected, "epoch", found.Epoch)
 	e.coordinator.Store(c)
+	e.current.Store(&self)
 	loopDone := make(chan struct{})
 	go func() {
 		defer close(loopDone)
@@ -167,6 +168,7 @@
 	<-loopDone
 	<-readerDone // only one goroutine at a time may use the reader
 	e.coordinator.Store(nil)
+	e.current.Store(nil)
 	e.log.Emit(events.HolderEnded, "epoch", found.Epoch, "yields", c.yielding.Load())
 	e.revokeLease(lease)
 	c.disconnectAll() // after the key has been deleted, as followers look for the next holder at once
--- a/internal/holder/publish.go
+++ b/internal/holder/publish.go
@@ -22,6 +22,7 @@
 	heartbeatDue := now.Sub(c.heartbeatAt) >= link.HeartbeatInterval
 	if heartbeatDue {
 		c.heartbeatAt = now
+		c.sendPeers()
 	}
 	snapshot := c.registry.Snapshot()
 	encoded := map[link.SentSequences]*linkpb.Facts{} // most followers have received the same parts
--- a/internal/holder/rejoin_test.go
+++ b/internal/holder/rejoin_test.go
@@ -36,6 +36,7 @@
 
 func (h *endingHolder) Receive(*link.Follower, *linkpb.Up) {}
 func (h *endingHolder) Leave(*link.Follower)               {}
+func (h *endingHolder) Holder() []byte                     { return nil }
 
 // Guards against an instance that takes the end of a tenure for a rejection because it
 // joined shortly before: it tried to join the former holder for 0.5 s, while a weaker
--- /dev/null
+++ b/internal/holder/switchedstore_test.go
@@ -0,0 +1,43 @@
+package holder
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/store"
+)
+
+// switchedStore is a store that one instance cannot reach while off is set.
+type switchedStore struct {
+	store.Store
+	off atomic.Bool
+}
+
+func (s *switchedStore) Get(ctx context.Context, key string) (store.Entry, error) {
+	if s.off.Load() {
+		return store.Entry{}, store.ErrUnavailable
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *switchedStore) Watch(ctx context.Context, key string, after uint64) (store.Entry, error) {
+	if s.off.Load() {
+		return store.Entry{}, store.ErrUnavailable
+	}
+	return s.Store.Watch(ctx, key, after)
+}
+
+func (s *switchedStore) CompareAndSwap(ctx context.Context, key string, revision uint64, value []byte, lease store.LeaseID) (store.Entry, error) {
+	if s.off.Load() {
+		return store.Entry{}, store.ErrUnavailable
+	}
+	return s.Store.CompareAndSwap(ctx, key, revision, value, lease)
+}
+
+func (s *switchedStore) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	if s.off.Load() {
+		return "", store.ErrUnavailable
+	}
+	return s.Store.Grant(ctx, ttl)
+}
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -23,15 +23,14 @@
 // Dial connects to the holder at address and joins it. One goroutine calls onDown with
 // each message, in order.
 func Dial(ctx context.Context, address string, member Member, onDown func(*linkpb.Down)) (*Client, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, Control: sockopt.UserTimeout(unackedTimeout)}
-	raw, err := dialer.DialContext(ctx, "tcp4", address)
+	raw, err := dial(ctx, address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to the holder at %s", address)
 	}
 	c := &Client{conn: drpcconn.New(raw), outbox: make(chan *linkpb.Up, outboxSize), done: make(chan struct{})}
 	stream, err := linkpb.NewDRPCLinkClient(c.conn).Follow(context.Background())
 	if err == nil {
-		err = stream.Send(&linkpb.Up{Instance: member.Instance, Domain: member.Domain, Processor: member.ProcessorShare, Stopping: member.Stopping, Ending: member.Ending})
+		err = stream.Send(&linkpb.Up{Instance: member.Instance, Domain: member.Domain, Address: member.Address, Processor: member.ProcessorShare, Stopping: member.Stopping, Ending: member.Ending})
 	}
 	if err != nil {
 		c.Close()
@@ -42,6 +41,36 @@
 	return c, nil
 }
 
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, Control: sockopt.UserTimeout(unackedTimeout)}
+	return dialer.DialContext(ctx, "tcp4", address)
+}
+
+// AskForHolder asks the instance at address who the holder is. It returns the identity as
+// in the key of the holder, or nothing if that instance knows of none.
+func AskForHolder(ctx context.Context, address string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
+	defer cancel()
+	raw, err := dial(ctx, address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to the instance at %s", address)
+	}
+	conn := drpcconn.New(raw)
+	defer conn.Close()
+	stream, err := linkpb.NewDRPCLinkClient(conn).Follow(ctx)
+	if err == nil {
+		err = stream.Send(&linkpb.Up{Question: true})
+	}
+	if err != nil {
+		return nil, errors.Wrapf(err, "ask the instance at %s", address)
+	}
+	down, err := stream.Recv()
+	if err != nil {
+		return nil, errors.Wrapf(err, "answer of the instance at %s", address)
+	}
+	return down.Holder, nil
+}
+
 // Done returns a channel that is closed when the link has ended.
 func (c *Client) Done() <-chan struct{} {
 	return c.done
--- a/internal/link/client_test.go
+++ b/internal/link/client_test.go
@@ -18,6 +18,7 @@
 func (h *recordingHandler) Join(f *Follower) bool              { h.joined <- f.Member; return true }
 func (h *recordingHandler) Receive(_ *Follower, up *linkpb.Up) { h.messages <- up }
 func (h *recordingHandler) Leave(*Follower)                    {}
+func (h *recordingHandler) Holder() []byte                     { return nil }
 
 // Guards against a holder that waits for, or yields to, an instance that stops.
 func TestHolderLearnsThatAFollowerStops(t *testing.T) {
--- a/internal/link/constants.go
+++ b/internal/link/constants.go
@@ -8,6 +8,8 @@
 	outboxSize = 512
 	// dialTimeout bounds connecting to another instance. It allows for several round trips.
 	dialTimeout = 400 * time.Millisecond
+	// questionTimeout bounds a question for the holder, from the connection to the answer.
+	questionTimeout = 500 * time.Millisecond
 	// unackedTimeout is how long sent bytes may remain unacknowledged before the
 	// connection is closed.
 	unackedTimeout = time.Second
--- a/internal/link/follower.go
+++ b/internal/link/follower.go
@@ -13,6 +13,9 @@
 	Member
 	// Sent is used only by the handler's event loop.
 	Sent SentSequences
+	// Peers are the other instances that this one was told of. It is used only by the
+	// handler's event loop.
+	Peers []*Follower
 	// send queues a message without blocking. It returns false if the queue is full.
 	send       func(*linkpb.Down) bool
 	disconnect func()
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -15,11 +15,11 @@
 // Server accepts the links of other instances.
 type Server struct {
 	linkpb.DRPCLinkUnimplementedServer
-	handler Handler
+	handler ServerHandler
 }
 
-// NewServer returns a server that passes followers and their messages to handler.
-func NewServer(handler Handler) *Server {
+// NewServer returns a server that passes followers, their messages and questions to handler.
+func NewServer(handler ServerHandler) *Server {
 	return &Server{handler: handler}
 }
 
@@ -48,11 +48,14 @@
 	if err != nil {
 		return errors.Wrap(err, "receive the first message of a link")
 	}
+	if first.Question {
+		return errors.Wrap(stream.Send(&linkpb.Down{Holder: s.handler.Holder()}), "answer a question for the holder")
+	}
 	outbox := make(chan *linkpb.Down, outboxSize)
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	f := &Follower{
-		Member: Member{Instance: first.Instance, Domain: first.Domain, ProcessorShare: first.Processor, Stopping: first.Stopping, Ending: first.Ending},
+		Member: Member{Instance: first.Instance, Domain: first.Domain, Address: first.Address, ProcessorShare: first.Processor, Stopping: first.Stopping, Ending: first.Ending},
 		send: func(d *linkpb.Down) bool {
 			select {
 			case outbox <- d:
@@ -102,6 +105,9 @@
 			d.Verdicts = append(d.Verdicts, more.Verdicts...)
 			d.Waiting = append(d.Waiting, more.Waiting...)
 			d.Facts = append(d.Facts, more.Facts...)
+			if len(more.Peers) > 0 {
+				d.Peers = more.Peers
+			}
 		default:
 			return d
 		}
