--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -10,8 +10,9 @@
 )
 
 var cases = map[string]func(*world) error{
-	"poison": poison,
-	"extra":  extraAnswer,
+	"poison":  poison,
+	"extra":   extraAnswer,
+	"encoded": encodedSlash,
 }
 
 func main() {
--- a/review/_standin/upstream.go
+++ b/review/_standin/upstream.go
@@ -327,7 +327,10 @@
 	u.w.owners.began(u, w)
 	life := u.life
 	u.mu.Unlock()
-	u.w.rec.log("upstream %s runs request %s, %s, key %d", u.id, id, request.URL.Path, key)
+	if u.w.onRun != nil {
+		u.w.onRun(u, request)
+	}
+	u.w.rec.log("upstream %s runs request %s, %s, key %d", u.id, id, request.RequestURI, key)
 	if u.crashes != nil && u.crashes(request) {
 		time.Sleep(30 * time.Millisecond)
 		u.w.owners.ended(u, w)
--- a/review/_standin/world.go
+++ b/review/_standin/world.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +34,8 @@
 	failure      atomic.Pointer[string]
 
 	owners *ownership
+	// onRun, if set, is called with each request that an upstream runs.
+	onRun func(*upstream, *http.Request)
 	// onCrash, if set, is called when a request crashes an upstream.
 	onCrash func(id string)
 }
@@ -88,6 +91,22 @@
 	w.store.Store().Put("op/config", text)
 }
 
+// configureRoutes writes a configuration with services and unsafe routes, by prefix.
+func (w *world) configureRoutes(names []string, prefixes map[string]string) {
+	var services, paths []any
+	for _, name := range names {
+		services = append(services, map[string]any{"name": name, "health_path": "/health", "max_connections": 120, "cold_start_s": 0, "cold_per_s": 0, "sharded": false, "warmup_s": 0})
+	}
+	for prefix, service := range prefixes {
+		paths = append(paths, map[string]any{"name": "r" + strings.ReplaceAll(prefix, "/", "-"), "path_prefix": prefix, "kind": "unsafe", "timeout_s": 2, "target_latency_s": 1, "priority": 1, "service": service, "max_attempts": 2})
+	}
+	text, _ := json.Marshal(map[string]any{
+		"version": 7, "services": services, "hosts": []any{map[string]any{"host": host, "paths": paths}},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_s": 3, "idle_timeout_s": 15},
+	})
+	w.store.Store().Put("op/config", text)
+}
+
 var zones = []string{"leicester", "derby", "nottingham"}
 
 func (w *world) addUpstream(u *upstream) error {
