--- a/review/_standin/ownership.go
+++ b/review/_standin/ownership.go
@@ -30,13 +30,16 @@
 			continue
 		}
 		for k := range running {
+			var until time.Time // when the hold of v would have run out
 			for _, h := range append(append([]grant{}, o.held[v]...), o.released[v]...) {
-				if g.covers(k.key) && h.covers(k.key) && now.Before(h.until) {
-					o.w.breaks("OWNER: upstream %s is given keys %d to %d while upstream %s is at work on key %d (request %s, begun %d ms before), whose hold would have run out %d ms later",
-						u.id, g.from, g.to, v.id, k.key, k.id, now.Sub(k.began).Milliseconds(), h.until.Sub(now).Milliseconds())
-					break
+				if h.covers(k.key) && h.until.After(until) {
+					until = h.until
 				}
 			}
+			if g.covers(k.key) && now.Before(until) {
+				o.w.breaks("OWNER: upstream %s is given keys %d to %d while upstream %s is at work on key %d (request %s, begun %d ms before), whose hold would have run out %d ms later",
+					u.id, g.from, g.to, v.id, k.key, k.id, now.Sub(k.began).Milliseconds(), until.Sub(now).Milliseconds())
+			}
 		}
 	}
 	o.held[u] = append(o.held[u], g)
