Take no refused connection for the end of a backend server

Cause: RefusalTracker took two refused connections over 250 ms, with no request of this holder's at the server, as proof that the server's process had ended, and its keys were granted elsewhere at once. The resets of a partition look the same, and the server behind it serves its keys until its grant ends.

Change: RefusalTracker is removed. A refused connection proves only that the order was not sent. The end of a process is proven by another server that answers at the address, or by another listed incarnation; otherwise the grant has to expire. No longer period or higher count would prove more.

--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -66,9 +66,8 @@
 	// sentSnapshot is the snapshot last sent to followers.
 	sentSnapshot *facts.Snapshot
 	// publishedAt is when the owners were last published.
-	publishedAt    time.Time
-	storing        bool
-	refusalTracker owners.RefusalTracker
+	publishedAt time.Time
+	storing     bool
 	// resultsPending is set when results of orders have arrived since the last tick.
 	resultsPending bool
 	storedAt       time.Time
--- a/internal/holder/orders.go
+++ b/internal/holder/orders.go
@@ -70,7 +70,6 @@
 // there is another holder.
 func (c *Coordinator) applyResult(result owners.OrderResult) {
 	o := result.Order
-	result = c.refusalTracker.Classify(result, c.scheduler.Running(o.Service, o.Server.Name) == 0)
 	if result.Outcome != owners.OutcomeDone || o.Action == owners.ActionRelease || o.Handover != "" {
 		c.log.Emit(events.OrderEnded, "action", o.Action.String(), "service", o.Service, "from", o.From, "to", o.To,
 			"server", o.Server.Name, "fence", o.Fence, "outcome", result.Outcome.String())
--- a/internal/owners/outcome.go
+++ b/internal/owners/outcome.go
@@ -9,14 +9,16 @@
 	OutcomeDone Outcome = iota
 	// OutcomeFenced means that the server has seen a higher fence.
 	OutcomeFenced
-	// OutcomeProcessEnded means that the process of that incarnation has provably ended.
+	// OutcomeProcessEnded means that the process of that incarnation has provably ended:
+	// another server has answered at its address.
 	OutcomeProcessEnded
 	// OutcomeNoAnswer means that the order may have been carried out.
 	OutcomeNoAnswer
 	// OutcomeUnsent means that nothing reached the server.
 	OutcomeUnsent
-	// OutcomeRefused means that the server's machine refused the connection: the process
-	// has ended, or it has reached its limit of connections.
+	// OutcomeRefused means that the connection was refused, so that nothing reached the
+	// server. It does not prove that the process has ended: a network partition may reset
+	// connections, and a server at its limit of connections refuses them too.
 	OutcomeRefused
 )
 
--- a/internal/placing/measurements.go
+++ b/internal/placing/measurements.go
@@ -15,14 +15,6 @@
 	return svc.keyRates
 }
 
-// Running returns the number of attempts that run at a server.
-func (sched *Scheduler) Running(name, id string) int {
-	if svc := sched.services[name]; svc != nil && svc.servers[id] != nil {
-		return len(svc.servers[id].inFlight)
-	}
-	return 0
-}
-
 // ServiceTime returns the average service time of a server in seconds.
 func (sched *Scheduler) ServiceTime(name, id string) float64 {
 	svc := sched.services[name]
