Elect no successor because the holder refuses connections

Cause: an instance whose connection to the holder was refused took the holder for ended and replaced its key.

Change: a refused connection is handled like any other lost holder: the instance waits until the holder's key is gone, or until the restarted process of that instance replaces it.

--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,12 +38,9 @@
 			e.rememberPeers(down)
 			onDown(down)
 		})
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			// No process listens on the address, so the holder has ended.
-			e.elect(ctx, revision, maxInheritedGrant)
-			return
-		}
 		if err != nil {
+			// A refused connection does not prove that the holder has ended: a network
+			// partition may reset connections.
 			e.log.Emit(events.HolderLost, "holder", holder.String(), "detail", err.Error())
 			e.watchHolderKey(ctx, revision)
 			return
