Count one recorded fleet for both holders of a partition

Cause: a holder without its lease went on with 60% of its usual followers, and a successor relied on its end once 45% of the fleet had joined. These exclude each other only if they are shares of the same instances. The old holder took whoever followed it up to 2.5 s after its last confirmation for usual, and that was after the links to the other domains had ended.

Change: the record names the instances of the fleet, and both shares are of that fleet (internal/quorum, pure). A holder writes another fleet only while it has its lease, and until a write is answered it needs its share of the old and of the new one. An instance counts for the old holder only if it has joined no other one since before the lease was last confirmed, and only for 1.5 s after a message that it has provably answered. A successor keeps the fleet that it found until all earlier grants have ended. Limits that servers name are shared by the same fleet. The wait of a successor now includes the time that an order may be under way. The state of links proves nothing any more, and neither does a key that another program has spoiled.

--- a/internal/holder/candidacy_test.go
+++ b/internal/holder/candidacy_test.go
@@ -25,7 +25,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			e.elect(ctx, 0, 0)
+			e.elect(ctx, predecessor{})
 		}()
 		shared.Faults().SetDelay(100 * time.Millisecond)
 		<-shared.Faults().Delayed() // the call that creates the lease
@@ -48,7 +48,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			e.elect(t.Context(), 0, 0)
+			e.elect(t.Context(), predecessor{})
 		}()
 		<-shared.Faults().Delayed() // the call that creates the lease
 		<-shared.Faults().Delayed() // the write of the key
--- a/internal/holder/constants.go
+++ b/internal/holder/constants.go
@@ -1,6 +1,11 @@
 package holder
 
-import "time"
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/owners"
+	"peridotmoor.org/peridotmoor/internal/quorum"
+)
 
 const (
 	// tickInterval is how often waiting requests and due orders are examined.
@@ -46,19 +51,20 @@
 	followerReadDelay  = 1050 * time.Millisecond
 	followerReadJitter = 250 * time.Millisecond
 	// followerQuorumAfter is how long the store may be unreachable before the holder
-	// needs most of its followers to continue.
+	// needs most of the fleet to continue.
 	followerQuorumAfter = 2500 * time.Millisecond
-	// retainedFollowerShare is the share of its followers that a holder needs in order
-	// to continue during a store outage, and joinedFollowerShare the share of the fleet
-	// that a successor needs. They add up to more than 1, so that two holders cannot
-	// both have theirs.
-	retainedFollowerShare = 0.6
-	joinedFollowerShare   = 0.45
-	// inheritedGrantsTimeout is how long grants of earlier holders remain valid after a
-	// successor has reached joinedFollowerShare. An earlier holder notices within 1.5 s
-	// that its links have ended, and its last grants may have the duration used during
-	// an outage. The rest allows for slow clocks.
-	inheritedGrantsTimeout = 1500*time.Millisecond + outageGrantDuration + 300*time.Millisecond
+	// proofsAfter is how long the store may be unreachable before the holder asks its
+	// followers to prove that they follow it: early enough for several answers before it
+	// needs them.
+	proofsAfter = time.Second
+	// inheritedGrantsTimeout is how long grants of earlier holders remain valid after
+	// enough of the fleet has joined a successor. An earlier holder counts the proofs of
+	// its followers for a while, and its last grants may have the duration used during an
+	// outage. The last term allows for slow clocks and delays of timers.
+	inheritedGrantsTimeout = quorum.ProofValidity + owners.OrderTimeout + outageGrantDuration + 300*time.Millisecond
+	// fleetRecordDelay is how long the followers must differ from the fleet in the record
+	// before the record is written for that alone. Restarted instances are back sooner.
+	fleetRecordDelay = 3 * time.Second
 	// maxTickGap is the time between two ticks above which the process is taken to have
 	// been suspended, so that its tenure must be confirmed again.
 	maxTickGap = 700 * time.Millisecond
--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -12,6 +12,7 @@
 	"peridotmoor.org/peridotmoor/internal/link"
 	"peridotmoor.org/peridotmoor/internal/owners"
 	"peridotmoor.org/peridotmoor/internal/placing"
+	"peridotmoor.org/peridotmoor/internal/quorum"
 )
 
 // Coordinator decides for the fleet during one tenure of the holder. Its event loop
@@ -40,11 +41,16 @@
 
 	// recordedServers holds the servers of the record found at the start of the tenure.
 	recordedServers map[fleet.Incarnation]*fleet.Server
-	// expectedFollowers is how many instances followed the last holder, or 0 once the
-	// wait for grants of earlier holders has been shortened.
-	expectedFollowers int
-	// previousFleetSize is how many instances followed the last holder.
-	previousFleetSize int
+	// foundFleet is the fleet in the record that was found, or empty if the record does not
+	// tell when holders before it have ended.
+	foundFleet quorum.Fleet
+	// inheritedGrantsShortened is set once the wait for grants of earlier holders has been
+	// shortened.
+	inheritedGrantsShortened bool
+	// instance is the name and incarnation of this instance.
+	instance string
+	// startedAt is the time that proofs of followers are counted from.
+	startedAt time.Time
 
 	// processorShare is the share of a processor available on this machine.
 	processorShare float64
@@ -56,9 +62,13 @@
 
 	// The fields below are used only by the event loop.
 	followers map[*link.Follower]bool
-	// usualFollowers is the number of followers. It is no longer updated once the lease
-	// has not been confirmed for followerQuorumAfter.
-	usualFollowers   int
+	// stays holds since when instances have followed this holder only.
+	stays stays
+	// quorum holds the fleet that a successor would find in the record.
+	quorum quorum.Tracker
+	// fleetChangedAt is when the followers began to differ from the fleet in the record, or
+	// the zero time.
+	fleetChangedAt   time.Time
 	byName           map[string]*link.Follower
 	epoch            int64
 	snapshot         *facts.Snapshot
@@ -83,26 +93,28 @@
 // until the given time at the latest.
 func newCoordinator(ctx context.Context, endTenure context.CancelFunc, e *Elector, records *recordStore, found owners.Record, until time.Time) *Coordinator {
 	c := &Coordinator{
-		registry:          e.registry,
-		orderSender:       e.orderSender,
-		prober:            e.prober,
-		probing:           map[fleet.Incarnation]bool{},
-		log:               e.log,
-		records:           records,
-		table:             owners.NewTable(found, records.tenureName, until),
-		queue:             make(chan func(), eventQueueSize),
-		ctx:               ctx,
-		endTenure:         endTenure,
-		plannedStop:       e.plannedStop,
-		followers:         map[*link.Follower]bool{},
-		byName:            map[string]*link.Follower{},
-		epoch:             found.Epoch,
-		recordedServers:   map[fleet.Incarnation]*fleet.Server{},
-		expectedFollowers: max(e.client.FleetSize(), found.Instances),
-		processorShare:    e.processorShare,
+		registry:        e.registry,
+		orderSender:     e.orderSender,
+		prober:          e.prober,
+		probing:         map[fleet.Incarnation]bool{},
+		log:             e.log,
+		records:         records,
+		table:           owners.NewTable(found, records.tenureName, until),
+		queue:           make(chan func(), eventQueueSize),
+		ctx:             ctx,
+		endTenure:       endTenure,
+		plannedStop:     e.plannedStop,
+		followers:       map[*link.Follower]bool{},
+		byName:          map[string]*link.Follower{},
+		epoch:           found.Epoch,
+		recordedServers: map[fleet.Incarnation]*fleet.Server{},
+		foundFleet:      found.Fleet,
+		instance:        e.self.String(),
+		quorum:          quorum.NewTracker(found.Fleet),
+		startedAt:       time.Now(),
+		processorShare:  e.processorShare,
 	}
 	records.leaseConfirmedAt = c.lastLeaseConfirmation
-	c.previousFleetSize = c.expectedFollowers
 	c.yieldAllowedAt = time.Now().Add(yieldDelay)
 	if found.Yielded {
 		c.yieldAllowedAt = time.Now().Add(yieldCooldown)
@@ -186,9 +198,11 @@
 		c.sendOrders(now)
 	}
 	c.scheduler.SetShare(c.share(now))
+	c.scheduler.SetExclusive(c.exclusive(now))
 	c.scheduler.Tick(now)
 	c.publish(now)
 	c.probeServers(now)
+	c.forgetStays(now)
 	c.considerYield(now)
 	c.considerHandOver()
 }
--- a/internal/holder/elector.go
+++ b/internal/holder/elector.go
@@ -38,6 +38,10 @@
 	coordinator atomic.Pointer[Coordinator]
 	// current is the holder that this instance is or follows, or nil.
 	current atomic.Pointer[Identity]
+	// joinedTenure is the tenure that this process tried to join last, and holderChanges
+	// how often that was another one than before. They are used only by Run.
+	joinedTenure  string
+	holderChanges uint64
 	// peers holds the addresses of some other instances, or nil.
 	peers atomic.Pointer[[]string]
 }
@@ -52,7 +56,7 @@
 
 // member describes this instance to the holder that it joins.
 func (e *Elector) member() link.Member {
-	return link.Member{Instance: e.self.String(), Domain: e.self.Domain, Address: e.self.Address, ProcessorShare: e.processorShare, Stopping: e.plannedStop.isStopping(), Ending: e.plannedStop.isEnding()}
+	return link.Member{Instance: e.self.String(), HolderChanges: e.holderChanges, Domain: e.self.Domain, Address: e.self.Address, ProcessorShare: e.processorShare, Stopping: e.plannedStop.isStopping(), Ending: e.plannedStop.isEnding()}
 }
 
 // Join adds a follower. It returns false unless this instance is the holder.
@@ -85,7 +89,7 @@
 		holder, entry, err := e.readHolder(ctx)
 		switch {
 		case errors.Is(err, store.ErrNotFound):
-			e.elect(ctx, 0, 0)
+			e.elect(ctx, predecessor{})
 		case errors.Is(err, errUnreadableHolder):
 			e.replaceUnreadableHolder(ctx, entry.Revision, err)
 		case err != nil:
@@ -101,7 +105,7 @@
 			// the lease expires.
 			sleep(ctx, storeRetryDelay)
 		case holder.Name == e.self.Name:
-			e.elect(ctx, entry.Revision, maxInheritedGrant)
+			e.elect(ctx, predecessor{revision: entry.Revision, grantsBound: maxInheritedGrant})
 		default:
 			lost = holder
 			e.follow(ctx, holder, entry.Revision)
--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -53,6 +53,7 @@
 func (c *Coordinator) Join(f *link.Follower) bool {
 	return c.enqueue(func() {
 		c.followers[f] = true
+		f.JoinedAt = c.stays.join(f, time.Now())
 		c.byName[f.Instance] = f
 		snapshot := c.registry.Snapshot()
 		f.Send(&linkpb.Down{Facts: []*linkpb.Facts{c.encodeFacts(snapshot, f.Sent, time.Now())}})
@@ -93,6 +94,7 @@
 		if c.followers[f] {
 			c.byName[f.Instance] = f // an instance sends on the link in use only
 		}
+		c.recordProof(f, up.Proof, now)
 		f.Stopping, f.Ending = f.Stopping || up.Stopping, f.Ending || up.Ending
 		for _, finish := range up.Finishes {
 			c.completeAttempt(now, link.DecodeFinish(finish, f.Instance))
--- a/internal/holder/inheritedgrants_test.go
+++ b/internal/holder/inheritedgrants_test.go
@@ -9,6 +9,7 @@
 
 	"peridotmoor.org/peridotmoor/internal/link"
 	"peridotmoor.org/peridotmoor/internal/owners"
+	"peridotmoor.org/peridotmoor/internal/quorum"
 	"peridotmoor.org/peridotmoor/internal/store/memstore"
 )
 
@@ -45,17 +46,18 @@
 	is.Equal(claimRecord(t, holder("fifth"), maxInheritedGrant), maxInheritedGrant) // the fourth holder has waited for the grants of all earlier ones
 }
 
-// Guards against a record with too small a fleet size: if a holder stores only the few
+// Guards against a record with too small a fleet: if a holder stores only the few
 // instances that have joined so far, its successor takes these few for most of the
 // fleet and ends its wait for grants of the holder before both too early.
 func TestFleetIsNotForgottenBeforeItHasJoined(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
+	found := quorum.Fleet{"entry-1", "entry-2", "entry-3", "entry-4"}
 	c := &Coordinator{
-		table:             owners.NewTable(owners.Record{Epoch: 3}, "second", now.Add(time.Second)),
-		previousFleetSize: 12,
-		followers:         map[*link.Follower]bool{{}: true},
+		table:      owners.NewTable(owners.Record{Epoch: 3}, "second", now.Add(time.Second)),
+		foundFleet: found,
+		followers:  map[*link.Follower]bool{{Member: link.Member{Instance: "entry-2/K55N5AKH"}}: true},
 	}
-	is.Equal(c.fleetSize(now), 12)
-	is.Equal(c.fleetSize(now.Add(time.Second)), 1) // grants of earlier holders have ended, so the other instances are gone
+	is.Equal(c.fleetToRecord(now), found)
+	is.Equal(c.fleetToRecord(now.Add(time.Second)), quorum.Fleet{"entry-2"}) // grants of earlier holders have ended, so the other instances are gone
 }
--- a/internal/holder/keepkey.go
+++ b/internal/holder/keepkey.go
@@ -61,5 +61,5 @@
 			return
 		}
 	}
-	e.elect(ctx, revision, 0)
+	e.elect(ctx, predecessor{revision: revision, mayHoldLease: true})
 }
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -12,11 +12,9 @@
 	"peridotmoor.org/peridotmoor/internal/store"
 )
 
-// elect makes this instance a candidate, to replace the holder whose key has the given
-// revision, or 0 if there is no key. If it wins, it is the holder until its tenure
-// ends. An instance that ends within seconds is no candidate. lastHolderBound limits how long grants of the replaced holder may remain valid;
-// 0 means that no limit is known.
-func (e *Elector) elect(ctx context.Context, revision uint64, lastHolderBound time.Duration) {
+// elect makes this instance a candidate to replace a holder. If it wins, it is the holder
+// until its tenure ends. An instance that ends within seconds is no candidate.
+func (e *Elector) elect(ctx context.Context, replaced predecessor) {
 	delay := maxElectionDelay
 	maxShare := e.client.MaxProcessorShare()
 	if maxShare == 0 {
@@ -26,7 +24,7 @@
 		delay = maxElectionDelayUnknownShares
 	}
 	wait := candidacyDelay(e.processorShare, maxShare, delay, electionJitter)
-	if !e.plannedStop.isEnding() && !e.waitForCandidacy(ctx, revision, wait) {
+	if !e.plannedStop.isEnding() && !e.waitForCandidacy(ctx, replaced.revision, wait) {
 		return
 	}
 	if e.plannedStop.isEnding() {
@@ -35,7 +33,7 @@
 	}
 	startedAt := time.Now()
 	candidate := e.newCandidate()
-	lease, err := e.acquireLease(ctx, candidate, revision)
+	lease, err := e.acquireLease(ctx, candidate, replaced.revision)
 	if errors.Is(err, store.ErrUncertain) {
 		found, _, readErr := e.readHolder(ctx)
 		if readErr != nil || found != candidate {
@@ -54,7 +52,7 @@
 		}
 		return
 	}
-	e.lead(ctx, candidate, lease, startedAt, lastHolderBound)
+	e.lead(ctx, candidate, lease, startedAt, replaced)
 }
 
 // waitForCandidacy waits before this instance is a candidate. It returns false as soon as
@@ -121,7 +119,7 @@
 
 // lead runs one tenure of the holder: until the lease is lost, another holder appears,
 // or this one yields or hands over.
-func (e *Elector) lead(parent context.Context, self Identity, lease store.LeaseID, startedAt time.Time, lastHolderBound time.Duration) {
+func (e *Elector) lead(parent context.Context, self Identity, lease store.LeaseID, startedAt time.Time, replaced predecessor) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	records := &recordStore{store: e.store, tenureName: self.tenureName(), followedHolder: e.registry.Snapshot().Epoch > 0}
@@ -133,10 +131,13 @@
 		e.revokeLease(lease)
 		return
 	}
+	if replaced.mayHoldLease {
+		found.Fleet = nil
+	}
 	if found.RangesLost {
 		e.log.Emit(events.OwnerRecordReplaced, "epoch", found.Epoch)
 	}
-	c := newCoordinator(ctx, cancel, e, records, found, startedAt.Add(inheritedGrantsBound(lastHolderBound, found)))
+	c := newCoordinator(ctx, cancel, e, records, found, startedAt.Add(inheritedGrantsBound(replaced.grantsBound, found)))
 	c.leaseConfirmedAt.Store(&startedAt)
 	e.log.Emit(events.HolderElected, "epoch", found.Epoch)
 	e.coordinator.Store(c)
--- a/internal/holder/peers.go
+++ b/internal/holder/peers.go
@@ -81,13 +81,15 @@
 	return identity
 }
 
-// askPeers asks the other instances that this one knows for a holder other than the one that
-// it has lost. It is used while the store, which names the holder, cannot be reached.
+// askPeers asks the other instances that this one knows for a holder. It is used while the
+// store, which names the holder, cannot be reached. The holder that this instance has lost
+// is returned only if no other one is named: the link to it may have been reset.
 func (e *Elector) askPeers(ctx context.Context, lost Identity) (Identity, bool) {
 	peers := e.peers.Load()
 	if peers == nil {
 		return Identity{}, false
 	}
+	stillFollowed := false
 	for _, i := range rand.Perm(len(*peers)) {
 		text, err := link.AskForHolder(ctx, (*peers)[i])
 		if err != nil || len(text) == 0 {
@@ -98,9 +100,13 @@
 			e.log.Emit(events.HolderLost, "detail", err.Error())
 			continue
 		}
-		if holder != lost && !holder.sameProcess(e.self) {
+		if holder.sameProcess(e.self) {
+			continue
+		}
+		if holder != lost {
 			return holder, true
 		}
+		stillFollowed = true
 	}
-	return Identity{}, false
+	return lost, stillFollowed
 }
--- a/internal/holder/planning.go
+++ b/internal/holder/planning.go
@@ -67,10 +67,11 @@
 }
 
 // storeRecord writes the record of owners in the background. It does so at once if
-// moves cannot begin before they are stored or this instance yields, and after
-// recordCleanupDelay if only the end of moves must be recorded.
+// moves cannot begin before they are stored or this instance yields, after
+// recordCleanupDelay if only the end of moves must be recorded, and after
+// fleetRecordDelay if only the fleet has changed.
 func (c *Coordinator) storeRecord(now time.Time) {
-	due := c.table.Dirty() && (c.table.HasUnstoredMoves() || now.Sub(c.storedAt) >= recordCleanupDelay)
+	due := c.table.Dirty() && (c.table.HasUnstoredMoves() || now.Sub(c.storedAt) >= recordCleanupDelay) || c.fleetRecordDue(now)
 	if c.storing || !due && !c.yieldPlanned {
 		return
 	}
@@ -78,7 +79,8 @@
 	c.storedAt = now
 	version := c.table.PlanVersion()
 	record := c.table.Record()
-	record.Instances = c.fleetSize(now)
+	record.Fleet = c.fleetToRecord(now)
+	c.quorum.Propose(record.Fleet)
 	record.MaxProcessorShare = max(c.processorShare, c.maxCandidateShare())
 	record.Yielded = c.yieldPlanned
 	record.InheritedGrantsPending = !c.table.InheritedGrantsEnded(now)
@@ -107,6 +109,7 @@
 			c.storing = false
 			if err == nil {
 				c.table.MarkStored(version)
+				c.quorum.Confirm(record.Fleet)
 				if record.Yielded {
 					c.yielding.Store(true)
 					c.endTenure()
--- /dev/null
+++ b/internal/holder/predecessor.go
@@ -0,0 +1,15 @@
+package holder
+
+import "time"
+
+// predecessor is what a candidate knows about the holder that it replaces.
+type predecessor struct {
+	// revision is that of the holder's key, or 0 if there is no key.
+	revision uint64
+	// grantsBound limits how long grants of the holder may remain valid; 0 means that no
+	// limit is known.
+	grantsBound time.Duration
+	// mayHoldLease is set if the lease of the holder may not have ended, as only its key
+	// was spoiled. Then it may act although the fleet has left it.
+	mayHoldLease bool
+}
--- a/internal/holder/publish.go
+++ b/internal/holder/publish.go
@@ -23,6 +23,7 @@
 	if heartbeatDue {
 		c.heartbeatAt = now
 		c.sendPeers()
+		c.askForProofs(now)
 	}
 	snapshot := c.registry.Snapshot()
 	encoded := map[link.SentSequences]*linkpb.Facts{} // most followers have received the same parts
--- a/internal/holder/tenure.go
+++ b/internal/holder/tenure.go
@@ -3,17 +3,20 @@
 import (
 	"time"
 
+	"peridotmoor.org/peridotmoor/internal/link"
+	"peridotmoor.org/peridotmoor/internal/link/linkpb"
 	"peridotmoor.org/peridotmoor/internal/owners"
+	"peridotmoor.org/peridotmoor/internal/quorum"
 )
 
-// exclusive reports whether this is the only holder with followers: either no
-// successor can have been elected yet, or none of the followers has left for one.
+// exclusive reports whether this is the only holder that uses what cannot be shared: either
+// no successor can have been elected yet, or the whole fleet provably follows this one.
 func (c *Coordinator) exclusive(now time.Time) bool {
 	leaseConfirmedAt := c.leaseConfirmedAt.Load()
 	if leaseConfirmedAt == nil || c.superseded.Load() {
 		return false
 	}
-	return now.Sub(*leaseConfirmedAt) < leaseTTL || len(c.followers) >= c.usualFollowers
+	return now.Sub(*leaseConfirmedAt) < leaseTTL || c.retainedShare(now, *leaseConfirmedAt) >= 1
 }
 
 // lastLeaseConfirmation returns when the lease was last known to be held by this process,
@@ -26,14 +29,45 @@
 }
 
 // share returns the share of limits that hold for the whole fleet which this holder may
-// use: all of it while it is the only holder, and otherwise the share of the fleet that
-// follows it, since each instance follows one holder at a time.
+// use. While another holder may act, it is the share of the fleet that follows this one,
+// since each instance follows one holder at a time.
 func (c *Coordinator) share(now time.Time) float64 {
-	if c.exclusive(now) {
+	leaseConfirmedAt := c.leaseConfirmedAt.Load()
+	ownShare := 1 / float64(len(c.quorum.Stored())+1) // of its own instance, which follows no other holder
+	if leaseConfirmedAt == nil || c.superseded.Load() {
+		return ownShare
+	}
+	followers := float64(len(c.followers))
+	switch {
+	case now.Sub(*leaseConfirmedAt) >= leaseTTL:
+		return max(ownShare, c.retainedShare(now, *leaseConfirmedAt))
+	case c.table.InheritedGrantsEnded(now):
 		return 1
+	case len(c.foundFleet) == 0:
+		return max(ownShare, followers/(followers+1))
+	}
+	return max(ownShare, quorum.JoinedShare(c.foundFleet, c.followerNames()))
+}
+
+// retainedShare returns the share of the fleet that provably follows this holder and no
+// successor.
+func (c *Coordinator) retainedShare(now, leaseConfirmedAt time.Time) float64 {
+	followers := make([]quorum.Follower, 0, len(c.followers))
+	for f := range c.followers {
+		followers = append(followers, quorum.Follower{
+			Name: f.Name(), JoinedAt: f.JoinedAt, ProvedAt: f.ProvedAt, Local: f.Instance == c.instance,
+		})
 	}
-	followers := max(1, len(c.followers))
-	return float64(followers) / float64(max(followers+1, c.usualFollowers, c.previousFleetSize))
+	return c.quorum.RetainedShare(now, leaseConfirmedAt, followers)
+}
+
+// followerNames returns the names of the instances that follow this holder.
+func (c *Coordinator) followerNames() map[string]bool {
+	names := map[string]bool{}
+	for f := range c.followers {
+		names[f.Name()] = true
+	}
+	return names
 }
 
 // maySendOrders reports whether this instance may still act as the holder. It also
@@ -46,14 +80,41 @@
 	c.shortenInheritedGrants(now)
 	outage := now.Sub(*leaseConfirmedAt)
 	if outage <= followerQuorumAfter {
-		c.usualFollowers = len(c.followers)
 		c.table.SetGrantDuration(owners.GrantDuration)
 		return true
 	}
 	// The store may be unreachable for all instances or only for this one. In the
 	// second case the followers leave for a successor.
 	c.table.SetGrantDuration(outageGrantDuration)
-	return outage <= maxStoreOutage && float64(len(c.followers)) >= retainedFollowerShare*float64(c.usualFollowers)
+	return outage <= maxStoreOutage && quorum.Retained(c.retainedShare(now, *leaseConfirmedAt))
+}
+
+// askForProofs asks the followers to prove that they follow this holder, once it may need
+// their proofs.
+func (c *Coordinator) askForProofs(now time.Time) {
+	if at := c.leaseConfirmedAt.Load(); at == nil || now.Sub(*at) < proofsAfter {
+		return
+	}
+	proof := uint64(now.Sub(c.startedAt).Microseconds())
+	for f := range c.followers {
+		f.Send(&linkpb.Down{Proof: proof})
+	}
+}
+
+// forgetStays forgets the stays of instances that have left, while the lease is confirmed:
+// if they are back before it is confirmed next, it does not matter since when.
+func (c *Coordinator) forgetStays(now time.Time) {
+	if at := c.leaseConfirmedAt.Load(); at != nil && now.Sub(*at) < proofsAfter {
+		c.stays.forgetOthers(c.followers)
+	}
+}
+
+// recordProof records that a follower has returned a proof.
+func (c *Coordinator) recordProof(f *link.Follower, proof uint64, now time.Time) {
+	sentAt := c.startedAt.Add(time.Duration(proof) * time.Microsecond)
+	if proof != 0 && sentAt.After(f.ProvedAt) && !sentAt.After(now) {
+		f.ProvedAt = sentAt
+	}
 }
 
 // considerYield plans to end the tenure when there is a follower on a much stronger machine
@@ -75,22 +136,34 @@
 	}
 }
 
-// fleetSize returns the number of instances to store in the record. While grants of
-// earlier holders may be valid, instances that have not joined yet may still follow
-// an earlier holder. If only those that have joined were counted, a successor would
-// take these few for most of the fleet.
-func (c *Coordinator) fleetSize(now time.Time) int {
+// fleetToRecord returns the fleet to store in the record. While holders before this one may
+// act, it is the one that was found: they need a share of that one.
+func (c *Coordinator) fleetToRecord(now time.Time) quorum.Fleet {
 	if c.table.InheritedGrantsEnded(now) {
-		return len(c.followers)
+		return quorum.NewFleet(c.followerNames())
+	}
+	return c.foundFleet
+}
+
+// fleetRecordDue reports whether the record must be written because its fleet has been
+// another one for a while.
+func (c *Coordinator) fleetRecordDue(now time.Time) bool {
+	if c.fleetToRecord(now).Equal(c.quorum.Stored()) {
+		c.fleetChangedAt = time.Time{}
+		return false
+	}
+	if c.fleetChangedAt.IsZero() {
+		c.fleetChangedAt = now
 	}
-	return max(len(c.followers), c.previousFleetSize)
+	return now.Sub(c.fleetChangedAt) >= fleetRecordDelay
 }
 
-// shortenInheritedGrants shortens the wait for grants of earlier holders once enough
-// of the fleet follows this instance.
+// shortenInheritedGrants shortens the wait for grants of earlier holders once so much of
+// the fleet follows this instance that they cannot go on.
 func (c *Coordinator) shortenInheritedGrants(now time.Time) {
-	if c.expectedFollowers > 0 && float64(len(c.followers)) >= joinedFollowerShare*float64(c.expectedFollowers) {
-		c.expectedFollowers = 0
-		c.table.ShortenInheritedGrants(now.Add(inheritedGrantsTimeout))
+	if c.inheritedGrantsShortened || c.table.InheritedGrantsEnded(now) || !quorum.ExcludesPredecessors(c.foundFleet, c.followerNames()) {
+		return
 	}
+	c.inheritedGrantsShortened = true
+	c.table.ShortenInheritedGrants(now.Add(inheritedGrantsTimeout))
 }
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -30,7 +30,7 @@
 	c := &Client{conn: drpcconn.New(raw), outbox: make(chan *linkpb.Up, outboxSize), done: make(chan struct{})}
 	stream, err := linkpb.NewDRPCLinkClient(c.conn).Follow(context.Background())
 	if err == nil {
-		err = stream.Send(&linkpb.Up{Instance: member.Instance, Domain: member.Domain, Address: member.Address, Processor: member.ProcessorShare, Stopping: member.Stopping, Ending: member.Ending})
+		err = stream.Send(&linkpb.Up{Instance: member.Instance, Domain: member.Domain, Address: member.Address, Processor: member.ProcessorShare, HolderChanges: member.HolderChanges, Stopping: member.Stopping, Ending: member.Ending})
 	}
 	if err != nil {
 		c.Close()
@@ -105,6 +105,9 @@
 			return
 		}
 		onDown(down)
+		if down.Proof != 0 {
+			c.Send(&linkpb.Up{Proof: down.Proof}) // if this fails, the holder does not count this instance
+		}
 	}
 }
 
@@ -131,6 +134,7 @@
 			up.Finishes = append(up.Finishes, more.Finishes...)
 			up.Withdrawn = append(up.Withdrawn, more.Withdrawn...)
 			up.Backpressure = append(up.Backpressure, more.Backpressure...)
+			up.Proof = max(up.Proof, more.Proof)
 			up.Stopping, up.Ending = up.Stopping || more.Stopping, up.Ending || more.Ending
 			if more.Facts != nil {
 				up.Facts = more.Facts // a later read of the store replaces an earlier one
--- a/internal/link/follower.go
+++ b/internal/link/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"peridotmoor.org/peridotmoor/internal/link/linkpb"
 )
@@ -16,6 +17,10 @@
 	// Peers are the other instances that this one was told of. It is used only by the
 	// handler's event loop.
 	Peers []*Follower
+	// JoinedAt is when the instance joined the holder, since when it has joined no other
+	// one, and ProvedAt when the latest proof was sent that it has returned. They are used
+	// only by the handler's event loop.
+	JoinedAt, ProvedAt time.Time
 	// send queues a message without blocking. It returns false if the queue is full.
 	send       func(*linkpb.Down) bool
 	disconnect func()
--- a/internal/link/member.go
+++ b/internal/link/member.go
@@ -1,5 +1,7 @@
 package link
 
+import "strings"
+
 // Member describes an instance to the holder that it joins.
 type Member struct {
 	Instance string
@@ -8,7 +10,16 @@
 	Address string
 	// ProcessorShare is the share of a processor available on the instance's machine.
 	ProcessorShare float64
+	// HolderChanges is how often the process has tried to join another holder than before.
+	// As long as it is the same, the process has joined this holder only.
+	HolderChanges uint64
 	// Stopping is set once the planned stop of the instance has begun, and Ending once it
 	// ends so soon that it does not become the holder.
 	Stopping, Ending bool
 }
+
+// Name returns the name of the instance, which a restart does not change.
+func (m Member) Name() string {
+	name, _, _ := strings.Cut(m.Instance, "/")
+	return name
+}
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -55,7 +55,7 @@
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	f := &Follower{
-		Member: Member{Instance: first.Instance, Domain: first.Domain, Address: first.Address, ProcessorShare: first.Processor, Stopping: first.Stopping, Ending: first.Ending},
+		Member: Member{Instance: first.Instance, Domain: first.Domain, Address: first.Address, ProcessorShare: first.Processor, HolderChanges: first.HolderChanges, Stopping: first.Stopping, Ending: first.Ending},
 		send: func(d *linkpb.Down) bool {
 			select {
 			case outbox <- d:
@@ -105,6 +105,7 @@
 			d.Verdicts = append(d.Verdicts, more.Verdicts...)
 			d.Waiting = append(d.Waiting, more.Waiting...)
 			d.Facts = append(d.Facts, more.Facts...)
+			d.Proof = max(d.Proof, more.Proof)
 			if len(more.Peers) > 0 {
 				d.Peers = more.Peers
 			}
--- a/internal/owners/checkrecord.go
+++ b/internal/owners/checkrecord.go
@@ -12,9 +12,6 @@
 // replaces it; no operator needs to act.
 var ErrUnreadableRecord = errors.New("the record of key owners was not written by a holder; the holder replaces it")
 
-// maxInstances is above the size of any fleet.
-const maxInstances = 1 << 20
-
 // check returns an error unless a holder may have written the record at the given revision
 // of the store. Each tenure writes the record once under a new epoch, so that no epoch is
 // above the revision.
@@ -24,8 +21,8 @@
 		return errors.New("it names no holder")
 	case r.Epoch < 1 || uint64(r.Epoch) > revision || r.Epoch > math.MaxInt64>>(fenceBits+1):
 		return errors.Errorf("epoch %d is not between 1 and the revision %d", r.Epoch, revision)
-	case r.Instances < 0 || r.Instances > maxInstances:
-		return errors.Errorf("%d instances", r.Instances)
+	case !r.Fleet.IsOrdered():
+		return errors.New("its fleet is not ordered by name")
 	case !(r.MaxProcessorShare >= 0):
 		return errors.Errorf("processor share %g", r.MaxProcessorShare)
 	}
--- a/internal/owners/record.go
+++ b/internal/owners/record.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"peridotmoor.org/peridotmoor/internal/fleet"
+	"peridotmoor.org/peridotmoor/internal/quorum"
 )
 
 // Record is the stored state of all services. It lets a successor continue without
@@ -17,9 +18,9 @@
 	Holder string `json:"holder"`
 	// Services holds the ranges of each service, ordered by key.
 	Services map[string][]RecordRange `json:"services"`
-	// Instances is the number of instances that followed the holder, or an earlier one
-	// if some may still follow it.
-	Instances int `json:"instances,omitempty"`
+	// Fleet holds the instances that followed the holder, or those that followed an earlier
+	// one while that one may still act.
+	Fleet quorum.Fleet `json:"fleet,omitempty"`
 	// MaxProcessorShare is the largest processor share among those instances, or 0 if it
 	// is unknown.
 	MaxProcessorShare float64 `json:"strongest,omitempty"`
--- a/internal/owners/record_test.go
+++ b/internal/owners/record_test.go
@@ -7,13 +7,14 @@
 	"github.com/matryer/is"
 
 	"peridotmoor.org/peridotmoor/internal/fleet"
+	"peridotmoor.org/peridotmoor/internal/quorum"
 )
 
 // A successor that started after a server was unlisted must find its address in the
 // record, or it could not send orders to it.
 func TestRecordListsAllIncarnations(t *testing.T) {
 	is := is.New(t)
-	r := Record{Epoch: 3, Holder: "h", Instances: 12, Services: map[string][]RecordRange{
+	r := Record{Epoch: 3, Holder: "h", Fleet: quorum.Fleet{"entry-1", "entry-2"}, Services: map[string][]RecordRange{
 		"s": {{From: 0, To: NumKeys - 1, Owner: "a", StartMS: 1, Previous: "b", PreviousStartMS: 2}}}}
 	r.Addresses = map[string]string{}
 	for i := range r.Incarnations() {
@@ -25,7 +26,7 @@
 	is.NoErr(err)
 	is.Equal(read.Addresses[fleet.Incarnation{Name: "a", StartMS: 1}.String()], "a:1")
 	is.Equal(read.Addresses[fleet.Incarnation{Name: "b", StartMS: 2}.String()], "b:1")
-	is.Equal(read.Instances, 12)
+	is.Equal(read.Fleet, r.Fleet)
 }
 
 // FuzzDecodeRecord checks that no stored record makes the holder panic.
--- a/internal/placing/rates.go
+++ b/internal/placing/rates.go
@@ -10,17 +10,16 @@
 // noLimit is SetLimits' function before the first call: no server names a limit.
 func noLimit(fleet.Incarnation) backpressure.Limit { return backpressure.Limit{} }
 
-// SetShare sets the share of the limits of the whole fleet that this scheduler may use.
-// While it is below 1, another holder may assign requests too. Then this one assigns
-// nothing to cold servers, allows no retries, and gives its share to servers that name
-// a limit.
+// SetShare sets the share of the limits that servers name which this scheduler may use. It
+// is below 1 while another holder may assign requests too.
 func (sched *Scheduler) SetShare(share float64) {
 	sched.share = share
 }
 
-// exclusive reports whether no other holder assigns requests.
-func (sched *Scheduler) exclusive() bool {
-	return sched.share >= 1
+// SetExclusive sets whether this scheduler alone may use what is not shared among holders:
+// only then it assigns requests to cold servers and allows retries.
+func (sched *Scheduler) SetExclusive(exclusive bool) {
+	sched.exclusive = exclusive
 }
 
 // SetLimits replaces the rate limits that servers name, also of servers that are added later.
@@ -35,15 +34,15 @@
 
 // rateLimit returns the limit on the rate of the server at now, or false if there is
 // none: the lower one of its cold start and of the limit that it names. While another
-// holder may assign requests too, a cold server gets nothing, and of the limit that a
-// server names this holder uses its share.
+// holder may assign requests too, of the limit that a server names this holder uses its
+// share, and a cold server gets nothing unless this scheduler is exclusive.
 func (sched *Scheduler) rateLimit(now time.Time, s *server, svc *service) (rateLimit, bool) {
 	rate, named := s.limit.Rate()
 	limit := rateLimit{perSecond: rate * sched.share, reason: ReasonLimit}
 	if svc.ColdRate == 0 || !s.Cold(now) {
 		return limit, named
 	}
-	cold := rateLimit{perSecond: svc.ColdRate, reason: ReasonCold, blocked: !sched.exclusive()}
+	cold := rateLimit{perSecond: svc.ColdRate, reason: ReasonCold, blocked: !sched.exclusive}
 	if named && limit.perSecond < cold.perSecond && !cold.blocked {
 		return limit, true
 	}
--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -17,16 +17,18 @@
 	random    *rand.Rand
 	decisions []Decision
 	crashes   crashTracker
-	// share is the share of limits of the whole fleet that this scheduler may use. It is
-	// below 1 while another holder may assign requests too.
+	// share is the share of the limits that servers name which this scheduler may use.
 	share float64
+	// exclusive is set while this scheduler alone assigns requests to cold servers and
+	// allows retries.
+	exclusive bool
 	// limitOf returns the rate limit that a server names.
 	limitOf func(fleet.Incarnation) backpressure.Limit
 }
 
 // New returns a scheduler without services.
 func New(budget RetryBudget, owners Owners, random *rand.Rand) *Scheduler {
-	return &Scheduler{services: map[string]*service{}, budget: budget, owners: owners, random: random, share: 1, limitOf: noLimit}
+	return &Scheduler{services: map[string]*service{}, budget: budget, owners: owners, random: random, share: 1, exclusive: true, limitOf: noLimit}
 }
 
 // TakeDecisions returns the decisions made since the last call.
@@ -122,7 +124,7 @@
 		return
 	}
 	if attempt.isRetry() {
-		if !sched.exclusive() || !svc.retries.tryRetry(now) {
+		if !sched.exclusive || !svc.retries.tryRetry(now) {
 			sched.refuse(attempt.AttemptID, ReasonRetryBudget, minRetryAfter)
 			return
 		}
--- a/internal/placing/scheduler_test.go
+++ b/internal/placing/scheduler_test.go
@@ -373,7 +373,7 @@
 	sched := newScheduler(false, &soleOwner{}, cold, backend("b", "d1"))
 	now := start.Add(5 * time.Second)
 	sched.Submit(now, newAttempt(1, now)) // starts the token bucket of the cold server
-	sched.SetShare(0.5)
+	sched.SetExclusive(false)
 	now = now.Add(5 * time.Second)
 	sched.TakeDecisions()
 	for n := uint64(10); n < 16; n++ {
