Remember requests that crash servers on every instance

Cause: only the scheduler of the holder counted lost connections, and a new holder began without them. Local placement without a holder did not look at them at all, and the table was cleared as a whole when other traffic had filled it.

Change: losses are kept by each process (internal/crashes): those that its own requests met, and what it was told. An instance tells all losses to the holder that it joins, before its requests are placed. The holder tells all instances of requests that are refused and of losses that were excused, at most 64 requests with each heartbeat.

--- a/internal/entrynode/fakebackend_test.go
+++ b/internal/entrynode/fakebackend_test.go
@@ -28,6 +28,8 @@
 	limit atomic.Pointer[string]
 	// leaving makes the server say in all its responses that it is leaving.
 	leaving atomic.Bool
+	// crashes counts the requests for crashPath.
+	crashes atomic.Int64
 	// serviceTime is how long the execution of a request takes.
 	serviceTime atomic.Int64 // nanoseconds
 	// onExecute is called before a request for the key is executed, with the server's name.
@@ -144,6 +146,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.URL.Path == crashPath {
+		b.crashes.Add(1)
+		panic(http.ErrAbortHandler) // ends the connection without a response
+	}
 	b.onExecute(key, b.name)
 	b.mu.Lock()
 	b.executions[id]++
--- a/internal/entrynode/load_test.go
+++ b/internal/entrynode/load_test.go
@@ -29,7 +29,11 @@
 }
 
 func sendRequestWithTimeout(client *http.Client, i *instance, id string, key int, timeout time.Duration) (int, string) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+i.config.CallerAddress+"/p/x", nil)
+	return sendTo(client, i, "/p/x", id, key, timeout)
+}
+
+func sendTo(client *http.Client, i *instance, path, id string, key int, timeout time.Duration) (int, string) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+i.config.CallerAddress+path, nil)
 	if err != nil {
 		return 0, ""
 	}
--- a/internal/facts/registry.go
+++ b/internal/facts/registry.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"peridotmoor.org/peridotmoor/internal/crashes"
 	"peridotmoor.org/peridotmoor/internal/events"
 	"peridotmoor.org/peridotmoor/internal/fleet"
 	"peridotmoor.org/peridotmoor/internal/owners"
@@ -24,17 +25,24 @@
 	lastRefused atomic.Pointer[[]byte]
 	// readAt is when the store was last read for this registry, by this instance or by another.
 	readAt atomic.Pointer[time.Time]
+	// crashes remembers the requests that may have crashed servers.
+	crashes *crashes.Memory
 }
 
 // NewRegistry returns an empty registry. decode decodes the operators' configuration.
 func NewRegistry(decode func([]byte) (*fleet.Config, error), log *events.Logger) *Registry {
-	r := &Registry{decode: decode, log: log}
+	r := &Registry{decode: decode, log: log, crashes: crashes.NewMemory()}
 	r.snapshot.Store(&Snapshot{})
 	first := make(chan struct{})
 	r.changed.Store(&first)
 	return r
 }
 
+// Crashes returns the memory of the requests that may have crashed servers.
+func (r *Registry) Crashes() *crashes.Memory {
+	return r.crashes
+}
+
 // Snapshot returns the current snapshot.
 func (r *Registry) Snapshot() *Snapshot {
 	return r.snapshot.Load()
--- a/internal/gateway/localscheduler.go
+++ b/internal/gateway/localscheduler.go
@@ -43,6 +43,10 @@
 	if len(attempt.Tried) > 0 {
 		return refused
 	}
+	if l.registry.Crashes().Blocks(now, attempt.ContentHash) {
+		refused.Reason = placing.ReasonCrashes
+		return refused
+	}
 	server := l.chooseServer(now, attempt)
 	if server == "" || l.inFlightCounter(server).Load() >= l.inFlightLimit(l.slotsOf(server)) {
 		return refused
--- a/internal/gateway/schedulerclient.go
+++ b/internal/gateway/schedulerclient.go
@@ -41,8 +41,9 @@
 	now := time.Now()
 	c.holderStatus.Store(&holderStatus{heardAt: now, instances: c.FleetSize(), maxProcessorShare: c.MaxProcessorShare()})
 	c.link.Store(&activeLink{Link: l})
-	if states := link.EncodeBackpressure(c.registry.Snapshot().Backpressure, now); len(states) > 0 {
-		l.Send(&linkpb.Up{Backpressure: states}) // if the link has ended, the next one is told
+	states, losses := link.EncodeBackpressure(c.registry.Snapshot().Backpressure, now), link.EncodeLosses(c.registry.Crashes().All(now), now)
+	if len(states) > 0 || len(losses) > 0 {
+		l.Send(&linkpb.Up{Backpressure: states, Losses: losses}) // if the link has ended, the next one is told
 	}
 }
 
@@ -81,6 +82,7 @@
 
 func (c *SchedulerClient) handleDown(receiver *link.FactsReceiver, down *linkpb.Down) {
 	now := time.Now()
+	link.MergeLosses(c.registry.Crashes(), down.Losses, now)
 	for _, update := range down.Facts {
 		c.holderStatus.Store(&holderStatus{heardAt: now, instances: int(update.Instances), maxProcessorShare: update.Strongest})
 		receiver.Apply(update, now)
@@ -204,7 +206,9 @@
 
 // Complete reports the end of an attempt.
 func (c *SchedulerClient) Complete(completion placing.Completion) {
-	c.local.complete(time.Now(), completion)
+	now := time.Now()
+	c.local.complete(now, completion)
+	placing.RecordCrash(c.registry.Crashes(), now, completion)
 	if l := c.link.Load(); l != nil {
 		l.Send(&linkpb.Up{Finishes: []*linkpb.Finish{link.EncodeFinish(completion)}}) // if this fails, the holder frees the slot after the deadline
 	}
--- a/internal/holder/constants.go
+++ b/internal/holder/constants.go
@@ -62,6 +62,9 @@
 	// its followers for a while, and its last grants may have the duration used during an
 	// outage. The last term allows for slow clocks and delays of timers.
 	inheritedGrantsTimeout = quorum.ProofValidity + owners.OrderTimeout + outageGrantDuration + 300*time.Millisecond
+	// maxAnnouncedContents bounds the request contents that one heartbeat tells of, which
+	// takes a few KB for each follower.
+	maxAnnouncedContents = 64
 	// fleetRecordDelay is how long the followers must differ from the fleet in the record
 	// before the record is written for that alone. Restarted instances are back sooner.
 	fleetRecordDelay = 3 * time.Second
--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"peridotmoor.org/peridotmoor/internal/crashes"
 	"peridotmoor.org/peridotmoor/internal/events"
 	"peridotmoor.org/peridotmoor/internal/facts"
 	"peridotmoor.org/peridotmoor/internal/fleet"
@@ -78,6 +79,8 @@
 	// publishedAt is when the owners were last published.
 	publishedAt time.Time
 	storing     bool
+	// lossAnnouncer finds the losses that followers are told of.
+	lossAnnouncer crashes.Announcer
 	// resultsPending is set when results of orders have arrived since the last tick.
 	resultsPending bool
 	storedAt       time.Time
@@ -134,6 +137,7 @@
 	retryBudget := e.retryBudget
 	retryBudget.AssumeSpent = found.Epoch > 1
 	c.scheduler = placing.New(retryBudget, c.table, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	c.scheduler.UseCrashes(c.registry.Crashes())
 	return c
 }
 
--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -56,7 +56,8 @@
 		f.JoinedAt = c.stays.join(f, time.Now())
 		c.byName[f.Instance] = f
 		snapshot := c.registry.Snapshot()
-		f.Send(&linkpb.Down{Facts: []*linkpb.Facts{c.encodeFacts(snapshot, f.Sent, time.Now())}})
+		now := time.Now()
+		f.Send(&linkpb.Down{Facts: []*linkpb.Facts{c.encodeFacts(snapshot, f.Sent, now)}, Losses: link.EncodeLosses(c.registry.Crashes().Announced(now), now)})
 		f.Sent = sequencesOf(snapshot)
 	})
 }
@@ -85,6 +86,7 @@
 		link.NewFactsReceiver(c.registry).Apply(up.Facts, arrivedAt)
 	}
 	link.MergeBackpressure(c.registry, up.Backpressure, arrivedAt)
+	link.MergeLosses(c.registry.Crashes(), up.Losses, arrivedAt)
 	c.enqueue(func() {
 		now := time.Now()
 		if len(up.Backpressure) > 0 {
--- a/internal/holder/publish.go
+++ b/internal/holder/publish.go
@@ -24,6 +24,7 @@
 		c.heartbeatAt = now
 		c.sendPeers()
 		c.askForProofs(now)
+		c.announceLosses(now)
 	}
 	snapshot := c.registry.Snapshot()
 	encoded := map[link.SentSequences]*linkpb.Facts{} // most followers have received the same parts
@@ -40,6 +41,18 @@
 	c.sentSnapshot = snapshot
 }
 
+// announceLosses tells the followers of the requests that are refused, so that any of them
+// can tell the next holder, and of losses that are excused.
+func (c *Coordinator) announceLosses(now time.Time) {
+	losses := link.EncodeLosses(c.lossAnnouncer.Next(c.registry.Crashes(), now, maxAnnouncedContents), now)
+	if len(losses) == 0 {
+		return
+	}
+	for f := range c.followers {
+		f.Send(&linkpb.Down{Losses: losses})
+	}
+}
+
 func sequencesOf(snapshot *facts.Snapshot) link.SentSequences {
 	return link.SentSequences{OperatorSettings: snapshot.OperatorSettingsSequence, Listing: snapshot.ListingSequence, OwnedRanges: snapshot.OwnedRangesSequence, Backpressure: snapshot.BackpressureSequence}
 }
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -134,6 +134,7 @@
 			up.Finishes = append(up.Finishes, more.Finishes...)
 			up.Withdrawn = append(up.Withdrawn, more.Withdrawn...)
 			up.Backpressure = append(up.Backpressure, more.Backpressure...)
+			up.Losses = append(up.Losses, more.Losses...)
 			up.Proof = max(up.Proof, more.Proof)
 			up.Stopping, up.Ending = up.Stopping || more.Stopping, up.Ending || more.Ending
 			if more.Facts != nil {
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -105,6 +105,7 @@
 			d.Verdicts = append(d.Verdicts, more.Verdicts...)
 			d.Waiting = append(d.Waiting, more.Waiting...)
 			d.Facts = append(d.Facts, more.Facts...)
+			d.Losses = append(d.Losses, more.Losses...)
 			d.Proof = max(d.Proof, more.Proof)
 			if len(more.Peers) > 0 {
 				d.Peers = more.Peers
--- a/internal/placing/constants.go
+++ b/internal/placing/constants.go
@@ -3,6 +3,12 @@
 import "time"
 
 const (
+	// minSurvivalDelay is the time after a lost connection from which on a response
+	// proves that the server survived: responses sent before a crash have arrived by then.
+	minSurvivalDelay = 100 * time.Millisecond
+	// maxSurvivalDelay is the time after which a response no longer proves it: a server
+	// that crashed restarts within some seconds, possibly under the same name.
+	maxSurvivalDelay = time.Second
 	// defaultServiceTime is assumed for a server that has not responded yet.
 	defaultServiceTime = 150 * time.Millisecond
 	// serviceTimeWeight is the weight of the newest sample in the moving average of
--- a/internal/placing/dispatch.go
+++ b/internal/placing/dispatch.go
@@ -6,7 +6,7 @@
 
 // Complete records the end of an attempt and gives its slot to the next queued one.
 func (sched *Scheduler) Complete(now time.Time, completion Completion) {
-	sched.crashes.record(now, completion)
+	RecordCrash(sched.crashes, now, completion)
 	for _, svc := range sched.services {
 		s := svc.servers[completion.Server]
 		if s == nil {
@@ -15,10 +15,10 @@
 		s.recordCompletion(now, completion, svc.Keyed)
 		switch completion.Outcome {
 		case Lost:
-			s.recentLosses = append(s.recentLosses, lostAttempt{contentHash: completion.ContentHash, at: now})
+			s.recentLosses = append(s.recentLosses, lostAttempt{contentHash: completion.ContentHash, lossID: completion.AttemptID.lossID(), at: now})
 		case Answered, Shed:
 			for _, l := range s.takeSurvivedLosses(now) {
-				sched.crashes.retract(l.contentHash)
+				sched.crashes.Excuse(l.contentHash, l.lossID)
 			}
 		}
 		if completion.Outcome == Answered {
--- a/internal/placing/lostattempt.go
+++ b/internal/placing/lostattempt.go
@@ -5,5 +5,7 @@
 // lostAttempt is an attempt whose connection to the server was lost.
 type lostAttempt struct {
 	contentHash uint64
-	at          time.Time
+	// lossID is the ID of the loss in the memory of crashes.
+	lossID uint64
+	at     time.Time
 }
--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/backpressure"
+	"peridotmoor.org/peridotmoor/internal/crashes"
 	"peridotmoor.org/peridotmoor/internal/fleet"
 )
 
@@ -16,7 +17,7 @@
 	owners    Owners
 	random    *rand.Rand
 	decisions []Decision
-	crashes   crashTracker
+	crashes   *crashes.Memory
 	// share is the share of the limits that servers name which this scheduler may use.
 	share float64
 	// exclusive is set while this scheduler alone assigns requests to cold servers and
@@ -28,7 +29,13 @@
 
 // New returns a scheduler without services.
 func New(budget RetryBudget, owners Owners, random *rand.Rand) *Scheduler {
-	return &Scheduler{services: map[string]*service{}, budget: budget, owners: owners, random: random, share: 1, exclusive: true, limitOf: noLimit}
+	return &Scheduler{services: map[string]*service{}, budget: budget, owners: owners, random: random, crashes: crashes.NewMemory(), share: 1, exclusive: true, limitOf: noLimit}
+}
+
+// UseCrashes makes the scheduler use the memory of crashes of its instance, which outlives
+// the scheduler.
+func (sched *Scheduler) UseCrashes(m *crashes.Memory) {
+	sched.crashes = m
 }
 
 // TakeDecisions returns the decisions made since the last call.
@@ -119,7 +126,7 @@
 		sched.refuse(attempt.AttemptID, ReasonNoServer, maxRetryAfter)
 		return
 	}
-	if sched.crashes.blocks(now, attempt.ContentHash) {
+	if sched.crashes.Blocks(now, attempt.ContentHash) {
 		sched.refuse(attempt.AttemptID, ReasonCrashes, maxRetryAfter)
 		return
 	}
--- a/internal/placing/scheduler_test.go
+++ b/internal/placing/scheduler_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"peridotmoor.org/peridotmoor/internal/crashes"
 	"peridotmoor.org/peridotmoor/internal/fleet"
 )
 
@@ -222,7 +223,7 @@
 		sent++
 		sched.Complete(now, Completion{AttemptID: v.AttemptID, Server: v.Server, Outcome: Lost, ContentHash: 99})
 	}
-	is.Equal(sent, maxCrashes)
+	is.Equal(sent, crashes.MaxLosses)
 	other := newAttempt(50, now)
 	other.ContentHash = 98
 	sched.Tick(now.Add(maxFailureBackoff))
@@ -249,7 +250,7 @@
 			sched := newScheduler(false, &soleOwner{}, backend("a", "d1"))
 			now := start
 			submit := func(n uint64, contentHash uint64, outcome Outcome) Decision {
-				now = now.Add(maxFailureBackoff + crashTTL/100)
+				now = now.Add(maxFailureBackoff + 600*time.Millisecond)
 				request := newAttempt(n, now)
 				request.ContentHash = contentHash
 				sched.Submit(now, request)
@@ -259,7 +260,7 @@
 				}
 				return v
 			}
-			for n := range uint64(maxCrashes) {
+			for n := range uint64(crashes.MaxLosses) {
 				other := submit(100+n, 1, Answered)
 				is.True(other.Server != "")
 				is.True(submit(n, 99, Lost).Server != "")
