Bound the memory of all responses of a process together

What callers saw: an instance that calls many servers at a time which send without end runs out of memory, and the requests of all its other callers end with it (report of another operator).

Cause: each response had its own limits, of 256 KB for its head and 256 KB for its buffered body. 256 KB of short header lines take about 6 MB once parsed, and hundreds of responses are awaited at a time.

A head waits for memory as long as its request does; a body that finds none is streamed instead of buffered. Small responses wait for nobody. Heads are limited to 32 KB.

--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -24,12 +25,13 @@
 type conn struct {
 	net net.Conn
 	// source limits what reader takes from net while the head of a response is read.
-	source  *io.LimitedReader
+	source  *headSource
 	reader  *bufio.Reader
 	pending atomic.Pointer[exchange]
 	// closed is set just before the socket is closed, and aborted is closed with it.
-	closed  atomic.Bool
-	aborted chan struct{}
+	closed       atomic.Bool
+	aborted      <-chan struct{}
+	closeAborted context.CancelFunc
 	// reusable is cleared when the connection must not carry another request.
 	reusable atomic.Bool
 	// requestWritten is set once the write of the request has ended, with or without error.
@@ -42,14 +44,16 @@
 	idleTimeout time.Duration
 }
 
-func newConn(c net.Conn) *conn {
-	source := &io.LimitedReader{R: c, N: noHeadLimit}
+func newConn(c net.Conn, b *budget) *conn {
+	ctx, cancel := context.WithCancel(context.Background())
+	source := &headSource{net: c, budget: b, ctx: ctx}
 	out := &conn{
-		net:         c,
-		source:      source,
-		reader:      bufio.NewReaderSize(source, readBufferBytes),
-		aborted:     make(chan struct{}),
-		idleTimeout: defaultIdleTimeout,
+		net:          c,
+		source:       source,
+		reader:       bufio.NewReaderSize(source, readBufferBytes),
+		aborted:      ctx.Done(),
+		closeAborted: cancel,
+		idleTimeout:  defaultIdleTimeout,
 	}
 	out.reusable.Store(true)
 	go out.readLoop()
@@ -61,7 +65,7 @@
 	if c.closed.Swap(true) {
 		return
 	}
-	close(c.aborted)
+	c.closeAborted()
 	if tcp, ok := c.net.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // fails only on a connection that is closed already
 	}
@@ -90,7 +94,9 @@
 			return errUnsolicitedBytes
 		}
 		response, err := c.readHead(x.request.Method)
+		reserved := c.source.end()
 		if err != nil {
+			c.source.budget.giveBack(reserved)
 			return err
 		}
 		match := x.request.Match(response.Header)
@@ -98,6 +104,7 @@
 			c.reusable.Store(false)
 		}
 		if match == MatchNone {
+			c.source.budget.giveBack(reserved)
 			if unmatched++; unmatched > maxUnmatchedResponses {
 				return errUnmatchedResponses
 			}
@@ -106,7 +113,7 @@
 			}
 			continue
 		}
-		if err := c.deliver(x, response); err != nil {
+		if err := c.deliver(x, response, reserved); err != nil {
 			return err
 		}
 		if !c.reusable.Load() {
@@ -118,42 +125,44 @@
 // readHead reads the head of the next final response to a request with the given method.
 // The limit covers the interim responses before it too.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	c.source.N = maxHeadBytes
+	c.source.begin()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		switch {
-		case err != nil && c.source.N <= 0:
+		case err != nil && c.source.exceeded():
 			return nil, errHeadTooLong
 		case err != nil:
 			return nil, errors.Wrap(err, "malformed response")
 		case response.StatusCode < 100:
 			return nil, errors.Errorf("malformed response: status %03d", response.StatusCode)
 		case response.StatusCode >= 200:
-			c.source.N = noHeadLimit
 			return response, nil
 		}
 	}
 }
 
-// deliver passes the response to the waiting request. It returns once the connection is
-// no longer needed to read the body.
-func (c *conn) deliver(x *exchange, httpResponse *http.Response) error {
+// deliver passes the response to the waiting request, with the share of the budget that its
+// head has taken. It returns once the connection is no longer needed to read the body.
+func (c *conn) deliver(x *exchange, httpResponse *http.Response, reserved int64) error {
 	c.updateIdleTimeout(httpResponse.Header)
-	body, err := readBuffered(httpResponse)
+	body, err := readBuffered(httpResponse, c.source.budget)
 	if err != nil {
+		c.source.budget.giveBack(reserved)
 		return err
 	}
+	reserved += body.reserved
 	if httpResponse.Close || c.reader.Buffered() > 0 {
 		c.reusable.Store(false)
 	}
-	response := &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body, Length: httpResponse.ContentLength}
+	response := &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body.bytes, Length: httpResponse.ContentLength}
+	response.release = func() { c.source.budget.giveBack(reserved) }
 	if omitsBody(x.request.Method, httpResponse.StatusCode) {
 		response.BodyOmitted, response.Length = true, statedLength(httpResponse)
 		c.complete(x, response)
 		return nil
 	}
-	if len(body) <= maxBufferedBytes {
-		response.Length = int64(len(body))
+	if body.whole {
+		response.Length = int64(len(body.bytes))
 		c.complete(x, response)
 		return nil
 	}
@@ -179,22 +188,9 @@
 	c.idleSince = time.Now()
 	if c.pending.CompareAndSwap(x, nil) {
 		x.done <- result{response: response}
+		return
 	}
-}
-
-// readBuffered reads the complete body or, of a longer one, its first
-// maxBufferedBytes+1 bytes.
-func readBuffered(response *http.Response) ([]byte, error) {
-	if response.Body == http.NoBody { // also if a length is stated, as in responses to HEAD
-		return nil, nil
-	}
-	if n := response.ContentLength; n > 0 && n <= maxBufferedBytes {
-		body := make([]byte, n)
-		_, err := io.ReadFull(response.Body, body)
-		return body, errors.Wrap(err, "truncated response")
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
-	return body, errors.Wrap(err, "truncated response")
+	response.Release() // the write of the request has failed, and nobody waits any more
 }
 
 // updateIdleTimeout derives the idle timeout from the server's Keep-Alive header.
--- a/internal/backhttp/constants.go
+++ b/internal/backhttp/constants.go
@@ -1,20 +1,27 @@
 package backhttp
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// maxBufferedBytes is the size of the longest response body that is buffered
 	// completely. Such a response is passed on only once it is known to be complete.
 	maxBufferedBytes = 256 << 10
 	// maxHeadBytes limits the head of a response, together with the interim responses
-	// before it. It is far above the heads that servers send and keeps many malformed ones
-	// at a time within the memory of a small instance.
-	maxHeadBytes = 256 << 10
-	// noHeadLimit lifts the limit while a body is read.
-	noHeadLimit = math.MaxInt64
+	// before it. It is far above the heads that servers send, which are below 1 KB.
+	maxHeadBytes = 32 << 10
+	// headCostBytes is the memory that a head of maxHeadBytes may take once it is parsed:
+	// up to 150 bytes for each header line of 6 bytes.
+	headCostBytes = 25 * maxHeadBytes
+	// smallHeadBytes and smallBodyBytes are how much of a response is read without a share
+	// of the budget. They cover usual responses, and take up to 50 KB and 32 KB once parsed
+	// or copied, times the several hundred responses that an instance awaits at a time.
+	smallHeadBytes = 2 << 10
+	smallBodyBytes = 16 << 10
+	// bufferedCopies is how often a buffered body is in memory while it is passed on.
+	bufferedCopies = 2
+	// budgetBytes is the budget of all large responses of the process: a twelfth of the
+	// memory of the smallest machine, 184 MB. The garbage collector may let it double.
+	budgetBytes = 16 << 20
 	// defaultIdleTimeout is how long an idle connection is kept when the server does
 	// not state its own timeout. Common servers close idle connections after 5 s or more.
 	defaultIdleTimeout = 4 * time.Second
--- /dev/null
+++ b/internal/backhttp/headsource.go
@@ -0,0 +1,65 @@
+package backhttp
+
+import (
+	"context"
+	"io"
+	"net"
+
+	"github.com/pkg/errors"
+)
+
+// headSource reads from a connection. While a head is read it limits what is taken for it,
+// and takes a share of the budget for a head that is not small.
+type headSource struct {
+	net    net.Conn
+	budget *budget
+	// ctx ends when the connection is closed.
+	ctx context.Context
+	// inHead is set while a head is read, of which read bytes have been taken.
+	inHead bool
+	read   int64
+	// reserved is how much of the budget is taken for the head.
+	reserved int64
+}
+
+// begin starts the count for the next head, with the interim responses before it.
+func (s *headSource) begin() {
+	s.inHead, s.read = true, 0
+}
+
+// end ends the limit on the head and returns how much of the budget it has taken, which
+// the caller has to give back.
+func (s *headSource) end() int64 {
+	reserved := s.reserved
+	s.inHead, s.reserved = false, 0
+	return reserved
+}
+
+// exceeded reports whether the head was too long.
+func (s *headSource) exceeded() bool {
+	return s.inHead && s.read >= maxHeadBytes
+}
+
+// Read implements io.Reader. It returns io.EOF at the limit.
+func (s *headSource) Read(p []byte) (int, error) {
+	if !s.inHead {
+		return s.net.Read(p)
+	}
+	if s.exceeded() {
+		return 0, io.EOF
+	}
+	limit := int64(maxHeadBytes)
+	if s.reserved == 0 {
+		if s.read >= smallHeadBytes {
+			if err := s.budget.await(s.ctx, headCostBytes); err != nil {
+				return 0, errors.Wrap(err, "wait for memory for a long head")
+			}
+			s.reserved = headCostBytes
+		} else {
+			limit = smallHeadBytes
+		}
+	}
+	n, err := s.net.Read(p[:min(int64(len(p)), limit-s.read)])
+	s.read += int64(n)
+	return n, err
+}
--- a/internal/backhttp/pipe_test.go
+++ b/internal/backhttp/pipe_test.go
@@ -37,7 +37,8 @@
 		_, _ = r.ReadByte() // returns when the client has closed the connection
 	}()
 	pool := NewPool("", time.Second)
-	c := newConn(client)
+	pool.budget = newBudget(budgetBytes)
+	c := newConn(client, pool.budget)
 	c.idleSince = time.Now()
 	pool.put(c)
 	return pool, server, closed
@@ -50,6 +51,11 @@
 	return n, err
 }
 
+// send writes the text as far as the client reads it.
+func (s *pipeServer) send(text string) {
+	_, _ = s.Write([]byte(text)) // fails if the client closes the connection
+}
+
 // flood writes start and then unit again and again, as fast as the client reads, until
 // the client closes the connection. It gives up after floodLimitBytes, so that a test
 // fails without using up the memory.
--- a/internal/backhttp/pool.go
+++ b/internal/backhttp/pool.go
@@ -21,6 +21,7 @@
 	dialCount atomic.Uint64
 	// resetWait is the constant, but in tests.
 	resetWait time.Duration
+	budget    *budget
 }
 
 // NewPool returns a pool for the server at address (host:port). dialTimeout bounds
@@ -29,6 +30,7 @@
 	return &Pool{
 		address:   address,
 		resetWait: resetWait,
+		budget:    processBudget,
 		dialer:    net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: sockopt.UserTimeout(unackedTimeout)},
 	}
 }
@@ -39,7 +41,7 @@
 }
 
 // Do sends the request and waits for the complete response, or for the start of a
-// long one. When ctx ends first, the connection is reset, which tells the server to
+// long one, which must be released. When ctx ends first, the connection is reset, which tells the server to
 // cancel its work. That holds until the remainder of a long response is closed: ctx must
 // not end before. The error is a *RequestError.
 func (p *Pool) Do(ctx context.Context, request *Request) (*Response, error) {
@@ -112,7 +114,7 @@
 	if err != nil {
 		return nil, false, errors.Wrap(err, "connect")
 	}
-	return newConn(raw), true, nil
+	return newConn(raw, p.budget), true, nil
 }
 
 func (p *Pool) put(c *conn) {
--- a/internal/backhttp/response.go
+++ b/internal/backhttp/response.go
@@ -19,4 +19,14 @@
 	// BodyOmitted is set if the response has no body because of its status or because it
 	// answers HEAD. Length is then what the server states.
 	BodyOmitted bool
+	// release gives back the memory that the response has reserved, or is nil.
+	release func()
+}
+
+// Release must be called once the response is no longer used. It may be called again.
+func (r *Response) Release() {
+	if r.release != nil {
+		r.release()
+		r.release = nil
+	}
 }
--- a/internal/callerhttp/respond.go
+++ b/internal/callerhttp/respond.go
@@ -16,6 +16,9 @@
 func (c *conn) respond(response *Response, previous, done chan struct{}, closing bool) {
 	defer close(done)
 	defer c.finishRequest()
+	if response.OnDone != nil {
+		defer response.OnDone()
+	}
 	if response.Remainder != nil {
 		defer response.Remainder.Close()
 		defer context.AfterFunc(c.ctx, func() { _ = response.Remainder.Close() })() // the caller gets no more of it
--- a/internal/callerhttp/response.go
+++ b/internal/callerhttp/response.go
@@ -24,6 +24,8 @@
 	BodyOmitted bool
 	// OnWriteError, when set, is called when the response could not be written completely.
 	OnWriteError func(error)
+	// OnDone, when set, is called once the response is no longer used.
+	OnDone func()
 }
 
 // reportUnwritten calls OnWriteError for a response that should have been written.
