Let no copy of an earlier answer count for an order

Cause: nothing in an answer says which order it answers. The second copy of the answer to a grant, written where the answer to a release was due, passed for that answer.

A release, and the grant before it that supersedes earlier ones, have a connection without an earlier answer. As the answer to a renewal may be that to an earlier one, each move now begins with such a grant; renewals keep their connections.

TestReleaseWaitsForRenewal wanted a release at once; it now wants the grant, the release and the new owner's grant, in this order.

--- a/internal/owners/order.go
+++ b/internal/owners/order.go
@@ -20,8 +20,11 @@
 	// CreatedAt is when the order was made. The caller must not send it long after,
 	// as the expiry that the table assumes counts from this time.
 	CreatedAt time.Time
-	version   uint64
-	number    uint64
+	// AnswerMustBeOwn is set if an answer must not be that to an earlier order: keys are
+	// granted to another server because of it. Renewals need no such answer.
+	AnswerMustBeOwn bool
+	version         uint64
+	number          uint64
 	// previousExpiry is the expiry of the grant before this order.
 	previousExpiry time.Time
 }
--- a/internal/owners/orders.go
+++ b/internal/owners/orders.go
@@ -79,13 +79,14 @@
 		previous.supersedingGrants++
 		previous.Fence = t.nextFence()
 		order.Action, order.Fence, order.GrantDuration = ActionGrant, previous.Fence, t.grantDuration
+		order.AnswerMustBeOwn = true
 		order.previousExpiry = previous.ExpiresBy
 		if expiry := grantExpiry(now.Add(OrderTimeout), t.grantDuration); expiry.After(previous.ExpiresBy) {
 			previous.ExpiresBy = expiry
 		}
 		return
 	}
-	order.Action, order.Fence = ActionRelease, previous.Fence
+	order.Action, order.Fence, order.AnswerMustBeOwn = ActionRelease, previous.Fence, true
 }
 
 // hasGrantInFlight reports whether a grant of any of the keys is in flight to the
--- a/internal/owners/results.go
+++ b/internal/owners/results.go
@@ -58,10 +58,13 @@
 			if unanswered {
 				r.unansweredUntil = later(r.unansweredUntil, expiry)
 			}
+			if !o.AnswerMustBeOwn {
+				r.unprovenUntil = later(r.unprovenUntil, expiry)
+			}
 		}
 		if r.previous != nil && r.previous.Server == o.Server {
 			r.previous.ExpiresBy = later(r.previous.ExpiresBy, expiry)
-			if unanswered && o.Fence >= r.previous.Fence {
+			if (unanswered || !o.AnswerMustBeOwn) && o.Fence >= r.previous.Fence {
 				r.previous.UnansweredUntil = later(r.previous.UnansweredUntil, expiry)
 			}
 		}
@@ -140,7 +143,7 @@
 		}
 		r.phase = PhaseHeld
 		r.handover = ""
-		r.inherited = false
+		r.endInheritance(t.inheritedUntil)
 		r.nextOrderAt = result.Ended.Add(renewInterval)
 		t.ClearFailures(r.owner)
 	case OutcomeFenced:
--- a/internal/owners/table_test.go
+++ b/internal/owners/table_test.go
@@ -81,11 +81,33 @@
 	for _, o := range renewals {
 		table.Apply(OrderResult{Order: o, Outcome: OutcomeDone, Ended: now})
 	}
-	released := false
-	for _, o := range table.TakeDueOrders(now, listing("a", "b")) {
-		released = released || o.Action == ActionRelease
+	// The answers may be those to earlier orders, so a grant that supersedes all renewals
+	// goes first, and neither its answer nor that to the release may be an earlier one.
+	is.Equal(runOrders(t, table, now, movedKey(t, table), "a", "b"), []step{{ActionGrant, "a"}, {ActionRelease, "a"}, {ActionGrant, "b"}})
+}
+
+// Guards against two owners of a key: an answer to a renewal that is the second copy of an
+// earlier one hides that the renewal itself is yet to take effect.
+func TestReleaseFollowsAProvenAnswer(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := newHeldTable(t, now, "a", "b")
+	is.True(table.Plan(now, service, candidates("a", "b"), ratesByKey{10: 20, 20: 20}))
+	key := movedKey(t, table)
+	table.MarkStored(table.PlanVersion())
+	highest, proven := int64(0), false
+	for range 10 {
+		for _, o := range table.TakeDueOrders(now, listing("a", "b")) {
+			if o.Contains(key) && o.Server.Name == "a" {
+				is.True(o.AnswerMustBeOwn)
+				is.True(o.Action == ActionGrant || proven) // no release before an answer of its own
+				is.True(o.Fence >= highest)
+				highest, proven = o.Fence, true
+			}
+			table.Apply(OrderResult{Order: o, Outcome: OutcomeDone, Ended: now})
+		}
 	}
-	is.True(released)
+	is.True(proven)
 }
 
 // A range must not be granted to another server while its previous owner, which does
