Answer a request whose target has an invalid escape

What callers saw: no answer to such a request, and the requests that were sent before it on its connection were cancelled, though servers may have been running them (found by the review by reading).

Cause: the error of net/url is a net.Error too, and was taken for that of a lost connection.

Evidence: TestInvalidEscapeIsAnswered failed before ("unexpected EOF").

--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -127,8 +128,10 @@
 // earlier response announces the close.
 func (c *conn) rejectMalformed(previous chan struct{}, err error) chan struct{} {
 	status := http.StatusBadRequest
+	var invalidTarget *url.Error // which is a net.Error too
 	var timeout net.Error
 	switch {
+	case errors.As(err, &invalidTarget):
 	case c.source.N <= 0:
 		status = http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
