--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -31,8 +31,8 @@
 	return c
 }
 
-// Match returns the route of host with the longest prefix of path, or nil. A port
-// in host is ignored.
+// Match returns the route of host with the longest prefix of path, or nil. path is what
+// RoutingPath returns. A port in host is ignored.
 func (c *Config) Match(host, path string) *Route {
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 {
 		host = host[:colon]
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -16,6 +16,7 @@
 	// Target is the request target, path and query, as the caller sent it.
 	Target string
 	Host   string
+	// Path is what routes are matched against, as fleet.RoutingPath returns it.
 	Path   string
 	Header http.Header
 	// Key is placing.NoKey or the key of the request.
