Confirm the lease of a holder again after its machine was suspended

What callers could see: keys with two owners after the machine of the holder was suspended for longer than its lease.

Change: the event loop compares the clock that counts suspensions with the steady one before it lets orders go. A renewal whose answer may have waited during a suspension does not count.

--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -45,6 +45,7 @@
 	// foundFleet is the fleet in the record that was found, or empty if the record does not
 	// tell when holders before it have ended.
 	foundFleet quorum.Fleet
+	suspension suspension
 	// inheritedGrantsShortened is set once the wait for grants of earlier holders has been
 	// shortened.
 	inheritedGrantsShortened bool
@@ -114,6 +115,7 @@
 		foundFleet:      found.Fleet,
 		instance:        e.self.String(),
 		quorum:          quorum.NewTracker(found.Fleet),
+		suspension:      suspension{suspendedFor: suspendedSinceBoot},
 		startedAt:       time.Now(),
 		processorShare:  e.processorShare,
 	}
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -199,16 +199,20 @@
 // renewLease renews the lease. It returns when the lease is lost, when another holder
 // has appeared or when this one yields.
 func (e *Elector) renewLease(ctx context.Context, c *Coordinator, lease store.LeaseID, confirmedAt time.Time) {
+	waiting := suspension{suspendedFor: suspendedSinceBoot}
 	for {
 		sleep(ctx, leaseRenewInterval)
 		if ctx.Err() != nil || c.superseded.Load() {
 			return
 		}
+		waiting.noticed() // begins anew
 		sentAt := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		err := e.store.Renew(callCtx, lease)
 		cancel()
 		switch {
+		case err == nil && waiting.noticed():
+			// The answer may have waited while the machine was suspended.
 		case err == nil:
 			confirmedAt = sentAt
 			c.leaseConfirmedAt.Store(&sentAt)
--- a/internal/holder/tenure.go
+++ b/internal/holder/tenure.go
@@ -73,6 +73,9 @@
 // maySendOrders reports whether this instance may still act as the holder. It also
 // sets the duration of new grants, which is longer during a store outage.
 func (c *Coordinator) maySendOrders(now time.Time) bool {
+	if c.suspension.noticed() {
+		c.leaseConfirmedAt.Store(nil)
+	}
 	leaseConfirmedAt := c.leaseConfirmedAt.Load()
 	if leaseConfirmedAt == nil || c.superseded.Load() {
 		return false
