Take no refused connection for the end of a witness

Cause: a refused connection counted as proof that the witness had terminated, so that its promises did not bind any more.

Change: only another incarnation that answers at the address, or the operators' list of retired instances, proves the end of a witness. The price: if a majority of the witnesses of a shard is lost and nothing answers in their place, the shard refuses requests until operators retire them.

Evidence: TestRefusedConnectionsDoNotProveAMajorityGone; without the change a holder is elected among the remaining instances. TestMajorityProvenGone asserted that such refusals prove a majority gone; it now restarts the witnesses, and the new test covers the refusals, as strictly.

--- a/internal/authority/node_messages.go
+++ b/internal/authority/node_messages.go
@@ -41,13 +41,12 @@
 	}
 }
 
-// PromiseFailed processes a failed request. refused means that the connection
-// was refused; any other failure proves nothing about the witness.
+// PromiseFailed processes a failed request. refused means that the connection was refused,
+// so that the witness has not got the request; any other failure says nothing.
 func (n *Node) PromiseFailed(now time.Time, sent OutgoingRequest, refused bool) {
 	if !refused {
 		return
 	}
-	n.observeTermination(now, sent.To.Instance)
 	for _, claim := range sent.Request.Claims {
 		s := n.shardState(claim.Shard)
 		if s.activeClaim == nil && s.pendingClaim != nil && s.pendingClaim.token == claim.Token {
--- a/internal/authority/node_recovery.go
+++ b/internal/authority/node_recovery.go
@@ -151,9 +151,9 @@
 }
 
 // ProbeAnswered processes the result of a probe: the instance that answered at
-// the address of probed, or a refused connection.
-func (n *Node) ProbeAnswered(now time.Time, probed Member, found Instance, refused bool) {
-	if refused || found != probed.Instance {
+// the address of probed.
+func (n *Node) ProbeAnswered(now time.Time, probed Member, found Instance) {
+	if found != probed.Instance {
 		n.observeTermination(now, probed.Instance)
 	}
 }
--- a/internal/authority/prober.go
+++ b/internal/authority/prober.go
@@ -6,15 +6,13 @@
 	"github.com/pkg/errors"
 )
 
-// ErrConnectionRefused means that no process listens at the address. A paused
-// process keeps its listening socket, so a refused connection proves that the
-// process has terminated.
-var ErrConnectionRefused = errors.New("authority: connection refused; no process listens at this address")
+// ErrConnectionRefused means that the connection was refused. It does not prove that the
+// process has terminated: a network partition may reset connections.
+var ErrConnectionRefused = errors.New("authority: connection refused; if the process has ended for good, list its instance under [instances] retired")
 
 // Prober finds out which incarnation answers at an address.
 type Prober interface {
-	// Probe returns the instance that answers at address. It returns
-	// ErrConnectionRefused if the connection is refused; any other error proves
-	// nothing about the process.
+	// Probe returns the instance that answers at address. An error proves nothing about
+	// the process.
 	Probe(ctx context.Context, address string) (Instance, error)
 }
--- a/internal/authority/runner/effects.go
+++ b/internal/authority/runner/effects.go
@@ -99,11 +99,10 @@
 	callCtx, cancel := context.WithTimeout(ctx, 2*r.options.Timing.RenewInterval)
 	defer cancel()
 	found, err := r.options.Prober.Probe(callCtx, member.Address)
-	refused := errors.Is(err, authority.ErrConnectionRefused)
-	if err != nil && !refused {
+	if err != nil {
 		return
 	}
-	r.enqueueResult(ctx, func(now time.Time) { r.node.ProbeAnswered(now, member, found, refused) })
+	r.enqueueResult(ctx, func(now time.Time) { r.node.ProbeAnswered(now, member, found) })
 }
 
 func (r *Runner) readRecord(ctx context.Context, shard key.ShardID) {
--- a/internal/authority/runner/majority_test.go
+++ b/internal/authority/runner/majority_test.go
@@ -8,12 +8,13 @@
 	"github.com/matryer/is"
 )
 
-// Guards against a shard that stays unserved although refused connections prove
-// that a majority of its witnesses has terminated.
+// Guards against a shard that stays unserved although other incarnations answer for a
+// majority of its witnesses, which proves that these have terminated.
 func TestMajorityProvenGone(t *testing.T) {
 	runCluster(t, 9, func(is *is.I, c *cluster) {
 		for _, w := range c.witnesses()[:3] {
 			w.kill()
+			c.start(w.member.Instance.Name, "2", w.member.Domain)
 		}
 		c.announceInstances()
 		c.observe(10 * time.Second)
@@ -22,6 +23,29 @@
 	})
 }
 
+// Guards against two holders when a partition resets connections: refused connections do
+// not prove that the witnesses behind it have terminated. The shard stays unserved until
+// operators retire them, or others answer at their addresses.
+func TestRefusedConnectionsDoNotProveAMajorityGone(t *testing.T) {
+	runCluster(t, 9, func(is *is.I, c *cluster) {
+		var names []string
+		for _, w := range c.witnesses()[:3] {
+			names = append(names, w.member.Instance.Name)
+			w.kill() // connections to it are refused from now on
+		}
+		c.announceInstances()
+		c.observe(30 * time.Second)
+		is.Equal(len(c.holders(testShard)), 0)
+		for _, p := range c.processes {
+			if !p.terminated.Load() {
+				is.NoErr(p.runner.SetRetired(c.t.Context(), names))
+			}
+		}
+		c.observe(10 * time.Second)
+		is.Equal(len(c.holders(testShard)), 1)
+	})
+}
+
 // Guards against a takeover without proof while a majority of the witnesses is
 // silent, and against a list of retired instances that has no effect.
 func TestMajoritySilentThenRetired(t *testing.T) {
--- a/internal/authority/runner/runner.go
+++ b/internal/authority/runner/runner.go
@@ -60,8 +60,7 @@
 
 // Run runs the node until ctx ends, then withdraws all tenures and waits for
 // outstanding calls. The process must keep its peer endpoint open until Run has
-// returned, because others take a refused connection as proof that it makes no
-// more promises.
+// returned, so that its incarnation answers as long as it makes promises.
 func (r *Runner) Run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
--- a/internal/fleet/routingpath.go
+++ b/internal/fleet/routingpath.go
@@ -35,5 +35,5 @@
 	if c <= '9' {
 		return c - '0'
 	}
-	return c|0x20 - 'a' + 10
+	return c | 0x20 - 'a' + 10
 }
