Log why a holder goes on without its lease, or stops

holder_quorum_changed (1736), earlier_grants_end_soon (1737) and machine_suspended (1738) name the share of the recorded fleet, the age of the lease and the outcome. Without them a log could not tell a holder that stopped from one that had nothing to send.

--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -32,5 +32,8 @@
 	CallerReady           = register(1732, "caller_ready", log.InfoLevel, "The instance reports that it is ready for callers.")
 	OwnerRecordUnreadable = register(1733, "record_unreadable", log.WarnLevel, "The record of the key owners, or a part of it, was not written by a holder.")
 	OwnerRecordReplaced   = register(1734, "record_replaced", log.WarnLevel, "The record of the key owners was spoiled or deleted; the new holder grants no keys until the grants of earlier holders have expired.")
+	HolderQuorumChanged   = register(1736, "holder_quorum_changed", log.WarnLevel, "A holder that cannot confirm its lease sends orders, or no more, by the share of the recorded fleet that provably follows it.")
+	EarlierGrantsEndSoon  = register(1737, "earlier_grants_end_soon", log.InfoLevel, "So much of the recorded fleet has joined this holder that no earlier one can go on.")
+	MachineSuspended      = register(1738, "machine_suspended", log.WarnLevel, "The machine was suspended; the holder sends no orders until its lease is confirmed.")
 	HolderKeyRepaired     = register(1735, "holder_key_repaired", log.WarnLevel, "Another program had changed or deleted the key of the holder; the holder has written it again.")
 )
--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -46,6 +46,8 @@
 	// tell when holders before it have ended.
 	foundFleet quorum.Fleet
 	suspension suspension
+	// goesOnWithoutLease is whether orders were sent when that was decided last.
+	goesOnWithoutLease bool
 	// inheritedGrantsShortened is set once the wait for grants of earlier holders has been
 	// shortened.
 	inheritedGrantsShortened bool
--- a/internal/holder/tenure.go
+++ b/internal/holder/tenure.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"peridotmoor.org/peridotmoor/internal/events"
 	"peridotmoor.org/peridotmoor/internal/link"
 	"peridotmoor.org/peridotmoor/internal/link/linkpb"
 	"peridotmoor.org/peridotmoor/internal/owners"
@@ -74,6 +75,7 @@
 // sets the duration of new grants, which is longer during a store outage.
 func (c *Coordinator) maySendOrders(now time.Time) bool {
 	if c.suspension.noticed() {
+		c.log.Emit(events.MachineSuspended, "epoch", c.epoch)
 		c.leaseConfirmedAt.Store(nil)
 	}
 	leaseConfirmedAt := c.leaseConfirmedAt.Load()
@@ -83,13 +85,21 @@
 	c.shortenInheritedGrants(now)
 	outage := now.Sub(*leaseConfirmedAt)
 	if outage <= followerQuorumAfter {
+		c.goesOnWithoutLease = true
 		c.table.SetGrantDuration(owners.GrantDuration)
 		return true
 	}
 	// The store may be unreachable for all instances or only for this one. In the
 	// second case the followers leave for a successor.
 	c.table.SetGrantDuration(outageGrantDuration)
-	return outage <= maxStoreOutage && quorum.Retained(c.retainedShare(now, *leaseConfirmedAt))
+	share := c.retainedShare(now, *leaseConfirmedAt)
+	retained := outage <= maxStoreOutage && quorum.Retained(share)
+	if c.goesOnWithoutLease != retained {
+		c.goesOnWithoutLease = retained
+		c.log.Emit(events.HolderQuorumChanged, "epoch", c.epoch, "sends_orders", retained, "share", share, "fleet", len(c.quorum.Stored()),
+			"followers", len(c.followers), "outage_ms", outage.Milliseconds())
+	}
+	return retained
 }
 
 // askForProofs asks the followers to prove that they follow this holder, once it may need
@@ -168,5 +178,6 @@
 		return
 	}
 	c.inheritedGrantsShortened = true
+	c.log.Emit(events.EarlierGrantsEndSoon, "epoch", c.epoch, "followers", len(c.followers), "fleet", len(c.foundFleet), "ends_in_ms", inheritedGrantsTimeout.Milliseconds())
 	c.table.ShortenInheritedGrants(now.Add(inheritedGrantsTimeout))
 }
