Send no grant during a move that the record does not tell of

Change: superseding grants go out only where the record says so, as before. Releases and these grants keep their connections without earlier answers.

--- a/internal/owners/rangestate.go
+++ b/internal/owners/rangestate.go
@@ -16,9 +16,6 @@
 	expiresBy time.Time
 	// unansweredUntil is the time until which an unanswered grant may still take effect.
 	unansweredUntil time.Time
-	// unprovenUntil is the same for grants with an answer that may be that to an earlier
-	// order. It matters to this holder only.
-	unprovenUntil time.Time
 	// inherited ranges were planned by an earlier holder, and their owner has not answered
 	// this one yet: orders of the earlier holder may still take effect.
 	inherited bool
@@ -35,13 +32,3 @@
 	// version changes with each transition, so that results of outdated orders are recognised.
 	version uint64
 }
-
-// endInheritance records that the owner has answered a grant of this holder. The answer may
-// be that to another grant, so orders of earlier holders may take effect until the given
-// time, if no later one supersedes them.
-func (r *rangeState) endInheritance(until time.Time) {
-	if r.inherited {
-		r.inherited = false
-		r.unprovenUntil = later(r.unprovenUntil, until)
-	}
-}
--- a/internal/owners/results.go
+++ b/internal/owners/results.go
@@ -58,13 +58,10 @@
 			if unanswered {
 				r.unansweredUntil = later(r.unansweredUntil, expiry)
 			}
-			if !o.AnswerMustBeOwn {
-				r.unprovenUntil = later(r.unprovenUntil, expiry)
-			}
 		}
 		if r.previous != nil && r.previous.Server == o.Server {
 			r.previous.ExpiresBy = later(r.previous.ExpiresBy, expiry)
-			if (unanswered || !o.AnswerMustBeOwn) && o.Fence >= r.previous.Fence {
+			if unanswered && o.Fence >= r.previous.Fence {
 				r.previous.UnansweredUntil = later(r.previous.UnansweredUntil, expiry)
 			}
 		}
@@ -143,7 +140,7 @@
 		}
 		r.phase = PhaseHeld
 		r.handover = ""
-		r.endInheritance(t.inheritedUntil)
+		r.inherited = false
 		r.nextOrderAt = result.Ended.Add(renewInterval)
 		t.ClearFailures(r.owner)
 	case OutcomeFenced:
--- a/internal/owners/split.go
+++ b/internal/owners/split.go
@@ -49,7 +49,6 @@
 			last.To = r.To
 			last.fence = t.nextFence()
 			last.expiresBy = later(last.expiresBy, r.expiresBy)
-			last.unprovenUntil = later(last.unprovenUntil, r.unprovenUntil)
 			last.nextOrderAt = time.Time{}
 			last.version = t.version
 			continue
--- a/internal/owners/table.go
+++ b/internal/owners/table.go
@@ -147,7 +147,7 @@
 	r.fence = t.nextFence()
 	r.phase = PhasePlanned
 	r.version = version
-	r.expiresBy, r.unansweredUntil, r.unprovenUntil = time.Time{}, time.Time{}, time.Time{}
+	r.expiresBy, r.unansweredUntil = time.Time{}, time.Time{}
 	r.handover = ""
 	r.orderInFlight = false
 }
@@ -158,11 +158,11 @@
 		Server:           r.owner,
 		Fence:            r.fence,
 		ExpiresBy:        r.expiresBy,
-		UnansweredUntil:  later(r.unansweredUntil, r.unprovenUntil),
+		UnansweredUntil:  r.unansweredUntil,
 		UnansweredAtMove: r.inherited || t.now.Before(r.unansweredUntil) || t.hasGrantInFlight(service, r.owner, r.Interval),
 	}
 	if r.inherited {
-		grant.UnansweredUntil = later(grant.UnansweredUntil, t.inheritedUntil)
+		grant.UnansweredUntil = later(r.unansweredUntil, t.inheritedUntil)
 	}
 	return grant
 }
