--- a/internal/backhttp/pool.go
+++ b/internal/backhttp/pool.go
@@ -41,9 +41,9 @@
 }
 
 // Do sends the request and waits for the complete response, or for the start of a
-// long one, which must be released. When ctx ends first, the connection is reset, which tells the server to
-// cancel its work. That holds until the remainder of a long response is closed: ctx must
-// not end before. The error is a *RequestError.
+// long one. The caller must release the response. When ctx ends first, the connection is
+// reset, which tells the server to cancel its work. That holds until the remainder of a
+// long response is closed: ctx must not end before. The error is a *RequestError.
 func (p *Pool) Do(ctx context.Context, request *Request) (*Response, error) {
 	for {
 		if err := ctx.Err(); err != nil {
--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -46,8 +46,9 @@
 	// tell when holders before it have ended.
 	foundFleet quorum.Fleet
 	suspension suspension
-	// goesOnWithoutLease is whether orders were sent when that was decided last.
-	goesOnWithoutLease bool
+	// ordersAllowed is what maySendOrders decided last by the lease or the followers, so
+	// that each change is logged once.
+	ordersAllowed bool
 	// inheritedGrantsShortened is set once the wait for grants of earlier holders has been
 	// shortened.
 	inheritedGrantsShortened bool
--- a/internal/holder/tenure.go
+++ b/internal/holder/tenure.go
@@ -85,7 +85,7 @@
 	c.shortenInheritedGrants(now)
 	outage := now.Sub(*leaseConfirmedAt)
 	if outage <= followerQuorumAfter {
-		c.goesOnWithoutLease = true
+		c.ordersAllowed = true
 		c.table.SetGrantDuration(owners.GrantDuration)
 		return true
 	}
@@ -94,8 +94,8 @@
 	c.table.SetGrantDuration(outageGrantDuration)
 	share := c.retainedShare(now, *leaseConfirmedAt)
 	retained := outage <= maxStoreOutage && quorum.Retained(share)
-	if c.goesOnWithoutLease != retained {
-		c.goesOnWithoutLease = retained
+	if c.ordersAllowed != retained {
+		c.ordersAllowed = retained
 		c.log.Emit(events.HolderQuorumChanged, "epoch", c.epoch, "sends_orders", retained, "share", share, "fleet", len(c.quorum.Stored()),
 			"followers", len(c.followers), "outage_ms", outage.Milliseconds())
 	}
