Cut off failure domains of real processes in the soak

The proxies now tell their connections apart by the failure domain of the client, which the owner of the client's socket shows. Cuts hold bytes both ways or one way, or reset connections, for 3 to 32 s.

--- a/internal/dev/soak/backend/config.go
+++ b/internal/dev/soak/backend/config.go
@@ -1,6 +1,10 @@
 package backend
 
-import "time"
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/dev/tcpproxy"
+)
 
 // Config describes one backend server of the platform.
 type Config struct {
@@ -15,4 +19,6 @@
 	// Heartbeat is the interval of the server's status reports.
 	Heartbeat time.Duration
 	Seed      uint64
+	// Sources tells where connections come from, or is nil.
+	Sources tcpproxy.Sources
 }
--- a/internal/dev/soak/backend/incarnation.go
+++ b/internal/dev/soak/backend/incarnation.go
@@ -60,7 +60,7 @@
 	}
 	i := &incarnation{
 		id: id, config: config, reserved: reserved, startedAt: time.Now(), log: log, owners: owners, arrivals: arrivals,
-		proxy:    tcpproxy.New(reserved.Addresses[0], listener.Addr().String(), config.Seed),
+		proxy:    tcpproxy.New(reserved.Addresses[0], listener.Addr().String(), config.Seed, config.Sources),
 		slots:    make(chan struct{}, config.Slots),
 		released: make(chan struct{}),
 	}
--- a/internal/dev/soak/backend/server.go
+++ b/internal/dev/soak/backend/server.go
@@ -27,6 +27,9 @@
 	drainSlack = time.Second
 )
 
+// errStoreUnreachable is the result of a status report during a cut; the next one follows.
+var errStoreUnreachable = errors.New("the store cannot be reached; wait for the end of the cut")
+
 // Server is one backend server over its incarnations.
 type Server struct {
 	config Config
@@ -40,6 +43,10 @@
 	mu      sync.Mutex
 	current *incarnation
 	starts  int
+	// sourceFaults are the faults of connections by source, for all incarnations.
+	sourceFaults map[string]tcpproxy.Fault
+	// storeUnreachable is set while status reports do not reach the store.
+	storeUnreachable bool
 }
 
 // NewServer returns a server that is not started. It registers itself in the store.
@@ -59,6 +66,7 @@
 	if err != nil {
 		return err
 	}
+	i.proxy.SetSourceFaults(s.sourceFaults)
 	s.current = i
 	go s.report(i)
 	return nil
@@ -81,6 +89,30 @@
 	}
 }
 
+// SetSourceFaults sets the faults of the connections to this and later incarnations by source.
+func (s *Server) SetSourceFaults(faults map[string]tcpproxy.Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sourceFaults = faults
+	if s.current != nil {
+		s.current.proxy.SetSourceFaults(faults)
+	}
+}
+
+// SetStoreUnreachable sets whether status reports reach the store. Without them the entry
+// lapses, and it is back with the next report.
+func (s *Server) SetStoreUnreachable(unreachable bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.storeUnreachable = unreachable
+}
+
+func (s *Server) reachesStore() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.storeUnreachable
+}
+
 // Crash ends the incarnation. Its entry in the store stays until its status reports are missed.
 func (s *Server) Crash() {
 	if i := s.stop(); i != nil {
@@ -174,8 +206,14 @@
 func (s *Server) report(i *incarnation) {
 	ticker := time.NewTicker(s.config.Heartbeat)
 	defer ticker.Stop()
+	missed := 0
 	for s.running() == i {
-		_ = s.put(i) // the store may be down; the next report follows
+		// The store may be down; the next report follows.
+		if !errors.Is(s.put(i), errStoreUnreachable) {
+			missed = 0
+		} else if missed++; missed == missedHeartbeats {
+			s.store.Delete(storeKey(i.id))
+		}
 		select {
 		case <-ticker.C:
 		case <-i.ctx.Done():
@@ -186,6 +224,9 @@
 
 // put writes the entry of the incarnation once.
 func (s *Server) put(i *incarnation) error {
+	if !s.reachesStore() {
+		return errStoreUnreachable
+	}
 	state := "ready"
 	if i.draining.Load() {
 		state = "draining"
--- a/internal/dev/soak/event.go
+++ b/internal/dev/soak/event.go
@@ -23,6 +23,10 @@
 	pause time.Duration
 	// rate is the rate limit that a server names, in requests/s.
 	rate float64
+	// count is the number of cuts in series.
+	count int
+	// direction is that of the cut of a failure domain, whose number is in targets.
+	direction cutDirection
 	// fault is the fault of connections.
 	fault tcpproxy.Fault
 }
@@ -35,5 +39,8 @@
 	if e.fault.Kind != "" {
 		text += fmt.Sprintf(" %s of %.0f%%", e.fault.Kind, 100*e.fault.Share)
 	}
+	if e.direction != "" {
+		text += fmt.Sprintf(" %s, %d in series", e.direction, e.count)
+	}
 	return text + fmt.Sprintf(" length %v pause %v", e.length.Round(time.Millisecond), e.pause.Round(time.Millisecond))
 }
--- a/internal/dev/soak/eventkind.go
+++ b/internal/dev/soak/eventkind.go
@@ -27,5 +27,7 @@
 	eventSpoilHolder   eventKind = "spoil holder" // and over the key of the holder
 	eventSpoilConfig   eventKind = "spoil config" // and over the configuration, until the operator writes it again
 	eventStopSeveral   eventKind = "stop several" // stops of several instances that overlap
+	eventDomainCut     eventKind = "domain cut"   // a failure domain is cut off from the others and the store
+	eventSlow          eventKind = "slow"         // the process runs a third of the time
 	eventConfigureTwin eventKind = "configure twice"
 )
--- a/internal/dev/soak/faults.go
+++ b/internal/dev/soak/faults.go
@@ -20,6 +20,9 @@
 	shedShare = 0.5
 	// maxStartAge is the greatest age of a process at the SIGTERM of a stop at start.
 	maxStartAge = 300 * time.Millisecond
+	// slowStopTime and slowRunTime are for how long a slow process stands still and runs in turn.
+	slowStopTime = 60 * time.Millisecond
+	slowRunTime  = 30 * time.Millisecond
 	// slowStoreDelay is the delay of each call to a slow store.
 	slowStoreDelay = 300 * time.Millisecond
 )
@@ -57,6 +60,8 @@
 		f.impairStore(e)
 	case eventOddEntries, eventSpoilRecord, eventSpoilHolder, eventSpoilConfig:
 		f.writeOddly(e)
+	case eventDomainCut:
+		f.cutDomain(ctx, e)
 	case eventServerFault, eventServerCrash, eventServerDrain, eventServerLeave, eventServerLimit, eventServerShed:
 		f.impairServer(ctx, e)
 	default:
@@ -130,6 +135,28 @@
 	f.p.fail(s.Start())
 }
 
+// cutDomain cuts a failure domain off, once or several times in series. Links of all
+// instances are impaired.
+func (f *faults) cutDomain(ctx context.Context, e event) {
+	for n := 0; n < e.count && ctx.Err() == nil; n++ {
+		domain := domainName(e.targets[0])
+		if e.targets[0] == holderTarget {
+			domain = f.instance(holderTarget).caller.Domain
+		}
+		endImpairment := f.p.impairments.Begin(f.p.instanceNames()...)
+		endCut := f.p.border.begin(domainCut{domain, e.direction})
+		f.p.note("%s is cut off %s", domain, e.direction)
+		select {
+		case <-time.After(e.length / time.Duration(n+1)):
+		case <-ctx.Done():
+		}
+		endCut()
+		endImpairment()
+		f.p.note("%s is no longer cut off %s", domain, e.direction)
+		time.Sleep(e.pause)
+	}
+}
+
 // impairInstances carries out an event of one or several instances, unless another one
 // is under way there.
 func (f *faults) impairInstances(e event) {
@@ -179,6 +206,13 @@
 		i.signal(syscall.SIGSTOP)
 		time.Sleep(e.length)
 		i.signal(syscall.SIGCONT)
+	case eventSlow:
+		defer f.p.impairments.Begin(i.name, check.Freeze(i.name))()
+		for end := time.Now().Add(e.length); time.Now().Before(end); time.Sleep(slowRunTime) {
+			i.signal(syscall.SIGSTOP)
+			time.Sleep(slowStopTime)
+			i.signal(syscall.SIGCONT)
+		}
 	case eventStoreCut:
 		defer f.p.impairments.Begin(i.name)()
 		i.store.SetFault(e.fault)
--- a/internal/dev/soak/instance.go
+++ b/internal/dev/soak/instance.go
@@ -35,6 +35,7 @@
 	entry    *callers.EntryInstance
 	launcher *programs.Launcher
 	dir      string
+	sockets  *processSockets
 	settings map[string]string // addresses in the settings file, by name
 	// peers is the proxy that other instances use to reach this one, store the one that
 	// this instance uses to reach the store.
@@ -50,12 +51,12 @@
 	ended chan struct{}
 }
 
-func newInstance(number int, domain, storeAddress string, addresses []string, launcher *programs.Launcher, dir string, seed uint64) *instance {
+func newInstance(number int, domain, storeAddress string, addresses []string, launcher *programs.Launcher, dir string, seed uint64, sockets *processSockets) *instance {
 	i := &instance{
-		name: fmt.Sprintf("entry-%d", number), launcher: launcher, dir: dir,
+		name: fmt.Sprintf("entry-%d", number), launcher: launcher, dir: dir, sockets: sockets,
 		settings: map[string]string{"callers": addresses[0], "ready": addresses[1], "peers": addresses[2], "metrics": addresses[3]},
-		peers:    tcpproxy.New(addresses[4], addresses[2], seed),
-		store:    tcpproxy.New(addresses[5], storeAddress, seed+1),
+		peers:    tcpproxy.New(addresses[4], addresses[2], seed, sockets),
+		store:    tcpproxy.New(addresses[5], storeAddress, seed+1, fixedSource(domain)),
 	}
 	i.entry = &callers.EntryInstance{CallerAddress: addresses[0], OperatorAddress: addresses[1], ReadyPath: "/readiness", MaxMisses: readinessMisses}
 	i.caller = &caller.Instance{Name: i.name, Domain: domain, Address: addresses[0], Ready: i.entry.Ready, Process: i.processCount}
@@ -79,6 +80,7 @@
 	if err != nil {
 		return err
 	}
+	i.sockets.add(child.PID(), i.caller.Domain)
 	i.child, i.ended = child, make(chan struct{})
 	i.processes = append(i.processes, check.Process{Instance: i.name, Number: number, StartedAt: time.Now()})
 	go i.watch(child, number, i.ended)
--- a/internal/dev/soak/play.go
+++ b/internal/dev/soak/play.go
@@ -60,6 +60,8 @@
 	balancer    *callers.Balancer
 	attempts    caller.Log
 	impairments *check.Impairments
+	sockets     *processSockets
+	border      *border
 	stalls      stallMonitor
 
 	mu     sync.Mutex
@@ -75,7 +77,9 @@
 		options: options, seed: seed, dir: dir, random: rand.New(rand.NewPCG(seed, 2)), startAt: time.Now(),
 		launcher: programs.NewLauncher(options.ProgramDir, dir),
 		kv:       kvstore.New(), runs: runlog.New(), owners: backend.NewOwners(), impairments: check.NewImpairments(),
+		sockets: newProcessSockets(),
 	}
+	p.border = newBorder(p)
 	var err error
 	if p.odd, err = newOddEntries(seed); err != nil {
 		return p, err
@@ -91,7 +95,7 @@
 	for n := range p.serversBusy {
 		s := backend.NewServer(fmt.Sprintf("i-%d", n), backend.Config{
 			Service: services[n%len(services)], Domain: domainName(n), Keyed: services[n%len(services)] == keyedService, Slots: slotsPerServer,
-			ClockRate: 1 - maxClockError*p.random.Float64(), Heartbeat: heartbeat, Seed: p.random.Uint64(),
+			ClockRate: 1 - maxClockError*p.random.Float64(), Heartbeat: heartbeat, Seed: p.random.Uint64(), Sources: p.sockets,
 		}, p.kv.Store(), p.runs, p.owners, &p.arrivals)
 		p.servers = append(p.servers, s)
 		if err := s.Start(); err != nil {
@@ -118,7 +122,7 @@
 	front := &storeFront{store: p.kv, proxies: map[string]string{}}
 	var entries []*callers.EntryInstance
 	for n := range p.options.Instances {
-		i := newInstance(n, domainName(n), listener.Addr().String(), p.reserved.Addresses[addressesPerInstance*n:], p.launcher, p.dir, p.random.Uint64())
+		i := newInstance(n, domainName(n), listener.Addr().String(), p.reserved.Addresses[addressesPerInstance*n:], p.launcher, p.dir, p.random.Uint64(), p.sockets)
 		p.instances = append(p.instances, i)
 		front.proxies[i.settings["peers"]] = i.peers.Address()
 		entries = append(entries, i.entry)
--- /dev/null
+++ b/internal/dev/soak/portpair.go
@@ -0,0 +1,6 @@
+package soak
+
+// portPair identifies a connection on loopback.
+type portPair struct {
+	local, remote int
+}
--- a/internal/dev/soak/schedule.go
+++ b/internal/dev/soak/schedule.go
@@ -24,10 +24,18 @@
 	// minShedPause is the shortest pause that a shedding server asks for. Each instance
 	// sends a server less than one request/s.
 	minShedPause = 2 * time.Second
+	// maxCutSeries is the greatest number of cuts of a domain in series, and maxCutStretch how
+	// many times longer than its class a cut may last.
+	maxCutSeries  = 3
+	maxCutStretch = 1.3
 	// maxConnectionDelay is the longest delay of a connection.
 	maxConnectionDelay = 250 * time.Millisecond
 )
 
+// cutLengths are the shortest lengths of the cuts of failure domains: each is past another
+// bound on how long a holder, its lease and the grants that it leaves behind may last.
+var cutLengths = []time.Duration{3 * time.Second, 8 * time.Second, 16 * time.Second, 25 * time.Second}
+
 // schedule is what happens during one seed.
 type schedule struct {
 	theme  string
@@ -49,6 +57,8 @@
 		switch e.kind {
 		case eventServerFault, eventServerCrash, eventServerDrain, eventServerLeave, eventServerLimit, eventServerShed:
 			e.targets = []int{random.IntN(servers)}
+		case eventDomainCut:
+			drawCut(random, &e, drawn.atHolder)
 		case eventStopSeveral:
 			e.targets = drawSeveral(random, instances)
 		case eventConfigure, eventConfigureTwin, eventStoreDown, eventStoreSlow, eventStoreLost, eventOddEntries, eventSpoilRecord, eventSpoilHolder, eventSpoilConfig:
@@ -73,6 +83,21 @@
 	return s
 }
 
+// drawCut draws the domain, direction, length and number of the cuts of an event.
+func drawCut(random *rand.Rand, e *event, atHolder bool) {
+	e.targets = []int{random.IntN(domainCount)}
+	if random.IntN(3) > 0 || atHolder {
+		e.targets = []int{holderTarget}
+	}
+	directions := []cutDirection{cutBoth, cutBoth, cutOutbound, cutInbound, cutReset}
+	e.direction = directions[random.IntN(len(directions))]
+	e.length = time.Duration(float64(cutLengths[random.IntN(len(cutLengths))]) * (1 + (maxCutStretch-1)*random.Float64()))
+	e.count = 1
+	if random.IntN(4) == 0 {
+		e.count += random.IntN(maxCutSeries)
+	}
+}
+
 // drawSeveral draws instances that are stopped together: any, all, or all but one of a
 // failure domain, so that the load balancer uses stopping instances too.
 func drawSeveral(random *rand.Rand, instances int) []int {
--- a/internal/dev/soak/theme.go
+++ b/internal/dev/soak/theme.go
@@ -28,6 +28,9 @@
 	{name: "links", weights: []weightedKind{{eventPeerFault, 6}, {eventStoreCut, 2}, {eventStop, 1}, {eventPause, 1}, {eventKill, 1}}, atHolder: true},
 	{name: "backpressure", weights: []weightedKind{{eventServerLeave, 3}, {eventServerLimit, 5}, {eventServerShed, 4}, {eventServerDrain, 1}, {eventStop, 2}, {eventKill, 1}, {eventPause, 1},
 		{eventStoreDown, 2}, {eventStoreSlow, 1}, {eventStoreCut, 1}, {eventPeerFault, 1}}},
+	{name: "holder cuts", weights: []weightedKind{{eventDomainCut, 1}}, atHolder: true},
+	{name: "domain cuts", weights: []weightedKind{{eventDomainCut, 6}, {eventStop, 1}, {eventStopSeveral, 1}, {eventKill, 2}, {eventPause, 2}, {eventSlow, 2}, {eventStoreDown, 1}, {eventStoreCut, 1},
+		{eventServerDrain, 1}, {eventServerCrash, 1}, {eventConfigure, 1}}},
 	{name: oddEntriesTheme, weights: []weightedKind{{eventOddEntries, 6}, {eventSpoilRecord, 3}, {eventSpoilHolder, 2}, {eventSpoilConfig, 2}, {eventServerDrain, 1}, {eventServerCrash, 1}, {eventStop, 2},
 		{eventKill, 2}, {eventPause, 1}, {eventStoreDown, 1}, {eventStoreCut, 1}, {eventConfigure, 1}}},
 }
--- a/internal/dev/tcpproxy/link.go
+++ b/internal/dev/tcpproxy/link.go
@@ -20,13 +20,15 @@
 // link is one proxied connection.
 type link struct {
 	client, server *net.TCPConn
-	current        currentFault
-	closed         chan struct{}
-	closeOnce      sync.Once
+	// source is the name of the client's origin, or "".
+	source    string
+	current   currentFault
+	closed    chan struct{}
+	closeOnce sync.Once
 }
 
-func newLink(client, server *net.TCPConn, fault Fault) *link {
-	l := &link{client: client, server: server, closed: make(chan struct{})}
+func newLink(client, server *net.TCPConn, source string, fault Fault) *link {
+	l := &link{client: client, server: server, source: source, closed: make(chan struct{})}
 	l.setFault(fault)
 	return l
 }
--- a/internal/dev/tcpproxy/proxy.go
+++ b/internal/dev/tcpproxy/proxy.go
@@ -25,19 +25,24 @@
 type Proxy struct {
 	address string
 	target  string
+	// sources is nil if the proxy does not tell its connections apart.
+	sources Sources
 
-	mu       sync.Mutex
-	random   *rand.Rand
-	fault    Fault
+	mu     sync.Mutex
+	random *rand.Rand
+	fault  Fault
+	// bySource holds the faults of all connections from a source, which go before fault.
+	bySource map[string]Fault
 	listener net.Listener
 	// accepting is closed when the listener's goroutine has ended.
 	accepting chan struct{}
 	links     map[*link]bool
 }
 
-// New returns a proxy that is not open yet. The seed decides which connections a fault affects.
-func New(address, target string, seed uint64) *Proxy {
-	return &Proxy{address: address, target: target, random: rand.New(rand.NewPCG(seed, 0)), links: map[*link]bool{}}
+// New returns a proxy that is not open yet. The seed decides which connections a fault
+// affects. Without sources, which may be nil, SetSourceFaults has no effect.
+func New(address, target string, seed uint64, sources Sources) *Proxy {
+	return &Proxy{address: address, target: target, sources: sources, random: rand.New(rand.NewPCG(seed, 0)), links: map[*link]bool{}}
 }
 
 // Address returns host:port at which the proxy listens.
@@ -84,12 +89,31 @@
 	defer p.mu.Unlock()
 	p.fault = fault
 	for l := range p.links {
-		l.setFault(p.draw())
+		if _, found := p.bySource[l.source]; !found {
+			l.setFault(p.draw(l.source))
+		}
+	}
+}
+
+// SetSourceFaults replaces the faults of connections by source. They affect all
+// connections, open or to come, from their sources.
+func (p *Proxy) SetSourceFaults(faults map[string]Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.bySource
+	p.bySource = faults
+	for l := range p.links {
+		if faults[l.source] != old[l.source] {
+			l.setFault(p.draw(l.source))
+		}
 	}
 }
 
-// draw returns the fault of one connection. The caller holds the lock.
-func (p *Proxy) draw() Fault {
+// draw returns the fault of one connection from the source. The caller holds the lock.
+func (p *Proxy) draw(source string) Fault {
+	if fault, found := p.bySource[source]; found {
+		return fault
+	}
 	fault := p.fault
 	if fault.Kind == "" || p.random.Float64() >= fault.Share {
 		return Fault{}
@@ -118,18 +142,22 @@
 		_ = client.Close()
 		return
 	}
-	l := p.add(client, server.(*net.TCPConn), listener)
+	source := ""
+	if p.sources != nil {
+		source = p.sources.Source(client.RemoteAddr(), client.LocalAddr())
+	}
+	l := p.add(client, server.(*net.TCPConn), listener, source)
 	l.run()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.links, l)
 }
 
-// add creates the link of a connection that listener has accepted.
-func (p *Proxy) add(client, server *net.TCPConn, listener net.Listener) *link {
+// add creates the link of a connection from the source that listener has accepted.
+func (p *Proxy) add(client, server *net.TCPConn, listener net.Listener, source string) *link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := newLink(client, server, p.draw())
+	l := newLink(client, server, source, p.draw(source))
 	p.links[l] = true
 	if p.listener != listener {
 		l.reset()
--- a/internal/dev/tcpproxy/proxy_test.go
+++ b/internal/dev/tcpproxy/proxy_test.go
@@ -18,6 +18,12 @@
 
 // connect returns a proxy and both ends of a connection through it.
 func connect(t *testing.T) (p *Proxy, client, server *net.TCPConn) {
+	t.Helper()
+	return connectFrom(t, nil)
+}
+
+// connectFrom is connect with a proxy that tells its connections apart.
+func connectFrom(t *testing.T, sources Sources) (p *Proxy, client, server *net.TCPConn) {
 	t.Helper()
 	is := is.New(t)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -26,7 +32,7 @@
 	reserved, err := ports.Reserve(1)
 	is.NoErr(err)
 	t.Cleanup(reserved.Release)
-	p = New(reserved.Addresses[0], listener.Addr().String(), 1)
+	p = New(reserved.Addresses[0], listener.Addr().String(), 1, sources)
 	is.NoErr(p.Open())
 	t.Cleanup(p.Close)
 	near, err := net.Dial("tcp4", p.Address())
@@ -146,3 +152,29 @@
 	pass(t, client, server)
 	is.True(time.Since(start) >= 2*quiet)
 }
+
+// oneSource names the same source for all connections.
+type oneSource string
+
+func (s oneSource) Source(net.Addr, net.Addr) string { return string(s) }
+
+// Guards against faults of one source that affect another, or that end with a fault of all connections.
+func TestFaultsOfASource(t *testing.T) {
+	is := is.New(t)
+	p, client, server := connectFrom(t, oneSource("a"))
+	p.SetSourceFaults(map[string]Fault{"b": {Kind: FaultSilent}})
+	pass(t, client, server)
+	p.SetSourceFaults(map[string]Fault{"a": {Kind: FaultSilentRequests}})
+	_, err := client.Write([]byte("y"))
+	is.NoErr(err)
+	is.True(!arrives(server))
+	pass(t, server, client)
+	p.SetFault(Fault{})
+	is.True(!arrives(server))
+	p.SetSourceFaults(nil)
+	_, err = io.ReadFull(server, make([]byte, 1))
+	is.NoErr(err)
+	p.SetSourceFaults(map[string]Fault{"a": {Kind: FaultReset}})
+	_, err = client.Read(make([]byte, 1))
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
