--- a/internal/dev/soak/seeds_test.go
+++ b/internal/dev/soak/seeds_test.go
@@ -19,6 +19,12 @@
 
 // playShort builds the program and plays a seed, which takes about 20 s.
 func playShort(t *testing.T, seed uint64, theme, cause string) {
+	t.Helper()
+	playFor(t, 6*time.Second, seed, theme, cause)
+}
+
+// playFor is playShort with faults that begin in the given time.
+func playFor(t *testing.T, duration time.Duration, seed uint64, theme, cause string) {
 	t.Helper()
 	bin := t.TempDir()
 	build, err := exec.Command("go", "build", "-o", bin, "peridotmoor.org/peridotmoor/cmd/peridotmoor-entry").CombinedOutput()
@@ -26,7 +32,7 @@
 		t.Fatalf("%v: %s", err, build)
 	}
 	o := DefaultOptions()
-	o.ProgramDir, o.Seed, o.Theme, o.Duration = bin, seed, theme, 6*time.Second
+	o.ProgramDir, o.Seed, o.Theme, o.Duration = bin, seed, theme, duration
 	var out bytes.Buffer
 	if err := Run(t.Context(), o, &out); err != nil {
 		t.Errorf("%v; this seed is kept because %s\n%s", err, cause, &out)
@@ -62,3 +68,9 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playShort(t, seed, "backpressure", cause) })
 	}
 }
+
+// Guards against a holder that grants keys beside its successor while its failure domain is
+// cut off from the other ones and the store for 16 s.
+func TestTwoOwnersWhileTheDomainOfTheHolderIsCutOff(t *testing.T) {
+	playFor(t, 3*time.Second, 8, "holder cuts", "the holder went on for 15 s with the followers of its own domain")
+}
