Let the end of an elected process prove nothing about the writer of the record

A process that finds the key of its own predecessor waited 7 s for grants: that process has ended, and the record said that its writer had waited for all holders before it. But the writer need not be the tenure in the key. A holder that was killed between its election and its claim leaves the record of the holder before it, which may go on without the store for 15 s, with grants of 6 s. The 7 s hold only if the tenure in the key wrote the record; otherwise the bound is the 22 s for unknown holders.

--- a/internal/holder/elector.go
+++ b/internal/holder/elector.go
@@ -105,7 +105,7 @@
 			// the lease expires.
 			sleep(ctx, storeRetryDelay)
 		case holder.Name == e.self.Name:
-			e.elect(ctx, predecessor{revision: entry.Revision, grantsBound: maxInheritedGrant})
+			e.elect(ctx, predecessor{revision: entry.Revision, tenureName: holder.tenureName(), grantsBound: maxInheritedGrant})
 		default:
 			lost = holder
 			e.follow(ctx, holder, entry.Revision)
--- a/internal/holder/exclusion_test.go
+++ b/internal/holder/exclusion_test.go
@@ -197,7 +197,7 @@
 	i.process++
 	i.frozen = false
 	if m.key != nil && m.key.host == i && m.key.ended && i.reachesStore() && !i.removed { // finds the key of its predecessor
-		m.elect(i, predecessor{revision: 1, grantsBound: maxInheritedGrant})
+		m.elect(i, predecessor{revision: 1, tenureName: m.key.records.tenureName, grantsBound: maxInheritedGrant})
 	}
 }
 
@@ -210,7 +210,7 @@
 	claimed.Holder, claimed.InheritedGrantsPending = name, true
 	claimed.Services = map[string][]owners.RecordRange{"s": nil}
 	m.apply(modelWrite{revision: m.revision, record: claimed})
-	until := m.now.Add(inheritedGrantsBound(replaced.grantsBound, found))
+	until := m.now.Add(inheritedGrantsBound(replaced, found.Holder, found))
 	f := i.newFollower()
 	f.JoinedAt, f.ProvedAt = m.now, m.now
 	h := &modelTenure{host: i, leaseEndsAt: m.now.Add(leaseTTL), revision: m.revision, tickedAt: m.now, Coordinator: &Coordinator{
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -89,15 +89,16 @@
 // inheritedGrantsBound returns how long grants of earlier holders may remain valid.
 // Proof that the last holder has ended says nothing about the holders before it: they
 // may still renew grants without the store, unless the last holder had waited until
-// they could not.
-func inheritedGrantsBound(lastHolderBound time.Duration, found owners.Record) time.Duration {
+// they could not. Only the record that it has written tells that: a holder that ends
+// between its election and its claim leaves the record of the holder before it.
+func inheritedGrantsBound(replaced predecessor, recordWriter string, found owners.Record) time.Duration {
 	switch {
 	case found.Epoch == 1 && len(found.Services) == 0:
 		return 0
-	case lastHolderBound == 0 || found.InheritedGrantsPending:
+	case replaced.grantsBound == 0 || found.InheritedGrantsPending || recordWriter != replaced.tenureName:
 		return maxStoreOutage + maxInheritedGrant
 	}
-	return lastHolderBound
+	return replaced.grantsBound
 }
 
 // acquireLease writes the holder's key under a new lease. The lease that it returns
@@ -137,7 +138,7 @@
 	if found.RangesLost {
 		e.log.Emit(events.OwnerRecordReplaced, "epoch", found.Epoch)
 	}
-	c := newCoordinator(ctx, cancel, e, records, found, startedAt.Add(inheritedGrantsBound(replaced.grantsBound, found)))
+	c := newCoordinator(ctx, cancel, e, records, found, startedAt.Add(inheritedGrantsBound(replaced, records.replacedTenure, found)))
 	c.leaseConfirmedAt.Store(&startedAt)
 	e.log.Emit(events.HolderElected, "epoch", found.Epoch)
 	e.coordinator.Store(c)
--- a/internal/holder/predecessor.go
+++ b/internal/holder/predecessor.go
@@ -6,6 +6,8 @@
 type predecessor struct {
 	// revision is that of the holder's key, or 0 if there is no key.
 	revision uint64
+	// tenureName is that of the tenure in the key, or empty if there is no readable key.
+	tenureName string
 	// grantsBound limits how long grants of the holder may remain valid; 0 means that no
 	// limit is known.
 	grantsBound time.Duration
--- a/internal/holder/recordstore.go
+++ b/internal/holder/recordstore.go
@@ -30,6 +30,9 @@
 	leaseConfirmedAt func() time.Time
 	// revision is the revision of the record when it was last read or written.
 	revision uint64
+	// replacedTenure is the tenure whose record claim has replaced, or empty if there was no
+	// readable record.
+	replacedTenure string
 	// spoiledAt is when write found a record that no holder has written, or the zero time.
 	spoiledAt time.Time
 }
@@ -41,6 +44,7 @@
 		record, err := s.readForClaim(ctx)
 		s.spoiledAt = time.Time{}
 		if err == nil && record.Holder != s.tenureName {
+			s.replacedTenure = record.Holder
 			record.Epoch++
 			record.Holder = s.tenureName
 			claimed := record
--- a/internal/holder/spoiled_test.go
+++ b/internal/holder/spoiled_test.go
@@ -112,12 +112,13 @@
 			is.NoErr(err)
 			is.True(found.Epoch > last)
 			is.True(found.RangesLost)
-			is.Equal(inheritedGrantsBound(maxInheritedGrant, found), maxStoreOutage+maxInheritedGrant)
+			is.Equal(inheritedGrantsBound(predecessor{grantsBound: maxInheritedGrant}, records.replacedTenure, found), maxStoreOutage+maxInheritedGrant)
 			// The next holder must wait as well, if this one ends before its first plan.
-			found, err = (&recordStore{store: withKey(shared), tenureName: "after", followedHolder: true}).claim(ctx)
+			records = &recordStore{store: withKey(shared), tenureName: "after", followedHolder: true}
+			found, err = records.claim(ctx)
 			is.NoErr(err)
 			is.True(found.RangesLost)
-			is.Equal(inheritedGrantsBound(maxInheritedGrant, found), maxStoreOutage+maxInheritedGrant)
+			is.Equal(inheritedGrantsBound(predecessor{tenureName: "next", grantsBound: maxInheritedGrant}, records.replacedTenure, found), maxStoreOutage+maxInheritedGrant)
 		})
 	}
 }
