Begin a new stay at a holder after an own tenure

An instance counts for a holder that goes on without the store if it joined it before the lease was last confirmed and has joined no other since. The count of changes that tells this rose only when an instance joined another one, not when it was the holder itself. Such an instance counts among the followers of its own tenure, which may end the wait for earlier grants.

TestInstanceThatWasTheHolderBeginsANewStay failed before: the stay after the tenure was the same as the one before it. go test -race ./internal/holder passes.

--- a/internal/holder/elector.go
+++ b/internal/holder/elector.go
@@ -38,8 +38,8 @@
 	coordinator atomic.Pointer[Coordinator]
 	// current is the holder that this instance is or follows, or nil.
 	current atomic.Pointer[Identity]
-	// joinedTenure is the tenure that this process tried to join last, and holderChanges
-	// how often that was another one than before. They are used only by Run.
+	// joinedTenure is the tenure that this process had itself or tried to join last, and
+	// holderChanges how often that was another one than before. They are used only by Run.
 	joinedTenure  string
 	holderChanges uint64
 	// peers holds the addresses of some other instances, or nil.
@@ -59,6 +59,15 @@
 	return link.Member{Instance: e.self.String(), HolderChanges: e.holderChanges, Domain: e.self.Domain, Address: e.self.Address, ProcessorShare: e.processorShare, Stopping: e.plannedStop.isStopping(), Ending: e.plannedStop.isEnding()}
 }
 
+// changeTenure counts a change of holder if this process last had or tried to join another
+// tenure. Until it does so again it counts as a follower of this one only.
+func (e *Elector) changeTenure(holder Identity) {
+	if tenure := holder.tenureName(); tenure != e.joinedTenure {
+		e.joinedTenure = tenure
+		e.holderChanges++
+	}
+}
+
 // Join adds a follower. It returns false unless this instance is the holder.
 func (e *Elector) Join(f *link.Follower) bool {
 	c := e.coordinator.Load()
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -30,10 +30,7 @@
 // follow joins the holder. It returns when the link has ended, or when the holder has
 // lost its key, which this instance notices if it can reach the store.
 func (e *Elector) follow(ctx context.Context, holder Identity, revision uint64) {
-	if tenure := holder.tenureName(); tenure != e.joinedTenure {
-		e.joinedTenure = tenure
-		e.holderChanges++ // before the first attempt, which may succeed unnoticed
-	}
+	e.changeTenure(holder) // before the first attempt, which may succeed unnoticed
 	for range maxRejectedJoins {
 		receiver, onDown := e.client.NewReceiver()
 		var accepted atomic.Bool // a holder sends the facts to each instance that joins
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -141,6 +141,7 @@
 	c := newCoordinator(ctx, cancel, e, records, found, startedAt.Add(inheritedGrantsBound(replaced, records.replacedTenure, found)))
 	c.leaseConfirmedAt.Store(&startedAt)
 	e.log.Emit(events.HolderElected, "epoch", found.Epoch)
+	e.changeTenure(self) // before its own instance counts among the followers
 	e.coordinator.Store(c)
 	e.current.Store(&self)
 	loopDone := make(chan struct{})
