Forget the fleet of a spoiled key with the claim of the record

A holder that replaces one whose key another program has spoiled may not rely on the fleet: the other one may have its lease. It forgot the fleet after its claim, which still had it. Now the claim names no fleet.

TestSpoiledKeyForgetsTheFleetWithTheClaim/key_spoiled failed before: the record had the fleet of the earlier holder.

--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -123,7 +123,7 @@
 func (e *Elector) lead(parent context.Context, self Identity, lease store.LeaseID, startedAt time.Time, replaced predecessor) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
-	records := &recordStore{store: e.store, tenureName: self.tenureName(), followedHolder: e.registry.Snapshot().Epoch > 0}
+	records := &recordStore{store: e.store, tenureName: self.tenureName(), followedHolder: e.registry.Snapshot().Epoch > 0, forgetFleet: replaced.mayHoldLease}
 	claimCtx, cancelClaim := context.WithTimeout(ctx, leaseTTL)
 	found, err := records.claim(claimCtx)
 	cancelClaim()
@@ -132,9 +132,6 @@
 		e.revokeLease(lease)
 		return
 	}
-	if replaced.mayHoldLease {
-		found.Fleet = nil
-	}
 	if found.RangesLost {
 		e.log.Emit(events.OwnerRecordReplaced, "epoch", found.Epoch)
 	}
--- a/internal/holder/recordstore.go
+++ b/internal/holder/recordstore.go
@@ -26,6 +26,9 @@
 	// followedHolder is set if this instance knows the owners that an earlier holder has
 	// published, so that there was a record.
 	followedHolder bool
+	// forgetFleet is set if an earlier holder may act without its fleet, so that neither this
+	// holder nor a successor may rely on the fleet in the record.
+	forgetFleet bool
 	// leaseConfirmedAt returns when the lease was last confirmed, or the zero time.
 	leaseConfirmedAt func() time.Time
 	// revision is the revision of the record when it was last read or written.
@@ -47,6 +50,9 @@
 			s.replacedTenure = record.Holder
 			record.Epoch++
 			record.Holder = s.tenureName
+			if s.forgetFleet {
+				record.Fleet = nil
+			}
 			claimed := record
 			claimed.InheritedGrantsPending, claimed.Yielded = true, false
 			err = s.write(ctx, claimed)
