Ask the new process of a restarted owner to release its keys

A grant names a server, not an incarnation. A renewal for a process that has ended may reach the one that was started in its place under the same name, before the list shows it. When the keys moved to another server, the list's new incarnation was taken for the end of the grant and the keys were granted at once, while the new process held them by that renewal for up to 3 s (6 s during an outage). The same happened after a change of holder. Now the release goes to the new process, and the move waits for its answer or for the expiry. A server that gets its own keys again still does so at once, as its grant has a higher fence; the expiry of the earlier grants is kept for a later move.

TestRestartedOwnerReleasesItsKeys failed before (one order, the grant), TestUnresponsiveRestartedOwnerKeepsItsKeysUntilTheGrantExpires (granted before 3 s) and TestKeysOfARestartedOwnerMoveOnOnceTheirGrantHasEnded (granted at once) too. go test -race ./internal/owners ./internal/holder passes.

--- a/internal/owners/orders.go
+++ b/internal/owners/orders.go
@@ -100,16 +100,38 @@
 	return false
 }
 
-// releaseIfEnded continues a move without an answer of the previous owner if its
-// grant has expired or another incarnation of it is listed.
+// releaseIfEnded continues a move without an answer of the previous owner if its grant
+// has expired. A grant names no incarnation: if another one of the previous owner is listed,
+// the last grants may have reached that one, which must release the range in its place,
+// unless it is to get the range itself.
 func (t *Table) releaseIfEnded(now time.Time, service string, r *rangeState, incarnations IncarnationLookup) {
-	current, listed := incarnations.Current(service, r.previous.Server.Name)
-	restarted := listed && current != r.previous.Server && r.previous.Server.StartMS != 0
-	if restarted && !r.previous.Ambiguous || now.After(r.previous.ExpiresBy) {
+	previous := r.previous
+	current, listed := incarnations.Current(service, previous.Server.Name)
+	restarted := listed && current != previous.Server && previous.Server.StartMS != 0
+	switch {
+	case now.After(previous.ExpiresBy):
+		t.finishRelease(r, r.handover)
+	case !restarted || previous.Ambiguous:
+	case r.owner.Name == current.Name:
+		r.expiresBy = later(r.expiresBy, previous.ExpiresBy)
+		r.unansweredUntil = later(r.unansweredUntil, previous.UnansweredUntil)
 		t.finishRelease(r, r.handover)
+	default:
+		t.releaseFrom(r, current)
 	}
 }
 
+// releaseFrom makes a new process of the previous owner release the range.
+func (t *Table) releaseFrom(r *rangeState, restarted fleet.Incarnation) {
+	previous := r.previous
+	previous.Server = restarted
+	if previous.supersedingGrants >= maxSupersedingGrants {
+		previous.supersedingGrants, previous.ExpiryOnly = 0, false // the old process did not answer them
+	}
+	r.version = t.newPlanVersion()
+	r.orderInFlight, r.nextOrderAt = false, time.Time{}
+}
+
 func (t *Table) finishRelease(r *rangeState, handover string) {
 	r.previous = nil
 	r.handover = handover
