Take back only the expiry that an unsent order has added

An order that was not sent reset the expiry of the grant to what it was before the order. The result of an earlier order that arrived meanwhile was lost with it: after a split, renewals of the whole range and of its parts are in flight at the same time, and in a process without processor time the earlier one ends late. The keys were then granted to another server 2.4 s too early. It also brought back the 22 s assumed for earlier holders after these had been shortened.

--- a/internal/owners/order.go
+++ b/internal/owners/order.go
@@ -25,6 +25,15 @@
 	AnswerMustBeOwn bool
 	version         uint64
 	number          uint64
-	// previousExpiry is the expiry of the grant before this order.
-	previousExpiry time.Time
+	// previousExpiry is the expiry of the grant before this order, and assumedExpiry with it.
+	previousExpiry, assumedExpiry time.Time
+}
+
+// withdrawnExpiry returns the expiry of the grant once it is known that nothing of the order
+// has reached the server. What else has changed the expiry meanwhile remains.
+func (o Order) withdrawnExpiry(expiry time.Time) time.Time {
+	if expiry.Equal(o.assumedExpiry) {
+		return o.previousExpiry
+	}
+	return expiry
 }
--- a/internal/owners/orders.go
+++ b/internal/owners/orders.go
@@ -49,9 +49,8 @@
 		order.Action, order.Server, order.Fence = ActionGrant, r.owner, r.fence
 		order.GrantDuration, order.Handover = t.grantDuration, r.handover
 		order.previousExpiry = r.expiresBy
-		if expiry := grantExpiry(now.Add(OrderTimeout), t.grantDuration); expiry.After(r.expiresBy) {
-			r.expiresBy = expiry
-		}
+		r.expiresBy = later(r.expiresBy, grantExpiry(now.Add(OrderTimeout), t.grantDuration))
+		order.assumedExpiry = r.expiresBy
 	default:
 		return Order{}, false
 	}
@@ -81,9 +80,8 @@
 		order.Action, order.Fence, order.GrantDuration = ActionGrant, previous.Fence, t.grantDuration
 		order.AnswerMustBeOwn = true
 		order.previousExpiry = previous.ExpiresBy
-		if expiry := grantExpiry(now.Add(OrderTimeout), t.grantDuration); expiry.After(previous.ExpiresBy) {
-			previous.ExpiresBy = expiry
-		}
+		previous.ExpiresBy = later(previous.ExpiresBy, grantExpiry(now.Add(OrderTimeout), t.grantDuration))
+		order.assumedExpiry = previous.ExpiresBy
 		return
 	}
 	order.Action, order.Fence, order.AnswerMustBeOwn = ActionRelease, previous.Fence, true
--- a/internal/owners/results.go
+++ b/internal/owners/results.go
@@ -103,7 +103,7 @@
 		t.finishRelease(r, "")
 	default:
 		if result.Outcome == OutcomeUnsent || result.Outcome == OutcomeRefused {
-			r.previous.ExpiresBy = result.Order.previousExpiry
+			r.previous.ExpiresBy = result.Order.withdrawnExpiry(r.previous.ExpiresBy)
 		}
 		r.previous.unresponsive = true
 		r.nextOrderAt = result.Ended.Add(retryInterval)
@@ -152,7 +152,7 @@
 		t.ended[r.owner] = result.Ended.Add(suspectDuration)
 	default:
 		if result.Outcome == OutcomeUnsent || result.Outcome == OutcomeRefused {
-			r.expiresBy = result.Order.previousExpiry
+			r.expiresBy = result.Order.withdrawnExpiry(r.expiresBy)
 		}
 		t.countFailure(r.owner, result.Ended)
 		r.nextOrderAt = result.Ended.Add(retryInterval)
