--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -136,10 +136,7 @@
 		e.log.Emit(events.OwnerRecordReplaced, "epoch", found.Epoch)
 	}
 	c := newCoordinator(ctx, cancel, e, records, found, startedAt.Add(inheritedGrantsBound(replaced, records.replacedTenure, found)))
-	// A claim that took longer may have replaced that of a successor. A renewal tells.
-	if time.Since(startedAt) < leaseTTL {
-		c.leaseConfirmedAt.Store(&startedAt)
-	}
+	c.confirmElection(startedAt, time.Now())
 	e.log.Emit(events.HolderElected, "epoch", found.Epoch)
 	e.changeTenure(self) // before its own instance counts among the followers
 	e.coordinator.Store(c)
--- a/internal/holder/planning.go
+++ b/internal/holder/planning.go
@@ -66,31 +66,20 @@
 	c.storeRecord(now)
 }
 
-// storeRecord writes the record of owners in the background. It does so at once if
-// moves cannot begin before they are stored or this instance yields, after
-// recordCleanupDelay if only the end of moves must be recorded, and after
-// fleetRecordDelay if only the fleet has changed.
-func (c *Coordinator) storeRecord(now time.Time) {
+// recordDue reports whether the record of owners must be written: at once if moves cannot
+// begin before they are stored or this instance yields, after recordCleanupDelay if only the
+// end of moves must be recorded, and after fleetRecordDelay if only the fleet has changed.
+func (c *Coordinator) recordDue(now time.Time) bool {
 	due := c.table.Dirty() && (c.table.HasUnstoredMoves() || now.Sub(c.storedAt) >= recordCleanupDelay) || c.fleetRecordDue(now)
-	if c.storing || !due && !c.yieldPlanned {
+	return !c.storing && (due || c.yieldPlanned)
+}
+
+// storeRecord writes the record of owners in the background if that is due.
+func (c *Coordinator) storeRecord(now time.Time) {
+	if !c.recordDue(now) {
 		return
 	}
-	c.storing = true
-	c.storedAt = now
-	version := c.table.PlanVersion()
-	record := c.table.Record()
-	record.Fleet = c.fleetToRecord(now)
-	c.quorum.Propose(record.Fleet)
-	record.MaxProcessorShare = max(c.processorShare, c.maxCandidateShare())
-	record.Yielded = c.yieldPlanned
-	record.InheritedGrantsPending = !c.table.InheritedGrantsEnded(now)
-	record.RangesLost = c.table.RangesLost(now)
-	record.Addresses = map[string]string{}
-	for incarnation := range record.Incarnations() {
-		if server := c.findServer(incarnation); server != nil {
-			record.Addresses[incarnation.String()] = string(server.Address)
-		}
-	}
+	record, version := c.newRecord(now)
 	go func() {
 		err := c.records.write(c.ctx, record)
 		if errors.Is(err, ErrSuperseded) {
@@ -106,17 +95,46 @@
 			c.log.Emit(events.OwnerRecordStored, "epoch", record.Epoch, "version", version)
 		}
 		c.enqueue(func() {
-			c.storing = false
-			if err == nil {
-				c.table.MarkStored(version)
-				c.quorum.Confirm(record.Fleet)
-				if record.Yielded {
-					c.yielding.Store(true)
-					c.endTenure()
-					return
-				}
+			c.recordWritten(record, version, err)
+			if !c.yielding.Load() {
+				c.tick()
 			}
-			c.tick()
 		})
 	}()
 }
+
+// newRecord begins a write of the record. It returns the record, which counts as possibly
+// stored from now on, and the version of its plan.
+func (c *Coordinator) newRecord(now time.Time) (owners.Record, uint64) {
+	c.storing = true
+	c.storedAt = now
+	record := c.table.Record()
+	record.Fleet = c.fleetToRecord(now)
+	c.quorum.Propose(record.Fleet)
+	record.MaxProcessorShare = max(c.processorShare, c.maxCandidateShare())
+	record.Yielded = c.yieldPlanned
+	record.InheritedGrantsPending = !c.table.InheritedGrantsEnded(now)
+	record.RangesLost = c.table.RangesLost(now)
+	record.Addresses = map[string]string{}
+	for incarnation := range record.Incarnations() {
+		if server := c.findServer(incarnation); server != nil {
+			record.Addresses[incarnation.String()] = string(server.Address)
+		}
+	}
+	return record, c.table.PlanVersion()
+}
+
+// recordWritten ends a write of the record. If the record is stored, its moves begin and its
+// fleet is the only one that a successor can find.
+func (c *Coordinator) recordWritten(record owners.Record, version uint64, err error) {
+	c.storing = false
+	if err != nil {
+		return
+	}
+	c.table.MarkStored(version)
+	c.quorum.Confirm(record.Fleet)
+	if record.Yielded {
+		c.yielding.Store(true)
+		c.endTenure()
+	}
+}
--- a/internal/holder/tenure.go
+++ b/internal/holder/tenure.go
@@ -20,6 +20,14 @@
 	return now.Sub(*leaseConfirmedAt) < leaseTTL || c.retainedShare(now, *leaseConfirmedAt) >= 1
 }
 
+// confirmElection takes the lease for confirmed at the start of the election, unless the claim
+// took so long that it may have replaced that of a successor. Then a renewal has to show it.
+func (c *Coordinator) confirmElection(startedAt, claimedAt time.Time) {
+	if claimedAt.Sub(startedAt) < leaseTTL {
+		c.leaseConfirmedAt.Store(&startedAt)
+	}
+}
+
 // lastLeaseConfirmation returns when the lease was last known to be held by this process,
 // or the zero time if that must be confirmed again.
 func (c *Coordinator) lastLeaseConfirmation() time.Time {
