--- a/internal/holder/recordstore.go
+++ b/internal/holder/recordstore.go
@@ -26,10 +26,16 @@
 	// followedHolder is set if this instance knows the owners that an earlier holder has
 	// published, so that there was a record.
 	followedHolder bool
+	// forgetFleet is set if an earlier holder may act without its fleet, so that neither this
+	// holder nor a successor may rely on the fleet in the record.
+	forgetFleet bool
 	// leaseConfirmedAt returns when the lease was last confirmed, or the zero time.
 	leaseConfirmedAt func() time.Time
 	// revision is the revision of the record when it was last read or written.
 	revision uint64
+	// replacedTenure is the tenure whose record claim has replaced, or empty if there was no
+	// readable record.
+	replacedTenure string
 	// spoiledAt is when write found a record that no holder has written, or the zero time.
 	spoiledAt time.Time
 }
@@ -41,8 +47,12 @@
 		record, err := s.readForClaim(ctx)
 		s.spoiledAt = time.Time{}
 		if err == nil && record.Holder != s.tenureName {
+			s.replacedTenure = record.Holder
 			record.Epoch++
 			record.Holder = s.tenureName
+			if s.forgetFleet {
+				record.Fleet = nil
+			}
 			claimed := record
 			claimed.InheritedGrantsPending, claimed.Yielded = true, false
 			err = s.write(ctx, claimed)
