Reset connections to servers when the process ends

Cause: SO_LINGER 0 was set only when a connection was abandoned. When a process is killed, its kernel closes the connections without a reset and goes on sending what it has not delivered, until TCP_USER_TIMEOUT (0.8 s) has passed. A grant could so reach its server up to 0.9 s after it was written. All waits of successors reckon with 0.4 s, the timeout of an order.

Change: the option is set when the connection is dialed. All connections of backhttp end with a reset anyway, so that nothing changes while the process runs.

Measured: TestKernelDropsTheRequestOfAKilledProcess kills a child process whose request lies in its send buffer, as the peer reads nothing. The stand-in is a closed receive window; loopback loses no packets, so that a retransmission after a cut is not shown. The options are checked by getsockopt.

--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -60,15 +60,13 @@
 	return out
 }
 
-// abort resets the connection, which discards bytes that are still in transit.
+// abort resets the connection (see sockopt.ResetOnClose), which discards bytes that have
+// not been delivered.
 func (c *conn) abort() {
 	if c.closed.Swap(true) {
 		return
 	}
 	c.closeAborted()
-	if tcp, ok := c.net.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // fails only on a connection that is closed already
-	}
 	_ = c.net.Close() // the connection is abandoned; an error needs no handling
 }
 
--- a/internal/backhttp/pool.go
+++ b/internal/backhttp/pool.go
@@ -31,7 +31,11 @@
 		address:   address,
 		resetWait: resetWait,
 		budget:    processBudget,
-		dialer:    net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: sockopt.UserTimeout(unackedTimeout)},
+		dialer: net.Dialer{
+			Timeout: dialTimeout, KeepAlive: -1,
+			// No bytes of a request may outlive it, or the process: see Do.
+			Control: sockopt.Controls(sockopt.UserTimeout(unackedTimeout), sockopt.ResetOnClose),
+		},
 	}
 }
 
@@ -41,7 +45,8 @@
 }
 
 // Do sends the request and waits for the complete response, or for the start of a
-// long one. The caller must release the response. When ctx ends first, the connection is
+// long one. After an error, and after the process has ended, the kernel sends no more bytes
+// of the request. The caller must release the response. When ctx ends first, the connection is
 // reset, which tells the server to cancel its work. That holds until the remainder of a
 // long response is closed: ctx must not end before. The error is a *RequestError.
 func (p *Pool) Do(ctx context.Context, request *Request) (*Response, error) {
--- a/internal/sockopt/usertimeout.go
+++ b/internal/sockopt/usertimeout.go
@@ -1,7 +1,7 @@
-// Package sockopt gives access to sockets beyond what package net supports.
 package sockopt
 
 import (
+	"net"
 	"syscall"
 	"time"
 
@@ -11,17 +11,36 @@
 // tcpUserTimeout is Linux's TCP_USER_TIMEOUT, which package syscall does not define.
 const tcpUserTimeout = 0x12
 
-// UserTimeout returns a Control function for net.Dialer and net.ListenConfig that makes
-// the kernel close connections on which sent data stays unacknowledged for the timeout.
-func UserTimeout(timeout time.Duration) func(network, address string, raw syscall.RawConn) error {
+// UserTimeout returns a Control that makes the kernel close connections on which sent
+// data stays unacknowledged for the timeout.
+func UserTimeout(timeout time.Duration) Control {
 	return func(_, _ string, raw syscall.RawConn) error {
-		var failure error
-		err := raw.Control(func(fd uintptr) {
-			failure = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(timeout.Milliseconds()))
-		})
-		if err == nil {
-			err = failure
-		}
+		return setUserTimeout(raw, timeout)
+	}
+}
+
+// SetUserTimeout changes the timeout that UserTimeout sets, on an open connection. It does
+// nothing if c is not a socket.
+func SetUserTimeout(c net.Conn, timeout time.Duration) error {
+	source, ok := c.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
 		return errors.Wrap(err, "set TCP_USER_TIMEOUT")
 	}
+	return setUserTimeout(raw, timeout)
+}
+
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) {
+		// 0 would stand for the kernel's own limit of several minutes.
+		failure = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, max(1, int(timeout.Milliseconds())))
+	})
+	if err == nil {
+		err = failure
+	}
+	return errors.Wrap(err, "set TCP_USER_TIMEOUT")
 }
