Look at the clocks right before a request is written

Cause: only the timer of a request's context kept it from being written after its deadline. A process that was stopped or starved runs that timer after whatever has become ready meanwhile, such as a connection that its kernel has opened. A grant could so be written seconds late. While the machine is suspended, the timer does not count at all.

Change: the pool compares the deadline with the clock as the last step before the write, and a new limit, SendBy, with the clock that counts suspensions. A request that is too late has not been sent, and its connection stays in use.

Measured: TestStoppedProcessDoesNotWriteLate stops a child process while it connects, lets the kernel connect, and continues it after its deadline. SendBy is not set by anything yet. What remains is a stop between the check and the system call.

--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -53,6 +53,7 @@
 		reader:       bufio.NewReaderSize(source, readBufferBytes),
 		aborted:      ctx.Done(),
 		closeAborted: cancel,
+		idleSince:    time.Now(),
 		idleTimeout:  defaultIdleTimeout,
 	}
 	out.reusable.Store(true)
--- /dev/null
+++ b/internal/backhttp/expired_test.go
@@ -0,0 +1,123 @@
+package backhttp
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/boottime"
+)
+
+// lateTimerContext has a deadline whose timer has not run yet.
+type lateTimerContext struct {
+	context.Context
+	deadline time.Time
+}
+
+func (c lateTimerContext) Deadline() (time.Time, bool) { return c.deadline, true }
+
+// Guards against a request that is written after its time, since the timer of its deadline
+// was late or the machine was suspended, and against a connection lost for that.
+func TestExpiredRequestIsNotWritten(t *testing.T) {
+	for name, c := range map[string]struct {
+		deadline time.Time
+		sendBy   boottime.Instant
+	}{
+		"deadline passed, timer late":          {deadline: time.Now()},
+		"suspended, before the deadline":       {deadline: time.Now().Add(time.Hour), sendBy: boottime.Now()},
+		"suspended, without a deadline at all": {sendBy: boottime.Now()},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			received := make(chan string, 3)
+			pool := newBackendPool(t, func(conn net.Conn, r *bufio.Reader, _ int) {
+				for {
+					got, ok := readRequest(r)
+					if !ok {
+						return
+					}
+					received <- got.Header.Get("Id")
+					fmt.Fprint(conn, responseText(got.Header.Get("Id"), "whole"))
+				}
+			})
+			_, err := pool.Do(context.Background(), newRequest("first")) // opens the connection
+			is.NoErr(err)
+			is.Equal(<-received, "first")
+			ctx := context.Background()
+			if !c.deadline.IsZero() {
+				ctx = lateTimerContext{ctx, c.deadline}
+			}
+			late := newRequest("late")
+			late.SendBy = c.sendBy
+			_, err = pool.Do(ctx, late)
+			var failure *RequestError
+			is.True(errors.As(err, &failure))
+			is.True(failure.Expired)
+			is.True(!failure.Sent)
+			_, err = pool.Do(context.Background(), newRequest("next"))
+			is.NoErr(err)
+			is.Equal(<-received, "next")
+			is.Equal(pool.DialCount(), uint64(1))
+		})
+	}
+}
+
+// Guards against a request without a time to send it by that never leaves, or one that
+// is held back before its time.
+func TestRequestInTimeIsWritten(t *testing.T) {
+	is := is.New(t)
+	pool := newBackendPool(t, func(conn net.Conn, r *bufio.Reader, _ int) {
+		for {
+			got, ok := readRequest(r)
+			if !ok {
+				return
+			}
+			fmt.Fprint(conn, responseText(got.Header.Get("Id"), "whole"))
+		}
+	})
+	request := newRequest("a")
+	request.SendBy = boottime.Now().Add(time.Hour)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
+	defer cancel()
+	_, err := pool.Do(ctx, request)
+	is.NoErr(err)
+}
+
+// Guards against a grant that a process writes when it goes on after a stop in the middle
+// of a connection attempt, long after the deadline, since its timers run later.
+func TestStoppedProcessDoesNotWriteLate(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	raw, err := listener.(syscall.Conn).SyscallConn()
+	is.NoErr(err)
+	is.NoErr(raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), 0) })) // one connection fits, others wait
+	filler, err := net.Dial("tcp4", listener.Addr().String())
+	is.NoErr(err)
+	defer filler.Close()
+
+	const timeout = 2 * time.Second // longer than the kernel waits before it tries to connect again
+	child, lines := startChild(t, listener.Addr(), timeout)
+	awaitLine(t, lines, "sending")
+	time.Sleep(100 * time.Millisecond) // the child is waiting for its connection
+	is.NoErr(child.Process.Signal(syscall.SIGSTOP))
+	stopped := time.Now()
+	_, err = listener.Accept() // the filler's
+	is.NoErr(err)
+	accepted, err := listener.Accept() // the child's, which its kernel opens while it is stopped
+	is.NoErr(err)
+	defer accepted.Close()
+	time.Sleep(time.Until(stopped.Add(timeout)))
+	is.NoErr(child.Process.Signal(syscall.SIGCONT))
+	n, err := accepted.Read(make([]byte, 1))
+	is.Equal(n, 0) // bytes of the request
+	is.True(err != nil)
+}
--- a/internal/backhttp/pool.go
+++ b/internal/backhttp/pool.go
@@ -73,6 +73,9 @@
 }
 
 func (p *Pool) run(ctx context.Context, c *conn, x *exchange) (*Response, error) {
+	if x.request.expired(ctx) {
+		return nil, p.withdraw(c, x)
+	}
 	err := c.write(x.request)
 	if err != nil && c.pending.CompareAndSwap(x, nil) {
 		x.stopWatch()
@@ -100,6 +103,23 @@
 	return r.response, nil
 }
 
+// withdraw ends an exchange of which nothing has been written, and returns its error.
+func (p *Pool) withdraw(c *conn, x *exchange) error {
+	notCancelled := x.stopWatch()
+	switch {
+	case !c.pending.CompareAndSwap(x, nil): // closed, or the server has sent bytes without a request
+		c.abort()
+		if r := <-x.done; r.response != nil {
+			r.response.Release()
+		}
+	case notCancelled:
+		p.put(c)
+	default:
+		c.abort()
+	}
+	return &RequestError{Expired: true, Cause: errExpired}
+}
+
 // get returns an idle connection or, if there is none or mustBeNew is set, a new one, and
 // whether it is new.
 func (p *Pool) get(ctx context.Context, mustBeNew bool) (c *conn, isNew bool, err error) {
--- a/internal/backhttp/request.go
+++ b/internal/backhttp/request.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+
+	"peridotmoor.org/peridotmoor/internal/boottime"
 )
 
 // Request is one request to a backend server.
@@ -22,6 +24,9 @@
 	// server that takes no more connections accepts one and resets it at once. If that came
 	// after the request, nobody could tell whether it was run.
 	AwaitReset bool
+	// SendBy is the time from which the request must not be written, or none. Unlike the
+	// deadline of the context, it goes on while the machine is suspended.
+	SendBy boottime.Instant
 	// Match reports whether a response with these headers belongs to this request.
 	Match func(http.Header) Match
 }
--- a/internal/backhttp/requesterror.go
+++ b/internal/backhttp/requesterror.go
@@ -7,6 +7,9 @@
 	// Refused reports whether the connection was refused: no process listens at the
 	// address.
 	Refused bool
+	// Expired reports whether the connection was there, but this process came to write the
+	// request only after its time. That says nothing about the server.
+	Expired bool
 	Cause   error
 }
 
