Let the kernel give up the delivery of a request at its deadline

Cause: the process ends a connection whose request has reached its deadline. A process that is stopped after the write cannot, and its kernel goes on for TCP_USER_TIMEOUT, 0.8 s, where orders have 0.4 s.

Change: a request may ask that the kernel stops at its deadline as well (EndWithDeadline). The option is set for that request and taken back by the next one on the connection. The kernel ends it with the first retransmission after that time, so that a request that is written within the last 0.2 s of its time may still be sent once more.

Measured: TestKernelDropsTheRequestOfAStoppedProcessAtItsDeadline stops a child process with 0.4 s for its request and reads 0.7 s later.

--- a/internal/backhttp/child_test.go
+++ b/internal/backhttp/child_test.go
@@ -43,11 +43,12 @@
 	defer cancel()
 	fmt.Println("sending")
 	_, err = NewPool(address, time.Minute).Do(ctx, &Request{
-		Method:    http.MethodPost,
-		Head:      fmt.Appendf(nil, "POST /grant HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", childBodyBytes),
-		Body:      make([]byte, childBodyBytes),
-		Remainder: writtenReporter{},
-		Match:     func(http.Header) Match { return MatchProven },
+		Method:          http.MethodPost,
+		Head:            fmt.Appendf(nil, "POST /grant HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", childBodyBytes),
+		Body:            make([]byte, childBodyBytes),
+		Remainder:       writtenReporter{},
+		EndWithDeadline: true,
+		Match:           func(http.Header) Match { return MatchProven },
 	})
 	fmt.Println("ended:", err)
 }
--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/sockopt"
 )
 
 var (
@@ -42,19 +44,22 @@
 	idleSince        time.Time
 	// idleTimeout is how long the connection may stay idle before it is replaced.
 	idleTimeout time.Duration
+	// deliveryTimeout is how long the kernel tries to deliver bytes. Only writers use it.
+	deliveryTimeout time.Duration
 }
 
 func newConn(c net.Conn, b *budget) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	source := &headSource{net: c, budget: b, ctx: ctx}
 	out := &conn{
-		net:          c,
-		source:       source,
-		reader:       bufio.NewReaderSize(source, readBufferBytes),
-		aborted:      ctx.Done(),
-		closeAborted: cancel,
-		idleSince:    time.Now(),
-		idleTimeout:  defaultIdleTimeout,
+		net:             c,
+		source:          source,
+		reader:          bufio.NewReaderSize(source, readBufferBytes),
+		aborted:         ctx.Done(),
+		closeAborted:    cancel,
+		idleSince:       time.Now(),
+		idleTimeout:     defaultIdleTimeout,
+		deliveryTimeout: unackedTimeout,
 	}
 	out.reusable.Store(true)
 	go out.readLoop()
@@ -228,6 +233,19 @@
 	return nil
 }
 
+// limitDelivery sets how long the kernel may try to deliver the bytes of the request.
+func (c *conn) limitDelivery(ctx context.Context, request *Request) error {
+	limit := unackedTimeout
+	if deadline, limited := ctx.Deadline(); limited && request.EndWithDeadline {
+		limit = min(limit, time.Until(deadline))
+	}
+	if limit == c.deliveryTimeout {
+		return nil
+	}
+	c.deliveryTimeout = limit
+	return sockopt.SetUserTimeout(c.net, limit)
+}
+
 // readyForNext reports whether the connection may carry another request after one
 // whose write ended with err. It restores the write deadline if complete has changed
 // it because the response came before the write had ended.
--- a/internal/backhttp/killed_test.go
+++ b/internal/backhttp/killed_test.go
@@ -42,9 +42,31 @@
 	awaitLine(t, lines, "written")
 	is.NoErr(child.Process.Kill())
 	_, _ = child.Process.Wait() // the kernel has closed its sockets by then
-	request, err := http.ReadRequest(bufio.NewReader(server))
-	if err == nil {
-		_, err = io.Copy(io.Discard, request.Body)
+	is.True(!receivesWhole(server))
+}
+
+// Guards against a grant that reaches its server after its deadline, although the holder's
+// process was stopped after the write and cannot end the connection: the kernel went on.
+func TestKernelDropsTheRequestOfAStoppedProcessAtItsDeadline(t *testing.T) {
+	is := is.New(t)
+	listener := smallBufferListener(t)
+	const timeout = 400 * time.Millisecond
+	child, lines := startChild(t, listener.Addr(), timeout)
+	server, err := listener.Accept()
+	is.NoErr(err)
+	defer server.Close()
+	awaitLine(t, lines, "written")
+	is.NoErr(child.Process.Signal(syscall.SIGSTOP))
+	time.Sleep(unackedTimeout - 100*time.Millisecond) // past the deadline, and before other limits
+	is.True(!receivesWhole(server))
+}
+
+// receivesWhole reads from the connection and reports whether a whole request arrives.
+func receivesWhole(c net.Conn) bool {
+	request, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return false
 	}
-	is.True(err != nil) // the complete request has arrived
+	_, err = io.Copy(io.Discard, request.Body)
+	return err == nil
 }
--- a/internal/backhttp/pool.go
+++ b/internal/backhttp/pool.go
@@ -73,10 +73,13 @@
 }
 
 func (p *Pool) run(ctx context.Context, c *conn, x *exchange) (*Response, error) {
-	if x.request.expired(ctx) {
+	err := c.limitDelivery(ctx, x.request)
+	if x.request.expired(ctx) { // as late as possible
 		return nil, p.withdraw(c, x)
 	}
-	err := c.write(x.request)
+	if err == nil {
+		err = c.write(x.request)
+	}
 	if err != nil && c.pending.CompareAndSwap(x, nil) {
 		x.stopWatch()
 		c.abort()
