Bound the arrival of orders by clocks that stand still for nothing

Cause: an order could be written up to its timeout, 0.4 s, after it was made, and its bytes sent by the kernel for 0.8 s more if the process was stopped then; successors reckon with 0.4 s for both. A suspension of the machine between the decision and the write counted for nothing.

Change: an order is written within 170 ms of its making or not at all, counted from the look for a suspension by the clock that counts these. Its delivery ends with its deadline. The kernel retransmits once after 0.2 s, so that 170 + 230 ms are its timeout. An order that the holder itself came to too late says nothing about its server, and does not make it suspect.

--- a/internal/holder/constants.go
+++ b/internal/holder/constants.go
@@ -62,6 +62,12 @@
 	// its followers for a while, and its last grants may have the duration used during an
 	// outage. The last term allows for slow clocks and delays of timers.
 	inheritedGrantsTimeout = quorum.ProofValidity + owners.OrderTimeout + outageGrantDuration + 300*time.Millisecond
+	// orderDeliveryTimeout is how long the kernel may send an order again that is not
+	// acknowledged: it does so once, 200 ms and a round trip after the first time.
+	orderDeliveryTimeout = 230 * time.Millisecond
+	// orderSendTimeout is how long after its making an order may be written, so that it is
+	// delivered within its timeout even by a process that is stopped after the write.
+	orderSendTimeout = owners.OrderTimeout - orderDeliveryTimeout
 	// maxAnnouncedContents bounds the request contents that one heartbeat tells of, which
 	// takes a few KB for each follower.
 	maxAnnouncedContents = 64
--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"peridotmoor.org/peridotmoor/internal/boottime"
 	"peridotmoor.org/peridotmoor/internal/crashes"
 	"peridotmoor.org/peridotmoor/internal/events"
 	"peridotmoor.org/peridotmoor/internal/facts"
@@ -46,6 +47,9 @@
 	// tell when holders before it have ended.
 	foundFleet quorum.Fleet
 	suspension suspension
+	// mayActAt is when maySendOrders last looked for a suspension, on the clock that counts
+	// them.
+	mayActAt boottime.Instant
 	// ordersAllowed is what maySendOrders decided last by the lease or the followers, so
 	// that each change is logged once.
 	ordersAllowed bool
--- a/internal/holder/orders.go
+++ b/internal/holder/orders.go
@@ -14,7 +14,9 @@
 	if c.snapshot == nil {
 		return
 	}
+	sendBy := c.mayActAt.Add(orderSendTimeout - time.Since(now))
 	for _, order := range c.table.TakeDueOrders(now, listedIncarnations{c.snapshot}) {
+		order.SendBy = sendBy
 		server := c.findServer(order.Server)
 		if server == nil {
 			c.applyResult(owners.OrderResult{Order: order, Outcome: owners.OutcomeUnsent, Ended: now})
--- a/internal/holder/ordersender.go
+++ b/internal/holder/ordersender.go
@@ -9,7 +9,8 @@
 
 // OrderSender sends orders to backend servers.
 type OrderSender interface {
-	// SendOrder sends one order and returns its result. After it has returned, no part
-	// of the order can still arrive at the server.
+	// SendOrder sends one order and returns its result. It writes nothing once order.SendBy
+	// has passed. After it has returned, and after the deadline of ctx even if the process
+	// is stopped or killed, no part of the order is sent to the server any more.
 	SendOrder(ctx context.Context, server fleet.Server, order owners.Order) owners.OrderResult
 }
--- a/internal/holder/tenure.go
+++ b/internal/holder/tenure.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"peridotmoor.org/peridotmoor/internal/boottime"
 	"peridotmoor.org/peridotmoor/internal/events"
 	"peridotmoor.org/peridotmoor/internal/link"
 	"peridotmoor.org/peridotmoor/internal/link/linkpb"
@@ -74,6 +75,7 @@
 // maySendOrders reports whether this instance may still act as the holder. It also
 // sets the duration of new grants, which is longer during a store outage.
 func (c *Coordinator) maySendOrders(now time.Time) bool {
+	c.mayActAt = boottime.Now()
 	if c.suspension.noticed() {
 		c.log.Emit(events.MachineSuspended, "epoch", c.epoch)
 		c.leaseConfirmedAt.Store(nil)
--- a/internal/owners/order.go
+++ b/internal/owners/order.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"peridotmoor.org/peridotmoor/internal/boottime"
 	"peridotmoor.org/peridotmoor/internal/fleet"
 )
 
@@ -20,6 +21,9 @@
 	// CreatedAt is when the order was made. The caller must not send it long after,
 	// as the expiry that the table assumes counts from this time.
 	CreatedAt time.Time
+	// SendBy is the time from which the order must not be written, on the clock that goes
+	// on while the machine is suspended. The table does not set it.
+	SendBy boottime.Instant
 	// AnswerMustBeOwn is set if an answer must not be that to an earlier order: keys are
 	// granted to another server because of it. Renewals need no such answer.
 	AnswerMustBeOwn bool
--- a/internal/owners/orderresult.go
+++ b/internal/owners/orderresult.go
@@ -8,6 +8,9 @@
 	Outcome Outcome
 	// Ended is when the call ended. Nothing of it reaches the server later.
 	Ended time.Time
+	// Expired is set if the order was not sent because its sender came to it too late. That
+	// says nothing about the server.
+	Expired bool
 	// Handover is the state that a release returned for the next owner.
 	Handover string
 }
--- a/internal/owners/results.go
+++ b/internal/owners/results.go
@@ -105,7 +105,7 @@
 		if result.Outcome == OutcomeUnsent || result.Outcome == OutcomeRefused {
 			r.previous.ExpiresBy = result.Order.previousExpiry
 		}
-		r.previous.unresponsive = true
+		r.previous.unresponsive = r.previous.unresponsive || !result.Expired
 		r.nextOrderAt = result.Ended.Add(retryInterval)
 	}
 	return true
@@ -127,7 +127,7 @@
 		}
 		t.finishRelease(r, "")
 	default:
-		r.previous.unresponsive = true
+		r.previous.unresponsive = r.previous.unresponsive || !result.Expired
 		r.nextOrderAt = result.Ended.Add(retryInterval)
 	}
 }
@@ -154,7 +154,9 @@
 		if result.Outcome == OutcomeUnsent || result.Outcome == OutcomeRefused {
 			r.expiresBy = result.Order.previousExpiry
 		}
-		t.countFailure(r.owner, result.Ended)
+		if !result.Expired {
+			t.countFailure(r.owner, result.Ended)
+		}
 		r.nextOrderAt = result.Ended.Add(retryInterval)
 		if r.phase == PhaseHeld && result.Ended.After(r.expiresBy) {
 			r.phase = PhaseGranting
