End a request only once its connection is closed

Cause: closing a socket first ends the reads and writes in progress and then gives it up. The reader goroutine that was woken in between reported the request as ended, also if the goroutine that closes was interrupted there, so that the kernel could still send bytes of an order whose call had returned. The same held for the close of a long response that had come before the request was delivered.

Change: whoever finds the connection being aborted waits for it.

How often real sockets showed it was not measured; the time in between is below a microsecond unless the thread is interrupted.

--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -34,6 +34,8 @@
 	closed       atomic.Bool
 	aborted      <-chan struct{}
 	closeAborted context.CancelFunc
+	// released is closed once the kernel has given up the connection.
+	released chan struct{}
 	// reusable is cleared when the connection must not carry another request.
 	reusable atomic.Bool
 	// requestWritten is set once the write of the request has ended, with or without error.
@@ -57,6 +59,7 @@
 		reader:          bufio.NewReaderSize(source, readBufferBytes),
 		aborted:         ctx.Done(),
 		closeAborted:    cancel,
+		released:        make(chan struct{}),
 		idleSince:       time.Now(),
 		idleTimeout:     defaultIdleTimeout,
 		deliveryTimeout: unackedTimeout,
@@ -67,13 +70,16 @@
 }
 
 // abort resets the connection (see sockopt.ResetOnClose), which discards bytes that have
-// not been delivered.
+// not been delivered. When it returns, the kernel sends no more of them, even if another
+// goroutine aborts the connection: that one may have been interrupted in between.
 func (c *conn) abort() {
 	if c.closed.Swap(true) {
+		<-c.released
 		return
 	}
 	c.closeAborted()
 	_ = c.net.Close() // the connection is abandoned; an error needs no handling
+	close(c.released)
 }
 
 // readLoop is the body of the reader goroutine. It fails the pending request, if any,
@@ -171,7 +177,7 @@
 		return nil
 	}
 	c.reusable.Store(false)
-	stream := newRemainder(httpResponse.Body)
+	stream := newRemainder(httpResponse.Body, c.released)
 	response.Remainder = stream
 	c.complete(x, response)
 	select {
