--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/sockopt"
 )
 
 var (
@@ -32,6 +34,8 @@
 	closed       atomic.Bool
 	aborted      <-chan struct{}
 	closeAborted context.CancelFunc
+	// released is closed once the kernel has given up the connection.
+	released chan struct{}
 	// reusable is cleared when the connection must not carry another request.
 	reusable atomic.Bool
 	// requestWritten is set once the write of the request has ended, with or without error.
@@ -42,34 +46,40 @@
 	idleSince        time.Time
 	// idleTimeout is how long the connection may stay idle before it is replaced.
 	idleTimeout time.Duration
+	// deliveryTimeout is how long the kernel tries to deliver bytes. Only writers use it.
+	deliveryTimeout time.Duration
 }
 
 func newConn(c net.Conn, b *budget) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	source := &headSource{net: c, budget: b, ctx: ctx}
 	out := &conn{
-		net:          c,
-		source:       source,
-		reader:       bufio.NewReaderSize(source, readBufferBytes),
-		aborted:      ctx.Done(),
-		closeAborted: cancel,
-		idleTimeout:  defaultIdleTimeout,
+		net:             c,
+		source:          source,
+		reader:          bufio.NewReaderSize(source, readBufferBytes),
+		aborted:         ctx.Done(),
+		closeAborted:    cancel,
+		released:        make(chan struct{}),
+		idleSince:       time.Now(),
+		idleTimeout:     defaultIdleTimeout,
+		deliveryTimeout: unackedTimeout,
 	}
 	out.reusable.Store(true)
 	go out.readLoop()
 	return out
 }
 
-// abort resets the connection, which discards bytes that are still in transit.
+// abort resets the connection (see sockopt.ResetOnClose), which discards bytes that have
+// not been delivered. When it returns, the kernel sends no more of them, even if another
+// goroutine aborts the connection: that one may have been interrupted in between.
 func (c *conn) abort() {
 	if c.closed.Swap(true) {
+		<-c.released
 		return
 	}
 	c.closeAborted()
-	if tcp, ok := c.net.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // fails only on a connection that is closed already
-	}
 	_ = c.net.Close() // the connection is abandoned; an error needs no handling
+	close(c.released)
 }
 
 // readLoop is the body of the reader goroutine. It fails the pending request, if any,
@@ -167,7 +177,7 @@
 		return nil
 	}
 	c.reusable.Store(false)
-	stream := newRemainder(httpResponse.Body)
+	stream := newRemainder(httpResponse.Body, c.released)
 	response.Remainder = stream
 	c.complete(x, response)
 	select {
@@ -229,6 +239,19 @@
 	return nil
 }
 
+// limitDelivery sets how long the kernel may try to deliver the bytes of the request.
+func (c *conn) limitDelivery(ctx context.Context, request *Request) error {
+	limit := unackedTimeout
+	if deadline, limited := ctx.Deadline(); limited && request.EndWithDeadline {
+		limit = min(limit, time.Until(deadline))
+	}
+	if limit == c.deliveryTimeout {
+		return nil
+	}
+	c.deliveryTimeout = limit
+	return sockopt.SetUserTimeout(c.net, limit)
+}
+
 // readyForNext reports whether the connection may carry another request after one
 // whose write ended with err. It restores the write deadline if complete has changed
 // it because the response came before the write had ended.
--- a/internal/backhttp/pool.go
+++ b/internal/backhttp/pool.go
@@ -31,7 +31,11 @@
 		address:   address,
 		resetWait: resetWait,
 		budget:    processBudget,
-		dialer:    net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: sockopt.UserTimeout(unackedTimeout)},
+		dialer: net.Dialer{
+			Timeout: dialTimeout, KeepAlive: -1,
+			// No bytes of a request may outlive it, or the process: see Do.
+			Control: sockopt.Controls(sockopt.UserTimeout(unackedTimeout), sockopt.ResetOnClose),
+		},
 	}
 }
 
@@ -41,7 +45,8 @@
 }
 
 // Do sends the request and waits for the complete response, or for the start of a
-// long one. The caller must release the response. When ctx ends first, the connection is
+// long one. After an error, and after the process has ended, the kernel sends no more bytes
+// of the request. The caller must release the response. When ctx ends first, the connection is
 // reset, which tells the server to cancel its work. That holds until the remainder of a
 // long response is closed: ctx must not end before. The error is a *RequestError.
 func (p *Pool) Do(ctx context.Context, request *Request) (*Response, error) {
@@ -68,7 +73,13 @@
 }
 
 func (p *Pool) run(ctx context.Context, c *conn, x *exchange) (*Response, error) {
-	err := c.write(x.request)
+	err := c.limitDelivery(ctx, x.request)
+	if x.request.expired(ctx) { // as late as possible
+		return nil, p.withdraw(c, x)
+	}
+	if err == nil {
+		err = c.write(x.request)
+	}
 	if err != nil && c.pending.CompareAndSwap(x, nil) {
 		x.stopWatch()
 		c.abort()
@@ -95,6 +106,23 @@
 	return r.response, nil
 }
 
+// withdraw ends an exchange of which nothing has been written, and returns its error.
+func (p *Pool) withdraw(c *conn, x *exchange) error {
+	notCancelled := x.stopWatch()
+	switch {
+	case !c.pending.CompareAndSwap(x, nil): // closed, or the server has sent bytes without a request
+		c.abort()
+		if r := <-x.done; r.response != nil {
+			r.response.Release()
+		}
+	case notCancelled:
+		p.put(c)
+	default:
+		c.abort()
+	}
+	return &RequestError{Expired: true, Cause: errExpired}
+}
+
 // get returns an idle connection or, if there is none or mustBeNew is set, a new one, and
 // whether it is new.
 func (p *Pool) get(ctx context.Context, mustBeNew bool) (c *conn, isNew bool, err error) {
