Tell the causes of a lost lease and of the end of a tenure apart in the log

Cause: event 1714 stood for a renewal that failed, a lease that is gone, a key that could not be written (twice) and a lease that could not be released, and holder_ended did not say why a tenure had ended.

Change: 1714 lease_lost is only a renewal that failed. New: 1739 lease_gone, 1740 holder_key_unwritten, 1741 lease_unreleased. All four carry the epoch, for how long the lease has been unconfirmed and whether orders are being sent. holder_ended (1711) carries the first reason for the end, the tenure and the time without a confirmation; holder_elected and holder_followed carry the tenure, since a process that is elected again keeps its name. peridotmoor-report shows the new events and the reason. No decision changes.

--- a/internal/events/fields_test.go
+++ b/internal/events/fields_test.go
@@ -14,8 +14,9 @@
 // helperFields are the fields that a helper function adds to the events passed to it. The
 // key is PACKAGE.FUNCTION.
 var helperFields = map[string][]string{
-	"dispatch.emit": {FieldRequestID, FieldService, FieldKey},
-	"router.end":    {FieldRequestID, FieldService, FieldKey, FieldIdempotent, FieldAttempt, FieldOutcome, FieldDuration, FieldKind, FieldStage, FieldDetail},
+	"dispatch.emit":    {FieldRequestID, FieldService, FieldKey},
+	"holder.emitLease": {"epoch", "unconfirmed_ms", "sends_orders"},
+	"router.end":       {FieldRequestID, FieldService, FieldKey, FieldIdempotent, FieldAttempt, FieldOutcome, FieldDuration, FieldKind, FieldStage, FieldDetail},
 }
 
 // indirectFields are the fields of events that are passed through variables, so that the
--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -36,4 +36,7 @@
 	HolderQuorumChanged   = register(1736, "holder_quorum_changed", log.WarnLevel, "A holder that cannot confirm its lease sends orders, or no more, by the share of the recorded fleet that provably follows it.")
 	EarlierGrantsEndSoon  = register(1737, "earlier_grants_end_soon", log.InfoLevel, "So much of the recorded fleet has joined this holder that no earlier one can go on.")
 	MachineSuspended      = register(1738, "machine_suspended", log.WarnLevel, "The machine was suspended; the holder sends no orders until its lease is confirmed.")
+	LeaseGone             = register(1739, "lease_gone", log.WarnLevel, "The store does not know the holder's lease any more; the tenure ends.")
+	HolderKeyUnwritten    = register(1740, "holder_key_unwritten", log.WarnLevel, "The holder could not write its key again, which another program has changed or deleted.")
+	LeaseUnreleased       = register(1741, "lease_unreleased", log.WarnLevel, "The lease of a tenure that has ended could not be released; it ends by itself.")
 )
--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -39,6 +39,13 @@
 	// leaseConfirmedAt is when the lease was last known to be held by this process, by
 	// its own clock. It is nil when that must be confirmed again.
 	leaseConfirmedAt atomic.Pointer[time.Time]
+	// lastConfirmedAt is the same, but is kept when the lease must be confirmed again. It is
+	// used only for logs and metrics.
+	lastConfirmedAt atomic.Pointer[time.Time]
+	// sendsOrders is what maySendOrders returned last, for logs and metrics.
+	sendsOrders atomic.Bool
+	// endReason is why the tenure ends, an endReason, or 0.
+	endReason atomic.Uint32
 
 	// recordedServers holds the servers of the record found at the start of the tenure.
 	recordedServers map[fleet.Incarnation]*fleet.Server
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -49,7 +49,7 @@
 			e.watchHolderKey(ctx, revision)
 			return
 		}
-		e.log.Emit(events.HolderFollowed, "holder", holder.String())
+		e.log.Emit(events.HolderFollowed, "holder", holder.String(), "tenure", holder.tenureName())
 		joinedAt := time.Now()
 		e.client.Attach(conn)
 		e.current.Store(&holder)
--- a/internal/holder/keepkey.go
+++ b/internal/holder/keepkey.go
@@ -27,21 +27,21 @@
 	case err == nil && found.tenureName() == self.tenureName():
 		return
 	case err == nil:
-		c.superseded.Store(true)
+		c.supersede(endOtherKey)
 		return
 	case !errors.Is(err, errUnreadableHolder) && !errors.Is(err, store.ErrNotFound):
 		return // renewLease notices that the store does not answer
 	}
 	identity, encodeErr := self.encode()
 	if encodeErr != nil {
-		e.log.Emit(events.LeaseLost, "detail", encodeErr.Error())
+		c.emitLease(events.HolderKeyUnwritten, "detail", encodeErr.Error())
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	// Fails if the lease has ended, or if another instance has become the holder.
 	if _, writeErr := e.store.CompareAndSwap(callCtx, KeyHolder, entry.Revision, identity, lease); writeErr != nil {
-		e.log.Emit(events.LeaseLost, "detail", writeErr.Error())
+		c.emitLease(events.HolderKeyUnwritten, "detail", writeErr.Error())
 		return
 	}
 	e.log.Emit(events.HolderKeyRepaired, "detail", err.Error())
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -40,7 +40,7 @@
 			// The write may have taken effect or do so later. Without its lease, the key
 			// cannot keep other instances from an election.
 			if lease != "" {
-				e.revokeLease(lease)
+				e.revokeLease(lease, 0, startedAt)
 			}
 			return
 		}
@@ -128,7 +128,7 @@
 	cancelClaim()
 	if err != nil {
 		e.log.Emit(events.OwnerRecordFailed, "detail", err.Error())
-		e.revokeLease(lease)
+		e.revokeLease(lease, 0, startedAt)
 		return
 	}
 	if replaced.mayHoldLease {
@@ -138,8 +138,8 @@
 		e.log.Emit(events.OwnerRecordReplaced, "epoch", found.Epoch)
 	}
 	c := newCoordinator(ctx, cancel, e, records, found, startedAt.Add(inheritedGrantsBound(replaced.grantsBound, found)))
-	c.leaseConfirmedAt.Store(&startedAt)
-	e.log.Emit(events.HolderElected, "epoch", found.Epoch)
+	c.confirmLease(startedAt)
+	e.log.Emit(events.HolderElected, "epoch", found.Epoch, "tenure", self.tenureName())
 	e.coordinator.Store(c)
 	e.current.Store(&self)
 	loopDone := make(chan struct{})
@@ -164,14 +164,18 @@
 		e.keepKey(ctx, c, self, lease)
 	}()
 	e.renewLease(ctx, c, lease, startedAt)
+	if parent.Err() != nil {
+		c.noteEnd(endPlannedStop)
+	}
 	cancel()
 	<-keyDone
 	<-loopDone
 	<-readerDone // only one goroutine at a time may use the reader
 	e.coordinator.Store(nil)
 	e.current.Store(nil)
-	e.log.Emit(events.HolderEnded, "epoch", found.Epoch, "yields", c.yielding.Load())
-	e.revokeLease(lease)
+	e.log.Emit(events.HolderEnded, "epoch", found.Epoch, "tenure", self.tenureName(), "yields", c.yielding.Load(),
+		"reason", endReason(c.endReason.Load()).String(), "unconfirmed_ms", c.unconfirmedFor(time.Now()).Milliseconds())
+	e.revokeLease(lease, found.Epoch, *c.lastConfirmedAt.Load())
 	c.disconnectAll() // after the key has been deleted, as followers look for the next holder at once
 }
 
@@ -215,24 +219,28 @@
 			// The answer may have waited while the machine was suspended.
 		case err == nil:
 			confirmedAt = sentAt
-			c.leaseConfirmedAt.Store(&sentAt)
+			c.confirmLease(sentAt)
 		case errors.Is(err, store.ErrNotFound):
-			e.log.Emit(events.LeaseLost, "detail", err.Error())
+			c.noteEnd(endLeaseGone)
+			c.emitLease(events.LeaseGone, "detail", err.Error())
 			return
 		default:
-			e.log.Emit(events.LeaseLost, "detail", err.Error())
+			c.emitLease(events.LeaseLost, "detail", err.Error())
 			if time.Since(confirmedAt) > maxStoreOutage {
+				c.noteEnd(endStoreOutage)
 				return
 			}
 		}
 	}
 }
 
-// revokeLease revokes the lease, so that a successor need not wait until it expires.
-func (e *Elector) revokeLease(lease store.LeaseID) {
+// revokeLease revokes the lease of a tenure that has ended, so that a successor need not
+// wait until it expires. The epoch is 0 if the tenure has not begun; the lease was last
+// confirmed at the given time.
+func (e *Elector) revokeLease(lease store.LeaseID, epoch int64, confirmedAt time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	if err := e.store.Revoke(ctx, lease); err != nil && !errors.Is(err, store.ErrNotFound) {
-		e.log.Emit(events.LeaseLost, "detail", err.Error())
+		e.log.Emit(events.LeaseUnreleased, "detail", err.Error(), "epoch", epoch, "unconfirmed_ms", time.Since(confirmedAt).Milliseconds(), "sends_orders", false)
 	}
 }
--- a/internal/holder/orders.go
+++ b/internal/holder/orders.go
@@ -75,6 +75,6 @@
 			"server", o.Server.Name, "fence", o.Fence, "outcome", result.Outcome.String())
 	}
 	if !c.table.Apply(result) {
-		c.superseded.Store(true)
+		c.supersede(endHigherFence)
 	}
 }
--- a/internal/holder/planning.go
+++ b/internal/holder/planning.go
@@ -94,7 +94,7 @@
 	go func() {
 		err := c.records.write(c.ctx, record)
 		if errors.Is(err, ErrSuperseded) {
-			c.superseded.Store(true)
+			c.supersede(endOtherRecord)
 		}
 		if err != nil {
 			c.log.Emit(events.OwnerRecordFailed, "detail", err.Error())
@@ -112,6 +112,7 @@
 				c.quorum.Confirm(record.Fleet)
 				if record.Yielded {
 					c.yielding.Store(true)
+					c.noteEnd(endYielded)
 					c.endTenure()
 					return
 				}
--- a/internal/holder/tenure.go
+++ b/internal/holder/tenure.go
@@ -74,6 +74,12 @@
 // maySendOrders reports whether this instance may still act as the holder. It also
 // sets the duration of new grants, which is longer during a store outage.
 func (c *Coordinator) maySendOrders(now time.Time) bool {
+	allowed := c.decideOrders(now)
+	c.sendsOrders.Store(allowed)
+	return allowed
+}
+
+func (c *Coordinator) decideOrders(now time.Time) bool {
 	if c.suspension.noticed() {
 		c.log.Emit(events.MachineSuspended, "epoch", c.epoch)
 		c.leaseConfirmedAt.Store(nil)
@@ -145,6 +151,7 @@
 // rolling restart such an instance may come back within moments.
 func (c *Coordinator) considerHandOver() {
 	if c.plannedStop.isEnding() && c.hasRunningFollower() && yieldShareRatio*c.maxRunningShare() >= c.processorShare {
+		c.noteEnd(endHandedOver)
 		c.endTenure()
 	}
 }
--- a/internal/report/calls/line.go
+++ b/internal/report/calls/line.go
@@ -21,6 +21,7 @@
 	RetryAfterMS int64  `json:"retry_after_ms"`
 	Version      int64  `json:"settings_version"`
 	Detail       string `json:"detail"`
+	Reason       string `json:"reason"`
 	DroppedCount int64  `json:"count"`
 	HolderName   string `json:"holder"`
 }
--- a/internal/report/calls/log.go
+++ b/internal/report/calls/log.go
@@ -26,6 +26,7 @@
 var instanceEvents = eventNumbers(
 	events.InstanceStarted, events.InstanceStopping, events.StopCutOff, events.CallerReady, events.ConfigInForce, events.DomainsTakenOut, events.StoreLost, events.StoreRegained,
 	events.HolderElected, events.HolderEnded, events.HolderFollowed, events.HolderLost, events.LeaseLost, events.ReadForHolder,
+	events.LeaseGone, events.HolderKeyUnwritten, events.LeaseUnreleased,
 )
 
 func eventNumbers(of ...events.Event) map[int]bool {
@@ -86,7 +87,7 @@
 	case one.Event == events.EventsDropped.Number:
 		l.DroppedLines += one.DroppedCount
 	case instanceEvents[one.Event]:
-		detail := strings.TrimSpace(one.HolderName + " " + one.Detail)
+		detail := strings.TrimSpace(strings.TrimSpace(one.HolderName+" "+one.Reason) + " " + one.Detail)
 		l.events[one.Instance] = append(l.events[one.Instance], InstanceEvent{At: one.At, Name: one.Name, Message: one.Message, Detail: detail})
 	}
 }
