Log the first and the last grant of a key range

Cause: no line said who had granted which range to which server under which fence until when, so that two owners of a key could not be traced from the logs.

Change: the table reports the first grant of a range under a fence (again when it is first answered, if it was not at once) and its end: released, expired, server restarted or gone, end of the tenure. Renewals and splits report nothing. The holder logs them with each tick as 1742 keys_granted and 1743 key_grants_ended, up to 32 grants a line, with service, range, incarnation, fence, sent at, valid until by its own clock, and the time to the answer from 100 ms on. Grants without an answer are reported too, also those in flight at the end of the tenure. holder_ended tells until when, from then on, a grant may be valid (grants_until_ms). No decision changes.

--- a/internal/entrynode/eventlog_test.go
+++ b/internal/entrynode/eventlog_test.go
@@ -13,7 +13,7 @@
 // about the owners of keys.
 var tracedEvents = []events.Event{
 	events.HolderElected, events.HolderEnded, events.HolderFollowed, events.HolderLost, events.LeaseLost,
-	events.LeaseGone, events.HolderKeyUnwritten, events.LeaseUnreleased,
+	events.LeaseGone, events.HolderKeyUnwritten, events.LeaseUnreleased, events.KeysGranted, events.KeyGrantsEnded,
 	events.OwnerRecordStored, events.OwnerRecordFailed, events.OrderEnded, events.MovePlanned, events.InstanceStopping, events.InstanceStopped,
 }
 
--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -39,4 +39,6 @@
 	LeaseGone             = register(1739, "lease_gone", log.WarnLevel, "The store does not know the holder's lease any more; the tenure ends.")
 	HolderKeyUnwritten    = register(1740, "holder_key_unwritten", log.WarnLevel, "The holder could not write its key again, which another program has changed or deleted.")
 	LeaseUnreleased       = register(1741, "lease_unreleased", log.WarnLevel, "The lease of a tenure that has ended could not be released; it ends by itself.")
+	KeysGranted           = register(1742, "keys_granted", log.InfoLevel, "The holder has granted key ranges to servers, each for the first time under its fence.")
+	KeyGrantsEnded        = register(1743, "key_grants_ended", log.InfoLevel, "The holder renews grants of key ranges no longer.")
 )
--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -213,6 +213,7 @@
 	if c.maySendOrders(now) {
 		c.sendOrders(now)
 	}
+	c.logGrants()
 	c.scheduler.SetShare(c.share(now))
 	c.scheduler.SetExclusive(c.exclusive(now))
 	c.scheduler.Tick(now)
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -173,8 +173,11 @@
 	<-readerDone // only one goroutine at a time may use the reader
 	e.coordinator.Store(nil)
 	e.current.Store(nil)
+	endedAt := time.Now()
+	grantsUntil := c.endGrants(endedAt)
 	e.log.Emit(events.HolderEnded, "epoch", found.Epoch, "tenure", self.tenureName(), "yields", c.yielding.Load(),
-		"reason", endReason(c.endReason.Load()).String(), "unconfirmed_ms", c.unconfirmedFor(time.Now()).Milliseconds())
+		"reason", endReason(c.endReason.Load()).String(), "unconfirmed_ms", c.unconfirmedFor(endedAt).Milliseconds(), "grants_until_ms", grantsUntil.Milliseconds())
+	c.logGrants()
 	e.revokeLease(lease, found.Epoch, *c.lastConfirmedAt.Load())
 	c.disconnectAll() // after the key has been deleted, as followers look for the next holder at once
 }
--- a/internal/owners/grant.go
+++ b/internal/owners/grant.go
@@ -17,6 +17,8 @@
 	UnansweredUntil time.Time
 	// UnansweredAtMove is set if such an order was known when the move was planned.
 	UnansweredAtMove bool
+	// issued is what this tenure has granted the server of the range.
+	issued issuedGrant
 	// unresponsive is set once the previous owner has failed to answer an order.
 	unresponsive bool
 	// supersedingGrants counts the grants that were sent to invalidate unanswered ones.
--- a/internal/owners/orders.go
+++ b/internal/owners/orders.go
@@ -105,12 +105,16 @@
 func (t *Table) releaseIfEnded(now time.Time, service string, r *rangeState, incarnations IncarnationLookup) {
 	current, listed := incarnations.Current(service, r.previous.Server.Name)
 	restarted := listed && current != r.previous.Server && r.previous.Server.StartMS != 0
-	if restarted && !r.previous.Ambiguous || now.After(r.previous.ExpiresBy) {
-		t.finishRelease(r, r.handover)
+	switch {
+	case restarted && !r.previous.Ambiguous:
+		t.finishRelease(service, r, GrantServerRestarted, r.handover)
+	case now.After(r.previous.ExpiresBy):
+		t.finishRelease(service, r, GrantExpired, r.handover)
 	}
 }
 
-func (t *Table) finishRelease(r *rangeState, handover string) {
+func (t *Table) finishRelease(service string, r *rangeState, end GrantEnd, handover string) {
+	t.noteEnd(service, r, end)
 	r.previous = nil
 	r.handover = handover
 	r.phase = PhaseGranting
--- a/internal/owners/rangestate.go
+++ b/internal/owners/rangestate.go
@@ -16,6 +16,8 @@
 	expiresBy time.Time
 	// unansweredUntil is the time until which an unanswered grant may still take effect.
 	unansweredUntil time.Time
+	// issued is what this tenure has granted the owner.
+	issued issuedGrant
 	// inherited ranges were planned by an earlier holder, and their owner has not answered
 	// this one yet: orders of the earlier holder may still take effect.
 	inherited bool
--- a/internal/owners/results.go
+++ b/internal/owners/results.go
@@ -48,24 +48,30 @@
 func (t *Table) extendGrant(result OrderResult) {
 	o := result.Order
 	expiry := grantExpiry(result.Ended, o.GrantDuration)
+	var issued []*issuedGrant
 	for _, r := range t.services[o.Service] {
 		if r.To < o.From || r.From > o.To {
 			continue
 		}
 		unanswered := result.Outcome == OutcomeNoAnswer
 		if r.owner == o.Server {
+			issued = append(issued, &r.issued)
 			r.expiresBy = later(r.expiresBy, expiry)
 			if unanswered {
 				r.unansweredUntil = later(r.unansweredUntil, expiry)
 			}
 		}
 		if r.previous != nil && r.previous.Server == o.Server {
+			issued = append(issued, &r.previous.issued)
 			r.previous.ExpiresBy = later(r.previous.ExpiresBy, expiry)
 			if unanswered && o.Fence >= r.previous.Fence {
 				r.previous.UnansweredUntil = later(r.previous.UnansweredUntil, expiry)
 			}
 		}
 	}
+	if result.Outcome != OutcomeFenced {
+		t.noteIssued(result, expiry, issued)
+	}
 }
 
 func later(a, b time.Time) time.Time {
@@ -100,7 +106,7 @@
 		r.nextOrderAt = result.Ended.Add(renewInterval)
 		return false
 	case OutcomeProcessEnded:
-		t.finishRelease(r, "")
+		t.finishRelease(result.Order.Service, r, GrantServerEnded, "")
 	default:
 		if result.Outcome == OutcomeUnsent || result.Outcome == OutcomeRefused {
 			r.previous.ExpiresBy = result.Order.previousExpiry
@@ -119,13 +125,13 @@
 			r.nextOrderAt = r.previous.ExpiresBy.Add(retryInterval)
 			return
 		}
-		t.finishRelease(r, result.Handover)
+		t.finishRelease(result.Order.Service, r, GrantReleased, result.Handover)
 	case OutcomeProcessEnded:
 		if r.previous.Ambiguous {
 			r.nextOrderAt = r.previous.ExpiresBy.Add(retryInterval)
 			return
 		}
-		t.finishRelease(r, "")
+		t.finishRelease(result.Order.Service, r, GrantServerEnded, "")
 	default:
 		r.previous.unresponsive = true
 		r.nextOrderAt = result.Ended.Add(retryInterval)
--- a/internal/owners/split.go
+++ b/internal/owners/split.go
@@ -49,6 +49,7 @@
 			last.To = r.To
 			last.fence = t.nextFence()
 			last.expiresBy = later(last.expiresBy, r.expiresBy)
+			last.issued.validUntil = later(last.issued.validUntil, r.issued.validUntil)
 			last.nextOrderAt = time.Time{}
 			last.version = t.version
 			continue
--- a/internal/owners/table.go
+++ b/internal/owners/table.go
@@ -28,6 +28,8 @@
 	now time.Time
 	// moves are the moves planned since the last TakeMoves.
 	moves []Move
+	// grantChanges are the changes of grants since the last TakeGrantChanges.
+	grantChanges []GrantChange
 	// failures counts the consecutive orders that an incarnation did not answer.
 	failures map[fleet.Incarnation]int
 	// serverCounts holds the number of usable servers of services without ranges.
@@ -148,6 +150,7 @@
 	r.phase = PhasePlanned
 	r.version = version
 	r.expiresBy, r.unansweredUntil = time.Time{}, time.Time{}
+	r.issued = issuedGrant{}
 	r.handover = ""
 	r.orderInFlight = false
 }
@@ -159,6 +162,7 @@
 		Fence:            r.fence,
 		ExpiresBy:        r.expiresBy,
 		UnansweredUntil:  r.unansweredUntil,
+		issued:           r.issued,
 		UnansweredAtMove: r.inherited || t.now.Before(r.unansweredUntil) || t.hasGrantInFlight(service, r.owner, r.Interval),
 	}
 	if r.inherited {
