Measure how late orders are written, and show the holder's state as metrics

Cause: nothing measured the time from the check that the holder may send orders to the end of the write of an order, and no metric said whether an instance acts as the holder, with or without its lease.

Change: backhttp reports when the write of a request ended, also for requests without a response; the holder counts the time since its check for each order (peridotmoor_order_write_delay_seconds) and logs orders that took 200 ms or more, half of the timeout of a grant (1744 order_written_late), also those that end after the tenure. New gauges: peridotmoor_holder_acting, and while it acts peridotmoor_holder_epoch, _sends_orders and _lease_unconfirmed_seconds, all from one moment. No decision changes. What a kernel or a proxy holds back after the write is not measured.

Tests: seen failing with the time taken after the response, without the time for unanswered requests, with every order logged, with sends_orders always set and with the gauges of a tenure shown without one.

--- a/internal/backhttp/pool.go
+++ b/internal/backhttp/pool.go
@@ -69,12 +69,16 @@
 
 func (p *Pool) run(ctx context.Context, c *conn, x *exchange) (*Response, error) {
 	err := c.write(x.request)
+	writtenAt := time.Now()
 	if err != nil && c.pending.CompareAndSwap(x, nil) {
 		x.stopWatch()
 		c.abort()
-		return nil, &RequestError{Sent: true, Cause: errors.Wrap(err, "write request")}
+		return nil, &RequestError{Sent: true, WrittenAt: writtenAt, Cause: errors.Wrap(err, "write request")}
 	}
 	r := <-x.done
+	if r.err == nil {
+		r.response.WrittenAt = writtenAt
+	}
 	if r.err == nil && r.response.Remainder != nil {
 		return r.response, nil // the reader goroutine ends the watch and the connection
 	}
@@ -83,7 +87,7 @@
 		if ctx.Err() != nil {
 			r.err = ctx.Err()
 		}
-		return nil, &RequestError{Sent: true, Cause: r.err}
+		return nil, &RequestError{Sent: true, WrittenAt: writtenAt, Cause: r.err}
 	}
 	switch {
 	case !c.readyForNext(err):
--- a/internal/backhttp/requesterror.go
+++ b/internal/backhttp/requesterror.go
@@ -1,5 +1,7 @@
 package backhttp
 
+import "time"
+
 // RequestError is the error of a request that got no complete response.
 type RequestError struct {
 	// Sent reports whether a byte of the request may have reached the server.
@@ -7,7 +9,9 @@
 	// Refused reports whether the connection was refused: no process listens at the
 	// address.
 	Refused bool
-	Cause   error
+	// WrittenAt is when the write of the request ended, or the zero time if none began.
+	WrittenAt time.Time
+	Cause     error
 }
 
 // Error returns the cause and whether the request may have been executed.
--- a/internal/backhttp/response.go
+++ b/internal/backhttp/response.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 )
 
 // Response is a complete response, or the start of one that is too long to buffer.
@@ -19,6 +20,8 @@
 	// BodyOmitted is set if the response has no body because of its status or because it
 	// answers HEAD. Length is then what the server states.
 	BodyOmitted bool
+	// WrittenAt is when the write of the request ended.
+	WrittenAt time.Time
 	// release gives back the memory that the response has reserved, or is nil.
 	release func()
 }
--- a/internal/entrynode/metrics.go
+++ b/internal/entrynode/metrics.go
@@ -6,21 +6,27 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"peridotmoor.org/peridotmoor/internal/holder"
 )
 
 // durationBuckets are the histogram buckets of request durations in seconds, placed
 // around usual latency targets.
 var durationBuckets = []float64{0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1, 1.5, 2, 3}
 
+// orderDelayBuckets are the histogram buckets of the time until an order is written, in
+// seconds. 0.4 is the timeout of a grant, 1.5 that of a release.
+var orderDelayBuckets = []float64{0.001, 0.003, 0.01, 0.03, 0.1, 0.2, 0.4, 0.5, 1, 1.5, 3, 6}
+
 // metrics holds the Prometheus metrics of the instance.
 type metrics struct {
 	registry     *prometheus.Registry
 	callDuration *prometheus.HistogramVec
+	orderDelay   prometheus.Histogram
 }
 
-// newMetrics registers the metrics. countStoreCalls and countConnections are called
-// at each scrape.
-func newMetrics(countStoreCalls, countConnections func() float64) *metrics {
+// newMetrics registers the metrics. The functions are called at each scrape.
+func newMetrics(countStoreCalls, countConnections func() float64, holderStatus func() holder.Status) *metrics {
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
 		callDuration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -28,8 +34,13 @@
 			Help:    "Time from the arrival of a call to its final answer, by service and outcome.",
 			Buckets: durationBuckets,
 		}, []string{"service", "outcome"}),
+		orderDelay: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: "peridotmoor", Name: "order_write_delay_seconds",
+			Help:    "Time from the check that the holder may send orders to the end of the write of an order.",
+			Buckets: orderDelayBuckets,
+		}),
 	}
-	m.registry.MustRegister(m.callDuration,
+	m.registry.MustRegister(m.callDuration, m.orderDelay, newHolderCollector(holderStatus),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: "peridotmoor", Name: "store_calls_total", Help: "Calls to the platform's store.",
 		}, countStoreCalls),
@@ -44,6 +55,11 @@
 	m.callDuration.WithLabelValues(service, outcome).Observe(duration.Seconds())
 }
 
+// orderWritten records the time from the check of an order to the end of its write.
+func (m *metrics) orderWritten(delay time.Duration) {
+	m.orderDelay.Observe(delay.Seconds())
+}
+
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -47,14 +47,15 @@
 	reader := facts.NewReader(platform.StoreSource{Store: store}, n.facts, log)
 	schedulerClient := gateway.NewSchedulerClient(self.String(), config.Domain, n.facts, n.backends)
 	n.backends.OnSignal = schedulerClient.ObserveSignal
+	n.metrics = newMetrics(
+		func() float64 { return float64(store.Calls()) },
+		func() float64 { return float64(n.callerServer.OpenConnections()) },
+		func() holder.Status { return n.elector.Status(time.Now()) })
 	n.elector = holder.NewElector(holder.Options{
 		Self: self, Store: store, Registry: n.facts, Reader: reader, OrderSender: n.backends, Prober: n.backends, Client: schedulerClient, Log: log,
 		RetryBudget: placing.RetryBudget{Window: config.RetryWindow, Ratio: config.RetryRatio, Extra: config.RetryExtra},
-		FirstStart:  config.FirstStart, ProcessorShare: config.ProcessorShare,
+		FirstStart:  config.FirstStart, ProcessorShare: config.ProcessorShare, OnOrderWritten: n.metrics.orderWritten,
 	})
-	n.metrics = newMetrics(
-		func() float64 { return float64(store.Calls()) },
-		func() float64 { return float64(n.callerServer.OpenConnections()) })
 	n.gateway = gateway.New(config.Domain, n.facts, schedulerClient, n.backends, n.metrics, log)
 	reportWriteError := func(id string, err error) { log.Emit(events.CallUnwritten, "request", id, "detail", err.Error()) }
 	n.callerServer = callerhttp.NewServer(platform.CallerHandler{Gateway: n.gateway, OnWriteError: reportWriteError}, n.callerLimits)
--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -41,4 +41,5 @@
 	LeaseUnreleased       = register(1741, "lease_unreleased", log.WarnLevel, "The lease of a tenure that has ended could not be released; it ends by itself.")
 	KeysGranted           = register(1742, "keys_granted", log.InfoLevel, "The holder has granted key ranges to servers, each for the first time under its fence.")
 	KeyGrantsEnded        = register(1743, "key_grants_ended", log.InfoLevel, "The holder renews grants of key ranges no longer.")
+	OrderWrittenLate      = register(1744, "order_written_late", log.WarnLevel, "An order to a backend server was written long after the check that the holder may send it.")
 )
--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -22,13 +22,15 @@
 type Coordinator struct {
 	registry    *facts.Registry
 	orderSender OrderSender
-	prober      fleet.Prober
-	log         *events.Logger
-	records     *recordStore
-	table       *owners.Table
-	scheduler   *placing.Scheduler
-	queue       chan func()
-	ctx         context.Context
+	// onOrderWritten is that of Options, or nil.
+	onOrderWritten func(time.Duration)
+	prober         fleet.Prober
+	log            *events.Logger
+	records        *recordStore
+	table          *owners.Table
+	scheduler      *placing.Scheduler
+	queue          chan func()
+	ctx            context.Context
 	// endTenure ends ctx.
 	endTenure   context.CancelFunc
 	plannedStop plannedStop
@@ -109,6 +111,7 @@
 	c := &Coordinator{
 		registry:        e.registry,
 		orderSender:     e.orderSender,
+		onOrderWritten:  e.onOrderWritten,
 		prober:          e.prober,
 		probing:         map[fleet.Incarnation]bool{},
 		log:             e.log,
--- a/internal/holder/elector.go
+++ b/internal/holder/elector.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -27,6 +28,8 @@
 	client      Client
 	retryBudget placing.RetryBudget
 	log         *events.Logger
+	// onOrderWritten is the option, or nil.
+	onOrderWritten func(time.Duration)
 	// firstStart is set when the whole fleet starts.
 	firstStart bool
 	// processorShare is the share of a processor available on this machine.
@@ -51,6 +54,7 @@
 	return &Elector{
 		self: o.Self, store: o.Store, registry: o.Registry, reader: o.Reader, orderSender: o.OrderSender, prober: o.Prober, client: o.Client,
 		retryBudget: o.RetryBudget, log: o.Log, firstStart: o.FirstStart, processorShare: o.ProcessorShare, plannedStop: newPlannedStop(),
+		onOrderWritten: o.OnOrderWritten,
 	}
 }
 
--- a/internal/holder/leaselog.go
+++ b/internal/holder/leaselog.go
@@ -9,7 +9,7 @@
 // emitLease logs an event of this tenure's lease: for how long the lease has not been
 // confirmed, and whether the holder sends orders to servers.
 func (c *Coordinator) emitLease(e events.Event, fields ...any) {
-	fields = append(fields, "epoch", c.epoch, "unconfirmed_ms", c.unconfirmedFor(time.Now()).Milliseconds(), "sends_orders", c.sendsOrders.Load())
+	fields = append(fields, "epoch", c.epoch, "unconfirmed_ms", c.unconfirmedFor(time.Now()).Milliseconds(), "sends_orders", c.isSendingOrders())
 	c.log.Emit(e, fields...)
 }
 
@@ -28,6 +28,11 @@
 	return now.Sub(c.startedAt)
 }
 
+// isSendingOrders reports whether the holder sent orders when it checked that last.
+func (c *Coordinator) isSendingOrders() bool {
+	return c.sendsOrders.Load() && c.ctx.Err() == nil
+}
+
 // noteEnd records why the tenure ends, unless an earlier reason is recorded.
 func (c *Coordinator) noteEnd(r endReason) {
 	c.endReason.CompareAndSwap(0, uint32(r))
--- a/internal/holder/options.go
+++ b/internal/holder/options.go
@@ -1,6 +1,8 @@
 package holder
 
 import (
+	"time"
+
 	"peridotmoor.org/peridotmoor/internal/events"
 	"peridotmoor.org/peridotmoor/internal/facts"
 	"peridotmoor.org/peridotmoor/internal/fleet"
@@ -21,6 +23,9 @@
 	Log         *events.Logger
 	// FirstStart is set when the whole fleet starts.
 	FirstStart bool
+	// OnOrderWritten, if set, is called with the time from the check that the holder may send
+	// orders to the end of the write of an order. It must not block.
+	OnOrderWritten func(time.Duration)
 	// ProcessorShare is the share of a processor available on this machine.
 	ProcessorShare float64
 }
--- a/internal/holder/orders.go
+++ b/internal/holder/orders.go
@@ -24,6 +24,7 @@
 			ctx, cancel := context.WithDeadline(c.ctx, order.CreatedAt.Add(orderTimeout(order)))
 			result := c.orderSender.SendOrder(ctx, *server, order)
 			cancel()
+			c.observeWrite(result)
 			c.enqueue(func() {
 				c.applyResult(result)
 				c.resultsPending = true
--- a/internal/owners/orderresult.go
+++ b/internal/owners/orderresult.go
@@ -8,6 +8,9 @@
 	Outcome Outcome
 	// Ended is when the call ended. Nothing of it reaches the server later.
 	Ended time.Time
+	// WrittenAt is when the write of the order ended, or the zero time if none began. It is
+	// used for logs and metrics only.
+	WrittenAt time.Time
 	// Handover is the state that a release returned for the next owner.
 	Handover string
 }
