Log who follows a holder and who counts in place of its lease

Cause: the log could not show that an instance counts for two holders. A holder whose lease was not confirmed for 2.5 s and that went on by its followers wrote no line at all: holder_quorum_changed (1736) is written only when that changes whether it sends orders. An instance that left its holder because the store names another one wrote none either.

Change: 1745 followers_changed tells who has joined and left, in order, and all followers, at most once a second and with at most 100 names; also at the end of a tenure. 1746 holder_without_lease tells from 2.5 s on which followers count in place of the lease, at the beginning and at each change, at most once a second. earlier_grants_end_soon (1737) names who counts for the successor, and holder_lost (1713) is written in the case above. quorum.Counting is the loop of Tracker.RetainedShare moved out. No decision changes.

Tests: seen failing with a line for each tick, without the bound, without the leaves, without the line of the lease or the one of holder_lost. All pass with -race: holder with the property test of two holders, quorum, events (1 run).

--- a/internal/entrynode/eventlog_test.go
+++ b/internal/entrynode/eventlog_test.go
@@ -14,6 +14,7 @@
 var tracedEvents = []events.Event{
 	events.HolderElected, events.HolderEnded, events.HolderFollowed, events.HolderLost, events.LeaseLost,
 	events.LeaseGone, events.HolderKeyUnwritten, events.LeaseUnreleased, events.KeysGranted, events.KeyGrantsEnded,
+	events.FollowersChanged, events.HolderWithoutLease, events.OrderWrittenLate,
 	events.OwnerRecordStored, events.OwnerRecordFailed, events.OrderEnded, events.MovePlanned, events.InstanceStopping, events.InstanceStopped,
 }
 
--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -42,4 +42,6 @@
 	KeysGranted           = register(1742, "keys_granted", log.InfoLevel, "The holder has granted key ranges to servers, each for the first time under its fence.")
 	KeyGrantsEnded        = register(1743, "key_grants_ended", log.InfoLevel, "The holder renews grants of key ranges no longer.")
 	OrderWrittenLate      = register(1744, "order_written_late", log.WarnLevel, "An order to a backend server was written long after the check that the holder may send it.")
+	FollowersChanged      = register(1745, "followers_changed", log.InfoLevel, "Instances have joined or left this holder, or its tenure has ended.")
+	HolderWithoutLease    = register(1746, "holder_without_lease", log.WarnLevel, "A holder that cannot confirm its lease counts the followers that provably follow no other one.")
 )
--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -84,6 +84,8 @@
 	// the zero time.
 	fleetChangedAt   time.Time
 	byName           map[string]*link.Follower
+	followerLog      followerLog
+	quorumLog        quorumLog
 	epoch            int64
 	snapshot         *facts.Snapshot
 	publishedVersion uint64
@@ -217,6 +219,9 @@
 		c.sendOrders(now)
 	}
 	c.logGrants()
+	if c.followerLog.due(now) {
+		c.logFollowers(now)
+	}
 	c.scheduler.SetShare(c.share(now))
 	c.scheduler.SetExclusive(c.exclusive(now))
 	c.scheduler.Tick(now)
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -116,6 +116,7 @@
 			holderLost, err = e.readForHolder(ctx, conn, receiver, holder)
 		}
 		if holderLost {
+			e.log.Emit(events.HolderLost, "holder", holder.String(), "detail", "the store names another holder or tenure, or none")
 			return
 		}
 		if err != nil {
--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -53,6 +53,7 @@
 func (c *Coordinator) Join(f *link.Follower) bool {
 	return c.enqueue(func() {
 		c.followers[f] = true
+		c.followerLog.joined(f)
 		f.JoinedAt = c.stays.join(f, time.Now())
 		c.byName[f.Instance] = f
 		snapshot := c.registry.Snapshot()
@@ -66,6 +67,9 @@
 // the join of an ended link may have been held up until after that of the one in use.
 func (c *Coordinator) Leave(f *link.Follower) {
 	c.enqueue(func() {
+		if c.followers[f] {
+			c.followerLog.left(f)
+		}
 		delete(c.followers, f)
 		if c.byName[f.Instance] != f {
 			return
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -178,6 +178,7 @@
 	e.log.Emit(events.HolderEnded, "epoch", found.Epoch, "tenure", self.tenureName(), "yields", c.yielding.Load(),
 		"reason", endReason(c.endReason.Load()).String(), "unconfirmed_ms", c.unconfirmedFor(endedAt).Milliseconds(), "grants_until_ms", grantsUntil.Milliseconds())
 	c.logGrants()
+	c.logFollowers(endedAt)
 	e.revokeLease(lease, found.Epoch, *c.lastConfirmedAt.Load())
 	c.disconnectAll() // after the key has been deleted, as followers look for the next holder at once
 }
--- a/internal/holder/tenure.go
+++ b/internal/holder/tenure.go
@@ -53,13 +53,18 @@
 // retainedShare returns the share of the fleet that provably follows this holder and no
 // successor.
 func (c *Coordinator) retainedShare(now, leaseConfirmedAt time.Time) float64 {
+	return c.quorum.RetainedShare(now, leaseConfirmedAt, c.quorumFollowers())
+}
+
+// quorumFollowers returns the followers as the quorum counts them.
+func (c *Coordinator) quorumFollowers() []quorum.Follower {
 	followers := make([]quorum.Follower, 0, len(c.followers))
 	for f := range c.followers {
 		followers = append(followers, quorum.Follower{
 			Name: f.Name(), JoinedAt: f.JoinedAt, ProvedAt: f.ProvedAt, Local: f.Instance == c.instance,
 		})
 	}
-	return c.quorum.RetainedShare(now, leaseConfirmedAt, followers)
+	return followers
 }
 
 // followerNames returns the names of the instances that follow this holder.
@@ -92,6 +97,7 @@
 	outage := now.Sub(*leaseConfirmedAt)
 	if outage <= followerQuorumAfter {
 		c.ordersAllowed = true
+		c.quorumLog = quorumLog{}
 		c.table.SetGrantDuration(owners.GrantDuration)
 		return true
 	}
@@ -100,6 +106,7 @@
 	c.table.SetGrantDuration(outageGrantDuration)
 	share := c.retainedShare(now, *leaseConfirmedAt)
 	retained := outage <= maxStoreOutage && quorum.Retained(share)
+	c.logQuorum(now, *leaseConfirmedAt, share, retained)
 	if c.ordersAllowed != retained {
 		c.ordersAllowed = retained
 		c.log.Emit(events.HolderQuorumChanged, "epoch", c.epoch, "sends_orders", retained, "share", share, "fleet", len(c.quorum.Stored()),
@@ -185,6 +192,7 @@
 		return
 	}
 	c.inheritedGrantsShortened = true
-	c.log.Emit(events.EarlierGrantsEndSoon, "epoch", c.epoch, "followers", len(c.followers), "fleet", len(c.foundFleet), "ends_in_ms", inheritedGrantsTimeout.Milliseconds())
+	c.log.Emit(events.EarlierGrantsEndSoon, "epoch", c.epoch, "followers", len(c.followers), "fleet", len(c.foundFleet), "ends_in_ms", inheritedGrantsTimeout.Milliseconds(),
+		"counted", loggedNames(c.followerNames()))
 	c.table.ShortenInheritedGrants(now.Add(inheritedGrantsTimeout))
 }
--- a/internal/quorum/tracker.go
+++ b/internal/quorum/tracker.go
@@ -41,12 +41,7 @@
 // successor, at now. A successor counts the fleet that it finds in the record, so this is
 // the least share of all fleets that may be stored.
 func (t *Tracker) RetainedShare(now, leaseConfirmedAt time.Time, followers []Follower) float64 {
-	names := map[string]bool{}
-	for _, f := range followers {
-		if f.counts(now, leaseConfirmedAt) {
-			names[f.Name] = true
-		}
-	}
+	names := Counting(now, leaseConfirmedAt, followers)
 	share := t.stored.share(names)
 	for _, f := range t.proposed {
 		share = min(share, f.share(names))
