Tell from the logs who owned a key, and whether two servers did

Cause: the grants of a key lie in the logs of several holders, in lines that hold many ranges; by hand their order and overlap are hard to see.

Change: peridotmoor-report owners SERVICE:KEY LOGS prints the grants of the key and the events of the tenures in their order, and the times in which two servers had a grant. A grant without a last line (a killed holder) is said to be not known, never to be sound. A tenure that takes a grant of another one for expired does not end it in this account, as that is what is to be examined. The lines of key_grants_ended now tell since when a grant is not renewed (ended_at): the next grant may follow before the line is written.

--- a/internal/holder/grantline.go
+++ b/internal/holder/grantline.go
@@ -25,13 +25,14 @@
 	// if the answer was not late.
 	Outcome  string `json:"outcome,omitempty"`
 	AnswerMS int64  `json:"answer_ms,omitempty"`
-	// Reason is why a grant is renewed no longer.
-	Reason string `json:"reason,omitempty"`
+	// Reason is why a grant is renewed no longer, and EndedAt since when.
+	Reason  string    `json:"reason,omitempty"`
+	EndedAt time.Time `json:"ended_at,omitzero"`
 }
 
 func newGrantLine(g owners.GrantChange) grantLine {
 	line := grantLine{Service: g.Service, From: g.From, To: g.To, Server: g.Server.Name, StartMS: g.Server.StartMS, Fence: g.Fence,
-		SentAt: g.SentAt.UTC(), ValidUntil: g.ValidUntil.UTC(), Reason: g.End.String()}
+		SentAt: g.SentAt.UTC(), ValidUntil: g.ValidUntil.UTC(), Reason: g.End.String(), EndedAt: g.EndedAt.UTC()}
 	if g.End == owners.GrantGoesOn {
 		line.Outcome = g.Outcome.String()
 		if g.Took >= lateAnswer {
--- a/internal/owners/grantchange.go
+++ b/internal/owners/grantchange.go
@@ -24,4 +24,6 @@
 	Took    time.Duration
 	// End is why the grant is not renewed any more, or GrantGoesOn if it is new.
 	End GrantEnd
+	// EndedAt is when that was known, or the zero time.
+	EndedAt time.Time
 }
--- a/internal/owners/grantlog.go
+++ b/internal/owners/grantlog.go
@@ -32,7 +32,7 @@
 				}
 				last = later(last, g.issued.validUntil)
 				t.grantChanges = append(t.grantChanges, GrantChange{Service: service, Interval: r.Interval, Server: g.Server, Fence: g.issued.fence,
-					SentAt: g.issued.sentAt, ValidUntil: g.issued.validUntil, End: GrantTenureEnded})
+					SentAt: g.issued.sentAt, ValidUntil: g.issued.validUntil, End: GrantTenureEnded, EndedAt: now})
 			}
 		}
 	}
@@ -53,11 +53,11 @@
 }
 
 // noteEnd adds the end of the grant of the previous owner of a range to the changes.
-func (t *Table) noteEnd(service string, r *rangeState, end GrantEnd) {
+func (t *Table) noteEnd(service string, r *rangeState, end GrantEnd, at time.Time) {
 	g := r.previous
 	if g.ExpiresBy.IsZero() {
 		return // nobody has granted it
 	}
 	t.grantChanges = append(t.grantChanges, GrantChange{Service: service, Interval: r.Interval, Server: g.Server, Fence: g.Fence,
-		SentAt: g.issued.sentAt, ValidUntil: g.ExpiresBy, End: end})
+		SentAt: g.issued.sentAt, ValidUntil: g.ExpiresBy, End: end, EndedAt: at})
 }
--- a/internal/owners/grantlog_test.go
+++ b/internal/owners/grantlog_test.go
@@ -103,6 +103,7 @@
 			is.Equal(ended[0].End, tc.end)
 			is.Equal(ended[0].Server, incarnation("a"))
 			is.Equal(ended[0].SentAt.IsZero(), false)
+			is.True(!ended[0].EndedAt.IsZero() && !granted.Before(ended[0].EndedAt)) // the next grant follows
 			is.Equal(tc.end == GrantExpired, granted.After(ended[0].ValidUntil))
 		})
 	}
--- a/internal/owners/orders.go
+++ b/internal/owners/orders.go
@@ -107,14 +107,14 @@
 	restarted := listed && current != r.previous.Server && r.previous.Server.StartMS != 0
 	switch {
 	case restarted && !r.previous.Ambiguous:
-		t.finishRelease(service, r, GrantServerRestarted, r.handover)
+		t.finishRelease(service, r, GrantServerRestarted, now, r.handover)
 	case now.After(r.previous.ExpiresBy):
-		t.finishRelease(service, r, GrantExpired, r.handover)
+		t.finishRelease(service, r, GrantExpired, now, r.handover)
 	}
 }
 
-func (t *Table) finishRelease(service string, r *rangeState, end GrantEnd, handover string) {
-	t.noteEnd(service, r, end)
+func (t *Table) finishRelease(service string, r *rangeState, end GrantEnd, at time.Time, handover string) {
+	t.noteEnd(service, r, end, at)
 	r.previous = nil
 	r.handover = handover
 	r.phase = PhaseGranting
--- a/internal/owners/results.go
+++ b/internal/owners/results.go
@@ -106,7 +106,7 @@
 		r.nextOrderAt = result.Ended.Add(renewInterval)
 		return false
 	case OutcomeProcessEnded:
-		t.finishRelease(result.Order.Service, r, GrantServerEnded, "")
+		t.finishRelease(result.Order.Service, r, GrantServerEnded, result.Ended, "")
 	default:
 		if result.Outcome == OutcomeUnsent || result.Outcome == OutcomeRefused {
 			r.previous.ExpiresBy = result.Order.previousExpiry
@@ -125,13 +125,13 @@
 			r.nextOrderAt = r.previous.ExpiresBy.Add(retryInterval)
 			return
 		}
-		t.finishRelease(result.Order.Service, r, GrantReleased, result.Handover)
+		t.finishRelease(result.Order.Service, r, GrantReleased, result.Ended, result.Handover)
 	case OutcomeProcessEnded:
 		if r.previous.Ambiguous {
 			r.nextOrderAt = r.previous.ExpiresBy.Add(retryInterval)
 			return
 		}
-		t.finishRelease(result.Order.Service, r, GrantServerEnded, "")
+		t.finishRelease(result.Order.Service, r, GrantServerEnded, result.Ended, "")
 	default:
 		r.previous.unresponsive = true
 		r.nextOrderAt = result.Ended.Add(retryInterval)
--- a/internal/report/command/command.go
+++ b/internal/report/command/command.go
@@ -27,6 +27,8 @@
 	{name: "call", description: "Tell from the logs of peridotmoor-entry how one call ended, and why.",
 		positional: "ID", positionalHelp: "ID of the call; the log FILES follow.", run: runCall},
 	{name: "calls", description: "Count from the logs of peridotmoor-entry how calls ended.", run: runCalls},
+	{name: "owners", description: "Tell from the logs of peridotmoor-entry who granted a key to which server, and whether two had it.",
+		positional: "SERVICE:KEY", positionalHelp: "Service and number of the key; the log FILES follow.", run: runOwners},
 	{name: "html", description: "Write one page with plots for a board.", flags: htmlFlags, run: runHTML},
 }
 
--- a/internal/report/command/options.go
+++ b/internal/report/command/options.go
@@ -9,7 +9,7 @@
 // options holds the arguments of all subcommands.
 type options struct {
 	JSON       bool
-	Positional string // request ID or failure domain
+	Positional string // request ID, failure domain or key
 	RunLog     string
 	Callers    string
 	From       string
