--- a/internal/backhttp/requesterror.go
+++ b/internal/backhttp/requesterror.go
@@ -1,5 +1,7 @@
 package backhttp
 
+import "time"
+
 // RequestError is the error of a request that got no complete response.
 type RequestError struct {
 	// Sent reports whether a byte of the request may have reached the server.
@@ -10,7 +12,9 @@
 	// Expired reports whether the connection was there, but this process came to write the
 	// request only after its time. That says nothing about the server.
 	Expired bool
-	Cause   error
+	// WrittenAt is when the write of the request ended, or the zero time if none began.
+	WrittenAt time.Time
+	Cause     error
 }
 
 // Error returns the cause and whether the request may have been executed.
--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -23,13 +23,15 @@
 type Coordinator struct {
 	registry    *facts.Registry
 	orderSender OrderSender
-	prober      fleet.Prober
-	log         *events.Logger
-	records     *recordStore
-	table       *owners.Table
-	scheduler   *placing.Scheduler
-	queue       chan func()
-	ctx         context.Context
+	// onOrderWritten is that of Options, or nil.
+	onOrderWritten func(time.Duration)
+	prober         fleet.Prober
+	log            *events.Logger
+	records        *recordStore
+	table          *owners.Table
+	scheduler      *placing.Scheduler
+	queue          chan func()
+	ctx            context.Context
 	// endTenure ends ctx.
 	endTenure   context.CancelFunc
 	plannedStop plannedStop
@@ -40,6 +42,13 @@
 	// leaseConfirmedAt is when the lease was last known to be held by this process, by
 	// its own clock. It is nil when that must be confirmed again.
 	leaseConfirmedAt atomic.Pointer[time.Time]
+	// lastConfirmedAt is the same, but is kept when the lease must be confirmed again. It is
+	// used only for logs and metrics.
+	lastConfirmedAt atomic.Pointer[time.Time]
+	// sendsOrders is what maySendOrders returned last, for logs and metrics.
+	sendsOrders atomic.Bool
+	// endReason is why the tenure ends, an endReason, or 0.
+	endReason atomic.Uint32
 
 	// recordedServers holds the servers of the record found at the start of the tenure.
 	recordedServers map[fleet.Incarnation]*fleet.Server
@@ -79,6 +88,8 @@
 	// the zero time.
 	fleetChangedAt   time.Time
 	byName           map[string]*link.Follower
+	followerLog      followerLog
+	quorumLog        quorumLog
 	epoch            int64
 	snapshot         *facts.Snapshot
 	publishedVersion uint64
@@ -106,6 +117,7 @@
 	c := &Coordinator{
 		registry:        e.registry,
 		orderSender:     e.orderSender,
+		onOrderWritten:  e.onOrderWritten,
 		prober:          e.prober,
 		probing:         map[fleet.Incarnation]bool{},
 		log:             e.log,
@@ -210,6 +222,10 @@
 	if c.maySendOrders(now) {
 		c.sendOrders(now)
 	}
+	c.logGrants()
+	if c.followerLog.due(now) {
+		c.logFollowers(now)
+	}
 	c.scheduler.SetShare(c.share(now))
 	c.scheduler.SetExclusive(c.exclusive(now))
 	c.scheduler.Tick(now)
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -46,7 +46,7 @@
 			e.watchHolderKey(ctx, revision)
 			return
 		}
-		e.log.Emit(events.HolderFollowed, "holder", holder.String())
+		e.log.Emit(events.HolderFollowed, "holder", holder.String(), "tenure", holder.tenureName())
 		joinedAt := time.Now()
 		e.client.Attach(conn)
 		e.current.Store(&holder)
@@ -113,6 +113,7 @@
 			holderLost, err = e.readForHolder(ctx, conn, receiver, holder)
 		}
 		if holderLost {
+			e.log.Emit(events.HolderLost, "holder", holder.String(), "detail", "the store names another holder or tenure, or none")
 			return
 		}
 		if err != nil {
--- a/internal/holder/orders.go
+++ b/internal/holder/orders.go
@@ -26,6 +26,7 @@
 			ctx, cancel := context.WithDeadline(c.ctx, order.CreatedAt.Add(orderTimeout(order)))
 			result := c.orderSender.SendOrder(ctx, *server, order)
 			cancel()
+			c.observeWrite(result)
 			c.enqueue(func() {
 				c.applyResult(result)
 				c.resultsPending = true
@@ -77,6 +78,6 @@
 			"server", o.Server.Name, "fence", o.Fence, "outcome", result.Outcome.String())
 	}
 	if !c.table.Apply(result) {
-		c.superseded.Store(true)
+		c.supersede(endHigherFence)
 	}
 }
--- a/internal/holder/tenure.go
+++ b/internal/holder/tenure.go
@@ -24,6 +24,7 @@
 // confirmElection takes the lease for confirmed at the start of the election, unless the claim
 // took so long that it may have replaced that of a successor. Then a renewal has to show it.
 func (c *Coordinator) confirmElection(startedAt, claimedAt time.Time) {
+	c.lastConfirmedAt.Store(&startedAt)
 	if claimedAt.Sub(startedAt) < leaseTTL {
 		c.leaseConfirmedAt.Store(&startedAt)
 	}
@@ -62,13 +63,18 @@
 // retainedShare returns the share of the fleet that provably follows this holder and no
 // successor.
 func (c *Coordinator) retainedShare(now, leaseConfirmedAt time.Time) float64 {
+	return c.quorum.RetainedShare(now, leaseConfirmedAt, c.quorumFollowers())
+}
+
+// quorumFollowers returns the followers as the quorum counts them.
+func (c *Coordinator) quorumFollowers() []quorum.Follower {
 	followers := make([]quorum.Follower, 0, len(c.followers))
 	for f := range c.followers {
 		followers = append(followers, quorum.Follower{
 			Name: f.Name(), JoinedAt: f.JoinedAt, ProvedAt: f.ProvedAt, Local: f.Instance == c.instance,
 		})
 	}
-	return c.quorum.RetainedShare(now, leaseConfirmedAt, followers)
+	return followers
 }
 
 // followerNames returns the names of the instances that follow this holder.
@@ -83,6 +89,12 @@
 // maySendOrders reports whether this instance may still act as the holder. It also
 // sets the duration of new grants, which is longer during a store outage.
 func (c *Coordinator) maySendOrders(now time.Time) bool {
+	allowed := c.decideOrders(now)
+	c.sendsOrders.Store(allowed)
+	return allowed
+}
+
+func (c *Coordinator) decideOrders(now time.Time) bool {
 	c.mayActAt = boottime.Now()
 	if c.suspension.noticed() {
 		c.log.Emit(events.MachineSuspended, "epoch", c.epoch)
@@ -96,6 +108,7 @@
 	outage := now.Sub(*leaseConfirmedAt)
 	if outage <= followerQuorumAfter {
 		c.ordersAllowed = true
+		c.quorumLog = quorumLog{}
 		c.table.SetGrantDuration(owners.GrantDuration)
 		return true
 	}
@@ -104,6 +117,7 @@
 	c.table.SetGrantDuration(outageGrantDuration)
 	share := c.retainedShare(now, *leaseConfirmedAt)
 	retained := outage <= maxStoreOutage && quorum.Retained(share)
+	c.logQuorum(now, *leaseConfirmedAt, share, retained)
 	if c.ordersAllowed != retained {
 		c.ordersAllowed = retained
 		c.log.Emit(events.HolderQuorumChanged, "epoch", c.epoch, "sends_orders", retained, "share", share, "fleet", len(c.quorum.Stored()),
@@ -155,6 +169,7 @@
 // rolling restart such an instance may come back within moments.
 func (c *Coordinator) considerHandOver() {
 	if c.plannedStop.isEnding() && c.hasRunningFollower() && yieldShareRatio*c.maxRunningShare() >= c.processorShare {
+		c.noteEnd(endHandedOver)
 		c.endTenure()
 	}
 }
@@ -188,6 +203,7 @@
 		return
 	}
 	c.inheritedGrantsShortened = true
-	c.log.Emit(events.EarlierGrantsEndSoon, "epoch", c.epoch, "followers", len(c.followers), "fleet", len(c.foundFleet), "ends_in_ms", inheritedGrantsTimeout.Milliseconds())
+	c.log.Emit(events.EarlierGrantsEndSoon, "epoch", c.epoch, "followers", len(c.followers), "fleet", len(c.foundFleet), "ends_in_ms", inheritedGrantsTimeout.Milliseconds(),
+		"counted", loggedNames(c.followerNames()))
 	c.table.ShortenInheritedGrants(now.Add(inheritedGrantsTimeout))
 }
--- a/internal/owners/orderresult.go
+++ b/internal/owners/orderresult.go
@@ -11,6 +11,9 @@
 	// Expired is set if the order was not sent because its sender came to it too late. That
 	// says nothing about the server.
 	Expired bool
+	// WrittenAt is when the write of the order ended, or the zero time if none began. It is
+	// used for logs and metrics only.
+	WrittenAt time.Time
 	// Handover is the state that a release returned for the next owner.
 	Handover string
 }
--- a/internal/owners/orders.go
+++ b/internal/owners/orders.go
@@ -108,12 +108,12 @@
 	restarted := listed && current != previous.Server && previous.Server.StartMS != 0
 	switch {
 	case now.After(previous.ExpiresBy):
-		t.finishRelease(r, r.handover)
+		t.finishRelease(service, r, GrantExpired, now, r.handover)
 	case !restarted || previous.Ambiguous:
 	case r.owner.Name == current.Name:
 		r.expiresBy = later(r.expiresBy, previous.ExpiresBy)
 		r.unansweredUntil = later(r.unansweredUntil, previous.UnansweredUntil)
-		t.finishRelease(r, r.handover)
+		t.finishRelease(service, r, GrantServerRestarted, now, r.handover)
 	default:
 		t.releaseFrom(r, current)
 	}
@@ -130,7 +130,8 @@
 	r.orderInFlight, r.nextOrderAt = false, time.Time{}
 }
 
-func (t *Table) finishRelease(r *rangeState, handover string) {
+func (t *Table) finishRelease(service string, r *rangeState, end GrantEnd, at time.Time, handover string) {
+	t.noteEnd(service, r, end, at)
 	r.previous = nil
 	r.handover = handover
 	r.phase = PhaseGranting
