Check the fences under which servers take keys in the soak

The platform's rule on owners also forbids that a server takes a key under a fence that is not above those under which other servers had it. The soak did not look. A grant that arrives just after the end of an impairment is excused, as by the rule; an impaired server is no excuse here.

TestOldFencesAreReported; tests of backend and check pass with the race detector.

--- a/internal/dev/soak/backend/conflict.go
+++ b/internal/dev/soak/backend/conflict.go
@@ -9,7 +9,10 @@
 	First, Second string
 	// RequestID is the second of the requests, or "" if the servers shared the key for too long.
 	RequestID string
-	At        time.Time
+	// OldFence is the fence under which the second server took the key although the first
+	// one had it under the same or a higher one, or 0.
+	OldFence int64
+	At       time.Time
 	// GrantsArrivedAt holds the arrivals of the grants of both servers.
 	GrantsArrivedAt [2]time.Time
 }
--- a/internal/dev/soak/backend/orders.go
+++ b/internal/dev/soak/backend/orders.go
@@ -24,12 +24,20 @@
 
 // grant applies a grant from its arrival on and returns the status of the response.
 func (i *incarnation) grant(o order) int {
+	now := time.Now()
+	taken, status := i.applyGrant(o, now)
+	i.owners.take(i, taken, o.Fence, now)
+	return status
+}
+
+// applyGrant returns the keys that the incarnation did not hold and holds now, and the
+// status of the response.
+func (i *incarnation) applyGrant(o order, now time.Time) (taken []int, status int) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	now := time.Now()
 	for key := o.From; key <= o.To; key++ {
 		if i.grants[key].fence > o.Fence {
-			return http.StatusConflict
+			return nil, http.StatusConflict
 		}
 	}
 	until := now.Add(time.Duration(o.GrantDuration / i.config.ClockRate * float64(time.Second)))
@@ -37,10 +45,11 @@
 		g := &i.grants[key]
 		if !g.validAt(now) {
 			g.since = now
+			taken = append(taken, key)
 		}
 		g.fence, g.until, g.arrivedAt, g.released = o.Fence, until, now, false
 	}
-	return http.StatusOK
+	return taken, http.StatusOK
 }
 
 // release ends grants and waits until the requests of their keys have ended. It returns
--- a/internal/dev/soak/backend/owners.go
+++ b/internal/dev/soak/backend/owners.go
@@ -20,11 +20,12 @@
 	conflicts []Conflict
 	// reported holds the shared keys already found.
 	reported map[sharedKey]bool
+	fences   []fences // by key
 }
 
 // NewOwners returns an Owners without servers.
 func NewOwners() *Owners {
-	return &Owners{running: map[*incarnation]bool{}, reported: map[sharedKey]bool{}}
+	return &Owners{running: map[*incarnation]bool{}, reported: map[sharedKey]bool{}, fences: make([]fences, keyCount)}
 }
 
 func (o *Owners) add(i *incarnation) {
@@ -59,6 +60,23 @@
 	return true
 }
 
+// take records that i, which did not hold the keys, took them by one grant. A conflict is
+// recorded for the first key that another server had under a fence that is not lower.
+func (o *Owners) take(i *incarnation, keys []int, fence int64, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	found := false
+	for _, key := range keys {
+		others := o.fences[key].take(taking{i.id, fence, now})
+		if others.fence < fence || found {
+			continue
+		}
+		found = true
+		o.conflicts = append(o.conflicts, Conflict{Key: key, First: others.server, Second: i.id, OldFence: fence, At: now,
+			GrantsArrivedAt: [2]time.Time{others.arrivedAt, now}})
+	}
+}
+
 // Watch looks for the keys that two servers share for too long, until ctx is done.
 func (o *Owners) Watch(ctx context.Context, keys []int) {
 	ticker := time.NewTicker(watchInterval)
--- a/internal/dev/soak/check/owners.go
+++ b/internal/dev/soak/check/owners.go
@@ -12,6 +12,8 @@
 	for _, c := range e.Conflicts {
 		switch {
 		case e.excusesGrants(c):
+		case c.OldFence != 0:
+			found = append(found, Violation{Check: "two owners", Message: fmt.Sprintf("%s took key %d under the fence %d, which is not above that of %s", c.Second, c.Key, c.OldFence, c.First)})
 		case c.RequestID == "":
 			found = append(found, Violation{Check: "two owners", Message: fmt.Sprintf("%s and %s both held key %d for over 0.5 s", c.First, c.Second, c.Key)})
 		default:
@@ -27,7 +29,7 @@
 func (e *Evidence) excusesGrants(c backend.Conflict) bool {
 	for n, server := range []string{c.First, c.Second} {
 		arrived := c.GrantsArrivedAt[n]
-		if e.Impairments.endedBefore(arrived, thawSlack) || c.RequestID == "" && e.Impairments.any(server, arrived.Add(-thawSlack), arrived) {
+		if e.Impairments.endedBefore(arrived, thawSlack) || c.RequestID == "" && c.OldFence == 0 && e.Impairments.any(server, arrived.Add(-thawSlack), arrived) {
 			return true
 		}
 	}
