--- a/internal/holder/leaselog_test.go
+++ b/internal/holder/leaselog_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -163,3 +164,20 @@
 		})
 	}
 }
+
+// Guards against a renewal that the end of a tenure cuts off and that looks like one that the
+// store has failed.
+func TestRenewalCutOffByTheEndSaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := startLoggedHolder(t)
+		h.shared.Faults().SetDelay(time.Second)
+		time.Sleep(leaseRenewInterval + 100*time.Millisecond) // a renewal is in progress
+		h.end()
+		lines := h.log.of(t, events.LeaseLost)
+		is.Equal(len(lines), 1)
+		is.True(strings.Contains(lines[0]["detail"].(string), context.Canceled.Error()))
+		is.Equal(lines[0]["sends_orders"], false)
+		is.Equal(h.log.of(t, events.HolderEnded)[0]["reason"], endPlannedStop.String())
+	})
+}
