--- a/internal/authority/model_test.go
+++ b/internal/authority/model_test.go
@@ -11,7 +11,7 @@
 // injectFault draws one fault or repair and applies it.
 func injectFault(t *rapid.T, s *sim) {
 	n := s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(t, "node")]
-	switch rapid.IntRange(0, 15).Draw(t, "fault") {
+	switch rapid.IntRange(0, 17).Draw(t, "fault") {
 	case 0:
 		n.kill()
 		s.announceInstances(time.Second)
@@ -65,6 +65,15 @@
 		n.enqueue(func(time.Time) { n.node.SetPeers(incorrect) })
 	case 15:
 		s.maxMessageDelay = time.Duration(rapid.IntRange(10, 300).Draw(t, "delay")) * time.Millisecond
+	case 16, 17:
+		domain := n.index % simDomains
+		if h := s.holder(); h != nil && rapid.Bool().Draw(t, "domain of the holder") {
+			domain = h.index % simDomains
+		}
+		cut := simCut{oneWay: rapid.Bool().Draw(t, "one way"), resets: rapid.Bool().Draw(t, "resets"), store: rapid.Bool().Draw(t, "store")}
+		side := rapid.SampledFrom([]int{1, -1}).Draw(t, "side")
+		seconds := rapid.SampledFrom([]int{3, 8, 16, 25}).Draw(t, "seconds")
+		s.cutDomain(domain, side, cut, time.Duration(seconds)*time.Second)
 	}
 }
 
--- a/internal/authority/sim_test.go
+++ b/internal/authority/sim_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/key"
@@ -15,6 +16,9 @@
 // normalMessageDelay is the maximum delay of a message without faults.
 const normalMessageDelay = 4 * time.Millisecond
 
+// simDomains is the number of failure domains.
+const simDomains = 3
+
 // simEvent is an action scheduled at a moment of real time.
 type simEvent struct {
 	at  time.Time
@@ -59,6 +63,9 @@
 	// partition assigns each node to a network partition. Messages are
 	// delivered within a partition only.
 	partition []int
+	// cut changes how messages cross the borders of the partitions.
+	cut       simCut
+	cutEndsAt time.Time
 
 	violations []string
 	// takeovers contains the time of each change of the holder.
@@ -119,13 +126,42 @@
 // endFaults ends all faults of the network and the store.
 func (s *sim) endFaults() {
 	clear(s.partition)
+	s.cut = simCut{}
 	s.messageLossRate, s.lostReplyRate, s.maxStoreDelay, s.storeUp = 0, 0, 0, true
 	s.maxMessageDelay = normalMessageDelay
 }
 
 // delivers decides whether a message between two nodes is delivered.
 func (s *sim) delivers(a, b int) bool {
-	return s.partition[a] == s.partition[b] && s.random.Float64() >= s.messageLossRate
+	return s.cut.passes(s.partition[a], s.partition[b]) && s.random.Float64() >= s.messageLossRate
+}
+
+// cutDomain cuts off a failure domain from the others, and from the store, until d has passed.
+func (s *sim) cutDomain(domain, side int, cut simCut, d time.Duration) {
+	clear(s.partition)
+	for i := range s.nodes {
+		if i%simDomains == domain {
+			s.partition[i] = side
+		}
+	}
+	s.cut = cut
+	s.cutEndsAt = s.now.Add(d)
+	s.after(d, func() {
+		if s.cutEndsAt.Equal(s.now) {
+			clear(s.partition)
+			s.cut = simCut{}
+		}
+	})
+}
+
+// reachesStore reports whether calls of a node arrive at the store, and answered whether its
+// answers arrive at the node.
+func (s *sim) reachesStore(n *simNode) (called, answered bool) {
+	if !s.cut.store {
+		return true, true
+	}
+	side := s.partition[n.index]
+	return s.cut.passes(side, 0), s.cut.passes(0, side)
 }
 
 // announceInstances updates the list of running instances on all nodes after
@@ -176,6 +212,9 @@
 	if t.Mirrors.Generation < s.latestMirrors.Generation {
 		s.reportViolation("mirror set changed from %v to %v at %v", s.latestMirrors, t.Mirrors, s.now)
 	}
+	if t.Mirrors.Generation == s.latestMirrors.Generation && !slices.Equal(t.Mirrors.Members, s.latestMirrors.Members) {
+		s.reportViolation("two mirror sets of one generation, %v and %v at %v", s.latestMirrors, t.Mirrors, s.now)
+	}
 	s.highestToken = t.Token
 	if newHolder {
 		s.takeovers = append(s.takeovers, s.now)
--- a/internal/authority/simnode_test.go
+++ b/internal/authority/simnode_test.go
@@ -46,7 +46,7 @@
 	n.self = Member{
 		Instance: Instance{Name: name, Incarnation: fmt.Sprint(n.incarnation)},
 		Address:  name,
-		Domain:   fmt.Sprintf("d%d", n.index%3),
+		Domain:   fmt.Sprintf("d%d", n.index%simDomains),
 	}
 	n.alive, n.leaving, n.pausedUntil, n.tenure = true, false, time.Time{}, nil
 	random := rand.New(rand.NewPCG(n.sim.random.Uint64(), 2))
@@ -131,6 +131,9 @@
 	to := n.sim.nodeAt(outgoing.To.Address)
 	n.sim.after(n.sim.messageDelay(), func() {
 		if !n.sim.delivers(n.index, to.index) {
+			if n.sim.cut.resets && n.sim.partition[n.index] != n.sim.partition[to.index] {
+				n.enqueue(func(now time.Time) { n.node.PromiseFailed(now, outgoing, true) })
+			}
 			return
 		}
 		if !to.alive {
@@ -163,7 +166,8 @@
 func (n *simNode) readRecord() {
 	node := n.node
 	n.sim.after(n.sim.storeDelay(), func() {
-		record, up := n.sim.record, n.sim.storeUp
+		called, answered := n.sim.reachesStore(n)
+		record, up := n.sim.record, n.sim.storeUp && called && answered
 		n.replyLater(node, func(now time.Time) {
 			if !up {
 				node.RecordReadFailed(now, simShard)
@@ -179,14 +183,15 @@
 func (n *simNode) commitProposal(p Proposal) {
 	node := n.node
 	n.sim.after(n.sim.storeDelay(), func() {
-		up := n.sim.storeUp
+		called, answered := n.sim.reachesStore(n)
+		up := n.sim.storeUp && called
 		if up && n.sim.record.Equal(p.Base) {
 			n.sim.record = p.Next
 		}
 		record := n.sim.record
 		lost := n.sim.random.Float64() < n.sim.lostReplyRate
 		n.replyLater(node, func(now time.Time) {
-			if !up || lost {
+			if !up || !answered || lost {
 				node.ProposalFailed(now, p)
 				return
 			}
