--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -87,20 +87,26 @@
 }
 
 // inheritedGrantsBound returns how long grants of earlier holders may remain valid.
-// Proof that the last holder has ended says nothing about the holders before it: they
-// may still renew grants without the store, unless the last holder had waited until
-// they could not. Only the record that it has written tells that: a holder that ends
-// between its election and its claim leaves the record of the holder before it.
 func inheritedGrantsBound(replaced predecessor, recordWriter string, found owners.Record) time.Duration {
 	switch {
 	case found.Epoch == 1 && len(found.Services) == 0:
 		return 0
-	case replaced.grantsBound == 0 || found.InheritedGrantsPending || recordWriter != replaced.tenureName:
+	case !lastHolderEnded(replaced, recordWriter, found):
 		return maxStoreOutage + maxInheritedGrant
 	}
 	return replaced.grantsBound
 }
 
+// lastHolderEnded reports whether there is proof that the last holder has ended, and that
+// no holder before it can act.
+// Proof that the last holder has ended says nothing about the holders before it: they
+// may still renew grants without the store, unless the last holder had waited until
+// they could not. Only the record that it has written tells that: a holder that ends
+// between its election and its claim leaves the record of the holder before it.
+func lastHolderEnded(replaced predecessor, recordWriter string, found owners.Record) bool {
+	return replaced.grantsBound != 0 && !found.InheritedGrantsPending && recordWriter == replaced.tenureName
+}
+
 // acquireLease writes the holder's key under a new lease. The lease that it returns
 // with an error exists and may have the key.
 func (e *Elector) acquireLease(ctx context.Context, candidate Identity, revision uint64) (store.LeaseID, error) {
@@ -136,6 +142,7 @@
 		e.log.Emit(events.OwnerRecordReplaced, "epoch", found.Epoch)
 	}
 	c := newCoordinator(ctx, cancel, e, records, found, startedAt.Add(inheritedGrantsBound(replaced, records.replacedTenure, found)))
+	c.lastHolderEnded = lastHolderEnded(replaced, records.replacedTenure, found)
 	c.confirmElection(startedAt, time.Now())
 	e.log.Emit(events.HolderElected, "epoch", found.Epoch, "tenure", self.tenureName())
 	e.changeTenure(self) // before its own instance counts among the followers
--- a/internal/holder/tenure.go
+++ b/internal/holder/tenure.go
@@ -11,16 +11,6 @@
 	"peridotmoor.org/peridotmoor/internal/quorum"
 )
 
-// exclusive reports whether this is the only holder that uses what cannot be shared: either
-// no successor can have been elected yet, or the whole fleet provably follows this one.
-func (c *Coordinator) exclusive(now time.Time) bool {
-	leaseConfirmedAt := c.leaseConfirmedAt.Load()
-	if leaseConfirmedAt == nil || c.superseded.Load() {
-		return false
-	}
-	return now.Sub(*leaseConfirmedAt) < leaseTTL || c.retainedShare(now, *leaseConfirmedAt) >= 1
-}
-
 // confirmElection takes the lease for confirmed at the start of the election, unless the claim
 // took so long that it may have replaced that of a successor. Then a renewal has to show it.
 func (c *Coordinator) confirmElection(startedAt, claimedAt time.Time) {
