Confirm the owner's grant before a move goes into the record

Change: before a move goes into the record, the previous owner confirms a grant with a higher fence on a connection that has carried no answer, and serves on meanwhile (PhaseConfirming). Without that answer the record says that a grant is unanswered, and the move goes as one with an unanswered grant did before. A superseding grant that was not sent no longer counts towards the two after which only the expiry ends the grant.

Tests of owners/confirm_test.go, each seen failing with its part taken out: the version of a record in progress, the record of an unconfirmed move, the check for a restarted owner, the wait for a renewal, the unanswered confirmation. Tests changed because a move now begins with that grant: TestReleaseWaitsForRenewal (also asserts that no order for the key goes out beside the renewal), TestMoveWithoutUnansweredGrantsSendsNone (also asserts that the record tells of no move before the confirmation, and then of no unanswered grant; the orders after it are the same), TestSuccessorReleasesFirst, TestSuccessorWaitsForBothPossibleHolders, TestSecondSuccessorWaitsForBothPossibleHolders and TestTimeOfReturnIsTheExpiryOfAnUnresponsiveOwnersGrant (the confirmation is answered, or not, before the record is stored).

Measured: -race tests of owners, holder, entrynode, placing and platform pass.

--- a/internal/holder/orders.go
+++ b/internal/holder/orders.go
@@ -59,6 +59,7 @@
 	}
 	c.resultsPending = false
 	now := time.Now()
+	c.storeRecord(now) // moves whose previous owner has confirmed its grant
 	if c.maySendOrders(now) {
 		c.sendOrders(now)
 	}
--- a/internal/owners/orders.go
+++ b/internal/owners/orders.go
@@ -26,10 +26,13 @@
 }
 
 func (t *Table) nextOrder(now time.Time, service string, r *rangeState, incarnations IncarnationLookup) (Order, bool) {
+	if r.phase == PhaseConfirming && hasRestarted(service, r.previous.Server, incarnations) {
+		t.endConfirmation(r) // the new process must not be granted what it is about to lose
+	}
 	if r.phase == PhaseReleasing && !t.hasGrantInFlight(service, r.previous.Server, r.Interval) {
 		t.releaseIfEnded(now, service, r, incarnations)
 	}
-	if r.phase == PhaseReleasing && t.hasGrantInFlight(service, r.previous.Server, r.Interval) {
+	if (r.phase == PhaseReleasing || r.phase == PhaseConfirming) && t.hasGrantInFlight(service, r.previous.Server, r.Interval) {
 		return Order{}, false
 	}
 	if r.orderInFlight || now.Before(r.nextOrderAt) || r.owner.Name == "" {
@@ -37,6 +40,12 @@
 	}
 	order := Order{Service: service, Interval: r.Interval, version: r.version}
 	switch r.phase {
+	case PhaseConfirming:
+		if t.ordersInFlight[r.previous.Server] >= maxOrdersInFlight {
+			return Order{}, false
+		}
+		order.Server = r.previous.Server
+		t.prepareSupersedingGrant(now, r.previous, &order)
 	case PhaseReleasing:
 		if t.ordersInFlight[r.previous.Server] >= maxOrdersInFlight {
 			return Order{}, false
@@ -77,18 +86,24 @@
 	}
 	if now.Before(previous.UnansweredUntil) && !previous.ExpiryOnly {
 		previous.supersedingGrants++
-		previous.Fence = t.nextFence()
-		order.Action, order.Fence, order.GrantDuration = ActionGrant, previous.Fence, t.grantDuration
-		order.AnswerMustBeOwn = true
-		order.previousExpiry = previous.ExpiresBy
-		if expiry := grantExpiry(now.Add(OrderTimeout), t.grantDuration); expiry.After(previous.ExpiresBy) {
-			previous.ExpiresBy = expiry
-		}
+		t.prepareSupersedingGrant(now, previous, order)
 		return
 	}
 	order.Action, order.Fence, order.AnswerMustBeOwn = ActionRelease, previous.Fence, true
 }
 
+// prepareSupersedingGrant makes the order a grant to the previous owner with a higher fence,
+// which invalidates all earlier grants once the server has answered it.
+func (t *Table) prepareSupersedingGrant(now time.Time, previous *Grant, order *Order) {
+	previous.Fence = t.nextFence()
+	order.Action, order.Fence, order.GrantDuration = ActionGrant, previous.Fence, t.grantDuration
+	order.AnswerMustBeOwn = true
+	order.previousExpiry = previous.ExpiresBy
+	if expiry := grantExpiry(now.Add(OrderTimeout), t.grantDuration); expiry.After(previous.ExpiresBy) {
+		previous.ExpiresBy = expiry
+	}
+}
+
 // hasGrantInFlight reports whether a grant of any of the keys is in flight to the
 // server. Such a grant would undo a release that arrived before it.
 func (t *Table) hasGrantInFlight(service string, server fleet.Incarnation, i Interval) bool {
@@ -103,13 +118,18 @@
 // releaseIfEnded continues a move without an answer of the previous owner if its
 // grant has expired or another incarnation of it is listed.
 func (t *Table) releaseIfEnded(now time.Time, service string, r *rangeState, incarnations IncarnationLookup) {
-	current, listed := incarnations.Current(service, r.previous.Server.Name)
-	restarted := listed && current != r.previous.Server && r.previous.Server.StartMS != 0
+	restarted := hasRestarted(service, r.previous.Server, incarnations)
 	if restarted && !r.previous.Ambiguous || now.After(r.previous.ExpiresBy) {
 		t.finishRelease(r, r.handover)
 	}
 }
 
+// hasRestarted reports whether another incarnation of the server is listed.
+func hasRestarted(service string, server fleet.Incarnation, incarnations IncarnationLookup) bool {
+	current, listed := incarnations.Current(service, server.Name)
+	return listed && current != server && server.StartMS != 0
+}
+
 func (t *Table) finishRelease(r *rangeState, handover string) {
 	r.previous = nil
 	r.handover = handover
--- a/internal/owners/phase.go
+++ b/internal/owners/phase.go
@@ -7,6 +7,9 @@
 const (
 	// PhaseUnowned ranges need a server.
 	PhaseUnowned Phase = iota
+	// PhaseConfirming ranges have a new owner, and wait for their previous one, which serves
+	// on, to answer a grant that invalidates all earlier ones.
+	PhaseConfirming
 	// PhasePlanned ranges have a new owner that is not stored yet.
 	PhasePlanned
 	// PhaseReleasing ranges wait for their previous owner to release them.
@@ -19,7 +22,7 @@
 
 // String returns the name of the phase in logs.
 func (p Phase) String() string {
-	names := [...]string{"unowned", "planned", "releasing", "granting", "held"}
+	names := [...]string{"unowned", "confirming", "planned", "releasing", "granting", "held"}
 	if int(p) < len(names) {
 		return names[p]
 	}
--- a/internal/owners/rangestate.go
+++ b/internal/owners/rangestate.go
@@ -32,3 +32,12 @@
 	// version changes with each transition, so that results of outdated orders are recognised.
 	version uint64
 }
+
+// servingOwner returns the server to which requests for the range go, and whether it holds
+// the range.
+func (r *rangeState) servingOwner() (name string, held bool) {
+	if r.phase == PhaseConfirming {
+		return r.previous.Server.Name, true
+	}
+	return r.owner.Name, r.phase == PhaseHeld
+}
--- a/internal/owners/results.go
+++ b/internal/owners/results.go
@@ -27,6 +27,8 @@
 	case o.Action == ActionRelease:
 		t.applyRelease(r, result)
 		return true
+	case r.phase == PhaseConfirming:
+		return t.applyConfirmingGrant(r, result)
 	case r.phase == PhaseReleasing:
 		return t.applySupersedingGrant(r, result)
 	}
@@ -88,6 +90,41 @@
 	}
 }
 
+// applyConfirmingGrant applies the result of the grant that precedes the record of a move.
+// The answers to earlier grants may have been copies of those before them, so that any of
+// these grants may take effect late unless the server has answered this one.
+func (t *Table) applyConfirmingGrant(r *rangeState, result OrderResult) bool {
+	switch result.Outcome {
+	case OutcomeDone:
+		r.previous.UnansweredUntil = time.Time{}
+		r.previous.UnansweredAtMove = false
+		t.ClearFailures(r.previous.Server)
+	case OutcomeFenced:
+		r.nextOrderAt = result.Ended.Add(renewInterval)
+		return false
+	case OutcomeProcessEnded:
+		r.previous.ExpiresBy = result.Ended
+		r.previous.UnansweredAtMove = false
+		t.ended[r.previous.Server] = result.Ended.Add(suspectDuration)
+	default:
+		if result.Outcome == OutcomeUnsent || result.Outcome == OutcomeRefused {
+			r.previous.ExpiresBy = result.Order.previousExpiry
+		}
+		r.previous.unresponsive = true
+		r.previous.UnansweredUntil = later(r.previous.UnansweredUntil, r.previous.ExpiresBy)
+		r.previous.UnansweredAtMove = true
+	}
+	t.endConfirmation(r)
+	return true
+}
+
+// endConfirmation lets the move of a range go into the record.
+func (t *Table) endConfirmation(r *rangeState) {
+	r.phase = PhasePlanned
+	r.fence = t.nextFence()
+	r.version = t.newPlanVersion()
+}
+
 // applySupersedingGrant applies the result of a grant that was sent to the previous
 // owner before its release, to invalidate an unanswered one.
 func (t *Table) applySupersedingGrant(r *rangeState, result OrderResult) bool {
@@ -104,6 +141,7 @@
 	default:
 		if result.Outcome == OutcomeUnsent || result.Outcome == OutcomeRefused {
 			r.previous.ExpiresBy = result.Order.previousExpiry
+			r.previous.supersedingGrants-- // it has not postponed the expiry
 		}
 		r.previous.unresponsive = true
 		r.nextOrderAt = result.Ended.Add(retryInterval)
--- a/internal/owners/stored.go
+++ b/internal/owners/stored.go
@@ -15,7 +15,10 @@
 	for name, ranges := range t.services {
 		for _, r := range ranges {
 			out := RecordRange{From: r.From, To: r.To, Owner: r.owner.Name, StartMS: r.owner.StartMS, Fence: r.fence}
-			if r.previous != nil {
+			switch {
+			case r.phase == PhaseConfirming:
+				out.Owner, out.StartMS, out.Fence = r.previous.Server.Name, r.previous.Server.StartMS, r.previous.Fence
+			case r.previous != nil:
 				out.Previous, out.PreviousStartMS, out.PreviousFence = r.previous.Server.Name, r.previous.Server.StartMS, r.previous.Fence
 				out.PreviousUnanswered, out.PreviousAmbiguous = r.previous.UnansweredAtMove, r.previous.Ambiguous
 			}
--- a/internal/owners/table.go
+++ b/internal/owners/table.go
@@ -99,13 +99,14 @@
 	return t.epoch<<fenceBits + t.fenceCount
 }
 
-// Owner returns the planned owner of key, and whether it holds the key already.
+// Owner returns the owner of key, and whether it holds the key. It is the planned one, except
+// while a previous owner serves on.
 func (t *Table) Owner(service string, key int) (string, bool) {
 	r := t.find(service, key)
 	if r == nil {
 		return "", false
 	}
-	return r.owner.Name, r.phase == PhaseHeld
+	return r.servingOwner()
 }
 
 // ServedAgainBy returns the latest time at which a key without an owner is served again,
@@ -128,9 +129,13 @@
 	return ranges[i]
 }
 
-// move plans a new owner for r. The move starts once the record is stored.
+// move plans a new owner for r. The previous owner first confirms its grant, unless one is
+// known to be unanswered or its process has ended: a grant that takes effect after the keys
+// have moved must be known before the record says that there is none. The move starts once
+// the record is stored.
 func (t *Table) move(service string, r *rangeState, to fleet.Incarnation, reason MoveReason) {
 	version := t.newPlanVersion()
+	confirming := r.phase == PhaseConfirming || r.phase == PhaseHeld && reason != MoveRestarted && !t.now.Before(r.unansweredUntil)
 	t.moves = append(t.moves, Move{Service: service, Interval: r.Interval, From: r.owner.Name, To: to.Name, Reason: reason})
 	if (r.phase == PhaseHeld || r.phase == PhaseGranting) && r.owner.Name != "" && r.previous == nil {
 		r.previous = t.currentGrant(service, r)
@@ -146,6 +151,10 @@
 	r.owner = to
 	r.fence = t.nextFence()
 	r.phase = PhasePlanned
+	if confirming {
+		r.phase = PhaseConfirming
+		r.nextOrderAt = time.Time{}
+	}
 	r.version = version
 	r.expiresBy, r.unansweredUntil = time.Time{}, time.Time{}
 	r.handover = ""
@@ -178,7 +187,8 @@
 func (t *Table) OwnedRanges(service string) []OwnedRange {
 	out := make([]OwnedRange, 0, len(t.services[service]))
 	for _, r := range t.services[service] {
-		out = append(out, OwnedRange{Interval: r.Interval, Owner: r.owner.Name, Held: r.phase == PhaseHeld})
+		owner, held := r.servingOwner()
+		out = append(out, OwnedRange{Interval: r.Interval, Owner: owner, Held: held})
 	}
 	return out
 }
--- a/internal/owners/table_test.go
+++ b/internal/owners/table_test.go
@@ -74,13 +74,17 @@
 
 	hotKeys := ratesByKey{10: 20, 20: 20}
 	is.True(table.Plan(now, service, candidates("a", "b"), hotKeys))
+	key := movedKey(t, table)
 	table.MarkStored(table.PlanVersion())
 	for _, o := range table.TakeDueOrders(now, listing("a", "b")) {
 		is.True(o.Action != ActionRelease) // the renewal of the whole range is still in flight
+		is.True(!o.Contains(key))          // a server that had seen a higher fence would refuse that renewal
 	}
 	for _, o := range renewals {
 		table.Apply(OrderResult{Order: o, Outcome: OutcomeDone, Ended: now})
 	}
+	confirmMoves(t, table, now, "a", "b")
+	table.MarkStored(table.PlanVersion())
 	released := false
 	for _, o := range table.TakeDueOrders(now, listing("a", "b")) {
 		released = released || o.Action == ActionRelease
@@ -117,13 +121,15 @@
 
 // Guards against a grant below the fence of a later owner: a successor trusts the record, which
 // says that no grant to the previous owner is unanswered, while one that was sent during the
-// move takes effect late.
+// move takes effect late. The grant that confirms the others is answered before that record.
 func TestMoveWithoutUnansweredGrantsSendsNone(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	table := newHeldTable(t, now, "a", "b")
 	is.True(table.Plan(now, service, candidates("a", "b"), ratesByKey{10: 20, 20: 20}))
 	key := movedKey(t, table)
+	confirmMoves(t, table, now, "a", "b")
+	is.Equal(table.find(service, key).phase, PhasePlanned)
 	for _, r := range table.Record().Services[service] {
 		is.True(!r.PreviousUnanswered)
 	}
@@ -196,6 +202,26 @@
 	return steps
 }
 
+// confirmMoves answers the grants that precede the record of a move. A move is not in the
+// record, and its previous owner serves on, until it has answered.
+func confirmMoves(t *testing.T, table *Table, now time.Time, names ...string) {
+	t.Helper()
+	is := is.New(t)
+	for _, r := range table.Record().Services[service] {
+		is.Equal(r.Previous, "")
+	}
+	for _, r := range table.OwnedRanges(service) {
+		is.True(r.Held)
+	}
+	for _, o := range table.TakeDueOrders(now, listing(names...)) {
+		is.Equal(o.Action, ActionGrant)
+		if o.AnswerMustBeOwn {
+			is.Equal(table.find(service, o.From).previous.Server, o.Server)
+		}
+		table.Apply(OrderResult{Order: o, Outcome: OutcomeDone, Ended: now})
+	}
+}
+
 // movedKey returns a key that the plan moves from a to b.
 func movedKey(t *testing.T, table *Table) int {
 	t.Helper()
@@ -216,6 +242,7 @@
 	table := newHeldTable(t, now, "a", "b")
 	is.True(table.Plan(now, service, candidates("a", "b"), ratesByKey{10: 20, 20: 20}))
 	key := movedKey(t, table)
+	confirmMoves(t, table, now, "a", "b")
 	is.True(table.Dirty())
 	record := table.Record()
 	record.Epoch++
@@ -348,6 +375,7 @@
 	table := newHeldTable(t, now, "a", "b", "c")
 	is.True(table.Plan(now, service, candidates("a", "b", "c"), ratesByKey{10: 20, 20: 20}))
 	key := movedKey(t, table)
+	confirmMoves(t, table, now, "a", "b", "c")
 	record := table.Record()
 	record.Epoch++
 	inheritedUntil := now.Add(5 * time.Second)
@@ -378,6 +406,7 @@
 	table := newHeldTable(t, now, "a", "b", "c")
 	is.True(table.Plan(now, service, candidates("a", "b", "c"), ratesByKey{10: 20, 20: 20}))
 	key := movedKey(t, table)
+	confirmMoves(t, table, now, "a", "b", "c")
 	record := table.Record()
 	record.Epoch++
 	first := NewTable(record, "first", now.Add(5*time.Second))
@@ -462,6 +491,7 @@
 	for _, o := range table.TakeDueOrders(now, listing("b")) {
 		table.Apply(OrderResult{Order: o, Outcome: OutcomeNoAnswer, Ended: now.Add(OrderTimeout)})
 	}
+	table.MarkStored(table.PlanVersion())
 	at := table.ServedAgainBy(service, 5)
 	is.True(at.After(now.Add(GrantDuration)))
 	is.Equal(runOrders(t, table, at.Add(time.Millisecond), 5, "b"), []step{{ActionGrant, "b"}})
