Fetch the request records for as long as callers can wait

The new holder had no copy of the records.

Change: it calls each member of the mirror set again until one has answered or all say that they have no copy, until twice the clock skew (4 s) has passed. A request created later needs no earlier records. No mirror joins before, as its copy would pass for complete. A holder that stops refuses the waiting requests with not-holder.

Evidence: TestNewHolderWaitsForTheRecords fails on the code before with records-lost, for mirrors that answer after 600 ms and for first calls that fail.

--- a/internal/dispatch/fakenetwork_test.go
+++ b/internal/dispatch/fakenetwork_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"peridotmoor.org/peridotmoor/internal/authority"
 	"peridotmoor.org/peridotmoor/internal/record"
 )
@@ -20,6 +21,10 @@
 	// delays are the delays of the first copies, one each; later ones take delay. A
 	// copy is delivered even if its sender gives up meanwhile.
 	delays []time.Duration
+	// fetchDelay is how long a mirror takes to answer a fetch; 0 means delay.
+	fetchDelay time.Duration
+	// failedFetches is the number of fetches that still fail at once.
+	failedFetches int
 	// ignoreTokens disables the token check of the mirrors.
 	ignoreTokens bool
 }
@@ -102,7 +107,16 @@
 	if err != nil {
 		return nil, time.Time{}, err
 	}
-	if err := wait(ctx, n.delay); err != nil {
+	n.mu.Lock()
+	failed := n.failedFetches > 0
+	if failed {
+		n.failedFetches--
+	}
+	n.mu.Unlock()
+	if failed {
+		return nil, time.Time{}, errors.New("connection reset by peer")
+	}
+	if err := wait(ctx, max(n.delay, n.fetchDelay)); err != nil {
 		return nil, time.Time{}, err
 	}
 	return m.Fetch(f)
--- a/internal/dispatch/recordedrequest.go
+++ b/internal/dispatch/recordedrequest.go
@@ -14,6 +14,9 @@
 // runRecorded handles a non-idempotent request. Its record decides whether it runs,
 // joins an execution, gets the recorded response or is refused.
 func (h *requestHandler) runRecorded(ctx context.Context) (*request.Response, error) {
+	if p := h.awaitRecords(ctx); p != nil {
+		return h.finish(nil, p)
+	}
 	decision := h.dispatcher.beginRecord(h.request, h.started)
 	switch decision.Action {
 	case record.ActionReplay:
@@ -29,6 +32,20 @@
 	}
 }
 
+// awaitRecords waits until this holder has the records of its predecessor, without which
+// it cannot tell whether the request has run.
+func (h *requestHandler) awaitRecords(ctx context.Context) *problem.Problem {
+	if h.dispatcher.options.Records == nil {
+		return nil
+	}
+	ctx, cancel := context.WithDeadlineCause(ctx, h.request.Deadline, errDeadlinePassed)
+	defer cancel()
+	if err := h.dispatcher.options.Records.AwaitRecords(ctx); err != nil {
+		return problem.From(err)
+	}
+	return nil
+}
+
 // joinExecution waits for an execution of the same request that an earlier delivery
 // started.
 func (h *requestHandler) joinExecution(ctx context.Context, execution *record.Execution) (*request.Response, *problem.Problem) {
--- a/internal/record/begin.go
+++ b/internal/record/begin.go
@@ -65,10 +65,10 @@
 		return unknownOutcome(problem.KindIDExpired,
 			"request %s was created %v ago, records are kept for %v", id, age, t.options.Retention)
 	}
-	if created.Before(t.completeSince) {
+	if since := t.CompleteSince(); created.Before(since) {
 		return unknownOutcome(problem.KindRecordsLost,
 			"the records of this holder go back to %s only, request %s was created before",
-			t.completeSince.UTC().Format(time.RFC3339Nano), id)
+			since.UTC().Format(time.RFC3339Nano), id)
 	}
 	return nil
 }
--- a/internal/record/controller.go
+++ b/internal/record/controller.go
@@ -46,6 +46,9 @@
 	retry          *time.Timer
 	// supersededBy is a token above this holder's that a mirror has accepted, or zero.
 	supersededBy authority.Token
+	// takingOver is set until the records of the previous holder have been taken over or
+	// given up. Until then no mirror joins.
+	takingOver bool
 	// prefilled is the mirror that the records were fetched from. No request is
 	// dispatched before the first set is acknowledged, so until then this mirror has
 	// all records and joins without a backfill, which shortens a takeover.
@@ -55,7 +58,7 @@
 func newController(r *replicator) *controller {
 	retry := time.NewTimer(time.Hour)
 	retry.Stop()
-	return &controller{replicator: r, failedRecently: map[authority.Instance]bool{}, retry: retry, prefilled: r.source}
+	return &controller{replicator: r, failedRecently: map[authority.Instance]bool{}, retry: retry, takingOver: true}
 }
 
 func (c *controller) run() {
@@ -70,13 +73,22 @@
 			c.refuseAll(stoppedProblem(c.replicator), true)
 			return
 		}
-		if !c.isSuperseded() {
+		if !c.isSuperseded() && !c.takingOver {
 			c.plan()
 			c.proposeSet()
 		}
 	}
 }
 
+// endTakeover lets the mirrors join, first the one that the records were fetched from, if any.
+func (c *controller) endTakeover(source authority.Instance) {
+	c.takingOver = false
+	c.prefilled = source
+	if at := slices.Index(c.candidates, source); at > 0 {
+		c.candidates = slices.Insert(slices.Delete(slices.Clone(c.candidates), at, at+1), 0, source)
+	}
+}
+
 // plan probes candidates while there are fewer mirrors than intended. A member that
 // is no longer a candidate is removed once enough candidates are members.
 func (c *controller) plan() {
--- a/internal/record/replicatedtable.go
+++ b/internal/record/replicatedtable.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/authority"
@@ -14,33 +15,95 @@
 type ReplicatedTable struct {
 	table      *Table
 	replicator *replicator
-	source     authority.Instance
+	// source is the mirror that the records were fetched from, or nil.
+	source atomic.Pointer[authority.Instance]
+	// takenOver is closed once the records have been taken over or given up.
+	takenOver  chan struct{}
+	endFetches context.CancelFunc
 }
 
+// prefetchTime is how long Open waits for the records. It adds no delay for servers that do
+// not check tokens: a new holder waits 200 ms before its first order to them anyway.
+const prefetchTime = 200 * time.Millisecond
+
 // Open takes over the records of the previous holder and starts to copy to the
-// candidates set by SetCandidates. When no member of the latest mirror set can be
-// reached, the outcome of every request created up to now counts as unknown.
+// candidates set by SetCandidates. It returns after prefetchTime at the latest. If no member
+// of the latest mirror set has answered by then, requests wait for the records in
+// AwaitRecords, and no mirror joins, since it would take its copy for complete. Once the
+// records are given up, the outcome of every request created up to the call counts as unknown.
 func Open(ctx context.Context, o ReplicatedTableOptions) *ReplicatedTable {
 	options := o.Options.withDefaults()
-	t := &takeover{
-		shard: o.Shard, token: o.Token, mirrorClient: o.MirrorClient,
-		set: o.MirrorSets.Mirrors(), firstTenure: o.FirstTenure, maxClockSkew: options.MaxClockSkew,
+	since := time.UnixMilli(1)
+	if !o.FirstTenure {
+		since = time.Now().Add(2 * options.MaxClockSkew)
 	}
-	records, since := t.run(ctx)
-	table := NewTable(options, records, since)
-	r := &replicator{shard: o.Shard, self: o.Self, mirrorClient: o.MirrorClient, sets: o.MirrorSets, table: table, source: t.source, events: o.Events}
+	table := NewTable(options, nil, since)
+	r := &replicator{shard: o.Shard, self: o.Self, mirrorClient: o.MirrorClient, sets: o.MirrorSets, table: table, events: o.Events}
 	r.token.Store(&o.Token)
+	t := &ReplicatedTable{table: table, replicator: r, takenOver: make(chan struct{})}
+	// Requests created later than since need no records of the previous holder.
+	fetchCtx, cancel := context.WithDeadline(context.Background(), since)
+	t.endFetches = cancel
 	r.start()
+	r.running.Go(func() { t.takeOver(fetchCtx, o) })
+	select {
+	case <-t.takenOver:
+	case <-time.After(prefetchTime):
+	case <-ctx.Done():
+	}
+	return t
+}
+
+// takeOver fetches the records of the previous holder and lets the mirrors join.
+func (t *ReplicatedTable) takeOver(ctx context.Context, o ReplicatedTableOptions) {
+	defer t.endFetches()
+	r := t.replicator
+	var found fetchResult
+	if !o.FirstTenure {
+		fetches := &takeover{shard: o.Shard, token: func() authority.Token { return *r.token.Load() }, mirrorClient: o.MirrorClient, set: o.MirrorSets.Mirrors()}
+		var err error
+		if found, err = fetches.run(ctx); err == nil {
+			t.table.takeOver(found.records, found.completeSince)
+			t.source.Store(&found.from)
+		}
+	}
+	r.post(func(c *controller) { c.endTakeover(found.from) })
 	o.Events.Emit(events.RecordsTakenOver, "shard", o.Shard.String(), "token", o.Token.String(),
-		"records", len(records), "source", t.source.Name, "complete_since", since.UTC().Format(time.RFC3339Nano))
-	return &ReplicatedTable{table: table, replicator: r, source: t.source}
+		"records", len(found.records), "source", found.from.Name, "complete_since", t.table.CompleteSince().UTC().Format(time.RFC3339Nano))
+	close(t.takenOver)
+}
+
+// AwaitRecords waits until the records of the previous holder have been taken over or given
+// up, or until the caller of the request cannot wait longer. The error is a
+// *problem.Problem with outcome "not run": this holder has stopped.
+func (t *ReplicatedTable) AwaitRecords(ctx context.Context) error {
+	select {
+	case <-t.takenOver:
+	default:
+		if deadline, ok := ctx.Deadline(); ok {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, time.Duration(maxWaitFraction*float64(time.Until(deadline))))
+			defer cancel()
+		}
+		select {
+		case <-t.takenOver:
+		case <-ctx.Done():
+		}
+		if t.replicator.isClosed() {
+			return stoppedProblem(t.replicator)
+		}
+	}
+	return nil
 }
 
 // Source returns the mirror that the records were fetched from, or the zero instance
-// when there was none. It joins soonest when it is the first candidate in
-// SetCandidates, since it needs no backfill.
+// when there was none or none has answered yet. It joins soonest when it is the first
+// candidate in SetCandidates, since it needs no backfill.
 func (t *ReplicatedTable) Source() authority.Instance {
-	return t.source
+	if source := t.source.Load(); source != nil {
+		return *source
+	}
+	return authority.Instance{}
 }
 
 // CompleteSince returns the creation time since which every request has a record.
@@ -118,5 +181,7 @@
 
 // Close stops copying. Requests whose copies are pending are refused with outcome "not run".
 func (t *ReplicatedTable) Close() {
-	t.replicator.close()
+	t.replicator.markClosed()
+	t.endFetches()
+	t.replicator.running.Wait()
 }
--- a/internal/record/replicatedtable_test.go
+++ b/internal/record/replicatedtable_test.go
@@ -20,6 +20,8 @@
 	messages atomic.Int64
 	// delay is the duration of a copy in nanoseconds; 0 means 10 ms.
 	delay atomic.Int64
+	// fetchDelay is the duration of a fetch in nanoseconds.
+	fetchDelay atomic.Int64
 }
 
 func newFakeMirrors(names ...string) *fakeMirrors {
@@ -53,7 +55,14 @@
 }
 
 // Fetch implements MirrorClient.
-func (m *fakeMirrors) Fetch(_ context.Context, to authority.Instance, f FetchRequest) ([]Record, time.Time, error) {
+func (m *fakeMirrors) Fetch(ctx context.Context, to authority.Instance, f FetchRequest) ([]Record, time.Time, error) {
+	if delay := time.Duration(m.fetchDelay.Load()); delay > 0 {
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+			return nil, time.Time{}, ctx.Err()
+		}
+	}
 	return m.mirror(to).Fetch(f)
 }
 
--- a/internal/record/replicator.go
+++ b/internal/record/replicator.go
@@ -33,14 +33,12 @@
 	mirrorClient MirrorClient
 	sets         MirrorSetConsensus
 	table        *Table
-	// source is the mirror that the table was fetched from, if any.
-	source  authority.Instance
-	token   atomic.Pointer[authority.Token]
-	targets atomic.Pointer[copyTargets]
-	tasks   chan func(*controller)
-	closed  chan struct{}
-	running sync.WaitGroup
-	events  *events.Logger
+	token        atomic.Pointer[authority.Token]
+	targets      atomic.Pointer[copyTargets]
+	tasks        chan func(*controller)
+	closed       chan struct{}
+	running      sync.WaitGroup
+	events       *events.Logger
 }
 
 func (r *replicator) start() {
@@ -50,9 +48,8 @@
 	r.running.Go(newController(r).run)
 }
 
-func (r *replicator) close() {
+func (r *replicator) markClosed() {
 	close(r.closed)
-	r.running.Wait()
 }
 
 func (r *replicator) isClosed() bool {
--- a/internal/record/table.go
+++ b/internal/record/table.go
@@ -15,7 +15,8 @@
 	count         atomic.Int64
 	responseBytes atomic.Int64
 	// completeSince is the creation time since which the table has a record of every request.
-	completeSince time.Time
+	// It changes once at most, when the records of the previous holder have been added.
+	completeSince atomic.Pointer[time.Time]
 	// expiredThrough is the last Unix second of which entries have been dropped. It is
 	// raised before they are dropped, and never lowered, even if the clock steps back.
 	expiredThrough atomic.Int64
@@ -25,16 +26,23 @@
 // request created at or after completeSince that has no record as new.
 func NewTable(o Options, records []Record, completeSince time.Time) *Table {
 	o = o.withDefaults()
-	t := &Table{options: o, buckets: newExpiryBuckets(o.bucketCount()), completeSince: completeSince}
+	t := &Table{options: o, buckets: newExpiryBuckets(o.bucketCount())}
+	t.takeOver(records, completeSince)
+	return t
+}
+
+// takeOver adds the records of an earlier holder, which are complete since the given time. A
+// request from before that time gets no other answer until all of them are there.
+func (t *Table) takeOver(records []Record, completeSince time.Time) {
 	for _, r := range records {
 		t.addInherited(r)
 	}
-	return t
+	t.completeSince.Store(&completeSince)
 }
 
 // CompleteSince returns the creation time since which the table has a record of every request.
 func (t *Table) CompleteSince() time.Time {
-	return t.completeSince
+	return *t.completeSince.Load()
 }
 
 func (t *Table) Len() int {
--- a/internal/record/takeover.go
+++ b/internal/record/takeover.go
@@ -9,41 +9,28 @@
 	"peridotmoor.org/peridotmoor/internal/key"
 )
 
-// fetchTimeout bounds the fetch at a takeover. It adds no delay for servers that do not
-// check tokens: a new holder waits 200 ms before its first order to them anyway.
-const fetchTimeout = 200 * time.Millisecond
+const (
+	// fetchAttemptTimeout bounds one call to a mirror. It is long enough for a mirror on a
+	// busy machine, and short enough for several calls before the records are given up.
+	fetchAttemptTimeout = time.Second
+	// fetchRetry is the delay before a mirror is called again after a failed call.
+	fetchRetry = 50 * time.Millisecond
+)
 
 // takeover reads the records of the previous holder from a mirror.
 type takeover struct {
 	shard        key.ShardID
-	token        authority.Token
+	token        func() authority.Token
 	mirrorClient MirrorClient
 	// set is the latest mirror set that a majority of the witnesses has acknowledged.
 	set authority.MirrorSet
-	// firstTenure reports that the shard never had a holder.
-	firstTenure  bool
-	maxClockSkew time.Duration
-	source       authority.Instance
 }
 
-// run returns the records and the creation time since which they are complete. The
-// copy of any one member suffices, since a request is dispatched only after all
-// members have its record. Without a copy, every request created up to now, and up to
-// twice the clock skew later, is treated as lost.
-func (t *takeover) run(ctx context.Context) ([]Record, time.Time) {
-	if t.firstTenure {
-		return nil, time.UnixMilli(1)
-	}
-	found, err := t.fetchAny(ctx)
-	if err != nil {
-		return nil, time.Now().Add(2 * t.maxClockSkew)
-	}
-	t.source = found.from
-	return found.records, found.completeSince
-}
-
-func (t *takeover) fetchAny(ctx context.Context) (fetchResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+// run returns the records of one member of the set. The copy of any one member suffices,
+// since a request is dispatched only after all members have its record. It calls each member
+// until one has answered, none has a copy, or ctx ends.
+func (t *takeover) run(ctx context.Context) (fetchResult, error) {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan fetchResult, len(t.set.Members))
 	for _, member := range t.set.Members {
@@ -64,8 +51,25 @@
 	return fetchResult{}, failure
 }
 
+// fetch calls one member until it has answered or ctx ends.
 func (t *takeover) fetch(ctx context.Context, member authority.Instance) fetchResult {
-	request := FetchRequest{Shard: t.shard, Token: t.token, To: member}
+	for {
+		result := t.fetchOnce(ctx, member)
+		if result.err == nil || errors.Is(result.err, ErrNoCopy) {
+			return result
+		}
+		select {
+		case <-time.After(fetchRetry):
+		case <-ctx.Done():
+			return result
+		}
+	}
+}
+
+func (t *takeover) fetchOnce(ctx context.Context, member authority.Instance) fetchResult {
+	ctx, cancel := context.WithTimeout(ctx, fetchAttemptTimeout)
+	defer cancel()
+	request := FetchRequest{Shard: t.shard, Token: t.token(), To: member}
 	records, since, err := t.mirrorClient.Fetch(ctx, member, request)
 	return fetchResult{from: member, records: records, completeSince: since, err: err}
 }
