Never replace the mirror set by an empty one

What can happen: all orders of a shard are answered "unknown, records-lost" for 4 s after a change of holder, although two instances have all their records.

Cause, found by reading: a holder that loses its last mirror, for example because a busy machine acknowledges nothing for 0.5 s, had the witnesses acknowledge a set without members. Until a mirror joined again, the next holder found that set and nobody to ask.

Change: the witnesses are not told of an empty set. Without mirrors no request is dispatched, so that the members of the last set still have the records of all that were; the holder resumes once the witnesses have acknowledged a set with a member.

Evidence: TestMirrorsThatWereLostForAMomentKeepTheRecords fails on the code before ("records-lost: the records of this holder go back to ... only"). -race tests of record, dispatch (with its histories under lost mirrors, proposals and holders) and router pass.

--- a/internal/dispatch/slowmirror_test.go
+++ b/internal/dispatch/slowmirror_test.go
@@ -69,3 +69,33 @@
 		is.NoErr(err)
 	})
 }
+
+// Guards against orders that count as unknown after a hand-over because all mirrors had been
+// slow for a moment: the set that the witnesses knew was empty, although its former members
+// had the records of all requests.
+func TestMirrorsThatWereLostForAMomentKeepTheRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		server := newFakeServer("bosho-01", newRunLog(), respondAfter(10*time.Millisecond))
+		env := newTestEnv(true, 3, Limits{}, server)
+		defer env.close()
+		earlier := newRequest(false)
+		_, err := env.holder.handle(t.Context(), earlier)
+		is.NoErr(err)
+		time.Sleep(100 * time.Millisecond) // the mirrors get the response
+		for _, unreachable := range []bool{true, false} {
+			env.network.setUnreachable(instance(1), unreachable)
+			env.network.setUnreachable(instance(2), unreachable)
+			if unreachable {
+				_, err = env.holder.handle(t.Context(), newRequest(false))
+				is.Equal(problem.From(err).Kind, problem.KindMirrorUnavailable)
+			}
+		}
+		env.holder.endTenure()
+		next := env.successor(3, []*fakeServer{server}, false)
+		defer next.close()
+		_, err = next.handle(t.Context(), resend(earlier))
+		is.NoErr(err)
+		is.Equal(env.log.count(earlier.ID), 1)
+	})
+}
--- a/internal/record/proposeset.go
+++ b/internal/record/proposeset.go
@@ -16,9 +16,7 @@
 		return
 	}
 	set := c.nextSet()
-	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
-	defer cancel()
-	if err := c.replicator.sets.Propose(ctx, set); err != nil {
+	if err := c.acknowledge(set); err != nil {
 		c.retry.Reset(proposeRetry)
 		return
 	}
@@ -37,6 +35,18 @@
 		"mirrors", len(set.Members))
 }
 
+// acknowledge returns nil once the witnesses have acknowledged the set. They are not told of
+// an empty one: no request is dispatched without mirrors, so that the members of the last set
+// still have the records of all that were, and the next holder finds them.
+func (c *controller) acknowledge(set authority.MirrorSet) error {
+	if len(set.Members) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+	defer cancel()
+	return c.replicator.sets.Propose(ctx, set)
+}
+
 func (c *controller) nextSet() authority.MirrorSet {
 	c.generation = max(c.generation, c.replicator.sets.Mirrors().Generation) + 1
 	set := authority.MirrorSet{Generation: c.generation}
