--- a/internal/owners/grantlog.go
+++ b/internal/owners/grantlog.go
@@ -58,6 +58,10 @@
 	if g.ExpiresBy.IsZero() {
 		return // nobody has granted it
 	}
+	validUntil := g.ExpiresBy
+	if g.processEnded {
+		validUntil = g.issued.validUntil
+	}
 	t.grantChanges = append(t.grantChanges, GrantChange{Service: service, Interval: r.Interval, Server: g.Server, Fence: g.Fence,
-		SentAt: g.issued.sentAt, ValidUntil: g.ExpiresBy, End: end, EndedAt: at})
+		SentAt: g.issued.sentAt, ValidUntil: validUntil, End: end, EndedAt: at})
 }
--- a/internal/owners/grantlog_test.go
+++ b/internal/owners/grantlog_test.go
@@ -84,11 +84,11 @@
 			table.TakeGrantChanges()
 			is.True(table.Plan(now, service, candidates("a", "b"), ratesByKey{10: 20, 20: 20}))
 			key := movedKey(t, table)
-			table.MarkStored(table.PlanVersion())
 			var ended []GrantChange
 			var granted time.Time
 			for range 300 {
 				now = now.Add(50 * time.Millisecond)
+				table.MarkStored(table.PlanVersion())
 				carryOut(table, now, map[string]Outcome{"a": tc.ofA}, "a", "b")
 				for _, g := range table.TakeGrantChanges() {
 					if g.Contains(key) && g.End != GrantGoesOn {
--- a/internal/owners/restarted_test.go
+++ b/internal/owners/restarted_test.go
@@ -22,6 +22,7 @@
 	table = newHeldTable(t, now, "a", "b")
 	table.Plan(now, service, candidates("a", "b"), ratesByKey{10: 20, 20: 20})
 	key = movedKey(t, table)
+	confirmMoves(t, table, now, "a", "b")
 	table.MarkStored(table.PlanVersion())
 	return table, key
 }
