Look for suspensions from the beginning of an election

Cause: a tenure looked for suspensions of the machine only from its first tick on. The lease counts as confirmed since the beginning of the election, by the steady clock. A machine that was suspended in between, for example while the answer to its claim was on the way, so took its lease for fresh, and could send orders until its first renewal, 650 ms later, beside a successor that had been elected meanwhile.

Change: the tenure takes over the look for suspensions that began before its lease was requested. Its first tick finds the suspension and sends nothing until a renewal has confirmed the lease.

--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -55,6 +55,7 @@
 	// foundFleet is the fleet in the record that was found, or empty if the record does not
 	// tell when holders before it have ended.
 	foundFleet quorum.Fleet
+	// suspension notices suspensions since the election began, as the lease counts from then.
 	suspension suspension
 	// mayActAt is when maySendOrders last looked for a suspension, on the clock that counts
 	// them.
@@ -134,7 +135,7 @@
 		foundFleet:      found.Fleet,
 		instance:        e.self.String(),
 		quorum:          quorum.NewTracker(found.Fleet),
-		suspension:      suspension{suspendedFor: suspendedSinceBoot},
+		suspension:      e.candidacy,
 		startedAt:       time.Now(),
 		processorShare:  e.processorShare,
 	}
--- a/internal/holder/elector.go
+++ b/internal/holder/elector.go
@@ -35,7 +35,10 @@
 	// processorShare is the share of a processor available on this machine.
 	processorShare float64
 	// elections counts the elections in which this process has been a candidate.
-	elections   int64
+	elections int64
+	// candidacy notices suspensions since this process was last a candidate. A tenure begins
+	// with a copy of it. It is used only by Run.
+	candidacy   suspension
 	plannedStop plannedStop
 	// coordinator is set while this instance is the holder.
 	coordinator atomic.Pointer[Coordinator]
@@ -54,7 +57,7 @@
 	return &Elector{
 		self: o.Self, store: o.Store, registry: o.Registry, reader: o.Reader, orderSender: o.OrderSender, prober: o.Prober, client: o.Client,
 		retryBudget: o.RetryBudget, log: o.Log, firstStart: o.FirstStart, processorShare: o.ProcessorShare, plannedStop: newPlannedStop(),
-		onOrderWritten: o.OnOrderWritten,
+		onOrderWritten: o.OnOrderWritten, candidacy: suspension{suspendedFor: suspendedSinceBoot},
 	}
 }
 
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -31,6 +31,7 @@
 		sleep(ctx, storeRetryDelay) // until another instance may be the holder
 		return
 	}
+	e.candidacy.begin()
 	startedAt := time.Now()
 	candidate := e.newCandidate()
 	lease, err := e.acquireLease(ctx, candidate, replaced.revision)
--- a/internal/holder/suspension.go
+++ b/internal/holder/suspension.go
@@ -7,8 +7,8 @@
 )
 
 // suspension notices that the machine was suspended. The steady clock does not count that
-// time, so that a lease or a follower would seem to be confirmed recently. It is used only
-// by the event loop.
+// time, so that a lease or a follower would seem to be confirmed recently. It is used by one
+// goroutine at a time.
 type suspension struct {
 	// suspendedFor returns how long the machine has been suspended since its start, and
 	// false if that is unknown. It is suspendedSinceBoot, but in tests.
@@ -17,6 +17,12 @@
 	seen         time.Duration
 }
 
+// begin makes noticed look for suspensions from now on.
+func (s *suspension) begin() {
+	s.known = false
+	s.noticed()
+}
+
 // noticed reports whether the machine was suspended since the last call. It is not by
 // changes below maxTickGap, during which no successor is elected.
 func (s *suspension) noticed() bool {
