Take only a later incarnation for the restart of an owner

Cause: any other listed incarnation of the previous owner counted as proof that its process had ended. The list of a holder that has just been elected may be older than the record that it takes over. If the owner was restarted and then lost keys, the earlier process in that list was taken for the later one: the release went to the address of the earlier process, where 421 of another server ended the wait, or the keys went back to the earlier process without a release.

Change: the listed incarnation must have started later.

How often a list is that old was not measured.

--- a/internal/owners/orders.go
+++ b/internal/owners/orders.go
@@ -99,13 +99,14 @@
 }
 
 // releaseIfEnded continues a move without an answer of the previous owner if its grant
-// has expired. A grant names no incarnation: if another one of the previous owner is listed,
+// has expired. A grant names no incarnation: if a later one of the previous owner is listed,
 // the last grants may have reached that one, which must release the range in its place,
-// unless it is to get the range itself.
+// unless it is to get the range itself. An earlier one shows only that the list is older than
+// the record, as that of a new holder may be.
 func (t *Table) releaseIfEnded(now time.Time, service string, r *rangeState, incarnations IncarnationLookup) {
 	previous := r.previous
 	current, listed := incarnations.Current(service, previous.Server.Name)
-	restarted := listed && current != previous.Server && previous.Server.StartMS != 0
+	restarted := listed && current.StartMS > previous.Server.StartMS && previous.Server.StartMS != 0
 	switch {
 	case now.After(previous.ExpiresBy):
 		t.finishRelease(service, r, GrantExpired, now, r.handover)
