Keep the owners of the record while the list of servers is older

Cause: a new holder whose list is older than the record planned a move from the later process of an owner to the earlier one in its list, and another one back once the list was new. Since it has not been told which of them holds the keys, both may, and the range then waits until all grants of earlier holders have expired, 8.2 to 22 s.

Change: a range of the record stays with its owner while the list names an earlier process of that owner, until the grants of earlier holders have expired.

How often a list is that old was not measured.

--- a/internal/owners/plan.go
+++ b/internal/owners/plan.go
@@ -78,6 +78,8 @@
 		owner := loads.byName[r.owner.Name]
 		switch {
 		case owner == nil || !owner.Usable:
+		case r.inherited && owner.StartMS < r.owner.StartMS && !t.InheritedGrantsEnded(t.now):
+			continue // the list is older than the record
 		case owner.Incarnation != r.owner:
 			t.move(service, r, owner.Incarnation, MoveRestarted) // the new process has none of the old one's state
 			continue
