Bound the wait for an owner that is restarted again and again

Cause: since the new process of a restarted owner must release its keys, each new process got two superseding grants of its own if the one before it had answered none.

Change: only the first new process gets superseding grants of its own. After that the holder waits for the grant to expire.

--- a/internal/owners/grant.go
+++ b/internal/owners/grant.go
@@ -21,6 +21,8 @@
 	issued issuedGrant
 	// unresponsive is set once the previous owner has failed to answer an order.
 	unresponsive bool
+	// restarted is set once a new process of the server has been asked for the release.
+	restarted bool
 	// supersedingGrants counts the grants that were sent to invalidate unanswered ones.
 	supersedingGrants int
 	// ExpiryOnly grants end only by expiring: an order of an earlier holder may still
--- a/internal/owners/orders.go
+++ b/internal/owners/orders.go
@@ -120,13 +120,16 @@
 	}
 }
 
-// releaseFrom makes a new process of the previous owner release the range.
+// releaseFrom makes a new process of the previous owner release the range. Only the first
+// one gets superseding grants of its own: each of them postpones the expiry, without end if
+// the server is restarted again and again and answers none.
 func (t *Table) releaseFrom(r *rangeState, restarted fleet.Incarnation) {
 	previous := r.previous
 	previous.Server = restarted
-	if previous.supersedingGrants >= maxSupersedingGrants {
+	if previous.supersedingGrants >= maxSupersedingGrants && !previous.restarted {
 		previous.supersedingGrants, previous.ExpiryOnly = 0, false // the old process did not answer them
 	}
+	previous.restarted = true
 	r.version = t.newPlanVersion()
 	r.orderInFlight, r.nextOrderAt = false, time.Time{}
 }
--- a/internal/owners/restarted_test.go
+++ b/internal/owners/restarted_test.go
@@ -109,3 +109,35 @@
 		is.True(o.Action == ActionRelease || !o.Contains(0))
 	}
 }
+
+// Guards against keys that never get an owner again: their previous one is restarted again
+// and again and answers nothing, and each new process postponed the expiry of its grant.
+func TestOwnerThatIsRestartedAgainAndAgainLosesItsKeys(t *testing.T) {
+	for _, interval := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second} {
+		is := is.New(t)
+		start := time.Unix(1000, 0)
+		table, key := newMoveOffA(t, start)
+		for _, r := range table.services[service] {
+			if r.previous != nil {
+				r.previous.UnansweredUntil = start.Add(GrantDuration)
+			}
+		}
+		now, granted := start, time.Time{}
+		for ; granted.IsZero() && now.Sub(start) < 10*GrantDuration; now = now.Add(50 * time.Millisecond) {
+			listed := listing("a", "b")
+			listed["a"] = fleet.Incarnation{Name: "a", StartMS: 1 + int64(now.Sub(start)/interval)}
+			for _, o := range table.TakeDueOrders(now, listed) {
+				result := OrderResult{Order: o, Outcome: OutcomeDone, Ended: now.Add(OrderTimeout)}
+				switch {
+				case o.Server.Name == "a":
+					result.Outcome = OutcomeNoAnswer
+				case o.Contains(key):
+					granted = now
+				}
+				table.Apply(result)
+			}
+		}
+		is.True(granted.Sub(start) >= GrantDuration)
+		is.True(granted.Sub(start) < 3*GrantDuration)
+	}
+}
