Do not count superseding grants that were never written

Cause: a holder that comes to an order later than 170 ms after its making does not write it. Superseding grants of that kind still counted among the two that a previous owner may leave unanswered. A busy holder that was late twice then only waited for the expiry of the grant, after an election 8.2 to 22 s, although the server answered its release at once.

Change: a superseding grant that was not written because the holder was late does not count. It postpones nothing, as its expiry is taken back, so the wait stays bounded.

How often a holder is late twice in a row on a third of a processor was not measured.

--- a/internal/owners/results.go
+++ b/internal/owners/results.go
@@ -111,6 +111,9 @@
 		if result.Outcome == OutcomeUnsent || result.Outcome == OutcomeRefused {
 			r.previous.ExpiresBy = result.Order.withdrawnExpiry(r.previous.ExpiresBy)
 		}
+		if result.Expired && r.previous.supersedingGrants > 0 {
+			r.previous.supersedingGrants-- // the server has not been asked
+		}
 		r.previous.unresponsive = r.previous.unresponsive || !result.Expired
 		r.nextOrderAt = result.Ended.Add(retryInterval)
 	}
