Tell orders that the holder was late for from those that found no server

Cause: since an order is written within 170 ms or not at all, a holder that is too slow leaves the same line as one whose servers cannot be reached: order_ended with the outcome "unsent". order_written_late (1744) is written only for what was sent.

Change: order_ended (1717) carries "late". No decision changes.

Tests: TestOrdersNotSentInTimeAreLogged failed before, 1 of 1. It passes with -race, as do the tests of internal/events without it (1 run each).

--- a/internal/holder/lateorder_test.go
+++ b/internal/holder/lateorder_test.go
@@ -39,3 +39,21 @@
 			[]any{2.0, "grant", "plots", 3.0, 9.0, "i-1", 5.0, float64(2<<20 + 1), "silent"})
 	})
 }
+
+// Guards against a holder that is too slow to send its orders in time and whose log looks as
+// if their servers could not be reached.
+func TestOrdersNotSentInTimeAreLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var buffer logBuffer
+		log := events.NewLogger(&buffer)
+		c := &Coordinator{log: log, table: owners.NewTable(owners.Record{Epoch: 2}, "h", time.Now())}
+		for _, late := range []bool{true, false} {
+			c.applyResult(owners.OrderResult{Order: owners.Order{Service: "plots"}, Outcome: owners.OutcomeUnsent, Expired: late})
+		}
+		log.Close()
+		lines := buffer.of(t, events.OrderEnded)
+		is.Equal(len(lines), 2)
+		is.Equal([]any{lines[0]["late"], lines[1]["late"]}, []any{true, false})
+	})
+}
--- a/internal/holder/orders.go
+++ b/internal/holder/orders.go
@@ -75,7 +75,7 @@
 	o := result.Order
 	if result.Outcome != owners.OutcomeDone || o.Action == owners.ActionRelease || o.Handover != "" {
 		c.log.Emit(events.OrderEnded, "action", o.Action.String(), "service", o.Service, "from", o.From, "to", o.To,
-			"server", o.Server.Name, "fence", o.Fence, "outcome", result.Outcome.String())
+			"server", o.Server.Name, "fence", o.Fence, "outcome", result.Outcome.String(), "late", result.Expired)
 	}
 	if !c.table.Apply(result) {
 		c.supersede(endHigherFence)
