--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -58,7 +58,8 @@
 	// lastHolderEnded is set if the process of the last holder has provably ended, and no
 	// holder before it could act.
 	lastHolderEnded bool
-	suspension      suspension
+	// suspension notices suspensions since the election began, as the lease counts from then.
+	suspension suspension
 	// mayActAt is when maySendOrders last looked for a suspension, on the clock that counts
 	// them.
 	mayActAt boottime.Instant
@@ -137,7 +138,7 @@
 		foundFleet:      found.Fleet,
 		instance:        e.self.String(),
 		quorum:          quorum.NewTracker(found.Fleet),
-		suspension:      suspension{suspendedFor: suspendedSinceBoot},
+		suspension:      e.candidacy,
 		startedAt:       time.Now(),
 		processorShare:  e.processorShare,
 	}
--- a/internal/owners/grant.go
+++ b/internal/owners/grant.go
@@ -23,6 +23,8 @@
 	unresponsive bool
 	// processEnded is set if the server's process has provably ended.
 	processEnded bool
+	// restarted is set once a new process of the server has been asked for the release.
+	restarted bool
 	// supersedingGrants counts the grants that were sent to invalidate unanswered ones.
 	supersedingGrants int
 	// ExpiryOnly grants end only by expiring: an order of an earlier holder may still
--- a/internal/owners/orders.go
+++ b/internal/owners/orders.go
@@ -114,9 +114,10 @@
 }
 
 // releaseIfEnded continues a move without an answer of the previous owner if its grant
-// has expired. A grant names no incarnation: if another one of the previous owner is listed,
+// has expired. A grant names no incarnation: if a later one of the previous owner is listed,
 // the last grants may have reached that one, which must release the range in its place,
-// unless it is to get the range itself.
+// unless it is to get the range itself. An earlier one shows only that the list is older than
+// the record, as that of a new holder may be.
 func (t *Table) releaseIfEnded(now time.Time, service string, r *rangeState, incarnations IncarnationLookup) {
 	previous := r.previous
 	restarted := hasRestarted(service, previous.Server, incarnations)
@@ -138,19 +139,22 @@
 	}
 }
 
-// hasRestarted reports whether another incarnation of the server is listed.
+// hasRestarted reports whether a later incarnation of the server is listed.
 func hasRestarted(service string, server fleet.Incarnation, incarnations IncarnationLookup) bool {
 	current, listed := incarnations.Current(service, server.Name)
-	return listed && current != server && server.StartMS != 0
+	return listed && current.StartMS > server.StartMS && server.StartMS != 0
 }
 
-// releaseFrom makes a new process of the previous owner release the range.
+// releaseFrom makes a new process of the previous owner release the range. Only the first
+// one gets superseding grants of its own: each of them postpones the expiry, without end if
+// the server is restarted again and again and answers none.
 func (t *Table) releaseFrom(r *rangeState, restarted fleet.Incarnation) {
 	previous := r.previous
 	previous.Server = restarted
-	if previous.supersedingGrants >= maxSupersedingGrants {
+	if previous.supersedingGrants >= maxSupersedingGrants && !previous.restarted {
 		previous.supersedingGrants, previous.ExpiryOnly = 0, false // the old process did not answer them
 	}
+	previous.restarted = true
 	r.version = t.newPlanVersion()
 	r.orderInFlight, r.nextOrderAt = false, time.Time{}
 }
--- a/internal/owners/results.go
+++ b/internal/owners/results.go
@@ -149,6 +149,9 @@
 			r.previous.ExpiresBy = result.Order.withdrawnExpiry(r.previous.ExpiresBy)
 			r.previous.supersedingGrants-- // it has not postponed the expiry
 		}
+		if result.Expired && r.previous.supersedingGrants > 0 {
+			r.previous.supersedingGrants-- // the server has not been asked
+		}
 		r.previous.unresponsive = r.previous.unresponsive || !result.Expired
 		r.nextOrderAt = result.Ended.Add(retryInterval)
 	}
