Let nothing cross a cut of a failure domain with resets

A renewal that passes keeps the lease of a holder alive and hides the fault. A connection whose client had ended before its process was found passed all.

TestNothingPassesBeforeAResetWithoutDelay and TestConnectionsOfUnknownSourceAreResetDuringACut fail without their parts.

--- a/internal/dev/tcpproxy/link.go
+++ b/internal/dev/tcpproxy/link.go
@@ -118,6 +118,11 @@
 		var due <-chan time.Time
 		switch state.fault.Kind {
 		case FaultSilent, silence:
+		case FaultReset:
+			if state.fault.Delay > 0 {
+				return true
+			}
+			// Nothing passes before a reset without delay.
 		case FaultDelay:
 			wait := time.Until(read.Add(state.fault.Delay))
 			if wait <= 0 {
--- a/internal/dev/tcpproxy/proxy.go
+++ b/internal/dev/tcpproxy/proxy.go
@@ -103,7 +103,7 @@
 	old := p.bySource
 	p.bySource = faults
 	for l := range p.links {
-		if faults[l.source] != old[l.source] {
+		if l.source == "" || faults[l.source] != old[l.source] {
 			l.setFault(p.draw(l.source))
 		}
 	}
@@ -114,6 +114,9 @@
 	if fault, found := p.bySource[source]; found {
 		return fault
 	}
+	if p.sources != nil && source == "" && len(p.bySource) > 0 {
+		return Fault{Kind: FaultReset} // its client has ended already, or may be one that a fault affects
+	}
 	fault := p.fault
 	if fault.Kind == "" || p.random.Float64() >= fault.Share {
 		return Fault{}
--- a/internal/dev/tcpproxy/proxy_test.go
+++ b/internal/dev/tcpproxy/proxy_test.go
@@ -178,3 +178,41 @@
 	_, err = client.Read(make([]byte, 1))
 	is.True(errors.Is(err, syscall.ECONNRESET))
 }
+
+// Guards against bytes that pass before a reset without delay.
+func TestNothingPassesBeforeAResetWithoutDelay(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	reserved, err := ports.Reserve(1)
+	is.NoErr(err)
+	defer reserved.Release()
+	p := New(reserved.Addresses[0], listener.Addr().String(), 1, oneSource("a"))
+	is.NoErr(p.Open())
+	defer p.Close()
+	p.SetSourceFaults(map[string]Fault{"a": {Kind: FaultReset}})
+	for range 300 {
+		near, err := net.Dial("tcp4", p.Address())
+		if err != nil {
+			continue // reset
+		}
+		_, _ = near.Write([]byte("y"))
+		far, err := listener.Accept()
+		is.NoErr(err)
+		n, _ := far.Read(make([]byte, 1))
+		is.Equal(n, 0)
+		near.Close()
+		far.Close()
+	}
+}
+
+// Guards against a connection of an unknown client that passes while others are cut off.
+func TestConnectionsOfUnknownSourceAreResetDuringACut(t *testing.T) {
+	is := is.New(t)
+	p, client, _ := connectFrom(t, oneSource(""))
+	p.SetSourceFaults(map[string]Fault{"a": {Kind: FaultSilent}})
+	_ = client.SetReadDeadline(time.Now().Add(10 * time.Second))
+	_, err := client.Read(make([]byte, 1))
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
