Release the lease only after the last order has ended

Cause: at the end of a tenure orders in progress were cancelled, but nobody waited for them. An order whose goroutine had not run between its connection and its write was written all the same, as only another goroutine looked at the cancellation, and could follow the release of the lease, after which a successor is elected within a tenth of a second.

Change: the tenure waits for its orders before it releases the lease, and the pool looks at the cancellation, too, right before it writes.

Whether real processes wrote orders after the release was not measured.

--- a/internal/backhttp/expired_test.go
+++ b/internal/backhttp/expired_test.go
@@ -121,3 +121,41 @@
 	is.Equal(n, 0) // bytes of the request
 	is.True(err != nil)
 }
+
+// lateCancelContext is cancelled after it has been asked once.
+type lateCancelContext struct {
+	context.Context
+	asked bool
+}
+
+func (c *lateCancelContext) Err() error {
+	if c.asked {
+		return context.Canceled
+	}
+	c.asked = true
+	return nil
+}
+
+// Guards against an order that a holder writes after its tenure has ended, since the
+// goroutine that should abort the connection had not run yet.
+func TestRequestCancelledBeforeItsWriteIsNotWritten(t *testing.T) {
+	is := is.New(t)
+	received := make(chan string, 2)
+	pool := newBackendPool(t, func(conn net.Conn, r *bufio.Reader, _ int) {
+		for {
+			got, ok := readRequest(r)
+			if !ok {
+				return
+			}
+			received <- got.Header.Get("Id")
+			fmt.Fprint(conn, responseText(got.Header.Get("Id"), "whole"))
+		}
+	})
+	_, err := pool.Do(&lateCancelContext{Context: context.Background()}, newRequest("cancelled"))
+	var failure *RequestError
+	is.True(errors.As(err, &failure))
+	is.True(!failure.Sent && !failure.Expired)
+	_, err = pool.Do(context.Background(), newRequest("next"))
+	is.NoErr(err)
+	is.Equal(<-received, "next")
+}
--- a/internal/backhttp/pool.go
+++ b/internal/backhttp/pool.go
@@ -74,8 +74,9 @@
 
 func (p *Pool) run(ctx context.Context, c *conn, x *exchange) (*Response, error) {
 	err := c.limitDelivery(ctx, x.request)
-	if x.request.expired(ctx) { // as late as possible
-		return nil, p.withdraw(c, x)
+	if timeErr := x.request.checkTime(ctx); timeErr != nil { // as late as possible
+		p.withdraw(c, x)
+		return nil, &RequestError{Expired: errors.Is(timeErr, errExpired), Cause: timeErr}
 	}
 	if err == nil {
 		err = c.write(x.request)
@@ -106,8 +107,8 @@
 	return r.response, nil
 }
 
-// withdraw ends an exchange of which nothing has been written, and returns its error.
-func (p *Pool) withdraw(c *conn, x *exchange) error {
+// withdraw ends an exchange of which nothing has been written.
+func (p *Pool) withdraw(c *conn, x *exchange) {
 	notCancelled := x.stopWatch()
 	switch {
 	case !c.pending.CompareAndSwap(x, nil): // closed, or the server has sent bytes without a request
@@ -120,7 +121,6 @@
 	default:
 		c.abort()
 	}
-	return &RequestError{Expired: true, Cause: errExpired}
 }
 
 // get returns an idle connection or, if there is none or mustBeNew is set, a new one, and
--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -50,6 +51,8 @@
 	// mayActAt is when maySendOrders last looked for a suspension, on the clock that counts
 	// them.
 	mayActAt boottime.Instant
+	// orderCalls are the orders that are being sent.
+	orderCalls sync.WaitGroup
 	// ordersAllowed is what maySendOrders decided last by the lease or the followers, so
 	// that each change is logged once.
 	ordersAllowed bool
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -167,7 +167,8 @@
 	cancel()
 	<-keyDone
 	<-loopDone
-	<-readerDone // only one goroutine at a time may use the reader
+	c.orderCalls.Wait() // no order may follow the release of the lease
+	<-readerDone        // only one goroutine at a time may use the reader
 	e.coordinator.Store(nil)
 	e.current.Store(nil)
 	e.log.Emit(events.HolderEnded, "epoch", found.Epoch, "yields", c.yielding.Load())
--- a/internal/holder/orders.go
+++ b/internal/holder/orders.go
@@ -22,7 +22,7 @@
 			c.applyResult(owners.OrderResult{Order: order, Outcome: owners.OutcomeUnsent, Ended: now})
 			continue
 		}
-		go func() {
+		c.orderCalls.Go(func() {
 			ctx, cancel := context.WithDeadline(c.ctx, order.CreatedAt.Add(orderTimeout(order)))
 			result := c.orderSender.SendOrder(ctx, *server, order)
 			cancel()
@@ -30,7 +30,7 @@
 				c.applyResult(result)
 				c.resultsPending = true
 			})
-		}()
+		})
 	}
 }
 
