End orders in progress when the machine was suspended

Cause: a holder whose machine was suspended sends no further orders until its lease is confirmed, but went on with those in progress. Their deadlines and the kernel's own limit do not count the suspension, so that a grant whose bytes had not been delivered before it could arrive up to 0.4 s after it, seconds after it was decided.

Change: the look that finds a suspension, every 50 ms, resets these connections. What remains is what the kernel sends between the resumption and the next look.

--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -53,6 +53,10 @@
 	mayActAt boottime.Instant
 	// orderCalls are the orders that are being sent.
 	orderCalls sync.WaitGroup
+	// orderContext is the parent of the contexts of orders, until abortOrders cancels it. It
+	// is nil before the first order, and after that.
+	orderContext context.Context
+	cancelOrders context.CancelFunc
 	// ordersAllowed is what maySendOrders decided last by the lease or the followers, so
 	// that each change is logged once.
 	ordersAllowed bool
--- a/internal/holder/orders.go
+++ b/internal/holder/orders.go
@@ -14,6 +14,10 @@
 	if c.snapshot == nil {
 		return
 	}
+	if c.orderContext == nil {
+		c.orderContext, c.cancelOrders = context.WithCancel(c.ctx)
+	}
+	parent := c.orderContext
 	sendBy := c.mayActAt.Add(orderSendTimeout - time.Since(now))
 	for _, order := range c.table.TakeDueOrders(now, listedIncarnations{c.snapshot}) {
 		order.SendBy = sendBy
@@ -23,7 +27,7 @@
 			continue
 		}
 		c.orderCalls.Go(func() {
-			ctx, cancel := context.WithDeadline(c.ctx, order.CreatedAt.Add(orderTimeout(order)))
+			ctx, cancel := context.WithDeadline(parent, order.CreatedAt.Add(orderTimeout(order)))
 			result := c.orderSender.SendOrder(ctx, *server, order)
 			cancel()
 			c.enqueue(func() {
@@ -34,6 +38,15 @@
 	}
 }
 
+// abortOrders ends the orders in progress. After a suspension of the machine their
+// deadlines, which did not count it, are still to come, and the kernel would go on sending them.
+func (c *Coordinator) abortOrders() {
+	if c.cancelOrders != nil {
+		c.cancelOrders()
+	}
+	c.orderContext, c.cancelOrders = nil, nil
+}
+
 // findServer returns a server that is or was listed, or that the record of an
 // earlier holder contains, or nil.
 func (c *Coordinator) findServer(incarnation fleet.Incarnation) *fleet.Server {
--- a/internal/holder/tenure.go
+++ b/internal/holder/tenure.go
@@ -79,6 +79,7 @@
 	if c.suspension.noticed() {
 		c.log.Emit(events.MachineSuspended, "epoch", c.epoch)
 		c.leaseConfirmedAt.Store(nil)
+		c.abortOrders()
 	}
 	leaseConfirmedAt := c.leaseConfirmedAt.Load()
 	if leaseConfirmedAt == nil || c.superseded.Load() {
