Notice a suspension during an election

Cause: a new holder looked for suspensions from its first tick on. If its machine was suspended after it had asked for its lease, the lease counted as just confirmed by the steady clock. It sent orders until its first renewal failed, 0.65 s later, beside a holder that had been elected meanwhile. Fences keep their orders apart as far as read; no case of two owners was found.

Change: the look begins before the lease is asked for.

--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -129,7 +129,6 @@
 		foundFleet:      found.Fleet,
 		instance:        e.self.String(),
 		quorum:          quorum.NewTracker(found.Fleet),
-		suspension:      suspension{suspendedFor: suspendedSinceBoot},
 		startedAt:       time.Now(),
 		processorShare:  e.processorShare,
 	}
--- a/internal/holder/elector.go
+++ b/internal/holder/elector.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -31,6 +32,8 @@
 	firstStart bool
 	// processorShare is the share of a processor available on this machine.
 	processorShare float64
+	// suspendedFor is suspendedSinceBoot, but in tests.
+	suspendedFor func() (time.Duration, bool)
 	// elections counts the elections in which this process has been a candidate.
 	elections   int64
 	plannedStop plannedStop
@@ -51,6 +54,7 @@
 	return &Elector{
 		self: o.Self, store: o.Store, registry: o.Registry, reader: o.Reader, orderSender: o.OrderSender, prober: o.Prober, client: o.Client,
 		retryBudget: o.RetryBudget, log: o.Log, firstStart: o.FirstStart, processorShare: o.ProcessorShare, plannedStop: newPlannedStop(),
+		suspendedFor: suspendedSinceBoot,
 	}
 }
 
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -31,6 +31,8 @@
 		sleep(ctx, storeRetryDelay) // until another instance may be the holder
 		return
 	}
+	waking := suspension{suspendedFor: e.suspendedFor}
+	waking.noticed() // begins before the lease does
 	startedAt := time.Now()
 	candidate := e.newCandidate()
 	lease, err := e.acquireLease(ctx, candidate, replaced.revision)
@@ -52,7 +54,7 @@
 		}
 		return
 	}
-	e.lead(ctx, candidate, lease, startedAt, replaced)
+	e.lead(ctx, candidate, lease, startedAt, waking, replaced)
 }
 
 // waitForCandidacy waits before this instance is a candidate. It returns false as soon as
@@ -118,8 +120,9 @@
 }
 
 // lead runs one tenure of the holder: until the lease is lost, another holder appears,
-// or this one yields or hands over.
-func (e *Elector) lead(parent context.Context, self Identity, lease store.LeaseID, startedAt time.Time, replaced predecessor) {
+// or this one yields or hands over. The lease was requested at startedAt, since which waking
+// notices suspensions.
+func (e *Elector) lead(parent context.Context, self Identity, lease store.LeaseID, startedAt time.Time, waking suspension, replaced predecessor) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	records := &recordStore{store: e.store, tenureName: self.tenureName(), followedHolder: e.registry.Snapshot().Epoch > 0}
@@ -139,6 +142,7 @@
 	}
 	c := newCoordinator(ctx, cancel, e, records, found, startedAt.Add(inheritedGrantsBound(replaced.grantsBound, found)))
 	c.leaseConfirmedAt.Store(&startedAt)
+	c.suspension = waking
 	e.log.Emit(events.HolderElected, "epoch", found.Epoch)
 	e.coordinator.Store(c)
 	e.current.Store(&self)
@@ -200,7 +204,7 @@
 // renewLease renews the lease. It returns when the lease is lost, when another holder
 // has appeared or when this one yields.
 func (e *Elector) renewLease(ctx context.Context, c *Coordinator, lease store.LeaseID, confirmedAt time.Time) {
-	waiting := suspension{suspendedFor: suspendedSinceBoot}
+	waiting := suspension{suspendedFor: e.suspendedFor}
 	for {
 		sleep(ctx, leaseRenewInterval)
 		if ctx.Err() != nil || c.superseded.Load() {
--- a/internal/holder/suspension.go
+++ b/internal/holder/suspension.go
@@ -7,8 +7,8 @@
 )
 
 // suspension notices that the machine was suspended. The steady clock does not count that
-// time, so that a lease or a follower would seem to be confirmed recently. It is used only
-// by the event loop.
+// time, so that a lease or a follower would seem to be confirmed recently. It is used by one
+// goroutine at a time.
 type suspension struct {
 	// suspendedFor returns how long the machine has been suspended since its start, and
 	// false if that is unknown. It is suspendedSinceBoot, but in tests.
