--- a/internal/holder/orders.go
+++ b/internal/holder/orders.go
@@ -86,8 +86,12 @@
 func (c *Coordinator) applyResult(result owners.OrderResult) {
 	o := result.Order
 	if result.Outcome != owners.OutcomeDone || o.Action == owners.ActionRelease || o.Handover != "" {
+		outcome := result.Outcome.String()
+		if result.Expired {
+			outcome = "expired" // this process was too slow, not the server
+		}
 		c.log.Emit(events.OrderEnded, "action", o.Action.String(), "service", o.Service, "from", o.From, "to", o.To,
-			"server", o.Server.Name, "fence", o.Fence, "outcome", result.Outcome.String())
+			"server", o.Server.Name, "fence", o.Fence, "outcome", outcome)
 	}
 	if !c.table.Apply(result) {
 		c.superseded.Store(true)
