--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -63,6 +64,12 @@
 	// mayActAt is when maySendOrders last looked for a suspension, on the clock that counts
 	// them.
 	mayActAt boottime.Instant
+	// orderCalls are the orders that are being sent.
+	orderCalls sync.WaitGroup
+	// orderContext is the parent of the contexts of orders, until abortOrders cancels it. It
+	// is nil before the first order, and after that.
+	orderContext context.Context
+	cancelOrders context.CancelFunc
 	// ordersAllowed is what maySendOrders decided last by the lease or the followers, so
 	// that each change is logged once.
 	ordersAllowed bool
@@ -138,7 +145,6 @@
 		foundFleet:      found.Fleet,
 		instance:        e.self.String(),
 		quorum:          quorum.NewTracker(found.Fleet),
-		suspension:      e.candidacy,
 		startedAt:       time.Now(),
 		processorShare:  e.processorShare,
 	}
--- a/internal/holder/lateclaim_test.go
+++ b/internal/holder/lateclaim_test.go
@@ -33,7 +33,7 @@
 				done := make(chan struct{})
 				go func() {
 					defer close(done)
-					e.lead(t.Context(), e.newCandidate(), lease, startedAt, predecessor{})
+					e.lead(t.Context(), e.newCandidate(), lease, startedAt, suspension{}, predecessor{})
 				}()
 				time.Sleep(leaseRenewInterval / 2)
 				is.Equal(e.coordinator.Load().lastLeaseConfirmation().IsZero(), late)
--- a/internal/holder/ownstay_test.go
+++ b/internal/holder/ownstay_test.go
@@ -67,7 +67,7 @@
 	lease, err := shared.Grant(ctx, leaseTTL)
 	is.NoErr(err)
 	is.True(shared.ExpireLease(lease)) // the tenure ends with the first renewal
-	e.lead(ctx, e.newCandidate(), lease, time.Now(), predecessor{})
+	e.lead(ctx, e.newCandidate(), lease, time.Now(), suspension{}, predecessor{})
 	e.follow(ctx, holder, 0)
 	cancel()
 	is.NoErr(<-served)
--- a/internal/holder/spoiledkey_test.go
+++ b/internal/holder/spoiledkey_test.go
@@ -34,7 +34,7 @@
 				lease, err := shared.Grant(t.Context(), leaseTTL)
 				is.NoErr(err)
 				is.True(shared.ExpireLease(lease)) // the tenure ends with the first renewal
-				e.lead(t.Context(), e.newCandidate(), lease, time.Now(), replaced)
+				e.lead(t.Context(), e.newCandidate(), lease, time.Now(), suspension{}, replaced)
 				found, err := (&recordStore{store: shared}).read(t.Context())
 				is.NoErr(err)
 				is.Equal(found.Epoch, int64(2))
--- a/internal/holder/suspension.go
+++ b/internal/holder/suspension.go
@@ -17,12 +17,6 @@
 	seen         time.Duration
 }
 
-// begin makes noticed look for suspensions from now on.
-func (s *suspension) begin() {
-	s.known = false
-	s.noticed()
-}
-
 // noticed reports whether the machine was suspended since the last call. It is not by
 // changes below maxTickGap, during which no successor is elected.
 func (s *suspension) noticed() bool {
