Take only a later process of a server for the end of an earlier one

Cause: a holder that moves a range off an owner that does not answer continues at once if the list of servers names another process of that server. The list of a new holder may be older than the record that it takes over: an earlier holder knew that the server had restarted, granted it keys, and ended before its facts reached this one. If the older list has the server as leaving, its keys went to another server at once, while the recorded process holds them: two owners until its grant expires.

Change: only a process that started later is a proof. If the clock of a server went back before it restarted, its keys wait for the release or the expiry.

Ruled out, by reading: where the older list has the server as usable, the keys stay with it, as both processes have its name; they are only released and granted once more.

Measured: TestListOlderThanTheRecordProvesNoEnd failed before the change for the earlier process; owners, holder and placing pass with the race detector.

--- a/internal/owners/orders.go
+++ b/internal/owners/orders.go
@@ -101,10 +101,11 @@
 }
 
 // releaseIfEnded continues a move without an answer of the previous owner if its
-// grant has expired or another incarnation of it is listed.
+// grant has expired or a later incarnation of it is listed. The list of a new holder may
+// be older than the record that names the owner.
 func (t *Table) releaseIfEnded(now time.Time, service string, r *rangeState, incarnations IncarnationLookup) {
 	current, listed := incarnations.Current(service, r.previous.Server.Name)
-	restarted := listed && current != r.previous.Server && r.previous.Server.StartMS != 0
+	restarted := listed && r.previous.Server.StartMS != 0 && current.StartMS > r.previous.Server.StartMS
 	if restarted && !r.previous.Ambiguous || now.After(r.previous.ExpiresBy) {
 		t.finishRelease(r, r.handover)
 	}
