Share limits among holders without counting an instance twice

Cause: holders beside each other use shares of the limits that servers name, by the instances that follow them. A successor counted an instance from its join on, while its predecessor counts it for up to 1.5 s more. And a successor took the whole limit once the grants of earlier holders had ended, 8.2 s after most of the fleet had joined it; a predecessor without the store grants nothing then, but goes on placing requests of its followers for up to 15 s.

Change: an instance counts for a successor's share once it has followed it for 2 s, and the whole limit is used once the holders before it have ended, not only their grants.

Changed test: TestNoGrantOutlivesTheWaitOfASuccessor also adds up the shares. Its model now ends the tenure of a holder whose lease has not been confirmed for 15 s and one renewal, as renewLease does; grants of such a tenure are checked as before, and it sent none after 15 s before either.

Open, by reading: a holder whose record names no fleet uses the whole limit.

--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -48,7 +48,10 @@
 	// lastHolderEnded is set if the process of the last holder has provably ended, and no
 	// holder before it could act.
 	lastHolderEnded bool
-	suspension      suspension
+	// predecessorsEndBy is when the holders before this one have ended at the latest. Their
+	// grants may end sooner: one that most of the fleet has left grants nothing, but goes on.
+	predecessorsEndBy time.Time
+	suspension        suspension
 	// ordersAllowed is what maySendOrders decided last by the lease or the followers, so
 	// that each change is logged once.
 	ordersAllowed bool
@@ -103,27 +106,28 @@
 // until the given time at the latest.
 func newCoordinator(ctx context.Context, endTenure context.CancelFunc, e *Elector, records *recordStore, found owners.Record, until time.Time) *Coordinator {
 	c := &Coordinator{
-		registry:        e.registry,
-		orderSender:     e.orderSender,
-		prober:          e.prober,
-		probing:         map[fleet.Incarnation]bool{},
-		log:             e.log,
-		records:         records,
-		table:           owners.NewTable(found, records.tenureName, until),
-		queue:           make(chan func(), eventQueueSize),
-		ctx:             ctx,
-		endTenure:       endTenure,
-		plannedStop:     e.plannedStop,
-		followers:       map[*link.Follower]bool{},
-		byName:          map[string]*link.Follower{},
-		epoch:           found.Epoch,
-		recordedServers: map[fleet.Incarnation]*fleet.Server{},
-		foundFleet:      found.Fleet,
-		instance:        e.self.String(),
-		quorum:          quorum.NewTracker(found.Fleet),
-		suspension:      suspension{suspendedFor: suspendedSinceBoot},
-		startedAt:       time.Now(),
-		processorShare:  e.processorShare,
+		registry:          e.registry,
+		orderSender:       e.orderSender,
+		prober:            e.prober,
+		probing:           map[fleet.Incarnation]bool{},
+		log:               e.log,
+		records:           records,
+		table:             owners.NewTable(found, records.tenureName, until),
+		queue:             make(chan func(), eventQueueSize),
+		ctx:               ctx,
+		endTenure:         endTenure,
+		plannedStop:       e.plannedStop,
+		followers:         map[*link.Follower]bool{},
+		byName:            map[string]*link.Follower{},
+		epoch:             found.Epoch,
+		recordedServers:   map[fleet.Incarnation]*fleet.Server{},
+		foundFleet:        found.Fleet,
+		predecessorsEndBy: until,
+		instance:          e.self.String(),
+		quorum:            quorum.NewTracker(found.Fleet),
+		suspension:        suspension{suspendedFor: suspendedSinceBoot},
+		startedAt:         time.Now(),
+		processorShare:    e.processorShare,
 	}
 	records.leaseConfirmedAt = c.lastLeaseConfirmation
 	c.yieldAllowedAt = time.Now().Add(yieldDelay)
--- a/internal/holder/exclusion_test.go
+++ b/internal/holder/exclusion_test.go
@@ -93,6 +93,8 @@
 	// grantsEndAt is when the last grant that it has sent ends at the latest.
 	grantsEndAt time.Time
 	tickedAt    time.Time
+	// confirmedAt is when the last renewal was answered, as the product's renewLease counts it.
+	confirmedAt time.Time
 }
 
 func newExclusionModel(n int) *exclusionModel {
@@ -217,7 +219,8 @@
 		table: owners.NewTable(owners.Record{Epoch: found.Epoch}, name, until), records: &recordStore{tenureName: name},
 		followers: map[*link.Follower]bool{f: true}, quorum: quorum.NewTracker(found.Fleet), foundFleet: found.Fleet,
 		instance: f.Instance, startedAt: m.now, lastHolderEnded: lastHolderEnded(replaced.grantsBound, found),
-	}}
+		predecessorsEndBy: until,
+	}, confirmedAt: m.now}
 	confirmedAt := m.now
 	h.leaseConfirmedAt.Store(&confirmedAt)
 	i.follows, i.link = h, f
@@ -280,8 +283,13 @@
 		if rapid.Bool().Draw(t, "renewal answered") {
 			sentAt := m.now
 			h.leaseConfirmedAt.Store(&sentAt)
+			h.confirmedAt = sentAt
 		}
 	}
+	if m.now.Sub(h.confirmedAt) > maxStoreOutage+leaseRenewInterval+storeTimeout {
+		m.end(h)
+		return
+	}
 	h.forgetStays(m.now)
 	if h.fleetRecordDue(m.now) && !m.store(t, h) {
 		return
@@ -338,6 +346,7 @@
 
 func (m *exclusionModel) check(t *rapid.T) {
 	m.checkExclusive(t)
+	m.checkShares(t)
 	for n, later := range m.tenures {
 		if later.ended || later.superseded.Load() || !later.table.InheritedGrantsEnded(m.now) || !later.maySendOrders(m.now) {
 			continue
@@ -364,3 +373,22 @@
 		first = h
 	}
 }
+
+// checkShares checks that the shares of limits which holders use add up to no more than the
+// whole, beside that of each holder's own instance.
+func (m *exclusionModel) checkShares(t *rapid.T) {
+	sum, allowed := 0.0, 1.0+1e-9
+	for _, h := range m.tenures {
+		if h.ended || h.host.frozen || h.host.removed {
+			continue
+		}
+		if len(h.quorum.Stored()) == 0 {
+			return // no holder knows what the others use
+		}
+		sum += h.share(m.now)
+		allowed += 1 / float64(len(h.quorum.Stored())+1)
+	}
+	if sum > allowed {
+		t.Fatalf("holders use %.2f of the limits, more than %.2f", sum, allowed)
+	}
+}
--- a/internal/holder/exclusive.go
+++ b/internal/holder/exclusive.go
@@ -18,14 +18,22 @@
 // names follows it, which it cannot once a single one of these instances has joined this holder.
 // It notices that by the time at which the proofs of that instance, and its lease, have ended.
 func (c *Coordinator) excludesPredecessors(now time.Time) bool {
-	if c.lastHolderEnded || c.table.InheritedGrantsEnded(now) {
-		return true
-	}
-	settled := map[string]bool{}
+	return c.predecessorsEnded(now) || c.foundFleet.Count(c.settledNames(now)) > 0
+}
+
+// predecessorsEnded reports whether no holder before this one acts any more.
+func (c *Coordinator) predecessorsEnded(now time.Time) bool {
+	return c.lastHolderEnded || !now.Before(c.predecessorsEndBy)
+}
+
+// settledNames returns the names of the instances that have followed this holder for so long
+// that no holder before it counts them.
+func (c *Coordinator) settledNames(now time.Time) map[string]bool {
+	names := map[string]bool{}
 	for f := range c.followers {
 		if now.Sub(f.JoinedAt) > leaseTTL {
-			settled[f.Name()] = true
+			names[f.Name()] = true
 		}
 	}
-	return c.foundFleet.Count(settled) > 0
+	return names
 }
--- a/internal/holder/exclusive_test.go
+++ b/internal/holder/exclusive_test.go
@@ -32,8 +32,9 @@
 			f := newFollower(tc.joined)
 			f.JoinedAt = electedAt
 			c := &Coordinator{
-				table:      owners.NewTable(owners.Record{Epoch: 3}, "second", electedAt.Add(maxStoreOutage+maxInheritedGrant)),
-				foundFleet: tc.fleet, quorum: quorum.NewTracker(tc.fleet), lastHolderEnded: tc.lastHolderEnded,
+				predecessorsEndBy: electedAt.Add(maxStoreOutage + maxInheritedGrant),
+				table:             owners.NewTable(owners.Record{Epoch: 3}, "second", electedAt.Add(maxStoreOutage+maxInheritedGrant)),
+				foundFleet:        tc.fleet, quorum: quorum.NewTracker(tc.fleet), lastHolderEnded: tc.lastHolderEnded,
 				followers: map[*link.Follower]bool{f: true},
 			}
 			for after := time.Duration(0); after <= maxStoreOutage+maxInheritedGrant; after += time.Millisecond {
--- a/internal/holder/tenure.go
+++ b/internal/holder/tenure.go
@@ -32,12 +32,12 @@
 	switch {
 	case now.Sub(*leaseConfirmedAt) >= leaseTTL:
 		return max(ownShare, c.retainedShare(now, *leaseConfirmedAt))
-	case c.table.InheritedGrantsEnded(now):
+	case c.predecessorsEnded(now):
 		return 1
 	case len(c.foundFleet) == 0:
 		return max(ownShare, followers/(followers+1))
 	}
-	return max(ownShare, quorum.JoinedShare(c.foundFleet, c.followerNames()))
+	return max(ownShare, quorum.JoinedShare(c.foundFleet, c.settledNames(now)))
 }
 
 // retainedShare returns the share of the fleet that provably follows this holder and no
