--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -59,6 +59,9 @@
 	// lastHolderEnded is set if the process of the last holder has provably ended, and no
 	// holder before it could act.
 	lastHolderEnded bool
+	// predecessorsEndBy is when the holders before this one have ended at the latest. Their
+	// grants may end sooner: one that most of the fleet has left grants nothing, but goes on.
+	predecessorsEndBy time.Time
 	// suspension notices suspensions since the election began, as the lease counts from then.
 	suspension suspension
 	// mayActAt is when maySendOrders last looked for a suspension, on the clock that counts
@@ -126,27 +129,28 @@
 // until the given time at the latest.
 func newCoordinator(ctx context.Context, endTenure context.CancelFunc, e *Elector, records *recordStore, found owners.Record, until time.Time) *Coordinator {
 	c := &Coordinator{
-		registry:        e.registry,
-		orderSender:     e.orderSender,
-		onOrderWritten:  e.onOrderWritten,
-		prober:          e.prober,
-		probing:         map[fleet.Incarnation]bool{},
-		log:             e.log,
-		records:         records,
-		table:           owners.NewTable(found, records.tenureName, until),
-		queue:           make(chan func(), eventQueueSize),
-		ctx:             ctx,
-		endTenure:       endTenure,
-		plannedStop:     e.plannedStop,
-		followers:       map[*link.Follower]bool{},
-		byName:          map[string]*link.Follower{},
-		epoch:           found.Epoch,
-		recordedServers: map[fleet.Incarnation]*fleet.Server{},
-		foundFleet:      found.Fleet,
-		instance:        e.self.String(),
-		quorum:          quorum.NewTracker(found.Fleet),
-		startedAt:       time.Now(),
-		processorShare:  e.processorShare,
+		registry:          e.registry,
+		orderSender:       e.orderSender,
+		onOrderWritten:    e.onOrderWritten,
+		prober:            e.prober,
+		probing:           map[fleet.Incarnation]bool{},
+		log:               e.log,
+		records:           records,
+		table:             owners.NewTable(found, records.tenureName, until),
+		queue:             make(chan func(), eventQueueSize),
+		ctx:               ctx,
+		endTenure:         endTenure,
+		plannedStop:       e.plannedStop,
+		followers:         map[*link.Follower]bool{},
+		byName:            map[string]*link.Follower{},
+		epoch:             found.Epoch,
+		recordedServers:   map[fleet.Incarnation]*fleet.Server{},
+		foundFleet:        found.Fleet,
+		predecessorsEndBy: until,
+		instance:          e.self.String(),
+		quorum:            quorum.NewTracker(found.Fleet),
+		startedAt:         time.Now(),
+		processorShare:    e.processorShare,
 	}
 	records.leaseConfirmedAt = c.lastLeaseConfirmation
 	c.yieldAllowedAt = time.Now().Add(yieldDelay)
