Play drawn histories of several holders, servers and their orders

TestNoKeyHasTwoOwnersOverSeveralHolders draws elections, claims, records, partitions in one direction or both, killed, frozen and stopped instances, servers that restart, leave the list and come back, moves, and writes and grants that take effect late. Elections, holders, their records and their tables run the product's code; the check is made at the servers: no two may hold a key.

The model of TestNoGrantOutlivesTheWaitOfASuccessor counts an own tenure as a change of holder, as the product does now; its checks are unchanged.

--- a/internal/holder/exclusion_test.go
+++ b/internal/holder/exclusion_test.go
@@ -220,6 +220,8 @@
 	}}
 	confirmedAt := m.now
 	h.leaseConfirmedAt.Store(&confirmedAt)
+	i.joinedTenure = name // as changeTenure does
+	i.holderChanges++
 	i.follows, i.link = h, f
 	m.key = h
 	m.tenures = append(m.tenures, h)
--- /dev/null
+++ b/internal/holder/history_test.go
@@ -0,0 +1,97 @@
+package holder
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against two owners of a key over histories of several holders: elections in one cut,
+// holders that have ended and left grants behind, moves in progress, links that are cut in one
+// direction, restarted servers, and writes and grants that take effect late.
+func TestNoKeyHasTwoOwnersOverSeveralHolders(t *testing.T) {
+	var stats historyStats
+	rapid.Check(t, func(t *rapid.T) { checkHistory(t, &stats) })
+	t.Logf("%+v", stats)
+}
+
+func checkHistory(t *rapid.T, stats *historyStats) {
+	m := newHistoryModel(t, stats)
+	pause := rapid.SampledFrom([]int{5, 15, 30, 60}).Draw(t, "steps between events")
+	cut := m.number("holder is cut off at step", 30, 100)
+	for n := range 300 {
+		if n == cut {
+			m.cutOffHolder()
+		}
+		m.runEvents(m.now.Add(time.Duration(m.number("ms", 50, 250)) * time.Millisecond))
+		if n > 30 && m.oneOf(pause, "event due") { // the first plan takes 1.8 s
+			m.disturb()
+		}
+		m.step()
+	}
+}
+
+// disturb draws one event.
+func (m *historyModel) disturb() {
+	i, s := m.instance(), m.servers[m.number("server", 0, len(m.servers)-1)]
+	domain := m.number("domain", 0, historyStoreDomain)
+	switch m.number("event", 0, 18) {
+	case 0, 1: // a domain, or the store, is cut off, or reached again
+		in, out := m.oneOf(2, "in"), m.oneOf(2, "out")
+		for other := range m.cut {
+			m.cut[domain][other], m.cut[other][domain] = out, in
+		}
+	case 2:
+		other := m.number("other domain", 0, historyStoreDomain)
+		m.cut[domain][other] = !m.cut[domain][other]
+	case 3, 4:
+		m.cut = [historyDomains + 1][historyDomains + 1]bool{}
+		for _, other := range m.instances {
+			other.storeCut = false
+		}
+	case 5:
+		i.storeCut = !i.storeCut
+	case 6:
+		m.leave(i)
+	case 7: // killed and started again
+		if i.tenure != nil {
+			m.end(i.tenure)
+		}
+		m.leave(i)
+		i.start()
+	case 8:
+		i.frozen = !i.frozen
+	case 9: // stops, hands over or yields
+		if h := i.tenure; h != nil {
+			m.end(h)
+			m.revoke(i, h.key)
+			i.storeCut = m.oneOf(2, "cut off afterwards")
+		}
+	case 10: // revoked at the store, before its end
+		m.key = nil
+	case 11:
+		m.store.applyLate()
+	case 12: // restarted under its name, or stopped
+		s.up = false
+		if !m.oneOf(4, "stays down") {
+			s.start()
+			m.stats.restarts++
+		}
+	case 13:
+		m.cutOffHolder()
+	case 14:
+		s.isListed, s.usable = m.oneOf(2, "listed"), m.oneOf(2, "usable")
+	case 15, 16, 17: // a partition, in one direction or both
+		in, out := m.oneOf(4, "in"), m.oneOf(4, "out")
+		var side [historyDomains + 1]bool
+		for domain := range side {
+			side[domain] = m.oneOf(2, "side")
+		}
+		m.partition(side, in, out)
+	case 18:
+		for key := range historyKeys {
+			m.rates[key*historyKeyStep] = float64(m.number("rate", 0, 20))
+		}
+	}
+}
--- /dev/null
+++ b/internal/holder/historyinstance_test.go
@@ -0,0 +1,87 @@
+package holder
+
+import (
+	"strconv"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/facts"
+	"peridotmoor.org/peridotmoor/internal/fleet"
+	"peridotmoor.org/peridotmoor/internal/link"
+)
+
+// historyInstance is an instance of a history.
+type historyInstance struct {
+	name    string
+	domain  int
+	process int
+	elector *Elector
+	frozen  bool
+	// storeCut is set while only this instance does not reach the store.
+	storeCut  bool
+	candidacy *historyCandidacy
+	// tenure is set while the instance is the holder.
+	tenure *historyTenure
+	// follows is the tenure that the instance follows by the link.
+	follows *historyTenure
+	link    *link.Follower
+}
+
+// start begins a new process of the instance.
+func (i *historyInstance) start() {
+	i.process++
+	i.frozen, i.candidacy, i.tenure, i.follows, i.link = false, nil, nil, nil, nil
+	i.elector = NewElector(Options{
+		Self:     Identity{Name: i.name, Incarnation: strconv.Itoa(i.process), Address: "127.0.0.1:1"},
+		Registry: facts.NewRegistry(nil, nil),
+	})
+}
+
+// historyKey is the key of the holder, bound to a lease.
+type historyKey struct {
+	identity    Identity
+	leaseEndsAt time.Time
+	// tenure is set once the record is claimed.
+	tenure *historyTenure
+}
+
+// historyCandidacy is an election that an instance takes part in.
+type historyCandidacy struct {
+	identity  Identity
+	replaced  predecessor
+	startedAt time.Time
+	// replacedKey is the key that it replaces, or nil.
+	replacedKey *historyKey
+	// key is set once the instance is elected, at electedAt.
+	key       *historyKey
+	electedAt time.Time
+	records   *recordStore
+}
+
+// historyTenure is a tenure of a holder, which decides as in the product.
+type historyTenure struct {
+	*Coordinator
+	identity    Identity
+	host        *historyInstance
+	key         *historyKey
+	ended       bool
+	confirmedAt time.Time
+	renewAt     time.Time
+	// listing holds the servers as the holder read them last.
+	listing []historyListed
+}
+
+// Current returns the listed incarnation of a server.
+func (t *historyTenure) Current(_, name string) (fleet.Incarnation, bool) {
+	for _, s := range t.listing {
+		if s.Name == name {
+			return s.Incarnation, true
+		}
+	}
+	return fleet.Incarnation{}, false
+}
+
+// historyListed is a server in the list.
+type historyListed struct {
+	fleet.Incarnation
+	usable bool
+}
