Stop the child process while it surely connects

TestStoppedProcessDoesNotWriteLate stopped its child 100 ms after its first word. A child that had not asked for its connection by then would have made the test wait for ever. The test now reads from the kernel that the connection is being asked for, and its listener waits a minute at most.

--- a/internal/backhttp/expired_test.go
+++ b/internal/backhttp/expired_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -107,9 +109,10 @@
 	const timeout = 2 * time.Second // longer than the kernel waits before it tries to connect again
 	child, lines := startChild(t, listener.Addr(), timeout)
 	awaitLine(t, lines, "sending")
-	time.Sleep(100 * time.Millisecond) // the child is waiting for its connection
+	awaitConnecting(t, listener.Addr().(*net.TCPAddr).Port)
 	is.NoErr(child.Process.Signal(syscall.SIGSTOP))
 	stopped := time.Now()
+	is.NoErr(listener.(*net.TCPListener).SetDeadline(stopped.Add(time.Minute)))
 	_, err = listener.Accept() // the filler's
 	is.NoErr(err)
 	accepted, err := listener.Accept() // the child's, which its kernel opens while it is stopped
@@ -159,3 +162,23 @@
 	is.NoErr(err)
 	is.Equal(<-received, "next")
 }
+
+// awaitConnecting returns once a connection to the port of this machine has been asked for
+// and not been answered.
+func awaitConnecting(t *testing.T, port int) {
+	t.Helper()
+	const synSent = "02"
+	remote := fmt.Sprintf(":%04X", port)
+	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		sockets, err := os.ReadFile("/proc/self/net/tcp")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for line := range strings.Lines(string(sockets)) {
+			if f := strings.Fields(line); len(f) > 3 && strings.HasSuffix(f[2], remote) && f[3] == synSent {
+				return
+			}
+		}
+	}
+	t.Fatal("the child process has not tried to connect")
+}
