Let a restarted server release the grants that it took before a move

What can happen: a server starts again under its name and at its address. Until it is listed, it takes the grants that are meant for the process before it. If one of its ranges is on the move to another server when the new process is listed, the move went on at once, since the process before it had ended, while the new one held the keys for up to 3 s: two owners.

Cause, found by reading: the end of a process counted as the end of all grants that were sent to it. Only the process that got them can be meant by that, and an order names the server, not the process.

Change: such a move goes on with the new process, which releases the keys first; without an answer the grant must have expired. A range that goes back to the same server is granted at once, as before. Where a predecessor has recorded an unanswered grant, the move now waits for its expiry in this case too.

--- a/internal/owners/orders.go
+++ b/internal/owners/orders.go
@@ -115,13 +115,27 @@
 	return false
 }
 
-// releaseIfEnded continues a move without an answer of the previous owner if its
-// grant has expired or another incarnation of it is listed.
+// releaseIfEnded continues a move without an answer of the previous owner if its grant has
+// expired, or if another incarnation of it is listed, which is the new owner. Any other move
+// then goes on with that incarnation: at the same address, it may have taken grants that were
+// meant for the one before it.
 func (t *Table) releaseIfEnded(now time.Time, service string, r *rangeState, incarnations IncarnationLookup) {
-	restarted := hasRestarted(service, r.previous.Server, incarnations)
-	if restarted && !r.previous.Ambiguous || now.After(r.previous.ExpiresBy) {
+	if now.After(r.previous.ExpiresBy) {
 		t.finishRelease(r, r.handover)
+		return
+	}
+	if r.previous.Ambiguous || !hasRestarted(service, r.previous.Server, incarnations) {
+		return
+	}
+	current, _ := incarnations.Current(service, r.previous.Server.Name)
+	if r.owner == current {
+		t.finishRelease(r, r.handover)
+		return
 	}
+	r.previous.Server = current
+	r.version = t.newPlanVersion() // the result of an order to the one before it says nothing
+	r.orderInFlight = false
+	r.nextOrderAt = time.Time{}
 }
 
 // hasRestarted reports whether another incarnation of the server is listed.
