--- a/internal/dev/soak/instance.go
+++ b/internal/dev/soak/instance.go
@@ -51,11 +51,11 @@
 	ended chan struct{}
 }
 
-func newInstance(number int, domain, storeAddress string, addresses []string, launcher *programs.Launcher, dir string, seed uint64, sockets *processSockets) *instance {
+func newInstance(number int, domain, storeAddress string, addresses []string, launcher *programs.Launcher, dir string, seed uint64, sockets *processSockets, sources tcpproxy.Sources) *instance {
 	i := &instance{
 		name: fmt.Sprintf("entry-%d", number), launcher: launcher, dir: dir, sockets: sockets,
 		settings: map[string]string{"callers": addresses[0], "ready": addresses[1], "peers": addresses[2], "metrics": addresses[3]},
-		peers:    tcpproxy.New(addresses[4], addresses[2], seed, sockets),
+		peers:    tcpproxy.New(addresses[4], addresses[2], seed, sources),
 		store:    tcpproxy.New(addresses[5], storeAddress, seed+1, fixedSource(domain)),
 	}
 	i.entry = &callers.EntryInstance{CallerAddress: addresses[0], OperatorAddress: addresses[1], ReadyPath: "/readiness", MaxMisses: readinessMisses}
--- a/internal/dev/soak/play.go
+++ b/internal/dev/soak/play.go
@@ -20,6 +20,7 @@
 	"peridotmoor.org/peridotmoor/internal/dev/soak/backend"
 	"peridotmoor.org/peridotmoor/internal/dev/soak/caller"
 	"peridotmoor.org/peridotmoor/internal/dev/soak/check"
+	"peridotmoor.org/peridotmoor/internal/dev/tcpproxy"
 )
 
 const (
@@ -61,8 +62,10 @@
 	attempts    caller.Log
 	impairments *check.Impairments
 	sockets     *processSockets
-	border      *border
-	stalls      stallMonitor
+	// sources is sockets, or nil if no failure domain is cut off.
+	sources tcpproxy.Sources
+	border  *border
+	stalls  stallMonitor
 
 	mu     sync.Mutex
 	notes  []string
@@ -71,8 +74,9 @@
 	errors []error
 }
 
-// newPlay prepares the stand-ins and the instances of a seed in dir.
-func newPlay(options Options, seed uint64, dir string) (*play, error) {
+// newPlay prepares the stand-ins and the instances of a seed in dir. Only for cuts of failure
+// domains do the proxies find out where connections come from, which takes time.
+func newPlay(options Options, seed uint64, dir string, cutsDomains bool) (*play, error) {
 	p := &play{
 		options: options, seed: seed, dir: dir, random: rand.New(rand.NewPCG(seed, 2)), startAt: time.Now(),
 		launcher: programs.NewLauncher(options.ProgramDir, dir),
@@ -80,6 +84,9 @@
 		sockets: newProcessSockets(),
 	}
 	p.border = newBorder(p)
+	if cutsDomains {
+		p.sources = p.sockets
+	}
 	var err error
 	if p.odd, err = newOddEntries(seed); err != nil {
 		return p, err
@@ -95,7 +102,7 @@
 	for n := range p.serversBusy {
 		s := backend.NewServer(fmt.Sprintf("i-%d", n), backend.Config{
 			Service: services[n%len(services)], Domain: domainName(n), Keyed: services[n%len(services)] == keyedService, Slots: slotsPerServer,
-			ClockRate: 1 - maxClockError*p.random.Float64(), Heartbeat: heartbeat, Seed: p.random.Uint64(), Sources: p.sockets,
+			ClockRate: 1 - maxClockError*p.random.Float64(), Heartbeat: heartbeat, Seed: p.random.Uint64(), Sources: p.sources,
 		}, p.kv.Store(), p.runs, p.owners, &p.arrivals)
 		p.servers = append(p.servers, s)
 		if err := s.Start(); err != nil {
@@ -122,7 +129,7 @@
 	front := &storeFront{store: p.kv, proxies: map[string]string{}}
 	var entries []*callers.EntryInstance
 	for n := range p.options.Instances {
-		i := newInstance(n, domainName(n), listener.Addr().String(), p.reserved.Addresses[addressesPerInstance*n:], p.launcher, p.dir, p.random.Uint64(), p.sockets)
+		i := newInstance(n, domainName(n), listener.Addr().String(), p.reserved.Addresses[addressesPerInstance*n:], p.launcher, p.dir, p.random.Uint64(), p.sockets, p.sources)
 		p.instances = append(p.instances, i)
 		front.proxies[i.settings["peers"]] = i.peers.Address()
 		entries = append(entries, i.entry)
--- a/internal/dev/soak/run.go
+++ b/internal/dev/soak/run.go
@@ -63,7 +63,7 @@
 	}
 	began := time.Now()
 	s := newSchedule(seed, options)
-	p, err := newPlay(options, seed, dir)
+	p, err := newPlay(options, seed, dir, s.cutsDomains())
 	defer p.close()
 	if err != nil {
 		return nil, err
--- a/internal/dev/soak/schedule.go
+++ b/internal/dev/soak/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/dev/tcpproxy"
@@ -83,6 +84,11 @@
 	return s
 }
 
+// cutsDomains reports whether a failure domain is cut off during the seed.
+func (s schedule) cutsDomains() bool {
+	return slices.ContainsFunc(s.events, func(e event) bool { return e.kind == eventDomainCut })
+}
+
 // drawCut draws the domain, direction, length and number of the cuts of an event.
 func drawCut(random *rand.Rand, e *event, atHolder bool) {
 	e.targets = []int{random.IntN(domainCount)}
