--- a/internal/dev/soak/processsockets.go
+++ b/internal/dev/soak/processsockets.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -51,14 +50,10 @@
 	if err != nil {
 		return
 	}
-	connections, err := fs.NetTCP()
+	byTarget, err := readConnections()
 	if err != nil {
 		return
 	}
-	byTarget := map[string]portPair{}
-	for _, c := range connections {
-		byTarget[fmt.Sprintf("socket:[%d]", c.Inode)] = portPair{int(c.LocalPort), int(c.RemPort)}
-	}
 	for pid, domain := range s.domains {
 		process, err := fs.Proc(pid)
 		if err != nil {
