--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -12,8 +12,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-
-	"peridotmoor.org/peridotmoor/internal/sockopt"
 )
 
 var (
@@ -239,19 +237,6 @@
 	return nil
 }
 
-// limitDelivery sets how long the kernel may try to deliver the bytes of the request.
-func (c *conn) limitDelivery(ctx context.Context, request *Request) error {
-	limit := unackedTimeout
-	if deadline, limited := ctx.Deadline(); limited && request.EndWithDeadline {
-		limit = min(limit, time.Until(deadline))
-	}
-	if limit == c.deliveryTimeout {
-		return nil
-	}
-	c.deliveryTimeout = limit
-	return sockopt.SetUserTimeout(c.net, limit)
-}
-
 // readyForNext reports whether the connection may carry another request after one
 // whose write ended with err. It restores the write deadline if complete has changed
 // it because the response came before the write had ended.
--- a/internal/dev/soak/faults.go
+++ b/internal/dev/soak/faults.go
@@ -135,28 +135,6 @@
 	f.p.fail(s.Start())
 }
 
-// cutDomain cuts a failure domain off, once or several times in series. Links of all
-// instances are impaired.
-func (f *faults) cutDomain(ctx context.Context, e event) {
-	for n := 0; n < e.count && ctx.Err() == nil; n++ {
-		domain := domainName(e.targets[0])
-		if e.targets[0] == holderTarget {
-			domain = f.instance(holderTarget).caller.Domain
-		}
-		endImpairment := f.p.impairments.Begin(f.p.instanceNames()...)
-		endCut := f.p.border.begin(domainCut{domain, e.direction})
-		f.p.note("%s is cut off %s", domain, e.direction)
-		select {
-		case <-time.After(e.length / time.Duration(n+1)):
-		case <-ctx.Done():
-		}
-		endCut()
-		endImpairment()
-		f.p.note("%s is no longer cut off %s", domain, e.direction)
-		time.Sleep(e.pause)
-	}
-}
-
 // impairInstances carries out an event of one or several instances, unless another one
 // is under way there.
 func (f *faults) impairInstances(e event) {
@@ -227,37 +205,6 @@
 	}
 }
 
-// stop makes a planned stop, with a second SIGTERM after the given time unless that is
-// 0, and SIGKILL at the end of the grace period, which does not count stalls of the machine.
-func (f *faults) stop(i *instance, again time.Duration) {
-	start := time.Now()
-	done := i.signal(syscall.SIGTERM)
-	grace := time.NewTimer(check.GracePeriod)
-	defer grace.Stop()
-	var second <-chan time.Time
-	if again > 0 {
-		second = time.After(again)
-	}
-	for {
-		select {
-		case <-done:
-			return
-		case <-second:
-			i.signal(syscall.SIGTERM)
-			second = nil
-		case <-grace.C:
-			allowance := f.p.stalls.since(start)
-			f.p.note("%s has not ended at the end of the grace period; the machine stalled for %v", i.name, allowance)
-			select {
-			case <-done:
-			case <-time.After(allowance):
-				<-i.signal(syscall.SIGKILL)
-			}
-			return
-		}
-	}
-}
-
 // instance returns the target of an event.
 func (f *faults) instance(target int) *instance {
 	if target != holderTarget {
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -194,18 +194,6 @@
 	c.disconnectAll() // after the key has been deleted, as followers look for the next holder at once
 }
 
-// readStorePeriodically reads the facts from the store for the whole fleet.
-func (e *Elector) readStorePeriodically(ctx context.Context) {
-	for ctx.Err() == nil {
-		began := time.Now()
-		interval := storeReadInterval
-		if e.reader.Read(ctx) != nil {
-			interval = storeRetryDelay
-		}
-		sleep(ctx, max(minStoreReadPause, interval-time.Since(began)))
-	}
-}
-
 const (
 	// storeReadInterval is the time from the beginning of a read of the store to that of
 	// the next one, so that slow reads do not make the facts older. All instances must
--- a/internal/report/keyowners/log.go
+++ b/internal/report/keyowners/log.go
@@ -37,14 +37,6 @@
 	ends []endedGrant
 }
 
-// endedGrant is the end of a grant in the log of an instance. Inherited ones were given by an
-// earlier tenure.
-type endedGrant struct {
-	Grant
-	inherited bool
-	at        time.Time
-}
-
 // NewLog returns an empty log for a key of a service.
 func NewLog(service string, key int) *Log {
 	return &Log{history: History{Service: service, Key: key}}
@@ -145,16 +137,3 @@
 	}
 	return h
 }
-
-// ends reports whether the line tells of the end of the grant. A tenure that takes a grant of
-// another one for expired may be wrong, so that this ends only its own grants. A grant under
-// a higher fence of the same tenure has replaced those under lower ones.
-func (e endedGrant) ends(g Grant) bool {
-	if !e.sameServer(g) || !e.at.After(g.SentAt) {
-		return false
-	}
-	if slices.Contains(processEndings, e.End) {
-		return true
-	}
-	return g.Fence <= e.Fence && (e.sameTenure(g) && !e.inherited || e.End == releaseEnds)
-}
