Log when and how an instance learns that servers leave, and the age of facts at each send

Nothing told how old the facts were by which an instance sent a request, when it had learned that a server leaves, and over which path. servers_leaving (1747) has one line a listing, call_ended the age at the last send, and facts_age_at_send_seconds its distribution per instance, the figure that the rule on leaving servers is about.

--- a/internal/entrynode/metrics.go
+++ b/internal/entrynode/metrics.go
@@ -18,11 +18,16 @@
 // seconds. 0.4 is the timeout of a grant, 1.5 that of a release.
 var orderDelayBuckets = []float64{0.001, 0.003, 0.01, 0.03, 0.1, 0.2, 0.4, 0.5, 1, 1.5, 3, 6}
 
+// factsAgeBuckets are the histogram buckets of the age of the facts by which requests are
+// sent, in seconds. 2 is the time after which a leaving server must get no more requests.
+var factsAgeBuckets = []float64{0.1, 0.3, 0.6, 0.9, 1.2, 1.5, 1.8, 2, 2.5, 4, 8, 16}
+
 // metrics holds the Prometheus metrics of the instance.
 type metrics struct {
 	registry     *prometheus.Registry
 	callDuration *prometheus.HistogramVec
 	orderDelay   prometheus.Histogram
+	factsAge     prometheus.Histogram
 }
 
 // newMetrics registers the metrics. The functions are called at each scrape.
@@ -39,8 +44,13 @@
 			Help:    "Time from the check that the holder may send orders to the end of the write of an order.",
 			Buckets: orderDelayBuckets,
 		}),
+		factsAge: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: "peridotmoor", Name: "facts_age_at_send_seconds",
+			Help:    "Time since the read of the store that the facts come from, by which a request is sent to a backend server.",
+			Buckets: factsAgeBuckets,
+		}),
 	}
-	m.registry.MustRegister(m.callDuration, m.orderDelay, newHolderCollector(holderStatus),
+	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, newHolderCollector(holderStatus),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: "peridotmoor", Name: "store_calls_total", Help: "Calls to the platform's store.",
 		}, countStoreCalls),
@@ -55,6 +65,11 @@
 	m.callDuration.WithLabelValues(service, outcome).Observe(duration.Seconds())
 }
 
+// FactsAge records how old the facts are by which a request is sent.
+func (m *metrics) FactsAge(age time.Duration) {
+	m.factsAge.Observe(age.Seconds())
+}
+
 // orderWritten records the time from the check of an order to the end of its write.
 func (m *metrics) orderWritten(delay time.Duration) {
 	m.orderDelay.Observe(delay.Seconds())
--- a/internal/facts/registry.go
+++ b/internal/facts/registry.go
@@ -145,18 +145,41 @@
 // reading is older than the registry's.
 func (r *Registry) UpdateListing(listing fleet.Listing, at time.Time) bool {
 	older := false
-	r.update(func(s *Snapshot) *Snapshot {
+	var replaced *Snapshot
+	changed := r.update(func(s *Snapshot) *Snapshot {
 		if older = listing.Revision < s.ListingRevision; older {
 			return nil
 		}
 		if equalServers(s.Servers, listing.Servers, at) {
+			replaced = nil
 			return s.withListingRevision(listing.Revision)
 		}
+		replaced = s
 		return s.withListing(listing, at)
 	})
+	if changed && replaced != nil {
+		r.logLeaving(replaced, listing, at)
+	}
 	return !older
 }
 
+// logLeaving logs the servers that a listing, read at the given time, ends new work for.
+func (r *Registry) logLeaving(old *Snapshot, listing fleet.Listing, at time.Time) {
+	usable := make(map[fleet.Incarnation]bool, len(listing.Servers))
+	for _, s := range listing.Servers {
+		usable[s.Incarnation] = !s.Leaving
+	}
+	var names []string
+	for _, s := range old.Servers {
+		if !s.Leaving && !usable[s.Incarnation] {
+			names = append(names, s.Name)
+		}
+	}
+	if len(names) > 0 {
+		r.log.Emit(events.ServersLeaving, "servers", names, "revision", listing.Revision, "read_ms_ago", time.Since(at).Milliseconds(), "source", listing.Source.String())
+	}
+}
+
 // coldEndTolerance is the difference in the end of a cold start up to which two
 // readings count as equal. Servers report the remaining time, which arrives with a
 // delay.
--- a/internal/fleet/listing.go
+++ b/internal/fleet/listing.go
@@ -6,6 +6,8 @@
 	// higher revision is newer, in whatever order and by whatever path they arrive.
 	Revision uint64
 	Servers  []Server
+	// Source is how this instance got the reading, for the log.
+	Source ListingSource
 	// Unreadable holds the entries that could not be decoded, for the log.
 	Unreadable []UnreadableEntry
 }
--- a/internal/gateway/callstate.go
+++ b/internal/gateway/callstate.go
@@ -11,12 +11,14 @@
 
 // callState is the state of a call over its attempts.
 type callState struct {
-	route           string
-	service         string
-	version         int64
-	deadline        time.Time
-	contentHash     uint64
-	server          string
+	route       string
+	service     string
+	version     int64
+	deadline    time.Time
+	contentHash uint64
+	server      string
+	// factsAge is how old the facts were by which the last attempt was sent.
+	factsAge        time.Duration
 	sends           int
 	unusedDecisions int
 	// mayHaveRun is set when an attempt ended without proof that the request did not run.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,7 +69,7 @@
 	duration := time.Since(call.ArrivedAt)
 	g.metrics.CallEnded(state.service, reply.Outcome.String(), duration)
 	g.log.Emit(events.CallEnded, "request", call.ID, "route", state.route, "service", state.service, "key", call.Key,
-		"outcome", reply.Outcome.String(), "server", state.server, "sends", state.sends, "ms", duration.Milliseconds(), "limit_ms", state.limit(call).Milliseconds(),
+		"outcome", reply.Outcome.String(), "server", state.server, "sends", state.sends, "facts_ms", state.factsAge.Milliseconds(), "ms", duration.Milliseconds(), "limit_ms", state.limit(call).Milliseconds(),
 		"retry_after_ms", reply.RetryAfter.Milliseconds(), "settings_version", state.version, "detail", reply.Detail)
 	return reply
 }
@@ -195,6 +195,10 @@
 		return AttemptResult{Outcome: placing.Unused, Detail: "the assigned server is no longer usable, or too little time is left"}
 	}
 	sentAt := time.Now()
+	if age, known := g.registry.Age(sentAt); known {
+		state.factsAge = age
+		g.metrics.FactsAge(age)
+	}
 	result := g.backends.Send(ctx, server, call, state.deadline)
 	completion.Outcome, completion.Load, completion.Duration = result.Outcome, result.Load, time.Since(sentAt)
 	g.scheduler.Complete(completion)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -39,6 +39,7 @@
 type noMetrics struct{}
 
 func (noMetrics) CallEnded(string, string, time.Duration) {}
+func (noMetrics) FactsAge(time.Duration)                  {}
 
 // roundRobinLink is a link to a holder that assigns the attempts to the servers in turn.
 type roundRobinLink struct {
--- a/internal/link/factsreceiver.go
+++ b/internal/link/factsreceiver.go
@@ -58,7 +58,7 @@
 		}
 	}
 	if len(r.servers) > 0 && r.appliedListingSequence.Load() != r.registry.Snapshot().ListingSequence {
-		if r.registry.UpdateListing(fleet.Listing{Revision: f.ListingRevision, Servers: r.sortedServers()}, readAt) {
+		if r.registry.UpdateListing(fleet.Listing{Revision: f.ListingRevision, Source: fleet.SourceLink, Servers: r.sortedServers()}, readAt) {
 			r.appliedListingSequence.Store(r.registry.Snapshot().ListingSequence)
 		}
 	}
