Tell when the store was read by the clock of the receiver

What callers saw: requests at servers that had said that they leave.

Cause: a message stated the age of the facts when it was encoded, and the receiver counted it from the arrival, so that queues and links made facts younger. In the holder it fed back: each message to its own instance confirmed the facts again, later by the time for which the message had waited. A holder without processor time and without the store took its facts for 0.36 s old after 3 s without a read, told all instances so, and no follower read in its place.

Change: each message has a stamp. What a stamp is ahead of its arrival bounds how far the other clock is ahead, so that a time of reading is told by the receiver's clock and never too late, whatever a message waits for. The in-process link confirms nothing.

--- a/internal/facts/registry.go
+++ b/internal/facts/registry.go
@@ -63,6 +63,15 @@
 	}
 }
 
+// ReadAt returns when the store was last read for this registry, or the zero time. A snapshot
+// that is loaded after it has all that was written to the store before.
+func (r *Registry) ReadAt() time.Time {
+	if at := r.readAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // Age returns how long ago the store was last read for this registry, and false if
 // it never was.
 func (r *Registry) Age(now time.Time) (time.Duration, bool) {
--- a/internal/gateway/schedulerclient.go
+++ b/internal/gateway/schedulerclient.go
@@ -83,9 +83,13 @@
 func (c *SchedulerClient) handleDown(receiver *link.FactsReceiver, down *linkpb.Down) {
 	now := time.Now()
 	link.MergeLosses(c.registry.Crashes(), down.Losses, now)
-	for _, update := range down.Facts {
+	for i, update := range down.Facts {
+		readAt := time.Time{}
+		if i == len(down.Facts)-1 { // the time of reading is that of the last facts
+			readAt = receiver.ReadAt(down)
+		}
 		c.holderStatus.Store(&holderStatus{heardAt: now, instances: int(update.Instances), maxProcessorShare: update.Strongest})
-		receiver.Apply(update, now)
+		receiver.Apply(update, readAt, now)
 	}
 	if h := c.holderStatus.Load(); h != nil && len(down.Facts) == 0 {
 		c.holderStatus.Store(&holderStatus{heardAt: now, instances: h.instances, maxProcessorShare: h.maxProcessorShare})
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -34,7 +34,7 @@
 	for range maxRejectedJoins {
 		receiver, onDown := e.client.NewReceiver()
 		var accepted atomic.Bool // a holder sends the facts to each instance that joins
-		conn, err := link.Dial(ctx, holder.Address, e.member(), func(down *linkpb.Down) {
+		conn, err := link.Dial(ctx, holder.Address, e.member(), receiver.Clock(), func(down *linkpb.Down) {
 			accepted.Store(true)
 			e.rememberPeers(down)
 			onDown(down)
@@ -129,7 +129,8 @@
 		return false, err
 	}
 	e.log.Emit(events.ReadForHolder, "holder", holder.String())
-	conn.Send(&linkpb.Up{Facts: receiver.EncodeReading(time.Now())}) // if the link has ended, monitorLink notices
+	readAt := e.registry.ReadAt()                                                                   // before the snapshot that is encoded
+	conn.Send(&linkpb.Up{Facts: receiver.EncodeReading(time.Now()), ReadUs: conn.ReadTime(readAt)}) // if the link has ended, monitorLink notices
 	found, _, err := e.readHolder(ctx)
 	return errors.Is(err, store.ErrNotFound) || err == nil && found != holder, nil
 }
--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -56,9 +56,10 @@
 		c.followerLog.joined(f)
 		f.JoinedAt = c.stays.join(f, time.Now())
 		c.byName[f.Instance] = f
+		readAt := c.registry.ReadAt() // before the snapshot, which may be newer
 		snapshot := c.registry.Snapshot()
 		now := time.Now()
-		f.Send(&linkpb.Down{Facts: []*linkpb.Facts{c.encodeFacts(snapshot, f.Sent, now)}, Losses: link.EncodeLosses(c.registry.Crashes().Announced(now), now)})
+		f.Send(&linkpb.Down{Facts: []*linkpb.Facts{c.encodeFacts(snapshot, f.Sent, now)}, ReadUs: f.ReadTime(readAt), Losses: link.EncodeLosses(c.registry.Crashes().Announced(now), now)})
 		f.Sent = sequencesOf(snapshot)
 	})
 }
@@ -87,7 +88,7 @@
 func (c *Coordinator) Receive(f *link.Follower, up *linkpb.Up) {
 	arrivedAt := time.Now()
 	if up.Facts != nil {
-		link.NewFactsReceiver(c.registry).Apply(up.Facts, arrivedAt)
+		link.NewFactsReceiver(c.registry).Apply(up.Facts, f.ReadAt(up), arrivedAt)
 	}
 	link.MergeBackpressure(c.registry, up.Backpressure, arrivedAt)
 	link.MergeLosses(c.registry.Crashes(), up.Losses, arrivedAt)
--- a/internal/holder/ownstay_test.go
+++ b/internal/holder/ownstay_test.go
@@ -33,7 +33,7 @@
 	r.mu.Lock()
 	r.stays = append(r.stays, stay{f.Instance, f.HolderChanges})
 	r.mu.Unlock()
-	f.Send(&linkpb.Down{Facts: []*linkpb.Facts{{AgeUs: -1}}})
+	f.Send(&linkpb.Down{Facts: []*linkpb.Facts{{}}})
 	return true
 }
 
--- a/internal/holder/planning.go
+++ b/internal/holder/planning.go
@@ -8,7 +8,6 @@
 	"peridotmoor.org/peridotmoor/internal/backpressure"
 	"peridotmoor.org/peridotmoor/internal/events"
 	"peridotmoor.org/peridotmoor/internal/fleet"
-	"peridotmoor.org/peridotmoor/internal/link"
 	"peridotmoor.org/peridotmoor/internal/owners"
 )
 
@@ -57,10 +56,11 @@
 			})
 		}
 		rates := c.scheduler.KeyRates(now, service)
+		factsAge, _ := c.registry.Age(now)
 		c.table.Plan(now, service, candidates, rates)
 		for _, m := range c.table.TakeMoves() {
 			c.log.Emit(events.MovePlanned, "service", service, "from", m.From, "to", m.To, "first", m.Interval.From, "last", m.Interval.To,
-				"reason", m.Reason.String(), "per_s", rates.Sum(m.Interval.From, m.Interval.To), "listing_age_ms", link.AgeMicros(c.registry, now)/1000)
+				"reason", m.Reason.String(), "per_s", rates.Sum(m.Interval.From, m.Interval.To), "listing_age_ms", factsAge.Milliseconds())
 		}
 	}
 	c.storeRecord(now)
--- a/internal/holder/publish.go
+++ b/internal/holder/publish.go
@@ -26,6 +26,7 @@
 		c.askForProofs(now)
 		c.announceLosses(now)
 	}
+	readAt := c.registry.ReadAt() // before the snapshot, which may be newer
 	snapshot := c.registry.Snapshot()
 	encoded := map[link.SentSequences]*linkpb.Facts{} // most followers have received the same parts
 	for f := range c.followers {
@@ -35,7 +36,7 @@
 		if encoded[f.Sent] == nil {
 			encoded[f.Sent] = c.encodeFacts(snapshot, f.Sent, now)
 		}
-		f.Send(&linkpb.Down{Facts: []*linkpb.Facts{encoded[f.Sent]}})
+		f.Send(&linkpb.Down{Facts: []*linkpb.Facts{encoded[f.Sent]}, ReadUs: f.ReadTime(readAt)})
 		f.Sent = sequencesOf(snapshot)
 	}
 	c.sentSnapshot = snapshot
@@ -61,7 +62,6 @@
 // received the given parts.
 func (c *Coordinator) encodeFacts(snapshot *facts.Snapshot, sent link.SentSequences, now time.Time) *linkpb.Facts {
 	message := link.EncodeFacts(snapshot, sent, c.sentSnapshot, now)
-	message.AgeUs = link.AgeMicros(c.registry, now)
 	message.Instances = int32(len(c.followers))
 	message.Strongest = c.maxCandidateShare()
 	return message
--- a/internal/holder/rejoin_test.go
+++ b/internal/holder/rejoin_test.go
@@ -25,7 +25,7 @@
 	if h.joins.Add(1) > 1 {
 		return false
 	}
-	f.Send(&linkpb.Down{Facts: []*linkpb.Facts{{AgeUs: -1}}})
+	f.Send(&linkpb.Down{Facts: []*linkpb.Facts{{}}})
 	go func() {
 		<-h.heard
 		h.store.Delete(KeyHolder)
--- a/internal/link/backpressure_test.go
+++ b/internal/link/backpressure_test.go
@@ -25,7 +25,7 @@
 		snapshot := holder.Snapshot()
 		message := EncodeFacts(snapshot, sent, base, now)
 		base, sent = snapshot, SentSequences{Backpressure: snapshot.BackpressureSequence}
-		receiver.Apply(message, now)
+		receiver.Apply(message, now, now)
 		return len(message.Backpressure)
 	}
 	is.Equal(sync(), 0)
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"storj.io/drpc/drpcconn"
@@ -15,22 +16,23 @@
 // Client is a follower's end of a link to a holder.
 type Client struct {
 	conn   *drpcconn.Conn
+	clock  *Clock
 	outbox chan *linkpb.Up
 	done   chan struct{}
 	closed atomic.Bool
 }
 
 // Dial connects to the holder at address and joins it. One goroutine calls onDown with
-// each message, in order.
-func Dial(ctx context.Context, address string, member Member, onDown func(*linkpb.Down)) (*Client, error) {
+// each message, in order. The clock must be new.
+func Dial(ctx context.Context, address string, member Member, clock *Clock, onDown func(*linkpb.Down)) (*Client, error) {
 	raw, err := dial(ctx, address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to the holder at %s", address)
 	}
-	c := &Client{conn: drpcconn.New(raw), outbox: make(chan *linkpb.Up, outboxSize), done: make(chan struct{})}
+	c := &Client{conn: drpcconn.New(raw), clock: clock, outbox: make(chan *linkpb.Up, outboxSize), done: make(chan struct{})}
 	stream, err := linkpb.NewDRPCLinkClient(c.conn).Follow(context.Background())
 	if err == nil {
-		err = stream.Send(&linkpb.Up{Instance: member.Instance, Domain: member.Domain, Address: member.Address, Processor: member.ProcessorShare, HolderChanges: member.HolderChanges, Stopping: member.Stopping, Ending: member.Ending})
+		err = stream.Send(&linkpb.Up{Instance: member.Instance, Domain: member.Domain, Address: member.Address, Processor: member.ProcessorShare, HolderChanges: member.HolderChanges, Stopping: member.Stopping, Ending: member.Ending, SentUs: clock.stamp()})
 	}
 	if err != nil {
 		c.Close()
@@ -71,6 +73,11 @@
 	return down.Holder, nil
 }
 
+// ReadTime encodes when the store was read for a message to the holder.
+func (c *Client) ReadTime(at time.Time) int64 {
+	return c.clock.encode(at)
+}
+
 // Done returns a channel that is closed when the link has ended.
 func (c *Client) Done() <-chan struct{} {
 	return c.done
@@ -104,6 +111,7 @@
 		if err != nil {
 			return
 		}
+		c.clock.observe(down.SentUs, time.Now())
 		onDown(down)
 		if down.Proof != 0 {
 			c.Send(&linkpb.Up{Proof: down.Proof}) // if this fails, the holder does not count this instance
@@ -113,15 +121,22 @@
 
 func (c *Client) send(stream linkpb.DRPCLink_FollowClient) {
 	defer c.Close()
+	idle := time.NewTicker(stampInterval)
+	defer idle.Stop()
 	for {
+		up := &linkpb.Up{}
 		select {
 		case <-c.done:
 			return
-		case up := <-c.outbox:
-			if err := stream.Send(c.merge(up)); err != nil {
-				return
-			}
+		case up = <-c.outbox:
+		case <-idle.C:
+		}
+		up = c.merge(up)
+		up.SentUs = c.clock.stamp()
+		if err := stream.Send(up); err != nil {
+			return
 		}
+		idle.Reset(stampInterval)
 	}
 }
 
@@ -138,7 +153,7 @@
 			up.Proof = max(up.Proof, more.Proof)
 			up.Stopping, up.Ending = up.Stopping || more.Stopping, up.Ending || more.Ending
 			if more.Facts != nil {
-				up.Facts = more.Facts // a later read of the store replaces an earlier one
+				up.Facts, up.ReadUs = more.Facts, more.ReadUs // a later read of the store replaces an earlier one
 			}
 		default:
 			return up
--- a/internal/link/client_test.go
+++ b/internal/link/client_test.go
@@ -31,7 +31,7 @@
 	go func() { served <- NewServer(handler).Serve(ctx, listener) }()
 
 	for _, member := range []Member{{Instance: "running", ProcessorShare: 0.8}, {Instance: "stopping", Stopping: true}, {Instance: "ending", Stopping: true, Ending: true}} {
-		c, err := Dial(ctx, listener.Addr().String(), member, func(*linkpb.Down) {})
+		c, err := Dial(ctx, listener.Addr().String(), member, NewClock(), func(*linkpb.Down) {})
 		is.NoErr(err)
 		is.Equal(<-handler.joined, member)
 		c.Send(&linkpb.Up{Stopping: true})
--- a/internal/link/constants.go
+++ b/internal/link/constants.go
@@ -13,6 +13,9 @@
 	// unackedTimeout is how long sent bytes may remain unacknowledged before the
 	// connection is closed.
 	unackedTimeout = time.Second
+	// stampInterval is how often a follower sends a message if there is nothing else to send:
+	// once in each window of the clock.
+	stampInterval = time.Second
 	// HeartbeatInterval is how often the holder sends heartbeats to its followers.
 	HeartbeatInterval = 250 * time.Millisecond
 	// HeartbeatTimeout is how long a follower waits for a heartbeat before it closes the
--- a/internal/link/convert.go
+++ b/internal/link/convert.go
@@ -102,7 +102,7 @@
 // changes to that part since base are included.
 func EncodeFacts(snapshot *facts.Snapshot, sent SentSequences, base *facts.Snapshot, now time.Time) *linkpb.Facts {
 	out := &linkpb.Facts{
-		Epoch: snapshot.Epoch, AgeUs: -1,
+		Epoch:          snapshot.Epoch,
 		OrdersRevision: snapshot.OperatorSettings.Revision, ListingRevision: snapshot.ListingRevision,
 	}
 	if snapshot.OperatorSettingsSequence != sent.OperatorSettings {
@@ -152,16 +152,6 @@
 	return out
 }
 
-// AgeMicros returns how long ago the store was read for the registry, in microseconds, or
-// -1 if it has not been read yet.
-func AgeMicros(registry *facts.Registry, now time.Time) int64 {
-	age, known := registry.Age(now)
-	if !known {
-		return -1
-	}
-	return age.Microseconds()
-}
-
 func encodeServers(servers []fleet.Server, now time.Time) []*linkpb.Server {
 	out := make([]*linkpb.Server, 0, len(servers))
 	for _, s := range servers {
--- a/internal/link/factsreceiver.go
+++ b/internal/link/factsreceiver.go
@@ -22,6 +22,7 @@
 // not safe for concurrent use; EncodeReading is.
 type FactsReceiver struct {
 	registry         *facts.Registry
+	clock            *Clock
 	operatorSettings fleet.OperatorSettings
 	servers          map[string]fleet.Server
 	ownedRanges      map[string][]owners.OwnedRange
@@ -32,46 +33,57 @@
 
 // NewFactsReceiver returns a receiver for the facts of one sender.
 func NewFactsReceiver(registry *facts.Registry) *FactsReceiver {
-	r := &FactsReceiver{registry: registry}
+	r := &FactsReceiver{registry: registry, clock: NewClock()}
 	r.appliedSettingsSequence.Store(notApplied)
 	r.appliedListingSequence.Store(notApplied)
 	return r
 }
 
+// Clock returns the clock of the link over which the facts come.
+func (r *FactsReceiver) Clock() *Clock {
+	return r.clock
+}
+
+// ReadAt returns when the store was read from which the facts of a message come, or the zero
+// time if that is unknown.
+func (r *FactsReceiver) ReadAt(down *linkpb.Down) time.Time {
+	return r.clock.decode(down.ReadUs)
+}
+
 // Apply publishes the facts of a message that arrived at now: the owners of keys, and
-// what the sender read from the store f.AgeUs microseconds earlier.
-func (r *FactsReceiver) Apply(f *linkpb.Facts, now time.Time) {
+// what the sender read from the store at readAt, or the zero time if that is unknown.
+func (r *FactsReceiver) Apply(f *linkpb.Facts, readAt, now time.Time) {
 	r.merge(f, now)
 	MergeBackpressure(r.registry, f.Backpressure, now)
 	if f.Ownership != nil {
 		r.registry.UpdateOwners(r.ownedRanges, f.Epoch)
 	}
-	if f.AgeUs < 0 {
-		return // the sender has not read the store
+	readBy := readAt
+	if readBy.IsZero() {
+		readBy = now
 	}
-	readAt := now.Add(-microseconds(f.AgeUs))
 	if r.operatorSettings.Config != nil && r.appliedSettingsSequence.Load() != r.registry.Snapshot().OperatorSettingsSequence {
 		operatorSettings := r.operatorSettings
 		operatorSettings.Revision = f.OrdersRevision
-		if r.registry.UpdateOperatorSettings(operatorSettings, readAt) {
+		if r.registry.UpdateOperatorSettings(operatorSettings, readBy) {
 			r.appliedSettingsSequence.Store(r.registry.Snapshot().OperatorSettingsSequence)
 		}
 	}
 	if len(r.servers) > 0 && r.appliedListingSequence.Load() != r.registry.Snapshot().ListingSequence {
-		if r.registry.UpdateListing(fleet.Listing{Revision: f.ListingRevision, Source: fleet.SourceLink, Servers: r.sortedServers()}, readAt) {
+		if r.registry.UpdateListing(fleet.Listing{Revision: f.ListingRevision, Source: fleet.SourceLink, Servers: r.sortedServers()}, readBy) {
 			r.appliedListingSequence.Store(r.registry.Snapshot().ListingSequence)
 		}
 	}
-	r.registry.ConfirmRead(readAt)
+	if !readAt.IsZero() {
+		r.registry.ConfirmRead(readAt)
+	}
 }
 
 // EncodeReading converts what this instance has read from the store, as a message to
-// the sender: the age of the read, and the parts that differ from what the sender sent.
+// the sender: the parts that differ from what the sender sent.
 func (r *FactsReceiver) EncodeReading(now time.Time) *linkpb.Facts {
 	snapshot := r.registry.Snapshot()
-	out := EncodeFacts(snapshot, SentSequences{OperatorSettings: r.appliedSettingsSequence.Load(), Listing: r.appliedListingSequence.Load(), OwnedRanges: snapshot.OwnedRangesSequence, Backpressure: snapshot.BackpressureSequence}, nil, now)
-	out.AgeUs = AgeMicros(r.registry, now)
-	return out
+	return EncodeFacts(snapshot, SentSequences{OperatorSettings: r.appliedSettingsSequence.Load(), Listing: r.appliedListingSequence.Load(), OwnedRanges: snapshot.OwnedRangesSequence, Backpressure: snapshot.BackpressureSequence}, nil, now)
 }
 
 // merge applies the changes in a message to the facts received before.
--- a/internal/link/factsreceiver_test.go
+++ b/internal/link/factsreceiver_test.go
@@ -40,12 +40,12 @@
 	registry := facts.NewRegistry(nil, nil)
 	receiver := NewFactsReceiver(registry)
 	with := &linkpb.Listing{Servers: []*linkpb.Server{{Name: "a", Address: "a"}, {Name: "b", Address: "b"}}}
-	receiver.Apply(&linkpb.Facts{Listing: with, ListingRevision: 10}, now)
+	receiver.Apply(&linkpb.Facts{Listing: with, ListingRevision: 10}, now, now)
 	is.Equal(names(registry), []string{"a", "b"})
 	registry.UpdateListing(listed(15, "a"), now) // the entry of b was missing for a moment
-	receiver.Apply(&linkpb.Facts{ListingRevision: 12}, now)
+	receiver.Apply(&linkpb.Facts{ListingRevision: 12}, now, now)
 	is.Equal(names(registry), []string{"a"})
-	receiver.Apply(&linkpb.Facts{ListingRevision: 20}, now)
+	receiver.Apply(&linkpb.Facts{ListingRevision: 20}, now, now)
 	is.Equal(names(registry), []string{"a", "b"})
 }
 
@@ -57,10 +57,10 @@
 	registry := facts.NewRegistry(nil, nil)
 	old := &linkpb.Listing{Servers: []*linkpb.Server{{Name: "old", Address: "a"}}}
 	next := &linkpb.Listing{Servers: []*linkpb.Server{{Name: "new", Address: "b"}}}
-	NewFactsReceiver(registry).Apply(&linkpb.Facts{Listing: old, ListingRevision: 10}, resumedAt.Add(20*time.Millisecond))
-	NewFactsReceiver(registry).Apply(&linkpb.Facts{Listing: next, ListingRevision: 11, AgeUs: 100_000}, resumedAt.Add(30*time.Millisecond))
+	NewFactsReceiver(registry).Apply(&linkpb.Facts{Listing: old, ListingRevision: 10}, resumedAt.Add(20*time.Millisecond), resumedAt.Add(20*time.Millisecond))
+	NewFactsReceiver(registry).Apply(&linkpb.Facts{Listing: next, ListingRevision: 11}, resumedAt.Add(-70*time.Millisecond), resumedAt.Add(30*time.Millisecond))
 	is.Equal(names(registry), []string{"new"})
-	NewFactsReceiver(registry).Apply(&linkpb.Facts{Listing: old, ListingRevision: 10}, resumedAt.Add(40*time.Millisecond))
+	NewFactsReceiver(registry).Apply(&linkpb.Facts{Listing: old, ListingRevision: 10}, resumedAt.Add(40*time.Millisecond), resumedAt.Add(40*time.Millisecond))
 	is.Equal(names(registry), []string{"new"})
 }
 
@@ -77,9 +77,8 @@
 	sync := func() int {
 		snapshot := holder.Snapshot()
 		message := EncodeFacts(snapshot, sent, base, now)
-		message.AgeUs = 0
 		base, sent = snapshot, SentSequences{OperatorSettings: snapshot.OperatorSettingsSequence, Listing: snapshot.ListingSequence, OwnedRanges: snapshot.OwnedRangesSequence}
-		receiver.Apply(message, now)
+		receiver.Apply(message, now, now)
 		is.Equal(names(follower), names(holder))
 		is.Equal(follower.Snapshot().OwnedRanges, holder.Snapshot().OwnedRanges)
 		return proto.Size(message)
@@ -113,16 +112,14 @@
 	receiver := NewFactsReceiver(follower)
 	holder.UpdateListing(listed(1, "a", "b"), now)
 	message := EncodeFacts(holder.Snapshot(), SentSequences{}, nil, now)
-	message.AgeUs = 0
-	receiver.Apply(message, now)
+	receiver.Apply(message, now, now)
 	follower.UpdateListing(listed(5, "a", "b"), now) // the follower's own read, with the same servers
 	follower.ConfirmRead(now)
 	reading := receiver.EncodeReading(now)
 	is.Equal(reading.Listing, nil)
-	is.Equal(reading.AgeUs, int64(0))
 	follower.UpdateListing(listed(6, "a"), now)
 	reading = receiver.EncodeReading(now)
 	is.Equal(len(reading.Listing.Servers), 1)
-	NewFactsReceiver(holder).Apply(reading, now)
+	NewFactsReceiver(holder).Apply(reading, now, now)
 	is.Equal(names(holder), []string{"a"})
 }
--- a/internal/link/follower.go
+++ b/internal/link/follower.go
@@ -21,12 +21,26 @@
 	// one, and ProvedAt when the latest proof was sent that it has returned. They are used
 	// only by the handler's event loop.
 	JoinedAt, ProvedAt time.Time
+	// clock translates to the clock of the instance. It is nil if both ends are in one process.
+	clock *Clock
 	// send queues a message without blocking. It returns false if the queue is full.
 	send       func(*linkpb.Down) bool
 	disconnect func()
 	closed     atomic.Bool
 }
 
+// ReadTime encodes when the store was read, for a message with facts, or 0 if the instance
+// cannot be told.
+func (f *Follower) ReadTime(at time.Time) int64 {
+	return f.clock.encode(at)
+}
+
+// ReadAt returns when the store was read from which the facts of a message come, or the zero
+// time if that is unknown.
+func (f *Follower) ReadAt(up *linkpb.Up) time.Time {
+	return f.clock.decode(up.ReadUs)
+}
+
 // Send queues a message. It disconnects a follower whose queue is full.
 func (f *Follower) Send(d *linkpb.Down) {
 	if !f.send(d) {
--- a/internal/link/local.go
+++ b/internal/link/local.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"peridotmoor.org/peridotmoor/internal/link/linkpb"
 )
@@ -58,6 +59,11 @@
 	return true
 }
 
+// ReadTime returns 0: both ends have the same facts, and a message must not make them younger.
+func (l *Local) ReadTime(time.Time) int64 {
+	return 0
+}
+
 // Done returns a channel that is closed when the link has ended.
 func (l *Local) Done() <-chan struct{} {
 	return l.done
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/pkg/errors"
 	"storj.io/drpc/drpcmux"
@@ -51,11 +52,14 @@
 	if first.Question {
 		return errors.Wrap(stream.Send(&linkpb.Down{Holder: s.handler.Holder()}), "answer a question for the holder")
 	}
+	clock := NewClock()
+	clock.observe(first.SentUs, time.Now())
 	outbox := make(chan *linkpb.Down, outboxSize)
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	f := &Follower{
 		Member: Member{Instance: first.Instance, Domain: first.Domain, Address: first.Address, ProcessorShare: first.Processor, HolderChanges: first.HolderChanges, Stopping: first.Stopping, Ending: first.Ending},
+		clock:  clock,
 		send: func(d *linkpb.Down) bool {
 			select {
 			case outbox <- d:
@@ -79,7 +83,9 @@
 		case <-ctx.Done():
 			return nil
 		case d := <-outbox:
-			if err := stream.Send(merge(d, outbox)); err != nil {
+			d = merge(d, outbox)
+			d.SentUs = clock.stamp()
+			if err := stream.Send(d); err != nil {
 				return errors.Wrap(err, "send a message to a follower")
 			}
 		}
@@ -93,6 +99,7 @@
 		if err != nil {
 			return
 		}
+		f.clock.observe(up.SentUs, time.Now())
 		s.handler.Receive(f, up)
 	}
 }
@@ -106,6 +113,9 @@
 			d.Waiting = append(d.Waiting, more.Waiting...)
 			d.Facts = append(d.Facts, more.Facts...)
 			d.Losses = append(d.Losses, more.Losses...)
+			if len(more.Facts) > 0 {
+				d.ReadUs = more.ReadUs
+			}
 			d.Proof = max(d.Proof, more.Proof)
 			if len(more.Peers) > 0 {
 				d.Peers = more.Peers
