Begin reads of the store at a fixed pace, whatever becomes of the one before

Cause: a read began after the one before had ended, 0.9 s without an answer and a pause of 0.3 s included, and the list of servers was thrown away if the operators' settings, asked for after it, could not be read. With reads of 0.8 s and one without an answer the facts of the holder grew 2.6 s old; 2 s are the limit for the whole fleet.

Both parts are read at the same time, and each is applied if it was read; the facts count as read only if both were.

--- a/internal/facts/reader.go
+++ b/internal/facts/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/events"
@@ -18,11 +19,13 @@
 	relistPeriod = 2200 * time.Millisecond
 )
 
-// Reader reads the facts from the store into a registry.
+// Reader reads the facts from the store into a registry. It is safe for concurrent use:
+// readings may overlap, and one that is older than the registry changes nothing.
 type Reader struct {
 	source   Source
 	registry *Registry
 	log      *events.Logger
+	mu       sync.Mutex // protects the fields below
 	// recoveredAt is when the store was reachable again after the last outage.
 	recoveredAt time.Time
 	// unreadable holds the keys of the entries that the last reading could not decode.
@@ -30,46 +33,61 @@
 	storeLost  bool
 }
 
-// NewReader returns a reader. Its Read is not safe for concurrent use.
+// NewReader returns a reader.
 func NewReader(source Source, registry *Registry, log *events.Logger) *Reader {
 	return &Reader{source: source, registry: registry, log: log, unreadable: map[string]bool{}}
 }
 
-// Read reads all facts once. It returns an error if the store could not be read.
+// Read reads all facts once. It returns an error if a part of them could not be read; the
+// other part is applied, and the facts count as read only as of an earlier reading.
 func (r *Reader) Read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	began := time.Now()
-	listing, err := r.source.Listing(ctx)
+	var listing fleet.Listing
+	var listingErr error
+	listed := make(chan struct{})
+	go func() {
+		defer close(listed)
+		listing, listingErr = r.source.Listing(ctx)
+	}()
+	settings, settingsErr := r.source.OperatorSettings(ctx)
+	<-listed
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if settingsErr == nil {
+		r.registry.UpdateOperatorSettings(settings, began)
+	}
+	if listingErr == nil {
+		r.applyListing(began, listing)
+	}
+	err := listingErr
 	if err == nil {
-		var settings fleet.OperatorSettings
-		if settings, err = r.source.OperatorSettings(ctx); err == nil {
-			r.apply(began, listing, settings)
-			return nil
-		}
+		err = settingsErr
 	}
-	if !r.storeLost && ctx.Err() != context.Canceled {
+	switch {
+	case err == nil:
+		r.registry.ConfirmRead(began)
+		if r.storeLost {
+			r.storeLost = false
+			r.log.Emit(events.StoreRegained)
+		}
+	case !r.storeLost && ctx.Err() != context.Canceled:
 		r.storeLost = true
 		r.log.Emit(events.StoreLost, "detail", err.Error())
 	}
 	return err
 }
 
-func (r *Reader) apply(began time.Time, listing fleet.Listing, settings fleet.OperatorSettings) {
+func (r *Reader) applyListing(began time.Time, listing fleet.Listing) {
 	if age, known := r.registry.Age(began); known && age > outageThreshold {
 		r.recoveredAt = began
 	}
-	if r.storeLost {
-		r.storeLost = false
-		r.log.Emit(events.StoreRegained)
-	}
 	r.logUnreadable(listing.Unreadable)
 	if began.Sub(r.recoveredAt) < relistPeriod {
 		listing.Servers = RetainMissing(r.registry.Snapshot().Servers, listing.Servers)
 	}
-	r.registry.UpdateOperatorSettings(settings, began)
 	r.registry.UpdateListing(listing, began)
-	r.registry.ConfirmRead(began)
 }
 
 // logUnreadable logs each entry that has become unreadable since the last reading.
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -181,7 +181,7 @@
 	<-keyDone
 	<-loopDone
 	c.orderCalls.Wait() // no order may follow the release of the lease
-	<-readerDone        // only one goroutine at a time may use the reader
+	<-readerDone
 	e.coordinator.Store(nil)
 	e.current.Store(nil)
 	endedAt := time.Now()
@@ -194,15 +194,6 @@
 	c.disconnectAll() // after the key has been deleted, as followers look for the next holder at once
 }
 
-const (
-	// storeReadInterval is the time from the beginning of a read of the store to that of
-	// the next one, so that slow reads do not make the facts older. All instances must
-	// know of a leaving server or a new configuration within two seconds.
-	storeReadInterval = 600 * time.Millisecond
-	// minStoreReadPause is the least time between two reads that take longer.
-	minStoreReadPause = 50 * time.Millisecond
-)
-
 // renewLease renews the lease. It returns when the lease is lost, when another holder
 // has appeared or when this one yields.
 func (e *Elector) renewLease(ctx context.Context, c *Coordinator, lease store.LeaseID, confirmedAt time.Time) {
