Send requests only by facts that are recent, checked right before the write

What callers saw: a request at a server 2.9 s after the store had acknowledged that it leaves.

Cause: nothing bounded the age of what an instance sends by. Between two holders, behind a slow link or while the holder reads late it went on by the last facts that it had. The check that the server is usable stood before the connection was made, which may take 0.3 s.

Change: a request is written only if the last reading of the store that this instance knows of is at most 1.8 s old, and the server is still usable, both asked after the last wait. If the facts are older, the request reads the store, together with the others that wait, and the reading is shared with the holder. If the store does not answer within 60 ms, the server's own health check decides, once in 1.8 s for each server. Otherwise the request is placed again or refused; it has not run. Without the store and without a health check of the service requests go on, since nobody could serve them at all.

--- a/internal/backhttp/expired_test.go
+++ b/internal/backhttp/expired_test.go
@@ -26,15 +26,18 @@
 func (c lateTimerContext) Deadline() (time.Time, bool) { return c.deadline, true }
 
 // Guards against a request that is written after its time, since the timer of its deadline
-// was late or the machine was suspended, and against a connection lost for that.
+// was late or the machine was suspended, or that is written although the server may not get
+// it any more, and against a connection lost for that.
 func TestExpiredRequestIsNotWritten(t *testing.T) {
 	for name, c := range map[string]struct {
 		deadline time.Time
 		sendBy   boottime.Instant
+		withheld bool
 	}{
 		"deadline passed, timer late":          {deadline: time.Now()},
 		"suspended, before the deadline":       {deadline: time.Now().Add(time.Hour), sendBy: boottime.Now()},
 		"suspended, without a deadline at all": {sendBy: boottime.Now()},
+		"may no longer be written":             {withheld: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -58,10 +61,12 @@
 			}
 			late := newRequest("late")
 			late.SendBy = c.sendBy
+			late.MayWrite = func() bool { return !c.withheld }
 			_, err = pool.Do(ctx, late)
 			var failure *RequestError
 			is.True(errors.As(err, &failure))
-			is.True(failure.Expired)
+			is.Equal(failure.Expired, !c.withheld)
+			is.Equal(failure.Withheld, c.withheld)
 			is.True(!failure.Sent)
 			_, err = pool.Do(context.Background(), newRequest("next"))
 			is.NoErr(err)
--- a/internal/backhttp/pool.go
+++ b/internal/backhttp/pool.go
@@ -74,9 +74,9 @@
 
 func (p *Pool) run(ctx context.Context, c *conn, x *exchange) (*Response, error) {
 	err := c.limitDelivery(ctx, x.request)
-	if timeErr := x.request.checkTime(ctx); timeErr != nil { // as late as possible
+	if checkErr := x.request.checkWrite(ctx); checkErr != nil { // as late as possible
 		p.withdraw(c, x)
-		return nil, &RequestError{Expired: errors.Is(timeErr, errExpired), Cause: timeErr}
+		return nil, &RequestError{Expired: errors.Is(checkErr, errExpired), Withheld: errors.Is(checkErr, errWithheld), Cause: checkErr}
 	}
 	if err == nil {
 		err = c.write(x.request)
--- a/internal/backhttp/request.go
+++ b/internal/backhttp/request.go
@@ -27,6 +27,8 @@
 	// SendBy is the time from which the request must not be written, or none. Unlike the
 	// deadline of the context, it goes on while the machine is suspended.
 	SendBy boottime.Instant
+	// MayWrite, if set, is asked right before the first byte is written.
+	MayWrite func() bool
 	// EndWithDeadline makes the kernel, too, give up the delivery of the request at the
 	// deadline of the context, so that it ends even if the process is stopped after the write.
 	EndWithDeadline bool
--- a/internal/backhttp/requesterror.go
+++ b/internal/backhttp/requesterror.go
@@ -12,6 +12,9 @@
 	// Expired reports whether the connection was there, but this process came to write the
 	// request only after its time. That says nothing about the server.
 	Expired bool
+	// Withheld reports whether the connection was there, but MayWrite of the request has
+	// forbidden the write.
+	Withheld bool
 	// WrittenAt is when the write of the request ended, or the zero time if none began.
 	WrittenAt time.Time
 	Cause     error
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -56,7 +56,10 @@
 		RetryBudget: placing.RetryBudget{Window: config.RetryWindow, Ratio: config.RetryRatio, Extra: config.RetryExtra},
 		FirstStart:  config.FirstStart, ProcessorShare: config.ProcessorShare, OnOrderWritten: n.metrics.orderWritten,
 	})
-	n.gateway = gateway.New(config.Domain, n.facts, schedulerClient, n.backends, n.metrics, log)
+	n.gateway = gateway.New(gateway.Options{
+		Domain: config.Domain, Registry: n.facts, Scheduler: schedulerClient, Backends: n.backends,
+		Refresher: facts.NewOnDemand(reader, n.elector.ShareReading), Prober: n.backends, Metrics: n.metrics, Log: log,
+	})
 	reportWriteError := func(id string, err error) { log.Emit(events.CallUnwritten, "request", id, "detail", err.Error()) }
 	n.callerServer = callerhttp.NewServer(platform.CallerHandler{Gateway: n.gateway, OnWriteError: reportWriteError}, n.callerLimits)
 	log.Emit(events.InstanceStarted, "callers", config.CallerAddress, "peers", config.PeerAddress, "incarnation", self.Incarnation)
--- /dev/null
+++ b/internal/facts/ondemand.go
@@ -0,0 +1,61 @@
+package facts
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// refreshWait is how long a request waits for a reading of the store. A healthy store
+	// answers in milliseconds.
+	refreshWait = 60 * time.Millisecond
+	// refreshPause is the time after a reading that failed in which requests begin none.
+	refreshPause = time.Second
+)
+
+// OnDemand reads the store for requests that find the facts too old. It is safe for
+// concurrent use: requests share a reading and wait for it on a channel.
+type OnDemand struct {
+	reader *Reader
+	// onRead is called after each reading that succeeded.
+	onRead func()
+	latest atomic.Pointer[sharedReading]
+}
+
+// NewOnDemand returns an OnDemand that reads with reader and then calls onRead.
+func NewOnDemand(reader *Reader, onRead func()) *OnDemand {
+	return &OnDemand{reader: reader, onRead: onRead}
+}
+
+// Refresh reads the store. It returns false if that takes too long for a request, in which
+// case the reading goes on, and if the last one has just failed.
+func (o *OnDemand) Refresh(ctx context.Context) bool {
+	now := time.Now()
+	last := o.latest.Load()
+	if last == nil || last.isOver(now) {
+		next := &sharedReading{beganAt: now, done: make(chan struct{})}
+		if o.latest.CompareAndSwap(last, next) {
+			go o.read(next)
+		}
+		last = o.latest.Load()
+	}
+	wait := time.NewTimer(last.beganAt.Add(refreshWait).Sub(now))
+	defer wait.Stop()
+	select {
+	case <-last.done:
+		return last.err == nil
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+func (o *OnDemand) read(r *sharedReading) {
+	r.err = o.reader.Read(context.Background()) // for all requests, whichever of them ends
+	if r.err == nil {
+		o.onRead()
+	}
+	r.endedAt = time.Now()
+	close(r.done)
+}
--- /dev/null
+++ b/internal/facts/sharedreading.go
@@ -0,0 +1,22 @@
+package facts
+
+import "time"
+
+// sharedReading is a reading of the store for which requests wait.
+type sharedReading struct {
+	beganAt time.Time
+	// done is closed when the reading has ended. The fields below are set before that.
+	done    chan struct{}
+	err     error
+	endedAt time.Time
+}
+
+// isOver reports whether the next request begins another reading.
+func (r *sharedReading) isOver(now time.Time) bool {
+	select {
+	case <-r.done:
+		return r.err == nil || now.Sub(r.endedAt) >= refreshPause
+	default:
+		return false
+	}
+}
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -6,6 +6,8 @@
 type Health struct {
 	// Server is the name of the server that responded.
 	Server string
+	// Serving is set if the server takes new work.
+	Serving bool
 	// ColdRemaining is how much longer the server stays cold.
 	ColdRemaining time.Duration
 }
--- a/internal/gateway/backpressure_test.go
+++ b/internal/gateway/backpressure_test.go
@@ -50,7 +50,7 @@
 	client.ObserveSignal(fleet.Incarnation{Name: "a"}, backpressure.Signal{Leaving: true})
 	is.Equal(l.leavingNames(), []string{"a"}) // the holder is told at once
 	backends := &scriptedClient{results: []AttemptResult{{Outcome: placing.Answered, Response: &backhttp.Response{Status: 200}}}}
-	g := New("d", registry, client, backends, noMetrics{}, nil)
+	g := newGateway(registry, client, backends, nil)
 	reply := g.Handle(t.Context(), &Call{ID: "1", Method: "POST", Host: "h", Path: "/p/x", Header: http.Header{}, Key: placing.NoKey, ArrivedAt: time.Now(), Timeout: time.Second, Body: NewBody(nil, 0)})
 	is.Equal(reply.Outcome, OutcomeAnswered)
 	is.Equal(backends.sent, []string{"b"})
@@ -88,7 +88,7 @@
 	is.Equal(len(l.sent[0].Backpressure), 2) // the holder is told when the instance joins it
 	is.True(l.sent[0].Backpressure[0].PauseUs > 0)
 	backends := &scriptedClient{results: []AttemptResult{{Outcome: placing.Answered, Response: &backhttp.Response{Status: 200}}}}
-	g := New("d", registry, client, backends, noMetrics{}, nil)
+	g := newGateway(registry, client, backends, nil)
 	reply := g.Handle(t.Context(), &Call{ID: "1", Method: "POST", Host: "h", Path: "/p/x", Header: http.Header{}, Key: placing.NoKey, ArrivedAt: time.Now(), Timeout: time.Second, Body: NewBody(nil, 0)})
 	is.Equal(reply.Outcome, OutcomeAnswered)
 	is.Equal(backends.sent, []string{"c"})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	backends  BackendClient
 	domain    string
 	log       *events.Logger
+	check     *serverCheck
 	metrics   Metrics
 	// shareCounters counts the calls of each route, to split them over its services.
 	shareCounters sync.Map // route name to *atomic.Uint64
@@ -31,9 +32,12 @@
 	inProgress atomic.Int64
 }
 
-// New returns the gateway of an instance in the given failure domain.
-func New(domain string, registry *facts.Registry, scheduler *SchedulerClient, backends BackendClient, metrics Metrics, log *events.Logger) *Gateway {
-	return &Gateway{domain: domain, registry: registry, scheduler: scheduler, backends: backends, metrics: metrics, log: log}
+// New returns the gateway of an instance.
+func New(o Options) *Gateway {
+	return &Gateway{
+		domain: o.Domain, registry: o.Registry, scheduler: o.Scheduler, backends: o.Backends, metrics: o.Metrics, log: o.Log,
+		check: &serverCheck{registry: o.Registry, refresher: o.Refresher, prober: o.Prober, log: o.Log},
+	}
 }
 
 // StopAt makes the gateway refuse the further calls that could still be in progress at
@@ -183,25 +187,29 @@
 // send makes one attempt at the assigned server and reports its end to the scheduler.
 func (g *Gateway) send(ctx context.Context, call *Call, state *callState, decision placing.Decision) AttemptResult {
 	completion := placing.Completion{AttemptID: decision.AttemptID, Server: decision.Server, Outcome: placing.Unused, ContentHash: state.contentHash}
-	snapshot := g.registry.Snapshot()
-	server := snapshot.Server(decision.Server)
-	now := time.Now()
-	maySend := server != nil && snapshot.MaySend(server, now)
+	server := g.registry.Snapshot().Server(decision.Server)
+	if server != nil && !g.check.isRecent(server.Incarnation, time.Now()) {
+		g.check.refresh(ctx, server)
+	}
+	maySend := server != nil && g.maySend(server.Incarnation)
 	if server != nil && !maySend {
 		g.scheduler.ReportState(server.Incarnation) // the holder may not know yet what the server has asked
 	}
-	if !maySend || state.deadline.Sub(now) < minAttemptTime {
+	sentAt := time.Now()
+	if !maySend || state.deadline.Sub(sentAt) < minAttemptTime {
 		g.scheduler.Complete(completion)
-		return AttemptResult{Outcome: placing.Unused, Detail: "the assigned server is no longer usable, or too little time is left"}
+		return AttemptResult{Outcome: placing.Unused, Detail: "the assigned server is no longer usable, what is known of it is too old, or too little time is left"}
+	}
+	result := g.backends.Send(ctx, server, call, state.deadline, func() bool { return g.maySend(server.Incarnation) })
+	completion.Outcome, completion.Load, completion.Duration = result.Outcome, result.Load, time.Since(sentAt)
+	g.scheduler.Complete(completion)
+	if result.Outcome == placing.Unused {
+		return result
 	}
-	sentAt := time.Now()
 	if age, known := g.registry.Age(sentAt); known {
 		state.factsAge = age
 		g.metrics.FactsAge(age)
 	}
-	result := g.backends.Send(ctx, server, call, state.deadline)
-	completion.Outcome, completion.Load, completion.Duration = result.Outcome, result.Load, time.Since(sentAt)
-	g.scheduler.Complete(completion)
 	state.server = decision.Server
 	state.sends++
 	if result.Outcome != placing.Unreached {
@@ -209,3 +217,12 @@
 	}
 	return result
 }
+
+// maySend reports whether a server may get a request now. Its answer holds for the write
+// that follows at once: the facts change while a connection is made.
+func (g *Gateway) maySend(incarnation fleet.Incarnation) bool {
+	now := time.Now()
+	snapshot := g.registry.Snapshot()
+	server := snapshot.Server(incarnation.Name)
+	return server != nil && server.Incarnation == incarnation && snapshot.MaySend(server, now) && g.check.isRecent(incarnation, now)
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"peridotmoor.org/peridotmoor/internal/backhttp"
+	"peridotmoor.org/peridotmoor/internal/events"
 	"peridotmoor.org/peridotmoor/internal/facts"
 	"peridotmoor.org/peridotmoor/internal/fleet"
 	"peridotmoor.org/peridotmoor/internal/link/linkpb"
@@ -24,9 +25,17 @@
 type scriptedClient struct {
 	results []AttemptResult
 	sent    []string
+	// beforeWrite, if set, is called while a connection is made.
+	beforeWrite func()
 }
 
-func (s *scriptedClient) Send(ctx context.Context, server *fleet.Server, _ *Call, _ time.Time) AttemptResult {
+func (s *scriptedClient) Send(ctx context.Context, server *fleet.Server, _ *Call, _ time.Time, mayWrite func() bool) AttemptResult {
+	if s.beforeWrite != nil {
+		s.beforeWrite()
+	}
+	if !mayWrite() {
+		return AttemptResult{Outcome: placing.Unused}
+	}
 	s.sent = append(s.sent, server.Name)
 	r := s.results[min(len(s.sent), len(s.results))-1]
 	if r.Outcome == placing.Abandoned {
@@ -41,6 +50,19 @@
 func (noMetrics) CallEnded(string, string, time.Duration) {}
 func (noMetrics) FactsAge(time.Duration)                  {}
 
+// fakeRefresher reads the store, or cannot.
+type fakeRefresher func() bool
+
+func (f fakeRefresher) Refresh(context.Context) bool { return f() }
+
+// newGateway returns a gateway that cannot read the store.
+func newGateway(registry *facts.Registry, client *SchedulerClient, backends BackendClient, log *events.Logger) *Gateway {
+	return New(Options{
+		Domain: "d", Registry: registry, Scheduler: client, Backends: backends, Metrics: noMetrics{}, Log: log,
+		Refresher: fakeRefresher(func() bool { return false }), Prober: &fakeProber{},
+	})
+}
+
 // roundRobinLink is a link to a holder that assigns the attempts to the servers in turn.
 type roundRobinLink struct {
 	client  *SchedulerClient
@@ -67,7 +89,7 @@
 			Name: "r", Host: "h", Prefix: "/p/", Kind: kind, Timeout: 300 * time.Millisecond, LatencyTarget: 100 * time.Millisecond,
 			MaxAttempts: 2, Shares: []fleet.TrafficShare{{Service: "s", Weight: 1}},
 		}
-		return fleet.NewConfig(1, []*fleet.Service{{Name: "s"}}, []*fleet.Route{route}, fleet.Limits{BodyBytes: 1 << 20}), nil
+		return fleet.NewConfig(1, []*fleet.Service{{Name: "s", HealthPath: "/health"}}, []*fleet.Route{route}, fleet.Limits{BodyBytes: 1 << 20}), nil
 	}, nil)
 	now := time.Now()
 	registry.UpdateOperatorSettings(fleet.OperatorSettings{Config: []byte("c")}, now)
@@ -76,6 +98,7 @@
 		servers = append(servers, fleet.Server{Incarnation: fleet.Incarnation{Name: n}, Service: "s", Address: fleet.Address(n), Domain: "d", Slots: 3})
 	}
 	registry.UpdateListing(fleet.Listing{Servers: servers}, now)
+	registry.ConfirmRead(now)
 	return registry
 }
 
@@ -84,7 +107,7 @@
 	registry := newRegistry(kind)
 	client := NewSchedulerClient("i", "d", registry, nil)
 	client.Attach(&roundRobinLink{client: client, servers: []string{"a", "b", "c"}})
-	g := New("d", registry, client, backends, noMetrics{}, nil)
+	g := newGateway(registry, client, backends, nil)
 	return g.Handle(ctx, &Call{ID: "1", Method: "GET", Host: "h", Path: "/p/x", Header: http.Header{}, Key: placing.NoKey, ArrivedAt: time.Now(), Timeout: time.Second, Body: NewBody(nil, 0)})
 }
 
@@ -143,7 +166,7 @@
 func TestNotRunWithoutConfiguration(t *testing.T) {
 	is := is.New(t)
 	registry := facts.NewRegistry(nil, nil)
-	g := New("d", registry, NewSchedulerClient("i", "d", registry, nil), &scriptedClient{}, noMetrics{}, nil)
+	g := newGateway(registry, NewSchedulerClient("i", "d", registry, nil), &scriptedClient{}, nil)
 	reply := g.Handle(context.Background(), &Call{Host: "h", Path: "/p/", ArrivedAt: time.Now(), Body: NewBody(nil, 0)})
 	is.Equal(reply.Outcome, OutcomeNotRun)
 }
@@ -169,7 +192,7 @@
 				is := is.New(t)
 				registry := newRegistry(fleet.KindNonIdempotent)
 				s := &scriptedClient{results: []AttemptResult{{Outcome: placing.Answered, Response: &backhttp.Response{}}}}
-				g := New("d", registry, NewSchedulerClient("i", "d", registry, nil), s, noMetrics{}, nil)
+				g := newGateway(registry, NewSchedulerClient("i", "d", registry, nil), s, nil)
 				g.StopAt(time.Now().Add(c.left))
 				reply := g.Handle(t.Context(), &Call{Host: "h", Path: "/p/x", ArrivedAt: time.Now(), Timeout: c.timeout, Key: placing.NoKey, Body: NewBody(nil, 0)})
 				is.Equal(reply.Outcome, c.want)
--- a/internal/gateway/interrupted_test.go
+++ b/internal/gateway/interrupted_test.go
@@ -62,7 +62,7 @@
 				}
 				out := &bytes.Buffer{}
 				log := events.NewLogger(out)
-				g := New("d", registry, client, &scriptedClient{results: []AttemptResult{{Outcome: placing.Abandoned, Detail: "reset"}}}, noMetrics{}, log)
+				g := newGateway(registry, client, &scriptedClient{results: []AttemptResult{{Outcome: placing.Abandoned, Detail: "reset"}}}, log)
 				ctx, cancel := context.WithCancelCause(t.Context())
 				time.AfterFunc(50*time.Millisecond, func() {
 					is.Equal(g.InProgress(), 1)
--- a/internal/gateway/localscheduler_test.go
+++ b/internal/gateway/localscheduler_test.go
@@ -15,14 +15,15 @@
 
 // fakeProber answers each health check with the same cold start, and counts the checks.
 type fakeProber struct {
-	cold   time.Duration
-	name   string
-	checks int
+	cold    time.Duration
+	name    string
+	serving bool
+	checks  int
 }
 
 func (p *fakeProber) Health(context.Context, fleet.Server, string) (fleet.Health, error) {
 	p.checks++
-	return fleet.Health{Server: p.name, ColdRemaining: p.cold}, nil
+	return fleet.Health{Server: p.name, ColdRemaining: p.cold, Serving: p.serving}, nil
 }
 
 // Guards against instances that together overload a cold server while neither the
--- a/internal/gateway/oldfacts_test.go
+++ b/internal/gateway/oldfacts_test.go
@@ -16,6 +16,11 @@
 // may still get requests, by the platform's pages.
 const maxLeavingTime = 2 * time.Second
 
+// upload returns a call of the route of newRegistry that arrives now.
+func upload() *Call {
+	return &Call{ID: "1", Method: "POST", Host: "h", Path: "/p/x", Key: placing.NoKey, ArrivedAt: time.Now(), Timeout: time.Second, Body: NewBody(nil, 0)}
+}
+
 // Guards against requests that reach a leaving server because this instance has not heard
 // of the store for longer than such a server may get requests, whoever has placed them.
 func TestNothingIsSentByOldFacts(t *testing.T) {
@@ -30,12 +35,81 @@
 					client.Attach(&roundRobinLink{client: client, servers: []string{"a", "b", "c"}})
 				}
 				backends := &scriptedClient{results: []AttemptResult{{Outcome: placing.Answered, Response: &backhttp.Response{Status: 200}}}}
-				g := New("d", registry, client, backends, noMetrics{}, nil)
+				g := newGateway(registry, client, backends, nil)
 				time.Sleep(maxLeavingTime)
-				reply := g.Handle(t.Context(), &Call{ID: "1", Method: "POST", Host: "h", Path: "/p/x", Key: placing.NoKey, ArrivedAt: time.Now(), Timeout: time.Second, Body: NewBody(nil, 0)})
+				reply := g.Handle(t.Context(), upload())
 				is.Equal(reply.Outcome, OutcomeNotRun)
 				is.Equal(len(backends.sent), 0)
 			})
 		})
 	}
 }
+
+// Guards against refusals while the store, or the server itself, can tell that the server
+// takes new work, against a request to a server of which they tell that it does not, and
+// against a health check for each request.
+func TestOldFactsAreRefreshed(t *testing.T) {
+	for name, c := range map[string]struct {
+		storeRead, leaving, serving bool
+		noHealthCheck               bool
+		answered                    bool
+		checks                      int
+	}{
+		"the store has the server":                    {storeRead: true, answered: true},
+		"the store says that it leaves":               {storeRead: true, leaving: true},
+		"no store, the server takes requests":         {serving: true, answered: true, checks: 1},
+		"no store, the server takes no more requests": {checks: 1},
+		"no store, a service without health checks":   {noHealthCheck: true, answered: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				registry := newRegistry(fleet.KindUpload)
+				client := NewSchedulerClient("i", "d", registry, nil)
+				client.Attach(&roundRobinLink{client: client, servers: []string{"a"}})
+				backends := &scriptedClient{results: []AttemptResult{{Outcome: placing.Answered, Response: &backhttp.Response{Status: 200}}}}
+				g := newGateway(registry, client, backends, nil)
+				if c.noHealthCheck {
+					registry.Snapshot().Config.Services["s"].HealthPath = ""
+				}
+				prober := &fakeProber{name: "a", serving: c.serving}
+				g.check.prober = prober
+				g.check.refresher = fakeRefresher(func() bool {
+					if c.storeRead {
+						server := *registry.Snapshot().Server("a")
+						server.Leaving = c.leaving
+						registry.UpdateListing(fleet.Listing{Servers: []fleet.Server{server}}, time.Now())
+						registry.ConfirmRead(time.Now())
+					}
+					return c.storeRead
+				})
+				time.Sleep(maxLeavingTime)
+				for range 3 {
+					is.Equal(g.Handle(t.Context(), upload()).Outcome == OutcomeAnswered, c.answered)
+				}
+				is.Equal(len(backends.sent) > 0, c.answered)
+				is.Equal(prober.checks, c.checks)
+				time.Sleep(maxLeavingTime) // what was learned is old again
+				is.Equal(g.Handle(t.Context(), upload()).Outcome == OutcomeAnswered, c.answered)
+				is.Equal(prober.checks, 2*c.checks)
+			})
+		})
+	}
+}
+
+// Guards against a request that is written to a server of which the store has said while
+// the instance made a connection that it leaves. It has not run, so it is placed again.
+func TestServerThatLeavesWhileItIsConnectedGetsNoRequest(t *testing.T) {
+	is := is.New(t)
+	registry := newRegistry(fleet.KindUpload)
+	client := NewSchedulerClient("i", "d", registry, nil)
+	client.Attach(&roundRobinLink{client: client, servers: []string{"a", "b"}})
+	backends := &scriptedClient{results: []AttemptResult{{Outcome: placing.Answered, Response: &backhttp.Response{Status: 200}}}}
+	backends.beforeWrite = func() {
+		server := *registry.Snapshot().Server("b")
+		registry.UpdateListing(fleet.Listing{Servers: []fleet.Server{server}}, time.Now())
+	}
+	g := newGateway(registry, client, backends, nil)
+	is.Equal(g.Handle(t.Context(), upload()).Outcome, OutcomeAnswered)
+	is.Equal(backends.sent, []string{"b"})
+}
--- /dev/null
+++ b/internal/gateway/servercheck.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+
+	"peridotmoor.org/peridotmoor/internal/events"
+	"peridotmoor.org/peridotmoor/internal/facts"
+	"peridotmoor.org/peridotmoor/internal/fleet"
+)
+
+const (
+	// maxFactsAge is the age of the last reading of the store above which a server may have
+	// been leaving for too long: it may get requests for 2 s after its entry says so. The
+	// rest is for the way of a request and for timers that fire late.
+	maxFactsAge = 1800 * time.Millisecond
+	// refusedWordValidity is how long a server is not asked again that takes no new work or
+	// has not answered.
+	refusedWordValidity = 300 * time.Millisecond
+)
+
+// serverCheck decides whether what this instance knows of a server is recent enough to send
+// it a request: by the facts or, while this instance cannot read the store, by the server's
+// own word. A server without a health check gets requests then.
+// It is safe for concurrent use.
+type serverCheck struct {
+	registry  *facts.Registry
+	refresher FactsRefresher
+	prober    fleet.Prober
+	log       *events.Logger
+	words     sync.Map // fleet.Incarnation to serverWord
+	asking    singleflight.Group
+}
+
+// isRecent reports whether the facts, or what the server has said itself, are recent at now.
+func (c *serverCheck) isRecent(server fleet.Incarnation, now time.Time) bool {
+	if age, known := c.registry.Age(now); known && age <= maxFactsAge {
+		return true
+	}
+	word, known := c.word(server)
+	return known && word.serving && now.Sub(word.askedAt) <= maxFactsAge
+}
+
+func (c *serverCheck) word(server fleet.Incarnation) (serverWord, bool) {
+	word, known := c.words.Load(server)
+	if !known {
+		return serverWord{}, false
+	}
+	return word.(serverWord), true
+}
+
+// refresh tries to learn whether the server takes new work: from the store, and if that does
+// not answer from the server.
+func (c *serverCheck) refresh(ctx context.Context, server *fleet.Server) {
+	age, _ := c.registry.Age(time.Now())
+	refreshed := c.refresher.Refresh(ctx)
+	if !refreshed {
+		c.ask(*server)
+	}
+	c.log.Emit(events.FactsTooOld, "server", server.Name, "facts_ms", age.Milliseconds(), "store_read", refreshed, "usable", c.isRecent(server.Incarnation, time.Now()))
+}
+
+// ask sends the server a health check, unless it has just refused one. Requests share it.
+func (c *serverCheck) ask(server fleet.Server) {
+	if word, known := c.word(server.Incarnation); known && time.Since(word.askedAt) < refusedWordValidity {
+		return
+	}
+	path := c.healthPath(server.Service)
+	if path == "" {
+		// Its service has no health check. Without the store nobody could serve it at all.
+		c.words.Store(server.Incarnation, serverWord{askedAt: time.Now(), serving: true})
+		return
+	}
+	_, _, _ = c.asking.Do(server.Incarnation.String(), func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), healthCheckTimeout)
+		defer cancel()
+		word := serverWord{askedAt: time.Now()}
+		health, err := c.prober.Health(ctx, server, path)
+		word.serving = err == nil && health.Server == server.Name && health.Serving
+		c.forgetOld(word.askedAt)
+		c.words.Store(server.Incarnation, word)
+		return nil, nil // without an answer the server gets no request
+	})
+}
+
+func (c *serverCheck) healthPath(service string) string {
+	config := c.registry.Snapshot().Config
+	if config == nil || config.Services[service] == nil {
+		return ""
+	}
+	return config.Services[service].HealthPath
+}
+
+// forgetOld removes the words that no longer matter.
+func (c *serverCheck) forgetOld(now time.Time) {
+	c.words.Range(func(server, word any) bool {
+		if now.Sub(word.(serverWord).askedAt) > maxFactsAge {
+			c.words.CompareAndDelete(server, word)
+		}
+		return true
+	})
+}
--- a/internal/gateway/streamedbody_test.go
+++ b/internal/gateway/streamedbody_test.go
@@ -22,7 +22,7 @@
 	ctx context.Context
 }
 
-func (s *streamingClient) Send(ctx context.Context, _ *fleet.Server, _ *Call, _ time.Time) AttemptResult {
+func (s *streamingClient) Send(ctx context.Context, _ *fleet.Server, _ *Call, _ time.Time, _ func() bool) AttemptResult {
 	s.ctx = ctx
 	return AttemptResult{Outcome: placing.Answered, Response: &backhttp.Response{Status: 200, Remainder: silentBody{ctx}, Length: -1}}
 }
@@ -58,7 +58,7 @@
 				registry := newRegistry(fleet.KindIdempotent)
 				client := NewSchedulerClient("i", "d", registry, nil)
 				client.Attach(&roundRobinLink{client: client, servers: []string{"a"}})
-				g := New("d", registry, client, backends, noMetrics{}, nil)
+				g := newGateway(registry, client, backends, nil)
 				caller, leave := context.WithTimeout(t.Context(), c.leaveAfter)
 				defer leave()
 				start := time.Now()
--- a/internal/holder/elector.go
+++ b/internal/holder/elector.go
@@ -47,6 +47,8 @@
 	// holderChanges how often that was another one than before. They are used only by Run.
 	joinedTenure  string
 	holderChanges uint64
+	// followed is the link to the holder that this instance follows, or nil.
+	followed atomic.Pointer[followedLink]
 	// peers holds the addresses of some other instances, or nil.
 	peers atomic.Pointer[[]string]
 }
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -51,7 +51,9 @@
 		e.client.Attach(conn)
 		e.current.Store(&holder)
 		endAnnouncement := e.plannedStop.announce(conn)
+		e.followed.Store(&followedLink{conn, receiver})
 		e.monitorLink(ctx, conn, receiver, holder)
+		e.followed.Store(nil)
 		e.current.Store(nil)
 		endAnnouncement()
 		conn.Close()
@@ -129,8 +131,7 @@
 		return false, err
 	}
 	e.log.Emit(events.ReadForHolder, "holder", holder.String())
-	readAt := e.registry.ReadAt()                                                                   // before the snapshot that is encoded
-	conn.Send(&linkpb.Up{Facts: receiver.EncodeReading(time.Now()), ReadUs: conn.ReadTime(readAt)}) // if the link has ended, monitorLink notices
+	followedLink{conn, receiver}.sendReading(e.registry)
 	found, _, err := e.readHolder(ctx)
 	return errors.Is(err, store.ErrNotFound) || err == nil && found != holder, nil
 }
