--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -58,7 +58,8 @@
 	})
 	n.gateway = gateway.New(gateway.Options{
 		Domain: config.Domain, Registry: n.facts, Scheduler: schedulerClient, Backends: n.backends,
-		Refresher: facts.NewOnDemand(reader, n.elector.ShareReading), Prober: n.backends, Metrics: n.metrics, Log: log,
+		Refresher: facts.NewOnDemand(reader, func() time.Duration { return holder.FleetBackoff(schedulerClient.FleetSize()) }, n.elector.ShareReading),
+		Prober:    n.backends, Metrics: n.metrics, Log: log,
 	})
 	reportWriteError := func(id string, err error) { log.Emit(events.CallUnwritten, "request", id, "detail", err.Error()) }
 	n.callerServer = callerhttp.NewServer(platform.CallerHandler{Gateway: n.gateway, OnWriteError: reportWriteError}, n.callerLimits)
--- a/internal/facts/ondemand.go
+++ b/internal/facts/ondemand.go
@@ -6,26 +6,25 @@
 	"time"
 )
 
-const (
-	// refreshWait is how long a request waits for a reading of the store. A healthy store
-	// answers in milliseconds.
-	refreshWait = 60 * time.Millisecond
-	// refreshPause is the time after a reading that failed in which requests begin none.
-	refreshPause = time.Second
-)
+// refreshWait is how long a request waits for a reading of the store. A healthy store
+// answers in milliseconds.
+const refreshWait = 60 * time.Millisecond
 
 // OnDemand reads the store for requests that find the facts too old. It is safe for
 // concurrent use: requests share a reading and wait for it on a channel.
 type OnDemand struct {
 	reader *Reader
+	// pause returns the time after a reading that failed in which requests begin none.
+	pause func() time.Duration
 	// onRead is called after each reading that succeeded.
 	onRead func()
 	latest atomic.Pointer[sharedReading]
 }
 
-// NewOnDemand returns an OnDemand that reads with reader and then calls onRead.
-func NewOnDemand(reader *Reader, onRead func()) *OnDemand {
-	return &OnDemand{reader: reader, onRead: onRead}
+// NewOnDemand returns an OnDemand that reads with reader and then calls onRead, and that
+// pauses after a reading that failed.
+func NewOnDemand(reader *Reader, pause func() time.Duration, onRead func()) *OnDemand {
+	return &OnDemand{reader: reader, pause: pause, onRead: onRead}
 }
 
 // Refresh reads the store. It returns false if that takes too long for a request, in which
@@ -53,9 +52,11 @@
 
 func (o *OnDemand) read(r *sharedReading) {
 	r.err = o.reader.Read(context.Background()) // for all requests, whichever of them ends
+	r.usableUntil = time.Now()
 	if r.err == nil {
 		o.onRead()
+	} else {
+		r.usableUntil = r.usableUntil.Add(o.pause())
 	}
-	r.endedAt = time.Now()
 	close(r.done)
 }
--- a/internal/facts/ondemand_test.go
+++ b/internal/facts/ondemand_test.go
@@ -52,7 +52,7 @@
 				var onRead atomic.Int64
 				s := &countingSource{duration: c.duration}
 				s.down = c.down
-				o := NewOnDemand(NewReader(s, NewRegistry(decodeVersion, nil), nil), func() { onRead.Add(1) })
+				o := NewOnDemand(NewReader(s, NewRegistry(decodeVersion, nil), nil), func() time.Duration { return time.Second }, func() { onRead.Add(1) })
 				for _, want := range []bool{c.refreshed, c.again} {
 					for range 20 {
 						go func() {
@@ -61,7 +61,7 @@
 							is.True(time.Since(began) <= c.maxWait)
 						}()
 					}
-					time.Sleep(refreshPause + 10*time.Millisecond)
+					time.Sleep(time.Second + 10*time.Millisecond)
 				}
 				is.Equal(s.reads.Load(), c.reads)
 				is.Equal(onRead.Load(), c.onRead)
--- a/internal/facts/sharedreading.go
+++ b/internal/facts/sharedreading.go
@@ -6,16 +6,17 @@
 type sharedReading struct {
 	beganAt time.Time
 	// done is closed when the reading has ended. The fields below are set before that.
-	done    chan struct{}
-	err     error
-	endedAt time.Time
+	done chan struct{}
+	err  error
+	// usableUntil is when the next request begins another reading.
+	usableUntil time.Time
 }
 
 // isOver reports whether the next request begins another reading.
 func (r *sharedReading) isOver(now time.Time) bool {
 	select {
 	case <-r.done:
-		return r.err == nil || now.Sub(r.endedAt) >= refreshPause
+		return !now.Before(r.usableUntil)
 	default:
 		return false
 	}
--- a/internal/holder/backoff.go
+++ b/internal/holder/backoff.go
@@ -12,11 +12,11 @@
 	return storeRetryDelay*3 + time.Duration(rand.Int64N(int64(storeRetryDelay*2)))
 }
 
-// fleetBackoff returns the wait of one of several instances that all retry the same
+// FleetBackoff returns the wait of one of several instances that all retry the same
 // call. It grows with the number of instances, so that the call rate of the fleet does
 // not. Instances that failed together retry at times spread from the usual wait
 // upwards, since changes would be known late if all of them waited long.
-func fleetBackoff(instances int) time.Duration {
+func FleetBackoff(instances int) time.Duration {
 	wait := backoff()
 	if excess := float64(instances)/backoffFleetSize - 1; excess > 0 {
 		wait += time.Duration(rand.Float64() * 2 * excess * float64(backoff()))
--- a/internal/holder/backoff_test.go
+++ b/internal/holder/backoff_test.go
@@ -14,13 +14,13 @@
 		total := time.Duration(0)
 		const draws = 1000
 		for range draws {
-			total += fleetBackoff(instances)
+			total += FleetBackoff(instances)
 		}
 		return float64(instances) / (total.Seconds() / draws)
 	}
 	small, large := perSecond(backoffFleetSize), perSecond(930)
 	is.True(large < 1.1*small)
-	is.True(perSecond(1) >= 1/fleetBackoff(1).Seconds()*0.5) // a single instance does not wait longer
+	is.True(perSecond(1) >= 1/FleetBackoff(1).Seconds()*0.5) // a single instance does not wait longer
 }
 
 // Guards against late changes in a large fleet in which all instances failed together
@@ -30,7 +30,7 @@
 	const instances = 84
 	first := time.Hour
 	for range instances {
-		first = min(first, fleetBackoff(instances))
+		first = min(first, FleetBackoff(instances))
 	}
-	is.True(first < 2*fleetBackoff(1))
+	is.True(first < 2*FleetBackoff(1))
 }
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -119,7 +119,7 @@
 			return
 		}
 		if err != nil {
-			nextReadAt = time.Now().Add(fleetBackoff(e.client.FleetSize()))
+			nextReadAt = time.Now().Add(FleetBackoff(e.client.FleetSize()))
 		}
 	}
 }
