--- a/internal/entrynode/fakebackend_test.go
+++ b/internal/entrynode/fakebackend_test.go
@@ -28,6 +28,10 @@
 	limit atomic.Pointer[string]
 	// leaving makes the server say in all its responses that it is leaving.
 	leaving atomic.Bool
+	// unkeyed servers execute the requests of all keys.
+	unkeyed bool
+	// draining servers fail health checks.
+	draining atomic.Bool
 	// crashes counts the requests for crashPath.
 	crashes atomic.Int64
 	// serviceTime is how long the execution of a request takes.
@@ -64,6 +68,11 @@
 	switch r.URL.Path {
 	case "/grant", "/release":
 		b.handleGrant(w, r)
+	case "/health":
+		w.Header().Set("X-Instance-Id", b.name)
+		if b.draining.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 	default:
 		b.handleRequest(w, r)
 	}
@@ -141,7 +150,7 @@
 func (b *fakeBackend) handleRequest(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Attempt-Id")
 	key, err := strconv.Atoi(r.Header.Get("X-Shard-Key"))
-	if err != nil || !b.ownsKey(key) {
+	if err != nil || !b.unkeyed && !b.ownsKey(key) {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
--- a/internal/entrynode/fleet_test.go
+++ b/internal/entrynode/fleet_test.go
@@ -32,12 +32,18 @@
 }
 
 func newFleet(t *testing.T, routeTimeout time.Duration) *fleet {
+	t.Helper()
+	return newFleetOf(t, map[string]any{"name": "s", "sharded": true, "warmup_s": 1.0}, routeTimeout)
+}
+
+// newFleetOf returns a fleet whose only route goes to the given service.
+func newFleetOf(t *testing.T, service map[string]any, routeTimeout time.Duration) *fleet {
 	t.Helper()
 	f := &fleet{store: kvstore.New()}
 	server := httptest.NewServer(f.store)
 	t.Cleanup(server.Close)
 	put(t, f.store, "op/config", map[string]any{
-		"version": 1, "services": []any{map[string]any{"name": "s", "sharded": true, "warmup_s": 1.0}},
+		"version": 1, "services": []any{service},
 		"limits": map[string]any{"max_body_bytes": 1 << 20},
 		"hosts": []any{map[string]any{"host": "h", "paths": []any{map[string]any{
 			"name": "r", "path_prefix": "/p/", "kind": "unsafe", "timeout_s": routeTimeout.Seconds(), "target_latency_s": 1.0, "service": "s", "max_attempts": 2}}}},
@@ -45,6 +51,7 @@
 	for n := range 3 {
 		b := newFakeBackend(t, fmt.Sprintf("i-%d", n))
 		b.onExecute = f.recordConflicts
+		b.unkeyed = service["sharded"] != true
 		f.backends = append(f.backends, b)
 		put(t, f.store, "servers/"+b.name, map[string]any{
 			"address": b.http.Listener.Addr().String(), "born": 1, "info": map[string]any{"service": "s", "zone": "d-a", "slots": 3},
@@ -75,11 +82,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	var started []*instance
 	for n, name := range names {
-		f.instances = append(f.instances, startInstance(t, store, name, reserved.Addresses[addressesPerInstance*n:]))
+		started = append(started, startInstance(t, store, name, reserved.Addresses[addressesPerInstance*n:]))
 	}
+	f.instances = append(f.instances, started...)
 	go func() {
-		for _, i := range f.instances {
+		for _, i := range started {
 			<-i.ended
 		}
 		reserved.Release()
