Play servers that leave while instances read the store late, in the soak

The theme 'late facts' has servers that say only in their entry and their health checks that they leave, while the store is far, cut off or down and links to the holder fail. The check 'departure' fails if a request reaches one later than 2 s after the store has accepted its word, whatever the state of links and store; only a freeze of the instance excuses it.

--- a/internal/dev/soak/backend/serve.go
+++ b/internal/dev/soak/backend/serve.go
@@ -50,7 +50,7 @@
 		i.serveOrder(w, r)
 	case HealthPath:
 		w.Header().Set("X-Instance-Id", i.id)
-		if i.leaving.Load() {
+		if i.leaving.Load() || i.draining.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	default:
--- a/internal/dev/soak/backend/server.go
+++ b/internal/dev/soak/backend/server.go
@@ -121,6 +121,24 @@
 	}
 }
 
+// Retire is Drain, but the server says only in its entry and its health checks that it
+// leaves. acked is called once the store has accepted the entry.
+func (s *Server) Retire(ctx context.Context, drainTime time.Duration, acked func(Departure)) {
+	i := s.running()
+	if i == nil {
+		return
+	}
+	i.draining.Store(true)
+	for s.put(i) != nil {
+		if ctx.Err() != nil {
+			return
+		}
+		time.Sleep(s.config.Heartbeat)
+	}
+	acked(Departure{Server: i.id, AckedAt: time.Now()})
+	s.end(i, drainTime)
+}
+
 // end serves on and ends the incarnation once its requests have ended.
 func (s *Server) end(i *incarnation, drainTime time.Duration) {
 	time.Sleep(drainTime + drainSlack)
--- a/internal/dev/soak/check/evidence.go
+++ b/internal/dev/soak/check/evidence.go
@@ -20,6 +20,7 @@
 	Versions    []Version
 	Arrivals    []backend.Arrival
 	Limits      []backend.Limit
+	Departures  []backend.Departure
 	Impairments *Impairments
 	// StrayBytes describes bytes that arrived without a request.
 	StrayBytes []string
@@ -41,7 +42,7 @@
 func (e *Evidence) Violations() []Violation {
 	e.index()
 	var all []Violation
-	for _, check := range []func(*Evidence) []Violation{checkRuns, checkRefusals, checkAnswers, checkOwners, checkStops, checkCuts, checkRecovery, checkConfiguration, checkLeaving, checkPauses, checkLimits, checkOddEntries} {
+	for _, check := range []func(*Evidence) []Violation{checkRuns, checkRefusals, checkAnswers, checkOwners, checkStops, checkCuts, checkRecovery, checkConfiguration, checkLeaving, checkDepartures, checkPauses, checkLimits, checkOddEntries} {
 		all = append(all, check(e)...)
 	}
 	return all
--- a/internal/dev/soak/evidence.go
+++ b/internal/dev/soak/evidence.go
@@ -15,6 +15,6 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	e.StrayBytes, e.Limits = p.stray, p.limits
+	e.StrayBytes, e.Limits, e.Departures = p.stray, p.limits, p.departures
 	return e
 }
--- a/internal/dev/soak/faults.go
+++ b/internal/dev/soak/faults.go
@@ -23,6 +23,12 @@
 	// slowStopTime and slowRunTime are for how long a slow process stands still and runs in turn.
 	slowStopTime = 60 * time.Millisecond
 	slowRunTime  = 30 * time.Millisecond
+	// farStoreDelay is the delay in each direction to a store that is far: a read of its two
+	// parts one after the other takes 0.8 s. After farStoreTime it does not answer for
+	// silentStoreTime, which a read may just run into.
+	farStoreDelay   = 200 * time.Millisecond
+	farStoreTime    = 1500 * time.Millisecond
+	silentStoreTime = 500 * time.Millisecond
 	// slowStoreDelay is the delay of each call to a slow store.
 	slowStoreDelay = 300 * time.Millisecond
 )
@@ -62,7 +68,7 @@
 		f.writeOddly(e)
 	case eventDomainCut:
 		f.cutDomain(ctx, e)
-	case eventServerFault, eventServerCrash, eventServerDrain, eventServerLeave, eventServerLimit, eventServerShed:
+	case eventServerFault, eventServerCrash, eventServerDrain, eventServerLeave, eventServerRetire, eventServerLimit, eventServerShed:
 		f.impairServer(ctx, e)
 	default:
 		f.impairInstances(e)
@@ -127,6 +133,9 @@
 	case eventServerLeave:
 		s.Leave(drainTime + e.length)
 		f.p.impairments.Begin(id) // has no end
+	case eventServerRetire:
+		s.Retire(ctx, drainTime+e.length, f.p.addDeparture)
+		f.p.impairments.Begin(id) // has no end
 	case eventServerDrain:
 		s.Drain(ctx, drainTime)
 		f.p.impairments.Begin(id) // has no end
@@ -196,6 +205,15 @@
 		i.store.SetFault(e.fault)
 		defer i.store.SetFault(tcpproxy.Fault{})
 		time.Sleep(e.length)
+	case eventStoreFar:
+		defer f.p.impairments.Begin(i.name)()
+		defer i.store.SetFault(tcpproxy.Fault{})
+		for end := time.Now().Add(e.length); time.Now().Before(end); {
+			i.store.SetFault(tcpproxy.Fault{Kind: tcpproxy.FaultDelay, Share: 1, Delay: farStoreDelay})
+			time.Sleep(farStoreTime)
+			i.store.SetFault(tcpproxy.Fault{Kind: tcpproxy.FaultSilentResponses, Share: 1})
+			time.Sleep(silentStoreTime)
+		}
 	case eventPeerFault:
 		// The instance may be the holder, to which all others are connected.
 		defer f.p.impairments.Begin(f.p.instanceNames()...)()
--- a/internal/dev/soak/play.go
+++ b/internal/dev/soak/play.go
@@ -67,11 +67,12 @@
 	border  *border
 	stalls  stallMonitor
 
-	mu     sync.Mutex
-	notes  []string
-	limits []backend.Limit
-	stray  []string
-	errors []error
+	mu         sync.Mutex
+	notes      []string
+	limits     []backend.Limit
+	departures []backend.Departure
+	stray      []string
+	errors     []error
 }
 
 // newPlay prepares the stand-ins and the instances of a seed in dir. Only for cuts of failure
@@ -226,6 +227,13 @@
 	p.limits = append(p.limits, limit)
 }
 
+func (p *play) addDeparture(departure backend.Departure) {
+	p.note("the store has accepted that %s leaves", departure.Server)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.departures = append(p.departures, departure)
+}
+
 // fail records an error of the soak itself.
 func (p *play) fail(err error) {
 	if err == nil {
--- a/internal/dev/soak/run.go
+++ b/internal/dev/soak/run.go
@@ -113,6 +113,10 @@
 			longestStop = max(longestStop, process.EndedAt.Sub(process.StoppedAt))
 		}
 	}
+	departures := ""
+	if last := e.LastSends(); len(last) > 0 {
+		departures = fmt.Sprintf(" departures=%d last_send_median=%.2fs last_send_max=%.2fs", len(e.Departures), last[len(last)/2].Seconds(), last[len(last)-1].Seconds())
+	}
 	return fmt.Sprintf("sent=%d answered=%d refused=%d cut=%d left=%d other=%d runs=%d versions=%d processes=%d longest_stop=%.2fs", len(e.Attempts), answered, refused, cut, left,
-		len(e.Attempts)-answered-refused-cut-left, len(e.Runs), len(e.Versions), len(e.Processes), longestStop.Seconds())
+		len(e.Attempts)-answered-refused-cut-left, len(e.Runs), len(e.Versions), len(e.Processes), longestStop.Seconds()) + departures
 }
--- a/internal/dev/soak/schedule.go
+++ b/internal/dev/soak/schedule.go
@@ -29,6 +29,8 @@
 	// many times longer than its class a cut may last.
 	maxCutSeries  = 3
 	maxCutStretch = 1.3
+	// minFarTime is the shortest time for which the store is far: several reads of it.
+	minFarTime = 4 * time.Second
 	// maxConnectionDelay is the longest delay of a connection.
 	maxConnectionDelay = 250 * time.Millisecond
 )
@@ -56,10 +58,13 @@
 	for at := firstEvent; at < duration; at += time.Duration(random.ExpFloat64() * float64(meanEventGap)) {
 		e := event{at: at, kind: drawn.draw(random), length: upTo(random, maxFaultTime), pause: upTo(random, maxRestartPause)}
 		switch e.kind {
-		case eventServerFault, eventServerCrash, eventServerDrain, eventServerLeave, eventServerLimit, eventServerShed:
+		case eventServerFault, eventServerCrash, eventServerDrain, eventServerLeave, eventServerRetire, eventServerLimit, eventServerShed:
 			e.targets = []int{random.IntN(servers)}
 		case eventDomainCut:
 			drawCut(random, &e, drawn.atHolder)
+		case eventStoreFar:
+			e.targets = random.Perm(instances)
+			e.length += minFarTime
 		case eventStopSeveral:
 			e.targets = drawSeveral(random, instances)
 		case eventConfigure, eventConfigureTwin, eventStoreDown, eventStoreSlow, eventStoreLost, eventOddEntries, eventSpoilRecord, eventSpoilHolder, eventSpoilConfig:
@@ -72,6 +77,9 @@
 		switch e.kind {
 		case eventStoreCut, eventPeerFault, eventServerFault:
 			e.fault = drawFault(random)
+			if drawn.long && e.kind != eventServerFault {
+				e.length += minFarTime
+			}
 		case eventServerLimit:
 			e.rate = minLimit + (maxLimit-minLimit)*random.Float64()
 			e.length += minLimitTime
--- a/internal/dev/soak/theme.go
+++ b/internal/dev/soak/theme.go
@@ -6,6 +6,8 @@
 	weights []weightedKind
 	// atHolder directs all events of instances at the holder.
 	atHolder bool
+	// long prolongs the faults of links, so that facts grow too old.
+	long bool
 }
 
 // themes are the mixes from which a seed draws one. Fewer kinds together leave fewer
@@ -23,11 +25,16 @@
 // backend servers from the start.
 const oddEntriesTheme = "odd entries"
 
+// lateFactsTheme is the name of the theme in which servers leave while instances read the store
+// late or not at all.
+const lateFactsTheme = "late facts"
+
 // namedThemes are mixes that only an option selects, so that seeds without it keep their schedules.
 var namedThemes = []theme{
 	{name: "links", weights: []weightedKind{{eventPeerFault, 6}, {eventStoreCut, 2}, {eventStop, 1}, {eventPause, 1}, {eventKill, 1}}, atHolder: true},
 	{name: "backpressure", weights: []weightedKind{{eventServerLeave, 3}, {eventServerLimit, 5}, {eventServerShed, 4}, {eventServerDrain, 1}, {eventStop, 2}, {eventKill, 1}, {eventPause, 1},
 		{eventStoreDown, 2}, {eventStoreSlow, 1}, {eventStoreCut, 1}, {eventPeerFault, 1}}},
+	{name: lateFactsTheme, weights: []weightedKind{{eventServerRetire, 10}, {eventStoreFar, 2}, {eventStoreCut, 7}, {eventPeerFault, 4}, {eventStoreDown, 1}, {eventKill, 1}, {eventStop, 1}, {eventPause, 1}}, long: true},
 	{name: "holder cuts", weights: []weightedKind{{eventDomainCut, 1}}, atHolder: true},
 	{name: "domain cuts", weights: []weightedKind{{eventDomainCut, 6}, {eventStop, 1}, {eventStopSeveral, 1}, {eventKill, 2}, {eventPause, 2}, {eventSlow, 2}, {eventStoreDown, 1}, {eventStoreCut, 1},
 		{eventServerDrain, 1}, {eventServerCrash, 1}, {eventConfigure, 1}}},
