Take a server's responses as proof that it is not leaving

An instance tells the holder when it wrote the request, and the holder tells with each decision when the server was last heard, both by the clock of the receiver. That, or a response to the instance itself, stands for the health check. A check that is refused because the server is full counts as well; a later refusal of new work goes before. The in-process link has a clock too, which both ends share.

The age of the facts in call_ended and in its histogram was taken after the response; it is that of the write now.

--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -162,7 +162,7 @@
 	if httpResponse.Close || c.reader.Buffered() > 0 {
 		c.reusable.Store(false)
 	}
-	response := &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body.bytes, Length: httpResponse.ContentLength}
+	response := &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body.bytes, Closing: httpResponse.Close, Length: httpResponse.ContentLength}
 	response.release = func() { c.source.budget.giveBack(reserved) }
 	if omitsBody(x.request.Method, httpResponse.StatusCode) {
 		response.BodyOmitted, response.Length = true, statedLength(httpResponse)
--- a/internal/backhttp/response.go
+++ b/internal/backhttp/response.go
@@ -20,6 +20,8 @@
 	// BodyOmitted is set if the response has no body because of its status or because it
 	// answers HEAD. Length is then what the server states.
 	BodyOmitted bool
+	// Closing is set if the server has said that it closes the connection after the response.
+	Closing bool
 	// WrittenAt is when the write of the request ended.
 	WrittenAt time.Time
 	// release gives back the memory that the response has reserved, or is nil.
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -6,7 +6,7 @@
 type Health struct {
 	// Server is the name of the server that responded.
 	Server string
-	// Serving is set if the server takes new work.
+	// Serving is set if the server takes new work, now or once it is less busy.
 	Serving bool
 	// ColdRemaining is how much longer the server stays cold.
 	ColdRemaining time.Duration
--- a/internal/gateway/attemptresult.go
+++ b/internal/gateway/attemptresult.go
@@ -11,6 +11,8 @@
 	// Response is set when Outcome is placing.Answered.
 	Response *backhttp.Response
 	Load     placing.Load
+	// Open is set if the response shows that the server is not leaving.
+	Open bool
 	// Detail describes the result in the log.
 	Detail string
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -188,10 +188,10 @@
 func (g *Gateway) send(ctx context.Context, call *Call, state *callState, decision placing.Decision) AttemptResult {
 	completion := placing.Completion{AttemptID: decision.AttemptID, Server: decision.Server, Outcome: placing.Unused, ContentHash: state.contentHash}
 	server := g.registry.Snapshot().Server(decision.Server)
-	if server != nil && !g.check.isRecent(server.Incarnation, time.Now()) {
+	if server != nil && !g.check.isRecent(server.Incarnation, decision.HeardAt, time.Now()) {
 		g.check.refresh(ctx, server)
 	}
-	maySend := server != nil && g.maySend(server.Incarnation)
+	maySend := server != nil && g.maySend(server.Incarnation, decision.HeardAt)
 	if server != nil && !maySend {
 		g.scheduler.ReportState(server.Incarnation) // the holder may not know yet what the server has asked
 	}
@@ -200,16 +200,22 @@
 		g.scheduler.Complete(completion)
 		return AttemptResult{Outcome: placing.Unused, Detail: "the assigned server is no longer usable, what is known of it is too old, or too little time is left"}
 	}
-	result := g.backends.Send(ctx, server, call, state.deadline, func() bool { return g.maySend(server.Incarnation) })
+	writtenAt := sentAt
+	result := g.backends.Send(ctx, server, call, state.deadline, func() bool {
+		writtenAt = time.Now()
+		state.factsAge, _ = g.registry.Age(writtenAt)
+		return g.maySend(server.Incarnation, decision.HeardAt)
+	})
+	if result.Open {
+		completion.HeardAt = writtenAt
+		g.check.hear(server.Incarnation, writtenAt)
+	}
 	completion.Outcome, completion.Load, completion.Duration = result.Outcome, result.Load, time.Since(sentAt)
 	g.scheduler.Complete(completion)
 	if result.Outcome == placing.Unused {
 		return result
 	}
-	if age, known := g.registry.Age(sentAt); known {
-		state.factsAge = age
-		g.metrics.FactsAge(age)
-	}
+	g.metrics.FactsAge(state.factsAge)
 	state.server = decision.Server
 	state.sends++
 	if result.Outcome != placing.Unreached {
@@ -218,11 +224,12 @@
 	return result
 }
 
-// maySend reports whether a server may get a request now. Its answer holds for the write
-// that follows at once: the facts change while a connection is made.
-func (g *Gateway) maySend(incarnation fleet.Incarnation) bool {
+// maySend reports whether a server may get a request now, which another instance heard at
+// heardAt. The answer holds for the write that follows at once: the facts change while a
+// connection is made.
+func (g *Gateway) maySend(incarnation fleet.Incarnation, heardAt time.Time) bool {
 	now := time.Now()
 	snapshot := g.registry.Snapshot()
 	server := snapshot.Server(incarnation.Name)
-	return server != nil && server.Incarnation == incarnation && snapshot.MaySend(server, now) && g.check.isRecent(incarnation, now)
+	return server != nil && server.Incarnation == incarnation && snapshot.MaySend(server, now) && g.check.isRecent(incarnation, heardAt, now)
 }
--- a/internal/gateway/oldfacts_test.go
+++ b/internal/gateway/oldfacts_test.go
@@ -97,6 +97,50 @@
 	}
 }
 
+// Guards against health checks of servers, or refusals, although responses have shown that a
+// server is not leaving, to this instance or to another one, and against words that count for
+// longer than facts do, or that count although the server has refused new work since.
+func TestResponsesShowThatAServerIsNotLeaving(t *testing.T) {
+	incarnation := fleet.Incarnation{Name: "a"}
+	for name, c := range map[string]struct {
+		heardAgo, wordAgo time.Duration // 0 for never
+		refuses           bool
+		recent            bool
+	}{
+		"never heard":                           {},
+		"heard by another instance":             {heardAgo: maxFactsAge, recent: true},
+		"heard by another instance, long ago":   {heardAgo: maxFactsAge + 1},
+		"heard here":                            {wordAgo: maxFactsAge, recent: true},
+		"heard here, long ago":                  {wordAgo: maxFactsAge + 1},
+		"heard by another, later refused here":  {heardAgo: time.Second, wordAgo: time.Second - 1, refuses: true},
+		"refused here, later heard by another":  {heardAgo: time.Second, wordAgo: time.Second + 1, refuses: true, recent: true},
+		"heard by another, no answer here":      {heardAgo: time.Second, wordAgo: time.Millisecond, recent: true},
+		"no answer here, never heard otherwise": {wordAgo: time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newGateway(newRegistry(fleet.KindUpload), nil, nil, nil)
+				time.Sleep(2 * maxLeavingTime)
+				now := time.Now()
+				heardAt := time.Time{}
+				if c.heardAgo > 0 {
+					heardAt = now.Add(-c.heardAgo)
+				}
+				if c.wordAgo > 0 {
+					unanswered := !c.refuses && c.wordAgo == time.Millisecond
+					g.check.words.Store(incarnation, serverWord{askedAt: now.Add(-c.wordAgo), serving: !c.refuses && !unanswered, refuses: c.refuses})
+				}
+				is.Equal(g.check.isRecent(incarnation, heardAt, now), c.recent)
+				g.check.hear(incarnation, now.Add(-time.Hour)) // a slow response takes nothing back
+				is.Equal(g.check.isRecent(incarnation, heardAt, now), c.recent)
+				g.check.hear(incarnation, now)
+				is.True(g.check.isRecent(incarnation, heardAt, now))
+			})
+		})
+	}
+}
+
 // Guards against a request that is written to a server of which the store has said while
 // the instance made a connection that it leaves. It has not run, so it is placed again.
 func TestServerThatLeavesWhileItIsConnectedGetsNoRequest(t *testing.T) {
--- a/internal/gateway/schedulerclient.go
+++ b/internal/gateway/schedulerclient.go
@@ -86,7 +86,7 @@
 	for i, update := range down.Facts {
 		readAt := time.Time{}
 		if i == len(down.Facts)-1 { // the time of reading is that of the last facts
-			readAt = receiver.ReadAt(down)
+			readAt = receiver.DecodeTime(down.ReadUs)
 		}
 		c.holderStatus.Store(&holderStatus{heardAt: now, instances: int(update.Instances), maxProcessorShare: update.Strongest})
 		receiver.Apply(update, readAt, now)
@@ -100,7 +100,7 @@
 		}
 	}
 	for _, v := range down.Verdicts {
-		decision := link.DecodeVerdict(v, c.instance)
+		decision := link.DecodeVerdict(v, c.instance, receiver)
 		if p, ok := c.pending.LoadAndDelete(v.Number); ok {
 			p.(*pendingAttempt).decision <- decision
 		} else if decision.Server != "" {
@@ -214,6 +214,6 @@
 	c.local.complete(now, completion)
 	placing.RecordCrash(c.registry.Crashes(), now, completion)
 	if l := c.link.Load(); l != nil {
-		l.Send(&linkpb.Up{Finishes: []*linkpb.Finish{link.EncodeFinish(completion)}}) // if this fails, the holder frees the slot after the deadline
+		l.Send(&linkpb.Up{Finishes: []*linkpb.Finish{link.EncodeFinish(completion, l)}}) // if this fails, the holder frees the slot after the deadline
 	}
 }
--- a/internal/gateway/servercheck.go
+++ b/internal/gateway/servercheck.go
@@ -23,8 +23,8 @@
 )
 
 // serverCheck decides whether what this instance knows of a server is recent enough to send
-// it a request: by the facts or, while this instance cannot read the store, by the server's
-// own word. A server without a health check gets requests then.
+// it a request: by the facts, by a response that shows that the server is not leaving or,
+// while this instance cannot read the store, by a health check. A server without a health check gets requests then.
 // It is safe for concurrent use.
 type serverCheck struct {
 	registry  *facts.Registry
@@ -35,13 +35,28 @@
 	asking    singleflight.Group
 }
 
-// isRecent reports whether the facts, or what the server has said itself, are recent at now.
-func (c *serverCheck) isRecent(server fleet.Incarnation, now time.Time) bool {
+// isRecent reports whether the facts, what the server has said itself, or what another
+// instance heard from it at heardAt, is recent at now.
+func (c *serverCheck) isRecent(server fleet.Incarnation, heardAt, now time.Time) bool {
 	if age, known := c.registry.Age(now); known && age <= maxFactsAge {
 		return true
 	}
-	word, known := c.word(server)
-	return known && word.serving && now.Sub(word.askedAt) <= maxFactsAge
+	word, _ := c.word(server)
+	if word.refuses && word.askedAt.After(heardAt) {
+		return false
+	}
+	return now.Sub(heardAt) <= maxFactsAge || word.serving && now.Sub(word.askedAt) <= maxFactsAge
+}
+
+// hear records that a response to a request that was written at the given time shows that
+// the server is not leaving.
+func (c *serverCheck) hear(server fleet.Incarnation, writtenAt time.Time) {
+	if age, known := c.registry.Age(time.Now()); known && age <= maxFactsAge/2 {
+		return // words are not needed soon
+	}
+	if word, known := c.word(server); !known || word.askedAt.Before(writtenAt) {
+		c.words.Store(server, serverWord{askedAt: writtenAt, serving: true})
+	}
 }
 
 func (c *serverCheck) word(server fleet.Incarnation) (serverWord, bool) {
@@ -60,7 +75,7 @@
 	if !refreshed {
 		c.ask(*server)
 	}
-	c.log.Emit(events.FactsTooOld, "server", server.Name, "facts_ms", age.Milliseconds(), "store_read", refreshed, "usable", c.isRecent(server.Incarnation, time.Now()))
+	c.log.Emit(events.FactsTooOld, "server", server.Name, "facts_ms", age.Milliseconds(), "store_read", refreshed, "usable", c.isRecent(server.Incarnation, time.Time{}, time.Now()))
 }
 
 // ask sends the server a health check, unless it has just refused one. Requests share it.
@@ -79,7 +94,8 @@
 		defer cancel()
 		word := serverWord{askedAt: time.Now()}
 		health, err := c.prober.Health(ctx, server, path)
-		word.serving = err == nil && health.Server == server.Name && health.Serving
+		answered := err == nil && health.Server == server.Name
+		word.serving, word.refuses = answered && health.Serving, answered && !health.Serving
 		c.forgetOld(word.askedAt)
 		c.words.Store(server.Incarnation, word)
 		return nil, nil // without an answer the server gets no request
--- a/internal/gateway/serverword.go
+++ b/internal/gateway/serverword.go
@@ -2,10 +2,13 @@
 
 import "time"
 
-// serverWord is what a server has said of itself in response to a health check.
+// serverWord is what a server has said of itself in a response. Neither serving nor refuses
+// is set if it did not answer.
 type serverWord struct {
-	// askedAt is when the check was sent.
+	// askedAt is when the request was sent.
 	askedAt time.Time
-	// serving is set if the server takes new work.
+	// serving is set if the server is not leaving.
 	serving bool
+	// refuses is set if the server takes no new work.
+	refuses bool
 }
--- a/internal/holder/followedlink.go
+++ b/internal/holder/followedlink.go
@@ -18,7 +18,7 @@
 // ended, the instance notices by itself.
 func (l followedLink) sendReading(registry *facts.Registry) {
 	readAt := registry.ReadAt() // before the snapshot that is encoded
-	l.conn.Send(&linkpb.Up{Facts: l.receiver.EncodeReading(time.Now()), ReadUs: l.conn.ReadTime(readAt)})
+	l.conn.Send(&linkpb.Up{Facts: l.receiver.EncodeReading(time.Now()), ReadUs: l.conn.EncodeTime(readAt)})
 }
 
 // ShareReading tells the holder what this instance has just read from the store by itself. It
--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -59,7 +59,7 @@
 		readAt := c.registry.ReadAt() // before the snapshot, which may be newer
 		snapshot := c.registry.Snapshot()
 		now := time.Now()
-		f.Send(&linkpb.Down{Facts: []*linkpb.Facts{c.encodeFacts(snapshot, f.Sent, now)}, ReadUs: f.ReadTime(readAt), Losses: link.EncodeLosses(c.registry.Crashes().Announced(now), now)})
+		f.Send(&linkpb.Down{Facts: []*linkpb.Facts{c.encodeFacts(snapshot, f.Sent, now)}, ReadUs: f.EncodeTime(readAt), Losses: link.EncodeLosses(c.registry.Crashes().Announced(now), now)})
 		f.Sent = sequencesOf(snapshot)
 	})
 }
@@ -88,7 +88,7 @@
 func (c *Coordinator) Receive(f *link.Follower, up *linkpb.Up) {
 	arrivedAt := time.Now()
 	if up.Facts != nil {
-		link.NewFactsReceiver(c.registry).Apply(up.Facts, f.ReadAt(up), arrivedAt)
+		link.NewFactsReceiver(c.registry).Apply(up.Facts, f.DecodeTime(up.ReadUs), arrivedAt)
 	}
 	link.MergeBackpressure(c.registry, up.Backpressure, arrivedAt)
 	link.MergeLosses(c.registry.Crashes(), up.Losses, arrivedAt)
@@ -104,7 +104,7 @@
 		c.recordProof(f, up.Proof, now)
 		f.Stopping, f.Ending = f.Stopping || up.Stopping, f.Ending || up.Ending
 		for _, finish := range up.Finishes {
-			c.completeAttempt(now, link.DecodeFinish(finish, f.Instance))
+			c.completeAttempt(now, link.DecodeFinish(finish, f))
 		}
 		for _, number := range up.Withdrawn {
 			c.scheduler.Cancel(placing.AttemptID{Instance: f.Instance, Number: number})
@@ -180,7 +180,7 @@
 		if out[f] == nil {
 			out[f] = &linkpb.Down{}
 		}
-		out[f].Verdicts = append(out[f].Verdicts, link.EncodeVerdict(decision))
+		out[f].Verdicts = append(out[f].Verdicts, link.EncodeVerdict(decision, f))
 	}
 	return out
 }
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -157,8 +157,8 @@
 		defer close(loopDone)
 		c.run()
 	}()
-	_, onDown := e.client.NewReceiver()
-	if local := link.JoinLocal(e, e.member(), onDown); local != nil {
+	receiver, onDown := e.client.NewReceiver()
+	if local := link.JoinLocal(e, e.member(), receiver.Clock(), onDown); local != nil {
 		e.client.Attach(local)
 		defer local.Close()
 		defer e.plannedStop.announce(local)()
--- a/internal/holder/publish.go
+++ b/internal/holder/publish.go
@@ -36,7 +36,7 @@
 		if encoded[f.Sent] == nil {
 			encoded[f.Sent] = c.encodeFacts(snapshot, f.Sent, now)
 		}
-		f.Send(&linkpb.Down{Facts: []*linkpb.Facts{encoded[f.Sent]}, ReadUs: f.ReadTime(readAt)})
+		f.Send(&linkpb.Down{Facts: []*linkpb.Facts{encoded[f.Sent]}, ReadUs: f.EncodeTime(readAt)})
 		f.Sent = sequencesOf(snapshot)
 	}
 	c.sentSnapshot = snapshot
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -73,8 +73,8 @@
 	return down.Holder, nil
 }
 
-// ReadTime encodes when the store was read for a message to the holder.
-func (c *Client) ReadTime(at time.Time) int64 {
+// EncodeTime returns a time by the clock of the holder, or 0 if it cannot be told.
+func (c *Client) EncodeTime(at time.Time) int64 {
 	return c.clock.encode(at)
 }
 
--- a/internal/link/clock.go
+++ b/internal/link/clock.go
@@ -22,6 +22,11 @@
 	return &Clock{startedAt: time.Now()}
 }
 
+// share makes both ends use this clock.
+func (c *Clock) share() {
+	c.offsets.Store(&clockOffsets{})
+}
+
 // stamp returns the time now for the other end.
 func (c *Clock) stamp() int64 {
 	return time.Since(c.startedAt).Microseconds()
--- a/internal/link/convert.go
+++ b/internal/link/convert.go
@@ -43,9 +43,10 @@
 	}
 }
 
-// EncodeFinish converts the completion of an attempt.
-func EncodeFinish(completion placing.Completion) *linkpb.Finish {
+// EncodeFinish converts the completion of an attempt for the given link.
+func EncodeFinish(completion placing.Completion, l Link) *linkpb.Finish {
 	return &linkpb.Finish{
+		HeardUs:   l.EncodeTime(completion.HeardAt),
 		Number:    completion.AttemptID.Number,
 		Server:    completion.Server,
 		Outcome:   uint32(completion.Outcome),
@@ -59,10 +60,11 @@
 	}
 }
 
-// DecodeFinish converts the completion of an attempt of an instance.
-func DecodeFinish(f *linkpb.Finish, instance string) placing.Completion {
+// DecodeFinish converts the completion of an attempt of a follower.
+func DecodeFinish(f *linkpb.Finish, from *Follower) placing.Completion {
 	return placing.Completion{
-		AttemptID:   placing.AttemptID{Instance: instance, Number: f.Number},
+		AttemptID:   placing.AttemptID{Instance: from.Instance, Number: f.Number},
+		HeardAt:     from.DecodeTime(f.HeardUs),
 		Server:      f.Server,
 		Outcome:     placing.Outcome(f.Outcome),
 		Duration:    microseconds(f.TookUs),
@@ -77,9 +79,10 @@
 	}
 }
 
-// EncodeVerdict converts a decision.
-func EncodeVerdict(decision placing.Decision) *linkpb.Verdict {
+// EncodeVerdict converts a decision for a follower.
+func EncodeVerdict(decision placing.Decision, to *Follower) *linkpb.Verdict {
 	return &linkpb.Verdict{
+		HeardUs:      to.EncodeTime(decision.HeardAt),
 		Number:       decision.AttemptID.Number,
 		Server:       decision.Server,
 		Reason:       uint32(decision.Reason),
@@ -87,9 +90,10 @@
 	}
 }
 
-// DecodeVerdict converts a decision for an instance.
-func DecodeVerdict(v *linkpb.Verdict, instance string) placing.Decision {
+// DecodeVerdict converts a decision for an instance, which arrived over the link of a receiver.
+func DecodeVerdict(v *linkpb.Verdict, instance string, receiver *FactsReceiver) placing.Decision {
 	return placing.Decision{
+		HeardAt:    receiver.DecodeTime(v.HeardUs),
 		AttemptID:  placing.AttemptID{Instance: instance, Number: v.Number},
 		Server:     v.Server,
 		Reason:     placing.Reason(v.Reason),
--- a/internal/link/factsreceiver.go
+++ b/internal/link/factsreceiver.go
@@ -44,10 +44,9 @@
 	return r.clock
 }
 
-// ReadAt returns when the store was read from which the facts of a message come, or the zero
-// time if that is unknown.
-func (r *FactsReceiver) ReadAt(down *linkpb.Down) time.Time {
-	return r.clock.decode(down.ReadUs)
+// DecodeTime returns the time that the sender has told, or the zero time if it told none.
+func (r *FactsReceiver) DecodeTime(us int64) time.Time {
+	return r.clock.decode(us)
 }
 
 // Apply publishes the facts of a message that arrived at now: the owners of keys, and
--- a/internal/link/follower.go
+++ b/internal/link/follower.go
@@ -21,7 +21,7 @@
 	// one, and ProvedAt when the latest proof was sent that it has returned. They are used
 	// only by the handler's event loop.
 	JoinedAt, ProvedAt time.Time
-	// clock translates to the clock of the instance. It is nil if both ends are in one process.
+	// clock translates to the clock of the instance. A nil clock tells no times.
 	clock *Clock
 	// send queues a message without blocking. It returns false if the queue is full.
 	send       func(*linkpb.Down) bool
@@ -29,16 +29,14 @@
 	closed     atomic.Bool
 }
 
-// ReadTime encodes when the store was read, for a message with facts, or 0 if the instance
-// cannot be told.
-func (f *Follower) ReadTime(at time.Time) int64 {
+// EncodeTime returns a time by the clock of the instance, or 0 if it cannot be told.
+func (f *Follower) EncodeTime(at time.Time) int64 {
 	return f.clock.encode(at)
 }
 
-// ReadAt returns when the store was read from which the facts of a message come, or the zero
-// time if that is unknown.
-func (f *Follower) ReadAt(up *linkpb.Up) time.Time {
-	return f.clock.decode(up.ReadUs)
+// DecodeTime returns the time that the instance has told, or the zero time if it told none.
+func (f *Follower) DecodeTime(us int64) time.Time {
+	return f.clock.decode(us)
 }
 
 // Send queues a message. It disconnects a follower whose queue is full.
--- a/internal/link/local.go
+++ b/internal/link/local.go
@@ -17,10 +17,12 @@
 }
 
 // JoinLocal joins the handler in the same process. It returns nil if this instance is
-// not the holder. One goroutine calls onDown with each message, in order.
-func JoinLocal(handler Handler, member Member, onDown func(*linkpb.Down)) *Local {
+// not the holder. One goroutine calls onDown with each message, in order. The clock must be
+// new.
+func JoinLocal(handler Handler, member Member, clock *Clock, onDown func(*linkpb.Down)) *Local {
+	clock.share()
 	l := &Local{handler: handler, done: make(chan struct{}), queue: make(chan *linkpb.Down, outboxSize)}
-	l.follower = &Follower{Member: member, send: l.enqueue, disconnect: l.closeDone}
+	l.follower = &Follower{Member: member, clock: clock, send: l.enqueue, disconnect: l.closeDone}
 	if !handler.Join(l.follower) {
 		return nil
 	}
@@ -59,9 +61,9 @@
 	return true
 }
 
-// ReadTime returns 0: both ends have the same facts, and a message must not make them younger.
-func (l *Local) ReadTime(time.Time) int64 {
-	return 0
+// EncodeTime returns a time by the clock of the link, which both ends share.
+func (l *Local) EncodeTime(at time.Time) int64 {
+	return l.follower.clock.encode(at)
 }
 
 // Done returns a channel that is closed when the link has ended.
--- a/internal/placing/completion.go
+++ b/internal/placing/completion.go
@@ -11,6 +11,9 @@
 	ContentHash uint64
 	// Duration is the time from sending the request to the end of the attempt.
 	Duration time.Duration
+	// HeardAt is when the request was written, if the response shows that the server is not
+	// leaving, or the zero time.
+	HeardAt time.Time
 	// Load is the load that the server reported.
 	Load Load
 }
--- a/internal/placing/decision.go
+++ b/internal/placing/decision.go
@@ -7,7 +7,10 @@
 	AttemptID AttemptID
 	// Server is empty when the attempt is refused.
 	Server string
-	Reason Reason
+	// HeardAt is when the server was last known, by its responses, not to be leaving, or the
+	// zero time.
+	HeardAt time.Time
+	Reason  Reason
 	// RetryAfter is how long to wait after a refusal until capacity is likely to be free.
 	RetryAfter time.Duration
 }
--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -227,7 +227,7 @@
 
 func (sched *Scheduler) assign(now time.Time, s *server, w *queuedAttempt) {
 	s.inFlight[w.AttemptID] = w.Deadline
-	sched.decisions = append(sched.decisions, Decision{AttemptID: w.AttemptID, Server: s.Name})
+	sched.decisions = append(sched.decisions, Decision{AttemptID: w.AttemptID, Server: s.Name, HeardAt: s.heardAt})
 }
 
 func (sched *Scheduler) refuse(id AttemptID, reason Reason, retryAfter time.Duration) {
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -33,6 +33,8 @@
 	tokens tokenBucket
 	// reportedColdUntil is the end of the cold start as reported by the server itself.
 	reportedColdUntil time.Time
+	// heardAt is when the server was last known, by its responses, not to be leaving.
+	heardAt time.Time
 	// recentLosses holds recent attempts whose connection to this server was lost.
 	recentLosses []lostAttempt
 	// queue holds the attempts for keys that this server owns.
@@ -82,6 +84,9 @@
 	if completion.Load.Known && completion.Load.SlowdownFactor > 0 {
 		s.slowdownFactor, s.slowdownAt = completion.Load.SlowdownFactor, now
 	}
+	if completion.HeardAt.After(s.heardAt) {
+		s.heardAt = completion.HeardAt
+	}
 	outcome := completion.Outcome
 	if outcome == Misdirected && !keyed {
 		outcome = Unreached
