--- a/internal/gateway/backpressure_test.go
+++ b/internal/gateway/backpressure_test.go
@@ -25,6 +25,19 @@
 	return l.roundRobinLink.Send(up)
 }
 
+// reports returns how many attempts were reported to have ended with the outcome.
+func (l *recordingLink) reports(outcome placing.Outcome) int {
+	n := 0
+	for _, up := range l.sent {
+		for _, f := range up.Finishes {
+			if placing.Outcome(f.Outcome) == outcome {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // leavingNames returns the servers that the messages say are leaving.
 func (l *recordingLink) leavingNames() []string {
 	var out []string
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -188,8 +188,12 @@
 func (g *Gateway) send(ctx context.Context, call *Call, state *callState, decision placing.Decision) AttemptResult {
 	completion := placing.Completion{AttemptID: decision.AttemptID, Server: decision.Server, Outcome: placing.Unused, ContentHash: state.contentHash}
 	server := g.registry.Snapshot().Server(decision.Server)
-	if server != nil && !g.check.isRecent(server.Incarnation, decision.HeardAt, time.Now()) {
-		g.check.refresh(ctx, server)
+	if server != nil && !g.check.isRecent(server.Incarnation, decision.HeardAt, time.Now()) && !g.check.refresh(ctx, server) {
+		// The scheduler spares it for a while, as one that cannot be reached.
+		completion.Outcome = placing.Unreached
+		g.scheduler.Complete(completion)
+		state.sends++
+		return AttemptResult{Outcome: placing.Unreached, Detail: "the facts are too old, and the server has not said that it takes new work"}
 	}
 	maySend := server != nil && g.maySend(server.Incarnation, decision.HeardAt)
 	if server != nil && !maySend {
@@ -198,7 +202,7 @@
 	sentAt := time.Now()
 	if !maySend || state.deadline.Sub(sentAt) < minAttemptTime {
 		g.scheduler.Complete(completion)
-		return AttemptResult{Outcome: placing.Unused, Detail: "the assigned server is no longer usable, what is known of it is too old, or too little time is left"}
+		return AttemptResult{Outcome: placing.Unused, Detail: "the assigned server is no longer usable, or too little time is left"}
 	}
 	writtenAt := sentAt
 	result := g.backends.Send(ctx, server, call, state.deadline, func() bool {
--- a/internal/gateway/oldfacts_test.go
+++ b/internal/gateway/oldfacts_test.go
@@ -66,7 +66,8 @@
 				is := is.New(t)
 				registry := newRegistry(fleet.KindUpload)
 				client := NewSchedulerClient("i", "d", registry, nil)
-				client.Attach(&roundRobinLink{client: client, servers: []string{"a"}})
+				l := &recordingLink{roundRobinLink: roundRobinLink{client: client, servers: []string{"a"}}}
+				client.Attach(l)
 				backends := &scriptedClient{results: []AttemptResult{{Outcome: placing.Answered, Response: &backhttp.Response{Status: 200}}}}
 				g := newGateway(registry, client, backends, nil)
 				if c.noHealthCheck {
@@ -89,6 +90,7 @@
 				}
 				is.Equal(len(backends.sent) > 0, c.answered)
 				is.Equal(prober.checks, c.checks)
+				is.Equal(l.reports(placing.Unreached) > 0, !c.storeRead && !c.answered) // so that the holder spares it
 				time.Sleep(maxLeavingTime) // what was learned is old again
 				is.Equal(g.Handle(t.Context(), upload()).Outcome == OutcomeAnswered, c.answered)
 				is.Equal(prober.checks, 2*c.checks)
--- a/internal/gateway/servercheck.go
+++ b/internal/gateway/servercheck.go
@@ -68,14 +68,16 @@
 }
 
 // refresh tries to learn whether the server takes new work: from the store, and if that does
-// not answer from the server.
-func (c *serverCheck) refresh(ctx context.Context, server *fleet.Server) {
+// not answer from the server. It returns whether what is known of the server is recent now.
+func (c *serverCheck) refresh(ctx context.Context, server *fleet.Server) bool {
 	age, _ := c.registry.Age(time.Now())
 	refreshed := c.refresher.Refresh(ctx)
 	if !refreshed {
 		c.ask(*server)
 	}
-	c.log.Emit(events.FactsTooOld, "server", server.Name, "facts_ms", age.Milliseconds(), "store_read", refreshed, "usable", c.isRecent(server.Incarnation, time.Time{}, time.Now()))
+	recent := c.isRecent(server.Incarnation, time.Time{}, time.Now())
+	c.log.Emit(events.FactsTooOld, "server", server.Name, "facts_ms", age.Milliseconds(), "store_read", refreshed, "usable", recent)
+	return recent
 }
 
 // ask sends the server a health check, unless it has just refused one. Requests share it.
