Forget old words of servers

A word was kept until the next health check, which may never come; each incarnation that was heard while the facts were old stayed in memory.

--- a/internal/gateway/oldfacts_test.go
+++ b/internal/gateway/oldfacts_test.go
@@ -159,3 +159,19 @@
 	is.Equal(g.Handle(t.Context(), upload()).Outcome, OutcomeAnswered)
 	is.Equal(backends.sent, []string{"b"})
 }
+
+// Guards against words of servers that are kept for as long as the process runs.
+func TestOldWordsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newGateway(newRegistry(fleet.KindUpload), nil, nil, nil)
+		time.Sleep(maxLeavingTime)
+		for n := range 100 {
+			g.check.hear(fleet.Incarnation{Name: "a", StartMS: int64(n)}, time.Now())
+			time.Sleep(maxFactsAge / 10)
+		}
+		kept := 0
+		g.check.words.Range(func(any, any) bool { kept++; return true })
+		is.True(kept > 0 && kept <= 21) // those of two times maxFactsAge
+	})
+}
--- a/internal/gateway/servercheck.go
+++ b/internal/gateway/servercheck.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/singleflight"
@@ -32,6 +33,8 @@
 	prober    fleet.Prober
 	log       *events.Logger
 	words     sync.Map // fleet.Incarnation to serverWord
+	// sweptAt is when old words were last removed.
+	sweptAt atomic.Pointer[time.Time]
 	asking    singleflight.Group
 }
 
@@ -55,7 +58,17 @@
 		return // words are not needed soon
 	}
 	if word, known := c.word(server); !known || word.askedAt.Before(writtenAt) {
-		c.words.Store(server, serverWord{askedAt: writtenAt, serving: true})
+		c.record(server, serverWord{askedAt: writtenAt, serving: true})
+	}
+}
+
+// record stores a word, and once in a while removes those that no longer matter.
+func (c *serverCheck) record(server fleet.Incarnation, word serverWord) {
+	c.words.Store(server, word)
+	now := time.Now()
+	last := c.sweptAt.Load()
+	if (last == nil || now.Sub(*last) > maxFactsAge) && c.sweptAt.CompareAndSwap(last, &now) {
+		c.forgetOld(now)
 	}
 }
 
@@ -88,7 +101,7 @@
 	path := c.healthPath(server.Service)
 	if path == "" {
 		// Its service has no health check. Without the store nobody could serve it at all.
-		c.words.Store(server.Incarnation, serverWord{askedAt: time.Now(), serving: true})
+		c.record(server.Incarnation, serverWord{askedAt: time.Now(), serving: true})
 		return
 	}
 	_, _, _ = c.asking.Do(server.Incarnation.String(), func() (any, error) {
@@ -98,8 +111,7 @@
 		health, err := c.prober.Health(ctx, server, path)
 		answered := err == nil && health.Server == server.Name
 		word.serving, word.refuses = answered && health.Serving, answered && !health.Serving
-		c.forgetOld(word.askedAt)
-		c.words.Store(server.Incarnation, word)
+		c.record(server.Incarnation, word)
 		return nil, nil // without an answer the server gets no request
 	})
 }
