--- a/internal/gateway/oldfacts_test.go
+++ b/internal/gateway/oldfacts_test.go
@@ -91,7 +91,7 @@
 				is.Equal(len(backends.sent) > 0, c.answered)
 				is.Equal(prober.checks, c.checks)
 				is.Equal(l.reports(placing.Unreached) > 0, !c.storeRead && !c.answered) // so that the holder spares it
-				time.Sleep(maxLeavingTime) // what was learned is old again
+				time.Sleep(maxLeavingTime)                                              // what was learned is old again
 				is.Equal(g.Handle(t.Context(), upload()).Outcome == OutcomeAnswered, c.answered)
 				is.Equal(prober.checks, 2*c.checks)
 			})
--- a/internal/gateway/servercheck.go
+++ b/internal/gateway/servercheck.go
@@ -35,7 +35,7 @@
 	words     sync.Map // fleet.Incarnation to serverWord
 	// sweptAt is when old words were last removed.
 	sweptAt atomic.Pointer[time.Time]
-	asking    singleflight.Group
+	asking  singleflight.Group
 }
 
 // isRecent reports whether the facts, what the server has said itself, or what another
