Read the store for requests that come while the configuration is too old

The same cause as for servers that leave: nothing bounded the age of the configuration by which a request gets its route, so that an instance between two holders answered 404 for a new route, or used a removed one, though it could read the store. TestOldConfigurationIsRefreshed fails without the call and passes with it.

Taken-out failure domains are part of what each send checks, and so already bounded.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,6 +79,7 @@
 }
 
 func (g *Gateway) handle(ctx context.Context, call *Call) (Reply, callState) {
+	g.check.refreshFacts(ctx) // the route may have changed or be new
 	config := g.registry.Snapshot().Config
 	if config == nil {
 		return Reply{Outcome: OutcomeNotRun, RetryAfter: retryAfterNoConfig, Detail: "no configuration yet"}, callState{}
--- a/internal/gateway/oldfacts_test.go
+++ b/internal/gateway/oldfacts_test.go
@@ -160,6 +160,28 @@
 	is.Equal(backends.sent, []string{"b"})
 }
 
+// Guards against an instance that handles requests by an old configuration although it can
+// read the store: between two holders it went by what the last one had sent.
+func TestOldConfigurationIsRefreshed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		registry := newRegistry(fleet.KindUpload)
+		g := newGateway(registry, NewSchedulerClient("i", "d", registry, nil), &scriptedClient{}, nil)
+		g.check.refresher = fakeRefresher(func() bool {
+			registry.ConfirmRead(time.Now())
+			return registry.UpdateOperatorSettings(fleet.OperatorSettings{Config: []byte("next"), Revision: 1}, time.Now())
+		})
+		time.Sleep(maxFactsAge)
+		call := upload()
+		call.Path = "/removed/x"
+		is.Equal(g.Handle(t.Context(), call).Outcome, OutcomeNoRoute)
+		is.Equal(string(registry.Snapshot().OperatorSettings.Config), "c") // recent enough
+		time.Sleep(time.Millisecond)
+		g.Handle(t.Context(), call)
+		is.Equal(string(registry.Snapshot().OperatorSettings.Config), "next")
+	})
+}
+
 // Guards against words of servers that are kept for as long as the process runs.
 func TestOldWordsAreForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/servercheck.go
+++ b/internal/gateway/servercheck.go
@@ -38,6 +38,13 @@
 	asking  singleflight.Group
 }
 
+// refreshFacts reads the store if the facts are too old and the store answers.
+func (c *serverCheck) refreshFacts(ctx context.Context) {
+	if age, known := c.registry.Age(time.Now()); known && age > maxFactsAge {
+		c.refresher.Refresh(ctx)
+	}
+}
+
 // isRecent reports whether the facts, what the server has said itself, or what another
 // instance heard from it at heardAt, is recent at now.
 func (c *serverCheck) isRecent(server fleet.Incarnation, heardAt, now time.Time) bool {
