--- a/internal/gateway/servercheck.go
+++ b/internal/gateway/servercheck.go
@@ -25,8 +25,8 @@
 
 // serverCheck decides whether what this instance knows of a server is recent enough to send
 // it a request: by the facts, by a response that shows that the server is not leaving or,
-// while this instance cannot read the store, by a health check. A server without a health check gets requests then.
-// It is safe for concurrent use.
+// while this instance cannot read the store, by a health check. A server without a health
+// check gets requests then. It is safe for concurrent use.
 type serverCheck struct {
 	registry  *facts.Registry
 	refresher FactsRefresher
