Do not trust the age of facts after a suspension of the machine

Cause, found by reading the new clock of links: the steady clock stands still while a machine is suspended, so that the offset of its clock, as the other end knows it, is too large for up to 4 s afterwards. Times of reading arrived in the future, and facts counted as fresh for as long as the suspension had lasted.

A decoded time is never in the future now. An instance that follows a holder looks for a suspension with each heartbeat interval, forgets when its facts were read and joins again with another clock; so does a holder, whose lease was forgotten already. The tests of the holder's suspension give their coordinator a registry.

TestFactsAreNotTrustedAfterASuspension fails without the call, and TestTimesAreNeverInTheFuture without the bound.

--- a/internal/facts/registry.go
+++ b/internal/facts/registry.go
@@ -63,6 +63,12 @@
 	}
 }
 
+// ForgetRead makes the age of the facts unknown: the clock by which it is counted has stood
+// still.
+func (r *Registry) ForgetRead() {
+	r.readAt.Store(nil)
+}
+
 // ReadAt returns when the store was last read for this registry, or the zero time. A snapshot
 // that is loaded after it has all that was written to the store before.
 func (r *Registry) ReadAt() time.Time {
--- a/internal/holder/abortorders_test.go
+++ b/internal/holder/abortorders_test.go
@@ -42,6 +42,7 @@
 		orderSender:     contexts,
 		queue:           make(chan func(), 2),
 		ctx:             t.Context(),
+		registry:        facts.NewRegistry(nil, nil),
 		suspension:      suspension{suspendedFor: func() (time.Duration, bool) { return suspended, true }},
 	}
 	c.leaseConfirmedAt.Store(&now)
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -84,11 +84,13 @@
 	}
 }
 
-// monitorLink returns when the link has ended, when heartbeats are missing, or when
-// the holder has lost its key. While the holder cannot read the store, it reads the
+// monitorLink returns when the link has ended, when heartbeats are missing, when the machine
+// was suspended, or when the holder has lost its key. While the holder cannot read the store, it reads the
 // store in place of the holder, and while this instance has no facts, for itself.
 func (e *Elector) monitorLink(ctx context.Context, conn link.Link, receiver *link.FactsReceiver, holder Identity) {
 	var nextReadAt time.Time // after a read that failed
+	waking := suspension{suspendedFor: e.suspendedFor}
+	waking.noticed() // begins with the link
 	for {
 		select {
 		case <-ctx.Done():
@@ -98,6 +100,13 @@
 			return
 		case <-time.After(link.HeartbeatInterval):
 		}
+		if waking.noticed() {
+			// The clock of the link is wrong now, and the facts are older than they seem.
+			conn.Close()
+			e.registry.ForgetRead()
+			e.log.Emit(events.HolderLost, "holder", holder.String(), "detail", "the machine was suspended")
+			return
+		}
 		now := time.Now()
 		if silence := e.client.SilentFor(now); silence > link.HeartbeatTimeout {
 			e.log.Emit(events.HolderLost, "holder", holder.String(), "detail", "no heartbeat", "silent_ms", silence.Milliseconds())
--- a/internal/holder/monitorlink_test.go
+++ b/internal/holder/monitorlink_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,3 +62,30 @@
 		}
 	}
 }
+
+// Guards against an instance that takes its facts for fresh after its machine was suspended,
+// for which the clocks that it counts their age by stood still.
+func TestFactsAreNotTrustedAfterASuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		registry := facts.NewRegistry(nil, nil)
+		registry.ConfirmRead(time.Now())
+		client := newFakeClient(registry)
+		e := NewElector(Options{Store: memstore.New(), Registry: registry, Reader: facts.NewReader(emptySource{}, registry, nil), Client: client})
+		var suspended atomic.Int64
+		e.suspendedFor = func() (time.Duration, bool) { return time.Duration(suspended.Load()), true }
+		returned := make(chan struct{})
+		go func() {
+			defer close(returned)
+			e.monitorLink(t.Context(), fakeLink(make(chan struct{})), link.NewFactsReceiver(registry), Identity{})
+		}()
+		time.Sleep(2 * link.HeartbeatInterval)
+		client.hear()
+		_, known := registry.Age(time.Now())
+		is.True(known)
+		suspended.Add(int64(10 * time.Second))
+		<-returned // to join again, with another clock
+		_, known = registry.Age(time.Now())
+		is.True(!known)
+	})
+}
--- a/internal/holder/suspension_test.go
+++ b/internal/holder/suspension_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"peridotmoor.org/peridotmoor/internal/facts"
 	"peridotmoor.org/peridotmoor/internal/link"
 	"peridotmoor.org/peridotmoor/internal/owners"
 )
@@ -16,7 +17,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	suspended := 5 * time.Second // before the tenure
-	c := &Coordinator{table: owners.NewTable(owners.Record{Epoch: 1}, "h", now), followers: map[*link.Follower]bool{}}
+	c := &Coordinator{registry: facts.NewRegistry(nil, nil), table: owners.NewTable(owners.Record{Epoch: 1}, "h", now), followers: map[*link.Follower]bool{}}
 	c.suspension.suspendedFor = func() (time.Duration, bool) { return suspended, true }
 	c.leaseConfirmedAt.Store(&now)
 	is.True(c.maySendOrders(now.Add(100 * time.Millisecond)))
--- a/internal/holder/tenure.go
+++ b/internal/holder/tenure.go
@@ -89,6 +89,7 @@
 	if c.suspension.noticed() {
 		c.log.Emit(events.MachineSuspended, "epoch", c.epoch)
 		c.leaseConfirmedAt.Store(nil)
+		c.registry.ForgetRead()
 		c.abortOrders()
 	}
 	leaseConfirmedAt := c.leaseConfirmedAt.Load()
--- a/internal/link/clock.go
+++ b/internal/link/clock.go
@@ -65,10 +65,15 @@
 	return us
 }
 
-// decode returns the time that the other end has encoded, or the zero time for 0.
+// decode returns the time that the other end has encoded, or the zero time for 0. It is never
+// in the future, where a suspension of this machine would put it: its clock stood still.
 func (c *Clock) decode(us int64) time.Time {
 	if c == nil || us == 0 {
 		return time.Time{}
 	}
-	return c.startedAt.Add(microseconds(us))
+	now := time.Now()
+	if at := c.startedAt.Add(microseconds(us)); at.Before(now) {
+		return at
+	}
+	return now
 }
--- a/internal/link/clock_test.go
+++ b/internal/link/clock_test.go
@@ -40,6 +40,16 @@
 	})
 }
 
+// Guards against facts from the future, which would count as fresh for as long as the machine
+// was suspended: its clock stood still, and the other end does not know yet.
+func TestTimesAreNeverInTheFuture(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := NewClock()
+		time.Sleep(time.Second)
+		is.New(t).Equal(clock.decode((10 * time.Second).Microseconds()), time.Now())
+	})
+}
+
 // Guards against a word of a server that one instance has heard and that is lost, or younger,
 // on its way through the holder to another one.
 func TestWordsOfServersKeepTheirAge(t *testing.T) {
