--- a/internal/facts/registry.go
+++ b/internal/facts/registry.go
@@ -160,38 +160,34 @@
 // reading is older than the registry's.
 func (r *Registry) UpdateListing(listing fleet.Listing, at time.Time) bool {
 	older := false
-	var replaced *Snapshot
-	changed := r.update(func(s *Snapshot) *Snapshot {
+	var old, next *Snapshot
+	r.update(func(s *Snapshot) *Snapshot {
+		old, next = s, nil
 		if older = listing.Revision < s.ListingRevision; older {
 			return nil
 		}
 		if equalServers(s.Servers, listing.Servers, at) {
-			replaced = nil
 			return s.withListingRevision(listing.Revision)
 		}
-		replaced = s
-		return s.withListing(listing, at)
+		next = s.withListing(listing, at)
+		return next
 	})
-	if changed && replaced != nil {
-		r.logLeaving(replaced, listing, at)
+	if next != nil {
+		r.logLeaving(old, next, listing.Source, at)
 	}
 	return !older
 }
 
 // logLeaving logs the servers that a listing, read at the given time, ends new work for.
-func (r *Registry) logLeaving(old *Snapshot, listing fleet.Listing, at time.Time) {
-	usable := make(map[fleet.Incarnation]bool, len(listing.Servers))
-	for _, s := range listing.Servers {
-		usable[s.Incarnation] = !s.Leaving
-	}
+func (r *Registry) logLeaving(old, next *Snapshot, source fleet.ListingSource, at time.Time) {
 	var names []string
 	for _, s := range old.Servers {
-		if !s.Leaving && !usable[s.Incarnation] {
+		if current := next.byName[s.Name]; !s.Leaving && (current == nil || current.Incarnation != s.Incarnation || current.Leaving) {
 			names = append(names, s.Name)
 		}
 	}
 	if len(names) > 0 {
-		r.log.Emit(events.ServersLeaving, "servers", names, "revision", listing.Revision, "read_ms_ago", time.Since(at).Milliseconds(), "source", listing.Source.String())
+		r.log.Emit(events.ServersLeaving, "servers", names, "revision", next.ListingRevision, "read_ms_ago", time.Since(at).Milliseconds(), "source", source.String())
 	}
 }
 
