--- a/internal/facts/registry.go
+++ b/internal/facts/registry.go
@@ -69,13 +69,14 @@
 	r.readAt.Store(nil)
 }
 
-// ReadAt returns when the store was last read for this registry, or the zero time. A snapshot
-// that is loaded after it has all that was written to the store before.
-func (r *Registry) ReadAt() time.Time {
+// ReadSnapshot returns the current snapshot and when the store was last read for it, or the
+// zero time. The snapshot has all that was written to the store before: a time that is loaded
+// after it could be that of the next reading.
+func (r *Registry) ReadSnapshot() (snapshot *Snapshot, readAt time.Time) {
 	if at := r.readAt.Load(); at != nil {
-		return *at
+		readAt = *at
 	}
-	return time.Time{}
+	return r.Snapshot(), readAt
 }
 
 // Age returns how long ago the store was last read for this registry, and false if
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -140,7 +140,7 @@
 		return false, err
 	}
 	e.log.Emit(events.ReadForHolder, "holder", holder.String())
-	followedLink{conn, receiver}.sendReading(e.registry)
+	followedLink{conn, receiver}.sendReading()
 	found, _, err := e.readHolder(ctx)
 	return errors.Is(err, store.ErrNotFound) || err == nil && found != holder, nil
 }
--- a/internal/holder/followedlink.go
+++ b/internal/holder/followedlink.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"peridotmoor.org/peridotmoor/internal/facts"
 	"peridotmoor.org/peridotmoor/internal/link"
 	"peridotmoor.org/peridotmoor/internal/link/linkpb"
 )
@@ -16,15 +15,15 @@
 
 // sendReading sends the holder what this instance has read from the store. If the link has
 // ended, the instance notices by itself.
-func (l followedLink) sendReading(registry *facts.Registry) {
-	readAt := registry.ReadAt() // before the snapshot that is encoded
-	l.conn.Send(&linkpb.Up{Facts: l.receiver.EncodeReading(time.Now()), ReadUs: l.conn.EncodeTime(readAt)})
+func (l followedLink) sendReading() {
+	reading, readAt := l.receiver.EncodeReading(time.Now())
+	l.conn.Send(&linkpb.Up{Facts: reading, ReadUs: l.conn.EncodeTime(readAt)})
 }
 
 // ShareReading tells the holder what this instance has just read from the store by itself. It
 // is safe for concurrent use.
 func (e *Elector) ShareReading() {
 	if l := e.followed.Load(); l != nil {
-		l.sendReading(e.registry)
+		l.sendReading()
 	}
 }
--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -56,8 +56,7 @@
 		c.followerLog.joined(f)
 		f.JoinedAt = c.stays.join(f, time.Now())
 		c.byName[f.Instance] = f
-		readAt := c.registry.ReadAt() // before the snapshot, which may be newer
-		snapshot := c.registry.Snapshot()
+		snapshot, readAt := c.registry.ReadSnapshot()
 		now := time.Now()
 		f.Send(&linkpb.Down{Facts: []*linkpb.Facts{c.encodeFacts(snapshot, f.Sent, now)}, ReadUs: f.EncodeTime(readAt), Losses: link.EncodeLosses(c.registry.Crashes().Announced(now), now)})
 		f.Sent = sequencesOf(snapshot)
--- a/internal/holder/publish.go
+++ b/internal/holder/publish.go
@@ -26,8 +26,7 @@
 		c.askForProofs(now)
 		c.announceLosses(now)
 	}
-	readAt := c.registry.ReadAt() // before the snapshot, which may be newer
-	snapshot := c.registry.Snapshot()
+	snapshot, readAt := c.registry.ReadSnapshot()
 	encoded := map[link.SentSequences]*linkpb.Facts{} // most followers have received the same parts
 	for f := range c.followers {
 		if !heartbeatDue && f.Sent == sequencesOf(snapshot) {
--- a/internal/link/factsreceiver.go
+++ b/internal/link/factsreceiver.go
@@ -79,10 +79,11 @@
 }
 
 // EncodeReading converts what this instance has read from the store, as a message to
-// the sender: the parts that differ from what the sender sent.
-func (r *FactsReceiver) EncodeReading(now time.Time) *linkpb.Facts {
-	snapshot := r.registry.Snapshot()
-	return EncodeFacts(snapshot, SentSequences{OperatorSettings: r.appliedSettingsSequence.Load(), Listing: r.appliedListingSequence.Load(), OwnedRanges: snapshot.OwnedRangesSequence, Backpressure: snapshot.BackpressureSequence}, nil, now)
+// the sender: the parts that differ from what the sender sent. It also returns when the
+// store was read.
+func (r *FactsReceiver) EncodeReading(now time.Time) (reading *linkpb.Facts, readAt time.Time) {
+	snapshot, readAt := r.registry.ReadSnapshot()
+	return EncodeFacts(snapshot, SentSequences{OperatorSettings: r.appliedSettingsSequence.Load(), Listing: r.appliedListingSequence.Load(), OwnedRanges: snapshot.OwnedRangesSequence, Backpressure: snapshot.BackpressureSequence}, nil, now), readAt
 }
 
 // merge applies the changes in a message to the facts received before.
--- a/internal/link/factsreceiver_test.go
+++ b/internal/link/factsreceiver_test.go
@@ -115,10 +115,11 @@
 	receiver.Apply(message, now, now)
 	follower.UpdateListing(listed(5, "a", "b"), now) // the follower's own read, with the same servers
 	follower.ConfirmRead(now)
-	reading := receiver.EncodeReading(now)
+	reading, readAt := receiver.EncodeReading(now)
 	is.Equal(reading.Listing, nil)
+	is.Equal(readAt, now)
 	follower.UpdateListing(listed(6, "a"), now)
-	reading = receiver.EncodeReading(now)
+	reading, _ = receiver.EncodeReading(now)
 	is.Equal(len(reading.Listing.Servers), 1)
 	NewFactsReceiver(holder).Apply(reading, now, now)
 	is.Equal(names(holder), []string{"a"})
