Ask a server once for a request that is placed locally without the store

Placing locally while the store is away asks the server whether it is cold, and the check before the request is written asked it again whether it is leaving. The decision tells the answer of the first one now, as decisions of the holder do.

--- a/internal/gateway/localscheduler_test.go
+++ b/internal/gateway/localscheduler_test.go
@@ -35,12 +35,14 @@
 		age    time.Duration
 		health fakeProber
 		placed bool
+		heard  bool
 		checks int
 	}{
-		{"store read recently", time.Second, fakeProber{name: "a", cold: time.Second}, true, 0},
-		{"store unreachable, server warm", 2 * time.Second, fakeProber{name: "a"}, true, 1},
-		{"store unreachable, server cold", 2 * time.Second, fakeProber{name: "a", cold: time.Second}, false, 1},
-		{"store unreachable, another server at the address", 2 * time.Second, fakeProber{name: "x", cold: time.Second}, true, 1},
+		{"store read recently", time.Second, fakeProber{name: "a", cold: time.Second}, true, false, 0},
+		{"store unreachable, server warm", 2 * time.Second, fakeProber{name: "a", serving: true}, true, true, 1},
+		{"store unreachable, server warm and leaving", 2 * time.Second, fakeProber{name: "a"}, true, false, 1},
+		{"store unreachable, server cold", 2 * time.Second, fakeProber{name: "a", cold: time.Second, serving: true}, false, false, 1},
+		{"store unreachable, another server at the address", 2 * time.Second, fakeProber{name: "x", cold: time.Second, serving: true}, true, false, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -55,6 +57,7 @@
 			for range 2 * maxLocalInFlight { // a refused attempt must not count as in flight
 				v := client.Place(context.Background(), placing.Attempt{Service: "s", Key: placing.NoKey, Deadline: now.Add(time.Second)})
 				is.Equal(v.Server != "", c.placed)
+				is.Equal(!v.HeardAt.IsZero(), c.heard) // else the server is asked again
 				if !c.placed {
 					is.Equal(v.Reason, placing.ReasonCold)
 				} else {
--- a/internal/gateway/schedulerclient.go
+++ b/internal/gateway/schedulerclient.go
@@ -183,8 +183,13 @@
 	}
 	probeCtx, cancel := context.WithTimeout(ctx, healthCheckTimeout)
 	defer cancel()
+	askedAt := time.Now()
 	health, err := c.prober.Health(probeCtx, *server, service.HealthPath)
-	if err != nil || health.Server != server.Name || health.ColdRemaining == 0 {
+	answered := err == nil && health.Server == server.Name
+	if answered && health.Serving {
+		decision.HeardAt = askedAt // so that the server is not asked again before the attempt
+	}
+	if !answered || health.ColdRemaining == 0 {
 		return decision // if the server does not answer, the attempt itself will fail
 	}
 	c.local.complete(now, placing.Completion{AttemptID: attempt.AttemptID})
