--- a/internal/dev/soak/backend/server.go
+++ b/internal/dev/soak/backend/server.go
@@ -105,11 +105,21 @@
 		return
 	}
 	i.leaving.Store(true)
+	s.announce(ctx, i)
+	s.end(i, drainTime)
+}
+
+// announce writes into the entry of the incarnation that it leaves. It returns false if ctx
+// ended before the store accepted that.
+func (s *Server) announce(ctx context.Context, i *incarnation) bool {
 	i.draining.Store(true)
-	for s.put(i) != nil && ctx.Err() == nil {
+	for s.put(i) != nil {
+		if ctx.Err() != nil {
+			return false
+		}
 		time.Sleep(s.config.Heartbeat)
 	}
-	s.end(i, drainTime)
+	return true
 }
 
 // Leave is Drain, but the server says only in its responses that it leaves. Its entry
@@ -125,16 +135,9 @@
 // leaves. acked is called once the store has accepted the entry.
 func (s *Server) Retire(ctx context.Context, drainTime time.Duration, acked func(Departure)) {
 	i := s.running()
-	if i == nil {
+	if i == nil || !s.announce(ctx, i) {
 		return
 	}
-	i.draining.Store(true)
-	for s.put(i) != nil {
-		if ctx.Err() != nil {
-			return
-		}
-		time.Sleep(s.config.Heartbeat)
-	}
 	acked(Departure{Server: i.id, AckedAt: time.Now()})
 	s.end(i, drainTime)
 }
--- a/internal/dev/soak/check/backpressure_test.go
+++ b/internal/dev/soak/check/backpressure_test.go
@@ -25,6 +25,11 @@
 	e.Attempts[len(e.Attempts)-1].ServerLeaving = true
 }
 
+// depart makes the store accept at the given second that i-1 leaves.
+func depart(e *Evidence, second float64) {
+	e.Departures = append(e.Departures, backend.Departure{Server: "i-1", AckedAt: at(second)})
+}
+
 // Guards against checks that miss a request that a server did not want, and against
 // exceptions that are wider than the platform's pages allow.
 func TestBackpressureViolations(t *testing.T) {
@@ -39,13 +44,19 @@
 		prepare func(*Evidence)
 		found   string
 	}{
-		"sent late to a leaving server": {func(e *Evidence) { leave(e, 1); arrive(e, 3.1) }, "leaving"},
-		"sent in time":                  {func(e *Evidence) { leave(e, 1); arrive(e, 2.9) }, ""},
-		"sent late to another server":   {func(e *Evidence) { leave(e, 1); arrive(e, 3.1).Server = "i-2" }, ""},
-		"sent late by another process":  {func(e *Evidence) { leave(e, 1); arrive(e, 3.1); e.Attempts[1].Process = 2 }, ""},
-		"sent late after a freeze":      {func(e *Evidence) { leave(e, 1); arrive(e, 3.1); e.Impairments.impair(Freeze("entry-0"), 2, 2.5) }, ""},
-		"sent late without the store":   {func(e *Evidence) { leave(e, 1); arrive(e, 3.1); e.Impairments.impair(Store, 0, 9) }, "leaving"},
-		"sent late, cut from the store": {func(e *Evidence) { leave(e, 1); arrive(e, 3.1); e.Impairments.impair("entry-0", 0, 9) }, "leaving"},
+		"sent late to a leaving server":         {func(e *Evidence) { leave(e, 1); arrive(e, 3.1) }, "leaving"},
+		"sent in time":                          {func(e *Evidence) { leave(e, 1); arrive(e, 2.9) }, ""},
+		"sent late to another server":           {func(e *Evidence) { leave(e, 1); arrive(e, 3.1).Server = "i-2" }, ""},
+		"sent late by another process":          {func(e *Evidence) { leave(e, 1); arrive(e, 3.1); e.Attempts[1].Process = 2 }, ""},
+		"sent late after a freeze":              {func(e *Evidence) { leave(e, 1); arrive(e, 3.1); e.Impairments.impair(Freeze("entry-0"), 2, 2.5) }, ""},
+		"sent late without the store":           {func(e *Evidence) { leave(e, 1); arrive(e, 3.1); e.Impairments.impair(Store, 0, 9) }, "leaving"},
+		"sent late, cut from the store":         {func(e *Evidence) { leave(e, 1); arrive(e, 3.1); e.Impairments.impair("entry-0", 0, 9) }, "leaving"},
+		"2.1 s after a departure":               {func(e *Evidence) { depart(e, 1); arrive(e, 3.1) }, "departure"},
+		"1.9 s after a departure":               {func(e *Evidence) { depart(e, 1); arrive(e, 2.9) }, ""},
+		"after the departure of another server": {func(e *Evidence) { depart(e, 1); arrive(e, 3.1).Server = "i-2" }, ""},
+		"after a departure and a freeze":        {func(e *Evidence) { depart(e, 1); arrive(e, 3.1); e.Impairments.impair(Freeze("entry-0"), 2, 2.5) }, ""},
+		"after a departure, without the store":  {func(e *Evidence) { depart(e, 1); arrive(e, 3.1); e.Impairments.impair(Store, 0, 9) }, "departure"},
+		"after a departure, cut from the store": {func(e *Evidence) { depart(e, 1); arrive(e, 3.1); e.Impairments.impair("entry-0", 0, 9) }, "departure"},
 		"three requests in a pause": {func(e *Evidence) {
 			pause(e, 1, 2)
 			arrive(e, 1.6)
@@ -78,7 +89,7 @@
 			c.prepare(e)
 			e.index()
 			found := ""
-			for _, check := range []func(*Evidence) []Violation{checkLeaving, checkPauses, checkLimits} {
+			for _, check := range []func(*Evidence) []Violation{checkLeaving, checkDepartures, checkPauses, checkLimits} {
 				for _, v := range check(e) {
 					found += v.Check
 				}
