Share set-ups of the tests of old facts

The source that loses one of ten reads is the slow source with one more field, the reader that has read once and the client that answers were written out three and five times.

--- a/internal/facts/reader_test.go
+++ b/internal/facts/reader_test.go
@@ -48,15 +48,22 @@
 	return out
 }
 
+// readOnce returns a source with the servers a and b, and a reader that has read them once.
+func readOnce(t *testing.T) (*fakeSource, *Registry, *Reader) {
+	t.Helper()
+	s := &fakeSource{servers: servers("a", "b")}
+	registry := NewRegistry(decodeVersion, nil)
+	r := NewReader(s, registry, nil)
+	is.New(t).NoErr(r.Read(t.Context()))
+	return s, registry, r
+}
+
 // An instance that has not read the store itself for long, but was kept up to date by the
 // holder, must not take this for an outage and retain a removed server.
 func TestRemovedServerIsNotRetainedAfterInfrequentReads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		s := &fakeSource{servers: servers("a", "b")}
-		registry := NewRegistry(decodeVersion, nil)
-		r := NewReader(s, registry, nil)
-		is.NoErr(r.Read(t.Context()))
+		s, registry, r := readOnce(t)
 		time.Sleep(10 * time.Second)
 		registry.ConfirmRead(time.Now().Add(-time.Second)) // the holder read the store a second ago
 		s.servers = servers("b")
@@ -70,10 +77,7 @@
 func TestServersAreRetainedAfterAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		s := &fakeSource{servers: servers("a", "b")}
-		registry := NewRegistry(decodeVersion, nil)
-		r := NewReader(s, registry, nil)
-		is.NoErr(r.Read(t.Context()))
+		s, registry, r := readOnce(t)
 		s.down = true
 		time.Sleep(outageThreshold)
 		is.True(r.Read(t.Context()) != nil)
@@ -96,10 +100,7 @@
 func TestListingIsAppliedWithoutTheSettings(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		s := &fakeSource{servers: servers("a", "b")}
-		registry := NewRegistry(decodeVersion, nil)
-		r := NewReader(s, registry, nil)
-		is.NoErr(r.Read(t.Context()))
+		s, registry, r := readOnce(t)
 		time.Sleep(time.Second)
 		s.servers, s.settingsDown = servers("b"), true
 		is.True(r.Read(t.Context()) != nil)
--- a/internal/gateway/backpressure_test.go
+++ b/internal/gateway/backpressure_test.go
@@ -7,7 +7,6 @@
 
 	"github.com/matryer/is"
 
-	"peridotmoor.org/peridotmoor/internal/backhttp"
 	"peridotmoor.org/peridotmoor/internal/backpressure"
 	"peridotmoor.org/peridotmoor/internal/fleet"
 	"peridotmoor.org/peridotmoor/internal/link/linkpb"
@@ -62,7 +61,7 @@
 	client.Attach(l)
 	client.ObserveSignal(fleet.Incarnation{Name: "a"}, backpressure.Signal{Leaving: true})
 	is.Equal(l.leavingNames(), []string{"a"}) // the holder is told at once
-	backends := &scriptedClient{results: []AttemptResult{{Outcome: placing.Answered, Response: &backhttp.Response{Status: 200}}}}
+	backends := newAnsweringClient()
 	g := newGateway(registry, client, backends, nil)
 	reply := g.Handle(t.Context(), &Call{ID: "1", Method: "POST", Host: "h", Path: "/p/x", Header: http.Header{}, Key: placing.NoKey, ArrivedAt: time.Now(), Timeout: time.Second, Body: NewBody(nil, 0)})
 	is.Equal(reply.Outcome, OutcomeAnswered)
@@ -100,7 +99,7 @@
 	client.Attach(l)
 	is.Equal(len(l.sent[0].Backpressure), 2) // the holder is told when the instance joins it
 	is.True(l.sent[0].Backpressure[0].PauseUs > 0)
-	backends := &scriptedClient{results: []AttemptResult{{Outcome: placing.Answered, Response: &backhttp.Response{Status: 200}}}}
+	backends := newAnsweringClient()
 	g := newGateway(registry, client, backends, nil)
 	reply := g.Handle(t.Context(), &Call{ID: "1", Method: "POST", Host: "h", Path: "/p/x", Header: http.Header{}, Key: placing.NoKey, ArrivedAt: time.Now(), Timeout: time.Second, Body: NewBody(nil, 0)})
 	is.Equal(reply.Outcome, OutcomeAnswered)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -44,6 +44,11 @@
 	return r
 }
 
+// newAnsweringClient returns a client that answers all calls.
+func newAnsweringClient() *scriptedClient {
+	return &scriptedClient{results: []AttemptResult{{Outcome: placing.Answered, Response: &backhttp.Response{Status: 200}}}}
+}
+
 // noMetrics records nothing.
 type noMetrics struct{}
 
--- a/internal/gateway/oldfacts_test.go
+++ b/internal/gateway/oldfacts_test.go
@@ -7,7 +7,6 @@
 
 	"github.com/matryer/is"
 
-	"peridotmoor.org/peridotmoor/internal/backhttp"
 	"peridotmoor.org/peridotmoor/internal/fleet"
 	"peridotmoor.org/peridotmoor/internal/placing"
 )
@@ -34,7 +33,7 @@
 				if linked {
 					client.Attach(&roundRobinLink{client: client, servers: []string{"a", "b", "c"}})
 				}
-				backends := &scriptedClient{results: []AttemptResult{{Outcome: placing.Answered, Response: &backhttp.Response{Status: 200}}}}
+				backends := newAnsweringClient()
 				g := newGateway(registry, client, backends, nil)
 				time.Sleep(maxLeavingTime)
 				reply := g.Handle(t.Context(), upload())
@@ -68,7 +67,7 @@
 				client := NewSchedulerClient("i", "d", registry, nil)
 				l := &recordingLink{roundRobinLink: roundRobinLink{client: client, servers: []string{"a"}}}
 				client.Attach(l)
-				backends := &scriptedClient{results: []AttemptResult{{Outcome: placing.Answered, Response: &backhttp.Response{Status: 200}}}}
+				backends := newAnsweringClient()
 				g := newGateway(registry, client, backends, nil)
 				if c.noHealthCheck {
 					registry.Snapshot().Config.Services["s"].HealthPath = ""
@@ -150,7 +149,7 @@
 	registry := newRegistry(fleet.KindUpload)
 	client := NewSchedulerClient("i", "d", registry, nil)
 	client.Attach(&roundRobinLink{client: client, servers: []string{"a", "b"}})
-	backends := &scriptedClient{results: []AttemptResult{{Outcome: placing.Answered, Response: &backhttp.Response{Status: 200}}}}
+	backends := newAnsweringClient()
 	backends.beforeWrite = func() {
 		server := *registry.Snapshot().Server("b")
 		registry.UpdateListing(fleet.Listing{Servers: []fleet.Server{server}}, time.Now())
--- a/internal/holder/oldfacts_test.go
+++ b/internal/holder/oldfacts_test.go
@@ -21,33 +21,12 @@
 // may still get requests, by the platform's pages.
 const maxLeavingTime = 2 * time.Second
 
-// failingOnceSource takes a while for each read of the list, and does not answer one of
-// each ten.
-type failingOnceSource struct {
-	emptySource
-	duration time.Duration
-	reads    atomic.Int64
-}
-
-func (s *failingOnceSource) Listing(ctx context.Context) (fleet.Listing, error) {
-	duration := s.duration
-	if s.reads.Add(1)%10 == 2 {
-		duration = time.Hour
-	}
-	select {
-	case <-time.After(duration):
-		return fleet.Listing{}, nil
-	case <-ctx.Done():
-		return fleet.Listing{}, ctx.Err()
-	}
-}
-
 // Guards against facts that are too old for leaving servers because the store is slow and
 // does not answer once: the slow read, the failed one and the pause after it added up.
 func TestSlowAndFailedReadsDoNotAddUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		registry := facts.NewRegistry(nil, nil)
-		source := &failingOnceSource{duration: 800 * time.Millisecond}
+		source := slowSource{duration: 800 * time.Millisecond, losesOne: true, reads: new(atomic.Int64)}
 		e := &Elector{registry: registry, reader: facts.NewReader(source, registry, nil)}
 		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 		defer cancel()
--- a/internal/holder/slowread_test.go
+++ b/internal/holder/slowread_test.go
@@ -14,21 +14,23 @@
 	"peridotmoor.org/peridotmoor/internal/store"
 )
 
-// slowSource takes a while for each read, which fails if fails is set.
+// slowSource takes a while for each read, which fails if fails is set. It does not answer one
+// of each ten if losesOne is set.
 type slowSource struct {
+	emptySource
 	duration time.Duration
 	fails    bool
+	losesOne bool
 	reads    *atomic.Int64
 }
 
-func (s slowSource) OperatorSettings(context.Context) (fleet.OperatorSettings, error) {
-	return fleet.OperatorSettings{}, nil
-}
-
 func (s slowSource) Listing(ctx context.Context) (fleet.Listing, error) {
-	s.reads.Add(1)
+	answer := time.After(s.duration)
+	if s.reads.Add(1)%10 == 2 && s.losesOne {
+		answer = nil
+	}
 	select {
-	case <-time.After(s.duration):
+	case <-answer:
 	case <-ctx.Done():
 		return fleet.Listing{}, ctx.Err()
 	}
