--- a/internal/backhttp/checkwrite.go
+++ b/internal/backhttp/checkwrite.go
@@ -12,8 +12,9 @@
 var errWithheld = errors.New("the server may not get the request any more; nothing was written")
 
 // checkWrite returns an error if the request must not be written any more: errExpired,
-// errWithheld, or that of a context that was cancelled. It looks at the clocks: the timer of ctx comes late
-// in a process that was stopped or starved, and does not count while the machine is suspended.
+// errWithheld, or that of a context that was cancelled. It looks at the clocks: the timer of
+// ctx comes late in a process that was stopped or starved, and does not count while the
+// machine is suspended.
 func (r *Request) checkWrite(ctx context.Context) error {
 	deadline, limited := ctx.Deadline()
 	switch {
--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -43,7 +43,7 @@
 	KeyGrantsEnded        = register(1743, "key_grants_ended", log.InfoLevel, "The holder renews grants of key ranges no longer.")
 	OrderWrittenLate      = register(1744, "order_written_late", log.WarnLevel, "An order to a backend server was written long after the check that the holder may send it.")
 	FollowersChanged      = register(1745, "followers_changed", log.InfoLevel, "Instances have joined or left this holder, or its tenure has ended.")
+	HolderWithoutLease    = register(1746, "holder_without_lease", log.WarnLevel, "A holder that cannot confirm its lease counts the followers that provably follow no other one.")
 	ServersLeaving        = register(1747, "servers_leaving", log.InfoLevel, "The list of servers says that these servers are leaving, or has them no longer.")
 	FactsTooOld           = register(1748, "facts_too_old", log.WarnLevel, "A request found the facts too old to send it to a server; this instance has read the store, or asked the server.")
-	HolderWithoutLease    = register(1746, "holder_without_lease", log.WarnLevel, "A holder that cannot confirm its lease counts the followers that provably follow no other one.")
 )
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -85,8 +85,8 @@
 }
 
 // monitorLink returns when the link has ended, when heartbeats are missing, when the machine
-// was suspended, or when the holder has lost its key. While the holder cannot read the store, it reads the
-// store in place of the holder, and while this instance has no facts, for itself.
+// was suspended, or when the holder has lost its key. While the holder cannot read the store,
+// it reads the store in place of the holder, and while this instance has no facts, for itself.
 func (e *Elector) monitorLink(ctx context.Context, conn link.Link, receiver *link.FactsReceiver, holder Identity) {
 	var nextReadAt time.Time // after a read that failed
 	waking := suspension{suspendedFor: e.suspendedFor}
