Add the core types of teams, usage caps and large responses

Teams with key digests, the rank that puts the priority of a team before that of the route, the kind of requests with a large response, and the fields that instances exchange for them. A configuration with the kind download was refused as a whole before.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -11,6 +11,8 @@
 	Version  int64
 	Services map[string]*Service
 	Limits   Limits
+	// Teams is nil if the configuration has no teams; then callers need no key.
+	Teams *Teams
 	// routes holds the routes of each host, those with the longest prefix first.
 	routes map[string][]*Route
 }
--- a/internal/fleet/requestkind.go
+++ b/internal/fleet/requestkind.go
@@ -11,11 +11,18 @@
 	KindNonIdempotent
 	// KindUpload requests are non-idempotent and have a large body.
 	KindUpload
+	// KindDownload requests are idempotent and have a large response.
+	KindDownload
 )
 
 // Idempotent reports whether a request of this kind may run more than once.
 func (k RequestKind) Idempotent() bool {
-	return k == KindIdempotent
+	return k == KindIdempotent || k == KindDownload
+}
+
+// Large reports whether a request of this kind or its response has a large body.
+func (k RequestKind) Large() bool {
+	return k == KindUpload || k == KindDownload
 }
 
 // String returns the name of the kind in logs.
@@ -27,6 +34,8 @@
 		return "non-idempotent"
 	case KindUpload:
 		return "upload"
+	case KindDownload:
+		return "download"
 	}
 	return "unknown"
 }
--- a/internal/fleet/route.go
+++ b/internal/fleet/route.go
@@ -17,6 +17,8 @@
 	Priority int
 	// MaxAttempts limits the number of backend servers to which one request may be sent.
 	MaxAttempts int
+	// AllowAnonymous lets callers use the route without a key.
+	AllowAnonymous bool
 	// Shares is never empty.
 	Shares []TrafficShare
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -7,7 +7,7 @@
 	"peridotmoor.org/peridotmoor/internal/fleet"
 )
 
-// Call is one request of a caller. Only Timeout, Route, Body and Tried change while it is
+// Call is one request of a caller. Only Timeout, Route, Team, Body and Tried change while it is
 // processed.
 type Call struct {
 	// ID is the request ID. It identifies this request of the caller.
@@ -21,6 +21,10 @@
 	Header http.Header
 	// Key is placing.NoKey or the key of the request.
 	Key int
+	// Credential is what the caller shows to prove its team.
+	Credential Credential
+	// Team is set when the credential has been checked; nil for an anonymous call.
+	Team *fleet.Team
 	// Caller identifies the sender of the request, to recognise repeated requests.
 	Caller    string
 	ArrivedAt time.Time
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -176,7 +176,7 @@
 		Key:          key,
 		Priority:     call.Route.Priority,
 		Domain:       g.domain,
-		Large:        call.Route.Kind == fleet.KindUpload,
+		Large:        call.Route.Kind.Large(),
 		SoftDeadline: call.ArrivedAt.Add(call.Route.LatencyTarget - responseMargin),
 		Deadline:     state.deadline,
 		ContentHash:  state.contentHash,
--- a/internal/link/convert.go
+++ b/internal/link/convert.go
@@ -8,6 +8,7 @@
 	"peridotmoor.org/peridotmoor/internal/link/linkpb"
 	"peridotmoor.org/peridotmoor/internal/owners"
 	"peridotmoor.org/peridotmoor/internal/placing"
+	"peridotmoor.org/peridotmoor/internal/usagecap"
 )
 
 // EncodeAsk converts an attempt that is sent at now. Times become relative to now.
@@ -23,6 +24,7 @@
 		Avoid:      a.Tried,
 		Mark:       a.ContentHash,
 		Again:      a.Resubmitted,
+		Team:       a.Team,
 	}
 }
 
@@ -40,6 +42,7 @@
 		Tried:        a.Avoid,
 		ContentHash:  a.Mark,
 		Resubmitted:  a.Again,
+		Team:         a.Team,
 	}
 }
 
@@ -87,6 +90,9 @@
 		Server:       decision.Server,
 		Reason:       uint32(decision.Reason),
 		RetryAfterUs: decision.RetryAfter.Microseconds(),
+		AllowedPerS:  decision.Allowance.Rate,
+		AllowedNow:   decision.Allowance.Tokens,
+		AllowedBurst: decision.Allowance.Burst,
 	}
 }
 
@@ -98,6 +104,7 @@
 		Server:     v.Server,
 		Reason:     placing.Reason(v.Reason),
 		RetryAfter: microseconds(v.RetryAfterUs),
+		Allowance:  usagecap.Allowance{Rate: v.AllowedPerS, Tokens: v.AllowedNow, Burst: v.AllowedBurst},
 	}
 }
 
--- a/internal/placing/attempt.go
+++ b/internal/placing/attempt.go
@@ -11,7 +11,9 @@
 	Service   string
 	// Key is NoKey or a key of the service.
 	Key int
-	// Priority is the priority class of the route; 0 is the highest.
+	// Team is the name of the team of the caller, or empty.
+	Team string
+	// Priority is the priority class of the request; 0 is the highest.
 	Priority int
 	// Domain is the failure domain of the instance.
 	Domain string
--- a/internal/placing/decision.go
+++ b/internal/placing/decision.go
@@ -1,6 +1,10 @@
 package placing
 
-import "time"
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/usagecap"
+)
 
 // Decision assigns an attempt to a server or refuses it.
 type Decision struct {
@@ -13,4 +17,7 @@
 	Reason  Reason
 	// RetryAfter is how long to wait after a refusal until capacity is likely to be free.
 	RetryAfter time.Duration
+	// Allowance is the part of the usage cap of the team that the instance may use while it
+	// hears nothing from the holder, or the zero value.
+	Allowance usagecap.Allowance
 }
