--- /dev/null
+++ b/internal/placing/loadrequest_test.go
@@ -0,0 +1,17 @@
+package placing
+
+import (
+	"time"
+)
+
+// loadRequest is one request of a caller.
+type loadRequest struct {
+	loadClass
+	number    uint64
+	key       int
+	team      string
+	startedAt time.Time
+	sentAt    time.Time
+	returned  bool
+	refusals  int
+}
