Replay loads with one latency target and the same arrivals for each variant

The routes of a service have similar targets; a mix of them in one queue let callers with a target of 3 s fill it. Arrivals are drawn from a generator of their own, so that results of two versions of the scheduler can be compared.

--- a/internal/placing/loadclass_test.go
+++ b/internal/placing/loadclass_test.go
@@ -1,12 +1,19 @@
 package placing
 
 import (
+	"math"
+	"math/rand/v2"
 	"time"
 )
 
-// loadClass is a kind of callers: their latency target and how long they wait.
+// loadClass is a kind of callers: the latency target of their route.
 type loadClass struct{ target, patience time.Duration }
 
-// loadClasses are the bounds of the deployments: targets of 600 ms to 3 s, and callers
-// that wait 1.5 to 12 s.
-var loadClasses = []loadClass{{600 * time.Millisecond, 1500 * time.Millisecond}, {time.Second, 4 * time.Second}, {3 * time.Second, 12 * time.Second}}
+// newLoadClass returns a class with the target whose callers wait between one and a half
+// times the target and 12 s, at least 1.5 s. Short waits are more frequent.
+func newLoadClass(random *rand.Rand, target time.Duration) loadClass {
+	shortest := max(1500*time.Millisecond, target*3/2)
+	longest := 12 * time.Second
+	factor := math.Pow(float64(longest)/float64(shortest), random.Float64())
+	return loadClass{target, time.Duration(float64(shortest) * factor)}
+}
--- a/internal/placing/loadreplay_test.go
+++ b/internal/placing/loadreplay_test.go
@@ -13,7 +13,8 @@
 // loadReplay replays a load.
 type loadReplay struct {
 	*loadPattern
-	random *rand.Rand
+	// arrivals and work are separate, so that all variants of the scheduler get the same load.
+	arrivals, work *rand.Rand
 	sched  *Scheduler
 	now    time.Time
 	events loadEvents
@@ -43,8 +44,11 @@
 // replay plays the load and returns the results of all callers and of each team.
 func replay(t testing.TB, p loadPattern, seed uint64) *loadReplay {
 	t.Helper()
-	r := &loadReplay{loadPattern: &p, random: rand.New(rand.NewPCG(seed, 5)), now: start, open: map[uint64]*loadRequest{},
+	r := &loadReplay{loadPattern: &p, arrivals: rand.New(rand.NewPCG(seed, 5)), work: rand.New(rand.NewPCG(seed, 6)), now: start, open: map[uint64]*loadRequest{},
 		total: &loadResult{}, teams: map[string]*loadResult{}, running: map[string]int{}, busy: map[string]float64{}}
+	if p.target == 0 {
+		p.target = time.Second
+	}
 	var servers []fleet.Server
 	for i := range p.speeds {
 		servers = append(servers, backend(fmt.Sprint("s", i), "d1"))
@@ -52,11 +56,11 @@
 	r.sched = newScheduler(p.keyed, r, servers...)
 	var arrive, tick func()
 	arrive = func() {
-		if r.random.Float64() < p.rate(r.now.Sub(start))/p.maxRate {
+		if r.arrivals.Float64() < p.rate(r.now.Sub(start))/p.maxRate {
 			r.begin()
 		}
 		if r.now.Before(start.Add(p.length)) {
-			r.after(time.Duration(r.random.ExpFloat64()/p.maxRate*float64(time.Second)), arrive)
+			r.after(time.Duration(r.arrivals.ExpFloat64()/p.maxRate*float64(time.Second)), arrive)
 		}
 	}
 	tick = func() {
@@ -89,8 +93,8 @@
 
 func (r *loadReplay) begin() {
 	r.number++
-	q := &loadRequest{loadClass: loadClasses[r.random.IntN(len(loadClasses))], number: r.number, startedAt: r.now}
-	q.key, q.team = r.next(r.random)
+	q := &loadRequest{loadClass: newLoadClass(r.arrivals, r.target), number: r.number, startedAt: r.now}
+	q.key, q.team = r.next(r.arrivals)
 	for _, all := range r.results(q.team) {
 		all.sent++
 	}
@@ -129,7 +133,7 @@
 		var n int
 		_, _ = fmt.Sscanf(d.Server, "s%d", &n)
 		// A server runs as many requests as it has slots; more wait at the server.
-		work := time.Duration((0.7 + 0.6*r.random.Float64()) / r.speeds[n] * float64(meanWork))
+		work := time.Duration((0.7 + 0.6*r.work.Float64()) / r.speeds[n] * float64(meanWork))
 		r.running[d.Server]++
 		at := r.now
 		if r.running[d.Server] > 3 {
--- a/internal/placing/shortage_test.go
+++ b/internal/placing/shortage_test.go
@@ -90,6 +90,12 @@
 	}
 }
 
+// withTarget returns the pattern with another latency target.
+func withTarget(p loadPattern, target time.Duration) loadPattern {
+	p.target = target
+	return p
+}
+
 // TestLoadPatterns reports what the callers of each load get. The bounds are in the tests
 // of the single gains.
 func TestLoadPatterns(t *testing.T) {
@@ -103,10 +109,14 @@
 		{"hot key, speed 1, 1.1x", hotKey(1, 1.1)},
 		{"hot key, speed 1, 3x", hotKey(1, 3)},
 		{"hot neighbours", hotNeighbours()},
+		{"hot key, 600 ms", withTarget(hotKey(1, 1.5), 600*time.Millisecond)},
+		{"hot key, 3 s", withTarget(hotKey(1, 1.5), 3*time.Second)},
 		{"burst to 1.5x", burst(false, 1.5)},
 		{"burst to 3x", burst(false, 3)},
 		{"keyed burst to 1.5x", burst(true, 1.5)},
 		{"keyed burst to 3x", burst(true, 3)},
+		{"keyed burst, 600 ms", withTarget(burst(true, 2), 600*time.Millisecond)},
+		{"keyed burst, 3 s", withTarget(burst(true, 2), 3*time.Second)},
 		{"loud team", loudTeam(1.4)},
 	} {
 		r := replay(t, c.pattern, 3)
