Keep the soft deadline of a refused request when its caller returns

An instance counts the latency target from the arrival of each attempt, so that a returning request seemed to be answered in time, took the place of a new one and made that late as well. The holder now remembers refused attempts for 4 s and recognises the return by content and deadline; a return that is late already is served when nothing else can be served in time.

--- a/internal/placing/constants.go
+++ b/internal/placing/constants.go
@@ -51,6 +51,17 @@
 	// minRetryAfter and maxRetryAfter bound the retry delay suggested with a refusal.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
+	// returnPatience is the part of their remaining time, as a divisor, that callers wait
+	// at most before they return.
+	returnPatience = 3
+	// maxEarlyReturn is how much earlier than told a caller may return: two hops and the error
+	// of the clocks.
+	maxEarlyReturn = 50 * time.Millisecond
+	// maxDeadlineError is how much the deadline of a request may differ between attempts
+	// over two instances.
+	maxDeadlineError = 50 * time.Millisecond
+	// refusalMemoryTime is how long refusals are remembered: callers return earlier.
+	refusalMemoryTime = 4 * time.Second
 	// keyRateTimeConstant is the time constant of the exponential decay of the
 	// request rate of a key. Hot keys last for some seconds; a shorter average
 	// follows noise.
--- a/internal/placing/loadpattern_test.go
+++ b/internal/placing/loadpattern_test.go
@@ -11,6 +11,8 @@
 // loadPattern is a load that is replayed against the scheduler in virtual time.
 type loadPattern struct {
 	keyed bool
+	// unrecognised requests differ in their content when their callers return.
+	unrecognised bool
 	// target is the latency target, 1 s if not set.
 	target time.Duration
 	// speeds are those of the servers.
--- a/internal/placing/loadreplay_test.go
+++ b/internal/placing/loadreplay_test.go
@@ -15,14 +15,14 @@
 	*loadPattern
 	// arrivals and work are separate, so that all variants of the scheduler get the same load.
 	arrivals, work *rand.Rand
-	sched  *Scheduler
-	now    time.Time
-	events loadEvents
-	seq    int
-	number uint64
-	open   map[uint64]*loadRequest
-	total  *loadResult
-	teams  map[string]*loadResult
+	sched          *Scheduler
+	now            time.Time
+	events         loadEvents
+	seq            int
+	number         uint64
+	open           map[uint64]*loadRequest
+	total          *loadResult
+	teams          map[string]*loadResult
 	// running counts the attempts that run at a server, busy its slots times seconds in use.
 	running map[string]int
 	busy    map[string]float64
@@ -110,13 +110,17 @@
 		number++
 	}
 	r.open[number] = q
+	hash := q.number
+	if q.returned && r.unrecognised {
+		hash = -q.number
+	}
 	key := NoKey
 	if r.keyed {
 		key = q.key
 	}
 	r.sched.Submit(r.now, Attempt{
 		AttemptID: AttemptID{Instance: "i", Number: number}, Service: "s", Key: key, Team: q.team, Domain: "d1",
-		SoftDeadline: r.now.Add(q.target), Deadline: q.startedAt.Add(q.patience), ContentHash: uint64(q.key)<<20 | q.number%(1<<20),
+		SoftDeadline: r.now.Add(q.target), Deadline: q.startedAt.Add(q.patience), ContentHash: hash,
 	})
 	r.decide()
 }
@@ -159,6 +163,9 @@
 		}
 		if q.returned && took <= q.patience {
 			all.returnedServed++
+			if q.told {
+				all.toldServed++
+			}
 		}
 		all.waits = append(all.waits, since.Sub(q.startedAt))
 	}
@@ -171,6 +178,9 @@
 func (r *loadReplay) refused(q *loadRequest, retryAfter time.Duration) {
 	q.refusals++
 	left := q.startedAt.Add(q.patience).Sub(r.now)
+	if !q.returned {
+		q.told = retryAfter <= left/3
+	}
 	for _, all := range r.results(q.team) {
 		all.refusals++
 		all.verdictDelays = append(all.verdictDelays, r.now.Sub(q.sentAt))
@@ -179,6 +189,9 @@
 			all.refusalsOfUnserved += q.refusals
 		} else {
 			all.returned++
+			if q.told {
+				all.told++
+			}
 		}
 	}
 	if !q.returned && left > 0 {
--- a/internal/placing/loadrequest_test.go
+++ b/internal/placing/loadrequest_test.go
@@ -13,5 +13,7 @@
 	startedAt time.Time
 	sentAt    time.Time
 	returned  bool
-	refusals  int
+	// told is set if the caller returned when it was told.
+	told     bool
+	refusals int
 }
--- a/internal/placing/queuedattempt.go
+++ b/internal/placing/queuedattempt.go
@@ -5,6 +5,8 @@
 // queuedAttempt is an attempt that is not assigned to a server yet.
 type queuedAttempt struct {
 	Attempt
+	// checked is set when it is known whether the caller returns after a refusal.
+	checked bool
 }
 
 // meetsSoftDeadline reports whether an attempt that needs the given seconds ends
--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -147,6 +147,7 @@
 }
 
 func (sched *Scheduler) submitUnkeyed(now time.Time, svc *service, w *queuedAttempt) {
+	recogniseReturn(now, svc, w)
 	if svc.nextQueued(now) < 0 && sched.assignToBestServer(now, svc, w) {
 		return
 	}
@@ -163,7 +164,7 @@
 	throughput, reason := sched.throughput(svc, serviceTime)
 	wait := float64(svc.queue.countAhead(w.Priority)+1) / throughput
 	if !worthQueuing(now, w, svc.queue, wait, serviceTime, slots) {
-		sched.refuse(w.AttemptID, reason, seconds(wait))
+		sched.refuseFull(now, svc, w, reason, wait)
 		return
 	}
 	svc.queue.insert(w)
@@ -193,6 +194,7 @@
 		svc.unownedQueue.insert(w)
 		return
 	}
+	recogniseReturn(now, svc, w)
 	pause := owner.pausedFor(now, w)
 	if pause == 0 && owner.nextQueued(now, svc) < 0 && sched.tryAdmit(now, owner, owner.Slots, svc) {
 		sched.assign(now, owner, w)
@@ -209,7 +211,7 @@
 		wait, reason = pause.Seconds(), ReasonPaused
 	}
 	if !worthQueuing(now, w, owner.queue, wait, serviceTime, owner.Slots) {
-		sched.refuse(w.AttemptID, reason, seconds(wait))
+		sched.refuseFull(now, svc, w, reason, wait)
 		return
 	}
 	owner.queue.insert(w)
