Book places for the return of refused callers

Retry-After was the length of the queue at that moment for every refused caller, so that all returned at the same time. Each queue (of the owner for keyed services, of the service otherwise) now has a schedule: a refusal books the next free place if its caller returns as late as that (a third of its remaining time), and a returning request that takes its place is served first. Callers without a place return as late as they can, when more capacity may be free. Places whose callers do not return count less.

--- a/internal/placing/constants.go
+++ b/internal/placing/constants.go
@@ -52,11 +52,24 @@
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
 	// returnPatience is the part of their remaining time, as a divisor, that callers wait
-	// at most before they return.
+	// before they return. A later place would stay empty.
 	returnPatience = 3
-	// maxEarlyReturn is how much earlier than told a caller may return: two hops and the error
-	// of the clocks.
+	// maxReturnDelay bounds the retry delay of a booked place: a third of the longest time
+	// that callers wait.
+	maxReturnDelay = 4 * time.Second
+	// maxEarlyReturn and maxLateReturn are how much earlier and later than told a caller may
+	// return to its place: two hops and the time that a busy instance needs.
 	maxEarlyReturn = 50 * time.Millisecond
+	maxLateReturn  = 300 * time.Millisecond
+	// minReturnShare is the least share of the throughput of a queue that is promised to
+	// returning callers. While new attempts alone exceed the throughput, more would only
+	// make new ones late in place of those that are late already.
+	minReturnShare = 0.05
+	// arrivalTimeConstant is the time constant of the decay of the arrivals of a queue.
+	arrivalTimeConstant = time.Second
+	// claimWeight is the weight of the newest place in the moving average of the share of
+	// places that are claimed, which then covers about twenty places.
+	claimWeight = 0.05
 	// maxDeadlineError is how much the deadline of a request may differ between attempts
 	// over two instances.
 	maxDeadlineError = 50 * time.Millisecond
--- a/internal/placing/queue.go
+++ b/internal/placing/queue.go
@@ -5,20 +5,20 @@
 	"time"
 )
 
-// queue holds waiting attempts by priority, and in order of arrival within a priority.
+// queue holds waiting attempts by priority. Within a priority those that were promised a
+// place come first; otherwise the order is that of arrival.
 type queue []*queuedAttempt
 
 func (q *queue) insert(w *queuedAttempt) {
-	at := sort.Search(len(*q), func(i int) bool { return (*q)[i].Priority > w.Priority })
+	at := sort.Search(len(*q), func(i int) bool { return w.before((*q)[i]) })
 	*q = append(*q, nil)
 	copy((*q)[at+1:], (*q)[at:])
 	(*q)[at] = w
 }
 
-// countAhead returns the number of attempts that would be served before a new one
-// of the given priority.
-func (q queue) countAhead(priority int) int {
-	return sort.Search(len(q), func(i int) bool { return q[i].Priority > priority })
+// countAhead returns the number of attempts that would be served before a new one.
+func (q queue) countAhead(w *queuedAttempt) int {
+	return sort.Search(len(q), func(i int) bool { return w.before(q[i]) })
 }
 
 // filter removes the attempts for which keep returns false.
--- a/internal/placing/queuedattempt.go
+++ b/internal/placing/queuedattempt.go
@@ -7,6 +7,9 @@
 	Attempt
 	// checked is set when it is known whether the caller returns after a refusal.
 	checked bool
+	// returning is set for an attempt of a caller that was refused before, and promised if it
+	// takes the place on the schedule that it was told.
+	returning, promised bool
 }
 
 // meetsSoftDeadline reports whether an attempt that needs the given seconds ends
@@ -20,3 +23,11 @@
 func (w *queuedAttempt) meetsDeadline(now time.Time, need float64) bool {
 	return now.Add(seconds(need)).Before(w.Deadline)
 }
+
+// before reports whether a new attempt w is to be served before the attempt o.
+func (w *queuedAttempt) before(o *queuedAttempt) bool {
+	if w.Priority != o.Priority {
+		return w.Priority < o.Priority
+	}
+	return w.promised && !o.promised
+}
--- a/internal/placing/refusal.go
+++ b/internal/placing/refusal.go
@@ -9,4 +9,6 @@
 	// returnsFrom is the earliest time at which the caller may return. An earlier request with
 	// the same content and deadline is another one.
 	returnsFrom time.Time
+	// place is the place that was booked for the return, or the zero time.
+	place time.Time
 }
--- a/internal/placing/returning.go
+++ b/internal/placing/returning.go
@@ -2,28 +2,37 @@
 
 import "time"
 
-// recogniseReturn finds out whether the attempt is the return of a refused caller. It then
-// keeps the soft deadline of its first attempt: an instance counts the latency target from
-// the arrival of each attempt, so that a late request would make new ones late as well.
-func recogniseReturn(now time.Time, svc *service, w *queuedAttempt) {
+// recogniseReturn finds out whether the attempt is the return of a refused caller, and
+// whether it takes the place that it was promised. Without one it keeps the soft deadline
+// of its first attempt, so that it does not make new attempts late as well.
+func recogniseReturn(now time.Time, svc *service, s *returnSchedule, w *queuedAttempt) {
 	if w.checked {
 		return
 	}
 	w.checked = true
-	if w.ContentHash == 0 { // an instance that does not send it
+	var refused refusal
+	if w.ContentHash != 0 { // an instance that does not send it
+		refused, w.returning = svc.refusals.take(now, &w.Attempt)
+	}
+	if !w.returning {
+		s.countArrival(now)
 		return
 	}
-	if refused, returns := svc.refusals.take(now, &w.Attempt); returns && refused.softDeadline.Before(w.SoftDeadline) {
+	if w.promised = s.claim(now, refused.place); !w.promised && refused.softDeadline.Before(w.SoftDeadline) {
 		w.SoftDeadline = refused.softDeadline
 	}
 }
 
-// refuseFull refuses an attempt that a queue cannot serve in time before wait seconds.
-func (sched *Scheduler) refuseFull(now time.Time, svc *service, w *queuedAttempt, reason Reason, wait float64) {
-	delay := min(max(seconds(wait), minRetryAfter), maxRetryAfter)
-	svc.refusals.add(now, &w.Attempt, refusal{
-		softDeadline: w.SoftDeadline,
-		returnsFrom:  now.Add(min(delay, w.Deadline.Sub(now)/returnPatience) - maxEarlyReturn),
-	})
-	sched.refuse(w.AttemptID, reason, delay)
+// refuseUntilPlace refuses the attempt and books the next free place on the schedule of its
+// queue, which has served its attempts after wait seconds and then serves one in perPlace
+// seconds.
+func (sched *Scheduler) refuseUntilPlace(now time.Time, svc *service, s *returnSchedule, w *queuedAttempt, reason Reason, wait, perPlace float64) {
+	delay, booked := s.book(now, w, wait, perPlace)
+	delay = min(max(delay, minRetryAfter), maxReturnDelay)
+	r := refusal{softDeadline: w.SoftDeadline, returnsFrom: now.Add(min(delay, w.Deadline.Sub(now)/returnPatience) - maxEarlyReturn)}
+	if booked {
+		r.place = now.Add(delay)
+	}
+	svc.refusals.add(now, &w.Attempt, r)
+	sched.decisions = append(sched.decisions, Decision{AttemptID: w.AttemptID, Reason: reason, RetryAfter: delay})
 }
--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -147,7 +147,7 @@
 }
 
 func (sched *Scheduler) submitUnkeyed(now time.Time, svc *service, w *queuedAttempt) {
-	recogniseReturn(now, svc, w)
+	recogniseReturn(now, svc, &svc.returns, w)
 	if svc.nextQueued(now) < 0 && sched.assignToBestServer(now, svc, w) {
 		return
 	}
@@ -162,9 +162,9 @@
 	}
 	serviceTime := svc.typicalServiceTime()
 	throughput, reason := sched.throughput(svc, serviceTime)
-	wait := float64(svc.queue.countAhead(w.Priority)+1) / throughput
+	wait := svc.returns.waitBehind(now, w, svc.queue, 1/throughput)
 	if !worthQueuing(now, w, svc.queue, wait, serviceTime, slots) {
-		sched.refuseFull(now, svc, w, reason, wait)
+		sched.refuseUntilPlace(now, svc, &svc.returns, w, reason, wait, 1/throughput)
 		return
 	}
 	svc.queue.insert(w)
@@ -194,24 +194,23 @@
 		svc.unownedQueue.insert(w)
 		return
 	}
-	recogniseReturn(now, svc, w)
+	recogniseReturn(now, svc, &owner.returns, w)
 	pause := owner.pausedFor(now, w)
 	if pause == 0 && owner.nextQueued(now, svc) < 0 && sched.tryAdmit(now, owner, owner.Slots, svc) {
 		sched.assign(now, owner, w)
 		return
 	}
 	serviceTime := owner.expectedServiceTime(now, svc.typicalServiceTime())
-	ahead := float64(owner.queue.countAhead(w.Priority) + 1)
-	wait := serviceTime * ahead / float64(owner.Slots)
-	reason := ReasonOverload
-	if limit, limited := sched.rateLimit(now, owner, svc); limited && ahead/limit.perSecond > wait {
-		wait, reason = ahead/limit.perSecond, limit.reason
+	perPlace, reason := serviceTime/float64(owner.Slots), ReasonOverload
+	if limit, limited := sched.rateLimit(now, owner, svc); limited && 1/limit.perSecond > perPlace {
+		perPlace, reason = 1/limit.perSecond, limit.reason
 	}
+	wait := owner.returns.waitBehind(now, w, owner.queue, perPlace)
 	if pause.Seconds() > wait {
 		wait, reason = pause.Seconds(), ReasonPaused
 	}
 	if !worthQueuing(now, w, owner.queue, wait, serviceTime, owner.Slots) {
-		sched.refuseFull(now, svc, w, reason, wait)
+		sched.refuseUntilPlace(now, svc, &owner.returns, w, reason, wait, perPlace)
 		return
 	}
 	owner.queue.insert(w)
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -39,6 +39,8 @@
 	recentLosses []lostAttempt
 	// queue holds the attempts for keys that this server owns.
 	queue queue
+	// returns holds the places of refused callers on the schedule of the queue.
+	returns returnSchedule
 }
 
 func newServer(s fleet.Server) *server {
--- a/internal/placing/service.go
+++ b/internal/placing/service.go
@@ -10,6 +10,8 @@
 	servers map[string]*server
 	// queue holds attempts that any server may run.
 	queue queue
+	// returns holds the places of refused callers on the schedule of the queue.
+	returns returnSchedule
 	// refusals holds the refused attempts whose callers may return.
 	refusals refusalMemory
 	// unownedQueue holds attempts for keys that currently have no owner.
