Serve the teams of a rank in turn

A queue was served in order of arrival, so that a team that sends ten times its usual took the capacity of all others. Attempts of teams are now ordered by start-time fair queueing within their priority; refused and cancelled attempts are not counted.

--- a/internal/placing/constants.go
+++ b/internal/placing/constants.go
@@ -57,6 +57,8 @@
 	// maxReturnDelay bounds the retry delay of a booked place: a third of the longest time
 	// that callers wait.
 	maxReturnDelay = 4 * time.Second
+	// promisedTag is the tag of attempts without a team that return to their places.
+	promisedTag = -1
 	// maxEarlyReturn and maxLateReturn are how much earlier and later than told a caller may
 	// return to its place: two hops and the time that a busy instance needs.
 	maxEarlyReturn = 50 * time.Millisecond
--- a/internal/placing/dispatch.go
+++ b/internal/placing/dispatch.go
@@ -49,16 +49,16 @@
 		if i < 0 || !sched.tryAdmit(now, s, s.Slots+slotOvercommit, svc) {
 			break
 		}
-		w := s.queue[i]
-		s.queue.removeAt(i)
+		w := s.queue.waiting[i]
+		s.queue.serveAt(i)
 		sched.assign(now, s, w)
 	}
 	for {
 		i := svc.nextQueued(now)
-		if i < 0 || !sched.assignToBestServer(now, svc, svc.queue[i]) {
+		if i < 0 || !sched.assignToBestServer(now, svc, svc.queue.waiting[i]) {
 			return
 		}
-		svc.queue.removeAt(i)
+		svc.queue.serveAt(i)
 	}
 }
 
@@ -70,7 +70,7 @@
 // nextQueued returns the index of the attempt in the service's queue to serve next, or -1
 // if no server has a free slot for any of them.
 func (s *service) nextQueued(now time.Time) int {
-	if len(s.queue) == 0 {
+	if len(s.queue.waiting) == 0 {
 		return -1
 	}
 	free, pausing := 0, 0
@@ -105,8 +105,8 @@
 	for _, svc := range sched.services {
 		sched.refuseExpired(now, svc)
 		unowned := svc.unownedQueue
-		svc.unownedQueue = nil
-		for _, w := range unowned {
+		svc.unownedQueue = queue{}
+		for _, w := range unowned.waiting {
 			sched.routeToOwner(now, svc, w)
 		}
 		for _, s := range svc.servers {
@@ -125,7 +125,7 @@
 // requeueMovedKeys takes attempts out of the queue of s whose key s no longer owns,
 // and routes them to the new owner.
 func (sched *Scheduler) requeueMovedKeys(now time.Time, svc *service, s *server) {
-	var moved queue
+	var moved []*queuedAttempt
 	s.queue.filter(func(w *queuedAttempt) bool {
 		if id, ready := sched.owners.Owner(svc.Name, w.Key); !ready || id != s.Name {
 			moved = append(moved, w)
--- a/internal/placing/queue.go
+++ b/internal/placing/queue.go
@@ -5,40 +5,51 @@
 	"time"
 )
 
-// queue holds waiting attempts by priority. Within a priority those that were promised a
-// place come first; otherwise the order is that of arrival.
-type queue []*queuedAttempt
+// queue holds waiting attempts by priority. Within a priority teams are served in turn, and
+// attempts without a team in order of arrival after those that were promised a place.
+type queue struct {
+	waiting []*queuedAttempt
+	clock   fairClock
+}
 
 func (q *queue) insert(w *queuedAttempt) {
-	at := sort.Search(len(*q), func(i int) bool { return w.before((*q)[i]) })
-	*q = append(*q, nil)
-	copy((*q)[at+1:], (*q)[at:])
-	(*q)[at] = w
+	at := q.countAhead(w)
+	q.clock.add(w)
+	q.waiting = append(q.waiting, nil)
+	copy(q.waiting[at+1:], q.waiting[at:])
+	q.waiting[at] = w
 }
 
-// countAhead returns the number of attempts that would be served before a new one.
-func (q queue) countAhead(w *queuedAttempt) int {
-	return sort.Search(len(q), func(i int) bool { return w.before(q[i]) })
+// countAhead returns the number of attempts that would be served before a new one, and sets
+// the tag of the new one.
+func (q *queue) countAhead(w *queuedAttempt) int {
+	w.tag = q.clock.tag(w)
+	return sort.Search(len(q.waiting), func(i int) bool { return w.before(q.waiting[i]) })
 }
 
 // filter removes the attempts for which keep returns false.
 func (q *queue) filter(keep func(*queuedAttempt) bool) {
-	kept := (*q)[:0]
-	for _, w := range *q {
+	if len(q.waiting) == 0 {
+		return
+	}
+	kept := q.waiting[:0]
+	for _, w := range q.waiting {
 		if keep(w) {
 			kept = append(kept, w)
+		} else {
+			q.clock.remove(w)
 		}
 	}
-	clear((*q)[len(kept):])
-	*q = kept
+	clear(q.waiting[len(kept):])
+	q.setWaiting(kept)
 }
 
 // nextIndex returns the index of the attempt to serve next, given the service time
 // in seconds: of those for which may returns true the first that would end before its
 // soft deadline, or else the first, or -1 if there is none.
-func (q queue) nextIndex(now time.Time, serviceTime float64, may func(*queuedAttempt) bool) int {
+func (q *queue) nextIndex(now time.Time, serviceTime float64, may func(*queuedAttempt) bool) int {
 	first := -1
-	for i, w := range q {
+	for i, w := range q.waiting {
 		if !may(w) {
 			continue
 		}
@@ -54,9 +65,9 @@
 
 // countLate counts the attempts that would miss their soft deadline if they took
 // the given seconds from now on.
-func (q queue) countLate(now time.Time, need float64) int {
+func (q *queue) countLate(now time.Time, need float64) int {
 	n := 0
-	for _, w := range q {
+	for _, w := range q.waiting {
 		if !w.meetsSoftDeadline(now, need) {
 			n++
 		}
@@ -64,6 +75,14 @@
 	return n
 }
 
-func (q *queue) removeAt(i int) {
-	*q = append((*q)[:i], (*q)[i+1:]...)
+// serveAt removes the attempt with the index, which is assigned to a server.
+func (q *queue) serveAt(i int) {
+	q.clock.serve(q.waiting[i])
+	q.setWaiting(append(q.waiting[:i], q.waiting[i+1:]...))
+}
+
+func (q *queue) setWaiting(waiting []*queuedAttempt) {
+	if q.waiting = waiting; len(waiting) == 0 {
+		q.clock.reset()
+	}
 }
--- a/internal/placing/queuedattempt.go
+++ b/internal/placing/queuedattempt.go
@@ -10,6 +10,8 @@
 	// returning is set for an attempt of a caller that was refused before, and promised if it
 	// takes the place on the schedule that it was told.
 	returning, promised bool
+	// tag is the place of the attempt among those of its priority.
+	tag float64
 }
 
 // meetsSoftDeadline reports whether an attempt that needs the given seconds ends
@@ -29,5 +31,5 @@
 	if w.Priority != o.Priority {
 		return w.Priority < o.Priority
 	}
-	return w.promised && !o.promised
+	return w.tag < o.tag
 }
--- a/internal/placing/returnschedule.go
+++ b/internal/placing/returnschedule.go
@@ -93,10 +93,11 @@
 
 // waitBehind returns how many seconds a new attempt waits for its service in a queue that
 // serves one attempt in perPlace seconds: behind the attempts that go before it and, unless
-// it takes a promised place itself, those that are to return until then.
-func (s *returnSchedule) waitBehind(now time.Time, w *queuedAttempt, q queue, perPlace float64) float64 {
+// it takes a promised place itself, those that are to return until then. Those of other teams
+// do not go before it.
+func (s *returnSchedule) waitBehind(now time.Time, w *queuedAttempt, q *queue, perPlace float64) float64 {
 	wait := perPlace * float64(q.countAhead(w)+1)
-	if w.promised || len(s.places) == 0 {
+	if w.promised || w.Team != "" || len(s.places) == 0 {
 		return wait
 	}
 	return wait + perPlace*s.due(now.Add(seconds(wait)))
--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -84,7 +84,7 @@
 		for id, s := range svc.servers {
 			if !listed[id] {
 				s.excluded = true
-				for _, w := range s.queue {
+				for _, w := range s.queue.waiting {
 					svc.unownedQueue.insert(w)
 				}
 				delete(svc.servers, id)
@@ -162,8 +162,8 @@
 	}
 	serviceTime := svc.typicalServiceTime()
 	throughput, reason := sched.throughput(svc, serviceTime)
-	wait := svc.returns.waitBehind(now, w, svc.queue, 1/throughput)
-	if !worthQueuing(now, w, svc.queue, wait, serviceTime, slots) {
+	wait := svc.returns.waitBehind(now, w, &svc.queue, 1/throughput)
+	if !worthQueuing(now, w, &svc.queue, wait, serviceTime, slots) {
 		sched.refuseUntilPlace(now, svc, &svc.returns, w, reason, wait, 1/throughput)
 		return
 	}
@@ -205,11 +205,11 @@
 	if limit, limited := sched.rateLimit(now, owner, svc); limited && 1/limit.perSecond > perPlace {
 		perPlace, reason = 1/limit.perSecond, limit.reason
 	}
-	wait := owner.returns.waitBehind(now, w, owner.queue, perPlace)
+	wait := owner.returns.waitBehind(now, w, &owner.queue, perPlace)
 	if pause.Seconds() > wait {
 		wait, reason = pause.Seconds(), ReasonPaused
 	}
-	if !worthQueuing(now, w, owner.queue, wait, serviceTime, owner.Slots) {
+	if !worthQueuing(now, w, &owner.queue, wait, serviceTime, owner.Slots) {
 		sched.refuseUntilPlace(now, svc, &owner.returns, w, reason, wait, perPlace)
 		return
 	}
@@ -219,7 +219,7 @@
 // worthQueuing reports whether the attempt should be queued: it will end before its
 // soft deadline, or at least before its deadline while fewer queued attempts than
 // slots are late as well.
-func worthQueuing(now time.Time, w *queuedAttempt, q queue, wait, serviceTime float64, slots int) bool {
+func worthQueuing(now time.Time, w *queuedAttempt, q *queue, wait, serviceTime float64, slots int) bool {
 	if w.meetsSoftDeadline(now, wait+serviceTime) {
 		return true
 	}
