Refuse queued attempts of keyed services as soon as they are overtaken

An attempt that was overtaken, by a higher priority, another team or because it was late, waited until its deadline, after which its caller could not return, and took a slot as a late one at slow servers. It is now refused with a place: at once when another is queued before it and more attempts than slots are late, and when a later one is served in its place.

--- a/internal/placing/dispatch.go
+++ b/internal/placing/dispatch.go
@@ -44,6 +44,7 @@
 // dispatchQueued assigns queued attempts to free slots: first those for keys of
 // server s, then those that any server of the service may run.
 func (sched *Scheduler) dispatchQueued(now time.Time, svc *service, s *server) {
+	passed := 0 // how many attempts wait before the last one that was served
 	for {
 		i := s.nextQueued(now, svc)
 		if i < 0 || !sched.tryAdmit(now, s, s.Slots+slotOvercommit, svc) {
@@ -52,6 +53,15 @@
 		w := s.queue.waiting[i]
 		s.queue.serveAt(i)
 		sched.assign(now, s, w)
+		if passed > i {
+			passed--
+		} else {
+			passed = i
+		}
+	}
+	if passed > 0 {
+		serviceTime := s.expectedServiceTime(now, svc.typicalServiceTime())
+		sched.refusePassed(now, svc, &s.queue, passed, &s.returns, serviceTime, serviceTime/float64(s.Slots))
 	}
 	for {
 		i := svc.nextQueued(now)
--- a/internal/placing/queue.go
+++ b/internal/placing/queue.go
@@ -12,12 +12,14 @@
 	clock   fairClock
 }
 
-func (q *queue) insert(w *queuedAttempt) {
+// insert queues the attempt, and reports whether it comes before others.
+func (q *queue) insert(w *queuedAttempt) bool {
 	at := q.countAhead(w)
 	q.clock.add(w)
 	q.waiting = append(q.waiting, nil)
 	copy(q.waiting[at+1:], q.waiting[at:])
 	q.waiting[at] = w
+	return at+1 < len(q.waiting)
 }
 
 // countAhead returns the number of attempts that would be served before a new one, and sets
--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -167,7 +167,9 @@
 		sched.refuseUntilPlace(now, svc, &svc.returns, w, reason, wait, 1/throughput)
 		return
 	}
-	svc.queue.insert(w)
+	if svc.queue.insert(w) {
+		sched.refuseOvertaken(now, svc, &svc.queue, &svc.returns, reason, serviceTime, 1/throughput, slots)
+	}
 }
 
 func (sched *Scheduler) submitKeyed(now time.Time, svc *service, w *queuedAttempt) {
@@ -213,7 +215,9 @@
 		sched.refuseUntilPlace(now, svc, &owner.returns, w, reason, wait, perPlace)
 		return
 	}
-	owner.queue.insert(w)
+	if owner.queue.insert(w) {
+		sched.refuseOvertaken(now, svc, &owner.queue, &owner.returns, reason, serviceTime, perPlace, owner.Slots)
+	}
 }
 
 // worthQueuing reports whether the attempt should be queued: it will end before its
