Refuse passed attempts also where any server may run them

They waited until their deadline, up to 7 s at a loud team. The attempts that could not be served any more also held back new ones that would end late at a slow server; that is now the admission's part, which expects the service time of the slowest server, at most twice the average.

--- a/internal/placing/constants.go
+++ b/internal/placing/constants.go
@@ -17,6 +17,9 @@
 	// deadlineMargin is how many average service times must remain until the
 	// deadline: service times vary, and a request that is cut off has wasted a slot.
 	deadlineMargin = 1.3
+	// maxSlowdown bounds the service time of the slowest server, relative to the average, that
+	// is assumed for a new attempt: one server that has stalled must not empty the queue.
+	maxSlowdown = 2
 	// longTermWeight is the weight of the newest sample in the long-term moving
 	// average of the service time. It covers about twenty responses, so that random
 	// variation does not make keys move.
--- a/internal/placing/dispatch.go
+++ b/internal/placing/dispatch.go
@@ -63,12 +63,23 @@
 		serviceTime := s.expectedServiceTime(now, svc.typicalServiceTime())
 		sched.refusePassed(now, svc, &s.queue, passed, &s.returns, serviceTime, serviceTime/float64(s.Slots))
 	}
+	passed = 0
 	for {
 		i := svc.nextQueued(now)
 		if i < 0 || !sched.assignToBestServer(now, svc, svc.queue.waiting[i]) {
-			return
+			break
 		}
 		svc.queue.serveAt(i)
+		if passed > i {
+			passed--
+		} else {
+			passed = i
+		}
+	}
+	if passed > 0 {
+		serviceTime := svc.typicalServiceTime()
+		throughput, _ := sched.throughput(svc, serviceTime)
+		sched.refusePassed(now, svc, &svc.queue, passed, &svc.returns, serviceTime, 1/throughput)
 	}
 }
 
--- a/internal/placing/measurements.go
+++ b/internal/placing/measurements.go
@@ -43,3 +43,16 @@
 	}
 	s.serviceTime += serviceTimeWeight * (duration.Seconds() - s.serviceTime)
 }
+
+// slowestServiceTime returns the average service time of the slowest usable server in
+// seconds. An attempt that any server may run may get that one.
+func (s *service) slowestServiceTime() float64 {
+	typical := s.typicalServiceTime()
+	slowest := typical
+	for _, v := range s.servers {
+		if !v.excluded {
+			slowest = max(slowest, v.longTermServiceTime)
+		}
+	}
+	return min(slowest, maxSlowdown*typical)
+}
--- a/internal/placing/overtaken_test.go
+++ b/internal/placing/overtaken_test.go
@@ -63,6 +63,24 @@
 	is.True(found && late.Server == "" && late.Reason == ReasonOverload)
 }
 
+// Guards against requests that any server may run and that wait for a refusal beyond their
+// latency target, and against a queue so long that many of them end late.
+func TestRefusalsComeEarlyWithoutKeys(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		pattern loadPattern
+		inTime  float64
+	}{{burst(false, 1.5), 0.79}, {burst(false, 3), 0.50}, {withTarget(burst(false, 2), 600*time.Millisecond), 0.64}, {loudTeam(1.4), 0.61}} {
+		all := &loadResult{}
+		for seed := range uint64(5) {
+			all.add(replay(t, c.pattern, seed).total)
+		}
+		t.Log(all)
+		is.True(percentile(all.verdictDelays, 0.99) <= time.Second)
+		is.True(float64(all.inTime)/float64(all.sent) >= c.inTime)
+	}
+}
+
 // Guards against keyed requests that wait for a refusal beyond their latency target, after
 // which a return is late for certain, and against late requests that take the capacity of a
 // slow server from those that can still be in time.
--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -163,7 +163,7 @@
 	serviceTime := svc.typicalServiceTime()
 	throughput, reason := sched.throughput(svc, serviceTime)
 	wait := svc.returns.waitBehind(now, w, &svc.queue, 1/throughput)
-	if !worthQueuing(now, w, &svc.queue, wait, serviceTime, slots) {
+	if !worthQueuing(now, w, &svc.queue, wait, svc.slowestServiceTime(), slots) {
 		sched.refuseUntilPlace(now, svc, &svc.returns, w, reason, wait, 1/throughput)
 		return
 	}
