Show operators the refusals for want of capacity

Event 1790 (capacity_insufficient) by service, at most every 5 s, and counters of the holder on /metrics: refused attempts, those that had been queued, booked places, recognised returns and places taken.

--- a/internal/entrynode/metrics.go
+++ b/internal/entrynode/metrics.go
@@ -50,7 +50,7 @@
 			Buckets: factsAgeBuckets,
 		}),
 	}
-	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, newHolderCollector(holderStatus),
+	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, newHolderCollector(holderStatus), newShortageCollector(holderStatus),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: "peridotmoor", Name: "store_calls_total", Help: "Calls to the platform's store.",
 		}, countStoreCalls),
--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -99,9 +99,12 @@
 	quorum quorum.Tracker
 	// fleetChangedAt is when the followers began to differ from the fleet in the record, or
 	// the zero time.
-	fleetChangedAt   time.Time
-	byName           map[string]*link.Follower
-	followerLog      followerLog
+	fleetChangedAt time.Time
+	byName         map[string]*link.Follower
+	followerLog    followerLog
+	shortageLog    shortageLog
+	// shortages holds the counts of each service for the metrics.
+	shortages        atomic.Pointer[map[string]placing.Shortage]
 	quorumLog        quorumLog
 	epoch            int64
 	snapshot         *facts.Snapshot
@@ -191,6 +194,7 @@
 	c.scheduler.SetShare(c.share(now))
 	c.scheduler.SetExclusive(c.exclusive(now))
 	c.scheduler.Tick(now)
+	c.logShortages(now)
 	c.publish(now)
 	c.probeServers(now)
 	c.forgetStays(now)
--- a/internal/holder/status.go
+++ b/internal/holder/status.go
@@ -1,6 +1,10 @@
 package holder
 
-import "time"
+import (
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/placing"
+)
 
 // Status tells whether an instance acts as the holder. The fields but Acting are those of its
 // tenure and are zero if it does not.
@@ -11,6 +15,8 @@
 	LeaseUnconfirmed time.Duration
 	// SendsOrders is set if the holder sends orders to servers.
 	SendsOrders bool
+	// Shortages holds the refusals of each service for want of capacity, a few seconds old.
+	Shortages map[string]placing.Shortage
 }
 
 // Status returns whether this instance acts as the holder. It is safe for concurrent use.
@@ -19,5 +25,9 @@
 	if c == nil {
 		return Status{}
 	}
-	return Status{Acting: true, Epoch: c.epoch, LeaseUnconfirmed: c.unconfirmedFor(now), SendsOrders: c.isSendingOrders()}
+	status := Status{Acting: true, Epoch: c.epoch, LeaseUnconfirmed: c.unconfirmedFor(now), SendsOrders: c.isSendingOrders()}
+	if shortages := c.shortages.Load(); shortages != nil {
+		status.Shortages = *shortages
+	}
+	return status
 }
--- a/internal/placing/overtaken.go
+++ b/internal/placing/overtaken.go
@@ -27,6 +27,7 @@
 			late++
 			return true
 		}
+		svc.shortage.Overtaken++
 		sched.refuseUntilPlace(now, svc, s, w, reason, wait, perPlace)
 		return false
 	})
@@ -41,6 +42,7 @@
 		if index++; index >= i || w.promised || w.meetsSoftDeadline(now, serviceTime) {
 			return true
 		}
+		svc.shortage.Overtaken++
 		sched.refuseUntilPlace(now, svc, s, w, ReasonOverload, wait, perPlace)
 		return false
 	})
--- a/internal/placing/returning.go
+++ b/internal/placing/returning.go
@@ -18,7 +18,10 @@
 		s.countArrival(now)
 		return
 	}
-	if w.promised = s.claim(now, refused.place); !w.promised && refused.softDeadline.Before(w.SoftDeadline) {
+	svc.shortage.Returned++
+	if w.promised = s.claim(now, refused.place); w.promised {
+		svc.shortage.PlacesTaken++
+	} else if refused.softDeadline.Before(w.SoftDeadline) {
 		w.SoftDeadline = refused.softDeadline
 	}
 }
@@ -30,7 +33,9 @@
 	delay, booked := s.book(now, w, wait, perPlace)
 	delay = min(max(delay, minRetryAfter), maxReturnDelay)
 	r := refusal{softDeadline: w.SoftDeadline, returnsFrom: now.Add(min(delay, w.Deadline.Sub(now)/returnPatience) - maxEarlyReturn)}
+	svc.shortage.Refused++
 	if booked {
+		svc.shortage.Places++
 		r.place = now.Add(delay)
 	}
 	svc.refusals.add(now, &w.Attempt, r)
--- a/internal/placing/service.go
+++ b/internal/placing/service.go
@@ -14,6 +14,7 @@
 	returns returnSchedule
 	// refusals holds the refused attempts whose callers may return.
 	refusals refusalMemory
+	shortage Shortage
 	// unownedQueue holds attempts for keys that currently have no owner.
 	unownedQueue queue
 	retries      retryLimiter
