--- a/internal/placing/constants.go
+++ b/internal/placing/constants.go
@@ -17,6 +17,9 @@
 	// deadlineMargin is how many average service times must remain until the
 	// deadline: service times vary, and a request that is cut off has wasted a slot.
 	deadlineMargin = 1.3
+	// maxSlowdown bounds the service time of the slowest server, relative to the average, that
+	// is assumed for a new attempt: one server that has stalled must not empty the queue.
+	maxSlowdown = 2
 	// longTermWeight is the weight of the newest sample in the long-term moving
 	// average of the service time. It covers about twenty responses, so that random
 	// variation does not make keys move.
@@ -51,6 +54,32 @@
 	// minRetryAfter and maxRetryAfter bound the retry delay suggested with a refusal.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
+	// returnPatience is the part of their remaining time, as a divisor, that callers wait
+	// before they return. A later place would stay empty.
+	returnPatience = 3
+	// maxReturnDelay bounds the retry delay of a booked place: a third of the longest time
+	// that callers wait.
+	maxReturnDelay = 4 * time.Second
+	// promisedTag is the tag of attempts without a team that return to their places.
+	promisedTag = -1
+	// maxEarlyReturn and maxLateReturn are how much earlier and later than told a caller may
+	// return to its place: two hops and the time that a busy instance needs.
+	maxEarlyReturn = 50 * time.Millisecond
+	maxLateReturn  = 300 * time.Millisecond
+	// minReturnShare is the least share of the throughput of a queue that is promised to
+	// returning callers. While new attempts alone exceed the throughput, more would only
+	// make new ones late in place of those that are late already.
+	minReturnShare = 0.05
+	// arrivalTimeConstant is the time constant of the decay of the arrivals of a queue.
+	arrivalTimeConstant = time.Second
+	// claimWeight is the weight of the newest place in the moving average of the share of
+	// places that are claimed, which then covers about twenty places.
+	claimWeight = 0.05
+	// maxDeadlineError is how much the deadline of a request may differ between attempts
+	// over two instances.
+	maxDeadlineError = 50 * time.Millisecond
+	// refusalMemoryTime is how long refusals are remembered: callers return earlier.
+	refusalMemoryTime = 4 * time.Second
 	// keyRateTimeConstant is the time constant of the exponential decay of the
 	// request rate of a key. Hot keys last for some seconds; a shorter average
 	// follows noise.
--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -84,7 +84,7 @@
 		for id, s := range svc.servers {
 			if !listed[id] {
 				s.excluded = true
-				for _, w := range s.queue {
+				for _, w := range s.queue.waiting {
 					svc.unownedQueue.insert(w)
 				}
 				delete(svc.servers, id)
@@ -147,6 +147,7 @@
 }
 
 func (sched *Scheduler) submitUnkeyed(now time.Time, svc *service, w *queuedAttempt) {
+	recogniseReturn(now, svc, &svc.returns, w)
 	if svc.nextQueued(now) < 0 && sched.assignToBestServer(now, svc, w) {
 		return
 	}
@@ -161,12 +162,14 @@
 	}
 	serviceTime := svc.typicalServiceTime()
 	throughput, reason := sched.throughput(svc, serviceTime)
-	wait := float64(svc.queue.countAhead(w.Priority)+1) / throughput
-	if !worthQueuing(now, w, svc.queue, wait, serviceTime, slots) {
-		sched.refuse(w.AttemptID, reason, seconds(wait))
+	wait := svc.returns.waitBehind(now, w, &svc.queue, 1/throughput)
+	if !worthQueuing(now, w, &svc.queue, wait, svc.slowestServiceTime(), slots) {
+		sched.refuseUntilPlace(now, svc, &svc.returns, w, reason, wait, 1/throughput)
 		return
 	}
-	svc.queue.insert(w)
+	if svc.queue.insert(w) {
+		sched.refuseOvertaken(now, svc, &svc.queue, &svc.returns, reason, serviceTime, 1/throughput, slots)
+	}
 }
 
 func (sched *Scheduler) submitKeyed(now time.Time, svc *service, w *queuedAttempt) {
@@ -193,32 +196,34 @@
 		svc.unownedQueue.insert(w)
 		return
 	}
+	recogniseReturn(now, svc, &owner.returns, w)
 	pause := owner.pausedFor(now, w)
 	if pause == 0 && owner.nextQueued(now, svc) < 0 && sched.tryAdmit(now, owner, owner.Slots, svc) {
 		sched.assign(now, owner, w)
 		return
 	}
 	serviceTime := owner.expectedServiceTime(now, svc.typicalServiceTime())
-	ahead := float64(owner.queue.countAhead(w.Priority) + 1)
-	wait := serviceTime * ahead / float64(owner.Slots)
-	reason := ReasonOverload
-	if limit, limited := sched.rateLimit(now, owner, svc); limited && ahead/limit.perSecond > wait {
-		wait, reason = ahead/limit.perSecond, limit.reason
+	perPlace, reason := serviceTime/float64(owner.Slots), ReasonOverload
+	if limit, limited := sched.rateLimit(now, owner, svc); limited && 1/limit.perSecond > perPlace {
+		perPlace, reason = 1/limit.perSecond, limit.reason
 	}
+	wait := owner.returns.waitBehind(now, w, &owner.queue, perPlace)
 	if pause.Seconds() > wait {
 		wait, reason = pause.Seconds(), ReasonPaused
 	}
-	if !worthQueuing(now, w, owner.queue, wait, serviceTime, owner.Slots) {
-		sched.refuse(w.AttemptID, reason, seconds(wait))
+	if !worthQueuing(now, w, &owner.queue, wait, serviceTime, owner.Slots) {
+		sched.refuseUntilPlace(now, svc, &owner.returns, w, reason, wait, perPlace)
 		return
 	}
-	owner.queue.insert(w)
+	if owner.queue.insert(w) {
+		sched.refuseOvertaken(now, svc, &owner.queue, &owner.returns, reason, serviceTime, perPlace, owner.Slots)
+	}
 }
 
 // worthQueuing reports whether the attempt should be queued: it will end before its
 // soft deadline, or at least before its deadline while fewer queued attempts than
 // slots are late as well.
-func worthQueuing(now time.Time, w *queuedAttempt, q queue, wait, serviceTime float64, slots int) bool {
+func worthQueuing(now time.Time, w *queuedAttempt, q *queue, wait, serviceTime float64, slots int) bool {
 	if w.meetsSoftDeadline(now, wait+serviceTime) {
 		return true
 	}
--- a/internal/placing/service.go
+++ b/internal/placing/service.go
@@ -10,6 +10,11 @@
 	servers map[string]*server
 	// queue holds attempts that any server may run.
 	queue queue
+	// returns holds the places of refused callers on the schedule of the queue.
+	returns returnSchedule
+	// refusals holds the refused attempts whose callers may return.
+	refusals refusalMemory
+	shortage Shortage
 	// unownedQueue holds attempts for keys that currently have no owner.
 	unownedQueue queue
 	retries      retryLimiter
