Require the key of a team where the configuration has teams

Every caller reached every route, and servers saw whatever a caller put into Authorization and X-Tenant.

The gateway now checks the digest of the key on arrival, before the body is read, and responds with 401 without a valid one. The newest configuration is asked again before each attempt and right before the first byte is written, so that a key that is withdrawn while a request waits or on an open connection has no effect any more; a request that has not run then gets 401 in place of 503. Servers get the name of the team in X-Tenant and never the key. The priority of the team goes before that of the route. Requests of unauthorized callers are not processed concurrently with others of their connection. Without tenants in the configuration nothing changes.

Events 1750 and 1751, metrics peridotmoor_team_calls_total (at most 100 teams) and peridotmoor_unauthorized_calls_total.

--- a/internal/entrynode/metrics.go
+++ b/internal/entrynode/metrics.go
@@ -22,12 +22,19 @@
 // sent, in seconds. 2 is the time after which a leaving server must get no more requests.
 var factsAgeBuckets = []float64{0.1, 0.3, 0.6, 0.9, 1.2, 1.5, 1.8, 2, 2.5, 4, 8, 16}
 
+// maxTeamLabels limits the teams with a label of their own. With the one for all others there
+// are at most 100.
+const maxTeamLabels = 99
+
 // metrics holds the Prometheus metrics of the instance.
 type metrics struct {
 	registry     *prometheus.Registry
 	callDuration *prometheus.HistogramVec
 	orderDelay   prometheus.Histogram
 	factsAge     prometheus.Histogram
+	teamCalls    *prometheus.CounterVec
+	teams        boundedLabels
+	unauthorized *prometheus.CounterVec
 }
 
 // newMetrics registers the metrics. The functions are called at each scrape.
@@ -49,8 +56,17 @@
 			Help:    "Time since the read of the store that the facts come from, by which a request is sent to a backend server.",
 			Buckets: factsAgeBuckets,
 		}),
+		teamCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "peridotmoor", Name: "team_calls_total",
+			Help: "Calls by team and outcome. Teams above the first 99 are counted as other.",
+		}, []string{"team", "outcome"}),
+		teams: boundedLabels{limit: maxTeamLabels},
+		unauthorized: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "peridotmoor", Name: "unauthorized_calls_total",
+			Help: "Calls that were refused because of their key, by reason: missing, malformed or unknown.",
+		}, []string{"reason"}),
 	}
-	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, newHolderCollector(holderStatus),
+	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, m.teamCalls, m.unauthorized, newHolderCollector(holderStatus),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: "peridotmoor", Name: "store_calls_total", Help: "Calls to the platform's store.",
 		}, countStoreCalls),
@@ -65,6 +81,16 @@
 	m.callDuration.WithLabelValues(service, outcome).Observe(duration.Seconds())
 }
 
+// TeamCallEnded records a call of a team by outcome.
+func (m *metrics) TeamCallEnded(team, outcome string) {
+	m.teamCalls.WithLabelValues(m.teams.of(team), outcome).Inc()
+}
+
+// CallUnauthorized records a call that was refused because of its credential.
+func (m *metrics) CallUnauthorized(reason string) {
+	m.unauthorized.WithLabelValues(reason).Inc()
+}
+
 // FactsAge records how old the facts are by which a request is sent.
 func (m *metrics) FactsAge(age time.Duration) {
 	m.factsAge.Observe(age.Seconds())
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -113,6 +113,7 @@
 		n.elector.Run(electorContext)
 	}()
 	go n.closeRemovedServers(ctx)
+	go n.logTeams(ctx)
 	select {
 	case <-stop.Done():
 	case err := <-failed:
--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -46,4 +46,7 @@
 	HolderWithoutLease    = register(1746, "holder_without_lease", log.WarnLevel, "A holder that cannot confirm its lease counts the followers that provably follow no other one.")
 	ServersLeaving        = register(1747, "servers_leaving", log.InfoLevel, "The list of servers says that these servers are leaving, or has them no longer.")
 	FactsTooOld           = register(1748, "facts_too_old", log.WarnLevel, "A request found the facts too old to send it to a server; this instance has read the store, or asked the server.")
+
+	TeamsChanged     = register(1750, "teams_changed", log.InfoLevel, "Another list of teams and keys is in effect at this instance.")
+	CallUnauthorized = register(1751, "call_unauthorized", log.WarnLevel, "A request was refused because its caller has not shown the key of a team.")
 )
--- a/internal/fleet/teams.go
+++ b/internal/fleet/teams.go
@@ -40,3 +40,31 @@
 	}
 	return t.byName
 }
+
+// KeyCount returns the number of keys of all teams. It may be called on nil.
+func (t *Teams) KeyCount() int {
+	if t == nil {
+		return 0
+	}
+	return len(t.byKey)
+}
+
+// KeyChanges returns how many keys t has that old has not, or has for another team, and how
+// many of old t has no more. Both may be nil.
+func (t *Teams) KeyChanges(old *Teams) (added, withdrawn int) {
+	return t.keysWithout(old), old.keysWithout(t)
+}
+
+// keysWithout returns how many keys t has that other has not, or has for another team.
+func (t *Teams) keysWithout(other *Teams) int {
+	if t == nil {
+		return 0
+	}
+	count := 0
+	for digest, team := range t.byKey {
+		if other == nil || other.byKey[digest] == nil || other.byKey[digest].Name != team.Name {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/gateway/authenticator.go
@@ -0,0 +1,28 @@
+package gateway
+
+import "peridotmoor.org/peridotmoor/internal/fleet"
+
+// authenticator decides which team a call belongs to, by one version of the configuration.
+type authenticator struct {
+	config *fleet.Config
+}
+
+// authenticate returns the team that holds the credential, nil for an anonymous call, and
+// the reason if the call is not authorized. route is that of the call, or nil: whether there
+// is one is only told to callers that show no credential or a valid one.
+func (a authenticator) authenticate(credential Credential, route *fleet.Route) (*fleet.Team, denial) {
+	switch {
+	case a.config.Teams == nil:
+		return nil, denialNone
+	case credential.Malformed:
+		return nil, denialMalformed
+	case credential.Given:
+		if team := a.config.Teams.ByKey(credential.Digest); team != nil {
+			return team, denialNone
+		}
+		return nil, denialUnknown
+	case route != nil && !route.AllowAnonymous:
+		return nil, denialMissing
+	}
+	return nil, denialNone
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -7,8 +7,8 @@
 	"peridotmoor.org/peridotmoor/internal/fleet"
 )
 
-// Call is one request of a caller. Only Timeout, Route, Team, Body and Tried change while it is
-// processed.
+// Call is one request of a caller. Only Timeout, Route, Team, HidesCredential, Body and Tried
+// change while it is processed.
 type Call struct {
 	// ID is the request ID. It identifies this request of the caller.
 	ID     string
@@ -25,6 +25,9 @@
 	Credential Credential
 	// Team is set when the credential has been checked; nil for an anonymous call.
 	Team *fleet.Team
+	// HidesCredential is set if the configuration has teams: a server is told the name of the
+	// team, and not what the caller shows.
+	HidesCredential bool
 	// Caller identifies the sender of the request, to recognise repeated requests.
 	Caller    string
 	ArrivedAt time.Time
--- a/internal/gateway/callstate.go
+++ b/internal/gateway/callstate.go
@@ -16,7 +16,9 @@
 	version     int64
 	deadline    time.Time
 	contentHash uint64
-	server      string
+	// sender is the last check of the credential before an attempt.
+	sender authorization
+	server string
 	// factsAge is how old the facts were by which the last attempt was sent.
 	factsAge        time.Duration
 	sends           int
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,20 +46,22 @@
 	g.endsAt.Store(&end)
 }
 
-// Route returns the route that matches a host and path, or nil.
-func (g *Gateway) Route(host, path string) *fleet.Route {
-	config := g.registry.Snapshot().Config
-	if config == nil {
-		return nil
-	}
-	return config.Match(host, path)
-}
-
 // InProgress returns the number of calls that have no final reply yet.
 func (g *Gateway) InProgress() int {
 	return int(g.inProgress.Load())
 }
 
+// MayShareConnection reports whether the call may be processed at the same time as earlier
+// calls of its connection: it is idempotent and its sender is authorized.
+func (g *Gateway) MayShareConnection(call *Call) bool {
+	config := g.registry.Snapshot().Config
+	if config == nil {
+		return false
+	}
+	route := config.Match(call.Host, call.Path)
+	return route != nil && route.Kind.Idempotent() && authorize(config, call).denial == denialNone
+}
+
 // Handle processes the call and returns the final reply. ctx is cancelled when the
 // caller leaves, with the cause ErrInstanceEnded when the instance ends, and with another
 // cause when the caller's connection ends because of it.
@@ -72,9 +74,12 @@
 	}
 	duration := time.Since(call.ArrivedAt)
 	g.metrics.CallEnded(state.service, reply.Outcome.String(), duration)
+	if call.Team != nil {
+		g.metrics.TeamCallEnded(call.Team.Name, reply.Outcome.String())
+	}
 	g.log.Emit(events.CallEnded, "request", call.ID, "route", state.route, "service", state.service, "key", call.Key,
 		"outcome", reply.Outcome.String(), "server", state.server, "sends", state.sends, "facts_ms", state.factsAge.Milliseconds(), "ms", duration.Milliseconds(), "limit_ms", state.limit(call).Milliseconds(),
-		"retry_after_ms", reply.RetryAfter.Milliseconds(), "settings_version", state.version, "detail", reply.Detail)
+		"retry_after_ms", reply.RetryAfter.Milliseconds(), "settings_version", state.version, "team", state.sender.teamName(), "detail", reply.Detail)
 	return reply
 }
 
@@ -85,11 +90,16 @@
 		return Reply{Outcome: OutcomeNotRun, RetryAfter: retryAfterNoConfig, Detail: "no configuration yet"}, callState{}
 	}
 	route := config.Match(call.Host, call.Path)
+	sender := authorize(config, call)
+	if sender.denial != denialNone {
+		return g.unauthorizedReply(call, sender.denial, "on arrival"), callState{version: config.Version}
+	}
+	sender.setOn(call)
 	if route == nil {
 		return Reply{Outcome: OutcomeNoRoute, Detail: "no route"}, callState{version: config.Version}
 	}
 	call.Route = route
-	state := callState{route: route.Name, service: route.SelectService(g.shareCounter(route.Name).Add(1) - 1), version: config.Version}
+	state := callState{route: route.Name, service: route.SelectService(g.shareCounter(route.Name).Add(1) - 1), version: config.Version, sender: sender}
 	if call.Timeout <= 0 {
 		call.Timeout = defaultCallTimeout
 	}
@@ -106,7 +116,7 @@
 	}
 	state.contentHash = contentHash(call, state.service)
 	ctx, cancel := context.WithDeadline(ctx, state.deadline)
-	reply := g.sendUntilDone(ctx, call, &state)
+	reply := g.sendAuthorized(ctx, call, &state)
 	if reply.Response != nil && reply.Response.Remainder != nil {
 		reply.Response.Remainder = &streamedBody{ReadCloser: reply.Response.Remainder, cancel: cancel}
 	} else {
@@ -150,6 +160,9 @@
 // sent again.
 func (g *Gateway) sendUntilDone(ctx context.Context, call *Call, state *callState) Reply {
 	for {
+		if !g.recheckSender(call, state) {
+			return state.finalReply(ctx)
+		}
 		decision := g.scheduler.Place(ctx, g.newAttempt(call, state))
 		if decision.Server == "" {
 			return state.refusalReply(decision)
@@ -174,7 +187,8 @@
 	return placing.Attempt{
 		Service:      state.service,
 		Key:          key,
-		Priority:     call.Route.Priority,
+		Team:         state.sender.teamName(),
+		Priority:     state.sender.config.Rank(state.sender.team, call.Route),
 		Domain:       g.domain,
 		Large:        call.Route.Kind.Large(),
 		SoftDeadline: call.ArrivedAt.Add(call.Route.LatencyTarget - responseMargin),
@@ -209,7 +223,7 @@
 	result := g.backends.Send(ctx, server, call, state.deadline, func() bool {
 		writtenAt = time.Now()
 		state.factsAge, _ = g.registry.Age(writtenAt)
-		return g.maySend(server.Incarnation, decision.HeardAt)
+		return g.hasSameSender(call, state) && g.maySend(server.Incarnation, decision.HeardAt)
 	})
 	if result.Open {
 		completion.HeardAt = writtenAt
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -54,6 +54,8 @@
 
 func (noMetrics) CallEnded(string, string, time.Duration) {}
 func (noMetrics) FactsAge(time.Duration)                  {}
+func (noMetrics) TeamCallEnded(string, string)            {}
+func (noMetrics) CallUnauthorized(string)                 {}
 
 // fakeRefresher reads the store, or cannot.
 type fakeRefresher func() bool
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -6,6 +6,10 @@
 type Metrics interface {
 	// CallEnded records a call and its duration by service and outcome.
 	CallEnded(service, outcome string, duration time.Duration)
+	// TeamCallEnded records a call of a team by outcome. It is not called for anonymous calls.
+	TeamCallEnded(team, outcome string)
+	// CallUnauthorized records a call that was refused because of its credential, by reason.
+	CallUnauthorized(reason string)
 	// FactsAge records how old the facts are by which a request is sent.
 	FactsAge(age time.Duration)
 }
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -22,11 +22,14 @@
 	// OutcomeCallerGone means that the caller left before the response, or that its
 	// connection ended for another cause, which the detail of the reply states.
 	OutcomeCallerGone
+	// OutcomeUnauthorized means that the call has not run and will not run, because the caller
+	// has not shown the key of a team.
+	OutcomeUnauthorized
 )
 
 // String returns the name of the outcome in logs.
 func (o Outcome) String() string {
-	names := [...]string{"answered", "not-run", "unknown", "timed-out", "no-route", "unreadable", "too-large", "caller-gone"}
+	names := [...]string{"answered", "not-run", "unknown", "timed-out", "no-route", "unreadable", "too-large", "caller-gone", "unauthorized"}
 	if int(o) < len(names) {
 		return names[o]
 	}
