--- a/internal/gateway/authenticator.go
+++ b/internal/gateway/authenticator.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "peridotmoor.org/peridotmoor/internal/fleet"
+import (
+	"peridotmoor.org/peridotmoor/internal/credential"
+	"peridotmoor.org/peridotmoor/internal/fleet"
+)
 
 // authenticator decides which team a call belongs to, by one version of the configuration.
 type authenticator struct {
@@ -10,14 +13,14 @@
 // authenticate returns the team that holds the credential, nil for an anonymous call, and
 // the reason if the call is not authorized. route is that of the call, or nil: whether there
 // is one is only told to callers that show no credential or a valid one.
-func (a authenticator) authenticate(credential Credential, route *fleet.Route) (*fleet.Team, denial) {
+func (a authenticator) authenticate(shown credential.Credential, route *fleet.Route) (*fleet.Team, denial) {
 	switch {
 	case a.config.Teams == nil:
 		return nil, denialNone
-	case credential.Malformed:
+	case shown.Malformed:
 		return nil, denialMalformed
-	case credential.Given:
-		if team := a.config.Teams.ByKey(credential.Digest); team != nil {
+	case shown.Given:
+		if team := a.config.Teams.ByKey(shown.Digest); team != nil {
 			return team, denialNone
 		}
 		return nil, denialUnknown
--- a/internal/gateway/authenticator_test.go
+++ b/internal/gateway/authenticator_test.go
@@ -5,12 +5,13 @@
 
 	"github.com/matryer/is"
 
+	"peridotmoor.org/peridotmoor/internal/credential"
 	"peridotmoor.org/peridotmoor/internal/fleet"
 )
 
 // shownKey returns the credential of a caller that shows the key.
-func shownKey(key string) Credential {
-	return Credential{Given: true, Digest: fleet.DigestKey(key)}
+func shownKey(key string) credential.Credential {
+	return credential.Credential{Given: true, Digest: fleet.DigestKey(key)}
 }
 
 // teamConfig returns a configuration with a route for anonymous callers and one for callers
@@ -36,14 +37,14 @@
 // Guards against a caller that is let in without a valid key, or refused with one or on a
 // route that needs none.
 func TestAuthenticate(t *testing.T) {
-	malformed := Credential{Given: true, Malformed: true}
+	malformed := credential.Credential{Given: true, Malformed: true}
 	with, without := teamConfig(1, map[string]string{"k1": "t1", "k2": "t2"}), teamConfig(1, nil)
 	for name, c := range map[string]struct {
-		config     *fleet.Config
-		path       string
-		credential Credential
-		team       string
-		denial     denial
+		config *fleet.Config
+		path   string
+		shown  credential.Credential
+		team   string
+		denial denial
 	}{
 		"valid key":                       {with, "/p/x", shownKey("k1"), "t1", denialNone},
 		"valid key of another team":       {with, "/p/x", shownKey("k2"), "t2", denialNone},
@@ -55,19 +56,19 @@
 		"malformed":                       {with, "/p/x", malformed, "", denialMalformed},
 		"malformed, open route":           {with, "/open/x", malformed, "", denialMalformed},
 		"malformed, no route":             {with, "/x", malformed, "", denialMalformed},
-		"no key":                          {with, "/p/x", Credential{}, "", denialMissing},
-		"no key, open route":              {with, "/open/x", Credential{}, "", denialNone},
-		"no key, no route":                {with, "/x", Credential{}, "", denialNone},
+		"no key":                          {with, "/p/x", credential.Credential{}, "", denialMissing},
+		"no key, open route":              {with, "/open/x", credential.Credential{}, "", denialNone},
+		"no key, no route":                {with, "/x", credential.Credential{}, "", denialNone},
 		"teams without keys":              {teamConfig(1, map[string]string{}), "/p/x", shownKey("k1"), "", denialUnknown},
-		"digest of nothing":               {with, "/p/x", Credential{Given: true}, "", denialUnknown},
-		"no teams, no key":                {without, "/p/x", Credential{}, "", denialNone},
+		"digest of nothing":               {with, "/p/x", credential.Credential{Given: true}, "", denialUnknown},
+		"no teams, no key":                {without, "/p/x", credential.Credential{}, "", denialNone},
 		"no teams, a key":                 {without, "/p/x", shownKey("k1"), "", denialNone},
 		"no teams, something else":        {without, "/p/x", malformed, "", denialNone},
 		"no teams, something, open route": {without, "/open/x", malformed, "", denialNone},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			team, reason := authenticator{c.config}.authenticate(c.credential, c.config.Match("h", c.path))
+			team, reason := authenticator{c.config}.authenticate(c.shown, c.config.Match("h", c.path))
 			is.Equal(reason, c.denial)
 			is.Equal(authorization{team: team}.teamName(), c.team)
 		})
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"peridotmoor.org/peridotmoor/internal/credential"
 	"peridotmoor.org/peridotmoor/internal/fleet"
 )
 
@@ -22,7 +23,7 @@
 	// Key is placing.NoKey or the key of the request.
 	Key int
 	// Credential is what the caller shows to prove its team.
-	Credential Credential
+	Credential credential.Credential
 	// Team is set when the credential has been checked; nil for an anonymous call.
 	Team *fleet.Team
 	// HidesCredential is set if the configuration has teams: a server is told the name of the
