Add teams with key digests and priorities to the settings tree

Messages hide values that may be keys that were not hashed. The level of a section needs a ninth bit, so that its type is wider.

The router does not check keys yet.

--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -23,7 +23,7 @@
 // commands lists all commands in the order in which the help shows them.
 var commands = []command{
 	{name: "check", description: "Check a file, with --store also the change from the accepted version; or what the store of the users' platform holds.", first: "FILE", firstHelp: "Settings tree.", options: checkOptions, run: runCheck},
-	{name: "show", description: "Show effective values with the level that each comes from.", first: "PATH", firstHelp: "DEFAULT, service.NAME[.DOMAIN[.RANGE]], domain.NAME or server.NAME; default: an overview.", options: showOptions, run: runShow},
+	{name: "show", description: "Show effective values with the level that each comes from.", first: "PATH", firstHelp: "DEFAULT, service.NAME[.DOMAIN[.RANGE]], domain.NAME, server.NAME or team.NAME; default: an overview.", options: showOptions, run: runShow},
 	{name: "diff", description: "Compare two trees.", first: "FROM", firstHelp: "File or version number.", required: true, second: "TO", secondHelp: "File or version number; default: compare the accepted version with FROM.", options: storeOption, run: runDiff},
 	{name: "apply", description: "Make a file the accepted version.", first: "FILE", firstHelp: "Settings tree.", required: true, options: applyOptions, run: runApply},
 	{name: "wait", description: "Wait until a version is in effect at all instances.", first: "VERSION", firstHelp: "Version number; default: the accepted version.", options: waitOptions, run: runWait},
--- a/internal/settings/build.go
+++ b/internal/settings/build.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 
+	"peridotmoor.org/peridotmoor/internal/fleet"
 	"peridotmoor.org/peridotmoor/internal/textlist"
 )
 
@@ -19,10 +20,13 @@
 		control:       buildControl(doc.defaultChain()),
 		defaultPolicy: buildRequestPolicy(doc.defaultChain(), false),
 		retired:       map[string]bool{},
+		teams:         map[string]Team{},
+		teamByKey:     map[fleet.KeyDigest]Team{},
 	}
 	t.buildDomains()
 	t.buildServices()
 	t.buildServers()
+	t.buildTeams()
 	if s := doc.sections[instancesSection]; s != nil {
 		for _, item := range textlist.Split(s.values["retired"]) {
 			t.retired[item] = true
@@ -72,11 +76,12 @@
 		}
 		own := chain{s}
 		service := &Service{
-			Name:         s.service,
-			Keyed:        own.bool("keyed"),
-			Shards:       own.integer("shards"),
-			OutOfService: s.values["state"] == stateOut,
-			domains:      map[string]*domainPolicies{},
+			Name:           s.service,
+			Keyed:          own.bool("keyed"),
+			Shards:         own.integer("shards"),
+			OutOfService:   s.values["state"] == stateOut,
+			domains:        map[string]*domainPolicies{},
+			AllowAnonymous: own.bool("allow_anonymous"),
 		}
 		service.policy = buildRequestPolicy(t.doc.requestChain(s.service, "", ""), service.Keyed)
 		service.servers = make([][]Server, service.Shards)
--- a/internal/settings/checkconsistency.go
+++ b/internal/settings/checkconsistency.go
@@ -41,6 +41,7 @@
 		}
 	}
 	d.checkRangeOverlaps()
+	d.checkTeams()
 }
 
 func (d *document) checkControl() {
--- a/internal/settings/checkvalues.go
+++ b/internal/settings/checkvalues.go
@@ -5,6 +5,9 @@
 	"strings"
 )
 
+// hiddenValue stands for values that are not shown.
+const hiddenValue = "(not shown)"
+
 // issueAt returns an issue for one setting of the section. Its line is that of the
 // section header if the setting is absent.
 func (s *section) issueAt(key, reason, remedy string) Issue {
@@ -12,7 +15,24 @@
 	if line == 0 {
 		line = s.line
 	}
-	return Issue{Line: line, Section: s.name, Key: key, Value: s.values[key], Reason: reason, Remedy: remedy}
+	return Issue{Line: line, Section: s.name, Key: key, Value: shownValue(key, s.values[key]), Reason: reason, Remedy: remedy}
+}
+
+// shownValue returns the value of a setting for an issue. It hides what may be a key that
+// the operators forgot to hash.
+func shownValue(key, value string) string {
+	if spec := specByName[key]; value != "" && spec != nil && spec.Kind == KindKeyDigests {
+		return hiddenValue
+	}
+	return value
+}
+
+// shownLine is shownValue for a line that is no setting.
+func shownLine(text string) string {
+	if name := "key_digests"; strings.Contains(text, name) {
+		return name + " " + hiddenValue
+	}
+	return text
 }
 
 // checkValues validates each setting independently of the others.
--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -42,7 +42,7 @@
 	}
 	lines := indexLines(text)
 	for _, bad := range lines.malformed {
-		doc.addIssue(Issue{Line: bad.number, Reason: "the line " + strconv.Quote(bad.text) + " is neither a section, a setting nor a comment", Remedy: "write [section], name = value, or start the line with #"})
+		doc.addIssue(Issue{Line: bad.number, Reason: "the line " + strconv.Quote(shownLine(bad.text)) + " is neither a section, a setting nor a comment", Remedy: "write [section], name = value, or start the line with #"})
 	}
 	loaded, err := ini.LoadSources(iniOptions, []byte(lines.wellFormed))
 	if err != nil {
@@ -91,17 +91,17 @@
 	s.values[name] = raw.Value()
 	s.lines[name] = lines.keyLine(s.name, name)
 	if values := raw.ValueWithShadows(); len(values) > 1 {
-		d.addIssue(Issue{Line: s.lines[name], Section: s.name, Key: name, Value: strings.Join(values, ", "), Reason: "the setting is written more than once", Remedy: "keep one of the values"})
+		d.addIssue(Issue{Line: s.lines[name], Section: s.name, Key: name, Value: shownValue(name, strings.Join(values, ", ")), Reason: "the setting is written more than once", Remedy: "keep one of the values"})
 	}
 }
 
 func (d *document) addIssuesBeforeFirstHeader(raw *ini.Section, lines *lineIndex) {
 	for _, key := range raw.Keys() {
-		d.addIssue(Issue{Line: lines.keyLine("", key.Name()), Key: key.Name(), Value: key.Value(), Reason: "the setting stands before the first section", Remedy: "put it under [DEFAULT] or the section it belongs to"})
+		d.addIssue(Issue{Line: lines.keyLine("", key.Name()), Key: key.Name(), Value: shownValue(key.Name(), key.Value()), Reason: "the setting stands before the first section", Remedy: "put it under [DEFAULT] or the section it belongs to"})
 	}
 }
 
 func allSectionForms() string {
-	all := LevelDefault | LevelService | LevelServiceDomain | LevelRange | LevelDomain | LevelServer | LevelInstances
+	all := LevelDefault | LevelService | LevelServiceDomain | LevelRange | LevelDomain | LevelServer | LevelInstances | LevelTeam
 	return strings.Join(all.Forms(), ", ")
 }
--- a/internal/settings/effective.go
+++ b/internal/settings/effective.go
@@ -22,12 +22,12 @@
 
 // Effective returns the values in effect at path, in the order of Specs. path is
 // a section name: DEFAULT, service.NAME, service.NAME.DOMAIN,
-// service.NAME.DOMAIN.RANGE, domain.NAME, server.NAME or instances. The section itself
+// service.NAME.DOMAIN.RANGE, domain.NAME, server.NAME, team.NAME or instances. The section itself
 // may be absent from the text, except for a range.
 func (t *Tree) Effective(path string) ([]EffectiveValue, error) {
 	target, known := newSection(path)
 	if !known {
-		return nil, errors.Errorf("path %q is not a place of the tree; use DEFAULT, service.NAME, service.NAME.DOMAIN, service.NAME.DOMAIN.RANGE, domain.NAME, server.NAME or instances", path)
+		return nil, errors.Errorf("path %q is not a place of the tree; use DEFAULT, service.NAME, service.NAME.DOMAIN, service.NAME.DOMAIN.RANGE, domain.NAME, server.NAME, team.NAME or instances", path)
 	}
 	if err := t.checkTargetExists(target); err != nil {
 		return nil, err
@@ -53,6 +53,9 @@
 	if _, ok := t.servers[target.server]; target.server != "" && !ok {
 		return errors.Errorf("server %q does not exist; servers: %s", target.server, strings.Join(sortedKeys(t.servers), ", "))
 	}
+	if _, ok := t.teams[target.team]; target.team != "" && !ok {
+		return errors.Errorf("team %q does not exist; teams: %s", target.team, strings.Join(sortedKeys(t.teams), ", "))
+	}
 	if target.rangeName != "" && t.doc.sections[target.name] == nil {
 		return errors.Errorf("key range %q does not exist; write a section [%s] or use the service and failure domain alone", target.rangeName, target.name)
 	}
--- a/internal/settings/fuzz_test.go
+++ b/internal/settings/fuzz_test.go
@@ -9,6 +9,7 @@
 // remedy, and accepted input that yields other settings when it is parsed again.
 func FuzzParse(f *testing.F) {
 	f.Add(sampleText)
+	f.Add(teamsText())
 	for _, file := range []string{"kyushu", "midlands"} {
 		text, err := os.ReadFile("../../examples/" + file + ".ini")
 		if err != nil {
--- a/internal/settings/kind.go
+++ b/internal/settings/kind.go
@@ -13,4 +13,5 @@
 	KindAddress      Kind = "host:port"
 	KindKey          Kind = "key"
 	KindInstanceList Kind = "list of NAME@INCARNATION"
+	KindKeyDigests   Kind = "list of SHA-256 in hexadecimal"
 )
--- a/internal/settings/level.go
+++ b/internal/settings/level.go
@@ -1,7 +1,7 @@
 package settings
 
 // Level is a kind of section, or a set of them.
-type Level uint8
+type Level uint16
 
 // Levels are bit flags so that a Spec can list several.
 const (
@@ -13,6 +13,7 @@
 	LevelDomain                          // [domain.NAME]
 	LevelServer                          // [server.NAME]
 	LevelInstances                       // [instances]
+	LevelTeam                            // [team.NAME]
 )
 
 var levelForms = []struct {
@@ -26,6 +27,7 @@
 	{LevelDomain, "[domain.NAME]"},
 	{LevelServer, "[server.NAME]"},
 	{LevelInstances, "[instances]"},
+	{LevelTeam, "[team.NAME]"},
 }
 
 // Forms returns the forms of the section headers of all levels in l.
--- a/internal/settings/section.go
+++ b/internal/settings/section.go
@@ -12,7 +12,7 @@
 	lines  map[string]int // line number of each key
 
 	// Parts of the section name; those that the level does not have are empty.
-	service, domain, rangeName, server string
+	service, domain, rangeName, server, team string
 }
 
 const (
@@ -42,6 +42,8 @@
 	switch {
 	case parts[0] == "domain" && len(parts) == 2:
 		s.level, s.domain = LevelDomain, parts[1]
+	case parts[0] == "team" && len(parts) == 2:
+		s.level, s.team = LevelTeam, parts[1]
 	case parts[0] == "server" && len(parts) == 2:
 		s.level, s.server = LevelServer, parts[1]
 	case parts[0] == "service" && len(parts) == 2:
--- a/internal/settings/service.go
+++ b/internal/settings/service.go
@@ -10,6 +10,8 @@
 	Shards int
 	// OutOfService is true if the service gets no new requests.
 	OutOfService bool
+	// AllowAnonymous is true if callers need no key, also if the tree has teams.
+	AllowAnonymous bool
 
 	policy  RequestPolicy
 	domains map[string]*domainPolicies
--- a/internal/settings/spec.go
+++ b/internal/settings/spec.go
@@ -76,6 +76,8 @@
 		return checkAddress(text)
 	case KindInstanceList:
 		return checkInstances(text)
+	case KindKeyDigests:
+		return checkKeyDigests(text)
 	}
 	return checkKeyText(text)
 }
@@ -102,6 +104,8 @@
 		return "set host:port with a port from 1 to 65535"
 	case KindInstanceList:
 		return "list instances as NAME@INCARNATION, separated by commas"
+	case KindKeyDigests:
+		return "list the SHA-256 of each key in hexadecimal, 64 digits, separated by commas (printf %s KEY | sha256sum)"
 	case KindKey:
 		return "set a key of at most 1024 bytes on one line"
 	}
--- a/internal/settings/specs.go
+++ b/internal/settings/specs.go
@@ -50,6 +50,9 @@
 	{Name: "shards", Kind: KindInteger, Unit: "shards", Scope: ScopeService, Default: "1", Min: 1, Max: 256, Levels: LevelService,
 		Reason: "Units of authority of the service. The design target is 256 shards overall."},
 
+	{Name: "allow_anonymous", Kind: KindBool, Unit: "", Scope: ScopeService, Default: "false", Levels: LevelService,
+		Reason: "Callers need no key for the service. Without effect if the tree has no team: then nobody needs a key."},
+
 	{Name: "promise_ttl", Kind: KindDuration, Unit: "time", Scope: ScopeControl, Default: "600ms", Min: int64(200 * time.Millisecond), Max: int64(850 * time.Millisecond), Levels: LevelDefault,
 		Reason: "How long a witness binds itself to the holder of a shard. With max_delivery it bounds the time until a key is served again after a loss, which must be below 1 s."},
 	{Name: "renew_interval", Kind: KindDuration, Unit: "time", Scope: ScopeControl, Default: "150ms", Min: int64(20 * time.Millisecond), Max: int64(400 * time.Millisecond), Levels: LevelDefault,
@@ -83,6 +86,10 @@
 		Reason: "Where the server accepts requests and grants."},
 	{Name: "shard", Kind: KindInteger, Unit: "index", Scope: ScopeIdentity, Min: 0, Max: 255, Levels: LevelServer,
 		Reason: "Shard that the server works for. Default: rendezvous hash of the server's name over the shards of its service."},
+	{Name: "key_digests", Kind: KindKeyDigests, Unit: "", Scope: ScopeIdentity, Levels: LevelTeam,
+		Reason: "SHA-256 of each key of the team, so that no key stands in the settings. A team without keys is valid: all may have been withdrawn."},
+	{Name: "team_priority", Kind: KindInteger, Unit: "rank", Scope: ScopeIdentity, Min: 0, Max: 9, Levels: LevelTeam,
+		Reason: "Goes before the priority of the request, which decides between teams of one rank; 9 is served first. Without it, and for anonymous requests, the priority of the request takes its place."},
 	{Name: "retired", Kind: KindInstanceList, Unit: "", Scope: ScopeIdentity, Levels: LevelInstances,
 		Reason: "Instances that are gone for good and count as such when a shard has lost the majority of its witnesses. The incarnation is required, so that a replacement of the same name is not retired."},
 }
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -6,6 +6,8 @@
 import (
 	"slices"
 	"strconv"
+
+	"peridotmoor.org/peridotmoor/internal/fleet"
 )
 
 // Tree is a validated settings tree. It is immutable, so that readers can share it
@@ -20,6 +22,8 @@
 	control       Control
 	defaultPolicy RequestPolicy
 	retired       map[string]bool
+	teams         map[string]Team
+	teamByKey     map[fleet.KeyDigest]Team
 }
 
 // Text returns the text that the tree was parsed from.
