Check the keys of teams in peridotmoor-router

The settings tree had teams, but every caller was let in. The entry instance now refuses a request without a valid key with 401, kind unauthorized, before it reads the body. It does not forward the key; the holder tells the server the name of the team in Peridotmoor-Team, and queues by the priority of the team first. The digest of a request contains the team, so that the ID of another team's request does not yield its recorded answer. Refused requests count as unlisted services in the metrics, since the service need not exist.

The key is checked on arrival only; a request that waits is not checked again.

--- a/internal/backend/headers.go
+++ b/internal/backend/headers.go
@@ -3,6 +3,7 @@
 // HTTP headers between the holder and a backend server, described in docs/interface.md.
 const (
 	HeaderRequestID   = "Peridotmoor-Request-Id"
+	HeaderTeam        = "Peridotmoor-Team"
 	HeaderKey         = "Peridotmoor-Key"
 	HeaderTimeoutMS   = "Peridotmoor-Timeout-Ms"
 	HeaderIdempotent  = "Peridotmoor-Idempotent"
--- a/internal/backend/httpbackend/encode.go
+++ b/internal/backend/httpbackend/encode.go
@@ -82,6 +82,9 @@
 	header.Set(backend.HeaderTimeoutMS, strconv.FormatInt(left.Milliseconds(), 10))
 	header.Set(backend.HeaderShard, order.Shard.String())
 	header.Set(backend.HeaderToken, order.Token.String())
+	if r.Team != "" {
+		header.Set(backend.HeaderTeam, r.Team)
+	}
 	if r.TraceParent != "" {
 		header.Set(backend.HeaderTraceParent, r.TraceParent)
 	}
--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -12,6 +12,8 @@
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 
+	"peridotmoor.org/peridotmoor/internal/backend"
+	"peridotmoor.org/peridotmoor/internal/credential"
 	"peridotmoor.org/peridotmoor/internal/hop"
 	"peridotmoor.org/peridotmoor/internal/key"
 	"peridotmoor.org/peridotmoor/internal/outcome"
@@ -43,6 +45,14 @@
 	}
 	r.Path = pathBelowKey(h)
 	r.KeyHash = key.HashOf(r.Key)
+	sender, known := policies.Authenticate(credential.Parse(authorizationScheme, h.Header[headerAuthorization]), r.Service)
+	if !known {
+		return r, problem.New(problem.KindNotReady, outcome.StageEntry, "the instance has no settings yet")
+	}
+	if sender.Refusal != "" {
+		return r, problem.New(problem.KindUnauthorized, outcome.StageEntry, "%s", sender.Refusal)
+	}
+	r.Team = sender.Team
 	for _, step := range []func(*http.Request, *request.Request) *problem.Problem{
 		checkSizes, decodeIdempotent, decodeID,
 	} {
@@ -57,7 +67,7 @@
 	if p := decodeDeadline(h, r, now, policy); p != nil {
 		return r, p
 	}
-	r.Header = endToEndHeaders(h.Header)
+	r.Header = endToEndHeaders(h.Header, sender.KeysRequired)
 	return r, decodeBody(h, r, policy)
 }
 
@@ -142,8 +152,12 @@
 	return nil
 }
 
-func endToEndHeaders(header http.Header) textproto.MIMEHeader {
-	return textproto.MIMEHeader(hop.Filter(header, func(name string) bool { return !entryHeaders[name] }))
+// endToEndHeaders returns the headers that are forwarded. hidesSender leaves out those from
+// which a server could learn, or misread, who sends the request.
+func endToEndHeaders(header http.Header, hidesSender bool) textproto.MIMEHeader {
+	return textproto.MIMEHeader(hop.Filter(header, func(name string) bool {
+		return !entryHeaders[name] && !(hidesSender && (hop.SameName(name, headerAuthorization) || hop.SameName(name, backend.HeaderTeam)))
+	}))
 }
 
 // decodeBody buffers small bodies in memory and sets larger ones up for streaming. Its
@@ -171,10 +185,13 @@
 }
 
 // digest returns a hash of what must be equal when a request ID is used again: method,
-// path and body, or the length and start of a large body.
+// path, team and body, or the length and start of a large body.
 func digest(r *request.Request, start []byte) uint64 {
 	d := xxhash.New()
 	_, _ = d.WriteString(r.Method + "\x00" + r.Path + "\x00")
+	if r.Team != "" {
+		_, _ = d.WriteString(r.Team + "\x00")
+	}
 	if len(start) > maxBufferedBytes {
 		_, _ = d.WriteString(strconv.FormatInt(r.ContentLength, 10))
 	}
--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
+	"peridotmoor.org/peridotmoor/internal/credential"
 	"peridotmoor.org/peridotmoor/internal/outcome"
 	"peridotmoor.org/peridotmoor/internal/problem"
 	"peridotmoor.org/peridotmoor/internal/request"
@@ -26,6 +27,11 @@
 	return Policy{Timeout: 2 * time.Second, IdleTimeout: time.Second}, service == "bosho"
 }
 
+// Authenticate lets every caller in, as settings without teams do.
+func (staticPolicy) Authenticate(credential.Credential, string) (Sender, bool) {
+	return Sender{}, true
+}
+
 type noopObserver struct{}
 
 func (noopObserver) Arrived(r *http.Request) context.Context { return r.Context() }
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -11,6 +11,9 @@
 	HeaderReplayed   = "Peridotmoor-Replayed"
 	HeaderServer     = "Peridotmoor-Server"
 	HeaderInstance   = "Peridotmoor-Instance"
+	// headerAuthorization is where callers show their key, after authorizationScheme.
+	headerAuthorization = "Authorization"
+	authorizationScheme = "Token"
 	// headerIncarnation is set by backend servers and not forwarded to callers.
 	headerIncarnation = "Peridotmoor-Incarnation"
 )
--- a/internal/entry/respond.go
+++ b/internal/entry/respond.go
@@ -34,6 +34,9 @@
 		// The remainder of the body is not read, so the connection cannot be reused.
 		header.Set("Connection", "close")
 	}
+	if p.Kind == problem.KindUnauthorized {
+		header.Set("WWW-Authenticate", authorizationScheme) // required by RFC 9110, section 11.6.1
+	}
 	w.WriteHeader(statusOf(p))
 	// A failed write means that the caller has disconnected; the refusal is logged.
 	_ = json.NewEncoder(w).Encode(refusalOf(r, p))
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -12,6 +12,7 @@
 var statuses = map[problem.Kind]int{
 	problem.KindUnknownService: http.StatusNotFound,
 	problem.KindMissingKey:     http.StatusNotFound,
+	problem.KindUnauthorized:   http.StatusUnauthorized,
 	problem.KindMissingID:      http.StatusBadRequest,
 	problem.KindBadID:          http.StatusBadRequest,
 	problem.KindIDAhead:        http.StatusBadRequest,
--- a/internal/peer/requestwire.go
+++ b/internal/peer/requestwire.go
@@ -24,6 +24,7 @@
 		Attempt:       int32(r.Attempt),
 		TraceParent:   r.TraceParent,
 		Streamed:      r.Streamed(),
+		Team:          r.Team,
 	}
 }
 
@@ -43,5 +44,6 @@
 		Entry:         head.Entry,
 		Attempt:       int(head.Attempt),
 		TraceParent:   head.TraceParent,
+		Team:          head.Team,
 	}
 }
--- a/internal/problem/kind.go
+++ b/internal/problem/kind.go
@@ -10,6 +10,7 @@
 const (
 	KindUnknownService    Kind = "unknown-service"
 	KindMissingKey        Kind = "missing-key"
+	KindUnauthorized      Kind = "unauthorized"
 	KindMissingID         Kind = "missing-request-id"
 	KindBadID             Kind = "bad-request-id"
 	KindIDExpired         Kind = "request-id-expired"
--- a/internal/problem/remedy.go
+++ b/internal/problem/remedy.go
@@ -4,6 +4,7 @@
 var remedies = map[Kind]string{
 	KindUnknownService:    "use a service name of the settings tree (peridotmoorctl show)",
 	KindMissingKey:        "send the request to /{service}/{key}/...",
+	KindUnauthorized:      "send a key of a team as Authorization: Token KEY",
 	KindMissingID:         "send a UUID version 7 in Peridotmoor-Request-Id, the same one on each resend",
 	KindBadID:             "send a UUID version 7 (RFC 9562) in Peridotmoor-Request-Id",
 	KindIDExpired:         "ask the service whether the request ran; send a new request ID only if it did not",
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -31,6 +31,8 @@
 	Body io.Reader
 	// Digest is a hash of the method, the path, the announced length and the start of the body.
 	Digest uint64
+	// Team is the team of the caller, or empty.
+	Team string
 	// Entry is the name of the instance that admitted the request.
 	Entry string
 	// Attempt is the number of times the entry instance has forwarded this request, from 1.
--- a/internal/router/components.go
+++ b/internal/router/components.go
@@ -64,7 +64,8 @@
 	}
 }
 
-// priority returns the queueing priority that the settings give to the request's key.
+// priority returns the queueing priority that the settings give to the request's team and key.
 func (c *components) priority(r *request.Request) admission.Priority {
-	return admission.Priority(c.tree().RequestPolicy(r.Service, c.self.Domain, r.Key).Priority)
+	tree := c.tree()
+	return admission.Priority(tree.QueuePriority(r.Team, tree.RequestPolicy(r.Service, c.self.Domain, r.Key).Priority))
 }
--- a/internal/router/entryobserver.go
+++ b/internal/router/entryobserver.go
@@ -37,7 +37,7 @@
 // Refused implements entry.Observer.
 func (o *entryObserver) Refused(ctx context.Context, r *request.Request, p *problem.Problem, duration time.Duration) {
 	service := r.Service
-	if p.Kind == problem.KindUnknownService || p.Kind == problem.KindMissingKey {
+	if p.Kind == problem.KindUnknownService || p.Kind == problem.KindMissingKey || p.Kind == problem.KindUnauthorized {
 		service = unlistedService
 	}
 	o.end(ctx, events.RequestRefusedAtEntry, service, r, p.Outcome, p, duration)
--- a/internal/router/settingsview.go
+++ b/internal/router/settingsview.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"peridotmoor.org/peridotmoor/internal/credential"
 	"peridotmoor.org/peridotmoor/internal/entry"
 	"peridotmoor.org/peridotmoor/internal/publish"
 )
@@ -25,6 +26,15 @@
 	return entry.Policy{Timeout: policy.Timeout, IdleTimeout: policy.IdleTimeout}, true
 }
 
+// Authenticate implements entry.Policies.
+func (v *settingsView) Authenticate(shown credential.Credential, service string) (entry.Sender, bool) {
+	installed := v.publisher.Settings()
+	if installed == nil {
+		return entry.Sender{}, false
+	}
+	return authenticate(installed.Tree, shown, service), true
+}
+
 // ShardCount implements forward.Services.
 func (v *settingsView) ShardCount(name string) (int, bool) {
 	installed := v.publisher.Settings()
