--- a/internal/entrynode/fakebackend_test.go
+++ b/internal/entrynode/fakebackend_test.go
@@ -167,5 +167,7 @@
 	body, _ := io.ReadAll(r.Body) // on an error the caller is gone and needs no response
 	time.Sleep(time.Duration(b.serviceTime.Load()))
 	w.Header().Set("X-Response-Stamp", "stamp")
+	w.Header().Set("Seen-Team", r.Header.Get("X-Tenant"))
+	w.Header().Set("Seen-Authorization", r.Header.Get("Authorization"))
 	fmt.Fprintf(w, "%s:%s:%s", id, r.URL.Path, body)
 }
