--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -45,14 +45,15 @@
 	}
 	r.Path = pathBelowKey(h)
 	r.KeyHash = key.HashOf(r.Key)
-	sender, known := policies.Authenticate(credential.Parse(authorizationScheme, h.Header[headerAuthorization]), r.Service)
+	r.Credential = credential.Parse(authorizationScheme, h.Header[headerAuthorization])
+	sender, known := policies.Authenticate(r.Credential, r.Service)
 	if !known {
 		return r, problem.New(problem.KindNotReady, outcome.StageEntry, "the instance has no settings yet")
 	}
 	if sender.Refusal != "" {
 		return r, problem.New(problem.KindUnauthorized, outcome.StageEntry, "%s", sender.Refusal)
 	}
-	r.Team = sender.Team
+	r.Team, r.HidesCredential = sender.Team, sender.KeysRequired
 	for _, step := range []func(*http.Request, *request.Request) *problem.Problem{
 		checkSizes, decodeIdempotent, decodeID,
 	} {
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -29,7 +29,14 @@
 // run forwards the request until it has a response or a final problem. The deadline
 // and the backoff limit the number of attempts. A takeover takes at most 1 s.
 func (a *attempts) run(ctx context.Context) (*request.Response, *problem.Problem) {
+	var last *problem.Problem
 	for time.Now().Before(a.request.Deadline) {
+		if p := a.forwarder.options.Services.CheckSender(a.request); p != nil {
+			if a.mayHaveRun {
+				return nil, a.withOverallOutcome(last)
+			}
+			return nil, p
+		}
 		holder, changed := a.forwarder.options.Holders.Find(a.shard)
 		if holder == nil {
 			if p := a.waitForHolder(ctx, changed); p != nil {
@@ -44,6 +51,7 @@
 		if !a.retriable(p) {
 			return nil, a.withOverallOutcome(p)
 		}
+		last = p
 		a.forwarder.options.Observer.Retried(a.request, holder, p)
 		if !a.backOff(ctx, changed) {
 			return nil, a.withOverallOutcome(p)
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -22,6 +22,8 @@
 	return map[string]int{"bosho": 4, "out": 0}[service], service == "bosho" || service == "out"
 }
 
+func (fixedServices) CheckSender(*request.Request) *problem.Problem { return nil }
+
 type fixedHolders struct {
 	holder  *Holder
 	changed chan struct{}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -7,6 +7,7 @@
 	"net/textproto"
 	"time"
 
+	"peridotmoor.org/peridotmoor/internal/credential"
 	"peridotmoor.org/peridotmoor/internal/key"
 )
 
@@ -33,6 +34,10 @@
 	Digest uint64
 	// Team is the team of the caller, or empty.
 	Team string
+	// Credential is what the caller has shown. Only the entry instance has it.
+	Credential credential.Credential
+	// HidesCredential is set if the settings had teams when the entry instance built the request.
+	HidesCredential bool
 	// Entry is the name of the instance that admitted the request.
 	Entry string
 	// Attempt is the number of times the entry instance has forwarded this request, from 1.
--- a/internal/router/authenticate.go
+++ b/internal/router/authenticate.go
@@ -3,6 +3,9 @@
 import (
 	"peridotmoor.org/peridotmoor/internal/credential"
 	"peridotmoor.org/peridotmoor/internal/entry"
+	"peridotmoor.org/peridotmoor/internal/outcome"
+	"peridotmoor.org/peridotmoor/internal/problem"
+	"peridotmoor.org/peridotmoor/internal/request"
 	"peridotmoor.org/peridotmoor/internal/settings"
 )
 
@@ -28,3 +31,17 @@
 	}
 	return sender
 }
+
+// checkSender returns a problem if the tree does not let the sender of the request in, or
+// tells a server something else of it than the request does. The tree may have changed since
+// the request arrived.
+func checkSender(tree *settings.Tree, r *request.Request) *problem.Problem {
+	sender := authenticate(tree, r.Credential, r.Service)
+	switch {
+	case sender.Refusal != "":
+		return problem.New(problem.KindUnauthorized, outcome.StageForwardUnsent, "%s, by settings that are in effect since the request arrived", sender.Refusal)
+	case sender.Team != r.Team || sender.KeysRequired != r.HidesCredential:
+		return problem.New(problem.KindNotReady, outcome.StageForwardUnsent, "the team of the caller has changed since the request arrived")
+	}
+	return nil
+}
--- a/internal/router/authenticate_test.go
+++ b/internal/router/authenticate_test.go
@@ -8,6 +8,9 @@
 
 	"peridotmoor.org/peridotmoor/internal/credential"
 	"peridotmoor.org/peridotmoor/internal/fleet"
+	"peridotmoor.org/peridotmoor/internal/outcome"
+	"peridotmoor.org/peridotmoor/internal/problem"
+	"peridotmoor.org/peridotmoor/internal/request"
 	"peridotmoor.org/peridotmoor/internal/settings"
 )
 
@@ -59,3 +62,41 @@
 		})
 	}
 }
+
+// Guards against a request that waits and is forwarded after its key has been withdrawn or
+// moved to another team, or with a key after the tree got teams.
+func TestCheckSender(t *testing.T) {
+	digest := fleet.DigestKey("k1")
+	tree := func(text string) *settings.Tree {
+		parsed, err := settings.Parse(servicesText+text, "test.ini")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return parsed
+	}
+	keys := "key_digests = " + hex.EncodeToString(digest[:]) + "\n"
+	for name, c := range map[string]struct {
+		old, next string
+		kind      problem.Kind
+	}{
+		"unchanged":            {"[team.t1]\n" + keys, "[team.t1]\n" + keys + "[team.t2]\n", ""},
+		"withdrawn":            {"[team.t1]\n" + keys, "[team.t1]\n", problem.KindUnauthorized},
+		"moved":                {"[team.t1]\n" + keys, "[team.t1]\n[team.t2]\n" + keys, problem.KindNotReady},
+		"teams are new":        {"", "[team.t1]\n", problem.KindUnauthorized},
+		"teams are new, valid": {"", "[team.t1]\n" + keys, problem.KindNotReady},
+		"teams are gone":       {"[team.t1]\n" + keys, "", problem.KindNotReady},
+		"no teams":             {"", "", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			shown := credential.Parse("Token", []string{"Token k1"})
+			before := authenticate(tree(c.old), shown, "closed")
+			p := checkSender(tree(c.next), &request.Request{Service: "closed", Credential: shown, Team: before.Team, HidesCredential: before.KeysRequired})
+			is.Equal(p != nil, c.kind != "")
+			if p != nil {
+				is.Equal(p.Kind, c.kind)
+				is.Equal(p.Outcome, outcome.NotRun)
+			}
+		})
+	}
+}
--- a/internal/router/settingsview.go
+++ b/internal/router/settingsview.go
@@ -3,7 +3,9 @@
 import (
 	"peridotmoor.org/peridotmoor/internal/credential"
 	"peridotmoor.org/peridotmoor/internal/entry"
+	"peridotmoor.org/peridotmoor/internal/problem"
 	"peridotmoor.org/peridotmoor/internal/publish"
+	"peridotmoor.org/peridotmoor/internal/request"
 )
 
 // settingsView gives the entry and the forwarder access to the settings in effect.
@@ -35,6 +37,15 @@
 	return authenticate(installed.Tree, shown, service), true
 }
 
+// CheckSender implements forward.Services.
+func (v *settingsView) CheckSender(r *request.Request) *problem.Problem {
+	installed := v.publisher.Settings()
+	if installed == nil {
+		return nil // not so once there were settings
+	}
+	return checkSender(installed.Tree, r)
+}
+
 // ShardCount implements forward.Services.
 func (v *settingsView) ShardCount(name string) (int, bool) {
 	installed := v.publisher.Settings()
