--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -45,6 +45,9 @@
 	}
 	r.Path = pathBelowKey(h)
 	r.KeyHash = key.HashOf(r.Key)
+	if p := checkSizes(h, r); p != nil {
+		return r, p
+	}
 	r.Credential = credential.Parse(authorizationScheme, h.Header[headerAuthorization])
 	sender, known := policies.Authenticate(r.Credential, r.Service)
 	if !known {
@@ -54,9 +57,7 @@
 		return r, problem.New(problem.KindUnauthorized, outcome.StageEntry, "%s", sender.Refusal)
 	}
 	r.Team, r.HidesCredential = sender.Team, sender.KeysRequired
-	for _, step := range []func(*http.Request, *request.Request) *problem.Problem{
-		checkSizes, decodeIdempotent, decodeID,
-	} {
+	for _, step := range []func(*http.Request, *request.Request) *problem.Problem{decodeIdempotent, decodeID} {
 		if p := step(h, r); p != nil {
 			return r, p
 		}
--- a/internal/entry/team_test.go
+++ b/internal/entry/team_test.go
@@ -81,6 +81,10 @@
 			is.Equal(w.Header().Get(HeaderOutcome), string(outcome.NotRun))
 			is.True(strings.Contains(w.Body.String(), `"unauthorized"`))
 			is.True(!strings.Contains(w.Body.String(), "key-a") && !strings.Contains(w.Body.String(), "other"))
+			oversized := header.Clone()
+			oversized.Set("X-Large", strings.Repeat("n", maxHeaderBytes))
+			w, _ = sendTo(teamPolicy{}, "/bosho/plot-7/x", unreadableBody{t}, oversized)
+			is.Equal(w.Code, http.StatusRequestHeaderFieldsTooLarge) // what is logged of a request stays small
 			w, forwarded = sendTo(teamPolicy{noSettings: true}, "/bosho/plot-7/x", unreadableBody{t}, header)
 			is.True(forwarded == nil)
 			is.Equal(w.Code, http.StatusServiceUnavailable)
