--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -47,4 +47,7 @@
 	ServersLeaving        = register(1747, "servers_leaving", log.InfoLevel, "The list of servers says that these servers are leaving, or has them no longer.")
 	FactsTooOld           = register(1748, "facts_too_old", log.WarnLevel, "A request found the facts too old to send it to a server; this instance has read the store, or asked the server.")
 	CapacityInsufficient  = register(1790, "capacity_insufficient", log.InfoLevel, "The holder has refused requests of a service for want of capacity since the last such line.")
+
+	TeamsChanged     = register(1750, "teams_changed", log.InfoLevel, "Another list of teams and keys is in effect at this instance.")
+	CallUnauthorized = register(1751, "call_unauthorized", log.WarnLevel, "A request was refused because its caller has not shown the key of a team.")
 )
