Recognise resets after close-delimited responses, and statuses above 599

Cause: the kernel reports a reset to one system call. When the write of an upload is told of it, the read returns the end of the stream, and a 200 without a length that had broken off was passed on as complete. Statuses 600 to 999 were passed on as responses. Change: where the request has not been written whole, the end of such a body counts only if the state of the connection shows no reset. A status outside 100 to 599 is malformed.

--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -38,6 +38,8 @@
 	reusable atomic.Bool
 	// requestWritten is set once the write of the request has ended, with or without error.
 	requestWritten atomic.Bool
+	// writtenWhole is set once the request has been written without an error.
+	writtenWhole atomic.Bool
 	// writeInterrupted is set when the response came before the request was written
 	// and the write was interrupted.
 	writeInterrupted atomic.Bool
@@ -141,7 +143,7 @@
 			return nil, errHeadTooLong
 		case err != nil:
 			return nil, errors.Wrap(err, "malformed response")
-		case response.StatusCode < 100:
+		case response.StatusCode < 100 || response.StatusCode > 599: // RFC 9110, section 15
 			return nil, errors.Errorf("malformed response: status %03d", response.StatusCode)
 		case response.StatusCode >= 200:
 			return response, nil
@@ -153,6 +155,9 @@
 // head has taken. It returns once the connection is no longer needed to read the body.
 func (c *conn) deliver(x *exchange, httpResponse *http.Response, reserved int64) error {
 	c.updateIdleTimeout(httpResponse.Header)
+	if isCloseDelimited(httpResponse) {
+		httpResponse.Body = closeDelimitedBody{ReadCloser: httpResponse.Body, conn: c}
+	}
 	body, err := readBuffered(httpResponse, c.source.budget)
 	if err != nil {
 		c.source.budget.giveBack(reserved)
@@ -234,6 +239,7 @@
 			return err
 		}
 	}
+	c.writtenWhole.Store(true)
 	return nil
 }
 
--- a/internal/backhttp/pool.go
+++ b/internal/backhttp/pool.go
@@ -63,6 +63,7 @@
 		}
 		x := &exchange{request: request, done: make(chan result, 1), stopWatch: context.AfterFunc(ctx, c.abort)}
 		c.requestWritten.Store(false)
+		c.writtenWhole.Store(false)
 		c.pending.Store(x)
 		if c.closed.Load() {
 			x.stopWatch()
