Take the memory of server responses from the common account

Cause: the semaphore of 16 MB in backhttp stood beside everything else that is held, and did not know for which connection a response was held. Change: backhttp uses the holding that the context of the request carries. Long heads wait for memory as before; bodies are streamed without it, also once a connection has its share.

--- a/internal/backhttp/awaitreset_test.go
+++ b/internal/backhttp/awaitreset_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/membudget"
 )
 
 // Guards against an order whose outcome is unknown because its server, which takes no more
@@ -28,7 +30,7 @@
 			_ = conn.Close()
 		}
 	}()
-	pool := NewPool(listener.Addr().String(), time.Second)
+	pool := NewPool(listener.Addr().String(), time.Second, membudget.Default())
 	defer pool.Close()
 	pool.resetWait = time.Minute // ends with the reset, however busy the machine is
 	for range 50 {
--- a/internal/backhttp/bufferedbody.go
+++ b/internal/backhttp/bufferedbody.go
@@ -5,6 +5,8 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/membudget"
 )
 
 // bufferedBody is the body of a response, or the start of one that is too long to buffer.
@@ -12,27 +14,27 @@
 	bytes []byte
 	// whole is set if bytes is the complete body.
 	whole bool
-	// reserved is the share of the budget that it has taken.
+	// reserved is the memory that it has taken.
 	reserved int64
 }
 
 // readBuffered reads the body of the response. It buffers up to maxBufferedBytes, but only
-// up to smallBodyBytes while the budget is used up. If it fails, it has taken nothing.
-func readBuffered(response *http.Response, b *budget) (bufferedBody, error) {
+// up to smallBodyBytes while holding gets no more memory. If it fails, it has taken nothing.
+func readBuffered(response *http.Response, holding *membudget.Holding) (bufferedBody, error) {
 	if response.Body == http.NoBody { // also if a length is stated, as in responses to HEAD
 		return bufferedBody{whole: true}, nil
 	}
-	body, err := readStart(response, b)
+	body, err := readStart(response, holding)
 	if err != nil {
-		b.giveBack(body.reserved)
+		holding.Return(membudget.ResponseBodies, body.reserved)
 		return bufferedBody{}, errors.Wrap(err, "truncated response")
 	}
 	return body, nil
 }
 
-func readStart(response *http.Response, b *budget) (body bufferedBody, err error) {
+func readStart(response *http.Response, holding *membudget.Holding) (body bufferedBody, err error) {
 	length, limit := response.ContentLength, int64(smallBodyBytes)
-	if length > limit && length <= maxBufferedBytes && b.take(bufferedCopies*length) {
+	if length > limit && length <= maxBufferedBytes && holding.Take(membudget.ResponseBodies, bufferedCopies*length) {
 		limit, body.reserved = length, bufferedCopies*length
 	}
 	if length > 0 && length <= limit {
@@ -41,7 +43,8 @@
 		return body, err
 	}
 	body.bytes, err = io.ReadAll(io.LimitReader(response.Body, limit+1))
-	if body.whole = int64(len(body.bytes)) <= limit; err != nil || body.whole || length >= 0 || !b.take(bufferedCopies*maxBufferedBytes) {
+	body.whole = int64(len(body.bytes)) <= limit
+	if err != nil || body.whole || length >= 0 || !holding.Take(membudget.ResponseBodies, bufferedCopies*maxBufferedBytes) {
 		return body, err
 	}
 	body.reserved = bufferedCopies * maxBufferedBytes
--- a/internal/backhttp/child_test.go
+++ b/internal/backhttp/child_test.go
@@ -12,6 +12,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"peridotmoor.org/peridotmoor/internal/membudget"
 )
 
 // Variables of the environment of a child process, which sends one request.
@@ -42,7 +44,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	fmt.Println("sending")
-	_, err = NewPool(address, time.Minute).Do(ctx, &Request{
+	_, err = NewPool(address, time.Minute, membudget.Default()).Do(ctx, &Request{
 		Method:          http.MethodPost,
 		Head:            fmt.Appendf(nil, "POST /grant HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", childBodyBytes),
 		Body:            make([]byte, childBodyBytes),
--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/membudget"
 )
 
 var (
@@ -50,9 +52,9 @@
 	deliveryTimeout time.Duration
 }
 
-func newConn(c net.Conn, b *budget) *conn {
+func newConn(c net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
-	source := &headSource{net: c, budget: b, ctx: ctx}
+	source := &headSource{net: c, ctx: ctx}
 	out := &conn{
 		net:             c,
 		source:          source,
@@ -103,10 +105,10 @@
 		if x == nil {
 			return errUnsolicitedBytes
 		}
-		response, err := c.readHead(x.request.Method)
+		response, err := c.readHead(x)
 		reserved := c.source.end()
 		if err != nil {
-			c.source.budget.giveBack(reserved)
+			x.holding.Return(membudget.ResponseHeads, reserved)
 			return err
 		}
 		match := x.request.Match(response.Header)
@@ -114,7 +116,7 @@
 			c.reusable.Store(false)
 		}
 		if match == MatchNone {
-			c.source.budget.giveBack(reserved)
+			x.holding.Return(membudget.ResponseHeads, reserved)
 			if unmatched++; unmatched > maxUnmatchedResponses {
 				return errUnmatchedResponses
 			}
@@ -132,12 +134,12 @@
 	}
 }
 
-// readHead reads the head of the next final response to a request with the given method.
+// readHead reads the head of the next final response to the request of the exchange.
 // The limit covers the interim responses before it too.
-func (c *conn) readHead(method string) (*http.Response, error) {
-	c.source.begin()
+func (c *conn) readHead(x *exchange) (*http.Response, error) {
+	c.source.begin(x.holding)
 	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: x.request.Method})
 		switch {
 		case err != nil && c.source.exceeded():
 			return nil, errHeadTooLong
@@ -151,24 +153,29 @@
 	}
 }
 
-// deliver passes the response to the waiting request, with the share of the budget that its
-// head has taken. It returns once the connection is no longer needed to read the body.
+// deliver passes the response to the waiting request, with the memory that its head has
+// taken. It returns once the connection is no longer needed to read the body.
 func (c *conn) deliver(x *exchange, httpResponse *http.Response, reserved int64) error {
 	c.updateIdleTimeout(httpResponse.Header)
 	if isCloseDelimited(httpResponse) {
 		httpResponse.Body = closeDelimitedBody{ReadCloser: httpResponse.Body, conn: c}
 	}
-	body, err := readBuffered(httpResponse, c.source.budget)
+	body, err := readBuffered(httpResponse, x.holding)
 	if err != nil {
-		c.source.budget.giveBack(reserved)
+		x.holding.Return(membudget.ResponseHeads, reserved)
 		return err
 	}
-	reserved += body.reserved
 	if httpResponse.Close || c.reader.Buffered() > 0 {
 		c.reusable.Store(false)
 	}
 	response := &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body.bytes, Closing: httpResponse.Close, Length: httpResponse.ContentLength}
-	response.release = func() { c.source.budget.giveBack(reserved) }
+	if reserved+body.reserved > 0 {
+		response.release = func() {
+			x.holding.Return(membudget.ResponseHeads, reserved)
+			x.holding.Return(membudget.ResponseBodies, body.reserved)
+		}
+	}
+	x.holding.Progress()
 	if omitsBody(x.request.Method, httpResponse.StatusCode) {
 		response.BodyOmitted, response.Length = true, statedLength(httpResponse)
 		c.complete(x, response)
--- a/internal/backhttp/constants.go
+++ b/internal/backhttp/constants.go
@@ -12,16 +12,13 @@
 	// headCostBytes is the memory that a head of maxHeadBytes may take once it is parsed:
 	// up to 150 bytes for each header line of 6 bytes.
 	headCostBytes = 25 * maxHeadBytes
-	// smallHeadBytes and smallBodyBytes are how much of a response is read without a share
-	// of the budget. They cover usual responses, and take up to 50 KB and 32 KB once parsed
+	// smallHeadBytes and smallBodyBytes are how much of a response is read without memory
+	// from the account. They cover usual responses, and take up to 50 KB and 32 KB once parsed
 	// or copied, times the several hundred responses that an instance awaits at a time.
 	smallHeadBytes = 2 << 10
 	smallBodyBytes = 16 << 10
 	// bufferedCopies is how often a buffered body is in memory while it is passed on.
 	bufferedCopies = 2
-	// budgetBytes is the budget of all large responses of the process: a twelfth of the
-	// memory of the smallest machine, 184 MB. The garbage collector may let it double.
-	budgetBytes = 16 << 20
 	// defaultIdleTimeout is how long an idle connection is kept when the server does
 	// not state its own timeout. Common servers close idle connections after 5 s or more.
 	defaultIdleTimeout = 4 * time.Second
--- a/internal/backhttp/headsource.go
+++ b/internal/backhttp/headsource.go
@@ -6,29 +6,33 @@
 	"net"
 
 	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/membudget"
 )
 
 // headSource reads from a connection. While a head is read it limits what is taken for it,
-// and takes a share of the budget for a head that is not small.
+// and takes memory for a head that is not small.
 type headSource struct {
-	net    net.Conn
-	budget *budget
+	net net.Conn
+	// holding is that of the request whose response is read.
+	holding *membudget.Holding
 	// ctx ends when the connection is closed.
 	ctx context.Context
 	// inHead is set while a head is read, of which read bytes have been taken.
 	inHead bool
 	read   int64
-	// reserved is how much of the budget is taken for the head.
+	// reserved is how much memory is taken for the head.
 	reserved int64
 }
 
-// begin starts the count for the next head, with the interim responses before it.
-func (s *headSource) begin() {
-	s.inHead, s.read = true, 0
+// begin starts the count for the next head, with the interim responses before it, which
+// belongs to holding.
+func (s *headSource) begin(holding *membudget.Holding) {
+	s.inHead, s.read, s.holding = true, 0, holding
 }
 
-// end ends the limit on the head and returns how much of the budget it has taken, which
-// the caller has to give back.
+// end ends the limit on the head and returns how much memory it has taken, which the
+// caller has to return.
 func (s *headSource) end() int64 {
 	reserved := s.reserved
 	s.inHead, s.reserved = false, 0
@@ -51,7 +55,7 @@
 	limit := int64(maxHeadBytes)
 	if s.reserved == 0 {
 		if s.read >= smallHeadBytes {
-			if err := s.budget.await(s.ctx, headCostBytes); err != nil {
+			if err := s.holding.Await(s.ctx, membudget.ResponseHeads, headCostBytes); err != nil {
 				return 0, errors.Wrap(err, "wait for memory for a long head")
 			}
 			s.reserved = headCostBytes
--- a/internal/backhttp/memory_test.go
+++ b/internal/backhttp/memory_test.go
@@ -11,18 +11,26 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"peridotmoor.org/peridotmoor/internal/membudget"
 )
 
-// checkWhole fails the test unless the whole budget is free.
-func checkWhole(t *testing.T, b *budget) {
+// checkReturned fails the test if memory is held.
+func checkReturned(t *testing.T, memory *membudget.Account) {
 	t.Helper()
-	if !b.take(budgetBytes) {
-		t.Fatal("a share of the budget was not given back")
+	if n := memory.Total(); n != 0 {
+		t.Fatalf("%d bytes were not returned", n)
 	}
-	b.giveBack(budgetBytes)
 }
 
-// Guards against a budget that shrinks with each large response, whatever becomes of it.
+// useUp takes the memory for all that is not small, and returns a function that returns it.
+func useUp(memory *membudget.Account) (release func()) {
+	n := memory.Limits().Large
+	memory.Unattributed().Charge(membudget.Uploads, n)
+	return func() { memory.Unattributed().Return(membudget.Uploads, n) }
+}
+
+// Guards against memory that shrinks with each large response, whatever becomes of it.
 func TestResponsesGiveTheirMemoryBack(t *testing.T) {
 	long := strings.Repeat("x", 2*smallBodyBytes)
 	longHead := "X-A: " + strings.Repeat("a", 2*smallHeadBytes) + "\r\n"
@@ -52,7 +60,7 @@
 				pool.Close()
 				<-closed
 				synctest.Wait()
-				checkWhole(t, pool.budget)
+				checkReturned(t, pool.memory)
 			})
 		})
 	}
@@ -60,12 +68,11 @@
 
 // Guards against responses that wait, or fail, because other servers use up the memory: only
 // long heads wait, and long bodies are streamed.
-func TestSmallResponsesNeedNoBudget(t *testing.T) {
+func TestSmallResponsesNeedNoMemory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		pool, _, closed := newPipePool(t, func(s *pipeServer) { s.send(responseText("a", strings.Repeat("x", smallBodyBytes))) })
-		is.True(pool.budget.take(budgetBytes))
-		defer pool.budget.giveBack(budgetBytes)
+		defer useUp(pool.memory)()
 		response, err := pool.Do(t.Context(), newRequest("a"))
 		is.NoErr(err)
 		is.Equal(len(response.Body), smallBodyBytes)
@@ -77,8 +84,7 @@
 		is := is.New(t)
 		body := strings.Repeat("x", 3*smallBodyBytes)
 		pool, _, closed := newPipePool(t, func(s *pipeServer) { s.send(responseText("a", body)) })
-		is.True(pool.budget.take(budgetBytes))
-		defer pool.budget.giveBack(budgetBytes)
+		defer useUp(pool.memory)()
 		response, err := pool.Do(t.Context(), newRequest("a"))
 		is.NoErr(err)
 		rest, err := io.ReadAll(response.Remainder)
@@ -101,12 +107,12 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				pool, _, closed := newPipePool(t, func(s *pipeServer) { s.send(head) })
-				is.True(pool.budget.take(budgetBytes))
+				release := useUp(pool.memory)
 				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 				defer cancel()
 				began := time.Now()
 				if freed {
-					time.AfterFunc(time.Second, func() { pool.budget.giveBack(budgetBytes) })
+					time.AfterFunc(time.Second, release)
 				}
 				response, err := pool.Do(ctx, newRequest("a"))
 				if freed {
@@ -117,11 +123,11 @@
 				} else {
 					is.True(err != nil)
 					is.Equal(time.Since(began), 2*time.Second)
-					pool.budget.giveBack(budgetBytes)
+					release()
 				}
 				pool.Close()
 				<-closed
-				checkWhole(t, pool.budget)
+				checkReturned(t, pool.memory)
 			})
 		})
 	}
--- a/internal/backhttp/pipe_test.go
+++ b/internal/backhttp/pipe_test.go
@@ -6,11 +6,16 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"peridotmoor.org/peridotmoor/internal/membudget"
 )
 
 // floodLimitBytes is how much a server may send before a test counts it as unlimited.
 const floodLimitBytes = 16 * maxBufferedBytes
 
+// testMachineMemory is that of the smallest machine that runs an instance.
+const testMachineMemory = 144 << 20
+
 // pipeServer is the server's end of one in-memory connection, which has no buffer: a byte
 // counts as written only when the client has read it.
 type pipeServer struct {
@@ -36,9 +41,8 @@
 		script(server)
 		_, _ = r.ReadByte() // returns when the client has closed the connection
 	}()
-	pool := NewPool("", time.Second)
-	pool.budget = newBudget(budgetBytes)
-	c := newConn(client, pool.budget)
+	pool := NewPool("", time.Second, membudget.New(membudget.LimitsFor(testMachineMemory)))
+	c := newConn(client)
 	c.idleSince = time.Now()
 	pool.put(c)
 	return pool, server, closed
--- a/internal/backhttp/pool.go
+++ b/internal/backhttp/pool.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"peridotmoor.org/peridotmoor/internal/membudget"
 	"peridotmoor.org/peridotmoor/internal/sockopt"
 )
 
@@ -21,16 +22,16 @@
 	dialCount atomic.Uint64
 	// resetWait is the constant, but in tests.
 	resetWait time.Duration
-	budget    *budget
+	memory    *membudget.Account
 }
 
 // NewPool returns a pool for the server at address (host:port). dialTimeout bounds
-// the time to connect.
-func NewPool(address string, dialTimeout time.Duration) *Pool {
+// the time to connect. memory counts what responses hold.
+func NewPool(address string, dialTimeout time.Duration, memory *membudget.Account) *Pool {
 	return &Pool{
 		address:   address,
 		resetWait: resetWait,
-		budget:    processBudget,
+		memory:    memory,
 		dialer: net.Dialer{
 			Timeout: dialTimeout, KeepAlive: -1,
 			// No bytes of a request may outlive it, or the process: see Do.
@@ -48,8 +49,13 @@
 // long one. After an error, and after the process has ended, the kernel sends no more bytes
 // of the request. The caller must release the response. When ctx ends first, the connection is
 // reset, which tells the server to cancel its work. That holds until the remainder of a
-// long response is closed: ctx must not end before. The error is a *RequestError.
+// long response is closed: ctx must not end before. What the request holds counts for the
+// holding that ctx carries, if any. The error is a *RequestError.
 func (p *Pool) Do(ctx context.Context, request *Request) (*Response, error) {
+	holding := membudget.FromContext(ctx)
+	if holding == nil {
+		holding = p.memory.Unattributed()
+	}
 	for {
 		if err := ctx.Err(); err != nil {
 			return nil, &RequestError{Cause: err}
@@ -61,7 +67,7 @@
 		if fresh && request.AwaitReset && c.endsWithin(p.resetWait) {
 			return nil, &RequestError{Cause: errors.New("the server has reset the new connection")}
 		}
-		x := &exchange{request: request, done: make(chan result, 1), stopWatch: context.AfterFunc(ctx, c.abort)}
+		x := &exchange{request: request, holding: holding, done: make(chan result, 1), stopWatch: context.AfterFunc(ctx, c.abort)}
 		c.requestWritten.Store(false)
 		c.writtenWhole.Store(false)
 		c.pending.Store(x)
@@ -147,7 +153,7 @@
 	if err != nil {
 		return nil, false, errors.Wrap(err, "connect")
 	}
-	return newConn(raw, p.budget), true, nil
+	return newConn(raw), true, nil
 }
 
 func (p *Pool) put(c *conn) {
--- a/internal/backhttp/pool_test.go
+++ b/internal/backhttp/pool_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/membudget"
 )
 
 // newBackendPool returns a pool for a server that runs script on each connection; n
@@ -36,7 +38,7 @@
 			}()
 		}
 	}()
-	pool := NewPool(listener.Addr().String(), time.Second)
+	pool := NewPool(listener.Addr().String(), time.Second, membudget.Default())
 	t.Cleanup(pool.Close)
 	return pool
 }
@@ -191,7 +193,7 @@
 	is.NoErr(err)
 	address := listener.Addr().String()
 	listener.Close()
-	_, err = NewPool(address, time.Second).Do(context.Background(), newRequest("a"))
+	_, err = NewPool(address, time.Second, membudget.Default()).Do(context.Background(), newRequest("a"))
 	var failure *RequestError
 	is.True(errors.As(err, &failure))
 	is.True(!failure.Sent)
--- a/internal/backhttp/slowclose_test.go
+++ b/internal/backhttp/slowclose_test.go
@@ -10,6 +10,8 @@
 	"testing/synctest"
 
 	"github.com/matryer/is"
+
+	"peridotmoor.org/peridotmoor/internal/membudget"
 )
 
 // slowCloseConn is a connection whose Close, as that of a socket, first ends the calls in
@@ -33,9 +35,9 @@
 			is := is.New(t)
 			near, far := net.Pipe()
 			defer far.Close()
-			pool := NewPool("", 0)
+			pool := NewPool("", 0, membudget.Default())
 			slow := &slowCloseConn{Conn: near, finish: make(chan struct{})}
-			pool.idle.push(newConn(slow, pool.budget))
+			pool.idle.push(newConn(slow))
 			ctx, cancel := context.WithCancel(t.Context())
 			done := make(chan error, 1)
 			go func() {
@@ -63,9 +65,9 @@
 		is := is.New(t)
 		near, far := net.Pipe()
 		defer far.Close()
-		pool := NewPool("", 0)
+		pool := NewPool("", 0, membudget.Default())
 		slow := &slowCloseConn{Conn: near, finish: make(chan struct{})}
-		pool.idle.push(newConn(slow, pool.budget))
+		pool.idle.push(newConn(slow))
 		go func() {
 			_, _ = readRequest(bufio.NewReader(far))
 			_, _ = io.WriteString(far, responseText("a", strings.Repeat("x", maxBufferedBytes+1)))
--- a/internal/backhttp/writtenat_test.go
+++ b/internal/backhttp/writtenat_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/membudget"
 )
 
 // Guards against a request that is said to have left this process before its bytes had, or
@@ -31,8 +33,8 @@
 						_, _ = server.Write([]byte(responseText("r1", "")))
 					}
 				}()
-				pool := NewPool("", time.Second)
-				c := newConn(client, newBudget(budgetBytes))
+				pool := NewPool("", time.Second, membudget.Default())
+				c := newConn(client)
 				c.idleSince = time.Now()
 				pool.put(c)
 				began := time.Now()
