Count requests and uploads in the common account of memory

Cause: nothing bounded what heads, pipelined requests and uploads hold together; an upload took a buffer of its declared length, up to 512 KB, before its first byte arrived. Change: each request takes 16 KB, and its head more beyond 4 KB; without memory it is refused with 503. The buffer of an upload grows as bytes arrive; without memory the rest is streamed. Result: go test -race passes on callerhttp, gateway, membudget, backhttp and platform.

--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -169,6 +169,10 @@
 		c.reusable.Store(false)
 	}
 	response := &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body.bytes, Closing: httpResponse.Close, Length: httpResponse.ContentLength}
+	if body.reserved == 0 && len(body.bytes) > uncountedBodyBytes {
+		body.reserved = int64(cap(body.bytes))
+		x.holding.Charge(membudget.ResponseBodies, body.reserved)
+	}
 	if reserved+body.reserved > 0 {
 		response.release = func() {
 			x.holding.Return(membudget.ResponseHeads, reserved)
--- a/internal/backhttp/constants.go
+++ b/internal/backhttp/constants.go
@@ -17,6 +17,11 @@
 	// or copied, times the several hundred responses that an instance awaits at a time.
 	smallHeadBytes = 2 << 10
 	smallBodyBytes = 16 << 10
+	// copyBufferBytes is the buffer through which a body is streamed: that of io.Copy.
+	copyBufferBytes = 32 << 10
+	// uncountedBodyBytes is the length up to which a body is part of what a request holds
+	// in any case.
+	uncountedBodyBytes = 2 << 10
 	// bufferedCopies is how often a buffered body is in memory while it is passed on.
 	bufferedCopies = 2
 	// defaultIdleTimeout is how long an idle connection is kept when the server does
--- a/internal/backhttp/pool.go
+++ b/internal/backhttp/pool.go
@@ -56,6 +56,10 @@
 	if holding == nil {
 		holding = p.memory.Unattributed()
 	}
+	if request.Remainder != nil {
+		holding.Charge(membudget.Uploads, copyBufferBytes)
+		defer holding.Return(membudget.Uploads, copyBufferBytes)
+	}
 	for {
 		if err := ctx.Err(); err != nil {
 			return nil, &RequestError{Cause: err}
--- a/internal/callerhttp/body.go
+++ b/internal/callerhttp/body.go
@@ -9,15 +9,21 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/membudget"
 )
 
 // body is the body of a request. It signals the connection when the handler no longer
 // reads it, since the next request follows it on the connection.
 type body struct {
 	io.Reader
-	net  net.Conn
-	once sync.Once
-	done chan struct{}
+	net net.Conn
+	// holding is that of the connection, and taken what the buffered body takes of it. taken
+	// belongs to the handler.
+	holding *membudget.Holding
+	taken   int64
+	once    sync.Once
+	done    chan struct{}
 	// complete is set when the body has been read to its end.
 	complete bool
 	// unread is how much of the declared length has not been read, or negative if no length
@@ -30,8 +36,8 @@
 	asked atomic.Bool
 }
 
-func newBody(request *http.Request, conn net.Conn, sendContinue func()) *body {
-	b := &body{Reader: request.Body, net: conn, done: make(chan struct{}), sendContinue: sendContinue}
+func newBody(request *http.Request, conn net.Conn, holding *membudget.Holding, sendContinue func()) *body {
+	b := &body{Reader: request.Body, net: conn, holding: holding, done: make(chan struct{}), sendContinue: sendContinue}
 	b.unread.Store(request.ContentLength)
 	return b
 }
@@ -41,6 +47,9 @@
 		b.sendContinue()
 	}
 	n, err := b.Reader.Read(p)
+	if n > 0 {
+		b.holding.Progress()
+	}
 	b.unread.Add(-int64(n))
 	if err != nil {
 		b.finish(errors.Is(err, io.EOF))
@@ -48,6 +57,20 @@
 	return n, err
 }
 
+// TakeMemory takes n bytes for a buffer of the body, which are returned after the request,
+// and reports whether it got them. The handler calls it.
+func (b *body) TakeMemory(n int64) bool {
+	take := b.holding.Take
+	if b.taken+n <= smallUploadBytes {
+		take = b.holding.TakeSmall
+	}
+	if !take(membudget.Uploads, n) {
+		return false
+	}
+	b.taken += n
+	return true
+}
+
 // Close signals that the rest of the body will not be read.
 func (b *body) Close() error {
 	b.finish(false)
--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/membudget"
 )
 
 // conn is one caller's connection. serve reads the requests. A goroutine per request
@@ -19,8 +21,10 @@
 type conn struct {
 	server *Server
 	net    net.Conn
-	source *io.LimitedReader
-	reader *bufio.Reader
+	source *headSource
+	// holding counts what the connection holds.
+	holding *membudget.Holding
+	reader  *bufio.Reader
 	// ctx is cancelled when the caller has disconnected, without a cause, or can't be
 	// answered any more, with the cause.
 	ctx      context.Context
@@ -43,22 +47,22 @@
 	pipelineSlots chan struct{}
 }
 
-// noHeaderLimit lifts the limit on header bytes while a body is read.
-const noHeaderLimit = 1 << 62
-
 func newConn(s *Server, raw net.Conn, ctx context.Context, cancel context.CancelCauseFunc) *conn {
-	source := &io.LimitedReader{R: raw, N: noHeaderLimit}
-	return &conn{
+	source := &headSource{net: raw, remaining: noHeaderLimit}
+	c := &conn{
 		server:        s,
 		net:           raw,
 		source:        source,
 		reader:        bufio.NewReaderSize(source, readBufferBytes),
-		ctx:           ctx,
 		cancel:        cancel,
 		openedAt:      time.Now(),
 		interrupted:   make(chan struct{}),
 		pipelineSlots: make(chan struct{}, pipelineDepth),
 	}
+	c.holding = s.memory().Open(c.endForMemory)
+	c.ctx = membudget.NewContext(ctx, c.holding)
+	source.holding = c.holding
+	return c
 }
 
 func (c *conn) serve() {
@@ -80,6 +84,7 @@
 	c.cancel(nil)
 	c.linger()
 	_ = c.net.Close() // everything has been sent; an error has no consequence
+	c.holding.Close()
 	c.server.removeConn(c)
 }
 
@@ -100,27 +105,35 @@
 	}
 	limits := c.server.limits().withDefaults()
 	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	c.source.N = int64(limits.HeaderBytes)
+	c.source.begin(limits.HeaderBytes)
 	hasLength := c.mayHaveContentLength()
 	request, err := http.ReadRequest(c.reader)
 	if err == nil {
 		err = checkRequest(request)
 	}
 	if err != nil {
+		defer c.holding.Return(membudget.Requests, c.source.taken)
 		return c.rejectMalformed(previous, err), false
 	}
 	if hasLength && len(request.TransferEncoding) > 0 {
 		request.Close = true // the bytes that follow may be meant as part of the body
 	}
-	c.source.N = noHeaderLimit
+	headBytes := c.source.end()
+	c.holding.Progress()
 	c.setReadDeadline(time.Time{})
 	if !c.server.handler.CanPipeline(request) {
 		c.awaitPrevious(previous)
 	}
 	if !c.acquireSlot() {
+		c.holding.Return(membudget.Requests, headBytes)
 		return nil, false
 	}
-	return c.startRequest(request, previous)
+	if !c.holding.TakeSmall(membudget.Requests, requestBytes) {
+		<-c.pipelineSlots
+		c.holding.Return(membudget.Requests, headBytes)
+		return c.refuseForMemory(previous), false
+	}
+	return c.startRequest(request, previous, headBytes)
 }
 
 // rejectMalformed answers a request that could not be read because of err and closes
@@ -131,8 +144,10 @@
 	var invalidTarget *url.Error // which is a net.Error too
 	var timeout net.Error
 	switch {
+	case c.source.short:
+		return c.refuseForMemory(previous)
 	case errors.As(err, &invalidTarget):
-	case c.source.N <= 0:
+	case c.source.remaining <= 0:
 		status = http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		c.cancel(nil)
@@ -151,23 +166,25 @@
 	return done
 }
 
-// startRequest runs the request, which has a slot, in its own goroutine and waits until its
-// body has been read. It returns the same values as readRequest.
-func (c *conn) startRequest(request *http.Request, previous chan struct{}) (chan struct{}, bool) {
+// startRequest runs the request, which has a slot and its memory, in its own goroutine and
+// waits until its body has been read. It returns the same values as readRequest.
+func (c *conn) startRequest(request *http.Request, previous chan struct{}, headBytes int64) (chan struct{}, bool) {
 	if !c.requests.start() {
 		<-c.pipelineSlots
+		c.returnRequest(nil, headBytes)
 		return nil, false // not executed: the caller is told that the connection closes
 	}
 	closing := request.Close
 	var incoming *body
 	if request.Body != nil && request.Body != http.NoBody {
-		incoming = newBody(request, c.net, c.continueFunc(request, previous))
+		incoming = newBody(request, c.net, c.holding, c.continueFunc(request, previous))
 		request.Body = incoming
 	}
 	done := make(chan struct{})
 	go func() {
 		response := c.server.handler.Handle(c.ctx, request)
 		c.respond(response, previous, done, closing || incoming != nil && !incoming.drainable())
+		c.returnRequest(incoming, headBytes)
 		<-c.pipelineSlots
 	}()
 	more := incoming == nil || c.drainBody(incoming, done)
@@ -183,7 +200,7 @@
 	}
 	return func() {
 		<-previous
-		_, _ = newProgressWriter(c.net).Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")) // the read that follows reports a failure
+		_, _ = newProgressWriter(c.net, c.holding.Progress).Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")) // the read that follows reports a failure
 	}
 }
 
--- a/internal/callerhttp/constants.go
+++ b/internal/callerhttp/constants.go
@@ -27,6 +27,15 @@
 	// defaultTimeout is the header timeout and the idle timeout until a configuration is
 	// known.
 	defaultTimeout = 15 * time.Second
+	// requestBytes is the memory of a request in progress with a small head and a small
+	// response: its goroutines, the parsed head and the encoded one.
+	requestBytes = 16 << 10
+	// smallHeadBytes is how much of a head is read without further memory from the account.
+	// Each byte beyond takes headCost bytes once it is parsed and encoded again.
+	smallHeadBytes = 4 << 10
+	headCost       = 6
+	// smallUploadBytes is how much of a body counts as that of a usual request.
+	smallUploadBytes = 16 << 10
 	// acceptBackoff is the wait after a failed accept, which usually means that file
 	// descriptors are exhausted.
 	acceptBackoff = 10 * time.Millisecond
--- a/internal/callerhttp/progresswriter.go
+++ b/internal/callerhttp/progresswriter.go
@@ -13,10 +13,12 @@
 	net net.Conn
 	// queued returns the bytes that the caller has not acknowledged yet.
 	queued func() int
+	// onProgress is called whenever the caller has taken some of the response.
+	onProgress func()
 }
 
-func newProgressWriter(c net.Conn) progressWriter {
-	return progressWriter{net: c, queued: func() int { return sockopt.Unacknowledged(c) }}
+func newProgressWriter(c net.Conn, onProgress func()) progressWriter {
+	return progressWriter{net: c, onProgress: onProgress, queued: func() int { return sockopt.Unacknowledged(c) }}
 }
 
 func (w progressWriter) Write(p []byte) (int, error) {
@@ -25,6 +27,9 @@
 		_ = w.net.SetWriteDeadline(time.Now().Add(stallTimeout / stallChecks)) // fails only on a closed connection, on which the write fails too
 		n, err := w.net.Write(p[written:])
 		written += n
+		if n > 0 {
+			w.onProgress()
+		}
 		if err == nil || !isTimeout(err) {
 			return written, err
 		}
@@ -33,6 +38,7 @@
 		queued := w.queued()
 		if stalls++; n > 0 || queued < queuedBefore {
 			stalls = 0
+			w.onProgress()
 		}
 		if stalls == stallChecks {
 			return written, err
--- a/internal/callerhttp/progresswriter_test.go
+++ b/internal/callerhttp/progresswriter_test.go
@@ -28,14 +28,15 @@
 // socket has no room for more, and against waiting for a caller who takes nothing.
 func TestAcknowledgementsAreProgress(t *testing.T) {
 	is := is.New(t)
-	queued := 100 * stallChecks
+	queued, progress := 100*stallChecks, 0
 	slow := &fullConn{fullFor: 10 * stallChecks}
-	n, err := progressWriter{slow, func() int { queued--; return queued }}.Write([]byte("abc"))
+	n, err := progressWriter{slow, func() int { queued--; return queued }, func() { progress++ }}.Write([]byte("abc"))
 	is.NoErr(err)
 	is.Equal(n, 3)
+	is.Equal(progress, 10*stallChecks)
 
 	stuck := &fullConn{fullFor: 10 * stallChecks}
-	_, err = progressWriter{stuck, func() int { return 100 }}.Write([]byte("abc"))
+	_, err = progressWriter{stuck, func() int { return 100 }, func() { t.Error("no progress was made") }}.Write([]byte("abc"))
 	is.True(isTimeout(err))
 	is.Equal(stuck.writes, stallChecks)
 }
--- a/internal/callerhttp/server.go
+++ b/internal/callerhttp/server.go
@@ -8,10 +8,15 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/membudget"
 )
 
 // Server accepts connections from callers.
 type Server struct {
+	// Memory counts what the connections hold; without it, the account of the process does.
+	// It is set before Serve.
+	Memory    *membudget.Account
 	handler   Handler
 	limits    func() Limits
 	conns     sync.Map // set of *conn
@@ -28,6 +33,13 @@
 	return &Server{handler: handler, limits: limits, ctx: ctx, cancel: cancel}
 }
 
+func (s *Server) memory() *membudget.Account {
+	if s.Memory == nil {
+		return membudget.Default()
+	}
+	return s.Memory
+}
+
 // Serve accepts connections until listener is closed.
 func (s *Server) Serve(listener net.Listener) error {
 	for {
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -11,6 +11,13 @@
 // maxBufferedBody is how much of a body is buffered in memory so that it can be sent again.
 const maxBufferedBody = 512 << 10
 
+// firstBodyBuffer is up to which declared length a body gets its whole buffer at once, and
+// minBodyBuffer the least buffer of one that is longer or of unknown length.
+const (
+	firstBodyBuffer = 16 << 10
+	minBodyBuffer   = 2 << 10
+)
+
 // Body is the body of a call. Its start is buffered; the remainder of a longer body
 // is streamed and can be sent only once.
 type Body struct {
@@ -47,41 +54,57 @@
 			return errors.Wrap(err, "set the read deadline of the request body")
 		}
 	}
-	size := int64(maxBufferedBody)
-	if b.Length >= 0 && b.Length < size {
-		size = b.Length
-	}
-	buffered := make([]byte, 0, max(size, 512))
-	buffered, err := readUpTo(buffered, io.LimitReader(b.source, maxBufferedBody))
-	b.Buffered = buffered
+	whole, err := b.fill()
 	switch {
 	case err != nil && ctx.Err() == nil && !time.Now().Before(deadline):
 		return errBodyTimeout
 	case err != nil:
 		return errors.Wrap(err, "read the request body")
-	case int64(len(buffered)) < maxBufferedBody:
+	case whole:
 		return nil
 	}
 	b.Remainder = b.source
 	if limit > 0 {
-		b.Remainder = &maxBytesReader{source: b.source, remaining: limit - maxBufferedBody}
+		b.Remainder = &maxBytesReader{source: b.source, remaining: limit - int64(len(b.Buffered))}
 	}
 	return nil
 }
 
-// readUpTo reads r to its end and appends it to buffer.
-func readUpTo(buffer []byte, r io.Reader) ([]byte, error) {
+// fill reads the source into Buffered and reports whether it reached the end. The buffer
+// grows as bytes arrive, so that a caller that sends nothing holds nothing, up to
+// maxBufferedBody and as far as the source gets memory.
+func (b *Body) fill() (whole bool, err error) {
 	for {
-		if len(buffer) == cap(buffer) {
-			buffer = append(buffer, 0)[:len(buffer)]
+		if len(b.Buffered) == cap(b.Buffered) && !b.grow() {
+			return false, nil
 		}
-		n, err := r.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
+		n, err := b.source.Read(b.Buffered[len(b.Buffered):cap(b.Buffered)])
+		b.Buffered = b.Buffered[:len(b.Buffered)+n]
 		if errors.Is(err, io.EOF) {
-			return buffer, nil
+			return true, nil
 		}
 		if err != nil {
-			return buffer, err
+			return false, err
 		}
 	}
 }
+
+// grow makes the buffer larger and reports whether it could.
+func (b *Body) grow() bool {
+	old := cap(b.Buffered)
+	size := max(2*old, minBodyBuffer)
+	if int64(old) < b.Length && b.Length <= max(int64(size), firstBodyBuffer) {
+		size = int(b.Length)
+	}
+	size = min(size, maxBufferedBody)
+	if size == old {
+		return false
+	}
+	if m, ok := b.source.(memoryTaker); ok && !m.TakeMemory(int64(size-old)) {
+		return false
+	}
+	grown := make([]byte, len(b.Buffered), size)
+	copy(grown, b.Buffered)
+	b.Buffered = grown
+	return true
+}
--- a/internal/membudget/account_test.go
+++ b/internal/membudget/account_test.go
@@ -57,7 +57,7 @@
 		open("small", 8<<10)
 		recent := open("recent", 400<<10)
 		asking := a.Open(func() { ended = append(ended, "asking") })
-		for range 4 {
+		for range 9 {
 			time.Sleep(time.Second)
 			moving.Progress()
 		}
@@ -65,7 +65,7 @@
 		time.Sleep(time.Second)
 		is.True(!asking.Take(ReadAhead, 100<<10))
 		is.Equal(ended, []string{"stalled"})
-		is.Equal(reported, []Ended{{Bytes: 400 << 10, Total: a.Total(), Idle: 5 * time.Second}})
+		is.Equal(reported, []Ended{{Bytes: 400 << 10, Total: a.Total(), Idle: 10 * time.Second}})
 		is.True(stalled.Ended())
 		time.Sleep(100 * time.Millisecond)
 		is.True(!asking.Take(ReadAhead, 100<<10)) // the ended one has not returned its memory yet
--- a/internal/membudget/candidate.go
+++ b/internal/membudget/candidate.go
@@ -9,13 +9,13 @@
 	idle time.Duration
 }
 
-// minIdle is the time without progress from which a connection may be ended. A server that
-// computes a response, and a caller with a round trip of a second, take less.
-const minIdle = 2 * time.Second
+// minIdle is the time without progress from which a connection may be ended. The progress of a
+// caller that reads 1 KB/s in steps of 4 KB shows every 4 s, and is looked at every 2 s.
+const minIdle = 7 * time.Second
 
-// minEndBytes is what ending a connection must free at least: less would end many
-// connections for little.
-const minEndBytes = 16 << 10
+// minEndBytes is what ending a connection must free at least. Usual requests hold less; ending
+// many of them would free little.
+const minEndBytes = 64 << 10
 
 // cost is the memory that the connection holds times the time for which it has made no
 // progress, or 0 if it must not be ended.
--- a/internal/membudget/holding.go
+++ b/internal/membudget/holding.go
@@ -47,15 +47,13 @@
 
 // TakeSmall takes n bytes that a usual request needs and reports whether it got them.
 func (h *Holding) TakeSmall(kind Kind, n int64) bool {
-	u := h.account.add(h, kind, n)
-	return h.settle(kind, n, u, h.account.limits.decideSmall(u, n))
+	return h.take(kind, n, func(l *Limits, u usage) verdict { return l.decideSmall(u, n) })
 }
 
 // Take takes n bytes beyond what a usual request needs, without which the connection can go
 // on, and reports whether it got them.
 func (h *Holding) Take(kind Kind, n int64) bool {
-	u := h.account.add(h, kind, n)
-	return h.settle(kind, n, u, h.account.limits.decideElastic(u, kind, n))
+	return h.take(kind, n, func(l *Limits, u usage) verdict { return l.decideElastic(u, kind, n) })
 }
 
 // Await takes n bytes, which the connection cannot go on without, once there are as many.
@@ -98,19 +96,24 @@
 }
 
 func (h *Holding) takeLarge(kind Kind, n int64) bool {
-	u := h.account.add(h, kind, n)
-	return h.settle(kind, n, u, h.account.limits.decideLarge(u, kind, n))
+	return h.take(kind, n, func(l *Limits, u usage) verdict { return l.decideLarge(u, kind, n) })
 }
 
-// settle takes back the count of n bytes if they were not granted.
-func (h *Holding) settle(kind Kind, n int64, u usage, v verdict) bool {
+// take counts n bytes if decide grants them. It decides again on the figures with which they
+// were counted, since others may have taken memory meanwhile.
+func (h *Holding) take(kind Kind, n int64, decide func(*Limits, usage) verdict) bool {
+	a := h.account
+	v := decide(&a.limits, usage{total: a.total.Load(), kind: a.kinds[kind].Load(), connection: h.bytes.Load()})
 	if v == granted {
-		h.account.recordPeak(u.total + n)
-		return true
+		u := a.add(h, kind, n)
+		if v = decide(&a.limits, u); v == granted {
+			a.recordPeak(u.total + n)
+			return true
+		}
+		a.add(h, kind, -n)
 	}
-	h.account.add(h, kind, -n)
 	if v == exhausted {
-		h.account.endOne()
+		a.endOne()
 	}
 	return false
 }
--- a/internal/membudget/verdict.go
+++ b/internal/membudget/verdict.go
@@ -12,7 +12,7 @@
 )
 
 // decideSmall decides on n bytes that a usual request needs.
-func (l Limits) decideSmall(u usage, n int64) verdict {
+func (l *Limits) decideSmall(u usage, n int64) verdict {
 	if u.total+n > l.Total {
 		return exhausted
 	}
@@ -20,7 +20,7 @@
 }
 
 // decideLarge decides on n bytes beyond what a usual request needs.
-func (l Limits) decideLarge(u usage, kind Kind, n int64) verdict {
+func (l *Limits) decideLarge(u usage, kind Kind, n int64) verdict {
 	switch {
 	case u.total+n > l.Large:
 		return exhausted
@@ -33,7 +33,7 @@
 // decideElastic decides on n bytes beyond what a usual request needs, where the connection
 // can do without. It may hold no more than half of what is free, so that part of the memory
 // always stays free: with n connections that take what they can, a share of 2 in n+2.
-func (l Limits) decideElastic(u usage, kind Kind, n int64) verdict {
+func (l *Limits) decideElastic(u usage, kind Kind, n int64) verdict {
 	if v := l.decideLarge(u, kind, n); v != granted {
 		return v
 	}
