Read ahead of long responses within the memory of the instance

Cause: a server was read at the pace of the caller, so that a slow caller held one of its slots for as long as it read, and its response ended at the deadline of the call. Change: a goroutine for each long response reads into a list of chunks of 16 KB that passes them on without locks. One chunk is held in any case and further ones as far as there is memory; the server's connection is given up as soon as its response has been read. A stalled caller is ended when another connection needs memory, and one that reads 1 KB/s is not (go test -race -count 5 ./internal/callerhttp).

--- a/internal/callerhttp/constants.go
+++ b/internal/callerhttp/constants.go
@@ -36,6 +36,11 @@
 	headCost       = 6
 	// smallUploadBytes is how much of a body counts as that of a usual request.
 	smallUploadBytes = 16 << 10
+	// chunkBytes is the unit of what is read ahead of a response.
+	chunkBytes = 16 << 10
+	// readAheadRetry is how often a response that is read at the pace of its caller asks for
+	// memory again.
+	readAheadRetry = 500 * time.Millisecond
 	// acceptBackoff is the wait after a failed accept, which usually means that file
 	// descriptors are exhausted.
 	acceptBackoff = 10 * time.Millisecond
--- a/internal/callerhttp/respond.go
+++ b/internal/callerhttp/respond.go
@@ -20,6 +20,9 @@
 		defer response.OnDone()
 	}
 	if response.Remainder != nil {
+		ahead := newReadAhead(response.Remainder, c.holding)
+		response.Remainder = ahead
+		defer ahead.release()
 		defer response.Remainder.Close()
 		defer context.AfterFunc(c.ctx, func() { _ = response.Remainder.Close() })() // the caller gets no more of it
 	}
