Derive the memory of connections from the setting memory_mb

Cause: the bound was a constant for the smallest machine. Change: memory_mb of section [instance] (64 to 1048576, 144 if it is missing) gives the account its limits and the garbage collector a limit of 60% of the machine's memory, unless GOMEMLIMIT is set. Metrics of what is held by kind, the limit, the peak, connections ended and requests refused; events 1770 and 1771. Result: tests of the settings, the metrics and the list of events pass.

--- a/internal/entrynode/command/command.go
+++ b/internal/entrynode/command/command.go
@@ -47,6 +47,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	limitHeap(config.Memory)
 	node := entrynode.New(config, out)
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
--- a/internal/entrynode/config.go
+++ b/internal/entrynode/config.go
@@ -12,6 +12,8 @@
 	// ProcessorShare is the share of a processor that the machine provides, set in section
 	// [instance]. Instances on machines with a larger share are preferred as the holder.
 	ProcessorShare float64
+	// Memory is the memory of the machine in bytes, set in section [instance].
+	Memory int64
 	// CallerAddress, ReadinessAddress, PeerAddress and MetricsAddress are the listen
 	// addresses of section [listen].
 	CallerAddress    string
--- a/internal/entrynode/holdercollector_test.go
+++ b/internal/entrynode/holdercollector_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"peridotmoor.org/peridotmoor/internal/holder"
+	"peridotmoor.org/peridotmoor/internal/membudget"
 )
 
 // Guards against an instance that doesn't show whether it acts as the holder, and against
@@ -17,7 +18,7 @@
 	is := is.New(t)
 	var status holder.Status
 	none := func() float64 { return 0 }
-	m := newMetrics(none, none, func() holder.Status { return status })
+	m := newMetrics(none, none, func() holder.Status { return status }, membudget.Default())
 	m.orderWritten(300 * time.Millisecond)
 	scrape := func() string {
 		response := httptest.NewRecorder()
--- a/internal/entrynode/metrics.go
+++ b/internal/entrynode/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"peridotmoor.org/peridotmoor/internal/holder"
+	"peridotmoor.org/peridotmoor/internal/membudget"
 )
 
 // durationBuckets are the histogram buckets of request durations in seconds, placed
@@ -31,7 +32,7 @@
 }
 
 // newMetrics registers the metrics. The functions are called at each scrape.
-func newMetrics(countStoreCalls, countConnections func() float64, holderStatus func() holder.Status) *metrics {
+func newMetrics(countStoreCalls, countConnections func() float64, holderStatus func() holder.Status, memory *membudget.Account) *metrics {
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
 		callDuration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -50,7 +51,7 @@
 			Buckets: factsAgeBuckets,
 		}),
 	}
-	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, newHolderCollector(holderStatus),
+	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, newHolderCollector(holderStatus), newMemoryCollector(memory),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: "peridotmoor", Name: "store_calls_total", Help: "Calls to the platform's store.",
 		}, countStoreCalls),
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -42,7 +42,8 @@
 	log := events.NewRateLimitedLogger(out, logLinesPerSecond, "instance", config.Name, "domain", config.Domain)
 	self := holder.Identity{Name: config.Name, Incarnation: rand.Text()[:8], Address: config.PeerAddress, Domain: config.Domain}
 	store := platform.NewStoreClient(config.StoreAddress)
-	n := &Node{config: config, log: log, backends: &platform.BackendClient{}, startedAt: time.Now()}
+	memory := newMemoryAccount(config.Memory, log)
+	n := &Node{config: config, log: log, backends: &platform.BackendClient{Memory: memory}, startedAt: time.Now()}
 	n.facts = facts.NewRegistry(platform.DecodeConfig, log)
 	reader := facts.NewReader(platform.StoreSource{Store: store}, n.facts, log)
 	schedulerClient := gateway.NewSchedulerClient(self.String(), config.Domain, n.facts, n.backends)
@@ -50,7 +51,7 @@
 	n.metrics = newMetrics(
 		func() float64 { return float64(store.Calls()) },
 		func() float64 { return float64(n.callerServer.OpenConnections()) },
-		func() holder.Status { return n.elector.Status(time.Now()) })
+		func() holder.Status { return n.elector.Status(time.Now()) }, memory)
 	n.elector = holder.NewElector(holder.Options{
 		Self: self, Store: store, Registry: n.facts, Reader: reader, OrderSender: n.backends, Prober: n.backends, Client: schedulerClient, Log: log,
 		RetryBudget: placing.RetryBudget{Window: config.RetryWindow, Ratio: config.RetryRatio, Extra: config.RetryExtra},
@@ -63,6 +64,7 @@
 	})
 	reportWriteError := func(id string, err error) { log.Emit(events.CallUnwritten, "request", id, "detail", err.Error()) }
 	n.callerServer = callerhttp.NewServer(platform.CallerHandler{Gateway: n.gateway, OnWriteError: reportWriteError}, n.callerLimits)
+	n.callerServer.Memory = memory
 	log.Emit(events.InstanceStarted, "callers", config.CallerAddress, "peers", config.PeerAddress, "incarnation", self.Incarnation)
 	return n
 }
--- a/internal/entrynode/parse.go
+++ b/internal/entrynode/parse.go
@@ -1,6 +1,7 @@
 package entrynode
 
 import (
+	"fmt"
 	"net"
 	"os"
 	"strconv"
@@ -34,6 +35,7 @@
 		Domain:           p.text("instance", "domain"),
 		FirstStart:       p.boolean("instance", "first_start"),
 		ProcessorShare:   p.number("instance", "processor_share"),
+		Memory:           p.megabytes("instance", "memory_mb"),
 		CallerAddress:    p.address("listen", "callers"),
 		ReadinessAddress: p.address("listen", "ready"),
 		PeerAddress:      p.address("listen", "peers"),
@@ -98,6 +100,27 @@
 	return n
 }
 
+// Limits on memory_mb. Below the least, a long head of a response would never get its memory.
+const (
+	defaultMemoryMB = 144 // the smallest machine that runs an instance
+	minMemoryMB     = 64
+	maxMemoryMB     = 1 << 20
+)
+
+// megabytes returns a number of bytes that is set in MB and may be missing.
+func (p *parser) megabytes(section, key string) int64 {
+	value := p.ini.Section(section).Key(key).String()
+	if value == "" {
+		return defaultMemoryMB << 20
+	}
+	n, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(n >= minMemoryMB && n <= maxMemoryMB) { // also if it is not a number
+		p.addIssue(section, key, value, "is not a size of memory", fmt.Sprintf("use a number of MB from %d to %d, or leave it out for %d", minMemoryMB, maxMemoryMB, defaultMemoryMB))
+		return 0
+	}
+	return int64(n * (1 << 20))
+}
+
 func (p *parser) seconds(section, key string) time.Duration {
 	n := p.number(section, key)
 	if n == 0 && len(p.issues) == 0 {
--- a/internal/entrynode/parse_test.go
+++ b/internal/entrynode/parse_test.go
@@ -13,6 +13,7 @@
 domain = d
 first_start = true
 processor_share = 0.32
+memory_mb = 256
 [listen]
 callers = 127.0.0.1:1
 ready = 127.0.0.1:2
@@ -32,10 +33,18 @@
 	is := is.New(t)
 	c, err := Parse([]byte(validFile), "f")
 	is.NoErr(err)
-	is.Equal(c, Config{Name: "a", Domain: "d", FirstStart: true, ProcessorShare: 0.32, CallerAddress: "127.0.0.1:1", ReadinessAddress: "127.0.0.1:2", PeerAddress: "127.0.0.1:3",
+	is.Equal(c, Config{Name: "a", Domain: "d", FirstStart: true, ProcessorShare: 0.32, Memory: 256 << 20, CallerAddress: "127.0.0.1:1", ReadinessAddress: "127.0.0.1:2", PeerAddress: "127.0.0.1:3",
 		MetricsAddress: "127.0.0.1:4", StoreAddress: "127.0.0.1:5", GracePeriod: 6 * time.Second, RetryRatio: 0.2, RetryExtra: 64, RetryWindow: 10 * time.Second})
 }
 
+// Guards against a settings file of an earlier version that is refused.
+func TestMemoryMayBeMissing(t *testing.T) {
+	is := is.New(t)
+	c, err := Parse([]byte(strings.Replace(validFile, "memory_mb = 256\n", "", 1)), "f")
+	is.NoErr(err)
+	is.Equal(c.Memory, int64(144<<20))
+}
+
 // Guards against a start with invalid settings, and against an error that does not
 // name the setting and the remedy.
 func TestErrorsNameFieldAndRemedy(t *testing.T) {
@@ -46,6 +55,10 @@
 		"negative":       {"grace_s = 6", "grace_s = -1", `f: [bounds] grace_s = "-1": is not a non-negative number; use a number of 0 or more`},
 		"no duration":    {"grace_s = 6", "grace_s = 0", `f: [bounds] grace_s = "0": is not a positive duration; use a number of seconds above 0`},
 		"no boolean":     {"first_start = true", "first_start = perhaps", `f: [instance] first_start = "perhaps": is not a boolean; set it to true or false`},
+		"no size":        {"memory_mb = 256", "memory_mb = much", `f: [instance] memory_mb = "much": is not a size of memory; use a number of MB from 64 to 1048576, or leave it out for 144`},
+		"too little":     {"memory_mb = 256", "memory_mb = 63", `memory_mb = "63": is not a size of memory`},
+		"too much":       {"memory_mb = 256", "memory_mb = 1e300", `memory_mb = "1e300": is not a size of memory`},
+		"NaN":            {"memory_mb = 256", "memory_mb = NaN", `memory_mb = "NaN": is not a size of memory`},
 		"not INI at all": {"[instance]", "[instance", "not readable as INI"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/membudget/account.go
+++ b/internal/membudget/account.go
@@ -33,6 +33,7 @@
 	ended     atomic.Uint64
 	refused   atomic.Uint64
 	onEnd     atomic.Pointer[func(Ended)]
+	onRefuse  atomic.Pointer[func(held int64)]
 	// unattributed is what is held for no caller's connection.
 	unattributed Holding
 }
@@ -61,6 +62,11 @@
 	a.onEnd.Store(&f)
 }
 
+// OnRefuse sets what is called when a request is refused. It must not block.
+func (a *Account) OnRefuse(f func(held int64)) {
+	a.onRefuse.Store(&f)
+}
+
 // Open returns the holding of a new connection. end ends the connection at once; it must not
 // block, and may be called from any goroutine.
 func (a *Account) Open(end func()) *Holding {
@@ -108,6 +114,9 @@
 // CountRefusal counts a request that was refused because there was no memory.
 func (a *Account) CountRefusal() {
 	a.refused.Add(1)
+	if f := a.onRefuse.Load(); f != nil {
+		(*f)(a.total.Load())
+	}
 }
 
 func (a *Account) now() int64 {
