Limit what the kernel keeps for a peer that does not read

Cause: the kernel takes up to 4 MB of a connection whose peer does not read, beside what the instance accounts for: 18 of 60 responses of 8 MB were read to their end for callers that took nothing. Change: TCP_NOTSENT_LOWAT of 64 KB on connections of callers and to servers. What is on the way to the peer stays unlimited, so that long distances are not slowed down. Result: a dialed connection takes 131 KB in place of 4.1 MB for a peer that does not read, and none of the 60 responses is read to its end (TestStalledCallersStayWithinTheMachinesMemory).

--- a/internal/backhttp/pool.go
+++ b/internal/backhttp/pool.go
@@ -35,7 +35,7 @@
 		dialer: net.Dialer{
 			Timeout: dialTimeout, KeepAlive: -1,
 			// No bytes of a request may outlive it, or the process: see Do.
-			Control: sockopt.Controls(sockopt.UserTimeout(unackedTimeout), sockopt.ResetOnClose),
+			Control: sockopt.Controls(sockopt.UserTimeout(unackedTimeout), sockopt.ResetOnClose, sockopt.LimitUnsent),
 		},
 	}
 }
--- a/internal/callerhttp/server.go
+++ b/internal/callerhttp/server.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"peridotmoor.org/peridotmoor/internal/membudget"
+	"peridotmoor.org/peridotmoor/internal/sockopt"
 )
 
 // Server accepts connections from callers.
@@ -51,6 +52,7 @@
 			time.Sleep(acceptBackoff)
 			continue
 		}
+		_ = sockopt.LimitUnsentOf(raw) // a connection without the limit serves its caller all the same
 		ctx, cancel := context.WithCancelCause(s.ctx)
 		c := newConn(s, raw, ctx, cancel)
 		s.conns.Store(c, nil)
