Deliver an early response although the write of its request fails

Cause: a response that comes while an upload is written interrupts the write. The writer could see the error before the reader had handed over the response, and reported the request as lost: 502 in place of 413. The same happened when the server reset the connection right after a complete response. Change: after an interrupted write, or a reset by the server, the reader ends the exchange: it still reads what was sent before. Errors of the caller's body end it at once, as before.

--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -246,7 +247,7 @@
 		return err
 	}
 	if request.Remainder != nil {
-		if _, err := io.Copy(c.net, request.Remainder); err != nil {
+		if _, err := io.Copy(c.net, bodySource{request.Remainder}); err != nil {
 			return err
 		}
 	}
@@ -254,6 +255,13 @@
 	return nil
 }
 
+// mayStillRespond reports whether the reader goroutine is about to end the exchange although
+// the write of the request has failed with err: with a response that has interrupted the
+// write, or after a reset by the server with what it sent before, which may be a response.
+func (c *conn) mayStillRespond(err error) bool {
+	return c.writeInterrupted.Load() || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // readyForNext reports whether the connection may carry another request after one
 // whose write ended with err. It restores the write deadline if complete has changed
 // it because the response came before the write had ended.
--- a/internal/backhttp/pool.go
+++ b/internal/backhttp/pool.go
@@ -93,7 +93,7 @@
 		err = c.write(x.request)
 	}
 	writtenAt := time.Now()
-	if err != nil && c.pending.CompareAndSwap(x, nil) {
+	if err != nil && !c.mayStillRespond(err) && c.pending.CompareAndSwap(x, nil) {
 		x.stopWatch()
 		c.abort()
 		return nil, &RequestError{Sent: true, WrittenAt: writtenAt, Cause: errors.Wrap(err, "write request")}
