--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -9,9 +9,12 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/membudget"
 )
 
 var (
@@ -38,6 +41,8 @@
 	reusable atomic.Bool
 	// requestWritten is set once the write of the request has ended, with or without error.
 	requestWritten atomic.Bool
+	// writtenWhole is set once the request has been written without an error.
+	writtenWhole atomic.Bool
 	// writeInterrupted is set when the response came before the request was written
 	// and the write was interrupted.
 	writeInterrupted atomic.Bool
@@ -48,9 +53,9 @@
 	deliveryTimeout time.Duration
 }
 
-func newConn(c net.Conn, b *budget) *conn {
+func newConn(c net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
-	source := &headSource{net: c, budget: b, ctx: ctx}
+	source := &headSource{net: c, ctx: ctx}
 	out := &conn{
 		net:             c,
 		source:          source,
@@ -101,10 +106,10 @@
 		if x == nil {
 			return errUnsolicitedBytes
 		}
-		response, err := c.readHead(x.request.Method)
+		response, err := c.readHead(x)
 		reserved := c.source.end()
 		if err != nil {
-			c.source.budget.giveBack(reserved)
+			x.holding.Return(membudget.ResponseHeads, reserved)
 			return err
 		}
 		match := x.request.Match(response.Header)
@@ -112,7 +117,7 @@
 			c.reusable.Store(false)
 		}
 		if match == MatchNone {
-			c.source.budget.giveBack(reserved)
+			x.holding.Return(membudget.ResponseHeads, reserved)
 			if unmatched++; unmatched > maxUnmatchedResponses {
 				return errUnmatchedResponses
 			}
@@ -130,18 +135,18 @@
 	}
 }
 
-// readHead reads the head of the next final response to a request with the given method.
+// readHead reads the head of the next final response to the request of the exchange.
 // The limit covers the interim responses before it too.
-func (c *conn) readHead(method string) (*http.Response, error) {
-	c.source.begin()
+func (c *conn) readHead(x *exchange) (*http.Response, error) {
+	c.source.begin(x.holding)
 	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: x.request.Method})
 		switch {
 		case err != nil && c.source.exceeded():
 			return nil, errHeadTooLong
 		case err != nil:
 			return nil, errors.Wrap(err, "malformed response")
-		case response.StatusCode < 100:
+		case response.StatusCode < 100 || response.StatusCode > 599: // RFC 9110, section 15
 			return nil, errors.Errorf("malformed response: status %03d", response.StatusCode)
 		case response.StatusCode >= 200:
 			return response, nil
@@ -149,21 +154,33 @@
 	}
 }
 
-// deliver passes the response to the waiting request, with the share of the budget that its
-// head has taken. It returns once the connection is no longer needed to read the body.
+// deliver passes the response to the waiting request, with the memory that its head has
+// taken. It returns once the connection is no longer needed to read the body.
 func (c *conn) deliver(x *exchange, httpResponse *http.Response, reserved int64) error {
 	c.updateIdleTimeout(httpResponse.Header)
-	body, err := readBuffered(httpResponse, c.source.budget)
+	if isCloseDelimited(httpResponse) {
+		httpResponse.Body = closeDelimitedBody{ReadCloser: httpResponse.Body, conn: c}
+	}
+	body, err := readBuffered(httpResponse, x.holding)
 	if err != nil {
-		c.source.budget.giveBack(reserved)
+		x.holding.Return(membudget.ResponseHeads, reserved)
 		return err
 	}
-	reserved += body.reserved
 	if httpResponse.Close || c.reader.Buffered() > 0 {
 		c.reusable.Store(false)
 	}
 	response := &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body.bytes, Closing: httpResponse.Close, Length: httpResponse.ContentLength}
-	response.release = func() { c.source.budget.giveBack(reserved) }
+	if body.reserved == 0 && len(body.bytes) > uncountedBodyBytes {
+		body.reserved = int64(cap(body.bytes))
+		x.holding.Charge(membudget.ResponseBodies, body.reserved)
+	}
+	if reserved+body.reserved > 0 {
+		response.release = func() {
+			x.holding.Return(membudget.ResponseHeads, reserved)
+			x.holding.Return(membudget.ResponseBodies, body.reserved)
+		}
+	}
+	x.holding.Progress()
 	if omitsBody(x.request.Method, httpResponse.StatusCode) {
 		response.BodyOmitted, response.Length = true, statedLength(httpResponse)
 		c.complete(x, response)
@@ -230,13 +247,21 @@
 		return err
 	}
 	if request.Remainder != nil {
-		if _, err := io.Copy(c.net, request.Remainder); err != nil {
+		if _, err := io.Copy(c.net, bodySource{request.Remainder}); err != nil {
 			return err
 		}
 	}
+	c.writtenWhole.Store(true)
 	return nil
 }
 
+// mayStillRespond reports whether the reader goroutine is about to end the exchange although
+// the write of the request has failed with err: with a response that has interrupted the
+// write, or after a reset by the server with what it sent before, which may be a response.
+func (c *conn) mayStillRespond(err error) bool {
+	return c.writeInterrupted.Load() || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // readyForNext reports whether the connection may carry another request after one
 // whose write ended with err. It restores the write deadline if complete has changed
 // it because the response came before the write had ended.
--- a/internal/callerhttp/server.go
+++ b/internal/callerhttp/server.go
@@ -8,10 +8,16 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/membudget"
+	"peridotmoor.org/peridotmoor/internal/sockopt"
 )
 
 // Server accepts connections from callers.
 type Server struct {
+	// Memory counts what the connections hold; without it, the account of the process does.
+	// It is set before Serve.
+	Memory    *membudget.Account
 	handler   Handler
 	limits    func() Limits
 	conns     sync.Map // set of *conn
@@ -28,6 +34,13 @@
 	return &Server{handler: handler, limits: limits, ctx: ctx, cancel: cancel}
 }
 
+func (s *Server) memory() *membudget.Account {
+	if s.Memory == nil {
+		return membudget.Default()
+	}
+	return s.Memory
+}
+
 // Serve accepts connections until listener is closed.
 func (s *Server) Serve(listener net.Listener) error {
 	for {
@@ -39,6 +52,7 @@
 			time.Sleep(acceptBackoff)
 			continue
 		}
+		_ = sockopt.LimitUnsentOf(raw) // a connection without the limit serves its caller all the same
 		ctx, cancel := context.WithCancelCause(s.ctx)
 		c := newConn(s, raw, ctx, cancel)
 		s.conns.Store(c, nil)
--- a/internal/entrynode/metrics.go
+++ b/internal/entrynode/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"peridotmoor.org/peridotmoor/internal/holder"
+	"peridotmoor.org/peridotmoor/internal/membudget"
 )
 
 // durationBuckets are the histogram buckets of request durations in seconds, placed
@@ -38,7 +39,7 @@
 }
 
 // newMetrics registers the metrics. The functions are called at each scrape.
-func newMetrics(countStoreCalls, countConnections func() float64, holderStatus func() holder.Status) *metrics {
+func newMetrics(countStoreCalls, countConnections func() float64, holderStatus func() holder.Status, memory *membudget.Account) *metrics {
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
 		callDuration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -66,7 +67,8 @@
 			Help: "Calls that were refused because of their key, by reason: missing, malformed or unknown.",
 		}, []string{"reason"}),
 	}
-	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, m.teamCalls, m.unauthorized, newHolderCollector(holderStatus), newShortageCollector(holderStatus),
+	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, m.teamCalls, m.unauthorized,
+		newHolderCollector(holderStatus), newShortageCollector(holderStatus), newMemoryCollector(memory),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: "peridotmoor", Name: "store_calls_total", Help: "Calls to the platform's store.",
 		}, countStoreCalls),
