--- a/internal/entrynode/shortagecollector_test.go
+++ b/internal/entrynode/shortagecollector_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"peridotmoor.org/peridotmoor/internal/holder"
+	"peridotmoor.org/peridotmoor/internal/membudget"
 	"peridotmoor.org/peridotmoor/internal/placing"
 )
 
@@ -17,7 +18,7 @@
 	none := func() float64 { return 0 }
 	m := newMetrics(none, none, func() holder.Status {
 		return holder.Status{Acting: true, Shortages: map[string]placing.Shortage{"listings": {Refused: 9, Overtaken: 4, Places: 3, Returned: 5, PlacesTaken: 2}}}
-	})
+	}, membudget.Default())
 	response := httptest.NewRecorder()
 	m.handler().ServeHTTP(response, httptest.NewRequest("GET", "/metrics", nil))
 	for _, line := range []string{"refused_total%9", "overtaken_total%4", "return_places_total%3", "returned_total%5", "return_places_taken_total%2"} {
