Keep usage caps of teams at the holder's scheduler

Cause: teams have caps in requests/s over all instances, which nothing kept to. Change: internal/usagecap decides by token buckets at the holder (Ledger) and, while it is silent, at each instance (LocalBucket) by an allowance that the holder tells with each decision. placing refuses attempts over the cap as team-cap, reserves for queued ones and gives back what has provably not run. Without teams Submit checks one nil pointer.

--- a/internal/link/convert.go
+++ b/internal/link/convert.go
@@ -60,6 +60,7 @@
 		Slots:     int32(completion.Load.Slots),
 		Slowness:  float32(completion.Load.SlowdownFactor),
 		Mark:      completion.ContentHash,
+		Team:      completion.Team,
 	}
 }
 
@@ -72,6 +73,7 @@
 		Outcome:     placing.Outcome(f.Outcome),
 		Duration:    microseconds(f.TookUs),
 		ContentHash: f.Mark,
+		Team:        f.Team,
 		Load: placing.Load{
 			Known:          f.LoadKnown,
 			Running:        int(f.Running),
@@ -93,6 +95,7 @@
 		AllowedPerS:  decision.Allowance.Rate,
 		AllowedNow:   decision.Allowance.Tokens,
 		AllowedBurst: decision.Allowance.Burst,
+		AllowedPart:  decision.Allowance.Part,
 	}
 }
 
@@ -104,7 +107,7 @@
 		Server:     v.Server,
 		Reason:     placing.Reason(v.Reason),
 		RetryAfter: microseconds(v.RetryAfterUs),
-		Allowance:  usagecap.Allowance{Rate: v.AllowedPerS, Tokens: v.AllowedNow, Burst: v.AllowedBurst},
+		Allowance:  usagecap.NewAllowance(v.AllowedPerS, v.AllowedNow, v.AllowedBurst, v.AllowedPart),
 	}
 }
 
--- a/internal/placing/completion.go
+++ b/internal/placing/completion.go
@@ -7,6 +7,9 @@
 	AttemptID AttemptID
 	Server    string
 	Outcome   Outcome
+	// Team is set if the instance placed the attempt without the holder and the request may
+	// have run: the team from whose usage cap it has not been taken yet.
+	Team string
 	// ContentHash is that of the Attempt.
 	ContentHash uint64
 	// Duration is the time from sending the request to the end of the attempt.
--- a/internal/placing/dispatch.go
+++ b/internal/placing/dispatch.go
@@ -7,6 +7,7 @@
 // Complete records the end of an attempt and gives its slot to the next queued one.
 func (sched *Scheduler) Complete(now time.Time, completion Completion) {
 	RecordCrash(sched.crashes, now, completion)
+	sched.completeForTeam(now, &completion)
 	for _, svc := range sched.services {
 		s := svc.servers[completion.Server]
 		if s == nil {
@@ -31,6 +32,7 @@
 
 // Cancel removes an attempt from the queues.
 func (sched *Scheduler) Cancel(id AttemptID) {
+	sched.releaseForTeam(id)
 	keep := func(w *queuedAttempt) bool { return w.AttemptID != id }
 	for _, svc := range sched.services {
 		svc.queue.filter(keep)
--- a/internal/placing/outcome.go
+++ b/internal/placing/outcome.go
@@ -23,6 +23,15 @@
 	Unused
 )
 
+// MayHaveRun reports whether the request may have run.
+func (o Outcome) MayHaveRun() bool {
+	switch o {
+	case Shed, Misdirected, Unreached, Unused:
+		return false
+	}
+	return true
+}
+
 // String returns the name of the outcome in logs.
 func (o Outcome) String() string {
 	names := [...]string{"answered", "shed", "misdirected", "unreached", "lost", "abandoned", "unused"}
--- a/internal/placing/reason.go
+++ b/internal/placing/reason.go
@@ -25,11 +25,13 @@
 	ReasonPaused
 	// ReasonLimit means that the rate limit that the key's owner names is used up.
 	ReasonLimit
+	// ReasonTeamCap means that the usage cap of the caller's team is used up.
+	ReasonTeamCap
 )
 
 // String returns the name of the reason in logs.
 func (r Reason) String() string {
-	names := [...]string{"none", "no-server", "overload", "retry-budget", "no-owner", "cold", "crashes", "no-holder", "paused", "limit"}
+	names := [...]string{"none", "no-server", "overload", "retry-budget", "no-owner", "cold", "crashes", "no-holder", "paused", "limit", "team-cap"}
 	if int(r) < len(names) {
 		return names[r]
 	}
--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -7,6 +7,7 @@
 	"peridotmoor.org/peridotmoor/internal/backpressure"
 	"peridotmoor.org/peridotmoor/internal/crashes"
 	"peridotmoor.org/peridotmoor/internal/fleet"
+	"peridotmoor.org/peridotmoor/internal/usagecap"
 )
 
 // Scheduler assigns the attempts of all services to servers. It is not safe for
@@ -25,6 +26,8 @@
 	exclusive bool
 	// limitOf returns the rate limit that a server names.
 	limitOf func(fleet.Incarnation) backpressure.Limit
+	// ledger keeps the usage caps of teams, or is nil if no team has one.
+	ledger *usagecap.Ledger
 }
 
 // New returns a scheduler without services.
@@ -130,6 +133,9 @@
 		sched.refuse(attempt.AttemptID, ReasonCrashes, maxRetryAfter)
 		return
 	}
+	if sched.ledger != nil && attempt.Team != "" && !sched.reserveForTeam(now, &attempt) {
+		return
+	}
 	if attempt.isRetry() {
 		if !sched.exclusive || !svc.retries.tryRetry(now) {
 			sched.refuse(attempt.AttemptID, ReasonRetryBudget, minRetryAfter)
@@ -227,11 +233,11 @@
 
 func (sched *Scheduler) assign(now time.Time, s *server, w *queuedAttempt) {
 	s.inFlight[w.AttemptID] = w.Deadline
-	sched.decisions = append(sched.decisions, Decision{AttemptID: w.AttemptID, Server: s.Name, HeardAt: s.heardAt})
+	sched.decisions = append(sched.decisions, Decision{AttemptID: w.AttemptID, Server: s.Name, HeardAt: s.heardAt, Allowance: sched.takeForTeam(now, w)})
 }
 
 func (sched *Scheduler) refuse(id AttemptID, reason Reason, retryAfter time.Duration) {
-	sched.decisions = append(sched.decisions, Decision{AttemptID: id, Reason: reason, RetryAfter: min(max(retryAfter, minRetryAfter), maxRetryAfter)})
+	sched.decisions = append(sched.decisions, Decision{AttemptID: id, Reason: reason, RetryAfter: min(max(retryAfter, minRetryAfter), maxRetryAfter), Allowance: sched.releaseForTeam(id)})
 }
 
 func seconds(s float64) time.Duration {
--- a/internal/usagecap/allowance.go
+++ b/internal/usagecap/allowance.go
@@ -3,6 +3,12 @@
 // does no I/O and reads no clock.
 package usagecap
 
+import (
+	"math"
+
+	"peridotmoor.org/peridotmoor/internal/fleet"
+)
+
 // Allowance is the part of a cap that one instance may use by itself. The zero value
 // stands for a team without a cap, or of which the instance has not been told.
 type Allowance struct {
@@ -11,4 +17,30 @@
 	// Tokens is how many requests may come at once now, and Burst after a pause.
 	Tokens float64
 	Burst  float64
+	// Part is the part of the cap that Rate is; 1 is the whole.
+	Part float64
+}
+
+// NewAllowance returns the allowance that another process has told, or the zero value if one
+// of its parts is negative, infinite or not a number.
+func NewAllowance(rate, tokens, burst, part float64) Allowance {
+	for _, v := range []float64{rate, tokens, burst, part} {
+		if !(v >= 0) || math.IsInf(v, 0) {
+			return Allowance{}
+		}
+	}
+	return Allowance{Rate: rate, Tokens: tokens, Burst: burst, Part: min(1, part)}
+}
+
+// under returns the allowance under the cap now in effect, which may be lower than the one
+// under which it was told.
+func (a Allowance) under(limit fleet.Cap) Allowance {
+	a.Rate = min(a.Rate, a.Part*limit.Rate)
+	a.Burst = min(a.Burst, a.Part*localBurst(limit))
+	return a
+}
+
+// told reports whether the instance has been told an allowance.
+func (a Allowance) told() bool {
+	return a.Rate > 0 && a.Part > 0
 }
