Carry allowances, holdings and local use of caps over the link

Values that are negative, infinite or not a number are no allowance. Result: TestAllowancesAreChecked; messages of an older version decode to no allowance.

--- a/internal/link/convert_test.go
+++ b/internal/link/convert_test.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"peridotmoor.org/peridotmoor/internal/fleet"
 	"peridotmoor.org/peridotmoor/internal/link/linkpb"
 	"peridotmoor.org/peridotmoor/internal/placing"
+	"peridotmoor.org/peridotmoor/internal/usagecap"
 )
 
 // Guards against numbers that are cut to fewer bits on the way to another instance: at the
@@ -29,3 +31,24 @@
 	attempt := placing.Attempt{AttemptID: placing.AttemptID{Instance: "a", Number: 1}, Key: 65535, Priority: most, Domain: "d", SoftDeadline: now, Deadline: now.Add(time.Hour)}
 	is.Equal(DecodeAsk(EncodeAsk(attempt, now), "a", "d", now), attempt)
 }
+
+// Guards against values of another process that would lift the cap of a team, and against
+// parts of an allowance that are mixed up.
+func TestAllowancesAreChecked(t *testing.T) {
+	is := is.New(t)
+	receiver := NewFactsReceiver(nil)
+	want := usagecap.Allowance{Rate: 3, Tokens: 2, Burst: 4, Part: 0.5}
+	v := EncodeVerdict(placing.Decision{Server: "a", Allowance: want}, &Follower{})
+	is.Equal(DecodeVerdict(v, "i", receiver).Allowance, want)
+	for _, bad := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1} {
+		for _, field := range []*float64{&v.AllowedPerS, &v.AllowedNow, &v.AllowedBurst, &v.AllowedPart} {
+			good := *field
+			*field = bad
+			is.Equal(DecodeVerdict(v, "i", receiver).Allowance, usagecap.Allowance{})
+			*field = good
+		}
+	}
+	is.Equal(DecodeVerdict(&linkpb.Verdict{Server: "a"}, "i", receiver).Allowance, usagecap.Allowance{}) // of an older version
+	held := map[string]usagecap.Holding{"t": {Part: 0.25, Tokens: -0.5}}
+	is.Equal(DecodeHoldings(EncodeHoldings(held)), held)
+}
