Keep usage caps over the tenures of holders

Cause: the holder's scheduler had no caps, and two holders, or a holder and instances that it has lost, may run requests of one team at the same time. Change: the coordinator takes the caps from Config.Teams, tells the ledger which instances join and leave, and gives it the share of the caps that it may use (capShare).

--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -93,6 +93,7 @@
 
 	// The fields below are used only by the event loop.
 	followers map[*link.Follower]bool
+	teamCaps  teamCaps
 	// stays holds since when instances have followed this holder only.
 	stays stays
 	// quorum holds the fleet that a successor would find in the record.
@@ -189,6 +190,7 @@
 		c.logFollowers(now)
 	}
 	c.scheduler.SetShare(c.share(now))
+	c.shareTeamCaps(now)
 	c.scheduler.SetExclusive(c.exclusive(now))
 	c.scheduler.Tick(now)
 	c.publish(now)
--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -56,6 +56,7 @@
 		c.followerLog.joined(f)
 		f.JoinedAt = c.stays.join(f, time.Now())
 		c.byName[f.Instance] = f
+		c.joinTeamCaps(time.Now(), f)
 		snapshot, readAt := c.registry.ReadSnapshot()
 		now := time.Now()
 		f.Send(&linkpb.Down{Facts: []*linkpb.Facts{c.encodeFacts(snapshot, f.Sent, now)}, ReadUs: f.EncodeTime(readAt), Losses: link.EncodeLosses(c.registry.Crashes().Announced(now), now)})
@@ -80,6 +81,9 @@
 				c.byName[f.Instance] = other
 			}
 		}
+		if c.byName[f.Instance] == nil {
+			c.leaveTeamCaps(time.Now(), f)
+		}
 	})
 }
 
@@ -91,6 +95,7 @@
 	}
 	link.MergeBackpressure(c.registry, up.Backpressure, arrivedAt)
 	link.MergeLosses(c.registry.Crashes(), up.Losses, arrivedAt)
+	holdings := link.DecodeHoldings(up.Allowed)
 	c.enqueue(func() {
 		now := time.Now()
 		if len(up.Backpressure) > 0 {
@@ -102,6 +107,7 @@
 		}
 		c.recordProof(f, up.Proof, now)
 		f.Stopping, f.Ending = f.Stopping || up.Stopping, f.Ending || up.Ending
+		c.inheritTeamCaps(now, f, holdings)
 		for _, finish := range up.Finishes {
 			c.completeAttempt(now, link.DecodeFinish(finish, f))
 		}
--- a/internal/holder/planning.go
+++ b/internal/holder/planning.go
@@ -23,6 +23,7 @@
 		snapshot.LeavingSequence != c.snapshot.LeavingSequence
 	limitsChanged := c.snapshot == nil || snapshot.BackpressureSequence != c.snapshot.BackpressureSequence
 	c.snapshot = snapshot
+	c.refreshTeamCaps(now)
 	if changed || limitsChanged {
 		c.scheduler.SetLimits(func(s fleet.Incarnation) backpressure.Limit { return snapshot.Backpressure.Of(s).Limit })
 	}
