Refuse calls over the cap of their team with 429, also without the holder

Cause: a refusal by a cap looked like a lack of room (503), and an instance without the holder kept no cap. Change: local placement takes from the local bucket of the team; what has not run is given back. gateway.OutcomeOverCap becomes 429 with Retry-After; a call that may have run still gets 502. Event 1760, at most one line per team and 5 s, and the metric peridotmoor_team_cap_refusals_total with at most 100 label values.

--- a/internal/entrynode/metrics.go
+++ b/internal/entrynode/metrics.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -22,12 +24,24 @@
 // sent, in seconds. 2 is the time after which a leaving server must get no more requests.
 var factsAgeBuckets = []float64{0.1, 0.3, 0.6, 0.9, 1.2, 1.5, 1.8, 2, 2.5, 4, 8, 16}
 
+// maxTeamLabels bounds the label values of metrics by team, of which a configuration may have
+// 10,000. otherTeams stands for the teams without one. It cannot be the name of a team that
+// callers use as a label, as it has parentheses.
+const (
+	maxTeamLabels = 100
+	otherTeams    = "(others)"
+)
+
 // metrics holds the Prometheus metrics of the instance.
 type metrics struct {
 	registry     *prometheus.Registry
 	callDuration *prometheus.HistogramVec
 	orderDelay   prometheus.Histogram
 	factsAge     prometheus.Histogram
+	capRefusals  *prometheus.CounterVec
+	// capTeams holds the teams with a label of their own, and capTeamCount their number.
+	capTeams     sync.Map
+	capTeamCount atomic.Int64
 }
 
 // newMetrics registers the metrics. The functions are called at each scrape.
@@ -49,8 +63,12 @@
 			Help:    "Time since the read of the store that the facts come from, by which a request is sent to a backend server.",
 			Buckets: factsAgeBuckets,
 		}),
+		capRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "peridotmoor", Name: "team_cap_refusals_total",
+			Help: "Calls refused because the usage cap of their team is used up. Teams beyond the first 99 with refusals share the label value \"" + otherTeams + "\".",
+		}, []string{"team"}),
 	}
-	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, newHolderCollector(holderStatus),
+	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, m.capRefusals, newHolderCollector(holderStatus),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: "peridotmoor", Name: "store_calls_total", Help: "Calls to the platform's store.",
 		}, countStoreCalls),
@@ -70,6 +88,21 @@
 	m.factsAge.Observe(age.Seconds())
 }
 
+// CapRefused records a call that the usage cap of a team has refused.
+func (m *metrics) CapRefused(team string) {
+	if _, labelled := m.capTeams.Load(team); !labelled {
+		if m.capTeamCount.Add(1) >= maxTeamLabels {
+			m.capTeamCount.Add(-1)
+			m.capRefusals.WithLabelValues(otherTeams).Inc()
+			return
+		}
+		if _, labelled = m.capTeams.LoadOrStore(team, struct{}{}); labelled {
+			m.capTeamCount.Add(-1) // another call has counted the team
+		}
+	}
+	m.capRefusals.WithLabelValues(team).Inc()
+}
+
 // orderWritten records the time from the check of an order to the end of its write.
 func (m *metrics) orderWritten(delay time.Duration) {
 	m.orderDelay.Observe(delay.Seconds())
--- /dev/null
+++ b/internal/entrynode/metrics_test.go
@@ -0,0 +1,37 @@
+package entrynode
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"peridotmoor.org/peridotmoor/internal/holder"
+)
+
+// Guards against a configuration with thousands of teams that fills the memory of the
+// instance and of whoever collects its metrics, and against refusals that are not counted.
+func TestTeamLabelsAreBounded(t *testing.T) {
+	is := is.New(t)
+	zero := func() float64 { return 0 }
+	m := newMetrics(zero, zero, func() holder.Status { return holder.Status{} })
+	for range 2 {
+		for n := range 500 {
+			m.CapRefused(fmt.Sprint("team", n))
+		}
+	}
+	families, err := m.registry.Gather()
+	is.NoErr(err)
+	labels, sum := 0, 0.0
+	for _, family := range families {
+		if family.GetName() != "peridotmoor_team_cap_refusals_total" {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			labels++
+			sum += metric.GetCounter().GetValue()
+		}
+	}
+	is.Equal(labels, maxTeamLabels)
+	is.Equal(sum, 1000.0)
+}
--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -46,5 +46,6 @@
 	HolderWithoutLease    = register(1746, "holder_without_lease", log.WarnLevel, "A holder that cannot confirm its lease counts the followers that provably follow no other one.")
 	ServersLeaving        = register(1747, "servers_leaving", log.InfoLevel, "The list of servers says that these servers are leaving, or has them no longer.")
 	FactsTooOld           = register(1748, "facts_too_old", log.WarnLevel, "A request found the facts too old to send it to a server; this instance has read the store, or asked the server.")
+	TeamCapRefused        = register(1760, "team_cap_refused", log.InfoLevel, "Requests of a team were refused because its usage cap is used up.")
 	TeamCapsChanged       = register(1761, "team_caps_changed", log.InfoLevel, "The holder keeps the usage caps of teams as a new configuration has them.")
 )
--- a/internal/gateway/callstate.go
+++ b/internal/gateway/callstate.go
@@ -68,7 +68,11 @@
 	if state.detail != "" {
 		detail = state.detail + "; then " + detail
 	}
-	return Reply{Outcome: OutcomeNotRun, RetryAfter: decision.RetryAfter, Detail: detail}
+	outcome := OutcomeNotRun
+	if decision.Reason == placing.ReasonTeamCap {
+		outcome = OutcomeOverCap
+	}
+	return Reply{Outcome: outcome, RetryAfter: decision.RetryAfter, Detail: detail}
 }
 
 // limit returns how long the call may take: the shorter of its own timeout and that of
--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -18,6 +18,9 @@
 	// acknowledge one. It is also the retry delay suggested when the local scheduler
 	// refuses an attempt.
 	holderBackoff = 250 * time.Millisecond
+	// capLogInterval is how often an instance logs the refusals of one team by its usage cap.
+	// Each refused call has its own line besides.
+	capLogInterval = 5 * time.Second
 	// responseMargin is subtracted from the caller's timeout for the way back.
 	responseMargin = 25 * time.Millisecond
 	// minAttemptTime is the time until the deadline below which no attempt is started.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	metrics   Metrics
 	// shareCounters counts the calls of each route, to split them over its services.
 	shareCounters sync.Map // route name to *atomic.Uint64
+	capRefusals   capRefusals
 	// endsAt is when the instance ends, or nil while no planned stop has begun.
 	endsAt     atomic.Pointer[time.Time]
 	inProgress atomic.Int64
@@ -72,12 +73,24 @@
 	}
 	duration := time.Since(call.ArrivedAt)
 	g.metrics.CallEnded(state.service, reply.Outcome.String(), duration)
+	if reply.Outcome == OutcomeOverCap && call.Team != nil {
+		g.recordCapRefusal(call.Team.Name, state.service)
+	}
 	g.log.Emit(events.CallEnded, "request", call.ID, "route", state.route, "service", state.service, "key", call.Key,
 		"outcome", reply.Outcome.String(), "server", state.server, "sends", state.sends, "facts_ms", state.factsAge.Milliseconds(), "ms", duration.Milliseconds(), "limit_ms", state.limit(call).Milliseconds(),
 		"retry_after_ms", reply.RetryAfter.Milliseconds(), "settings_version", state.version, "detail", reply.Detail)
 	return reply
 }
 
+// recordCapRefusal counts a call that the usage cap of a team has refused, and logs those of
+// the team at intervals.
+func (g *Gateway) recordCapRefusal(team, service string) {
+	g.metrics.CapRefused(team)
+	if count := g.capRefusals.add(time.Now(), team); count > 0 {
+		g.log.Emit(events.TeamCapRefused, "team", team, "service", service, "count", count)
+	}
+}
+
 func (g *Gateway) handle(ctx context.Context, call *Call) (Reply, callState) {
 	g.check.refreshFacts(ctx) // the route may have changed or be new
 	config := g.registry.Snapshot().Config
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -54,6 +54,7 @@
 
 func (noMetrics) CallEnded(string, string, time.Duration) {}
 func (noMetrics) FactsAge(time.Duration)                  {}
+func (noMetrics) CapRefused(string)                       {}
 
 // fakeRefresher reads the store, or cannot.
 type fakeRefresher func() bool
--- a/internal/gateway/localscheduler.go
+++ b/internal/gateway/localscheduler.go
@@ -22,12 +22,13 @@
 	fleetSize func() int
 	limiter   shareLimiter
 	inFlight  sync.Map // server name to *atomic.Int64, the number of attempts at the server
-	attempts  sync.Map // attempt number to server name
+	attempts  sync.Map // attempt number to localAttempt
 	failures  serverFailures
+	teams     teamBuckets
 }
 
 func newLocalScheduler(domain string, registry *facts.Registry, fleetSize func() int) *localScheduler {
-	return &localScheduler{domain: domain, registry: registry, fleetSize: fleetSize}
+	return &localScheduler{domain: domain, registry: registry, fleetSize: fleetSize, teams: teamBuckets{fleetSize: fleetSize}}
 }
 
 func (l *localScheduler) inFlightCounter(server string) *atomic.Int64 {
@@ -47,12 +48,27 @@
 		refused.Reason = placing.ReasonCrashes
 		return refused
 	}
+	teams := teamsOf(l.registry.Snapshot())
+	limit, limited := limitOf(teams, attempt.Team)
+	if limited {
+		if retryAfter, admitted := l.teams.take(now, limit, attempt.Team); !admitted {
+			refused.Reason, refused.RetryAfter = placing.ReasonTeamCap, retryAfter
+			return refused
+		}
+	}
 	server := l.chooseServer(now, attempt)
 	if server == "" || l.inFlightCounter(server).Load() >= l.inFlightLimit(l.slotsOf(server)) {
+		if limited {
+			l.teams.giveBack(now, teams, attempt.Team)
+		}
 		return refused
 	}
 	l.inFlightCounter(server).Add(1)
-	l.attempts.Store(attempt.AttemptID.Number, server)
+	placed := localAttempt{server: server}
+	if limited {
+		placed.team = attempt.Team
+	}
+	l.attempts.Store(attempt.AttemptID.Number, placed)
 	return placing.Decision{AttemptID: attempt.AttemptID, Server: server}
 }
 
@@ -114,11 +130,21 @@
 	return int64(min(maxLocalInFlight, (2*slots+instances-1)/instances))
 }
 
-func (l *localScheduler) complete(now time.Time, completion placing.Completion) {
+// complete records the end of an attempt. It returns the team whose cap the holder must take
+// it from, or an empty name: that of a request that was placed here and may have run.
+func (l *localScheduler) complete(now time.Time, completion placing.Completion) (team string) {
 	l.failures.record(now, completion, l.isKeyed(completion.Server))
-	if server, ok := l.attempts.LoadAndDelete(completion.AttemptID.Number); ok {
-		l.inFlightCounter(server.(string)).Add(-1)
+	value, ok := l.attempts.LoadAndDelete(completion.AttemptID.Number)
+	if !ok {
+		return ""
+	}
+	placed := value.(localAttempt)
+	l.inFlightCounter(placed.server).Add(-1)
+	if placed.team != "" && !completion.Outcome.MayHaveRun() {
+		l.teams.giveBack(now, teamsOf(l.registry.Snapshot()), placed.team)
+		return ""
 	}
+	return placed.team
 }
 
 // isKeyed reports whether the server is of a service that is divided by key.
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -22,11 +22,14 @@
 	// OutcomeCallerGone means that the caller left before the response, or that its
 	// connection ended for another cause, which the detail of the reply states.
 	OutcomeCallerGone
+	// OutcomeOverCap means that the usage cap of the caller's team is used up. The call has
+	// not run and will not run.
+	OutcomeOverCap
 )
 
 // String returns the name of the outcome in logs.
 func (o Outcome) String() string {
-	names := [...]string{"answered", "not-run", "unknown", "timed-out", "no-route", "unreadable", "too-large", "caller-gone"}
+	names := [...]string{"answered", "not-run", "unknown", "timed-out", "no-route", "unreadable", "too-large", "caller-gone", "over-cap"}
 	if int(o) < len(names) {
 		return names[o]
 	}
--- a/internal/gateway/schedulerclient.go
+++ b/internal/gateway/schedulerclient.go
@@ -42,8 +42,9 @@
 	c.holderStatus.Store(&holderStatus{heardAt: now, instances: c.FleetSize(), maxProcessorShare: c.MaxProcessorShare()})
 	c.link.Store(&activeLink{Link: l})
 	states, losses := link.EncodeBackpressure(c.registry.Snapshot().Backpressure, now), link.EncodeLosses(c.registry.Crashes().All(now), now)
-	if len(states) > 0 || len(losses) > 0 {
-		l.Send(&linkpb.Up{Backpressure: states, Losses: losses}) // if the link has ended, the next one is told
+	allowed := link.EncodeHoldings(c.local.teams.holdings(now, teamsOf(c.registry.Snapshot())))
+	if len(states) > 0 || len(losses) > 0 || len(allowed) > 0 {
+		l.Send(&linkpb.Up{Backpressure: states, Losses: losses, Allowed: allowed}) // if the link has ended, the next one is told
 	}
 }
 
@@ -102,6 +103,9 @@
 	for _, v := range down.Verdicts {
 		decision := link.DecodeVerdict(v, c.instance, receiver)
 		if p, ok := c.pending.LoadAndDelete(v.Number); ok {
+			if team := p.(*pendingAttempt).team; team != "" {
+				c.local.teams.tell(now, teamsOf(c.registry.Snapshot()), team, decision.Allowance)
+			}
 			p.(*pendingAttempt).decision <- decision
 		} else if decision.Server != "" {
 			c.Complete(placing.Completion{AttemptID: decision.AttemptID, Server: decision.Server, Outcome: placing.Unused})
@@ -118,7 +122,7 @@
 	if l == nil || l.unavailable(now) {
 		return c.placeLocally(ctx, attempt)
 	}
-	p := &pendingAttempt{decision: make(chan placing.Decision, 1)}
+	p := &pendingAttempt{decision: make(chan placing.Decision, 1), team: attempt.Team}
 	c.pending.Store(number, p)
 	if !l.Send(&linkpb.Up{Asks: []*linkpb.Ask{link.EncodeAsk(attempt, now)}}) {
 		c.pending.Delete(number)
@@ -192,7 +196,7 @@
 	if !answered || health.ColdRemaining == 0 {
 		return decision // if the server does not answer, the attempt itself will fail
 	}
-	c.local.complete(now, placing.Completion{AttemptID: attempt.AttemptID})
+	c.local.complete(now, placing.Completion{AttemptID: attempt.AttemptID, Outcome: placing.Unused})
 	return placing.Decision{AttemptID: attempt.AttemptID, Reason: placing.ReasonCold, RetryAfter: holderBackoff}
 }
 
@@ -216,7 +220,7 @@
 // Complete reports the end of an attempt.
 func (c *SchedulerClient) Complete(completion placing.Completion) {
 	now := time.Now()
-	c.local.complete(now, completion)
+	completion.Team = c.local.complete(now, completion)
 	placing.RecordCrash(c.registry.Crashes(), now, completion)
 	if l := c.link.Load(); l != nil {
 		l.Send(&linkpb.Up{Finishes: []*linkpb.Finish{link.EncodeFinish(completion, l)}}) // if this fails, the holder frees the slot after the deadline
