--- a/internal/entrynode/metrics.go
+++ b/internal/entrynode/metrics.go
@@ -36,6 +36,9 @@
 	teamCalls    *prometheus.CounterVec
 	teams        boundedLabels
 	unauthorized *prometheus.CounterVec
+	capRefusals  *prometheus.CounterVec
+	// cappedTeams holds the teams with refusals by their cap that have a label of their own.
+	cappedTeams boundedLabels
 }
 
 // newMetrics registers the metrics. The functions are called at each scrape.
@@ -66,8 +69,13 @@
 			Namespace: "peridotmoor", Name: "unauthorized_calls_total",
 			Help: "Calls that were refused because of their key, by reason: missing, malformed or unknown.",
 		}, []string{"reason"}),
+		capRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "peridotmoor", Name: "team_cap_refusals_total",
+			Help: "Calls refused because the usage cap of their team is used up. Teams beyond the first 99 with refusals are counted as other.",
+		}, []string{"team"}),
+		cappedTeams: boundedLabels{limit: maxTeamLabels},
 	}
-	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, m.teamCalls, m.unauthorized,
+	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, m.teamCalls, m.unauthorized, m.capRefusals,
 		newHolderCollector(holderStatus), newShortageCollector(holderStatus), newMemoryCollector(memory),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: "peridotmoor", Name: "store_calls_total", Help: "Calls to the platform's store.",
@@ -98,6 +106,11 @@
 	m.factsAge.Observe(age.Seconds())
 }
 
+// CapRefused records a call that the usage cap of a team has refused.
+func (m *metrics) CapRefused(team string) {
+	m.capRefusals.WithLabelValues(m.cappedTeams.of(team)).Inc()
+}
+
 // orderWritten records the time from the check of an order to the end of its write.
 func (m *metrics) orderWritten(delay time.Duration) {
 	m.orderDelay.Observe(delay.Seconds())
--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -50,4 +50,6 @@
 
 	TeamsChanged     = register(1750, "teams_changed", log.InfoLevel, "Another list of teams and keys is in effect at this instance.")
 	CallUnauthorized = register(1751, "call_unauthorized", log.WarnLevel, "A request was refused because its caller has not shown the key of a team.")
+	TeamCapRefused   = register(1760, "team_cap_refused", log.InfoLevel, "Requests of a team were refused because its usage cap is used up.")
+	TeamCapsChanged  = register(1761, "team_caps_changed", log.InfoLevel, "The holder keeps the usage caps of teams as a new configuration has them.")
 )
