Tell the eras of the store apart in its client and stand-ins

The store may come back from an older copy. Revisions and lease IDs given out since the copy are then given out again, so that an answer of an earlier era, or a condition that names a revision of one, would pass for the state of the store.

The stand-ins come back from a copy (Copy, Restore); one that has never done so sends no header.

--- a/internal/dev/kvstore/server.go
+++ b/internal/dev/kvstore/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,9 @@
 // maxWatchTime bounds how long one watch call waits.
 const maxWatchTime = 30 * time.Second
 
+// pathWatch is the path of the calls that wait for a change.
+const pathWatch = "/kv-watch"
+
 // Server serves the HTTP protocol of the store.
 type Server struct {
 	store *memstore.Store
@@ -31,6 +35,9 @@
 	calls atomic.Int64
 	// pageSize is lowered by tests.
 	pageSize atomic.Int64
+	// restoring is held for writing while the store is restored, and for reading by each
+	// call, so that a response tells the era in which its call was carried out.
+	restoring sync.RWMutex
 }
 
 // New returns an empty store.
@@ -39,7 +46,7 @@
 	s.pageSize.Store(defaultPageSize)
 	s.mux.HandleFunc("/kv-key", s.get).Methods(http.MethodGet)
 	s.mux.HandleFunc("/kv-range", s.list).Methods(http.MethodGet)
-	s.mux.HandleFunc("/kv-watch", s.watch).Methods(http.MethodGet)
+	s.mux.HandleFunc(pathWatch, s.watch).Methods(http.MethodGet)
 	s.mux.HandleFunc("/kv-txn", s.transact).Methods(http.MethodPost)
 	s.mux.HandleFunc("/kv-lease", s.grantLease).Methods(http.MethodPost)
 	s.mux.HandleFunc("/kv-keep/{id}", s.renewLease).Methods(http.MethodPost)
@@ -65,7 +72,18 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.calls.Add(1)
-	s.mux.ServeHTTP(w, r)
+	if r.URL.Path != pathWatch { // which waits
+		s.restoring.RLock()
+		defer s.restoring.RUnlock()
+	}
+	s.mux.ServeHTTP(eraWriter{ResponseWriter: w, store: s.store}, r)
+}
+
+// Restore brings the store back from a copy. Calls under way end before it.
+func (s *Server) Restore(c memstore.Copy) {
+	s.restoring.Lock()
+	defer s.restoring.Unlock()
+	s.store.Restore(c)
 }
 
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
@@ -107,6 +125,10 @@
 		http.Error(w, "after or wait_ms is not a valid integer", http.StatusBadRequest)
 		return
 	}
+	if after > s.store.Revision() {
+		http.Error(w, "the store has no such revision", http.StatusGone)
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), min(maxWatchTime, time.Duration(wait)*time.Millisecond))
 	defer cancel()
 	entry, err := s.store.Watch(ctx, r.URL.Query().Get("path_prefix"), after)
--- a/internal/dev/platform/devcontrol.go
+++ b/internal/dev/platform/devcontrol.go
@@ -41,6 +41,15 @@
 	if c.LoseNextResponse {
 		s.store.Faults().LoseNextResponse()
 	}
+	if c.TakeCopy {
+		taken := s.store.Copy()
+		s.lastCopy.Store(&taken)
+	}
+	if c.Restore {
+		if taken := s.lastCopy.Load(); taken != nil {
+			s.store.Restore(*taken)
+		}
+	}
 	if c.ListLagMS != nil {
 		s.list.SetLag(time.Duration(*c.ListLagMS) * time.Millisecond)
 	}
--- a/internal/dev/platform/faultsettings.go
+++ b/internal/dev/platform/faultsettings.go
@@ -7,4 +7,7 @@
 	StaleReads       *bool `json:"stale,omitempty"`
 	LoseNextResponse bool  `json:"lose_next_answer,omitempty"`
 	ListLagMS        *int  `json:"list_lag_ms,omitempty"`
+	// TakeCopy takes a copy of the store, and Restore brings the store back from the last one.
+	TakeCopy bool `json:"take_copy,omitempty"`
+	Restore  bool `json:"restore,omitempty"`
 }
--- a/internal/dev/platform/server.go
+++ b/internal/dev/platform/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 
 	"github.com/gorilla/mux"
 
@@ -15,6 +16,8 @@
 	store  *memstore.Store
 	list   *InstanceList
 	routes *mux.Router
+	// lastCopy is the last copy of the store, or nil.
+	lastCopy atomic.Pointer[memstore.Copy]
 }
 
 // New returns a platform with an empty store and an empty list.
--- a/internal/store/memstore/lease.go
+++ b/internal/store/memstore/lease.go
@@ -33,11 +33,9 @@
 	defer s.mu.Unlock()
 	s.revision++
 	id := store.LeaseID("lease-" + strconv.FormatUint(s.revision, 10))
-	s.leases[id] = &lease{
-		ttl:   ttl,
-		timer: time.AfterFunc(ttl, func() { s.endLease(id) }),
-		keys:  map[string]bool{},
-	}
+	l := &lease{ttl: ttl, keys: map[string]bool{}}
+	l.timer = time.AfterFunc(ttl, func() { s.expireLease(id, l) })
+	s.leases[id] = l
 	return id
 }
 
@@ -81,9 +79,22 @@
 	return s.endLease(id)
 }
 
+// expireLease ends a lease unless the store has another one of its ID since it was restored.
+func (s *Store) expireLease(id store.LeaseID, l *lease) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leases[id] == l {
+		s.endLeaseLocked(id)
+	}
+}
+
 func (s *Store) endLease(id store.LeaseID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.endLeaseLocked(id)
+}
+
+func (s *Store) endLeaseLocked(id store.LeaseID) bool {
 	l, found := s.leases[id]
 	if !found {
 		return false
--- a/internal/store/memstore/store.go
+++ b/internal/store/memstore/store.go
@@ -19,7 +19,9 @@
 type Store struct {
 	faults Faults
 
-	mu       sync.Mutex
+	mu  sync.Mutex
+	era uint64
+	// revision is that of the last change.
 	revision uint64
 	entries  map[string]record
 	leases   map[store.LeaseID]*lease
@@ -42,6 +44,13 @@
 	return &s.faults
 }
 
+// Era implements store.EraStore.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // Revision returns the revision of the last change.
 func (s *Store) Revision() uint64 {
 	s.mu.Lock()
@@ -199,4 +208,4 @@
 	return r.entry(key), nil
 }
 
-var _ store.Store = (*Store)(nil)
+var _ store.EraStore = (*Store)(nil)
