Compare facts by era and revision, and keep what the store has lost

After the store has come back from an older copy its revisions are lower than those of the facts, so that every reading was rejected as older until they had risen again; and what was lost (leaving servers, domains taken out, listed servers) would have been undone.

Readings compare as (era, revision), also those that instances send each other (Facts.era). Event 1780 tells of the new era.

go test -race ./internal/facts ./internal/link ./internal/fleet ./internal/events passes.

--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -46,4 +46,5 @@
 	HolderWithoutLease    = register(1746, "holder_without_lease", log.WarnLevel, "A holder that cannot confirm its lease counts the followers that provably follow no other one.")
 	ServersLeaving        = register(1747, "servers_leaving", log.InfoLevel, "The list of servers says that these servers are leaving, or has them no longer.")
 	FactsTooOld           = register(1748, "facts_too_old", log.WarnLevel, "A request found the facts too old to send it to a server; this instance has read the store, or asked the server.")
+	StoreEraBegan         = register(1780, "store_era_began", log.WarnLevel, "The store has come back from an older copy; facts that it has lost stay as they were known until they are written again.")
 )
--- a/internal/facts/reader.go
+++ b/internal/facts/reader.go
@@ -56,7 +56,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if settingsErr == nil {
-		r.registry.UpdateOperatorSettings(settings, began)
+		r.registry.UpdateOperatorSettings(r.registry.KeepKnownDomains(settings, began), began)
 	}
 	if listingErr == nil {
 		r.applyListing(began, listing)
@@ -87,7 +87,7 @@
 	if began.Sub(r.recoveredAt) < relistPeriod {
 		listing.Servers = RetainMissing(r.registry.Snapshot().Servers, listing.Servers)
 	}
-	r.registry.UpdateListing(listing, began)
+	r.registry.UpdateListing(r.registry.KeepKnownServers(listing, began), began)
 }
 
 // logUnreadable logs each entry that has become unreadable since the last reading.
--- a/internal/facts/registry.go
+++ b/internal/facts/registry.go
@@ -25,6 +25,8 @@
 	lastRefused atomic.Pointer[[]byte]
 	// readAt is when the store was last read for this registry, by this instance or by another.
 	readAt atomic.Pointer[time.Time]
+	// eraStart is the latest era of the store of which there are facts, or nil.
+	eraStart atomic.Pointer[eraStart]
 	// crashes remembers the requests that may have crashed servers.
 	crashes *crashes.Memory
 }
@@ -110,6 +112,7 @@
 // An older configuration, or one that cannot be decoded, does not replace the
 // current one. It returns false if the reading is older than the registry's.
 func (r *Registry) UpdateOperatorSettings(settings fleet.OperatorSettings, at time.Time) bool {
+	r.noteEra(settings.Era, at)
 	snapshot := r.Snapshot()
 	config := snapshot.Config
 	if settings.Config != nil && (config == nil || !bytes.Equal(settings.Config, snapshot.OperatorSettings.Config)) {
@@ -129,14 +132,14 @@
 	slices.Sort(settings.DomainsOut)
 	older := false
 	r.update(func(s *Snapshot) *Snapshot {
-		if older = settings.Revision < s.OperatorSettings.Revision; older {
+		if older = settings.Version().Before(s.OperatorSettings.Version()); older {
 			return nil
 		}
 		if s.Config != nil && config != nil && config.Version < s.Config.Version {
 			config, settings.Config = s.Config, s.OperatorSettings.Config
 		}
 		if s.Config == config && slices.Equal(s.OperatorSettings.DomainsOut, settings.DomainsOut) {
-			return s.withSettingsRevision(settings.Revision)
+			return s.withSettingsVersion(settings.Version())
 		}
 		if s.Config != config {
 			r.log.Emit(events.ConfigInForce, "settings_version", config.Version, "routes", config.RouteCount(), "read_ms_ago", time.Since(at).Milliseconds())
@@ -160,15 +163,16 @@
 // UpdateListing applies a listing read at the given time. It returns false if the
 // reading is older than the registry's.
 func (r *Registry) UpdateListing(listing fleet.Listing, at time.Time) bool {
+	r.noteEra(listing.Era, at)
 	older := false
 	var old, next *Snapshot
 	r.update(func(s *Snapshot) *Snapshot {
 		old, next = s, nil
-		if older = listing.Revision < s.ListingRevision; older {
+		if older = listing.Version().Before(s.ListingVersion); older {
 			return nil
 		}
 		if equalServers(s.Servers, listing.Servers, at) {
-			return s.withListingRevision(listing.Revision)
+			return s.withListingVersion(listing.Version())
 		}
 		next = s.withListing(listing, at)
 		return next
@@ -188,7 +192,7 @@
 		}
 	}
 	if len(names) > 0 {
-		r.log.Emit(events.ServersLeaving, "servers", names, "revision", next.ListingRevision, "read_ms_ago", time.Since(at).Milliseconds(), "source", source.String())
+		r.log.Emit(events.ServersLeaving, "servers", names, "revision", next.ListingVersion.Revision, "read_ms_ago", time.Since(at).Milliseconds(), "source", source.String())
 	}
 }
 
--- a/internal/facts/snapshot.go
+++ b/internal/facts/snapshot.go
@@ -7,6 +7,7 @@
 	"peridotmoor.org/peridotmoor/internal/backpressure"
 	"peridotmoor.org/peridotmoor/internal/fleet"
 	"peridotmoor.org/peridotmoor/internal/owners"
+	"peridotmoor.org/peridotmoor/internal/store"
 )
 
 // Snapshot is the facts at one point in time. It is immutable.
@@ -15,9 +16,9 @@
 	// configuration, or nil if there is none yet.
 	OperatorSettings fleet.OperatorSettings
 	Config           *fleet.Config
-	// Servers holds the listed servers as of the store revision ListingRevision.
-	Servers         []fleet.Server
-	ListingRevision uint64
+	// Servers holds the listed servers as of the version ListingVersion of the store.
+	Servers        []fleet.Server
+	ListingVersion store.Version
 	// OwnedRanges holds the ranges of the keyed services, ordered by key.
 	OwnedRanges map[string][]owners.OwnedRange
 	// Epoch is the epoch of the holder that published OwnedRanges.
@@ -36,6 +37,11 @@
 	domainsOut map[string]bool
 }
 
+// Era returns the latest era of the store from which the snapshot has facts.
+func (s *Snapshot) Era() uint64 {
+	return max(s.OperatorSettings.Era, s.ListingVersion.Era)
+}
+
 // Server returns the listed server of that name, or nil.
 func (s *Snapshot) Server(name string) *fleet.Server {
 	return s.byName[name]
@@ -87,24 +93,24 @@
 	return true
 }
 
-// withSettingsRevision returns a snapshot with the same operator settings as of
-// another revision, or nil if they have that revision already.
-func (s *Snapshot) withSettingsRevision(revision uint64) *Snapshot {
-	if revision == s.OperatorSettings.Revision {
+// withSettingsVersion returns a snapshot with the same operator settings as of another
+// version of the store, or nil if they have that version already.
+func (s *Snapshot) withSettingsVersion(version store.Version) *Snapshot {
+	if version == s.OperatorSettings.Version() {
 		return nil
 	}
 	next := *s
-	next.OperatorSettings.Revision = revision
+	next.OperatorSettings.Era, next.OperatorSettings.Revision = version.Era, version.Revision
 	return &next
 }
 
-// withListingRevision is the equivalent of withSettingsRevision for the listing.
-func (s *Snapshot) withListingRevision(revision uint64) *Snapshot {
-	if revision == s.ListingRevision {
+// withListingVersion is the equivalent of withSettingsVersion for the listing.
+func (s *Snapshot) withListingVersion(version store.Version) *Snapshot {
+	if version == s.ListingVersion {
 		return nil
 	}
 	next := *s
-	next.ListingRevision = revision
+	next.ListingVersion = version
 	return &next
 }
 
@@ -135,7 +141,7 @@
 
 func (s *Snapshot) withListing(listing fleet.Listing, at time.Time) *Snapshot {
 	next := *s
-	next.Servers, next.ListingRevision = listing.Servers, listing.Revision
+	next.Servers, next.ListingVersion = listing.Servers, listing.Version()
 	next.ListingSequence++
 	next.byName = make(map[string]*fleet.Server, len(listing.Servers))
 	for i := range listing.Servers {
--- a/internal/fleet/listing.go
+++ b/internal/fleet/listing.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "peridotmoor.org/peridotmoor/internal/store"
+
 // Listing is one reading of the platform's list of backend servers.
 type Listing struct {
 	// Revision is the store revision of the reading, in the given era of the store. Of two
@@ -12,3 +14,8 @@
 	// Unreadable holds the entries that could not be decoded, for the log.
 	Unreadable []UnreadableEntry
 }
+
+// Version returns the version of the store that was read.
+func (l Listing) Version() store.Version {
+	return store.Version{Era: l.Era, Revision: l.Revision}
+}
--- a/internal/fleet/operatorsettings.go
+++ b/internal/fleet/operatorsettings.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "peridotmoor.org/peridotmoor/internal/store"
+
 // OperatorSettings is what the operators have written to the store, from a single reading.
 type OperatorSettings struct {
 	// Era and Revision are those of the reading, as in Listing.
@@ -9,3 +11,8 @@
 	// DomainsOut holds the sorted failure domains whose servers get no new work.
 	DomainsOut []string
 }
+
+// Version returns the version of the store that was read.
+func (s OperatorSettings) Version() store.Version {
+	return store.Version{Era: s.Era, Revision: s.Revision}
+}
--- a/internal/link/convert.go
+++ b/internal/link/convert.go
@@ -112,9 +112,10 @@
 // sent. If base, which may be nil, is the snapshot of which a part was sent, only the
 // changes to that part since base are included.
 func EncodeFacts(snapshot *facts.Snapshot, sent SentSequences, base *facts.Snapshot, now time.Time) *linkpb.Facts {
+	era := snapshot.Era()
 	out := &linkpb.Facts{
-		Epoch:          snapshot.Epoch,
-		OrdersRevision: snapshot.OperatorSettings.Revision, ListingRevision: snapshot.ListingRevision,
+		Epoch: snapshot.Epoch, Era: era,
+		OrdersRevision: encodeRevision(snapshot.OperatorSettings.Version(), era), ListingRevision: encodeRevision(snapshot.ListingVersion, era),
 	}
 	if snapshot.OperatorSettingsSequence != sent.OperatorSettings {
 		out.Orders = &linkpb.Orders{Config: snapshot.OperatorSettings.Config, DomainsOut: snapshot.OperatorSettings.DomainsOut}
--- a/internal/link/factsreceiver.go
+++ b/internal/link/factsreceiver.go
@@ -29,6 +29,9 @@
 	// appliedSettingsSequence and appliedListingSequence are the sequences of the registry
 	// after it accepted the current settings and servers, or notApplied.
 	appliedSettingsSequence, appliedListingSequence atomic.Uint64
+	// keepsKnown is set if the sender may have read what the store has lost without having
+	// known it before.
+	keepsKnown bool
 }
 
 // NewFactsReceiver returns a receiver for the facts of one sender.
@@ -39,6 +42,14 @@
 	return r
 }
 
+// NewReadingReceiver returns a receiver for one reading of the store by a follower. What the
+// store may have lost stays as the registry knows it.
+func NewReadingReceiver(registry *facts.Registry) *FactsReceiver {
+	r := NewFactsReceiver(registry)
+	r.keepsKnown = true
+	return r
+}
+
 // Clock returns the clock of the link over which the facts come.
 func (r *FactsReceiver) Clock() *Clock {
 	return r.clock
@@ -63,13 +74,22 @@
 	}
 	if r.operatorSettings.Config != nil && r.appliedSettingsSequence.Load() != r.registry.Snapshot().OperatorSettingsSequence {
 		operatorSettings := r.operatorSettings
-		operatorSettings.Revision = f.OrdersRevision
+		version := decodeRevision(f.OrdersRevision, f.Era)
+		operatorSettings.Era, operatorSettings.Revision = version.Era, version.Revision
+		if r.keepsKnown {
+			operatorSettings = r.registry.KeepKnownDomains(operatorSettings, readBy)
+		}
 		if r.registry.UpdateOperatorSettings(operatorSettings, readBy) {
 			r.appliedSettingsSequence.Store(r.registry.Snapshot().OperatorSettingsSequence)
 		}
 	}
 	if len(r.servers) > 0 && r.appliedListingSequence.Load() != r.registry.Snapshot().ListingSequence {
-		if r.registry.UpdateListing(fleet.Listing{Revision: f.ListingRevision, Source: fleet.SourceLink, Servers: r.sortedServers()}, readBy) {
+		version := decodeRevision(f.ListingRevision, f.Era)
+		listing := fleet.Listing{Era: version.Era, Revision: version.Revision, Source: fleet.SourceLink, Servers: r.sortedServers()}
+		if r.keepsKnown {
+			listing = r.registry.KeepKnownServers(listing, readBy)
+		}
+		if r.registry.UpdateListing(listing, readBy) {
 			r.appliedListingSequence.Store(r.registry.Snapshot().ListingSequence)
 		}
 	}
