Play a store that comes back from older copies in the soak

The theme "store copies" makes the store unavailable and brings it back from a copy that is some seconds old, in the next era; operators and servers write again 0.5 s later.

--- a/internal/dev/soak/eventkind.go
+++ b/internal/dev/soak/eventkind.go
@@ -28,6 +28,7 @@
 	eventSpoilRecord   eventKind = "spoil record"  // another program writes over the record of owners
 	eventSpoilHolder   eventKind = "spoil holder"  // and over the key of the holder
 	eventSpoilConfig   eventKind = "spoil config"  // and over the configuration, until the operator writes it again
+	eventStoreCopy     eventKind = "store copy"    // the store is down and comes back from a copy that is some seconds old
 	eventStopSeveral   eventKind = "stop several"  // stops of several instances that overlap
 	eventDomainCut     eventKind = "domain cut"    // a failure domain is cut off from the others and the store
 	eventSlow          eventKind = "slow"          // the process runs a third of the time
--- a/internal/dev/soak/faults.go
+++ b/internal/dev/soak/faults.go
@@ -64,6 +64,8 @@
 		f.configure(e)
 	case eventStoreDown, eventStoreSlow, eventStoreLost:
 		f.impairStore(e)
+	case eventStoreCopy:
+		f.restoreStore(e)
 	case eventOddEntries, eventSpoilRecord, eventSpoilHolder, eventSpoilConfig:
 		f.writeOddly(e)
 	case eventDomainCut:
--- a/internal/dev/soak/schedule.go
+++ b/internal/dev/soak/schedule.go
@@ -67,7 +67,7 @@
 			e.length += minFarTime
 		case eventStopSeveral:
 			e.targets = drawSeveral(random, instances)
-		case eventConfigure, eventConfigureTwin, eventStoreDown, eventStoreSlow, eventStoreLost, eventOddEntries, eventSpoilRecord, eventSpoilHolder, eventSpoilConfig:
+		case eventConfigure, eventConfigureTwin, eventStoreDown, eventStoreSlow, eventStoreLost, eventStoreCopy, eventOddEntries, eventSpoilRecord, eventSpoilHolder, eventSpoilConfig:
 		default:
 			e.targets = []int{random.IntN(instances)}
 			if random.IntN(4) == 0 || drawn.atHolder {
--- a/internal/dev/soak/seeds_test.go
+++ b/internal/dev/soak/seeds_test.go
@@ -74,3 +74,13 @@
 func TestTwoOwnersWhileTheDomainOfTheHolderIsCutOff(t *testing.T) {
 	playFor(t, 3*time.Second, 8, "holder cuts", "the holder went on for 15 s with the followers of its own domain")
 }
+
+// Guards against two owners of a key, and a fleet without a holder or with old facts, after the
+// store has come back from an older copy.
+func TestStoreCopySeeds(t *testing.T) {
+	for _, seed := range []uint64{1, 2} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			playShort(t, seed, storeCopyTheme, "the store loses the lease, the key and the record of the holder")
+		})
+	}
+}
--- a/internal/dev/soak/theme.go
+++ b/internal/dev/soak/theme.go
@@ -29,6 +29,9 @@
 // late or not at all.
 const lateFactsTheme = "late facts"
 
+// storeCopyTheme is the name of the theme in which the store comes back from older copies.
+const storeCopyTheme = "store copies"
+
 // namedThemes are mixes that only an option selects, so that seeds without it keep their schedules.
 var namedThemes = []theme{
 	{name: "links", weights: []weightedKind{{eventPeerFault, 6}, {eventStoreCut, 2}, {eventStop, 1}, {eventPause, 1}, {eventKill, 1}}, atHolder: true},
@@ -40,6 +43,7 @@
 		{eventServerDrain, 1}, {eventServerCrash, 1}, {eventConfigure, 1}}},
 	{name: oddEntriesTheme, weights: []weightedKind{{eventOddEntries, 6}, {eventSpoilRecord, 3}, {eventSpoilHolder, 2}, {eventSpoilConfig, 2}, {eventServerDrain, 1}, {eventServerCrash, 1}, {eventStop, 2},
 		{eventKill, 2}, {eventPause, 1}, {eventStoreDown, 1}, {eventStoreCut, 1}, {eventConfigure, 1}}},
+	{name: storeCopyTheme, weights: []weightedKind{{eventStoreCopy, 4}, {eventKill, 2}, {eventStop, 2}, {eventPause, 1}, {eventStoreCut, 2}, {eventPeerFault, 1}, {eventServerDrain, 1}, {eventConfigure, 2}}, atHolder: true},
 }
 
 // themeOf returns the theme with the name.
--- a/internal/store/memstore/copy.go
+++ b/internal/store/memstore/copy.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"strings"
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/store"
@@ -48,3 +49,22 @@
 	}
 	s.notifyWatchers()
 }
+
+// WriteAgain brings the keys with the prefix back to what they are in a copy, as their writers
+// do after the store has lost what they wrote.
+func (s *Store) WriteAgain(c Copy, prefix string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key := range s.entries {
+		if _, kept := c.entries[key]; !kept && strings.HasPrefix(key, prefix) {
+			s.deleteLocked(key)
+		}
+	}
+	for key, r := range c.entries {
+		if strings.HasPrefix(key, prefix) {
+			s.revision++
+			s.entries[key] = record{value: r.value, revision: s.revision}
+		}
+	}
+	s.notifyWatchers()
+}
