Show the era of the store in the metrics

Adds peridotmoor_store_era and the number of answers of an earlier era. go test ./internal/entrynode -run 'Metrics|Holder|Collector|Observ': all pass but TestHolderStaysWhileAllInstancesStop, which failed once beside two other test runs (a request got 503).

--- a/internal/entrynode/holdercollector_test.go
+++ b/internal/entrynode/holdercollector_test.go
@@ -17,7 +17,7 @@
 	is := is.New(t)
 	var status holder.Status
 	none := func() float64 { return 0 }
-	m := newMetrics(none, none, func() holder.Status { return status })
+	m := newMetrics(none, none, none, none, func() holder.Status { return status })
 	m.orderWritten(300 * time.Millisecond)
 	scrape := func() string {
 		response := httptest.NewRecorder()
--- a/internal/entrynode/metrics.go
+++ b/internal/entrynode/metrics.go
@@ -31,7 +31,7 @@
 }
 
 // newMetrics registers the metrics. The functions are called at each scrape.
-func newMetrics(countStoreCalls, countConnections func() float64, holderStatus func() holder.Status) *metrics {
+func newMetrics(countStoreCalls, storeEra, countEarlierAnswers, countConnections func() float64, holderStatus func() holder.Status) *metrics {
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
 		callDuration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -54,6 +54,12 @@
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: "peridotmoor", Name: "store_calls_total", Help: "Calls to the platform's store.",
 		}, countStoreCalls),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: "peridotmoor", Name: "store_era", Help: "Highest era of the platform's store seen; it rises when the store comes back from a copy.",
+		}, storeEra),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: "peridotmoor", Name: "store_earlier_era_answers_total", Help: "Answers of the platform's store that were of an earlier era and therefore not used.",
+		}, countEarlierAnswers),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: "peridotmoor", Name: "caller_connections", Help: "Open connections of callers.",
 		}, countConnections))
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -49,6 +49,8 @@
 	n.backends.OnSignal = schedulerClient.ObserveSignal
 	n.metrics = newMetrics(
 		func() float64 { return float64(store.Calls()) },
+		func() float64 { return float64(store.Era()) },
+		func() float64 { return float64(store.EarlierAnswers()) },
 		func() float64 { return float64(n.callerServer.OpenConnections()) },
 		func() holder.Status { return n.elector.Status(time.Now()) })
 	n.elector = holder.NewElector(holder.Options{
