Confirm the age of facts only if none was rejected for its era

A message of a sender that tells no era, or whose listing or settings are of an era before, was rejected in part, but still made the facts count as new as its reading. A request could then be sent by facts older than 1.8 s. Such a message confirms nothing now. Also removes an unused field of a test.

go test -race ./internal/link ./internal/facts passes.

--- a/internal/holder/historyinstance_test.go
+++ b/internal/holder/historyinstance_test.go
@@ -54,8 +54,6 @@
 	identity  Identity
 	replaced  predecessor
 	startedAt time.Time
-	// replacedKey is the key that it replaces, or nil.
-	replacedKey *historyKey
 	// key is set once the instance is elected, at electedAt. Its lease is of the era replaced.era.
 	key       *historyKey
 	electedAt time.Time
--- a/internal/link/era_test.go
+++ b/internal/link/era_test.go
@@ -8,6 +8,7 @@
 
 	"peridotmoor.org/peridotmoor/internal/facts"
 	"peridotmoor.org/peridotmoor/internal/fleet"
+	"peridotmoor.org/peridotmoor/internal/link/linkpb"
 	"peridotmoor.org/peridotmoor/internal/store"
 )
 
@@ -34,3 +35,31 @@
 	is.Equal(receiver.Snapshot().OperatorSettings.DomainsOut, []string{"old"})
 	is.Equal(receiver.Snapshot().OperatorSettings.Version(), store.Version{Era: 2, Revision: 8})
 }
+
+// Guards against facts that count as newly read although the registry has rejected the newer
+// ones: of a sender that tells no era, or with a part of an era before.
+func TestRejectedFactsConfirmNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name     string
+		message  *linkpb.Facts
+		confirms bool
+	}{
+		{"no era", &linkpb.Facts{OrdersRevision: 990, ListingRevision: 990}, false},
+		{"listing of an era before", &linkpb.Facts{Era: 2, OrdersRevision: 5}, false},
+		{"settings of an era before", &linkpb.Facts{Era: 2, ListingRevision: 5}, false},
+		{"same era", &linkpb.Facts{Era: 1, OrdersRevision: 990, ListingRevision: 990}, true},
+		{"later era", &linkpb.Facts{Era: 2, OrdersRevision: 5, ListingRevision: 5}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			registry := facts.NewRegistry(nil, nil)
+			registry.UpdateListing(fleet.Listing{Era: 1, Revision: 950, Servers: listed(0, "a").Servers}, now)
+			registry.ConfirmRead(now)
+			NewFactsReceiver(registry).Apply(c.message, now.Add(time.Second), now.Add(time.Second))
+			age, known := registry.Age(now.Add(time.Second))
+			is.True(known)
+			is.Equal(age == 0, c.confirms)
+		})
+	}
+}
--- a/internal/link/factsreceiver.go
+++ b/internal/link/factsreceiver.go
@@ -93,7 +93,7 @@
 			r.appliedListingSequence.Store(r.registry.Snapshot().ListingSequence)
 		}
 	}
-	if !readAt.IsZero() {
+	if !readAt.IsZero() && confirms(f, r.registry.Snapshot().Era()) {
 		r.registry.ConfirmRead(readAt)
 	}
 }
--- a/internal/link/revision.go
+++ b/internal/link/revision.go
@@ -1,6 +1,9 @@
 package link
 
-import "peridotmoor.org/peridotmoor/internal/store"
+import (
+	"peridotmoor.org/peridotmoor/internal/link/linkpb"
+	"peridotmoor.org/peridotmoor/internal/store"
+)
 
 // encodeRevision converts the version of a part of the facts, of which the latest part is of
 // the given era. A message has one era, so that a part of an earlier one has no revision.
@@ -19,3 +22,10 @@
 	}
 	return store.Version{Era: era, Revision: revision}
 }
+
+// confirms reports whether a message shows that a registry with facts of the given era is as
+// new as the reading that the message is from. In a later era the registry may have rejected
+// newer facts: those of a part without a revision, and those of a sender that tells no era.
+func confirms(f *linkpb.Facts, era uint64) bool {
+	return f.Era >= era && (f.Era == 0 || f.OrdersRevision > 0 && f.ListingRevision > 0)
+}
