--- a/internal/entrynode/holdercollector_test.go
+++ b/internal/entrynode/holdercollector_test.go
@@ -18,7 +18,7 @@
 	is := is.New(t)
 	var status holder.Status
 	none := func() float64 { return 0 }
-	m := newMetrics(none, none, func() holder.Status { return status }, membudget.Default())
+	m := newMetrics(none, none, none, none, func() holder.Status { return status }, membudget.Default())
 	m.orderWritten(300 * time.Millisecond)
 	scrape := func() string {
 		response := httptest.NewRecorder()
--- a/internal/entrynode/metrics_test.go
+++ b/internal/entrynode/metrics_test.go
@@ -15,7 +15,7 @@
 func TestTeamLabelsAreBounded(t *testing.T) {
 	is := is.New(t)
 	zero := func() float64 { return 0 }
-	m := newMetrics(zero, zero, func() holder.Status { return holder.Status{} }, membudget.Default())
+	m := newMetrics(zero, zero, zero, zero, func() holder.Status { return holder.Status{} }, membudget.Default())
 	for range 2 {
 		for n := range 500 {
 			m.CapRefused(fmt.Sprint("team", n))
--- a/internal/entrynode/shortagecollector_test.go
+++ b/internal/entrynode/shortagecollector_test.go
@@ -16,7 +16,7 @@
 func TestMetricsShowShortages(t *testing.T) {
 	is := is.New(t)
 	none := func() float64 { return 0 }
-	m := newMetrics(none, none, func() holder.Status {
+	m := newMetrics(none, none, none, none, func() holder.Status {
 		return holder.Status{Acting: true, Shortages: map[string]placing.Shortage{"listings": {Refused: 9, Overtaken: 4, Places: 3, Returned: 5, PlacesTaken: 2}}}
 	}, membudget.Default())
 	response := httptest.NewRecorder()
--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -52,4 +52,8 @@
 	CallUnauthorized = register(1751, "call_unauthorized", log.WarnLevel, "A request was refused because its caller has not shown the key of a team.")
 	TeamCapRefused   = register(1760, "team_cap_refused", log.InfoLevel, "Requests of a team were refused because its usage cap is used up.")
 	TeamCapsChanged  = register(1761, "team_caps_changed", log.InfoLevel, "The holder keeps the usage caps of teams as a new configuration has them.")
+	StoreEraBegan    = register(1780, "store_era_began", log.WarnLevel, "The store has come back from an older copy; facts that it has lost stay as they were known until they are written again.")
+	HolderEnteredEra = register(1781, "holder_entered_era", log.InfoLevel, "The holder goes on in a later era of the store: it has its key there, and no other holder can have granted keys.")
+	LeaseOfOtherEra  = register(1782, "lease_of_other_era", log.WarnLevel, "The store has come back from an older copy, and another holder may have been elected; the tenure ends.")
+	OwnerRecordOlder = register(1783, "record_older", log.WarnLevel, "The store has lost the record of the key owners; the new holder grants no keys until the grants of earlier holders have expired.")
 )
