Send an instance that joins only the facts that differ

After the start and after the loss of a holder all instances join the next one at the same moment, and each was sent all servers, owners and settings: 66 to 72 MB at 298 instances and 3,006 servers.

An instance now tells digests of what it has with its first message: of the settings, of buckets of about 8 servers and of segments of the keys. The holder sends the buckets and segments that differ. Digests replace a history by revisions, which loses a server that changed and changed back between two readings, and does not tell apart listings of one revision with and without retained entries. Messages without the new fields mean the whole facts, as before. A new holder publishes owners 1 s after its election if it knows some, as all of them counted as moving before that.

--- a/internal/holder/elector.go
+++ b/internal/holder/elector.go
@@ -62,9 +62,9 @@
 	}
 }
 
-// member describes this instance to the holder that it joins.
-func (e *Elector) member() link.Member {
-	return link.Member{Instance: e.self.String(), HolderChanges: e.holderChanges, Domain: e.self.Domain, Address: e.self.Address, ProcessorShare: e.processorShare, Stopping: e.plannedStop.isStopping(), Ending: e.plannedStop.isEnding()}
+// member describes this instance to the holder that it joins, and what it knows of the facts.
+func (e *Elector) member(known *linkpb.Known) link.Member {
+	return link.Member{Known: known, Instance: e.self.String(), HolderChanges: e.holderChanges, Domain: e.self.Domain, Address: e.self.Address, ProcessorShare: e.processorShare, Stopping: e.plannedStop.isStopping(), Ending: e.plannedStop.isEnding()}
 }
 
 // changeTenure counts a change of holder if this process last had or tried to join another
--- a/internal/holder/fleetplay_test.go
+++ b/internal/holder/fleetplay_test.go
@@ -27,7 +27,6 @@
 	revision  uint64
 	version   int
 	store     *memstore.Store
-	record    owners.Record
 	tenures   int
 	// current is the tenure that the instances follow.
 	current *playTenure
@@ -149,7 +148,7 @@
 
 // sameServers reports whether the snapshot lists exactly the servers of the play.
 func (p *fleetPlay) sameServers(s *facts.Snapshot) bool {
-	return s.Config != nil && slices.Equal(s.Servers, p.servers)
+	return s.Config != nil && s.ListingRevision >= p.revision && slices.Equal(s.Servers, p.servers)
 }
 
 // load makes all instances together send the given number of attempts a second until ctx is done.
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -34,7 +34,7 @@
 	for range maxRejectedJoins {
 		receiver, onDown := e.client.NewReceiver()
 		var accepted atomic.Bool // a holder sends the facts to each instance that joins
-		conn, err := link.Dial(ctx, holder.Address, e.member(), receiver.Clock(), func(down *linkpb.Down) {
+		conn, err := link.Dial(ctx, holder.Address, e.member(receiver.Known()), receiver.Clock(), func(down *linkpb.Down) {
 			accepted.Store(true)
 			e.rememberPeers(down)
 			onDown(down)
--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -49,7 +49,7 @@
 	return false
 }
 
-// Join adds a follower and sends it all facts. It returns false when the tenure has ended.
+// Join adds a follower and sends it the facts that it does not have. It returns false when the tenure has ended.
 func (c *Coordinator) Join(f *link.Follower) bool {
 	return c.enqueue(func() {
 		c.followers[f] = true
@@ -58,7 +58,8 @@
 		c.byName[f.Instance] = f
 		snapshot, readAt := c.registry.ReadSnapshot()
 		now := time.Now()
-		f.Send(&linkpb.Down{Facts: []*linkpb.Facts{c.encodeFacts(snapshot, f.Sent, now)}, ReadUs: f.EncodeTime(readAt), Losses: link.EncodeLosses(c.registry.Crashes().Announced(now), now)})
+		message := c.encodeJoin(snapshot, f.Known, now)
+		f.Send(&linkpb.Down{Facts: []*linkpb.Facts{message}, ReadUs: f.EncodeTime(readAt), Losses: link.EncodeLosses(c.registry.Crashes().Announced(now), now)})
 		f.Sent = sequencesOf(snapshot)
 	})
 }
--- a/internal/holder/historymodel_test.go
+++ b/internal/holder/historymodel_test.go
@@ -276,7 +276,7 @@
 	h.Coordinator.suspension = suspension{}
 	h.confirmElection(c.startedAt, m.now)
 	i.elector.changeTenure(c.identity)
-	own := &link.Follower{Member: i.elector.member()}
+	own := &link.Follower{Member: i.elector.member(nil)}
 	h.followers[own] = true
 	own.JoinedAt = h.stays.join(own, m.now)
 	c.key.tenure = h
@@ -289,7 +289,7 @@
 	if h.ended || h.host.frozen || !m.reach(i.domain, h.host.domain) {
 		return
 	}
-	f := &link.Follower{Member: i.elector.member()}
+	f := &link.Follower{Member: i.elector.member(nil)}
 	f.JoinedAt = h.stays.join(f, m.now)
 	h.followers[f] = true
 	if m.reach(h.host.domain, i.domain) && !m.oneOf(10, "join unanswered") {
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -158,7 +158,7 @@
 		c.run()
 	}()
 	receiver, onDown := e.client.NewReceiver()
-	if local := link.JoinLocal(e, e.member(), receiver.Clock(), onDown); local != nil {
+	if local := link.JoinLocal(e, e.member(receiver.Known()), receiver.Clock(), onDown); local != nil {
 		e.client.Attach(local)
 		defer local.Close()
 		defer e.plannedStop.announce(local)()
--- a/internal/holder/newcoordinator.go
+++ b/internal/holder/newcoordinator.go
@@ -41,6 +41,11 @@
 		processorShare:    e.processorShare,
 	}
 	records.leaseConfirmedAt = c.lastLeaseConfirmation
+	if len(e.registry.Snapshot().OwnedRanges) > 0 {
+		// Most owners remain. Published at once, all ranges would count as moving until
+		// their owners have confirmed the grants of this holder.
+		c.publishedAt = c.startedAt
+	}
 	c.yieldAllowedAt = time.Now().Add(yieldDelay)
 	if found.Yielded {
 		c.yieldAllowedAt = time.Now().Add(yieldCooldown)
--- a/internal/holder/playinstance_test.go
+++ b/internal/holder/playinstance_test.go
@@ -35,7 +35,7 @@
 
 func (i *playInstance) join(t testing.TB, address string) {
 	receiver := link.NewFactsReceiver(i.registry)
-	conn, err := link.Dial(context.Background(), address, link.Member{Instance: i.name, Domain: i.domain, ProcessorShare: 0.3}, receiver.Clock(), func(down *linkpb.Down) {
+	conn, err := link.Dial(context.Background(), address, link.Member{Instance: i.name, Domain: i.domain, ProcessorShare: 0.3, Known: receiver.Known()}, receiver.Clock(), func(down *linkpb.Down) {
 		i.count(down)
 		for _, f := range down.Facts {
 			receiver.Apply(f, receiver.DecodeTime(down.ReadUs), time.Now())
--- a/internal/holder/publish.go
+++ b/internal/holder/publish.go
@@ -57,6 +57,15 @@
 	return link.SentSequences{OperatorSettings: snapshot.OperatorSettingsSequence, Listing: snapshot.ListingSequence, OwnedRanges: snapshot.OwnedRangesSequence, Backpressure: snapshot.BackpressureSequence}
 }
 
+// encodeJoin returns the message that brings a follower up to date that has told what it
+// knows, or nil.
+func (c *Coordinator) encodeJoin(snapshot *facts.Snapshot, known *linkpb.Known, now time.Time) *linkpb.Facts {
+	message := link.EncodeResumed(snapshot, known, now)
+	message.Instances = int32(len(c.followers))
+	message.Strongest = c.maxCandidateShare()
+	return message
+}
+
 // encodeFacts returns the message that brings a follower up to date that has
 // received the given parts.
 func (c *Coordinator) encodeFacts(snapshot *facts.Snapshot, sent link.SentSequences, now time.Time) *linkpb.Facts {
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -32,7 +32,7 @@
 	c := &Client{conn: drpcconn.New(raw), clock: clock, outbox: make(chan *linkpb.Up, outboxSize), done: make(chan struct{})}
 	stream, err := linkpb.NewDRPCLinkClient(c.conn).Follow(context.Background())
 	if err == nil {
-		err = stream.Send(&linkpb.Up{Instance: member.Instance, Domain: member.Domain, Address: member.Address, Processor: member.ProcessorShare, HolderChanges: member.HolderChanges, Stopping: member.Stopping, Ending: member.Ending, SentUs: clock.stamp()})
+		err = stream.Send(&linkpb.Up{Instance: member.Instance, Domain: member.Domain, Address: member.Address, Processor: member.ProcessorShare, HolderChanges: member.HolderChanges, Stopping: member.Stopping, Ending: member.Ending, Known: member.Known, SentUs: clock.stamp()})
 	}
 	if err != nil {
 		c.Close()
--- a/internal/link/convert.go
+++ b/internal/link/convert.go
@@ -226,7 +226,7 @@
 
 func decodeOwnership(o *linkpb.Ownership) map[string][]owners.OwnedRange {
 	out := map[string][]owners.OwnedRange{}
-	for _, r := range o.Ranges {
+	for _, r := range o.GetRanges() {
 		out[r.Service] = append(out[r.Service], owners.OwnedRange{
 			Interval: owners.Interval{From: int(r.From), To: int(r.To)}, Owner: r.Owner, Held: r.Held,
 		})
--- a/internal/link/factsreceiver.go
+++ b/internal/link/factsreceiver.go
@@ -26,6 +26,8 @@
 	operatorSettings fleet.OperatorSettings
 	servers          map[string]fleet.Server
 	ownedRanges      map[string][]owners.OwnedRange
+	// seed is what the sender was told that this instance knows, or nil.
+	seed *seed
 	// appliedSettingsSequence and appliedListingSequence are the sequences of the registry
 	// after it accepted the current settings and servers, or notApplied.
 	appliedSettingsSequence, appliedListingSequence atomic.Uint64
@@ -39,6 +41,14 @@
 	return r
 }
 
+// Known returns what the sender is to be told that this instance knows, so that it sends only
+// what differs. It must be called before Apply.
+func (r *FactsReceiver) Known() *linkpb.Known {
+	snapshot := r.registry.Snapshot()
+	r.seed = &seed{snapshot, EncodeKnown(snapshot)}
+	return r.seed.known
+}
+
 // Clock returns the clock of the link over which the facts come.
 func (r *FactsReceiver) Clock() *Clock {
 	return r.clock
@@ -54,7 +64,7 @@
 func (r *FactsReceiver) Apply(f *linkpb.Facts, readAt, now time.Time) {
 	r.merge(f, now)
 	MergeBackpressure(r.registry, f.Backpressure, now)
-	if f.Ownership != nil {
+	if f.Ownership != nil || f.Resumed.GetOwners() {
 		r.registry.UpdateOwners(r.ownedRanges, f.Epoch)
 	}
 	readBy := readAt
@@ -88,6 +98,9 @@
 
 // merge applies the changes in a message to the facts received before.
 func (r *FactsReceiver) merge(f *linkpb.Facts, now time.Time) {
+	if f.Resumed != nil && r.seed != nil {
+		r.resume(f)
+	}
 	if f.Orders != nil {
 		r.operatorSettings = fleet.OperatorSettings{Config: f.Orders.Config, DomainsOut: f.Orders.DomainsOut}
 		r.appliedSettingsSequence.Store(notApplied)
@@ -104,7 +117,7 @@
 		}
 		r.appliedListingSequence.Store(notApplied)
 	}
-	if o := f.Ownership; o != nil {
+	if o := f.Ownership; o != nil && !f.Resumed.GetOwners() {
 		received := decodeOwnership(o)
 		if !o.Changes {
 			r.ownedRanges = received
@@ -123,6 +136,24 @@
 	}
 }
 
+// resume continues from what this instance knew when it joined, as far as that is what the
+// sender knows too.
+func (r *FactsReceiver) resume(f *linkpb.Facts) {
+	if f.Resumed.Orders {
+		r.operatorSettings = r.seed.snapshot.OperatorSettings
+	}
+	if f.Resumed.Listing && len(r.seed.known.Listing) > 0 {
+		r.servers = r.seed.servers(f.Resumed.ListingBuckets)
+	}
+	if f.Resumed.Owners && len(r.seed.known.Owners) > 0 {
+		r.ownedRanges = r.seed.ownedRanges(f.Resumed.OwnerSegments, decodeOwnership(f.Ownership))
+	}
+	if f.Resumed.Orders || f.Resumed.Listing {
+		r.appliedSettingsSequence.Store(notApplied)
+		r.appliedListingSequence.Store(notApplied)
+	}
+}
+
 // sortedServers returns the servers in the order of their names, as the store lists them.
 func (r *FactsReceiver) sortedServers() []fleet.Server {
 	out := make([]fleet.Server, 0, len(r.servers))
--- a/internal/link/member.go
+++ b/internal/link/member.go
@@ -1,6 +1,10 @@
 package link
 
-import "strings"
+import (
+	"strings"
+
+	"peridotmoor.org/peridotmoor/internal/link/linkpb"
+)
 
 // Member describes an instance to the holder that it joins.
 type Member struct {
@@ -16,6 +20,8 @@
 	// Stopping is set once the planned stop of the instance has begun, and Ending once it
 	// ends so soon that it does not become the holder.
 	Stopping, Ending bool
+	// Known describes the facts that the instance has, or is nil.
+	Known *linkpb.Known
 }
 
 // Name returns the name of the instance, which a restart does not change.
--- /dev/null
+++ b/internal/link/seed.go
@@ -0,0 +1,52 @@
+package link
+
+import (
+	"slices"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/facts"
+	"peridotmoor.org/peridotmoor/internal/fleet"
+	"peridotmoor.org/peridotmoor/internal/link/linkpb"
+	"peridotmoor.org/peridotmoor/internal/owners"
+)
+
+// seed is the facts that an instance had when it told the holder what it knows. The holder
+// continues from them.
+type seed struct {
+	snapshot *facts.Snapshot
+	known    *linkpb.Known
+}
+
+// servers returns the servers apart from those of the given buckets. None is cold: the holder
+// sends all cold servers.
+func (s *seed) servers(buckets []uint32) map[string]fleet.Server {
+	out := make(map[string]fleet.Server, len(s.snapshot.Servers))
+	for _, server := range s.snapshot.Servers {
+		if !slices.Contains(buckets, uint32(facts.ListingBucket(server.Name, len(s.known.Listing)))) {
+			server.ColdUntil = time.Time{}
+			out[server.Name] = server
+		}
+	}
+	return out
+}
+
+// ownedRanges returns the ranges apart from those of the given segments, together with the
+// ranges received for these.
+func (s *seed) ownedRanges(segments []uint32, received map[string][]owners.OwnedRange) map[string][]owners.OwnedRange {
+	out := map[string][]owners.OwnedRange{}
+	for service, ranges := range s.snapshot.OwnedRanges {
+		for _, r := range facts.SplitRanges(ranges, len(s.known.Owners)) {
+			if !slices.Contains(segments, uint32(facts.OwnersSegment(r, len(s.known.Owners)))) {
+				out[service] = append(out[service], r)
+			}
+		}
+	}
+	for service, ranges := range received {
+		out[service] = append(out[service], ranges...)
+	}
+	for service, ranges := range out {
+		slices.SortFunc(ranges, func(a, b owners.OwnedRange) int { return a.From - b.From })
+		out[service] = facts.MergeRanges(ranges)
+	}
+	return out
+}
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -58,7 +58,7 @@
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	f := &Follower{
-		Member: Member{Instance: first.Instance, Domain: first.Domain, Address: first.Address, ProcessorShare: first.Processor, HolderChanges: first.HolderChanges, Stopping: first.Stopping, Ending: first.Ending},
+		Member: Member{Instance: first.Instance, Domain: first.Domain, Address: first.Address, ProcessorShare: first.Processor, HolderChanges: first.HolderChanges, Stopping: first.Stopping, Ending: first.Ending, Known: first.Known},
 		clock:  clock,
 		send: func(d *linkpb.Down) bool {
 			select {
