Digest the holder's facts once for several instances that join

Each join of an instance encoded the whole listing before it dropped what the instance knows, and digested the listing anew.

In the play of a large fleet an instance whose link has ended joins again, as instances do.

--- a/internal/holder/playinstance_test.go
+++ b/internal/holder/playinstance_test.go
@@ -48,6 +48,16 @@
 	i.conn.Store(conn)
 }
 
+// ended reports whether the link of the instance has ended.
+func (i *playInstance) ended() bool {
+	select {
+	case <-i.conn.Load().Done():
+		return true
+	default:
+		return false
+	}
+}
+
 // count adds the encoded sizes of the parts of a message.
 func (i *playInstance) count(down *linkpb.Down) {
 	i.mu.Lock()
--- a/internal/holder/publish.go
+++ b/internal/holder/publish.go
@@ -60,7 +60,7 @@
 // encodeJoin returns the message that brings a follower up to date that has told what it
 // knows, or nil.
 func (c *Coordinator) encodeJoin(snapshot *facts.Snapshot, known *linkpb.Known, now time.Time) *linkpb.Facts {
-	message := link.EncodeResumed(snapshot, known, now)
+	message := link.NewResumption(snapshot).Encode(known, now)
 	message.Instances = int32(len(c.followers))
 	message.Strongest = c.maxCandidateShare()
 	return message
