Tell a slow follower one later state, encoded once for a group

A follower that read slowly got each change and heartbeat as a message of its own until its queue of 512 was full; then its link was closed and it joined anew, with the whole listing. The messages of a heartbeat were the same for nearly all followers and encoded once for each.

A link now has at most one message of facts that is not sent. A later state replaces it, computed from what the follower has been told before. Followers that have been told the same share the encoded bytes. Decisions that find the queue full are merged; the link is closed only if nothing is heard from the instance for 3 s either. What is told before a decision still arrives before it. Losses are no longer appended to a slice that several links share.

go test -race of link, holder and gateway passes.

--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -106,8 +106,6 @@
 	epoch            int64
 	snapshot         *facts.Snapshot
 	publishedVersion uint64
-	// sentSnapshot is the snapshot last sent to followers.
-	sentSnapshot *facts.Snapshot
 	// publishedAt is when the owners were last published.
 	publishedAt time.Time
 	storing     bool
--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -59,8 +59,10 @@
 		snapshot, readAt := c.registry.ReadSnapshot()
 		now := time.Now()
 		message := c.encodeJoin(snapshot, f.Known, now)
-		f.Send(&linkpb.Down{Facts: []*linkpb.Facts{message}, ReadUs: f.EncodeTime(readAt), Losses: link.EncodeLosses(c.registry.Crashes().Announced(now), now)})
-		f.Sent = sequencesOf(snapshot)
+		f.Tell(link.NewSharedFacts(message), f.EncodeTime(readAt), link.Told{Base: snapshot, Sent: sequencesOf(snapshot)})
+		if losses := link.EncodeLosses(c.registry.Crashes().Announced(now), now); len(losses) > 0 {
+			f.Send(&linkpb.Down{Losses: losses})
+		}
 	})
 }
 
--- a/internal/holder/publish.go
+++ b/internal/holder/publish.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"slices"
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/facts"
@@ -27,18 +28,23 @@
 		c.announceLosses(now)
 	}
 	snapshot, readAt := c.registry.ReadSnapshot()
-	encoded := map[link.SentSequences]*linkpb.Facts{} // most followers have received the same parts
+	sequences := sequencesOf(snapshot)
+	encoded := map[link.Told]*link.SharedFacts{} // most followers have been told the same
 	for f := range c.followers {
-		if !heartbeatDue && f.Sent == sequencesOf(snapshot) {
+		if heartbeatDue {
+			f.Flush()
+		} else if f.IsTold(sequences) {
 			continue
 		}
-		if encoded[f.Sent] == nil {
-			encoded[f.Sent] = c.encodeFacts(snapshot, f.Sent, now)
+		told, ok := f.Told()
+		if !ok {
+			continue
+		}
+		if encoded[told] == nil {
+			encoded[told] = link.NewSharedFacts(c.encodeFacts(snapshot, told, now))
 		}
-		f.Send(&linkpb.Down{Facts: []*linkpb.Facts{encoded[f.Sent]}, ReadUs: f.EncodeTime(readAt)})
-		f.Sent = sequencesOf(snapshot)
+		f.Tell(encoded[told], f.EncodeTime(readAt), link.Told{Base: snapshot, Sent: sequences})
 	}
-	c.sentSnapshot = snapshot
 }
 
 // announceLosses tells the followers of the requests that are refused, so that any of them
@@ -49,7 +55,7 @@
 		return
 	}
 	for f := range c.followers {
-		f.Send(&linkpb.Down{Losses: losses})
+		f.Send(&linkpb.Down{Losses: slices.Clip(losses)}) // links append to it when they merge messages
 	}
 }
 
@@ -66,10 +72,10 @@
 	return message
 }
 
-// encodeFacts returns the message that brings a follower up to date that has
-// received the given parts.
-func (c *Coordinator) encodeFacts(snapshot *facts.Snapshot, sent link.SentSequences, now time.Time) *linkpb.Facts {
-	message := link.EncodeFacts(snapshot, sent, c.sentSnapshot, now)
+// encodeFacts returns the message that brings a follower up to date that has been told the
+// given facts.
+func (c *Coordinator) encodeFacts(snapshot *facts.Snapshot, told link.Told, now time.Time) *linkpb.Facts {
+	message := link.EncodeFacts(snapshot, told.Sent, told.Base, now)
 	message.Instances = int32(len(c.followers))
 	message.Strongest = c.maxCandidateShare()
 	return message
--- a/internal/link/constants.go
+++ b/internal/link/constants.go
@@ -3,9 +3,14 @@
 import "time"
 
 const (
-	// outboxSize bounds the messages waiting for a slow peer. The link to a follower is
-	// closed when this is exceeded.
+	// outboxSize bounds the messages waiting for a slow peer. Further ones for a follower are
+	// merged into one.
 	outboxSize = 512
+	// maxOverflow bounds the decisions in that one: more than an instance gets in 10 s.
+	maxOverflow = 4096
+	// maxFollowerSilence is how long a follower that does not read may send nothing before its
+	// link is closed. It sends a message each second.
+	maxFollowerSilence = 3 * stampInterval
 	// dialTimeout bounds connecting to another instance. It allows for several round trips.
 	dialTimeout = 400 * time.Millisecond
 	// questionTimeout bounds a question for the holder, from the connection to the answer.
--- a/internal/link/local.go
+++ b/internal/link/local.go
@@ -22,7 +22,8 @@
 func JoinLocal(handler Handler, member Member, clock *Clock, onDown func(*linkpb.Down)) *Local {
 	clock.share()
 	l := &Local{handler: handler, done: make(chan struct{}), queue: make(chan *linkpb.Down, outboxSize)}
-	l.follower = &Follower{Member: member, clock: clock, send: l.enqueue, disconnect: l.closeDone}
+	l.follower = &Follower{Member: member, clock: clock, wake: make(chan struct{}, 1), send: l.enqueue, disconnect: l.closeDone}
+	l.follower.heard(time.Now())
 	if !handler.Join(l.follower) {
 		return nil
 	}
@@ -43,10 +44,23 @@
 
 func (l *Local) receive(onDown func(*linkpb.Down)) {
 	for {
+		var d *linkpb.Down
 		select {
 		case <-l.done:
 			return
-		case d := <-l.queue:
+		case d = <-l.queue:
+		case <-l.follower.wake:
+		}
+		own := d != nil
+		if !own {
+			d = &linkpb.Down{}
+		}
+		// Facts that were told before a message of the queue go with it at the latest.
+		shared := l.follower.takeFacts(d)
+		if shared != nil {
+			d.Facts = append(d.Facts, shared.facts)
+		}
+		if own || shared != nil {
 			onDown(d)
 		}
 	}
@@ -57,6 +71,7 @@
 	if l.closed.Load() {
 		return false
 	}
+	l.follower.heard(time.Now())
 	l.handler.Receive(l.follower, up)
 	return true
 }
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -60,6 +61,7 @@
 	f := &Follower{
 		Member: Member{Instance: first.Instance, Domain: first.Domain, Address: first.Address, ProcessorShare: first.Processor, HolderChanges: first.HolderChanges, Stopping: first.Stopping, Ending: first.Ending, Known: first.Known},
 		clock:  clock,
+		wake:   make(chan struct{}, 1),
 		send: func(d *linkpb.Down) bool {
 			select {
 			case outbox <- d:
@@ -73,21 +75,30 @@
 			_ = stream.Close() // the link is not used again
 		},
 	}
+	f.heard(time.Now())
 	if !s.handler.Join(f) {
 		return errNotHolder
 	}
 	defer s.handler.Leave(f)
 	go s.receive(stream, f, cancel)
 	for {
+		var d *linkpb.Down
 		select {
 		case <-ctx.Done():
 			return nil
-		case d := <-outbox:
-			d = merge(d, outbox)
-			d.SentUs = clock.stamp()
-			if err := stream.Send(d); err != nil {
-				return errors.Wrap(err, "send a message to a follower")
-			}
+		case d = <-outbox:
+		case <-f.wake:
+			d = &linkpb.Down{}
+		}
+		d = merge(d, outbox)
+		// Facts that were told before a message of the outbox go with it at the latest.
+		out := &outgoing{down: d, shared: f.takeFacts(d)}
+		if out.shared == nil && proto.Size(d) == 0 {
+			continue // the facts went with an earlier message
+		}
+		d.SentUs = clock.stamp()
+		if err := stream.MsgSend(out, outgoingEncoding{}); err != nil {
+			return errors.Wrap(err, "send a message to a follower")
 		}
 	}
 }
@@ -99,7 +110,9 @@
 		if err != nil {
 			return
 		}
-		f.clock.observe(up.SentUs, time.Now())
+		now := time.Now()
+		f.heard(now)
+		f.clock.observe(up.SentUs, now)
 		s.handler.Receive(f, up)
 	}
 }
@@ -109,19 +122,24 @@
 	for {
 		select {
 		case more := <-outbox:
-			d.Verdicts = append(d.Verdicts, more.Verdicts...)
-			d.Waiting = append(d.Waiting, more.Waiting...)
-			d.Facts = append(d.Facts, more.Facts...)
-			d.Losses = append(d.Losses, more.Losses...)
-			if len(more.Facts) > 0 {
-				d.ReadUs = more.ReadUs
-			}
-			d.Proof = max(d.Proof, more.Proof)
-			if len(more.Peers) > 0 {
-				d.Peers = more.Peers
-			}
+			mergeDown(d, more)
 		default:
 			return d
 		}
 	}
 }
+
+// mergeDown adds a later message to d.
+func mergeDown(d, more *linkpb.Down) {
+	d.Verdicts = append(d.Verdicts, more.Verdicts...)
+	d.Waiting = append(d.Waiting, more.Waiting...)
+	d.Facts = append(d.Facts, more.Facts...)
+	d.Losses = append(d.Losses, more.Losses...)
+	if len(more.Facts) > 0 {
+		d.ReadUs = more.ReadUs
+	}
+	d.Proof = max(d.Proof, more.Proof)
+	if len(more.Peers) > 0 {
+		d.Peers = more.Peers
+	}
+}
