Make decisions and ticks cheaper with many servers

Each attempt for a service that is not divided by key went over a map of its servers and made all checks for each. Results of renewals were followed up at once, with a tick of all servers.

A tick now examines the queue of a service once and passes over idle servers. Servers are kept in a list; the estimate, which rules out most of them, comes before the checks; usable slots are counted once between ticks. The choices are the same: the least estimate among the servers that may run the attempt. Following up results takes at most about a tenth of the event loop's time; below 100 servers it waits for at most 0.2 ms.

--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -114,6 +114,7 @@
 	lossAnnouncer crashes.Announcer
 	// resultsPending is set when results of orders have arrived since the last tick.
 	resultsPending bool
+	followedUpAt   time.Time
 	storedAt       time.Time
 	plannedAt      time.Time
 	heartbeatAt    time.Time
--- a/internal/holder/fleetplay_test.go
+++ b/internal/holder/fleetplay_test.go
@@ -91,7 +91,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p.tenures++
 	self := Identity{Name: fmt.Sprint("holder-", p.tenures), Tenure: int64(p.tenures)}
-	elector := NewElector(Options{Self: self, Store: p.store, Registry: registry, OrderSender: instantOrders{}, ProcessorShare: 0.8, RetryBudget: placing.RetryBudget{Window: 10 * time.Second, Ratio: 0.1, Extra: 10}})
+	elector := NewElector(Options{Self: self, Store: p.store, Registry: registry, OrderSender: playOrders{}, ProcessorShare: 0.8, RetryBudget: placing.RetryBudget{Window: 10 * time.Second, Ratio: 0.1, Extra: 10}})
 	records := &recordStore{store: p.store, tenureName: self.tenureName()}
 	found, err := records.claim(ctx)
 	is.New(p.t).NoErr(err)
@@ -174,9 +174,10 @@
 	return &senders
 }
 
-// instantOrders answers each order at once.
-type instantOrders struct{}
+// playOrders answers orders after 2 to 20 ms.
+type playOrders struct{}
 
-func (instantOrders) SendOrder(_ context.Context, _ fleet.Server, order owners.Order) owners.OrderResult {
+func (playOrders) SendOrder(ctx context.Context, _ fleet.Server, order owners.Order) owners.OrderResult {
+	sleep(ctx, 2*time.Millisecond+time.Duration(rand.Int64N(int64(18*time.Millisecond))))
 	return owners.OrderResult{Order: order, Outcome: owners.OutcomeDone, Ended: time.Now()}
 }
--- a/internal/holder/largefleet_bench_test.go
+++ b/internal/holder/largefleet_bench_test.go
@@ -59,7 +59,7 @@
 	time.Sleep(2 * time.Second) // keys are granted
 	senders := p.load(ctx, 5400*float64(instances)/298)
 	time.Sleep(time.Second)
-	measure("calm second", func() (time.Duration, time.Duration) { time.Sleep(time.Second); return 0, 0 })
+	measure("calm time", func() (time.Duration, time.Duration) { time.Sleep(3 * time.Second); return 0, 0 })
 	measure("change of three servers", func() (time.Duration, time.Duration) {
 		for n := range 3 {
 			p.servers[n*7].Leaving = true
--- a/internal/holder/orders.go
+++ b/internal/holder/orders.go
@@ -68,13 +68,21 @@
 	return owners.OrderTimeout
 }
 
-// followUp sends the orders that follow from results without waiting for the next tick.
+// followUpCost is about what following up takes for each listed server. Most results are those
+// of renewals, of which 1,670 servers with keys answer 1,850 a second.
+const followUpCost = 200 * time.Nanosecond
+
+// followUp sends the orders that follow from results without waiting for the next tick, unless
+// that would take more than a tenth of the event loop's time.
 func (c *Coordinator) followUp() {
 	if !c.resultsPending {
 		return
 	}
-	c.resultsPending = false
 	now := time.Now()
+	if c.snapshot != nil && now.Sub(c.followedUpAt) < 10*followUpCost*time.Duration(len(c.snapshot.Servers)) {
+		return // with a later event, or the next tick
+	}
+	c.resultsPending, c.followedUpAt = false, now
 	c.storeRecord(now) // moves whose previous owner has confirmed its grant
 	if c.maySendOrders(now) {
 		c.sendOrders(now)
--- a/internal/placing/assign.go
+++ b/internal/placing/assign.go
@@ -12,17 +12,18 @@
 	var best *server
 	var bestTime float64
 	for _, skipTried := range []bool{true, false} {
-		for _, s := range svc.servers {
-			if !s.hasFreeSlot(now) || s.pausedFor(now, w) > 0 || skipTried && w.hasTried(s.Name) {
-				continue
-			}
-			if !sched.hasToken(now, s, svc) {
+		for _, s := range svc.list {
+			if !s.hasFreeSlot(now) {
 				continue
 			}
 			t := sched.estimateResponseTime(now, s, w, typical)
-			if best == nil || t < bestTime {
-				best, bestTime = s, t
+			if best != nil && t >= bestTime {
+				continue // before the checks, which cost more than the estimate
+			}
+			if s.pausedFor(now, w) > 0 || skipTried && w.hasTried(s.Name) || !sched.hasToken(now, s, svc) {
+				continue
 			}
+			best, bestTime = s, t
 		}
 		if best != nil || !w.isRetry() {
 			break
--- a/internal/placing/dispatch.go
+++ b/internal/placing/dispatch.go
@@ -35,8 +35,10 @@
 	for _, svc := range sched.services {
 		svc.queue.filter(keep)
 		svc.unownedQueue.filter(keep)
-		for _, s := range svc.servers {
-			s.queue.filter(keep)
+		for _, s := range svc.list {
+			if len(s.queue) > 0 {
+				s.queue.filter(keep)
+			}
 		}
 	}
 }
@@ -74,13 +76,16 @@
 		return -1
 	}
 	free, pausing := 0, 0
-	for _, v := range s.servers {
+	for _, v := range s.list {
 		if v.hasFreeSlot(now) {
 			free++
 			if len(v.pauses) > 0 {
 				pausing++
 			}
 		}
+		if pausing < free {
+			break // the others do not matter
+		}
 	}
 	if free == 0 {
 		return -1
@@ -91,7 +96,7 @@
 // hasFreeServer reports whether a server with a free slot takes requests from the
 // instance of the attempt.
 func (s *service) hasFreeServer(now time.Time, w *queuedAttempt) bool {
-	for _, v := range s.servers {
+	for _, v := range s.list {
 		if v.hasFreeSlot(now) && v.pausedFor(now, w) == 0 {
 			return true
 		}
@@ -103,13 +108,17 @@
 // others to capacity that has become free. It is to be called regularly.
 func (sched *Scheduler) Tick(now time.Time) {
 	for _, svc := range sched.services {
+		svc.slotsCounted = false
 		sched.refuseExpired(now, svc)
 		unowned := svc.unownedQueue
 		svc.unownedQueue = nil
 		for _, w := range unowned {
 			sched.routeToOwner(now, svc, w)
 		}
-		for _, s := range svc.servers {
+		for _, s := range svc.list {
+			if s.isIdle() {
+				continue
+			}
 			s.forgetEndedPauses(now)
 			sched.requeueMovedKeys(now, svc, s)
 			for id, deadline := range s.inFlight {
@@ -117,8 +126,8 @@
 					delete(s.inFlight, id) // the instance has ended without reporting the completion
 				}
 			}
-			sched.dispatchQueued(now, svc, s)
 		}
+		sched.dispatchWaiting(now, svc)
 	}
 }
 
@@ -152,7 +161,9 @@
 	}
 	svc.queue.filter(refuseLate(ReasonOverload))
 	svc.unownedQueue.filter(refuseLate(ReasonNoOwner))
-	for _, s := range svc.servers {
-		s.queue.filter(refuseLate(ReasonOverload))
+	for _, s := range svc.list {
+		if len(s.queue) > 0 {
+			s.queue.filter(refuseLate(ReasonOverload))
+		}
 	}
 }
--- a/internal/placing/rates.go
+++ b/internal/placing/rates.go
@@ -73,7 +73,7 @@
 // service time in seconds, and why they do not run more.
 func (sched *Scheduler) throughput(svc *service, serviceTime float64) (float64, Reason) {
 	total, reason := 0.0, ReasonLimit
-	for _, s := range svc.servers {
+	for _, s := range svc.list {
 		if s.excluded {
 			continue
 		}
--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -91,6 +91,7 @@
 			}
 		}
 	}
+	sched.listServers()
 	sched.Tick(now)
 }
 
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -58,7 +58,7 @@
 	if expected == 0 {
 		expected = fallback
 	}
-	if now.Sub(s.slowdownAt) < slowdownTTL && s.slowdownFactor > 0 {
+	if s.slowdownFactor > 0 && now.Sub(s.slowdownAt) < slowdownTTL {
 		expected *= s.slowdownFactor
 	}
 	return expected
--- a/internal/placing/service.go
+++ b/internal/placing/service.go
@@ -8,6 +8,8 @@
 type service struct {
 	*fleet.Service
 	servers map[string]*server
+	// list holds the same servers.
+	list []*server
 	// queue holds attempts that any server may run.
 	queue queue
 	// unownedQueue holds attempts for keys that currently have no owner.
@@ -16,15 +18,23 @@
 	keyRates     *KeyRates
 	// serviceTime is the moving average over all servers in seconds.
 	serviceTime float64
+	// slotCount is the result of usableSlots if slotsCounted is set.
+	slotCount    int
+	slotsCounted bool
 }
 
-// usableSlots returns the number of slots of the servers that may get work.
+// usableSlots returns the number of slots of the servers that may get work. It is counted
+// once between two ticks: Update, which alone changes it, ends with one.
 func (s *service) usableSlots() int {
+	if s.slotsCounted {
+		return s.slotCount
+	}
 	n := 0
-	for _, v := range s.servers {
+	for _, v := range s.list {
 		if !v.excluded {
 			n += v.Slots
 		}
 	}
+	s.slotCount, s.slotsCounted = n, true
 	return n
 }
