Bound the orders and probes that a holder has under way

A holder sent all orders that were due at once, one connection and goroutine each: 1,670 after an election, and as many probes as there are servers each 300 ms while the store is out.

What the limit leaves out comes first the next time, so that servers that do not answer keep no others from renewals or probes.

go test -race of owners passes, and the tests of probing in holder.

--- a/internal/holder/constants.go
+++ b/internal/holder/constants.go
@@ -118,6 +118,8 @@
 	probeInterval = 300 * time.Millisecond
 	// probeTimeout bounds one probe. A healthy server responds within milliseconds.
 	probeTimeout = 300 * time.Millisecond
+	// maxProbes bounds the probes under way, each of which may open a connection.
+	maxProbes = 512
 	// probeCapacityRatio is how many times its cold rate the estimated capacity of a server
 	// must exceed for the server to be probed. The estimate averages over its last
 	// responses: a server may run twice as many requests at the moment.
--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -122,6 +122,8 @@
 	probedAt       time.Time
 	// probing holds the servers with a probe in flight.
 	probing map[fleet.Incarnation]bool
+	// probesLeft is the number of servers left in the current round of probes.
+	probesLeft int
 }
 
 // enqueue passes an event to the event loop. It returns false when the tenure has ended.
--- a/internal/holder/probing.go
+++ b/internal/holder/probing.go
@@ -11,14 +11,24 @@
 // probeServers asks servers directly whether they are cold again after a restart. It
 // does so while the store, which normally shows this, has not been read for a while.
 // Only servers that could receive far more requests than they can run when cold are
-// probed.
+// probed, and at most maxProbes at a time; the next tick continues a round that this has stopped.
 func (c *Coordinator) probeServers(now time.Time) {
 	age, known := c.registry.Age(now)
-	if c.snapshot == nil || !known || age < probeAfterReadAge || now.Sub(c.probedAt) < probeInterval {
+	if c.snapshot == nil || !known || age < probeAfterReadAge {
 		return
 	}
-	c.probedAt = now
-	for _, server := range c.snapshot.Servers {
+	servers := c.snapshot.Servers
+	if c.probesLeft == 0 {
+		if now.Sub(c.probedAt) < probeInterval {
+			return
+		}
+		c.probedAt, c.probesLeft = now, len(servers)
+	}
+	for ; c.probesLeft > 0 && len(servers) > 0; c.probesLeft-- {
+		if len(c.probing) >= maxProbes {
+			return
+		}
+		server := servers[(c.probesLeft-1)%len(servers)]
 		service := c.snapshot.Config.Services[server.Service]
 		if service == nil || service.HealthPath == "" || !c.snapshot.MaySend(&server, now) || c.probing[server.Incarnation] {
 			continue
--- a/internal/holder/probing_test.go
+++ b/internal/holder/probing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -60,3 +61,48 @@
 		})
 	}
 }
+
+// hangingProber answers no health check.
+type hangingProber struct{}
+
+func (hangingProber) Health(ctx context.Context, _ fleet.Server, _ string) (fleet.Health, error) {
+	<-ctx.Done()
+	return fleet.Health{}, ctx.Err()
+}
+
+// Guards against a holder that opens a connection to each of thousands of servers at the same
+// time, and against servers that are never probed because others do not answer.
+func TestProbesUnderWayAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		registry := facts.NewRegistry(func([]byte) (*fleet.Config, error) {
+			return fleet.NewConfig(1, []*fleet.Service{{Name: "s", HealthPath: "/health", ColdRate: 5}}, nil, fleet.Limits{}), nil
+		}, nil)
+		now := time.Now()
+		var servers []fleet.Server
+		for n := range 3 * maxProbes {
+			servers = append(servers, fleet.Server{Incarnation: fleet.Incarnation{Name: fmt.Sprint("s", n)}, Service: "s", Address: "a", Slots: 3})
+		}
+		registry.UpdateOperatorSettings(fleet.OperatorSettings{Config: []byte("c")}, now)
+		registry.UpdateListing(fleet.Listing{Servers: servers}, now)
+		registry.ConfirmRead(now.Add(-2 * probeAfterReadAge))
+		table := owners.NewTable(owners.Record{}, "h", now)
+		c := &Coordinator{
+			registry: registry, queue: make(chan func(), eventQueueSize), ctx: t.Context(), table: table, prober: hangingProber{},
+			probing: map[fleet.Incarnation]bool{}, scheduler: placing.New(placing.RetryBudget{Window: time.Second}, table, rand.New(rand.NewPCG(1, 2))),
+		}
+		c.refresh(now)
+		probed := map[string]bool{}
+		for range 40 {
+			c.probeServers(time.Now())
+			is.True(len(c.probing) <= maxProbes)
+			for server := range c.probing {
+				probed[server.Name] = true
+			}
+			time.Sleep(tickInterval)
+			synctest.Wait()
+			c.drainQueue()
+		}
+		is.Equal(len(probed), len(servers))
+	})
+}
--- a/internal/owners/orders.go
+++ b/internal/owners/orders.go
@@ -16,11 +16,7 @@
 func (t *Table) TakeDueOrders(now time.Time, incarnations IncarnationLookup) []Order {
 	var orders []Order
 	for service, ranges := range t.services {
-		for _, r := range ranges {
-			if order, ok := t.nextOrder(now, service, r, incarnations); ok {
-				orders = append(orders, order)
-			}
-		}
+		orders = append(orders, t.takeLimited(service, ranges, func(r *rangeState) (Order, bool) { return t.nextOrder(now, service, r, incarnations) })...)
 	}
 	return orders
 }
@@ -64,6 +60,7 @@
 		return Order{}, false
 	}
 	t.ordersInFlight[order.Server]++
+	t.ordersUnderWay++
 	r.orderInFlight = true
 	t.orderCount++
 	order.number = t.orderCount
--- a/internal/owners/results.go
+++ b/internal/owners/results.go
@@ -12,6 +12,7 @@
 func (t *Table) Apply(result OrderResult) bool {
 	o := result.Order
 	t.removeInFlight(o)
+	t.ordersUnderWay = max(0, t.ordersUnderWay-1)
 	if t.ordersInFlight[o.Server]--; t.ordersInFlight[o.Server] <= 0 {
 		delete(t.ordersInFlight, o.Server)
 	}
--- a/internal/owners/table.go
+++ b/internal/owners/table.go
@@ -43,6 +43,11 @@
 	grantsInFlight map[fleet.Incarnation][]Order
 	// ordersInFlight counts the orders in flight to each incarnation.
 	ordersInFlight map[fleet.Incarnation]int
+	// ordersUnderWay counts those to all servers.
+	ordersUnderWay int
+	// resumeOrdersAt holds, for services of which the limit of orders left some out, the
+	// position of the first of these ranges.
+	resumeOrdersAt map[string]int
 	orderCount     uint64
 	// grantDuration is the duration of new grants.
 	grantDuration time.Duration
@@ -65,6 +70,7 @@
 		rangesLost:     record.RangesLost,
 		grantsInFlight: map[fleet.Incarnation][]Order{},
 		ordersInFlight: map[fleet.Incarnation]int{},
+		resumeOrdersAt: map[string]int{},
 		grantDuration:  GrantDuration,
 	}
 	for name, ranges := range record.Services {
