Show what serving the fleet costs the holder

Operators could not see whether a holder was at its limits, nor which kind of message filled its link.

Metrics of bytes sent by kind of content, joins, followers, listings under way, queued events, probes, and a histogram of the wait for the event loop, which is measured by an event queued each tick.

--- a/internal/entrynode/metrics.go
+++ b/internal/entrynode/metrics.go
@@ -22,12 +22,17 @@
 // sent, in seconds. 2 is the time after which a leaving server must get no more requests.
 var factsAgeBuckets = []float64{0.1, 0.3, 0.6, 0.9, 1.2, 1.5, 1.8, 2, 2.5, 4, 8, 16}
 
+// eventDelayBuckets are the histogram buckets of the wait for the holder's event loop, in
+// seconds. After 0.12 an instance places a request without the holder.
+var eventDelayBuckets = []float64{0.0003, 0.001, 0.003, 0.01, 0.03, 0.06, 0.12, 0.25, 0.5, 1}
+
 // metrics holds the Prometheus metrics of the instance.
 type metrics struct {
 	registry     *prometheus.Registry
 	callDuration *prometheus.HistogramVec
 	orderDelay   prometheus.Histogram
 	factsAge     prometheus.Histogram
+	eventDelay   prometheus.Histogram
 }
 
 // newMetrics registers the metrics. The functions are called at each scrape.
@@ -49,8 +54,13 @@
 			Help:    "Time since the read of the store that the facts come from, by which a request is sent to a backend server.",
 			Buckets: factsAgeBuckets,
 		}),
+		eventDelay: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: "peridotmoor", Name: "holder_event_delay_seconds",
+			Help:    "Time that an event waits for the event loop of the holder, measured 20 times a second.",
+			Buckets: eventDelayBuckets,
+		}),
 	}
-	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, newHolderCollector(holderStatus),
+	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, m.eventDelay, newHolderCollector(holderStatus),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: "peridotmoor", Name: "store_calls_total", Help: "Calls to the platform's store.",
 		}, countStoreCalls),
@@ -75,6 +85,11 @@
 	m.orderDelay.Observe(delay.Seconds())
 }
 
+// eventDelayed records how long an event has waited for the event loop of the holder.
+func (m *metrics) eventDelayed(delay time.Duration) {
+	m.eventDelay.Observe(delay.Seconds())
+}
+
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -32,9 +32,11 @@
 	callerServer *callerhttp.Server
 	gateway      *gateway.Gateway
 	metrics      *metrics
-	startedAt    time.Time
-	ready        atomic.Bool
-	stopping     atomic.Bool
+	// traffic counts what this instance sends to its followers.
+	traffic   link.Traffic
+	startedAt time.Time
+	ready     atomic.Bool
+	stopping  atomic.Bool
 }
 
 // New builds an instance that writes its log to out.
@@ -55,7 +57,9 @@
 		Self: self, Store: store, Registry: n.facts, Reader: reader, OrderSender: n.backends, Prober: n.backends, Client: schedulerClient, Log: log,
 		RetryBudget: placing.RetryBudget{Window: config.RetryWindow, Ratio: config.RetryRatio, Extra: config.RetryExtra},
 		FirstStart:  config.FirstStart, ProcessorShare: config.ProcessorShare, OnOrderWritten: n.metrics.orderWritten,
+		OnEventDelay: n.metrics.eventDelayed,
 	})
+	n.metrics.registry.MustRegister(newFleetCollector(n.elector.Load, n.elector.Joins, &n.traffic))
 	n.gateway = gateway.New(gateway.Options{
 		Domain: config.Domain, Registry: n.facts, Scheduler: schedulerClient, Backends: n.backends,
 		Refresher: facts.NewOnDemand(reader, func() time.Duration { return holder.FleetBackoff(schedulerClient.FleetSize()) }, n.elector.ShareReading),
@@ -101,7 +105,7 @@
 		return err
 	}
 	failed := make(chan error, 2)
-	go func() { failed <- link.NewServer(n.elector).Serve(ctx, peers) }()
+	go func() { failed <- link.NewServer(n.elector).CountIn(&n.traffic).Serve(ctx, peers) }()
 	electorContext, stopElector := context.WithCancel(ctx)
 	r := services{callers: callers, callersDone: make(chan struct{}), stopElector: stopElector, electorDone: make(chan struct{})}
 	go func() {
--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -25,13 +25,17 @@
 	orderSender OrderSender
 	// onOrderWritten is that of Options, or nil.
 	onOrderWritten func(time.Duration)
-	prober         fleet.Prober
-	log            *events.Logger
-	records        *recordStore
-	table          *owners.Table
-	scheduler      *placing.Scheduler
-	queue          chan func()
-	ctx            context.Context
+	// onEventDelay is that of Options, or nil.
+	onEventDelay func(time.Duration)
+	// load is the state of the event loop at its last tick, for metrics.
+	load      atomic.Pointer[Load]
+	prober    fleet.Prober
+	log       *events.Logger
+	records   *recordStore
+	table     *owners.Table
+	scheduler *placing.Scheduler
+	queue     chan func()
+	ctx       context.Context
 	// endTenure ends ctx.
 	endTenure   context.CancelFunc
 	plannedStop plannedStop
@@ -115,11 +119,13 @@
 	// resultsPending is set when results of orders have arrived since the last tick.
 	resultsPending bool
 	followedUpAt   time.Time
-	storedAt       time.Time
-	plannedAt      time.Time
-	heartbeatAt    time.Time
-	tickedAt       time.Time
-	probedAt       time.Time
+	// delayLoggedAt is when delayed events were last logged.
+	delayLoggedAt time.Time
+	storedAt      time.Time
+	plannedAt     time.Time
+	heartbeatAt   time.Time
+	tickedAt      time.Time
+	probedAt      time.Time
 	// probing holds the servers with a probe in flight.
 	probing map[fleet.Incarnation]bool
 	// probesLeft is the number of servers left in the current round of probes.
@@ -199,4 +205,5 @@
 	c.forgetStays(now)
 	c.considerYield(now)
 	c.considerHandOver()
+	c.measureLoad(now)
 }
--- a/internal/holder/elector.go
+++ b/internal/holder/elector.go
@@ -30,6 +30,10 @@
 	log         *events.Logger
 	// onOrderWritten is the option, or nil.
 	onOrderWritten func(time.Duration)
+	// onEventDelay is the option, or nil.
+	onEventDelay func(time.Duration)
+	// joins counts the instances that have joined this one as the holder.
+	joins atomic.Uint64
 	// firstStart is set when the whole fleet starts.
 	firstStart bool
 	// processorShare is the share of a processor available on this machine.
@@ -58,7 +62,7 @@
 	return &Elector{
 		self: o.Self, store: o.Store, registry: o.Registry, reader: o.Reader, orderSender: o.OrderSender, prober: o.Prober, client: o.Client,
 		retryBudget: o.RetryBudget, log: o.Log, firstStart: o.FirstStart, processorShare: o.ProcessorShare, plannedStop: newPlannedStop(),
-		onOrderWritten: o.OnOrderWritten, suspendedFor: suspendedSinceBoot,
+		onOrderWritten: o.OnOrderWritten, onEventDelay: o.OnEventDelay, suspendedFor: suspendedSinceBoot,
 	}
 }
 
@@ -79,7 +83,11 @@
 // Join adds a follower. It returns false unless this instance is the holder.
 func (e *Elector) Join(f *link.Follower) bool {
 	c := e.coordinator.Load()
-	return c != nil && c.Join(f)
+	if c == nil || !c.Join(f) {
+		return false
+	}
+	e.joins.Add(1)
+	return true
 }
 
 // Receive handles a message from a follower.
--- a/internal/holder/newcoordinator.go
+++ b/internal/holder/newcoordinator.go
@@ -20,6 +20,7 @@
 		registry:          e.registry,
 		orderSender:       e.orderSender,
 		onOrderWritten:    e.onOrderWritten,
+		onEventDelay:      e.onEventDelay,
 		prober:            e.prober,
 		probing:           map[fleet.Incarnation]bool{},
 		log:               e.log,
--- a/internal/holder/options.go
+++ b/internal/holder/options.go
@@ -26,6 +26,9 @@
 	// OnOrderWritten, if set, is called with the time from the check that the holder may send
 	// orders to the end of the write of an order. It must not block.
 	OnOrderWritten func(time.Duration)
+	// OnEventDelay, if set, is called each tick with the time that an event has waited for the
+	// event loop of the holder. It must not block.
+	OnEventDelay func(time.Duration)
 	// ProcessorShare is the share of a processor available on this machine.
 	ProcessorShare float64
 }
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -18,11 +18,18 @@
 type Server struct {
 	linkpb.DRPCLinkUnimplementedServer
 	handler ServerHandler
+	traffic *Traffic
 }
 
 // NewServer returns a server that passes followers, their messages and questions to handler.
 func NewServer(handler ServerHandler) *Server {
-	return &Server{handler: handler}
+	return &Server{handler: handler, traffic: &Traffic{}}
+}
+
+// CountIn makes the server count what it sends in t. It must be called before Serve.
+func (s *Server) CountIn(t *Traffic) *Server {
+	s.traffic = t
+	return s
 }
 
 // Listen opens the listener for Serve. Its connections are closed when sent bytes remain
@@ -100,6 +107,7 @@
 		if err := stream.MsgSend(out, outgoingEncoding{}); err != nil {
 			return errors.Wrap(err, "send a message to a follower")
 		}
+		s.traffic.count(out)
 	}
 }
 
--- a/internal/link/told_test.go
+++ b/internal/link/told_test.go
@@ -74,3 +74,25 @@
 	own.Facts = append(own.Facts, f)
 	is.True(proto.Equal(got, own))
 }
+
+// Guards against bytes that no kind of content accounts for, or two do.
+func TestTrafficCountsAllBytesOnce(t *testing.T) {
+	is := is.New(t)
+	shared := NewSharedFacts(&linkpb.Facts{
+		Epoch: 3, Listing: &linkpb.Listing{Servers: []*linkpb.Server{{Name: "a"}}}, Orders: &linkpb.Orders{Config: make([]byte, 300)},
+		Ownership: &linkpb.Ownership{Ranges: []*linkpb.OwnedRange{{Service: "s", To: 9, Owner: "a"}}},
+	})
+	out := &outgoing{shared: shared, down: &linkpb.Down{
+		SentUs: 6, Waiting: []uint64{1}, Verdicts: []*linkpb.Verdict{{Number: 7}}, Facts: []*linkpb.Facts{{Packed: make([]byte, 100)}}, Peers: []string{"p"},
+	}}
+	text, err := outgoingEncoding{}.Marshal(out)
+	is.NoErr(err)
+	var traffic Traffic
+	traffic.count(out)
+	sum := 0
+	for _, k := range Kinds() {
+		is.True(traffic.Bytes(k) > 0)
+		sum += int(traffic.Bytes(k))
+	}
+	is.True(sum <= len(text) && sum > len(text)-8) // apart from the head of the shared facts
+}
