Apply changes of servers without sorting all of them

It drops the facts that it had when it joined once the holder has continued from them. TestMergeServers compares with a map. go test -race of link passes; the tests of transfers and joins in holder pass.

--- a/internal/link/factsreceiver.go
+++ b/internal/link/factsreceiver.go
@@ -2,8 +2,6 @@
 
 import (
 	"math"
-	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -24,8 +22,9 @@
 	registry         *facts.Registry
 	clock            *Clock
 	operatorSettings fleet.OperatorSettings
-	servers          map[string]fleet.Server
-	ownedRanges      map[string][]owners.OwnedRange
+	// servers holds the servers ordered by name. It is replaced, not changed.
+	servers     []fleet.Server
+	ownedRanges map[string][]owners.OwnedRange
 	// seed is what the sender was told that this instance knows, or nil.
 	seed *seed
 	// broken is set once a message could not be decoded.
@@ -77,6 +76,9 @@
 		return
 	}
 	r.merge(f, now)
+	if r.incomingSince.Load() == nil {
+		r.seed = nil // the sender continues from it once only
+	}
 	MergeBackpressure(r.registry, f.Backpressure, now)
 	if f.Ownership != nil || f.Resumed.GetOwners() {
 		r.registry.UpdateOwners(r.ownedRanges, f.Epoch)
@@ -93,7 +95,7 @@
 		}
 	}
 	if len(r.servers) > 0 && r.appliedListingSequence.Load() != r.registry.Snapshot().ListingSequence {
-		if r.registry.UpdateListing(fleet.Listing{Revision: f.ListingRevision, Source: fleet.SourceLink, Servers: r.sortedServers()}, readBy) {
+		if r.registry.UpdateListing(fleet.Listing{Revision: f.ListingRevision, Source: fleet.SourceLink, Servers: r.servers}, readBy) {
 			r.appliedListingSequence.Store(r.registry.Snapshot().ListingSequence)
 		}
 	}
@@ -132,17 +134,12 @@
 			r.incomingSince.Store(&now)
 		}
 	} else if l != nil {
-		if !l.Changes || r.servers == nil {
-			r.servers = map[string]fleet.Server{}
-		}
-		for _, s := range append(r.incoming, decodeServers(l.Servers, now)...) {
-			r.servers[s.Name] = s
+		if !l.Changes {
+			r.servers = nil
 		}
+		r.servers = mergeServers(r.servers, append(r.incoming, decodeServers(l.Servers, now)...), l.Gone)
 		r.incoming = nil
 		r.incomingSince.Store(nil)
-		for _, name := range l.Gone {
-			delete(r.servers, name)
-		}
 		r.appliedListingSequence.Store(notApplied)
 	}
 	if o := f.Ownership; o != nil && !f.Resumed.GetOwners() {
@@ -181,13 +178,3 @@
 		r.appliedListingSequence.Store(notApplied)
 	}
 }
-
-// sortedServers returns the servers in the order of their names, as the store lists them.
-func (r *FactsReceiver) sortedServers() []fleet.Server {
-	out := make([]fleet.Server, 0, len(r.servers))
-	for _, s := range r.servers {
-		out = append(out, s)
-	}
-	slices.SortFunc(out, func(a, b fleet.Server) int { return strings.Compare(a.Name, b.Name) })
-	return out
-}
--- a/internal/link/seed.go
+++ b/internal/link/seed.go
@@ -17,16 +17,19 @@
 	known    *linkpb.Known
 }
 
-// servers returns the servers apart from those of the given buckets. None is cold: the holder
-// sends all cold servers.
-func (s *seed) servers(buckets []uint32) map[string]fleet.Server {
-	out := make(map[string]fleet.Server, len(s.snapshot.Servers))
+// servers returns the servers apart from those of the given buckets, ordered by name. None is
+// cold: the holder sends all cold servers.
+func (s *seed) servers(buckets []uint32) []fleet.Server {
+	out := make([]fleet.Server, 0, len(s.snapshot.Servers))
 	for _, server := range s.snapshot.Servers {
 		if !slices.Contains(buckets, uint32(facts.ListingBucket(server.Name, len(s.known.Listing)))) {
 			server.ColdUntil = time.Time{}
-			out[server.Name] = server
+			out = append(out, server)
 		}
 	}
+	if !slices.IsSortedFunc(out, compareNames) {
+		slices.SortFunc(out, compareNames)
+	}
 	return out
 }
 
