Pack large facts; describe the larger fleet

Owners that are planned for the first time went to each instance as 48 KB, 14 MB to 298 instances. Facts above 16 KB are packed for instances that read that, apart from those during a transfer, whose parts are counted.

go test -race -p 2 of link, holder, entrynode, events, facts, owners, placing and gateway passes.

--- a/internal/holder/factsgroup.go
+++ b/internal/holder/factsgroup.go
@@ -7,4 +7,6 @@
 	told link.Told
 	// transferring is set for followers that get the listing and the owners in parts.
 	transferring bool
+	// unpacks is set for followers that read packed facts.
+	unpacks bool
 }
--- a/internal/holder/publish.go
+++ b/internal/holder/publish.go
@@ -43,7 +43,7 @@
 		if !ok {
 			continue
 		}
-		group := factsGroup{told, f.Transferring()}
+		group := factsGroup{told, f.Transferring(), f.Known.GetTakesParts()}
 		if encoded[group] == nil {
 			encoded[group] = link.NewSharedFacts(c.encodeFacts(snapshot, group, now))
 		}
@@ -83,5 +83,8 @@
 	}
 	message.Instances = int32(len(c.followers))
 	message.Strongest = c.maxCandidateShare()
+	if group.unpacks && !group.transferring {
+		message = link.PackLarge(message)
+	}
 	return message
 }
--- a/internal/link/packed.go
+++ b/internal/link/packed.go
@@ -14,6 +14,25 @@
 // maxUnpacked bounds the size of packed facts. A part of a listing has some 20 KB.
 const maxUnpacked = 16 << 20
 
+// minPacked is the size in bytes from which facts are sent in compressed form: the owners of more
+// than 500 ranges, or some 200 servers.
+const minPacked = 16 << 10
+
+// PackLarge returns the facts in compressed form if they are large. It must not be used for a
+// follower that gets a listing in parts, which are counted as packed facts. The number of
+// instances stays readable without unpacking.
+func PackLarge(f *linkpb.Facts) *linkpb.Facts {
+	if proto.Size(f) < minPacked {
+		return f
+	}
+	packed, err := pack(f)
+	if err != nil {
+		return f // whoever encodes it gets the error
+	}
+	packed.Instances, packed.Strongest = f.Instances, f.Strongest
+	return packed
+}
+
 // pack returns facts that have the given ones in compressed form.
 func pack(f *linkpb.Facts) (*linkpb.Facts, error) {
 	text, err := proto.Marshal(f)
--- a/internal/link/packed_test.go
+++ b/internal/link/packed_test.go
@@ -39,3 +39,18 @@
 		}
 	}
 }
+
+// Guards against packed facts that differ from those that were told, or that hide how many
+// instances follow the holder.
+func TestLargeFactsArePacked(t *testing.T) {
+	is := is.New(t)
+	large := &linkpb.Facts{Epoch: 1, Instances: 298, Strongest: 0.8, ListingRevision: 5, Orders: &linkpb.Orders{Config: make([]byte, minPacked)}}
+	packed := PackLarge(large)
+	is.True(proto.Size(packed) < minPacked/10)
+	is.Equal(packed.Instances, int32(298))
+	got, err := unpack(packed)
+	is.NoErr(err)
+	is.True(proto.Equal(got, large))
+	small := &linkpb.Facts{Epoch: 1}
+	is.Equal(PackLarge(small), small)
+}
