--- a/internal/entrynode/metrics.go
+++ b/internal/entrynode/metrics.go
@@ -27,6 +27,10 @@
 // are at most 100.
 const maxTeamLabels = 99
 
+// eventDelayBuckets are the histogram buckets of the wait for the holder's event loop, in
+// seconds. After 0.12 an instance places a request without the holder.
+var eventDelayBuckets = []float64{0.0003, 0.001, 0.003, 0.01, 0.03, 0.06, 0.12, 0.25, 0.5, 1}
+
 // metrics holds the Prometheus metrics of the instance.
 type metrics struct {
 	registry     *prometheus.Registry
@@ -39,6 +43,7 @@
 	capRefusals  *prometheus.CounterVec
 	// cappedTeams holds the teams with refusals by their cap that have a label of their own.
 	cappedTeams boundedLabels
+	eventDelay  prometheus.Histogram
 }
 
 // newMetrics registers the metrics. The functions are called at each scrape.
@@ -74,8 +79,13 @@
 			Help: "Calls refused because the usage cap of their team is used up. Teams beyond the first 99 with refusals are counted as other.",
 		}, []string{"team"}),
 		cappedTeams: boundedLabels{limit: maxTeamLabels},
+		eventDelay: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: "peridotmoor", Name: "holder_event_delay_seconds",
+			Help:    "Time that an event waits for the event loop of the holder, measured 20 times a second.",
+			Buckets: eventDelayBuckets,
+		}),
 	}
-	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, m.teamCalls, m.unauthorized, m.capRefusals,
+	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, m.eventDelay, m.teamCalls, m.unauthorized, m.capRefusals,
 		newHolderCollector(holderStatus), newShortageCollector(holderStatus), newMemoryCollector(memory),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: "peridotmoor", Name: "store_calls_total", Help: "Calls to the platform's store.",
@@ -122,6 +132,11 @@
 	m.orderDelay.Observe(delay.Seconds())
 }
 
+// eventDelayed records how long an event has waited for the event loop of the holder.
+func (m *metrics) eventDelayed(delay time.Duration) {
+	m.eventDelay.Observe(delay.Seconds())
+}
+
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -25,13 +25,17 @@
 	orderSender OrderSender
 	// onOrderWritten is that of Options, or nil.
 	onOrderWritten func(time.Duration)
-	prober         fleet.Prober
-	log            *events.Logger
-	records        *recordStore
-	table          *owners.Table
-	scheduler      *placing.Scheduler
-	queue          chan func()
-	ctx            context.Context
+	// onEventDelay is that of Options, or nil.
+	onEventDelay func(time.Duration)
+	// load is the state of the event loop at its last tick, for metrics.
+	load      atomic.Pointer[Load]
+	prober    fleet.Prober
+	log       *events.Logger
+	records   *recordStore
+	table     *owners.Table
+	scheduler *placing.Scheduler
+	queue     chan func()
+	ctx       context.Context
 	// endTenure ends ctx.
 	endTenure   context.CancelFunc
 	plannedStop plannedStop
@@ -105,6 +109,7 @@
 	// fleetChangedAt is when the followers began to differ from the fleet in the record, or
 	// the zero time.
 	fleetChangedAt time.Time
+	joins          joins
 	byName         map[string]*link.Follower
 	followerLog    followerLog
 	shortageLog    shortageLog
@@ -114,8 +119,6 @@
 	epoch            int64
 	snapshot         *facts.Snapshot
 	publishedVersion uint64
-	// sentSnapshot is the snapshot last sent to followers.
-	sentSnapshot *facts.Snapshot
 	// publishedAt is when the owners were last published.
 	publishedAt time.Time
 	storing     bool
@@ -126,13 +129,18 @@
 	lossAnnouncer crashes.Announcer
 	// resultsPending is set when results of orders have arrived since the last tick.
 	resultsPending bool
-	storedAt       time.Time
-	plannedAt      time.Time
-	heartbeatAt    time.Time
-	tickedAt       time.Time
-	probedAt       time.Time
+	followedUpAt   time.Time
+	// delayLoggedAt is when delayed events were last logged.
+	delayLoggedAt time.Time
+	storedAt      time.Time
+	plannedAt     time.Time
+	heartbeatAt   time.Time
+	tickedAt      time.Time
+	probedAt      time.Time
 	// probing holds the servers with a probe in flight.
 	probing map[fleet.Incarnation]bool
+	// probesLeft is the number of servers left in the current round of probes.
+	probesLeft int
 }
 
 // enqueue passes an event to the event loop. It returns false when the tenure has ended.
@@ -205,8 +213,10 @@
 	c.scheduler.Tick(now)
 	c.logShortages(now)
 	c.publish(now)
+	c.joins.sendParts(now)
 	c.probeServers(now)
 	c.forgetStays(now)
 	c.considerYield(now)
 	c.considerHandOver()
+	c.measureLoad(now)
 }
--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -49,7 +49,7 @@
 	return false
 }
 
-// Join adds a follower and sends it all facts. It returns false when the tenure has ended.
+// Join adds a follower and sends it the facts that it does not have. It returns false when the tenure has ended.
 func (c *Coordinator) Join(f *link.Follower) bool {
 	return c.enqueue(func() {
 		c.followers[f] = true
@@ -57,10 +57,11 @@
 		f.JoinedAt = c.stays.join(f, time.Now())
 		c.byName[f.Instance] = f
 		c.joinTeamCaps(time.Now(), f)
-		snapshot, readAt := c.registry.ReadSnapshot()
 		now := time.Now()
-		f.Send(&linkpb.Down{Facts: []*linkpb.Facts{c.encodeFacts(snapshot, f.Sent, now)}, ReadUs: f.EncodeTime(readAt), Losses: link.EncodeLosses(c.registry.Crashes().Announced(now), now)})
-		f.Sent = sequencesOf(snapshot)
+		c.sendJoinReply(f, now)
+		if losses := link.EncodeLosses(c.registry.Crashes().Announced(now), now); len(losses) > 0 {
+			f.Send(&linkpb.Down{Losses: losses})
+		}
 	})
 }
 
@@ -72,6 +73,7 @@
 			c.followerLog.left(f)
 		}
 		delete(c.followers, f)
+		c.joins.leave(f)
 		if c.byName[f.Instance] != f {
 			return
 		}
@@ -105,6 +107,7 @@
 		if c.followers[f] {
 			c.byName[f.Instance] = f // an instance sends on the link in use only
 		}
+		c.partsArrived(f, up.Parts, now)
 		c.recordProof(f, up.Proof, now)
 		f.Stopping, f.Ending = f.Stopping || up.Stopping, f.Ending || up.Ending
 		c.inheritTeamCaps(now, f, holdings)
--- a/internal/holder/publish.go
+++ b/internal/holder/publish.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"slices"
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/facts"
@@ -27,18 +28,31 @@
 		c.announceLosses(now)
 	}
 	snapshot, readAt := c.registry.ReadSnapshot()
-	encoded := map[link.SentSequences]*linkpb.Facts{} // most followers have received the same parts
+	encoded := map[factsGroup]*link.SharedFacts{} // most followers have been told the same
 	for f := range c.followers {
-		if !heartbeatDue && f.Sent == sequencesOf(snapshot) {
+		next := link.Told{Base: snapshot, Sent: sequencesOf(snapshot)}
+		if f.Transferring() {
+			next = next.Without(f.TransferBase())
+		}
+		if heartbeatDue {
+			f.Flush()
+		} else if f.IsTold(next.Sent) {
+			continue
+		}
+		told, ok := f.Told()
+		if !ok {
 			continue
 		}
-		if encoded[f.Sent] == nil {
-			encoded[f.Sent] = c.encodeFacts(snapshot, f.Sent, now)
+		group := factsGroup{told, f.Transferring(), f.Known.GetTakesParts()}
+		if encoded[group] == nil {
+			encoded[group] = link.NewSharedFacts(c.encodeFacts(snapshot, group, now))
+		}
+		readUs := f.EncodeTime(readAt)
+		if group.transferring {
+			readUs = 0 // the instance does not have the listing of that reading yet
 		}
-		f.Send(&linkpb.Down{Facts: []*linkpb.Facts{encoded[f.Sent]}, ReadUs: f.EncodeTime(readAt)})
-		f.Sent = sequencesOf(snapshot)
+		f.Tell(encoded[group], readUs, next)
 	}
-	c.sentSnapshot = snapshot
 }
 
 // announceLosses tells the followers of the requests that are refused, so that any of them
@@ -49,7 +63,7 @@
 		return
 	}
 	for f := range c.followers {
-		f.Send(&linkpb.Down{Losses: losses})
+		f.Send(&linkpb.Down{Losses: slices.Clip(losses)}) // links append to it when they merge messages
 	}
 }
 
@@ -57,11 +71,20 @@
 	return link.SentSequences{OperatorSettings: snapshot.OperatorSettingsSequence, Listing: snapshot.ListingSequence, OwnedRanges: snapshot.OwnedRangesSequence, Backpressure: snapshot.BackpressureSequence}
 }
 
-// encodeFacts returns the message that brings a follower up to date that has
-// received the given parts.
-func (c *Coordinator) encodeFacts(snapshot *facts.Snapshot, sent link.SentSequences, now time.Time) *linkpb.Facts {
-	message := link.EncodeFacts(snapshot, sent, c.sentSnapshot, now)
+// encodeFacts returns the message that brings the followers of a group up to date.
+func (c *Coordinator) encodeFacts(snapshot *facts.Snapshot, group factsGroup, now time.Time) *linkpb.Facts {
+	sent := group.told.Sent
+	if group.transferring {
+		sent.Listing, sent.OwnedRanges = snapshot.ListingSequence, snapshot.OwnedRangesSequence
+	}
+	message := link.EncodeFacts(snapshot, sent, group.told.Base, now)
+	if group.transferring {
+		message.ListingRevision = link.EncodeRevision(group.told.Base.ListingVersion, message.Era)
+	}
 	message.Instances = int32(len(c.followers))
 	message.Strongest = c.maxCandidateShare()
+	if group.unpacks && !group.transferring {
+		message = link.PackLarge(message)
+	}
 	return message
 }
--- a/internal/placing/measurements.go
+++ b/internal/placing/measurements.go
@@ -49,7 +49,7 @@
 func (s *service) slowestServiceTime() float64 {
 	typical := s.typicalServiceTime()
 	slowest := typical
-	for _, v := range s.servers {
+	for _, v := range s.list {
 		if !v.excluded {
 			slowest = max(slowest, v.longTermServiceTime)
 		}
