Place hedges at the holder

Cause: a slow request of a service without keys waits for its server although others are free. Change: Attempt.Hedge (field hedge of Ask) is assigned at once to a free server that was not tried, or refused with ReasonNoHedge. Hedges are within HedgeShare, within half of the retry budget, counted in the same window as retries, and stop when the service is short of capacity. Outcome Cancelled frees a slot without counting as a failure.

--- a/internal/link/convert.go
+++ b/internal/link/convert.go
@@ -25,6 +25,7 @@
 		Mark:       a.ContentHash,
 		Again:      a.Resubmitted,
 		Team:       a.Team,
+		Hedge:      a.Hedge,
 	}
 }
 
@@ -43,6 +44,7 @@
 		ContentHash:  a.Mark,
 		Resubmitted:  a.Again,
 		Team:         a.Team,
+		Hedge:        a.Hedge,
 	}
 }
 
--- a/internal/link/convert_test.go
+++ b/internal/link/convert_test.go
@@ -26,6 +26,6 @@
 	local := JoinLocal(&recordingHandler{joined: make(chan Member, 1)}, Member{Instance: "a"}, NewClock(), func(*linkpb.Down) {})
 	defer local.Close()
 	is.Equal(DecodeFinish(EncodeFinish(completion, local), local.follower), completion)
-	attempt := placing.Attempt{AttemptID: placing.AttemptID{Instance: "a", Number: 1}, Key: 65535, Priority: most, Domain: "d", SoftDeadline: now, Deadline: now.Add(time.Hour)}
+	attempt := placing.Attempt{AttemptID: placing.AttemptID{Instance: "a", Number: 1}, Key: 65535, Priority: most, Domain: "d", SoftDeadline: now, Deadline: now.Add(time.Hour), Hedge: true}
 	is.Equal(DecodeAsk(EncodeAsk(attempt, now), "a", "d", now), attempt)
 }
--- a/internal/placing/attempt.go
+++ b/internal/placing/attempt.go
@@ -32,6 +32,9 @@
 	Resubmitted bool
 	// Tried holds the servers that the request was sent to before.
 	Tried []string
+	// Hedge is set for a second attempt beside one that has not ended, whose server is the last
+	// of Tried. It is assigned at once or refused, never queued.
+	Hedge bool
 }
 
 // isRetry reports whether the request was sent to a server before.
--- a/internal/placing/constants.go
+++ b/internal/placing/constants.go
@@ -84,6 +84,11 @@
 	// request rate of a key. Hot keys last for some seconds; a shorter average
 	// follows noise.
 	keyRateTimeConstant = 1000 * time.Millisecond
+	// hedgeBudgetPart is the part of the retry budget that hedges may use. Retries, without
+	// which requests fail, may use all of it.
+	hedgeBudgetPart = 0.5
+	// minFreeForHedge is the share of the slots of a service that must be free for a hedge.
+	minFreeForHedge = 0.1
 	// NumKeys is the number of keys of a service.
 	NumKeys = 1 << 16
 )
--- a/internal/placing/outcome.go
+++ b/internal/placing/outcome.go
@@ -21,11 +21,14 @@
 	// Unused means that the attempt was assigned but not sent, since the decision
 	// came too late or the server was not usable any more.
 	Unused
+	// Cancelled means that another attempt of the request was answered first. The request may
+	// have run, and the server has not failed.
+	Cancelled
 )
 
 // String returns the name of the outcome in logs.
 func (o Outcome) String() string {
-	names := [...]string{"answered", "shed", "misdirected", "unreached", "lost", "abandoned", "unused"}
+	names := [...]string{"answered", "shed", "misdirected", "unreached", "lost", "abandoned", "unused", "cancelled"}
 	if int(o) < len(names) {
 		return names[o]
 	}
--- a/internal/placing/reason.go
+++ b/internal/placing/reason.go
@@ -25,11 +25,13 @@
 	ReasonPaused
 	// ReasonLimit means that the rate limit that the key's owner names is used up.
 	ReasonLimit
+	// ReasonNoHedge means that no hedge is sent. The first attempt goes on.
+	ReasonNoHedge
 )
 
 // String returns the name of the reason in logs.
 func (r Reason) String() string {
-	names := [...]string{"none", "no-server", "overload", "retry-budget", "no-owner", "cold", "crashes", "no-holder", "paused", "limit"}
+	names := [...]string{"none", "no-server", "overload", "retry-budget", "no-owner", "cold", "crashes", "no-holder", "paused", "limit", "no-hedge"}
 	if int(r) < len(names) {
 		return names[r]
 	}
--- a/internal/placing/retrylimiter.go
+++ b/internal/placing/retrylimiter.go
@@ -23,6 +23,10 @@
 	// blockedUntil is until when no retries are allowed because those of an earlier
 	// holder may have used up the budget.
 	blockedUntil time.Time
+	// hedgeCredit is how many hedges the requests since then allow: a part of the ratio for each
+	// request, saved up to that part of extra. So hedges are within their part of the budget in
+	// each window, also one that ends later and in which earlier requests have dropped out.
+	hedgeCredit float64
 }
 
 // advanceTo clears the slices between the current one and that of now, and returns
@@ -54,6 +58,7 @@
 // countRequest counts a new request for the service.
 func (r *retryLimiter) countRequest(now time.Time) {
 	r.requests[r.advanceTo(now)]++
+	r.earnHedgeCredit()
 }
 
 // tryRetry counts one more retry if the budget allows it, and reports whether it does.
@@ -74,5 +79,6 @@
 		return false
 	}
 	r.retries[at]++
+	r.spendHedgeCredit()
 	return true
 }
--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -7,6 +7,7 @@
 	"peridotmoor.org/peridotmoor/internal/backpressure"
 	"peridotmoor.org/peridotmoor/internal/crashes"
 	"peridotmoor.org/peridotmoor/internal/fleet"
+	"peridotmoor.org/peridotmoor/internal/hedge"
 )
 
 // Scheduler assigns the attempts of all services to servers. It is not safe for
@@ -54,10 +55,12 @@
 			known = &service{
 				servers:  map[string]*server{},
 				retries:  retryLimiter{window: sched.budget.Window, ratio: sched.budget.Ratio, extra: sched.budget.Extra},
+				hedges:   hedge.NewLimit(sched.budget.Window, sched.budget.HedgeShare),
 				keyRates: &KeyRates{},
 			}
 			if sched.budget.AssumeSpent {
 				known.retries.assumeExtraSpent(now)
+				known.hedges.Block(now)
 			}
 			sched.services[name] = known
 		}
@@ -130,6 +133,10 @@
 		sched.refuse(attempt.AttemptID, ReasonCrashes, maxRetryAfter)
 		return
 	}
+	if attempt.Hedge {
+		sched.submitHedge(now, svc, &queuedAttempt{Attempt: attempt})
+		return
+	}
 	if attempt.isRetry() {
 		if !sched.exclusive || !svc.retries.tryRetry(now) {
 			sched.refuse(attempt.AttemptID, ReasonRetryBudget, minRetryAfter)
@@ -137,6 +144,7 @@
 		}
 	} else if !attempt.Resubmitted {
 		svc.retries.countRequest(now)
+		svc.hedges.CountRequest(now)
 	}
 	w := &queuedAttempt{Attempt: attempt}
 	if svc.Keyed {
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -106,6 +106,10 @@
 		s.backoffUntil = now.Add(min(backoff, maxFailureBackoff))
 	case Abandoned:
 		s.recordServiceTime(completion.Duration)
+	case Cancelled: // it would have taken longer, so a short time says nothing
+		if s.serviceTime > 0 && completion.Duration.Seconds() > s.serviceTime {
+			s.recordServiceTime(completion.Duration)
+		}
 	}
 }
 
--- a/internal/placing/service.go
+++ b/internal/placing/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"peridotmoor.org/peridotmoor/internal/fleet"
+	"peridotmoor.org/peridotmoor/internal/hedge"
 )
 
 // service is the scheduler's state of one service.
@@ -18,6 +19,7 @@
 	// unownedQueue holds attempts for keys that currently have no owner.
 	unownedQueue queue
 	retries      retryLimiter
+	hedges       hedge.Limit
 	keyRates     *KeyRates
 	// serviceTime is the moving average over all servers in seconds.
 	serviceTime float64
