Send a second attempt beside a slow one

Cause: a slow server makes its requests slow although others are free. Change: after the delay of the service, an instance asks the holder for a second server and sends a copy of the call there. The first response is used, the other attempt is cancelled and reported as cancelled; if the first attempt fails, the second one goes on as its retry. Off without HedgeShare.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,8 @@
 	log       *events.Logger
 	check     *serverCheck
 	metrics   Metrics
+	// hedger is nil if no hedges are sent.
+	hedger *hedger
 	// shareCounters counts the calls of each route, to split them over its services.
 	shareCounters sync.Map // route name to *atomic.Uint64
 	// endsAt is when the instance ends, or nil while no planned stop has begun.
@@ -36,7 +38,8 @@
 func New(o Options) *Gateway {
 	return &Gateway{
 		domain: o.Domain, registry: o.Registry, scheduler: o.Scheduler, backends: o.Backends, metrics: o.Metrics, log: o.Log,
-		check: &serverCheck{registry: o.Registry, refresher: o.Refresher, prober: o.Prober, log: o.Log},
+		hedger: newHedger(o.HedgeShare, o.HedgeMetrics),
+		check:  &serverCheck{registry: o.Registry, refresher: o.Refresher, prober: o.Prober, log: o.Log},
 	}
 }
 
@@ -167,7 +170,7 @@
 		if decision.Server == "" {
 			return state.refusalReply(decision)
 		}
-		result := g.send(ctx, call, state, decision)
+		result := g.sendHedged(ctx, call, state, decision)
 		if result.Outcome == placing.Answered {
 			return Reply{Outcome: OutcomeAnswered, Response: result.Response}
 		}
@@ -205,7 +208,7 @@
 	server := g.registry.Snapshot().Server(decision.Server)
 	if server != nil && !g.check.isRecent(server.Incarnation, decision.HeardAt, time.Now()) && !g.check.refresh(ctx, server) {
 		// The scheduler spares it for a while, as one that cannot be reached.
-		completion.Outcome = placing.Unreached
+		completion.Outcome = settledOutcome(ctx, placing.Unreached)
 		g.scheduler.Complete(completion)
 		state.sends++
 		return AttemptResult{Outcome: placing.Unreached, Detail: "the facts are too old, and the server has not said that it takes new work"}
@@ -225,6 +228,7 @@
 		state.factsAge, _ = g.registry.Age(writtenAt)
 		return g.hasSameSender(call, state) && g.maySend(server.Incarnation, decision.HeardAt)
 	})
+	result.Outcome = settledOutcome(ctx, result.Outcome)
 	if result.Open {
 		completion.HeardAt = writtenAt
 		g.check.hear(server.Incarnation, writtenAt)
--- a/internal/gateway/localscheduler.go
+++ b/internal/gateway/localscheduler.go
@@ -13,7 +13,7 @@
 )
 
 // localScheduler chooses servers without the holder. It uses no cold servers and
-// allows no retries, since their limits hold for the whole fleet. Of the limit that a
+// allows no retries and no hedges, since their limits hold for the whole fleet. Of the limit that a
 // server names it uses a share.
 type localScheduler struct {
 	domain   string
@@ -40,7 +40,7 @@
 
 func (l *localScheduler) place(now time.Time, attempt placing.Attempt) placing.Decision {
 	refused := placing.Decision{AttemptID: attempt.AttemptID, Reason: placing.ReasonNoHolder, RetryAfter: holderBackoff}
-	if len(attempt.Tried) > 0 {
+	if len(attempt.Tried) > 0 || attempt.Hedge {
 		return refused
 	}
 	if l.registry.Crashes().Blocks(now, attempt.ContentHash) {
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -6,7 +6,8 @@
 	"peridotmoor.org/peridotmoor/internal/fleet"
 )
 
-// Options holds what a Gateway needs. All fields but Log are required.
+// Options holds what a Gateway needs. All fields but Log, HedgeShare and HedgeMetrics are
+// required.
 type Options struct {
 	// Domain is the failure domain of the instance.
 	Domain    string
@@ -17,4 +18,8 @@
 	Prober    fleet.Prober
 	Metrics   Metrics
 	Log       *events.Logger
+	// HedgeShare is the share of hedges that the holder allows, or 0 if none are to be sent.
+	// HedgeMetrics is required if it is above 0.
+	HedgeShare   float64
+	HedgeMetrics HedgeMetrics
 }
