--- a/internal/entrynode/config.go
+++ b/internal/entrynode/config.go
@@ -29,4 +29,7 @@
 	RetryRatio  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
+	// HedgeShare limits the second attempts beside slow ones to this share of the requests of a
+	// service, summed over all instances; 0 sends none.
+	HedgeShare float64
 }
--- a/internal/entrynode/metrics.go
+++ b/internal/entrynode/metrics.go
@@ -35,6 +35,7 @@
 	teamCalls    *prometheus.CounterVec
 	teams        boundedLabels
 	unauthorized *prometheus.CounterVec
+	hedges       hedgeCounter
 }
 
 // newMetrics registers the metrics. The functions are called at each scrape.
@@ -65,8 +66,9 @@
 			Namespace: "peridotmoor", Name: "unauthorized_calls_total",
 			Help: "Calls that were refused because of their key, by reason: missing, malformed or unknown.",
 		}, []string{"reason"}),
+		hedges: newHedgeCounter(),
 	}
-	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, m.teamCalls, m.unauthorized, newHolderCollector(holderStatus), newShortageCollector(holderStatus),
+	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, m.teamCalls, m.unauthorized, m.hedges, newHolderCollector(holderStatus), newShortageCollector(holderStatus),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: "peridotmoor", Name: "store_calls_total", Help: "Calls to the platform's store.",
 		}, countStoreCalls),
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -53,13 +53,14 @@
 		func() holder.Status { return n.elector.Status(time.Now()) })
 	n.elector = holder.NewElector(holder.Options{
 		Self: self, Store: store, Registry: n.facts, Reader: reader, OrderSender: n.backends, Prober: n.backends, Client: schedulerClient, Log: log,
-		RetryBudget: placing.RetryBudget{Window: config.RetryWindow, Ratio: config.RetryRatio, Extra: config.RetryExtra},
+		RetryBudget: placing.RetryBudget{Window: config.RetryWindow, Ratio: config.RetryRatio, Extra: config.RetryExtra, HedgeShare: config.HedgeShare},
 		FirstStart:  config.FirstStart, ProcessorShare: config.ProcessorShare, OnOrderWritten: n.metrics.orderWritten,
 	})
 	n.gateway = gateway.New(gateway.Options{
 		Domain: config.Domain, Registry: n.facts, Scheduler: schedulerClient, Backends: n.backends,
 		Refresher: facts.NewOnDemand(reader, func() time.Duration { return holder.FleetBackoff(schedulerClient.FleetSize()) }, n.elector.ShareReading),
 		Prober:    n.backends, Metrics: n.metrics, Log: log,
+		HedgeShare: config.HedgeShare, HedgeMetrics: n.metrics.hedges,
 	})
 	reportWriteError := func(id string, err error) { log.Emit(events.CallUnwritten, "request", id, "detail", err.Error()) }
 	n.callerServer = callerhttp.NewServer(platform.CallerHandler{Gateway: n.gateway, OnWriteError: reportWriteError}, n.callerLimits)
--- a/internal/entrynode/parse.go
+++ b/internal/entrynode/parse.go
@@ -43,6 +43,7 @@
 		RetryRatio:       p.number("bounds", "retry_ratio"),
 		RetryExtra:       p.number("bounds", "retry_extra"),
 		RetryWindow:      p.seconds("bounds", "retry_window_s"),
+		HedgeShare:       p.optionalShare("bounds", "hedge_share"),
 	}
 	if len(p.issues) > 0 {
 		return Config{}, p.issues
@@ -105,3 +106,17 @@
 	}
 	return time.Duration(n * float64(time.Second))
 }
+
+// optionalShare returns a number from 0 to 1, or 0 if the setting is missing.
+func (p *parser) optionalShare(section, key string) float64 {
+	value := p.ini.Section(section).Key(key).String()
+	if value == "" {
+		return 0
+	}
+	n, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(n >= 0 && n <= 1) { // refuses NaN too
+		p.addIssue(section, key, value, "is not a share", "use a number from 0 to 1, or remove it to send no hedges")
+		return 0
+	}
+	return n
+}
--- a/internal/entrynode/parse_test.go
+++ b/internal/entrynode/parse_test.go
@@ -36,6 +36,16 @@
 		MetricsAddress: "127.0.0.1:4", StoreAddress: "127.0.0.1:5", GracePeriod: 6 * time.Second, RetryRatio: 0.2, RetryExtra: 64, RetryWindow: 10 * time.Second})
 }
 
+// Guards against hedges that the settings do not call for, and against a share that is lost.
+func TestHedgeShareIsOptional(t *testing.T) {
+	is := is.New(t)
+	for line, want := range map[string]float64{"": 0, "hedge_share =\n": 0, "hedge_share = 0\n": 0, "hedge_share = 0.05\n": 0.05, "hedge_share = 1\n": 1} {
+		c, err := Parse([]byte(validFile+line), "f")
+		is.NoErr(err)
+		is.Equal(c.HedgeShare, want)
+	}
+}
+
 // Guards against a start with invalid settings, and against an error that does not
 // name the setting and the remedy.
 func TestErrorsNameFieldAndRemedy(t *testing.T) {
@@ -46,6 +56,9 @@
 		"negative":       {"grace_s = 6", "grace_s = -1", `f: [bounds] grace_s = "-1": is not a non-negative number; use a number of 0 or more`},
 		"no duration":    {"grace_s = 6", "grace_s = 0", `f: [bounds] grace_s = "0": is not a positive duration; use a number of seconds above 0`},
 		"no boolean":     {"first_start = true", "first_start = perhaps", `f: [instance] first_start = "perhaps": is not a boolean; set it to true or false`},
+		"above 1":        {"retry_window_s = 10", "retry_window_s = 10\nhedge_share = 1.5", `f: [bounds] hedge_share = "1.5": is not a share; use a number from 0 to 1, or remove it to send no hedges`},
+		"not a number":   {"retry_window_s = 10", "retry_window_s = 10\nhedge_share = NaN", `[bounds] hedge_share = "NaN": is not a share`},
+		"below 0":        {"retry_window_s = 10", "retry_window_s = 10\nhedge_share = -0.1", `[bounds] hedge_share = "-0.1": is not a share`},
 		"not INI at all": {"[instance]", "[instance", "not readable as INI"},
 	} {
 		t.Run(name, func(t *testing.T) {
