--- a/internal/entrynode/instance_test.go
+++ b/internal/entrynode/instance_test.go
@@ -28,10 +28,15 @@
 // startInstance starts an instance on four addresses on which nothing listens.
 func startInstance(t *testing.T, store, name string, addresses []string) *instance {
 	t.Helper()
-	i := &instance{done: make(chan error, 1), ended: make(chan struct{}), config: Config{
+	return startInstanceOf(t, Config{
 		Name: name, Domain: "d-" + name, CallerAddress: addresses[0], ReadinessAddress: addresses[1], PeerAddress: addresses[2], MetricsAddress: addresses[3],
 		StoreAddress: store, GracePeriod: 4 * time.Second, RetryRatio: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second,
-	}}
+	})
+}
+
+func startInstanceOf(t *testing.T, config Config) *instance {
+	t.Helper()
+	i := &instance{done: make(chan error, 1), ended: make(chan struct{}), config: config}
 	ctx, stop := context.WithCancel(context.Background())
 	i.stop = stop
 	go func() {
