--- a/internal/entrynode/metrics.go
+++ b/internal/entrynode/metrics.go
@@ -44,6 +44,7 @@
 	// cappedTeams holds the teams with refusals by their cap that have a label of their own.
 	cappedTeams boundedLabels
 	eventDelay  prometheus.Histogram
+	hedges      hedgeCounter
 }
 
 // newMetrics registers the metrics. The functions are called at each scrape.
@@ -84,8 +85,9 @@
 			Help:    "Time that an event waits for the event loop of the holder, measured 20 times a second.",
 			Buckets: eventDelayBuckets,
 		}),
+		hedges: newHedgeCounter(),
 	}
-	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, m.eventDelay, m.teamCalls, m.unauthorized, m.capRefusals,
+	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, m.eventDelay, m.teamCalls, m.unauthorized, m.capRefusals, m.hedges,
 		newHolderCollector(holderStatus), newShortageCollector(holderStatus), newMemoryCollector(memory),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: "peridotmoor", Name: "store_calls_total", Help: "Calls to the platform's store.",
--- a/internal/entrynode/parse_test.go
+++ b/internal/entrynode/parse_test.go
@@ -45,6 +45,16 @@
 	is.Equal(c.Memory, int64(144<<20))
 }
 
+// Guards against hedges that the settings do not call for, and against a share that is lost.
+func TestHedgeShareIsOptional(t *testing.T) {
+	is := is.New(t)
+	for line, want := range map[string]float64{"": 0, "hedge_share =\n": 0, "hedge_share = 0\n": 0, "hedge_share = 0.05\n": 0.05, "hedge_share = 1\n": 1} {
+		c, err := Parse([]byte(validFile+line), "f")
+		is.NoErr(err)
+		is.Equal(c.HedgeShare, want)
+	}
+}
+
 // Guards against a start with invalid settings, and against an error that does not
 // name the setting and the remedy.
 func TestErrorsNameFieldAndRemedy(t *testing.T) {
@@ -59,6 +69,9 @@
 		"too little":     {"memory_mb = 256", "memory_mb = 63", `memory_mb = "63": is not a size of memory`},
 		"too much":       {"memory_mb = 256", "memory_mb = 1e300", `memory_mb = "1e300": is not a size of memory`},
 		"NaN":            {"memory_mb = 256", "memory_mb = NaN", `memory_mb = "NaN": is not a size of memory`},
+		"above 1":        {"retry_window_s = 10", "retry_window_s = 10\nhedge_share = 1.5", `f: [bounds] hedge_share = "1.5": is not a share; use a number from 0 to 1, or remove it to send no hedges`},
+		"not a number":   {"retry_window_s = 10", "retry_window_s = 10\nhedge_share = NaN", `[bounds] hedge_share = "NaN": is not a share`},
+		"below 0":        {"retry_window_s = 10", "retry_window_s = 10\nhedge_share = -0.1", `[bounds] hedge_share = "-0.1": is not a share`},
 		"not INI at all": {"[instance]", "[instance", "not readable as INI"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/placing/reason.go
+++ b/internal/placing/reason.go
@@ -27,11 +27,13 @@
 	ReasonLimit
 	// ReasonTeamCap means that the usage cap of the caller's team is used up.
 	ReasonTeamCap
+	// ReasonNoHedge means that no hedge is sent. The first attempt goes on.
+	ReasonNoHedge
 )
 
 // String returns the name of the reason in logs.
 func (r Reason) String() string {
-	names := [...]string{"none", "no-server", "overload", "retry-budget", "no-owner", "cold", "crashes", "no-holder", "paused", "limit", "team-cap"}
+	names := [...]string{"none", "no-server", "overload", "retry-budget", "no-owner", "cold", "crashes", "no-holder", "paused", "limit", "team-cap", "no-hedge"}
 	if int(r) < len(names) {
 		return names[r]
 	}
--- a/internal/placing/teamcap.go
+++ b/internal/placing/teamcap.go
@@ -14,9 +14,9 @@
 
 // reserveForTeam reserves a request of the usage cap of the attempt's team, or refuses the
 // attempt and returns false if the cap is used up. A request that has been submitted before
-// was admitted then.
+// was admitted then, but a hedge is refused beyond the cap.
 func (sched *Scheduler) reserveForTeam(now time.Time, attempt *Attempt) bool {
-	repeated := attempt.isRetry() || attempt.Resubmitted
+	repeated := !attempt.Hedge && (attempt.isRetry() || attempt.Resubmitted)
 	retryAfter, reserved := sched.ledger.Reserve(now, usagecap.Request(attempt.AttemptID), attempt.Team, repeated)
 	if !reserved {
 		sched.decisions = append(sched.decisions, Decision{
