Test the planning of owners under load patterns in virtual time

The owner table and the scheduler were tested apart, so that no test shows what a plan does to response times.

The tests run both against 252 servers of 4 slots in virtual time, with speeds from 0.5 to 1.7 and a slowdown of 0.8 to 2.0 that changes every 200 ms, at 1,230 requests/s, and log how the requests end and what moves.

--- /dev/null
+++ b/internal/owners/loadpattern_test.go
@@ -0,0 +1,118 @@
+package owners_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	patternServers = 252
+	// patternRate leaves the slots at about 35% on average.
+	patternRate = 1230.0
+)
+
+// logResult logs the result of a period.
+func logResult(t *testing.T, period string, r *loadResult) {
+	t.Helper()
+	t.Logf("%s: %v", period, r)
+}
+
+// Guards against slow servers that keep as many keys as fast ones, and against moves without
+// end on a calm day.
+func TestUniformLoadOnUnevenServers(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newLoadSim(1, patternServers)
+	sim.run(3*time.Second, 0)
+	first := sim.run(10*time.Second, patternRate)
+	second := sim.run(10*time.Second, patternRate)
+	settled := sim.run(20*time.Second, patternRate)
+	sim.finish()
+	logResult(t, "first 10 s", first)
+	logResult(t, "next 10 s", second)
+	logResult(t, "last 20 s", settled)
+	t.Logf("Plan takes %v", sim.planTime/time.Duration(sim.plans))
+	is.True(settled.requests > 20000)
+}
+
+// Guards against moving a key that no server can carry, and against needless moves after it has
+// cooled down.
+func TestOneHotKey(t *testing.T) {
+	for _, perSecond := range []float64{60, 180} {
+		t.Run(fmt.Sprint(perSecond), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			hot, calm, sim := runHot(t, hotKeys{first: 30000, count: 1, perSecond: perSecond, to: 7 * time.Second})
+			ofKey := 0
+			for _, m := range sim.moves {
+				if m.Contains(30000) && m.Size() < 100 {
+					ofKey++
+				}
+			}
+			t.Logf("moves of the hot key: %d", ofKey)
+			is.True(hot.requests > 8000)
+			is.True(calm.requests > 10000)
+		})
+	}
+}
+
+// Guards against hot neighbouring keys that leave their owner one range at a time.
+func TestHotNeighbours(t *testing.T) {
+	for _, count := range []int{60, 200} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			hot, calm, _ := runHot(t, hotKeys{first: 30000, count: count, perSecond: 400, to: 7 * time.Second})
+			is.True(hot.requests > 8000)
+			is.True(calm.requests > 10000)
+		})
+	}
+}
+
+// runHot runs a settled fleet with hot keys, and afterwards without.
+func runHot(t *testing.T, hot hotKeys) (*loadResult, *loadResult, *loadSim) {
+	t.Helper()
+	sim := newLoadSim(2, patternServers)
+	sim.run(3*time.Second, 0)
+	sim.run(20*time.Second, patternRate)
+	during := sim.run(7*time.Second, patternRate, hot)
+	after := sim.run(5*time.Second, patternRate)
+	calm := sim.run(15*time.Second, patternRate)
+	sim.finish()
+	logResult(t, "7 s hot", during)
+	logResult(t, "5 s after", after)
+	logResult(t, "15 s later", calm)
+	return during, calm, sim
+}
+
+// Guards against a server that joins and gets no keys, and against the loss of requests when one leaves.
+func TestServersJoinAndLeave(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newLoadSim(4, patternServers)
+	sim.run(3*time.Second, 0)
+	sim.run(20*time.Second, patternRate)
+	sim.addServer("t000", 1.7)
+	sim.update()
+	joined := sim.run(10*time.Second, patternRate)
+	sim.servers["s010"].Leaving = true
+	sim.update()
+	left := sim.run(10*time.Second, patternRate)
+	sim.finish()
+	logResult(t, "10 s after a server has joined", joined)
+	logResult(t, "10 s after a server is leaving", left)
+	owned, lost := 0, 0
+	for _, r := range sim.table.OwnedRanges(loadService) {
+		switch r.Owner {
+		case "t000":
+			owned += r.Size()
+		case "s010":
+			lost += r.Size()
+		}
+	}
+	is.True(owned > 0)
+	is.Equal(lost, 0)
+}
