Learn the service times of servers apart from noise and queueing

The plan used an average of about twenty response times, including the momentary slowdown of the machine and the wait for a slot at the server, so that chance and the load itself looked like slow servers, and keys moved.

Each sample is divided by the slowdown reported with it and by the requests for each slot. The average covers 100 responses, begins with that of the service, and is scaled by the average slowdown of the service. A server whose last responses take twice as long still counts as slow at once.

--- a/internal/placing/constants.go
+++ b/internal/placing/constants.go
@@ -17,10 +17,6 @@
 	// deadlineMargin is how many average service times must remain until the
 	// deadline: service times vary, and a request that is cut off has wasted a slot.
 	deadlineMargin = 1.3
-	// longTermWeight is the weight of the newest sample in the long-term moving
-	// average of the service time. It covers about twenty responses, so that random
-	// variation does not make keys move.
-	longTermWeight = 0.05
 	// slowdownTTL is how long a reported slowdown factor is used. The load of other
 	// workloads on the same machine changes several times a second.
 	slowdownTTL = 300 * time.Millisecond
--- a/internal/placing/dispatch.go
+++ b/internal/placing/dispatch.go
@@ -12,6 +12,7 @@
 		if s == nil {
 			continue
 		}
+		svc.learnBaseTime(s, completion)
 		s.recordCompletion(now, completion, svc.Keyed)
 		switch completion.Outcome {
 		case Lost:
--- a/internal/placing/measurements.go
+++ b/internal/placing/measurements.go
@@ -15,16 +15,40 @@
 	return svc.keyRates
 }
 
-// ServiceTime returns the average service time of a server in seconds.
+// ServiceTime returns the average service time of a server in seconds, at the average slowdown
+// of the service.
 func (sched *Scheduler) ServiceTime(name, id string) float64 {
 	svc := sched.services[name]
 	if svc == nil {
 		return defaultServiceTime.Seconds()
 	}
-	if s := svc.servers[id]; s != nil && s.longTermServiceTime > 0 {
-		return max(s.longTermServiceTime, s.serviceTime/2) // react early when a server becomes slow
+	if svc.base.samples == 0 {
+		return svc.typicalServiceTime()
 	}
-	return svc.typicalServiceTime()
+	typical, slowdown := svc.base.seconds, svc.base.averageSlowdown()
+	s := svc.servers[id]
+	if s == nil {
+		return typical * slowdown
+	}
+	return max(s.base.estimate(typical)*slowdown, s.serviceTime/2) // react early when a server becomes slow
+}
+
+// learnBaseTime updates the base service times with a completion. It is to be called before
+// the attempt frees its slot.
+func (s *service) learnBaseTime(server *server, completion Completion) {
+	slowdown := 0.0
+	if completion.Load.Known {
+		slowdown = completion.Load.SlowdownFactor
+	}
+	if slowdown > 0 {
+		s.base.observeSlowdown(slowdown)
+	}
+	if completion.Outcome != Answered {
+		return
+	}
+	sample := normalizedTime(completion.Duration.Seconds(), slowdown, len(server.inFlight), server.Slots)
+	server.base.add(sample)
+	s.base.add(sample)
 }
 
 // typicalServiceTime returns the average service time over all servers in seconds,
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -17,8 +17,8 @@
 	// serviceTime is the moving average of the service time in seconds, or 0 before
 	// the first sample.
 	serviceTime float64
-	// longTermServiceTime averages over more samples than serviceTime.
-	longTermServiceTime float64
+	// base is the service time apart from momentary slowdowns and waiting.
+	base baseTime
 	// slowdownFactor was last reported by the server at slowdownAt.
 	slowdownFactor float64
 	slowdownAt     time.Time
@@ -127,9 +127,8 @@
 func (s *server) recordServiceTime(duration time.Duration) {
 	sample := duration.Seconds()
 	if s.serviceTime == 0 {
-		s.serviceTime, s.longTermServiceTime = sample, sample
+		s.serviceTime = sample
 		return
 	}
 	s.serviceTime += serviceTimeWeight * (sample - s.serviceTime)
-	s.longTermServiceTime += longTermWeight * (sample - s.longTermServiceTime)
 }
--- a/internal/placing/service.go
+++ b/internal/placing/service.go
@@ -16,6 +16,8 @@
 	keyRates     *KeyRates
 	// serviceTime is the moving average over all servers in seconds.
 	serviceTime float64
+	// base is the service time apart from momentary slowdowns and waiting.
+	base serviceBaseTime
 }
 
 // usableSlots returns the number of slots of the servers that may get work.
