Spread hot neighbouring keys over many servers in one round

A busy server gave up one range for each plan, of the size that the average over a second suggested. That average shows a quarter of a burst that began a quarter of a second ago, so that the parts were too large and moved on.

The rate of a burst follows from the sums of the rates at two plans. A server that is certainly overloaded, and whose excess no single server can take, is divided in one plan into parts that fit the free capacity of different servers, the ones with most room first; up to a quarter of the servers may get a part at the same time, and parts may move again after a second. Sums of all rates also replace the sums over each range.

--- a/internal/owners/constants.go
+++ b/internal/owners/constants.go
@@ -62,6 +62,24 @@
 	// speed of the new server under that load must be measured first, and each move
 	// interrupts service for the keys.
 	moveCooldown = 4 * time.Second
+	// spreadUtilization is the expected utilization up to which servers are given parts of hot
+	// neighbouring keys.
+	spreadUtilization = 0.65
+	// maxSpreadUtilization is the same for a single hot key, which cannot be divided.
+	maxSpreadUtilization = 0.85
+	// onsetGrowth is how much higher than measured the rate of a burst is taken for that has just
+	// begun: on average, it covers half of the time between two plans.
+	onsetGrowth = 2.0
+	// hotKeyRate is the rate in requests/s from which on a key of an overloaded server is hot.
+	hotKeyRate = 0.5
+	// spreadCooldown is how long a part of hot neighbouring keys stays where it was moved. The
+	// first parts of a burst that has just begun may be too large.
+	spreadCooldown = time.Second
+	// spreadShare is the share of the servers whose number of ranges may move at the same time
+	// if hot keys are spread: they are few keys, and one server alone delays all of them.
+	spreadShare = 0.25
+	// rateTimeConstant is the time constant of the average of KeyRates.
+	rateTimeConstant = time.Second
 	// balanceInterval is how often servers are balanced by their expected response times,
 	// which change little within a second.
 	balanceInterval = time.Second
--- a/internal/owners/loadpattern_test.go
+++ b/internal/owners/loadpattern_test.go
@@ -68,9 +68,11 @@
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			hot, calm, _ := runHot(t, hotKeys{first: 30000, count: count, perSecond: 400, to: 7 * time.Second})
+			hot, calm, sim := runHot(t, hotKeys{first: 30000, count: count, perSecond: 400, to: 7 * time.Second})
 			is.True(hot.requests > 8000)
 			is.True(calm.requests > 10000)
+			is.True(sim.hotOwners >= 15) // after 1.5 s
+			is.True(float64(hot.refused) < 0.055*float64(hot.requests))
 		})
 	}
 }
@@ -81,10 +83,12 @@
 	sim := newLoadSim(2, patternServers)
 	sim.run(3*time.Second, 0)
 	sim.run(20*time.Second, patternRate)
+	sim.after(1500*time.Millisecond, func() { sim.hotOwners = sim.ownersOf(hot.first, hot.first+hot.count-1) })
 	during := sim.run(7*time.Second, patternRate, hot)
 	after := sim.run(5*time.Second, patternRate)
 	calm := sim.run(15*time.Second, patternRate)
 	sim.finish()
+	t.Logf("owners of the hot keys after 1.5 s: %d", sim.hotOwners)
 	logResult(t, "7 s hot", during)
 	logResult(t, "5 s after", after)
 	logResult(t, "15 s later", calm)
--- a/internal/owners/loadsim_test.go
+++ b/internal/owners/loadsim_test.go
@@ -49,6 +49,8 @@
 	result *loadResult
 	// moves are all moves so far.
 	moves []owners.Move
+	// hotOwners is the number of owners of the hot keys shortly after their burst has begun.
+	hotOwners int
 	// planTime is the processor time of Plan, and plans the number of calls.
 	planTime time.Duration
 	plans    int
@@ -103,6 +105,16 @@
 	return out
 }
 
+// ownersOf returns the number of servers that own the keys from first to last.
+func (s *loadSim) ownersOf(first, last int) int {
+	found := map[string]bool{}
+	for key := first; key <= last; key++ {
+		owner, _ := s.table.Owner(loadService, key)
+		found[owner] = true
+	}
+	return len(found)
+}
+
 // update passes the list of servers to the scheduler.
 func (s *loadSim) update() {
 	var listed []fleet.Server
--- a/internal/owners/plan.go
+++ b/internal/owners/plan.go
@@ -32,6 +32,7 @@
 	}
 	t.planLost(service, loads)
 	t.planJoined(service, loads)
+	t.planSpread(service, loads)
 	t.planBusy(service, loads)
 	t.planBalance(service, loads)
 	t.merge(service)
--- a/internal/owners/relieve.go
+++ b/internal/owners/relieve.go
@@ -19,6 +19,22 @@
 	}
 }
 
+// planSpread spreads the hot neighbouring keys of overloaded servers.
+func (t *Table) planSpread(service string, loads *serviceLoads) {
+	limit := max(maxConcurrentMoves(len(loads.usable())), int(spreadShare*float64(len(loads.usable()))))
+	done := map[*serverLoad]bool{}
+	for t.movesInProgress(service) < limit {
+		from := loads.busiest(done)
+		if from == nil || from.leastUtilization() < 1 {
+			return
+		}
+		done[from] = true
+		if _, rate := t.hottestKey(service, from, loads); rate < dominantShare*from.rate {
+			t.spread(service, from, limit, loads)
+		}
+	}
+}
+
 // maxConcurrentMoves returns how many ranges of a service may move at the same time,
 // so that only a bounded part of its servers is affected.
 func maxConcurrentMoves(servers int) int {
--- a/internal/owners/serverload.go
+++ b/internal/owners/serverload.go
@@ -7,7 +7,9 @@
 	Candidate
 	// rate is in requests/s.
 	rate float64
-	keys int
+	// expected is the rate that the server is about to have.
+	expected float64
+	keys     int
 }
 
 // utilization returns the average share of the server's capacity that is in use.
@@ -25,6 +27,11 @@
 	return (l.rate - rateNoise*math.Sqrt(l.rate)) / l.capacity()
 }
 
+// room returns the rate that the server can take up to the utilization.
+func (l *serverLoad) room(utilization float64) float64 {
+	return utilization*l.capacity() - max(l.rate, l.expected)
+}
+
 // capacity returns the highest rate, in requests/s, that the server can sustain and takes.
 func (l *serverLoad) capacity() float64 {
 	return l.Limit.Cap(float64(l.Slots) / l.ServiceTime)
--- a/internal/owners/serviceloads.go
+++ b/internal/owners/serviceloads.go
@@ -7,12 +7,17 @@
 	servers []*serverLoad
 	byName  map[string]*serverLoad
 	rates   KeyRates
+	sums    *rateSums
 	// steadySums holds the sums of the steady rates of all keys below each key, once needed.
 	steadySums *[NumKeys + 1]float64
 }
 
 func (t *Table) newServiceLoads(now time.Time, service string, candidates []Candidate, rates KeyRates) *serviceLoads {
-	out := &serviceLoads{byName: map[string]*serverLoad{}, rates: rates}
+	if t.rateSums[service] == nil {
+		t.rateSums[service] = &rateSums{}
+	}
+	out := &serviceLoads{byName: map[string]*serverLoad{}, rates: rates, sums: t.rateSums[service]}
+	out.sums.update(now, rates)
 	ignoreSuspects := t.mostUnresponsive(candidates)
 	for _, c := range candidates {
 		l := &serverLoad{Candidate: c}
@@ -25,6 +30,7 @@
 	for _, r := range t.services[service] {
 		if l := out.byName[r.owner.Name]; l != nil {
 			l.rate += out.rateOf(r.Interval)
+			l.expected += out.sums.expectedRateOf(r.Interval)
 			l.keys += r.Size()
 		}
 	}
@@ -32,11 +38,7 @@
 }
 
 func (l *serviceLoads) rateOf(i Interval) float64 {
-	rate := 0.0
-	for key := i.From; key <= i.To; key++ {
-		rate += l.rates.Rate(key)
-	}
-	return rate
+	return l.sums.rateOf(i)
 }
 
 func (l *serviceLoads) usable() []*serverLoad {
@@ -110,12 +112,14 @@
 // transfer accounts the load of an interval to another server. from is nil if the
 // interval had no usable owner.
 func (l *serviceLoads) transfer(i Interval, from, to *serverLoad) {
-	rate := l.rateOf(i)
+	rate, expected := l.rateOf(i), l.sums.expectedRateOf(i)
 	if from != nil {
 		from.rate -= rate
+		from.expected -= expected
 		from.keys -= i.Size()
 	}
 	to.rate += rate
+	to.expected += expected
 	to.keys += i.Size()
 }
 
--- a/internal/owners/table.go
+++ b/internal/owners/table.go
@@ -34,6 +34,8 @@
 	failures map[fleet.Incarnation]int
 	// serverCounts holds the number of usable servers of services without ranges.
 	serverCounts map[string]serverCount
+	// rateSums holds the rates of the keys of each service as of its last plan.
+	rateSums map[string]*rateSums
 	// balancedAt is when the load of each service was last balanced.
 	balancedAt map[string]time.Time
 	// steadySums is memory for the balance.
@@ -67,6 +69,7 @@
 		ended:          map[fleet.Incarnation]time.Time{},
 		failures:       map[fleet.Incarnation]int{},
 		serverCounts:   map[string]serverCount{},
+		rateSums:       map[string]*rateSums{},
 		balancedAt:     map[string]time.Time{},
 		shiftedAt:      map[fleet.Incarnation]time.Time{},
 		inheritedUntil: inheritedUntil,
