Move a key that no server can carry at most once

A key with most of the requests of its server went to whichever server was the fastest each time its cool-down ended, every 4.2 s, and each move interrupts it for half a second. Other keys left its owner one range at a time, to the least utilized server, which is often a slow one.

The key is moved at most once a minute. All other keys with load leave its owner in one plan, to the servers at which they are expected to take least time. The balance moves no single key with more load than is wanted.

--- a/internal/owners/balance.go
+++ b/internal/owners/balance.go
@@ -124,7 +124,7 @@
 	rate := loads.steadyRateOf(cut)
 	saved := from.totalAt(from.steady) - from.totalAt(from.steady-rate) + to.totalAt(to.steady) - to.totalAt(to.steady+rate)
 	cost := rate*moveDelay.Seconds() + movePrice*float64(cut.Size())/NumKeys
-	if rate < want/2 || saved*balanceHorizon.Seconds() < cost {
+	if rate < want/2 || rate > maxOvershoot*want || saved*balanceHorizon.Seconds() < cost {
 		return false
 	}
 	t.moveCut(service, r, cut, from.serverLoad, to.serverLoad, loads, MoveBalanced)
--- a/internal/owners/constants.go
+++ b/internal/owners/constants.go
@@ -58,6 +58,9 @@
 	// minSpeedup is the measured speedup from which on a key is moved to a faster
 	// server. Averages of a few responses differ by chance.
 	minSpeedup = 1.3
+	// hotMoveMemory is how long a key that takes up most of a server is not moved again. No
+	// server can carry it, and bursts last for some seconds.
+	hotMoveMemory = time.Minute
 	// moveCooldown is how long a range stays where it is after it was moved for load. The
 	// speed of the new server under that load must be measured first, and each move
 	// interrupts service for the keys.
@@ -101,6 +104,9 @@
 	// minBalancedMove is the least load that is moved for balance, as a share of the average
 	// load of a server, so that there are few moves.
 	minBalancedMove = 0.5
+	// maxOvershoot is how much more load than wanted a move for balance may carry, so that a single
+	// key with most of the load of its server is not moved for it.
+	maxOvershoot = 1.5
 	// balanceHorizon is the time in which a move must save more than it costs.
 	balanceHorizon = 10 * time.Second
 	// moveDelay is how long requests for moving keys wait on average.
--- a/internal/owners/loadpattern_test.go
+++ b/internal/owners/loadpattern_test.go
@@ -56,6 +56,7 @@
 				}
 			}
 			t.Logf("moves of the hot key: %d", ofKey)
+			is.True(ofKey <= 1) // 3 before
 			is.True(hot.requests > 8000)
 			is.True(calm.requests > 10000)
 		})
--- a/internal/owners/relieve.go
+++ b/internal/owners/relieve.go
@@ -65,21 +65,25 @@
 	return true
 }
 
-// isolate handles a key that takes up most of its server: it moves the key to a
-// clearly faster server if there is one, and otherwise moves other keys off its server.
+// isolate handles a key that takes up most of its server: it moves the key once to a clearly
+// faster server if there is one, and otherwise moves all other keys off its server.
 func (t *Table) isolate(service string, key int, rate float64, from *serverLoad, loads *serviceLoads) bool {
 	if best := loads.fastest(); best != nil && best != from && best.capacity() > from.capacity()*minSpeedup &&
-		(best.rate+rate)/best.capacity() < from.utilization() {
+		(best.rate+rate)/best.capacity() < from.utilization() && !t.hotMoves[service].recent(t.now, key) {
 		if r := t.find(service, key); r != nil && t.movable(r) {
 			t.moveCut(service, r, Interval{From: key, To: key}, from, best, loads, MoveBusy)
+			if t.hotMoves[service] == nil {
+				t.hotMoves[service] = hotMoves{}
+			}
+			t.hotMoves[service].add(t.now, key)
 			return true
 		}
 	}
-	to := loads.leastUtilized(from.Name)
-	if to == nil || from.rate-rate < minMoveRate {
+	if from.rate-rate < minMoveRate {
 		return false
 	}
-	for _, r := range t.services[service] {
+	moved := false
+	for _, r := range append([]*rangeState(nil), t.services[service]...) {
 		if r.owner != from.Incarnation || !t.movable(r) {
 			continue
 		}
@@ -87,11 +91,15 @@
 			if cut.Size() <= 0 || loads.rateOf(cut) < minMoveRate {
 				continue
 			}
-			t.moveCut(service, r, loads.trimIdle(cut), from, to, loads, MoveBusy)
-			return true
+			to := loads.quickest(from, loads.rateOf(cut))
+			if to == nil {
+				return moved
+			}
+			t.moveCut(service, t.find(service, cut.From), loads.trimIdle(cut), from, to, loads, MoveBusy)
+			moved = true
 		}
 	}
-	return false
+	return moved
 }
 
 // hottestKey returns the key of a server with the highest rate.
--- a/internal/owners/serviceloads.go
+++ b/internal/owners/serviceloads.go
@@ -191,3 +191,25 @@
 	}
 	return i
 }
+
+// quickest returns the usable warm server at which requests of the given additional rate are
+// expected to take least time, or a cold one if there is none.
+func (l *serviceLoads) quickest(except *serverLoad, rate float64) *serverLoad {
+	var best *serverLoad
+	var bestTime float64
+	for _, cold := range []bool{false, true} {
+		for _, server := range l.usable() {
+			if server.Cold != cold || server == except {
+				continue
+			}
+			model := responseTime{slots: float64(server.Slots)}
+			if time := server.ServiceTime * model.marginal((server.rate+rate)/server.capacity()); best == nil || time < bestTime {
+				best, bestTime = server, time
+			}
+		}
+		if best != nil {
+			return best
+		}
+	}
+	return nil
+}
--- a/internal/owners/table.go
+++ b/internal/owners/table.go
@@ -36,6 +36,8 @@
 	serverCounts map[string]serverCount
 	// rateSums holds the rates of the keys of each service as of its last plan.
 	rateSums map[string]*rateSums
+	// hotMoves remembers the hot keys of each service that were moved to a faster server.
+	hotMoves map[string]hotMoves
 	// balancedAt is when the load of each service was last balanced.
 	balancedAt map[string]time.Time
 	// steadySums is memory for the balance.
@@ -69,6 +71,7 @@
 		ended:          map[fleet.Incarnation]time.Time{},
 		failures:       map[fleet.Incarnation]int{},
 		serverCounts:   map[string]serverCount{},
+		hotMoves:       map[string]hotMoves{},
 		rateSums:       map[string]*rateSums{},
 		balancedAt:     map[string]time.Time{},
 		shiftedAt:      map[fleet.Incarnation]time.Time{},
