Keep the learned service times of servers over a change of holder

A new holder and a restarted server began with the average service time, and the first plan of a service divided its keys by slots although the speeds had been known.

The record of owners holds the service time of each server of a keyed service in percent of the average, at most 2,000 entries; records without them are read as before, and values from 10 to 1000 alone are used. A write of its own follows at most every 20 s if three of them have changed by more than 15 points. They count for 60 responses, and the first plan of a service divides the keys so that one more request takes about as long everywhere at a utilization of 0.4. Without known speeds it follows the slots as before.

--- a/internal/holder/constants.go
+++ b/internal/holder/constants.go
@@ -27,6 +27,11 @@
 	backoffFleetSize = 12
 	// recordCleanupDelay is how long finished moves may stay in the stored record.
 	recordCleanupDelay = 600 * time.Millisecond
+	// timesRecordInterval is how long the record may lack service times of servers that the
+	// holder has learned. They change slowly, and a successor learns them anew in seconds.
+	timesRecordInterval = 20 * time.Second
+	// minChangedTimes is the number of changed service times that are worth a write.
+	minChangedTimes = 3
 	// leaseTTL is the lifetime of the leader lease. A holder that has crashed is
 	// replaced once it has expired.
 	leaseTTL = 2 * time.Second
--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -116,6 +116,10 @@
 	// resultsPending is set when results of orders have arrived since the last tick.
 	resultsPending bool
 	storedAt       time.Time
+	// recordedTimes holds the service times in the record.
+	recordedTimes fleet.RelativeTimes
+	// timesCheckedAt is when timesRecordDue last compared them with those of the scheduler.
+	timesCheckedAt time.Time
 	plannedAt      time.Time
 	heartbeatAt    time.Time
 	tickedAt       time.Time
--- a/internal/holder/newcoordinator.go
+++ b/internal/holder/newcoordinator.go
@@ -60,6 +60,8 @@
 	retryBudget := e.retryBudget
 	retryBudget.AssumeSpent = found.Epoch > 1
 	c.scheduler = placing.New(retryBudget, c.table, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	c.scheduler.UseRelativeTimes(found.RelativeTimes)
+	c.recordedTimes = found.RelativeTimes.Bounded()
 	c.scheduler.UseCrashes(c.registry.Crashes())
 	return c
 }
--- a/internal/holder/planning.go
+++ b/internal/holder/planning.go
@@ -68,9 +68,10 @@
 
 // recordDue reports whether the record of owners must be written: at once if moves cannot
 // begin before they are stored or this instance yields, after recordCleanupDelay if only the
-// end of moves must be recorded, and after fleetRecordDelay if only the fleet has changed.
+// end of moves must be recorded, after fleetRecordDelay if only the fleet has changed, and after
+// timesRecordInterval if only service times have.
 func (c *Coordinator) recordDue(now time.Time) bool {
-	due := c.table.Dirty() && (c.table.HasUnstoredMoves() || now.Sub(c.storedAt) >= recordCleanupDelay) || c.fleetRecordDue(now)
+	due := c.table.Dirty() && (c.table.HasUnstoredMoves() || now.Sub(c.storedAt) >= recordCleanupDelay) || c.fleetRecordDue(now) || c.timesRecordDue(now)
 	return !c.storing && (due || c.yieldPlanned)
 }
 
@@ -115,6 +116,7 @@
 	record.Yielded = c.yieldPlanned
 	record.InheritedGrantsPending = !c.table.InheritedGrantsEnded(now)
 	record.RangesLost = c.table.RangesLost(now)
+	record.RelativeTimes = c.scheduler.RelativeTimes()
 	record.Addresses = map[string]string{}
 	for incarnation := range record.Incarnations() {
 		if server := c.findServer(incarnation); server != nil {
@@ -132,6 +134,7 @@
 		return
 	}
 	c.table.MarkStored(version)
+	c.recordedTimes = record.RelativeTimes
 	c.quorum.Confirm(record.Fleet)
 	if record.Yielded {
 		c.yielding.Store(true)
--- a/internal/owners/loadsim_test.go
+++ b/internal/owners/loadsim_test.go
@@ -76,6 +76,7 @@
 func (s *loadSim) begin(record owners.Record) {
 	s.table = owners.NewTable(record, "holder", s.now)
 	s.scheduler = placing.New(placing.RetryBudget{Window: 10 * time.Second, Ratio: 0.2, Extra: 5}, s.table, rand.New(rand.NewPCG(s.random.Uint64(), 2)))
+	s.scheduler.UseRelativeTimes(record.RelativeTimes)
 	s.storing = false
 	s.update()
 }
--- a/internal/owners/plan.go
+++ b/internal/owners/plan.go
@@ -50,18 +50,22 @@
 	return now.Sub(c.since) >= firstPlanDelay
 }
 
-// planFirst divides the keys among all servers in proportion to their slots.
+// planFirst divides the keys among all servers: by the load that each of them is to have if
+// their service times are known, and otherwise in proportion to their slots.
 func (t *Table) planFirst(service string, loads *serviceLoads) {
 	usable := loads.usable()
-	total := 0
-	for _, l := range usable {
-		total += l.Slots
+	weights, total := firstWeights(usable), 0.0
+	for _, weight := range weights {
+		total += weight
 	}
 	version := t.newPlanVersion()
-	from, slots := 0, 0
-	for _, l := range usable {
-		slots += l.Slots
-		to := NumKeys*slots/total - 1
+	from, sum := 0, 0.0
+	for i, l := range usable {
+		sum += weights[i]
+		to := int(NumKeys*sum/total) - 1
+		if i == len(usable)-1 {
+			to = NumKeys - 1
+		}
 		if to < from {
 			continue // its share is less than a key
 		}
--- a/internal/owners/record.go
+++ b/internal/owners/record.go
@@ -35,6 +35,8 @@
 	// Addresses holds the address of each incarnation in the ranges, keyed by its String,
 	// as a server may still run after it is no longer listed.
 	Addresses map[string]string `json:"addresses,omitempty"`
+	// RelativeTimes holds the service times that the holder has learned. Older records have none.
+	RelativeTimes fleet.RelativeTimes `json:"relativeTimes,omitempty"`
 }
 
 // Incarnations returns the incarnations in the ranges and the service of each.
--- a/internal/placing/basetime.go
+++ b/internal/placing/basetime.go
@@ -22,9 +22,10 @@
 	b.seconds += (sample - b.seconds) / b.samples
 }
 
-// estimate returns the service time, where prior is that of the average server.
-func (b *baseTime) estimate(prior float64) float64 {
-	return (b.seconds*b.samples + prior*baseTimePriorSamples) / (b.samples + baseTimePriorSamples)
+// estimate returns the service time, where prior is what is assumed without responses, which
+// counts for the given number of them.
+func (b *baseTime) estimate(prior, priorSamples float64) float64 {
+	return (b.seconds*b.samples + prior*priorSamples) / (b.samples + priorSamples)
 }
 
 // normalizedTime returns the service time without the slowdown, and without the wait for a
--- a/internal/placing/measurements.go
+++ b/internal/placing/measurements.go
@@ -22,15 +22,18 @@
 	if svc == nil {
 		return defaultServiceTime.Seconds()
 	}
+	s := svc.servers[id]
 	if svc.base.samples == 0 {
+		if s != nil && s.inheritedTime > 0 {
+			return svc.typicalServiceTime() * s.inheritedTime
+		}
 		return svc.typicalServiceTime()
 	}
-	typical, slowdown := svc.base.seconds, svc.base.averageSlowdown()
-	s := svc.servers[id]
+	slowdown := svc.base.averageSlowdown()
 	if s == nil {
-		return typical * slowdown
+		return svc.base.seconds * slowdown
 	}
-	return max(s.base.estimate(typical)*slowdown, s.serviceTime/2) // react early when a server becomes slow
+	return max(svc.baseTimeOf(s)*slowdown, s.serviceTime/2) // react early when a server becomes slow
 }
 
 // learnBaseTime updates the base service times with a completion. It is to be called before
--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -25,6 +25,8 @@
 	exclusive bool
 	// limitOf returns the rate limit that a server names.
 	limitOf func(fleet.Incarnation) backpressure.Limit
+	// inheritedTimes holds the service times that an earlier scheduler has learned.
+	inheritedTimes fleet.RelativeTimes
 }
 
 // New returns a scheduler without services.
@@ -72,8 +74,13 @@
 		listed[s.Name] = true
 		old := svc.servers[s.Name]
 		if old == nil || old.Incarnation != s.Incarnation || old.Address != s.Address {
+			inherited := sched.inheritedTimes.Of(s.Service, s.Name)
+			if old != nil {
+				inherited = svc.relativeTime(old)
+			}
 			svc.servers[s.Name] = newServer(s)
 			old = svc.servers[s.Name]
+			old.inheritedTime = inherited
 			old.limit = sched.limitOf(s.Incarnation)
 		}
 		old.Server = s
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -19,6 +19,9 @@
 	serviceTime float64
 	// base is the service time apart from momentary slowdowns and waiting.
 	base baseTime
+	// inheritedTime is the service time relative to the average of the service, as an earlier
+	// holder or an earlier process of the server has shown, or 0.
+	inheritedTime float64
 	// slowdownFactor was last reported by the server at slowdownAt.
 	slowdownFactor float64
 	slowdownAt     time.Time
