Estimate the time of the next request from the learned service time

The scheduler multiplied an average of eight responses, which includes the slowdown of that time, by the slowdown reported last, and began with the first response alone. A first response that took long by chance had the next requests refused.

The estimate is the learned service time at the slowdown reported within 300 ms, or else at the average one. The average of the last responses counts half, from the 16th on, so that an unreported slowdown is still noticed.

TestFewResponsesDoNotMakeAServerSlow fails without the change.

--- a/internal/placing/basetime.go
+++ b/internal/placing/basetime.go
@@ -4,6 +4,9 @@
 	// baseTimeSamples is how many responses the base service time covers. The work of
 	// requests varies by about its mean, so that fewer do not tell servers apart.
 	baseTimeSamples = 300
+	// minRecentSamples is the number of responses from which on the last ones may show that a
+	// server has become slow.
+	minRecentSamples = 16
 	// baseTimePriorSamples is how many responses the average of the service counts for in
 	// the estimate of one server, so that its first responses do not decide alone.
 	baseTimePriorSamples = 15
--- a/internal/placing/measurements.go
+++ b/internal/placing/measurements.go
@@ -33,7 +33,7 @@
 	if s == nil {
 		return svc.base.seconds * slowdown
 	}
-	return max(svc.baseTimeOf(s)*slowdown, s.serviceTime/2) // react early when a server becomes slow
+	return max(svc.baseTimeOf(s)*slowdown, s.leastServiceTime())
 }
 
 // learnBaseTime updates the base service times with a completion. It is to be called before
--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -80,7 +80,7 @@
 			}
 			svc.servers[s.Name] = newServer(s)
 			old = svc.servers[s.Name]
-			old.inheritedTime = inherited
+			old.inheritedTime, old.service = inherited, svc
 			old.limit = sched.limitOf(s.Incarnation)
 		}
 		old.Server = s
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -19,6 +19,8 @@
 	serviceTime float64
 	// base is the service time apart from momentary slowdowns and waiting.
 	base baseTime
+	// service is the service of the server.
+	service *service
 	// inheritedTime is the service time relative to the average of the service, as an earlier
 	// holder or an earlier process of the server has shown, or 0.
 	inheritedTime float64
@@ -57,14 +59,23 @@
 // expectedServiceTime returns the expected service time of a request at the server
 // in seconds. fallback is used before the first sample.
 func (s *server) expectedServiceTime(now time.Time, fallback float64) float64 {
-	expected := s.serviceTime
-	if expected == 0 {
-		expected = fallback
+	if s.service == nil || s.service.base.samples == 0 {
+		return fallback * max(s.inheritedTime, 1)
 	}
+	slowdown := s.service.base.averageSlowdown()
 	if now.Sub(s.slowdownAt) < slowdownTTL && s.slowdownFactor > 0 {
-		expected *= s.slowdownFactor
+		slowdown = s.slowdownFactor
 	}
-	return expected
+	return max(s.service.baseTimeOf(s)*slowdown, s.leastServiceTime())
+}
+
+// leastServiceTime returns the service time that the last responses show for certain, so that a
+// server that becomes slow without a report of it is noticed early.
+func (s *server) leastServiceTime() float64 {
+	if s.base.samples < minRecentSamples {
+		return 0
+	}
+	return s.serviceTime / 2
 }
 
 // hasFreeSlot reports whether the server has a free slot and may be given work.
@@ -133,5 +144,5 @@
 		s.serviceTime = sample
 		return
 	}
-	s.serviceTime += serviceTimeWeight * (sample - s.serviceTime)
+	s.serviceTime += max(serviceTimeWeight, 1/max(1, s.base.samples)) * (sample - s.serviceTime)
 }
