Balance servers only by what has been measured

The first balance of a holder followed a second of load, in which only short requests have ended: fast servers looked faster than they are, got too many keys, and lost them again.

Servers are balanced once the average one has had 20 requests, and a difference from the target counts from two standard deviations of the average rate on.

--- a/internal/holder/historymodel_test.go
+++ b/internal/holder/historymodel_test.go
@@ -58,6 +58,9 @@
 // SteadyRate returns the same: rates last for long.
 func (r historyRates) SteadyRate(key int) float64 { return r[key] }
 
+// SteadySeconds is that of the scheduler.
+func (historyRates) SteadySeconds() float64 { return 15 }
+
 func newHistoryModel(t *rapid.T, stats *historyStats) *historyModel {
 	m := &historyModel{t: t, now: time.Unix(1000, 0), store: &historyStore{}, rates: make(historyRates, owners.NumKeys), stats: stats}
 	m.store.entry.Revision = 10
--- a/internal/owners/balance.go
+++ b/internal/owners/balance.go
@@ -25,15 +25,15 @@
 	loads.sumSteadyRates(&t.steadySums)
 	servers := t.balancedServers(service, loads)
 	average := setTargets(servers)
-	if average < minMoveRate {
-		return // too little to measure
+	if average < minMoveRate || average*loads.rates.SteadySeconds() < minBalancedRequests {
+		return // too little has been measured
 	}
 	sort.SliceStable(servers, func(i, j int) bool { return servers[i].steady-servers[i].target > servers[j].steady-servers[j].target })
 	least := minBalancedMove * average
 	to := len(servers) - 1
 	for _, from := range servers {
-		for to >= 0 && from.steady-from.target >= least && t.movesInProgress(service) < limit {
-			if servers[to].target-servers[to].steady < least || servers[to].ranges >= maxRangesPerServer {
+		for to >= 0 && from.steady-from.target >= max(least, loads.steadyNoise(from.steady)) && t.movesInProgress(service) < limit {
+			if servers[to].target-servers[to].steady < max(least, loads.steadyNoise(servers[to].target)) || servers[to].ranges >= maxRangesPerServer {
 				to--
 				continue
 			}
--- a/internal/owners/constants.go
+++ b/internal/owners/constants.go
@@ -94,6 +94,9 @@
 	// minBalancedShare is the share of the average load that even the slowest server keeps,
 	// so that its speed stays known.
 	minBalancedShare = 0.08
+	// minBalancedRequests is the number of requests of the average server from which on servers
+	// are balanced. The responses of the first second are the short ones.
+	minBalancedRequests = 20
 	// minResponseRatio is how much longer one more request must take at the old owner. Measured
 	// speeds and rates differ by chance by a tenth each.
 	minResponseRatio = 1.5
--- a/internal/owners/loadpattern_test.go
+++ b/internal/owners/loadpattern_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"peridotmoor.org/peridotmoor/internal/owners"
 )
 
 const (
@@ -96,6 +98,41 @@
 	return during, calm, sim
 }
 
+// Guards against a holder that learns the speeds of all servers again, and against a first plan
+// that does not use them.
+func TestLearnedSpeedsSurviveTheHolder(t *testing.T) {
+	for _, kept := range []string{"ranges", "speeds only"} {
+		t.Run(kept, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			sim := newLoadSim(5, patternServers)
+			sim.run(3*time.Second, 0)
+			learning := sim.run(10*time.Second, patternRate)
+			sim.run(15*time.Second, patternRate)
+			sim.finish()
+			record := sim.table.Record()
+			record.Epoch++
+			record.RelativeTimes = sim.scheduler.RelativeTimes()
+			if kept == "speeds only" {
+				record.Services = nil
+			}
+			text, err := record.Encode()
+			is.NoErr(err)
+			record, err = owners.DecodeRecord(text, 100)
+			is.NoErr(err)
+			sim.begin(record)
+			sim.run(3*time.Second, 0)
+			next := sim.run(10*time.Second, patternRate)
+			sim.finish()
+			logResult(t, "first holder, first 10 s", learning)
+			logResult(t, "next holder, first 10 s", next)
+			t.Logf("the record has %d bytes", len(text))
+			is.True(next.lateShare() < 0.05)
+			is.True(next.moves < learning.moves/2)
+		})
+	}
+}
+
 // Guards against a server that joins and gets no keys, and against the loss of requests when one leaves.
 func TestServersJoinAndLeave(t *testing.T) {
 	t.Parallel()
--- a/internal/owners/plan.go
+++ b/internal/owners/plan.go
@@ -11,6 +11,8 @@
 	Rate(key int) float64
 	// SteadyRate returns the same over a longer time.
 	SteadyRate(key int) float64
+	// SteadySeconds returns the time constant of the average that SteadyRate is, in seconds.
+	SteadySeconds() float64
 }
 
 // Plan assigns owners to ranges that need one and moves keys off busy servers. It
--- a/internal/owners/steadyrates.go
+++ b/internal/owners/steadyrates.go
@@ -1,6 +1,9 @@
 package owners
 
-import "sort"
+import (
+	"math"
+	"sort"
+)
 
 // sumSteadyRates prepares steadyRateOf. It uses the given memory.
 func (l *serviceLoads) sumSteadyRates(sums *[NumKeys + 1]float64) {
@@ -12,6 +15,11 @@
 	}
 }
 
+// steadyNoise returns how far a steady rate may differ by chance: two standard deviations.
+func (l *serviceLoads) steadyNoise(rate float64) float64 {
+	return rateNoise * math.Sqrt(rate/max(1, l.rates.SteadySeconds()))
+}
+
 // steadyRateOf returns the steady rate of the keys.
 func (l *serviceLoads) steadyRateOf(i Interval) float64 {
 	return l.steadySums[i.To+1] - l.steadySums[i.From]
--- a/internal/owners/table_bench_test.go
+++ b/internal/owners/table_bench_test.go
@@ -38,6 +38,8 @@
 
 func (r *rateTable) SteadyRate(key int) float64 { return float64(r[key]) }
 
+func (r *rateTable) SteadySeconds() float64 { return 15 }
+
 // BenchmarkPlan measures Plan for 200 servers with 1,400 requests/s.
 func BenchmarkPlan(b *testing.B) {
 	now := time.Unix(1000, 0)
--- a/internal/owners/table_test.go
+++ b/internal/owners/table_test.go
@@ -16,6 +16,8 @@
 
 func (uniformRates) SteadyRate(int) float64 { return 0.001 }
 
+func (uniformRates) SteadySeconds() float64 { return 15 }
+
 // ratesByKey gives individual keys a rate.
 type ratesByKey map[int]float64
 
@@ -23,6 +25,8 @@
 
 func (r ratesByKey) SteadyRate(key int) float64 { return r[key] }
 
+func (ratesByKey) SteadySeconds() float64 { return 15 }
+
 // incarnationMap holds the listed incarnations by server name.
 type incarnationMap map[string]fleet.Incarnation
 
--- a/internal/placing/keyrates.go
+++ b/internal/placing/keyrates.go
@@ -64,6 +64,11 @@
 	return float64(k.steady[key]) / k.steadySeconds
 }
 
+// SteadySeconds returns the time constant of the average that SteadyRate is, in seconds.
+func (k *KeyRates) SteadySeconds() float64 {
+	return k.steadySeconds
+}
+
 // Sum returns the total request rate of the keys from first to last in requests/s.
 func (k *KeyRates) Sum(first, last int) float64 {
 	sum := 0.0
