Log spread hot keys and inherited service times

Operators see in the log why many ranges of one server move at once (reason "spread", event 1796), and whether a new holder has begun with learned service times (event 1795).

--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -46,4 +46,6 @@
 	HolderWithoutLease    = register(1746, "holder_without_lease", log.WarnLevel, "A holder that cannot confirm its lease counts the followers that provably follow no other one.")
 	ServersLeaving        = register(1747, "servers_leaving", log.InfoLevel, "The list of servers says that these servers are leaving, or has them no longer.")
 	FactsTooOld           = register(1748, "facts_too_old", log.WarnLevel, "A request found the facts too old to send it to a server; this instance has read the store, or asked the server.")
+	ServiceTimesInherited = register(1795, "service_times_inherited", log.InfoLevel, "A new holder begins with the service times of servers that an earlier one has learned.")
+	HotKeysSpread         = register(1796, "hot_keys_spread", log.InfoLevel, "Hot neighbouring keys of an overloaded server move to many servers at once.")
 )
--- a/internal/holder/newcoordinator.go
+++ b/internal/holder/newcoordinator.go
@@ -62,6 +62,9 @@
 	c.scheduler = placing.New(retryBudget, c.table, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	c.scheduler.UseRelativeTimes(found.RelativeTimes)
 	c.recordedTimes = found.RelativeTimes.Bounded()
+	for service, times := range c.recordedTimes {
+		c.log.Emit(events.ServiceTimesInherited, "service", service, "servers", len(times))
+	}
 	c.scheduler.UseCrashes(c.registry.Crashes())
 	return c
 }
--- a/internal/holder/planning.go
+++ b/internal/holder/planning.go
@@ -58,10 +58,17 @@
 		rates := c.scheduler.KeyRates(now, service)
 		factsAge, _ := c.registry.Age(now)
 		c.table.Plan(now, service, candidates, rates)
+		spread := map[string]int{}
 		for _, m := range c.table.TakeMoves() {
+			if m.Reason == owners.MoveSpread {
+				spread[m.From]++
+			}
 			c.log.Emit(events.MovePlanned, "service", service, "from", m.From, "to", m.To, "first", m.Interval.From, "last", m.Interval.To,
 				"reason", m.Reason.String(), "per_s", rates.Sum(m.Interval.From, m.Interval.To), "listing_age_ms", factsAge.Milliseconds())
 		}
+		for server, parts := range spread {
+			c.log.Emit(events.HotKeysSpread, "service", service, "server", server, "parts", parts)
+		}
 	}
 	c.storeRecord(now)
 }
--- a/internal/owners/movereason.go
+++ b/internal/owners/movereason.go
@@ -15,11 +15,13 @@
 	MoveBusy
 	// MoveBalanced means that the requests are expected to take less time at the new owner.
 	MoveBalanced
+	// MoveSpread means that the range is a part of hot neighbouring keys.
+	MoveSpread
 )
 
 // String returns the name of the reason in logs.
 func (r MoveReason) String() string {
-	names := [...]string{"lost", "reborn", "joined", "busy", "balanced"}
+	names := [...]string{"lost", "reborn", "joined", "busy", "balanced", "spread"}
 	if int(r) < len(names) {
 		return names[r]
 	}
--- a/internal/owners/spread.go
+++ b/internal/owners/spread.go
@@ -33,8 +33,7 @@
 				break // what is left of this range is not hot
 			}
 			at := t.find(service, part.From)
-			t.moveCut(service, at, part, from, to, loads, MoveBusy)
-			t.find(service, part.From).cooldownUntil = t.now.Add(spreadCooldown)
+			t.moveCut(service, at, part, from, to, loads, MoveSpread)
 			hot.From = part.To + 1
 			left -= rate
 			moves--
--- a/internal/owners/table.go
+++ b/internal/owners/table.go
@@ -164,6 +164,8 @@
 	switch reason {
 	case MoveBusy:
 		r.cooldownUntil = t.now.Add(moveCooldown)
+	case MoveSpread:
+		r.cooldownUntil = t.now.Add(spreadCooldown)
 	case MoveBalanced:
 		r.cooldownUntil = t.now.Add(balanceCooldown)
 	}
