Join idle ranges to their neighbours once there are many

Each burst of hot neighbouring keys leaves as many ranges as it had parts. Each range is renewed every 0.9 s and recorded, and parts of hot keys go only to servers with fewer than 8 ranges.

Above 3 ranges for each server on average, small ranges with less than 0.3 requests/s join the range before them. Below that nothing moves for it.

--- a/internal/owners/constants.go
+++ b/internal/owners/constants.go
@@ -83,6 +83,14 @@
 	spreadShare = 0.25
 	// rateTimeConstant is the time constant of the average of KeyRates.
 	rateTimeConstant = time.Second
+	// maxRangesOnAverage is the number of ranges for each server from which on idle ones join
+	// their neighbours. Each costs a renewal every renewInterval and 80 bytes of the record.
+	maxRangesOnAverage = 3
+	// minConsolidatedParts limits the size of a range that joins its neighbour: so many of them
+	// make up the keys of an average server.
+	minConsolidatedParts = 4
+	// idleRangeRate is the rate, in requests/s, below which a range counts as idle.
+	idleRangeRate = 0.3
 	// balanceInterval is how often servers are balanced by their expected response times,
 	// which change little within a second.
 	balanceInterval = time.Second
--- a/internal/owners/movereason.go
+++ b/internal/owners/movereason.go
@@ -17,11 +17,13 @@
 	MoveBalanced
 	// MoveSpread means that the range is a part of hot neighbouring keys.
 	MoveSpread
+	// MoveConsolidated means that an idle range joins its neighbour.
+	MoveConsolidated
 )
 
 // String returns the name of the reason in logs.
 func (r MoveReason) String() string {
-	names := [...]string{"lost", "reborn", "joined", "busy", "balanced", "spread"}
+	names := [...]string{"lost", "reborn", "joined", "busy", "balanced", "spread", "consolidated"}
 	if int(r) < len(names) {
 		return names[r]
 	}
--- a/internal/owners/plan.go
+++ b/internal/owners/plan.go
@@ -37,6 +37,7 @@
 	t.planSpread(service, loads)
 	t.planBusy(service, loads)
 	t.planBalance(service, loads)
+	t.planConsolidate(service, loads)
 	t.merge(service)
 	return t.version != before
 }
