--- a/internal/owners/ratesums.go
+++ b/internal/owners/ratesums.go
@@ -8,17 +8,21 @@
 // rateSums holds the sums of the rates of all keys below each key, of this plan and of the one
 // before, from which the requests between the two follow.
 type rateSums struct {
-	current, previous [NumKeys + 1]float64
+	current, previous *[NumKeys + 1]float64
 	at, previousAt    time.Time
 }
 
+func newRateSums() *rateSums {
+	return &rateSums{current: &[NumKeys + 1]float64{}, previous: &[NumKeys + 1]float64{}}
+}
+
 // update takes the rates of a new plan.
 func (s *rateSums) update(now time.Time, rates KeyRates) {
-	s.previous, s.previousAt = s.current, s.at
-	sum := 0.0
+	s.current, s.previous, s.previousAt = s.previous, s.current, s.at
+	current, sum := s.current, 0.0
 	for key := range NumKeys {
 		sum += rates.Rate(key)
-		s.current[key+1] = sum
+		current[key+1] = sum
 	}
 	s.at = now
 }
--- a/internal/owners/serviceloads.go
+++ b/internal/owners/serviceloads.go
@@ -14,7 +14,7 @@
 
 func (t *Table) newServiceLoads(now time.Time, service string, candidates []Candidate, rates KeyRates) *serviceLoads {
 	if t.rateSums[service] == nil {
-		t.rateSums[service] = &rateSums{}
+		t.rateSums[service] = newRateSums()
 	}
 	out := &serviceLoads{byName: map[string]*serverLoad{}, rates: rates, sums: t.rateSums[service]}
 	out.sums.update(now, rates)
--- a/internal/owners/spread_test.go
+++ b/internal/owners/spread_test.go
@@ -39,7 +39,7 @@
 func TestExpectedRateFollowsABurst(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	sums := &rateSums{}
+	sums := newRateSums()
 	sums.update(now, ratesByKey{5: 1})
 	sums.update(now.Add(250*time.Millisecond), ratesByKey{5: 1 + 22})
 	all := Interval{From: 0, To: NumKeys - 1}
