--- a/internal/callerhttp/constants.go
+++ b/internal/callerhttp/constants.go
@@ -7,9 +7,11 @@
 	// caller cannot exhaust memory.
 	pipelineDepth = 32
 	// stallTimeout ends a connection whose caller does not read the response. Progress is
-	// checked stallChecks times in it.
-	stallTimeout = 10 * time.Second
-	stallChecks  = 5
+	// checked stallChecks times in it. The kernel of a caller that reads 1 KB/s tells of it
+	// only after up to two segments, which have 64 KB on loopback: 10 s and 75 s cut such
+	// callers.
+	stallTimeout = 150 * time.Second
+	stallChecks  = 60
 	// bodyDrainBytes and bodyDrainTimeout limit how much of an unread body is discarded.
 	// Discarding it lets the caller receive the response instead of a reset.
 	bodyDrainBytes   = 1 << 20
@@ -27,6 +29,23 @@
 	// defaultTimeout is the header timeout and the idle timeout until a configuration is
 	// known.
 	defaultTimeout = 15 * time.Second
+	// requestBytes is the memory of a request in progress with a small head and a small
+	// response: its goroutines, the parsed head and the encoded one.
+	requestBytes = 16 << 10
+	// smallHeadBytes is how much of a head is read without further memory from the account.
+	// Each byte beyond takes headCost bytes once it is parsed and encoded again.
+	smallHeadBytes = 4 << 10
+	headCost       = 6
+	// smallUploadBytes is how much of a body counts as that of a usual request.
+	smallUploadBytes = 16 << 10
+	// chunkBytes is the unit of what is read ahead of a response. largeChunkBytes is that of
+	// a server which has more ready than the caller has taken: system calls for 16 KB each
+	// cost a seventh more processor time than those of 32 KB before.
+	chunkBytes      = 16 << 10
+	largeChunkBytes = 64 << 10
+	// readAheadRetry is how often a response that is read at the pace of its caller asks for
+	// memory again.
+	readAheadRetry = 500 * time.Millisecond
 	// acceptBackoff is the wait after a failed accept, which usually means that file
 	// descriptors are exhausted.
 	acceptBackoff = 10 * time.Millisecond
--- a/internal/entrynode/metrics.go
+++ b/internal/entrynode/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"peridotmoor.org/peridotmoor/internal/holder"
+	"peridotmoor.org/peridotmoor/internal/membudget"
 )
 
 // durationBuckets are the histogram buckets of request durations in seconds, placed
@@ -35,10 +36,13 @@
 	teamCalls    *prometheus.CounterVec
 	teams        boundedLabels
 	unauthorized *prometheus.CounterVec
+	capRefusals  *prometheus.CounterVec
+	// cappedTeams holds the teams with refusals by their cap that have a label of their own.
+	cappedTeams boundedLabels
 }
 
 // newMetrics registers the metrics. The functions are called at each scrape.
-func newMetrics(countStoreCalls, countConnections func() float64, holderStatus func() holder.Status) *metrics {
+func newMetrics(countStoreCalls, storeEra, countEarlierAnswers, countConnections func() float64, holderStatus func() holder.Status, memory *membudget.Account) *metrics {
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
 		callDuration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -65,11 +69,23 @@
 			Namespace: "peridotmoor", Name: "unauthorized_calls_total",
 			Help: "Calls that were refused because of their key, by reason: missing, malformed or unknown.",
 		}, []string{"reason"}),
+		capRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "peridotmoor", Name: "team_cap_refusals_total",
+			Help: "Calls refused because the usage cap of their team is used up. Teams beyond the first 99 with refusals are counted as other.",
+		}, []string{"team"}),
+		cappedTeams: boundedLabels{limit: maxTeamLabels},
 	}
-	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, m.teamCalls, m.unauthorized, newHolderCollector(holderStatus), newShortageCollector(holderStatus),
+	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, m.teamCalls, m.unauthorized, m.capRefusals,
+		newHolderCollector(holderStatus), newShortageCollector(holderStatus), newMemoryCollector(memory),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: "peridotmoor", Name: "store_calls_total", Help: "Calls to the platform's store.",
 		}, countStoreCalls),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: "peridotmoor", Name: "store_era", Help: "Highest era of the platform's store seen; it rises when the store comes back from a copy.",
+		}, storeEra),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: "peridotmoor", Name: "store_earlier_era_answers_total", Help: "Answers of the platform's store that were of an earlier era and therefore not used.",
+		}, countEarlierAnswers),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: "peridotmoor", Name: "caller_connections", Help: "Open connections of callers.",
 		}, countConnections))
@@ -96,6 +112,11 @@
 	m.factsAge.Observe(age.Seconds())
 }
 
+// CapRefused records a call that the usage cap of a team has refused.
+func (m *metrics) CapRefused(team string) {
+	m.capRefusals.WithLabelValues(m.cappedTeams.of(team)).Inc()
+}
+
 // orderWritten records the time from the check of an order to the end of its write.
 func (m *metrics) orderWritten(delay time.Duration) {
 	m.orderDelay.Observe(delay.Seconds())
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -56,6 +56,7 @@
 func (noMetrics) FactsAge(time.Duration)                  {}
 func (noMetrics) TeamCallEnded(string, string)            {}
 func (noMetrics) CallUnauthorized(string)                 {}
+func (noMetrics) CapRefused(string)                       {}
 
 // fakeRefresher reads the store, or cannot.
 type fakeRefresher func() bool
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,6 +10,8 @@
 	TeamCallEnded(team, outcome string)
 	// CallUnauthorized records a call that was refused because of its credential, by reason.
 	CallUnauthorized(reason string)
+	// CapRefused records a call that the usage cap of a team has refused.
+	CapRefused(team string)
 	// FactsAge records how old the facts are by which a request is sent.
 	FactsAge(age time.Duration)
 }
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -25,11 +25,14 @@
 	// OutcomeUnauthorized means that the call has not run and will not run, because the caller
 	// has not shown the key of a team.
 	OutcomeUnauthorized
+	// OutcomeOverCap means that the usage cap of the caller's team is used up. The call has
+	// not run and will not run.
+	OutcomeOverCap
 )
 
 // String returns the name of the outcome in logs.
 func (o Outcome) String() string {
-	names := [...]string{"answered", "not-run", "unknown", "timed-out", "no-route", "unreadable", "too-large", "caller-gone", "unauthorized"}
+	names := [...]string{"answered", "not-run", "unknown", "timed-out", "no-route", "unreadable", "too-large", "caller-gone", "unauthorized", "over-cap"}
 	if int(o) < len(names) {
 		return names[o]
 	}
--- a/internal/holder/planning.go
+++ b/internal/holder/planning.go
@@ -23,6 +23,7 @@
 		snapshot.LeavingSequence != c.snapshot.LeavingSequence
 	limitsChanged := c.snapshot == nil || snapshot.BackpressureSequence != c.snapshot.BackpressureSequence
 	c.snapshot = snapshot
+	c.refreshTeamCaps(now)
 	if changed || limitsChanged {
 		c.scheduler.SetLimits(func(s fleet.Incarnation) backpressure.Limit { return snapshot.Backpressure.Of(s).Limit })
 	}
@@ -74,11 +75,11 @@
 }
 
 // recordDue reports whether the record of owners must be written: at once if moves cannot
-// begin before they are stored or this instance yields, after recordCleanupDelay if only the
+// begin before they are stored, this instance yields or has entered a later era of the store, after recordCleanupDelay if only the
 // end of moves must be recorded, after fleetRecordDelay if only the fleet has changed, and after
 // timesRecordInterval if only service times have.
 func (c *Coordinator) recordDue(now time.Time) bool {
-	due := c.table.Dirty() && (c.table.HasUnstoredMoves() || now.Sub(c.storedAt) >= recordCleanupDelay) || c.fleetRecordDue(now) || c.timesRecordDue(now)
+	due := c.era.Load() != c.storedEra || c.table.Dirty() && (c.table.HasUnstoredMoves() || now.Sub(c.storedAt) >= recordCleanupDelay) || c.fleetRecordDue(now) || c.timesRecordDue(now)
 	return !c.storing && (due || c.yieldPlanned)
 }
 
@@ -116,6 +117,7 @@
 func (c *Coordinator) newRecord(now time.Time) (owners.Record, uint64) {
 	c.storing = true
 	c.storedAt = now
+	c.storingEra = c.era.Load()
 	record := c.table.Record()
 	record.Fleet = c.fleetToRecord(now)
 	c.quorum.Propose(record.Fleet)
@@ -140,6 +142,7 @@
 	if err != nil {
 		return
 	}
+	c.storedEra = c.storingEra
 	c.table.MarkStored(version)
 	c.recordedTimes = record.RelativeTimes
 	c.quorum.Confirm(record.Fleet)
