--- a/internal/owners/loadpattern_test.go
+++ b/internal/owners/loadpattern_test.go
@@ -40,8 +40,8 @@
 	is.True(settled.requests > 20000)
 	is.True(settled.lateShare() < 0.05)
 	is.True(settled.inTimeShare() > 0.94)
-	is.True(settled.movedShare() < 0.15) // 62% with a balance by rates that follow noise
-	is.True(first.movedShare() < 0.15)   // 34% with that balance
+	is.True(settled.movedShare() < 0.15) // 62% in a trial of a balance by noisy service times
+	is.True(first.movedShare() < 0.15)   // 34% in that trial
 }
 
 // Guards against a division of the keys in the trough of a wave that does not hold at its crest,
@@ -61,7 +61,7 @@
 			logResult(t, "next 3 waves", settled)
 			is.True(settled.inTimeShare() > 0.935)
 			is.True(settled.lateShare() < 0.055)
-			is.True(settled.movedShare() < 0.45) // 150% with a balance by rates that follow the wave
+			is.True(settled.movedShare() < 0.45) // 150% in a trial of a balance by noisy service times
 			is.True(settled.reasons["spread"] == 0)
 		})
 	}
