--- a/internal/holder/newcoordinator.go
+++ b/internal/holder/newcoordinator.go
@@ -20,6 +20,7 @@
 		registry:          e.registry,
 		orderSender:       e.orderSender,
 		onOrderWritten:    e.onOrderWritten,
+		onEventDelay:      e.onEventDelay,
 		prober:            e.prober,
 		probing:           map[fleet.Incarnation]bool{},
 		log:               e.log,
@@ -43,6 +44,11 @@
 	c.storedEra = records.era.Load()
 	c.era.Store(c.storedEra)
 	records.leaseConfirmedAt = c.lastLeaseConfirmation
+	if len(e.registry.Snapshot().OwnedRanges) > 0 {
+		// Most owners remain. Published at once, all ranges would count as moving until
+		// their owners have confirmed the grants of this holder.
+		c.publishedAt = c.startedAt
+	}
 	c.yieldAllowedAt = time.Now().Add(yieldDelay)
 	if found.Yielded {
 		c.yieldAllowedAt = time.Now().Add(yieldCooldown)
--- a/internal/link/convert.go
+++ b/internal/link/convert.go
@@ -118,7 +118,7 @@
 	era := snapshot.Era()
 	out := &linkpb.Facts{
 		Epoch: snapshot.Epoch, Era: era,
-		OrdersRevision: encodeRevision(snapshot.OperatorSettings.Version(), era), ListingRevision: encodeRevision(snapshot.ListingVersion, era),
+		OrdersRevision: EncodeRevision(snapshot.OperatorSettings.Version(), era), ListingRevision: EncodeRevision(snapshot.ListingVersion, era),
 	}
 	if snapshot.OperatorSettingsSequence != sent.OperatorSettings {
 		out.Orders = &linkpb.Orders{Config: snapshot.OperatorSettings.Config, DomainsOut: snapshot.OperatorSettings.DomainsOut}
@@ -230,7 +230,7 @@
 
 func decodeOwnership(o *linkpb.Ownership) map[string][]owners.OwnedRange {
 	out := map[string][]owners.OwnedRange{}
-	for _, r := range o.Ranges {
+	for _, r := range o.GetRanges() {
 		out[r.Service] = append(out[r.Service], owners.OwnedRange{
 			Interval: owners.Interval{From: int(r.From), To: int(r.To)}, Owner: r.Owner, Held: r.Held,
 		})
--- a/internal/link/factsreceiver.go
+++ b/internal/link/factsreceiver.go
@@ -2,8 +2,6 @@
 
 import (
 	"math"
-	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -24,8 +22,17 @@
 	registry         *facts.Registry
 	clock            *Clock
 	operatorSettings fleet.OperatorSettings
-	servers          map[string]fleet.Server
-	ownedRanges      map[string][]owners.OwnedRange
+	// servers holds the servers ordered by name. It is replaced, not changed.
+	servers     []fleet.Server
+	ownedRanges map[string][]owners.OwnedRange
+	// seed is what the sender was told that this instance knows, or nil.
+	seed *seed
+	// broken is set once a message could not be decoded.
+	broken bool
+	// incoming holds the servers of a listing of which further parts are to come, and
+	// incomingSince when the first of them arrived, or nil.
+	incoming      []fleet.Server
+	incomingSince atomic.Pointer[time.Time]
 	// appliedSettingsSequence and appliedListingSequence are the sequences of the registry
 	// after it accepted the current settings and servers, or notApplied.
 	appliedSettingsSequence, appliedListingSequence atomic.Uint64
@@ -50,6 +57,14 @@
 	return r
 }
 
+// Known returns what the sender is to be told that this instance knows, so that it sends only
+// what differs. It must be called before Apply.
+func (r *FactsReceiver) Known() *linkpb.Known {
+	snapshot := r.registry.Snapshot()
+	r.seed = &seed{snapshot, EncodeKnown(snapshot)}
+	return r.seed.known
+}
+
 // Clock returns the clock of the link over which the facts come.
 func (r *FactsReceiver) Clock() *Clock {
 	return r.clock
@@ -62,10 +77,21 @@
 
 // Apply publishes the facts of a message that arrived at now: the owners of keys, and
 // what the sender read from the store at readAt, or the zero time if that is unknown.
+//
+// After a message that cannot be decoded all others are ignored, as they build on it. The
+// instance reads the store itself then, and the next link begins anew.
 func (r *FactsReceiver) Apply(f *linkpb.Facts, readAt, now time.Time) {
+	f, err := unpack(f)
+	r.broken = r.broken || err != nil
+	if r.broken {
+		return
+	}
 	r.merge(f, now)
+	if r.incomingSince.Load() == nil {
+		r.seed = nil // the sender continues from it once only
+	}
 	MergeBackpressure(r.registry, f.Backpressure, now)
-	if f.Ownership != nil {
+	if f.Ownership != nil || f.Resumed.GetOwners() {
 		r.registry.UpdateOwners(r.ownedRanges, f.Epoch)
 	}
 	readBy := readAt
@@ -85,7 +111,7 @@
 	}
 	if len(r.servers) > 0 && r.appliedListingSequence.Load() != r.registry.Snapshot().ListingSequence {
 		version := decodeRevision(f.ListingRevision, f.Era)
-		listing := fleet.Listing{Era: version.Era, Revision: version.Revision, Source: fleet.SourceLink, Servers: r.sortedServers()}
+		listing := fleet.Listing{Era: version.Era, Revision: version.Revision, Source: fleet.SourceLink, Servers: r.servers}
 		if r.keepsKnown {
 			listing = r.registry.KeepKnownServers(listing, readBy)
 		}
@@ -98,6 +124,13 @@
 	}
 }
 
+// Receiving reports whether parts of a listing are still to come at now, unless that takes so
+// long that the instance should read the store itself.
+func (r *FactsReceiver) Receiving(now time.Time) bool {
+	since := r.incomingSince.Load()
+	return since != nil && now.Sub(*since) < maxReceiving
+}
+
 // EncodeReading converts what this instance has read from the store, as a message to
 // the sender: the parts that differ from what the sender sent. It also returns when the
 // store was read.
@@ -108,23 +141,28 @@
 
 // merge applies the changes in a message to the facts received before.
 func (r *FactsReceiver) merge(f *linkpb.Facts, now time.Time) {
+	if f.Resumed != nil && r.seed != nil {
+		r.resume(f)
+	}
 	if f.Orders != nil {
 		r.operatorSettings = fleet.OperatorSettings{Config: f.Orders.Config, DomainsOut: f.Orders.DomainsOut}
 		r.appliedSettingsSequence.Store(notApplied)
 	}
-	if l := f.Listing; l != nil {
-		if !l.Changes || r.servers == nil {
-			r.servers = map[string]fleet.Server{}
+	if l := f.Listing; l != nil && l.More {
+		r.incoming = append(r.incoming, decodeServers(l.Servers, now)...)
+		if r.incomingSince.Load() == nil {
+			r.incomingSince.Store(&now)
 		}
-		for _, s := range decodeServers(l.Servers, now) {
-			r.servers[s.Name] = s
-		}
-		for _, name := range l.Gone {
-			delete(r.servers, name)
+	} else if l != nil {
+		if !l.Changes {
+			r.servers = nil
 		}
+		r.servers = mergeServers(r.servers, append(r.incoming, decodeServers(l.Servers, now)...), l.Gone)
+		r.incoming = nil
+		r.incomingSince.Store(nil)
 		r.appliedListingSequence.Store(notApplied)
 	}
-	if o := f.Ownership; o != nil {
+	if o := f.Ownership; o != nil && !f.Resumed.GetOwners() {
 		received := decodeOwnership(o)
 		if !o.Changes {
 			r.ownedRanges = received
@@ -143,12 +181,20 @@
 	}
 }
 
-// sortedServers returns the servers in the order of their names, as the store lists them.
-func (r *FactsReceiver) sortedServers() []fleet.Server {
-	out := make([]fleet.Server, 0, len(r.servers))
-	for _, s := range r.servers {
-		out = append(out, s)
+// resume continues from what this instance knew when it joined, as far as that is what the
+// sender knows too.
+func (r *FactsReceiver) resume(f *linkpb.Facts) {
+	if f.Resumed.Orders {
+		r.operatorSettings = r.seed.snapshot.OperatorSettings
+	}
+	if f.Resumed.Listing && len(r.seed.known.Listing) > 0 {
+		r.servers = r.seed.servers(f.Resumed.ListingBuckets)
+	}
+	if f.Resumed.Owners && len(r.seed.known.Owners) > 0 {
+		r.ownedRanges = r.seed.ownedRanges(f.Resumed.OwnerSegments, decodeOwnership(f.Ownership))
+	}
+	if f.Resumed.Orders || f.Resumed.Listing {
+		r.appliedSettingsSequence.Store(notApplied)
+		r.appliedListingSequence.Store(notApplied)
 	}
-	slices.SortFunc(out, func(a, b fleet.Server) int { return strings.Compare(a.Name, b.Name) })
-	return out
 }
--- a/internal/placing/service.go
+++ b/internal/placing/service.go
@@ -8,6 +8,8 @@
 type service struct {
 	*fleet.Service
 	servers map[string]*server
+	// list holds the same servers.
+	list []*server
 	// queue holds attempts that any server may run.
 	queue queue
 	// returns holds the places of refused callers on the schedule of the queue.
@@ -23,15 +25,23 @@
 	serviceTime float64
 	// base is the service time apart from momentary slowdowns and waiting.
 	base baseTime
+	// slotCount is the result of usableSlots if slotsCounted is set.
+	slotCount    int
+	slotsCounted bool
 }
 
-// usableSlots returns the number of slots of the servers that may get work.
+// usableSlots returns the number of slots of the servers that may get work. It is counted
+// once between two ticks: Update, which alone changes it, ends with one.
 func (s *service) usableSlots() int {
+	if s.slotsCounted {
+		return s.slotCount
+	}
 	n := 0
-	for _, v := range s.servers {
+	for _, v := range s.list {
 		if !v.excluded {
 			n += v.Slots
 		}
 	}
+	s.slotCount, s.slotsCounted = n, true
 	return n
 }
