--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -133,10 +133,14 @@
 	// delayLoggedAt is when delayed events were last logged.
 	delayLoggedAt time.Time
 	storedAt      time.Time
-	plannedAt     time.Time
-	heartbeatAt   time.Time
-	tickedAt      time.Time
-	probedAt      time.Time
+	// recordedTimes holds the service times in the record.
+	recordedTimes fleet.RelativeTimes
+	// timesCheckedAt is when timesRecordDue last compared them with those of the scheduler.
+	timesCheckedAt time.Time
+	plannedAt      time.Time
+	heartbeatAt    time.Time
+	tickedAt       time.Time
+	probedAt       time.Time
 	// probing holds the servers with a probe in flight.
 	probing map[fleet.Incarnation]bool
 	// probesLeft is the number of servers left in the current round of probes.
--- a/internal/holder/newcoordinator.go
+++ b/internal/holder/newcoordinator.go
@@ -68,6 +68,11 @@
 	retryBudget := e.retryBudget
 	retryBudget.AssumeSpent = !owners.IsFirstEpoch(found.Epoch) || found.RangesLost
 	c.scheduler = placing.New(retryBudget, c.table, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	c.scheduler.UseRelativeTimes(found.RelativeTimes)
+	c.recordedTimes = found.RelativeTimes.Bounded()
+	for service, times := range c.recordedTimes {
+		c.log.Emit(events.ServiceTimesInherited, "service", service, "servers", len(times))
+	}
 	c.scheduler.UseCrashes(c.registry.Crashes())
 	return c
 }
--- a/internal/holder/planning.go
+++ b/internal/holder/planning.go
@@ -59,19 +59,27 @@
 		rates := c.scheduler.KeyRates(now, service)
 		factsAge, _ := c.registry.Age(now)
 		c.table.Plan(now, service, candidates, rates)
+		spread := map[string]int{}
 		for _, m := range c.table.TakeMoves() {
+			if m.Reason == owners.MoveSpread {
+				spread[m.From]++
+			}
 			c.log.Emit(events.MovePlanned, "service", service, "from", m.From, "to", m.To, "first", m.Interval.From, "last", m.Interval.To,
 				"reason", m.Reason.String(), "per_s", rates.Sum(m.Interval.From, m.Interval.To), "listing_age_ms", factsAge.Milliseconds())
 		}
+		for server, parts := range spread {
+			c.log.Emit(events.HotKeysSpread, "service", service, "server", server, "parts", parts)
+		}
 	}
 	c.storeRecord(now)
 }
 
 // recordDue reports whether the record of owners must be written: at once if moves cannot
 // begin before they are stored, this instance yields or has entered a later era of the store, after recordCleanupDelay if only the
-// end of moves must be recorded, and after fleetRecordDelay if only the fleet has changed.
+// end of moves must be recorded, after fleetRecordDelay if only the fleet has changed, and after
+// timesRecordInterval if only service times have.
 func (c *Coordinator) recordDue(now time.Time) bool {
-	due := c.era.Load() != c.storedEra || c.table.Dirty() && (c.table.HasUnstoredMoves() || now.Sub(c.storedAt) >= recordCleanupDelay) || c.fleetRecordDue(now)
+	due := c.era.Load() != c.storedEra || c.table.Dirty() && (c.table.HasUnstoredMoves() || now.Sub(c.storedAt) >= recordCleanupDelay) || c.fleetRecordDue(now) || c.timesRecordDue(now)
 	return !c.storing && (due || c.yieldPlanned)
 }
 
@@ -117,6 +125,7 @@
 	record.Yielded = c.yieldPlanned
 	record.InheritedGrantsPending = !c.table.InheritedGrantsEnded(now)
 	record.RangesLost = c.table.RangesLost(now)
+	record.RelativeTimes = c.scheduler.RelativeTimes()
 	record.Addresses = map[string]string{}
 	for incarnation := range record.Incarnations() {
 		if server := c.findServer(incarnation); server != nil {
@@ -135,6 +144,7 @@
 	}
 	c.storedEra = c.storingEra
 	c.table.MarkStored(version)
+	c.recordedTimes = record.RelativeTimes
 	c.quorum.Confirm(record.Fleet)
 	if record.Yielded {
 		c.yielding.Store(true)
--- a/internal/owners/movereason.go
+++ b/internal/owners/movereason.go
@@ -13,11 +13,13 @@
 	MoveJoined
 	// MoveBusy means that the owner is far busier than the average server.
 	MoveBusy
+	// MoveSpread means that the range is a part of hot neighbouring keys.
+	MoveSpread
 )
 
 // String returns the name of the reason in logs.
 func (r MoveReason) String() string {
-	names := [...]string{"lost", "reborn", "joined", "busy"}
+	names := [...]string{"lost", "reborn", "joined", "busy", "spread"}
 	if int(r) < len(names) {
 		return names[r]
 	}
--- a/internal/owners/plan.go
+++ b/internal/owners/plan.go
@@ -30,6 +30,7 @@
 	}
 	t.planLost(service, loads)
 	t.planJoined(service, loads)
+	t.planSpread(service, loads)
 	t.planBusy(service, loads)
 	t.merge(service)
 	return t.version != before
@@ -46,18 +47,22 @@
 	return now.Sub(c.since) >= firstPlanDelay
 }
 
-// planFirst divides the keys among all servers in proportion to their slots.
+// planFirst divides the keys among all servers in proportion to their slots and, if an earlier
+// holder has learned them, to their speeds.
 func (t *Table) planFirst(service string, loads *serviceLoads) {
 	usable := loads.usable()
-	total := 0
-	for _, l := range usable {
-		total += l.Slots
+	weights, total := firstWeights(usable), 0.0
+	for _, weight := range weights {
+		total += weight
 	}
 	version := t.newPlanVersion()
-	from, slots := 0, 0
-	for _, l := range usable {
-		slots += l.Slots
-		to := NumKeys*slots/total - 1
+	from, sum := 0, 0.0
+	for i, l := range usable {
+		sum += weights[i]
+		to := int(NumKeys*sum/total) - 1
+		if i == len(usable)-1 {
+			to = NumKeys - 1
+		}
 		if to < from {
 			continue // its share is less than a key
 		}
--- a/internal/owners/relieve.go
+++ b/internal/owners/relieve.go
@@ -19,6 +19,22 @@
 	}
 }
 
+// planSpread spreads the hot neighbouring keys of overloaded servers.
+func (t *Table) planSpread(service string, loads *serviceLoads) {
+	limit := max(maxConcurrentMoves(len(loads.usable())), int(spreadShare*float64(len(loads.usable()))))
+	done := map[*serverLoad]bool{}
+	for t.movesInProgress(service) < limit {
+		from := loads.busiest(done)
+		if from == nil || from.leastUtilization() < 1 {
+			return
+		}
+		done[from] = true
+		if _, rate := t.hottestKey(service, from, loads); rate < dominantShare*from.rate {
+			t.spread(service, from, limit, loads)
+		}
+	}
+}
+
 // maxConcurrentMoves returns how many ranges of a service may move at the same time,
 // so that only a bounded part of its servers is affected.
 func maxConcurrentMoves(servers int) int {
@@ -49,13 +65,17 @@
 	return true
 }
 
-// isolate handles a key that takes up most of its server: it moves the key to a
-// clearly faster server if there is one, and otherwise moves other keys off its server.
+// isolate handles a key that takes up most of its server: it moves the key once to a clearly
+// faster server if there is one, and otherwise moves other keys off its server.
 func (t *Table) isolate(service string, key int, rate float64, from *serverLoad, loads *serviceLoads) bool {
 	if best := loads.fastest(); best != nil && best != from && best.capacity() > from.capacity()*minSpeedup &&
-		(best.rate+rate)/best.capacity() < from.utilization() {
+		(best.rate+rate)/best.capacity() < from.utilization() && !t.hotMoves[service].recent(t.now, key) {
 		if r := t.find(service, key); r != nil && t.movable(r) {
 			t.moveCut(service, r, Interval{From: key, To: key}, from, best, loads, MoveBusy)
+			if t.hotMoves[service] == nil {
+				t.hotMoves[service] = hotMoves{}
+			}
+			t.hotMoves[service].add(t.now, key)
 			return true
 		}
 	}
--- a/internal/owners/table.go
+++ b/internal/owners/table.go
@@ -34,6 +34,10 @@
 	failures map[fleet.Incarnation]int
 	// serverCounts holds the number of usable servers of services without ranges.
 	serverCounts map[string]serverCount
+	// rateSums holds the rates of the keys of each service as of its last plan.
+	rateSums map[string]*rateSums
+	// hotMoves remembers the hot keys of each service that were moved to a faster server.
+	hotMoves map[string]hotMoves
 	// inheritedUntil is the latest time at which grants of earlier holders expire.
 	inheritedUntil time.Time
 	// rangesLost is set if servers may hold keys by such grants that are in no range.
@@ -66,6 +70,8 @@
 		ended:          map[fleet.Incarnation]time.Time{},
 		failures:       map[fleet.Incarnation]int{},
 		serverCounts:   map[string]serverCount{},
+		hotMoves:       map[string]hotMoves{},
+		rateSums:       map[string]*rateSums{},
 		inheritedUntil: inheritedUntil,
 		rangesLost:     record.RangesLost,
 		grantsInFlight: map[fleet.Incarnation][]Order{},
@@ -153,8 +159,11 @@
 		r.previous.ExpiryOnly, r.previous.UnansweredAtMove, r.previous.Ambiguous = true, true, true
 		r.previous.ExpiresBy = later(r.previous.ExpiresBy, r.expiresBy)
 	}
-	if reason == MoveBusy {
+	switch reason {
+	case MoveBusy:
 		r.cooldownUntil = t.now.Add(moveCooldown)
+	case MoveSpread:
+		r.cooldownUntil = t.now.Add(spreadCooldown)
 	}
 	r.owner = to
 	r.fence = t.nextFence()
--- a/internal/placing/measurements.go
+++ b/internal/placing/measurements.go
@@ -15,18 +15,39 @@
 	return svc.keyRates
 }
 
-// ServiceTime returns the average service time of a server in seconds.
+// ServiceTime returns the average service time of a server in seconds, as requests see it: with
+// slowdowns and waiting at the server. Before its first response, it is what an earlier holder
+// has learned of the server.
 func (sched *Scheduler) ServiceTime(name, id string) float64 {
 	svc := sched.services[name]
 	if svc == nil {
 		return defaultServiceTime.Seconds()
 	}
-	if s := svc.servers[id]; s != nil && s.longTermServiceTime > 0 {
+	s := svc.servers[id]
+	if s != nil && s.longTermServiceTime > 0 {
 		return max(s.longTermServiceTime, s.serviceTime/2) // react early when a server becomes slow
 	}
+	if s != nil && s.inheritedTime > 0 {
+		return svc.typicalServiceTime() * s.inheritedTime
+	}
 	return svc.typicalServiceTime()
 }
 
+// learnBaseTime updates the base service times, which the record of owners carries, with a
+// completion. It is to be called before the attempt frees its slot.
+func (s *service) learnBaseTime(server *server, completion Completion) {
+	slowdown := 0.0
+	if completion.Load.Known {
+		slowdown = completion.Load.SlowdownFactor
+	}
+	if completion.Outcome != Answered {
+		return
+	}
+	sample := normalizedTime(completion.Duration.Seconds(), slowdown, len(server.inFlight), server.Slots)
+	server.base.add(sample)
+	s.base.add(sample)
+}
+
 // typicalServiceTime returns the average service time over all servers in seconds,
 // or a default before the first response.
 func (s *service) typicalServiceTime() float64 {
--- a/internal/placing/service.go
+++ b/internal/placing/service.go
@@ -25,6 +25,8 @@
 	keyRates     *KeyRates
 	// serviceTime is the moving average over all servers in seconds.
 	serviceTime float64
+	// base is the service time apart from momentary slowdowns and waiting.
+	base baseTime
 	// slotCount is the result of usableSlots if slotsCounted is set.
 	slotCount    int
 	slotsCounted bool
