Keep the local attempt when a late decision arrives

A decision of the holder that arrives after the attempt has been withdrawn and placed locally was completed as unused under the number of the local attempt. That gave the token of the running request back to the team's local bucket, freed its slot in the local count, and left the holder without the charge.

The late decision is now only reported to the holder.

TestLateDecisionKeepsLocalAttempt fails without the change.

--- a/internal/gateway/schedulerclient.go
+++ b/internal/gateway/schedulerclient.go
@@ -112,7 +112,7 @@
 			}
 			p.(*pendingAttempt).decision <- decision
 		} else if decision.Server != "" {
-			c.Complete(placing.Completion{AttemptID: decision.AttemptID, Server: decision.Server, Outcome: placing.Unused})
+			c.report(placing.Completion{AttemptID: decision.AttemptID, Server: decision.Server, Outcome: placing.Unused})
 		}
 	}
 }
@@ -226,6 +226,12 @@
 	now := time.Now()
 	completion.Team = c.local.complete(now, completion)
 	placing.RecordCrash(c.registry.Crashes(), now, completion)
+	c.report(completion)
+}
+
+// report sends a completion to the holder. A decision that comes too late to be used is only
+// reported: the attempt may have been placed locally since, under the same number.
+func (c *SchedulerClient) report(completion placing.Completion) {
 	if l := c.link.Load(); l != nil {
 		l.Send(&linkpb.Up{Finishes: []*linkpb.Finish{link.EncodeFinish(completion, l)}}) // if this fails, the holder frees the slot after the deadline
 	}
--- a/internal/gateway/teamcap_test.go
+++ b/internal/gateway/teamcap_test.go
@@ -119,6 +119,28 @@
 	is.Equal(countAdmitted(client, 100), 3)
 }
 
+// Guards against a decision that arrives after its attempt has been placed locally, and whose
+// report as unused gives back the token of the local attempt or frees its slot.
+func TestLateDecisionKeepsLocalAttempt(t *testing.T) {
+	is := is.New(t)
+	client := NewSchedulerClient("i", "d", newCappedRegistry(fleet.Cap{Rate: 0.01, Burst: 10}), nil)
+	client.local.teams.tell(time.Now(), teamsOf(client.registry.Snapshot()), "t", usagecap.Allowance{Rate: 0.005, Tokens: 1, Burst: 5, Part: 0.5})
+	l := &sentLink{}
+	client.Attach(l)
+	d := placeForTeam(client)
+	is.Equal(d.Server, "a")
+	_, onDown := client.NewReceiver()
+	onDown(&linkpb.Down{Verdicts: []*linkpb.Verdict{{Number: d.AttemptID.Number, Server: "b"}}})
+	unused := l.sent[len(l.sent)-1].Finishes[0]
+	is.Equal(unused.Server, "b")
+	is.Equal(unused.Team, "")
+	is.Equal(client.local.inFlightCounter("a").Load(), int64(1))
+	is.Equal(placeForTeam(client).Reason, placing.ReasonTeamCap)
+	client.Complete(placing.Completion{AttemptID: d.AttemptID, Server: "a", Outcome: placing.Answered})
+	is.Equal(l.sent[len(l.sent)-1].Finishes[0].Team, "t")
+	is.Equal(client.local.inFlightCounter("a").Load(), int64(0))
+}
+
 // Guards against a refusal by the cap that the caller takes for a lack of room, and against
 // one that claims that a request has not run which may have.
 func TestOutcomeOfCapRefusal(t *testing.T) {
