Charge a request placed beside a decision of the holder once

A request that its instance has placed locally may end before the holder's late decision reaches the instance. Its completion then settled the token of that decision as used and was charged as well, and the report of the decision as unused gave nothing back.

The completion of a local attempt now only charges the team.

TestRequestPlacedBesideDecisionCostsOneToken fails without the change.

--- a/internal/placing/teamcap.go
+++ b/internal/placing/teamcap.go
@@ -46,13 +46,15 @@
 }
 
 // completeForTeam gives back what an attempt has taken that has provably not run, and takes
-// what an instance has placed without the holder.
+// what an instance has placed without the holder. Such an instance reports a decision of the
+// same number that came too late by another completion, as unused.
 func (sched *Scheduler) completeForTeam(now time.Time, completion *Completion) {
 	if sched.ledger == nil {
 		return
 	}
-	sched.ledger.Complete(now, usagecap.Request(completion.AttemptID), completion.Outcome.MayHaveRun())
 	if completion.Team != "" {
 		sched.ledger.Charge(now, completion.Team)
+		return
 	}
+	sched.ledger.Complete(now, usagecap.Request(completion.AttemptID), completion.Outcome.MayHaveRun())
 }
--- a/internal/placing/teamcap_test.go
+++ b/internal/placing/teamcap_test.go
@@ -164,3 +164,19 @@
 		})
 	}
 }
+
+// Guards against a request that costs two tokens because its instance placed it locally and
+// reported it before the late decision of the holder as unused.
+func TestRequestPlacedBesideDecisionCostsOneToken(t *testing.T) {
+	is := is.New(t)
+	sched, now := newCappedScheduler(fleet.Cap{Rate: 0.001, Burst: 3})
+	sched.Submit(now, newTeamAttempt(1, now))
+	decided, _ := findDecision(sched.TakeDecisions(), 1)
+	is.Equal(decided.Server, "a")
+	sched.Complete(now, Completion{AttemptID: decided.AttemptID, Server: "b", Outcome: Answered, Team: "t"})
+	sched.Complete(now, Completion{AttemptID: decided.AttemptID, Server: "a", Outcome: Unused})
+	for n := range uint64(4) {
+		sched.Submit(now, newTeamAttempt(10+n, now))
+	}
+	is.Equal(countReason(sched.TakeDecisions(), ReasonTeamCap), 2)
+}
