Requeue attempts that wait for a restarted server

A server that restarts under its name was replaced together with its queue. The attempts in it were never decided, so that their callers waited until the deadline, and what they had reserved of usage caps stayed reserved.

They now wait for an owner of their key, as when the server has gone.

TestAttemptsQueuedAtRestartedServerAreDecided fails without the change.

--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -75,6 +75,9 @@
 		listed[s.Name] = true
 		old := svc.servers[s.Name]
 		if old == nil || old.Incarnation != s.Incarnation || old.Address != s.Address {
+			if old != nil {
+				svc.requeueUnowned(old)
+			}
 			svc.servers[s.Name] = newServer(s)
 			old = svc.servers[s.Name]
 			old.limit = sched.limitOf(s.Incarnation)
@@ -87,9 +90,7 @@
 		for id, s := range svc.servers {
 			if !listed[id] {
 				s.excluded = true
-				for _, w := range s.queue.waiting {
-					svc.unownedQueue.insert(w)
-				}
+				svc.requeueUnowned(s)
 				delete(svc.servers, id)
 			}
 		}
--- a/internal/placing/scheduler_test.go
+++ b/internal/placing/scheduler_test.go
@@ -435,3 +435,24 @@
 	is.Equal(assigned, 4)
 	is.True(sched.Capacity(start, &odd) <= 4/sched.services["s"].typicalServiceTime())
 }
+
+// Guards against attempts that are never decided because the server that they wait for has
+// restarted under its name.
+func TestAttemptsQueuedAtRestartedServerAreDecided(t *testing.T) {
+	is := is.New(t)
+	sched := newScheduler(true, &soleOwner{name: "a"}, backend("a", "d1"))
+	for n := range uint64(5) {
+		a := newAttempt(n, start)
+		a.Key = 1
+		sched.Submit(start, a)
+	}
+	is.Equal(len(sched.TakeDecisions()), 3) // the others are queued
+	restarted := backend("a", "d1")
+	restarted.StartMS++
+	sched.Update(start, map[string]*fleet.Service{"s": {Name: "s", Keyed: true}}, []fleet.Server{restarted}, func(*fleet.Server) bool { return false })
+	decisions := sched.TakeDecisions()
+	is.Equal(len(decisions), 2)
+	for _, d := range decisions {
+		is.Equal(d.Server, "a")
+	}
+}
--- a/internal/placing/service.go
+++ b/internal/placing/service.go
@@ -43,3 +43,12 @@
 	s.slotCount, s.slotsCounted = n, true
 	return n
 }
+
+// requeueUnowned moves the attempts that wait for a server that has gone to the queue of those
+// whose keys have no owner.
+func (s *service) requeueUnowned(gone *server) {
+	for _, w := range gone.queue.waiting {
+		s.unownedQueue.insert(w)
+	}
+	gone.queue = queue{}
+}
