Tell the allowance with every refusal

A refusal before the cap of the team is looked at, for want of a server or for crashes, told no allowance. The instance took that for the end of the one that it had, and without the holder fell back to a tenth; the next decision gave it tokens that it may have used.

Each refusal of a team's attempt now tells the allowance of the instance.

TestEveryRefusalTellsTheAllowance fails without the change.

--- a/internal/placing/dispatch.go
+++ b/internal/placing/dispatch.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"peridotmoor.org/peridotmoor/internal/usagecap"
 )
 
 // Complete records the end of an attempt and gives its slot to the next queued one.
@@ -32,7 +34,9 @@
 
 // Cancel removes an attempt from the queues.
 func (sched *Scheduler) Cancel(id AttemptID) {
-	sched.releaseForTeam(id)
+	if sched.ledger != nil {
+		sched.ledger.Release(usagecap.Request(id))
+	}
 	keep := func(w *queuedAttempt) bool { return w.AttemptID != id }
 	for _, svc := range sched.services {
 		svc.queue.filter(keep)
@@ -178,7 +182,7 @@
 			if w.meetsDeadline(now, serviceTime*deadlineMargin) {
 				return true
 			}
-			sched.refuse(w.AttemptID, reason, seconds(serviceTime))
+			sched.refuse(&w.Attempt, reason, seconds(serviceTime))
 			return false
 		}
 	}
--- a/internal/placing/returning.go
+++ b/internal/placing/returning.go
@@ -39,5 +39,5 @@
 		r.place = now.Add(delay)
 	}
 	svc.refusals.add(now, &w.Attempt, r)
-	sched.decisions = append(sched.decisions, Decision{AttemptID: w.AttemptID, Reason: reason, RetryAfter: delay, Allowance: sched.releaseForTeam(w.AttemptID)})
+	sched.refuseWithDelay(&w.Attempt, reason, delay)
 }
--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -128,11 +128,11 @@
 func (sched *Scheduler) Submit(now time.Time, attempt Attempt) {
 	svc := sched.services[attempt.Service]
 	if svc == nil || len(svc.servers) == 0 {
-		sched.refuse(attempt.AttemptID, ReasonNoServer, maxRetryAfter)
+		sched.refuse(&attempt, ReasonNoServer, maxRetryAfter)
 		return
 	}
 	if sched.crashes.Blocks(now, attempt.ContentHash) {
-		sched.refuse(attempt.AttemptID, ReasonCrashes, maxRetryAfter)
+		sched.refuse(&attempt, ReasonCrashes, maxRetryAfter)
 		return
 	}
 	if sched.ledger != nil && attempt.Team != "" && !sched.reserveForTeam(now, &attempt) {
@@ -140,7 +140,7 @@
 	}
 	if attempt.isRetry() {
 		if !sched.exclusive || !svc.retries.tryRetry(now) {
-			sched.refuse(attempt.AttemptID, ReasonRetryBudget, minRetryAfter)
+			sched.refuse(&attempt, ReasonRetryBudget, minRetryAfter)
 			return
 		}
 	} else if !attempt.Resubmitted {
@@ -160,12 +160,12 @@
 		return
 	}
 	if pause, beyond := svc.pausedBeyondDeadline(now, w); beyond {
-		sched.refuse(w.AttemptID, ReasonPaused, pause)
+		sched.refuse(&w.Attempt, ReasonPaused, pause)
 		return
 	}
 	slots := svc.usableSlots()
 	if slots == 0 {
-		sched.refuse(w.AttemptID, ReasonNoServer, maxRetryAfter)
+		sched.refuse(&w.Attempt, ReasonNoServer, maxRetryAfter)
 		return
 	}
 	serviceTime := svc.typicalServiceTime()
@@ -182,7 +182,7 @@
 
 func (sched *Scheduler) submitKeyed(now time.Time, svc *service, w *queuedAttempt) {
 	if w.Key < 0 || w.Key >= NumKeys {
-		sched.refuse(w.AttemptID, ReasonNoOwner, maxRetryAfter)
+		sched.refuse(&w.Attempt, ReasonNoOwner, maxRetryAfter)
 		return
 	}
 	if !w.isRetry() {
@@ -198,7 +198,7 @@
 	owner := svc.servers[id]
 	if !ready || owner == nil {
 		if at := sched.owners.ServedAgainBy(svc.Name, w.Key); !at.IsZero() && !w.meetsDeadline(now, at.Sub(now).Seconds()+svc.typicalServiceTime()) {
-			sched.refuse(w.AttemptID, ReasonNoOwner, at.Sub(now))
+			sched.refuse(&w.Attempt, ReasonNoOwner, at.Sub(now))
 			return
 		}
 		svc.unownedQueue.insert(w)
@@ -243,8 +243,13 @@
 	sched.decisions = append(sched.decisions, Decision{AttemptID: w.AttemptID, Server: s.Name, HeardAt: s.heardAt, Allowance: sched.takeForTeam(now, w)})
 }
 
-func (sched *Scheduler) refuse(id AttemptID, reason Reason, retryAfter time.Duration) {
-	sched.decisions = append(sched.decisions, Decision{AttemptID: id, Reason: reason, RetryAfter: min(max(retryAfter, minRetryAfter), maxRetryAfter), Allowance: sched.releaseForTeam(id)})
+func (sched *Scheduler) refuse(attempt *Attempt, reason Reason, retryAfter time.Duration) {
+	sched.refuseWithDelay(attempt, reason, min(max(retryAfter, minRetryAfter), maxRetryAfter))
+}
+
+// refuseWithDelay refuses the attempt with exactly this retry delay.
+func (sched *Scheduler) refuseWithDelay(attempt *Attempt, reason Reason, retryAfter time.Duration) {
+	sched.decisions = append(sched.decisions, Decision{AttemptID: attempt.AttemptID, Reason: reason, RetryAfter: retryAfter, Allowance: sched.releaseForTeam(attempt)})
 }
 
 func seconds(s float64) time.Duration {
--- a/internal/placing/teamcap.go
+++ b/internal/placing/teamcap.go
@@ -36,13 +36,14 @@
 	return sched.ledger.Take(now, usagecap.Request(w.AttemptID), w.Deadline)
 }
 
-// releaseForTeam gives back what is reserved for an attempt that is refused or cancelled, and
-// returns the allowance of its instance.
-func (sched *Scheduler) releaseForTeam(id AttemptID) usagecap.Allowance {
-	if sched.ledger == nil {
+// releaseForTeam gives back what is reserved for an attempt that is refused, if anything is,
+// and returns the allowance of its instance.
+func (sched *Scheduler) releaseForTeam(attempt *Attempt) usagecap.Allowance {
+	if sched.ledger == nil || attempt.Team == "" {
 		return usagecap.Allowance{}
 	}
-	return sched.ledger.Release(usagecap.Request(id))
+	sched.ledger.Release(usagecap.Request(attempt.AttemptID))
+	return sched.ledger.Allowance(attempt.Team, attempt.AttemptID.Instance)
 }
 
 // completeForTeam gives back what an attempt has taken that has provably not run, and takes
--- a/internal/placing/teamcap_test.go
+++ b/internal/placing/teamcap_test.go
@@ -180,3 +180,16 @@
 	}
 	is.Equal(countReason(sched.TakeDecisions(), ReasonTeamCap), 2)
 }
+
+// Guards against a refusal before the cap is looked at that tells no allowance: the instance
+// takes that for the end of the one that it has.
+func TestEveryRefusalTellsTheAllowance(t *testing.T) {
+	is := is.New(t)
+	sched, now := newCappedScheduler(fleet.Cap{Rate: 10, Burst: 5})
+	a := newTeamAttempt(1, now)
+	a.Service = "unknown"
+	sched.Submit(now, a)
+	d, _ := findDecision(sched.TakeDecisions(), 1)
+	is.Equal(d.Reason, ReasonNoServer)
+	is.True(d.Allowance.Rate > 0)
+}
--- a/internal/usagecap/ledger.go
+++ b/internal/usagecap/ledger.go
@@ -157,16 +157,12 @@
 	return 0, true
 }
 
-// Release gives back the reservation of an attempt that is refused or cancelled, if it has
-// one, and returns the allowance of its instance.
-func (l *Ledger) Release(r Request) Allowance {
-	a := l.reserved[r]
-	if a == nil {
-		return Allowance{}
+// Release gives back the reservation of an attempt that is refused or cancelled, if it has one.
+func (l *Ledger) Release(r Request) {
+	if a := l.reserved[r]; a != nil {
+		delete(l.reserved, r)
+		a.reserved--
 	}
-	delete(l.reserved, r)
-	a.reserved--
-	return l.allowance(a, r.Instance)
 }
 
 // Take takes the reserved token of an attempt that is assigned to a server, if it has one,
