Book no place later than callers are told to return

A caller with more than 12 s left was booked a place after up to a third of its time, but told to return after 4 s at most. The place stayed empty, the return found none, and new requests were held back for it.

A place beyond the longest delay is not booked.

TestNoPlaceBeyondTheLongestDelay fails without the change.

--- a/internal/placing/returnschedule.go
+++ b/internal/placing/returnschedule.go
@@ -46,7 +46,7 @@
 		at = s.free
 	}
 	delay := at.Sub(now)
-	if w.returning || delay > w.Deadline.Sub(now)/returnPatience {
+	if w.returning || delay > min(w.Deadline.Sub(now)/returnPatience, maxReturnDelay) {
 		return delay, false
 	}
 	share := max(minReturnShare, 1-s.arrivals/arrivalTimeConstant.Seconds()*perPlace)
--- a/internal/placing/returnschedule_test.go
+++ b/internal/placing/returnschedule_test.go
@@ -98,3 +98,16 @@
 		is.True(float64(all.unserved)/float64(all.sent) <= c.unserved+0.01)
 	}
 }
+
+// Guards against places that are later than any caller is told to return, and so stay empty.
+func TestNoPlaceBeyondTheLongestDelay(t *testing.T) {
+	is := is.New(t)
+	var s returnSchedule
+	w := &queuedAttempt{Attempt: newAttempt(1, start)}
+	w.Deadline = start.Add(time.Minute)
+	_, booked := s.book(start, w, (maxReturnDelay + time.Second).Seconds(), 0.1)
+	is.True(!booked)
+	is.Equal(len(s.places), 0)
+	_, booked = s.book(start, w, maxReturnDelay.Seconds(), 0.1)
+	is.True(booked)
+}
