Reserve one token for each request number

An attempt submitted twice under one number replaced the record of its reservation, which then was never given back: the bucket of the team lost a token until the end of the tenure. Numbers come from other processes.

The former reservation is given back when the number is used again.

TestRepeatedRequestNumberReservesOnce fails without the change.

--- a/internal/usagecap/ledger.go
+++ b/internal/usagecap/ledger.go
@@ -152,6 +152,9 @@
 			return a.refusal(now), false
 		}
 	}
+	if former := l.reserved[r]; former != nil {
+		former.reserved-- // the number comes from another process, which has sent it before
+	}
 	a.reserved++
 	l.reserved[r] = a
 	return 0, true
--- a/internal/usagecap/ledger_test.go
+++ b/internal/usagecap/ledger_test.go
@@ -114,3 +114,17 @@
 	l.Inherit(modelStart, "a", map[string]Holding{modelTeam: {Part: 1, Tokens: math.Inf(1)}, "unknown": {Part: 1, Tokens: 1}})
 	is.True(reserveMany(l, modelStart, "a", 1000) <= 25)
 }
+
+// Guards against a reservation that is never given back because another process has sent the
+// number of an attempt twice.
+func TestRepeatedRequestNumberReservesOnce(t *testing.T) {
+	is := is.New(t)
+	l, now := newFullLedger(fleet.Cap{Rate: 0.001, Burst: 3})
+	r := Request{Instance: "a", Number: 1}
+	for range 2 {
+		_, reserved := l.Reserve(now, r, modelTeam, false)
+		is.True(reserved)
+	}
+	l.Release(r)
+	is.Equal(reserveMany(l, now, "a", 5), 3)
+}
