Keep inherited allowances of idle teams until they end

The account of a team without requests for a count period was left out when an instance was lost, although the instance could still use an allowance of the earlier holder. The new holder then used the same part of the cap.

An account with inherited parts stays active until these end.

TestInheritedPartOfIdleTeamIsDeductedWhenLost fails without the change.

--- a/internal/usagecap/account.go
+++ b/internal/usagecap/account.go
@@ -182,5 +182,5 @@
 	for _, x := range a.lost {
 		a.toldShare += x.share
 	}
-	return len(a.uses) > 0 || len(a.lost) > 0
+	return len(a.uses) > 0 || len(a.lost) > 0 || len(a.inherited.parts) > 0 && now.Before(a.inherited.until)
 }
--- a/internal/usagecap/ledger_test.go
+++ b/internal/usagecap/ledger_test.go
@@ -128,3 +128,18 @@
 	l.Release(r)
 	is.Equal(reserveMany(l, now, "a", 5), 3)
 }
+
+// Guards against an inherited allowance that is not deducted when its instance is lost,
+// because the team had no request for a count period.
+func TestInheritedPartOfIdleTeamIsDeductedWhenLost(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger(modelStart)
+	l.Succeed(modelStart)
+	l.SetTeams(modelStart, teamsOf(fleet.Cap{Rate: 100, Burst: 100}))
+	l.SetShare(modelStart, 0.5)
+	l.Inherit(modelStart, "a", map[string]Holding{modelTeam: {Part: 0.5}})
+	now := modelStart.Add(countPeriod + time.Second)
+	l.SetShare(now, 0.5)
+	l.Lose(now, "a")
+	is.Equal(l.accounts[modelTeam].lost["a"].part, 0.5)
+}
