Free slots and tokens of decisions that cannot be sent

When the link of an instance had ended, the holder still assigned its queued attempts to servers and dropped the decisions. Each kept a slot until a second after its deadline, and its token of the team's cap for good.

Such an attempt is completed as unused, so that the next one gets its place.

TestQueuedAttemptsOfLostInstanceUseNothing fails without the change.

--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -177,18 +177,29 @@
 }
 
 // takeDecisions takes the new decisions from the scheduler and returns one message
-// with them for each follower concerned.
+// with them for each follower concerned. An attempt that is assigned for an instance without
+// a link is never sent, which frees its slot for the next one.
 func (c *Coordinator) takeDecisions() map[*link.Follower]*linkpb.Down {
 	out := map[*link.Follower]*linkpb.Down{}
-	for _, decision := range c.scheduler.TakeDecisions() {
-		f := c.byName[decision.AttemptID.Instance]
-		if f == nil {
-			continue
-		}
-		if out[f] == nil {
-			out[f] = &linkpb.Down{}
+	for decisions := c.scheduler.TakeDecisions(); len(decisions) > 0; decisions = c.scheduler.TakeDecisions() {
+		for _, decision := range decisions {
+			f := c.byName[decision.AttemptID.Instance]
+			if f == nil {
+				c.completeUnsent(decision)
+				continue
+			}
+			if out[f] == nil {
+				out[f] = &linkpb.Down{}
+			}
+			out[f].Verdicts = append(out[f].Verdicts, link.EncodeVerdict(decision, f))
 		}
-		out[f].Verdicts = append(out[f].Verdicts, link.EncodeVerdict(decision, f))
 	}
 	return out
 }
+
+// completeUnsent completes an attempt whose decision cannot be sent.
+func (c *Coordinator) completeUnsent(decision placing.Decision) {
+	if decision.Server != "" {
+		c.scheduler.Complete(time.Now(), placing.Completion{AttemptID: decision.AttemptID, Server: decision.Server, Outcome: placing.Unused})
+	}
+}
--- a/internal/holder/teamcaps_test.go
+++ b/internal/holder/teamcaps_test.go
@@ -88,6 +88,35 @@
 	is.Equal(placing.Reason(got[6].Reason), placing.ReasonTeamCap) // a second word of the same instance adds nothing
 }
 
+// Guards against slots and tokens that stay in use for the queued attempts of an instance whose
+// link has ended.
+func TestQueuedAttemptsOfLostInstanceUseNothing(t *testing.T) {
+	is := is.New(t)
+	c := newCappedCoordinator(t, fleet.Cap{Rate: 0.001, Burst: 100})
+	lost, _ := joinForTeam(t, c, "lost/1")
+	used, verdicts := joinForTeam(t, c, "used/1")
+	ask(c, used, verdicts, &linkpb.Up{Allowed: []*linkpb.Allowed{{Team: "t", Part: 1, Tokens: 6}}}, 1, 2, 3)
+	deadline := time.Second.Microseconds()
+	up := &linkpb.Up{}
+	for n := range uint64(2) {
+		up.Asks = append(up.Asks, &linkpb.Ask{Number: n, Service: "s", Key: placing.NoKey, TargetUs: deadline, DeadlineUs: deadline, Team: "t"})
+	}
+	lost.Send(up)
+	c.drainQueue()
+	lost.Close()
+	c.drainQueue()
+	finished := &linkpb.Up{}
+	for n := range uint64(3) {
+		finished.Finishes = append(finished.Finishes, &linkpb.Finish{Number: n + 1, Server: "a"})
+	}
+	used.Send(finished)
+	c.drainQueue()
+	got := ask(c, used, verdicts, &linkpb.Up{}, 4, 5, 6)
+	for n := uint64(4); n <= 6; n++ {
+		is.Equal(got[n].Server, "a")
+	}
+}
+
 // Guards against a coordinator that does work for caps without a team that has one.
 func TestNoLedgerWithoutCaps(t *testing.T) {
 	is := is.New(t)
