Remember refusals until the latest return to a place

A place is booked up to 4 s ahead and held for 0.3 s more, but refusals were remembered for 4 s. A caller that returned to a late place could be taken for a new one.

The memory now covers the latest return.

TestRefusalIsRememberedUntilTheLatestReturn fails without the change.

--- a/internal/placing/constants.go
+++ b/internal/placing/constants.go
@@ -78,8 +78,8 @@
 	// maxDeadlineError is how much the deadline of a request may differ between attempts
 	// over two instances.
 	maxDeadlineError = 50 * time.Millisecond
-	// refusalMemoryTime is how long refusals are remembered: callers return earlier.
-	refusalMemoryTime = 4 * time.Second
+	// refusalMemoryTime is how long refusals are remembered: until the latest return to a place.
+	refusalMemoryTime = maxReturnDelay + maxLateReturn
 	// keyRateTimeConstant is the time constant of the exponential decay of the
 	// request rate of a key. Hot keys last for some seconds; a shorter average
 	// follows noise.
--- a/internal/placing/returning_test.go
+++ b/internal/placing/returning_test.go
@@ -67,3 +67,20 @@
 	}
 	is.True(len(m.recent)+len(m.older) <= 2*401)
 }
+
+// Guards against a refusal that is forgotten before its caller returns to the latest place.
+func TestRefusalIsRememberedUntilTheLatestReturn(t *testing.T) {
+	is := is.New(t)
+	var m refusalMemory
+	filler, a := newAttempt(1, start), newAttempt(2, start)
+	filler.ContentHash, a.ContentHash = 1, 2
+	m.add(start, &filler, refusal{})
+	refusedAt := start.Add(maxReturnDelay - time.Millisecond)
+	m.add(refusedAt, &a, refusal{returnsFrom: refusedAt.Add(maxReturnDelay - maxEarlyReturn)})
+	returnsAt := refusedAt.Add(maxReturnDelay + maxLateReturn - 2*time.Millisecond)
+	for now := refusedAt; now.Before(returnsAt); now = now.Add(time.Millisecond) {
+		m.add(now, &filler, refusal{})
+	}
+	_, returning := m.take(returnsAt, &a)
+	is.True(returning)
+}
