Tell a lost instance no allowance

An attempt that was queued when the link of its instance ended is still decided. That told the instance a new part of the cap, in addition to the one that it may use while it is lost, so that the other instances were told less for 11 s.

TestLostInstanceIsToldNothing fails without the change.

--- a/internal/usagecap/account.go
+++ b/internal/usagecap/account.go
@@ -118,8 +118,11 @@
 
 // allowance returns the part of the cap that an instance may use by itself, according to
 // need. Parts told earlier to other instances are valid for a while: all together stay
-// within the cap.
+// within the cap. A lost instance, whose queued attempts may still be decided, is told nothing.
 func (a *account) allowance(now time.Time, instance string, instances int, share float64) Allowance {
+	if _, lost := a.lost[instance]; lost {
+		return Allowance{}
+	}
 	share, _ = a.inherited.share(now, share)
 	u := a.use(instance)
 	part := (u.requests() + priorRequests) / (a.requests + priorRequests*float64(max(1, instances)))
--- a/internal/usagecap/ledger_test.go
+++ b/internal/usagecap/ledger_test.go
@@ -143,3 +143,18 @@
 	l.Lose(now, "a")
 	is.Equal(l.accounts[modelTeam].lost["a"].part, 0.5)
 }
+
+// Guards against a lost instance whose part is counted twice because an attempt of it is still
+// decided, so that the other instances are told too little.
+func TestLostInstanceIsToldNothing(t *testing.T) {
+	is := is.New(t)
+	l, now := newFullLedger(fleet.Cap{Rate: 100, Burst: 100})
+	is.Equal(reserveMany(l, now, "a", 10), 10)
+	queued := Request{Instance: "a", Number: 1}
+	_, reserved := l.Reserve(now, queued, modelTeam, false)
+	is.True(reserved)
+	l.Lose(now, "a")
+	told := l.accounts[modelTeam].toldShare
+	is.Equal(l.Take(now, queued, now), Allowance{})
+	is.Equal(l.accounts[modelTeam].toldShare, told)
+}
