Fill the buckets of caps that a running holder learns of

If no team had a cap, the first configuration with caps created the ledger as for a new holder, with empty buckets: requests below the cap were refused until the bucket had filled, although nobody could have used it.

The buckets start full if the holder has had a configuration before and no allowance of an earlier holder can be valid.

TestFirstCapOfRunningHolderStartsFull fails without the change.

--- a/internal/holder/teamcaps.go
+++ b/internal/holder/teamcaps.go
@@ -16,6 +16,8 @@
 	ledger *usagecap.Ledger
 	// teams are those of the configuration that the ledger has.
 	teams *fleet.Teams
+	// configured is set once the first configuration of the tenure is known.
+	configured bool
 }
 
 // hasCaps reports whether one of the teams has a cap.
@@ -30,7 +32,8 @@
 
 // refreshTeamCaps uses the caps of the teams in the snapshot.
 func (c *Coordinator) refreshTeamCaps(now time.Time) {
-	teams := c.snapshot.Config.Teams
+	teams, hadNone := c.snapshot.Config.Teams, c.teamCaps.configured
+	c.teamCaps.configured = true
 	if teams == c.teamCaps.teams {
 		return
 	}
@@ -44,6 +47,9 @@
 			c.teamCaps.ledger.Succeed(c.startedAt)
 		}
 		c.shareTeamCaps(now)
+		if hadNone && (c.isFirstHolder() || now.Sub(c.startedAt) >= usagecap.NewHolderDelay) {
+			c.teamCaps.ledger.SetTeams(now, nil) // nobody can have used the caps that come now
+		}
 		c.scheduler.UseLedger(c.teamCaps.ledger)
 	}
 	changes := c.teamCaps.ledger.SetTeams(now, teams.All())
--- a/internal/holder/teamcaps_test.go
+++ b/internal/holder/teamcaps_test.go
@@ -13,6 +13,7 @@
 	"peridotmoor.org/peridotmoor/internal/owners"
 	"peridotmoor.org/peridotmoor/internal/placing"
 	"peridotmoor.org/peridotmoor/internal/quorum"
+	"peridotmoor.org/peridotmoor/internal/usagecap"
 )
 
 // newCappedCoordinator returns a coordinator of a new holder whose configuration has the team
@@ -117,6 +118,38 @@
 	}
 }
 
+// Guards against requests below the cap that are refused because the bucket of the first team
+// with a cap starts empty although the holder has been running without caps.
+func TestFirstCapOfRunningHolderStartsFull(t *testing.T) {
+	for name, tc := range map[string]struct {
+		age  time.Duration
+		want int
+	}{
+		"long enough": {usagecap.NewHolderDelay, 5},
+		"the holder before may have told allowances of a newer configuration": {0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCappedCoordinator(t, fleet.Cap{})
+			is.True(c.teamCaps.ledger == nil)
+			c.startedAt = c.startedAt.Add(-tc.age)
+			snapshot, config := *c.snapshot, *c.snapshot.Config
+			config.Teams = fleet.NewTeams([]*fleet.Team{{Name: "t", Cap: fleet.Cap{Rate: 0.001, Burst: 5}}}, nil)
+			snapshot.Config = &config
+			c.snapshot = &snapshot
+			now := time.Now()
+			c.refreshTeamCaps(now)
+			admitted := 0
+			for n := range uint64(10) {
+				if _, ok := c.teamCaps.ledger.Reserve(now, usagecap.Request{Instance: "i", Number: n}, "t", false); ok {
+					admitted++
+				}
+			}
+			is.Equal(admitted, tc.want)
+		})
+	}
+}
+
 // Guards against a coordinator that does work for caps without a team that has one.
 func TestNoLedgerWithoutCaps(t *testing.T) {
 	is := is.New(t)
