Refuse a withdrawn key with 401 also if the cap refuses the request

A request that the holder refused by the cap after its key had been withdrawn got 429 with a Retry-After, although a return would be in vain. Requests that are refused for other reasons got 401 already.

TestKeyWithdrawnBeforeRefusalByCap fails without the change.

--- a/internal/gateway/recheck.go
+++ b/internal/gateway/recheck.go
@@ -14,7 +14,7 @@
 // credential is not valid any more, is unauthorized whatever else was in its way.
 func (g *Gateway) sendAuthorized(ctx context.Context, call *Call, state *callState) Reply {
 	reply := g.sendUntilDone(ctx, call, state)
-	if reply.Outcome == OutcomeNotRun && !g.recheckSender(call, state) {
+	if (reply.Outcome == OutcomeNotRun || reply.Outcome == OutcomeOverCap) && !g.recheckSender(call, state) {
 		return g.unauthorizedReply(call, state.sender.denial, "while it waited")
 	}
 	return reply
--- a/internal/gateway/withdrawnkey_test.go
+++ b/internal/gateway/withdrawnkey_test.go
@@ -215,3 +215,27 @@
 	is.True(!g.MayShareConnection(teamCall("/p/x", "other")))
 	is.True(!g.MayShareConnection(teamCall("/x", testKey)))
 }
+
+// Guards against a caller that is told to return although its key has been withdrawn while its
+// request waited for the decision that refuses it by the cap.
+func TestKeyWithdrawnBeforeRefusalByCap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		registry, put := newTeamRegistry(teamConfig(1, map[string]string{testKey: "t1"}), teamConfig(2, map[string]string{}))
+		client := NewSchedulerClient("i", "d", registry, nil)
+		l := &holdingLink{client: client}
+		client.Attach(l)
+		log := events.NewLogger(new(bytes.Buffer))
+		defer log.Close()
+		g := newGateway(registry, client, newAnsweringClient(), log)
+		replies := make(chan Reply, 1)
+		go func() { replies <- g.Handle(context.Background(), teamCall("/p/x", testKey)) }()
+		synctest.Wait()
+		put(2)
+		_, onDown := client.NewReceiver()
+		for _, a := range l.take() {
+			onDown(&linkpb.Down{Verdicts: []*linkpb.Verdict{{Number: a.Number, Reason: uint32(placing.ReasonTeamCap)}}})
+		}
+		is.Equal((<-replies).Outcome, OutcomeUnauthorized)
+	})
+}
