--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -51,6 +51,23 @@
 // Update replaces the services and servers. exclude reports whether a server gets
 // no new work.
 func (sched *Scheduler) Update(now time.Time, services map[string]*fleet.Service, servers []fleet.Server, exclude func(*fleet.Server) bool) {
+	sched.updateServices(now, services)
+	listed := sched.updateServers(servers, exclude)
+	for _, svc := range sched.services {
+		for id, s := range svc.servers {
+			if !listed[id] {
+				s.excluded = true
+				svc.requeueUnowned(s)
+				delete(svc.servers, id)
+			}
+		}
+	}
+	sched.listServers()
+	sched.Tick(now)
+}
+
+// updateServices adds the services that are new and replaces the settings of the others.
+func (sched *Scheduler) updateServices(now time.Time, services map[string]*fleet.Service) {
 	for name, s := range services {
 		known := sched.services[name]
 		if known == nil {
@@ -66,6 +83,11 @@
 		}
 		known.Service = s
 	}
+}
+
+// updateServers adds the servers that are new or restarted, updates the others, and returns
+// the names of all that are listed.
+func (sched *Scheduler) updateServers(servers []fleet.Server, exclude func(*fleet.Server) bool) map[string]bool {
 	listed := map[string]bool{}
 	for _, s := range servers {
 		svc := sched.services[s.Service]
@@ -86,17 +108,7 @@
 		old.Slots = svc.UsableSlots(s.Slots)
 		old.excluded = exclude(&s)
 	}
-	for _, svc := range sched.services {
-		for id, s := range svc.servers {
-			if !listed[id] {
-				s.excluded = true
-				svc.requeueUnowned(s)
-				delete(svc.servers, id)
-			}
-		}
-	}
-	sched.listServers()
-	sched.Tick(now)
+	return listed
 }
 
 // ReportColdStart records the end of a cold start that the server itself has
