Drop passed places before a new attempt waits behind them

Places whose callers had not returned were dropped only when another attempt was refused or returned. The first new attempts after a pause waited behind all of them by the schedule and were refused although the queue was short.

TestPassedPlacesHoldNothingFree fails without the change.

--- a/internal/placing/returnschedule.go
+++ b/internal/placing/returnschedule.go
@@ -96,6 +96,7 @@
 // it takes a promised place itself, those that are to return until then. Those of other teams
 // do not go before it.
 func (s *returnSchedule) waitBehind(now time.Time, w *queuedAttempt, q *queue, perPlace float64) float64 {
+	s.forget(now)
 	wait := perPlace * float64(q.countAhead(w)+1)
 	if w.promised || w.Team != "" || len(s.places) == 0 {
 		return wait
--- a/internal/placing/returnschedule_test.go
+++ b/internal/placing/returnschedule_test.go
@@ -111,3 +111,19 @@
 	_, booked = s.book(start, w, maxReturnDelay.Seconds(), 0.1)
 	is.True(booked)
 }
+
+// Guards against a new request that is refused for places whose callers have not returned, when
+// nothing was refused since.
+func TestPassedPlacesHoldNothingFree(t *testing.T) {
+	is := is.New(t)
+	var s returnSchedule
+	w := &queuedAttempt{Attempt: newAttempt(1, start)}
+	w.Deadline = start.Add(12 * time.Second)
+	for range 20 {
+		_, booked := s.book(start, w, 0.1, 0.1)
+		is.True(booked)
+	}
+	is.True(s.waitBehind(start, w, &queue{}, 1) > 1)
+	now := s.places[len(s.places)-1].Add(maxLateReturn + time.Millisecond)
+	is.Equal(s.waitBehind(now, w, &queue{}, 1), 1.0)
+}
