--- a/internal/gateway/caprefusals.go
+++ b/internal/gateway/caprefusals.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -12,12 +11,6 @@
 	teams sync.Map // team to *teamRefusals
 }
 
-// teamRefusals counts the refusals of one team that have not been logged.
-type teamRefusals struct {
-	count    atomic.Int64
-	loggedAt atomic.Int64 // in Unix nanoseconds
-}
-
 // add counts a refusal, and returns the number of those to log now, or 0: the first one, and
 // then those of each interval together.
 func (c *capRefusals) add(now time.Time, team string) int64 {
