--- a/internal/holder/teamcaps_test.go
+++ b/internal/holder/teamcaps_test.go
@@ -13,6 +13,7 @@
 	"peridotmoor.org/peridotmoor/internal/owners"
 	"peridotmoor.org/peridotmoor/internal/placing"
 	"peridotmoor.org/peridotmoor/internal/quorum"
+	"peridotmoor.org/peridotmoor/internal/usagecap"
 )
 
 // newCappedCoordinator returns a coordinator of a new holder whose configuration has the team
@@ -88,6 +89,67 @@
 	is.Equal(placing.Reason(got[6].Reason), placing.ReasonTeamCap) // a second word of the same instance adds nothing
 }
 
+// Guards against slots and tokens that stay in use for the queued attempts of an instance whose
+// link has ended.
+func TestQueuedAttemptsOfLostInstanceUseNothing(t *testing.T) {
+	is := is.New(t)
+	c := newCappedCoordinator(t, fleet.Cap{Rate: 0.001, Burst: 100})
+	lost, _ := joinForTeam(t, c, "lost/1")
+	used, verdicts := joinForTeam(t, c, "used/1")
+	ask(c, used, verdicts, &linkpb.Up{Allowed: []*linkpb.Allowed{{Team: "t", Part: 1, Tokens: 6}}}, 1, 2, 3)
+	deadline := time.Second.Microseconds()
+	up := &linkpb.Up{}
+	for n := range uint64(2) {
+		up.Asks = append(up.Asks, &linkpb.Ask{Number: n, Service: "s", Key: placing.NoKey, TargetUs: deadline, DeadlineUs: deadline, Team: "t"})
+	}
+	lost.Send(up)
+	c.drainQueue()
+	lost.Close()
+	c.drainQueue()
+	finished := &linkpb.Up{}
+	for n := range uint64(3) {
+		finished.Finishes = append(finished.Finishes, &linkpb.Finish{Number: n + 1, Server: "a"})
+	}
+	used.Send(finished)
+	c.drainQueue()
+	got := ask(c, used, verdicts, &linkpb.Up{}, 4, 5, 6)
+	for n := uint64(4); n <= 6; n++ {
+		is.Equal(got[n].Server, "a")
+	}
+}
+
+// Guards against requests below the cap that are refused because the bucket of the first team
+// with a cap starts empty although the holder has been running without caps.
+func TestFirstCapOfRunningHolderStartsFull(t *testing.T) {
+	for name, tc := range map[string]struct {
+		age  time.Duration
+		want int
+	}{
+		"long enough": {usagecap.NewHolderDelay, 5},
+		"the holder before may have told allowances of a newer configuration": {0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCappedCoordinator(t, fleet.Cap{})
+			is.True(c.teamCaps.ledger == nil)
+			c.startedAt = c.startedAt.Add(-tc.age)
+			snapshot, config := *c.snapshot, *c.snapshot.Config
+			config.Teams = fleet.NewTeams([]*fleet.Team{{Name: "t", Cap: fleet.Cap{Rate: 0.001, Burst: 5}}}, nil)
+			snapshot.Config = &config
+			c.snapshot = &snapshot
+			now := time.Now()
+			c.refreshTeamCaps(now)
+			admitted := 0
+			for n := range uint64(10) {
+				if _, ok := c.teamCaps.ledger.Reserve(now, usagecap.Request{Instance: "i", Number: n}, "t", false); ok {
+					admitted++
+				}
+			}
+			is.Equal(admitted, tc.want)
+		})
+	}
+}
+
 // Guards against a coordinator that does work for caps without a team that has one.
 func TestNoLedgerWithoutCaps(t *testing.T) {
 	is := is.New(t)
--- a/internal/placing/hedge.go
+++ b/internal/placing/hedge.go
@@ -6,12 +6,12 @@
 // A hedge is never queued: it must not delay a request that has no server yet.
 func (sched *Scheduler) submitHedge(now time.Time, svc *service, w *queuedAttempt) {
 	if svc.Keyed || !sched.exclusive || svc.isShort(now) || !svc.hedges.Allows(now) {
-		sched.refuse(w.AttemptID, ReasonNoHedge, minRetryAfter)
+		sched.refuse(&w.Attempt, ReasonNoHedge, minRetryAfter)
 		return
 	}
 	best := sched.bestServerForHedge(now, svc, w)
 	if best == nil || !svc.retries.tryHedge(now) || !sched.tryAdmit(now, best, best.Slots, svc) {
-		sched.refuse(w.AttemptID, ReasonNoHedge, minRetryAfter)
+		sched.refuse(&w.Attempt, ReasonNoHedge, minRetryAfter)
 		return
 	}
 	svc.hedges.CountHedge(now)
--- a/internal/placing/returnschedule.go
+++ b/internal/placing/returnschedule.go
@@ -46,7 +46,7 @@
 		at = s.free
 	}
 	delay := at.Sub(now)
-	if w.returning || delay > w.Deadline.Sub(now)/returnPatience {
+	if w.returning || delay > min(w.Deadline.Sub(now)/returnPatience, maxReturnDelay) {
 		return delay, false
 	}
 	share := max(minReturnShare, 1-s.arrivals/arrivalTimeConstant.Seconds()*perPlace)
@@ -96,6 +96,7 @@
 // it takes a promised place itself, those that are to return until then. Those of other teams
 // do not go before it.
 func (s *returnSchedule) waitBehind(now time.Time, w *queuedAttempt, q *queue, perPlace float64) float64 {
+	s.forget(now)
 	wait := perPlace * float64(q.countAhead(w)+1)
 	if w.promised || w.Team != "" || len(s.places) == 0 {
 		return wait
--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -54,6 +54,23 @@
 // Update replaces the services and servers. exclude reports whether a server gets
 // no new work.
 func (sched *Scheduler) Update(now time.Time, services map[string]*fleet.Service, servers []fleet.Server, exclude func(*fleet.Server) bool) {
+	sched.updateServices(now, services)
+	listed := sched.updateServers(servers, exclude)
+	for _, svc := range sched.services {
+		for id, s := range svc.servers {
+			if !listed[id] {
+				s.excluded = true
+				svc.requeueUnowned(s)
+				delete(svc.servers, id)
+			}
+		}
+	}
+	sched.listServers()
+	sched.Tick(now)
+}
+
+// updateServices adds the services that are new and replaces the settings of the others.
+func (sched *Scheduler) updateServices(now time.Time, services map[string]*fleet.Service) {
 	for name, s := range services {
 		known := sched.services[name]
 		if known == nil {
@@ -71,6 +88,11 @@
 		}
 		known.Service = s
 	}
+}
+
+// updateServers adds the servers that are new or restarted, updates the others, and returns
+// the names of all that are listed.
+func (sched *Scheduler) updateServers(servers []fleet.Server, exclude func(*fleet.Server) bool) map[string]bool {
 	listed := map[string]bool{}
 	for _, s := range servers {
 		svc := sched.services[s.Service]
@@ -83,6 +105,7 @@
 			inherited := sched.inheritedTimes.Of(s.Service, s.Name)
 			if old != nil {
 				inherited = svc.relativeTime(old)
+				svc.requeueUnowned(old)
 			}
 			svc.servers[s.Name] = newServer(s)
 			old = svc.servers[s.Name]
@@ -93,19 +116,7 @@
 		old.Slots = svc.UsableSlots(s.Slots)
 		old.excluded = exclude(&s)
 	}
-	for _, svc := range sched.services {
-		for id, s := range svc.servers {
-			if !listed[id] {
-				s.excluded = true
-				for _, w := range s.queue.waiting {
-					svc.unownedQueue.insert(w)
-				}
-				delete(svc.servers, id)
-			}
-		}
-	}
-	sched.listServers()
-	sched.Tick(now)
+	return listed
 }
 
 // ReportColdStart records the end of a cold start that the server itself has
@@ -137,11 +148,11 @@
 func (sched *Scheduler) Submit(now time.Time, attempt Attempt) {
 	svc := sched.services[attempt.Service]
 	if svc == nil || len(svc.servers) == 0 {
-		sched.refuse(attempt.AttemptID, ReasonNoServer, maxRetryAfter)
+		sched.refuse(&attempt, ReasonNoServer, maxRetryAfter)
 		return
 	}
 	if sched.crashes.Blocks(now, attempt.ContentHash) {
-		sched.refuse(attempt.AttemptID, ReasonCrashes, maxRetryAfter)
+		sched.refuse(&attempt, ReasonCrashes, maxRetryAfter)
 		return
 	}
 	if sched.ledger != nil && attempt.Team != "" && !sched.reserveForTeam(now, &attempt) {
@@ -153,7 +164,7 @@
 	}
 	if attempt.isRetry() {
 		if !sched.exclusive || !svc.retries.tryRetry(now) {
-			sched.refuse(attempt.AttemptID, ReasonRetryBudget, minRetryAfter)
+			sched.refuse(&attempt, ReasonRetryBudget, minRetryAfter)
 			return
 		}
 	} else if !attempt.Resubmitted {
@@ -174,12 +185,12 @@
 		return
 	}
 	if pause, beyond := svc.pausedBeyondDeadline(now, w); beyond {
-		sched.refuse(w.AttemptID, ReasonPaused, pause)
+		sched.refuse(&w.Attempt, ReasonPaused, pause)
 		return
 	}
 	slots := svc.usableSlots()
 	if slots == 0 {
-		sched.refuse(w.AttemptID, ReasonNoServer, maxRetryAfter)
+		sched.refuse(&w.Attempt, ReasonNoServer, maxRetryAfter)
 		return
 	}
 	serviceTime := svc.typicalServiceTime()
@@ -196,7 +207,7 @@
 
 func (sched *Scheduler) submitKeyed(now time.Time, svc *service, w *queuedAttempt) {
 	if w.Key < 0 || w.Key >= NumKeys {
-		sched.refuse(w.AttemptID, ReasonNoOwner, maxRetryAfter)
+		sched.refuse(&w.Attempt, ReasonNoOwner, maxRetryAfter)
 		return
 	}
 	if !w.isRetry() {
@@ -212,7 +223,7 @@
 	owner := svc.servers[id]
 	if !ready || owner == nil {
 		if at := sched.owners.ServedAgainBy(svc.Name, w.Key); !at.IsZero() && !w.meetsDeadline(now, at.Sub(now).Seconds()+svc.typicalServiceTime()) {
-			sched.refuse(w.AttemptID, ReasonNoOwner, at.Sub(now))
+			sched.refuse(&w.Attempt, ReasonNoOwner, at.Sub(now))
 			return
 		}
 		svc.unownedQueue.insert(w)
@@ -257,8 +268,13 @@
 	sched.decisions = append(sched.decisions, Decision{AttemptID: w.AttemptID, Server: s.Name, HeardAt: s.heardAt, Allowance: sched.takeForTeam(now, w)})
 }
 
-func (sched *Scheduler) refuse(id AttemptID, reason Reason, retryAfter time.Duration) {
-	sched.decisions = append(sched.decisions, Decision{AttemptID: id, Reason: reason, RetryAfter: min(max(retryAfter, minRetryAfter), maxRetryAfter), Allowance: sched.releaseForTeam(id)})
+func (sched *Scheduler) refuse(attempt *Attempt, reason Reason, retryAfter time.Duration) {
+	sched.refuseWithDelay(attempt, reason, min(max(retryAfter, minRetryAfter), maxRetryAfter))
+}
+
+// refuseWithDelay refuses the attempt with exactly this retry delay.
+func (sched *Scheduler) refuseWithDelay(attempt *Attempt, reason Reason, retryAfter time.Duration) {
+	sched.decisions = append(sched.decisions, Decision{AttemptID: attempt.AttemptID, Reason: reason, RetryAfter: retryAfter, Allowance: sched.releaseForTeam(attempt)})
 }
 
 func seconds(s float64) time.Duration {
--- a/internal/placing/teamcap_test.go
+++ b/internal/placing/teamcap_test.go
@@ -164,3 +164,32 @@
 		})
 	}
 }
+
+// Guards against a request that costs two tokens because its instance placed it locally and
+// reported it before the late decision of the holder as unused.
+func TestRequestPlacedBesideDecisionCostsOneToken(t *testing.T) {
+	is := is.New(t)
+	sched, now := newCappedScheduler(fleet.Cap{Rate: 0.001, Burst: 3})
+	sched.Submit(now, newTeamAttempt(1, now))
+	decided, _ := findDecision(sched.TakeDecisions(), 1)
+	is.Equal(decided.Server, "a")
+	sched.Complete(now, Completion{AttemptID: decided.AttemptID, Server: "b", Outcome: Answered, Team: "t"})
+	sched.Complete(now, Completion{AttemptID: decided.AttemptID, Server: "a", Outcome: Unused})
+	for n := range uint64(4) {
+		sched.Submit(now, newTeamAttempt(10+n, now))
+	}
+	is.Equal(countReason(sched.TakeDecisions(), ReasonTeamCap), 2)
+}
+
+// Guards against a refusal before the cap is looked at that tells no allowance: the instance
+// takes that for the end of the one that it has.
+func TestEveryRefusalTellsTheAllowance(t *testing.T) {
+	is := is.New(t)
+	sched, now := newCappedScheduler(fleet.Cap{Rate: 10, Burst: 5})
+	a := newTeamAttempt(1, now)
+	a.Service = "unknown"
+	sched.Submit(now, a)
+	d, _ := findDecision(sched.TakeDecisions(), 1)
+	is.Equal(d.Reason, ReasonNoServer)
+	is.True(d.Allowance.Rate > 0)
+}
--- a/internal/usagecap/ledger_test.go
+++ b/internal/usagecap/ledger_test.go
@@ -114,3 +114,47 @@
 	l.Inherit(modelStart, "a", map[string]Holding{modelTeam: {Part: 1, Tokens: math.Inf(1)}, "unknown": {Part: 1, Tokens: 1}})
 	is.True(reserveMany(l, modelStart, "a", 1000) <= 25)
 }
+
+// Guards against a reservation that is never given back because another process has sent the
+// number of an attempt twice.
+func TestRepeatedRequestNumberReservesOnce(t *testing.T) {
+	is := is.New(t)
+	l, now := newFullLedger(fleet.Cap{Rate: 0.001, Burst: 3})
+	r := Request{Instance: "a", Number: 1}
+	for range 2 {
+		_, reserved := l.Reserve(now, r, modelTeam, false)
+		is.True(reserved)
+	}
+	l.Release(r)
+	is.Equal(reserveMany(l, now, "a", 5), 3)
+}
+
+// Guards against an inherited allowance that is not deducted when its instance is lost,
+// because the team had no request for a count period.
+func TestInheritedPartOfIdleTeamIsDeductedWhenLost(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger(modelStart)
+	l.Succeed(modelStart)
+	l.SetTeams(modelStart, teamsOf(fleet.Cap{Rate: 100, Burst: 100}))
+	l.SetShare(modelStart, 0.5)
+	l.Inherit(modelStart, "a", map[string]Holding{modelTeam: {Part: 0.5}})
+	now := modelStart.Add(countPeriod + time.Second)
+	l.SetShare(now, 0.5)
+	l.Lose(now, "a")
+	is.Equal(l.accounts[modelTeam].lost["a"].part, 0.5)
+}
+
+// Guards against a lost instance whose part is counted twice because an attempt of it is still
+// decided, so that the other instances are told too little.
+func TestLostInstanceIsToldNothing(t *testing.T) {
+	is := is.New(t)
+	l, now := newFullLedger(fleet.Cap{Rate: 100, Burst: 100})
+	is.Equal(reserveMany(l, now, "a", 10), 10)
+	queued := Request{Instance: "a", Number: 1}
+	_, reserved := l.Reserve(now, queued, modelTeam, false)
+	is.True(reserved)
+	l.Lose(now, "a")
+	told := l.accounts[modelTeam].toldShare
+	is.Equal(l.Take(now, queued, now), Allowance{})
+	is.Equal(l.accounts[modelTeam].toldShare, told)
+}
