Do not let facts of two eras before replace newer ones

A part of the facts without a revision was decoded as the beginning of the era before that of the message. If the sender had it from an earlier era still, it counted as newer than what the receiver had read in that earlier era, and servers that were no longer listed came back.

Such a part now counts as older than all parts with a revision. It is accepted only by an instance that has none.

--- a/internal/link/era_test.go
+++ b/internal/link/era_test.go
@@ -63,3 +63,18 @@
 		})
 	}
 }
+
+// Guards against servers that come back: a listing of two eras before, in a message of a later
+// era, must not replace a newer listing of the same era.
+func TestPartOfAnEraLongBeforeReplacesNothing(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	config := func([]byte) (*fleet.Config, error) { return fleet.NewConfig(1, nil, nil, fleet.Limits{}), nil }
+	sender, receiver := facts.NewRegistry(config, nil), facts.NewRegistry(config, nil)
+	receiver.UpdateListing(fleet.Listing{Era: 1, Revision: 950, Servers: listed(0, "a").Servers}, now)
+	sender.UpdateListing(fleet.Listing{Era: 1, Revision: 900, Servers: listed(0, "a", "gone").Servers}, now)
+	sender.UpdateOperatorSettings(fleet.OperatorSettings{Era: 3, Revision: 5, Config: []byte("1")}, now)
+	NewFactsReceiver(receiver).Apply(EncodeFacts(sender.Snapshot(), SentSequences{}, nil, now), now, now)
+	is.Equal(names(receiver), []string{"a"})
+	is.Equal(receiver.Snapshot().ListingVersion, store.Version{Era: 1, Revision: 950})
+}
--- a/internal/link/revision.go
+++ b/internal/link/revision.go
@@ -14,11 +14,11 @@
 	return version.Revision
 }
 
-// decodeRevision is the inverse of EncodeRevision. A part without a revision counts as older
-// than all of its era.
+// decodeRevision is the inverse of EncodeRevision. A part without a revision may be from any
+// earlier era and counts as older than all parts with one.
 func decodeRevision(revision, era uint64) store.Version {
-	if revision == 0 && era > 0 {
-		era--
+	if revision == 0 {
+		return store.Version{}
 	}
 	return store.Version{Era: era, Revision: revision}
 }
