Keep what the store has lost also against the facts of a new holder

A holder whose process began after the store came back from an older copy has never known what the copy lacks. Its followers took its facts as they were: a failure domain that had been taken out and a leaving server got requests again before their writers had written it a second time.

Each instance now keeps what it knows against the holder's facts too, for 3 s as against its own readings, and applies the holder's facts again with each message until then.

TestFactsTellTheirEra expected a listing of a later era without a server that was known to be in effect at once, against the rule of 3 s. It now checks both the state before and the one after these 3 s.

--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -93,7 +93,7 @@
 func (c *Coordinator) Receive(f *link.Follower, up *linkpb.Up) {
 	arrivedAt := time.Now()
 	if up.Facts != nil {
-		link.NewReadingReceiver(c.registry).Apply(up.Facts, f.DecodeTime(up.ReadUs), arrivedAt)
+		link.NewFactsReceiver(c.registry).Apply(up.Facts, f.DecodeTime(up.ReadUs), arrivedAt)
 	}
 	link.MergeBackpressure(c.registry, up.Backpressure, arrivedAt)
 	link.MergeLosses(c.registry.Crashes(), up.Losses, arrivedAt)
--- a/internal/link/era_test.go
+++ b/internal/link/era_test.go
@@ -26,6 +26,10 @@
 	sender.UpdateListing(fleet.Listing{Era: 2, Revision: 7, Servers: listed(0, "b").Servers}, now)
 	link := NewFactsReceiver(receiver)
 	link.Apply(EncodeFacts(sender.Snapshot(), SentSequences{}, nil, now), now, now)
+	is.Equal(names(receiver), []string{"a", "b"}) // the store may have lost a
+	is.Equal(receiver.Snapshot().ListingVersion, store.Version{Era: 2, Revision: 7})
+	now = now.Add(3 * time.Second)
+	link.Apply(&linkpb.Facts{Era: 2, ListingRevision: 7}, now, now)
 	is.Equal(names(receiver), []string{"b"})
 	is.Equal(receiver.Snapshot().ListingVersion, store.Version{Era: 2, Revision: 7})
 	is.Equal(receiver.Snapshot().OperatorSettings.DomainsOut, []string{"new"})
@@ -78,3 +82,33 @@
 	is.Equal(names(receiver), []string{"a"})
 	is.Equal(receiver.Snapshot().ListingVersion, store.Version{Era: 1, Revision: 950})
 }
+
+// Guards against a domain and a server that get requests again because the holder is a new
+// process, which has read the store only after it lost who took them out; and against an
+// instance that keeps them for longer than their writers need.
+func TestNewHolderDoesNotTakeBackWhatTheStoreLost(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	config := func([]byte) (*fleet.Config, error) { return fleet.NewConfig(1, nil, nil, fleet.Limits{}), nil }
+	holder, instance := facts.NewRegistry(config, nil), facts.NewRegistry(config, nil)
+	known := listed(950, "a", "b")
+	known.Era, known.Servers[0].Leaving = 1, true
+	instance.UpdateListing(known, now)
+	instance.UpdateOperatorSettings(fleet.OperatorSettings{Era: 1, Revision: 950, Config: []byte("1"), DomainsOut: []string{"out"}}, now)
+	holder.UpdateListing(fleet.Listing{Era: 2, Revision: 900, Servers: listed(0, "a").Servers}, now)
+	holder.UpdateOperatorSettings(fleet.OperatorSettings{Era: 2, Revision: 900, Config: []byte("1")}, now)
+	link := NewFactsReceiver(instance)
+	first := EncodeFacts(holder.Snapshot(), SentSequences{}, nil, now)
+	heartbeat := &linkpb.Facts{Era: first.Era, OrdersRevision: first.OrdersRevision, ListingRevision: first.ListingRevision}
+	for at := now; at.Before(now.Add(3 * time.Second)); at = at.Add(HeartbeatInterval) {
+		link.Apply(first, at, at)
+		first = heartbeat
+		is.Equal(instance.Snapshot().OperatorSettings.DomainsOut, []string{"out"})
+		is.Equal(names(instance), []string{"a", "b"})
+		is.True(instance.Snapshot().Server("a").Leaving)
+	}
+	link.Apply(heartbeat, now.Add(3*time.Second), now.Add(3*time.Second))
+	is.Equal(len(instance.Snapshot().OperatorSettings.DomainsOut), 0)
+	is.Equal(names(instance), []string{"a"})
+	is.True(!instance.Snapshot().Server("a").Leaving)
+}
--- a/internal/link/factsreceiver.go
+++ b/internal/link/factsreceiver.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -9,6 +10,7 @@
 	"peridotmoor.org/peridotmoor/internal/fleet"
 	"peridotmoor.org/peridotmoor/internal/link/linkpb"
 	"peridotmoor.org/peridotmoor/internal/owners"
+	"peridotmoor.org/peridotmoor/internal/store"
 )
 
 // notApplied is a sequence that no snapshot has.
@@ -36,9 +38,6 @@
 	// appliedSettingsSequence and appliedListingSequence are the sequences of the registry
 	// after it accepted the current settings and servers, or notApplied.
 	appliedSettingsSequence, appliedListingSequence atomic.Uint64
-	// keepsKnown is set if the sender may have read what the store has lost without having
-	// known it before.
-	keepsKnown bool
 }
 
 // NewFactsReceiver returns a receiver for the facts of one sender.
@@ -49,14 +48,6 @@
 	return r
 }
 
-// NewReadingReceiver returns a receiver for one reading of the store by a follower. What the
-// store may have lost stays as the registry knows it.
-func NewReadingReceiver(registry *facts.Registry) *FactsReceiver {
-	r := NewFactsReceiver(registry)
-	r.keepsKnown = true
-	return r
-}
-
 // Known returns what the sender is to be told that this instance knows, so that it sends only
 // what differs. It must be called before Apply.
 func (r *FactsReceiver) Known() *linkpb.Known {
@@ -98,32 +89,40 @@
 	if readBy.IsZero() {
 		readBy = now
 	}
-	if r.operatorSettings.Config != nil && r.appliedSettingsSequence.Load() != r.registry.Snapshot().OperatorSettingsSequence {
-		operatorSettings := r.operatorSettings
-		version := decodeRevision(f.OrdersRevision, f.Era)
-		operatorSettings.Era, operatorSettings.Revision = version.Era, version.Revision
-		if r.keepsKnown {
-			operatorSettings = r.registry.KeepKnownDomains(operatorSettings, readBy)
-		}
-		if r.registry.UpdateOperatorSettings(operatorSettings, readBy) {
-			r.appliedSettingsSequence.Store(r.registry.Snapshot().OperatorSettingsSequence)
-		}
-	}
-	if len(r.servers) > 0 && r.appliedListingSequence.Load() != r.registry.Snapshot().ListingSequence {
-		version := decodeRevision(f.ListingRevision, f.Era)
-		listing := fleet.Listing{Era: version.Era, Revision: version.Revision, Source: fleet.SourceLink, Servers: r.servers}
-		if r.keepsKnown {
-			listing = r.registry.KeepKnownServers(listing, readBy)
-		}
-		if r.registry.UpdateListing(listing, readBy) {
-			r.appliedListingSequence.Store(r.registry.Snapshot().ListingSequence)
-		}
-	}
+	r.applySettings(decodeRevision(f.OrdersRevision, f.Era), readBy)
+	r.applyListing(decodeRevision(f.ListingRevision, f.Era), readBy)
 	if !readAt.IsZero() && confirms(f, r.registry.Snapshot().Era()) {
 		r.registry.ConfirmRead(readAt)
 	}
 }
 
+// applySettings publishes the operators' settings unless the registry has them. The sender may
+// be new, and have read the store after it lost domains that this instance knows. While these
+// are kept, the settings are published again with each message.
+func (r *FactsReceiver) applySettings(version store.Version, readBy time.Time) {
+	if r.operatorSettings.Config == nil || r.appliedSettingsSequence.Load() == r.registry.Snapshot().OperatorSettingsSequence {
+		return
+	}
+	settings := r.operatorSettings
+	settings.Era, settings.Revision = version.Era, version.Revision
+	settings = r.registry.KeepKnownDomains(settings, readBy)
+	if r.registry.UpdateOperatorSettings(settings, readBy) && len(settings.DomainsOut) == len(r.operatorSettings.DomainsOut) {
+		r.appliedSettingsSequence.Store(r.registry.Snapshot().OperatorSettingsSequence)
+	}
+}
+
+// applyListing is the equivalent of applySettings for the listing.
+func (r *FactsReceiver) applyListing(version store.Version, readBy time.Time) {
+	if len(r.servers) == 0 || r.appliedListingSequence.Load() == r.registry.Snapshot().ListingSequence {
+		return
+	}
+	listing := fleet.Listing{Era: version.Era, Revision: version.Revision, Source: fleet.SourceLink, Servers: r.servers}
+	listing = r.registry.KeepKnownServers(listing, readBy)
+	if r.registry.UpdateListing(listing, readBy) && slices.Equal(listing.Servers, r.servers) {
+		r.appliedListingSequence.Store(r.registry.Snapshot().ListingSequence)
+	}
+}
+
 // Receiving reports whether parts of a listing are still to come at now, unless that takes so
 // long that the instance should read the store itself.
 func (r *FactsReceiver) Receiving(now time.Time) bool {
