Ignore owned ranges that are not ranges of keys

A range below 0 or above the last key in a message made the instance panic when it told the next holder what it knows, and a wide one was divided into a piece for each segment up to 2^31.

decodeOwnership now leaves out such ranges. The new fuzz targets FuzzFacts, which has this case among its seeds, and FuzzKnown are run by make fuzz.

--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,7 @@
 	$(GO) test ./internal/backhttp -run '^$$' -fuzz FuzzResponse -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
 	$(GO) test ./internal/entrynode -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME)
 	$(GO) test ./internal/owners -run '^$$' -fuzz FuzzDecodeRecord -fuzztime $(FUZZTIME)
+	for target in Facts Known; do $(GO) test ./internal/link -run '^$$' -fuzz Fuzz$$target -fuzztime $(FUZZTIME) || exit 1; done
 	for target in Config Tenants Credential Listing Server Load Answer; do $(GO) test ./platform -run '^$$' -fuzz FuzzDecode$$target -fuzztime $(FUZZTIME) || exit 1; done
 
 # Needs protoc (Debian package protobuf-compiler). The generated code is committed.
--- a/internal/link/convert.go
+++ b/internal/link/convert.go
@@ -228,9 +228,13 @@
 	return out
 }
 
+// decodeOwnership converts ranges of a message. It leaves out those that are not ranges of keys.
 func decodeOwnership(o *linkpb.Ownership) map[string][]owners.OwnedRange {
 	out := map[string][]owners.OwnedRange{}
 	for _, r := range o.GetRanges() {
+		if r.From < 0 || r.To < r.From || r.To >= owners.NumKeys {
+			continue
+		}
 		out[r.Service] = append(out[r.Service], owners.OwnedRange{
 			Interval: owners.Interval{From: int(r.From), To: int(r.To)}, Owner: r.Owner, Held: r.Held,
 		})
