Bound the listing in parts that an instance keeps

The servers of parts were kept until the last part came, however many there were, so that a sender without end took all memory. And after a part that could not be decoded the instance waited up to 4 s for the others before it read the store, although it ignores them.

A listing of more than 60,000 servers is abandoned like one with a broken part, and both end the wait at once.

--- a/internal/link/constants.go
+++ b/internal/link/constants.go
@@ -14,6 +14,9 @@
 	// maxReceiving is how long an instance waits for the parts of a listing before it reads the
 	// store itself. At the pace of the holder, 298 instances have 3,006 servers within 2 s.
 	maxReceiving = 4 * time.Second
+	// maxIncoming bounds the servers that an instance keeps of a listing in parts: twenty times
+	// those of the largest fleet.
+	maxIncoming = 60_000
 	// dialTimeout bounds connecting to another instance. It allows for several round trips.
 	dialTimeout = 400 * time.Millisecond
 	// questionTimeout bounds a question for the holder, from the connection to the answer.
--- a/internal/link/factsreceiver.go
+++ b/internal/link/factsreceiver.go
@@ -73,11 +73,16 @@
 // instance reads the store itself then, and the next link begins anew.
 func (r *FactsReceiver) Apply(f *linkpb.Facts, readAt, now time.Time) {
 	f, err := unpack(f)
-	r.broken = r.broken || err != nil
+	if err != nil {
+		r.abandon()
+	}
 	if r.broken {
 		return
 	}
 	r.merge(f, now)
+	if r.broken {
+		return
+	}
 	if r.incomingSince.Load() == nil {
 		r.seed = nil // the sender continues from it once only
 	}
@@ -138,6 +143,12 @@
 	return EncodeFacts(snapshot, SentSequences{OperatorSettings: r.appliedSettingsSequence.Load(), Listing: r.appliedListingSequence.Load(), OwnedRanges: snapshot.OwnedRangesSequence, Backpressure: snapshot.BackpressureSequence}, nil, now), readAt
 }
 
+// abandon makes the receiver ignore all further messages, and the instance read the store itself.
+func (r *FactsReceiver) abandon() {
+	r.broken, r.incoming, r.seed = true, nil, nil
+	r.incomingSince.Store(nil)
+}
+
 // merge applies the changes in a message to the facts received before.
 func (r *FactsReceiver) merge(f *linkpb.Facts, now time.Time) {
 	if f.Resumed != nil && r.seed != nil {
@@ -148,7 +159,10 @@
 		r.appliedSettingsSequence.Store(notApplied)
 	}
 	if l := f.Listing; l != nil && l.More {
-		r.incoming = append(r.incoming, decodeServers(l.Servers, now)...)
+		if r.incoming = append(r.incoming, decodeServers(l.Servers, now)...); len(r.incoming) > maxIncoming {
+			r.abandon()
+			return
+		}
 		if r.incomingSince.Load() == nil {
 			r.incomingSince.Store(&now)
 		}
--- a/internal/link/packed_test.go
+++ b/internal/link/packed_test.go
@@ -54,3 +54,46 @@
 	small := &linkpb.Facts{Epoch: 1}
 	is.Equal(PackLarge(small), small)
 }
+
+// Guards against a listing without end that takes all memory of an instance, and against an
+// instance that goes on waiting for the remainder of one that it has given up.
+func TestListingWithoutEndIsAbandoned(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	part := &linkpb.Facts{Listing: &linkpb.Listing{More: true}}
+	for range partServers {
+		part.Listing.Servers = append(part.Listing.Servers, &linkpb.Server{Name: "a"})
+	}
+	registry := newResumeRegistry()
+	receiver := NewFactsReceiver(registry)
+	for range maxIncoming/partServers + 10 {
+		receiver.Apply(part, time.Time{}, now)
+	}
+	is.Equal(len(receiver.incoming), 0)
+	is.True(!receiver.Receiving(now))
+	receiver.Apply(&linkpb.Facts{ListingRevision: 1, OrdersRevision: 1, Listing: &linkpb.Listing{}}, now, now)
+	_, known := registry.Age(now)
+	is.True(!known)
+}
+
+// Guards against packed facts that decompress to more memory than an instance has.
+func TestPackedFactsAreBounded(t *testing.T) {
+	is := is.New(t)
+	packed, err := pack(&linkpb.Facts{Orders: &linkpb.Orders{Config: make([]byte, maxUnpacked)}})
+	is.NoErr(err)
+	is.True(len(packed.Packed) < maxUnpacked/100)
+	_, err = unpack(packed)
+	is.True(err != nil)
+}
+
+// Guards against a broken part after which the instance waits for the others in place of
+// reading the store itself.
+func TestBrokenPartEndsTheWait(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	receiver := NewFactsReceiver(newResumeRegistry())
+	receiver.Apply(&linkpb.Facts{Listing: &linkpb.Listing{More: true}}, time.Time{}, now)
+	is.True(receiver.Receiving(now))
+	receiver.Apply(&linkpb.Facts{Packed: []byte("x")}, time.Time{}, now)
+	is.True(!receiver.Receiving(now))
+}
