Bound what resumed and packed facts cost the receiver

Packed facts could unpack to 16 MB, of which short servers take many times as much when decoded; and each server was compared with each bucket in the message, which takes seconds with as many of them as fit into one.

The bound is 4 MB, that of an unpacked message, and buckets and segments are looked up by index.

--- a/internal/link/packed.go
+++ b/internal/link/packed.go
@@ -11,8 +11,10 @@
 	"peridotmoor.org/peridotmoor/internal/link/linkpb"
 )
 
-// maxUnpacked bounds the size of packed facts. A part of a listing has some 20 KB.
-const maxUnpacked = 16 << 20
+// maxUnpacked bounds the size of packed facts, like that of a message of a link. Decoded, short
+// servers take many times their encoded size, and the smallest instances have 144 MB. A part of
+// a listing has some 20 KB, and the facts of 3,006 servers have some 400 KB.
+const maxUnpacked = 4 << 20
 
 // minPacked is the size in bytes from which facts are sent in compressed form: the owners of more
 // than 500 ranges, or some 200 servers.
--- a/internal/link/seed.go
+++ b/internal/link/seed.go
@@ -21,8 +21,9 @@
 // cold: the holder sends all cold servers.
 func (s *seed) servers(buckets []uint32) []fleet.Server {
 	out := make([]fleet.Server, 0, len(s.snapshot.Servers))
+	differs := partsAt(buckets, len(s.known.Listing))
 	for _, server := range s.snapshot.Servers {
-		if !slices.Contains(buckets, uint32(facts.ListingBucket(server.Name, len(s.known.Listing)))) {
+		if !differs[facts.ListingBucket(server.Name, len(s.known.Listing))] {
 			server.ColdUntil = time.Time{}
 			out = append(out, server)
 		}
@@ -37,9 +38,10 @@
 // ranges received for these.
 func (s *seed) ownedRanges(segments []uint32, received map[string][]owners.OwnedRange) map[string][]owners.OwnedRange {
 	out := map[string][]owners.OwnedRange{}
+	differs := partsAt(segments, len(s.known.Owners))
 	for service, ranges := range s.snapshot.OwnedRanges {
 		for _, r := range facts.SplitRanges(ranges, len(s.known.Owners)) {
-			if !slices.Contains(segments, uint32(facts.OwnersSegment(r, len(s.known.Owners)))) {
+			if !differs[facts.OwnersSegment(r, len(s.known.Owners))] {
 				out[service] = append(out[service], r)
 			}
 		}
@@ -53,3 +55,14 @@
 	}
 	return out
 }
+
+// partsAt is the inverse of indexes for the given number of parts. It ignores indexes beyond.
+func partsAt(indexes []uint32, parts int) []bool {
+	out := make([]bool, parts)
+	for _, i := range indexes {
+		if uint64(i) < uint64(parts) {
+			out[i] = true
+		}
+	}
+	return out
+}
