Disconnect silent followers that take no facts

Since facts wait in one message per follower, a follower that has stopped does not fill its queue, so the holder kept it for as long as its machine confirmed what it received. It counted as a follower with its processor share.

The holder's own instance, which sends nothing while idle, never counts as silent; its link could be closed when its queue was full.

--- a/internal/link/follower.go
+++ b/internal/link/follower.go
@@ -110,11 +110,15 @@
 	}
 }
 
-// Flush queues what has found the queue full before.
+// Flush queues what has found the queue full before. It is to be called regularly, and
+// disconnects a follower that takes no facts and from which nothing is heard.
 func (f *Follower) Flush() {
 	if f.overflow != nil {
 		f.Send(&linkpb.Down{})
 	}
+	if f.pending.Load() != nil && f.isSilent(time.Now()) {
+		f.Disconnect()
+	}
 }
 
 // heard records that a message of the instance arrived.
--- a/internal/link/local.go
+++ b/internal/link/local.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -23,7 +24,7 @@
 	clock.share()
 	l := &Local{handler: handler, done: make(chan struct{}), queue: make(chan *linkpb.Down, outboxSize)}
 	l.follower = &Follower{Member: member, clock: clock, wake: make(chan struct{}, 1), send: l.enqueue, disconnect: l.closeDone}
-	l.follower.heard(time.Now())
+	l.follower.heardAt.Store(math.MaxInt64) // sends nothing while it has no requests
 	if !handler.Join(l.follower) {
 		return nil
 	}
@@ -71,7 +72,6 @@
 	if l.closed.Load() {
 		return false
 	}
-	l.follower.heard(time.Now())
 	l.handler.Receive(l.follower, up)
 	return true
 }
--- a/internal/link/overflow_test.go
+++ b/internal/link/overflow_test.go
@@ -49,3 +49,33 @@
 	}
 	is.True(ended)
 }
+
+// Guards against a follower that is gone and is kept because it gets only facts, which wait in
+// one message and never fill its queue.
+func TestSilentFollowerThatTakesNoFactsIsDisconnected(t *testing.T) {
+	is := is.New(t)
+	ended := false
+	f := &Follower{disconnect: func() { ended = true }, wake: make(chan struct{}, 1)}
+	f.heard(time.Now())
+	f.Tell(NewSharedFacts(&linkpb.Facts{Epoch: 1}), 0, Told{})
+	f.Flush()
+	is.True(!ended) // slow only
+	f.heard(time.Now().Add(-maxFollowerSilence - time.Second))
+	f.takeFacts(&linkpb.Down{})
+	f.Flush()
+	is.True(!ended) // it reads
+	f.Tell(NewSharedFacts(&linkpb.Facts{Epoch: 1}), 0, Told{})
+	f.Flush()
+	is.True(ended)
+}
+
+// Guards against a holder that closes the link to its own instance, which sends nothing while it
+// has no requests.
+func TestOwnInstanceIsNeverSilent(t *testing.T) {
+	is := is.New(t)
+	handler := &singleSlotHandler{messages: make(chan *linkpb.Up, 1)}
+	local := JoinLocal(handler, Member{Instance: "i"}, NewClock(), func(*linkpb.Down) {})
+	defer local.Close()
+	local.Send(&linkpb.Up{})
+	is.True(!local.follower.isSilent(time.Now().Add(time.Hour)))
+}
