Decide attempts that wait for a restarted or moved server

When the owner of a key came back under another start or address, the scheduler replaced it together with its queue: the attempts in it never got a decision, and their reservations of usage caps were never returned. And a server that changed its service stayed in the earlier one, as only its name was looked up.

Both are removed like an unlisted server, whose attempts are routed anew.

--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -66,31 +66,30 @@
 		}
 		known.Service = s
 	}
-	listed := map[string]bool{}
+	listed := map[*server]bool{}
 	for _, s := range servers {
 		svc := sched.services[s.Service]
 		if svc == nil {
 			continue
 		}
-		listed[s.Name] = true
-		old := svc.servers[s.Name]
-		if old == nil || old.Incarnation != s.Incarnation || old.Address != s.Address {
-			svc.servers[s.Name] = newServer(s)
-			old = svc.servers[s.Name]
-			old.limit = sched.limitOf(s.Incarnation)
+		known := svc.servers[s.Name]
+		if known == nil || known.Incarnation != s.Incarnation || known.Address != s.Address {
+			if known != nil {
+				svc.remove(known)
+			}
+			known = newServer(s)
+			known.limit = sched.limitOf(s.Incarnation)
+			svc.servers[s.Name] = known
 		}
-		old.Server = s
-		old.Slots = svc.UsableSlots(s.Slots)
-		old.excluded = exclude(&s)
+		listed[known] = true
+		known.Server = s
+		known.Slots = svc.UsableSlots(s.Slots)
+		known.excluded = exclude(&s)
 	}
 	for _, svc := range sched.services {
-		for id, s := range svc.servers {
-			if !listed[id] {
-				s.excluded = true
-				for _, w := range s.queue.waiting {
-					svc.unownedQueue.insert(w)
-				}
-				delete(svc.servers, id)
+		for _, s := range svc.servers {
+			if !listed[s] {
+				svc.remove(s)
 			}
 		}
 	}
--- a/internal/placing/service.go
+++ b/internal/placing/service.go
@@ -43,3 +43,12 @@
 	s.slotCount, s.slotsCounted = n, true
 	return n
 }
+
+// remove forgets a server. The attempts that wait for it are routed anew at the next tick.
+func (s *service) remove(gone *server) {
+	gone.excluded = true
+	for _, w := range gone.queue.waiting {
+		s.unownedQueue.insert(w)
+	}
+	delete(s.servers, gone.Name)
+}
