Repeat an acknowledgement of parts that could not be queued

An instance told the holder once for each part how many have arrived. If its queue was full at that moment, the holder waited for the acknowledgement until the link ended, and the instance got neither a listing nor a time of reading.

What has not been queued is sent after the next message of the holder.

--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -109,7 +109,7 @@
 
 func (c *Client) receive(stream linkpb.DRPCLink_FollowClient, onDown func(*linkpb.Down)) {
 	defer c.Close()
-	parts := uint32(0)
+	var parts partCounter
 	for {
 		down, err := stream.Recv()
 		if err != nil {
@@ -117,27 +117,14 @@
 		}
 		c.clock.observe(down.SentUs, time.Now())
 		onDown(down)
-		if arrived := countParts(down); arrived > 0 {
-			parts += arrived
-			c.Send(&linkpb.Up{Parts: parts}) // if this fails, so does the link
-		}
+		parts.count(down)
+		parts.acknowledge(c.Send)
 		if down.Proof != 0 {
 			c.Send(&linkpb.Up{Proof: down.Proof}) // if this fails, the holder does not count this instance
 		}
 	}
 }
 
-// countParts returns the number of parts of a listing in the message.
-func countParts(down *linkpb.Down) uint32 {
-	parts := uint32(0)
-	for _, f := range down.Facts {
-		if len(f.Packed) > 0 {
-			parts++
-		}
-	}
-	return parts
-}
-
 func (c *Client) send(stream linkpb.DRPCLink_FollowClient) {
 	defer c.Close()
 	idle := time.NewTicker(stampInterval)
