Let the store enter later eras in the test of transfers

No test had a transfer of a listing while the store came back from an older copy. TestChangesDuringATransfer now begins eras at random moments in every third play and checks the same as before at the end.

--- a/internal/holder/transfer_test.go
+++ b/internal/holder/transfer_test.go
@@ -19,18 +19,21 @@
 // transferStore is a list of servers that only begin to leave, so that a later state has all
 // that an earlier one has.
 type transferStore struct {
-	servers  []fleet.Server
-	revision uint64
-	domains  int
+	servers []fleet.Server
+	// era and revision are those of the store, whose revisions go back when an era begins.
+	era, revision uint64
+	readings      int64
+	domains       int
 	// leavingAt holds, by the time of a reading, the number of leaving servers.
 	leavingAt map[time.Time]int
 }
 
 func (s *transferStore) read(registry *facts.Registry, now time.Time) {
 	s.revision++
-	registry.UpdateOperatorSettings(fleet.OperatorSettings{Config: playConfig(1), DomainsOut: []string{fmt.Sprint("d", s.domains)}, Revision: s.revision}, now)
-	registry.UpdateListing(fleet.Listing{Revision: s.revision, Servers: slices.Clone(s.servers)}, now)
-	registry.UpdateOwners(map[string][]owners.OwnedRange{"keyed": {{Interval: owners.Interval{To: owners.NumKeys - 1}, Owner: fmt.Sprint("o", s.revision), Held: true}}}, int64(s.revision))
+	s.readings++
+	registry.UpdateOperatorSettings(fleet.OperatorSettings{Config: playConfig(1), DomainsOut: []string{fmt.Sprint("d", s.domains)}, Era: s.era, Revision: s.revision}, now)
+	registry.UpdateListing(fleet.Listing{Era: s.era, Revision: s.revision, Servers: slices.Clone(s.servers)}, now)
+	registry.UpdateOwners(map[string][]owners.OwnedRange{"keyed": {{Interval: owners.Interval{To: owners.NumKeys - 1}, Owner: fmt.Sprint("o", s.readings), Held: true}}}, s.readings)
 	registry.ConfirmRead(now)
 	s.leavingAt[now] = leavingIn(s.servers)
 }
@@ -47,7 +50,8 @@
 
 // Guards against an instance that gets the listing in parts and takes it for newer than it is,
 // misses a change that is made meanwhile, or waits with the settings until it is complete. The
-// store changes and the instance acknowledges at random moments.
+// store changes, enters a later era in every third play, and the instance acknowledges, at random
+// moments.
 func TestChangesDuringATransfer(t *testing.T) {
 	for seed := range uint64(12) {
 		is := is.New(t)
@@ -65,6 +69,9 @@
 			if random.IntN(3) == 0 {
 				store.domains++
 			}
+			if seed%3 == 2 && store.revision > 0 && random.IntN(8) == 0 {
+				store.era, store.revision = store.era+1, 0
+			}
 			store.read(c.registry, now)
 		}
 		began := time.Now()
@@ -145,6 +152,8 @@
 		for receive() {
 			check()
 		}
+		told, end := c.registry.Snapshot(), time.Now().Add(4*time.Second) // an instance keeps what an era has lost until then
+		receiver.Apply(link.EncodeFacts(told, sequencesOf(told), told, end), end, end)
 		is.Equal(instance.Snapshot().Servers, c.registry.Snapshot().Servers)
 		is.Equal(instance.Snapshot().OperatorSettings.DomainsOut, c.registry.Snapshot().OperatorSettings.DomainsOut)
 		is.Equal(instance.Snapshot().OwnedRanges, c.registry.Snapshot().OwnedRanges)
