Forget replies to joining instances also without a next join

A holder kept the replies of the last joins, up to one listing for each instance, until another instance joined, although they are used for 250 ms only. The tick now drops them.

--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -214,6 +214,7 @@
 	c.logShortages(now)
 	c.publish(now)
 	c.joins.sendParts(now)
+	c.joins.forgetReplies(now)
 	c.probeServers(now)
 	c.forgetStays(now)
 	c.considerYield(now)
--- a/internal/holder/joins.go
+++ b/internal/holder/joins.go
@@ -35,10 +35,9 @@
 
 // reply returns what an instance is sent that has told what it knows, or nil.
 func (j *joins) reply(snapshot *facts.Snapshot, known *linkpb.Known, now time.Time, complete func(*linkpb.Facts)) (*link.JoinReply, error) {
-	if j.resumption == nil || j.resumption.Snapshot() != snapshot || now.Sub(j.madeAt) > replyMaxAge {
-		if j.resumption == nil || j.resumption.Snapshot() != snapshot {
-			j.resumption = link.NewResumption(snapshot)
-		}
+	j.forgetReplies(now)
+	if j.resumption == nil || j.resumption.Snapshot() != snapshot {
+		j.resumption = link.NewResumption(snapshot)
 		j.replies, j.madeAt = map[string]*link.JoinReply{}, now
 	}
 	key := "" // nil is encoded like an empty message, but its sender may be of an earlier version
@@ -61,6 +60,13 @@
 	return r, err
 }
 
+// forgetReplies forgets replies that are too old to be used again.
+func (j *joins) forgetReplies(now time.Time) {
+	if j.resumption != nil && now.Sub(j.madeAt) > replyMaxAge {
+		j.resumption, j.replies = nil, nil
+	}
+}
+
 // sendParts sends the parts that are due, as far as the pace allows it.
 func (j *joins) sendParts(now time.Time) {
 	if len(j.transferring) == 0 {
--- a/internal/holder/transfer_test.go
+++ b/internal/holder/transfer_test.go
@@ -179,3 +179,18 @@
 	is.True(sent > 1900 && sent <= 2130)
 	is.True((&pace{perSecond: 1000, burst: 10}).take(now, 30)) // a part larger than the burst
 }
+
+// Guards against replies to instances that have joined long ago, each with a listing, which stay
+// in the memory of the holder until the next join.
+func TestRepliesAreForgotten(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	var j joins
+	_, err := j.reply(newPlayRegistry().Snapshot(), nil, now, func(*linkpb.Facts) {})
+	is.NoErr(err)
+	j.forgetReplies(now.Add(replyMaxAge))
+	is.Equal(len(j.replies), 1)
+	j.forgetReplies(now.Add(replyMaxAge + time.Millisecond))
+	is.Equal(len(j.replies), 0)
+	is.Equal(j.resumption, nil)
+}
