--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -57,11 +57,9 @@
 	sched.updateServices(now, services)
 	listed := sched.updateServers(servers, exclude)
 	for _, svc := range sched.services {
-		for id, s := range svc.servers {
-			if !listed[id] {
-				s.excluded = true
-				svc.requeueUnowned(s)
-				delete(svc.servers, id)
+		for _, s := range svc.servers {
+			if !listed[s] {
+				svc.remove(s)
 			}
 		}
 	}
@@ -91,30 +89,30 @@
 }
 
 // updateServers adds the servers that are new or restarted, updates the others, and returns
-// the names of all that are listed.
-func (sched *Scheduler) updateServers(servers []fleet.Server, exclude func(*fleet.Server) bool) map[string]bool {
-	listed := map[string]bool{}
+// all that are listed.
+func (sched *Scheduler) updateServers(servers []fleet.Server, exclude func(*fleet.Server) bool) map[*server]bool {
+	listed := map[*server]bool{}
 	for _, s := range servers {
 		svc := sched.services[s.Service]
 		if svc == nil {
 			continue
 		}
-		listed[s.Name] = true
-		old := svc.servers[s.Name]
-		if old == nil || old.Incarnation != s.Incarnation || old.Address != s.Address {
+		known := svc.servers[s.Name]
+		if known == nil || known.Incarnation != s.Incarnation || known.Address != s.Address {
 			inherited := sched.inheritedTimes.Of(s.Service, s.Name)
-			if old != nil {
-				inherited = svc.relativeTime(old)
-				svc.requeueUnowned(old)
+			if known != nil {
+				inherited = svc.relativeTime(known)
+				svc.remove(known)
 			}
-			svc.servers[s.Name] = newServer(s)
-			old = svc.servers[s.Name]
-			old.inheritedTime = inherited
-			old.limit = sched.limitOf(s.Incarnation)
+			known = newServer(s)
+			known.inheritedTime = inherited
+			known.limit = sched.limitOf(s.Incarnation)
+			svc.servers[s.Name] = known
 		}
-		old.Server = s
-		old.Slots = svc.UsableSlots(s.Slots)
-		old.excluded = exclude(&s)
+		listed[known] = true
+		known.Server = s
+		known.Slots = svc.UsableSlots(s.Slots)
+		known.excluded = exclude(&s)
 	}
 	return listed
 }
--- a/internal/placing/service.go
+++ b/internal/placing/service.go
@@ -48,11 +48,11 @@
 	return n
 }
 
-// requeueUnowned moves the attempts that wait for a server that has gone to the queue of those
-// whose keys have no owner.
-func (s *service) requeueUnowned(gone *server) {
+// remove forgets a server. The attempts that wait for it are routed anew at the next tick.
+func (s *service) remove(gone *server) {
+	gone.excluded = true
 	for _, w := range gone.queue.waiting {
 		s.unownedQueue.insert(w)
 	}
-	gone.queue = queue{}
+	delete(s.servers, gone.Name)
 }
