--- a/internal/holder/era_test.go
+++ b/internal/holder/era_test.go
@@ -122,8 +122,8 @@
 					e.Run(ctx)
 				}()
 				time.Sleep(3 * time.Second)
-				cancel()
 				tenure := e.coordinator.Load()
+				cancel()
 				<-done
 				is.True(tenure.epoch >= owners.FirstEpoch(uint64(c.eras)))
 				is.Equal(tenure.table.InheritedGrantsEnded(time.Now()), !c.waits)
