Send decisions beyond the queue of a link with the next tick

Decisions that found the queue of a follower full waited for the next decision or for a heartbeat, up to 250 ms, while instances wait 120 ms before they place a request themselves. Each tick now queues them once there is room.

--- a/internal/holder/publish.go
+++ b/internal/holder/publish.go
@@ -34,9 +34,8 @@
 		if f.Transferring() {
 			next = next.Without(f.TransferBase())
 		}
-		if heartbeatDue {
-			f.Flush()
-		} else if f.IsTold(next.Sent) {
+		f.Flush()
+		if !heartbeatDue && f.IsTold(next.Sent) {
 			continue
 		}
 		told, ok := f.Told()
--- a/internal/holder/transfer_test.go
+++ b/internal/holder/transfer_test.go
@@ -194,3 +194,34 @@
 	is.Equal(len(j.replies), 0)
 	is.Equal(j.resumption, nil)
 }
+
+// Guards against decisions that found the queue of a link full and then wait for the next
+// heartbeat, by when the instance has placed the requests itself.
+func TestDecisionsBeyondTheQueueDoNotWaitForAHeartbeat(t *testing.T) {
+	is := is.New(t)
+	c := newPlacingCoordinator(t)
+	reading, verdicts := make(chan struct{}), make(chan int, 2000)
+	l := link.JoinLocal(c, link.Member{Instance: "i"}, link.NewClock(), func(down *linkpb.Down) {
+		<-reading
+		verdicts <- len(down.Verdicts)
+	})
+	defer l.Close()
+	c.drainQueue()
+	const sent = 1000
+	for n := range uint64(sent) {
+		c.byName["i"].Send(&linkpb.Down{Verdicts: []*linkpb.Verdict{{Number: n}}})
+	}
+	now := time.Now()
+	c.heartbeatAt = now
+	close(reading)
+	arrived := 0
+	for arrived < sent {
+		select {
+		case n := <-verdicts:
+			arrived += n
+		case <-time.After(20 * time.Millisecond):
+			is.True(time.Since(now) < 5*time.Second)
+			c.publish(now) // no heartbeat is due
+		}
+	}
+}
