Count the fields of a request's head in the memory account

A head was counted by its bytes only. Parsed, each field takes some hundred bytes whatever its length. Requests with 15 KB of fields of 6 bytes, as many as 256 descriptors allow, took 78 MB of resident memory on a machine of 64 MB, while the account saw a fraction of it.

Each line beyond the 64 that a usual request may have now takes 320 bytes, also those that were read before the head began. A request that gets no memory is refused with 503 as before, and has not run.

--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -105,9 +105,13 @@
 	}
 	limits := c.server.limits().withDefaults()
 	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	c.source.begin(limits.HeaderBytes)
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // can't fail
+	c.source.begin(limits.HeaderBytes, buffered)
 	hasLength := c.mayHaveContentLength()
 	request, err := http.ReadRequest(c.reader)
+	if c.source.short {
+		err = errNoMemory
+	}
 	if err == nil {
 		err = checkRequest(request)
 	}
--- a/internal/callerhttp/constants.go
+++ b/internal/callerhttp/constants.go
@@ -36,6 +36,11 @@
 	// Each byte beyond takes headCost bytes once it is parsed and encoded again.
 	smallHeadBytes = 4 << 10
 	headCost       = 6
+	// smallHeadFields is how many lines of a head are covered by requestBytes. Each line beyond
+	// takes fieldCost bytes in the parsed head, whatever its length: an entry of a map, which
+	// doubles as it grows, a list and two texts, all of which the request to the server copies.
+	smallHeadFields = 64
+	fieldCost       = 320
 	// smallUploadBytes is how much of a body counts as that of a usual request.
 	smallUploadBytes = 16 << 10
 	// chunkBytes is the unit of what is read ahead of a response. largeChunkBytes is that of
--- a/internal/callerhttp/headsource.go
+++ b/internal/callerhttp/headsource.go
@@ -1,6 +1,7 @@
 package callerhttp
 
 import (
+	"bytes"
 	"io"
 	"net"
 
@@ -16,6 +17,8 @@
 	remaining int64
 	// read is how much has been read for the head, and taken the memory for it.
 	read, taken int64
+	// lines is how many lines of the head have been read.
+	lines int
 	// short is set if there was no memory for the head.
 	short bool
 }
@@ -23,9 +26,12 @@
 // noHeaderLimit lifts the limit on header bytes while a body is read.
 const noHeaderLimit = 1 << 62
 
-// begin starts a head of at most limit bytes.
-func (s *headSource) begin(limit int) {
-	s.remaining, s.read = int64(limit), 0
+// begin starts a head of at most limit bytes, of which buffered has been read already, perhaps
+// with what follows it.
+func (s *headSource) begin(limit int, buffered []byte) {
+	s.remaining, s.read, s.lines = int64(limit), 0, 0
+	head, _, _ := bytes.Cut(buffered, []byte("\r\n\r\n"))
+	s.short = !s.takeFields(bytes.Count(head, []byte{'\n'}))
 }
 
 // end ends the limit on the head and returns how much memory was taken for it, which the
@@ -36,6 +42,21 @@
 	return taken
 }
 
+// takeFields takes the memory for n more lines and reports whether it got it.
+func (s *headSource) takeFields(n int) bool {
+	before := max(s.lines, smallHeadFields)
+	s.lines += n
+	cost := int64(s.lines-before) * fieldCost
+	if cost <= 0 {
+		return true
+	}
+	if !s.holding.Take(membudget.Requests, cost) {
+		return false
+	}
+	s.taken += cost
+	return true
+}
+
 // Read implements io.Reader. It returns io.EOF at the limit.
 func (s *headSource) Read(p []byte) (int, error) {
 	if s.remaining == noHeaderLimit {
@@ -55,5 +76,9 @@
 	n, err := s.net.Read(p[:min(int64(len(p)), s.remaining)])
 	s.remaining -= int64(n)
 	s.read += int64(n)
+	if !s.takeFields(bytes.Count(p[:n], []byte{'\n'})) {
+		s.short = true
+		return 0, errNoMemory
+	}
 	return n, err
 }
