Bound the connections of callers

Callers could open connections until the descriptors of the process were used up. Then no listener accepted and no backend server or store was reached: with 400 connections on a limit of 256, an ordinary request got no answer.

A server with MaxConnections closes the connections that have waited for their callers for the longest, a sixteenth at a time, or else the new one. A connection that waits for a backend server is never closed for others. TestFullListenerClosesConnectionsThatWaitForTheirCallers failed without the bound. The instance does not set it yet.

--- a/internal/callerhttp/body.go
+++ b/internal/callerhttp/body.go
@@ -22,8 +22,10 @@
 	// belongs to the handler.
 	holding *membudget.Holding
 	taken   int64
-	once    sync.Once
-	done    chan struct{}
+	// waits counts the reads and writes that wait for the caller.
+	waits *atomic.Int32
+	once  sync.Once
+	done  chan struct{}
 	// complete is set when the body has been read to its end.
 	complete bool
 	// unread is how much of the declared length has not been read, or negative if no length
@@ -36,8 +38,8 @@
 	asked atomic.Bool
 }
 
-func newBody(request *http.Request, conn net.Conn, holding *membudget.Holding, sendContinue func()) *body {
-	b := &body{Reader: request.Body, net: conn, holding: holding, done: make(chan struct{}), sendContinue: sendContinue}
+func newBody(request *http.Request, conn net.Conn, holding *membudget.Holding, waits *atomic.Int32, sendContinue func()) *body {
+	b := &body{Reader: request.Body, net: conn, holding: holding, waits: waits, done: make(chan struct{}), sendContinue: sendContinue}
 	b.unread.Store(request.ContentLength)
 	return b
 }
@@ -46,7 +48,9 @@
 	if b.sendContinue != nil && !b.asked.Swap(true) {
 		b.sendContinue()
 	}
+	b.waits.Add(1)
 	n, err := b.Reader.Read(p)
+	b.waits.Add(-1)
 	if n > 0 {
 		b.holding.Progress()
 	}
--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -32,6 +32,10 @@
 	requests requestState
 	// broken is set when a response could not be written completely. Nothing may follow it.
 	broken atomic.Bool
+	// state is connOpen, connEvicted or connRemoved.
+	state atomic.Int32
+	// callerWaits counts the reads of bodies and writes that wait for the caller.
+	callerWaits atomic.Int32
 	// ending is set once nothing more is to be read for requests. It is set before the
 	// pending read is interrupted.
 	ending atomic.Bool
@@ -181,7 +185,7 @@
 	closing := request.Close
 	var incoming *body
 	if request.Body != nil && request.Body != http.NoBody {
-		incoming = newBody(request, c.net, c.holding, c.continueFunc(request, previous))
+		incoming = newBody(request, c.net, c.holding, &c.callerWaits, c.continueFunc(request, previous))
 		request.Body = incoming
 	}
 	done := make(chan struct{})
--- a/internal/callerhttp/memory.go
+++ b/internal/callerhttp/memory.go
@@ -18,15 +18,26 @@
 // endForMemory ends the connection at once, with a reset: what the kernel holds for a caller
 // that does not read is freed too.
 func (c *conn) endForMemory() {
+	c.end(errEndedForMemory)
+}
+
+// end ends the connection at once, with a reset, and cancels its requests with the cause.
+func (c *conn) end(cause error) {
 	c.broken.Store(true)
 	c.requests.seal()
-	c.cancel(errEndedForMemory)
+	c.cancel(cause)
 	if r, ok := c.net.(lingerSetter); ok {
 		_ = r.SetLinger(0) // the connection is closed in any case
 	}
 	_ = c.net.Close() // reads and writes end; an error has no consequence
 }
 
+// waitsForCaller reports whether the connection can go on only when its caller sends or takes
+// bytes.
+func (c *conn) waitsForCaller() bool {
+	return c.callerWaits.Load() > 0 || c.requests.inProgress() == 0
+}
+
 // refuseForMemory answers that a request was not run, and closes the connection. It returns
 // the same value as rejectMalformed.
 func (c *conn) refuseForMemory(previous chan struct{}) chan struct{} {
--- a/internal/callerhttp/respond.go
+++ b/internal/callerhttp/respond.go
@@ -42,7 +42,7 @@
 }
 
 func (c *conn) write(response *Response, closing bool) error {
-	out := newProgressWriter(c.net, c.holding.Progress)
+	out := callerWriter{Writer: newProgressWriter(c.net, c.holding.Progress), waits: &c.callerWaits}
 	if response.Remainder != nil && response.Length < 0 {
 		return writeChunks(out, response, closing)
 	}
--- a/internal/callerhttp/server.go
+++ b/internal/callerhttp/server.go
@@ -17,7 +17,14 @@
 type Server struct {
 	// Memory counts what the connections hold; without it, the account of the process does.
 	// It is set before Serve.
-	Memory    *membudget.Account
+	Memory *membudget.Account
+	// MaxConnections bounds the open connections; 0 means no bound. It is set before Serve.
+	MaxConnections int
+	// OnCloseForOthers, when set, is called when a connection is closed because of that bound.
+	// It must not block.
+	OnCloseForOthers func()
+	// evicted is the number of connections that were closed for others and have not ended yet.
+	evicted   atomic.Int64
 	handler   Handler
 	limits    func() Limits
 	conns     sync.Map // set of *conn
@@ -52,6 +59,10 @@
 			time.Sleep(acceptBackoff)
 			continue
 		}
+		if !s.makeRoom() {
+			_ = raw.Close() // nothing was read from it
+			continue
+		}
 		_ = sockopt.LimitUnsentOf(raw) // a connection without the limit serves its caller all the same
 		ctx, cancel := context.WithCancelCause(s.ctx)
 		c := newConn(s, raw, ctx, cancel)
@@ -101,4 +112,7 @@
 func (s *Server) removeConn(c *conn) {
 	s.conns.Delete(c)
 	s.connCount.Add(-1)
+	if c.state.Swap(connRemoved) == connEvicted {
+		s.evicted.Add(-1)
+	}
 }
--- a/internal/membudget/holding.go
+++ b/internal/membudget/holding.go
@@ -25,6 +25,11 @@
 	h.progressAt.Store(h.account.now())
 }
 
+// Idle returns the time since the last progress.
+func (h *Holding) Idle() time.Duration {
+	return time.Duration(h.account.now() - h.progressAt.Load())
+}
+
 // Ended reports whether the connection was ended for its memory.
 func (h *Holding) Ended() bool {
 	return h.ended.Load()
