Bound connections of peers that have not joined

Connections that send nothing stayed open at the peers' listener without a bound: 400 of them used up 256 descriptors, and the instance served nobody.

The link server takes the links of joined instances out of the bound.

--- a/internal/link/constants.go
+++ b/internal/link/constants.go
@@ -21,6 +21,9 @@
 	// unackedTimeout is how long sent bytes may remain unacknowledged before the
 	// connection is closed.
 	unackedTimeout = time.Second
+	// acceptBackoff is the wait after a failed accept, which usually means that file
+	// descriptors are exhausted.
+	acceptBackoff = 10 * time.Millisecond
 	// stampInterval is how often a follower sends a message if there is nothing else to send:
 	// once in each window of the clock.
 	stampInterval = time.Second
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
+	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -46,7 +48,39 @@
 	if err := linkpb.DRPCRegisterLink(mux, s); err != nil {
 		return errors.Wrap(err, "register the link service")
 	}
-	return drpcserver.New(mux).Serve(ctx, listener)
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	server := drpcserver.New(mux)
+	var serving sync.WaitGroup
+	defer serving.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // the links end when no more are accepted
+	for {
+		conn, err := listener.Accept()
+		switch {
+		case ctx.Err() != nil:
+			if err == nil {
+				_ = conn.Close() // not served any more
+			}
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return errors.Wrap(err, "accept links of other instances")
+		case err != nil:
+			time.Sleep(acceptBackoff)
+			continue
+		}
+		serving.Go(func() {
+			_ = server.ServeOne(drpcctx.WithTransport(ctx, conn), conn) // the end of a link is reported by Leave
+		})
+	}
+}
+
+// admit takes the connection of a joined follower out of the bound on connections.
+func admit(ctx context.Context) {
+	transport, _ := drpcctx.Transport(ctx)
+	if a, ok := transport.(admitter); ok {
+		a.Admit()
+	}
 }
 
 var errNotHolder = errors.New("this instance is not the holder; read the key of the holder again")
@@ -87,6 +121,7 @@
 		return errNotHolder
 	}
 	defer s.handler.Leave(f)
+	admit(stream.Context())
 	go s.receive(stream, f, cancel)
 	for {
 		var d *linkpb.Down
