Budget the descriptors of an instance and limit its small servers

Any listener could use up the descriptors of the process. The readiness and metrics servers had no limit on connections, on idle ones and on the time of a body or a response.

Each listener now has a share of the descriptors (setting descriptors, by default the limit of the process); event 1772 tells when it is used up. The small servers have read, write and idle time-outs and 8 KB of headers.

--- a/internal/entrynode/config.go
+++ b/internal/entrynode/config.go
@@ -14,6 +14,9 @@
 	ProcessorShare float64
 	// Memory is the memory of the machine in bytes, set in section [instance].
 	Memory int64
+	// Descriptors is how many descriptors the process may open, set in section [instance], or
+	// 0 for the limit of the process.
+	Descriptors int
 	// CallerAddress, ReadinessAddress, PeerAddress and MetricsAddress are the listen
 	// addresses of section [listen].
 	CallerAddress    string
--- a/internal/entrynode/constants.go
+++ b/internal/entrynode/constants.go
@@ -34,4 +34,10 @@
 	replyReserve = 200 * time.Millisecond
 	// headerReadTimeout limits reading the headers of a readiness or metrics request.
 	headerReadTimeout = 2 * time.Second
+	// pageWriteTimeout limits writing a readiness or metrics response, and pageIdleTimeout the
+	// wait for the next request on a connection. Probes come once a second.
+	pageWriteTimeout = 5 * time.Second
+	pageIdleTimeout  = 10 * time.Second
+	// pageHeaderBytes limits the headers of these requests.
+	pageHeaderBytes = 8 << 10
 )
--- a/internal/entrynode/endlessmemory_test.go
+++ b/internal/entrynode/endlessmemory_test.go
@@ -202,7 +202,7 @@
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	c := &childInstance{instance: &instance{config: Config{CallerAddress: a[0], ReadinessAddress: a[1], MetricsAddress: a[3]}}, command: exec.Command(program, "--config", settings)}
+	c := &childInstance{instance: &instance{config: Config{CallerAddress: a[0], ReadinessAddress: a[1], PeerAddress: a[2], MetricsAddress: a[3]}}, command: exec.Command(program, "--config", settings)}
 	if err := c.command.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"peridotmoor.org/peridotmoor/internal/callerhttp"
+	"peridotmoor.org/peridotmoor/internal/connbound"
 	"peridotmoor.org/peridotmoor/internal/events"
 	"peridotmoor.org/peridotmoor/internal/facts"
 	"peridotmoor.org/peridotmoor/internal/gateway"
@@ -33,10 +34,12 @@
 	gateway      *gateway.Gateway
 	metrics      *metrics
 	// traffic counts what this instance sends to its followers.
-	traffic   link.Traffic
-	startedAt time.Time
-	ready     atomic.Bool
-	stopping  atomic.Bool
+	traffic link.Traffic
+	// descriptors bounds the connections of the listeners.
+	descriptors descriptorBudget
+	startedAt   time.Time
+	ready       atomic.Bool
+	stopping    atomic.Bool
 }
 
 // New builds an instance that writes its log to out.
@@ -46,6 +49,11 @@
 	store := platform.NewStoreClient(config.StoreAddress)
 	memory := newMemoryAccount(config.Memory, log)
 	n := &Node{config: config, log: log, backends: &platform.BackendClient{Memory: memory}, startedAt: time.Now()}
+	descriptors := config.Descriptors
+	if descriptors == 0 {
+		descriptors = processDescriptors()
+	}
+	n.descriptors = newDescriptorBudget(descriptors)
 	n.facts = facts.NewRegistry(platform.DecodeConfig, log)
 	reader := facts.NewReader(platform.StoreSource{Store: store}, n.facts, log)
 	schedulerClient := gateway.NewSchedulerClient(self.String(), config.Domain, n.facts, n.backends)
@@ -71,6 +79,8 @@
 	reportWriteError := func(id string, err error) { log.Emit(events.CallUnwritten, "request", id, "detail", err.Error()) }
 	n.callerServer = callerhttp.NewServer(platform.CallerHandler{Gateway: n.gateway, OnWriteError: reportWriteError}, n.callerLimits)
 	n.callerServer.Memory = memory
+	n.callerServer.MaxConnections = n.descriptors.callers
+	n.callerServer.OnCloseForOthers = n.reportClosed("callers")
 	log.Emit(events.InstanceStarted, "callers", config.CallerAddress, "peers", config.PeerAddress, "incarnation", self.Incarnation)
 	return n
 }
@@ -100,14 +110,15 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for callers; check that the address is free")
 	}
-	if err := n.serveHTTP(n.config.ReadinessAddress, platform.ReadinessHandler(n.isReady)); err != nil {
+	if err := n.serveHTTP("ready", n.config.ReadinessAddress, n.descriptors.readiness, platform.ReadinessHandler(n.isReady)); err != nil {
 		return err
 	}
 	metrics := mux.NewRouter()
 	metrics.Handle("/metrics", n.metrics.handler())
-	if err := n.serveHTTP(n.config.MetricsAddress, metrics); err != nil {
+	if err := n.serveHTTP("metrics", n.config.MetricsAddress, n.descriptors.metrics, metrics); err != nil {
 		return err
 	}
+	peers = connbound.Bound(peers, n.descriptors.peers, n.reportClosed("peers"))
 	failed := make(chan error, 2)
 	go func() { failed <- link.NewServer(n.elector).CountIn(&n.traffic).Serve(ctx, peers) }()
 	electorContext, stopElector := context.WithCancel(ctx)
@@ -132,13 +143,23 @@
 	return nil
 }
 
-// serveHTTP starts an HTTP server for handler at address.
-func (n *Node) serveHTTP(address string, handler http.Handler) error {
+// reportClosed returns a function that logs that a connection of the listener was closed in
+// favour of a new one.
+func (n *Node) reportClosed(listener string) func() {
+	return func() { n.log.Emit(events.ConnectionClosedForOthers, "listener", listener) }
+}
+
+// serveHTTP starts an HTTP server for handler at address, with a bound on its connections.
+func (n *Node) serveHTTP(name, address string, connections int, handler http.Handler) error {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s; check that the address is free", address)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerReadTimeout}
+	listener = connbound.Bound(listener, connections, n.reportClosed(name))
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerReadTimeout, ReadTimeout: headerReadTimeout,
+		WriteTimeout: pageWriteTimeout, IdleTimeout: pageIdleTimeout, MaxHeaderBytes: pageHeaderBytes,
+	}
 	go func() {
 		if err := server.Serve(listener); err != nil {
 			n.log.Emit(events.CallUnwritten, "detail", err.Error())
--- a/internal/entrynode/parse.go
+++ b/internal/entrynode/parse.go
@@ -36,6 +36,7 @@
 		FirstStart:       p.boolean("instance", "first_start"),
 		ProcessorShare:   p.number("instance", "processor_share"),
 		Memory:           p.megabytes("instance", "memory_mb"),
+		Descriptors:      p.descriptors("instance", "descriptors"),
 		CallerAddress:    p.address("listen", "callers"),
 		ReadinessAddress: p.address("listen", "ready"),
 		PeerAddress:      p.address("listen", "peers"),
@@ -121,6 +122,20 @@
 	return int64(n * (1 << 20))
 }
 
+// descriptors returns a number of descriptors that may be missing.
+func (p *parser) descriptors(section, key string) int {
+	value := p.ini.Section(section).Key(key).String()
+	if value == "" {
+		return 0
+	}
+	n, err := strconv.Atoi(value)
+	if err != nil || n < minDescriptors || n > maxDescriptors {
+		p.addIssue(section, key, value, "is not a number of descriptors", fmt.Sprintf("use a number from %d to %d, or leave it out for the limit of the process", minDescriptors, maxDescriptors))
+		return 0
+	}
+	return n
+}
+
 func (p *parser) seconds(section, key string) time.Duration {
 	n := p.number(section, key)
 	if n == 0 && len(p.issues) == 0 {
--- a/internal/entrynode/parse_test.go
+++ b/internal/entrynode/parse_test.go
@@ -14,6 +14,7 @@
 first_start = true
 processor_share = 0.32
 memory_mb = 256
+descriptors = 3075
 [listen]
 callers = 127.0.0.1:1
 ready = 127.0.0.1:2
@@ -33,7 +34,7 @@
 	is := is.New(t)
 	c, err := Parse([]byte(validFile), "f")
 	is.NoErr(err)
-	is.Equal(c, Config{Name: "a", Domain: "d", FirstStart: true, ProcessorShare: 0.32, Memory: 256 << 20, CallerAddress: "127.0.0.1:1", ReadinessAddress: "127.0.0.1:2", PeerAddress: "127.0.0.1:3",
+	is.Equal(c, Config{Name: "a", Domain: "d", FirstStart: true, ProcessorShare: 0.32, Memory: 256 << 20, Descriptors: 3075, CallerAddress: "127.0.0.1:1", ReadinessAddress: "127.0.0.1:2", PeerAddress: "127.0.0.1:3",
 		MetricsAddress: "127.0.0.1:4", StoreAddress: "127.0.0.1:5", GracePeriod: 6 * time.Second, RetryRatio: 0.2, RetryExtra: 64, RetryWindow: 10 * time.Second})
 }
 
@@ -55,6 +56,7 @@
 		"negative":       {"grace_s = 6", "grace_s = -1", `f: [bounds] grace_s = "-1": is not a non-negative number; use a number of 0 or more`},
 		"no duration":    {"grace_s = 6", "grace_s = 0", `f: [bounds] grace_s = "0": is not a positive duration; use a number of seconds above 0`},
 		"no boolean":     {"first_start = true", "first_start = perhaps", `f: [instance] first_start = "perhaps": is not a boolean; set it to true or false`},
+		"descriptors":    {"descriptors = 3075", "descriptors = 127", `f: [instance] descriptors = "127": is not a number of descriptors; use a number from 128 to 1048576, or leave it out for the limit of the process`},
 		"no size":        {"memory_mb = 256", "memory_mb = much", `f: [instance] memory_mb = "much": is not a size of memory; use a number of MB from 64 to 1048576, or leave it out for 144`},
 		"too little":     {"memory_mb = 256", "memory_mb = 63", `memory_mb = "63": is not a size of memory`},
 		"too much":       {"memory_mb = 256", "memory_mb = 1e300", `memory_mb = "1e300": is not a size of memory`},
--- a/internal/events/memory.go
+++ b/internal/events/memory.go
@@ -6,4 +6,6 @@
 var (
 	ConnectionEndedForMemory = register(1770, "connection_ended_for_memory", log.WarnLevel, "The memory for connections was used up; the caller's connection that held the most for the longest without progress was ended.")
 	RequestRefusedForMemory  = register(1771, "request_refused_for_memory", log.WarnLevel, "A request was refused, and not run, because the memory for connections was used up.")
+	// ConnectionClosedForOthers is about descriptors, which are bounded like memory.
+	ConnectionClosedForOthers = register(1772, "connection_closed_for_others", log.WarnLevel, "A listener had as many connections as its share of the descriptors; the one that had been idle for the longest, or else the new one, was closed.")
 )
