--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -32,6 +32,10 @@
 	requests requestState
 	// broken is set when a response could not be written completely. Nothing may follow it.
 	broken atomic.Bool
+	// state is connOpen, connEvicted or connRemoved.
+	state atomic.Int32
+	// callerWaits counts the reads of bodies and writes that wait for the caller.
+	callerWaits atomic.Int32
 	// ending is set once nothing more is to be read for requests. It is set before the
 	// pending read is interrupted.
 	ending atomic.Bool
@@ -105,9 +109,13 @@
 	}
 	limits := c.server.limits().withDefaults()
 	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	c.source.begin(limits.HeaderBytes)
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // can't fail
+	c.source.begin(limits.HeaderBytes, buffered)
 	hasLength := c.mayHaveContentLength()
 	request, err := http.ReadRequest(c.reader)
+	if c.source.short {
+		err = errNoMemory
+	}
 	if err == nil {
 		err = checkRequest(request)
 	}
@@ -177,7 +185,7 @@
 	closing := request.Close
 	var incoming *body
 	if request.Body != nil && request.Body != http.NoBody {
-		incoming = newBody(request, c.net, c.holding, c.continueFunc(request, previous))
+		incoming = newBody(request, c.net, c.holding, &c.callerWaits, c.continueFunc(request, previous))
 		request.Body = incoming
 	}
 	done := make(chan struct{})
