Split decisions on a call from their side effects

Cause: explaining a call needs the decisions of Gateway.Handle without counters, buckets or log lines changing.

--- a/internal/facts/snapshot.go
+++ b/internal/facts/snapshot.go
@@ -62,12 +62,34 @@
 // MaySend reports whether this instance may send the server a request at now: it is
 // usable and has not asked this instance for a pause.
 func (s *Snapshot) MaySend(server *fleet.Server, now time.Time) bool {
-	return s.Usable(server) && !s.Backpressure.Of(server.Incarnation).Paused(now)
+	return s.ObstacleOf(server, now) == ObstacleNone
 }
 
 // Usable reports whether the server may get new work.
 func (s *Snapshot) Usable(server *fleet.Server) bool {
-	return !server.Leaving && !s.Backpressure.Of(server.Incarnation).Leaving && !s.domainsOut[server.Domain]
+	return s.lastingObstacleOf(server) == ObstacleNone
+}
+
+// ObstacleOf returns why this instance may not send the server a request at now.
+func (s *Snapshot) ObstacleOf(server *fleet.Server, now time.Time) Obstacle {
+	if o := s.lastingObstacleOf(server); o != ObstacleNone {
+		return o
+	}
+	if s.Backpressure.Of(server.Incarnation).Paused(now) {
+		return ObstaclePaused
+	}
+	return ObstacleNone
+}
+
+// lastingObstacleOf returns why the server may not get new work from any instance.
+func (s *Snapshot) lastingObstacleOf(server *fleet.Server) Obstacle {
+	switch {
+	case server.Leaving, s.Backpressure.Of(server.Incarnation).Leaving:
+		return ObstacleLeaving
+	case s.domainsOut[server.Domain]:
+		return ObstacleDomainOut
+	}
+	return ObstacleNone
 }
 
 // Owner returns the owner of a key, and whether it holds the key already.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -40,3 +40,16 @@
 	// Route is set when the call has been matched to a route.
 	Route *fleet.Route
 }
+
+// setDeadline sets the timeout of a caller that states none, and returns when the call, whose
+// route is set, must be answered.
+func (call *Call) setDeadline() time.Time {
+	if call.Timeout <= 0 {
+		call.Timeout = defaultCallTimeout
+	}
+	wait := call.Timeout - responseMargin
+	if call.Route.Timeout > 0 {
+		wait = min(wait, call.Route.Timeout)
+	}
+	return call.ArrivedAt.Add(wait)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,7 +103,7 @@
 	g.check.refreshFacts(ctx) // the route may have changed or be new
 	config := g.registry.Snapshot().Config
 	if config == nil {
-		return Reply{Outcome: OutcomeNotRun, RetryAfter: retryAfterNoConfig, Detail: "no configuration yet"}, callState{}
+		return replyNoConfig, callState{}
 	}
 	route := config.Match(call.Host, call.Path)
 	sender := authorize(config, call)
@@ -112,20 +112,13 @@
 	}
 	sender.setOn(call)
 	if route == nil {
-		return Reply{Outcome: OutcomeNoRoute, Detail: "no route"}, callState{version: config.Version}
+		return replyNoRoute, callState{version: config.Version}
 	}
 	call.Route = route
 	state := callState{route: route.Name, service: route.SelectService(g.shareCounter(route.Name).Add(1) - 1), version: config.Version, sender: sender}
-	if call.Timeout <= 0 {
-		call.Timeout = defaultCallTimeout
-	}
-	wait := call.Timeout - responseMargin
-	if route.Timeout > 0 {
-		wait = min(wait, route.Timeout)
-	}
-	state.deadline = call.ArrivedAt.Add(wait)
-	if end := g.endsAt.Load(); end != nil && state.deadline.After(*end) {
-		return Reply{Outcome: OutcomeNotRun, RetryAfter: retryAfterStopping, Detail: "the instance is stopping and may end before the request"}, state
+	state.deadline = call.setDeadline()
+	if g.mayEndBefore(state.deadline) {
+		return replyStopping, state
 	}
 	if err := call.Body.Buffer(ctx, state.deadline, config.Limits.BodyBytes); err != nil {
 		return bodyReply(err), state
@@ -141,6 +134,12 @@
 	return reply, state
 }
 
+// mayEndBefore reports whether a planned stop may end the instance before the deadline.
+func (g *Gateway) mayEndBefore(deadline time.Time) bool {
+	end := g.endsAt.Load()
+	return end != nil && deadline.After(*end)
+}
+
 func (g *Gateway) shareCounter(route string) *atomic.Uint64 {
 	if n, ok := g.shareCounters.Load(route); ok {
 		return n.(*atomic.Uint64)
--- a/internal/gateway/recheck.go
+++ b/internal/gateway/recheck.go
@@ -46,5 +46,5 @@
 	}
 	g.metrics.CallUnauthorized(reason.String())
 	g.log.Emit(events.CallUnauthorized, "request", call.ID, "reason", reason.String(), "when", when, "key_hash", keyHash, "caller", call.Caller)
-	return Reply{Outcome: OutcomeUnauthorized, Detail: "key " + reason.String() + " " + when}
+	return replyUnauthorized(reason, when)
 }
--- a/internal/gateway/serverfailures.go
+++ b/internal/gateway/serverfailures.go
@@ -51,10 +51,15 @@
 		return false
 	}
 	failures := c.(*failureCount)
-	doublings := min(max(failures.count.Load()-1, 0), maxBackoffDoublings) // the count may be about to rise from 0
-	last, backoff := failures.lastAt.Load(), minLocalBackoff<<doublings
-	if now.UnixNano()-last < int64(backoff) {
+	last := failures.lastAt.Load()
+	if failures.inBackoff(now, last) {
 		return true
 	}
 	return !failures.lastAt.CompareAndSwap(last, now.UnixNano()) // another request finds out
 }
+
+// inBackoff reports what blocks would, but leaves the next request after a pause to others.
+func (f *serverFailures) inBackoff(now time.Time, server string) bool {
+	c, known := f.servers.Load(server)
+	return known && c.(*failureCount).inBackoff(now, c.(*failureCount).lastAt.Load())
+}
--- a/internal/gateway/teambuckets.go
+++ b/internal/gateway/teambuckets.go
@@ -98,6 +98,22 @@
 	return taken.RetryAfter(now, limit, instances, rand.Float64()), false
 }
 
+// peek returns the tokens of the team's bucket, the probability that take would admit a
+// request, and the longest time after which a refused caller should come back.
+func (t *teamBuckets) peek(now time.Time, limit fleet.Cap, team string) (tokens, chance float64, retryAfter time.Duration) {
+	var bucket usagecap.LocalBucket
+	if b, known := t.buckets.Load(team); known {
+		bucket = *b.(*atomic.Pointer[usagecap.LocalBucket]).Load()
+	}
+	instances := t.fleetSize()
+	tokens, chance = bucket.Peek(now, limit, instances)
+	if chance < 1 {
+		refused, _ := bucket.Take(now, limit, instances, 0) // a copy
+		retryAfter = refused.RetryAfter(now, limit, instances, 1)
+	}
+	return tokens, chance, retryAfter
+}
+
 // giveBack gives back a request that has provably not run.
 func (t *teamBuckets) giveBack(now time.Time, teams *fleet.Teams, team string) {
 	if limit, limited := limitOf(teams, team); limited {
--- a/internal/usagecap/localbucket.go
+++ b/internal/usagecap/localbucket.go
@@ -67,6 +67,18 @@
 	return b, false
 }
 
+// Peek returns the tokens at now and the probability with which Take would admit a request.
+func (b LocalBucket) Peek(now time.Time, limit fleet.Cap, instances int) (tokens, chance float64) {
+	b = b.refill(now, limit, instances)
+	switch {
+	case b.tokens >= minTokens || b.drawn && b.tokens >= b.threshold:
+		return b.tokens, 1
+	case b.drawn:
+		return b.tokens, 0
+	}
+	return b.tokens, max(0, b.tokens)
+}
+
 // Return returns the bucket once a request that it admitted has provably not run.
 func (b LocalBucket) Return(now time.Time, limit fleet.Cap, instances int) LocalBucket {
 	b = b.refill(now, limit, instances)
