--- a/internal/gateway/localscheduler.go
+++ b/internal/gateway/localscheduler.go
@@ -115,7 +115,7 @@
 		return true
 	}
 	instances := l.fleetSize()
-	return instances > 0 && l.limiter.take(now, server.Incarnation, localLimitShare*rate/float64(instances))
+	return instances > 0 && l.limiter.take(now, server.Incarnation, l.shareOf(rate, instances))
 }
 
 // inFlightLimit limits the concurrent attempts of this instance at a server: all instances
--- a/internal/gateway/schedulerclient.go
+++ b/internal/gateway/schedulerclient.go
@@ -122,8 +122,8 @@
 	now := time.Now()
 	number := c.lastNumber.Add(1)
 	attempt.AttemptID = placing.AttemptID{Instance: c.instance, Number: number}
-	l := c.link.Load()
-	if l == nil || l.unavailable(now) {
+	l := c.usableLink(now)
+	if l == nil {
 		return c.placeLocally(ctx, attempt)
 	}
 	p := &pendingAttempt{decision: make(chan placing.Decision, 1), team: attempt.Team}
@@ -135,6 +135,14 @@
 	return c.await(ctx, l, p, attempt)
 }
 
+// usableLink returns the link to the holder, or nil if attempts are placed locally at now.
+func (c *SchedulerClient) usableLink(now time.Time) *activeLink {
+	if l := c.link.Load(); l != nil && !l.unavailable(now) {
+		return l
+	}
+	return nil
+}
+
 // await waits for the holder's decision. It falls back to the local scheduler when
 // the link ends, the holder does not acknowledge the attempt in time, or falls silent.
 func (c *SchedulerClient) await(ctx context.Context, l *activeLink, p *pendingAttempt, attempt placing.Attempt) placing.Decision {
--- a/internal/gateway/sharelimiter.go
+++ b/internal/gateway/sharelimiter.go
@@ -40,3 +40,13 @@
 	}
 	return next.CompareAndSwap(at, now.Add(interval).UnixNano())
 }
+
+// hasTurn reports whether take would succeed, without a change.
+func (l *shareLimiter) hasTurn(now time.Time, server fleet.Incarnation, perSecond float64) bool {
+	n, known := l.next.Load(server)
+	if !known {
+		return false
+	}
+	since := now.Sub(time.Unix(0, n.(*atomic.Int64).Load()))
+	return since >= 0 && since <= time.Duration(float64(time.Second)/perSecond)
+}
