--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -106,6 +106,7 @@
 	}
 	metrics := mux.NewRouter()
 	metrics.Handle("/metrics", n.metrics.handler())
+	metrics.Handle("/explain", explainHandler{instance: n.config.Name, gateway: n.gateway, holderName: n.elector.HolderName}).Methods(http.MethodGet)
 	if err := n.serveHTTP(n.config.MetricsAddress, metrics); err != nil {
 		return err
 	}
