--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -28,6 +28,7 @@
 	{name: "apply", description: "Make a file the accepted version.", first: "FILE", firstHelp: "Settings tree.", required: true, options: applyOptions, run: runApply},
 	{name: "wait", description: "Wait until a version is in effect at all instances.", first: "VERSION", firstHelp: "Version number; default: the accepted version.", options: waitOptions, run: runWait},
 	{name: "history", description: "List the accepted versions, the newest first.", options: historyOptions, run: runHistory},
+	{name: "explain", description: "Explain what an instance of peridotmoor-entry would decide on a request, without sending it.", options: explainOptions, run: runExplain},
 }
 
 func findCommand(name string) *command {
--- a/internal/ctl/options.go
+++ b/internal/ctl/options.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"net/http"
 	"strings"
 	"time"
 )
@@ -22,6 +23,13 @@
 	Text    bool   // show: print the text of the settings tree
 	Key     string // show: the key range that contains this key
 
+	Instance   string // explain: metrics address of the instance, host:port
+	Method     string // explain: method of the request
+	Host       string // explain: host that the request names
+	Path       string // explain: path of the request
+	Team       string // explain: team that sends the request
+	APIKeyFile string // explain: file with the API key of the request
+
 	Author      string
 	Parent      int           // apply: version that the file was built on; -1 to take it from its first line
 	Wait        bool          // apply: wait until the version is in effect
@@ -35,6 +43,7 @@
 		Store:       env.Getenv(envStore),
 		Instances:   env.Getenv(envInstances),
 		Author:      env.Getenv(envUser),
+		Method:      http.MethodGet,
 		Parent:      -1,
 		Limit:       10,
 		WaitTimeout: 60 * time.Second,
--- a/internal/ctl/parser.go
+++ b/internal/ctl/parser.go
@@ -86,3 +86,13 @@
 	storeOption(s, o)
 	s.Int(&o.Limit, "l", "limit", "Most versions to print.")
 }
+
+func explainOptions(s *flaggy.Subcommand, o *Options) {
+	s.String(&o.Instance, "i", "instance", "Metrics address of the instance, host:port.")
+	s.String(&o.Method, "m", "method", "Method of the request.")
+	s.String(&o.Host, "", "host", "Host that the request names.")
+	s.String(&o.Path, "p", "path", "Path of the request, escaped as it is sent, without a query.")
+	s.String(&o.Key, "k", "key", "Key of the request, 0 to 65535.")
+	s.String(&o.Team, "t", "team", "Name of the team that sends the request.")
+	s.String(&o.APIKeyFile, "", "api-key-file", "File with the API key of the request; only its digest is sent. Without it and a team the request is anonymous.")
+}
