--- a/internal/link/outgoingencoding.go
+++ b/internal/link/outgoingencoding.go
@@ -5,8 +5,6 @@
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc"
-
-	"peridotmoor.org/peridotmoor/internal/link/linkpb"
 )
 
 // factsField is the number of the field facts in linkpb.Down.
