Let a new holder use what its instances need of usage caps

A holder without its lease tells allowances by its share, which is small, and each of them replaces the earlier one. Verdicts now tell the need beside the part, and instances report the need.

--- a/internal/gateway/teamcap_test.go
+++ b/internal/gateway/teamcap_test.go
@@ -88,7 +88,7 @@
 func TestHolderIsToldOfLocalUse(t *testing.T) {
 	is := is.New(t)
 	client := NewSchedulerClient("i", "d", newCappedRegistry(fleet.Cap{Rate: 0.01, Burst: 10}), nil)
-	client.local.teams.tell(time.Now(), teamsOf(client.registry.Snapshot()), "t", usagecap.Allowance{Rate: 0.005, Tokens: 4, Burst: 5, Part: 0.5})
+	client.local.teams.tell(time.Now(), teamsOf(client.registry.Snapshot()), "t", usagecap.Allowance{Rate: 0.005, Tokens: 4, Burst: 5, Part: 0.25, Need: 0.5})
 	l := &sentLink{}
 	client.Attach(l)
 	is.Equal(len(l.sent), 1)
--- a/internal/link/convert.go
+++ b/internal/link/convert.go
@@ -98,6 +98,7 @@
 		AllowedNow:   decision.Allowance.Tokens,
 		AllowedBurst: decision.Allowance.Burst,
 		AllowedPart:  decision.Allowance.Part,
+		AllowedNeed:  decision.Allowance.Need,
 	}
 }
 
@@ -109,7 +110,7 @@
 		Server:     v.Server,
 		Reason:     placing.Reason(v.Reason),
 		RetryAfter: microseconds(v.RetryAfterUs),
-		Allowance:  usagecap.NewAllowance(v.AllowedPerS, v.AllowedNow, v.AllowedBurst, v.AllowedPart),
+		Allowance:  usagecap.NewAllowance(v.AllowedPerS, v.AllowedNow, v.AllowedBurst, v.AllowedPart, v.AllowedNeed),
 	}
 }
 
--- a/internal/link/convert_test.go
+++ b/internal/link/convert_test.go
@@ -37,11 +37,11 @@
 func TestAllowancesAreChecked(t *testing.T) {
 	is := is.New(t)
 	receiver := NewFactsReceiver(nil)
-	want := usagecap.Allowance{Rate: 3, Tokens: 2, Burst: 4, Part: 0.5}
+	want := usagecap.Allowance{Rate: 3, Tokens: 2, Burst: 4, Part: 0.5, Need: 0.75}
 	v := EncodeVerdict(placing.Decision{Server: "a", Allowance: want}, &Follower{})
 	is.Equal(DecodeVerdict(v, "i", receiver).Allowance, want)
 	for _, bad := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1} {
-		for _, field := range []*float64{&v.AllowedPerS, &v.AllowedNow, &v.AllowedBurst, &v.AllowedPart} {
+		for _, field := range []*float64{&v.AllowedPerS, &v.AllowedNow, &v.AllowedBurst, &v.AllowedPart, &v.AllowedNeed} {
 			good := *field
 			*field = bad
 			is.Equal(DecodeVerdict(v, "i", receiver).Allowance, usagecap.Allowance{})
--- a/internal/usagecap/account.go
+++ b/internal/usagecap/account.go
@@ -123,6 +123,7 @@
 	if _, lost := a.lost[instance]; lost {
 		return Allowance{}
 	}
+	needed := a.inherited.neededShare(now, share)
 	share, _ = a.inherited.share(now, share)
 	u := a.use(instance)
 	part := (u.requests() + priorRequests) / (a.requests + priorRequests*float64(max(1, instances)))
@@ -131,7 +132,7 @@
 	spare := tolerance(a.limit)
 	tokens := max(0, min(a.tokens-a.reserved+spareRatio*spare*share, maxTokensRatio*spare*share))
 	u.toldShare, u.toldAt = part, now
-	u.told = Allowance{Rate: a.limit.Rate * share * part, Tokens: tokens * part, Burst: localBurst(a.limit) * share * part, Part: share * part}
+	u.told = Allowance{Rate: a.limit.Rate * share * part, Tokens: tokens * part, Burst: localBurst(a.limit) * share * part, Part: share * part, Need: max(share, needed) * part}
 	return u.told
 }
 
--- a/internal/usagecap/allowance.go
+++ b/internal/usagecap/allowance.go
@@ -19,17 +19,21 @@
 	Burst  float64
 	// Part is the part of the cap that Rate is; 1 is the whole.
 	Part float64
+	// Need is the part of the cap that the instance needs of what all holders together may use.
+	// It is above Part while the holder may use a part of the cap only.
+	Need float64
 }
 
 // NewAllowance returns the allowance that another process has told, or the zero value if one
-// of its parts is negative, infinite or not a number.
-func NewAllowance(rate, tokens, burst, part float64) Allowance {
-	for _, v := range []float64{rate, tokens, burst, part} {
+// of its parts is negative, infinite or not a number. An earlier version tells no need.
+func NewAllowance(rate, tokens, burst, part, need float64) Allowance {
+	for _, v := range []float64{rate, tokens, burst, part, need} {
 		if !(v >= 0) || math.IsInf(v, 0) {
 			return Allowance{}
 		}
 	}
-	return Allowance{Rate: rate, Tokens: tokens, Burst: burst, Part: min(1, part)}
+	part = min(1, part)
+	return Allowance{Rate: rate, Tokens: tokens, Burst: burst, Part: part, Need: min(1, max(part, need))}
 }
 
 // under returns the allowance under the cap now in effect, which may be lower than the one
--- a/internal/usagecap/inheritance.go
+++ b/internal/usagecap/inheritance.go
@@ -29,3 +29,17 @@
 	}
 	return min(byInstances, i.sum), true
 }
+
+// neededShare returns the part of the cap that the instances of the holder need together at
+// now, whichever part the holder itself may use: what they held of the allowances of earlier
+// holders, or all once those have ended. A holder that has lost its lease tells smaller
+// allowances, but its successor may use all that its instances need.
+func (i *inheritance) neededShare(now time.Time, byInstances float64) float64 {
+	switch {
+	case !now.Before(i.until):
+		return 1
+	case len(i.parts) == 0:
+		return byInstances
+	}
+	return min(1, i.sum)
+}
--- a/internal/usagecap/ledger_test.go
+++ b/internal/usagecap/ledger_test.go
@@ -102,12 +102,12 @@
 		for i := range 4 {
 			v := [4]float64{1, 1, 1, 1}
 			v[i] = bad
-			is.Equal(NewAllowance(v[0], v[1], v[2], v[3]), Allowance{})
+			is.Equal(NewAllowance(v[0], v[1], v[2], v[3], 0), Allowance{})
 		}
 		is.True(!Holding{Part: bad, Tokens: 1}.valid())
 	}
 	is.True(!Holding{Part: 1, Tokens: math.NaN()}.valid())
-	is.Equal(NewAllowance(1, 2, 3, 7).Part, 1.0)
+	is.Equal(NewAllowance(1, 2, 3, 7, 0).Part, 1.0)
 	l := NewLedger(modelStart)
 	l.Succeed(modelStart)
 	l.SetTeams(modelStart, teamsOf(fleet.Cap{Rate: 10, Burst: 10}))
--- a/internal/usagecap/localbucket.go
+++ b/internal/usagecap/localbucket.go
@@ -43,7 +43,7 @@
 	if !b.valid(now) {
 		return Holding{}
 	}
-	return Holding{Part: b.allowance.Part, Tokens: b.refill(now, limit, 0).tokens}
+	return Holding{Part: b.allowance.Need, Tokens: b.refill(now, limit, 0).tokens}
 }
 
 // Take takes a token under the cap now in effect and returns the bucket after that, and
