Report no failure when the server of links is stopped

The listener is closed when the context ends, and the loop looked at the context derived for the links, which ends a moment later. It looks at the context of the server now.

--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -53,7 +53,7 @@
 	server := drpcserver.New(mux)
 	var serving sync.WaitGroup
 	defer serving.Wait()
-	ctx, cancel := context.WithCancel(ctx)
+	links, cancel := context.WithCancel(ctx)
 	defer cancel() // the links end when no more are accepted
 	for {
 		conn, err := listener.Accept()
@@ -70,7 +70,7 @@
 			continue
 		}
 		serving.Go(func() {
-			_ = server.ServeOne(drpcctx.WithTransport(ctx, conn), conn) // the end of a link is reported by Leave
+			_ = server.ServeOne(drpcctx.WithTransport(links, conn), conn) // the end of a link is reported by Leave
 		})
 	}
 }
