Match the route of a call once on arrival

Checking the credential of a call matched its route again, although the caller of the check had just done so, on the path of each request. authorize takes the route now; reauthorize matches again, for the checks against a newer configuration, and keeps the route that a call has had if the configuration has it no more.

--- a/internal/gateway/authenticator_test.go
+++ b/internal/gateway/authenticator_test.go
@@ -103,7 +103,7 @@
 			if c.key != "" {
 				call.Credential = shownKey(c.key)
 			}
-			is.Equal(authorize(c.next, call).sameSender(authorize(c.old, call)), c.same)
+			is.Equal(reauthorize(c.next, call).sameSender(reauthorize(c.old, call)), c.same)
 		})
 	}
 }
--- a/internal/gateway/authorization.go
+++ b/internal/gateway/authorization.go
@@ -10,15 +10,20 @@
 	denial denial
 }
 
-// authorize checks the credential of a call by config. A call whose route is not in config
-// is checked as one of the route that it has had.
-func authorize(config *fleet.Config, call *Call) authorization {
+// authorize checks the credential of a call by config, where route is that of the call or nil.
+func authorize(config *fleet.Config, call *Call, route *fleet.Route) authorization {
+	team, denial := authenticator{config}.authenticate(call.Credential, route)
+	return authorization{config: config, team: team, denial: denial}
+}
+
+// reauthorize checks the credential of a call by another config. A call whose route is not in
+// config is checked as one of the route that it has had.
+func reauthorize(config *fleet.Config, call *Call) authorization {
 	route := config.Match(call.Host, call.Path)
 	if route == nil {
 		route = call.Route
 	}
-	team, denial := authenticator{config}.authenticate(call.Credential, route)
-	return authorization{config: config, team: team, denial: denial}
+	return authorize(config, call, route)
 }
 
 // sameSender reports whether a server is told the same about the sender of the call by both.
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -29,7 +29,8 @@
 	}
 	e.SettingsVersion = config.Version
 	call := &Call{Method: r.Method, Host: r.Host, Path: r.Path, Key: r.Key, Credential: r.Credential, ArrivedAt: now, Body: NewBody(nil, 0)}
-	route, sender := config.Match(call.Host, call.Path), authorize(config, call)
+	route := config.Match(call.Host, call.Path)
+	sender := authorize(config, call, route)
 	if r.Team != "" {
 		if sender = (authorization{config: config, team: config.Teams.Team(r.Team)}); sender.team == nil {
 			return Explanation{}, ErrUnknownTeam
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,7 +63,7 @@
 		return false
 	}
 	route := config.Match(call.Host, call.Path)
-	return route != nil && route.Kind.Idempotent() && authorize(config, call).denial == denialNone
+	return route != nil && route.Kind.Idempotent() && authorize(config, call, route).denial == denialNone
 }
 
 // Handle processes the call and returns the final reply. ctx is cancelled when the
@@ -106,7 +106,7 @@
 		return replyNoConfig, callState{}
 	}
 	route := config.Match(call.Host, call.Path)
-	sender := authorize(config, call)
+	sender := authorize(config, call, route)
 	if sender.denial != denialNone {
 		return g.unauthorizedReply(call, sender.denial, "on arrival"), callState{version: config.Version}
 	}
--- a/internal/gateway/recheck.go
+++ b/internal/gateway/recheck.go
@@ -24,7 +24,7 @@
 // an attempt. It reports whether the call is authorized.
 func (g *Gateway) recheckSender(call *Call, state *callState) bool {
 	if config := g.registry.Snapshot().Config; config != state.sender.config {
-		state.sender = authorize(config, call)
+		state.sender = reauthorize(config, call)
 		state.sender.setOn(call)
 	}
 	return state.sender.denial == denialNone
@@ -35,7 +35,7 @@
 // while a connection is made.
 func (g *Gateway) hasSameSender(call *Call, state *callState) bool {
 	config := g.registry.Snapshot().Config
-	return config == state.sender.config || authorize(config, call).sameSender(state.sender)
+	return config == state.sender.config || reauthorize(config, call).sameSender(state.sender)
 }
 
 // unauthorizedReply records the refusal of a call and returns the reply.
