Read the record of an era by one constructor

The check of the record after the store came back made its own record reader, as newRecordReader did for the current era. The constructor takes the era now and serves both. Behaviour is unchanged; the tests of the holder pass with the race detector.

--- a/internal/holder/enterera.go
+++ b/internal/holder/enterera.go
@@ -78,8 +78,7 @@
 
 // checkRecordOfEra returns errOtherEra if another holder has claimed the record of the era.
 func (e *Elector) checkRecordOfEra(ctx context.Context, self Identity, era uint64) error {
-	records := &recordStore{store: e.store}
-	records.era.Store(era)
+	records := e.newRecordReader(era)
 	found, err := records.read(ctx)
 	if err == nil && records.revision != 0 && found.Holder != self.tenureName() {
 		return errors.Wrap(errOtherEra, "the record is that of "+found.Holder)
--- a/internal/holder/era_test.go
+++ b/internal/holder/era_test.go
@@ -39,7 +39,7 @@
 				time.Sleep(5 * leaseTTL)
 				is.True(h.coordinator.Load() == tenure)
 				is.True(time.Since(tenure.lastLeaseConfirmation()) < leaseTTL)
-				record, err := h.newRecordReader().read(t.Context())
+				record, err := h.newRecordReader(h.store.Era()).read(t.Context())
 				is.NoErr(err)
 				is.Equal(record.Holder, found.tenureName())
 				is.Equal(record.Epoch, tenure.epoch)
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -174,7 +174,7 @@
 
 // readOwners publishes the owners of keys as the stored record has them.
 func (e *Elector) readOwners(ctx context.Context) error {
-	records := e.newRecordReader()
+	records := e.newRecordReader(e.store.Era())
 	record, err := records.read(ctx)
 	if records.older && record.Epoch <= e.registry.Snapshot().Epoch {
 		return err // the owners that this instance was told of are newer
@@ -189,9 +189,9 @@
 	return err
 }
 
-// newRecordReader returns a recordStore to read the record of the current era with.
-func (e *Elector) newRecordReader() *recordStore {
+// newRecordReader returns a recordStore to read the record of an era with.
+func (e *Elector) newRecordReader(era uint64) *recordStore {
 	records := &recordStore{store: e.store}
-	records.era.Store(e.store.Era())
+	records.era.Store(era)
 	return records
 }
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -91,7 +91,7 @@
 
 // recordedMaxShare returns the largest processor share that the record knows of, or 0.
 func (e *Elector) recordedMaxShare(ctx context.Context) float64 {
-	record, err := e.newRecordReader().read(ctx)
+	record, err := e.newRecordReader(e.store.Era()).read(ctx)
 	if err != nil {
 		return 0
 	}
