--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -49,17 +49,16 @@
 }
 
 // plays are the cases by name.
-var plays = map[string]func(w *world, program, store string, trouble bool) int{"early": early, "slowread": slowread}
+var plays = map[string]func(w *world, program, store string, trouble bool) int{"early": early, "slowread": slowread, "slowclose": slowclose}
 
-func config(version int, extra ...map[string]any) map[string]any {
+func config(version int) map[string]any {
 	svc := func(name string, sharded bool) map[string]any {
 		return map[string]any{"name": name, "health_path": "/health", "max_connections": 120, "protocol": "h1", "tls": false, "cold_start_s": 3.0, "cold_per_s": 7.0, "sharded": sharded, "warmup_s": 5.0}
 	}
 	route := func(name, prefix, kind, service string, timeout float64) map[string]any {
 		return map[string]any{"name": name, "path_prefix": prefix, "kind": kind, "timeout_s": timeout, "target_latency_s": 0.5, "priority": 1, "service": service, "max_attempts": 2}
 	}
-	routes := []map[string]any{route("read", "/read/", "safe", "rail", 1.5), route("order", "/order/", "unsafe", "bookings", 1.5), route("upload", "/upload/", "upload", "atelier", 5), route("list", "/list/", "safe", "bookings", 1.5)}
-	routes = append(routes, extra...)
+	routes := []map[string]any{route("read", "/read/", "safe", "rail", 1.5), route("order", "/order/", "unsafe", "bookings", 1.5), route("upload", "/upload/", "upload", "atelier", 5), route("search", "/search/", "safe", "bookings", 6)}
 	return map[string]any{"version": version, "services": []any{svc("rail", true), svc("bookings", false), svc("atelier", false)},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 8 << 20, "header_timeout_s": 5, "idle_timeout_s": 10},
 		"hosts":  []any{map[string]any{"host": "shop.example", "paths": routes}}}
