--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -18,13 +18,14 @@
 	out := flag.String("record", "-", "file for what was sent, answered and run")
 	play := flag.String("play", "early", "what to play")
 	trouble := flag.Bool("trouble", os.Getenv("TROUBLE") != "0", "with the disruption")
+	pids := flag.String("pids", "", "file for the ids of the processes that are started")
 	flag.Parse()
 	dir, err := os.MkdirTemp("", "standin-2-")
 	if err != nil {
 		fmt.Println(err)
 		os.Exit(2)
 	}
-	w := &world{store: newStore(), start: time.Now(), dir: dir}
+	w := &world{store: newStore(), start: time.Now(), dir: dir, pids: *pids}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		fmt.Println(err)
--- a/review/_standin-2/world.go
+++ b/review/_standin-2/world.go
@@ -23,6 +23,7 @@
 	store     *store
 	start     time.Time
 	dir       string
+	pids      string
 	mu        sync.Mutex
 	notes     []string
 	runs      sync.Map // attempt ID to *atomic.Int64
@@ -124,6 +125,12 @@
 	if err := e.cmd.Start(); err != nil {
 		panic(err)
 	}
+	if e.w.pids != "" {
+		if f, err := os.OpenFile(e.w.pids, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err == nil {
+			fmt.Fprintln(f, e.cmd.Process.Pid)
+			_ = f.Close()
+		}
+	}
 	e.exited = make(chan error, 1)
 	go func(c *exec.Cmd, done chan error) { done <- c.Wait(); log.Close() }(e.cmd, e.exited)
 	e.w.note("%s starts, process %d", e.name, e.cmd.Process.Pid)
