Log what callers have not taken when a connection or the process ends

Change: event responses_untaken (1773) with the bytes that the caller has not acknowledged and the time since the last response was written; instance_stopped says how many connections and bytes the process gives up.

--- a/internal/callerhttp/close.go
+++ b/internal/callerhttp/close.go
@@ -54,6 +54,18 @@
 	}
 }
 
+// untaken returns how many bytes of responses the caller has not acknowledged.
+func (c *conn) untaken() int {
+	return sockopt.Unacknowledged(c.net)
+}
+
+// reportUntaken reports what the caller has not acknowledged before the connection is closed.
+func (c *conn) reportUntaken() {
+	if n := c.untaken(); n > 0 && c.server.OnUntaken != nil {
+		c.server.OnUntaken(Untaken{Bytes: n, Waited: time.Since(c.openedAt) - time.Duration(c.lastResponse.Load())})
+	}
+}
+
 // linger waits until the caller closes the connection. Closing a connection with
 // unread bytes would reset it, and the caller could lose the last response. A connection
 // that was idle, and whose last response has arrived, needs no wait: a request that crosses
--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -87,6 +87,7 @@
 	<-previous
 	c.cancel(nil)
 	c.linger()
+	c.reportUntaken()
 	_ = c.net.Close() // everything has been sent; an error has no consequence
 	c.holding.Close()
 	c.server.removeConn(c)
--- a/internal/callerhttp/server.go
+++ b/internal/callerhttp/server.go
@@ -23,6 +23,9 @@
 	// OnCloseForOthers, when set, is called when a connection is closed because of that bound.
 	// It must not block.
 	OnCloseForOthers func()
+	// OnUntaken, when set, is called when a connection ends with bytes that its caller has not
+	// acknowledged. It must not block.
+	OnUntaken func(Untaken)
 	// evicted is the number of connections that were closed for others and have not ended yet.
 	evicted   atomic.Int64
 	handler   Handler
@@ -88,6 +91,19 @@
 	return n
 }
 
+// CountUntaken returns the number of open connections whose callers have not acknowledged all
+// that was written to them, and how many bytes they have not.
+func (s *Server) CountUntaken() (connections, bytes int) {
+	s.conns.Range(func(key, _ any) bool {
+		if n := key.(*conn).untaken(); n > 0 {
+			connections++
+			bytes += n
+		}
+		return true
+	})
+	return connections, bytes
+}
+
 // StartDraining makes each connection end: from its next response on it accepts no further
 // request, and the response to the last request in progress announces the close.
 func (s *Server) StartDraining() {
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -82,6 +82,9 @@
 	n.callerServer.Memory = memory
 	n.callerServer.MaxConnections = n.descriptors.callers
 	n.callerServer.OnCloseForOthers = n.reportClosed("callers")
+	n.callerServer.OnUntaken = func(u callerhttp.Untaken) {
+		log.Emit(events.ResponsesUntaken, "bytes", u.Bytes, "waited_ms", u.Waited.Milliseconds())
+	}
 	log.Emit(events.InstanceStarted, "callers", config.CallerAddress, "peers", config.PeerAddress, "incarnation", self.Incarnation)
 	return n
 }
--- a/internal/entrynode/plannedstop.go
+++ b/internal/entrynode/plannedstop.go
@@ -30,7 +30,9 @@
 	n.abortCalls()
 	s.stopElector()
 	<-s.electorDone
-	n.log.Emit(events.InstanceStopped, "connections", n.callerServer.OpenConnections(), events.FieldDuration, time.Since(began).Milliseconds())
+	untakenConnections, untakenBytes := n.callerServer.CountUntaken()
+	n.log.Emit(events.InstanceStopped, "connections", n.callerServer.OpenConnections(),
+		"untaken_connections", untakenConnections, "untaken_bytes", untakenBytes, events.FieldDuration, time.Since(began).Milliseconds())
 }
 
 // drainConnections closes idle connections until none is open or the deadline has passed.
--- a/internal/events/memory.go
+++ b/internal/events/memory.go
@@ -8,4 +8,6 @@
 	RequestRefusedForMemory  = register(1771, "request_refused_for_memory", log.WarnLevel, "A request was refused, and not run, because the memory for connections was used up.")
 	// ConnectionClosedForOthers is about descriptors, which are bounded like memory.
 	ConnectionClosedForOthers = register(1772, "connection_closed_for_others", log.WarnLevel, "A listener had as many connections as its share of the descriptors; the one that had been idle for the longest, or else the new one, was closed.")
+	// ResponsesUntaken is about what the kernel holds for a caller that reads slowly or not at all.
+	ResponsesUntaken = register(1773, "responses_untaken", log.WarnLevel, "A caller's connection was closed before the caller had acknowledged all that was written to it, which it may have lost.")
 )
