Keep a connection open until its caller has taken the last response

The kernel answers bytes for a closed connection with a reset and drops what it had to deliver. The end of the process was ruled out: it came later, with no connection open. The same held for each other way to the end of a connection, and for a connection closed as idle while its caller still reads.

Change: the wait ends with the caller's close. Without it, it ends 5 s after everything has been acknowledged, after 150 s without an acknowledgement, or when a caller that reads 1 KB/s would be done (closeWait, no I/O). A connection whose caller has not acknowledged all responses is not idle. An idle close ends the sending side first, and leaves a crossing request unread. It works because only the caller's own close shows that it has read the responses, and a connection that is still open does not reset.

TestIdleCloseKeepsTheLastResponse expected such a connection to be closed as idle. It now expects the whole response and an answer to the request that crosses it, which is stricter.

--- a/internal/callerhttp/close.go
+++ b/internal/callerhttp/close.go
@@ -4,6 +4,8 @@
 	"io"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"peridotmoor.org/peridotmoor/internal/sockopt"
 )
 
@@ -20,6 +22,7 @@
 // requests behind it can't be answered any more and are cancelled with the given cause.
 func (c *conn) breakOff(cause error) {
 	c.broken.Store(true)
+	c.stalled.Store(errors.Is(cause, errCallerStalled))
 	c.requests.seal()
 	c.cancel(cause)
 	c.closeWrite()
@@ -30,7 +33,11 @@
 // caller can still be waited for.
 func (c *conn) closeWrite() bool {
 	half, ok := c.net.(halfCloser)
-	return ok && half.CloseWrite() == nil
+	if !ok || half.CloseWrite() != nil {
+		return false
+	}
+	c.writeClosed.Store(true)
+	return true
 }
 
 // stopReading ends the reading of requests.
@@ -56,30 +63,58 @@
 
 // untaken returns how many bytes of responses the caller has not acknowledged.
 func (c *conn) untaken() int {
-	return sockopt.Unacknowledged(c.net)
+	n := sockopt.Unacknowledged(c.net)
+	if c.writeClosed.Load() {
+		n-- // the end of the stream counts as a byte
+	}
+	return max(0, n)
 }
 
-// reportUntaken reports what the caller has not acknowledged before the connection is closed.
+// reportUntaken reports what the caller has not acknowledged when the server gives it up.
 func (c *conn) reportUntaken() {
 	if n := c.untaken(); n > 0 && c.server.OnUntaken != nil {
-		c.server.OnUntaken(Untaken{Bytes: n, Waited: time.Since(c.openedAt) - time.Duration(c.lastResponse.Load())})
+		c.server.OnUntaken(Untaken{Bytes: n, Waited: time.Since(c.lastResponseAt())})
 	}
 }
 
-// linger waits until the caller closes the connection. Closing a connection with
-// unread bytes would reset it, and the caller could lose the last response. A connection
-// that was idle, and whose last response has arrived, needs no wait: a request that crosses
-// its close stays unread, so that the caller may send it again.
+// lastResponseAt returns when the last response had been written, or when the connection was
+// opened if there was none.
+func (c *conn) lastResponseAt() time.Time {
+	return c.openedAt.Add(time.Duration(c.lastResponse.Load()))
+}
+
+// linger ends the sending side and waits until the caller closes the connection (closeWait).
+// A connection without any response has nothing to lose and needs no wait, and a caller that
+// has stalled a response has had its time.
 func (c *conn) linger() {
-	if c.closedIdle && sockopt.Unacknowledged(c.net) == 0 || !c.closeWrite() {
+	if c.stalled.Load() {
+		c.reportUntaken()
 		return
 	}
-	end := time.Now().Add(lingerLimit)
-	ignored := make([]byte, readBufferBytes)
-	for time.Now().Before(end) {
-		_ = c.net.SetReadDeadline(time.Now().Add(lingerTimeout)) // fails only on a closed connection, on which the read fails too
-		if _, err := c.net.Read(ignored); err != nil {
+	if c.closedIdle && c.lastResponse.Load() == 0 || !c.closeWrite() {
+		return
+	}
+	wait := newCloseWait(time.Now(), c.lastResponseAt(), c.untaken())
+	for now := time.Now(); now.Before(wait.end()); now = time.Now() {
+		if c.awaitCallerClose(earlier(wait.end(), now.Add(lingerTimeout))) {
 			return
 		}
+		if wait.observe(time.Now(), c.untaken()) {
+			c.holding.Progress()
+		}
+	}
+	c.reportUntaken()
+}
+
+// awaitCallerClose waits until the given time for the caller to close the connection, and
+// reports whether it did. Requests behind a response that has announced the close are read and
+// ignored. A request that crosses an idle close stays unread, so that the caller may send it
+// again.
+func (c *conn) awaitCallerClose(until time.Time) bool {
+	_ = c.net.SetReadDeadline(until) // fails only on a closed connection, on which the read fails too
+	if c.closedIdle {
+		return sockopt.AwaitHangup(c.net) || time.Now().Before(until) // not a socket, so that there is nothing to wait for
 	}
+	_, err := c.net.Read(make([]byte, readBufferBytes))
+	return err != nil && !isTimeout(err)
 }
--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -32,6 +32,8 @@
 	requests requestState
 	// broken is set when a response could not be written completely. Nothing may follow it.
 	broken atomic.Bool
+	// stalled is set if that was because the caller had taken nothing for stallTimeout.
+	stalled atomic.Bool
 	// state is connOpen, connEvicted or connRemoved.
 	state atomic.Int32
 	// callerWaits counts the reads of bodies and writes that wait for the caller.
@@ -42,6 +44,11 @@
 	// lastResponse is when the last response ended, in nanoseconds after openedAt.
 	lastResponse atomic.Int64
 	openedAt     time.Time
+	// writeClosed is set once the sending side has been closed.
+	writeClosed atomic.Bool
+	// delivery is what is known of the last responses while the connection is idle. It belongs to
+	// the goroutine that reads requests.
+	delivery delivery
 	// closedIdle is set when the connection ends because it was idle. It belongs to the
 	// goroutine that reads requests.
 	closedIdle bool
@@ -87,7 +94,6 @@
 	<-previous
 	c.cancel(nil)
 	c.linger()
-	c.reportUntaken()
 	_ = c.net.Close() // everything has been sent; an error has no consequence
 	c.holding.Close()
 	c.server.removeConn(c)
--- a/internal/callerhttp/constants.go
+++ b/internal/callerhttp/constants.go
@@ -16,11 +16,16 @@
 	// Discarding it lets the caller receive the response instead of a reset.
 	bodyDrainBytes   = 1 << 20
 	bodyDrainTimeout = time.Second
-	// lingerTimeout is how long the server waits for the caller to close the connection
-	// after the last response, for the same reason. It starts again whenever the caller
-	// sends something, as one does who is in the middle of a body, up to lingerLimit.
+	// slowestPace, in bytes per second, is that of the slowest caller whose responses are not
+	// cut (stallTimeout).
+	slowestPace = 1 << 10
+	// lingerLimit is how long a caller that has acknowledged the last response may take to read
+	// it and to close the connection. A receive buffer of 64 KB can be read at 13 KB/s in that
+	// time. It is also the time that a caller has for the rest of a body that nobody reads.
+	lingerLimit = 5 * time.Second
+	// lingerTimeout limits each wait for the caller's close, after which the server looks at
+	// what the caller has acknowledged.
 	lingerTimeout = 500 * time.Millisecond
-	lingerLimit   = 5 * time.Second
 	// readBufferBytes is the size of a connection's read buffer; typical requests fit.
 	readBufferBytes = 2048
 	// defaultHeaderBytes limits a request's headers until a configuration is known. It is
--- a/internal/callerhttp/idle.go
+++ b/internal/callerhttp/idle.go
@@ -42,6 +42,8 @@
 		case c.requests.closeRequested(), c.requests.inProgress() > 0, time.Now().Before(c.idleDeadline(began)):
 		case c.hasUnread():
 			began = time.Now() // as above
+		case c.takesResponses():
+			began = time.Now() // the caller is not idle: it reads
 		default:
 			c.closedIdle = true
 			return false
@@ -55,7 +57,7 @@
 func (c *conn) idleDeadline(began time.Time) time.Time {
 	since := time.Now()
 	if c.requests.inProgress() == 0 {
-		since = c.openedAt.Add(time.Duration(c.lastResponse.Load()))
+		since = c.lastResponseAt()
 		if since.Before(began) {
 			since = began
 		}
@@ -69,9 +71,20 @@
 	return c.reader.Buffered() > 0 || sockopt.HasUnread(c.net)
 }
 
-// closeIdle closes the connection if no request is in progress or arriving. The goroutine
-// that reads requests does so itself, as it alone knows whether it has read something.
+// takesResponses reports whether the caller has acknowledged some of the responses since the
+// last look, or may still do so.
+func (c *conn) takesResponses() bool {
+	now := time.Now()
+	return c.delivery.observe(now, c.untaken()) || c.delivery.inProgress(now)
+}
+
+// closeIdle closes the connection if no request is in progress or arriving and the caller has
+// acknowledged all responses. The goroutine that reads requests does so itself, as it alone
+// knows whether it has read something.
 func (c *conn) closeIdle() {
+	if !c.requests.isIdle() || c.untaken() > 0 {
+		return // a request that arrives while the caller reads is answered
+	}
 	if c.requests.requestClose() {
 		c.interruptRead()
 		close(c.interrupted)
--- a/internal/callerhttp/idleclose_test.go
+++ b/internal/callerhttp/idleclose_test.go
@@ -28,11 +28,15 @@
 }
 
 // Guards against an idle close that destroys the end of the last response, because a
-// request that crosses the close resets a connection with unsent bytes.
+// request that crosses the close resets a connection with unsent bytes; and against closing a
+// connection as idle whose caller has not taken that response, so that the request is lost.
 func TestIdleCloseKeepsTheLastResponse(t *testing.T) {
 	is := is.New(t)
 	reads := make(chan struct{}, 8)
-	server := NewServer(stubHandler{handle: func(context.Context, *http.Request) *Response {
+	server := NewServer(stubHandler{handle: func(ctx context.Context, r *http.Request) *Response {
+		if r.URL.Path == "/2" {
+			return echo(ctx, r)
+		}
 		return &Response{Status: 200, Body: bytes.Repeat([]byte("a"), 512<<10)}
 	}}, noLimits)
 	c, ended := serveTCP(t, server, func(far *net.TCPConn) net.Conn {
@@ -43,17 +47,28 @@
 	send(c, getOne)
 	<-reads // the first request
 	<-reads // waits for the second one
-	for closed := false; !closed; {
-		server.CloseIdle() // has no effect until the response has been written
+	for server.RequestsInProgress() > 0 {
+		time.Sleep(time.Millisecond) // until the response has been written
+	}
+	server.StartDraining()
+	for range 100 {
+		server.CloseIdle() // has no effect: the caller has not taken the response
 		select {
 		case <-reads:
-			closed = true // lingers
+			t.Fatal("the connection was closed")
 		case <-ended:
-			closed = true
+			t.Fatal("the connection was closed")
 		case <-time.After(time.Millisecond):
 		}
 	}
 	_, _ = c.Write([]byte(getTwo)) // may fail if the connection has been reset
-	_, body := readResponse(t, bufio.NewReader(c))
+	r := bufio.NewReader(c)
+	response, body := readResponse(t, r)
 	is.Equal(len(body), 512<<10)
+	is.True(!response.Close)
+	response, body = readResponse(t, r)
+	is.Equal(body, "/2:")
+	is.True(response.Close)
+	is.NoErr(c.Close())
+	<-ended
 }
--- a/internal/callerhttp/progresswriter.go
+++ b/internal/callerhttp/progresswriter.go
@@ -1,12 +1,18 @@
 package callerhttp
 
 import (
+	"fmt"
 	"net"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"peridotmoor.org/peridotmoor/internal/sockopt"
 )
 
+// errCallerStalled says that the caller has taken nothing of a response for stallTimeout.
+var errCallerStalled = errors.New("the caller takes nothing of the response; it must read it or close the connection")
+
 // progressWriter writes a response to its caller. However long that takes, it goes on
 // while the caller takes some of it, and fails after stallTimeout without progress.
 type progressWriter struct {
@@ -41,7 +47,7 @@
 			w.onProgress()
 		}
 		if stalls == stallChecks {
-			return written, err
+			return written, fmt.Errorf("%w: %w", errCallerStalled, err)
 		}
 		queuedBefore = queued
 	}
--- a/internal/callerhttp/requeststate.go
+++ b/internal/callerhttp/requeststate.go
@@ -57,6 +57,11 @@
 	s.word.And(^readingBit)
 }
 
+// isIdle reports whether requestClose can succeed.
+func (s *requestState) isIdle() bool {
+	return s.word.Load() == 0
+}
+
 // requestClose requests an idle close. It fails if a request is in progress or is being
 // read, if no further request is accepted, or if the close has been requested before.
 func (s *requestState) requestClose() bool {
--- a/internal/entrynode/endlessmemory_test.go
+++ b/internal/entrynode/endlessmemory_test.go
@@ -184,6 +184,12 @@
 
 // startChildInstanceWith starts an instance with further lines of section [instance].
 func startChildInstanceWith(t *testing.T, store, lines string) *childInstance {
+	t.Helper()
+	return startChildInstanceWithGrace(t, store, lines, 4*time.Second)
+}
+
+// startChildInstanceWithGrace starts an instance with the grace period.
+func startChildInstanceWithGrace(t *testing.T, store, lines string, grace time.Duration) *childInstance {
 	t.Helper()
 	reserved, err := ports.Reserve(addressesPerInstance)
 	if err != nil {
@@ -198,7 +204,7 @@
 	}
 	text := fmt.Sprintf("[instance]\nname = a\ndomain = d-a\nfirst_start = true\nprocessor_share = 1\n"+lines+
 		"[listen]\ncallers = %s\nready = %s\npeers = %s\nmetrics = %s\n[store]\naddress = %s\n"+
-		"[bounds]\ngrace_s = 4\nretry_ratio = 0.2\nretry_extra = 20\nretry_window_s = 10\n", a[0], a[1], a[2], a[3], store)
+		"[bounds]\ngrace_s = %g\nretry_ratio = 0.2\nretry_extra = 20\nretry_window_s = 10\n", a[0], a[1], a[2], a[3], store, grace.Seconds())
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
