Complete the fleet of a test before its fake backend servers serve

Cause: newFleetOf filled the list of backends after the first of them had started, and their requests read it (recordConflicts). Nothing that the race detector knows orders the two: TestKeysChangeAtEveryInstance (1 of 12 plays) and, in one run of this package, TestFleetDuringPlannedStopAndStoreOutage failed with a data race between a request and the test. Change: a fake backend is started by a call of its own, after the list is complete. No check is changed.

--- a/internal/entrynode/fakebackend_test.go
+++ b/internal/entrynode/fakebackend_test.go
@@ -40,15 +40,20 @@
 	onExecute func(key int, name string)
 }
 
-func newFakeBackend(t *testing.T, name string) *fakeBackend {
+// newFakeBackend returns a server that has an address and does not serve yet.
+func newFakeBackend(name string) *fakeBackend {
 	b := &fakeBackend{name: name, grants: map[int]keyGrant{}, executions: map[string]int{}}
 	b.serviceTime.Store(int64(5 * time.Millisecond))
 	b.http = httptest.NewUnstartedServer(b)
 	b.http.Listener = arrivalListener{b.http.Listener}
 	b.http.Config.ConnContext = withArrivalConn
+	return b
+}
+
+// start makes the server serve. What its requests read must be complete before.
+func (b *fakeBackend) start(t *testing.T) {
 	b.http.Start()
 	t.Cleanup(b.http.Close)
-	return b
 }
 
 func (b *fakeBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/internal/entrynode/fleet_test.go
+++ b/internal/entrynode/fleet_test.go
@@ -49,10 +49,13 @@
 			"name": "r", "path_prefix": "/p/", "kind": "unsafe", "timeout_s": routeTimeout.Seconds(), "target_latency_s": 1.0, "service": "s", "max_attempts": 2}}}},
 	})
 	for n := range 3 {
-		b := newFakeBackend(t, fmt.Sprintf("i-%d", n))
+		b := newFakeBackend(fmt.Sprintf("i-%d", n))
 		b.onExecute = f.recordConflicts
 		b.unkeyed = service["sharded"] != true
 		f.backends = append(f.backends, b)
+	}
+	for _, b := range f.backends {
+		b.start(t)
 		put(t, f.store, "servers/"+b.name, map[string]any{
 			"address": b.http.Listener.Addr().String(), "born": 1, "info": map[string]any{"service": "s", "zone": "d-a", "slots": 3},
 			"status": map[string]any{"state": "ready", "sequence": 1, "cold_remaining_s": 0.0}})
--- a/internal/entrynode/hedging_test.go
+++ b/internal/entrynode/hedging_test.go
@@ -31,8 +31,9 @@
 	})
 	var backends []*fakeBackend
 	for n := range 3 {
-		b := newFakeBackend(t, fmt.Sprintf("i-%d", n))
+		b := newFakeBackend(fmt.Sprintf("i-%d", n))
 		b.onExecute, b.unkeyed = func(int, string) {}, true
+		b.start(t)
 		backends = append(backends, b)
 		put(t, store, "servers/"+b.name, map[string]any{
 			"address": b.http.Listener.Addr().String(), "born": 1, "info": map[string]any{"service": "s", "zone": "d-a", "slots": 3},
