Send an upload to its end after an early success

Cause: any complete response that came before the request had been written interrupted the write, and the connection was reset. A success does not say that the server needs no more of the body.

Change: a success (2xx) on a connection that stays open leaves the write alone. A buffered upload is finished after its response has been passed on, until the deadline of the call, within the memory account and awaited by a planned stop; a streamed one is written before its response is passed on. Refusals, failures and closing connections interrupt the write as before.

Left open: an early success with a body over 256 KB.

--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -43,8 +43,8 @@
 	requestWritten atomic.Bool
 	// writtenWhole is set once the request has been written without an error.
 	writtenWhole atomic.Bool
-	// writeInterrupted is set when the response came before the request was written
-	// and the write was interrupted.
+	// writeInterrupted is set when a response that needs no more of the request came before
+	// it was written, and the write was interrupted.
 	writeInterrupted atomic.Bool
 	idleSince        time.Time
 	// idleTimeout is how long the connection may stay idle before it is replaced.
@@ -204,9 +204,9 @@
 }
 
 // complete ends the exchange with response, and interrupts the write of the request if
-// it is still in progress.
+// it is still in progress and the server does not need the rest.
 func (c *conn) complete(x *exchange, response *Response) {
-	if !c.requestWritten.Load() {
+	if !c.requestWritten.Load() && !response.needsWholeRequest() {
 		c.writeInterrupted.Store(true)
 		_ = c.net.SetWriteDeadline(time.Unix(1, 0)) // interrupts the write in progress, which returns the error
 	}
--- a/internal/backhttp/constants.go
+++ b/internal/backhttp/constants.go
@@ -35,6 +35,12 @@
 	// allows for several round trips and retransmissions and is shorter than the time
 	// that a request waits.
 	unackedTimeout = 800 * time.Millisecond
+	// uploadBytes is the length of a body from which on its write may take a while. Shorter ones
+	// fit into the buffers of the kernel.
+	uploadBytes = 16 << 10
+	// finishTimeout limits the write of the rest of a request without a deadline after its
+	// response.
+	finishTimeout = 10 * time.Second
 	// resetWait is how long a new connection waits for its reset, which follows the
 	// acceptance: longer than a server and the network take for both within a region.
 	resetWait = 3 * time.Millisecond
--- a/internal/backhttp/pool.go
+++ b/internal/backhttp/pool.go
@@ -20,6 +20,8 @@
 	dialer    net.Dialer
 	closed    atomic.Bool
 	dialCount atomic.Uint64
+	// unfinishedUploads counts the requests that are still written after their response.
+	unfinishedUploads atomic.Int64
 	// resetWait is the constant, but in tests.
 	resetWait time.Duration
 	memory    *membudget.Account
@@ -45,9 +47,16 @@
 	return p.dialCount.Load()
 }
 
+// UnfinishedUploads returns how many requests are still written although their response has
+// been returned.
+func (p *Pool) UnfinishedUploads() int {
+	return int(p.unfinishedUploads.Load())
+}
+
 // Do sends the request and waits for the complete response, or for the start of a
 // long one. After an error, and after the process has ended, the kernel sends no more bytes
-// of the request. The caller must release the response. When ctx ends first, the connection is
+// of the request. A success may come before the request has been written: a buffered request
+// is then written to its end after Do has returned, and must not be changed. The caller must release the response. When ctx ends first, the connection is
 // reset, which tells the server to cancel its work. That holds until the remainder of a
 // long response is closed: ctx must not end before. What the request holds counts for the
 // holding that ctx carries, if any. The error is a *RequestError.
@@ -89,9 +98,17 @@
 		p.withdraw(c, x)
 		return nil, &RequestError{Expired: errors.Is(checkErr, errExpired), Withheld: errors.Is(checkErr, errWithheld), Cause: checkErr}
 	}
+	if err == nil && x.request.isUpload() {
+		return p.upload(ctx, c, x)
+	}
 	if err == nil {
 		err = c.write(x.request)
 	}
+	return p.conclude(ctx, c, x, err)
+}
+
+// conclude waits for the response to a request whose write has ended with err.
+func (p *Pool) conclude(ctx context.Context, c *conn, x *exchange, err error) (*Response, error) {
 	writtenAt := time.Now()
 	if err != nil && !c.mayStillRespond(err) && c.pending.CompareAndSwap(x, nil) {
 		x.stopWatch()
--- a/internal/backhttp/pool_test.go
+++ b/internal/backhttp/pool_test.go
@@ -21,7 +21,12 @@
 // counts the connections from 0.
 func newBackendPool(t *testing.T, script func(c net.Conn, r *bufio.Reader, n int)) *Pool {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	return newBackendPoolOn(t, net.ListenConfig{}, script)
+}
+
+func newBackendPoolOn(t *testing.T, config net.ListenConfig, script func(c net.Conn, r *bufio.Reader, n int)) *Pool {
+	t.Helper()
+	listener, err := config.Listen(t.Context(), "tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/backhttp/request.go
+++ b/internal/backhttp/request.go
@@ -35,3 +35,9 @@
 	// Match reports whether a response with these headers belongs to this request.
 	Match func(http.Header) Match
 }
+
+// isUpload reports whether the request is so long that its response may come while it is
+// written.
+func (r *Request) isUpload() bool {
+	return r.Remainder != nil || len(r.Body) > uploadBytes
+}
--- a/internal/backhttp/response.go
+++ b/internal/backhttp/response.go
@@ -28,6 +28,13 @@
 	release func()
 }
 
+// needsWholeRequest reports whether a server that has sent this response before it had read the
+// request reads on: it has accepted the request and keeps the connection. After another response
+// the rest is of no use.
+func (r *Response) needsWholeRequest() bool {
+	return r.Status/100 == 2 && !r.Closing && r.Remainder == nil
+}
+
 // Release must be called once the response is no longer used. It may be called again.
 func (r *Response) Release() {
 	if r.release != nil {
--- a/internal/entrynode/plannedstop.go
+++ b/internal/entrynode/plannedstop.go
@@ -35,10 +35,11 @@
 		"untaken_connections", untakenConnections, "untaken_bytes", untakenBytes, events.FieldDuration, time.Since(began).Milliseconds())
 }
 
-// drainConnections closes idle connections until none is open or the deadline has passed.
-// It waits before it looks for idle ones, as a new connection brings its request soon.
+// drainConnections closes idle connections until none is open and no upload is written any
+// more, or the deadline has passed. It waits before it looks for idle ones, as a new connection
+// brings its request soon.
 func (n *Node) drainConnections(deadline time.Time) {
-	for n.callerServer.OpenConnections() > 0 && time.Now().Before(deadline) {
+	for n.callerServer.OpenConnections()+n.backends.UnfinishedUploads() > 0 && time.Now().Before(deadline) {
 		time.Sleep(drainPollInterval)
 		n.callerServer.CloseIdle()
 	}
