Do not give up an upload while its server's window is closed

Cause: TCP_USER_TIMEOUT of 800 ms, by which the loss of a server is noticed. Linux counts the time for which the window of a living server is closed, in some cases from an earlier upload on the same connection on.

Change: during an upload the window is looked at every 100 ms. Once it is closed, the timeout of the kernel is taken off, and the instance gives the connection up itself when the server's kernel stops answering probes or retransmissions. Orders keep the limit of the kernel (TestKernelDropsAnOrderAtItsDeadline).

Ruled out: raising the timeout instead.

--- a/internal/backhttp/constants.go
+++ b/internal/backhttp/constants.go
@@ -38,6 +38,16 @@
 	// uploadBytes is the length of a body from which on its write may take a while. Shorter ones
 	// fit into the buffers of the kernel.
 	uploadBytes = 16 << 10
+	// windowInterval is how often the window of a server is looked at during an upload: before
+	// the first probe of a closed window, with which the kernel looks at its timeout.
+	windowInterval = 100 * time.Millisecond
+	// ackTimeout is how long an acknowledgement may take to arrive.
+	ackTimeout = 100 * time.Millisecond
+	// lostProbes is how many probes of a closed window in a row have no answer if the server is
+	// gone. A living Linux answers two a second, and the second probe may come sooner.
+	lostProbes = 3
+	// deliveryInterval is how often one looks whether a server has acknowledged a request.
+	deliveryInterval = 20 * time.Millisecond
 	// finishTimeout limits the write of the rest of a request without a deadline after its
 	// response.
 	finishTimeout = 10 * time.Second
--- a/internal/backhttp/pool.go
+++ b/internal/backhttp/pool.go
@@ -104,12 +104,12 @@
 	if err == nil {
 		err = c.write(x.request)
 	}
-	return p.conclude(ctx, c, x, err)
+	return p.conclude(ctx, c, x, writeResult{err: err, at: time.Now()})
 }
 
-// conclude waits for the response to a request whose write has ended with err.
-func (p *Pool) conclude(ctx context.Context, c *conn, x *exchange, err error) (*Response, error) {
-	writtenAt := time.Now()
+// conclude waits for the response to a request that has been written.
+func (p *Pool) conclude(ctx context.Context, c *conn, x *exchange, w writeResult) (*Response, error) {
+	err, writtenAt := w.err, w.at
 	if err != nil && !c.mayStillRespond(err) && c.pending.CompareAndSwap(x, nil) {
 		x.stopWatch()
 		c.abort()
--- a/internal/backhttp/request.go
+++ b/internal/backhttp/request.go
@@ -37,7 +37,7 @@
 }
 
 // isUpload reports whether the request is so long that its response may come while it is
-// written.
+// written. One that the kernel must give up in time is none.
 func (r *Request) isUpload() bool {
-	return r.Remainder != nil || len(r.Body) > uploadBytes
+	return !r.EndWithDeadline && (r.Remainder != nil || len(r.Body) > uploadBytes)
 }
--- /dev/null
+++ b/internal/backhttp/windowwatch.go
@@ -0,0 +1,69 @@
+package backhttp
+
+import (
+	"sync/atomic"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/sockopt"
+)
+
+// windowWatch keeps the kernel from giving up an upload whose server does not read at the
+// moment. TCP_USER_TIMEOUT ends a connection whose peer is gone, but Linux also counts the time
+// for which the window of a living peer is closed, in some cases from an earlier upload on. So
+// the watch takes the timeout off once it finds the window closed, and from then on gives up the
+// connection itself if the server's kernel does not answer.
+type windowWatch struct {
+	conn     *conn
+	stopping chan struct{}
+	ended    chan struct{}
+	// tookOver is set once the timeout of the kernel has been taken off.
+	tookOver atomic.Bool
+}
+
+func startWindowWatch(c *conn) *windowWatch {
+	w := &windowWatch{conn: c, stopping: make(chan struct{}), ended: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+// stop ends the watch, waits for that, and reports whether it had taken over. Then the kernel
+// has no timeout for the connection, which must not carry another request.
+func (w *windowWatch) stop() bool {
+	close(w.stopping)
+	<-w.ended
+	return w.tookOver.Load()
+}
+
+func (w *windowWatch) run() {
+	defer close(w.ended)
+	ticker := time.NewTicker(windowInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-w.stopping:
+			return
+		case <-w.conn.aborted:
+			return
+		case <-ticker.C:
+			w.look(sockopt.DeliveryOf(w.conn.net))
+		}
+	}
+}
+
+func (w *windowWatch) look(d sockopt.Delivery) {
+	switch {
+	case w.tookOver.Load():
+		if isPeerGone(d) {
+			w.conn.abort()
+		}
+	case d.WindowClosed() && sockopt.ClearUserTimeout(w.conn.net) == nil:
+		w.tookOver.Store(true)
+	}
+}
+
+// isPeerGone reports whether the kernel at the other end has stopped answering: it has not
+// acknowledged what was sent again unackedTimeout after its last acknowledgement, or probes.
+func isPeerGone(d sockopt.Delivery) bool {
+	unanswered := d.InFlight > 0 && d.SinceSent > ackTimeout && d.SinceAck > d.SinceSent+unackedTimeout
+	return unanswered || d.UnansweredProbes >= lostProbes
+}
--- a/internal/sockopt/usertimeout.go
+++ b/internal/sockopt/usertimeout.go
@@ -33,6 +33,25 @@
 	return setUserTimeout(raw, timeout)
 }
 
+// ClearUserTimeout makes the kernel use its own limit of several minutes for an open connection,
+// which does not count while a living peer's window is closed. It does nothing if c is not a
+// socket.
+func ClearUserTimeout(c net.Conn) error {
+	source, ok := c.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "clear TCP_USER_TIMEOUT")
+	}
+	var failure error
+	if err = raw.Control(func(fd uintptr) { failure = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, 0) }); err == nil {
+		err = failure
+	}
+	return errors.Wrap(err, "clear TCP_USER_TIMEOUT")
+}
+
 func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var failure error
 	err := raw.Control(func(fd uintptr) {
