Soak: slow callers beside planned stops

Change: theme "slow callers": every second caller reads 40 KB/s through a small receive buffer, pipelines, and sends one more request while it reads.

--- a/internal/dev/soak/caller/caller.go
+++ b/internal/dev/soak/caller/caller.go
@@ -18,6 +18,14 @@
 	// on a kept connection.
 	maxThinkTime = 150 * time.Millisecond
 	idleTime     = 1500 * time.Millisecond
+	// maxSlowWork is the longest service time of a pipelined request of a slow caller, so that
+	// most of its time is that of reading.
+	maxSlowWork = 60 * time.Millisecond
+	// slowTimeout is that of the pipelined requests of a slow caller. A stopping instance accepts
+	// them for as long as they end before it does.
+	slowTimeout = 4 * time.Second
+	// maxSendDelay is how much later a slow caller sends the last request of a pipeline.
+	maxSendDelay = 3 * time.Second
 )
 
 // Caller sends requests one after the other or pipelined, on one connection at a time.
@@ -31,6 +39,8 @@
 	OnFault func(error)
 	// Random decides what the caller does.
 	Random *rand.Rand
+	// Slow callers read slowly, and send the last request of a pipeline while they read.
+	Slow bool
 
 	conn  *conn
 	avoid *Instance
@@ -41,7 +51,7 @@
 func (c *Caller) Run(ctx context.Context) {
 	defer c.disconnect()
 	for ctx.Err() == nil {
-		if draw := c.Random.IntN(100); draw < 20 {
+		if draw := c.Random.IntN(100); draw < 20 || c.Slow && draw < 90 {
 			c.pipeline(ctx)
 		} else {
 			c.request(ctx, draw)
@@ -75,6 +85,15 @@
 	return c.Routes[min(n, c.Random.IntN(len(c.Routes)))]
 }
 
+// responseSize draws the length of a response. A slow caller would not read the long ones of
+// others within its time.
+func (c *Caller) responseSize() int {
+	if c.Slow {
+		return slowResponseSize(c.Random)
+	}
+	return responseSize(c.Random)
+}
+
 func (c *Caller) nextRequest() string {
 	c.count++
 	return fmt.Sprintf("%s-%d", c.Name, c.count)
@@ -90,7 +109,7 @@
 
 // request sends one request until it is answered or may not be sent again.
 func (c *Caller) request(ctx context.Context, draw int) {
-	a := c.attempt(c.nextRequest(), c.route(), serviceTime(c.Random), responseSize(c.Random))
+	a := c.attempt(c.nextRequest(), c.route(), serviceTime(c.Random), c.responseSize())
 	switch {
 	case a.Route.Upload:
 		a.bodyBytes = 1 + c.Random.IntN(900<<10)
@@ -132,11 +151,22 @@
 	var batch []*Attempt
 	for n := range 2 + c.Random.IntN(maxPipelined-1) {
 		route := c.route()
+		for c.Slow && !route.Idempotent {
+			route = c.route() // so that there are more responses than its kernel takes
+		}
 		if !route.Idempotent {
 			continue
 		}
-		batch = append(batch, c.attempt(c.nextRequest(), route, serviceTime(c.Random), responseSize(c.Random)))
-		batch[len(batch)-1].Ahead = min(n, len(batch)-1)
+		work := serviceTime(c.Random)
+		if c.Slow {
+			work = min(work, maxSlowWork)
+		}
+		a := c.attempt(c.nextRequest(), route, work, c.responseSize())
+		a.Ahead = min(n, len(batch))
+		if c.Slow {
+			a.Timeout = slowTimeout
+		}
+		batch = append(batch, a)
 	}
 	for number := 2; len(batch) > 0 && number <= maxAttempts+1 && ctx.Err() == nil && c.connect(); number++ {
 		c.exchange(ctx, batch)
@@ -156,13 +186,25 @@
 // logs them.
 func (c *Caller) exchange(ctx context.Context, batch []*Attempt) {
 	conn := c.conn
-	for _, a := range batch {
-		if err := conn.send(a); err != nil {
-			a.Detail = "send: " + err.Error()
-		}
+	lastSent := make(chan struct{})
+	ahead := batch
+	if last := len(batch) - 1; c.Slow && last > 0 {
+		ahead = batch[:last]
+		time.AfterFunc(time.Duration(c.Random.Int64N(int64(maxSendDelay))), func() {
+			defer close(lastSent)
+			conn.sendOrNote(batch[last])
+		})
+	} else {
+		close(lastSent)
+	}
+	for _, a := range ahead {
+		conn.sendOrNote(a)
 	}
 	open, result := true, Cut
-	for _, a := range batch {
+	for n, a := range batch {
+		if n == len(ahead) {
+			<-lastSent
+		}
 		if !open {
 			a.Result, a.EndedAt = result, time.Now()
 			c.Log.add(a)
@@ -199,7 +241,11 @@
 		return true
 	}
 	instance := c.Balancer.Pick(c.Random, c.Domain, c.avoid)
-	conn, err := dial(instance)
+	open := dial
+	if c.Slow {
+		open = dialSlow
+	}
+	conn, err := open(instance)
 	if err != nil {
 		c.avoid = instance
 		return false
--- a/internal/dev/soak/caller/conn.go
+++ b/internal/dev/soak/caller/conn.go
@@ -9,6 +9,7 @@
 	"net/http/httputil"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,6 +42,8 @@
 	process  int
 	number   int64
 	reused   bool
+	// slow is set if reader is a slowReader.
+	slow bool
 }
 
 func dial(instance *Instance) (*conn, error) {
@@ -51,6 +54,20 @@
 	return &conn{net: raw, reader: bufio.NewReader(raw), instance: instance, process: instance.Process(), number: connectionNumber.Add(1)}, nil
 }
 
+// dialSlow opens a connection that is read slowly, through a small receive buffer.
+func dialSlow(instance *Instance) (*conn, error) {
+	dialer := net.Dialer{Timeout: connectTimeout, Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, slowBufferBytes) // a larger buffer only hides faults
+		})
+	}}
+	raw, err := dialer.Dial("tcp4", instance.Address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{net: raw, reader: bufio.NewReaderSize(slowReader{raw}, slowReadBytes), instance: instance, process: instance.Process(), number: connectionNumber.Add(1), slow: true}, nil
+}
+
 func (c *conn) close() {
 	_ = c.net.Close()
 }
@@ -58,7 +75,11 @@
 // usable checks an idle connection. It returns false if the instance has closed it, and
 // an error if bytes have arrived that belong to no request.
 func (c *conn) usable() (bool, error) {
-	_ = c.net.SetReadDeadline(time.Now().Add(probeTime))
+	probe := probeTime
+	if c.slow {
+		probe += slowReadPause
+	}
+	_ = c.net.SetReadDeadline(time.Now().Add(probe))
 	_, err := c.reader.Peek(1)
 	if err == nil {
 		return false, errors.Errorf("connection %d to %s carries bytes without a request", c.number, c.instance.Name)
@@ -112,6 +133,13 @@
 	return nil
 }
 
+// sendOrNote writes the attempt and notes an error in it.
+func (c *conn) sendOrNote(a *Attempt) {
+	if err := c.send(a); err != nil {
+		a.Detail = "send: " + err.Error()
+	}
+}
+
 // receive reads the response to the attempt and reports whether another one may follow.
 func (c *conn) receive(a *Attempt) bool {
 	defer func() { a.EndedAt = time.Now() }()
--- a/internal/dev/soak/caller/workload.go
+++ b/internal/dev/soak/caller/workload.go
@@ -28,6 +28,12 @@
 	return low + time.Duration(random.Int64N(int64(high-low)))
 }
 
+// slowResponseSize draws the length of a response to a slow caller. Those of a pipeline are
+// together more than its kernel takes for it.
+func slowResponseSize(random *rand.Rand) int {
+	return 15_000 + random.IntN(15_000)
+}
+
 // responseSize draws the length of a response; some are longer than what an instance buffers.
 func responseSize(random *rand.Rand) int {
 	if random.IntN(12) == 0 {
--- a/internal/dev/soak/play.go
+++ b/internal/dev/soak/play.go
@@ -203,7 +203,7 @@
 	}
 	return &caller.Caller{
 		Name: fmt.Sprintf("%d-%s", p.seed, name), Domain: domainName(number % min(domainCount, len(p.instances))), Balancer: balancer, Routes: routes(), Log: &p.attempts,
-		OnFault: p.addStray, Random: rand.New(rand.NewPCG(p.seed, uint64(100+number))),
+		OnFault: p.addStray, Slow: p.options.Theme == slowCallersTheme && number%2 == 0, Random: rand.New(rand.NewPCG(p.seed, uint64(100+number))),
 	}
 }
 
--- a/internal/dev/soak/seeds_test.go
+++ b/internal/dev/soak/seeds_test.go
@@ -25,6 +25,12 @@
 
 // playFor is playShort with faults that begin in the given time.
 func playFor(t *testing.T, duration time.Duration, seed uint64, theme, cause string) {
+	t.Helper()
+	playWith(t, duration, seed, 0, theme, cause)
+}
+
+// playWith is playFor with the given number of callers.
+func playWith(t *testing.T, duration time.Duration, seed uint64, callers int, theme, cause string) {
 	t.Helper()
 	bin := t.TempDir()
 	build, err := exec.Command("go", "build", "-o", bin, "peridotmoor.org/peridotmoor/cmd/peridotmoor-entry").CombinedOutput()
@@ -32,7 +38,7 @@
 		t.Fatalf("%v: %s", err, build)
 	}
 	o := DefaultOptions()
-	o.ProgramDir, o.Seed, o.Theme, o.Duration = bin, seed, theme, duration
+	o.ProgramDir, o.Seed, o.Callers, o.Theme, o.Duration = bin, seed, callers, theme, duration
 	var out bytes.Buffer
 	if err := Run(t.Context(), o, &out); err != nil {
 		t.Errorf("%v; this seed is kept because %s\n%s", err, cause, &out)
@@ -52,6 +58,12 @@
 	playShort(t, 1, "links", "the late join of an ended link replaced the link in use at the holder, which then dropped all decisions for the instance")
 }
 
+// Guards against planned stops that cut off responses which slow callers have not read
+// (review/8).
+func TestSlowCallersSeed(t *testing.T) {
+	playWith(t, 6*time.Second, 501, 90, slowCallersTheme, "a connection was closed before its caller had taken the responses, so that its next request reset it")
+}
+
 // Guards against entries of another program that are taken for servers, that end a process,
 // or that leave the fleet without a holder.
 func TestOddEntriesSeed(t *testing.T) {
--- a/internal/dev/soak/theme.go
+++ b/internal/dev/soak/theme.go
@@ -32,8 +32,12 @@
 // storeCopyTheme is the name of the theme in which the store comes back from older copies.
 const storeCopyTheme = "store copies"
 
+// slowCallersTheme is the name of the theme in which every second caller reads slowly.
+const slowCallersTheme = "slow callers"
+
 // namedThemes are mixes that only an option selects, so that seeds without it keep their schedules.
 var namedThemes = []theme{
+	{name: slowCallersTheme, weights: []weightedKind{{eventStop, 5}, {eventStopTwice, 1}, {eventStopSeveral, 4}, {eventHangup, 1}, {eventConfigure, 1}}},
 	{name: "links", weights: []weightedKind{{eventPeerFault, 6}, {eventStoreCut, 2}, {eventStop, 1}, {eventPause, 1}, {eventKill, 1}}, atHolder: true},
 	{name: "backpressure", weights: []weightedKind{{eventServerLeave, 3}, {eventServerLimit, 5}, {eventServerShed, 4}, {eventServerDrain, 1}, {eventStop, 2}, {eventKill, 1}, {eventPause, 1},
 		{eventStoreDown, 2}, {eventStoreSlow, 1}, {eventStoreCut, 1}, {eventPeerFault, 1}}},
