--- a/internal/backhttp/pool.go
+++ b/internal/backhttp/pool.go
@@ -56,10 +56,11 @@
 // Do sends the request and waits for the complete response, or for the start of a
 // long one. After an error, and after the process has ended, the kernel sends no more bytes
 // of the request. A success may come before the request has been written: a buffered request
-// is then written to its end after Do has returned, and must not be changed. The caller must release the response. When ctx ends first, the connection is
-// reset, which tells the server to cancel its work. That holds until the remainder of a
-// long response is closed: ctx must not end before. What the request holds counts for the
-// holding that ctx carries, if any. The error is a *RequestError.
+// is then written to its end after Do has returned, and must not be changed. The caller must
+// release the response. When ctx ends first, the connection is reset, which tells the server to
+// cancel its work. That holds until the remainder of a long response is closed: ctx must not end
+// before. What the request holds counts for the holding that ctx carries, if any. The error is
+// a *RequestError.
 func (p *Pool) Do(ctx context.Context, request *Request) (*Response, error) {
 	holding := membudget.FromContext(ctx)
 	if holding == nil {
--- a/internal/backhttp/upload.go
+++ b/internal/backhttp/upload.go
@@ -22,7 +22,7 @@
 	}()
 	var w writeResult
 	var r result
-	select {
+	select { // both results stay in their channels, for those who conclude the request
 	case w = <-written:
 		written <- w
 		if w.err == nil {
