--- a/internal/dev/soak/caller/conn.go
+++ b/internal/dev/soak/caller/conn.go
@@ -41,7 +41,8 @@
 	instance *Instance
 	process  int
 	number   int64
-	reused   bool
+	// reused is set once a response has arrived.
+	reused atomic.Bool
 	// slow is set if reader is a slowReader.
 	slow bool
 }
@@ -90,7 +91,7 @@
 
 // send writes the attempt. An error does not mean that the instance has read nothing.
 func (c *conn) send(a *Attempt) error {
-	a.Instance, a.Process, a.Connection, a.Reused = c.instance.Name, c.process, c.number, c.reused
+	a.Instance, a.Process, a.Connection, a.Reused = c.instance.Name, c.process, c.number, c.reused.Load()
 	a.StartedAt = time.Now()
 	defer func() { a.SentAt = time.Now() }()
 	_ = c.net.SetWriteDeadline(a.StartedAt.Add(a.Timeout))
@@ -168,7 +169,7 @@
 		a.retryAfter = time.Duration(seconds * float64(time.Second))
 	}
 	a.check(response, content)
-	c.reused = true
+	c.reused.Store(true)
 	return !response.Close
 }
 
