Set and clear TCP_USER_TIMEOUT by one function

ClearUserTimeout repeated SetUserTimeout but for the value. No change of behaviour; the tests of sockopt, backhttp and link pass with the race detector.

--- a/internal/sockopt/usertimeout.go
+++ b/internal/sockopt/usertimeout.go
@@ -15,48 +15,44 @@
 // data stays unacknowledged for the timeout.
 func UserTimeout(timeout time.Duration) Control {
 	return func(_, _ string, raw syscall.RawConn) error {
-		return setUserTimeout(raw, timeout)
+		return setUserTimeout(raw, milliseconds(timeout))
 	}
 }
 
 // SetUserTimeout changes the timeout that UserTimeout sets, on an open connection. It does
 // nothing if c is not a socket.
 func SetUserTimeout(c net.Conn, timeout time.Duration) error {
-	source, ok := c.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := source.SyscallConn()
-	if err != nil {
-		return errors.Wrap(err, "set TCP_USER_TIMEOUT")
-	}
-	return setUserTimeout(raw, timeout)
+	return setUserTimeoutOf(c, milliseconds(timeout))
 }
 
 // ClearUserTimeout makes the kernel use its own limit of several minutes for an open connection,
 // which does not count while a living peer's window is closed. It does nothing if c is not a
 // socket.
 func ClearUserTimeout(c net.Conn) error {
+	return setUserTimeoutOf(c, 0)
+}
+
+// milliseconds returns a timeout of at least 1 ms: 0 stands for the kernel's own limit.
+func milliseconds(timeout time.Duration) int {
+	return max(1, int(timeout.Milliseconds()))
+}
+
+func setUserTimeoutOf(c net.Conn, ms int) error {
 	source, ok := c.(syscall.Conn)
 	if !ok {
 		return nil
 	}
 	raw, err := source.SyscallConn()
 	if err != nil {
-		return errors.Wrap(err, "clear TCP_USER_TIMEOUT")
-	}
-	var failure error
-	if err = raw.Control(func(fd uintptr) { failure = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, 0) }); err == nil {
-		err = failure
+		return errors.Wrap(err, "set TCP_USER_TIMEOUT")
 	}
-	return errors.Wrap(err, "clear TCP_USER_TIMEOUT")
+	return setUserTimeout(raw, ms)
 }
 
-func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
+func setUserTimeout(raw syscall.RawConn, ms int) error {
 	var failure error
 	err := raw.Control(func(fd uintptr) {
-		// 0 would stand for the kernel's own limit of several minutes.
-		failure = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, max(1, int(timeout.Milliseconds())))
+		failure = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, ms)
 	})
 	if err == nil {
 		err = failure
