Refuse responses of servers whose heads have a malformed header line

Callers got an answer whose head had a blank in or before the name of a field, with that line passed on, or with a body that was not the server's: with "Transfer-Encoding : chunked" the chunk sizes were part of the body.

Cause: backhttp left the check of the head to net/http, which accepts spaces in the name of a field of a response and treats it as a field of another name, and joins a line that starts with a blank to the one before it. Names with other bytes that no name has, and values with control bytes, are refused by net/http; the tests keep that.

Change: responsehead.Scanner checks the bytes of a head, and of the interim responses before it, as they arrive. A joined line cannot be recognised in the parsed head. A malformed head ends the connection like any other malformed response: the request may have run, and one that is not idempotent is not sent again.

--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 	$(GO) test ./internal/settings -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME)
 	$(GO) test ./internal/callerhttp -run '^$$' -fuzz FuzzConnection -fuzztime $(FUZZTIME)
 	$(GO) test ./internal/backhttp -run '^$$' -fuzz FuzzResponse -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
+	$(GO) test ./internal/responsehead -run '^$$' -fuzz FuzzScanner -fuzztime $(FUZZTIME)
 	$(GO) test ./internal/entrynode -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME)
 	$(GO) test ./internal/owners -run '^$$' -fuzz FuzzDecodeRecord -fuzztime $(FUZZTIME)
 	for target in Facts Known; do $(GO) test ./internal/link -run '^$$' -fuzz Fuzz$$target -fuzztime $(FUZZTIME) || exit 1; done
--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -138,7 +138,10 @@
 // readHead reads the head of the next final response to the request of the exchange.
 // The limit covers the interim responses before it too.
 func (c *conn) readHead(x *exchange) (*http.Response, error) {
-	c.source.begin(x.holding)
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // has no error: it reads nothing
+	if err := c.source.begin(x.holding, buffered); err != nil {
+		return nil, errors.Wrap(err, "malformed response")
+	}
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: x.request.Method})
 		switch {
--- a/internal/backhttp/headsource.go
+++ b/internal/backhttp/headsource.go
@@ -8,10 +8,11 @@
 	"github.com/pkg/errors"
 
 	"peridotmoor.org/peridotmoor/internal/membudget"
+	"peridotmoor.org/peridotmoor/internal/responsehead"
 )
 
-// headSource reads from a connection. While a head is read it limits what is taken for it,
-// and takes memory for a head that is not small.
+// headSource reads from a connection. While a head is read it checks it, limits what is taken
+// for it, and takes memory for a head that is not small.
 type headSource struct {
 	net net.Conn
 	// holding is that of the request whose response is read.
@@ -21,14 +22,18 @@
 	// inHead is set while a head is read, of which read bytes have been taken.
 	inHead bool
 	read   int64
+	// scanner checks the head.
+	scanner responsehead.Scanner
 	// reserved is how much memory is taken for the head.
 	reserved int64
 }
 
-// begin starts the count for the next head, with the interim responses before it, which
-// belongs to holding.
-func (s *headSource) begin(holding *membudget.Holding) {
+// begin starts the check and the count of the next head, with the interim responses before
+// it, which belongs to holding. buffered has been read of it, and is not counted.
+func (s *headSource) begin(holding *membudget.Holding, buffered []byte) error {
 	s.inHead, s.read, s.holding = true, 0, holding
+	s.scanner = responsehead.Scanner{}
+	return s.scanner.Scan(buffered)
 }
 
 // end ends the limit on the head and returns how much memory it has taken, which the
@@ -44,7 +49,8 @@
 	return s.inHead && s.read >= maxHeadBytes
 }
 
-// Read implements io.Reader. It returns io.EOF at the limit.
+// Read implements io.Reader. It returns io.EOF at the limit, and no bytes from where a head is
+// malformed.
 func (s *headSource) Read(p []byte) (int, error) {
 	if !s.inHead {
 		return s.net.Read(p)
@@ -65,5 +71,8 @@
 	}
 	n, err := s.net.Read(p[:min(int64(len(p)), limit-s.read)])
 	s.read += int64(n)
+	if malformed := s.scanner.Scan(p[:n]); malformed != nil {
+		return 0, malformed
+	}
 	return n, err
 }
