Refuse malformed header lines also where net/http reads the response

peridotmoor-router passed on answers with a blank in or before the name of a field, and took them for grants, refusals, drains and health; both programs took them for answers of the store, and the lister for the list of instances.

Cause: as for the connections of peridotmoor-entry to its servers, net/http accepts such lines. These clients use its Transport, which does not show the bytes of a head.

Change: wire.Conn, which these clients already use or now use, runs responsehead.Scanner over what it reads. The hook by which an Attempt learns of its connection tells it where a response starts.

--- a/internal/backhttp/headsource.go
+++ b/internal/backhttp/headsource.go
@@ -33,7 +33,8 @@
 func (s *headSource) begin(holding *membudget.Holding, buffered []byte) error {
 	s.inHead, s.read, s.holding = true, 0, holding
 	s.scanner = responsehead.Scanner{}
-	return s.scanner.Scan(buffered)
+	_, err := s.scanner.Scan(buffered)
+	return err
 }
 
 // end ends the limit on the head and returns how much memory it has taken, which the
@@ -71,7 +72,7 @@
 	}
 	n, err := s.net.Read(p[:min(int64(len(p)), limit-s.read)])
 	s.read += int64(n)
-	if malformed := s.scanner.Scan(p[:n]); malformed != nil {
+	if _, malformed := s.scanner.Scan(p[:n]); malformed != nil {
 		return 0, malformed
 	}
 	return n, err
--- a/internal/instances/httplist/lister.go
+++ b/internal/instances/httplist/lister.go
@@ -6,12 +6,14 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"sort"
 
 	"github.com/pkg/errors"
 
 	"peridotmoor.org/peridotmoor/internal/instances"
+	"peridotmoor.org/peridotmoor/internal/wire"
 )
 
 // maxListBytes limits the size of the list. 10,000 instances take about 2 MB.
@@ -32,7 +34,7 @@
 	if err != nil || parsed.Host == "" || parsed.Scheme != "http" {
 		return nil, errors.Errorf("instance list address %q is not of the form http://host:port", base)
 	}
-	transport := &http.Transport{MaxConnsPerHost: 1, DisableCompression: true}
+	transport := &http.Transport{DialContext: new(wire.Dialer).DialContext, MaxConnsPerHost: 1, DisableCompression: true}
 	return &Lister{address: "http://" + parsed.Host + "/v1/instances", transport: transport}, nil
 }
 
@@ -63,6 +65,7 @@
 }
 
 func (l *Lister) read(ctx context.Context) ([]byte, error) {
+	ctx = httptrace.WithClientTrace(ctx, new(wire.Attempt).Trace()) // starts the check of the response's head
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, l.address, nil)
 	if err != nil {
 		return nil, err
--- a/internal/responsehead/scanner.go
+++ b/internal/responsehead/scanner.go
@@ -16,17 +16,18 @@
 }
 
 // Scan checks the next bytes of the connection. Bytes behind the head are ignored. It returns
-// a *FieldNameError if a line of the head does not start with the name of a field and a colon.
-func (s *Scanner) Scan(read []byte) error {
-	for _, b := range read {
+// a *FieldNameError if a line of the head does not start with the name of a field and a colon,
+// and how many bytes come before that error.
+func (s *Scanner) Scan(read []byte) (int, error) {
+	for n, b := range read {
 		if s.position == done {
-			return nil
+			break
 		}
 		if !s.next(b) {
-			return &FieldNameError{Byte: b}
+			return n, &FieldNameError{Byte: b}
 		}
 	}
-	return nil
+	return len(read), nil
 }
 
 // next moves on behind the byte b. It reports whether b may be there.
--- a/internal/responsehead/scanner_test.go
+++ b/internal/responsehead/scanner_test.go
@@ -41,16 +41,19 @@
 // bytes, and against a malformed line that is overlooked where the bytes arrive in pieces.
 func TestScanner(t *testing.T) {
 	for size := 1; size < 100; size++ {
+		is := is.New(t)
 		scan := func(text string) error {
 			var s Scanner
 			for piece := range slices.Chunk([]byte(text), size) {
-				if err := s.Scan(piece); err != nil {
+				n, err := s.Scan(piece)
+				if err != nil {
+					is.Equal(piece[n], err.(*FieldNameError).Byte)
 					return err
 				}
+				is.Equal(n, len(piece))
 			}
 			return nil
 		}
-		is := is.New(t)
 		for _, text := range wellFormed {
 			is.NoErr(scan(text))
 		}
@@ -83,7 +86,7 @@
 		}
 		head := sent[:len(sent)-source.Len()-reader.Buffered()]
 		var s Scanner
-		if s.Scan(head) != nil {
+		if _, err := s.Scan(head); err != nil {
 			return
 		}
 		if s.position != done {
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -1,7 +1,11 @@
-// Package wire determines whether any byte of a request was written to its HTTP/1.1
-// connection. net/http does not report this exactly: its trace hooks run when bytes
-// enter a buffer, and a cancelled request may still be written after its call has
-// returned.
+// Package wire watches the HTTP/1.1 connections of an http.Transport.
+//
+// It determines whether any byte of a request was written. net/http does not report this
+// exactly: its trace hooks run when bytes enter a buffer, and a cancelled request may still
+// be written after its call has returned.
+//
+// It ends a response whose head has a malformed header line, which net/http may accept (see
+// package responsehead).
 package wire
 
 import (
@@ -9,6 +13,8 @@
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+
+	"peridotmoor.org/peridotmoor/internal/responsehead"
 )
 
 // ErrSealed is returned by a write to a connection whose request was abandoned before
@@ -22,10 +28,35 @@
 	stateSealed
 )
 
-// Conn tracks the first write of each request. It can be sealed to prevent that write.
+// Conn tracks the first write of each request, which it can be sealed to prevent, and checks
+// the head of each response.
 type Conn struct {
 	net.Conn
 	state atomic.Int32
+	// begun is set when a request has got the connection, so that the next byte starts its
+	// response.
+	begun atomic.Bool
+	// scanner and malformed belong to the reader of the connection. malformed is set once the
+	// head of a response is malformed.
+	scanner   responsehead.Scanner
+	malformed error
+}
+
+// Read returns a *responsehead.FieldNameError, and no more bytes, from where a head is malformed.
+func (c *Conn) Read(p []byte) (int, error) {
+	if c.malformed != nil {
+		return 0, c.malformed
+	}
+	n, err := c.Conn.Read(p)
+	if c.begun.Swap(false) {
+		c.scanner = responsehead.Scanner{}
+	}
+	valid, malformed := c.scanner.Scan(p[:n])
+	if malformed != nil {
+		c.malformed = malformed
+		return valid, malformed
+	}
+	return n, err
 }
 
 // Write marks the request as written. It fails on a sealed connection. If the kernel
@@ -45,6 +76,7 @@
 
 // begin resets the state for the next request.
 func (c *Conn) begin() {
+	c.begun.Store(true)
 	c.state.CompareAndSwap(stateWriting, stateUnwritten)
 }
 
