Httpbackend: refuse responses whose status no final response has

peridotmoor-router took the statuses 000 to 199 and 600 to 999 of a server for those of an answer, and passed 600 and above on to its caller. (By reading, net/http ends the caller's connection for a status below 100.)

Change: one definition, responsehead.IsFinalStatus, for both. A response with another status proves nothing: the request may have run.

--- a/internal/backend/httpbackend/send.go
+++ b/internal/backend/httpbackend/send.go
@@ -15,6 +15,7 @@
 	"peridotmoor.org/peridotmoor/internal/outcome"
 	"peridotmoor.org/peridotmoor/internal/problem"
 	"peridotmoor.org/peridotmoor/internal/request"
+	"peridotmoor.org/peridotmoor/internal/responsehead"
 	"peridotmoor.org/peridotmoor/internal/wire"
 )
 
@@ -76,9 +77,13 @@
 	return problem.Wrap(cause, kind, stage, "request %s to server %s at %s: %s", r.ID, s.name, s.address, what)
 }
 
-// decode checks that the response belongs to the request and that its end can be
-// recognized, and converts it.
+// decode checks that the response is a final one, that it belongs to the request and that its
+// end can be recognized, and converts it.
 func (s *Server) decode(ctx context.Context, r *request.Request, response *http.Response) (*request.Response, error) {
+	if !responsehead.IsFinalStatus(response.StatusCode) {
+		return nil, problem.New(problem.KindAnswerLost, outcome.StageWritten,
+			"server %s answered request %s with status %03d, which no final response has; correct the server", s.name, r.ID, response.StatusCode)
+	}
 	ids := response.Header.Values(backend.HeaderRequestID)
 	if len(ids) != 1 || ids[0] != r.ID {
 		return nil, problem.New(problem.KindAnswerCrossed, outcome.StageWritten,
--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"peridotmoor.org/peridotmoor/internal/membudget"
+	"peridotmoor.org/peridotmoor/internal/responsehead"
 )
 
 var (
@@ -149,11 +150,12 @@
 			return nil, errHeadTooLong
 		case err != nil:
 			return nil, errors.Wrap(err, "malformed response")
-		case response.StatusCode < 100 || response.StatusCode > 599: // RFC 9110, section 15
+		case response.StatusCode/100 == 1:
+			continue
+		case !responsehead.IsFinalStatus(response.StatusCode):
 			return nil, errors.Errorf("malformed response: status %03d", response.StatusCode)
-		case response.StatusCode >= 200:
-			return response, nil
 		}
+		return response, nil
 	}
 }
 
