Take a status that no response has for no answer of the store

After a write that the store answered with status 000, 099 or 101, or in the platform's client also 600 and above, the instance believed that the write had not taken effect, and in the stand-ins' client that it was refused.

Cause: the clients decide on the status as net/http returns it, and any status that they do not know counts as a refusal.

--- a/internal/store/httpstore/client.go
+++ b/internal/store/httpstore/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"peridotmoor.org/peridotmoor/internal/responsehead"
 	"peridotmoor.org/peridotmoor/internal/store"
 	"peridotmoor.org/peridotmoor/internal/wire"
 )
@@ -52,6 +53,9 @@
 		return response{}, failure(kind, attempt.Written(), err)
 	}
 	defer httpResponse.Body.Close()
+	if !responsehead.IsFinalStatus(httpResponse.StatusCode) {
+		return response{}, failure(kind, true, errors.Errorf("malformed response: status %03d", httpResponse.StatusCode))
+	}
 	body, err := readBody(httpResponse.Body)
 	if err != nil {
 		return response{}, failure(kind, true, err)
