--- a/internal/callerhttp/validate.go
+++ b/internal/callerhttp/validate.go
@@ -3,9 +3,9 @@
 import (
 	"bytes"
 	"net/http"
-	"strings"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 var (
@@ -41,15 +41,9 @@
 // validHeaderNames reports whether all header names are tokens as defined in RFC 9110.
 func validHeaderNames(header http.Header) bool {
 	for name := range header {
-		for i := range len(name) {
-			if !isTokenByte(name[i]) {
-				return false
-			}
+		if !httpguts.ValidHeaderFieldName(name) {
+			return false
 		}
 	}
 	return true
 }
-
-func isTokenByte(b byte) bool {
-	return b >= '0' && b <= '9' || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
-}
