Responsehead: split the first byte of a line from the other bytes

Read better as two functions. Attempt says that it starts the check of a response's head. No change of behaviour; the tests of responsehead, wire, backhttp and httpbackend pass with the race detector.

--- a/internal/responsehead/scanner.go
+++ b/internal/responsehead/scanner.go
@@ -33,42 +33,43 @@
 // next moves on behind the byte b. It reports whether b may be there.
 func (s *Scanner) next(b byte) bool {
 	switch s.position {
-	case inVersion:
-		if b == ' ' {
-			s.position = atStatus
-		}
-	case atStatus:
-		if b != ' ' {
-			s.interim, s.position = b == '1', inLine
-		}
 	case atLineStart:
-		switch {
-		case b == '\n':
-			s.endHead()
-			return true
-		case b == '\r':
-			s.position = inLastLine
+		return s.startLine(b)
+	case inName:
+		if b == ':' {
+			s.position = inLine
 			return true
-		case !isNameByte(b):
-			return false
 		}
-		s.position = inName
-		return true
+		return isNameByte(b)
 	case inLastLine:
 		if b != '\n' {
 			return false
 		}
 		s.endHead()
 		return true
-	case inName:
-		if b == ':' {
-			s.position = inLine
-			return true
-		}
-		return isNameByte(b)
 	}
-	if b == '\n' {
+	switch { // in the status line, or behind the name of a field
+	case b == '\n':
 		s.position = atLineStart
+	case s.position == inVersion && b == ' ':
+		s.position = atStatus
+	case s.position == atStatus && b != ' ':
+		s.interim, s.position = b == '1', inLine
+	}
+	return true
+}
+
+// startLine moves on behind the first byte of a line. It reports whether b may be there.
+func (s *Scanner) startLine(b byte) bool {
+	switch {
+	case b == '\n':
+		s.endHead()
+	case b == '\r':
+		s.position = inLastLine
+	case isNameByte(b):
+		s.position = inName
+	default:
+		return false
 	}
 	return true
 }
--- a/internal/wire/attempt.go
+++ b/internal/wire/attempt.go
@@ -14,7 +14,8 @@
 	untracked atomic.Bool
 }
 
-// Trace returns the hooks to add to the request's context.
+// Trace returns the hooks to add to the request's context. They also start the check of the
+// response's head (see Conn), without which only the first response of a connection is checked.
 func (a *Attempt) Trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{GotConn: a.gotConn}
 }
