--- a/internal/backend/httpbackend/control.go
+++ b/internal/backend/httpbackend/control.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 
 	"github.com/pkg/errors"
 
@@ -68,7 +67,7 @@
 	if err != nil {
 		return 0, errors.Wrapf(err, "control call %s", path)
 	}
-	ctx = httptrace.WithClientTrace(ctx, new(wire.Attempt).Trace()) // starts the check of the response's head
+	ctx = new(wire.Attempt).Context(ctx) // starts the check of the response's head
 	message, err := http.NewRequestWithContext(ctx, method, "http://"+s.address+path, io.NopCloser(bytes.NewReader(content)))
 	if err != nil {
 		return 0, errors.Wrapf(err, "control call %s", path)
--- a/internal/backend/httpbackend/send.go
+++ b/internal/backend/httpbackend/send.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"syscall"
 	"time"
@@ -26,7 +25,7 @@
 // read, that read may end only after Send has returned.
 func (s *Server) Send(ctx context.Context, order backend.Order, r *request.Request) (*request.Response, error) {
 	var attempt wire.Attempt
-	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(ctx, attempt.Trace()))
+	ctx, cancel := context.WithCancel(attempt.Context(ctx))
 	message, err := s.encode(ctx, order, r)
 	if err != nil {
 		cancel()
--- a/internal/dev/callers/client.go
+++ b/internal/dev/callers/client.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"time"
 
@@ -47,7 +46,7 @@
 func (c *Client) Send(ctx context.Context, entry *EntryInstance, id, key string, kind RequestKind) (Attempt, time.Duration) {
 	result := Attempt{Entry: entry.CallerAddress}
 	var attempt wire.Attempt
-	request := newRequest(httptrace.WithClientTrace(ctx, attempt.Trace()), entry, id, key, kind)
+	request := newRequest(attempt.Context(ctx), entry, id, key, kind)
 	response, err := c.transport.RoundTrip(request)
 	if err != nil {
 		result.Sent = attempt.Written()
--- a/internal/instances/httplist/lister.go
+++ b/internal/instances/httplist/lister.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"sort"
 
@@ -65,7 +64,7 @@
 }
 
 func (l *Lister) read(ctx context.Context) ([]byte, error) {
-	ctx = httptrace.WithClientTrace(ctx, new(wire.Attempt).Trace()) // starts the check of the response's head
+	ctx = new(wire.Attempt).Context(ctx) // starts the check of the response's head
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, l.address, nil)
 	if err != nil {
 		return nil, err
--- a/internal/store/httpstore/client.go
+++ b/internal/store/httpstore/client.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,7 +39,7 @@
 // written; after that byte it is store.ErrUncertain.
 func (c httpClient) do(ctx context.Context, method, path string, content []byte, kind callKind) (response, error) {
 	var attempt wire.Attempt
-	ctx = httptrace.WithClientTrace(ctx, attempt.Trace())
+	ctx = attempt.Context(ctx)
 	request, err := http.NewRequestWithContext(ctx, method, c.base+path, nil)
 	if err != nil {
 		return response{}, errors.Wrapf(err, "store call %s %s", method, path)
--- a/internal/wire/attempt.go
+++ b/internal/wire/attempt.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"context"
 	"net/http/httptrace"
 	"sync/atomic"
 )
@@ -14,9 +15,13 @@
 	untracked atomic.Bool
 }
 
-// Trace returns the hooks to add to the request's context. They also start the check of the
-// response's head (see Conn), without which only the first response of a connection is checked.
-func (a *Attempt) Trace() *httptrace.ClientTrace {
+// Context returns the context to send the request with. It also starts the check of the
+// response's head (see Conn): without it only the first response of a connection is checked.
+func (a *Attempt) Context(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, a.trace())
+}
+
+func (a *Attempt) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{GotConn: a.gotConn}
 }
 
--- a/internal/wire/attempt_test.go
+++ b/internal/wire/attempt_test.go
@@ -19,7 +19,7 @@
 }
 
 func useConn(attempt *Attempt, conn net.Conn) {
-	attempt.Trace().GotConn(httptrace.GotConnInfo{Conn: conn})
+	attempt.trace().GotConn(httptrace.GotConnInfo{Conn: conn})
 }
 
 func TestRequestWithoutConnectionIsUnwritten(t *testing.T) {
