backhttp: deliver the whole of a request that its server has accepted

Cause: whether the rest was to be delivered was decided once, by the lengths of request and response. A streamed body, a response over 256 KB, a short body, a success with a close, a server that ends its sending side or sends too much, and the deadline of the call each led to a connection that was given up, reset or reused with undelivered bytes.

Change: one condition, asked at each way from an accepted request to the end of its connection: the server has acknowledged the whole request. Until then the connection belongs to a pendingDelivery. Request and response flow at the same time; the end of a success is held back until what is missing of the request can be delivered without its caller. What is cut all the same is event 1774 and a counter; a planned stop waits for all deliveries, also to servers that are no longer listed.

--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -9,13 +9,13 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"peridotmoor.org/peridotmoor/internal/membudget"
 	"peridotmoor.org/peridotmoor/internal/responsehead"
+	"peridotmoor.org/peridotmoor/internal/sockopt"
 )
 
 var (
@@ -36,8 +36,14 @@
 	closed       atomic.Bool
 	aborted      <-chan struct{}
 	closeAborted context.CancelFunc
-	// released is closed once the kernel has given up the connection.
-	released chan struct{}
+	// released is closed once the kernel has given up the connection. unacknowledged is then how
+	// many bytes the server had not acknowledged, and cause why it was given up, if that is known.
+	released       chan struct{}
+	unacknowledged int
+	cause          atomic.Pointer[error]
+	// due is the transfer of the last request that the server has accepted. It belongs to the
+	// reader goroutine.
+	due *transfer
 	// reusable is cleared when the connection must not carry another request.
 	reusable atomic.Bool
 	// requestWritten is set once the write of the request has ended, with or without error.
@@ -77,26 +83,81 @@
 // not been delivered. When it returns, the kernel sends no more of them, even if another
 // goroutine aborts the connection: that one may have been interrupted in between.
 func (c *conn) abort() {
+	c.end(false)
+}
+
+// abortBecause aborts the connection for the given reason.
+func (c *conn) abortBecause(cause error) {
+	c.cause.CompareAndSwap(nil, &cause)
+	c.abort()
+}
+
+// abortCause returns why the connection was aborted.
+func (c *conn) abortCause() error {
+	if cause := c.cause.Load(); cause != nil {
+		return *cause
+	}
+	return errServerReset
+}
+
+// retire closes a connection on which everything has been delivered, in order: after a reset some
+// systems drop what the server has received and not read yet. It resets the connection if a
+// request has begun on it meanwhile.
+func (c *conn) retire() {
+	c.end(true)
+}
+
+func (c *conn) end(inOrder bool) {
 	if c.closed.Swap(true) {
 		<-c.released
 		return
 	}
+	c.unacknowledged = sockopt.Unacknowledged(c.net)
 	c.closeAborted()
+	if l, ok := c.net.(lingerSetter); ok && inOrder && c.pending.Load() == nil {
+		_ = l.SetLinger(-1) // the connection is closed in any case
+	}
 	_ = c.net.Close() // the connection is abandoned; an error needs no handling
 	close(c.released)
 }
 
+// undelivered returns how many bytes that were written to the connection the server has not
+// acknowledged, or had not when the connection was closed.
+func (c *conn) undelivered() int {
+	n := sockopt.Unacknowledged(c.net) // 0 if the connection is closed
+	if c.closed.Load() {
+		<-c.released
+		return c.unacknowledged
+	}
+	return n
+}
+
 // readLoop is the body of the reader goroutine. It fails the pending request, if any,
 // when the connection ends.
 func (c *conn) readLoop() {
 	err := c.readResponses()
 	c.reusable.Store(false)
-	c.abort()
+	c.endAfterDelivery()
 	if x := c.pending.Swap(nil); x != nil {
 		x.done <- result{err: err}
 	}
 }
 
+// endAfterDelivery ends a connection that carries no more responses, once nothing that was
+// accepted is due: a server may end its side, or send too much, and still read.
+func (c *conn) endAfterDelivery() {
+	if c.due == nil || c.pending.Load() != nil || sockopt.DeliveryOf(c.net).Ended {
+		c.abort()
+		return
+	}
+	select {
+	case <-c.due.settled:
+		c.retire()
+	case <-c.aborted:
+		c.abort() // waits until the kernel has given it up
+	}
+}
+
 func (c *conn) readResponses() error {
 	unmatched := 0
 	for {
@@ -186,6 +247,11 @@
 		}
 	}
 	x.holding.Progress()
+	accepted := x.isAccepted(response)
+	c.due = nil
+	if accepted {
+		c.due = x.transfer
+	}
 	if omitsBody(x.request.Method, httpResponse.StatusCode) {
 		response.BodyOmitted, response.Length = true, statedLength(httpResponse)
 		c.complete(x, response)
@@ -197,7 +263,7 @@
 		return nil
 	}
 	c.reusable.Store(false)
-	stream := newRemainder(httpResponse.Body, c.released)
+	stream := newRemainder(httpResponse.Body, c, x, accepted)
 	response.Remainder = stream
 	c.complete(x, response)
 	select {
@@ -211,7 +277,7 @@
 // complete ends the exchange with response, and interrupts the write of the request if
 // it is still in progress and the server does not need the rest.
 func (c *conn) complete(x *exchange, response *Response) {
-	if !c.requestWritten.Load() && !response.needsWholeRequest() {
+	if !c.requestWritten.Load() && !response.accepts() {
 		c.writeInterrupted.Store(true)
 		_ = c.net.SetWriteDeadline(time.Unix(1, 0)) // interrupts the write in progress, which returns the error
 	}
@@ -242,29 +308,32 @@
 }
 
 // write writes the complete request.
-func (c *conn) write(request *Request) error {
-	defer c.requestWritten.Store(true)
+func (c *conn) write(request *Request) (result writeResult) {
+	result.bytes, result.err = c.writeParts(request)
+	c.writtenWhole.Store(result.err == nil)
+	c.requestWritten.Store(true)
+	result.at = time.Now()
+	return result
+}
+
+func (c *conn) writeParts(request *Request) (int64, error) {
 	parts := net.Buffers{request.Head}
 	if len(request.Body) > 0 {
 		parts = append(parts, request.Body)
 	}
-	if _, err := parts.WriteTo(c.net); err != nil {
-		return err
+	n, err := parts.WriteTo(c.net)
+	if err != nil || request.Remainder == nil {
+		return n, err
 	}
-	if request.Remainder != nil {
-		if _, err := io.Copy(c.net, bodySource{request.Remainder}); err != nil {
-			return err
-		}
-	}
-	c.writtenWhole.Store(true)
-	return nil
+	more, err := io.Copy(c.net, bodySource{request.Remainder})
+	return n + more, err
 }
 
 // mayStillRespond reports whether the reader goroutine is about to end the exchange although
 // the write of the request has failed with err: with a response that has interrupted the
 // write, or after a reset by the server with what it sent before, which may be a response.
 func (c *conn) mayStillRespond(err error) bool {
-	return c.writeInterrupted.Load() || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	return c.writeInterrupted.Load() || isEndedByPeer(err)
 }
 
 // readyForNext reports whether the connection may carry another request after one
--- a/internal/backhttp/constants.go
+++ b/internal/backhttp/constants.go
@@ -35,10 +35,10 @@
 	// allows for several round trips and retransmissions and is shorter than the time
 	// that a request waits.
 	unackedTimeout = 800 * time.Millisecond
-	// uploadBytes is the length of a body from which on its write may take a while. Shorter ones
+	// longBodyBytes is the length of a body from which on its write may take a while. Shorter ones
 	// fit into the buffers of the kernel.
-	uploadBytes = 16 << 10
-	// windowInterval is how often the window of a server is looked at during an upload: before
+	longBodyBytes = 16 << 10
+	// windowInterval is how often the window of a server is looked at while a request is delivered: before
 	// the first probe of a closed window, with which the kernel looks at its timeout.
 	windowInterval = 100 * time.Millisecond
 	// ackTimeout is how long an acknowledgement may take to arrive.
@@ -48,9 +48,12 @@
 	lostProbes = 3
 	// deliveryInterval is how often one looks whether a server has acknowledged a request.
 	deliveryInterval = 20 * time.Millisecond
-	// finishTimeout limits the write of the rest of a request without a deadline after its
-	// response.
-	finishTimeout = 10 * time.Second
+	// deliveryStall is how long a server that has answered with success may take nothing of the
+	// rest of its request after the deadline. A receiver that reads 1 KB/s may tell of it only
+	// every few seconds.
+	deliveryStall = 10 * time.Second
+	// deliveryLimit bounds the delivery after the deadline to a server that takes little at a time.
+	deliveryLimit = 60 * time.Second
 	// resetWait is how long a new connection waits for its reset, which follows the
 	// acceptance: longer than a server and the network take for both within a region.
 	resetWait = 3 * time.Millisecond
--- a/internal/backhttp/pool.go
+++ b/internal/backhttp/pool.go
@@ -20,8 +20,9 @@
 	dialer    net.Dialer
 	closed    atomic.Bool
 	dialCount atomic.Uint64
-	// unfinishedUploads counts the requests that are still written after their response.
-	unfinishedUploads atomic.Int64
+	// Deliveries are the requests that are still delivered after their response. Another one
+	// may be set before the first request.
+	Deliveries *Deliveries
 	// resetWait is the constant, but in tests.
 	resetWait time.Duration
 	memory    *membudget.Account
@@ -31,9 +32,10 @@
 // the time to connect. memory counts what responses hold.
 func NewPool(address string, dialTimeout time.Duration, memory *membudget.Account) *Pool {
 	return &Pool{
-		address:   address,
-		resetWait: resetWait,
-		memory:    memory,
+		address:    address,
+		Deliveries: &Deliveries{},
+		resetWait:  resetWait,
+		memory:     memory,
 		dialer: net.Dialer{
 			Timeout: dialTimeout, KeepAlive: -1,
 			// No bytes of a request may outlive it, or the process: see Do.
@@ -47,29 +49,26 @@
 	return p.dialCount.Load()
 }
 
-// UnfinishedUploads returns how many requests are still written although their response has
+// UnfinishedUploads returns how many requests are still delivered although their response has
 // been returned.
 func (p *Pool) UnfinishedUploads() int {
-	return int(p.unfinishedUploads.Load())
+	return p.Deliveries.Count()
 }
 
 // Do sends the request and waits for the complete response, or for the start of a
 // long one. After an error, and after the process has ended, the kernel sends no more bytes
-// of the request. A success may come before the request has been written: a buffered request
-// is then written to its end after Do has returned, and must not be changed. The caller must
-// release the response. When ctx ends first, the connection is reset, which tells the server to
-// cancel its work. That holds until the remainder of a long response is closed: ctx must not end
-// before. What the request holds counts for the holding that ctx carries, if any. The error is
-// a *RequestError.
+// of the request. A success may come before the server has taken the request: the rest is then
+// delivered after Do has returned, and the request must not be changed. A streamed body is read
+// on only beside a long response, whose end waits for that. The caller must release the response.
+// When ctx ends first, the connection is reset, which tells the server to cancel its work. That
+// holds until a long response has been read to its end or is closed: ctx must not end before.
+// What the request holds counts for the holding that ctx carries, if any. The error is a
+// *RequestError.
 func (p *Pool) Do(ctx context.Context, request *Request) (*Response, error) {
 	holding := membudget.FromContext(ctx)
 	if holding == nil {
 		holding = p.memory.Unattributed()
 	}
-	if request.Remainder != nil {
-		holding.Charge(membudget.Uploads, copyBufferBytes)
-		defer holding.Return(membudget.Uploads, copyBufferBytes)
-	}
 	for {
 		if err := ctx.Err(); err != nil {
 			return nil, &RequestError{Cause: err}
@@ -82,6 +81,9 @@
 			return nil, &RequestError{Cause: errors.New("the server has reset the new connection")}
 		}
 		x := &exchange{request: request, holding: holding, done: make(chan result, 1), stopWatch: context.AfterFunc(ctx, c.abort)}
+		if request.hasTransfer() {
+			x.transfer = newTransfer(c, request, holding)
+		}
 		c.requestWritten.Store(false)
 		c.writtenWhole.Store(false)
 		c.pending.Store(x)
@@ -94,32 +96,40 @@
 }
 
 func (p *Pool) run(ctx context.Context, c *conn, x *exchange) (*Response, error) {
-	err := c.limitDelivery(ctx, x.request)
-	if checkErr := x.request.checkWrite(ctx); checkErr != nil { // as late as possible
+	if err := c.limitDelivery(ctx, x.request); err != nil {
+		c.abort()
 		p.withdraw(c, x)
-		return nil, &RequestError{Expired: errors.Is(checkErr, errExpired), Withheld: errors.Is(checkErr, errWithheld), Cause: checkErr}
+		return nil, &RequestError{Cause: err}
 	}
-	if err == nil && x.request.isUpload() {
-		return p.upload(ctx, c, x)
+	if err := x.request.checkWrite(ctx); err != nil { // as late as possible
+		p.withdraw(c, x)
+		return nil, &RequestError{Expired: errors.Is(err, errExpired), Withheld: errors.Is(err, errWithheld), Cause: err}
 	}
-	if err == nil {
-		err = c.write(x.request)
+	if x.transfer == nil {
+		return p.conclude(ctx, c, x, c.write(x.request))
 	}
-	return p.conclude(ctx, c, x, writeResult{err: err, at: time.Now()})
+	x.transfer.start()
+	x.transfer.await(x)
+	return p.conclude(ctx, c, x, x.transfer.writeResult())
 }
 
-// conclude waits for the response to a request that has been written.
+// conclude waits for the response to a request that has been written, or that is still written
+// after its server has accepted it.
 func (p *Pool) conclude(ctx context.Context, c *conn, x *exchange, w writeResult) (*Response, error) {
-	err, writtenAt := w.err, w.at
-	if err != nil && !c.mayStillRespond(err) && c.pending.CompareAndSwap(x, nil) {
+	if w.err != nil && !c.mayStillRespond(w.err) && c.pending.CompareAndSwap(x, nil) {
 		x.stopWatch()
 		c.abort()
-		return nil, &RequestError{Sent: true, WrittenAt: writtenAt, Cause: errors.Wrap(err, "write request")}
+		x.endTransfer()
+		return nil, &RequestError{Sent: true, WrittenAt: w.at, Cause: errors.Wrap(w.err, "write request")}
 	}
 	r := <-x.done
 	if r.err == nil {
-		r.response.WrittenAt = writtenAt
+		r.response.WrittenAt = w.at
 	}
+	if r.err == nil && x.isAccepted(r.response) {
+		return p.accept(ctx, c, x, w, r.response)
+	}
+	tookOver := x.endTransfer()
 	if r.err == nil && r.response.Remainder != nil {
 		return r.response, nil // the reader goroutine ends the watch and the connection
 	}
@@ -128,10 +138,10 @@
 		if ctx.Err() != nil {
 			r.err = ctx.Err()
 		}
-		return nil, &RequestError{Sent: true, WrittenAt: writtenAt, Cause: r.err}
+		return nil, &RequestError{Sent: true, WrittenAt: w.at, Cause: r.err}
 	}
 	switch {
-	case !c.readyForNext(err):
+	case tookOver, !c.readyForNext(w.err), x.transfer != nil && !x.transfer.isDelivered():
 		c.reusable.Store(false)
 		c.abort()
 	case notCancelled:
@@ -168,7 +178,7 @@
 		if c.canReuse(now) {
 			return c, false, nil
 		}
-		c.abort()
+		c.retire()
 	}
 	p.dialCount.Add(1)
 	raw, err := p.dialer.DialContext(ctx, "tcp4", p.address)
@@ -193,6 +203,6 @@
 func (p *Pool) Close() {
 	p.closed.Store(true)
 	for c := p.idle.pop(); c != nil; c = p.idle.pop() {
-		c.abort()
+		c.retire()
 	}
 }
--- a/internal/backhttp/remainder.go
+++ b/internal/backhttp/remainder.go
@@ -9,20 +9,31 @@
 // when the receiver has closed it.
 type remainder struct {
 	io.Reader
-	closed chan struct{}
-	once   sync.Once
-	// released is closed once the kernel has given up the connection.
-	released <-chan struct{}
+	conn     *conn
+	exchange *exchange
+	closed   chan struct{}
+	once     sync.Once
 }
 
-func newRemainder(r io.Reader, released <-chan struct{}) *remainder {
-	return &remainder{Reader: r, closed: make(chan struct{}), released: released}
+// newRemainder returns the remainder of the response to the exchange. The end of a success
+// waits for the request (exchange.confirm).
+func newRemainder(body io.Reader, c *conn, x *exchange, accepted bool) *remainder {
+	r := &remainder{Reader: body, conn: c, exchange: x, closed: make(chan struct{})}
+	if accepted {
+		r.Reader = &heldBack{source: body, confirm: x.confirm}
+	}
+	return r
 }
 
-// Close lets the reader goroutine close the connection, and waits for that: the server may
-// have answered before the whole request was delivered.
+// Close ends the connection, unless the rest of the request is due to the server after a success
+// that was read to its end. When it returns, nothing reads the body of the request any more.
 func (r *remainder) Close() error {
 	r.once.Do(func() { close(r.closed) })
-	<-r.released
+	if !r.exchange.answered.Load() {
+		r.conn.abort()
+	}
+	if t := r.exchange.transfer; t != nil && r.exchange.request.Remainder != nil {
+		<-t.written
+	}
 	return nil
 }
--- a/internal/backhttp/request.go
+++ b/internal/backhttp/request.go
@@ -9,6 +9,8 @@
 
 // Request is one request to a backend server.
 type Request struct {
+	// ID names the request in reports.
+	ID     string
 	Method string
 	// Head is the request line and the headers, including the empty line at their end.
 	Head []byte
@@ -36,8 +38,13 @@
 	Match func(http.Header) Match
 }
 
-// isUpload reports whether the request is so long that its response may come while it is
-// written. One that the kernel must give up in time is none.
-func (r *Request) isUpload() bool {
-	return !r.EndWithDeadline && (r.Remainder != nil || len(r.Body) > uploadBytes)
+// isLong reports whether the write of the request may take a while.
+func (r *Request) isLong() bool {
+	return r.Remainder != nil || len(r.Body) > longBodyBytes
+}
+
+// hasTransfer reports whether a server may answer the request before it has taken the body. One
+// that the kernel must give up in time has nothing to be delivered later.
+func (r *Request) hasTransfer() bool {
+	return !r.EndWithDeadline && (r.Remainder != nil || len(r.Body) > 0)
 }
--- a/internal/backhttp/response.go
+++ b/internal/backhttp/response.go
@@ -28,11 +28,12 @@
 	release func()
 }
 
-// needsWholeRequest reports whether a server that has sent this response before it had read the
-// request reads on: it has accepted the request and keeps the connection. After another response
-// the rest is of no use.
-func (r *Response) needsWholeRequest() bool {
-	return r.Status/100 == 2 && !r.Closing && r.Remainder == nil
+// accepts reports whether a server that has sent this response before it had read the request
+// needs the rest. That holds also if it closes the connection afterwards: it may announce the
+// close, read on and close only then (RFC 9112, section 9.6). After another response the rest is
+// of no use.
+func (r *Response) accepts() bool {
+	return r.Status/100 == 2
 }
 
 // Release must be called once the response is no longer used. It may be called again.
--- a/internal/backhttp/writeresult.go
+++ b/internal/backhttp/writeresult.go
@@ -4,6 +4,8 @@
 
 // writeResult is how and when the write of a request has ended.
 type writeResult struct {
-	err error
-	at  time.Time
+	// bytes is how many bytes the kernel has taken.
+	bytes int64
+	err   error
+	at    time.Time
 }
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -12,6 +12,7 @@
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
+	"peridotmoor.org/peridotmoor/internal/backhttp"
 	"peridotmoor.org/peridotmoor/internal/callerhttp"
 	"peridotmoor.org/peridotmoor/internal/connbound"
 	"peridotmoor.org/peridotmoor/internal/events"
@@ -58,6 +59,9 @@
 	reader := facts.NewReader(platform.StoreSource{Store: store}, n.facts, log)
 	schedulerClient := gateway.NewSchedulerClient(self.String(), config.Domain, n.facts, n.backends)
 	n.backends.OnSignal = schedulerClient.ObserveSignal
+	n.backends.Deliveries.OnCut = func(c backhttp.Cut) {
+		log.Emit(events.RequestCut, "request", c.RequestID, "server", c.Address, "bytes", c.Bytes, "detail", c.Cause.Error())
+	}
 	n.metrics = newMetrics(
 		func() float64 { return float64(store.Calls()) },
 		func() float64 { return float64(store.Era()) },
@@ -70,7 +74,7 @@
 		FirstStart:  config.FirstStart, ProcessorShare: config.ProcessorShare, OnOrderWritten: n.metrics.orderWritten,
 		OnEventDelay: n.metrics.eventDelayed,
 	})
-	n.metrics.registry.MustRegister(newFleetCollector(n.elector.Load, n.elector.Joins, &n.traffic))
+	n.metrics.registry.MustRegister(newFleetCollector(n.elector.Load, n.elector.Joins, &n.traffic), newDeliveryCollector(&n.backends.Deliveries))
 	n.gateway = gateway.New(gateway.Options{
 		Domain: config.Domain, Registry: n.facts, Scheduler: schedulerClient, Backends: n.backends,
 		Refresher: facts.NewOnDemand(reader, func() time.Duration { return holder.FleetBackoff(schedulerClient.FleetSize()) }, n.elector.ShareReading),
--- a/internal/entrynode/plannedstop.go
+++ b/internal/entrynode/plannedstop.go
@@ -28,6 +28,7 @@
 	<-s.callersDone
 	n.drainConnections(deadline) // those accepted since the last count
 	n.abortCalls()
+	n.backends.Deliveries.GiveUp()
 	s.stopElector()
 	<-s.electorDone
 	untakenConnections, untakenBytes := n.callerServer.CountUntaken()
--- a/internal/sockopt/delivery.go
+++ b/internal/sockopt/delivery.go
@@ -12,6 +12,10 @@
 type Delivery struct {
 	// Unsent is how many bytes wait to be sent for the first time.
 	Unsent int
+	// Acked is how many bytes the peer has acknowledged in all.
+	Acked uint64
+	// Ended is set if the connection has ended on both sides, as after a reset.
+	Ended bool
 	// InFlight is how many segments are sent and not acknowledged.
 	InFlight int
 	// UnansweredProbes is how many probes of a closed window in a row have no answer.
@@ -45,7 +49,7 @@
 	_ = raw.Control(func(fd uintptr) { // fails only on a closed connection, which delivers nothing
 		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
 			d = Delivery{
-				Unsent: int(info.Notsent_bytes), InFlight: int(info.Unacked), UnansweredProbes: int(info.Probes),
+				Unsent: int(info.Notsent_bytes), Acked: info.Bytes_acked, Ended: info.State == tcpClose, InFlight: int(info.Unacked), UnansweredProbes: int(info.Probes),
 				Window: int(info.Snd_wnd), SinceSent: time.Duration(info.Last_data_sent) * time.Millisecond, SinceAck: time.Duration(info.Last_ack_recv) * time.Millisecond,
 			}
 		}
