backhttp: watch the window of a server for short bodies too

Cause: TCP_USER_TIMEOUT counts the time for which a living server's window is closed. The window was watched only for bodies over 16 KB, as shorter ones fit into the kernel of the instance; a server with a small receive buffer leaves most of such a body there.

--- a/internal/backhttp/acceptedrequest_test.go
+++ b/internal/backhttp/acceptedrequest_test.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -57,10 +56,7 @@
 
 // newEarlyPool returns a pool for the server, whose receive buffer is of 4 KB.
 func newEarlyPool(t *testing.T, s earlyServer) *Pool {
-	return newBackendPoolOn(t, net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) (err error) {
-		_ = raw.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
-		return err
-	}}, s.serve)
+	return newBackendPoolOn(t, receiveBuffer(4<<10), s.serve)
 }
 
 // Guards against giving up, reusing or resetting a connection while a server that has answered
@@ -78,8 +74,8 @@
 		"streamed, long response":               {longest, true, earlyServer{length: 400 << 10, pause: 200 * time.Millisecond, pace: 2 * time.Millisecond}},
 		"streamed, longest response":            {longest, true, earlyServer{length: 8 << 20, pause: 200 * time.Millisecond}},
 		"long response":                         {long, false, earlyServer{length: 400 << 10, pause: 200 * time.Millisecond, pace: 5 * time.Millisecond}},
-		"long response to a short body":         {short, false, earlyServer{length: 400 << 10, pause: unackedTimeout / 4}},
-		"short body":                            {short, false, earlyServer{pause: unackedTimeout / 4}},
+		"long response to a short body":         {short, false, earlyServer{length: 400 << 10, pause: 2 * unackedTimeout}},
+		"short body":                            {short, false, earlyServer{pause: 2 * unackedTimeout}},
 		"shortest body with a close":            {6_000, false, earlyServer{head: "Connection: close\r\n", pause: 300 * time.Millisecond}},
 		"announced close":                       {long, false, earlyServer{head: "Connection: close\r\n", pause: 200 * time.Millisecond}},
 		"announced close, sending side ended":   {long, false, earlyServer{head: "Connection: close\r\n", endsSide: true, pause: 200 * time.Millisecond}},
--- a/internal/backhttp/earlysuccess_test.go
+++ b/internal/backhttp/earlysuccess_test.go
@@ -22,10 +22,16 @@
 // so that a server that does not read closes its window at once.
 func newSlowBackendPool(t *testing.T, script func(c net.Conn, r *bufio.Reader, n int)) *Pool {
 	t.Helper()
-	return newBackendPoolOn(t, net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) (err error) {
-		_ = raw.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 16<<10) })
+	return newBackendPoolOn(t, receiveBuffer(16<<10), script)
+}
+
+// receiveBuffer returns the configuration of a listener whose connections have a receive buffer
+// of that size.
+func receiveBuffer(bytes int) net.ListenConfig {
+	return net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+		_ = raw.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes) })
 		return err
-	}}, script)
+	}}
 }
 
 // newUpload returns a request with a body of size bytes that shows missing bytes, and that body.
--- a/internal/backhttp/transfer.go
+++ b/internal/backhttp/transfer.go
@@ -31,7 +31,7 @@
 
 // start begins the transfer. The write of a short request has ended when it returns.
 func (t *transfer) start() {
-	t.watch = startWindowWatch(t.conn, t.request)
+	t.watch = startWindowWatch(t.conn)
 	if t.request.isLong() {
 		go t.write()
 		return
--- a/internal/backhttp/windowwatch.go
+++ b/internal/backhttp/windowwatch.go
@@ -26,18 +26,16 @@
 	tookOver atomic.Bool
 }
 
-func startWindowWatch(c *conn, request *Request) *windowWatch {
+func startWindowWatch(c *conn) *windowWatch {
 	w := &windowWatch{conn: c, stopping: make(chan struct{}), ended: make(chan struct{})}
-	if request.isLong() {
-		w.timer = time.AfterFunc(windowInterval, w.run)
-	}
+	w.timer = time.AfterFunc(windowInterval, w.run)
 	return w
 }
 
 // stop ends the watch, waits for that, and reports whether it had taken over. Then the kernel
 // has no timeout for the connection, which must not carry another request.
 func (w *windowWatch) stop() bool {
-	if w.timer == nil || w.timer.Stop() {
+	if w.timer.Stop() {
 		return false
 	}
 	close(w.stopping)
