facts: take a gap in an instance's own readings for no outage of the store

Cause: after a gap of 2.4 s between two readings servers that are missing in the listing are kept for 2.2 s, as their entries may have expired while the store was out. A machine that was cut off or stood still has such a gap of its own. As the next holder it told its followers to take servers back that they had dropped.

Change: a gap counts as an outage only if a reading has failed in it, and the holder drops what it has kept once an instance joins for which the store has been read all the while. Joins tell that in Known.

--- a/internal/facts/reader.go
+++ b/internal/facts/reader.go
@@ -15,6 +15,8 @@
 	// outageThreshold is the time without a reading after which entries may have expired
 	// because servers could not renew them. An entry is valid for three heartbeats.
 	outageThreshold = 2400 * time.Millisecond
+	// maxReading is how long a reading takes at most, unless the process stood still meanwhile.
+	maxReading = 2 * readTimeout
 	// relistPeriod is how long live servers may take to be listed again after an outage.
 	relistPeriod = 2200 * time.Millisecond
 )
@@ -26,8 +28,17 @@
 	registry *Registry
 	log      *events.Logger
 	mu       sync.Mutex // protects the fields below
-	// recoveredAt is when the store was reachable again after the last outage.
-	recoveredAt time.Time
+	// failed is set if a reading of the listing has failed since the last one that succeeded. A
+	// process that stood still has made none.
+	failed bool
+	// outage is the last span in which the store may have been out.
+	outage Unbroken
+	// observed is the latest span without an outage that another instance has told.
+	observed Unbroken
+	// listed is the last listing, without servers that are retained, and listedAt when it was
+	// read.
+	listed   fleet.Listing
+	listedAt time.Time
 	// unreadable holds the keys of the entries that the last reading could not decode.
 	unreadable map[string]bool
 	storeLost  bool
@@ -60,6 +71,9 @@
 	}
 	if listingErr == nil {
 		r.applyListing(began, listing)
+		r.failed = false
+	} else if time.Since(began) < maxReading {
+		r.failed = true
 	}
 	err := listingErr
 	if err == nil {
@@ -79,15 +93,42 @@
 	return err
 }
 
+// applyListing applies a listing. After a gap between two readings, entries of living servers may
+// have expired if the store was out. It was not if no reading has failed, or if another instance
+// has read it meanwhile: then a server that is missing has left.
 func (r *Reader) applyListing(began time.Time, listing fleet.Listing) {
-	if age, known := r.registry.Age(began); known && age > outageThreshold {
-		r.recoveredAt = began
+	if last, known := r.registry.LastUnbroken(); known && r.failed && began.Sub(last.Until) > outageThreshold {
+		r.outage = Unbroken{Since: last.Until, Until: began}
 	}
 	r.logUnreadable(listing.Unreadable)
-	if began.Sub(r.recoveredAt) < relistPeriod {
+	r.listed, r.listedAt = listing, began
+	r.publish()
+}
+
+// publish puts the last listing into the registry.
+func (r *Reader) publish() {
+	listing := r.listed
+	if r.listedAt.Sub(r.outage.Until) < relistPeriod && !r.observed.rulesOut(r.outage) {
 		listing.Servers = RetainMissing(r.registry.Snapshot().Servers, listing.Servers)
 	}
-	r.registry.UpdateListing(r.registry.KeepKnownServers(listing, began), began)
+	r.registry.UpdateListing(r.registry.KeepKnownServers(listing, r.listedAt), r.listedAt)
+}
+
+// Observe notes a span in which another instance has read the store without a gap. If it rules
+// out the last outage, the servers that are retained because of that are dropped. It returns
+// whether it has dropped any.
+func (r *Reader) Observe(span Unbroken) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !span.Until.After(r.observed.Until) {
+		return false
+	}
+	r.observed = span
+	if r.listedAt.IsZero() || r.listedAt.Sub(r.outage.Until) >= relistPeriod || !span.rulesOut(r.outage) {
+		return false
+	}
+	r.publish()
+	return true
 }
 
 // logUnreadable logs each entry that has become unreadable since the last reading.
--- a/internal/facts/reader_test.go
+++ b/internal/facts/reader_test.go
@@ -109,3 +109,61 @@
 		is.True(known && age == time.Second)
 	})
 }
+
+// Guards against a gap in the readings of an instance that is taken for an outage of the store
+// (review/15): servers that left meanwhile are kept, and told to others. In the first case the
+// process stood still, in the others it was cut off and another instance had read the store.
+func TestGapInReadingsIsNoOutageOfTheStore(t *testing.T) {
+	for name, c := range map[string]struct {
+		failed          bool
+		since, until    time.Duration // of the other instance, or 0
+		want            []string
+		observedEarlier bool
+	}{
+		"stood still":                          {false, 0, 0, []string{"b"}, false},
+		"cut off":                              {true, -time.Minute, 5 * time.Second, []string{"b"}, false},
+		"cut off, told before":                 {true, -time.Minute, 5 * time.Second, []string{"b"}, true},
+		"the other one may have missed it":     {true, -time.Minute, 2 * time.Second, []string{"a", "b"}, false},
+		"the other one has a gap at the start": {true, 3 * time.Second, 5 * time.Second, []string{"a", "b"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s, registry, r := readOnce(t)
+				read := time.Now()
+				span := Unbroken{Since: read.Add(c.since), Until: read.Add(c.until)}
+				time.Sleep(5 * time.Second)
+				if s.down = c.failed; c.failed {
+					is.True(r.Read(t.Context()) != nil)
+				}
+				s.down, s.servers = false, servers("b")
+				if c.observedEarlier {
+					is.True(!r.Observe(span)) // nothing is retained yet
+				}
+				is.NoErr(r.Read(t.Context()))
+				if c.failed && !c.observedEarlier {
+					is.Equal(names(registry), []string{"a", "b"})
+					is.Equal(r.Observe(span), len(c.want) == 1)
+				}
+				is.Equal(names(registry), c.want)
+			})
+		})
+	}
+}
+
+// Guards against counting readings with a gap between them as a span without one.
+func TestUnbrokenReadings(t *testing.T) {
+	is := is.New(t)
+	begin := time.Now()
+	registry := NewRegistry(decodeVersion, nil)
+	_, known := registry.LastUnbroken()
+	is.True(!known)
+	for _, at := range []time.Duration{0, outageThreshold, time.Second, 2 * outageThreshold} { // one of them late
+		registry.ConfirmRead(begin.Add(at))
+	}
+	span, _ := registry.LastUnbroken()
+	is.Equal(span, Unbroken{begin, begin.Add(2 * outageThreshold)})
+	registry.ConfirmRead(begin.Add(10 * outageThreshold))
+	span, _ = registry.LastUnbroken()
+	is.Equal(span, Unbroken{begin.Add(10 * outageThreshold), begin.Add(10 * outageThreshold)})
+}
--- a/internal/facts/registry.go
+++ b/internal/facts/registry.go
@@ -23,8 +23,9 @@
 	// lastRefused is the last configuration that could not be decoded, so that each one
 	// is logged once.
 	lastRefused atomic.Pointer[[]byte]
-	// readAt is when the store was last read for this registry, by this instance or by another.
-	readAt atomic.Pointer[time.Time]
+	// read is the span that ends when the store was last read for this registry, by this
+	// instance or by another.
+	read atomic.Pointer[Unbroken]
 	// eraStart is the latest era of the store of which there are facts, or nil.
 	eraStart atomic.Pointer[eraStart]
 	// crashes remembers the requests that may have crashed servers.
@@ -58,8 +59,12 @@
 // ConfirmRead records that the registry has the state of the store at the given time.
 func (r *Registry) ConfirmRead(at time.Time) {
 	for {
-		old := r.readAt.Load()
-		if old != nil && !at.After(*old) || r.readAt.CompareAndSwap(old, &at) {
+		old := r.read.Load()
+		next := Unbroken{Since: at, Until: at}
+		if old != nil {
+			next = old.extend(at)
+		}
+		if old != nil && !at.After(old.Until) || r.read.CompareAndSwap(old, &next) {
 			return
 		}
 	}
@@ -68,27 +73,33 @@
 // ForgetRead makes the age of the facts unknown: the clock by which it is counted has stood
 // still.
 func (r *Registry) ForgetRead() {
-	r.readAt.Store(nil)
+	r.read.Store(nil)
 }
 
 // ReadSnapshot returns the current snapshot and when the store was last read for it, or the
 // zero time. The snapshot has all that was written to the store before: a time that is loaded
 // after it could be that of the next reading.
 func (r *Registry) ReadSnapshot() (snapshot *Snapshot, readAt time.Time) {
-	if at := r.readAt.Load(); at != nil {
-		readAt = *at
+	if read, known := r.LastUnbroken(); known {
+		readAt = read.Until
 	}
 	return r.Snapshot(), readAt
 }
 
+// LastUnbroken returns the span without a gap that ends with the last reading of the store, and
+// false if there was none.
+func (r *Registry) LastUnbroken() (Unbroken, bool) {
+	if read := r.read.Load(); read != nil {
+		return *read, true
+	}
+	return Unbroken{}, false
+}
+
 // Age returns how long ago the store was last read for this registry, and false if
 // it never was.
 func (r *Registry) Age(now time.Time) (time.Duration, bool) {
-	at := r.readAt.Load()
-	if at == nil {
-		return 0, false
-	}
-	return now.Sub(*at), true
+	read, known := r.LastUnbroken()
+	return now.Sub(read.Until), known
 }
 
 // update publishes the snapshot that next derives from the current one. next may be
--- a/internal/holder/coordinator.go
+++ b/internal/holder/coordinator.go
@@ -22,6 +22,7 @@
 // followers. Everything else reaches them through an event in its queue.
 type Coordinator struct {
 	registry    *facts.Registry
+	reader      *facts.Reader
 	orderSender OrderSender
 	// onOrderWritten is that of Options, or nil.
 	onOrderWritten func(time.Duration)
--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -51,7 +51,12 @@
 
 // Join adds a follower and sends it the facts that it does not have. It returns false when the tenure has ended.
 func (c *Coordinator) Join(f *link.Follower) bool {
+	span, known := f.ReadSpan(time.Now())
+	dropped := known && c.reader.Observe(span) // before the instance is told of servers
 	return c.enqueue(func() {
+		if dropped {
+			c.refresh(time.Now())
+		}
 		c.followers[f] = true
 		c.followerLog.joined(f)
 		f.JoinedAt = c.stays.join(f, time.Now())
--- a/internal/holder/newcoordinator.go
+++ b/internal/holder/newcoordinator.go
@@ -18,6 +18,7 @@
 func newCoordinator(ctx context.Context, endTenure context.CancelFunc, e *Elector, records *recordStore, found owners.Record, until time.Time) *Coordinator {
 	c := &Coordinator{
 		registry:          e.registry,
+		reader:            e.reader,
 		orderSender:       e.orderSender,
 		onOrderWritten:    e.onOrderWritten,
 		onEventDelay:      e.onEventDelay,
--- a/internal/link/factsreceiver.go
+++ b/internal/link/factsreceiver.go
@@ -53,6 +53,10 @@
 func (r *FactsReceiver) Known() *linkpb.Known {
 	snapshot := r.registry.Snapshot()
 	r.seed = &seed{snapshot, EncodeKnown(snapshot)}
+	if read, known := r.registry.LastUnbroken(); known {
+		r.seed.known.ReadAgeUs = max(1, time.Since(read.Until).Microseconds())
+		r.seed.known.UnbrokenUs = read.Until.Sub(read.Since).Microseconds()
+	}
 	return r.seed.known
 }
 
--- a/internal/link/member.go
+++ b/internal/link/member.go
@@ -2,7 +2,9 @@
 
 import (
 	"strings"
+	"time"
 
+	"peridotmoor.org/peridotmoor/internal/facts"
 	"peridotmoor.org/peridotmoor/internal/link/linkpb"
 )
 
@@ -24,6 +26,18 @@
 	Known *linkpb.Known
 }
 
+// ReadSpan returns in which span the store was read without a gap for the instance, which joins at
+// now, and false if that is unknown. A join that was held up on its way makes it seem later.
+func (m Member) ReadSpan(now time.Time) (span facts.Unbroken, known bool) {
+	age, unbroken := m.Known.GetReadAgeUs(), m.Known.GetUnbrokenUs()
+	if age <= 0 || unbroken < 0 {
+		return facts.Unbroken{}, false
+	}
+	span.Until = now.Add(-microseconds(age))
+	span.Since = span.Until.Add(-microseconds(unbroken))
+	return span, true
+}
+
 // Name returns the name of the instance, which a restart does not change.
 func (m Member) Name() string {
 	name, _, _ := strings.Cut(m.Instance, "/")
