facts: drop a server that leaves after it was listed again

Change: only servers that have not been listed since the outage are kept.

Evidence: facts.TestServerThatLeavesAfterAnOutageIsNotRetained failed before.

--- a/internal/facts/reader.go
+++ b/internal/facts/reader.go
@@ -31,8 +31,10 @@
 	// failed is set if a reading of the listing has failed since the last one that succeeded. A
 	// process that stood still has made none.
 	failed bool
-	// outage is the last span in which the store may have been out.
-	outage Unbroken
+	// outage is the last span in which the store may have been out, and returned holds the
+	// servers that were listed since.
+	outage   Unbroken
+	returned map[fleet.Incarnation]bool
 	// observed is the latest span without an outage that another instance has told.
 	observed Unbroken
 	// listed is the last listing, without servers that are retained, and listedAt when it was
@@ -98,7 +100,7 @@
 // has read it meanwhile: then a server that is missing has left.
 func (r *Reader) applyListing(began time.Time, listing fleet.Listing) {
 	if last, known := r.registry.LastUnbroken(); known && r.failed && began.Sub(last.Until) > outageThreshold {
-		r.outage = Unbroken{Since: last.Until, Until: began}
+		r.outage, r.returned = Unbroken{Since: last.Until, Until: began}, map[fleet.Incarnation]bool{}
 	}
 	r.logUnreadable(listing.Unreadable)
 	r.listed, r.listedAt = listing, began
@@ -109,11 +111,25 @@
 func (r *Reader) publish() {
 	listing := r.listed
 	if r.listedAt.Sub(r.outage.Until) < relistPeriod && !r.observed.rulesOut(r.outage) {
-		listing.Servers = RetainMissing(r.registry.Snapshot().Servers, listing.Servers)
+		for _, s := range listing.Servers {
+			r.returned[s.Incarnation] = true
+		}
+		listing.Servers = RetainMissing(r.notReturned(), listing.Servers)
 	}
 	r.registry.UpdateListing(r.registry.KeepKnownServers(listing, r.listedAt), r.listedAt)
 }
 
+// notReturned returns the known servers that have not been listed since the outage.
+func (r *Reader) notReturned() []fleet.Server {
+	var servers []fleet.Server
+	for _, s := range r.registry.Snapshot().Servers {
+		if !r.returned[s.Incarnation] {
+			servers = append(servers, s)
+		}
+	}
+	return servers
+}
+
 // Observe notes a span in which another instance has read the store without a gap. If it rules
 // out the last outage, the servers that are retained because of that are dropped. It returns
 // whether it has dropped any.
--- a/internal/facts/reader_test.go
+++ b/internal/facts/reader_test.go
@@ -167,3 +167,22 @@
 	span, _ = registry.LastUnbroken()
 	is.Equal(span, Unbroken{begin.Add(10 * outageThreshold), begin.Add(10 * outageThreshold)})
 }
+
+// Guards against a server that has been listed again after an outage and then leaves, but is kept
+// like those that are not listed yet.
+func TestServerThatLeavesAfterAnOutageIsNotRetained(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, registry, r := readOnce(t)
+		s.down = true
+		time.Sleep(outageThreshold)
+		is.True(r.Read(t.Context()) != nil)
+		time.Sleep(time.Second)
+		s.down = false
+		is.NoErr(r.Read(t.Context())) // both are listed
+		time.Sleep(time.Second)
+		s.servers = servers("b")
+		is.NoErr(r.Read(t.Context()))
+		is.Equal(names(registry), []string{"b"})
+	})
+}
