callerhttp: count the time that a request waits for earlier ones

Cause: the time of arrival was taken when the request was handled, after the wait.

Change: it is taken when the head has been read, and passed to the handler.

--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -133,6 +133,7 @@
 	if hasLength && len(request.TransferEncoding) > 0 {
 		request.Close = true // the bytes that follow may be meant as part of the body
 	}
+	arrivedAt := time.Now()
 	headBytes := c.source.end()
 	c.holding.Progress()
 	c.setReadDeadline(time.Time{})
@@ -148,7 +149,7 @@
 		c.holding.Return(membudget.Requests, headBytes)
 		return c.refuseForMemory(previous), false
 	}
-	return c.startRequest(request, previous, headBytes)
+	return c.startRequest(request, previous, headBytes, arrivedAt)
 }
 
 // rejectMalformed answers a request that could not be read because of err and closes
@@ -183,7 +184,7 @@
 
 // startRequest runs the request, which has a slot and its memory, in its own goroutine and
 // waits until its body has been read. It returns the same values as readRequest.
-func (c *conn) startRequest(request *http.Request, previous chan struct{}, headBytes int64) (chan struct{}, bool) {
+func (c *conn) startRequest(request *http.Request, previous chan struct{}, headBytes int64, arrivedAt time.Time) (chan struct{}, bool) {
 	if !c.requests.start() {
 		<-c.pipelineSlots
 		c.returnRequest(nil, headBytes)
@@ -197,7 +198,7 @@
 	}
 	done := make(chan struct{})
 	go func() {
-		response := c.server.handler.Handle(c.ctx, request)
+		response := c.server.handler.Handle(c.ctx, request, arrivedAt)
 		c.respond(response, previous, done, closing || incoming != nil && !incoming.drainable())
 		c.returnRequest(incoming, headBytes)
 		<-c.pipelineSlots
--- a/internal/callerhttp/handler.go
+++ b/internal/callerhttp/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 )
 
 // Handler executes requests.
@@ -10,9 +11,10 @@
 	// CanPipeline reports whether the request may run concurrently with earlier
 	// requests of its connection.
 	CanPipeline(request *http.Request) bool
-	// Handle executes the request. ctx is cancelled when the caller disconnects, with the
+	// Handle executes the request, whose head had been read at arrivedAt: it may have waited for
+	// earlier requests of its connection since. ctx is cancelled when the caller disconnects, with the
 	// cause context.Canceled, or can't be answered as an earlier response on the connection
 	// was not completed, with a cause that says so. The response is never nil; one with
 	// Status 0 closes the connection without an answer and cancels the requests behind it.
-	Handle(ctx context.Context, request *http.Request) *Response
+	Handle(ctx context.Context, request *http.Request, arrivedAt time.Time) *Response
 }
--- a/internal/callerhttp/server_test.go
+++ b/internal/callerhttp/server_test.go
@@ -19,13 +19,17 @@
 type stubHandler struct {
 	pipelined func(*http.Request) bool
 	handle    func(context.Context, *http.Request) *Response
+	arrived   func(r *http.Request, at time.Time)
 }
 
 func (s stubHandler) CanPipeline(r *http.Request) bool {
 	return s.pipelined == nil || s.pipelined(r)
 }
 
-func (s stubHandler) Handle(ctx context.Context, r *http.Request) *Response {
+func (s stubHandler) Handle(ctx context.Context, r *http.Request, arrivedAt time.Time) *Response {
+	if s.arrived != nil {
+		s.arrived(r, arrivedAt)
+	}
 	return s.handle(ctx, r)
 }
 
--- a/internal/entrynode/streamcutoff_test.go
+++ b/internal/entrynode/streamcutoff_test.go
@@ -38,7 +38,7 @@
 
 func (endlessHandler) CanPipeline(*http.Request) bool { return false }
 
-func (h endlessHandler) Handle(context.Context, *http.Request) *callerhttp.Response {
+func (h endlessHandler) Handle(context.Context, *http.Request, time.Time) *callerhttp.Response {
 	remainder, _ := io.Pipe()
 	return &callerhttp.Response{Status: http.StatusOK, Remainder: remainder, Length: -1, OnWriteError: func(err error) { h.unwritten <- err }}
 }
