callerhttp: pass nothing on behind a response that may break off

Cause: a long response is passed on while it arrives. If it breaks off, the connection has to end, and what was passed on behind it cannot be answered.

Change: behind a request whose response may be streamed, by the kind of its route or by the last ten minutes, the next one waits until that response has been received to its end.

CanPipeline has become Traits, so its stubs in tests and a test of MayShareConnection follow.

--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -52,6 +52,9 @@
 	// closedIdle is set when the connection ends because it was idle. It belongs to the
 	// goroutine that reads requests.
 	closedIdle bool
+	// received is closed once the response to the last request cannot break off any more, or is
+	// nil if it cannot at all. It belongs to the goroutine that reads requests.
+	received chan struct{}
 	// interrupted is closed once the requested idle close has interrupted the pending read.
 	interrupted chan struct{}
 	// pipelineSlots limits the number of concurrent requests.
@@ -137,8 +140,11 @@
 	headBytes := c.source.end()
 	c.holding.Progress()
 	c.setReadDeadline(time.Time{})
-	if !c.server.handler.CanPipeline(request) {
-		c.awaitPrevious(previous)
+	traits := c.server.handler.Traits(request)
+	if !traits.Concurrent {
+		c.await(previous)
+	} else if c.received != nil {
+		c.await(c.received)
 	}
 	if !c.acquireSlot() {
 		c.holding.Return(membudget.Requests, headBytes)
@@ -149,6 +155,10 @@
 		c.holding.Return(membudget.Requests, headBytes)
 		return c.refuseForMemory(previous), false
 	}
+	c.received = nil
+	if traits.MayStream {
+		c.received = make(chan struct{})
+	}
 	return c.startRequest(request, previous, headBytes, arrivedAt)
 }
 
@@ -196,9 +206,12 @@
 		incoming = newBody(request, c.net, c.holding, &c.callerWaits, c.continueFunc(request, previous))
 		request.Body = incoming
 	}
-	done := make(chan struct{})
+	done, received := make(chan struct{}), c.received
 	go func() {
 		response := c.server.handler.Handle(c.ctx, request, arrivedAt)
+		if received != nil {
+			response.notifyReceived(received)
+		}
 		c.respond(response, previous, done, closing || incoming != nil && !incoming.drainable())
 		c.returnRequest(incoming, headBytes)
 		<-c.pipelineSlots
--- a/internal/callerhttp/handler.go
+++ b/internal/callerhttp/handler.go
@@ -8,9 +8,8 @@
 
 // Handler executes requests.
 type Handler interface {
-	// CanPipeline reports whether the request may run concurrently with earlier
-	// requests of its connection.
-	CanPipeline(request *http.Request) bool
+	// Traits returns how the request may share its connection.
+	Traits(request *http.Request) Traits
 	// Handle executes the request, whose head had been read at arrivedAt: it may have waited for
 	// earlier requests of its connection since. ctx is cancelled when the caller disconnects, with the
 	// cause context.Canceled, or can't be answered as an earlier response on the connection
--- a/internal/callerhttp/response.go
+++ b/internal/callerhttp/response.go
@@ -29,6 +29,17 @@
 	OnDone func()
 }
 
+// notifyReceived closes received once the response cannot break off any more because of its
+// server.
+func (r *Response) notifyReceived(received chan struct{}) {
+	switch {
+	case r.Remainder != nil:
+		r.Remainder = &receivedBody{ReadCloser: r.Remainder, onEnd: func() { close(received) }}
+	case r.Status != 0:
+		close(received)
+	}
+}
+
 // reportUnwritten calls OnWriteError for a response that should have been written.
 func (r *Response) reportUnwritten(err error) {
 	if r.Status != 0 && r.OnWriteError != nil {
--- a/internal/callerhttp/server_test.go
+++ b/internal/callerhttp/server_test.go
@@ -20,10 +20,11 @@
 	pipelined func(*http.Request) bool
 	handle    func(context.Context, *http.Request) *Response
 	arrived   func(r *http.Request, at time.Time)
+	streams   func(*http.Request) bool
 }
 
-func (s stubHandler) CanPipeline(r *http.Request) bool {
-	return s.pipelined == nil || s.pipelined(r)
+func (s stubHandler) Traits(r *http.Request) Traits {
+	return Traits{Concurrent: s.pipelined == nil || s.pipelined(r), MayStream: s.streams != nil && s.streams(r)}
 }
 
 func (s stubHandler) Handle(ctx context.Context, r *http.Request, arrivedAt time.Time) *Response {
--- a/internal/callerhttp/wait.go
+++ b/internal/callerhttp/wait.go
@@ -6,17 +6,17 @@
 	"peridotmoor.org/peridotmoor/internal/sockopt"
 )
 
-// awaitPrevious waits until the previous request has been answered or the caller has
-// disconnected.
-func (c *conn) awaitPrevious(previous chan struct{}) {
+// await waits until an earlier request has come so far that the channel is closed, or the caller
+// has disconnected.
+func (c *conn) await(earlier chan struct{}) {
 	select {
-	case <-previous:
+	case <-earlier:
 		return
 	default:
 	}
 	defer c.watchHangup()()
 	select {
-	case <-previous:
+	case <-earlier:
 	case <-c.ctx.Done():
 	}
 }
--- a/internal/entrynode/streamcutoff_test.go
+++ b/internal/entrynode/streamcutoff_test.go
@@ -36,7 +36,7 @@
 // endlessHandler answers each request with a response whose body never ends.
 type endlessHandler struct{ unwritten chan error }
 
-func (endlessHandler) CanPipeline(*http.Request) bool { return false }
+func (endlessHandler) Traits(*http.Request) callerhttp.Traits { return callerhttp.Traits{} }
 
 func (h endlessHandler) Handle(context.Context, *http.Request, time.Time) *callerhttp.Response {
 	remainder, _ := io.Pipe()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,7 @@
 	// shareCounters counts the calls of each route, to split them over its services.
 	shareCounters sync.Map // route name to *atomic.Uint64
 	capRefusals   capRefusals
+	streamed      streamedRoutes
 	// endsAt is when the instance ends, or nil while no planned stop has begun.
 	endsAt     atomic.Pointer[time.Time]
 	inProgress atomic.Int64
@@ -55,17 +56,6 @@
 	return int(g.inProgress.Load())
 }
 
-// MayShareConnection reports whether the call may be processed at the same time as earlier
-// calls of its connection: it is idempotent and its sender is authorized.
-func (g *Gateway) MayShareConnection(call *Call) bool {
-	config := g.registry.Snapshot().Config
-	if config == nil {
-		return false
-	}
-	route := config.Match(call.Host, call.Path)
-	return route != nil && route.Kind.Idempotent() && authorize(config, call, route).denial == denialNone
-}
-
 // Handle processes the call and returns the final reply. ctx is cancelled when the
 // caller leaves, with the cause ErrInstanceEnded when the instance ends, and with another
 // cause when the caller's connection ends because of it.
@@ -127,6 +117,7 @@
 	ctx, cancel := context.WithDeadline(ctx, state.deadline)
 	reply := g.sendAuthorized(ctx, call, &state)
 	if reply.Response != nil && reply.Response.Remainder != nil {
+		g.streamed.record(route.Name, time.Now())
 		reply.Response.Remainder = &streamedBody{ReadCloser: reply.Response.Remainder, cancel: cancel}
 	} else {
 		cancel()
--- a/internal/gateway/withdrawnkey_test.go
+++ b/internal/gateway/withdrawnkey_test.go
@@ -201,7 +201,7 @@
 	registry := facts.NewRegistry(nil, nil)
 	g := newGateway(registry, NewSchedulerClient("i", "d", registry, nil), newAnsweringClient(), nil)
 	is.Equal(g.Handle(t.Context(), teamCall("/p/x", "other")).Outcome, OutcomeNotRun) // no configuration yet
-	is.True(!g.MayShareConnection(teamCall("/p/x", testKey)))
+	is.True(!g.Sharing(teamCall("/p/x", testKey)).Concurrent)
 }
 
 // Guards against requests of unauthorized callers that are processed at the same time.
@@ -209,11 +209,11 @@
 	is := is.New(t)
 	registry, _ := newTeamRegistry(teamConfig(1, map[string]string{testKey: "t1"}))
 	g := newGateway(registry, NewSchedulerClient("i", "d", registry, nil), newAnsweringClient(), nil)
-	is.True(g.MayShareConnection(teamCall("/p/x", testKey)))
-	is.True(g.MayShareConnection(teamCall("/open/x", "")))
-	is.True(!g.MayShareConnection(teamCall("/p/x", "")))
-	is.True(!g.MayShareConnection(teamCall("/p/x", "other")))
-	is.True(!g.MayShareConnection(teamCall("/x", testKey)))
+	is.True(g.Sharing(teamCall("/p/x", testKey)).Concurrent)
+	is.True(g.Sharing(teamCall("/open/x", "")).Concurrent)
+	is.True(!g.Sharing(teamCall("/p/x", "")).Concurrent)
+	is.True(!g.Sharing(teamCall("/p/x", "other")).Concurrent)
+	is.True(!g.Sharing(teamCall("/x", testKey)).Concurrent)
 }
 
 // Guards against a caller that is told to return although its key has been withdrawn while its
