soak: play servers that answer before they have read

Change: the theme "early answers", with lengths around the thresholds of the code, small receive buffers, slow reading and planned stops beside it, and the check that each body whose success reached a caller arrived whole.

--- a/internal/dev/soak/backend/config.go
+++ b/internal/dev/soak/backend/config.go
@@ -19,6 +19,9 @@
 	// Heartbeat is the interval of the server's status reports.
 	Heartbeat time.Duration
 	Seed      uint64
+	// AnswersEarly makes the server answer requests with a body before it has read that. No
+	// proxy stands in front of it, as that would read at once.
+	AnswersEarly bool
 	// Sources tells where connections come from, or is nil.
 	Sources tcpproxy.Sources
 }
--- a/internal/dev/soak/backend/incarnation.go
+++ b/internal/dev/soak/backend/incarnation.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -25,6 +24,8 @@
 	startedAt time.Time
 	log       *runlog.Log
 	owners    *Owners
+	// address is where instances reach the server: that of the proxy, if it has one.
+	address string
 	// reserved holds the address of the proxy, on which nothing listens after the crash.
 	reserved *ports.Reservation
 	proxy    *tcpproxy.Proxy
@@ -50,7 +51,11 @@
 }
 
 func startIncarnation(id string, config Config, log *runlog.Log, owners *Owners, arrivals *Arrivals) (*incarnation, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	buffer := 0
+	if config.AnswersEarly {
+		buffer = receiveBuffers[config.Seed%uint64(len(receiveBuffers))]
+	}
+	listener, err := listenSmall(buffer)
 	if err != nil {
 		return nil, errors.Wrapf(err, "backend server %s", id)
 	}
@@ -64,6 +69,9 @@
 		slots:    make(chan struct{}, config.Slots),
 		released: make(chan struct{}),
 	}
+	if i.address = i.proxy.Address(); config.AnswersEarly {
+		i.address = listener.Addr().String()
+	}
 	if config.Keyed {
 		i.grants = make([]keyGrant, keyCount)
 		owners.add(i)
--- a/internal/dev/soak/backend/serve.go
+++ b/internal/dev/soak/backend/serve.go
@@ -146,6 +146,9 @@
 // says how long the work takes and how long the body of the response is. The body is
 // bound to the stamp, which names the server and the index of the run in the log.
 func (i *incarnation) run(ctx context.Context, w http.ResponseWriter, r *http.Request, key int, stamp string) bool {
+	if i.config.AnswersEarly && r.Body != http.NoBody {
+		return i.answerEarly(w, r, stamp)
+	}
 	content, err := io.ReadAll(r.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
--- a/internal/dev/soak/backend/server.go
+++ b/internal/dev/soak/backend/server.go
@@ -229,7 +229,7 @@
 		state = "draining"
 	}
 	value, err := json.Marshal(map[string]any{
-		"address": i.proxy.Address(), "born": i.startedAt.UnixMilli(),
+		"address": i.address, "born": i.startedAt.UnixMilli(),
 		"info":   map[string]any{"service": s.config.Service, "zone": s.config.Domain, "slots": s.config.Slots, "version": "1"},
 		"status": map[string]any{"state": state, "sequence": i.sequence.Add(1), "cold_remaining_s": 0.0},
 	})
--- a/internal/dev/soak/caller/caller.go
+++ b/internal/dev/soak/caller/caller.go
@@ -41,6 +41,9 @@
 	Random *rand.Rand
 	// Slow callers read slowly, and send the last request of a pipeline while they read.
 	Slow bool
+	// AtThresholds makes the lengths of bodies and responses lie around those from which on an
+	// instance treats them otherwise.
+	AtThresholds bool
 
 	conn  *conn
 	avoid *Instance
@@ -91,6 +94,9 @@
 	if c.Slow {
 		return slowResponseSize(c.Random)
 	}
+	if c.AtThresholds {
+		return thresholdSize(c.Random)
+	}
 	return responseSize(c.Random)
 }
 
@@ -118,6 +124,9 @@
 	case !a.Route.Idempotent:
 		a.bodyBytes = 8 + c.Random.IntN(2000)
 	}
+	if c.AtThresholds && a.bodyBytes > 0 {
+		a.bodyBytes = thresholdSize(c.Random)
+	}
 	if draw >= 92 {
 		a.leavesAfter = time.Duration(1 + c.Random.Int64N(int64(time.Second)))
 	}
--- a/internal/dev/soak/caller/workload.go
+++ b/internal/dev/soak/caller/workload.go
@@ -41,3 +41,15 @@
 	}
 	return 8 + random.IntN(3000)
 }
+
+// thresholds are lengths from which on an instance buffers, counts or streams otherwise.
+var thresholds = [...]int{4 << 10, 16 << 10, 256 << 10, 512 << 10}
+
+// thresholdSize draws a length around a threshold, or any length up to one above them.
+func thresholdSize(random *rand.Rand) int {
+	if random.IntN(3) == 0 {
+		return 8 + random.IntN(900<<10)
+	}
+	at := thresholds[random.IntN(len(thresholds))]
+	return at - at/8 + random.IntN(at/4)
+}
--- a/internal/dev/soak/check/evidence.go
+++ b/internal/dev/soak/check/evidence.go
@@ -19,6 +19,7 @@
 	Processes   []Process
 	Versions    []Version
 	Arrivals    []backend.Arrival
+	Bodies      []backend.Body
 	Limits      []backend.Limit
 	Departures  []backend.Departure
 	Impairments *Impairments
@@ -42,7 +43,7 @@
 func (e *Evidence) Violations() []Violation {
 	e.index()
 	var all []Violation
-	for _, check := range []func(*Evidence) []Violation{checkRuns, checkRefusals, checkAnswers, checkOwners, checkStops, checkCuts, checkRecovery, checkConfiguration, checkLeaving, checkDepartures, checkPauses, checkLimits, checkOddEntries} {
+	for _, check := range []func(*Evidence) []Violation{checkRuns, checkRefusals, checkAnswers, checkOwners, checkStops, checkCuts, checkRecovery, checkConfiguration, checkLeaving, checkDepartures, checkPauses, checkLimits, checkOddEntries, checkBodies} {
 		all = append(all, check(e)...)
 	}
 	return all
--- a/internal/dev/soak/evidence.go
+++ b/internal/dev/soak/evidence.go
@@ -7,7 +7,7 @@
 func (p *play) evidence(unserved []string) *check.Evidence {
 	e := &check.Evidence{
 		Attempts: p.attempts.Attempts(), Conflicts: p.owners.Conflicts(), Versions: p.configuration.accepted(), Impairments: p.impairments,
-		Unserved: unserved, MovedRoute: movedRoute, AddedIn: addedIn, Arrivals: p.arrivals.All(), OddConnections: p.odd.seen(),
+		Unserved: unserved, MovedRoute: movedRoute, AddedIn: addedIn, Arrivals: p.arrivals.All(), Bodies: p.arrivals.Bodies(), OddConnections: p.odd.seen(),
 	}
 	e.Runs, e.DroppedRuns = p.runs.Snapshot()
 	for _, i := range p.instances {
--- a/internal/dev/soak/play.go
+++ b/internal/dev/soak/play.go
@@ -104,6 +104,7 @@
 		s := backend.NewServer(fmt.Sprintf("i-%d", n), backend.Config{
 			Service: services[n%len(services)], Domain: domainName(n), Keyed: services[n%len(services)] == keyedService, Slots: slotsPerServer,
 			ClockRate: 1 - maxClockError*p.random.Float64(), Heartbeat: heartbeat, Seed: p.random.Uint64(), Sources: p.sources,
+			AnswersEarly: options.Theme == earlyAnswersTheme,
 		}, p.kv.Store(), p.runs, p.owners, &p.arrivals)
 		p.servers = append(p.servers, s)
 		if err := s.Start(); err != nil {
@@ -203,7 +204,7 @@
 	}
 	return &caller.Caller{
 		Name: fmt.Sprintf("%d-%s", p.seed, name), Domain: domainName(number % min(domainCount, len(p.instances))), Balancer: balancer, Routes: routes(), Log: &p.attempts,
-		OnFault: p.addStray, Slow: p.options.Theme == slowCallersTheme && number%2 == 0, Random: rand.New(rand.NewPCG(p.seed, uint64(100+number))),
+		OnFault: p.addStray, Slow: p.options.Theme == slowCallersTheme && number%2 == 0, AtThresholds: p.options.Theme == earlyAnswersTheme, Random: rand.New(rand.NewPCG(p.seed, uint64(100+number))),
 	}
 }
 
--- a/internal/dev/soak/seeds_test.go
+++ b/internal/dev/soak/seeds_test.go
@@ -96,3 +96,9 @@
 		})
 	}
 }
+
+// Guards against requests that are cut after their success, as their servers answer before they
+// have read (review/11).
+func TestEarlyAnswersSeed(t *testing.T) {
+	playShort(t, 600, earlyAnswersTheme, "a connection was given up or reused before a server that had answered early had got the whole body")
+}
--- a/internal/dev/soak/theme.go
+++ b/internal/dev/soak/theme.go
@@ -35,8 +35,12 @@
 // slowCallersTheme is the name of the theme in which every second caller reads slowly.
 const slowCallersTheme = "slow callers"
 
+// earlyAnswersTheme is the name of the theme in which servers answer before they have read.
+const earlyAnswersTheme = "early answers"
+
 // namedThemes are mixes that only an option selects, so that seeds without it keep their schedules.
 var namedThemes = []theme{
+	{name: earlyAnswersTheme, weights: []weightedKind{{eventStop, 5}, {eventStopTwice, 1}, {eventStopSeveral, 3}, {eventHangup, 1}, {eventConfigure, 1}, {eventKill, 1}, {eventPause, 1}, {eventServerDrain, 2}}},
 	{name: slowCallersTheme, weights: []weightedKind{{eventStop, 5}, {eventStopTwice, 1}, {eventStopSeveral, 4}, {eventHangup, 1}, {eventConfigure, 1}}},
 	{name: "links", weights: []weightedKind{{eventPeerFault, 6}, {eventStoreCut, 2}, {eventStop, 1}, {eventPause, 1}, {eventKill, 1}}, atHolder: true},
 	{name: "backpressure", weights: []weightedKind{{eventServerLeave, 3}, {eventServerLimit, 5}, {eventServerShed, 4}, {eventServerDrain, 1}, {eventStop, 2}, {eventKill, 1}, {eventPause, 1},
