holder: place attempts by the latest facts

Callers got 503 with a pause of 2 s for the first requests of a fleet, although its servers were known.

Cause: the event loop may take a message of an instance before it has looked at facts that are in the registry already, so that it knows no server of the service yet.

Change: it looks at them before it places the attempts of a message. That is one atomic load if nothing has changed.

Evidence: holder.TestAttemptIsPlacedByTheLatestFacts failed before. Reader.Observe returns nothing any more, as the refresh makes its result needless.

--- a/internal/facts/reader.go
+++ b/internal/facts/reader.go
@@ -110,7 +110,7 @@
 // publish puts the last listing into the registry.
 func (r *Reader) publish() {
 	listing := r.listed
-	if r.listedAt.Sub(r.outage.Until) < relistPeriod && !r.observed.rulesOut(r.outage) {
+	if r.mayLack() && !r.observed.rulesOut(r.outage) {
 		for _, s := range listing.Servers {
 			r.returned[s.Incarnation] = true
 		}
@@ -131,20 +131,22 @@
 }
 
 // Observe notes a span in which another instance has read the store without a gap. If it rules
-// out the last outage, the servers that are retained because of that are dropped. It returns
-// whether it has dropped any.
-func (r *Reader) Observe(span Unbroken) bool {
+// out the last outage, the servers that are retained because of that are dropped.
+func (r *Reader) Observe(span Unbroken) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !span.Until.After(r.observed.Until) {
-		return false
+		return
 	}
 	r.observed = span
-	if r.listedAt.IsZero() || r.listedAt.Sub(r.outage.Until) >= relistPeriod || !span.rulesOut(r.outage) {
-		return false
+	if r.mayLack() && span.rulesOut(r.outage) {
+		r.publish()
 	}
-	r.publish()
-	return true
+}
+
+// mayLack reports whether entries of living servers may be missing in the last listing.
+func (r *Reader) mayLack() bool {
+	return r.listedAt.Sub(r.outage.Until) < relistPeriod
 }
 
 // logUnreadable logs each entry that has become unreadable since the last reading.
--- a/internal/holder/followers.go
+++ b/internal/holder/followers.go
@@ -52,11 +52,10 @@
 // Join adds a follower and sends it the facts that it does not have. It returns false when the tenure has ended.
 func (c *Coordinator) Join(f *link.Follower) bool {
 	span, known := f.ReadSpan(time.Now())
-	dropped := known && c.reader.Observe(span) // before the instance is told of servers
+	if known {
+		c.reader.Observe(span) // before the instance is told of servers
+	}
 	return c.enqueue(func() {
-		if dropped {
-			c.refresh(time.Now())
-		}
 		c.followers[f] = true
 		c.followerLog.joined(f)
 		f.JoinedAt = c.stays.join(f, time.Now())
@@ -105,8 +104,8 @@
 	holdings := link.DecodeHoldings(up.Allowed)
 	c.enqueue(func() {
 		now := time.Now()
+		c.refresh(now) // before the attempts in the message are placed
 		if len(up.Backpressure) > 0 {
-			c.refresh(now) // before the attempts in the same message are placed
 			c.pauseServers(f.Instance, up.Backpressure, arrivedAt)
 		}
 		if c.followers[f] {
