entrynode: give each instance of the hedging test a slow server of its own

Cause: the test. Its one slow server is avoided once the first instance has found it slow, so that none of the second instance's requests is slow; its metrics show neither a sent nor a refused hedge.

Change: another server is slow for each instance. As before, each instance must win with a hedge within 20 rounds. On a failure the test prints the traced lines of both logs.

--- a/internal/entrynode/hedging_test.go
+++ b/internal/entrynode/hedging_test.go
@@ -53,6 +53,9 @@
 		for _, i := range instances {
 			i.stop()
 			<-i.ended
+			if t.Failed() {
+				t.Logf("log of instance %s:\n%s", i.config.Name, strings.Join(i.log.traced(), "\n"))
+			}
 		}
 		reserved.Release()
 	})
@@ -65,8 +68,13 @@
 			is.Equal(status, http.StatusOK)
 		}
 	}
-	backends[0].serviceTime.Store(int64(2 * time.Second))
-	for _, i := range instances {
+	for slow, i := range instances { // each with another slow server: the holder avoids one that it has found slow
+		for n, b := range backends {
+			b.serviceTime.Store(int64(5 * time.Millisecond))
+			if n == slow {
+				b.serviceTime.Store(int64(2 * time.Second))
+			}
+		}
 		won := false
 		for round := 0; round < 20 && !won; round++ {
 			var group sync.WaitGroup
