--- a/internal/backhttp/constants.go
+++ b/internal/backhttp/constants.go
@@ -38,8 +38,9 @@
 	// longBodyBytes is the length of a body from which on its write may take a while. Shorter ones
 	// fit into the buffers of the kernel.
 	longBodyBytes = 16 << 10
-	// windowInterval is how often the window of a server is looked at while a request is delivered: before
-	// the first probe of a closed window, with which the kernel looks at its timeout.
+	// windowInterval is how often the window of a server is looked at while a request is
+	// delivered: before the first probe of a closed window, with which the kernel looks at its
+	// timeout.
 	windowInterval = 100 * time.Millisecond
 	// ackTimeout is how long an acknowledgement may take to arrive.
 	ackTimeout = 100 * time.Millisecond
--- a/internal/backhttp/heldback.go
+++ b/internal/backhttp/heldback.go
@@ -1,6 +1,10 @@
 package backhttp
 
-import "io"
+import (
+	"io"
+
+	"github.com/pkg/errors"
+)
 
 // heldBack passes a stream on, but its last byte only once confirm has returned nil. If that
 // returns an error, the stream ends with it in place of the byte.
@@ -23,16 +27,13 @@
 		if n > 0 {
 			n = h.shift(p[:n])
 		}
-		if err == io.EOF {
-			if err = h.confirm(); err == nil {
-				err = io.EOF
-			} else {
-				h.has = false
+		if errors.Is(err, io.EOF) {
+			if failure := h.confirm(); failure != nil {
+				err = failure
 			}
-		} else if err != nil {
-			h.has = false
 		}
 		h.err = err
+		h.has = h.has && (err == nil || errors.Is(err, io.EOF))
 		if n > 0 {
 			return n, nil
 		}
--- a/internal/facts/reader.go
+++ b/internal/facts/reader.go
@@ -33,10 +33,10 @@
 	failed bool
 	// outage is the last span in which the store may have been out, and returned holds the
 	// servers that were listed since.
-	outage   Unbroken
+	outage   ReadSpan
 	returned map[fleet.Incarnation]bool
 	// observed is the latest span without an outage that another instance has told.
-	observed Unbroken
+	observed ReadSpan
 	// listed is the last listing, without servers that are retained, and listedAt when it was
 	// read.
 	listed   fleet.Listing
@@ -99,8 +99,8 @@
 // have expired if the store was out. It was not if no reading has failed, or if another instance
 // has read it meanwhile: then a server that is missing has left.
 func (r *Reader) applyListing(began time.Time, listing fleet.Listing) {
-	if last, known := r.registry.LastUnbroken(); known && r.failed && began.Sub(last.Until) > outageThreshold {
-		r.outage, r.returned = Unbroken{Since: last.Until, Until: began}, map[fleet.Incarnation]bool{}
+	if last, known := r.registry.LastReadSpan(); known && r.failed && began.Sub(last.Until) > outageThreshold {
+		r.outage, r.returned = ReadSpan{Since: last.Until, Until: began}, map[fleet.Incarnation]bool{}
 	}
 	r.logUnreadable(listing.Unreadable)
 	r.listed, r.listedAt = listing, began
@@ -132,7 +132,7 @@
 
 // Observe notes a span in which another instance has read the store without a gap. If it rules
 // out the last outage, the servers that are retained because of that are dropped.
-func (r *Reader) Observe(span Unbroken) {
+func (r *Reader) Observe(span ReadSpan) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !span.Until.After(r.observed.Until) {
--- a/internal/facts/reader_test.go
+++ b/internal/facts/reader_test.go
@@ -131,7 +131,7 @@
 				is := is.New(t)
 				s, registry, r := readOnce(t)
 				read := time.Now()
-				span := Unbroken{Since: read.Add(c.since), Until: read.Add(c.until)}
+				span := ReadSpan{Since: read.Add(c.since), Until: read.Add(c.until)}
 				time.Sleep(5 * time.Second)
 				if s.down = c.failed; c.failed {
 					is.True(r.Read(t.Context()) != nil)
@@ -156,16 +156,16 @@
 	is := is.New(t)
 	begin := time.Now()
 	registry := NewRegistry(decodeVersion, nil)
-	_, known := registry.LastUnbroken()
+	_, known := registry.LastReadSpan()
 	is.True(!known)
 	for _, at := range []time.Duration{0, outageThreshold, time.Second, 2 * outageThreshold} { // one of them late
 		registry.ConfirmRead(begin.Add(at))
 	}
-	span, _ := registry.LastUnbroken()
-	is.Equal(span, Unbroken{begin, begin.Add(2 * outageThreshold)})
+	span, _ := registry.LastReadSpan()
+	is.Equal(span, ReadSpan{begin, begin.Add(2 * outageThreshold)})
 	registry.ConfirmRead(begin.Add(10 * outageThreshold))
-	span, _ = registry.LastUnbroken()
-	is.Equal(span, Unbroken{begin.Add(10 * outageThreshold), begin.Add(10 * outageThreshold)})
+	span, _ = registry.LastReadSpan()
+	is.Equal(span, ReadSpan{begin.Add(10 * outageThreshold), begin.Add(10 * outageThreshold)})
 }
 
 // Guards against a server that has been listed again after an outage and then leaves, but is kept
--- a/internal/facts/registry.go
+++ b/internal/facts/registry.go
@@ -25,7 +25,7 @@
 	lastRefused atomic.Pointer[[]byte]
 	// read is the span that ends when the store was last read for this registry, by this
 	// instance or by another.
-	read atomic.Pointer[Unbroken]
+	read atomic.Pointer[ReadSpan]
 	// eraStart is the latest era of the store of which there are facts, or nil.
 	eraStart atomic.Pointer[eraStart]
 	// crashes remembers the requests that may have crashed servers.
@@ -60,7 +60,7 @@
 func (r *Registry) ConfirmRead(at time.Time) {
 	for {
 		old := r.read.Load()
-		next := Unbroken{Since: at, Until: at}
+		next := ReadSpan{Since: at, Until: at}
 		if old != nil {
 			next = old.extend(at)
 		}
@@ -80,25 +80,25 @@
 // zero time. The snapshot has all that was written to the store before: a time that is loaded
 // after it could be that of the next reading.
 func (r *Registry) ReadSnapshot() (snapshot *Snapshot, readAt time.Time) {
-	if read, known := r.LastUnbroken(); known {
+	if read, known := r.LastReadSpan(); known {
 		readAt = read.Until
 	}
 	return r.Snapshot(), readAt
 }
 
-// LastUnbroken returns the span without a gap that ends with the last reading of the store, and
+// LastReadSpan returns the span without a gap that ends with the last reading of the store, and
 // false if there was none.
-func (r *Registry) LastUnbroken() (Unbroken, bool) {
+func (r *Registry) LastReadSpan() (ReadSpan, bool) {
 	if read := r.read.Load(); read != nil {
 		return *read, true
 	}
-	return Unbroken{}, false
+	return ReadSpan{}, false
 }
 
 // Age returns how long ago the store was last read for this registry, and false if
 // it never was.
 func (r *Registry) Age(now time.Time) (time.Duration, bool) {
-	read, known := r.LastUnbroken()
+	read, known := r.LastReadSpan()
 	return now.Sub(read.Until), known
 }
 
--- a/internal/link/factsreceiver.go
+++ b/internal/link/factsreceiver.go
@@ -53,7 +53,7 @@
 func (r *FactsReceiver) Known() *linkpb.Known {
 	snapshot := r.registry.Snapshot()
 	r.seed = &seed{snapshot, EncodeKnown(snapshot)}
-	if read, known := r.registry.LastUnbroken(); known {
+	if read, known := r.registry.LastReadSpan(); known {
 		r.seed.known.ReadAgeUs = max(1, time.Since(read.Until).Microseconds())
 		r.seed.known.UnbrokenUs = read.Until.Sub(read.Since).Microseconds()
 	}
--- a/internal/link/member.go
+++ b/internal/link/member.go
@@ -28,10 +28,10 @@
 
 // ReadSpan returns in which span the store was read without a gap for the instance, which joins at
 // now, and false if that is unknown. A join that was held up on its way makes it seem later.
-func (m Member) ReadSpan(now time.Time) (span facts.Unbroken, known bool) {
+func (m Member) ReadSpan(now time.Time) (span facts.ReadSpan, known bool) {
 	age, unbroken := m.Known.GetReadAgeUs(), m.Known.GetUnbrokenUs()
 	if age <= 0 || unbroken < 0 {
-		return facts.Unbroken{}, false
+		return facts.ReadSpan{}, false
 	}
 	span.Until = now.Add(-microseconds(age))
 	span.Since = span.Until.Add(-microseconds(unbroken))
