Move functions of three long files into files of their own

No change of behaviour, no line changed but imports: the end, the write and the idle time of a connection to a server, the body of a caller's request, and a gateway's send.

--- a/internal/backhttp/conn.go
+++ b/internal/backhttp/conn.go
@@ -6,8 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -15,7 +13,6 @@
 
 	"peridotmoor.org/peridotmoor/internal/membudget"
 	"peridotmoor.org/peridotmoor/internal/responsehead"
-	"peridotmoor.org/peridotmoor/internal/sockopt"
 )
 
 var (
@@ -79,59 +76,6 @@
 	return out
 }
 
-// abort resets the connection (see sockopt.ResetOnClose), which discards bytes that have
-// not been delivered. When it returns, the kernel sends no more of them, even if another
-// goroutine aborts the connection: that one may have been interrupted in between.
-func (c *conn) abort() {
-	c.end(false)
-}
-
-// abortBecause aborts the connection for the given reason.
-func (c *conn) abortBecause(cause error) {
-	c.cause.CompareAndSwap(nil, &cause)
-	c.abort()
-}
-
-// abortCause returns why the connection was aborted.
-func (c *conn) abortCause() error {
-	if cause := c.cause.Load(); cause != nil {
-		return *cause
-	}
-	return errServerReset
-}
-
-// retire closes a connection on which everything has been delivered, in order: after a reset some
-// systems drop what the server has received and not read yet. It resets the connection if a
-// request has begun on it meanwhile.
-func (c *conn) retire() {
-	c.end(true)
-}
-
-func (c *conn) end(inOrder bool) {
-	if c.closed.Swap(true) {
-		<-c.released
-		return
-	}
-	c.unacknowledged = sockopt.Unacknowledged(c.net)
-	c.closeAborted()
-	if l, ok := c.net.(lingerSetter); ok && inOrder && c.pending.Load() == nil {
-		_ = l.SetLinger(-1) // the connection is closed in any case
-	}
-	_ = c.net.Close() // the connection is abandoned; an error needs no handling
-	close(c.released)
-}
-
-// undelivered returns how many bytes that were written to the connection the server has not
-// acknowledged, or had not when the connection was closed.
-func (c *conn) undelivered() int {
-	n := sockopt.Unacknowledged(c.net) // 0 if the connection is closed
-	if c.closed.Load() {
-		<-c.released
-		return c.unacknowledged
-	}
-	return n
-}
-
 // readLoop is the body of the reader goroutine. It fails the pending request, if any,
 // when the connection ends.
 func (c *conn) readLoop() {
@@ -143,21 +87,6 @@
 	}
 }
 
-// endAfterDelivery ends a connection that carries no more responses, once nothing that was
-// accepted is due: a server may end its side, or send too much, and still read.
-func (c *conn) endAfterDelivery() {
-	if c.due == nil || c.pending.Load() != nil || sockopt.DeliveryOf(c.net).Ended {
-		c.abort()
-		return
-	}
-	select {
-	case <-c.due.settled:
-		c.retire()
-	case <-c.aborted:
-		c.abort() // waits until the kernel has given it up
-	}
-}
-
 func (c *conn) readResponses() error {
 	unmatched := 0
 	for {
@@ -288,60 +217,3 @@
 	}
 	response.Release() // the write of the request has failed, and nobody waits any more
 }
-
-// updateIdleTimeout derives the idle timeout from the server's Keep-Alive header.
-func (c *conn) updateIdleTimeout(header http.Header) {
-	for _, part := range strings.Split(header.Get("Keep-Alive"), ",") {
-		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
-		if !ok {
-			continue
-		}
-		if n, err := strconv.Atoi(value); err == nil {
-			c.idleTimeout = time.Duration(float64(n) * idleTimeoutFraction * float64(time.Second))
-		}
-	}
-}
-
-// canReuse reports whether the connection may carry another request at the time now.
-func (c *conn) canReuse(now time.Time) bool {
-	return c.reusable.Load() && !c.closed.Load() && now.Sub(c.idleSince) < c.idleTimeout
-}
-
-// write writes the complete request.
-func (c *conn) write(request *Request) (result writeResult) {
-	result.bytes, result.err = c.writeParts(request)
-	c.writtenWhole.Store(result.err == nil)
-	c.requestWritten.Store(true)
-	result.at = time.Now()
-	return result
-}
-
-func (c *conn) writeParts(request *Request) (int64, error) {
-	parts := net.Buffers{request.Head}
-	if len(request.Body) > 0 {
-		parts = append(parts, request.Body)
-	}
-	n, err := parts.WriteTo(c.net)
-	if err != nil || request.Remainder == nil {
-		return n, err
-	}
-	more, err := io.Copy(c.net, bodySource{request.Remainder})
-	return n + more, err
-}
-
-// mayStillRespond reports whether the reader goroutine is about to end the exchange although
-// the write of the request has failed with err: with a response that has interrupted the
-// write, or after a reset by the server with what it sent before, which may be a response.
-func (c *conn) mayStillRespond(err error) bool {
-	return c.writeInterrupted.Load() || isEndedByPeer(err)
-}
-
-// readyForNext reports whether the connection may carry another request after one
-// whose write ended with err. It restores the write deadline if complete has changed
-// it because the response came before the write had ended.
-func (c *conn) readyForNext(err error) bool {
-	if err != nil {
-		return false
-	}
-	return !c.writeInterrupted.Swap(false) || c.net.SetWriteDeadline(time.Time{}) == nil
-}
--- /dev/null
+++ b/internal/gateway/send.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"peridotmoor.org/peridotmoor/internal/fleet"
+	"peridotmoor.org/peridotmoor/internal/placing"
+)
+
+// send makes one attempt at the assigned server and reports its end to the scheduler.
+func (g *Gateway) send(ctx context.Context, call *Call, state *callState, decision placing.Decision) AttemptResult {
+	completion := placing.Completion{AttemptID: decision.AttemptID, Server: decision.Server, Outcome: placing.Unused, ContentHash: state.contentHash}
+	server := g.registry.Snapshot().Server(decision.Server)
+	if server != nil && !g.check.isRecent(server.Incarnation, decision.HeardAt, time.Now()) && !g.check.refresh(ctx, server) {
+		// The scheduler spares it for a while, as one that cannot be reached.
+		completion.Outcome = settledOutcome(ctx, placing.Unreached)
+		g.scheduler.Complete(completion)
+		state.sends++
+		return AttemptResult{Outcome: placing.Unreached, Detail: "the facts are too old, and the server has not said that it takes new work"}
+	}
+	maySend := server != nil && g.maySend(server.Incarnation, decision.HeardAt)
+	if server != nil && !maySend {
+		g.scheduler.ReportState(server.Incarnation) // the holder may not know yet what the server has asked
+	}
+	sentAt := time.Now()
+	if !maySend || state.deadline.Sub(sentAt) < minAttemptTime {
+		g.scheduler.Complete(completion)
+		return AttemptResult{Outcome: placing.Unused, Detail: "the assigned server is no longer usable, or too little time is left"}
+	}
+	writtenAt := sentAt
+	result := g.backends.Send(ctx, server, call, state.deadline, func() bool {
+		writtenAt = time.Now()
+		state.factsAge, _ = g.registry.Age(writtenAt)
+		return g.hasSameSender(call, state) && g.maySend(server.Incarnation, decision.HeardAt)
+	})
+	result.Outcome = settledOutcome(ctx, result.Outcome)
+	if result.Open {
+		completion.HeardAt = writtenAt
+		g.check.hear(server.Incarnation, writtenAt)
+	}
+	completion.Outcome, completion.Load, completion.Duration = result.Outcome, result.Load, time.Since(sentAt)
+	g.scheduler.Complete(completion)
+	if result.Outcome == placing.Unused {
+		return result
+	}
+	g.metrics.FactsAge(state.factsAge)
+	state.server = decision.Server
+	state.sends++
+	if result.Outcome != placing.Unreached {
+		call.Tried = append(call.Tried, decision.Server)
+	}
+	return result
+}
+
+// maySend reports whether a server may get a request now, which another instance heard at
+// heardAt. The answer holds for the write that follows at once: the facts change while a
+// connection is made.
+func (g *Gateway) maySend(incarnation fleet.Incarnation, heardAt time.Time) bool {
+	now := time.Now()
+	snapshot := g.registry.Snapshot()
+	server := snapshot.Server(incarnation.Name)
+	return server != nil && server.Incarnation == incarnation && snapshot.MaySend(server, now) && g.check.isRecent(incarnation, heardAt, now)
+}
