--- a/internal/backhttp/connend.go
+++ b/internal/backhttp/connend.go
@@ -37,8 +37,8 @@
 	}
 	c.unacknowledged = sockopt.Unacknowledged(c.net)
 	c.closeAborted()
-	if l, ok := c.net.(lingerSetter); ok && inOrder && c.pending.Load() == nil {
-		_ = l.SetLinger(-1) // the connection is closed in any case
+	if inOrder && c.pending.Load() == nil {
+		sockopt.SetLinger(c.net, -1)
 	}
 	_ = c.net.Close() // the connection is abandoned; an error needs no handling
 	close(c.released)
--- a/internal/callerhttp/memory.go
+++ b/internal/callerhttp/memory.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"peridotmoor.org/peridotmoor/internal/membudget"
+	"peridotmoor.org/peridotmoor/internal/sockopt"
 )
 
 var (
@@ -26,9 +27,7 @@
 	c.broken.Store(true)
 	c.requests.seal()
 	c.cancel(cause)
-	if r, ok := c.net.(lingerSetter); ok {
-		_ = r.SetLinger(0) // the connection is closed in any case
-	}
+	sockopt.SetLinger(c.net, 0)
 	_ = c.net.Close() // reads and writes end; an error has no consequence
 }
 
