--- a/internal/backhttp/acceptedrequest_test.go
+++ b/internal/backhttp/acceptedrequest_test.go
@@ -160,7 +160,7 @@
 	upload.ID = "r-1"
 	_, err := pool.Do(t.Context(), upload)
 	is.NoErr(err)
-	is.Equal(pool.UnfinishedUploads(), 1)
+	is.Equal(pool.Deliveries.Count(), 1)
 	pool.Deliveries.GiveUp()
 	cut := <-cuts
 	is.Equal(cut.RequestID, "r-1")
--- a/internal/backhttp/earlysuccess_test.go
+++ b/internal/backhttp/earlysuccess_test.go
@@ -77,7 +77,7 @@
 			is.NoErr(err)
 			is.Equal(string(response.Body), "early")
 			is.True(<-received == body) // the body arrived whole
-			for pool.UnfinishedUploads() > 0 {
+			for pool.Deliveries.Count() > 0 {
 				time.Sleep(time.Millisecond)
 			}
 			_, err = pool.Do(context.Background(), newRequest("b"))
@@ -109,7 +109,7 @@
 			_, err := pool.Do(ctx, upload)
 			is.NoErr(err)
 			<-ended // the connection is given up
-			for pool.UnfinishedUploads() > 0 {
+			for pool.Deliveries.Count() > 0 {
 				time.Sleep(time.Millisecond)
 			}
 			is.Equal(pool.memory.Held(membudget.Uploads), int64(0))
--- a/internal/backhttp/pool.go
+++ b/internal/backhttp/pool.go
@@ -49,12 +49,6 @@
 	return p.dialCount.Load()
 }
 
-// UnfinishedUploads returns how many requests are still delivered although their response has
-// been returned.
-func (p *Pool) UnfinishedUploads() int {
-	return p.Deliveries.Count()
-}
-
 // Do sends the request and waits for the complete response, or for the start of a
 // long one. After an error, and after the process has ended, the kernel sends no more bytes
 // of the request. A success may come before the server has taken the request: the rest is then
--- a/internal/entrynode/plannedstop.go
+++ b/internal/entrynode/plannedstop.go
@@ -40,7 +40,7 @@
 // more, or the deadline has passed. It waits before it looks for idle ones, as a new connection
 // brings its request soon.
 func (n *Node) drainConnections(deadline time.Time) {
-	for n.callerServer.OpenConnections()+n.backends.UnfinishedUploads() > 0 && time.Now().Before(deadline) {
+	for n.callerServer.OpenConnections()+n.backends.Deliveries.Count() > 0 && time.Now().Before(deadline) {
 		time.Sleep(drainPollInterval)
 		n.callerServer.CloseIdle()
 	}
--- a/internal/entrynode/unfinishedupload_test.go
+++ b/internal/entrynode/unfinishedupload_test.go
@@ -79,7 +79,7 @@
 	}
 	n.stop(serveCallers(n, callers))
 	is.True(reads.Load()) // what the kernel of the server does not take must have been waited for
-	is.Equal(n.backends.UnfinishedUploads(), 0)
+	is.Equal(n.backends.Deliveries.Count(), 0)
 	n.backends.CloseAllExcept(nil)
 	for end := time.Now().Add(5 * time.Second); received.Load() == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
 	}
