gateway: log by what evidence a request was sent, and when

Change: call_ended has server_domain, sent_ms and evidence; domains_out has revision and source; peridotmoor_requests_sent_total counts requests by evidence. No decision changes.

Result: tests of gateway, facts, link and events pass.

--- a/internal/entrynode/metrics.go
+++ b/internal/entrynode/metrics.go
@@ -37,6 +37,7 @@
 	callDuration *prometheus.HistogramVec
 	orderDelay   prometheus.Histogram
 	factsAge     prometheus.Histogram
+	sent         *prometheus.CounterVec
 	teamCalls    *prometheus.CounterVec
 	teams        boundedLabels
 	unauthorized *prometheus.CounterVec
@@ -66,6 +67,10 @@
 			Help:    "Time since the read of the store that the facts come from, by which a request is sent to a backend server.",
 			Buckets: factsAgeBuckets,
 		}),
+		sent: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "peridotmoor", Name: "requests_sent_total",
+			Help: "Requests sent to backend servers, by what showed that the server was not leaving: facts, response, relayed-response, health-check or unchecked.",
+		}, []string{"evidence"}),
 		teamCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "peridotmoor", Name: "team_calls_total",
 			Help: "Calls by team and outcome. Teams above the first 99 are counted as other.",
@@ -87,7 +92,7 @@
 		}),
 		hedges: newHedgeCounter(),
 	}
-	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, m.eventDelay, m.teamCalls, m.unauthorized, m.capRefusals, m.hedges,
+	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, m.sent, m.eventDelay, m.teamCalls, m.unauthorized, m.capRefusals, m.hedges,
 		newHolderCollector(holderStatus), newShortageCollector(holderStatus), newMemoryCollector(memory),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: "peridotmoor", Name: "store_calls_total", Help: "Calls to the platform's store.",
@@ -124,6 +129,11 @@
 	m.factsAge.Observe(age.Seconds())
 }
 
+// Sent counts a request that was sent, by what showed that its server was not leaving.
+func (m *metrics) Sent(evidence string) {
+	m.sent.WithLabelValues(evidence).Inc()
+}
+
 // CapRefused records a call that the usage cap of a team has refused.
 func (m *metrics) CapRefused(team string) {
 	m.capRefusals.WithLabelValues(m.cappedTeams.of(team)).Inc()
--- a/internal/facts/registry.go
+++ b/internal/facts/registry.go
@@ -156,7 +156,7 @@
 			r.log.Emit(events.ConfigInForce, "settings_version", config.Version, "routes", config.RouteCount(), "read_ms_ago", time.Since(at).Milliseconds())
 		}
 		if !slices.Equal(s.OperatorSettings.DomainsOut, settings.DomainsOut) {
-			r.log.Emit(events.DomainsTakenOut, "domains", settings.DomainsOut, "read_ms_ago", time.Since(at).Milliseconds())
+			r.log.Emit(events.DomainsTakenOut, "domains", settings.DomainsOut, "revision", settings.Revision, "read_ms_ago", time.Since(at).Milliseconds(), "source", settings.Source.String())
 		}
 		return s.withOperatorSettings(settings, config)
 	})
@@ -195,7 +195,7 @@
 }
 
 // logLeaving logs the servers that a listing, read at the given time, ends new work for.
-func (r *Registry) logLeaving(old, next *Snapshot, source fleet.ListingSource, at time.Time) {
+func (r *Registry) logLeaving(old, next *Snapshot, source fleet.ReadingSource, at time.Time) {
 	var names []string
 	for _, s := range old.Servers {
 		if current := next.byName[s.Name]; !s.Leaving && (current == nil || current.Incarnation != s.Incarnation || current.Leaving) {
--- a/internal/fleet/listing.go
+++ b/internal/fleet/listing.go
@@ -10,7 +10,7 @@
 	Era, Revision uint64
 	Servers       []Server
 	// Source is how this instance got the reading, for the log.
-	Source ListingSource
+	Source ReadingSource
 	// Unreadable holds the entries that could not be decoded, for the log.
 	Unreadable []UnreadableEntry
 }
--- a/internal/fleet/operatorsettings.go
+++ b/internal/fleet/operatorsettings.go
@@ -10,6 +10,8 @@
 	Config []byte
 	// DomainsOut holds the sorted failure domains whose servers get no new work.
 	DomainsOut []string
+	// Source is how this instance got the reading, for the log.
+	Source ReadingSource
 }
 
 // Version returns the version of the store that was read.
--- a/internal/fleet/listingsource.go
+++ b/internal/fleet/readingsource.go
@@ -1,18 +1,18 @@
 package fleet
 
-// ListingSource is how an instance got a reading of the list of servers.
-type ListingSource uint8
+// ReadingSource is how an instance got a reading of the store.
+type ReadingSource uint8
 
 // The sources.
 const (
 	// SourceStore is a read of its own.
-	SourceStore ListingSource = iota
+	SourceStore ReadingSource = iota
 	// SourceLink is a message from the holder, or from a follower to the holder.
 	SourceLink
 )
 
 // String returns the name of the source in logs.
-func (s ListingSource) String() string {
+func (s ReadingSource) String() string {
 	if s == SourceLink {
 		return "link"
 	}
--- a/internal/gateway/callstate.go
+++ b/internal/gateway/callstate.go
@@ -18,7 +18,12 @@
 	contentHash uint64
 	// sender is the last check of the credential before an attempt.
 	sender authorization
-	server string
+	// server and serverDomain are those of the last attempt that may have been sent.
+	server, serverDomain string
+	// writtenAt is when the last attempt was written, and evidence what showed then that its
+	// server was not leaving.
+	writtenAt time.Time
+	evidence  evidence
 	// factsAge is how old the facts were by which the last attempt was sent.
 	factsAge        time.Duration
 	sends           int
@@ -115,3 +120,12 @@
 	}
 	return Reply{Outcome: OutcomeUnknown, Detail: state.detail}
 }
+
+// sentAfter returns how long after the arrival of the call its last attempt was written, or 0 if
+// none was.
+func (state *callState) sentAfter(call *Call) time.Duration {
+	if state.writtenAt.IsZero() {
+		return 0
+	}
+	return state.writtenAt.Sub(call.ArrivedAt)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,7 +74,7 @@
 		g.recordCapRefusal(call.Team.Name, state.service)
 	}
 	g.log.Emit(events.CallEnded, "request", call.ID, "route", state.route, "service", state.service, "key", call.Key,
-		"outcome", reply.Outcome.String(), "server", state.server, "sends", state.sends, "facts_ms", state.factsAge.Milliseconds(), "ms", duration.Milliseconds(), "limit_ms", state.limit(call).Milliseconds(),
+		"outcome", reply.Outcome.String(), "server", state.server, "server_domain", state.serverDomain, "sends", state.sends, "sent_ms", state.sentAfter(call).Milliseconds(), "evidence", state.evidence.String(), "facts_ms", state.factsAge.Milliseconds(), "ms", duration.Milliseconds(), "limit_ms", state.limit(call).Milliseconds(),
 		"retry_after_ms", reply.RetryAfter.Milliseconds(), "settings_version", state.version, "team", state.sender.teamName(), "detail", reply.Detail)
 	return reply
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,4 +14,6 @@
 	CapRefused(team string)
 	// FactsAge records how old the facts are by which a request is sent.
 	FactsAge(age time.Duration)
+	// Sent counts a request that was sent, by what showed that its server was not leaving.
+	Sent(evidence string)
 }
--- a/internal/gateway/oldfacts_test.go
+++ b/internal/gateway/oldfacts_test.go
@@ -130,7 +130,11 @@
 				}
 				if c.wordAgo > 0 {
 					unanswered := !c.refuses && c.wordAgo == time.Millisecond
-					g.check.words.Store(incarnation, serverWord{askedAt: now.Add(-c.wordAgo), serving: !c.refuses && !unanswered, refuses: c.refuses})
+					word := serverWord{askedAt: now.Add(-c.wordAgo), refuses: c.refuses}
+					if !c.refuses && !unanswered {
+						word.serving = evidenceResponse
+					}
+					g.check.words.Store(incarnation, word)
 				}
 				is.Equal(g.check.isRecent(incarnation, heardAt, now), c.recent)
 				g.check.hear(incarnation, now.Add(-time.Hour)) // a slow response takes nothing back
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -32,6 +32,7 @@
 	result := g.backends.Send(ctx, server, call, state.deadline, func() bool {
 		writtenAt = time.Now()
 		state.factsAge, _ = g.registry.Age(writtenAt)
+		state.writtenAt, state.evidence = writtenAt, g.check.evidenceOf(server.Incarnation, decision.HeardAt, writtenAt)
 		return g.hasSameSender(call, state) && g.maySend(server.Incarnation, decision.HeardAt)
 	})
 	result.Outcome = settledOutcome(ctx, result.Outcome)
@@ -45,7 +46,8 @@
 		return result
 	}
 	g.metrics.FactsAge(state.factsAge)
-	state.server = decision.Server
+	g.metrics.Sent(state.evidence.String())
+	state.server, state.serverDomain = decision.Server, server.Domain
 	state.sends++
 	if result.Outcome != placing.Unreached {
 		call.Tried = append(call.Tried, decision.Server)
--- a/internal/gateway/servercheck.go
+++ b/internal/gateway/servercheck.go
@@ -45,17 +45,27 @@
 	}
 }
 
-// isRecent reports whether the facts, what the server has said itself, or what another
-// instance heard from it at heardAt, is recent at now.
+// isRecent reports whether there is evidence that the server is not leaving.
 func (c *serverCheck) isRecent(server fleet.Incarnation, heardAt, now time.Time) bool {
+	return c.evidenceOf(server, heardAt, now) != evidenceNone
+}
+
+// evidenceOf returns what shows at now that the server is not leaving: the facts, what the
+// server has said itself, or what another instance heard from it at heardAt.
+func (c *serverCheck) evidenceOf(server fleet.Incarnation, heardAt, now time.Time) evidence {
 	if age, known := c.registry.Age(now); known && age <= maxFactsAge {
-		return true
+		return evidenceFacts
 	}
 	word, _ := c.word(server)
-	if word.refuses && word.askedAt.After(heardAt) {
-		return false
+	switch {
+	case word.refuses && word.askedAt.After(heardAt):
+		return evidenceNone
+	case word.serving != evidenceNone && now.Sub(word.askedAt) <= maxFactsAge:
+		return word.serving
+	case now.Sub(heardAt) <= maxFactsAge:
+		return evidenceRelayed
 	}
-	return now.Sub(heardAt) <= maxFactsAge || word.serving && now.Sub(word.askedAt) <= maxFactsAge
+	return evidenceNone
 }
 
 // hear records that a response to a request that was written at the given time shows that
@@ -65,7 +75,7 @@
 		return // words are not needed soon
 	}
 	if word, known := c.word(server); !known || word.askedAt.Before(writtenAt) {
-		c.record(server, serverWord{askedAt: writtenAt, serving: true})
+		c.record(server, serverWord{askedAt: writtenAt, serving: evidenceResponse})
 	}
 }
 
@@ -108,7 +118,7 @@
 	path := c.healthPath(server.Service)
 	if path == "" {
 		// Its service has no health check. Without the store nobody could serve it at all.
-		c.record(server.Incarnation, serverWord{askedAt: time.Now(), serving: true})
+		c.record(server.Incarnation, serverWord{askedAt: time.Now(), serving: evidenceUnchecked})
 		return
 	}
 	_, _, _ = c.asking.Do(server.Incarnation.String(), func() (any, error) {
@@ -117,7 +127,10 @@
 		word := serverWord{askedAt: time.Now()}
 		health, err := c.prober.Health(ctx, server, path)
 		answered := err == nil && health.Server == server.Name
-		word.serving, word.refuses = answered && health.Serving, answered && !health.Serving
+		if answered && health.Serving {
+			word.serving = evidenceHealthCheck
+		}
+		word.refuses = answered && !health.Serving
 		c.record(server.Incarnation, word)
 		return nil, nil // without an answer the server gets no request
 	})
--- a/internal/gateway/serverword.go
+++ b/internal/gateway/serverword.go
@@ -7,8 +7,8 @@
 type serverWord struct {
 	// askedAt is when the request was sent.
 	askedAt time.Time
-	// serving is set if the server is not leaving.
-	serving bool
+	// serving is what shows that the server is not leaving, or evidenceNone.
+	serving evidence
 	// refuses is set if the server takes no new work.
 	refuses bool
 }
--- a/internal/link/factsreceiver.go
+++ b/internal/link/factsreceiver.go
@@ -113,7 +113,7 @@
 		return
 	}
 	settings := r.operatorSettings
-	settings.Era, settings.Revision = version.Era, version.Revision
+	settings.Era, settings.Revision, settings.Source = version.Era, version.Revision, fleet.SourceLink
 	settings = r.registry.KeepKnownDomains(settings, readBy)
 	if r.registry.UpdateOperatorSettings(settings, readBy) && len(settings.DomainsOut) == len(r.operatorSettings.DomainsOut) {
 		r.appliedSettingsSequence.Store(r.registry.Snapshot().OperatorSettingsSequence)
