facts: let an instance without a holder read the store again soon

Cause: after a reading that failed, requests began none for FleetBackoff, up to 16 s in a fleet of 72 instances. That is enough for a fleet in which the holder tells everybody what one instance has read.

Change: the wait depends on whether the instance has a holder when the next request comes, not when the reading failed.

--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -77,7 +77,7 @@
 	n.metrics.registry.MustRegister(newFleetCollector(n.elector.Load, n.elector.Joins, &n.traffic), newDeliveryCollector(&n.backends.Deliveries))
 	n.gateway = gateway.New(gateway.Options{
 		Domain: config.Domain, Registry: n.facts, Scheduler: schedulerClient, Backends: n.backends,
-		Refresher: facts.NewOnDemand(reader, func() time.Duration { return holder.FleetBackoff(schedulerClient.FleetSize()) }, n.elector.ShareReading),
+		Refresher: facts.NewOnDemand(reader, n.elector.ReadBackoff(), n.elector.ShareReading),
 		Prober:    n.backends, Metrics: n.metrics, Log: log,
 		HedgeShare: config.HedgeShare, HedgeMetrics: n.metrics.hedges,
 	})
--- a/internal/facts/ondemand.go
+++ b/internal/facts/ondemand.go
@@ -13,18 +13,17 @@
 // OnDemand reads the store for requests that find the facts too old. It is safe for
 // concurrent use: requests share a reading and wait for it on a channel.
 type OnDemand struct {
-	reader *Reader
-	// pause returns the time after a reading that failed in which requests begin none.
-	pause func() time.Duration
+	reader  *Reader
+	backoff Backoff
 	// onRead is called after each reading that succeeded.
 	onRead func()
 	latest atomic.Pointer[sharedReading]
 }
 
 // NewOnDemand returns an OnDemand that reads with reader and then calls onRead, and that
-// pauses after a reading that failed.
-func NewOnDemand(reader *Reader, pause func() time.Duration, onRead func()) *OnDemand {
-	return &OnDemand{reader: reader, pause: pause, onRead: onRead}
+// waits after a reading that failed.
+func NewOnDemand(reader *Reader, backoff Backoff, onRead func()) *OnDemand {
+	return &OnDemand{reader: reader, backoff: backoff, onRead: onRead}
 }
 
 // Refresh reads the store. It returns false if that takes too long for a request, in which
@@ -32,7 +31,7 @@
 func (o *OnDemand) Refresh(ctx context.Context) bool {
 	now := time.Now()
 	last := o.latest.Load()
-	if last == nil || last.isOver(now) {
+	if last == nil || last.isOver(now, o.backoff.IsAlone()) {
 		next := &sharedReading{beganAt: now, done: make(chan struct{})}
 		if o.latest.CompareAndSwap(last, next) {
 			go o.read(next)
@@ -52,11 +51,12 @@
 
 func (o *OnDemand) read(r *sharedReading) {
 	r.err = o.reader.Read(context.Background()) // for all requests, whichever of them ends
-	r.usableUntil = time.Now()
+	endedAt := time.Now()
+	r.usableUntil, r.usableAloneUntil = endedAt, endedAt
 	if r.err == nil {
 		o.onRead()
 	} else {
-		r.usableUntil = r.usableUntil.Add(o.pause())
+		r.usableUntil, r.usableAloneUntil = endedAt.Add(o.backoff.InFleet()), endedAt.Add(o.backoff.Alone())
 	}
 	close(r.done)
 }
--- a/internal/facts/ondemand_test.go
+++ b/internal/facts/ondemand_test.go
@@ -52,7 +52,11 @@
 				var onRead atomic.Int64
 				s := &countingSource{duration: c.duration}
 				s.down = c.down
-				o := NewOnDemand(NewReader(s, NewRegistry(decodeVersion, nil), nil), func() time.Duration { return time.Second }, func() { onRead.Add(1) })
+				o := NewOnDemand(NewReader(s, NewRegistry(decodeVersion, nil), nil), Backoff{
+					InFleet: func() time.Duration { return time.Second },
+					Alone:   func() time.Duration { return time.Second },
+					IsAlone: func() bool { return false },
+				}, func() { onRead.Add(1) })
 				for _, want := range []bool{c.refreshed, c.again} {
 					for range 20 {
 						go func() {
@@ -69,3 +73,25 @@
 		})
 	}
 }
+
+// Guards against an instance that loses its holder while it waits for as long as a large fleet
+// may, and that goes on without news of a store which serves it again.
+func TestInstanceWithoutAHolderReadsAgainSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var alone atomic.Bool
+		s := &countingSource{}
+		s.down = true
+		o := NewOnDemand(NewReader(s, NewRegistry(decodeVersion, nil), nil), Backoff{
+			InFleet: func() time.Duration { return 15 * time.Second },
+			Alone:   func() time.Duration { return time.Second },
+			IsAlone: alone.Load,
+		}, func() {})
+		is.True(!o.Refresh(t.Context()))
+		s.down = false
+		time.Sleep(2 * time.Second)
+		is.True(!o.Refresh(t.Context())) // its holder hears of the store
+		alone.Store(true)
+		is.True(o.Refresh(t.Context()))
+	})
+}
--- a/internal/gateway/takenoutdomain_test.go
+++ b/internal/gateway/takenoutdomain_test.go
@@ -81,8 +81,11 @@
 					}
 				}}
 				g := newGateway(registry, NewSchedulerClient("i", "d", registry, &fakeProber{}), backends, nil)
-				longPause := func() time.Duration { return 15 * time.Second } // as in a fleet of 72 instances
-				g.check.refresher = facts.NewOnDemand(facts.NewReader(source, registry, nil), longPause, func() {})
+				g.check.refresher = facts.NewOnDemand(facts.NewReader(source, registry, nil), facts.Backoff{
+					InFleet: func() time.Duration { return 15 * time.Second }, // as in a fleet of 72 instances
+					Alone:   func() time.Duration { return time.Second },
+					IsAlone: func() bool { return true },
+				}, func() {})
 				for time.Since(takenOutAt) < 3*maxDomainOutTime {
 					g.Handle(t.Context(), upload())
 					time.Sleep(20 * time.Millisecond)
--- a/internal/holder/backoff.go
+++ b/internal/holder/backoff.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"peridotmoor.org/peridotmoor/internal/facts"
 )
 
 // backoff returns the wait after a failed call to the store. It is random and longer
@@ -24,6 +26,16 @@
 	return wait
 }
 
+// ReadBackoff returns how long requests of this instance begin no reading of the store after one
+// that failed. While it is the holder or follows one, all instances together try often enough.
+func (e *Elector) ReadBackoff() facts.Backoff {
+	return facts.Backoff{
+		InFleet: func() time.Duration { return FleetBackoff(e.client.FleetSize()) },
+		Alone:   backoff,
+		IsAlone: func() bool { return e.current.Load() == nil },
+	}
+}
+
 // sleep waits for d, or until ctx is done.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
