gateway: let nothing but the store tell which failure domains are taken out

Cause: while the facts were older than 1.8 s, a response of a server, one that another instance had heard, or a health check stood in for them. Each shows that the server is not leaving. None says anything of the operators' word on its domain, as its servers answer like all others: a fact of one writer was taken for fresh because the word of another one was. Nothing bounded the age of the domains at the write of a request. Besides, the domains were read only together with the whole configuration, which an instance with 10 Mbit/s may not get within 0.9 s while it is long.

Change: the domains taken out are a part of the facts with a version and an age of their own. A request that finds them older than 3 s waits, for 0.3 s at most, for a reading of them alone, which is short and shared. What servers say does not count for them. If the store does not answer, the request goes on by what is known. call_ended has domains_ms; peridotmoor_domains_out_age_at_send_seconds is the age at each send.

--- a/internal/entrynode/metrics.go
+++ b/internal/entrynode/metrics.go
@@ -23,6 +23,10 @@
 // sent, in seconds. 2 is the time after which a leaving server must get no more requests.
 var factsAgeBuckets = []float64{0.1, 0.3, 0.6, 0.9, 1.2, 1.5, 1.8, 2, 2.5, 4, 8, 16}
 
+// domainsAgeBuckets are the histogram buckets of the age of the domains taken out by which requests
+// are sent, in seconds. 5 is the time after which such a domain must get no more requests.
+var domainsAgeBuckets = []float64{0.3, 0.6, 0.9, 1.2, 1.8, 2.5, 3.5, 4.5, 5, 8, 16}
+
 // maxTeamLabels limits the teams with a label of their own. With the one for all others there
 // are at most 100.
 const maxTeamLabels = 99
@@ -37,6 +41,7 @@
 	callDuration *prometheus.HistogramVec
 	orderDelay   prometheus.Histogram
 	factsAge     prometheus.Histogram
+	domainsAge   prometheus.Histogram
 	sent         *prometheus.CounterVec
 	teamCalls    *prometheus.CounterVec
 	teams        boundedLabels
@@ -67,6 +72,11 @@
 			Help:    "Time since the read of the store that the facts come from, by which a request is sent to a backend server.",
 			Buckets: factsAgeBuckets,
 		}),
+		domainsAge: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: "peridotmoor", Name: "domains_out_age_at_send_seconds",
+			Help:    "Time since the read of the store that the failure domains taken out come from, by which a request is sent to a backend server.",
+			Buckets: domainsAgeBuckets,
+		}),
 		sent: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "peridotmoor", Name: "requests_sent_total",
 			Help: "Requests sent to backend servers, by what showed that the server was not leaving: facts, response, relayed-response, health-check or unchecked.",
@@ -92,7 +102,7 @@
 		}),
 		hedges: newHedgeCounter(),
 	}
-	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, m.sent, m.eventDelay, m.teamCalls, m.unauthorized, m.capRefusals, m.hedges,
+	m.registry.MustRegister(m.callDuration, m.orderDelay, m.factsAge, m.domainsAge, m.sent, m.eventDelay, m.teamCalls, m.unauthorized, m.capRefusals, m.hedges,
 		newHolderCollector(holderStatus), newShortageCollector(holderStatus), newMemoryCollector(memory),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: "peridotmoor", Name: "store_calls_total", Help: "Calls to the platform's store.",
@@ -124,9 +134,11 @@
 	m.unauthorized.WithLabelValues(reason).Inc()
 }
 
-// FactsAge records how old the facts are by which a request is sent.
-func (m *metrics) FactsAge(age time.Duration) {
-	m.factsAge.Observe(age.Seconds())
+// FactsAge records how old the facts are by which a request is sent, and how old the reading of
+// the domains that are taken out.
+func (m *metrics) FactsAge(facts, domainsOut time.Duration) {
+	m.factsAge.Observe(facts.Seconds())
+	m.domainsAge.Observe(domainsOut.Seconds())
 }
 
 // Sent counts a request that was sent, by what showed that its server was not leaving.
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -77,8 +77,9 @@
 	n.metrics.registry.MustRegister(newFleetCollector(n.elector.Load, n.elector.Joins, &n.traffic), newDeliveryCollector(&n.backends.Deliveries))
 	n.gateway = gateway.New(gateway.Options{
 		Domain: config.Domain, Registry: n.facts, Scheduler: schedulerClient, Backends: n.backends,
-		Refresher: facts.NewOnDemand(reader, n.elector.ReadBackoff(), n.elector.ShareReading),
-		Prober:    n.backends, Metrics: n.metrics, Log: log,
+		Refresher:        facts.NewOnDemand(reader, n.elector.ReadBackoff(), n.elector.ShareReading),
+		DomainsRefresher: facts.NewDomainsOnDemand(reader, n.elector.ReadBackoff()),
+		Prober:           n.backends, Metrics: n.metrics, Log: log,
 		HedgeShare: config.HedgeShare, HedgeMetrics: n.metrics.hedges,
 	})
 	reportWriteError := func(id string, err error) { log.Emit(events.CallUnwritten, "request", id, "detail", err.Error()) }
--- a/internal/facts/era_test.go
+++ b/internal/facts/era_test.go
@@ -41,7 +41,7 @@
 	read := func(era uint64, revision uint64, after time.Duration, domains []string, listed ...fleet.Server) {
 		began := at.Add(after)
 		r.UpdateListing(r.KeepKnownServers(fleet.Listing{Era: era, Revision: revision, Servers: listed}, began), began)
-		r.UpdateOperatorSettings(r.KeepKnownDomains(fleet.OperatorSettings{Era: era, Revision: revision, DomainsOut: domains}, began), began)
+		r.UpdateOperatorSettings(fleet.OperatorSettings{Era: era, Revision: revision, DomainsOut: r.KeepKnownDomains(domains, era, began)}, began)
 	}
 	read(1, 10, 0, nil, server("ended", 1, false), server("leaving", 1, false), server("restarted", 1, false))
 	read(1, 50, time.Second, []string{"out"}, server("leaving", 1, true), server("new", 1, false), server("restarted", 2, false))
--- a/internal/facts/keepknown.go
+++ b/internal/facts/keepknown.go
@@ -37,20 +37,20 @@
 	return start.era == era && !start.at.IsZero() && at.Sub(start.at) < rewritePeriod
 }
 
-// KeepKnownDomains adds the failure domains that are known to be taken out to a reading of the
-// store, made at the given time, that may have lost them. The configuration does not go back
-// in any case.
-func (r *Registry) KeepKnownDomains(settings fleet.OperatorSettings, at time.Time) fleet.OperatorSettings {
-	if !r.isRewriting(settings.Era, at) {
-		return settings
+// KeepKnownDomains adds the failure domains that are known to be taken out to those of a reading
+// of the store, made in the given era at the given time, that may have lost them. The
+// configuration does not go back in any case.
+func (r *Registry) KeepKnownDomains(domains []string, era uint64, at time.Time) []string {
+	if !r.isRewriting(era, at) {
+		return domains
 	}
-	settings.DomainsOut = slices.Clone(settings.DomainsOut)
+	domains = slices.Clone(domains)
 	for _, domain := range r.Snapshot().OperatorSettings.DomainsOut {
-		if !slices.Contains(settings.DomainsOut, domain) {
-			settings.DomainsOut = append(settings.DomainsOut, domain)
+		if !slices.Contains(domains, domain) {
+			domains = append(domains, domain)
 		}
 	}
-	return settings
+	return domains
 }
 
 // KeepKnownServers keeps the servers as they are known in a reading of the store, made at the
--- a/internal/facts/ondemand.go
+++ b/internal/facts/ondemand.go
@@ -6,14 +6,21 @@
 	"time"
 )
 
-// refreshWait is how long a request waits for a reading of the store. A healthy store
-// answers in milliseconds.
-const refreshWait = 60 * time.Millisecond
+const (
+	// refreshWait is how long a request waits for a reading of the store. A healthy store
+	// answers in milliseconds.
+	refreshWait = 60 * time.Millisecond
+	// domainsWait is how long a request waits for a reading of the domains taken out, which
+	// nothing but the store tells.
+	domainsWait = 300 * time.Millisecond
+)
 
-// OnDemand reads the store for requests that find the facts too old. It is safe for
-// concurrent use: requests share a reading and wait for it on a channel.
+// OnDemand reads the store for requests that find the facts, or a part of them, too old. It is
+// safe for concurrent use: requests share a reading and wait for it on a channel.
 type OnDemand struct {
-	reader  *Reader
+	readStore func(context.Context) error
+	// wait is how long a request waits for a reading.
+	wait    time.Duration
 	backoff Backoff
 	// onRead is called after each reading that succeeded.
 	onRead func()
@@ -23,7 +30,12 @@
 // NewOnDemand returns an OnDemand that reads with reader and then calls onRead, and that
 // waits after a reading that failed.
 func NewOnDemand(reader *Reader, backoff Backoff, onRead func()) *OnDemand {
-	return &OnDemand{reader: reader, backoff: backoff, onRead: onRead}
+	return &OnDemand{readStore: reader.Read, wait: refreshWait, backoff: backoff, onRead: onRead}
+}
+
+// NewDomainsOnDemand returns an OnDemand that reads only the domains taken out.
+func NewDomainsOnDemand(reader *Reader, backoff Backoff) *OnDemand {
+	return &OnDemand{readStore: reader.ReadDomainsOut, wait: domainsWait, backoff: backoff, onRead: func() {}}
 }
 
 // Refresh reads the store. It returns false if that takes too long for a request, in which
@@ -38,7 +50,7 @@
 		}
 		last = o.latest.Load()
 	}
-	wait := time.NewTimer(last.beganAt.Add(refreshWait).Sub(now))
+	wait := time.NewTimer(last.beganAt.Add(o.wait).Sub(now))
 	defer wait.Stop()
 	select {
 	case <-last.done:
@@ -50,7 +62,7 @@
 }
 
 func (o *OnDemand) read(r *sharedReading) {
-	r.err = o.reader.Read(context.Background()) // for all requests, whichever of them ends
+	r.err = o.readStore(context.Background()) // for all requests, whichever of them ends
 	endedAt := time.Now()
 	r.usableUntil, r.usableAloneUntil = endedAt, endedAt
 	if r.err == nil {
--- a/internal/facts/reader.go
+++ b/internal/facts/reader.go
@@ -69,7 +69,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if settingsErr == nil {
-		r.registry.UpdateOperatorSettings(r.registry.KeepKnownDomains(settings, began), began)
+		settings.DomainsOut = r.registry.KeepKnownDomains(settings.DomainsOut, settings.Era, began)
+		r.registry.UpdateOperatorSettings(settings, began)
 	}
 	if listingErr == nil {
 		r.applyListing(began, listing)
@@ -95,6 +96,22 @@
 	return err
 }
 
+// ReadDomainsOut reads only the failure domains that are taken out: a long configuration may not
+// arrive in time over a slow link.
+func (r *Reader) ReadDomainsOut(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	began := time.Now()
+	domains, err := r.source.DomainsOut(ctx)
+	if err != nil {
+		return err
+	}
+	domains.Domains = r.registry.KeepKnownDomains(domains.Domains, domains.Era, began)
+	r.registry.UpdateDomainsOut(domains, began)
+	r.registry.ConfirmDomainsOut(began)
+	return nil
+}
+
 // applyListing applies a listing. After a gap between two readings, entries of living servers may
 // have expired if the store was out. It was not if no reading has failed, or if another instance
 // has read it meanwhile: then a server that is missing has left.
--- a/internal/facts/reader_test.go
+++ b/internal/facts/reader_test.go
@@ -25,6 +25,13 @@
 	return fleet.OperatorSettings{Config: []byte("1")}, nil
 }
 
+func (s *fakeSource) DomainsOut(context.Context) (fleet.DomainsOut, error) {
+	if s.settingsDown {
+		return fleet.DomainsOut{}, errors.New("down")
+	}
+	return fleet.DomainsOut{}, nil
+}
+
 func (s *fakeSource) Listing(context.Context) (fleet.Listing, error) {
 	if s.down {
 		return fleet.Listing{}, errors.New("down")
--- a/internal/facts/registry.go
+++ b/internal/facts/registry.go
@@ -26,6 +26,9 @@
 	// read is the span that ends when the store was last read for this registry, by this
 	// instance or by another.
 	read atomic.Pointer[ReadSpan]
+	// domainsReadAt is when the domains that are taken out were last read for this registry, or
+	// nil. It is no earlier than the end of read.
+	domainsReadAt atomic.Pointer[time.Time]
 	// eraStart is the latest era of the store of which there are facts, or nil.
 	eraStart atomic.Pointer[eraStart]
 	// crashes remembers the requests that may have crashed servers.
@@ -58,6 +61,7 @@
 
 // ConfirmRead records that the registry has the state of the store at the given time.
 func (r *Registry) ConfirmRead(at time.Time) {
+	r.ConfirmDomainsOut(at)
 	for {
 		old := r.read.Load()
 		next := ReadSpan{Since: at, Until: at}
@@ -70,10 +74,22 @@
 	}
 }
 
+// ConfirmDomainsOut records that the registry has the domains that were taken out at the given
+// time.
+func (r *Registry) ConfirmDomainsOut(at time.Time) {
+	for {
+		old := r.domainsReadAt.Load()
+		if old != nil && !at.After(*old) || r.domainsReadAt.CompareAndSwap(old, &at) {
+			return
+		}
+	}
+}
+
 // ForgetRead makes the age of the facts unknown: the clock by which it is counted has stood
 // still.
 func (r *Registry) ForgetRead() {
 	r.read.Store(nil)
+	r.domainsReadAt.Store(nil)
 }
 
 // ReadSnapshot returns the current snapshot and when the store was last read for it, or the
@@ -102,6 +118,16 @@
 	return now.Sub(read.Until), known
 }
 
+// DomainsAge returns how long ago the domains that are taken out were last read for this registry,
+// and false if they never were.
+func (r *Registry) DomainsAge(now time.Time) (time.Duration, bool) {
+	at := r.domainsReadAt.Load()
+	if at == nil {
+		return 0, false
+	}
+	return now.Sub(*at), true
+}
+
 // update publishes the snapshot that next derives from the current one. next may be
 // called more than once and returns nil for no change.
 func (r *Registry) update(next func(*Snapshot) *Snapshot) bool {
@@ -149,20 +175,44 @@
 		if s.Config != nil && config != nil && config.Version < s.Config.Version {
 			config, settings.Config = s.Config, s.OperatorSettings.Config
 		}
+		if settings.Version().Before(s.DomainsVersion) {
+			settings.DomainsOut = s.OperatorSettings.DomainsOut
+		}
 		if s.Config == config && slices.Equal(s.OperatorSettings.DomainsOut, settings.DomainsOut) {
 			return s.withSettingsVersion(settings.Version())
 		}
 		if s.Config != config {
 			r.log.Emit(events.ConfigInForce, "settings_version", config.Version, "routes", config.RouteCount(), "read_ms_ago", time.Since(at).Milliseconds())
 		}
-		if !slices.Equal(s.OperatorSettings.DomainsOut, settings.DomainsOut) {
-			r.log.Emit(events.DomainsTakenOut, "domains", settings.DomainsOut, "revision", settings.Revision, "read_ms_ago", time.Since(at).Milliseconds(), "source", settings.Source.String())
-		}
+		r.logDomainsOut(s, settings.DomainsOut, settings.Revision, at, settings.Source)
 		return s.withOperatorSettings(settings, config)
 	})
 	return !older
 }
 
+// UpdateDomainsOut applies the domains that are taken out, as read at the given time. It returns
+// false if the reading is older than the registry's.
+func (r *Registry) UpdateDomainsOut(d fleet.DomainsOut, at time.Time) bool {
+	r.noteEra(d.Era, at)
+	domains := slices.Sorted(slices.Values(d.Domains))
+	older := false
+	r.update(func(s *Snapshot) *Snapshot {
+		if older = d.Version().Before(s.DomainsVersion); older {
+			return nil
+		}
+		r.logDomainsOut(s, domains, d.Revision, at, d.Source)
+		return s.withDomainsOut(domains, d.Version())
+	})
+	return !older
+}
+
+// logDomainsOut logs a reading of the domains taken out that differs from those of a snapshot.
+func (r *Registry) logDomainsOut(s *Snapshot, domains []string, revision uint64, at time.Time, source fleet.ReadingSource) {
+	if !slices.Equal(s.OperatorSettings.DomainsOut, domains) {
+		r.log.Emit(events.DomainsTakenOut, "domains", domains, "revision", revision, "read_ms_ago", time.Since(at).Milliseconds(), "source", source.String())
+	}
+}
+
 func (r *Registry) logRefusal(text []byte, err error) {
 	if old := r.lastRefused.Load(); old != nil && bytes.Equal(*old, text) {
 		return
--- a/internal/facts/snapshot.go
+++ b/internal/facts/snapshot.go
@@ -1,6 +1,7 @@
 package facts
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -16,6 +17,9 @@
 	// configuration, or nil if there is none yet.
 	OperatorSettings fleet.OperatorSettings
 	Config           *fleet.Config
+	// DomainsVersion is the version of the store as of which OperatorSettings.DomainsOut is known.
+	// It is later than that of the settings if the domains were read by themselves since.
+	DomainsVersion store.Version
 	// Servers holds the listed servers as of the version ListingVersion of the store.
 	Servers        []fleet.Server
 	ListingVersion store.Version
@@ -39,7 +43,7 @@
 
 // Era returns the latest era of the store from which the snapshot has facts.
 func (s *Snapshot) Era() uint64 {
-	return max(s.OperatorSettings.Era, s.ListingVersion.Era)
+	return max(s.OperatorSettings.Era, s.DomainsVersion.Era, s.ListingVersion.Era)
 }
 
 // Server returns the listed server of that name, or nil.
@@ -123,9 +127,36 @@
 	}
 	next := *s
 	next.OperatorSettings.Era, next.OperatorSettings.Revision = version.Era, version.Revision
+	if next.DomainsVersion.Before(version) {
+		next.DomainsVersion = version
+	}
 	return &next
 }
 
+// withDomainsOut returns a snapshot with the domains taken out as of a version of the store, or
+// nil if it has them as of that version already.
+func (s *Snapshot) withDomainsOut(domains []string, version store.Version) *Snapshot {
+	same := slices.Equal(domains, s.OperatorSettings.DomainsOut)
+	if same && version == s.DomainsVersion {
+		return nil
+	}
+	next := *s
+	next.DomainsVersion = version
+	if !same {
+		next.setDomainsOut(domains)
+		next.OperatorSettingsSequence++
+	}
+	return &next
+}
+
+func (s *Snapshot) setDomainsOut(domains []string) {
+	s.OperatorSettings.DomainsOut = domains
+	s.domainsOut = make(map[string]bool, len(domains))
+	for _, d := range domains {
+		s.domainsOut[d] = true
+	}
+}
+
 // withListingVersion is the equivalent of withSettingsVersion for the listing.
 func (s *Snapshot) withListingVersion(version store.Version) *Snapshot {
 	if version == s.ListingVersion {
@@ -140,9 +171,9 @@
 	next := *s
 	next.OperatorSettings, next.Config = settings, config
 	next.OperatorSettingsSequence++
-	next.domainsOut = map[string]bool{}
-	for _, d := range settings.DomainsOut {
-		next.domainsOut[d] = true
+	next.setDomainsOut(settings.DomainsOut)
+	if next.DomainsVersion.Before(settings.Version()) {
+		next.DomainsVersion = settings.Version()
 	}
 	return &next
 }
--- a/internal/facts/source.go
+++ b/internal/facts/source.go
@@ -10,6 +10,9 @@
 type Source interface {
 	// OperatorSettings returns what the operators have written.
 	OperatorSettings(ctx context.Context) (fleet.OperatorSettings, error)
+	// DomainsOut returns only the failure domains that the operators have taken out: a short
+	// response, however long the configuration is.
+	DomainsOut(ctx context.Context) (fleet.DomainsOut, error)
 	// Listing returns the listed backend servers.
 	Listing(ctx context.Context) (fleet.Listing, error)
 }
--- a/internal/gateway/callstate.go
+++ b/internal/gateway/callstate.go
@@ -24,10 +24,11 @@
 	// server was not leaving.
 	writtenAt time.Time
 	evidence  evidence
-	// factsAge is how old the facts were by which the last attempt was sent.
-	factsAge        time.Duration
-	sends           int
-	unusedDecisions int
+	// factsAge is how old the facts were by which the last attempt was sent, and domainsAge how old
+	// the reading of the domains that are taken out.
+	factsAge, domainsAge time.Duration
+	sends                int
+	unusedDecisions      int
 	// mayHaveRun is set when an attempt ended without proof that the request did not run.
 	mayHaveRun bool
 	detail     string
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,7 +40,7 @@
 	return &Gateway{
 		domain: o.Domain, registry: o.Registry, scheduler: o.Scheduler, backends: o.Backends, metrics: o.Metrics, log: o.Log,
 		hedger: newHedger(o.HedgeShare, o.HedgeMetrics),
-		check:  &serverCheck{registry: o.Registry, refresher: o.Refresher, prober: o.Prober, log: o.Log},
+		check:  &serverCheck{registry: o.Registry, refresher: o.Refresher, domains: o.DomainsRefresher, prober: o.Prober, log: o.Log},
 	}
 }
 
@@ -74,7 +74,7 @@
 		g.recordCapRefusal(call.Team.Name, state.service)
 	}
 	g.log.Emit(events.CallEnded, "request", call.ID, "route", state.route, "service", state.service, "key", call.Key,
-		"outcome", reply.Outcome.String(), "server", state.server, "server_domain", state.serverDomain, "sends", state.sends, "sent_ms", state.sentAfter(call).Milliseconds(), "evidence", state.evidence.String(), "facts_ms", state.factsAge.Milliseconds(), "ms", duration.Milliseconds(), "limit_ms", state.limit(call).Milliseconds(),
+		"outcome", reply.Outcome.String(), "server", state.server, "server_domain", state.serverDomain, "sends", state.sends, "sent_ms", state.sentAfter(call).Milliseconds(), "evidence", state.evidence.String(), "facts_ms", state.factsAge.Milliseconds(), "domains_ms", state.domainsAge.Milliseconds(), "ms", duration.Milliseconds(), "limit_ms", state.limit(call).Milliseconds(),
 		"retry_after_ms", reply.RetryAfter.Milliseconds(), "settings_version", state.version, "team", state.sender.teamName(), "detail", reply.Detail)
 	return reply
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -12,8 +12,9 @@
 	CallUnauthorized(reason string)
 	// CapRefused records a call that the usage cap of a team has refused.
 	CapRefused(team string)
-	// FactsAge records how old the facts are by which a request is sent.
-	FactsAge(age time.Duration)
+	// FactsAge records how old the facts are by which a request is sent, and how old the reading of
+	// the domains that are taken out.
+	FactsAge(facts, domainsOut time.Duration)
 	// Sent counts a request that was sent, by what showed that its server was not leaving.
 	Sent(evidence string)
 }
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -15,9 +15,11 @@
 	Scheduler *SchedulerClient
 	Backends  BackendClient
 	Refresher FactsRefresher
-	Prober    fleet.Prober
-	Metrics   Metrics
-	Log       *events.Logger
+	// DomainsRefresher reads only the failure domains that are taken out.
+	DomainsRefresher FactsRefresher
+	Prober           fleet.Prober
+	Metrics          Metrics
+	Log              *events.Logger
 	// HedgeShare is the share of hedges that the holder allows, or 0 if none are to be sent.
 	// HedgeMetrics is required if it is above 0.
 	HedgeShare   float64
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -11,6 +11,7 @@
 // send makes one attempt at the assigned server and reports its end to the scheduler.
 func (g *Gateway) send(ctx context.Context, call *Call, state *callState, decision placing.Decision) AttemptResult {
 	completion := placing.Completion{AttemptID: decision.AttemptID, Server: decision.Server, Outcome: placing.Unused, ContentHash: state.contentHash}
+	g.check.refreshDomains(ctx)
 	server := g.registry.Snapshot().Server(decision.Server)
 	if server != nil && !g.check.isRecent(server.Incarnation, decision.HeardAt, time.Now()) && !g.check.refresh(ctx, server) {
 		// The scheduler spares it for a while, as one that cannot be reached.
@@ -32,6 +33,7 @@
 	result := g.backends.Send(ctx, server, call, state.deadline, func() bool {
 		writtenAt = time.Now()
 		state.factsAge, _ = g.registry.Age(writtenAt)
+		state.domainsAge, _ = g.registry.DomainsAge(writtenAt)
 		state.writtenAt, state.evidence = writtenAt, g.check.evidenceOf(server.Incarnation, decision.HeardAt, writtenAt)
 		return g.hasSameSender(call, state) && g.maySend(server.Incarnation, decision.HeardAt)
 	})
@@ -45,7 +47,7 @@
 	if result.Outcome == placing.Unused {
 		return result
 	}
-	g.metrics.FactsAge(state.factsAge)
+	g.metrics.FactsAge(state.factsAge, state.domainsAge)
 	g.metrics.Sent(state.evidence.String())
 	state.server, state.serverDomain = decision.Server, server.Domain
 	state.sends++
--- a/internal/gateway/takenoutdomain_test.go
+++ b/internal/gateway/takenoutdomain_test.go
@@ -49,6 +49,10 @@
 	return fleet.OperatorSettings{Revision: 2, Config: []byte("c"), DomainsOut: []string{"d"}}, nil
 }
 
+func (s *domainSource) DomainsOut(context.Context) (fleet.DomainsOut, error) {
+	return fleet.DomainsOut{Revision: 2, Domains: []string{"d"}}, s.refusal()
+}
+
 func (s *domainSource) Listing(context.Context) (fleet.Listing, error) {
 	return fleet.Listing{Revision: 2, Servers: s.servers}, s.refusal()
 }
@@ -61,6 +65,7 @@
 		refusesFor, configTime time.Duration
 	}{
 		"the store refuses the first reading": {refusesFor: 2 * time.Second},
+		"the store refuses several":           {refusesFor: 3500 * time.Millisecond},
 		"the configuration is long":           {configTime: time.Hour},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -81,11 +86,13 @@
 					}
 				}}
 				g := newGateway(registry, NewSchedulerClient("i", "d", registry, &fakeProber{}), backends, nil)
-				g.check.refresher = facts.NewOnDemand(facts.NewReader(source, registry, nil), facts.Backoff{
+				reader, backoff := facts.NewReader(source, registry, nil), facts.Backoff{
 					InFleet: func() time.Duration { return 15 * time.Second }, // as in a fleet of 72 instances
 					Alone:   func() time.Duration { return time.Second },
 					IsAlone: func() bool { return true },
-				}, func() {})
+				}
+				g.check.refresher = facts.NewOnDemand(reader, backoff, func() {})
+				g.check.domains = facts.NewDomainsOnDemand(reader, backoff)
 				for time.Since(takenOutAt) < 3*maxDomainOutTime {
 					g.Handle(t.Context(), upload())
 					time.Sleep(20 * time.Millisecond)
@@ -98,6 +105,36 @@
 	}
 }
 
+// Guards against the first requests after a while without any, which an instance without a holder
+// sent to a domain that had been taken out long before: a health check was faster than the reading.
+func TestFirstRequestAfterAWhileSparesADomainTakenOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		registry := newRegistry(fleet.KindUpload)
+		source := &domainSource{configTime: 500 * time.Millisecond, servers: registry.Snapshot().Servers}
+		for i := range source.servers {
+			source.servers[i].Domain = "d"
+		}
+		registry.UpdateListing(fleet.Listing{Revision: 1, Servers: source.servers}, time.Now())
+		prober := &fakeProber{name: "a", serving: true}
+		backends := &respondingClient{onSend: func(*fleet.Server) { t.Error("a request was sent to the domain") }}
+		g := newGateway(registry, NewSchedulerClient("i", "d", registry, prober), backends, nil)
+		g.check.prober = prober
+		reader, backoff := facts.NewReader(source, registry, nil), facts.Backoff{
+			InFleet: func() time.Duration { return time.Second },
+			Alone:   func() time.Duration { return time.Second },
+			IsAlone: func() bool { return true },
+		}
+		g.check.refresher = facts.NewOnDemand(reader, backoff, func() {})
+		g.check.domains = facts.NewDomainsOnDemand(reader, backoff)
+		time.Sleep(2 * maxDomainOutTime)
+		for range 30 {
+			is.Equal(g.Handle(t.Context(), upload()).Outcome, OutcomeNotRun)
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+}
+
 // respondingClient answers each call at once, with a response that shows that the server is not
 // leaving.
 type respondingClient struct {
--- a/internal/holder/emptysource_test.go
+++ b/internal/holder/emptysource_test.go
@@ -13,6 +13,10 @@
 	return fleet.OperatorSettings{}, nil
 }
 
+func (emptySource) DomainsOut(context.Context) (fleet.DomainsOut, error) {
+	return fleet.DomainsOut{}, nil
+}
+
 func (emptySource) Listing(context.Context) (fleet.Listing, error) {
 	return fleet.Listing{}, nil
 }
--- a/internal/holder/observedreading_test.go
+++ b/internal/holder/observedreading_test.go
@@ -20,6 +20,10 @@
 	return fleet.OperatorSettings{}, nil
 }
 
+func (s *switchableSource) DomainsOut(context.Context) (fleet.DomainsOut, error) {
+	return fleet.DomainsOut{}, nil
+}
+
 func (s *switchableSource) Listing(context.Context) (fleet.Listing, error) {
 	if s.out {
 		return fleet.Listing{}, errors.New("out")
--- a/internal/link/factsreceiver.go
+++ b/internal/link/factsreceiver.go
@@ -114,7 +114,7 @@
 	}
 	settings := r.operatorSettings
 	settings.Era, settings.Revision, settings.Source = version.Era, version.Revision, fleet.SourceLink
-	settings = r.registry.KeepKnownDomains(settings, readBy)
+	settings.DomainsOut = r.registry.KeepKnownDomains(settings.DomainsOut, settings.Era, readBy)
 	if r.registry.UpdateOperatorSettings(settings, readBy) && len(settings.DomainsOut) == len(r.operatorSettings.DomainsOut) {
 		r.appliedSettingsSequence.Store(r.registry.Snapshot().OperatorSettingsSequence)
 	}
