link: count facts as read only if the domains taken out are those of the reading

Cause: a reading that a follower makes in place of the holder left the operators' settings out if the follower had what the holder had last sent it. The holder may know others by then: operators take a domain out, back, and out again, and a reading of the last state leaves out what equals the first. The holder counted its facts as of that reading and went on with the state between. By reading, a follower could also note settings as those of its holder that another reading had replaced between two steps of applySettings.

Change: a reading always names the domains taken out, without the configuration unless that has changed. A message confirms the facts only if the registry has the sender's domains as of that version or later. Settings are noted as the sender's only if the registry still has their version.

TestRejectedFactsConfirmNothing has a new case, a message without domains, which confirms nothing; its other messages name the domains now, as readings do, and expect what they did. A holder of this version does not confirm its facts by readings of followers of the version before.

--- a/internal/link/era_test.go
+++ b/internal/link/era_test.go
@@ -41,7 +41,8 @@
 }
 
 // Guards against facts that count as newly read although the registry has rejected the newer
-// ones: of a sender that tells no era, or with a part of an era before.
+// ones: of a sender that tells no era, or with a part of an era before; and against domains taken
+// out that count as read although the message does not tell them.
 func TestRejectedFactsConfirmNothing(t *testing.T) {
 	now := time.Unix(1000, 0)
 	for _, c := range []struct {
@@ -49,11 +50,12 @@
 		message  *linkpb.Facts
 		confirms bool
 	}{
-		{"no era", &linkpb.Facts{OrdersRevision: 990, ListingRevision: 990}, false},
-		{"listing of an era before", &linkpb.Facts{Era: 2, OrdersRevision: 5}, false},
-		{"settings of an era before", &linkpb.Facts{Era: 2, ListingRevision: 5}, false},
-		{"same era", &linkpb.Facts{Era: 1, OrdersRevision: 990, ListingRevision: 990}, true},
-		{"later era", &linkpb.Facts{Era: 2, OrdersRevision: 5, ListingRevision: 5}, true},
+		{"no era", &linkpb.Facts{OrdersRevision: 990, ListingRevision: 990, Orders: &linkpb.Orders{}}, false},
+		{"listing of an era before", &linkpb.Facts{Era: 2, OrdersRevision: 5, Orders: &linkpb.Orders{}}, false},
+		{"settings of an era before", &linkpb.Facts{Era: 2, ListingRevision: 5, Orders: &linkpb.Orders{}}, false},
+		{"same era", &linkpb.Facts{Era: 1, OrdersRevision: 990, ListingRevision: 990, Orders: &linkpb.Orders{}}, true},
+		{"later era", &linkpb.Facts{Era: 2, OrdersRevision: 5, ListingRevision: 5, Orders: &linkpb.Orders{}}, true},
+		{"domains not told", &linkpb.Facts{Era: 1, OrdersRevision: 990, ListingRevision: 990}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/link/factsreceiver.go
+++ b/internal/link/factsreceiver.go
@@ -21,9 +21,12 @@
 // newer read of its own rejects the sender's facts until they are the newest. Apply is
 // not safe for concurrent use; EncodeReading is.
 type FactsReceiver struct {
-	registry         *facts.Registry
-	clock            *Clock
+	registry *facts.Registry
+	clock    *Clock
+	// operatorSettings has no configuration until the sender has told one, and domainsTold is set
+	// once it has told the domains that are taken out.
 	operatorSettings fleet.OperatorSettings
+	domainsTold      bool
 	// servers holds the servers ordered by name. It is replaced, not changed.
 	servers     []fleet.Server
 	ownedRanges map[string][]owners.OwnedRange
@@ -98,25 +101,45 @@
 	if readBy.IsZero() {
 		readBy = now
 	}
-	r.applySettings(decodeRevision(f.OrdersRevision, f.Era), readBy)
+	settings := decodeRevision(f.OrdersRevision, f.Era)
+	r.applySettings(settings, readBy)
 	r.applyListing(decodeRevision(f.ListingRevision, f.Era), readBy)
-	if !readAt.IsZero() && confirms(f, r.registry.Snapshot().Era()) {
+	if !readAt.IsZero() && confirms(f, r.registry.Snapshot().Era()) && r.hasDomainsOf(settings) {
 		r.registry.ConfirmRead(readAt)
 	}
 }
 
+// hasDomainsOf reports whether the registry has the domains that the sender knew to be taken out
+// as of the given version, or as of a later one. A message without domains does not tell them:
+// it was made for a registry that may have got others since.
+func (r *FactsReceiver) hasDomainsOf(version store.Version) bool {
+	snapshot := r.registry.Snapshot()
+	return r.appliedSettingsSequence.Load() == snapshot.OperatorSettingsSequence || !snapshot.DomainsVersion.Before(version)
+}
+
 // applySettings publishes the operators' settings unless the registry has them. The sender may
 // be new, and have read the store after it lost domains that this instance knows. While these
 // are kept, the settings are published again with each message.
 func (r *FactsReceiver) applySettings(version store.Version, readBy time.Time) {
-	if r.operatorSettings.Config == nil || r.appliedSettingsSequence.Load() == r.registry.Snapshot().OperatorSettingsSequence {
+	if r.appliedSettingsSequence.Load() == r.registry.Snapshot().OperatorSettingsSequence {
 		return
 	}
 	settings := r.operatorSettings
 	settings.Era, settings.Revision, settings.Source = version.Era, version.Revision, fleet.SourceLink
 	settings.DomainsOut = r.registry.KeepKnownDomains(settings.DomainsOut, settings.Era, readBy)
-	if r.registry.UpdateOperatorSettings(settings, readBy) && len(settings.DomainsOut) == len(r.operatorSettings.DomainsOut) {
-		r.appliedSettingsSequence.Store(r.registry.Snapshot().OperatorSettingsSequence)
+	switch {
+	case settings.Config != nil:
+		r.registry.UpdateOperatorSettings(settings, readBy)
+	case r.domainsTold:
+		r.registry.UpdateDomainsOut(fleet.DomainsOut{Era: settings.Era, Revision: settings.Revision, Domains: settings.DomainsOut, Source: fleet.SourceLink}, readBy)
+		return // the configuration may differ
+	default:
+		return
+	}
+	// Another reading may have been published since, which the sender does not know.
+	snapshot := r.registry.Snapshot()
+	if snapshot.OperatorSettings.Version() == version && slices.Equal(snapshot.OperatorSettings.DomainsOut, r.operatorSettings.DomainsOut) {
+		r.appliedSettingsSequence.Store(snapshot.OperatorSettingsSequence)
 	}
 }
 
@@ -140,11 +163,15 @@
 }
 
 // EncodeReading converts what this instance has read from the store, as a message to
-// the sender: the parts that differ from what the sender sent. It also returns when the
-// store was read.
+// the sender: the parts that differ from what the sender sent, and always the domains that are
+// taken out, as the sender may know others by now. It also returns when the store was read.
 func (r *FactsReceiver) EncodeReading(now time.Time) (reading *linkpb.Facts, readAt time.Time) {
 	snapshot, readAt := r.registry.ReadSnapshot()
-	return EncodeFacts(snapshot, SentSequences{OperatorSettings: r.appliedSettingsSequence.Load(), Listing: r.appliedListingSequence.Load(), OwnedRanges: snapshot.OwnedRangesSequence, Backpressure: snapshot.BackpressureSequence}, nil, now), readAt
+	reading = EncodeFacts(snapshot, SentSequences{OperatorSettings: r.appliedSettingsSequence.Load(), Listing: r.appliedListingSequence.Load(), OwnedRanges: snapshot.OwnedRangesSequence, Backpressure: snapshot.BackpressureSequence}, nil, now)
+	if reading.Orders == nil {
+		reading.Orders = &linkpb.Orders{DomainsOut: snapshot.OperatorSettings.DomainsOut}
+	}
+	return reading, readAt
 }
 
 // abandon makes the receiver ignore all further messages, and the instance read the store itself.
@@ -159,7 +186,10 @@
 		r.resume(f)
 	}
 	if f.Orders != nil {
-		r.operatorSettings = fleet.OperatorSettings{Config: f.Orders.Config, DomainsOut: f.Orders.DomainsOut}
+		if len(f.Orders.Config) > 0 {
+			r.operatorSettings.Config = f.Orders.Config
+		}
+		r.operatorSettings.DomainsOut, r.domainsTold = f.Orders.DomainsOut, true
 		r.appliedSettingsSequence.Store(notApplied)
 	}
 	if l := f.Listing; l != nil && l.More {
@@ -202,7 +232,7 @@
 // sender knows too.
 func (r *FactsReceiver) resume(f *linkpb.Facts) {
 	if f.Resumed.Orders {
-		r.operatorSettings = r.seed.snapshot.OperatorSettings
+		r.operatorSettings, r.domainsTold = r.seed.snapshot.OperatorSettings, true
 	}
 	if f.Resumed.Listing && len(r.seed.known.Listing) > 0 {
 		r.servers = r.seed.servers(f.Resumed.ListingBuckets)
