holder: remember whom to ask for the successor

Cause: an instance learns the addresses of others only while it follows a holder. A holder from the start on knew none.

Change: the holder keeps the peers that it tells its own instance.

Result: TestFormerHolderKnowsWhomToAskForItsSuccessor failed before and passes.

--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -9,6 +9,7 @@
 	"peridotmoor.org/peridotmoor/internal/events"
 	"peridotmoor.org/peridotmoor/internal/fleet"
 	"peridotmoor.org/peridotmoor/internal/link"
+	"peridotmoor.org/peridotmoor/internal/link/linkpb"
 	"peridotmoor.org/peridotmoor/internal/owners"
 	"peridotmoor.org/peridotmoor/internal/store"
 )
@@ -184,7 +185,11 @@
 		c.run()
 	}()
 	receiver, onDown := e.client.NewReceiver()
-	if local := link.JoinLocal(e, e.member(receiver.Known()), receiver.Clock(), onDown); local != nil {
+	onOwnDown := func(down *linkpb.Down) {
+		e.rememberPeers(down) // to find the successor while the store turns this instance away
+		onDown(down)
+	}
+	if local := link.JoinLocal(e, e.member(receiver.Known()), receiver.Clock(), onOwnDown); local != nil {
 		e.client.Attach(local)
 		defer local.Close()
 		defer e.plannedStop.announce(local)()
--- a/internal/holder/peers_test.go
+++ b/internal/holder/peers_test.go
@@ -92,6 +92,30 @@
 	is.Equal(third.waitForHolder(t, "entry-1"), "entry-2")
 }
 
+// Guards against a holder that the store turns away, and that finds nobody to ask for its
+// successor for as long as that lasts: it had never followed another one.
+func TestFormerHolderKnowsWhomToAskForItsSuccessor(t *testing.T) {
+	is := is.New(t)
+	shared := memstore.New()
+	first := startReachable(t, shared, "entry-1")
+	defer first.end()
+	is.Equal(first.waitForHolder(t, ""), "entry-1")
+	second := startReachable(t, shared, "entry-2")
+	defer second.end()
+	is.Equal(second.waitForHolder(t, ""), "entry-1")
+	for range 300 { // until it knows of entry-2
+		if first.elector.peers.Load() != nil {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	successor := Identity{Name: "entry-3", Incarnation: "K55N5AKH", Address: "127.0.0.1:1", Domain: "d", Tenure: 1}
+	second.elector.current.Store(&successor)
+	next, found := first.elector.askPeers(t.Context(), Identity{})
+	is.True(found)
+	is.Equal(next, successor)
+}
+
 // Guards against peers that have left, or that are all lost together with a failure domain.
 func TestFollowersKnowPeersOfOtherDomains(t *testing.T) {
 	is := is.New(t)
