--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -62,7 +62,9 @@
 // connection is made.
 func (g *Gateway) maySend(incarnation fleet.Incarnation, heardAt time.Time) bool {
 	now := time.Now()
+	// Before the snapshot is loaded: a snapshot from before may lack what a later reading has.
+	recent := g.check.isRecent(incarnation, heardAt, now)
 	snapshot := g.registry.Snapshot()
 	server := snapshot.Server(incarnation.Name)
-	return server != nil && server.Incarnation == incarnation && snapshot.MaySend(server, now) && g.check.isRecent(incarnation, heardAt, now)
+	return recent && server != nil && server.Incarnation == incarnation && snapshot.MaySend(server, now)
 }
