entrynode: take the time limit of a domain that is taken out from the settings

Cause: the age above which the domains are read by themselves followed from 5 s, the limit of all known deployments, and would not have served one with less.

Change: domain_out_s, filled from the platform's field, 5 s if it is missing; the domains are read by themselves at 60% of it.

Result: TestDomainOutLimitIsOptional, and two cases of TestErrorsNameFieldAndRemedy for 0 and for a number too large.

--- a/internal/entrynode/config.go
+++ b/internal/entrynode/config.go
@@ -34,6 +34,9 @@
 	RetryRatio  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
+	// DomainOutLimit is how long after the operators have taken a failure domain out its servers
+	// may still get requests.
+	DomainOutLimit time.Duration
 	// HedgeShare limits the second attempts beside slow ones to this share of the requests of a
 	// service, summed over all instances; 0 sends none.
 	HedgeShare float64
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -1,6 +1,7 @@
 package entrynode
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"io"
@@ -78,8 +79,8 @@
 	n.gateway = gateway.New(gateway.Options{
 		Domain: config.Domain, Registry: n.facts, Scheduler: schedulerClient, Backends: n.backends,
 		Refresher:        facts.NewOnDemand(reader, n.elector.ReadBackoff(), n.elector.ShareReading),
-		DomainsRefresher: facts.NewDomainsOnDemand(reader, n.elector.ReadBackoff()),
-		Prober:           n.backends, Metrics: n.metrics, Log: log,
+		DomainsRefresher: facts.NewDomainsOnDemand(reader, n.elector.ReadBackoff()), DomainOutLimit: cmp.Or(config.DomainOutLimit, defaultDomainOutLimit),
+		Prober: n.backends, Metrics: n.metrics, Log: log,
 		HedgeShare: config.HedgeShare, HedgeMetrics: n.metrics.hedges,
 	})
 	reportWriteError := func(id string, err error) { log.Emit(events.CallUnwritten, "request", id, "detail", err.Error()) }
--- a/internal/entrynode/parse.go
+++ b/internal/entrynode/parse.go
@@ -46,6 +46,7 @@
 		RetryRatio:       p.number("bounds", "retry_ratio"),
 		RetryExtra:       p.number("bounds", "retry_extra"),
 		RetryWindow:      p.seconds("bounds", "retry_window_s"),
+		DomainOutLimit:   p.domainOutLimit("bounds", "domain_out_s"),
 		HedgeShare:       p.optionalShare("bounds", "hedge_share"),
 	}
 	if len(p.issues) > 0 {
@@ -145,6 +146,26 @@
 	return time.Duration(n * float64(time.Second))
 }
 
+// Limits on domain_out_s.
+const (
+	defaultDomainOutLimit = 5 * time.Second
+	maxDomainOutSeconds   = 3600
+)
+
+// domainOutLimit returns a duration that may be missing.
+func (p *parser) domainOutLimit(section, key string) time.Duration {
+	value := p.ini.Section(section).Key(key).String()
+	if value == "" {
+		return defaultDomainOutLimit
+	}
+	n, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(n > 0 && n <= maxDomainOutSeconds) { // also if it is not a number
+		p.addIssue(section, key, value, "is not a positive duration", fmt.Sprintf("use a number of seconds above 0, up to %d, or leave it out for %g", maxDomainOutSeconds, defaultDomainOutLimit.Seconds()))
+		return 0
+	}
+	return time.Duration(n * float64(time.Second))
+}
+
 // optionalShare returns a number from 0 to 1, or 0 if the setting is missing.
 func (p *parser) optionalShare(section, key string) float64 {
 	value := p.ini.Section(section).Key(key).String()
--- a/internal/entrynode/parse_test.go
+++ b/internal/entrynode/parse_test.go
@@ -35,7 +35,7 @@
 	c, err := Parse([]byte(validFile), "f")
 	is.NoErr(err)
 	is.Equal(c, Config{Name: "a", Domain: "d", FirstStart: true, ProcessorShare: 0.32, Memory: 256 << 20, Descriptors: 3075, CallerAddress: "127.0.0.1:1", ReadinessAddress: "127.0.0.1:2", PeerAddress: "127.0.0.1:3",
-		MetricsAddress: "127.0.0.1:4", StoreAddress: "127.0.0.1:5", GracePeriod: 6 * time.Second, RetryRatio: 0.2, RetryExtra: 64, RetryWindow: 10 * time.Second})
+		MetricsAddress: "127.0.0.1:4", StoreAddress: "127.0.0.1:5", GracePeriod: 6 * time.Second, RetryRatio: 0.2, RetryExtra: 64, RetryWindow: 10 * time.Second, DomainOutLimit: 5 * time.Second})
 }
 
 // Guards against a settings file of an earlier version that is refused.
@@ -46,6 +46,17 @@
 	is.Equal(c.Memory, int64(144<<20))
 }
 
+// Guards against a settings file of an earlier version that is refused, and against the time of a
+// deployment that is lost.
+func TestDomainOutLimitIsOptional(t *testing.T) {
+	is := is.New(t)
+	for line, want := range map[string]time.Duration{"": 5 * time.Second, "domain_out_s =\n": 5 * time.Second, "domain_out_s = 2.5\n": 2500 * time.Millisecond} {
+		c, err := Parse([]byte(strings.Replace(validFile, "[bounds]\n", "[bounds]\n"+line, 1)), "f")
+		is.NoErr(err)
+		is.Equal(c.DomainOutLimit, want)
+	}
+}
+
 // Guards against hedges that the settings do not call for, and against a share that is lost.
 func TestHedgeShareIsOptional(t *testing.T) {
 	is := is.New(t)
@@ -71,6 +82,8 @@
 		"too little":     {"memory_mb = 256", "memory_mb = 63", `memory_mb = "63": is not a size of memory`},
 		"too much":       {"memory_mb = 256", "memory_mb = 1e300", `memory_mb = "1e300": is not a size of memory`},
 		"NaN":            {"memory_mb = 256", "memory_mb = NaN", `memory_mb = "NaN": is not a size of memory`},
+		"no time":        {"retry_window_s = 10", "retry_window_s = 10\ndomain_out_s = 0", `f: [bounds] domain_out_s = "0": is not a positive duration; use a number of seconds above 0, up to 3600, or leave it out for 5`},
+		"endless":        {"retry_window_s = 10", "retry_window_s = 10\ndomain_out_s = 1e300", `[bounds] domain_out_s = "1e300": is not a positive duration`},
 		"above 1":        {"retry_window_s = 10", "retry_window_s = 10\nhedge_share = 1.5", `f: [bounds] hedge_share = "1.5": is not a share; use a number from 0 to 1, or remove it to send no hedges`},
 		"not a number":   {"retry_window_s = 10", "retry_window_s = 10\nhedge_share = NaN", `[bounds] hedge_share = "NaN": is not a share`},
 		"below 0":        {"retry_window_s = 10", "retry_window_s = 10\nhedge_share = -0.1", `[bounds] hedge_share = "-0.1": is not a share`},
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -68,7 +68,7 @@
 func newGateway(registry *facts.Registry, client *SchedulerClient, backends BackendClient, log *events.Logger) *Gateway {
 	return New(Options{
 		Domain: "d", Registry: registry, Scheduler: client, Backends: backends, Metrics: noMetrics{}, Log: log,
-		Refresher: fakeRefresher(func() bool { return false }), DomainsRefresher: fakeRefresher(func() bool { return false }), Prober: &fakeProber{},
+		Refresher: fakeRefresher(func() bool { return false }), DomainsRefresher: fakeRefresher(func() bool { return false }), DomainOutLimit: maxDomainOutTime, Prober: &fakeProber{},
 	})
 }
 
--- a/internal/gateway/hedger_test.go
+++ b/internal/gateway/hedger_test.go
@@ -147,7 +147,7 @@
 	h.logger = events.NewLogger(h.log)
 	h.Gateway = New(Options{
 		Domain: "d", Registry: registry, Scheduler: client, Backends: h.client, Metrics: noMetrics{}, Log: h.logger, HedgeShare: share, HedgeMetrics: h.counts,
-		Refresher: fakeRefresher(func() bool { return false }), Prober: &fakeProber{},
+		Refresher: fakeRefresher(func() bool { return false }), DomainsRefresher: fakeRefresher(func() bool { return false }), DomainOutLimit: maxDomainOutTime, Prober: &fakeProber{},
 	})
 	if h.hedger != nil {
 		for range 64 {
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"peridotmoor.org/peridotmoor/internal/events"
 	"peridotmoor.org/peridotmoor/internal/facts"
 	"peridotmoor.org/peridotmoor/internal/fleet"
@@ -17,9 +19,12 @@
 	Refresher FactsRefresher
 	// DomainsRefresher reads only the failure domains that are taken out.
 	DomainsRefresher FactsRefresher
-	Prober           fleet.Prober
-	Metrics          Metrics
-	Log              *events.Logger
+	// DomainOutLimit is how long after the operators have taken a failure domain out its servers
+	// may still get requests.
+	DomainOutLimit time.Duration
+	Prober         fleet.Prober
+	Metrics        Metrics
+	Log            *events.Logger
 	// HedgeShare is the share of hedges that the holder allows, or 0 if none are to be sent.
 	// HedgeMetrics is required if it is above 0.
 	HedgeShare   float64
--- a/internal/gateway/servercheck.go
+++ b/internal/gateway/servercheck.go
@@ -18,10 +18,10 @@
 	// been leaving for too long: it may get requests for 2 s after its entry says so. The
 	// rest is for the way of a request and for timers that fire late.
 	maxFactsAge = 1800 * time.Millisecond
-	// maxDomainsAge is the age of the last reading of the domains taken out above which they are
-	// read again: their servers may get requests for 5 s. The rest is for a reading that fails and
-	// the next one, and for the way of a request.
-	maxDomainsAge = 3 * time.Second
+	// domainsAgeShare is the age of the last reading of the domains taken out above which they are
+	// read again, as a share of the time for which their servers may get requests. The rest is for
+	// a reading that fails and the next one, and for the way of a request.
+	domainsAgeShare = 0.6
 	// refusedWordValidity is how long a server is not asked again that takes no new work or
 	// has not answered.
 	refusedWordValidity = 300 * time.Millisecond
@@ -36,9 +36,11 @@
 	refresher FactsRefresher
 	// domains reads only the domains taken out.
 	domains FactsRefresher
-	prober  fleet.Prober
-	log     *events.Logger
-	words   sync.Map // fleet.Incarnation to serverWord
+	// domainOutLimit is how long the servers of a domain that is taken out may get requests.
+	domainOutLimit time.Duration
+	prober         fleet.Prober
+	log            *events.Logger
+	words          sync.Map // fleet.Incarnation to serverWord
 	// sweptAt is when old words were last removed.
 	sweptAt atomic.Pointer[time.Time]
 	asking  singleflight.Group
@@ -54,7 +56,8 @@
 // refreshDomains reads the domains that are taken out if that was too long ago. A server does not
 // know whether its domain is one of them, so that no word of it can stand in.
 func (c *serverCheck) refreshDomains(ctx context.Context) {
-	if age, known := c.registry.DomainsAge(time.Now()); !known || age > maxDomainsAge {
+	maxAge := time.Duration(domainsAgeShare * float64(c.domainOutLimit))
+	if age, known := c.registry.DomainsAge(time.Now()); !known || age > maxAge {
 		c.domains.Refresh(ctx)
 	}
 }
