soak: check domains that are taken out

Cause: nothing in our own runs took a failure domain out while instances could not read the store or had lost their holder.

Change: the theme "domains out" takes domains out and back in series beside killed holders and instances that are cut off from the store. A request that reaches such a domain 5 s after the store has accepted it, from an instance in touch, is a violation, and so is a domain without a request within 5 s after it was taken back.

--- a/internal/dev/soak/backend/arrival.go
+++ b/internal/dev/soak/backend/arrival.go
@@ -7,7 +7,9 @@
 type Arrival struct {
 	RequestID string
 	Server    string
-	At        time.Time
+	// Domain is the failure domain of the server.
+	Domain string
+	At     time.Time
 	// Pause is the time for which the server asked not to be sent requests, with a refusal
 	// at once, or 0.
 	Pause time.Duration
--- a/internal/dev/soak/backend/serve.go
+++ b/internal/dev/soak/backend/serve.go
@@ -84,7 +84,7 @@
 	if i.shed(w, id) {
 		return
 	}
-	i.arrivals.add(Arrival{RequestID: id, Server: i.id, At: time.Now()})
+	i.arrivals.add(Arrival{RequestID: id, Server: i.id, Domain: i.config.Domain, At: time.Now()})
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(timeout*float64(time.Millisecond)))
 	defer cancel()
 	if !i.awaitSlot(ctx) {
@@ -118,7 +118,7 @@
 	}
 	w.Header().Set("Retry-After", strconv.FormatFloat(shedding.pause.Seconds(), 'f', 3, 64))
 	refuse(w, http.StatusServiceUnavailable)
-	i.arrivals.add(Arrival{RequestID: id, Server: i.id, At: time.Now(), Pause: shedding.pause})
+	i.arrivals.add(Arrival{RequestID: id, Server: i.id, Domain: i.config.Domain, At: time.Now(), Pause: shedding.pause})
 	return true
 }
 
--- a/internal/dev/soak/check/bounds.go
+++ b/internal/dev/soak/check/bounds.go
@@ -33,6 +33,10 @@
 	// leavingTime is how long after an instance has passed on that a server is leaving it
 	// may still send it requests.
 	leavingTime = 2 * time.Second
+	// domainOutTime is how long after the store has accepted that a failure domain is taken out its
+	// servers may still get requests, and domainBackTime how long after the end they get some again.
+	domainOutTime  = 5 * time.Second
+	domainBackTime = 5 * time.Second
 	// pauseDelay is how long after a refusal that asks for a pause, or after a response
 	// that names a limit, an instance need not keep to it. pauseSlack requests may reach
 	// the server during the pause.
--- a/internal/dev/soak/check/departures.go
+++ b/internal/dev/soak/check/departures.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/dev/soak/caller"
@@ -45,10 +44,5 @@
 		key := passedOnKey{processKey{a.Instance, a.Process}, server}
 		last[key] = max(last[key], after)
 	})
-	var out []time.Duration
-	for _, after := range last {
-		out = append(out, after)
-	}
-	slices.Sort(out)
-	return out
+	return sorted(last)
 }
--- a/internal/dev/soak/check/evidence.go
+++ b/internal/dev/soak/check/evidence.go
@@ -22,6 +22,7 @@
 	Bodies      []backend.Body
 	Limits      []backend.Limit
 	Departures  []backend.Departure
+	DomainsOut  []DomainOut
 	Impairments *Impairments
 	// StrayBytes describes bytes that arrived without a request.
 	StrayBytes []string
@@ -43,7 +44,7 @@
 func (e *Evidence) Violations() []Violation {
 	e.index()
 	var all []Violation
-	for _, check := range []func(*Evidence) []Violation{checkRuns, checkRefusals, checkAnswers, checkOwners, checkStops, checkCuts, checkRecovery, checkConfiguration, checkLeaving, checkDepartures, checkPauses, checkLimits, checkOddEntries, checkBodies} {
+	for _, check := range []func(*Evidence) []Violation{checkRuns, checkRefusals, checkAnswers, checkOwners, checkStops, checkCuts, checkRecovery, checkConfiguration, checkLeaving, checkDepartures, checkDomainsOut, checkPauses, checkLimits, checkOddEntries, checkBodies} {
 		all = append(all, check(e)...)
 	}
 	return all
--- a/internal/dev/soak/eventkind.go
+++ b/internal/dev/soak/eventkind.go
@@ -31,6 +31,7 @@
 	eventStoreCopy     eventKind = "store copy"    // the store is down and comes back from a copy that is some seconds old
 	eventStopSeveral   eventKind = "stop several"  // stops of several instances that overlap
 	eventDomainCut     eventKind = "domain cut"    // a failure domain is cut off from the others and the store
+	eventDomainOut     eventKind = "domain out"    // the operators take a failure domain out, and back
 	eventSlow          eventKind = "slow"          // the process runs a third of the time
 	eventConfigureTwin eventKind = "configure twice"
 )
--- a/internal/dev/soak/evidence.go
+++ b/internal/dev/soak/evidence.go
@@ -15,6 +15,6 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	e.StrayBytes, e.Limits, e.Departures = p.stray, p.limits, p.departures
+	e.StrayBytes, e.Limits, e.Departures, e.DomainsOut = p.stray, p.limits, p.departures, p.domainsOut
 	return e
 }
--- a/internal/dev/soak/faults.go
+++ b/internal/dev/soak/faults.go
@@ -39,6 +39,8 @@
 	running sync.WaitGroup
 	// storeFault is held while the store as a whole is impaired.
 	storeFault sync.Mutex
+	// domainOut is held while a failure domain is taken out.
+	domainOut sync.Mutex
 }
 
 // run starts each event at its time and returns after the last one has ended.
@@ -70,6 +72,8 @@
 		f.writeOddly(e)
 	case eventDomainCut:
 		f.cutDomain(ctx, e)
+	case eventDomainOut:
+		f.takeOut(ctx, e)
 	case eventServerFault, eventServerCrash, eventServerDrain, eventServerLeave, eventServerRetire, eventServerLimit, eventServerShed:
 		f.impairServer(ctx, e)
 	default:
--- a/internal/dev/soak/play.go
+++ b/internal/dev/soak/play.go
@@ -71,6 +71,7 @@
 	notes      []string
 	limits     []backend.Limit
 	departures []backend.Departure
+	domainsOut []check.DomainOut
 	stray      []string
 	errors     []error
 }
@@ -235,6 +236,13 @@
 	p.departures = append(p.departures, departure)
 }
 
+func (p *play) addDomainOut(d check.DomainOut) {
+	p.note("%s is taken back", d.Domain)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.domainsOut = append(p.domainsOut, d)
+}
+
 // fail records an error of the soak itself.
 func (p *play) fail(err error) {
 	if err == nil {
--- a/internal/dev/soak/run.go
+++ b/internal/dev/soak/run.go
@@ -117,6 +117,12 @@
 	if last := e.LastSends(); len(last) > 0 {
 		departures = fmt.Sprintf(" departures=%d last_send_median=%.2fs last_send_max=%.2fs", len(e.Departures), last[len(last)/2].Seconds(), last[len(last)-1].Seconds())
 	}
+	if inTouch, all := e.LastDomainSends(); len(all) > 0 {
+		departures += fmt.Sprintf(" domains_out=%d last_send_max=%.2fs", len(e.DomainsOut), all[len(all)-1].Seconds())
+		if len(inTouch) > 0 {
+			departures += fmt.Sprintf(" in_touch_max=%.2fs", inTouch[len(inTouch)-1].Seconds())
+		}
+	}
 	return fmt.Sprintf("sent=%d answered=%d refused=%d cut=%d left=%d other=%d runs=%d versions=%d processes=%d longest_stop=%.2fs", len(e.Attempts), answered, refused, cut, left,
 		len(e.Attempts)-answered-refused-cut-left, len(e.Runs), len(e.Versions), len(e.Processes), longestStop.Seconds()) + departures
 }
--- a/internal/dev/soak/schedule.go
+++ b/internal/dev/soak/schedule.go
@@ -29,6 +29,10 @@
 	// many times longer than its class a cut may last.
 	maxCutSeries  = 3
 	maxCutStretch = 1.3
+	// minOutTime is the shortest time for which a failure domain is taken out: longer than its
+	// servers may still get requests. maxOutSeries is how often in a row it may be.
+	minOutTime   = 7 * time.Second
+	maxOutSeries = 3
 	// minFarTime is the shortest time for which the store is far: several reads of it.
 	minFarTime = 4 * time.Second
 	// maxConnectionDelay is the longest delay of a connection.
@@ -62,6 +66,10 @@
 			e.targets = []int{random.IntN(servers)}
 		case eventDomainCut:
 			drawCut(random, &e, drawn.atHolder)
+		case eventDomainOut:
+			e.targets = []int{random.IntN(domainCount)}
+			e.length += minOutTime
+			e.count = 1 + random.IntN(maxOutSeries)
 		case eventStoreFar:
 			e.targets = random.Perm(instances)
 			e.length += minFarTime
--- a/internal/dev/soak/theme.go
+++ b/internal/dev/soak/theme.go
@@ -29,6 +29,10 @@
 // late or not at all.
 const lateFactsTheme = "late facts"
 
+// domainsOutTheme is the name of the theme in which failure domains are taken out while holders are
+// lost and instances cannot read the store.
+const domainsOutTheme = "domains out"
+
 // storeCopyTheme is the name of the theme in which the store comes back from older copies.
 const storeCopyTheme = "store copies"
 
@@ -46,6 +50,7 @@
 	{name: "backpressure", weights: []weightedKind{{eventServerLeave, 3}, {eventServerLimit, 5}, {eventServerShed, 4}, {eventServerDrain, 1}, {eventStop, 2}, {eventKill, 1}, {eventPause, 1},
 		{eventStoreDown, 2}, {eventStoreSlow, 1}, {eventStoreCut, 1}, {eventPeerFault, 1}}},
 	{name: lateFactsTheme, weights: []weightedKind{{eventServerRetire, 10}, {eventStoreFar, 2}, {eventStoreCut, 7}, {eventPeerFault, 4}, {eventStoreDown, 1}, {eventKill, 1}, {eventStop, 1}, {eventPause, 1}}, long: true},
+	{name: domainsOutTheme, weights: []weightedKind{{eventDomainOut, 6}, {eventStoreCut, 5}, {eventKill, 6}, {eventStop, 2}, {eventStoreFar, 1}, {eventPeerFault, 1}, {eventStoreDown, 1}, {eventConfigure, 1}}, long: true},
 	{name: "holder cuts", weights: []weightedKind{{eventDomainCut, 1}}, atHolder: true},
 	{name: "domain cuts", weights: []weightedKind{{eventDomainCut, 6}, {eventStop, 1}, {eventStopSeveral, 1}, {eventKill, 2}, {eventPause, 2}, {eventSlow, 2}, {eventStoreDown, 1}, {eventStoreCut, 1},
 		{eventServerDrain, 1}, {eventServerCrash, 1}, {eventConfigure, 1}}},
