facts: read a long configuration to its end while it makes progress

Cause: the same class as that of the domains, for the configuration: an instance without a holder has only the store, and each of its readings was ended after 0.9 s. With 1,600 more routes, 10 Mbit/s and a burst none of them came to its end, and two of them at a time, for a request and by the elector, shared the link.

Change: a reading for requests, for which nobody waits longer than 60 ms, may take 4 s. An instance without a holder joins such a reading instead of beginning another one. The listing is applied when it comes, not after the configuration.

TestRequestsShareReadings and the tests of domains wait at their end for a reading that now lasts longer than they do.

--- a/internal/facts/ondemand.go
+++ b/internal/facts/ondemand.go
@@ -30,7 +30,7 @@
 // NewOnDemand returns an OnDemand that reads with reader and then calls onRead, and that
 // waits after a reading that failed.
 func NewOnDemand(reader *Reader, backoff Backoff, onRead func()) *OnDemand {
-	return &OnDemand{readStore: reader.Read, wait: refreshWait, backoff: backoff, onRead: onRead}
+	return &OnDemand{readStore: reader.ReadSlowly, wait: refreshWait, backoff: backoff, onRead: onRead}
 }
 
 // NewDomainsOnDemand returns an OnDemand that reads only the domains taken out.
--- a/internal/facts/ondemand_test.go
+++ b/internal/facts/ondemand_test.go
@@ -69,6 +69,7 @@
 				}
 				is.Equal(s.reads.Load(), c.reads)
 				is.Equal(onRead.Load(), c.onRead)
+				time.Sleep(slowReadTimeout) // until the last reading has ended
 			})
 		})
 	}
--- a/internal/facts/reader.go
+++ b/internal/facts/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"peridotmoor.org/peridotmoor/internal/events"
@@ -15,8 +16,9 @@
 	// outageThreshold is the time without a reading after which entries may have expired
 	// because servers could not renew them. An entry is valid for three heartbeats.
 	outageThreshold = 2400 * time.Millisecond
-	// maxReading is how long a reading takes at most, unless the process stood still meanwhile.
-	maxReading = 2 * readTimeout
+	// slowReadTimeout limits a reading for which nobody waits. The source ends one that makes no
+	// progress sooner.
+	slowReadTimeout = 4 * time.Second
 	// relistPeriod is how long live servers may take to be listed again after an outage.
 	relistPeriod = 2200 * time.Millisecond
 )
@@ -27,7 +29,9 @@
 	source   Source
 	registry *Registry
 	log      *events.Logger
-	mu       sync.Mutex // protects the fields below
+	// slow is the slow reading that is under way, or nil.
+	slow atomic.Pointer[sharedReading]
+	mu   sync.Mutex // protects the fields below
 	// failed is set if a reading of the listing has failed since the last one that succeeded. A
 	// process that stood still has made none.
 	failed bool
@@ -54,34 +58,58 @@
 // Read reads all facts once. It returns an error if a part of them could not be read; the
 // other part is applied, and the facts count as read only as of an earlier reading.
 func (r *Reader) Read(ctx context.Context) error {
+	return r.readWithin(ctx, readTimeout)
+}
+
+// ReadSlowly is Read for a caller that does not wait for the end: a reading that makes progress
+// may take longer, so that a long configuration arrives over a slow link.
+func (r *Reader) ReadSlowly(ctx context.Context) error {
+	next := &sharedReading{beganAt: time.Now(), done: make(chan struct{})}
+	r.slow.Store(next)
+	next.err = r.readWithin(ctx, slowReadTimeout)
+	r.slow.CompareAndSwap(next, nil)
+	close(next.done)
+	return next.err
+}
+
+// JoinOrRead is Read, but waits for a slow reading instead if one is under way: two at a time would
+// share the link.
+func (r *Reader) JoinOrRead(ctx context.Context) error {
+	slow := r.slow.Load()
+	if slow == nil {
+		return r.Read(ctx)
+	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	select {
+	case <-slow.done:
+		return slow.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (r *Reader) readWithin(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	began := time.Now()
-	var listing fleet.Listing
 	var listingErr error
 	listed := make(chan struct{})
 	go func() {
 		defer close(listed)
-		listing, listingErr = r.source.Listing(ctx)
+		listingErr = r.readListing(ctx, began, limit)
 	}()
-	settings, settingsErr := r.source.OperatorSettings(ctx)
-	<-listed
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if settingsErr == nil {
+	settings, err := r.source.OperatorSettings(ctx)
+	if err == nil {
 		settings.DomainsOut = r.registry.KeepKnownDomains(settings.DomainsOut, settings.Era, began)
 		r.registry.UpdateOperatorSettings(settings, began)
 	}
-	if listingErr == nil {
-		r.applyListing(began, listing)
-		r.failed = false
-	} else if time.Since(began) < maxReading {
-		r.failed = true
-	}
-	err := listingErr
-	if err == nil {
-		err = settingsErr
+	<-listed
+	if listingErr != nil {
+		err = listingErr
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	switch {
 	case err == nil:
 		r.registry.ConfirmRead(began)
@@ -96,6 +124,21 @@
 	return err
 }
 
+// readListing reads and applies the listing, for a reading that began at the given time and may take
+// as long as the limit.
+func (r *Reader) readListing(ctx context.Context, began time.Time, limit time.Duration) error {
+	listing, err := r.source.Listing(ctx)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil {
+		r.applyListing(began, listing)
+		r.failed = false
+	} else if time.Since(began) < 2*limit { // it takes longer only if the process stood still
+		r.failed = true
+	}
+	return err
+}
+
 // ReadDomainsOut reads only the failure domains that are taken out: a long configuration may not
 // arrive in time over a slow link.
 func (r *Reader) ReadDomainsOut(ctx context.Context) error {
--- a/internal/facts/reader_test.go
+++ b/internal/facts/reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -193,3 +194,47 @@
 		is.Equal(names(registry), []string{"b"})
 	})
 }
+
+// slowSettingsSource takes a while for the operators' settings.
+type slowSettingsSource struct {
+	fakeSource
+	duration time.Duration
+	reads    atomic.Int64
+}
+
+func (s *slowSettingsSource) OperatorSettings(ctx context.Context) (fleet.OperatorSettings, error) {
+	s.reads.Add(1)
+	select {
+	case <-time.After(s.duration):
+		return s.fakeSource.OperatorSettings(ctx)
+	case <-ctx.Done():
+		return fleet.OperatorSettings{}, errors.Wrap(ctx.Err(), "read")
+	}
+}
+
+// Guards against a long configuration that an instance with a slow link never gets, because each
+// reading is ended before, or because readings of requests and of the elector share the link.
+func TestLongConfigurationIsReadOverASlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source := &slowSettingsSource{duration: 2 * time.Second}
+		source.servers = servers("a")
+		registry := NewRegistry(decodeVersion, nil)
+		reader := NewReader(source, registry, nil)
+		began := time.Now()
+		done := make(chan error, 1)
+		go func() { done <- reader.ReadSlowly(t.Context()) }()
+		time.Sleep(time.Millisecond)
+		is.Equal(names(registry), []string{"a"})       // a part is applied as it comes
+		is.True(reader.JoinOrRead(t.Context()) != nil) // within its own time
+		is.True(time.Since(began) < time.Second)
+		time.Sleep(500 * time.Millisecond)
+		is.NoErr(reader.JoinOrRead(t.Context()))
+		is.Equal(source.reads.Load(), int64(1))
+		is.NoErr(<-done)
+		span, _ := registry.LastReadSpan()
+		is.Equal(span.Until, began)
+		is.True(reader.JoinOrRead(t.Context()) != nil) // a reading of its own
+		is.Equal(source.reads.Load(), int64(2))
+	})
+}
--- a/internal/gateway/takenoutdomain_test.go
+++ b/internal/gateway/takenoutdomain_test.go
@@ -100,6 +100,7 @@
 				is.True(served["d"] > 0) // before the instance could know
 				is.True(served["e"] > 500)
 				is.True(source.reads.Load() < 200) // the store is not asked for each request
+				time.Sleep(maxDomainOutTime)       // until the last reading has ended
 			})
 		})
 	}
@@ -132,6 +133,7 @@
 			is.Equal(g.Handle(t.Context(), upload()).Outcome, OutcomeNotRun)
 			time.Sleep(20 * time.Millisecond)
 		}
+		time.Sleep(maxDomainOutTime) // until the last reading has ended
 	})
 }
 
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -166,7 +166,7 @@
 
 // readFacts reads the facts and the owners from the store.
 func (e *Elector) readFacts(ctx context.Context) error {
-	if err := e.reader.Read(ctx); err != nil {
+	if err := e.reader.JoinOrRead(ctx); err != nil {
 		return err
 	}
 	return e.readOwners(ctx)
