gateway: work out the evidence of a write once

Cause: the last check before a write looked at the evidence twice, once for the log and once for the decision, which could differ; and the log and the metric took in attempts that were withheld or never reached a server: call_ended told a time of writing for a request that was not written, and requests_sent_total counted attempts without a connection under an evidence that its help does not name. The greatest age of the domains was worked out with each send.

Change: evidenceToSend decides and is what is logged; only what may have been written is counted; the age is worked out once. No request is sent or withheld differently.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,7 +40,10 @@
 	return &Gateway{
 		domain: o.Domain, registry: o.Registry, scheduler: o.Scheduler, backends: o.Backends, metrics: o.Metrics, log: o.Log,
 		hedger: newHedger(o.HedgeShare, o.HedgeMetrics),
-		check:  &serverCheck{registry: o.Registry, refresher: o.Refresher, domains: o.DomainsRefresher, domainOutLimit: o.DomainOutLimit, prober: o.Prober, log: o.Log},
+		check: &serverCheck{
+			registry: o.Registry, refresher: o.Refresher, domains: o.DomainsRefresher, maxDomainsAge: time.Duration(domainsAgeShare * float64(o.DomainOutLimit)),
+			prober: o.Prober, log: o.Log,
+		},
 	}
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -20,7 +20,7 @@
 		state.sends++
 		return AttemptResult{Outcome: placing.Unreached, Detail: "the facts are too old, and the server has not said that it takes new work"}
 	}
-	maySend := server != nil && g.maySend(server.Incarnation, decision.HeardAt)
+	maySend := server != nil && g.evidenceToSend(server.Incarnation, decision.HeardAt, time.Now()) != evidenceNone
 	if server != nil && !maySend {
 		g.scheduler.ReportState(server.Incarnation) // the holder may not know yet what the server has asked
 	}
@@ -34,8 +34,12 @@
 		writtenAt = time.Now()
 		state.factsAge, _ = g.registry.Age(writtenAt)
 		state.domainsAge, _ = g.registry.DomainsAge(writtenAt)
-		state.writtenAt, state.evidence = writtenAt, g.check.evidenceOf(server.Incarnation, decision.HeardAt, writtenAt)
-		return g.hasSameSender(call, state) && g.maySend(server.Incarnation, decision.HeardAt)
+		shown := g.evidenceToSend(server.Incarnation, decision.HeardAt, writtenAt)
+		if shown == evidenceNone || !g.hasSameSender(call, state) {
+			return false
+		}
+		state.writtenAt, state.evidence = writtenAt, shown
+		return true
 	})
 	result.Outcome = settledOutcome(ctx, result.Outcome)
 	if result.Open {
@@ -48,23 +52,25 @@
 		return result
 	}
 	g.metrics.FactsAge(state.factsAge, state.domainsAge)
-	g.metrics.Sent(state.evidence.String())
 	state.server, state.serverDomain = decision.Server, server.Domain
 	state.sends++
 	if result.Outcome != placing.Unreached {
+		g.metrics.Sent(state.evidence.String())
 		call.Tried = append(call.Tried, decision.Server)
 	}
 	return result
 }
 
-// maySend reports whether a server may get a request now, which another instance heard at
-// heardAt. The answer holds for the write that follows at once: the facts change while a
-// connection is made.
-func (g *Gateway) maySend(incarnation fleet.Incarnation, heardAt time.Time) bool {
-	now := time.Now()
+// evidenceToSend returns what shows that a server, which another instance heard at heardAt, may get
+// a request at now, or evidenceNone if it may not. The answer holds for the write that follows at
+// once: the facts change while a connection is made.
+func (g *Gateway) evidenceToSend(incarnation fleet.Incarnation, heardAt, now time.Time) evidence {
 	// Before the snapshot is loaded: a snapshot from before may lack what a later reading has.
-	recent := g.check.isRecent(incarnation, heardAt, now)
+	shown := g.check.evidenceOf(incarnation, heardAt, now)
 	snapshot := g.registry.Snapshot()
 	server := snapshot.Server(incarnation.Name)
-	return recent && server != nil && server.Incarnation == incarnation && snapshot.MaySend(server, now)
+	if server == nil || server.Incarnation != incarnation || !snapshot.MaySend(server, now) {
+		return evidenceNone
+	}
+	return shown
 }
--- a/internal/gateway/servercheck.go
+++ b/internal/gateway/servercheck.go
@@ -36,11 +36,11 @@
 	refresher FactsRefresher
 	// domains reads only the domains taken out.
 	domains FactsRefresher
-	// domainOutLimit is how long the servers of a domain that is taken out may get requests.
-	domainOutLimit time.Duration
-	prober         fleet.Prober
-	log            *events.Logger
-	words          sync.Map // fleet.Incarnation to serverWord
+	// maxDomainsAge is the age of the domains taken out above which they are read again.
+	maxDomainsAge time.Duration
+	prober        fleet.Prober
+	log           *events.Logger
+	words         sync.Map // fleet.Incarnation to serverWord
 	// sweptAt is when old words were last removed.
 	sweptAt atomic.Pointer[time.Time]
 	asking  singleflight.Group
@@ -56,8 +56,7 @@
 // refreshDomains reads the domains that are taken out if that was too long ago. A server does not
 // know whether its domain is one of them, so that no word of it can stand in.
 func (c *serverCheck) refreshDomains(ctx context.Context) {
-	maxAge := time.Duration(domainsAgeShare * float64(c.domainOutLimit))
-	if age, known := c.registry.DomainsAge(time.Now()); !known || age > maxAge {
+	if age, known := c.registry.DomainsAge(time.Now()); !known || age > c.maxDomainsAge {
 		c.domains.Refresh(ctx)
 	}
 }
